--- /dev/null
+++ b/packages/daemon/bin/chestnuthatchd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/packages/standins/src/placeholder.ts
@@ -0,0 +1,3 @@
+/** Placeholder module until the package has its first. */
+
+export {};
--- /dev/null
+++ b/utils/placeholder.ts
@@ -0,0 +1,3 @@
+/** Placeholder module until the folder has its first. */
+
+export {};
