--- /dev/null
+++ b/packages/settings/src/settings_in_force.ts
@@ -0,0 +1,106 @@
+/** Builds what the rest of the system reads from a checked tree. */
+
+import type {
+  PolicyScope,
+  PoolSettings,
+  SettingsInForce,
+  TargetSettings,
+  TierPolicy,
+} from "./policy.ts";
+import { POLICY_FIELD_NAMES } from "./policy_fields.ts";
+import { layerValues } from "./policy_layers.ts";
+import type { SettingsTree } from "./tree_schema.ts";
+
+/**
+ * Resolves a tree.
+ *
+ * @param tree The checked tree.
+ * @param version Its version in the platform's table.
+ * @returns The settings, ready for use. `policyFor` throws a `RangeError` for
+ * an unknown tier only; a region or workspace that the tree does not name gets
+ * what holds for the fleet.
+ */
+export function buildSettings(
+  tree: SettingsTree,
+  version: number,
+): SettingsInForce {
+  const policies = new PolicyCache(tree);
+  return {
+    version,
+    regionOfDomain: regionsByDomain(tree),
+    pools: poolsByName(tree),
+    targets: targetsById(tree),
+    workspaces: new Set(Object.keys(tree.workspaces)),
+    tiers: tiersByRank(tree),
+    drainingInstances: new Set(tree.drainingInstances),
+    timing: tree.fleet.timing,
+    policyFor: (scope) => policies.policyFor(scope),
+  };
+}
+
+/** Resolved policies, at most one for each combination of known names. */
+class PolicyCache {
+  readonly #tree: SettingsTree;
+  readonly #policies = new Map<string, TierPolicy>();
+
+  constructor(tree: SettingsTree) {
+    this.#tree = tree;
+  }
+
+  policyFor(scope: PolicyScope): TierPolicy {
+    const key = `${scope.region}/${scope.workspace}/${scope.tier}`;
+    const known = this.#policies.get(key);
+    if (known !== undefined) return known;
+    const policy = resolvePolicy(this.#tree, scope);
+    if (this.#isNamed(scope)) this.#policies.set(key, policy);
+    return policy;
+  }
+
+  /** Only named scopes are kept, so that callers cannot grow the cache. */
+  #isNamed({ region, workspace }: PolicyScope): boolean {
+    return Object.hasOwn(this.#tree.regions, region) &&
+      Object.hasOwn(this.#tree.workspaces, workspace);
+  }
+}
+
+function resolvePolicy(tree: SettingsTree, scope: PolicyScope): TierPolicy {
+  if (!Object.hasOwn(tree.tiers, scope.tier)) {
+    throw new RangeError(`unknown tier "${scope.tier}"`);
+  }
+  const { rank } = tree.tiers[scope.tier];
+  const fields = POLICY_FIELD_NAMES.map((field) => [
+    field,
+    layerValues(tree, field, { scope }).at(-1)?.value,
+  ]);
+  return Object.freeze({
+    tier: scope.tier,
+    rank,
+    ...Object.fromEntries(fields),
+  }) as TierPolicy;
+}
+
+function regionsByDomain(tree: SettingsTree): Map<string, string> {
+  return new Map(
+    Object.entries(tree.regions).flatMap(([region, { failureDomains }]) =>
+      failureDomains.map((domain) => [domain, region] as const)
+    ),
+  );
+}
+
+function poolsByName(tree: SettingsTree): Map<string, PoolSettings> {
+  return new Map(
+    Object.entries(tree.pools).map(([name, pool]) => [name, { name, ...pool }]),
+  );
+}
+
+function targetsById(tree: SettingsTree): Map<string, TargetSettings> {
+  return new Map(
+    Object.entries(tree.targets).map(([id, target]) => [id, { id, ...target }]),
+  );
+}
+
+function tiersByRank(tree: SettingsTree): string[] {
+  return Object.entries(tree.tiers)
+    .sort(([, left], [, right]) => left.rank - right.rank)
+    .map(([name]) => name);
+}
