--- a/packages/wire/src/target_protocol.ts
+++ b/packages/wire/src/target_protocol.ts
@@ -68,6 +68,8 @@
     /** Position of the token in the answer, from 0 without gaps. */
     index: z.number().int().nonnegative(),
     text: z.string(),
+    /** Tokens that `text` holds; 1 where absent. */
+    tokens: z.number().int().positive().optional(),
   }),
   z.strictObject({
     kind: z.literal(EngineEventKind.End),
