--- /dev/null
+++ b/packages/core/src/ask_flow.ts
@@ -0,0 +1,356 @@
+/** The holder's asks: where they go, when they move, when they have failed. */
+
+import {
+  PeerMessageKind,
+  type PeerMessageOf,
+} from "@chestnuthatch/wire/peer_messages";
+import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
+import {
+  AskState,
+  type HeldRequest,
+  type Member,
+  type OutAsk,
+  shardKey,
+} from "./blackboard.ts";
+import type { Turn } from "./controller.ts";
+import { rankCoordinators } from "./coordinators.ts";
+import { CounterName } from "./effects.ts";
+import { endRequest } from "./outcomes.ts";
+import { noteStep } from "./refusals.ts";
+import { RequestState } from "./request.ts";
+import { domainsToAsk } from "./shard_domains.ts";
+import { spreadRetryHint } from "./retry_hint.ts";
+
+/** A predicted wait above this sends the ask to the other domains too. */
+const SPREAD_WAIT_MS = 20;
+
+/** Errors in the order in which they explain a refusal best. */
+const TELLING_ERRORS: readonly ErrorKind[] = [
+  ErrorKind.Overloaded,
+  ErrorKind.DeadlineUnreachable,
+  ErrorKind.NoTarget,
+];
+
+/**
+ * Begins to ask for a place: at the nearest domain that has the pool.
+ *
+ * @param turn The turn it happens in.
+ * @param request A request in the Waiting state.
+ */
+export function startAsking(turn: Turn, request: HeldRequest): void {
+  request.askViewNumber = turn.board.members.viewNumber;
+  const [nearest] = domainsOf(turn, request);
+  if (nearest === undefined) {
+    refuseForAsks(turn, request);
+    return;
+  }
+  askDomain(turn, request, nearest);
+}
+
+/**
+ * Asks one domain's coordinator, or its stand-in when it was silent.
+ *
+ * @param turn The turn it happens in.
+ * @param request A request in the Waiting state.
+ * @param failureDomain The domain whose targets are asked for.
+ */
+export function askDomain(
+  turn: Turn,
+  request: HeldRequest,
+  failureDomain: string,
+): void {
+  const ask = request.asks.get(failureDomain) ?? newAsk(failureDomain);
+  request.asks.set(failureDomain, ask);
+  const coordinator = pickCoordinator(turn, request, ask);
+  if (coordinator === undefined) {
+    ask.state = AskState.Refused;
+    ask.refusal = {
+      error: ErrorKind.NoTarget,
+      retryAfterMs: request.policy.retryAfterMs,
+      reason: "no live coordinator",
+    };
+    return;
+  }
+  request.askNumber += 1;
+  ask.coordinatorId = coordinator.instanceId;
+  ask.coordinatorIncarnation = coordinator.incarnation;
+  ask.askNumber = request.askNumber;
+  ask.sentAtMs = turn.nowMs;
+  ask.state = AskState.Sent;
+  ask.refusal = undefined;
+  sendAsk(turn, request, ask);
+}
+
+/**
+ * Looks after a waiting request's asks: silence, changed views, refusals.
+ *
+ * @param turn The turn of a tick.
+ * @param request A request in the Waiting state.
+ */
+export function tendAsks(turn: Turn, request: HeldRequest): void {
+  const { board } = turn;
+  const timeoutMs = board.settings.inForce!.timing.askTimeoutMs;
+  const viewChanged = request.askViewNumber !== board.members.viewNumber;
+  request.askViewNumber = board.members.viewNumber;
+  for (const ask of [...request.asks.values()]) {
+    if (
+      ask.state === AskState.Sent && turn.nowMs - ask.sentAtMs >= timeoutMs
+    ) {
+      moveSilentAsk(turn, request, ask);
+    } else if (viewChanged && ask.state !== AskState.Refused) {
+      moveToRightfulCoordinator(turn, request, ask);
+    }
+  }
+  refuseWhenAllRefused(turn, request);
+}
+
+/**
+ * Handles a coordinator's word that the ask waits in its queue.
+ *
+ * @param message What it said.
+ * @param turn The turn it happens in.
+ */
+export function onAskQueued(
+  message: PeerMessageOf<PeerMessageKind.AskQueued>,
+  turn: Turn,
+): void {
+  const found = currentAsk(turn, message);
+  if (found === undefined) {
+    return;
+  }
+  found.ask.state = AskState.Queued;
+  if (message.predictedWaitMs > SPREAD_WAIT_MS) {
+    askEverywhere(turn, found.request);
+  }
+}
+
+/**
+ * Handles a coordinator's refusal of an ask.
+ *
+ * @param message What it said.
+ * @param turn The turn it happens in.
+ */
+export function onAskRefused(
+  message: PeerMessageOf<PeerMessageKind.AskRefused>,
+  turn: Turn,
+): void {
+  const found = currentAsk(turn, message);
+  if (found === undefined) {
+    return;
+  }
+  const { ask, request } = found;
+  ask.state = AskState.Refused;
+  ask.refusal = {
+    error: message.error,
+    retryAfterMs: message.retryAfterMs,
+    reason: message.reason,
+  };
+  noteStep(
+    turn,
+    request,
+    `${ask.coordinatorId} refused for ${ask.failureDomain}: ${message.reason}`,
+  );
+  askEverywhere(turn, request);
+  refuseWhenAllRefused(turn, request);
+}
+
+/**
+ * Handles a coordinator's word that it does not know asks we think it holds.
+ *
+ * @param message What it said.
+ * @param turn The turn it happens in.
+ */
+export function onAsksUnknown(
+  message: PeerMessageOf<PeerMessageKind.AsksUnknown>,
+  turn: Turn,
+): void {
+  for (const requestId of message.requestIds) {
+    const request = turn.board.requests.byId.get(requestId);
+    const ask = request?.asks.get(message.failureDomain);
+    if (
+      request?.state === RequestState.Waiting && ask !== undefined &&
+      ask.state !== AskState.Refused
+    ) {
+      askDomain(turn, request, message.failureDomain);
+    }
+  }
+}
+
+/**
+ * Withdraws the asks of a request that needs no place any more.
+ *
+ * @param turn The turn it happens in.
+ * @param request The request.
+ * @param exceptDomain A domain whose coordinator knows already.
+ */
+export function withdrawAsks(
+  turn: Turn,
+  request: HeldRequest,
+  exceptDomain?: string,
+): void {
+  for (const ask of request.asks.values()) {
+    if (
+      ask.failureDomain !== exceptDomain && ask.state !== AskState.Refused
+    ) {
+      withdrawAsk(turn, request, ask);
+    }
+  }
+  request.asks.clear();
+}
+
+function withdrawAsk(turn: Turn, request: HeldRequest, ask: OutAsk): void {
+  turn.send(ask.coordinatorId, {
+    kind: PeerMessageKind.AskWithdrawn,
+    pool: request.spec.pool,
+    failureDomain: ask.failureDomain,
+    requestId: request.spec.requestId,
+  });
+}
+
+function askEverywhere(turn: Turn, request: HeldRequest): void {
+  for (const domain of domainsOf(turn, request)) {
+    if (!request.asks.has(domain)) {
+      askDomain(turn, request, domain);
+    }
+  }
+}
+
+function moveSilentAsk(turn: Turn, request: HeldRequest, ask: OutAsk): void {
+  turn.count(CounterName.AskTimeouts);
+  noteStep(
+    turn,
+    request,
+    `${ask.coordinatorId} was silent for ${ask.failureDomain}, asking the next`,
+  );
+  withdrawAsk(turn, request, ask);
+  ask.silentIds.add(ask.coordinatorId);
+  askDomain(turn, request, ask.failureDomain);
+  askEverywhere(turn, request);
+}
+
+function moveToRightfulCoordinator(
+  turn: Turn,
+  request: HeldRequest,
+  ask: OutAsk,
+): void {
+  const rightful = pickCoordinator(turn, request, ask);
+  if (
+    rightful === undefined ||
+    (rightful.instanceId === ask.coordinatorId &&
+      rightful.incarnation === ask.coordinatorIncarnation)
+  ) {
+    return;
+  }
+  withdrawAsk(turn, request, ask);
+  askDomain(turn, request, ask.failureDomain);
+}
+
+function refuseWhenAllRefused(turn: Turn, request: HeldRequest): void {
+  const everyDomainRefused = domainsOf(turn, request).every((domain) =>
+    request.asks.get(domain)?.state === AskState.Refused
+  );
+  if (request.state === RequestState.Waiting && everyDomainRefused) {
+    refuseForAsks(turn, request);
+  }
+}
+
+function refuseForAsks(turn: Turn, request: HeldRequest): void {
+  const refusals = [...request.asks.values()].flatMap((ask) =>
+    ask.refusal === undefined ? [] : [ask.refusal]
+  );
+  const error =
+    TELLING_ERRORS.find((kind) =>
+      refusals.some((refusal) => refusal.error === kind)
+    ) ?? ErrorKind.NoTarget;
+  const telling = refusals.filter((refusal) => refusal.error === error);
+  const hints = telling.map((refusal) => refusal.retryAfterMs);
+  endRequest(turn, request, {
+    error,
+    ran: RunState.NotRun,
+    message: telling[0]?.reason ??
+      `Pool ${request.spec.pool} has no target within reach.`,
+    retryAfterMs: hints.length > 0
+      ? Math.min(...hints)
+      : spreadRetryHint(turn, request.policy.retryAfterMs),
+  });
+}
+
+function currentAsk(
+  turn: Turn,
+  message: { requestId: string; failureDomain: string; askNumber: number },
+): { request: HeldRequest; ask: OutAsk } | undefined {
+  const request = turn.board.requests.byId.get(message.requestId);
+  const ask = request?.asks.get(message.failureDomain);
+  if (
+    request?.state !== RequestState.Waiting ||
+    ask?.askNumber !== message.askNumber
+  ) {
+    return undefined;
+  }
+  return { request, ask };
+}
+
+function pickCoordinator(
+  turn: Turn,
+  request: HeldRequest,
+  ask: OutAsk,
+): Member | undefined {
+  const { failureDomain } = ask;
+  const key = shardKey(request.spec.pool, failureDomain);
+  const ranked = rankCoordinators(
+    turn.board,
+    { key, failureDomain },
+    turn.nowMs,
+  );
+  const answering = ranked.find((member) =>
+    !ask.silentIds.has(member.instanceId)
+  );
+  if (answering === undefined) {
+    ask.silentIds.clear();
+  }
+  return answering ?? ranked[0];
+}
+
+function sendAsk(turn: Turn, request: HeldRequest, ask: OutAsk): void {
+  const { spec, policy } = request;
+  turn.send(ask.coordinatorId, {
+    kind: PeerMessageKind.Ask,
+    failureDomain: ask.failureDomain,
+    holderBeat: turn.board.requests.holderBeat,
+    ask: {
+      requestId: spec.requestId,
+      askNumber: ask.askNumber,
+      pool: spec.pool,
+      workspace: spec.workspace,
+      tierRank: policy.rank,
+      value: policy.value,
+      promptTokens: spec.promptTokens,
+      expectedOutputTokens: request.expectedOutputTokens,
+      maxOutputTokens: request.maxOutputTokens,
+      timeLeftMs: Math.max(0, request.deadlineAtMs - turn.nowMs),
+      cancellable: request.cancellable,
+      excludedTargetIds: [...request.excludedTargetIds],
+      blockHashes: [...spec.blockHashes],
+    },
+  });
+}
+
+function domainsOf(turn: Turn, request: HeldRequest): string[] {
+  return domainsToAsk(
+    turn.board.settings.inForce!,
+    turn.board.self,
+    request.spec.pool,
+  );
+}
+
+function newAsk(failureDomain: string): OutAsk {
+  return {
+    failureDomain,
+    coordinatorId: "",
+    coordinatorIncarnation: 0,
+    askNumber: 0,
+    sentAtMs: 0,
+    state: AskState.Sent,
+    silentIds: new Set(),
+  };
+}
--- a/packages/core/src/blackboard.ts
+++ b/packages/core/src/blackboard.ts
@@ -3,13 +3,16 @@
  * named in its comment and only read by the others.
  */
 
+import type { LRUCache } from "lru-cache";
 import type { AskDetail, RunningWork } from "@chestnuthatch/wire/peer_messages";
 import type { ErrorKind, TargetLoad } from "@chestnuthatch/wire/work";
 import type {
   SettingsInForce,
   TierPolicy,
 } from "@chestnuthatch/settings/policy";
+import type { ClaimRow } from "./events.ts";
 import type { DecisionLog } from "./decision_log.ts";
+import type { PrefixIndex } from "./prefix_index.ts";
 import type { Outcome, RequestSpec, RequestState } from "./request.ts";
 
 /** Who this instance is; fixed at start, but for `leaving`. */
@@ -31,6 +34,14 @@
   content: string;
   changeId: string;
   lastPollAtMs: number;
+  /** When the store is to be read next; absent until the first read. */
+  nextPollAtMs?: number;
+  /** When another peer may be asked for a higher version. */
+  nextWantedAtMs?: number;
+  /** The last offer made to each peer. */
+  offers?: Map<string, { version: number; atMs: number }>;
+  /** The last content that was refused, so that it is logged once. */
+  refused?: { version: number; content: string };
 }
 
 /** One entry instance as this one knows it. */
@@ -47,6 +58,10 @@
   /** Whether the list or the start settings name it. */
   listed: boolean;
   connected: boolean;
+  /** Whether the newest list names it as leaving. */
+  listedLeaving?: boolean;
+  /** Address it is kept connected to; absent where none is kept by design. */
+  dialledAddress?: string;
 }
 
 /** Written by MembershipController. Holds this instance too. */
@@ -55,9 +70,22 @@
   /** This instance's own heartbeat. */
   heartbeat: number;
   lastHeartbeatAtMs: number;
+  /** Connected peers whose turn for a heartbeat is still to come. */
+  beatQueue?: readonly string[];
   lastListPollAtMs: number;
-  /** Rises whenever the set of live members changes. */
+  /** Rises whenever the set of eligible members changes. */
   viewNumber: number;
+  /** The eligible members that `viewNumber` stands for, as `id/incarnation`. */
+  view?: ReadonlySet<string>;
+  nextListPollAtMs?: number;
+  /** Local time that the newest instance list speaks of. */
+  listAsOfMs?: number;
+  /** Local time of the latest event of any kind. */
+  lastEventAtMs?: number;
+  /** When this instance last woke from a pause that cost it its duties. */
+  wokenAtMs?: number;
+  /** Set once another process was heard under this instance's id. */
+  replacementLogged?: boolean;
 }
 
 /** What has been learned of one target's speed. */
@@ -93,6 +121,26 @@
   rates: LearnedRates;
   /** Highest cache event sequence read. */
   cacheSequence: number;
+  lastCachePollAtMs?: number;
+  /** Since when it counts as leaving. */
+  leavingSinceMs?: number;
+  /** Whether the newest instance list names it as leaving. */
+  listedLeaving?: boolean;
+  /** How its speed has gone; absent until something was measured. */
+  pace?: TargetPace;
+}
+
+/** How a target's speed has gone, and what it may hold therefore. */
+export interface TargetPace {
+  /** Share (0 to 1) of its slots that it may fill. */
+  slotShare: number;
+  /** Long-term rates, to compare the recent ones with. */
+  readonly longTerm: {
+    prefillMsPerToken: number;
+    decodeMsPerToken: number;
+    callMs: number;
+  };
+  lastRecoveryAtMs: number;
 }
 
 /** Written by TargetController. */
@@ -131,8 +179,30 @@
   firstTokenAtMs: number;
   cachedTokens: number;
   readonly pieces: string[];
-  endSeen: boolean;
+  /** Tokens received without a gap; the next one's index. */
+  tokensReceived: number;
   resumes: number;
+  /** When to ask for the rest of a broken stream; absent while it flows. */
+  resumeAtMs?: number;
+}
+
+/** One caller waiting for a request's outcome. */
+export interface WaitingCall {
+  readonly callId: string;
+  readonly deadlineAtMs: number;
+  readonly arrivedAtMs: number;
+  readonly stream: boolean;
+}
+
+/** A claim as its holder knows it. */
+export interface HeldClaim {
+  readonly key: string;
+  readonly askedAtMs: number;
+  held: boolean;
+  /** The row that holds the key instead of ours. */
+  foundElsewhere?: ClaimRow;
+  /** When to look again for the answer kept by the other holder. */
+  lookAgainAtMs?: number;
 }
 
 /** One request on its holder. */
@@ -140,20 +210,27 @@
   readonly spec: RequestSpec;
   readonly policy: TierPolicy;
   readonly idempotent: boolean;
+  /** Whether the target can cancel it: a stream of a model engine. */
+  readonly streams: boolean;
+  /** Whether it may be cancelled to make room for a higher tier. */
+  readonly cancellable: boolean;
   readonly maxOutputTokens: number;
   readonly expectedOutputTokens: number;
   readonly arrivedAtMs: number;
   readonly deadlineAtMs: number;
   state: RequestState;
-  /** Calls that wait for this request's outcome, the first call's included. */
-  readonly callIds: Set<string>;
-  /** Nonce of the claim and of the attempt. */
+  /** Callers that wait for the outcome, by call id. */
+  readonly calls: Map<string, WaitingCall>;
+  /** Nonce of the claim; attempts add their number to it. */
   readonly nonce: string;
-  claimHeld: boolean;
-  claimAskedAtMs: number;
+  /** Where the claim stands; absent for requests that need none. */
+  claim?: HeldClaim;
   readonly asks: Map<string, OutAsk>;
   askNumber: number;
   readonly excludedTargetIds: string[];
+  /** The member view its asks were placed by. */
+  askViewNumber: number;
+  attempts: number;
   attempt?: Attempt;
   outcome?: Outcome;
   finishedAtMs: number;
@@ -163,16 +240,30 @@
 /** Written by RequestController and its helpers. */
 export interface RequestsSection {
   readonly byId: Map<string, HeldRequest>;
-  /** Calls that joined another call's request, by call id. */
+  /** Request id by call id, for calls that joined another call's request. */
   readonly joined: Map<string, string>;
   /** Request id by workspace and idempotency key. */
   readonly byKey: Map<string, string>;
   /** This holder's beat, and when each recent beat was begun. */
   holderBeat: number;
-  readonly beatSentAtMs: Map<number, number>;
+  readonly beatBegunAtMs: Map<number, number>;
+  lastBeatAtMs: number;
   lastReportAtMs: number;
-  /** Largest gap seen between ticks lately: a sign of having been paused. */
-  lastTickAtMs: number;
+  /** Coordinators that last got a report, by shard key. */
+  readonly reportedTo: Map<string, Set<string>>;
+  nonceCounter: number;
+  /** Open requests by workspace and tier. */
+  readonly openByScope: Map<string, number>;
+  /** Token buckets of the request rate by workspace and tier. */
+  readonly rateBuckets: Map<string, RateBucket>;
+  /** Learned quantile of answer length by workspace, tier and pool. */
+  readonly learnedOutputTokens: Map<string, number>;
+}
+
+/** A token bucket. */
+export interface RateBucket {
+  tokens: number;
+  filledAtMs: number;
 }
 
 /** One ask waiting at a coordinator. */
@@ -184,6 +275,21 @@
   readonly arrivedAtMs: number;
   deadlineAtMs: number;
   renewedAtMs: number;
+  /** Predicted service on the best target of the shard while idle. */
+  idleServiceMs: number;
+  /** The same while all its slots are taken: its cost for fair shares. */
+  costMs: number;
+  /** KV memory it would need, in tokens. */
+  kvTokens: number;
+  /** Room kept for it on one target. */
+  reservation?: Reservation;
+}
+
+/** Room kept on a target for one waiting ask. */
+export interface Reservation {
+  readonly targetId: string;
+  /** When the room is expected; work that ends before may use it. */
+  readonly readyAtMs: number;
 }
 
 /** One grant in a coordinator's account of a target. */
@@ -201,6 +307,53 @@
   readonly expectedEndMs: number;
   used: boolean;
   preempted: boolean;
+  /** When its use was heard of; Infinity until then. */
+  usedAtMs: number;
+  /** Beat of the last holder's report that listed it; -1 before any. */
+  listedBeat: number;
+  /** Charged to its workspace's fair share. */
+  readonly costMs: number;
+  /** Prompt work that stood before its own on the target when granted. */
+  readonly prefillQueueMs: number;
+  /** When its prompt is expected to be worked off. */
+  readonly prefillEndMs: number;
+  /** By how much the load then was expected to stretch its decode. */
+  readonly loadFactor: number;
+  /** When its holder was found gone; absent while the holder lives. */
+  orphanedAtMs?: number;
+}
+
+/** Work that ended, until a load report made after its end is heard. */
+export interface EndedWork {
+  readonly usedAtMs: number;
+  readonly endedAtMs: number;
+  /** KV memory that it certainly gave back, in tokens. */
+  readonly kvTokens: number;
+}
+
+/** A holder as a coordinator last heard it. */
+export interface HolderSeen {
+  readonly incarnation: number;
+  beat: number;
+  /** Local time at which the beat last rose. */
+  beatHeardAtMs: number;
+  reportBeat: number;
+}
+
+/** Waiting asks of one workspace in one tier, with their totals. */
+export interface Lane {
+  readonly tierRank: number;
+  readonly workspace: string;
+  readonly asks: Map<string, WaitingAsk>;
+  costMs: number;
+  /** KV memory times the time it is held, in token milliseconds. */
+  kvTokenMs: number;
+}
+
+/** An ask or a grant that is over, remembered against late messages. */
+export interface ClosedWork {
+  readonly askNumber: number;
+  readonly closedAtMs: number;
 }
 
 /** One pool's targets in one failure domain, as their coordinator keeps it. */
@@ -213,6 +366,23 @@
   readonly served: Map<string, number>;
   /** Local time this instance became the coordinator. */
   sinceMs: number;
+  /** Virtual time of each tier, by which fair shares are measured. */
+  readonly virtualTimeByTier: Map<number, number>;
+  /** The waiting asks by tier and workspace. */
+  readonly lanes: Map<string, Lane>;
+  /** Ended work by target. */
+  readonly ended: Map<string, EndedWork[]>;
+  readonly holders: Map<string, HolderSeen>;
+  /** Closed asks by request id, closed grants by grant id. */
+  readonly closed: LRUCache<string, ClosedWork>;
+  /** Own used grants beyond the slots of the last report, by target. */
+  readonly excessByTarget: Map<string, number>;
+  /** Prompt prefixes thought to be cached, by target. */
+  readonly prefixes: Map<string, PrefixIndex>;
+  /** Local time of its last ask or report. */
+  lastActiveMs: number;
+  /** When its queue is to be looked through for hopeless asks again. */
+  nextQueueCheckMs: number;
 }
 
 /** Written by CoordinatorController. */
--- /dev/null
+++ b/packages/core/src/capacity.ts
@@ -0,0 +1,301 @@
+/** What each target of a shard can still take, by the coordinator's account. */
+
+import type { TargetSettings } from "@chestnuthatch/settings/policy";
+import { TargetKind } from "@chestnuthatch/wire/work";
+import {
+  type EndedWork,
+  type GrantAccount,
+  type Target,
+  TargetHealth,
+} from "./blackboard.ts";
+
+/** Why a target gets nothing, or not this ask. Shown by `why`. */
+export enum PassedOver {
+  Unknown = "not known yet",
+  Leaving = "leaving",
+  Draining = "draining",
+  Unreachable = "unreachable",
+  NoReport = "no load report yet",
+  Excluded = "refused a connection for this request",
+  TooSmall = "cannot hold it even when empty",
+  NoSlot = "no free slot for this tier",
+  NoKvMemory = "no KV memory free for it",
+  Kept = "room kept for another ask",
+  TooLate = "would end after the deadline",
+  Slower = "would end later",
+}
+
+/** What an ask takes of a target. */
+export interface Need {
+  readonly requestId: string;
+  readonly tierRank: number;
+  readonly kvTokens: number;
+  /** Share of the slots that its tier must leave free. */
+  readonly headroomShare: number;
+}
+
+/** Slots and KV memory. */
+export interface Usage {
+  slots: number;
+  kvTokens: number;
+}
+
+/** What a room is read from. */
+export interface RoomSource {
+  readonly settings: TargetSettings;
+  readonly kind: TargetKind;
+  readonly target: Target | undefined;
+  /** This coordinator's grants on the target. */
+  readonly grants: readonly GrantAccount[];
+  readonly ended: readonly EndedWork[];
+}
+
+interface KeptRoom extends Need {
+  readonly readyAtMs: number;
+}
+
+/**
+ * Uncertainty of when a report was made and when work was dispatched or ended:
+ * the way of a message between two instances and a target, with room.
+ */
+const REPORT_MARGIN_MS = 10;
+
+const ROUNDING = 1e-9;
+
+/** One target's room while a shard's asks are placed. */
+export class TargetRoom {
+  readonly targetId: string;
+  readonly settings: TargetSettings;
+  readonly kind: TargetKind;
+  readonly target: Target | undefined;
+  readonly grants: GrantAccount[];
+  readonly slotsTotal: number;
+  readonly kvTotalTokens: number;
+  readonly used: Usage;
+  readonly #kept: KeptRoom[] = [];
+
+  /** @param source What is known of the target. */
+  constructor(source: RoomSource) {
+    this.settings = source.settings;
+    this.targetId = source.settings.id;
+    this.kind = source.kind;
+    this.target = source.target;
+    this.grants = [...source.grants];
+    this.slotsTotal = slotsTotalOf(source);
+    this.kvTotalTokens = kvTotalOf(source);
+    this.used = reconciledUsage(source);
+  }
+
+  /** @returns Why it counts as gone; undefined while it lives. */
+  get closedFor(): PassedOver | undefined {
+    if (this.target === undefined) {
+      return PassedOver.Unknown;
+    }
+    if (this.target.leaving) {
+      return PassedOver.Leaving;
+    }
+    if (this.settings.draining) {
+      return PassedOver.Draining;
+    }
+    return this.target.health === TargetHealth.Unreachable
+      ? PassedOver.Unreachable
+      : undefined;
+  }
+
+  /** @returns Whether any slot is free. */
+  get hasFreeSlot(): boolean {
+    return this.closedFor === undefined && this.target?.load !== undefined &&
+      this.used.slots < this.slotsTotal;
+  }
+
+  /** @returns Share (0 to 1) of its slots in use. */
+  get utilization(): number {
+    return this.slotsTotal === 0 ? 1 : this.used.slots / this.slotsTotal;
+  }
+
+  /**
+   * Tells whether the target could hold the work if it were empty.
+   *
+   * @param kvTokens KV memory that the work needs.
+   * @returns True where it could.
+   */
+  couldHold(kvTokens: number): boolean {
+    return this.kind === TargetKind.Service || kvTokens <= this.kvTotalTokens;
+  }
+
+  /**
+   * Tells what stands against placing work here now.
+   *
+   * @param need What the work takes.
+   * @returns The reason, or undefined where it fits.
+   */
+  obstacle(need: Need): PassedOver | undefined {
+    if (this.closedFor !== undefined) {
+      return this.closedFor;
+    }
+    if (this.target?.load === undefined) {
+      return PassedOver.NoReport;
+    }
+    if (!this.couldHold(need.kvTokens)) {
+      return PassedOver.TooSmall;
+    }
+    return shortage(this, need, this.used) ??
+      (shortage(this, need, this.#usedWithKept(need)) && PassedOver.Kept);
+  }
+
+  /**
+   * Keeps room for an ask against all others of its tier and lower.
+   *
+   * @param need What the ask takes.
+   * @param readyAtMs When the room is expected to be there.
+   */
+  keep(need: Need, readyAtMs: number): void {
+    this.#kept.push({ ...need, readyAtMs });
+  }
+
+  /** @returns Whether room is kept here for any ask. */
+  get hasKept(): boolean {
+    return this.#kept.length > 0;
+  }
+
+  /**
+   * Gives the time until which room kept from an ask stays unused.
+   *
+   * @param need What the ask takes.
+   * @returns A local time; Infinity where nothing is kept from it.
+   */
+  keptRoomReadyAtMs(need: Need): number {
+    return Math.min(
+      ...this.#keptFrom(need).map((kept) => kept.readyAtMs),
+    );
+  }
+
+  /**
+   * Counts work as placed here.
+   *
+   * @param need What it takes.
+   */
+  take(need: Need): void {
+    this.used.slots += 1;
+    this.used.kvTokens += need.kvTokens;
+    const index = this.#kept.findIndex((kept) =>
+      kept.requestId === need.requestId
+    );
+    if (index >= 0) {
+      this.#kept.splice(index, 1);
+    }
+  }
+
+  /**
+   * Gives the prompt work that stands before new work here.
+   *
+   * @param nowMs The local time.
+   * @returns A duration in milliseconds.
+   */
+  prefillQueueMs(nowMs: number): number {
+    let endMs = nowMs;
+    for (const grant of this.grants) {
+      endMs = Math.max(endMs, grant.prefillEndMs);
+    }
+    return endMs - nowMs;
+  }
+
+  #usedWithKept(need: Need): Usage {
+    const used = { ...this.used };
+    for (const kept of this.#keptFrom(need)) {
+      used.slots += 1;
+      used.kvTokens += kept.kvTokens;
+    }
+    return used;
+  }
+
+  #keptFrom(need: Need): KeptRoom[] {
+    return this.#kept.filter((kept) =>
+      kept.requestId !== need.requestId && kept.tierRank <= need.tierRank
+    );
+  }
+}
+
+/**
+ * Tells what would be missing for work on a target.
+ *
+ * @param room The target.
+ * @param need What the work takes.
+ * @param used What is in use there.
+ * @returns The reason, or undefined where it would fit.
+ */
+export function shortage(
+  room: TargetRoom,
+  need: Need,
+  used: Usage,
+): PassedOver | undefined {
+  if (used.slots + 1 > slotsForTier(room.slotsTotal, need.headroomShare)) {
+    return PassedOver.NoSlot;
+  }
+  const bounded = room.kind === TargetKind.Engine;
+  return bounded && used.kvTokens + need.kvTokens > room.kvTotalTokens
+    ? PassedOver.NoKvMemory
+    : undefined;
+}
+
+/**
+ * Gives the slots that a tier may fill: all but its headroom, at least one.
+ *
+ * @param slotsTotal Slots of the target.
+ * @param headroomShare Share of them that the tier must leave free.
+ * @returns A number of slots.
+ */
+export function slotsForTier(
+  slotsTotal: number,
+  headroomShare: number,
+): number {
+  const headroom = Math.ceil(slotsTotal * headroomShare - ROUNDING);
+  return Math.min(slotsTotal, Math.max(1, slotsTotal - headroom));
+}
+
+function slotsTotalOf({ settings, target }: RoomSource): number {
+  const reported = target?.load?.slotsTotal ?? settings.slots;
+  const slots = Math.min(settings.slots, reported);
+  const share = target?.pace?.slotShare ?? 1;
+  return slots === 0 ? 0 : Math.max(1, Math.floor(slots * share + ROUNDING));
+}
+
+function kvTotalOf({ settings, target }: RoomSource): number {
+  return Math.min(
+    settings.kvTokens,
+    target?.load?.kvTotalTokens ?? settings.kvTokens,
+  );
+}
+
+/**
+ * Own account against the target's stale report, the larger one counting: the
+ * report is carried forward by what was granted and what ended since it.
+ */
+function reconciledUsage({ target, grants, ended }: RoomSource): Usage {
+  const own = { slots: grants.length, kvTokens: sumKvTokens(grants) };
+  const load = target?.load;
+  if (target === undefined || load === undefined) {
+    return own;
+  }
+  const since = grants.filter((grant) => !isInReport(grant, target));
+  const gone = ended.filter((work) =>
+    isInReport(work, target) &&
+    work.endedAtMs > target.loadAsOfMs + REPORT_MARGIN_MS
+  );
+  const reportedSlots = load.slotsUsed + load.waitingRequests;
+  return {
+    slots: Math.max(own.slots, reportedSlots + since.length - gone.length),
+    kvTokens: Math.max(
+      own.kvTokens,
+      load.kvUsedTokens + sumKvTokens(since) - sumKvTokens(gone),
+    ),
+  };
+}
+
+function isInReport(work: { usedAtMs: number }, target: Target): boolean {
+  return work.usedAtMs <= target.loadAsOfMs - REPORT_MARGIN_MS;
+}
+
+function sumKvTokens(works: readonly { kvTokens: number }[]): number {
+  return works.reduce((sum, work) => sum + work.kvTokens, 0);
+}
--- /dev/null
+++ b/packages/core/src/every_event.ts
@@ -0,0 +1,18 @@
+/** Lets a controller see events of every kind. */
+
+import type { EventHandlers, Turn } from "./controller.ts";
+import { type CoreEvent, EventKind } from "./events.ts";
+
+/**
+ * Makes a table that has one handler for all kinds of event.
+ *
+ * @param handle The handler.
+ * @returns The table.
+ */
+export function onEveryEvent(
+  handle: (event: CoreEvent, turn: Turn) => void,
+): EventHandlers {
+  return Object.fromEntries(
+    Object.values(EventKind).map((kind) => [kind, handle]),
+  );
+}
--- /dev/null
+++ b/packages/core/src/readiness.ts
@@ -0,0 +1,33 @@
+/** Whether the balancer may send this instance callers. */
+
+import type { Blackboard } from "./blackboard.ts";
+
+/** An instance's readiness, with what stands against it. */
+export interface Readiness {
+  readonly ready: boolean;
+  readonly reasons: string[];
+}
+
+/**
+ * Tells whether the instance is ready for callers.
+ *
+ * @param board The instance's state.
+ * @returns Ready, or the reasons why it is not.
+ */
+export function readinessOf(board: Blackboard): Readiness {
+  const { self, settings, members } = board;
+  const checks: readonly [boolean, string][] = [
+    [settings.inForce === undefined, "no settings in force"],
+    [self.leaving, "shutting down"],
+    [
+      settings.inForce?.drainingInstances.has(self.instanceId) === true,
+      "drained by its operators",
+    ],
+    [
+      members.byId.get(self.instanceId)?.listedLeaving === true,
+      "listed as leaving by the platform",
+    ],
+  ];
+  const reasons = checks.filter(([holds]) => holds).map(([, text]) => text);
+  return { ready: reasons.length === 0, reasons };
+}
--- /dev/null
+++ b/packages/core/src/refusals.ts
@@ -0,0 +1,124 @@
+/** Builds truthful refusals and ends requests. */
+
+import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
+import type { HeldRequest, WaitingCall } from "./blackboard.ts";
+import type { Turn } from "./controller.ts";
+import { CounterName, EffectKind } from "./effects.ts";
+import { type Refusal, RequestState } from "./request.ts";
+
+/** What a refusal says, before it is put in a caller's words. */
+export interface RefusalCause {
+  readonly error: ErrorKind;
+  readonly ran: RunState;
+  readonly message: string;
+  readonly path?: string;
+  readonly retryAfterMs?: number;
+}
+
+/** Errors after which the same call, sent again, cannot fare better. */
+const FINAL_ERRORS: ReadonlySet<ErrorKind> = new Set([
+  ErrorKind.BadRequest,
+  ErrorKind.UnknownWorkspace,
+  ErrorKind.UnknownTier,
+  ErrorKind.UnknownPool,
+  ErrorKind.PromptTooLarge,
+  ErrorKind.KeyReusedDifferently,
+  ErrorKind.DeadlineUnreachable,
+]);
+
+/** Refuses a call that never became a request here. */
+export function refuseCall(
+  turn: Turn,
+  callId: string,
+  cause: RefusalCause,
+): void {
+  emitRefusal(turn, callId, { cause, idempotent: true, callLog: [] });
+}
+
+/**
+ * Refuses one of a request's callers; the request itself goes on.
+ *
+ * @param turn The turn it happens in.
+ * @param request The request.
+ * @param options The call and why it is refused.
+ */
+export function refuseOneCall(
+  turn: Turn,
+  request: HeldRequest,
+  options: { call: WaitingCall; cause: RefusalCause },
+): void {
+  request.calls.delete(options.call.callId);
+  turn.board.requests.joined.delete(options.call.callId);
+  emitRefusal(turn, options.call.callId, {
+    cause: options.cause,
+    idempotent: request.idempotent,
+    callLog: request.callLog,
+  });
+}
+
+/**
+ * Ends a request with a refusal for every caller that still waits.
+ *
+ * @param turn The turn it happens in.
+ * @param request The request.
+ * @param cause Why it is refused.
+ */
+export function refuseRequest(
+  turn: Turn,
+  request: HeldRequest,
+  cause: RefusalCause,
+): void {
+  noteStep(turn, request, `Refused: ${cause.error}, ${cause.message}`);
+  for (const call of [...request.calls.values()]) {
+    refuseOneCall(turn, request, { call, cause });
+  }
+  request.state = RequestState.Refused;
+  request.outcome = {
+    refusal: makeRefusal(request.spec.requestId, {
+      cause,
+      idempotent: request.idempotent,
+      callLog: request.callLog,
+    }),
+  };
+  request.finishedAtMs = turn.nowMs;
+}
+
+/**
+ * Adds a step to a request's call log and its story.
+ *
+ * @param turn The turn it happens in.
+ * @param request The request.
+ * @param text What happened.
+ */
+export function noteStep(turn: Turn, request: HeldRequest, text: string): void {
+  const afterMs = Math.round(turn.nowMs - request.arrivedAtMs);
+  request.callLog.push(`${afterMs} ms: ${text}`);
+  turn.decide(request.spec.requestId, "holder", text);
+}
+
+interface RefusalContext {
+  readonly cause: RefusalCause;
+  readonly idempotent: boolean;
+  readonly callLog: readonly string[];
+}
+
+function emitRefusal(turn: Turn, callId: string, of: RefusalContext): void {
+  const refusal = makeRefusal(callId, of);
+  turn.count(CounterName.Refusals, { error: refusal.error, ran: refusal.ran });
+  turn.emit({ kind: EffectKind.RefuseCaller, requestId: callId, refusal });
+}
+
+function makeRefusal(requestId: string, of: RefusalContext): Refusal {
+  const { cause } = of;
+  const safeToRepeat = cause.ran === RunState.NotRun || of.idempotent;
+  return {
+    requestId,
+    error: cause.error,
+    ran: cause.ran,
+    message: cause.message,
+    path: cause.path,
+    mayRetry: safeToRepeat && !FINAL_ERRORS.has(cause.error),
+    retryAfterMs: cause.retryAfterMs,
+    callLog: [...of.callLog],
+  };
+}
--- a/packages/core/src/scheduler_core.ts
+++ b/packages/core/src/scheduler_core.ts
@@ -3,6 +3,7 @@
 import type { Blackboard } from "./blackboard.ts";
 import { type Controller, runController, Turn } from "./controller.ts";
 import { CoordinatorController } from "./coordinator_controller.ts";
+import type { CoordinatorOptions } from "./coordinator_options.ts";
 import { DecisionLog } from "./decision_log.ts";
 import type { Effect } from "./effects.ts";
 import { type CoreEvent, EventKind } from "./events.ts";
@@ -24,6 +25,8 @@
   readonly random: Randomness;
   /** Stories kept for `why`. */
   readonly maxDecisions?: number;
+  /** Switches of the placement policy, for measurements. */
+  readonly policy?: CoordinatorOptions;
 }
 
 /** An instance named by the start settings. */
@@ -49,8 +52,8 @@
     this.#controllers = [
       new SettingsController(),
       new MembershipController(options.seedPeers),
-      new TargetController(),
-      new CoordinatorController(),
+      new TargetController(options.policy),
+      new CoordinatorController(options.policy),
       new RequestController(),
       new ShutdownController(),
     ];
@@ -114,9 +117,14 @@
       joined: new Map(),
       byKey: new Map(),
       holderBeat: 0,
-      beatSentAtMs: new Map(),
+      beatBegunAtMs: new Map(),
+      lastBeatAtMs: -Infinity,
       lastReportAtMs: -Infinity,
-      lastTickAtMs: -Infinity,
+      reportedTo: new Map(),
+      nonceCounter: 0,
+      openByScope: new Map(),
+      rateBuckets: new Map(),
+      learnedOutputTokens: new Map(),
     },
     shards: { byKey: new Map(), grantCounter: 0 },
     decisions: new DecisionLog(options.maxDecisions ?? DEFAULT_MAX_DECISIONS),
--- /dev/null
+++ b/packages/core/src/shard_domains.ts
@@ -0,0 +1,51 @@
+/** Which failure domains hold targets of a pool, nearest first. */
+
+import type { SettingsInForce } from "@chestnuthatch/settings/policy";
+import type { SelfSection } from "./blackboard.ts";
+
+const byPoolOfSettings = new WeakMap<SettingsInForce, Map<string, string[]>>();
+
+/**
+ * Lists a pool's failure domains as one instance should ask them: its own
+ * first, then those of its region, then the others.
+ *
+ * @param settings The settings in force.
+ * @param self The asking instance.
+ * @param pool Name of the pool.
+ * @returns Names of failure domains, each once.
+ */
+export function domainsToAsk(
+  settings: SettingsInForce,
+  self: SelfSection,
+  pool: string,
+): string[] {
+  const distance = (domain: string) => {
+    if (domain === self.failureDomain) {
+      return 0;
+    }
+    return settings.regionOfDomain.get(domain) === self.region ? 1 : 2;
+  };
+  return [...domainsOfPool(settings, pool)]
+    .sort((a, b) => distance(a) - distance(b));
+}
+
+function domainsOfPool(settings: SettingsInForce, pool: string): string[] {
+  let byPool = byPoolOfSettings.get(settings);
+  if (byPool === undefined) {
+    byPool = indexDomains(settings);
+    byPoolOfSettings.set(settings, byPool);
+  }
+  return byPool.get(pool) ?? [];
+}
+
+function indexDomains(settings: SettingsInForce): Map<string, string[]> {
+  const byPool = new Map<string, string[]>();
+  for (const target of settings.targets.values()) {
+    const domains = byPool.get(target.pool) ?? [];
+    if (!domains.includes(target.failureDomain)) {
+      domains.push(target.failureDomain);
+    }
+    byPool.set(target.pool, domains);
+  }
+  return byPool;
+}
--- /dev/null
+++ b/packages/core/src/shard_queue.ts
@@ -0,0 +1,175 @@
+/** The asks that wait at a coordinator, by tier and workspace. */
+
+import { LRUCache } from "lru-cache";
+import type { Lane, Shard, WaitingAsk } from "./blackboard.ts";
+
+/** Closed asks and grants remembered against late messages. */
+const MAX_CLOSED = 8192;
+
+/** Smallest share of an ask's slack that its urgency is counted by. */
+const MIN_SLACK_SHARE = 0.001;
+
+/**
+ * Makes an empty shard.
+ *
+ * @param pool Name of the pool.
+ * @param failureDomain The domain whose targets it holds.
+ * @param nowMs The local time.
+ * @returns The shard.
+ */
+export function newShard(
+  pool: string,
+  failureDomain: string,
+  nowMs: number,
+): Shard {
+  return {
+    pool,
+    failureDomain,
+    waiting: new Map(),
+    grants: new Map(),
+    served: new Map(),
+    sinceMs: nowMs,
+    virtualTimeByTier: new Map(),
+    lanes: new Map(),
+    ended: new Map(),
+    holders: new Map(),
+    closed: new LRUCache({ max: MAX_CLOSED }),
+    excessByTarget: new Map(),
+    prefixes: new Map(),
+    lastActiveMs: nowMs,
+    nextQueueCheckMs: nowMs,
+  };
+}
+
+/**
+ * Adds an ask to the queue, or puts it in the place of the request's older one.
+ *
+ * @param shard The shard.
+ * @param ask The ask.
+ */
+export function addWaiting(shard: Shard, ask: WaitingAsk): void {
+  removeWaiting(shard, ask.detail.requestId);
+  const { requestId, tierRank, workspace } = ask.detail;
+  const key = `${tierRank}/${workspace}`;
+  const lane = shard.lanes.get(key) ?? {
+    tierRank,
+    workspace,
+    asks: new Map<string, WaitingAsk>(),
+    costMs: 0,
+    kvTokenMs: 0,
+  };
+  shard.lanes.set(key, lane);
+  lane.asks.set(requestId, ask);
+  lane.costMs += ask.costMs;
+  lane.kvTokenMs += ask.kvTokens * ask.costMs;
+  shard.waiting.set(requestId, ask);
+}
+
+/**
+ * Takes an ask out of the queue.
+ *
+ * @param shard The shard.
+ * @param requestId The request it is for.
+ * @returns The ask, where one was waiting.
+ */
+export function removeWaiting(
+  shard: Shard,
+  requestId: string,
+): WaitingAsk | undefined {
+  const ask = shard.waiting.get(requestId);
+  if (ask === undefined) {
+    return undefined;
+  }
+  shard.waiting.delete(requestId);
+  const key = `${ask.detail.tierRank}/${ask.detail.workspace}`;
+  const lane = shard.lanes.get(key)!;
+  lane.asks.delete(requestId);
+  lane.costMs -= ask.costMs;
+  lane.kvTokenMs -= ask.kvTokens * ask.costMs;
+  if (lane.asks.size === 0) {
+    shard.lanes.delete(key);
+  }
+  return ask;
+}
+
+/**
+ * Lists the tiers that wait.
+ *
+ * @param shard The shard.
+ * @returns Ranks, the highest tier first.
+ */
+export function waitingTiers(shard: Shard): number[] {
+  const ranks = new Set([...shard.lanes.values()].map((lane) => lane.tierRank));
+  return [...ranks].sort((a, b) => a - b);
+}
+
+/**
+ * Lists the lanes of a tier.
+ *
+ * @param shard The shard.
+ * @param tierRank The tier.
+ * @returns Its lanes, in an order that does not change.
+ */
+export function lanesOfTier(shard: Shard, tierRank: number): Lane[] {
+  return [...shard.lanes.values()]
+    .filter((lane) => lane.tierRank === tierRank)
+    .sort((a, b) => compareText(a.workspace, b.workspace));
+}
+
+/**
+ * Orders a lane by value for each millisecond of a target's time, raised as
+ * the latest start comes nearer so that nothing starves.
+ *
+ * @param lane The lane.
+ * @param nowMs The local time.
+ * @returns Its asks, the one to serve first in front.
+ */
+export function orderLane(lane: Lane, nowMs: number): WaitingAsk[] {
+  const ranked = [...lane.asks.values()].map((ask) => ({
+    ask,
+    rank: worthOf(ask) * urgencyOf(ask, nowMs),
+  }));
+  ranked.sort((a, b) =>
+    b.rank - a.rank || a.ask.arrivedAtMs - b.ask.arrivedAtMs ||
+    compareText(a.ask.detail.requestId, b.ask.detail.requestId)
+  );
+  return ranked.map(({ ask }) => ask);
+}
+
+/**
+ * Tells how much of its slack an ask has waited away.
+ *
+ * @param ask The ask.
+ * @param nowMs The local time.
+ * @returns 0 on arrival, 1 and more when its latest start has come.
+ */
+export function slackSpentShare(ask: WaitingAsk, nowMs: number): number {
+  const slackMs = latestStartMs(ask) - ask.arrivedAtMs;
+  return slackMs <= 0 ? 1 : (nowMs - ask.arrivedAtMs) / slackMs;
+}
+
+/**
+ * Gives the time after which even an idle target would end too late.
+ *
+ * @param ask The ask.
+ * @returns A local time in milliseconds.
+ */
+export function latestStartMs(ask: WaitingAsk): number {
+  return ask.deadlineAtMs - ask.idleServiceMs;
+}
+
+function worthOf(ask: WaitingAsk): number {
+  return ask.detail.value / Math.max(1, ask.costMs);
+}
+
+function urgencyOf(ask: WaitingAsk, nowMs: number): number {
+  const left = Math.max(MIN_SLACK_SHARE, 1 - slackSpentShare(ask, nowMs));
+  return 1 / (left * left);
+}
+
+function compareText(a: string, b: string): number {
+  if (a === b) {
+    return 0;
+  }
+  return a < b ? -1 : 1;
+}
--- /dev/null
+++ b/packages/core/src/shedding_test.ts
@@ -0,0 +1,166 @@
+import {
+  type PeerMessage,
+  PeerMessageKind,
+} from "@chestnuthatch/wire/peer_messages";
+import { ErrorKind } from "@chestnuthatch/wire/work";
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { DOMAIN, FakeShard } from "./fake_shard.ts";
+import { POOL } from "./fake_shard.ts";
+
+const RUNS = 150;
+const TIERS = [{}, { preemptible: false }, {}, { headroomShare: 0.5 }];
+
+interface Arrival {
+  readonly afterMs: number;
+  readonly tierRank: number;
+  readonly workspace: string;
+  readonly promptTokens: number;
+  readonly expectedOutputTokens: number;
+  readonly timeLeftMs: number;
+  readonly cancellable: boolean;
+  readonly isSplitView: boolean;
+}
+
+const arrivals = fc.array(
+  fc.record<Arrival>({
+    afterMs: fc.constantFrom(0, 0, 0, 50, 200),
+    tierRank: fc.nat(TIERS.length - 1),
+    workspace: fc.constantFrom("fields", "clinics", "plots"),
+    promptTokens: fc.constantFrom(50, 400, 5000, 9000),
+    expectedOutputTokens: fc.constantFrom(20, 100, 300),
+    timeLeftMs: fc.integer({ min: 300, max: 8000 }),
+    cancellable: fc.boolean(),
+    isSplitView: fc.boolean(),
+  }),
+  { minLength: 10, maxLength: 80 },
+);
+
+/** Checks each message against the account as the event left it. */
+function check(fake: FakeShard, message: PeerMessage): void {
+  if (
+    message.kind === PeerMessageKind.AskRefused &&
+    message.error === ErrorKind.Overloaded
+  ) {
+    checkRefusal(fake, tierOf(message.requestId));
+  } else if (message.kind === PeerMessageKind.Grant) {
+    checkGrant(fake, tierOf(message.requestId));
+  }
+}
+
+function checkRefusal(fake: FakeShard, tierRank: number): void {
+  for (const { detail } of fake.shard.waiting.values()) {
+    assert.ok(detail.tierRank <= tierRank, `${detail.requestId} waits lower`);
+  }
+  for (const { work, preempted } of fake.shard.grants.values()) {
+    const mayGo = work.cancellable && TIERS[work.tierRank].preemptible !== false;
+    assert.ok(
+      work.tierRank <= tierRank || preempted || !mayGo,
+      `${work.requestId} runs lower than a refused tier ${tierRank}`,
+    );
+  }
+}
+
+function checkGrant(fake: FakeShard, tierRank: number): void {
+  const { targets } = fake.board.settings.inForce!;
+  for (const { detail, kvTokens } of fake.shard.waiting.values()) {
+    const couldRun = [...targets.values()].some((target) =>
+      kvTokens <= target.kvTokens
+    );
+    assert.not(detail.tierRank < tierRank && couldRun, "a higher tier waits");
+  }
+  for (const target of targets.values()) {
+    const here = [...fake.shard.grants.values()].filter(({ work }) =>
+      work.targetId === target.id
+    );
+    const kvTokens = here.reduce((sum, grant) => sum + grant.kvTokens, 0);
+    assert.ok(here.length <= target.slots, "slots are within bounds");
+    assert.ok(kvTokens <= target.kvTokens, "KV memory is within bounds");
+  }
+}
+
+function tierOf(requestId: string): number {
+  return Number(requestId.split("/")[1]);
+}
+
+test("should shed the lowest tier first and keep to the tiers and bounds in every surge", () => {
+  let refused = 0;
+  let preempted = 0;
+  fc.assert(
+    fc.property(arrivals, (surge) => {
+      const fake = new FakeShard({
+        targets: [{}, { slots: 4, kvTokens: 6000 }],
+        tiers: TIERS,
+        runsWork: true,
+      });
+      fake.onSent = (message) => check(fake, message);
+      surge.forEach(({ afterMs, isSplitView: _, ...ask }, index) => {
+        fake.advance(afterMs);
+        fake.ask({ ...ask, requestId: `r${index}/${ask.tierRank}` });
+      });
+      fake.advance(12_000);
+      assert.is(fake.shard.waiting.size, 0, "nothing is left waiting");
+      assert.is(fake.shard.grants.size, 0, "nothing is left in the account");
+      refused += fake.of(PeerMessageKind.AskRefused)
+        .filter(({ error }) => error === ErrorKind.Overloaded).length;
+      preempted += fake.of(PeerMessageKind.Preempt).length;
+    }),
+    { seed: 20_261, numRuns: RUNS },
+  );
+  assert.ok(refused > RUNS, `the surges overload: ${refused} refused`);
+  assert.ok(preempted > RUNS / 10, `higher tiers preempt: ${preempted}`);
+});
+
+test("should refuse waiting lower tiers before it cancels running ones, the least progressed first", () => {
+  const fake = new FakeShard({ targets: [{}], runsWork: true });
+  const long = { tierRank: 2, expectedOutputTokens: 900 };
+  fake.ask({ ...long, requestId: "old" });
+  fake.advance(500);
+  fake.ask({ ...long, requestId: "young" });
+  fake.ask({ requestId: "waits", tierRank: 2 });
+  fake.ask({ requestId: "urgent", timeLeftMs: 2000 });
+  fake.advance(1000);
+  const order = fake.sent.flatMap((message) =>
+    message.kind === PeerMessageKind.AskRefused ||
+      message.kind === PeerMessageKind.Preempt
+      ? [`${message.kind} ${message.requestId}`]
+      : []
+  );
+  assert.equal(order, ["ask_refused waits", "preempt young"]);
+  assert.is(fake.grants.at(-1)?.requestId, "urgent");
+});
+
+test("should refuse at the door what waits beyond its slack, with a hint that grows", () => {
+  const fake = new FakeShard({ targets: [{}], runsWork: true });
+  for (let i = 0; i < 40; i++) {
+    fake.ask({ requestId: `r${i}`, timeLeftMs: 6000 });
+  }
+  const refusals = fake.of(PeerMessageKind.AskRefused);
+  assert.ok(refusals.length > 20);
+  for (const { error, retryAfterMs } of refusals) {
+    assert.is(error, ErrorKind.Overloaded);
+    assert.ok(retryAfterMs >= 500);
+  }
+  assert.ok(refusals[0].retryAfterMs > 2000, "the backlog shows in the hint");
+});
+
+test("should tell a deadline that no idle target meets from a shard without targets", () => {
+  const fake = new FakeShard({ targets: [{}] });
+  fake.ask({ requestId: "late", timeLeftMs: 900 });
+  fake.ask({ requestId: "huge", promptTokens: 50_000 });
+  fake.ask({ requestId: "excluded", excludedTargetIds: ["t0"] });
+  assert.equal(
+    fake.of(PeerMessageKind.AskRefused).map(({ error }) => error),
+    [ErrorKind.DeadlineUnreachable, ErrorKind.NoTarget, ErrorKind.NoTarget],
+  );
+  fake.hear({
+    kind: PeerMessageKind.AskWithdrawn,
+    pool: POOL,
+    failureDomain: DOMAIN,
+    requestId: "late",
+  });
+  assert.is(fake.grants.length, 0);
+});
+
+test.run();
--- /dev/null
+++ b/packages/core/src/stream_flow.ts
@@ -0,0 +1,228 @@
+/** Gathers a target's answer, whole or not at all. */
+
+import {
+  type EngineEvent,
+  EngineEventKind,
+} from "@chestnuthatch/wire/target_protocol";
+import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
+import type { Attempt, HeldRequest } from "./blackboard.ts";
+import type { Turn } from "./controller.ts";
+import { CounterName, EffectKind } from "./effects.ts";
+import type { AttemptRef, EventKind, EventOf } from "./events.ts";
+import { deliverAnswer, endRequest } from "./outcomes.ts";
+import { noteStep } from "./refusals.ts";
+import { RequestState } from "./request.ts";
+import { spreadRetryHint } from "./retry_hint.ts";
+
+/** Delays before the tries to resume a broken stream on the same target. */
+const RESUME_DELAYS_MS: readonly number[] = [0, 250, 1000];
+
+type EventHandler<K extends EngineEventKind> = (
+  event: Extract<EngineEvent, { kind: K }>,
+  turn: Turn,
+  request: HeldRequest,
+) => void;
+
+const HANDLER_BY_KIND: { [K in EngineEventKind]: EventHandler<K> } = {
+  [EngineEventKind.Start]: (event, _turn, request) => {
+    request.attempt!.cachedTokens = event.cachedTokens;
+  },
+  [EngineEventKind.Token]: onToken,
+  [EngineEventKind.End]: onEnd,
+  [EngineEventKind.Error]: onEngineError,
+};
+
+/**
+ * Handles one line of an engine's stream.
+ *
+ * @param event The line, with the attempt its connection belongs to.
+ * @param turn The turn it happens in.
+ */
+export function onStreamEvent(
+  event: EventOf<EventKind.StreamEvent>,
+  turn: Turn,
+): void {
+  const request = requestOfAttempt(turn, event);
+  if (request === undefined || !namesAttempt(request, event.event)) {
+    dropStray(turn);
+    return;
+  }
+  const handler = HANDLER_BY_KIND[event.event.kind] as EventHandler<
+    EngineEventKind
+  >;
+  handler(event.event, turn, request);
+}
+
+/**
+ * Handles a plain service's answer.
+ *
+ * @param event The answer, with the attempt its connection belongs to.
+ * @param turn The turn it happens in.
+ */
+export function onServiceAnswered(
+  event: EventOf<EventKind.ServiceAnswered>,
+  turn: Turn,
+): void {
+  const request = requestOfAttempt(turn, event);
+  if (request === undefined) {
+    dropStray(turn);
+    return;
+  }
+  if (!namesAttempt(request, event.answered)) {
+    dropStray(turn);
+    refuseBroken(turn, request, "The target answered for another request.");
+    return;
+  }
+  request.attempt!.firstTokenAtMs = turn.nowMs;
+  deliverAnswer(turn, request, event.body);
+}
+
+/**
+ * Handles the end of a connection to a target.
+ *
+ * @param event Which attempt's, and why.
+ * @param turn The turn it happens in.
+ */
+export function onStreamClosed(
+  event: EventOf<EventKind.StreamClosed>,
+  turn: Turn,
+): void {
+  const request = requestOfAttempt(turn, event);
+  if (request === undefined) {
+    return;
+  }
+  const reason = event.reason === "" ? "closed before its end" : event.reason;
+  breakStream(turn, request, reason);
+}
+
+/**
+ * Asks for the rest of a broken stream once its delay has passed.
+ *
+ * @param turn The turn of a tick.
+ * @param request A dispatched request.
+ */
+export function tendStream(turn: Turn, request: HeldRequest): void {
+  const attempt = request.attempt!;
+  if (attempt.resumeAtMs !== undefined && turn.nowMs >= attempt.resumeAtMs) {
+    resumeNow(turn, request, attempt);
+  }
+}
+
+function onToken(
+  event: Extract<EngineEvent, { kind: EngineEventKind.Token }>,
+  turn: Turn,
+  request: HeldRequest,
+): void {
+  const attempt = request.attempt!;
+  if (event.index < attempt.tokensReceived) {
+    dropStray(turn);
+    return;
+  }
+  if (event.index > attempt.tokensReceived) {
+    breakStream(turn, request, `token ${attempt.tokensReceived} is missing`);
+    return;
+  }
+  if (attempt.firstTokenAtMs === 0) {
+    attempt.firstTokenAtMs = turn.nowMs;
+  }
+  attempt.pieces.push(event.text);
+  attempt.tokensReceived += event.tokens ?? 1;
+  for (const call of request.calls.values()) {
+    if (call.stream) {
+      turn.emit({
+        kind: EffectKind.StreamToCaller,
+        requestId: call.callId,
+        text: event.text,
+      });
+    }
+  }
+}
+
+function onEnd(
+  event: Extract<EngineEvent, { kind: EngineEventKind.End }>,
+  turn: Turn,
+  request: HeldRequest,
+): void {
+  const attempt = request.attempt!;
+  if (event.outputTokens !== attempt.tokensReceived) {
+    breakStream(
+      turn,
+      request,
+      `${attempt.tokensReceived} of ${event.outputTokens} tokens came`,
+    );
+    return;
+  }
+  deliverAnswer(turn, request, attempt.pieces.join(""));
+}
+
+function onEngineError(
+  event: Extract<EngineEvent, { kind: EngineEventKind.Error }>,
+  turn: Turn,
+  request: HeldRequest,
+): void {
+  const notRun = event.notRun && request.attempt!.tokensReceived === 0;
+  endRequest(turn, request, {
+    error: notRun ? ErrorKind.TargetRefused : ErrorKind.TargetFailed,
+    ran: notRun ? RunState.NotRun : RunState.MayHaveRun,
+    message: `${request.attempt!.targetId} said: ${event.message}`,
+    retryAfterMs: spreadRetryHint(turn, request.policy.retryAfterMs),
+  });
+}
+
+function breakStream(turn: Turn, request: HeldRequest, reason: string): void {
+  const attempt = request.attempt!;
+  const delayMs = RESUME_DELAYS_MS[attempt.resumes];
+  if (!request.streams || delayMs === undefined) {
+    refuseBroken(turn, request, reason);
+    return;
+  }
+  noteStep(turn, request, `Stream broke (${reason}); to be resumed`);
+  attempt.resumes += 1;
+  attempt.resumeAtMs = turn.nowMs + delayMs;
+  if (delayMs === 0) {
+    resumeNow(turn, request, attempt);
+  }
+}
+
+function resumeNow(turn: Turn, request: HeldRequest, attempt: Attempt): void {
+  attempt.resumeAtMs = undefined;
+  turn.count(CounterName.StreamResumes);
+  turn.emit({
+    kind: EffectKind.ResumeStream,
+    requestId: request.spec.requestId,
+    attemptNonce: attempt.attemptNonce,
+    targetId: attempt.targetId,
+    fromToken: attempt.tokensReceived,
+    timeLeftMs: Math.max(1, request.deadlineAtMs - turn.nowMs),
+  });
+}
+
+function refuseBroken(turn: Turn, request: HeldRequest, reason: string): void {
+  const { attempt } = request;
+  const begun = attempt!.tokensReceived > 0;
+  endRequest(turn, request, {
+    error: begun ? ErrorKind.AnswerIncomplete : ErrorKind.TargetFailed,
+    ran: RunState.MayHaveRun,
+    message: `${attempt!.targetId} did not answer whole: ${reason}`,
+    retryAfterMs: spreadRetryHint(turn, request.policy.retryAfterMs),
+  });
+}
+
+function requestOfAttempt(
+  turn: Turn,
+  of: AttemptRef,
+): HeldRequest | undefined {
+  const request = turn.board.requests.byId.get(of.requestId);
+  const isCurrent = request?.state === RequestState.Dispatched &&
+    request.attempt?.attemptNonce === of.attemptNonce;
+  return isCurrent ? request : undefined;
+}
+
+function namesAttempt(request: HeldRequest, named: AttemptRef): boolean {
+  return named.requestId === request.spec.requestId &&
+    named.attemptNonce === request.attempt!.attemptNonce;
+}
+
+function dropStray(turn: Turn): void {
+  turn.count(CounterName.StrayAnswersDropped);
+}
--- a/packages/core/src/target_controller.ts
+++ b/packages/core/src/target_controller.ts
@@ -1,9 +1,330 @@
-/** Placeholder table, replaced as the controller is built. */
+/** Keeps what this instance knows of targets: load, health, leaving, speed. */
 
-import type { Controller, EventHandlers } from "./controller.ts";
+import type {
+  SettingsInForce,
+  TargetSettings,
+} from "@chestnuthatch/settings/policy";
+import {
+  type PeerMessage,
+  PeerMessageKind,
+  type PeerMessageOf,
+} from "@chestnuthatch/wire/peer_messages";
+import { ListedKind } from "@chestnuthatch/wire/platform_protocol";
+import type { TargetLoad } from "@chestnuthatch/wire/work";
+import {
+  type GrantAccount,
+  type Shard,
+  shardKey,
+  type Target,
+  TargetHealth,
+} from "./blackboard.ts";
+import type { Controller, EventHandlers, Turn } from "./controller.ts";
+import {
+  type CoordinatorOptions,
+  DEFAULT_COORDINATOR_OPTIONS,
+} from "./coordinator_options.ts";
+import { LogLevel, LogPart } from "./effects.ts";
+import { EventKind, type EventOf } from "./events.ts";
+import { learnFrom } from "./learned_rates.ts";
+import {
+  adjustSlots,
+  beginReturn,
+  overdueRatio,
+  slowdownOf,
+} from "./straggler.ts";
+import { pollNewShard, pollTargets } from "./target_polls.ts";
+import {
+  forwardSigns,
+  heedList,
+  heedReport,
+  heedSign,
+  tellSigns,
+} from "./target_signs.ts";
+import { priorRates } from "./work_cost.ts";
 
-/** Handles its section of the blackboard. */
+/** Polls that fail in a row before a target counts as unreachable. */
+const MAX_FAILED_POLLS = 3;
+
+type MessageHandlers = {
+  readonly [K in PeerMessageKind]?: (
+    message: PeerMessageOf<K>,
+    turn: Turn,
+    fromId: string,
+  ) => void;
+};
+
+/** Writes the targets section. */
 export class TargetController implements Controller {
   readonly name = "target";
-  readonly handlers: EventHandlers = {};
+  readonly handlers: EventHandlers = {
+    [EventKind.Tick]: (_event, turn) => this.#onTick(turn),
+    [EventKind.PeerMessageReceived]: (event, turn) =>
+      this.#onMessage(event, turn),
+    [EventKind.PeerConnected]: ({ peerId }, turn) => tellSigns(turn, peerId),
+    [EventKind.LoadReported]: ({ load }, turn) => this.#onLoad(load, turn),
+    [EventKind.LoadReportFailed]: onLoadFailed,
+    [EventKind.CacheEventsRead]: onCacheEvents,
+    [EventKind.InstanceListRead]: (event, turn) => this.#onList(event, turn),
+  };
+  readonly #options: CoordinatorOptions;
+  #knownSettings: SettingsInForce | undefined;
+
+  /** @param options Switches for measurements. */
+  constructor(options: CoordinatorOptions = DEFAULT_COORDINATOR_OPTIONS) {
+    this.#options = options;
+  }
+
+  #onTick(turn: Turn): void {
+    this.#takeSettings(turn);
+    watchPace(turn);
+    pollTargets(turn, this.#options.affinity);
+  }
+
+  #onMessage(
+    { message, fromId }: EventOf<EventKind.PeerMessageReceived>,
+    turn: Turn,
+  ): void {
+    this.#takeSettings(turn);
+    const handler = MESSAGE_HANDLERS[message.kind] as
+      | ((message: PeerMessage, turn: Turn, fromId: string) => void)
+      | undefined;
+    handler?.(message, turn, fromId);
+  }
+
+  #onLoad(load: TargetLoad, turn: Turn): void {
+    this.#takeSettings(turn);
+    const target = turn.board.targets.byId.get(load.targetId);
+    if (target !== undefined) {
+      target.pollPending = false;
+      target.failedPolls = 0;
+      takeLoad(turn, target, load);
+    }
+  }
+
+  #onList({ list }: EventOf<EventKind.InstanceListRead>, turn: Turn): void {
+    this.#takeSettings(turn);
+    for (const { id, kind, leaving } of list.instances) {
+      const target = turn.board.targets.byId.get(id);
+      if (kind === ListedKind.Target && target !== undefined) {
+        heedList(turn, target, leaving);
+      }
+    }
+  }
+
+  /** Makes entries for the targets that the settings name, and no others. */
+  #takeSettings(turn: Turn): void {
+    const { settings, targets } = turn.board;
+    const { inForce } = settings;
+    if (inForce === undefined || inForce === this.#knownSettings) {
+      return;
+    }
+    this.#knownSettings = inForce;
+    for (const targetId of [...targets.byId.keys()]) {
+      if (!inForce.targets.has(targetId)) {
+        targets.byId.delete(targetId);
+      }
+    }
+    for (const each of inForce.targets.values()) {
+      if (!targets.byId.has(each.id)) {
+        targets.byId.set(each.id, newTarget(each));
+      }
+    }
+  }
+}
+
+/**
+ * Makes the entry of a target of which nothing was heard yet.
+ *
+ * @param settings The target as the operators describe it.
+ * @returns The entry.
+ */
+export function newTarget(settings: TargetSettings): Target {
+  return {
+    targetId: settings.id,
+    health: TargetHealth.Healthy,
+    leaving: false,
+    signNumber: 0,
+    loadAsOfMs: -Infinity,
+    lastPollAtMs: -Infinity,
+    pollPending: false,
+    failedPolls: 0,
+    unreachableSinceMs: 0,
+    rates: priorRates(settings),
+    cacheSequence: 0,
+  };
+}
+
+const MESSAGE_HANDLERS: MessageHandlers = {
+  [PeerMessageKind.Ask]: ({ ask, failureDomain }, turn) =>
+    pollNewShard(turn, { pool: ask.pool, failureDomain }),
+  [PeerMessageKind.HolderReport]: (message, turn) =>
+    message.running.length > 0 && pollNewShard(turn, message),
+  [PeerMessageKind.GrantReturned]: onGrantReturned,
+  [PeerMessageKind.WorkDone]: onWorkDone,
+  [PeerMessageKind.TargetsHeard]: onTargetsHeard,
+};
+
+function takeLoad(turn: Turn, target: Target, load: TargetLoad): void {
+  const asOfMs = turn.nowMs - load.ageMs;
+  if (asOfMs < target.loadAsOfMs) {
+    return;
+  }
+  const before = target.load;
+  target.load = load;
+  target.loadAsOfMs = asOfMs;
+  if (
+    target.health === TargetHealth.Unreachable &&
+    asOfMs > target.unreachableSinceMs
+  ) {
+    target.health = TargetHealth.Healthy;
+    const settings = turn.board.settings.inForce!.targets.get(target.targetId)!;
+    beginReturn(target, settings, turn.nowMs);
+    turn.log(
+      LogLevel.Info,
+      LogPart.Targets,
+      `${target.targetId} answers again.`,
+    );
+  }
+  heedReport(turn, target, { before, load, asOfMs });
+}
+
+function onLoadFailed(
+  { targetId }: EventOf<EventKind.LoadReportFailed>,
+  turn: Turn,
+): void {
+  const target = turn.board.targets.byId.get(targetId);
+  if (target === undefined) {
+    return;
+  }
+  target.pollPending = false;
+  target.failedPolls += 1;
+  if (target.failedPolls >= MAX_FAILED_POLLS) {
+    suspend(turn, target, `${target.failedPolls} polls failed in a row`);
+  }
+}
+
+function suspend(turn: Turn, target: Target, reason: string): void {
+  if (target.health === TargetHealth.Unreachable) {
+    return;
+  }
+  target.health = TargetHealth.Unreachable;
+  target.unreachableSinceMs = turn.nowMs;
+  turn.log(
+    LogLevel.Warn,
+    LogPart.Targets,
+    `${target.targetId} is unreachable: ${reason}.`,
+  );
+}
+
+function onCacheEvents(
+  { targetId, answer }: EventOf<EventKind.CacheEventsRead>,
+  turn: Turn,
+): void {
+  const target = turn.board.targets.byId.get(targetId);
+  if (target !== undefined) {
+    target.cacheSequence = answer.lastSequence;
+  }
+}
+
+function onGrantReturned(
+  message: PeerMessageOf<PeerMessageKind.GrantReturned>,
+  turn: Turn,
+): void {
+  const grant = grantNamed(turn, message);
+  const target = grant && turn.board.targets.byId.get(grant.work.targetId);
+  if (message.targetUnreachable && target !== undefined) {
+    suspend(turn, target, "it refused a connection");
+  }
+}
+
+function onWorkDone(
+  message: PeerMessageOf<PeerMessageKind.WorkDone>,
+  turn: Turn,
+): void {
+  const inForce = turn.board.settings.inForce;
+  const settings = inForce?.targets.get(message.targetId);
+  const target = turn.board.targets.byId.get(message.targetId);
+  const pool = settings && inForce?.pools.get(settings.pool);
+  if (target !== undefined && pool !== undefined) {
+    learnFrom(target, message, {
+      settings: settings!,
+      kind: pool.kind,
+      grant: grantNamed(turn, message),
+    });
+  }
+}
+
+function onTargetsHeard(
+  message: PeerMessageOf<PeerMessageKind.TargetsHeard>,
+  turn: Turn,
+  fromId: string,
+): void {
+  const { byId } = turn.board.targets;
+  const news = message.signs.filter((sign) => {
+    const target = byId.get(sign.targetId);
+    return target !== undefined && heedSign(turn, target, sign);
+  });
+  if (news.length > 0) {
+    forwardSigns(turn, news, fromId);
+  }
+  for (const load of message.loads) {
+    const target = byId.get(load.targetId);
+    if (target !== undefined) {
+      takeLoad(turn, target, load);
+    }
+  }
+}
+
+/** Cuts and restores slots by how fast each target has become. */
+function watchPace(turn: Turn): void {
+  const { settings, shards, targets } = turn.board;
+  for (const each of settings.inForce?.targets.values() ?? []) {
+    const target = targets.byId.get(each.id)!;
+    const shard = shards.byKey.get(shardKey(each.pool, each.failureDomain));
+    const overdue = overdueRatio(usedGrantsOn(shard, each.id), turn.nowMs);
+    if (target.pace === undefined && overdue === 1) {
+      continue;
+    }
+    const slowdown = Math.max(overdue, slowdownOf(target, kindOf(turn, each)));
+    const seen = { slowdown, nowMs: turn.nowMs };
+    if (adjustSlots(target, each, seen)) {
+      const percent = Math.round(target.pace!.slotShare * 100);
+      turn.log(
+        LogLevel.Warn,
+        LogPart.Targets,
+        `${each.id} is ${
+          slowdown.toFixed(1)
+        } times slower; its slots are cut to ${percent}%.`,
+      );
+    }
+  }
+}
+
+function usedGrantsOn(
+  shard: Shard | undefined,
+  targetId: string,
+): GrantAccount[] {
+  return [...shard?.grants.values() ?? []].filter((grant) =>
+    grant.used && grant.work.targetId === targetId
+  );
+}
+
+/** Other targets of the same pool and hardware. */
+function kindOf(turn: Turn, settings: TargetSettings): Target[] {
+  const { inForce } = turn.board.settings;
+  return [...inForce!.targets.values()]
+    .filter((other) =>
+      other.id !== settings.id && other.pool === settings.pool &&
+      other.hardware === settings.hardware
+    )
+    .map((other) => turn.board.targets.byId.get(other.id)!);
+}
+
+function grantNamed(
+  turn: Turn,
+  message: { pool: string; failureDomain: string; grantId: string },
+): GrantAccount | undefined {
+  return turn.board.shards.byKey
+    .get(shardKey(message.pool, message.failureDomain))
+    ?.grants.get(message.grantId);
 }
--- /dev/null
+++ b/packages/core/src/target_polls.ts
@@ -0,0 +1,124 @@
+/** Which targets this instance polls, and when. */
+
+import type {
+  SettingsInForce,
+  TargetSettings,
+} from "@chestnuthatch/settings/policy";
+import { TargetKind } from "@chestnuthatch/wire/work";
+import { shardKey, type Target } from "./blackboard.ts";
+import type { Turn } from "./controller.ts";
+import { rankCoordinators } from "./coordinators.ts";
+import { EffectKind } from "./effects.ts";
+
+/** How often the cache events of an engine are read. */
+const CACHE_POLL_MS = 3000;
+
+/** A poll not answered for this many intervals counts as lost. */
+const LOST_AFTER_INTERVALS = 4;
+
+/**
+ * Polls the targets whose turn it is, of all shards served here.
+ *
+ * @param turn The turn of a tick.
+ * @param affinity Whether cache events are wanted too.
+ */
+export function pollTargets(turn: Turn, affinity: boolean): void {
+  const settings = turn.board.settings.inForce;
+  if (settings === undefined) {
+    return;
+  }
+  const served = servedShards(turn, settings);
+  for (const targetSettings of settings.targets.values()) {
+    const target = turn.board.targets.byId.get(targetSettings.id);
+    const key = shardKey(targetSettings.pool, targetSettings.failureDomain);
+    if (target !== undefined && served.has(key)) {
+      pollLoadWhenDue(turn, target, targetSettings);
+      const { kind } = settings.pools.get(targetSettings.pool)!;
+      if (affinity && kind === TargetKind.Engine) {
+        pollCacheWhenDue(turn, target, targetSettings);
+      }
+    }
+  }
+}
+
+/**
+ * Polls at once the targets of a shard that were never polled.
+ *
+ * @param turn The turn.
+ * @param shard The shard's pool and failure domain.
+ */
+export function pollNewShard(
+  turn: Turn,
+  shard: { pool: string; failureDomain: string },
+): void {
+  const settings = turn.board.settings.inForce;
+  for (const targetSettings of settings?.targets.values() ?? []) {
+    const target = turn.board.targets.byId.get(targetSettings.id);
+    if (
+      target !== undefined && target.lastPollAtMs === -Infinity &&
+      targetSettings.pool === shard.pool &&
+      targetSettings.failureDomain === shard.failureDomain
+    ) {
+      pollLoad(turn, target, targetSettings);
+    }
+  }
+}
+
+function pollLoadWhenDue(
+  turn: Turn,
+  target: Target,
+  settings: TargetSettings,
+): void {
+  const { loadPollMs } = turn.board.settings.inForce!.timing;
+  const sinceMs = turn.nowMs - target.lastPollAtMs;
+  const isLost = sinceMs >= loadPollMs * LOST_AFTER_INTERVALS;
+  if (sinceMs >= loadPollMs && (!target.pollPending || isLost)) {
+    pollLoad(turn, target, settings);
+  }
+}
+
+function pollLoad(turn: Turn, target: Target, settings: TargetSettings): void {
+  target.lastPollAtMs = turn.nowMs;
+  target.pollPending = true;
+  turn.emit({
+    kind: EffectKind.PollLoad,
+    targetId: target.targetId,
+    address: settings.address,
+  });
+}
+
+function pollCacheWhenDue(
+  turn: Turn,
+  target: Target,
+  settings: TargetSettings,
+): void {
+  if (turn.nowMs - (target.lastCachePollAtMs ?? -Infinity) < CACHE_POLL_MS) {
+    return;
+  }
+  target.lastCachePollAtMs = turn.nowMs;
+  turn.emit({
+    kind: EffectKind.PollCacheEvents,
+    targetId: target.targetId,
+    address: settings.address,
+    after: target.cacheSequence,
+  });
+}
+
+/** Shards that this instance coordinates, or was asked to serve. */
+function servedShards(turn: Turn, settings: SettingsInForce): Set<string> {
+  const { board, nowMs } = turn;
+  const served = new Set(board.shards.byKey.keys());
+  const seen = new Set<string>();
+  for (const { pool, failureDomain } of settings.targets.values()) {
+    const key = shardKey(pool, failureDomain);
+    if (seen.has(key)) {
+      continue;
+    }
+    seen.add(key);
+    const [rightful] = rankCoordinators(board, { key, failureDomain }, nowMs);
+    if (rightful?.instanceId === board.self.instanceId) {
+      served.add(key);
+    }
+  }
+  return served;
+}
--- /dev/null
+++ b/packages/core/src/wait_estimate.ts
@@ -0,0 +1,111 @@
+/** Estimates how long an ask will wait for a target. */
+
+import type { Lane, WaitingAsk } from "./blackboard.ts";
+import { shortage, slotsForTier } from "./capacity.ts";
+import type { ShardView } from "./shard_view.ts";
+
+/** Waiting work: time on a slot, and KV memory times that time. */
+export interface WorkAhead {
+  readonly costMs: number;
+  readonly kvTokenMs: number;
+}
+
+/** No work at all. */
+export const NO_WORK: WorkAhead = { costMs: 0, kvTokenMs: 0 };
+
+/**
+ * Estimates an ask's wait: what higher tiers and its own fair turn put before
+ * it, over the slots and the KV memory that serve it.
+ *
+ * @param view The shard.
+ * @param ask The ask.
+ * @param ownAhead Work of its own lane that goes before it.
+ * @returns A duration in milliseconds; Infinity where nothing serves it.
+ */
+export function estimateWaitMs(
+  view: ShardView,
+  ask: WaitingAsk,
+  ownAhead: WorkAhead,
+): number {
+  const need = view.needOf(ask);
+  let slots = 0;
+  let kvTokens = 0;
+  let firstFreeMs = Infinity;
+  for (const room of view.rooms) {
+    if (!view.isPossible(room, ask)) {
+      continue;
+    }
+    slots += slotsForTier(room.slotsTotal, need.headroomShare);
+    kvTokens += room.kvTotalTokens;
+    const isFree = shortage(room, need, room.used) === undefined;
+    firstFreeMs = Math.min(firstFreeMs, isFree ? 0 : nextEndMs(view, room));
+  }
+  const ahead = workAhead(view, ask, ownAhead);
+  const slotWaitMs = slots > 0 ? ahead.costMs / slots : Infinity;
+  const kvWaitMs = kvTokens > 0 ? ahead.kvTokenMs / kvTokens : 0;
+  const startMs = Number.isFinite(firstFreeMs) ? firstFreeMs : 0;
+  return startMs + Math.max(slotWaitMs, kvWaitMs);
+}
+
+/**
+ * Adds up work.
+ *
+ * @param a Some work.
+ * @param b Other work.
+ * @returns Both together.
+ */
+export function addWork(a: WorkAhead, b: WorkAhead): WorkAhead {
+  return {
+    costMs: a.costMs + b.costMs,
+    kvTokenMs: a.kvTokenMs + b.kvTokenMs,
+  };
+}
+
+/**
+ * Gives an ask's own work.
+ *
+ * @param ask The ask.
+ * @returns Its cost.
+ */
+export function workOf(ask: WaitingAsk): WorkAhead {
+  return { costMs: ask.costMs, kvTokenMs: ask.kvTokens * ask.costMs };
+}
+
+function workAhead(
+  view: ShardView,
+  ask: WaitingAsk,
+  ownAhead: WorkAhead,
+): WorkAhead {
+  let ahead = ownAhead;
+  const { tierRank, workspace } = ask.detail;
+  for (const lane of view.shard.lanes.values()) {
+    if (lane.tierRank < tierRank) {
+      ahead = addWork(ahead, lane);
+    } else if (lane.tierRank === tierRank && lane.workspace !== workspace) {
+      ahead = addWork(ahead, fairTurnOf(view, lane, { ask, ownAhead }));
+    }
+  }
+  return ahead;
+}
+
+/** Of another workspace's work, only its fair share goes before the ask. */
+function fairTurnOf(
+  view: ShardView,
+  lane: Lane,
+  own: { ask: WaitingAsk; ownAhead: WorkAhead },
+): WorkAhead {
+  const ownWeight = view.policyOf(own.ask.detail).fairShareWeight;
+  const laneWeight = view.policyOf(lane).fairShareWeight;
+  const ownCostMs = own.ownAhead.costMs + own.ask.costMs;
+  const fairCostMs = ownCostMs * laneWeight / Math.max(ownWeight, 0.001);
+  const share = Math.min(1, fairCostMs / Math.max(lane.costMs, 0.001));
+  return { costMs: lane.costMs * share, kvTokenMs: lane.kvTokenMs * share };
+}
+
+function nextEndMs(
+  view: ShardView,
+  room: ShardView["rooms"][number],
+): number {
+  const ends = room.grants.map((grant) => grant.expectedEndMs - view.nowMs);
+  return Math.max(0, Math.min(...ends));
+}
--- /dev/null
+++ b/packages/daemon/src/edge_test_support.ts
@@ -0,0 +1,201 @@
+/** Small servers and sinks for the tests of the edges. */
+
+import { Buffer } from "node:buffer";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import type { EventKind } from "@chestnuthatch/core/events";
+import type {
+  Row,
+  TransactRequest,
+} from "@chestnuthatch/wire/platform_protocol";
+import type { Clock, EdgeContext, UntimedEvent } from "./ports.ts";
+import type { Sleep } from "./sleep.ts";
+
+/** An event of one kind, without its time. */
+export type Emitted<K extends EventKind> = Extract<UntimedEvent, { kind: K }>;
+
+/** A clock that tests set; sleeping moves it on. */
+export class TestClock implements Clock {
+  atMs = 0;
+
+  nowMs(): number {
+    return this.atMs;
+  }
+
+  readonly sleep: Sleep = async (delayMs) => {
+    this.atMs += delayMs;
+    await new Promise((resolve) => setImmediate(resolve));
+  };
+}
+
+/** Records what an edge emits, and lets tests wait for it. */
+export class TestEdge implements EdgeContext {
+  readonly clock = new TestClock();
+  readonly events: UntimedEvent[] = [];
+  readonly logs: string[] = [];
+  #waiting: (() => void)[] = [];
+
+  readonly emit = (event: UntimedEvent): void => {
+    this.events.push(event);
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    waiting.forEach((resume) => resume());
+  };
+
+  readonly log: EdgeContext["log"] = (_level, _part, text) => {
+    this.logs.push(text);
+  };
+
+  readonly count = (): void => {};
+
+  async until<K extends EventKind>(...kinds: K[]): Promise<Emitted<K>> {
+    for (;;) {
+      const found = this.events.find(({ kind }) => kinds.includes(kind as K));
+      if (found !== undefined) {
+        return found as Emitted<K>;
+      }
+      await new Promise<void>((resolve) => this.#waiting.push(resolve));
+    }
+  }
+}
+
+/** One request as a test server saw it. */
+export interface SeenRequest {
+  readonly path: string;
+  readonly body: string;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/** An HTTP server on a free port of the loopback. */
+export class TestServer {
+  readonly seen: SeenRequest[] = [];
+  readonly #server: Server;
+
+  constructor(answer: (seen: SeenRequest) => void) {
+    this.#server = createServer((request, response) => {
+      const chunks: Buffer[] = [];
+      request.on("data", (chunk: Buffer) => chunks.push(chunk));
+      request.on("end", () => {
+        const body = Buffer.concat(chunks).toString("utf8");
+        const seen = { path: request.url!, body, request, response };
+        this.seen.push(seen);
+        answer(seen);
+      });
+    });
+  }
+
+  get address(): string {
+    const { port } = this.#server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  paths(): string[] {
+    return this.seen.map(({ path }) => path);
+  }
+
+  async start(): Promise<this> {
+    await new Promise<void>((resolve) => {
+      this.#server.listen(0, "127.0.0.1", resolve);
+    });
+    return this;
+  }
+
+  async stop(): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+}
+
+/** Ways in which a table may treat one call. */
+export enum TableFault {
+  None = "none",
+  /** The call takes effect, and its answer is lost. */
+  AnswerLost = "answer_lost",
+  /** The call is lost. */
+  CallLost = "call_lost",
+  Down = "down",
+}
+
+/** The platform's table and object store, with faults. */
+export class TestTable {
+  readonly rows = new Map<string, Row>();
+  readonly objects = new Map<string, string>();
+  readonly server = new TestServer((seen) => this.#answer(seen));
+  /** Faults of the next writes and reads, in turn; then `fault`. */
+  readonly writeFaults: TableFault[] = [];
+  readonly readFaults: TableFault[] = [];
+  fault = TableFault.None;
+  /** Called before each call is answered. */
+  onCall: (path: string) => void = () => {};
+  #versions = 0;
+
+  put(key: string, value: unknown): void {
+    const text = JSON.stringify(value);
+    this.rows.set(key, { key, value: text, version: ++this.#versions });
+  }
+
+  value(key: string): Record<string, unknown> {
+    return JSON.parse(this.rows.get(key)!.value);
+  }
+
+  #answer({ path, body, request, response }: SeenRequest): void {
+    this.onCall(path);
+    const isWrite = path === "/table/transact" || request.method === "PUT";
+    const faults = isWrite ? this.writeFaults : this.readFaults;
+    const fault = faults.shift() ?? this.fault;
+    if (fault === TableFault.Down) {
+      response.writeHead(503).end();
+      return;
+    }
+    if (fault === TableFault.CallLost) {
+      response.destroy();
+      return;
+    }
+    const answer = this.#serve(path, body, request.method!);
+    if (fault === TableFault.AnswerLost) {
+      response.destroy();
+      return;
+    }
+    response.writeHead(answer === undefined ? 404 : 200).end(answer);
+  }
+
+  #serve(path: string, body: string, method: string): string | undefined {
+    if (path === "/table/transact") {
+      return JSON.stringify(this.#transact(JSON.parse(body)));
+    }
+    if (path === "/table/read") {
+      const keys = JSON.parse(body).keys as string[];
+      const rows = keys.flatMap((key) => this.rows.get(key) ?? []);
+      return JSON.stringify({ rows });
+    }
+    const key = decodeURIComponent(path.slice("/objects/".length));
+    if (method === "PUT") {
+      this.objects.set(key, body);
+      return "";
+    }
+    return this.objects.get(key);
+  }
+
+  #transact(request: TransactRequest): unknown {
+    const failed = request.conditions.filter(({ key, version }) =>
+      (this.rows.get(key)?.version ?? 0) !== version
+    );
+    if (failed.length > 0) {
+      const conflicts = failed.flatMap(({ key }) => this.rows.get(key) ?? []);
+      return { committed: false, rows: [], conflicts };
+    }
+    const rows = request.puts.map(({ key, value }) => {
+      const row = { key, value, version: ++this.#versions };
+      this.rows.set(key, row);
+      return row;
+    });
+    request.deletes.forEach((key) => this.rows.delete(key));
+    return { committed: true, rows, conflicts: [] };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/order_desk_test.ts
@@ -0,0 +1,273 @@
+import {
+  type EngineState,
+  OrderKind,
+  type OrderRequest,
+} from "@chestnuthatch/wire/target_protocol";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  type SeenRequest,
+  TableFault,
+  TestClock,
+  TestServer,
+  TestTable,
+} from "./edge_test_support.ts";
+import {
+  type EngineOrder,
+  OrderDesk,
+  type OrderOutcome,
+  OrderOutcomeKind,
+} from "./order_desk.ts";
+import { OrderState } from "./order_rows.ts";
+import { PlatformHttp } from "./platform_http.ts";
+
+const LEASE_MS = 30_000;
+const ORDER_DELAY_MS = 10_000;
+const KEY = "order/t1";
+const FORMER = {
+  holder: "former",
+  fencingNumber: 4,
+  leaseMs: LEASE_MS,
+  orderId: "former-order",
+  kind: OrderKind.LoadModel,
+  value: "m0",
+  state: OrderState.Leased,
+};
+
+class Bench {
+  readonly table = new TestTable();
+  readonly clock = new TestClock();
+  readonly engine = new TestServer((seen) => this.#answer(seen));
+  readonly desks: OrderDesk[] = [];
+  http!: PlatformHttp;
+  checksFencing = true;
+  loseOrderAnswers = false;
+  /** Called before the engine answers a read of its state. */
+  onState: () => void = () => {};
+  state: EngineState = {
+    targetId: "t1",
+    model: "m0",
+    adapter: "",
+    version: "1",
+    role: "decode",
+    fencingNumber: 0,
+    lastOrderId: "",
+  };
+
+  async start(): Promise<this> {
+    await this.table.server.start();
+    await this.engine.start();
+    const { address } = this.table.server;
+    this.http = new PlatformHttp({ address, clock: this.clock });
+    return this;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.desks.map((desk) => desk.stop()));
+    await this.http.stop();
+    await this.engine.stop();
+    await this.table.server.stop();
+  }
+
+  give(value: string, holder = "desk"): Promise<OrderOutcome> {
+    const desk = new OrderDesk({
+      platform: this.http,
+      holder,
+      clock: this.clock,
+      sleep: this.clock.sleep,
+      newOrderId: () => `${holder}-order`,
+      leaseMs: LEASE_MS,
+      maxOrderDelayMs: ORDER_DELAY_MS,
+    });
+    this.desks.push(desk);
+    return desk.give(this.order(value));
+  }
+
+  order(value: string): EngineOrder {
+    return {
+      targetId: "t1",
+      address: this.engine.address,
+      checksFencing: this.checksFencing,
+      kind: OrderKind.LoadModel,
+      value,
+    };
+  }
+
+  orders(): number {
+    return this.engine.paths().filter((path) => path === "/v1/orders").length;
+  }
+
+  obey(order: OrderRequest): boolean {
+    if (this.checksFencing && order.fencingNumber <= this.state.fencingNumber) {
+      return false;
+    }
+    const fencingNumber = this.checksFencing ? order.fencingNumber : 0;
+    const { value: model, orderId: lastOrderId } = order;
+    this.state = { ...this.state, model, lastOrderId, fencingNumber };
+    return true;
+  }
+
+  #answer({ path, body, response }: SeenRequest): void {
+    if (path === "/v1/state") {
+      this.onState();
+      response.end(JSON.stringify(this.state));
+      return;
+    }
+    const obeyed = this.obey(JSON.parse(body));
+    if (this.loseOrderAnswers) {
+      response.destroy();
+      return;
+    }
+    response.writeHead(obeyed ? 200 : 409)
+      .end(JSON.stringify({ obeyed, state: this.state }));
+  }
+}
+
+function testWith(title: string, run: (bench: Bench) => Promise<void>): void {
+  test(title, async () => {
+    const bench = await new Bench().start();
+    try {
+      await run(bench);
+    } finally {
+      await bench.stop();
+    }
+  });
+}
+
+testWith("should give orders under rising fencing numbers", async (bench) => {
+  const first = await bench.give("m1", "a");
+  const second = await bench.give("m2", "b");
+  assert.equal([first.kind, second.kind], [
+    OrderOutcomeKind.Obeyed,
+    OrderOutcomeKind.Obeyed,
+  ]);
+  assert.equal([first.fencingNumber, second.fencingNumber], [1, 2]);
+  assert.is(second.before?.model, "m1");
+  assert.is(second.after?.model, "m2");
+  assert.is(bench.table.value(KEY).state, OrderState.Settled);
+  assert.is(bench.clock.atMs, 0);
+});
+
+for (const checksFencing of [true, false]) {
+  testWith(
+    `should let one of two racing desks win, fencing checked: ${checksFencing}`,
+    async (bench) => {
+      bench.checksFencing = checksFencing;
+      const outcomes = await Promise.all([
+        bench.give("m1", "a"),
+        bench.give("m2", "b"),
+      ]);
+      const winner = outcomes.find(({ kind }) =>
+        kind === OrderOutcomeKind.Obeyed
+      );
+      const loser = outcomes.find((outcome) => outcome !== winner);
+      assert.is(loser?.kind, OrderOutcomeKind.HeldElsewhere);
+      assert.is(loser?.other?.orderId, winner?.orderId);
+      assert.is(bench.orders(), 1);
+      assert.is(bench.state.lastOrderId, winner?.orderId);
+    },
+  );
+}
+
+testWith(
+  "should tell that an old fencing number was refused",
+  async (bench) => {
+    let states = 0;
+    bench.onState = () => {
+      states += 1;
+      if (states === 2) {
+        bench.obey({ ...FORMER, fencingNumber: 9, orderId: "later" });
+      }
+    };
+    const outcome = await bench.give("m1");
+    assert.is(outcome.kind, OrderOutcomeKind.RefusedAsOld);
+    assert.is(outcome.after?.lastOrderId, "later");
+  },
+);
+
+testWith("should exceed the target's own number", async (bench) => {
+  bench.state = { ...bench.state, fencingNumber: 7 };
+  assert.is((await bench.give("m1")).fencingNumber, 8);
+});
+
+for (
+  const [checksFencing, waitedMs] of [
+    [true, LEASE_MS],
+    [false, LEASE_MS + ORDER_DELAY_MS],
+  ] as const
+) {
+  testWith(
+    `should wait out a lapsed holder, fencing checked: ${checksFencing}`,
+    async (bench) => {
+      bench.checksFencing = checksFencing;
+      bench.table.put(KEY, FORMER);
+      const outcome = await bench.give("m1");
+      assert.is(outcome.kind, OrderOutcomeKind.Obeyed);
+      assert.is(outcome.fencingNumber, 5);
+      assert.is(bench.clock.atMs, waitedMs);
+    },
+  );
+}
+
+testWith("should not send an order after its lease ended", async (bench) => {
+  bench.checksFencing = false;
+  let states = 0;
+  bench.onState = () => {
+    states += 1;
+    bench.clock.atMs += states === 2 ? LEASE_MS : 0;
+  };
+  const outcome = await bench.give("m1");
+  assert.is(outcome.kind, OrderOutcomeKind.LeaseLapsed);
+  assert.is(bench.orders(), 0);
+});
+
+testWith(
+  "should say when a target that ignores numbers is not as ordered",
+  async (bench) => {
+    bench.checksFencing = false;
+    bench.onState = () => {
+      if (bench.orders() === 1) {
+        bench.obey({ ...FORMER, orderId: "late" });
+      }
+    };
+    const outcome = await bench.give("m1");
+    assert.is(outcome.kind, OrderOutcomeKind.NotAsOrdered);
+    assert.is(outcome.after?.lastOrderId, "late");
+  },
+);
+
+testWith(
+  "should settle a lost answer of the lease by its order id",
+  async (bench) => {
+    bench.table.writeFaults.push(TableFault.AnswerLost);
+    const outcome = await bench.give("m1");
+    assert.is(outcome.kind, OrderOutcomeKind.Obeyed);
+    assert.is(outcome.fencingNumber, 1);
+  },
+);
+
+testWith(
+  "should settle a lost answer of the order by the target's state",
+  async (bench) => {
+    bench.loseOrderAnswers = true;
+    const outcome = await bench.give("m1");
+    assert.is(outcome.kind, OrderOutcomeKind.Obeyed);
+    assert.is(bench.orders(), 1);
+  },
+);
+
+testWith(
+  "should send nothing while the table is down or its row corrupt",
+  async (bench) => {
+    bench.table.fault = TableFault.Down;
+    const down = await bench.give("m1");
+    assert.is(down.kind, OrderOutcomeKind.StoreUnavailable);
+    bench.table.fault = TableFault.None;
+    bench.table.put(KEY, { holder: "former" });
+    const corrupt = await bench.give("m1");
+    assert.is(corrupt.kind, OrderOutcomeKind.RowUnreadable);
+    assert.is(bench.orders(), 0);
+  },
+);
+
+test.run();
--- /dev/null
+++ b/packages/daemon/src/target_client.ts
@@ -0,0 +1,327 @@
+/** Carries out the core's orders towards targets. */
+
+import { type AttemptRef, EventKind } from "@chestnuthatch/core/events";
+import {
+  type EffectKind,
+  type EffectOf,
+  LogLevel,
+  LogPart,
+} from "@chestnuthatch/core/effects";
+import { TargetKind } from "@chestnuthatch/wire/work";
+import PQueue from "p-queue";
+import { EngineAdapter } from "./engine_adapter.ts";
+import { callHttp } from "./http_call.ts";
+import type { HttpRequest } from "./http_exchange.ts";
+import { type EdgeContext, EdgeCounterName } from "./ports.ts";
+import { RankedQueue, type RankOptions } from "./ranked_queue.ts";
+import { ServiceAdapter } from "./service_adapter.ts";
+import type {
+  AnswerLimits,
+  DispatchInput,
+  TargetAdapter,
+} from "./target_adapter.ts";
+import { TargetAttempt } from "./target_attempt.ts";
+import {
+  type ConnectionLimits,
+  DEFAULT_CONNECTION_LIMITS,
+  TargetConnections,
+  type TargetLink,
+} from "./target_connections.ts";
+import { TargetPolls } from "./target_polls.ts";
+import type { Timers } from "./timers.ts";
+
+/** Bounds of the client. */
+export interface TargetClientLimits extends AnswerLimits, ConnectionLimits {
+  /** Dispatches of one pool that are being connected and sent at a time. */
+  readonly concurrentSends: number;
+  /** Dispatches of one pool that wait for their turn. */
+  readonly maxQueuedSends: number;
+  /** A dispatch that has waited this long is not sent any more. */
+  readonly maxSendWaitMs: number;
+}
+
+/** What a target client is made of. */
+export interface TargetClientOptions {
+  /**
+   * @param requestId A request that the core dispatches.
+   * @returns What is to be sent, or nothing when it is not known.
+   */
+  readonly dispatchInput: (requestId: string) => DispatchInput | undefined;
+  /**
+   * @param requestId The request.
+   * @returns Headers that carry its trace.
+   */
+  readonly traceHeaders?: (
+    requestId: string,
+  ) => Readonly<Record<string, string>>;
+  readonly limits?: Partial<TargetClientLimits>;
+  readonly timers?: Timers;
+}
+
+type DispatchEffect = EffectOf<EffectKind.Dispatch>;
+type ResumeEffect = EffectOf<EffectKind.ResumeStream>;
+type CancelEffect = EffectOf<EffectKind.CancelStream>;
+type SendQueue = PQueue<RankedQueue, RankOptions>;
+
+const DEFAULT_LIMITS: TargetClientLimits = {
+  ...DEFAULT_CONNECTION_LIMITS,
+  maxLineBytes: 256 * 1024,
+  maxBodyBytes: 64 * 1024 * 1024,
+  concurrentSends: 64,
+  maxQueuedSends: 4096,
+  maxSendWaitMs: 1000,
+};
+const CANCEL_TIMEOUT_MS = 1000;
+const CANCEL_TRIES = 2;
+const MAX_CANCEL_ANSWER_BYTES = 64 * 1024;
+const REASON_NO_ADDRESS = "the target's address is unknown";
+const REASON_NO_CONNECTION = "all connections to the target are in use";
+const REASON_QUEUE_FULL = "too many dispatches wait to be sent";
+const REASON_CANCELLED = "cancelled";
+const REASON_STOPPED = "the instance stopped";
+const REASON_NO_RESUME = "the stream cannot be resumed";
+
+const ADAPTERS: Readonly<Record<TargetKind, TargetAdapter>> = {
+  [TargetKind.Engine]: new EngineAdapter(),
+  [TargetKind.Service]: new ServiceAdapter(),
+};
+
+/** Dispatches requests, each at most once, and reads what targets answer. */
+export class TargetClient {
+  readonly #edge: EdgeContext;
+  readonly #options: TargetClientOptions;
+  readonly #limits: TargetClientLimits;
+  readonly #connections: TargetConnections;
+  readonly #polls: TargetPolls;
+  readonly #queues = new Map<string, SendQueue>();
+  /** Open attempts by request id. */
+  readonly #open = new Map<string, TargetAttempt>();
+  readonly #kinds = new Map<string, TargetKind>();
+  #stopped = false;
+
+  /**
+   * @param edge The instance's sinks and clock.
+   * @param options Where bodies come from, and bounds.
+   */
+  constructor(edge: EdgeContext, options: TargetClientOptions) {
+    this.#edge = edge;
+    this.#options = options;
+    this.#limits = { ...DEFAULT_LIMITS, ...options.limits };
+    this.#connections = new TargetConnections(this.#limits);
+    this.#polls = new TargetPolls(edge, this.#connections);
+  }
+
+  /** @returns Attempts that wait to be sent or are in progress. */
+  get openAttempts(): number {
+    return this.#open.size;
+  }
+
+  /**
+   * Sends a request to its target, once, in the order of its pool's queue.
+   *
+   * @param effect The dispatch.
+   */
+  dispatch(effect: DispatchEffect): void {
+    if (this.#refuseSecond(effect)) {
+      return;
+    }
+    if (this.#stopped) {
+      this.#emitNotSent(effect, REASON_STOPPED);
+      return;
+    }
+    const input = this.#options.dispatchInput(effect.requestId);
+    const link = input &&
+      this.#connections.link(effect.targetId, input.address);
+    if (input === undefined || link === undefined) {
+      this.#emitNotSent(effect, REASON_NO_ADDRESS);
+      return;
+    }
+    const queue = this.#queueOf(effect.pool);
+    if (queue.size >= this.#limits.maxQueuedSends) {
+      this.#emitNotSent(effect, REASON_QUEUE_FULL);
+      return;
+    }
+    this.#kinds.set(effect.targetId, input.kind);
+    const attempt = this.#openAttempt(effect, {
+      kind: input.kind,
+      maySoFarHaveRun: false,
+    });
+    const request = ADAPTERS[input.kind].dispatch({ ...effect, input });
+    void queue.add(() => this.#send(attempt, link, request), {
+      tierRank: effect.tierRank,
+      value: effect.value,
+    });
+  }
+
+  /**
+   * Reads on an engine's stream from a token; a stream that is still open for
+   * the request is closed without a word.
+   *
+   * @param effect The attempt, and where to go on.
+   */
+  resumeStream(effect: ResumeEffect): void {
+    this.#open.get(effect.requestId)?.supersede();
+    const kind = this.#kindOf(effect);
+    const link = this.#linkOf(effect);
+    const request = kind && ADAPTERS[kind].resume(effect, effect.fromToken);
+    if (
+      this.#stopped || kind === undefined || link === undefined ||
+      request === undefined
+    ) {
+      this.#emitLater(EventKind.StreamClosed, effect, REASON_NO_RESUME);
+      return;
+    }
+    const attempt = this.#openAttempt(effect, { kind, maySoFarHaveRun: true });
+    void this.#send(attempt, link, request);
+  }
+
+  /**
+   * Cuts an attempt off. One that has been sent is cancelled at its target,
+   * where the target can; one that still waits is never sent.
+   *
+   * @param effect The attempt.
+   */
+  cancelStream(effect: CancelEffect): void {
+    const attempt = this.#open.get(effect.requestId);
+    if (attempt?.ref.attemptNonce === effect.attemptNonce) {
+      attempt.stop(REASON_CANCELLED);
+    }
+    const kind = this.#kindOf(effect);
+    const request = kind && ADAPTERS[kind].cancel(effect);
+    const link = this.#linkOf(effect);
+    if (request !== undefined && link !== undefined && !this.#stopped) {
+      void this.#sendCancel(link, this.#traced(effect, request));
+    }
+  }
+
+  /** @param effect Whose load to read. */
+  pollLoad(effect: EffectOf<EffectKind.PollLoad>): void {
+    void this.#polls.pollLoad(effect);
+  }
+
+  /** @param effect Whose cache events to read. */
+  pollCacheEvents(effect: EffectOf<EffectKind.PollCacheEvents>): void {
+    void this.#polls.pollCacheEvents(effect);
+  }
+
+  /** Ends every attempt and closes all connections. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    for (const attempt of [...this.#open.values()]) {
+      attempt.stop(REASON_STOPPED);
+    }
+    await this.#connections.stop();
+  }
+
+  #send(
+    attempt: TargetAttempt,
+    link: TargetLink,
+    request: HttpRequest,
+  ): Promise<void> {
+    // Waiting for a connection here would hold up the pool's other targets.
+    if (this.#connections.isFull(link)) {
+      attempt.stop(REASON_NO_CONNECTION);
+      return Promise.resolve();
+    }
+    this.#edge.count(EdgeCounterName.TargetCalls, { call: "attempt" }, 1);
+    return attempt.send(link.streams, this.#traced(attempt.ref, request));
+  }
+
+  async #sendCancel(link: TargetLink, request: HttpRequest): Promise<void> {
+    for (let tries = 0; tries < CANCEL_TRIES; tries++) {
+      this.#edge.count(EdgeCounterName.TargetCalls, { call: "cancel" }, 1);
+      const answer = await callHttp(link.control, request, {
+        clock: this.#edge.clock,
+        timeoutMs: CANCEL_TIMEOUT_MS,
+        maxAnswerBytes: MAX_CANCEL_ANSWER_BYTES,
+      });
+      if (answer.isOk()) {
+        return;
+      }
+    }
+    this.#edge.log(
+      LogLevel.Warn,
+      LogPart.Targets,
+      `A cancel at ${link.address} got no answer.`,
+    );
+  }
+
+  #traced(ref: AttemptRef, request: HttpRequest): HttpRequest {
+    const headers = this.#options.traceHeaders?.(ref.requestId);
+    return headers === undefined ? request : { ...request, headers };
+  }
+
+  #openAttempt(
+    effect: DispatchEffect | ResumeEffect,
+    options: { kind: TargetKind; maySoFarHaveRun: boolean },
+  ): TargetAttempt {
+    const { requestId, attemptNonce, timeLeftMs } = effect;
+    const nowMs = this.#edge.clock.nowMs();
+    const attempt = new TargetAttempt({ requestId, attemptNonce }, {
+      adapter: ADAPTERS[options.kind],
+      limits: this.#limits,
+      emit: this.#edge.emit,
+      clock: this.#edge.clock,
+      timers: this.#options.timers,
+      deadlineAtMs: nowMs + timeLeftMs,
+      sendByAtMs: nowMs + this.#limits.maxSendWaitMs,
+      maySoFarHaveRun: options.maySoFarHaveRun,
+      onEnd: () => this.#open.delete(requestId),
+    });
+    this.#open.set(requestId, attempt);
+    return attempt;
+  }
+
+  /** The last guard of "at most once": one open attempt for each request. */
+  #refuseSecond(effect: DispatchEffect): boolean {
+    if (!this.#open.has(effect.requestId)) {
+      return false;
+    }
+    this.#edge.log(
+      LogLevel.Error,
+      LogPart.Targets,
+      `Request ${effect.requestId} is at a target already; not sent again.`,
+    );
+    return true;
+  }
+
+  #kindOf(effect: ResumeEffect | CancelEffect): TargetKind | undefined {
+    return this.#options.dispatchInput(effect.requestId)?.kind ??
+      this.#kinds.get(effect.targetId);
+  }
+
+  #linkOf(effect: ResumeEffect | CancelEffect): TargetLink | undefined {
+    const known = this.#connections.known(effect.targetId);
+    if (known !== undefined) {
+      return known;
+    }
+    const input = this.#options.dispatchInput(effect.requestId);
+    return input && this.#connections.link(effect.targetId, input.address);
+  }
+
+  #queueOf(pool: string): SendQueue {
+    let queue = this.#queues.get(pool);
+    if (queue === undefined) {
+      queue = new PQueue<RankedQueue, RankOptions>({
+        concurrency: this.#limits.concurrentSends,
+        queueClass: RankedQueue,
+      });
+      this.#queues.set(pool, queue);
+    }
+    return queue;
+  }
+
+  #emitNotSent(ref: AttemptRef, reason: string): void {
+    this.#emitLater(EventKind.DispatchNotSent, ref, reason);
+  }
+
+  #emitLater(
+    kind: EventKind.DispatchNotSent | EventKind.StreamClosed,
+    { requestId, attemptNonce }: AttemptRef,
+    reason: string,
+  ): void {
+    queueMicrotask(() =>
+      this.#edge.emit({ kind, requestId, attemptNonce, reason })
+    );
+  }
+}
--- /dev/null
+++ b/packages/wire/src/frame_codec_test.ts
@@ -0,0 +1,182 @@
+import { Buffer } from "node:buffer";
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  encodeFrame,
+  encodeKeepAlive,
+  FRAME_LENGTH_BYTES,
+  FrameDecoder,
+  FrameFault,
+  MAX_FRAME_BYTES,
+} from "./frame_codec.ts";
+import {
+  type PeerMessage,
+  PeerMessageKind,
+  peerMessageSchema,
+} from "./peer_messages.ts";
+
+const PLAIN = { noNullPrototype: true };
+const RUNS = { seed: 20, numRuns: 300 };
+const EXPECTED = { schema: peerMessageSchema };
+
+const count = fc.integer({ min: 0, max: Number.MAX_SAFE_INTEGER });
+const duration = fc.double({ min: 0, max: 1e9, noNaN: true });
+const text = fc.string({ unit: "grapheme", maxLength: 200 });
+
+const anyAsk: fc.Arbitrary<PeerMessage> = fc.record({
+  kind: fc.constant(PeerMessageKind.Ask as const),
+  failureDomain: text,
+  holderBeat: count,
+  ask: fc.record({
+    requestId: text,
+    askNumber: count,
+    pool: text,
+    workspace: text,
+    tierRank: count,
+    value: duration,
+    promptTokens: count,
+    expectedOutputTokens: count,
+    maxOutputTokens: count,
+    timeLeftMs: duration,
+    cancellable: fc.boolean(),
+    excludedTargetIds: fc.array(text, { maxLength: 4 }),
+    blockHashes: fc.array(text, { maxLength: 30 }),
+  }, PLAIN),
+}, PLAIN);
+const anyHeartbeat: fc.Arbitrary<PeerMessage> = fc.record({
+  kind: fc.constant(PeerMessageKind.Heartbeat as const),
+  members: fc.array(fc.record({
+    instanceId: text,
+    incarnation: count,
+    heartbeat: count,
+    leaving: fc.boolean(),
+    settingsVersion: count,
+  }, PLAIN)),
+}, PLAIN);
+const anyMessage = fc.oneof(anyAsk, anyHeartbeat);
+
+function frameOf(message: object): Buffer {
+  return encodeFrame(message)._unsafeUnwrap();
+}
+
+function rawFrame(body: readonly number[], version = 1): Buffer {
+  const frame = Buffer.from([0, 0, 0, 0, version, ...body]);
+  frame.writeUInt32BE(frame.length - FRAME_LENGTH_BYTES);
+  return frame;
+}
+
+function faultOf(bytes: Uint8Array): FrameFault | null {
+  const decoder = new FrameDecoder();
+  decoder.push(bytes);
+  const result = decoder.next(EXPECTED);
+  return result.isErr() ? result.error : null;
+}
+
+function drain(decoder: FrameDecoder): PeerMessage[] {
+  const messages: PeerMessage[] = [];
+  let message = decoder.next(EXPECTED)._unsafeUnwrap();
+  while (message) {
+    messages.push(message);
+    message = decoder.next(EXPECTED)._unsafeUnwrap();
+  }
+  return messages;
+}
+
+test("should decode the same however the bytes are split", () => {
+  const cuts = fc.array(fc.nat(2000), { maxLength: 40 });
+  const messages = fc.array(anyMessage, { minLength: 1, maxLength: 5 });
+  fc.assert(
+    fc.property(messages, cuts, (sent, cutsAt) => {
+      const stream = Buffer.concat([
+        ...sent.map(frameOf),
+        encodeKeepAlive(),
+      ]);
+      const bounds = [...cutsAt, stream.length].sort((a, b) => a - b);
+      const decoder = new FrameDecoder();
+      const received: PeerMessage[] = [];
+      let from = 0;
+      for (const to of bounds) {
+        decoder.push(stream.subarray(from, to));
+        received.push(...drain(decoder));
+        from = Math.min(to, stream.length);
+      }
+      assert.equal(received, sent);
+      assert.ok(decoder.end().isOk());
+    }),
+    RUNS,
+  );
+});
+
+test("should never throw on corrupted bytes", () => {
+  const damage = fc.array(fc.tuple(fc.nat(3000), fc.nat(255)), {
+    minLength: 1,
+    maxLength: 8,
+  });
+  fc.assert(
+    fc.property(anyMessage, damage, (message, changes) => {
+      const frame = frameOf(message);
+      for (const [at, value] of changes) frame[at % frame.length] = value;
+      const decoder = new FrameDecoder();
+      decoder.push(frame);
+      const result = decoder.next(EXPECTED);
+      if (result.isOk() && result.value) peerMessageSchema.parse(result.value);
+      decoder.end();
+    }),
+    RUNS,
+  );
+});
+
+test("should never throw on arbitrary bodies", () => {
+  const body = fc.uint8Array({ maxLength: 300 });
+  fc.assert(
+    fc.property(body, (bytes) => {
+      const fault = faultOf(rawFrame([...bytes]));
+      assert.is(fault === null, bytes.length === 0);
+    }),
+    { ...RUNS, numRuns: 2000 },
+  );
+});
+
+test("should refuse an oversized length before its bytes come", () => {
+  const head = Buffer.alloc(FRAME_LENGTH_BYTES);
+  head.writeUInt32BE(MAX_FRAME_BYTES + 1);
+  assert.is(faultOf(head), FrameFault.Oversized);
+});
+
+test("should refuse to encode a message that no peer would take", () => {
+  const result = encodeFrame({
+    kind: PeerMessageKind.SettingsOffer,
+    version: 1,
+    content: "x".repeat(MAX_FRAME_BYTES),
+    changeId: "c1",
+  });
+  assert.is(result._unsafeUnwrapErr(), FrameFault.Oversized);
+});
+
+test("should tell apart the faults of a whole frame", () => {
+  const tagged = [0xc2, 0x41, 0x01];
+  const nested = new Array(100_000).fill(0x81);
+  const hugeArray = [0x9a, 0xff, 0xff, 0xff, 0xff];
+  const keepAliveOfOtherVersion = rawFrame([], 9);
+  assert.is(faultOf(rawFrame(tagged)), FrameFault.Malformed);
+  assert.is(faultOf(rawFrame(nested)), FrameFault.Malformed);
+  assert.is(faultOf(rawFrame(hugeArray)), FrameFault.Malformed);
+  assert.is(faultOf(rawFrame([0xa0, 0xa0])), FrameFault.Malformed);
+  assert.is(faultOf(Buffer.alloc(4)), FrameFault.Malformed);
+  assert.is(faultOf(rawFrame([0xa0])), FrameFault.UnknownMessage);
+  assert.is(faultOf(keepAliveOfOtherVersion), FrameFault.WrongVersion);
+  assert.is(faultOf(frameOf({ kind: "none" })), FrameFault.UnknownMessage);
+});
+
+test("should report a frame cut off by the end, and keep a fault", () => {
+  const decoder = new FrameDecoder();
+  decoder.push(frameOf({ kind: "none" }).subarray(0, 7));
+  assert.is(decoder.next(EXPECTED)._unsafeUnwrap(), null);
+  assert.is(decoder.end()._unsafeUnwrapErr(), FrameFault.Malformed);
+  decoder.push(rawFrame([0xff]));
+  const first = decoder.next(EXPECTED)._unsafeUnwrapErr();
+  assert.is(decoder.next(EXPECTED)._unsafeUnwrapErr(), first);
+});
+
+test.run();
--- /dev/null
+++ b/tests/effect_lines.ts
@@ -0,0 +1,67 @@
+/** Renders events and effects as stable lines of text. */
+
+import { hash32 } from "@chestnuthatch/core/coordinators";
+import { type Effect, EffectKind } from "@chestnuthatch/core/effects";
+
+const MAX_TEXT_CHARACTERS = 400;
+
+/**
+ * Names an effect for filters: its kind, or the kind of the message it sends.
+ *
+ * @param effect The effect.
+ * @returns The value of an enum.
+ */
+export function effectLabel(effect: Effect): string {
+  return effect.kind === EffectKind.SendPeer
+    ? effect.message.kind
+    : effect.kind;
+}
+
+/**
+ * Renders an effect.
+ *
+ * @param effect The effect.
+ * @returns One line.
+ */
+export function renderEffect(effect: Effect): string {
+  if (effect.kind !== EffectKind.SendPeer) return renderFields(effect);
+  return `send ${effect.peerId}: ${renderFields(effect.message)}`;
+}
+
+/**
+ * Renders anything with a kind: that first, then its fields by name.
+ *
+ * @param item An event, an effect or a message.
+ * @returns One line.
+ */
+export function renderFields(item: { readonly kind: string }): string {
+  const fields = Object.entries(item)
+    .filter(([name, value]) => name !== "kind" && value !== undefined)
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([name, value]) => `${name}=${renderValue(value)}`);
+  return [item.kind, ...fields].join(" ");
+}
+
+/**
+ * Renders a value: maps in the order of their keys, long texts by their hash.
+ *
+ * @param value Any JSON value.
+ * @returns Text on one line.
+ */
+export function renderValue(value: unknown): string {
+  if (typeof value === "string") return renderText(value);
+  if (Array.isArray(value)) return `[${value.map(renderValue).join(", ")}]`;
+  if (typeof value !== "object" || value === null) return String(value);
+  const fields = Object.entries(value)
+    .filter(([, field]) => field !== undefined)
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([name, field]) => `${name}: ${renderValue(field)}`);
+  return `{${fields.join(", ")}}`;
+}
+
+function renderText(text: string): string {
+  if (text.length > MAX_TEXT_CHARACTERS) {
+    return `<${text.length} characters, hash ${hash32(text).toString(16)}>`;
+  }
+  return /^[\w@/.:-]+$/.test(text) ? text : JSON.stringify(text);
+}
--- a/tests/placeholder.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-/** Placeholder module until the folder has its first. */
-
-export {};
