--- /dev/null
+++ b/packages/cli/src/load_command.ts
@@ -0,0 +1,172 @@
+/** `chestnuthatch load`: sends a bounded load to a fleet that runs. */
+
+import type { KindMix } from "@chestnuthatch/standins/workload";
+import {
+  Deployment,
+  kindsOf,
+  PROFILES,
+  type WorkKind,
+} from "@chestnuthatch/standins/workload_kinds";
+import { type Command, InvalidArgumentError, Option } from "commander";
+import { err, ok, type Result } from "neverthrow";
+import {
+  badInput,
+  type CommandFailure,
+  type CommandResult,
+} from "./command_result.ts";
+import type {
+  CommandRunner,
+  CommandServices,
+  OutputOptions,
+} from "./command_runner.ts";
+import { ExitCode } from "./exit_code.ts";
+import { instancesOf } from "./instance_reads.ts";
+import { loadItems } from "./load_items.ts";
+import { LoadTally } from "./load_tally.ts";
+import { sendPaced } from "./paced_sender.ts";
+import {
+  examples,
+  instanceOption,
+  type InstanceOptions,
+  jsonOption,
+  positiveNumber,
+  wholeNumber,
+} from "./shared_options.ts";
+
+interface KindWeight {
+  readonly kind: string;
+  readonly weight: number;
+}
+
+interface LoadOptions extends InstanceOptions, OutputOptions {
+  readonly deployment: Deployment;
+  readonly seconds: number;
+  readonly rate: number;
+  readonly mix: readonly KindWeight[];
+  readonly seed: number;
+  readonly standins: boolean;
+}
+
+const MAX_SECONDS = 3600;
+const MAX_RATE = 1000;
+const MS_PER_SECOND = 1000;
+
+/**
+ * Adds the command.
+ *
+ * @param parent The command line.
+ * @param runner Runs it.
+ */
+export function addLoadCommand(parent: Command, runner: CommandRunner): void {
+  parent.command("load")
+    .description("Sends a bounded load to the given instances in turn.")
+    .addOption(deploymentOption())
+    .option(
+      "--seconds <n>",
+      "how long requests arrive",
+      positiveNumber(MAX_SECONDS),
+      20,
+    )
+    .option("--rate <n>", "requests a second", positiveNumber(MAX_RATE), 10)
+    .option(
+      "--mix <kind=weight>",
+      "weight of a kind; repeat it; the others keep their own",
+      addWeight,
+      [],
+    )
+    .option("--seed <n>", "seed of the requests", wholeNumber(0), 1)
+    .option(
+      "--standins",
+      "targets are stand-ins: check whose each answer is",
+      false,
+    )
+    .addOption(instanceOption())
+    .addOption(jsonOption())
+    .addHelpText(
+      "after",
+      examples(
+        "load --instance 10.0.1.5:8080 --seconds 60 --rate 50",
+        "load --deployment sunu-registrs --mix case-file-reading=0 --json",
+      ),
+    )
+    .action((options: LoadOptions) =>
+      runner.perform(options, () => load(runner.services, options))
+    );
+}
+
+/** @returns `--deployment`, whose request kinds to send. */
+export function deploymentOption(): Option {
+  return new Option("--deployment <name>", "whose request kinds to send")
+    .choices(Object.values(Deployment)).default(Deployment.ShambaSafi);
+}
+
+async function load(
+  services: CommandServices,
+  options: LoadOptions,
+): Promise<CommandResult> {
+  const addresses = instancesOf(options);
+  if (addresses.isErr()) {
+    return err(addresses.error);
+  }
+  const mix = mixOf(options);
+  if (mix.isErr()) {
+    return err(mix.error);
+  }
+  const tally = new LoadTally({ answersQuotePrompt: options.standins });
+  const items = loadItems({
+    deployment: options.deployment,
+    seed: options.seed,
+    durationMs: options.seconds * MS_PER_SECOND,
+    ratePerSecond: options.rate,
+    mix: mix.value,
+    runId: services.newId(),
+  });
+  const { sleep, output } = services;
+  await sendPaced(items, { addresses: addresses.value, tally, sleep, output });
+  return ok(tallyReport(tally));
+}
+
+/**
+ * Reports a tally.
+ *
+ * @param tally What was counted.
+ * @returns The report; failed where a promise was broken.
+ */
+export function tallyReport(tally: LoadTally) {
+  const { text, json, promisesBroken } = tally;
+  const exitCode = promisesBroken === 0 ? ExitCode.Done : ExitCode.Failed;
+  return { text, json, exitCode };
+}
+
+function mixOf(
+  { mix, deployment }: LoadOptions,
+): Result<KindMix, CommandFailure> {
+  const kinds = kindsOf(deployment);
+  const unknown = mix.find(({ kind }) => !kinds.includes(kind as WorkKind));
+  if (unknown !== undefined) {
+    return badInput({
+      message: `${deployment} has no kind "${unknown.kind}".`,
+      next: `Give --mix one of: ${kinds.join(", ")}.`,
+    });
+  }
+  const weights: KindMix = Object.fromEntries(
+    mix.map(({ kind, weight }) => [kind, weight]),
+  );
+  const isEmpty = kinds.every((kind) =>
+    (weights[kind] ?? PROFILES[kind].weight) === 0
+  );
+  return isEmpty
+    ? badInput({
+      message: "Every kind has weight 0.",
+      next: "Give at least one kind a weight above 0.",
+    })
+    : ok(weights);
+}
+
+function addWeight(text: string, former: KindWeight[]): KindWeight[] {
+  const match = /^([a-z-]+)=(\d+(?:\.\d+)?)$/.exec(text);
+  if (match === null) {
+    throw new InvalidArgumentError(`"${text}" is not kind=weight.`);
+  }
+  return [...former, { kind: match[1], weight: Number(match[2]) }];
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,9 +1,10 @@
 /** The binary `chestnuthatch`: the command line of operators and users. */
 
-import { Command } from "commander";
-import { addTryCommand } from "./try_command.ts";
+import process from "node:process";
+import { runCommandLine } from "./command_line.ts";
+import { processServices } from "./command_runner.ts";
 
-const program = new Command("chestnuthatch")
-  .description("Runs, asks and steers a chestnuthatch fleet.");
-addTryCommand(program);
-await program.parseAsync();
+process.exitCode = await runCommandLine(
+  process.argv.slice(2),
+  processServices(),
+);
--- /dev/null
+++ b/packages/cli/src/order_command.ts
@@ -0,0 +1,259 @@
+/** `chestnuthatch order`: gives one order to one engine. */
+
+import {
+  type EngineOrder,
+  OrderDesk,
+  type OrderOutcome,
+  OrderOutcomeKind,
+} from "@chestnuthatch/daemon/order_desk";
+import type { PlatformHttp } from "@chestnuthatch/daemon/platform_http";
+import { nearestName } from "@chestnuthatch/settings/nearest_name";
+import type { SettingsTree } from "@chestnuthatch/settings/tree_schema";
+import { OrderKind } from "@chestnuthatch/wire/target_protocol";
+import { TargetKind } from "@chestnuthatch/wire/work";
+import { Argument, type Command } from "commander";
+import { err, ok, type Result } from "neverthrow";
+import {
+  badInput,
+  type CommandFailure,
+  type CommandResult,
+} from "./command_result.ts";
+import type {
+  CommandRunner,
+  CommandServices,
+  OutputOptions,
+} from "./command_runner.ts";
+import { ExitCode } from "./exit_code.ts";
+import { PROCESS_CLOCK, withPlatform } from "./platform_connection.ts";
+import { SettingsStore } from "./settings_store.ts";
+import { treeOf } from "./settings_text.ts";
+import {
+  authorOption,
+  type AuthorOptions,
+  examples,
+  jsonOption,
+  platformOption,
+  type PlatformOptions,
+  wholeNumber,
+} from "./shared_options.ts";
+
+interface OrderOptions extends PlatformOptions, AuthorOptions, OutputOptions {
+  readonly maxOrderDelayMs: number;
+}
+
+interface OrderInput {
+  readonly targetId: string;
+  readonly kind: OrderKind;
+  readonly value: string;
+}
+
+interface OutcomeText {
+  readonly exitCode: ExitCode;
+  readonly says: string;
+  readonly next: string;
+}
+
+const KIND_BY_NAME: Readonly<Record<string, OrderKind>> = {
+  "load-model": OrderKind.LoadModel,
+  "load-adapter": OrderKind.LoadAdapter,
+  "set-version": OrderKind.SetVersion,
+  "set-role": OrderKind.SetRole,
+};
+
+const OUTCOMES: Readonly<Record<OrderOutcomeKind, OutcomeText>> = {
+  [OrderOutcomeKind.Obeyed]: {
+    exitCode: ExitCode.Done,
+    says: "the target is as ordered",
+    next: "",
+  },
+  [OrderOutcomeKind.NotAsOrdered]: {
+    exitCode: ExitCode.Failed,
+    says: "the target answered, but is not as ordered",
+    next: "Look at its state; another order may have come after this one.",
+  },
+  [OrderOutcomeKind.RefusedAsOld]: {
+    exitCode: ExitCode.Failed,
+    says: "the target has obeyed a later order and refused this one",
+    next: "Look at its state, and give the order again if it still holds.",
+  },
+  [OrderOutcomeKind.HeldElsewhere]: {
+    exitCode: ExitCode.Failed,
+    says: "another order was given meanwhile; this one was not sent",
+    next: "Speak with its author, and give the order again if it still holds.",
+  },
+  [OrderOutcomeKind.LeaseLapsed]: {
+    exitCode: ExitCode.Failed,
+    says: "the lease ended before the order could be sent; it was not sent",
+    next: "Give the order again.",
+  },
+  [OrderOutcomeKind.TargetUnreachable]: {
+    exitCode: ExitCode.Failed,
+    says: "the target could not be reached; the order was not sent",
+    next: "Check the target and its address in the settings, then try again.",
+  },
+  [OrderOutcomeKind.StoreUnavailable]: {
+    exitCode: ExitCode.Failed,
+    says: "the table gave no lease; the order was not sent",
+    next: "Try again once the platform answers; a lease that was written " +
+      "after all is waited out then.",
+  },
+  [OrderOutcomeKind.RowUnreadable]: {
+    exitCode: ExitCode.Failed,
+    says: "the target's row in the table is corrupt; the order was not sent",
+    next: "Have the platform's keepers remove the row once no order to this " +
+      "target can be under way.",
+  },
+  [OrderOutcomeKind.InDoubt]: {
+    exitCode: ExitCode.OutcomeUnknown,
+    says: "the order was sent and may still be obeyed",
+    next: "Give the order again: it waits until this one can no longer take " +
+      "effect.",
+  },
+};
+
+const DEFAULT_MAX_ORDER_DELAY_MS = 10_000;
+const MAX_ORDER_DELAY_MS = 600_000;
+
+/**
+ * Adds the command.
+ *
+ * @param parent The command line.
+ * @param runner Runs it.
+ */
+export function addOrderCommand(parent: Command, runner: CommandRunner): void {
+  parent.command("order")
+    .description("Gives an engine one order, under a lease in the table.")
+    .argument("<target>", "id of an engine in the settings in force")
+    .addArgument(
+      new Argument("<kind>", "what to order")
+        .choices(Object.keys(KIND_BY_NAME)),
+    )
+    .argument("<value>", "model, adapter, version or role")
+    .option(
+      "--max-order-delay-ms <n>",
+      "longest time from sending an order until it takes effect; waited out " +
+        "after another's unsettled order where the engine ignores numbers",
+      wholeNumber(0, MAX_ORDER_DELAY_MS),
+      DEFAULT_MAX_ORDER_DELAY_MS,
+    )
+    .addOption(authorOption())
+    .addOption(platformOption())
+    .addOption(jsonOption())
+    .addHelpText(
+      "after",
+      examples(
+        "order msaidizi-1 load-model msaidizi-7b-v2 --author neema",
+        "order msaidizi-1 set-role prefill --author neema --json",
+      ),
+    )
+    .action((
+      targetId: string,
+      name: string,
+      value: string,
+      options: OrderOptions,
+    ) =>
+      runner.perform(options, () => {
+        const input = { targetId, kind: KIND_BY_NAME[name], value };
+        return giveOrder(input, runner.services, options);
+      })
+    );
+}
+
+function giveOrder(
+  input: OrderInput,
+  services: CommandServices,
+  options: OrderOptions,
+): Promise<CommandResult> {
+  return withPlatform(options, async (platform) => {
+    const store = new SettingsStore(platform, services.sleep);
+    const order = (await store.current()).andThen(({ value }) =>
+      treeOf(value.content, `Version ${value.version}`)
+        .andThen((tree) => orderFor(tree, input))
+    );
+    if (order.isErr()) {
+      return err(order.error);
+    }
+    services.output.err(
+      `Taking the lease on ${input.targetId}; another's unsettled order is ` +
+        "waited out first.\n",
+    );
+    const outcome = await giveAt(platform, order.value, { services, options });
+    return resultOf(order.value, outcome);
+  });
+}
+
+function orderFor(
+  tree: SettingsTree,
+  input: OrderInput,
+): Result<EngineOrder, CommandFailure> {
+  const { targetId } = input;
+  const engines = Object.entries(tree.targets).filter(([, { pool }]) =>
+    tree.pools[pool]?.kind === TargetKind.Engine
+  );
+  const target = new Map(engines).get(targetId);
+  if (target === undefined) {
+    return unknownEngine(targetId, engines.map(([id]) => id));
+  }
+  const { address, checksFencing } = target;
+  return ok({ ...input, address, checksFencing });
+}
+
+function unknownEngine(targetId: string, known: readonly string[]) {
+  const nearest = nearestName(targetId, known);
+  const hint = nearest === undefined ? "" : ` Did you mean "${nearest}"?`;
+  return badInput({
+    message: `The settings in force have no engine "${targetId}".${hint}`,
+    next: `Give one of: ${known.join(", ")}.`,
+    detail: { targetId, known },
+  });
+}
+
+async function giveAt(
+  platform: PlatformHttp,
+  order: EngineOrder,
+  of: { readonly services: CommandServices; readonly options: OrderOptions },
+): Promise<OrderOutcome> {
+  const desk = new OrderDesk({
+    platform,
+    holder: of.options.author,
+    clock: PROCESS_CLOCK,
+    newOrderId: of.services.newId,
+    sleep: of.services.sleep,
+    maxOrderDelayMs: of.options.maxOrderDelayMs,
+  });
+  try {
+    return await desk.give(order);
+  } finally {
+    await desk.stop();
+  }
+}
+
+function resultOf(order: EngineOrder, outcome: OrderOutcome): CommandResult {
+  const { exitCode, says, next } = OUTCOMES[outcome.kind];
+  const text = [`Order ${outcome.orderId}: ${says}.`, ...stateLines(outcome)]
+    .join("\n");
+  if (exitCode === ExitCode.Done) {
+    return ok({ text, json: { ...order, ...outcome } });
+  }
+  return err({
+    exitCode,
+    message: text,
+    next,
+    detail: { ...order, ...outcome },
+  });
+}
+
+function stateLines(outcome: OrderOutcome): string[] {
+  const { before, after, other, fencingNumber } = outcome;
+  return [
+    ...fencingNumber === undefined
+      ? []
+      : [`  fencing number: ${fencingNumber}`],
+    ...before === undefined ? [] : [`  before: ${JSON.stringify(before)}`],
+    ...after === undefined ? [] : [`  after:  ${JSON.stringify(after)}`],
+    ...other === undefined ? [] : [
+      `  found: ${other.kind} ${other.value} by ${other.holder} ` +
+      `(order ${other.orderId})`,
+    ],
+  ];
+}
--- /dev/null
+++ b/packages/cli/src/paced_sender.ts
@@ -0,0 +1,86 @@
+/** Sends generated requests at their times, whatever becomes of them. */
+
+import type { Sleep } from "@chestnuthatch/daemon/sleep";
+import { bodyOf, type WorkItem } from "@chestnuthatch/standins/workload";
+import type { CommandOutput } from "./command_runner.ts";
+import type { LoadTally } from "./load_tally.ts";
+import { sendRequest } from "./send_request.ts";
+
+/** Where requests go and who counts them. */
+export interface PacedSenderOptions {
+  /** Instances, taken in turn. */
+  readonly addresses: readonly string[];
+  readonly tally: LoadTally;
+  readonly sleep: Sleep;
+  readonly output: CommandOutput;
+}
+
+const MAX_OPEN_REQUESTS = 4000;
+const PROGRESS_MS = 2000;
+
+/**
+ * Sends requests and waits for their outcomes; each has a timeout of its own.
+ *
+ * @param items The requests in time order.
+ * @param options Where they go and who counts them.
+ */
+export async function sendPaced(
+  items: Iterable<WorkItem>,
+  options: PacedSenderOptions,
+): Promise<void> {
+  const { tally, output } = options;
+  const progress = setInterval(
+    () => output.err(`${tally.progressLine}\n`),
+    PROGRESS_MS,
+  );
+  try {
+    await sendAll(items, options);
+  } finally {
+    clearInterval(progress);
+  }
+}
+
+async function sendAll(
+  items: Iterable<WorkItem>,
+  { addresses, tally, sleep }: PacedSenderOptions,
+): Promise<void> {
+  const startedAtMs = performance.now();
+  const open = new Set<Promise<void>>();
+  let number = 0;
+  for (const item of items) {
+    const waitMs = item.atMs - (performance.now() - startedAtMs);
+    if (waitMs > 0) {
+      await sleep(waitMs);
+    }
+    if (open.size >= MAX_OPEN_REQUESTS) {
+      tally.heldBack();
+      continue;
+    }
+    const address = addresses[number % addresses.length];
+    const sending: Promise<void> = sendItem(item, address, tally)
+      .finally(() => open.delete(sending));
+    open.add(sending);
+    number += 1;
+  }
+  await Promise.all(open);
+}
+
+async function sendItem(
+  item: WorkItem,
+  address: string,
+  tally: LoadTally,
+): Promise<void> {
+  tally.sent(item);
+  const outcome = await sendRequest(address, {
+    workspace: item.workspace,
+    tier: item.tier,
+    pool: item.pool,
+    body: bodyOf(item),
+    promptTokens: item.promptTokens,
+    maxOutputTokens: item.maxOutputTokens,
+    deadlineMs: item.deadlineMs,
+    idempotent: item.idempotent,
+    idempotencyKey: item.idempotencyKey,
+  });
+  tally.ended(item, outcome);
+}
--- a/packages/cli/src/send_request.ts
+++ b/packages/cli/src/send_request.ts
@@ -1,60 +1,185 @@
 /** Sends one request to an entry instance and reads its whole outcome. */
 
-import { request } from "undici";
+import type { Buffer } from "node:buffer";
+import {
+  type ExchangeEnd,
+  HttpExchange,
+  type HttpRequest,
+} from "@chestnuthatch/daemon/http_exchange";
+import { NdjsonReader, parseJson } from "@chestnuthatch/daemon/ndjson_reader";
 import {
   type CallerAnswer,
   callerAnswerSchema,
+  type CallerEvent,
+  CallerEventKind,
+  callerEventSchema,
   type CallerRefusal,
   callerRefusalSchema,
   type CallerRequest,
 } from "@chestnuthatch/wire/caller_protocol";
+import { type Dispatcher, getGlobalDispatcher } from "undici";
+import { PROCESS_CLOCK } from "./platform_connection.ts";
 
 /** How a sent request ended, as its caller saw it. */
 export type SentOutcome =
   | { readonly answer: CallerAnswer }
   | { readonly refusal: CallerRefusal }
-  | { readonly broken: string };
+  | {
+    /** Why neither an answer nor a refusal came. */
+    readonly broken: string;
+    /** False only when certainly nothing of the request left. */
+    readonly sent: boolean;
+  };
+
+/** What a sender may want besides the outcome. */
+export interface SendOptions {
+  /** Called with each piece of a streamed answer. */
+  readonly onText?: (text: string) => void;
+}
+
+/** Takes the bytes of a response. */
+interface ResponseReader {
+  push(chunk: Buffer): void;
+  /** @returns The outcome, or nothing where the bytes hold none. */
+  end(): SentOutcome | undefined;
+}
 
 /** Beyond the deadline, for an instance that answers at the last moment. */
 const TIMEOUT_MARGIN_MS = 10_000;
 const DEFAULT_TIMEOUT_MS = 300_000;
+const MAX_LINE_BYTES = 16 * 1024 * 1024;
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+const REASON_NO_OUTCOME = "neither an answer nor a refusal came";
+const REASON_TOO_LARGE = "the answer is too large";
 
 /**
- * Sends one request.
+ * Sends one request, once.
  *
  * @param address `host:port` of an instance's interface for callers.
  * @param body The request.
+ * @param options What to do with a stream's pieces.
  * @returns Its answer, its refusal, or why neither came.
  */
-export async function sendRequest(
+export function sendRequest(
   address: string,
   body: CallerRequest,
+  options: SendOptions = {},
 ): Promise<SentOutcome> {
+  const reader = body.stream ? new StreamReader(options) : new BodyReader();
   const timeoutMs = body.deadlineMs === undefined
     ? DEFAULT_TIMEOUT_MS
     : body.deadlineMs + TIMEOUT_MARGIN_MS;
-  try {
-    const response = await request(`http://${address}/v1/requests`, {
-      method: "POST",
-      headers: { "content-type": "application/json" },
-      body: JSON.stringify(body),
-      headersTimeout: timeoutMs,
-      bodyTimeout: timeoutMs,
+  const request: HttpRequest = {
+    method: "POST",
+    path: "/v1/requests",
+    body: JSON.stringify(body),
+  };
+  return new Promise((resolve) => {
+    let bytes = 0;
+    const exchange: HttpExchange = new HttpExchange({
+      onStatus: () => {},
+      onChunk: (chunk) => {
+        bytes += chunk.length;
+        reader.push(chunk);
+        if (bytes > MAX_ANSWER_BYTES) {
+          exchange.abort(REASON_TOO_LARGE);
+        }
+      },
+      onEnd: (end) => resolve(outcomeOf(end, reader)),
+    }, {
+      clock: PROCESS_CLOCK,
+      deadlineAtMs: PROCESS_CLOCK.nowMs() + timeoutMs,
     });
-    return readOutcome(await response.body.json());
-  } catch (error) {
-    return { broken: error instanceof Error ? error.message : String(error) };
+    exchange.start(dispatcherTo(address), request);
+  });
+}
+
+function dispatcherTo(address: string): Dispatcher {
+  const origin = `http://${address}`;
+  return getGlobalDispatcher().compose((dispatch) => (options, handler) =>
+    dispatch({ ...options, origin }, handler)
+  );
+}
+
+function outcomeOf(
+  { reason, sent }: ExchangeEnd,
+  reader: ResponseReader,
+): SentOutcome {
+  if (reason !== "") {
+    return { broken: reason, sent };
+  }
+  return reader.end() ?? { broken: REASON_NO_OUTCOME, sent };
+}
+
+/** Reads one JSON body. */
+class BodyReader implements ResponseReader {
+  readonly #decoder = new TextDecoder();
+  #text = "";
+
+  push(chunk: Buffer): void {
+    this.#text += this.#decoder.decode(chunk, { stream: true });
+  }
+
+  end(): SentOutcome | undefined {
+    return readOutcome(parseJson(this.#text).unwrapOr(undefined));
   }
 }
 
-function readOutcome(json: unknown): SentOutcome {
+/** Reads events, one a line, of which the last is the outcome. */
+class StreamReader implements ResponseReader {
+  readonly #options: SendOptions;
+  readonly #lines = new NdjsonReader(MAX_LINE_BYTES);
+  readonly #handlers: {
+    readonly [K in CallerEventKind]: (
+      event: Extract<CallerEvent, { readonly kind: K }>,
+    ) => void;
+  } = {
+    [CallerEventKind.Text]: ({ text }) => {
+      this.#text += text;
+      this.#options.onText?.(text);
+    },
+    [CallerEventKind.Final]: ({ answer }) => {
+      this.#outcome = { answer: { ...answer, text: this.#text } };
+    },
+    [CallerEventKind.Error]: ({ refusal }) => {
+      this.#outcome = { refusal };
+    },
+  };
+  #text = "";
+  #outcome?: SentOutcome;
+
+  constructor(options: SendOptions) {
+    this.#options = options;
+  }
+
+  push(chunk: Buffer): void {
+    this.#lines.push(chunk, (value) => this.#take(value));
+  }
+
+  end(): SentOutcome | undefined {
+    this.#lines.end((value) => this.#take(value));
+    return this.#outcome;
+  }
+
+  #take(value: unknown): void {
+    const event = callerEventSchema.safeParse(value);
+    if (event.success) {
+      const handler = this.#handlers[event.data.kind] as (
+        event: CallerEvent,
+      ) => void;
+      handler(event.data);
+      return;
+    }
+    // A request refused before its stream began gets one JSON body.
+    this.#outcome ??= readOutcome(value);
+  }
+}
+
+function readOutcome(json: unknown): SentOutcome | undefined {
   const answer = callerAnswerSchema.safeParse(json);
   if (answer.success) {
     return { answer: answer.data };
   }
   const refusal = callerRefusalSchema.safeParse(json);
-  if (refusal.success) {
-    return { refusal: refusal.data };
-  }
-  return { broken: "neither an answer nor a refusal" };
+  return refusal.success ? { refusal: refusal.data } : undefined;
 }
--- /dev/null
+++ b/packages/cli/src/settings_check_command.ts
@@ -0,0 +1,47 @@
+/** `chestnuthatch settings check`: tells all faults of a file. */
+
+import type { Command } from "commander";
+import type { CommandResult } from "./command_result.ts";
+import type { CommandRunner, OutputOptions } from "./command_runner.ts";
+import { readTextFile } from "./read_file.ts";
+import { treeOf } from "./settings_text.ts";
+import { examples, jsonOption } from "./shared_options.ts";
+
+/**
+ * Adds the command.
+ *
+ * @param parent The group of commands.
+ * @param runner Runs it.
+ */
+export function addSettingsCheckCommand(
+  parent: Command,
+  runner: CommandRunner,
+): void {
+  parent.command("check")
+    .description("Checks a settings file and tells all its faults.")
+    .argument("<file>", "YAML file of the settings")
+    .addOption(jsonOption())
+    .addHelpText("after", examples("settings check settings.yaml"))
+    .action((file: string, options: OutputOptions) =>
+      runner.perform(options, () => checkFile(file))
+    );
+}
+
+function checkFile(file: string): CommandResult {
+  return readTextFile(file)
+    .andThen((content) => treeOf(content, file))
+    .map((tree) => {
+      const counts = {
+        workspaces: Object.keys(tree.workspaces).length,
+        tiers: Object.keys(tree.tiers).length,
+        pools: Object.keys(tree.pools).length,
+        targets: Object.keys(tree.targets).length,
+      };
+      const words = Object.entries(counts)
+        .map(([name, count]) => `${count} ${name}`);
+      return {
+        text: `${file} has no faults: ${words.join(", ")}.`,
+        json: { file, faults: [], ...counts },
+      };
+    });
+}
--- /dev/null
+++ b/packages/cli/src/settings_revert_command.ts
@@ -0,0 +1,98 @@
+/** `chestnuthatch settings revert`: puts an earlier content in force again. */
+
+import { revertTo } from "@chestnuthatch/settings/change";
+import type { Command } from "commander";
+import { err, ok } from "neverthrow";
+import type { CommandResult } from "./command_result.ts";
+import type {
+  CommandRunner,
+  CommandServices,
+  OutputOptions,
+} from "./command_runner.ts";
+import { withPlatform } from "./platform_connection.ts";
+import {
+  commitChange,
+  differenceLines,
+  differencesOf,
+  endOfFault,
+  tellChange,
+} from "./settings_change.ts";
+import { SettingsStore } from "./settings_store.ts";
+import {
+  authorOption,
+  type AuthorOptions,
+  examples,
+  jsonOption,
+  platformOption,
+  type PlatformOptions,
+  wholeNumber,
+} from "./shared_options.ts";
+
+type RevertOptions = PlatformOptions & AuthorOptions & OutputOptions;
+
+/**
+ * Adds the command.
+ *
+ * @param parent The group of commands.
+ * @param runner Runs it.
+ */
+export function addSettingsRevertCommand(
+  parent: Command,
+  runner: CommandRunner,
+): void {
+  parent.command("revert")
+    .description("Puts an earlier content in force again, as a new version.")
+    .argument("<version>", "the version to go back to", wholeNumber(1))
+    .addOption(authorOption())
+    .addOption(platformOption())
+    .addOption(jsonOption())
+    .addHelpText("after", examples("settings revert 3 --author neema"))
+    .action((version: number, options: RevertOptions) =>
+      runner.perform(options, () => revert(version, runner.services, options))
+    );
+}
+
+function revert(
+  version: number,
+  services: CommandServices,
+  options: RevertOptions,
+): Promise<CommandResult> {
+  return withPlatform(options, async (platform) => {
+    const store = new SettingsStore(platform, services.sleep);
+    const current = await store.current();
+    if (current.isErr()) {
+      return err(current.error);
+    }
+    const former = await store.version(version);
+    if (former.isErr()) {
+      return err(former.error);
+    }
+    const { headRow, value } = current.value;
+    if (former.value.value.contentHash === value.contentHash) {
+      return ok(nothingToRevert(version, value.version));
+    }
+    const change = revertTo(former.value.row, {
+      headRow,
+      changeId: services.newId(),
+      author: options.author,
+    });
+    const end = change.isErr()
+      ? endOfFault(change.error)
+      : await commitChange(store, change.value);
+    if (end.isErr()) {
+      return err(end.error);
+    }
+    const { content } = former.value.value;
+    const differences = differencesOf(value.content, content);
+    const lines = differenceLines(differences);
+    return await tellChange(store, end.value, { lines, json: { differences } });
+  });
+}
+
+function nothingToRevert(version: number, currentVersion: number) {
+  return {
+    text: `Version ${currentVersion}, in force now, already has the content ` +
+      `of version ${version}; nothing was changed.`,
+    json: { version: currentVersion, changed: false },
+  };
+}
--- a/packages/cli/src/try_command.ts
+++ b/packages/cli/src/try_command.ts
@@ -1,25 +1,33 @@
 /** `chestnuthatch try`: a whole fleet on stand-ins, under the brief's load. */
 
-import process from "node:process";
-import { setTimeout as sleep } from "node:timers/promises";
-import { type Command, InvalidArgumentError, Option } from "commander";
-import {
-  bodyOf,
-  calmPhases,
-  generateWorkload,
-  type WorkItem,
-} from "@chestnuthatch/standins/workload";
+import type { Sleep } from "@chestnuthatch/daemon/sleep";
+import { calmPhases, generateWorkload } from "@chestnuthatch/standins/workload";
 import { Deployment } from "@chestnuthatch/standins/workload_kinds";
+import type { Command } from "commander";
+import { ok } from "neverthrow";
+import { type CommandResult, failed } from "./command_result.ts";
+import type {
+  CommandRunner,
+  CommandServices,
+  OutputOptions,
+} from "./command_runner.ts";
 import { EmbeddedFleet } from "./embedded_fleet.ts";
-import { sendRequest, type SentOutcome } from "./send_request.ts";
-import { TryTally } from "./try_tally.ts";
+import { deploymentOption, tallyReport } from "./load_command.ts";
+import { LoadTally } from "./load_tally.ts";
+import { sendPaced } from "./paced_sender.ts";
+import { brokenPromises } from "./promise_checks.ts";
+import {
+  examples,
+  jsonOption,
+  positiveNumber,
+  wholeNumber,
+} from "./shared_options.ts";
 
-interface TryOptions {
+interface TryOptions extends OutputOptions {
   readonly deployment: Deployment;
   readonly seconds: number;
   readonly rate: number;
   readonly seed: number;
-  readonly json: boolean;
 }
 
 const INSTANCES: Record<Deployment, number> = {
@@ -27,103 +35,84 @@
   [Deployment.SunuRegistrs]: 7,
 };
 const READY_POLL_MS = 50;
-const PROGRESS_MS = 2000;
-const MS_PER_S = 1000;
-const DRAIN_LIMIT_MS = 120_000;
+const MAX_READY_POLLS = 600;
+const MAX_SECONDS = 600;
+const MAX_RATE = 1000;
+const MS_PER_SECOND = 1000;
+const REPEATS = { share: 0.05, afterMs: 300 };
 
 /**
  * Adds the command.
  *
- * @param program The command line.
+ * @param parent The command line.
+ * @param runner Runs it.
  */
-export function addTryCommand(program: Command): void {
-  program.command("try")
+export function addTryCommand(parent: Command, runner: CommandRunner): void {
+  parent.command("try")
     .description("Starts a fleet on embedded stand-ins and sends it requests.")
-    .addOption(
-      new Option("--deployment <name>", "whose request kinds to send")
-        .choices(Object.values(Deployment)).default(Deployment.ShambaSafi),
+    .addOption(deploymentOption())
+    .option(
+      "--seconds <n>",
+      "how long requests arrive",
+      positiveNumber(MAX_SECONDS),
+      20,
     )
-    .option("--seconds <n>", "how long requests arrive", positive, 20)
-    .option("--rate <n>", "requests a second", positive, 10)
-    .option("--seed <n>", "seed of the requests", Number, 1)
-    .option("--json", "print the result as JSON", false)
-    .action(runTry);
+    .option("--rate <n>", "requests a second", positiveNumber(MAX_RATE), 10)
+    .option("--seed <n>", "seed of the requests", wholeNumber(0), 1)
+    .addOption(jsonOption())
+    .addHelpText(
+      "after",
+      examples("try", "try --deployment sunu-registrs --rate 30 --json"),
+    )
+    .action((options: TryOptions) =>
+      runner.perform(options, () => tryFleet(runner.services, options))
+    );
 }
 
-async function runTry(options: TryOptions): Promise<void> {
+async function tryFleet(
+  services: CommandServices,
+  options: TryOptions,
+): Promise<CommandResult> {
   const fleet = await EmbeddedFleet.start({
     deployment: options.deployment,
     instances: INSTANCES[options.deployment],
   });
-  while (!fleet.isReady) {
+  try {
+    return await isReady(fleet, services.sleep)
+      ? await sendTo(fleet, services, options)
+      : failed({
+        message: "The embedded fleet did not become ready.",
+        next: "Run it again on a machine that is less busy.",
+      });
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function isReady(fleet: EmbeddedFleet, sleep: Sleep): Promise<boolean> {
+  for (let polls = 0; polls < MAX_READY_POLLS && !fleet.isReady; polls++) {
     await sleep(READY_POLL_MS);
   }
-  const tally = new TryTally();
-  const progress = setInterval(() => {
-    process.stderr.write(`${tally.progressLine()}\n`);
-  }, PROGRESS_MS);
-  await sendAll(fleet, options, tally);
-  clearInterval(progress);
-  tally.checkTargets(fleet);
-  await fleet.stop();
-  console.log(options.json ? tally.json() : tally.table());
-  process.exitCode = tally.promisesBroken === 0 ? 0 : 1;
+  return fleet.isReady;
 }
 
-async function sendAll(
+async function sendTo(
   fleet: EmbeddedFleet,
+  { sleep, output }: CommandServices,
   options: TryOptions,
-  tally: TryTally,
-): Promise<void> {
+): Promise<CommandResult> {
+  const tally = new LoadTally({ answersQuotePrompt: true });
   const items = generateWorkload({
     deployment: options.deployment,
     seed: options.seed,
-    durationMs: options.seconds * MS_PER_S,
+    durationMs: options.seconds * MS_PER_SECOND,
     phases: calmPhases(options.rate),
-    repeats: { share: 0.05, afterMs: 300 },
+    repeats: REPEATS,
   });
-  const startedAtMs = performance.now();
-  const open: Promise<void>[] = [];
-  for (const [number, item] of items.entries()) {
-    const waitMs = item.atMs - (performance.now() - startedAtMs);
-    if (waitMs > 0) {
-      await sleep(waitMs);
-    }
-    const addresses = fleet.callerAddresses;
-    open.push(
-      sendItem(item, addresses[number % addresses.length], tally),
-    );
-  }
-  await Promise.race([
-    Promise.all(open),
-    sleep(DRAIN_LIMIT_MS, undefined, { ref: false }),
-  ]);
-}
-
-async function sendItem(
-  item: WorkItem,
-  address: string,
-  tally: TryTally,
-): Promise<void> {
-  tally.sent(item);
-  const outcome: SentOutcome = await sendRequest(address, {
-    workspace: item.workspace,
-    tier: item.tier,
-    pool: item.pool,
-    body: bodyOf(item),
-    promptTokens: item.promptTokens,
-    maxOutputTokens: item.maxOutputTokens,
-    deadlineMs: item.deadlineMs,
-    idempotent: item.idempotent,
-    idempotencyKey: item.idempotencyKey,
-  });
-  tally.ended(item, outcome);
-}
-
-function positive(text: string): number {
-  const value = Number(text);
-  if (!(value > 0)) {
-    throw new InvalidArgumentError("must be a number above 0");
+  const addresses = fleet.callerAddresses;
+  await sendPaced(items, { addresses, tally, sleep, output });
+  for (const fault of brokenPromises(fleet)) {
+    tally.addFault(fault);
   }
-  return value;
+  return ok(tallyReport(tally));
 }
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -49,6 +49,12 @@
       retryAfterMs: spreadRetryHint(turn, NOT_READY_RETRY_MS),
     });
   }
+  if (settings.drainingInstances.has(turn.board.self.instanceId)) {
+    return notRun(ErrorKind.ShuttingDown, {
+      message: "This instance is being drained; send the request to another.",
+      retryAfterMs: 0,
+    });
+  }
   return checkNames(settings, spec) ?? admit(turn, spec, settings);
 }
 
--- a/packages/core/src/ask_flow.ts
+++ b/packages/core/src/ask_flow.ts
@@ -23,6 +23,8 @@
 
 /** A predicted wait above this sends the ask to the other domains too. */
 const SPREAD_WAIT_MS = 20;
+/** A wait above this does, whatever was predicted. */
+const SPREAD_AFTER_MS = 100;
 
 /** Errors in the order in which they explain a refusal best. */
 const TELLING_ERRORS: readonly ErrorKind[] = [
@@ -39,6 +41,7 @@
  */
 export function startAsking(turn: Turn, request: HeldRequest): void {
   request.askViewNumber = turn.board.members.viewNumber;
+  request.waitingSinceMs = turn.nowMs;
   const [nearest] = domainsOf(turn, request);
   if (nearest === undefined) {
     refuseForAsks(turn, request);
@@ -101,6 +104,9 @@
       moveToRightfulCoordinator(turn, request, ask);
     }
   }
+  if (turn.nowMs - request.waitingSinceMs >= SPREAD_AFTER_MS) {
+    askEverywhere(turn, request);
+  }
   refuseWhenAllRefused(turn, request);
 }
 
@@ -313,6 +319,7 @@
 
 function sendAsk(turn: Turn, request: HeldRequest, ask: OutAsk): void {
   const { spec, policy } = request;
+  const domains = domainsOf(turn, request);
   turn.send(ask.coordinatorId, {
     kind: PeerMessageKind.Ask,
     failureDomain: ask.failureDomain,
@@ -331,6 +338,8 @@
       cancellable: request.cancellable,
       excludedTargetIds: [...request.excludedTargetIds],
       blockHashes: [...spec.blockHashes],
+      spreadOver: domains.length,
+      spreadIndex: domains.indexOf(ask.failureDomain),
     },
   });
 }
--- a/packages/core/src/blackboard.ts
+++ b/packages/core/src/blackboard.ts
@@ -230,6 +230,8 @@
   readonly excludedTargetIds: string[];
   /** The member view its asks were placed by. */
   askViewNumber: number;
+  /** When it began to wait for a grant. */
+  waitingSinceMs: number;
   attempts: number;
   attempt?: Attempt;
   outcome?: Outcome;
@@ -283,6 +285,8 @@
   kvTokens: number;
   /** Room kept for it on one target. */
   reservation?: Reservation;
+  /** When streams were last cancelled for it. */
+  preemptedForAtMs?: number;
 }
 
 /** Room kept on a target for one waiting ask. */
--- a/packages/core/src/capacity.ts
+++ b/packages/core/src/capacity.ts
@@ -2,12 +2,12 @@
 
 import type { TargetSettings } from "@chestnuthatch/settings/policy";
 import { TargetKind } from "@chestnuthatch/wire/work";
+import { type GrantAccount, type Target, TargetHealth } from "./blackboard.ts";
 import {
-  type EndedWork,
-  type GrantAccount,
-  type Target,
-  TargetHealth,
-} from "./blackboard.ts";
+  reconciledUsage,
+  type RoomSource,
+  type Usage,
+} from "./target_usage.ts";
 
 /** Why a target gets nothing, or not this ask. Shown by `why`. */
 export enum PassedOver {
@@ -22,7 +22,7 @@
   NoKvMemory = "no KV memory free for it",
   Kept = "room kept for another ask",
   TooLate = "would end after the deadline",
-  Slower = "would end later",
+  NotSooner = "would not end sooner",
 }
 
 /** What an ask takes of a target. */
@@ -34,32 +34,10 @@
   readonly headroomShare: number;
 }
 
-/** Slots and KV memory. */
-export interface Usage {
-  slots: number;
-  kvTokens: number;
-}
-
-/** What a room is read from. */
-export interface RoomSource {
-  readonly settings: TargetSettings;
-  readonly kind: TargetKind;
-  readonly target: Target | undefined;
-  /** This coordinator's grants on the target. */
-  readonly grants: readonly GrantAccount[];
-  readonly ended: readonly EndedWork[];
-}
-
 interface KeptRoom extends Need {
   readonly readyAtMs: number;
 }
 
-/**
- * Uncertainty of when a report was made and when work was dispatched or ended:
- * the way of a message between two instances and a target, with room.
- */
-const REPORT_MARGIN_MS = 10;
-
 const ROUNDING = 1e-9;
 
 /** One target's room while a shard's asks are placed. */
@@ -266,36 +244,3 @@
     target?.load?.kvTotalTokens ?? settings.kvTokens,
   );
 }
-
-/**
- * Own account against the target's stale report, the larger one counting: the
- * report is carried forward by what was granted and what ended since it.
- */
-function reconciledUsage({ target, grants, ended }: RoomSource): Usage {
-  const own = { slots: grants.length, kvTokens: sumKvTokens(grants) };
-  const load = target?.load;
-  if (target === undefined || load === undefined) {
-    return own;
-  }
-  const since = grants.filter((grant) => !isInReport(grant, target));
-  const gone = ended.filter((work) =>
-    isInReport(work, target) &&
-    work.endedAtMs > target.loadAsOfMs + REPORT_MARGIN_MS
-  );
-  const reportedSlots = load.slotsUsed + load.waitingRequests;
-  return {
-    slots: Math.max(own.slots, reportedSlots + since.length - gone.length),
-    kvTokens: Math.max(
-      own.kvTokens,
-      load.kvUsedTokens + sumKvTokens(since) - sumKvTokens(gone),
-    ),
-  };
-}
-
-function isInReport(work: { usedAtMs: number }, target: Target): boolean {
-  return work.usedAtMs <= target.loadAsOfMs - REPORT_MARGIN_MS;
-}
-
-function sumKvTokens(works: readonly { kvTokens: number }[]): number {
-  return works.reduce((sum, work) => sum + work.kvTokens, 0);
-}
--- a/packages/core/src/coordinators.ts
+++ b/packages/core/src/coordinators.ts
@@ -1,36 +1,17 @@
 /** Which instance coordinates which shard: rendezvous hashing over the view. */
 
+import { hash32 } from "./text_hash.ts";
 import type { Blackboard, Member } from "./blackboard.ts";
 import { timingOf } from "./timing.ts";
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
 /** Added to a score so that instances of the shard's own domain come first. */
 const OWN_DOMAIN_BONUS = 2 ** 32;
 
 /**
- * Members whose heartbeats gossip can renew in one heartbeat interval, with
- * room for words that are heard twice.
+ * Members whose heartbeats gossip surely renews in one heartbeat interval;
+ * see `docs/design/membership.md` for the trials behind it.
  */
-const MEMBERS_RENEWED_PER_HEARTBEAT = 6;
-
-/**
- * Hashes a text to 32 bits (FNV-1a with a final mix).
- *
- * @param text Any text.
- * @returns An unsigned 32-bit number.
- */
-export function hash32(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let i = 0; i < text.length; i++) {
-    hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
-  }
-  hash ^= hash >>> 16;
-  hash = Math.imul(hash, 0x7feb352d);
-  hash ^= hash >>> 15;
-  return hash >>> 0;
-}
+const MEMBERS_RENEWED_PER_HEARTBEAT = 2;
 
 /**
  * Gives the silence after which a member counts as gone. It grows with the
--- a/packages/core/src/dispatch_flow.ts
+++ b/packages/core/src/dispatch_flow.ts
@@ -10,7 +10,7 @@
 import type { Turn } from "./controller.ts";
 import { CounterName, EffectKind } from "./effects.ts";
 import type { EventKind, EventOf } from "./events.ts";
-import { cancelAttempt, endRequest } from "./outcomes.ts";
+import { answerTimeLeftMs, cancelAttempt, endRequest } from "./outcomes.ts";
 import { noteStep } from "./refusals.ts";
 import { RequestState } from "./request.ts";
 import { spreadRetryHint } from "./retry_hint.ts";
@@ -160,6 +160,7 @@
     tierRank: policy.rank,
     value: policy.value,
     timeLeftMs: request.deadlineAtMs - turn.nowMs,
+    answerTimeLeftMs: answerTimeLeftMs(turn, request),
   });
   turn.send(coordinatorId, {
     kind: PeerMessageKind.GrantUsed,
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -70,6 +70,13 @@
   PromptTokensWasted = "prompt_tokens_wasted",
 }
 
+/** A claim row to be written or voided. */
+export interface ClaimOrder {
+  readonly requestId: string;
+  readonly key: string;
+  readonly row: ClaimRow;
+}
+
 /** An effect, by kind. */
 export type Effect =
   | {
@@ -84,25 +91,23 @@
     readonly maxOutputTokens: number;
     readonly tierRank: number;
     readonly value: number;
-    /** Time left until the caller's deadline. */
+    /** Time left to send it; not sent at all after that. */
     readonly timeLeftMs: number;
+    /** Time left to gather its answer, which may be kept for its key. */
+    readonly answerTimeLeftMs: number;
   } & AttemptRef)
   | ({
     readonly kind: EffectKind.ResumeStream;
     readonly targetId: string;
     readonly fromToken: number;
-    readonly timeLeftMs: number;
+    readonly answerTimeLeftMs: number;
   } & AttemptRef)
   | ({
     readonly kind: EffectKind.CancelStream;
     readonly targetId: string;
   } & AttemptRef)
-  | {
-    readonly kind: EffectKind.WriteClaim | EffectKind.VoidClaim;
-    readonly requestId: string;
-    readonly key: string;
-    readonly row: ClaimRow;
-  }
+  | ({ readonly kind: EffectKind.WriteClaim } & ClaimOrder)
+  | ({ readonly kind: EffectKind.VoidClaim } & ClaimOrder)
   | {
     readonly kind: EffectKind.KeepAnswer;
     readonly requestId: string;
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -94,10 +94,8 @@
       readonly fromIncarnation: number;
       readonly message: PeerMessage;
     }
-    | {
-      readonly kind: EventKind.PeerConnected | EventKind.PeerDisconnected;
-      readonly peerId: string;
-    }
+    | { readonly kind: EventKind.PeerConnected; readonly peerId: string }
+    | { readonly kind: EventKind.PeerDisconnected; readonly peerId: string }
     | ({
       readonly kind: EventKind.DispatchNotSent;
       readonly reason: string;
@@ -135,9 +133,8 @@
       readonly content: string;
       readonly changeId: string;
     }
-    | {
-      readonly kind: EventKind.ShutdownRequested | EventKind.ShutdownForced;
-    }
+    | { readonly kind: EventKind.ShutdownRequested }
+    | { readonly kind: EventKind.ShutdownForced }
   );
 
 /** The event of one kind. */
--- a/packages/core/src/fake_shard.ts
+++ b/packages/core/src/fake_shard.ts
@@ -39,6 +39,7 @@
   readonly kind?: TargetKind;
   /** Whether granted work is used, run and ended by itself. */
   readonly runsWork?: boolean;
+  readonly affinity?: boolean;
 }
 
 interface Running {
@@ -57,12 +58,15 @@
   readonly sent: PeerMessage[] = [];
   /** Looks at every message to a holder, after the event that sent it. */
   onSent: (message: PeerMessage) => void = () => {};
-  /** Load reports carry this age. */
+  /** Load reports show the state of this long ago. */
   reportAgeMs = 0;
+  /** Time from an order to cancel a stream to its end. */
+  cancelMs = 0;
   holderIsSilent = false;
   nowMs = 0;
   #beat = 0;
   readonly #asked = new Map<string, AskDetail>();
+  readonly #pastLoads = new Map<string, { atMs: number; load: TargetLoad }[]>();
   readonly #random: Randomness = seededRandomness(1);
   readonly #options: FakeOptions;
 
@@ -77,7 +81,11 @@
       random: this.#random,
     }).board;
     this.board.settings.inForce = settingsOf(options);
-    this.controllers = [new TargetController(), new CoordinatorController()];
+    const policy = { affinity: options.affinity ?? true };
+    this.controllers = [
+      new TargetController(policy),
+      new CoordinatorController(policy),
+    ];
     this.step();
   }
 
@@ -148,24 +156,35 @@
     });
   }
 
+  /** Reports a load as it was, or with the given figures. */
   load(targetId: string, fields: Partial<TargetLoad> = {}): Effect[] {
-    const settings = this.board.settings.inForce!.targets.get(targetId)!;
-    const here = [...this.running.values()]
-      .filter(({ work }) => work.targetId === targetId);
-    const load: TargetLoad = {
-      targetId,
-      ageMs: this.reportAgeMs,
-      slotsUsed: here.length,
-      slotsTotal: settings.slots,
-      kvUsedTokens: here.reduce((sum, each) => sum + each.kvTokens, 0),
-      kvTotalTokens: settings.kvTokens,
-      waitingRequests: 0,
-      leaving: false,
-      ...fields,
-    };
+    const past = this.#pastLoads.get(targetId)!;
+    const asOfMs = Math.max(past[0].atMs, this.nowMs - this.reportAgeMs);
+    const shown = past.findLast(({ atMs }) => atMs <= asOfMs)!.load;
+    const load = { ...shown, ageMs: this.nowMs - asOfMs, ...fields };
     return this.handle({ kind: EventKind.LoadReported, load });
   }
 
+  #rememberLoad(settings: TargetSettings): void {
+    const here = [...this.running.values()]
+      .filter(({ work }) => work.targetId === settings.id);
+    const past = this.#pastLoads.get(settings.id) ?? [];
+    this.#pastLoads.set(settings.id, past);
+    past.push({
+      atMs: this.nowMs,
+      load: {
+        targetId: settings.id,
+        ageMs: 0,
+        slotsUsed: here.length,
+        slotsTotal: settings.slots,
+        kvUsedTokens: here.reduce((sum, each) => sum + each.kvTokens, 0),
+        kvTotalTokens: settings.kvTokens,
+        waitingRequests: 0,
+        leaving: false,
+      },
+    });
+  }
+
   /** One tick, with the ends, reports and loads that are due. */
   step(): void {
     this.nowMs += TICK_MS;
@@ -180,9 +199,10 @@
     if (this.nowMs % REPORT_MS === 0 && !this.holderIsSilent && this.shard) {
       this.report();
     }
-    for (const { id } of this.board.settings.inForce!.targets.values()) {
+    for (const target of this.board.settings.inForce!.targets.values()) {
+      this.#rememberLoad(target);
       if (this.nowMs % 250 === 0 || this.nowMs === TICK_MS) {
-        this.load(id);
+        this.load(target.id);
       }
     }
     this.handle({ kind: EventKind.Tick });
@@ -243,7 +263,11 @@
     if (message.kind === PeerMessageKind.Grant) {
       this.use(message);
     } else if (message.kind === PeerMessageKind.Preempt) {
-      this.done(message.grantId, { failed: true });
+      const running = this.running.get(message.grantId)!;
+      this.running.set(message.grantId, {
+        ...running,
+        endMs: Math.min(running.endMs, this.nowMs + this.cancelMs),
+      });
     }
   }
 }
@@ -262,6 +286,8 @@
   cancellable: true,
   excludedTargetIds: [],
   blockHashes: [],
+  spreadOver: 1,
+  spreadIndex: 0,
 };
 
 /** 0.1 ms a token of prompt, 10 ms a token of answer on an idle target. */
--- a/packages/core/src/grant_account.ts
+++ b/packages/core/src/grant_account.ts
@@ -5,7 +5,7 @@
 import type { GrantAccount, Shard, WaitingAsk } from "./blackboard.ts";
 import { CounterName, LogLevel, LogPart } from "./effects.ts";
 import { chargeWork, refundWork } from "./fair_share.ts";
-import type { Placement } from "./placement.ts";
+import type { Placement } from "./target_choice.ts";
 import { PrefixIndex } from "./prefix_index.ts";
 import { removeWaiting } from "./shard_queue.ts";
 import type { ShardView } from "./shard_view.ts";
@@ -85,6 +85,7 @@
       tierRank: detail.tierRank,
       promptTokens: detail.promptTokens,
       expectedOutputTokens: detail.expectedOutputTokens,
+      maxOutputTokens: detail.maxOutputTokens,
       cancellable: detail.cancellable,
     },
     kvTokens: ask.kvTokens,
@@ -157,6 +158,8 @@
  * @param grant The grant.
  */
 export function cancelGrant(view: ShardView, grant: GrantAccount): void {
+  // The target never had the work, so no report has shown it.
+  grant.usedAtMs = Infinity;
   closeGrant(view.shard, grant, { nowMs: view.nowMs, kvTokens: 0 });
   refundWork(view.shard, {
     ...grant.work,
--- a/packages/core/src/heartbeat_gossip.ts
+++ b/packages/core/src/heartbeat_gossip.ts
@@ -15,7 +15,7 @@
 export const HEARTBEAT_FANOUT = 3;
 
 /** How many of those get a digest; the others get this instance's word alone. */
-const DIGESTS_PER_BEAT = Number(process.env.DPB ?? 1);
+const DIGESTS_PER_BEAT = 1;
 
 /** Most members that one heartbeat speaks of. */
 export const MAX_DIGEST = 24;
--- a/packages/core/src/holder_reconcile.ts
+++ b/packages/core/src/holder_reconcile.ts
@@ -1,80 +1,24 @@
-/**
- * Keeps a coordinator's account in step with what holders say, and with what
- * targets say of work whose holder is gone.
- */
+/** Keeps a coordinator's account in step with what holders report. */
 
 import {
   PeerMessageKind,
   type PeerMessageOf,
   type RunningWork,
 } from "@chestnuthatch/wire/peer_messages";
-import type { TargetLoad } from "@chestnuthatch/wire/work";
-import type {
-  Blackboard,
-  GrantAccount,
-  HolderSeen,
-  Shard,
-} from "./blackboard.ts";
-import { isAlive } from "./coordinators.ts";
+import type { GrantAccount } from "./blackboard.ts";
 import { closeGrant, preemptGrant } from "./grant_account.ts";
+import { hearHolder, type HolderWord } from "./holder_presence.ts";
 import { HOLDER_BEAT_MS } from "./holder_report.ts";
-import { removeWaiting } from "./shard_queue.ts";
 import type { ShardView } from "./shard_view.ts";
 
 /** Beats beyond a grant's lifetime before an unlisted grant is taken back. */
 const MARGIN_BEATS = 2;
 
-/** How long after its expected end the work of a gone holder is kept. */
-const ORPHAN_MARGIN_MS = 10_000;
-
 /** How long closed work is left out of `AsksUnknown`: its answer is under way. */
 const CLOSED_GRACE_MS = 1000;
 
-/** Who sent a message, and its beat where it carried one. */
-export interface HolderWord {
-  readonly holderId: string;
-  readonly incarnation: number;
-  readonly beat?: number;
-}
-
 type HolderReport = PeerMessageOf<PeerMessageKind.HolderReport>;
 
-/**
- * Notes that a holder was heard.
- *
- * @param shard The shard.
- * @param word Who was heard.
- * @param nowMs The local time.
- * @returns What is known of it; undefined where the word is of an incarnation
- * that has been replaced.
- */
-export function hearHolder(
-  shard: Shard,
-  word: HolderWord,
-  nowMs: number,
-): HolderSeen | undefined {
-  const known = shard.holders.get(word.holderId);
-  if (known !== undefined && known.incarnation > word.incarnation) {
-    return undefined;
-  }
-  if (known === undefined || known.incarnation < word.incarnation) {
-    const seen = {
-      incarnation: word.incarnation,
-      beat: word.beat ?? 0,
-      beatHeardAtMs: nowMs,
-      reportBeat: -1,
-    };
-    shard.holders.set(word.holderId, seen);
-    dropHolder(shard, { ...word, nowMs });
-    return seen;
-  }
-  if (word.beat !== undefined && word.beat > known.beat) {
-    known.beat = word.beat;
-    known.beatHeardAtMs = nowMs;
-  }
-  return known;
-}
-
 /**
  * Handles a holder's full report.
  *
@@ -100,66 +44,6 @@
   freeUnlisted(view, report, word);
 }
 
-/**
- * Drops the asks of holders that are gone, and asks not renewed for long.
- *
- * @param view The shard.
- */
-export function dropGone(view: ShardView): void {
-  const { shard, nowMs, turn, settings } = view;
-  for (const [holderId, seen] of [...shard.holders]) {
-    if (isGone(turn.board, { holderId, seen, nowMs })) {
-      shard.holders.delete(holderId);
-      dropHolder(shard, {
-        holderId,
-        incarnation: seen.incarnation + 1,
-        nowMs,
-      });
-    }
-  }
-  for (const ask of [...shard.waiting.values()]) {
-    if (nowMs - ask.renewedAtMs > settings.timing.askExpiryMs) {
-      removeWaiting(shard, ask.detail.requestId);
-    }
-  }
-  for (const grant of [...shard.grants.values()]) {
-    if (
-      grant.orphanedAtMs !== undefined &&
-      nowMs > Math.max(grant.expectedEndMs, grant.orphanedAtMs) +
-          ORPHAN_MARGIN_MS
-    ) {
-      closeGrant(shard, grant, { nowMs, kvTokens: 0 });
-    }
-  }
-}
-
-/**
- * Frees work of gone holders that two reports of its target in a row no longer
- * show.
- *
- * @param view The shard.
- * @param load A new report of one of its targets.
- */
-export function reconcileOrphans(view: ShardView, load: TargetLoad): void {
-  const { shard, nowMs } = view;
-  const room = view.rooms.find((each) => each.targetId === load.targetId);
-  const asOfMs = room?.target?.loadAsOfMs ?? nowMs;
-  const grants = [...shard.grants.values()].filter((grant) =>
-    grant.work.targetId === load.targetId && grant.usedAtMs <= asOfMs
-  );
-  const excess = Math.max(
-    0,
-    grants.length - load.slotsUsed - load.waitingRequests,
-  );
-  const before = shard.excessByTarget.get(load.targetId) ?? 0;
-  shard.excessByTarget.set(load.targetId, excess);
-  grants
-    .filter((grant) => (grant.orphanedAtMs ?? Infinity) <= asOfMs)
-    .sort((a, b) => a.expectedEndMs - b.expectedEndMs)
-    .slice(0, Math.min(excess, before))
-    .forEach((grant) => closeGrant(shard, grant, { nowMs, kvTokens: 0 }));
-}
-
 function renewAsks(
   view: ShardView,
   report: HolderReport,
@@ -226,11 +110,7 @@
     return undefined;
   }
   const room = view.rooms.find((each) => each.targetId === work.targetId);
-  const maxOutputTokens = Math.max(
-    work.expectedOutputTokens,
-    view.policyOf(work).maxOutputTokens,
-  );
-  const detail = { ...ADOPTED_ASK, ...work, maxOutputTokens };
+  const detail = { ...ADOPTED_ASK, ...work };
   const serviceMs = room === undefined ? 0 : view.predict(room, detail).totalMs;
   const grant: GrantAccount = {
     grantId: work.grantId,
@@ -262,6 +142,8 @@
   timeLeftMs: 0,
   excludedTargetIds: [],
   blockHashes: [],
+  spreadOver: 1,
+  spreadIndex: 0,
 };
 
 /**
@@ -289,37 +171,3 @@
     }
   }
 }
-
-/** Forgets the asks of a holder's earlier incarnations, and orphans its work. */
-function dropHolder(
-  shard: Shard,
-  holder: { holderId: string; incarnation: number; nowMs: number },
-): void {
-  const isOld = (owner: { holderId: string; holderIncarnation: number }) =>
-    owner.holderId === holder.holderId &&
-    owner.holderIncarnation < holder.incarnation;
-  for (const ask of [...shard.waiting.values()]) {
-    if (isOld(ask)) {
-      removeWaiting(shard, ask.detail.requestId);
-    }
-  }
-  for (const grant of shard.grants.values()) {
-    if (isOld(grant)) {
-      grant.orphanedAtMs ??= holder.nowMs;
-    }
-  }
-}
-
-function isGone(
-  board: Blackboard,
-  holder: { holderId: string; seen: HolderSeen; nowMs: number },
-): boolean {
-  const { holderId, seen, nowMs } = holder;
-  const member = board.members.byId.get(holderId);
-  if (member !== undefined && member.incarnation > seen.incarnation) {
-    return true;
-  }
-  const timeoutMs = board.settings.inForce?.timing.memberTimeoutMs ?? Infinity;
-  const isSilent = nowMs - seen.beatHeardAtMs > timeoutMs;
-  return isSilent && (member === undefined || !isAlive(board, member, nowMs));
-}
--- a/packages/core/src/holder_report.ts
+++ b/packages/core/src/holder_report.ts
@@ -115,6 +115,7 @@
     tierRank: request.policy.rank,
     promptTokens: request.spec.promptTokens,
     expectedOutputTokens: request.expectedOutputTokens,
+    maxOutputTokens: request.maxOutputTokens,
     cancellable: request.cancellable,
   };
 }
--- /dev/null
+++ b/packages/core/src/orphaned_work.ts
@@ -0,0 +1,54 @@
+/** Work whose holder is gone: kept until its target or time shows it ended. */
+
+import type { TargetLoad } from "@chestnuthatch/wire/work";
+import type { Shard } from "./blackboard.ts";
+import { closeGrant } from "./grant_account.ts";
+import type { ShardView } from "./shard_view.ts";
+
+/** How long after its expected end the work of a gone holder is kept. */
+const ORPHAN_MARGIN_MS = 10_000;
+
+/**
+ * Frees work of gone holders that must have ended long ago.
+ *
+ * @param shard The shard.
+ * @param nowMs The local time.
+ */
+export function dropOverdueOrphans(shard: Shard, nowMs: number): void {
+  for (const grant of [...shard.grants.values()]) {
+    if (
+      grant.orphanedAtMs !== undefined &&
+      nowMs > Math.max(grant.expectedEndMs, grant.orphanedAtMs) +
+          ORPHAN_MARGIN_MS
+    ) {
+      closeGrant(shard, grant, { nowMs, kvTokens: 0 });
+    }
+  }
+}
+
+/**
+ * Frees work of gone holders that two reports of its target in a row no longer
+ * show.
+ *
+ * @param view The shard.
+ * @param load A new report of one of its targets.
+ */
+export function reconcileOrphans(view: ShardView, load: TargetLoad): void {
+  const { shard, nowMs } = view;
+  const room = view.rooms.find((each) => each.targetId === load.targetId);
+  const asOfMs = room?.target?.loadAsOfMs ?? nowMs;
+  const grants = [...shard.grants.values()].filter((grant) =>
+    grant.work.targetId === load.targetId && grant.usedAtMs <= asOfMs
+  );
+  const excess = Math.max(
+    0,
+    grants.length - load.slotsUsed - load.waitingRequests,
+  );
+  const before = shard.excessByTarget.get(load.targetId) ?? 0;
+  shard.excessByTarget.set(load.targetId, excess);
+  grants
+    .filter((grant) => (grant.orphanedAtMs ?? Infinity) <= asOfMs)
+    .sort((a, b) => a.expectedEndMs - b.expectedEndMs)
+    .slice(0, Math.min(excess, before))
+    .forEach((grant) => closeGrant(shard, grant, { nowMs, kvTokens: 0 }));
+}
--- a/packages/core/src/outcomes.ts
+++ b/packages/core/src/outcomes.ts
@@ -17,6 +17,9 @@
 } from "./refusals.ts";
 import { type Answer, RequestState } from "./request.ts";
 
+/** How long after its deadline an answer is still gathered for its key. */
+const GATHER_BEYOND_MS = 60_000;
+
 /** How long a finished request is kept for callers that ask again. */
 const KEEP_FINISHED_MS = 60_000;
 
@@ -168,6 +171,19 @@
   return inDoubt ? RunState.MayHaveRun : RunState.NotRun;
 }
 
+/**
+ * Tells how long an answer is gathered. One that will be kept for its key is
+ * gathered beyond its callers' deadlines.
+ *
+ * @param turn The turn it happens in.
+ * @param request A dispatched request.
+ * @returns A duration in milliseconds, at least 1.
+ */
+export function answerTimeLeftMs(turn: Turn, request: HeldRequest): number {
+  const beyondMs = request.claim === undefined ? 0 : GATHER_BEYOND_MS;
+  return Math.max(1, request.deadlineAtMs - turn.nowMs) + beyondMs;
+}
+
 /**
  * Orders the target to stop a request's stream.
  *
--- /dev/null
+++ b/packages/core/src/overload_refusal.ts
@@ -0,0 +1,37 @@
+/** Refuses an ask for overload, with a hint that grows with the backlog. */
+
+import { ErrorKind } from "@chestnuthatch/wire/work";
+import type { WaitingAsk } from "./blackboard.ts";
+import { refuseAsk } from "./grant_account.ts";
+import { spreadRetryHint } from "./retry_hint.ts";
+import { lanesOfTier, type QueuedWork } from "./shard_queue.ts";
+import type { ShardView } from "./shard_view.ts";
+import { estimateWaitMs, NO_WORK } from "./wait_estimate.ts";
+
+/**
+ * Refuses an ask for overload.
+ *
+ * @param view The shard.
+ * @param ask The ask.
+ * @param reason Why, in words.
+ */
+export function refuseOverloaded(
+  view: ShardView,
+  ask: WaitingAsk,
+  reason: string,
+): void {
+  const { retryAfterMs } = view.policyOf(ask.detail);
+  const backlogMs = estimateWaitMs(view, ask, backlogOf(view, ask));
+  const hintMs = Number.isFinite(backlogMs) ? backlogMs : 0;
+  refuseAsk(view, ask, {
+    error: ErrorKind.Overloaded,
+    retryAfterMs: spreadRetryHint(view.turn, Math.max(retryAfterMs, hintMs)),
+    reason,
+  });
+}
+
+function backlogOf(view: ShardView, ask: WaitingAsk): QueuedWork {
+  const { tierRank, workspace } = ask.detail;
+  return lanesOfTier(view.shard, tierRank)
+    .find((lane) => lane.workspace === workspace) ?? NO_WORK;
+}
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -8,46 +8,17 @@
  * its slack, room is kept for it on one target.
  */
 
-import type { GrantAccount, Lane, WaitingAsk } from "./blackboard.ts";
-import {
-  type Need,
-  PassedOver,
-  shortage,
-  type TargetRoom,
-} from "./capacity.ts";
+import type { Lane, WaitingAsk } from "./blackboard.ts";
 import { startTag } from "./fair_share.ts";
-import {
-  lanesOfTier,
-  orderLane,
-  slackSpentShare,
-  waitingTiers,
-} from "./shard_queue.ts";
+import { openGrant } from "./grant_account.ts";
+import { keepReservedRooms, keepRoomWhenAged } from "./kept_room.ts";
+import { lanesOfTier, orderLane, waitingTiers } from "./shard_queue.ts";
 import type { ShardView } from "./shard_view.ts";
-import type { Prediction } from "./work_cost.ts";
-
-/** Share of its slack after which room is kept for an ask that does not fit. */
-const KEEP_ROOM_AFTER_SHARE = 0.25;
+import { choosePlace } from "./target_choice.ts";
 
 /** Asks of one lane that may be found not to fit before the lane is left. */
 const MAX_TRIED_PER_LANE = 256;
 
-const MAX_PASSED_OVER = 4;
-
-/** A target that was not chosen, for `why`. */
-export interface PassedOverTarget {
-  readonly targetId: string;
-  readonly reason: string;
-}
-
-/** An ask with the target chosen for it. */
-export interface Placement {
-  readonly ask: WaitingAsk;
-  readonly need: Need;
-  readonly room: TargetRoom;
-  readonly prediction: Prediction;
-  readonly passedOver: readonly PassedOverTarget[];
-}
-
 interface LaneCursor {
   readonly lane: Lane;
   readonly asks: readonly WaitingAsk[];
@@ -55,25 +26,25 @@
   tried: number;
 }
 
-/** Places the asks of one shard during one event. */
-export class Placer {
+/**
+ * Places whatever asks of a shard can be placed now.
+ *
+ * @param view The shard as it is now.
+ */
+export function placeWaiting(view: ShardView): void {
+  if (view.shard.waiting.size > 0) {
+    new Placer(view).placeAll();
+  }
+}
+
+class Placer {
   readonly #view: ShardView;
-  readonly #grant: (placement: Placement) => GrantAccount;
 
-  /**
-   * @param view The shard.
-   * @param grant Carries a placement out; takes the ask out of the queue.
-   */
-  constructor(
-    view: ShardView,
-    grant: (placement: Placement) => GrantAccount,
-  ) {
+  constructor(view: ShardView) {
     this.#view = view;
-    this.#grant = grant;
     keepReservedRooms(view);
   }
 
-  /** Places whatever can be placed now. */
   placeAll(): void {
     for (const tierRank of waitingTiers(this.#view.shard)) {
       if (!this.#hasFreeSlot()) {
@@ -150,7 +121,7 @@
       return false;
     }
     placement.room.take(placement.need);
-    placement.room.grants.push(this.#grant(placement));
+    placement.room.grants.push(openGrant(this.#view, placement));
     return true;
   }
 
@@ -167,144 +138,3 @@
     );
   }
 }
-
-/**
- * Chooses the target with the least predicted completion.
- *
- * @param view The shard.
- * @param ask The ask.
- * @returns The placement; undefined when no target can take it in time.
- */
-export function choosePlace(
-  view: ShardView,
-  ask: WaitingAsk,
-): Placement | undefined {
-  const need = view.needOf(ask);
-  const passedOver: PassedOverTarget[] = [];
-  let best: { room: TargetRoom; prediction: Prediction } | undefined;
-  for (const room of view.rooms) {
-    const reason = reasonAgainst(view, ask, { room, need });
-    if (reason !== undefined) {
-      passedOver.push({ targetId: room.targetId, reason });
-      continue;
-    }
-    const prediction = view.predict(room, ask.detail);
-    const isBetter = best === undefined ||
-      prediction.totalMs < best.prediction.totalMs;
-    const loser = isBetter ? best : { room, prediction };
-    if (loser !== undefined) {
-      passedOver.push(slowerTarget(loser));
-    }
-    best = isBetter ? { room, prediction } : best;
-  }
-  return best && {
-    ask,
-    need,
-    ...best,
-    passedOver: passedOver.slice(0, MAX_PASSED_OVER),
-  };
-}
-
-function reasonAgainst(
-  view: ShardView,
-  ask: WaitingAsk,
-  on: { room: TargetRoom; need: Need },
-): PassedOver | undefined {
-  const { room, need } = on;
-  if (ask.detail.excludedTargetIds.includes(room.targetId)) {
-    return PassedOver.Excluded;
-  }
-  const obstacle = room.obstacle(need);
-  const isFilledIn = obstacle === PassedOver.Kept &&
-    endsBeforeKeptRoom(view, ask, on);
-  if (obstacle !== undefined && !isFilledIn) {
-    return obstacle;
-  }
-  const { totalMs } = view.predict(room, ask.detail);
-  return view.nowMs + totalMs > ask.deadlineAtMs
-    ? PassedOver.TooLate
-    : undefined;
-}
-
-function slowerTarget(
-  loser: { room: TargetRoom; prediction: Prediction },
-): PassedOverTarget {
-  const endMs = Math.round(loser.prediction.totalMs);
-  return {
-    targetId: loser.room.targetId,
-    reason: `${PassedOver.Slower}: in ${endMs} ms`,
-  };
-}
-
-/** Short work may use kept room that is not expected to be ready before. */
-function endsBeforeKeptRoom(
-  view: ShardView,
-  ask: WaitingAsk,
-  on: { room: TargetRoom; need: Need },
-): boolean {
-  const endMs = view.nowMs + view.predict(on.room, ask.detail).totalMs;
-  return endMs <= on.room.keptRoomReadyAtMs(on.need);
-}
-
-function keepReservedRooms(view: ShardView): void {
-  for (const ask of view.shard.waiting.values()) {
-    const { reservation } = ask;
-    if (reservation === undefined) {
-      continue;
-    }
-    const room = view.rooms.find((each) =>
-      each.targetId === reservation.targetId
-    );
-    if (room !== undefined && view.isPossible(room, ask)) {
-      room.keep(view.needOf(ask), reservation.readyAtMs);
-    } else {
-      ask.reservation = undefined;
-    }
-  }
-}
-
-/**
- * Keeps room for an ask that lacks KV memory, not slots: others would go on
- * taking each piece of memory that comes free.
- */
-function keepRoomWhenAged(view: ShardView, ask: WaitingAsk): void {
-  if (
-    ask.reservation !== undefined ||
-    slackSpentShare(ask, view.nowMs) < KEEP_ROOM_AFTER_SHARE
-  ) {
-    return;
-  }
-  const need = view.needOf(ask);
-  const candidates = view.rooms
-    .filter((room) =>
-      view.isPossible(room, ask) && !room.hasKept &&
-      shortage(room, need, room.used) === PassedOver.NoKvMemory
-    )
-    .map((room) => ({ room, readyAtMs: roomReadyAtMs(room, need) }))
-    .filter(({ readyAtMs }) => readyAtMs < Infinity)
-    .sort((a, b) => a.readyAtMs - b.readyAtMs);
-  const [best] = candidates;
-  if (best !== undefined) {
-    ask.reservation = {
-      targetId: best.room.targetId,
-      readyAtMs: best.readyAtMs,
-    };
-    best.room.keep(need, best.readyAtMs);
-  }
-}
-
-/** When enough work is expected to have ended; Infinity where never. */
-function roomReadyAtMs(room: TargetRoom, need: Need): number {
-  const left = { ...room.used };
-  const byEnd = [...room.grants].sort((a, b) =>
-    a.expectedEndMs - b.expectedEndMs
-  );
-  for (const grant of byEnd) {
-    left.slots -= 1;
-    left.kvTokens -= grant.kvTokens;
-    if (shortage(room, need, left) === undefined) {
-      return grant.expectedEndMs;
-    }
-  }
-  return Infinity;
-}
--- a/packages/core/src/preemption.ts
+++ b/packages/core/src/preemption.ts
@@ -1,13 +1,9 @@
 /** Plans room for asks that cannot wait any longer. */
 
 import type { GrantAccount, WaitingAsk } from "./blackboard.ts";
-import {
-  type Need,
-  shortage,
-  type TargetRoom,
-  type Usage,
-} from "./capacity.ts";
+import { type Need, shortage, type TargetRoom } from "./capacity.ts";
 import type { ShardView } from "./shard_view.ts";
+import type { Usage } from "./target_usage.ts";
 
 /** Running work to cancel so that an ask fits on one target. */
 export interface PreemptionPlan {
@@ -133,7 +129,7 @@
   }
 
   #comparePlans(a: PreemptionPlan, b: PreemptionPlan): number {
-    return highestTier(b) - highestTier(a) ||
+    return highestTierOf(b) - highestTierOf(a) ||
       a.victims.length - b.victims.length ||
       this.#progressLost(a) - this.#progressLost(b);
   }
@@ -163,7 +159,13 @@
     !grant.preempted && view.policyOf(grant.work).preemptible;
 }
 
-function highestTier(plan: PreemptionPlan): number {
+/**
+ * Tells the highest tier that a plan cancels.
+ *
+ * @param plan The plan.
+ * @returns Its rank.
+ */
+export function highestTierOf(plan: PreemptionPlan): number {
   return Math.min(...plan.victims.map((grant) => grant.work.tierRank));
 }
 
--- a/packages/core/src/randomness.ts
+++ b/packages/core/src/randomness.ts
@@ -2,6 +2,7 @@
 
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { hash32 } from "./text_hash.ts";
 
 /** A source of random numbers that repeats itself for the same seed. */
 export interface Randomness {
@@ -16,6 +17,7 @@
  * @returns The source.
  */
 export function seededRandomness(seed: number): Randomness {
-  const generator = xoroshiro128plus(seed);
+  // Small seeds hardly differ in their bits, so the first numbers would not.
+  const generator = xoroshiro128plus(hash32(`seed ${seed}`));
   return { next: () => uniformFloat64(generator) };
 }
--- a/packages/core/src/request_controller.ts
+++ b/packages/core/src/request_controller.ts
@@ -138,6 +138,7 @@
     askNumber: 0,
     excludedTargetIds: [],
     askViewNumber: 0,
+    waitingSinceMs: turn.nowMs,
     attempts: 0,
     finishedAtMs: 0,
     callLog: [],
@@ -197,6 +198,7 @@
     });
     return;
   }
+  turn.decide(callId, "holder", `Joined ${request.spec.requestId} by its key`);
   if (!isFinished(request)) {
     addCall(request, by, turn);
     turn.board.requests.joined.set(callId, request.spec.requestId);
--- a/packages/core/src/shard_queue.ts
+++ b/packages/core/src/shard_queue.ts
@@ -9,6 +9,12 @@
 /** Smallest share of an ask's slack that its urgency is counted by. */
 const MIN_SLACK_SHARE = 0.001;
 
+/** Work that waits: time on a slot, and KV memory times that time. */
+export interface QueuedWork {
+  readonly costMs: number;
+  readonly kvTokenMs: number;
+}
+
 /**
  * Makes an empty shard.
  *
@@ -60,8 +66,9 @@
   };
   shard.lanes.set(key, lane);
   lane.asks.set(requestId, ask);
-  lane.costMs += ask.costMs;
-  lane.kvTokenMs += ask.kvTokens * ask.costMs;
+  const work = queuedWorkOf(ask);
+  lane.costMs += work.costMs;
+  lane.kvTokenMs += work.kvTokenMs;
   shard.waiting.set(requestId, ask);
 }
 
@@ -84,14 +91,27 @@
   const key = `${ask.detail.tierRank}/${ask.detail.workspace}`;
   const lane = shard.lanes.get(key)!;
   lane.asks.delete(requestId);
-  lane.costMs -= ask.costMs;
-  lane.kvTokenMs -= ask.kvTokens * ask.costMs;
+  const work = queuedWorkOf(ask);
+  lane.costMs -= work.costMs;
+  lane.kvTokenMs -= work.kvTokenMs;
   if (lane.asks.size === 0) {
     shard.lanes.delete(key);
   }
   return ask;
 }
 
+/**
+ * Gives the work that an ask adds to this shard's queue: its share of the
+ * whole, since it waits in every domain that it was asked at.
+ *
+ * @param ask The ask.
+ * @returns Time on a slot, and KV memory times that time.
+ */
+export function queuedWorkOf(ask: WaitingAsk): QueuedWork {
+  const costMs = ask.costMs / ask.detail.spreadOver;
+  return { costMs, kvTokenMs: ask.kvTokens * costMs };
+}
+
 /**
  * Lists the tiers that wait.
  *
--- a/packages/core/src/shedding.ts
+++ b/packages/core/src/shedding.ts
@@ -7,31 +7,19 @@
 
 import { ErrorKind } from "@chestnuthatch/wire/work";
 import type { WaitingAsk } from "./blackboard.ts";
-import { preemptGrant, refuseAsk } from "./grant_account.ts";
-import { isPreemptible, RoomPlan } from "./preemption.ts";
+import { refuseAsk } from "./grant_account.ts";
+import { refuseOverloaded } from "./overload_refusal.ts";
 import { spreadRetryHint } from "./retry_hint.ts";
 import {
   lanesOfTier,
   latestStartMs,
   orderLane,
+  queuedWorkOf,
   waitingTiers,
 } from "./shard_queue.ts";
 import type { ShardView } from "./shard_view.ts";
-import {
-  addWork,
-  estimateWaitMs,
-  NO_WORK,
-  type WorkAhead,
-  workOf,
-} from "./wait_estimate.ts";
-
-/** How long before its latest start an ask becomes urgent, as a slack share. */
-const URGENT_SLACK_SHARE = 0.25;
-const MIN_URGENT_MS = 250;
-const MAX_URGENT_MS = 2000;
-
-/** Within this time only room that is free or being freed counts. */
-const LAST_CALL_MS = 200;
+import { serveUrgent } from "./urgent_asks.ts";
+import { addWork, estimateWaitMs, NO_WORK } from "./wait_estimate.ts";
 
 /** How often the whole queue is looked through for hopeless asks. */
 const QUEUE_CHECK_MS = 200;
@@ -67,7 +55,7 @@
   if (lane === undefined || !isLowestPresent(view, ask.detail.tierRank)) {
     return false;
   }
-  const own = workOf(ask);
+  const own = queuedWorkOf(ask);
   const waitMs = estimateWaitMs(view, ask, {
     costMs: lane.costMs - own.costMs,
     kvTokenMs: lane.kvTokenMs - own.kvTokenMs,
@@ -113,77 +101,6 @@
   }
 }
 
-function serveUrgent(view: ShardView): void {
-  const plan = new RoomPlan(view);
-  const longestQueueMs = Math.max(
-    0,
-    ...view.liveRooms.map((room) => room.prefillQueueMs(view.nowMs)),
-  );
-  for (const tierRank of waitingTiers(view.shard)) {
-    const urgent = lanesOfTier(view.shard, tierRank)
-      .flatMap((lane) => [...lane.asks.values()])
-      .filter((ask) => mayBeUrgent(view, ask, longestQueueMs))
-      .map((ask) => ({ ask, spareMs: spareMsOf(view, ask) }))
-      .filter(({ ask, spareMs }) => spareMs <= urgentMsOf(ask))
-      .sort((a, b) => a.spareMs - b.spareMs);
-    for (const { ask, spareMs } of urgent) {
-      serveUrgentAsk(view, ask, { spareMs, plan });
-    }
-  }
-}
-
-function serveUrgentAsk(
-  view: ShardView,
-  ask: WaitingAsk,
-  state: { spareMs: number; plan: RoomPlan },
-): void {
-  const { spareMs, plan } = state;
-  if (view.shard.waiting.get(ask.detail.requestId) !== ask) {
-    return;
-  }
-  const byMs = spareMs > LAST_CALL_MS ? view.nowMs + spareMs : -Infinity;
-  if (plan.promise(ask, byMs)) {
-    return;
-  }
-  const preemption = plan.planVictims(ask);
-  if (preemption !== undefined) {
-    refuseLowerTiers(view, ask.detail.tierRank);
-    preemption.victims.forEach((grant) => preemptGrant(view, grant));
-    ask.reservation = {
-      targetId: preemption.room.targetId,
-      readyAtMs: view.nowMs,
-    };
-  } else if (spareMs < 0) {
-    refuseLate(view, ask);
-  }
-}
-
-/**
- * Refuses an ask that can no longer end in time. Whatever is lower goes first,
- * so that no lower tier is served while this one is refused.
- */
-function refuseLate(view: ShardView, ask: WaitingAsk): void {
-  const { tierRank } = ask.detail;
-  refuseLowerTiers(view, tierRank);
-  for (const grant of view.shard.grants.values()) {
-    if (isPreemptible(view, grant, tierRank)) {
-      preemptGrant(view, grant);
-    }
-  }
-  refuseOverloaded(view, ask, "it can no longer end before its deadline");
-}
-
-function refuseLowerTiers(view: ShardView, tierRank: number): void {
-  const lower = waitingTiers(view.shard).filter((rank) => rank > tierRank);
-  for (const rank of lower.reverse()) {
-    for (const lane of lanesOfTier(view.shard, rank)) {
-      for (const ask of [...lane.asks.values()]) {
-        refuseOverloaded(view, ask, "a higher tier needs all the room");
-      }
-    }
-  }
-}
-
 function refuseHopelessOfLowestTier(view: ShardView): void {
   const tierRank = waitingTiers(view.shard).at(-1);
   if (tierRank === undefined || !isLowestPresent(view, tierRank)) {
@@ -194,7 +111,7 @@
     for (const ask of orderLane(lane, view.nowMs)) {
       const waitMs = estimateWaitMs(view, ask, ahead);
       if (!refuseIfHopeless(view, ask, waitMs)) {
-        ahead = addWork(ahead, workOf(ask));
+        ahead = addWork(ahead, queuedWorkOf(ask));
       }
     }
   }
@@ -214,27 +131,6 @@
   return true;
 }
 
-function refuseOverloaded(
-  view: ShardView,
-  ask: WaitingAsk,
-  reason: string,
-): void {
-  const { retryAfterMs } = view.policyOf(ask.detail);
-  const backlogMs = estimateWaitMs(view, ask, backlogOf(view, ask));
-  const hintMs = Number.isFinite(backlogMs) ? backlogMs : 0;
-  refuseAsk(view, ask, {
-    error: ErrorKind.Overloaded,
-    retryAfterMs: spreadRetryHint(view.turn, Math.max(retryAfterMs, hintMs)),
-    reason,
-  });
-}
-
-function backlogOf(view: ShardView, ask: WaitingAsk): WorkAhead {
-  const { tierRank, workspace } = ask.detail;
-  return lanesOfTier(view.shard, tierRank)
-    .find((lane) => lane.workspace === workspace) ?? NO_WORK;
-}
-
 /** Whether nothing of a lower tier waits or runs in the shard. */
 function isLowestPresent(view: ShardView, tierRank: number): boolean {
   return [...view.shard.lanes.values()].every((lane) =>
@@ -243,33 +139,3 @@
     grant.work.tierRank <= tierRank
   );
 }
-
-/** A cheap test that spares most asks the exact one. */
-function mayBeUrgent(
-  view: ShardView,
-  ask: WaitingAsk,
-  longestQueueMs: number,
-): boolean {
-  const leastSpareMs = ask.deadlineAtMs - view.nowMs - ask.costMs -
-    longestQueueMs;
-  return leastSpareMs <= urgentMsOf(ask) && view.isHolderFresh(ask);
-}
-
-/** Time until the ask could no longer end in time on a target as it is now. */
-function spareMsOf(view: ShardView, ask: WaitingAsk): number {
-  let bestMs = Infinity;
-  for (const room of view.rooms) {
-    if (view.isPossible(room, ask)) {
-      bestMs = Math.min(bestMs, view.predict(room, ask.detail).totalMs);
-    }
-  }
-  return ask.deadlineAtMs - view.nowMs - bestMs;
-}
-
-function urgentMsOf(ask: WaitingAsk): number {
-  const slackMs = latestStartMs(ask) - ask.arrivedAtMs;
-  return Math.min(
-    MAX_URGENT_MS,
-    Math.max(MIN_URGENT_MS, slackMs * URGENT_SLACK_SHARE),
-  );
-}
--- a/packages/core/src/status.ts
+++ b/packages/core/src/status.ts
@@ -7,6 +7,7 @@
   Target,
   TargetHealth,
 } from "./blackboard.ts";
+import type { SettingsInForce } from "@chestnuthatch/settings/policy";
 import { isAlive, isEligible } from "./coordinators.ts";
 import { type Readiness, readinessOf } from "./readiness.ts";
 import { RequestState } from "./request.ts";
@@ -55,6 +56,8 @@
   readonly targetId: string;
   readonly health: TargetHealth;
   readonly leaving: boolean;
+  /** Whether the settings in force take it out of use. */
+  readonly draining: boolean;
   readonly slotsUsed?: number;
   readonly slotsTotal?: number;
   readonly kvUsedTokens?: number;
@@ -110,7 +113,9 @@
     shards: sortedValues(shards.byKey)
       .map((shard) => describeShard(board, shard, nowMs)),
     targets: sortedValues(targets.byId)
-      .map((target) => describeTarget(target, nowMs)),
+      .map((target) =>
+        describeTarget(target, { nowMs, settings: board.settings.inForce })
+      ),
     requestsByState: countByState(board),
   };
 }
@@ -192,12 +197,17 @@
   return counts;
 }
 
-function describeTarget(target: Target, nowMs: number): TargetStatus {
+function describeTarget(
+  target: Target,
+  of: { nowMs: number; settings: SettingsInForce | undefined },
+): TargetStatus {
+  const { nowMs, settings } = of;
   const { load, rates } = target;
   return {
     targetId: target.targetId,
     health: target.health,
     leaving: target.leaving,
+    draining: settings?.targets.get(target.targetId)?.draining ?? false,
     slotsUsed: load?.slotsUsed,
     slotsTotal: load?.slotsTotal,
     kvUsedTokens: load?.kvUsedTokens,
--- a/packages/core/src/stream_flow.ts
+++ b/packages/core/src/stream_flow.ts
@@ -9,7 +9,7 @@
 import type { Turn } from "./controller.ts";
 import { CounterName, EffectKind } from "./effects.ts";
 import type { AttemptRef, EventKind, EventOf } from "./events.ts";
-import { deliverAnswer, endRequest } from "./outcomes.ts";
+import { answerTimeLeftMs, deliverAnswer, endRequest } from "./outcomes.ts";
 import { noteStep } from "./refusals.ts";
 import { RequestState } from "./request.ts";
 import { spreadRetryHint } from "./retry_hint.ts";
@@ -193,7 +193,7 @@
     attemptNonce: attempt.attemptNonce,
     targetId: attempt.targetId,
     fromToken: attempt.tokensReceived,
-    timeLeftMs: Math.max(1, request.deadlineAtMs - turn.nowMs),
+    answerTimeLeftMs: answerTimeLeftMs(turn, request),
   });
 }
 
--- a/packages/core/src/target_controller.ts
+++ b/packages/core/src/target_controller.ts
@@ -13,7 +13,6 @@
 import type { TargetLoad } from "@chestnuthatch/wire/work";
 import {
   type GrantAccount,
-  type Shard,
   shardKey,
   type Target,
   TargetHealth,
@@ -23,23 +22,12 @@
   type CoordinatorOptions,
   DEFAULT_COORDINATOR_OPTIONS,
 } from "./coordinator_options.ts";
-import { LogLevel, LogPart } from "./effects.ts";
 import { EventKind, type EventOf } from "./events.ts";
 import { learnFrom } from "./learned_rates.ts";
-import {
-  adjustSlots,
-  beginReturn,
-  overdueRatio,
-  slowdownOf,
-} from "./straggler.ts";
+import { watchPace } from "./pace_watch.ts";
+import { suspend, takeLoad } from "./target_health.ts";
 import { pollNewShard, pollTargets } from "./target_polls.ts";
-import {
-  forwardSigns,
-  heedList,
-  heedReport,
-  heedSign,
-  tellSigns,
-} from "./target_signs.ts";
+import { forwardSigns, heedList, heedSign, tellSigns } from "./target_signs.ts";
 import { priorRates } from "./work_cost.ts";
 
 /** Polls that fail in a row before a target counts as unreachable. */
@@ -164,30 +152,6 @@
   [PeerMessageKind.TargetsHeard]: onTargetsHeard,
 };
 
-function takeLoad(turn: Turn, target: Target, load: TargetLoad): void {
-  const asOfMs = turn.nowMs - load.ageMs;
-  if (asOfMs < target.loadAsOfMs) {
-    return;
-  }
-  const before = target.load;
-  target.load = load;
-  target.loadAsOfMs = asOfMs;
-  if (
-    target.health === TargetHealth.Unreachable &&
-    asOfMs > target.unreachableSinceMs
-  ) {
-    target.health = TargetHealth.Healthy;
-    const settings = turn.board.settings.inForce!.targets.get(target.targetId)!;
-    beginReturn(target, settings, turn.nowMs);
-    turn.log(
-      LogLevel.Info,
-      LogPart.Targets,
-      `${target.targetId} answers again.`,
-    );
-  }
-  heedReport(turn, target, { before, load, asOfMs });
-}
-
 function onLoadFailed(
   { targetId }: EventOf<EventKind.LoadReportFailed>,
   turn: Turn,
@@ -203,19 +167,6 @@
   }
 }
 
-function suspend(turn: Turn, target: Target, reason: string): void {
-  if (target.health === TargetHealth.Unreachable) {
-    return;
-  }
-  target.health = TargetHealth.Unreachable;
-  target.unreachableSinceMs = turn.nowMs;
-  turn.log(
-    LogLevel.Warn,
-    LogPart.Targets,
-    `${target.targetId} is unreachable: ${reason}.`,
-  );
-}
-
 function onCacheEvents(
   { targetId, answer }: EventOf<EventKind.CacheEventsRead>,
   turn: Turn,
@@ -275,51 +226,6 @@
   }
 }
 
-/** Cuts and restores slots by how fast each target has become. */
-function watchPace(turn: Turn): void {
-  const { settings, shards, targets } = turn.board;
-  for (const each of settings.inForce?.targets.values() ?? []) {
-    const target = targets.byId.get(each.id)!;
-    const shard = shards.byKey.get(shardKey(each.pool, each.failureDomain));
-    const overdue = overdueRatio(usedGrantsOn(shard, each.id), turn.nowMs);
-    if (target.pace === undefined && overdue === 1) {
-      continue;
-    }
-    const slowdown = Math.max(overdue, slowdownOf(target, kindOf(turn, each)));
-    const seen = { slowdown, nowMs: turn.nowMs };
-    if (adjustSlots(target, each, seen)) {
-      const percent = Math.round(target.pace!.slotShare * 100);
-      turn.log(
-        LogLevel.Warn,
-        LogPart.Targets,
-        `${each.id} is ${
-          slowdown.toFixed(1)
-        } times slower; its slots are cut to ${percent}%.`,
-      );
-    }
-  }
-}
-
-function usedGrantsOn(
-  shard: Shard | undefined,
-  targetId: string,
-): GrantAccount[] {
-  return [...shard?.grants.values() ?? []].filter((grant) =>
-    grant.used && grant.work.targetId === targetId
-  );
-}
-
-/** Other targets of the same pool and hardware. */
-function kindOf(turn: Turn, settings: TargetSettings): Target[] {
-  const { inForce } = turn.board.settings;
-  return [...inForce!.targets.values()]
-    .filter((other) =>
-      other.id !== settings.id && other.pool === settings.pool &&
-      other.hardware === settings.hardware
-    )
-    .map((other) => turn.board.targets.byId.get(other.id)!);
-}
-
 function grantNamed(
   turn: Turn,
   message: { pool: string; failureDomain: string; grantId: string },
--- a/packages/core/src/target_signs.ts
+++ b/packages/core/src/target_signs.ts
@@ -7,7 +7,8 @@
 import type { TargetLoad } from "@chestnuthatch/wire/work";
 import type { Member, Target } from "./blackboard.ts";
 import type { Turn } from "./controller.ts";
-import { hash32, isAlive } from "./coordinators.ts";
+import { isAlive } from "./coordinators.ts";
+import { hash32 } from "./text_hash.ts";
 import { LogLevel, LogPart } from "./effects.ts";
 
 /**
--- a/packages/core/src/wait_estimate.ts
+++ b/packages/core/src/wait_estimate.ts
@@ -2,16 +2,11 @@
 
 import type { Lane, WaitingAsk } from "./blackboard.ts";
 import { shortage, slotsForTier } from "./capacity.ts";
+import type { QueuedWork } from "./shard_queue.ts";
 import type { ShardView } from "./shard_view.ts";
 
-/** Waiting work: time on a slot, and KV memory times that time. */
-export interface WorkAhead {
-  readonly costMs: number;
-  readonly kvTokenMs: number;
-}
-
 /** No work at all. */
-export const NO_WORK: WorkAhead = { costMs: 0, kvTokenMs: 0 };
+export const NO_WORK: QueuedWork = { costMs: 0, kvTokenMs: 0 };
 
 /**
  * Estimates an ask's wait: what higher tiers and its own fair turn put before
@@ -25,7 +20,7 @@
 export function estimateWaitMs(
   view: ShardView,
   ask: WaitingAsk,
-  ownAhead: WorkAhead,
+  ownAhead: QueuedWork,
 ): number {
   const need = view.needOf(ask);
   let slots = 0;
@@ -54,28 +49,18 @@
  * @param b Other work.
  * @returns Both together.
  */
-export function addWork(a: WorkAhead, b: WorkAhead): WorkAhead {
+export function addWork(a: QueuedWork, b: QueuedWork): QueuedWork {
   return {
     costMs: a.costMs + b.costMs,
     kvTokenMs: a.kvTokenMs + b.kvTokenMs,
   };
 }
 
-/**
- * Gives an ask's own work.
- *
- * @param ask The ask.
- * @returns Its cost.
- */
-export function workOf(ask: WaitingAsk): WorkAhead {
-  return { costMs: ask.costMs, kvTokenMs: ask.kvTokens * ask.costMs };
-}
-
 function workAhead(
   view: ShardView,
   ask: WaitingAsk,
-  ownAhead: WorkAhead,
-): WorkAhead {
+  ownAhead: QueuedWork,
+): QueuedWork {
   let ahead = ownAhead;
   const { tierRank, workspace } = ask.detail;
   for (const lane of view.shard.lanes.values()) {
@@ -92,8 +77,8 @@
 function fairTurnOf(
   view: ShardView,
   lane: Lane,
-  own: { ask: WaitingAsk; ownAhead: WorkAhead },
-): WorkAhead {
+  own: { ask: WaitingAsk; ownAhead: QueuedWork },
+): QueuedWork {
   const ownWeight = view.policyOf(own.ask.detail).fairShareWeight;
   const laneWeight = view.policyOf(lane).fairShareWeight;
   const ownCostMs = own.ownAhead.costMs + own.ask.costMs;
--- a/packages/core/src/wanted_peers.ts
+++ b/packages/core/src/wanted_peers.ts
@@ -2,7 +2,8 @@
 
 import { type Blackboard, type Member, shardKey } from "./blackboard.ts";
 import type { Turn } from "./controller.ts";
-import { hash32, isAlive, rankMembers } from "./coordinators.ts";
+import { isAlive, rankMembers } from "./coordinators.ts";
+import { hash32 } from "./text_hash.ts";
 import { EffectKind } from "./effects.ts";
 import { RequestState } from "./request.ts";
 
--- a/packages/daemon/src/target_client.ts
+++ b/packages/daemon/src/target_client.ts
@@ -145,6 +145,7 @@
     const attempt = this.#openAttempt(effect, {
       kind: input.kind,
       maySoFarHaveRun: false,
+      timeToSendMs: effect.timeLeftMs,
     });
     const request = ADAPTERS[input.kind].dispatch({ ...effect, input });
     void queue.add(() => this.#send(attempt, link, request), {
@@ -171,7 +172,11 @@
       this.#emitLater(EventKind.StreamClosed, effect, REASON_NO_RESUME);
       return;
     }
-    const attempt = this.#openAttempt(effect, { kind, maySoFarHaveRun: true });
+    const attempt = this.#openAttempt(effect, {
+      kind,
+      maySoFarHaveRun: true,
+      timeToSendMs: effect.answerTimeLeftMs,
+    });
     void this.#send(attempt, link, request);
   }
 
@@ -253,9 +258,13 @@
 
   #openAttempt(
     effect: DispatchEffect | ResumeEffect,
-    options: { kind: TargetKind; maySoFarHaveRun: boolean },
+    options: {
+      kind: TargetKind;
+      maySoFarHaveRun: boolean;
+      timeToSendMs: number;
+    },
   ): TargetAttempt {
-    const { requestId, attemptNonce, timeLeftMs } = effect;
+    const { requestId, attemptNonce, answerTimeLeftMs } = effect;
     const nowMs = this.#edge.clock.nowMs();
     const attempt = new TargetAttempt({ requestId, attemptNonce }, {
       adapter: ADAPTERS[options.kind],
@@ -263,8 +272,9 @@
       emit: this.#edge.emit,
       clock: this.#edge.clock,
       timers: this.#options.timers,
-      deadlineAtMs: nowMs + timeLeftMs,
-      sendByAtMs: nowMs + this.#limits.maxSendWaitMs,
+      deadlineAtMs: nowMs + answerTimeLeftMs,
+      sendByAtMs: nowMs +
+        Math.min(this.#limits.maxSendWaitMs, options.timeToSendMs),
       maySoFarHaveRun: options.maySoFarHaveRun,
       onEnd: () => this.#open.delete(requestId),
     });
--- a/packages/standins/src/cache_event_log.ts
+++ b/packages/standins/src/cache_event_log.ts
@@ -4,7 +4,10 @@
   CacheEventKind,
   CacheEventsAnswer,
 } from "@chestnuthatch/wire/target_protocol";
-import { type Randomness, seededRandomness } from "./randomness.ts";
+import {
+  type Randomness,
+  seededRandomness,
+} from "@chestnuthatch/core/randomness";
 
 /** How late and how gappy the events are. */
 export interface CacheEventLogOptions {
--- a/packages/standins/src/engine_model_test.ts
+++ b/packages/standins/src/engine_model_test.ts
@@ -13,7 +13,7 @@
   type EngineModelOptions,
   type EngineOutput,
 } from "./engine_model.ts";
-import { seededRandomness } from "./randomness.ts";
+import { seededRandomness } from "@chestnuthatch/core/randomness";
 
 const MAX_STEPS = 100_000;
 const OPTIONS: EngineModelOptions = {
--- a/packages/standins/src/workload.ts
+++ b/packages/standins/src/workload.ts
@@ -1,6 +1,10 @@
 /** The two deployments' requests, made from a seed. */
 
-import { fractionOf, type Randomness, seededRandomness } from "./randomness.ts";
+import {
+  type Randomness,
+  seededRandomness,
+} from "@chestnuthatch/core/randomness";
+import { fractionOf } from "./randomness.ts";
 import {
   type Deployment,
   kindsOf,
--- a/packages/wire/src/field_codes.ts
+++ b/packages/wire/src/field_codes.ts
@@ -63,6 +63,8 @@
   "protocolVersion",
   "nonce",
   "proof",
+  "spreadOver",
+  "spreadIndex",
 ] as const;
 
 /**
--- a/packages/wire/src/peer_messages.ts
+++ b/packages/wire/src/peer_messages.ts
@@ -59,6 +59,10 @@
   excludedTargetIds: z.array(z.string()),
   /** Fingerprints of the prompt's leading blocks, first block first. */
   blockHashes: z.array(z.string()),
+  /** Domains that the request may be asked at, this one included. */
+  spreadOver: z.number().int().positive(),
+  /** This domain's place among them, the nearest being 0. */
+  spreadIndex: countSchema,
 });
 export type AskDetail = z.infer<typeof askDetailSchema>;
 
@@ -71,6 +75,7 @@
   tierRank: countSchema,
   promptTokens: countSchema,
   expectedOutputTokens: countSchema,
+  maxOutputTokens: countSchema,
   cancellable: z.boolean(),
 });
 export type RunningWork = z.infer<typeof runningWorkSchema>;
--- /dev/null
+++ b/tests/cli_test.ts
@@ -0,0 +1,399 @@
+/** Runs commands against a fleet of entry instances and stand-ins. */
+
+import { randomUUID } from "node:crypto";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setImmediate, setTimeout as wait } from "node:timers/promises";
+import { runCommandLine } from "@chestnuthatch/cli/command_line";
+import { EmbeddedFleet, readExample } from "@chestnuthatch/cli/embedded_fleet";
+import { ExitCode } from "@chestnuthatch/cli/exit_code";
+import { PlatformFaultKind } from "@chestnuthatch/standins/platform_server";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+
+interface Ran {
+  readonly exitCode: ExitCode;
+  readonly out: string;
+  readonly err: string;
+}
+
+const POLL_MS = 20;
+const MAX_POLLS = 1500;
+const UNUSED_ADDRESS = "127.0.0.1:1";
+const GOLDEN_URL = new URL("../golden/settings_faults/", import.meta.url);
+const POOL = ["--pool", "msaidizi", "--workspace", "meru-plots"];
+const AUTHOR = ["--author", "neema"];
+
+let fleet: EmbeddedFleet;
+let folder: string;
+
+async function run(...args: string[]): Promise<Ran> {
+  const ran = { out: "", err: "" };
+  const exitCode = await runCommandLine(args, {
+    output: {
+      out: (text) => ran.out += text,
+      err: (text) => ran.err += text,
+    },
+    sleep: async () => {
+      await setImmediate();
+    },
+    newId: randomUUID,
+  });
+  return { exitCode, ...ran };
+}
+
+function runOnTable(...args: string[]): Promise<Ran> {
+  return run(...args, "--platform", fleet.standins.platformAddress);
+}
+
+function runOnFleet(...args: string[]): Promise<Ran> {
+  return run(...args, "--instance", fleet.callerAddresses.join(","));
+}
+
+async function until(holds: () => Promise<boolean>): Promise<void> {
+  for (let polls = 0; polls < MAX_POLLS; polls++) {
+    if (await holds()) {
+      return;
+    }
+    await wait(POLL_MS);
+  }
+  assert.unreachable("the condition never held");
+}
+
+function untilInForce(): Promise<void> {
+  const { platformAddress } = fleet.standins;
+  return until(async () => {
+    const args = ["settings", "status", "--platform", platformAddress];
+    return (await runOnFleet(...args)).exitCode === ExitCode.Done;
+  });
+}
+
+async function version(): Promise<number> {
+  const { out } = await runOnTable("settings", "show", "--json");
+  return JSON.parse(out).version;
+}
+
+/** Writes the settings in force with another deadline for routine work. */
+async function editedFile(name: string, deadlineMs: number): Promise<string> {
+  const { out } = await runOnTable("settings", "show");
+  const path = join(folder, name);
+  const pattern = /(rank: 2\n\s+value: 1\n\s+deadlineMs: )\d+/;
+  assert.match(out, pattern);
+  writeFileSync(path, out.replace(pattern, `$1${deadlineMs}`));
+  return path;
+}
+
+function propose(file: string, base: number, ...more: string[]): Promise<Ran> {
+  return runOnTable(
+    ...["settings", "propose", file, "--base", String(base)],
+    ...[...AUTHOR, "--note", "a test", ...more],
+  );
+}
+
+async function sendTo(instanceId: string) {
+  const { callerAddress } = fleet.instances.get(instanceId)!;
+  const ran = await run(
+    ...["send", ...POOL, "--tier", "urgent", "--json"],
+    ...["--body", "A mower is stuck. [output=4]", "--instance", callerAddress],
+  );
+  assert.is(ran.exitCode, ExitCode.Done, ran.out);
+  return JSON.parse(ran.out);
+}
+
+async function fleetStatus() {
+  const { platformAddress } = fleet.standins;
+  const ran = await runOnFleet(
+    "status",
+    "--json",
+    "--platform",
+    platformAddress,
+  );
+  return JSON.parse(ran.out);
+}
+
+test.before(async () => {
+  folder = mkdtempSync(join(tmpdir(), "chestnuthatch-cli-"));
+  fleet = await EmbeddedFleet.start({
+    deployment: "shamba-safi",
+    instances: 5,
+  });
+  await untilInForce();
+});
+
+test.after(async () => {
+  await fleet.stop();
+  rmSync(folder, { recursive: true });
+});
+
+test("should tell every fault of a file with its path and line", async () => {
+  const file = new URL("broken.yaml", GOLDEN_URL).pathname;
+  const { exitCode, err } = await run("settings", "check", file);
+  assert.is(exitCode, ExitCode.BadInput);
+  const golden = readFileSync(new URL("faults.txt", GOLDEN_URL), "utf8");
+  for (const line of golden.trim().split("\n")) {
+    assert.ok(err.includes(line), line);
+  }
+  const sound = join(folder, "sound.yaml");
+  writeFileSync(sound, readExample("sunu-registrs"));
+  const checked = await run("settings", "check", sound);
+  assert.is(checked.exitCode, ExitCode.Done, checked.err);
+});
+
+test("should say what is missing and what to do", async () => {
+  const noPlatform = await run("settings", "show");
+  assert.is(noPlatform.exitCode, ExitCode.BadInput);
+  assert.match(noPlatform.err, "CHESTNUTHATCH_PLATFORM");
+  const badAddress = await run("status", "--instance", "nowhere");
+  assert.is(badAddress.exitCode, ExitCode.BadInput);
+  const help = await run("drain", "--help");
+  assert.is(help.exitCode, ExitCode.Done);
+  assert.match(help.out, "Examples:");
+});
+
+test("should explain values and suggest names", async () => {
+  const scope = ["--region", "arusha", "--workspace", "arusha-clinics"];
+  const told = await runOnTable(
+    ...["settings", "explain", ...scope, "--tier", "urgent"],
+  );
+  assert.match(told.out, "value = 30 from workspaces.arusha-clinics");
+  const mistyped = await runOnTable(
+    ...["settings", "explain", ...scope, "--tier", "urgnt"],
+  );
+  assert.is(mistyped.exitCode, ExitCode.BadInput);
+  assert.match(mistyped.err, 'Did you mean "urgent"?');
+});
+
+test("should change nothing in a dry run", async () => {
+  const base = await version();
+  const file = await editedFile("dry.yaml", 16_001);
+  const { exitCode, out } = await propose(file, base, "--dry-run");
+  assert.is(exitCode, ExitCode.Done);
+  assert.match(out, "tiers.routine.deadlineMs");
+  assert.is(await version(), base);
+});
+
+test("should let one of two racing operators win", async () => {
+  const base = await version();
+  const files = [
+    await editedFile("one.yaml", 16_002),
+    await editedFile("two.yaml", 16_003),
+  ];
+  const ran = await Promise.all(files.map((file) => propose(file, base)));
+  assert.equal(ran.map(({ exitCode }) => exitCode).sort(), [
+    ExitCode.Done,
+    ExitCode.Failed,
+  ]);
+  const winner = ran.findIndex(({ exitCode }) => exitCode === ExitCode.Done);
+  const { err } = ran[1 - winner];
+  const deadlineMs = [16_002, 16_003][winner];
+  assert.match(err, `~ tiers.routine.deadlineMs: 15000 -> ${deadlineMs}`);
+  assert.match(err, `--base ${base + 1}`);
+  assert.is(await version(), base + 1);
+  const stale = await propose(files[1 - winner], base);
+  assert.is(stale.exitCode, ExitCode.Failed);
+  assert.match(stale.err, `-> ${deadlineMs}`);
+});
+
+test("should settle lost answers and lost writes", async () => {
+  const { platform } = fleet.standins;
+  const base = await version();
+  platform.setFault({ kind: PlatformFaultKind.LoseAnswers, times: 1 });
+  const lostAnswer = await propose(await editedFile("a.yaml", 16_004), base);
+  assert.is(lostAnswer.exitCode, ExitCode.Done, lostAnswer.err);
+  assert.ok(platform.model.counts.answersLost > 0);
+  platform.setFault({ kind: PlatformFaultKind.LoseWrites, times: 1 });
+  const file = await editedFile("b.yaml", 16_005);
+  const lostWrite = await propose(file, base + 1);
+  assert.is(lostWrite.exitCode, ExitCode.Done, lostWrite.err);
+  assert.is(await version(), base + 2);
+});
+
+test("should say that an outcome is unknown, never guess", async () => {
+  const { platform } = fleet.standins;
+  const base = await version();
+  const file = await editedFile("c.yaml", 16_006);
+  platform.setFault({ kind: PlatformFaultKind.LoseWrites, times: 1000 });
+  const { exitCode, out } = await propose(file, base, "--json");
+  platform.setFault({ kind: PlatformFaultKind.LoseWrites, times: 0 });
+  assert.is(exitCode, ExitCode.OutcomeUnknown);
+  assert.ok(JSON.parse(out).changeId);
+  platform.setFault({ kind: PlatformFaultKind.Down, on: true });
+  const down = await propose(file, base);
+  platform.setFault({ kind: PlatformFaultKind.Down, on: false });
+  assert.is(down.exitCode, ExitCode.Failed);
+  assert.match(down.err, "nothing was changed");
+});
+
+test("should list, compare and revert versions", async () => {
+  const newest = await version();
+  const listed = await runOnTable("settings", "history", "--json");
+  const versions: { version: number }[] = JSON.parse(listed.out);
+  assert.equal(
+    versions.map((each) => each.version),
+    Array.from({ length: newest }, (_, i) => newest - i),
+  );
+  const reverted = await runOnTable("settings", "revert", "1", ...AUTHOR);
+  assert.is(reverted.exitCode, ExitCode.Done, reverted.err);
+  assert.match(reverted.out, "-> 15000");
+  const same = await runOnTable("settings", "diff", "1", String(newest + 1));
+  assert.match(same.out, "0 differences");
+  const unknown = await runOnTable("settings", "revert", "99", ...AUTHOR);
+  assert.is(unknown.exitCode, ExitCode.BadInput);
+});
+
+test("should merge what instances say, and name those silent", async () => {
+  await untilInForce();
+  const ids = [...fleet.instances.keys()].sort();
+  const status = await fleetStatus();
+  assert.equal(
+    status.instances.map((each: { instanceId: string }) => each.instanceId),
+    ids,
+  );
+  assert.equal(status.versions, [
+    { version: await version(), instanceIds: ids },
+  ]);
+  const one = await run(
+    ...["status", "--json", "--instance", fleet.callerAddresses[0]],
+    ...["--instance", UNUSED_ADDRESS],
+  );
+  const { instances, silent } = JSON.parse(one.out);
+  assert.is(instances.length, ids.length);
+  assert.is(silent[0].address, UNUSED_ADDRESS);
+  const lacking = await run(
+    ...["settings", "status", "--instance", UNUSED_ADDRESS],
+  );
+  assert.is(lacking.exitCode, ExitCode.Failed);
+});
+
+test("should tell the story of a request from all who had part", async () => {
+  const holders = ["njiro-hall-entry-1", "njiro-hall-entry-2"];
+  const tellers = new Set<string>();
+  for (const holder of holders) {
+    const { requestId, targetId } = await sendTo(holder);
+    const ran = await runOnFleet("why", requestId, "--json");
+    assert.is(ran.exitCode, ExitCode.Done, ran.out);
+    const story = JSON.parse(ran.out);
+    assert.is(story.holderId, holder);
+    assert.is(story.holder.outcome.targetId, targetId);
+    const steps: { instanceId: string; text: string }[] = story.steps;
+    assert.match(steps[0].text, "Received");
+    assert.match(steps.at(-1)!.text, "Answered");
+    tellers.add([...new Set(steps.map((step) => step.instanceId))].join());
+  }
+  assert.ok([...tellers].some((ids) => ids.includes(",")), [...tellers].join());
+  const unknown = await runOnFleet("why", "no-such-request");
+  assert.is(unknown.exitCode, ExitCode.Failed);
+  const inPart = await runOnFleet("why", "none", "--instance", UNUSED_ADDRESS);
+  assert.is(inPart.exitCode, ExitCode.OutcomeUnknown);
+});
+
+test("should stream an answer and tell refusals", async () => {
+  const sent = await runOnFleet(
+    ...["send", ...POOL, "--tier", "urgent", "--stream"],
+    ...["--body", "Which blade? [output=3]"],
+  );
+  assert.is(sent.exitCode, ExitCode.Done, sent.err);
+  assert.match(sent.out, "Which blade?");
+  assert.match(sent.out, "3 tokens");
+  const refused = await runOnFleet(
+    ...["send", ...POOL, "--tier", "none", "--body", "x", "--stream"],
+  );
+  assert.is(refused.exitCode, ExitCode.BadInput);
+  assert.match(refused.err, "unknown_tier");
+  const unreachable = await run(
+    ...["send", ...POOL, "--tier", "urgent", "--body", "x"],
+    ...["--instance", UNUSED_ADDRESS],
+  );
+  assert.is(unreachable.exitCode, ExitCode.Failed);
+  assert.match(unreachable.err, "nothing was sent");
+});
+
+test("should send a load and count it", async () => {
+  const { exitCode, out } = await runOnFleet(
+    ...["load", "--standins", "--seconds", "1", "--rate", "8", "--json"],
+    ...["--mix", "season-plan=0", "--mix", "fault-note=0"],
+  );
+  assert.is(exitCode, ExitCode.Done, out);
+  const { rows, promisesBroken } = JSON.parse(out);
+  assert.equal(promisesBroken, []);
+  assert.ok(rows.length > 0);
+  for (const { sent, answered, refused } of rows) {
+    const refusals = Object.values<number>(refused);
+    assert.is(answered + refusals.reduce((sum, n) => sum + n, 0), sent);
+  }
+  const wrong = await runOnFleet("load", "--mix", "fee-question=1");
+  assert.is(wrong.exitCode, ExitCode.BadInput);
+});
+
+test("should give a drained target no new work until undone", async () => {
+  const drain = ["drain", "target", "msaidizi-1", ...AUTHOR];
+  const drained = await runOnTable(...drain);
+  assert.is(drained.exitCode, ExitCode.Done, drained.err);
+  await untilInForce();
+  const before = targetRuns("msaidizi-1");
+  for (const { instanceId } of (await fleetStatus()).instances) {
+    const { targetId } = await sendTo(instanceId);
+    assert.is.not(targetId, "msaidizi-1");
+  }
+  assert.is(targetRuns("msaidizi-1"), before);
+  const target = (await fleetStatus()).targets
+    .find((each: { targetId: string }) => each.targetId === "msaidizi-1");
+  assert.is(target.draining, true);
+  const base = await version();
+  const again = await runOnTable(...drain, "--json");
+  assert.is(JSON.parse(again.out).changed, false);
+  assert.is(await version(), base);
+  const undone = await runOnTable(...drain, "--undo");
+  assert.is(undone.exitCode, ExitCode.Done, undone.err);
+  const unknown = await runOnTable("drain", "target", "msaidzi-1", ...AUTHOR);
+  assert.is(unknown.exitCode, ExitCode.BadInput);
+});
+
+test("should drain an instance, also against racing operators", async () => {
+  const ids = ["tengeru-entry-1", "usa-river-entry-1"];
+  const ran = await Promise.all(
+    ids.map((id) => runOnTable("drain", "instance", id, ...AUTHOR)),
+  );
+  assert.equal(ran.map(({ exitCode }) => exitCode), [0, 0]);
+  await untilInForce();
+  const { instances } = await fleetStatus();
+  const notReady = instances
+    .filter((each: { ready: boolean }) => !each.ready)
+    .map((each: { instanceId: string }) => each.instanceId);
+  assert.equal(notReady, ids);
+});
+
+for (
+  const [targetId, checksFencing] of [
+    ["msaidizi-1", true],
+    ["msaidizi-2", false],
+  ] as const
+) {
+  test(`should order an engine, fencing checked: ${checksFencing}`, async () => {
+    const order = (value: string) =>
+      runOnTable("order", targetId, "load-adapter", value, ...AUTHOR, "--json");
+    const first = await order("mowing-1");
+    assert.is(first.exitCode, ExitCode.Done, first.out);
+    const second = JSON.parse((await order("mowing-2")).out);
+    assert.is(second.after.adapter, "mowing-2");
+    assert.is(second.checksFencing, checksFencing);
+    assert.is(second.fencingNumber, 2);
+    const engine = fleet.standins.engines.get(targetId)!.model;
+    assert.is(engine.state().lastOrderId, second.orderId);
+  });
+}
+
+test("should order engines only", async () => {
+  const service = await runOnTable(
+    ...["order", "kazi-desk-1", "set-role", "x", ...AUTHOR],
+  );
+  assert.is(service.exitCode, ExitCode.BadInput);
+});
+
+function targetRuns(targetId: string): number {
+  const { model } = fleet.standins.engines.get(targetId)!;
+  return model.counts.dispatchesByRequestId.size;
+}
+
+test.run();
