--- a/packages/daemon/src/caller_front.ts
+++ b/packages/daemon/src/caller_front.ts
@@ -225,13 +225,17 @@
         const exchange = { request: request as RoutedRequest, response };
         this.#boundDelivery(response);
         answerRead(handler, this.#options.reads, exchange).catch((error) =>
-          this.#onReadFault(response, error)
+          this.#onRouteFault(response, error)
         );
       });
     }
     return (request, response) => {
       this.#track(response);
-      routes.handler(request as polka.Request, response);
+      try {
+        routes.handler(request as polka.Request, response);
+      } catch (error) {
+        this.#onRouteFault(response, error);
+      }
     };
   }
 
@@ -403,8 +407,8 @@
     }));
   }
 
-  #onReadFault(response: ServerResponse, error: unknown): void {
-    this.#log(LogLevel.Error, `Could not answer a read: ${error}`);
+  #onRouteFault(response: ServerResponse, error: unknown): void {
+    this.#log(LogLevel.Error, `Could not answer a call: ${error}`);
     this.#refusePlainly(response, {
       error: ErrorKind.Internal,
       message: "This instance failed to answer.",
--- a/packages/daemon/src/caller_front_test.ts
+++ b/packages/daemon/src/caller_front_test.ts
@@ -72,10 +72,13 @@
   }
 
   async until(condition: () => boolean): Promise<void> {
-    for (let turn = 0; turn < MAX_TURNS && !condition(); turn++) {
+    for (let turn = 0; turn < MAX_TURNS; turn++) {
+      if (condition()) {
+        return;
+      }
       await nextTurn();
     }
-    assert.ok(condition(), "the condition never came to hold");
+    assert.unreachable("the condition never came to hold");
   }
 
   connect(): Socket {
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -42,6 +42,7 @@
   "target",
   "failureDomain",
   "call",
+  "fault",
 ] as const;
 
 const PREFIX = "chestnuthatch_";
--- a/tests/effect_lines.ts
+++ b/tests/effect_lines.ts
@@ -1,6 +1,6 @@
 /** Renders events and effects as stable lines of text. */
 
-import { hash32 } from "@chestnuthatch/core/coordinators";
+import { hash32 } from "@chestnuthatch/core/text_hash";
 import { type Effect, EffectKind } from "@chestnuthatch/core/effects";
 
 const MAX_TEXT_CHARACTERS = 400;
