Pace prompts, keep headroom in KV memory, hold a floor, learn rates by their weight

Rates were learned from prompts of a few tokens and from decodes slowed by other prompts, so targets counted as stragglers under load and lost slots. Shards that refused at different moments let lower tiers in between. Change: a target gets no further prompt while 250 ms of prompt work wait there; headroom counts for KV memory too; a shard that sheds a tier serves nothing below it for 2 s, tells the pool's other shards before it cancels a middle tier, and refusals count together only while fresh; prompts count for learning by their length, and what other prompts took is taken off a decode. Policies, targets of a shard and coordinated shards are looked up once a version. The test of a long ask passed by now lets the first prompts be read, since the new rule itself keeps a fourth prompt waiting.

--- a/packages/core/src/ask_flow.ts
+++ b/packages/core/src/ask_flow.ts
@@ -18,6 +18,7 @@
 import { endRequest } from "./outcomes.ts";
 import { noteStep } from "./refusals.ts";
 import { RequestState } from "./request.ts";
+import { FLOOR_MS } from "./shed_floor.ts";
 import { domainsToAsk } from "./shard_domains.ts";
 import { spreadRetryHint } from "./retry_hint.ts";
 
@@ -26,6 +27,9 @@
 /** A wait above this does, whatever was predicted. */
 const SPREAD_AFTER_MS = 100;
 
+/** Refusals of several domains count together while none is older. */
+const FRESH_REFUSAL_MS = FLOOR_MS * 0.75;
+
 /** Errors in the order in which they explain a refusal best. */
 const TELLING_ERRORS: readonly ErrorKind[] = [
   ErrorKind.Overloaded,
@@ -71,6 +75,7 @@
       error: ErrorKind.NoTarget,
       retryAfterMs: request.policy.retryAfterMs,
       reason: "no live coordinator",
+      atMs: turn.nowMs,
     };
     return;
   }
@@ -150,6 +155,7 @@
     error: message.error,
     retryAfterMs: message.retryAfterMs,
     reason: message.reason,
+    atMs: turn.nowMs,
   };
   noteStep(
     turn,
@@ -255,11 +261,27 @@
   const everyDomainRefused = domainsOf(turn, request).every((domain) =>
     request.asks.get(domain)?.state === AskState.Refused
   );
-  if (request.state === RequestState.Waiting && everyDomainRefused) {
+  if (request.state !== RequestState.Waiting || !everyDomainRefused) {
+    return;
+  }
+  const old = [...request.asks.values()].filter((ask) =>
+    isOldOverload(turn, ask)
+  );
+  if (old.length === 0 || request.deadlineAtMs <= turn.nowMs) {
     refuseForAsks(turn, request);
+    return;
+  }
+  for (const ask of old) {
+    askDomain(turn, request, ask.failureDomain);
   }
 }
 
+/** A refusal after which that domain may have begun to serve lower tiers. */
+function isOldOverload(turn: Turn, { refusal }: OutAsk): boolean {
+  return refusal?.error === ErrorKind.Overloaded &&
+    turn.nowMs - refusal.atMs > FRESH_REFUSAL_MS;
+}
+
 function refuseForAsks(turn: Turn, request: HeldRequest): void {
   const refusals = [...request.asks.values()].flatMap((ask) =>
     ask.refusal === undefined ? [] : [ask.refusal]
--- a/packages/core/src/ask_intake.ts
+++ b/packages/core/src/ask_intake.ts
@@ -10,6 +10,8 @@
 import { placeWaiting } from "./placement.ts";
 import { addWaiting, lanesOfTier } from "./shard_queue.ts";
 import { ShardView } from "./shard_view.ts";
+import { refuseOverloaded } from "./overload_refusal.ts";
+import { floorOf } from "./shed_floor.ts";
 import { refuseAtDoor, refuseUnservable } from "./shedding.ts";
 import { estimateWaitMs, NO_WORK } from "./wait_estimate.ts";
 
@@ -99,6 +101,10 @@
   if (waiting === undefined && refuseUnservable(view, ask)) {
     return;
   }
+  if (detail.tierRank > floorOf(view)) {
+    refuseOverloaded(view, ask, "work of a higher tier is being shed");
+    return;
+  }
   addWaiting(view.shard, ask);
   placeWaiting(view);
   const isWaiting = view.shard.waiting.has(detail.requestId);
--- a/packages/core/src/blackboard.ts
+++ b/packages/core/src/blackboard.ts
@@ -146,6 +146,12 @@
 /** Written by TargetController. */
 export interface TargetsSection {
   readonly byId: Map<string, Target>;
+  /** Shards that this instance coordinates, by one view and version. */
+  coordinated?: {
+    readonly viewNumber: number;
+    readonly settingsVersion: number;
+    readonly shardKeys: readonly string[];
+  };
 }
 
 /** State of one ask of one request at one shard's coordinator. */
@@ -165,7 +171,12 @@
   state: AskState;
   /** Coordinators that did not answer in time, skipped for this request. */
   readonly silentIds: Set<string>;
-  refusal?: { error: ErrorKind; retryAfterMs: number; reason: string };
+  refusal?: {
+    error: ErrorKind;
+    retryAfterMs: number;
+    reason: string;
+    atMs: number;
+  };
 }
 
 /** The one attempt of a request on a target. */
@@ -242,6 +253,9 @@
 /** Written by RequestController and its helpers. */
 export interface RequestsSection {
   readonly byId: Map<string, HeldRequest>;
+  /** Those of them that have no outcome yet. */
+  readonly unfinished: Map<string, HeldRequest>;
+  lastForgetAtMs: number;
   /** Request id by call id, for calls that joined another call's request. */
   readonly joined: Map<string, string>;
   /** Request id by workspace and idempotency key. */
@@ -321,6 +335,8 @@
   readonly prefillQueueMs: number;
   /** When its prompt is expected to be worked off. */
   readonly prefillEndMs: number;
+  /** All prompt work granted on the target so far, this one's included. */
+  readonly prefillGrantedMs: number;
   /** By how much the load then was expected to stretch its decode. */
   readonly loadFactor: number;
   /** When its holder was found gone; absent while the holder lives. */
@@ -366,6 +382,10 @@
   readonly failureDomain: string;
   readonly waiting: Map<string, WaitingAsk>;
   readonly grants: Map<string, GrantAccount>;
+  /** Below this tier nothing is served for a while. */
+  floor?: { tierRank: number; untilMs: number };
+  /** All prompt work ever granted, by target. */
+  readonly prefillGrantedMs: Map<string, number>;
   /** Work given to each workspace by tier, for fair shares, in cost units. */
   readonly served: Map<string, number>;
   /** Local time this instance became the coordinator. */
--- a/packages/core/src/capacity.ts
+++ b/packages/core/src/capacity.ts
@@ -20,6 +20,7 @@
   TooSmall = "cannot hold it even when empty",
   NoSlot = "no free slot for this tier",
   NoKvMemory = "no KV memory free for it",
+  PrefillBusy = "enough prompts wait there already",
   Kept = "room kept for another ask",
   TooLate = "would end after the deadline",
   NotSooner = "would not end sooner",
@@ -178,6 +179,17 @@
     return endMs - nowMs;
   }
 
+  /**
+   * Tells whether so much prompt work waits here that more should wait with
+   * the coordinator, where tiers are known.
+   *
+   * @param nowMs The local time.
+   * @returns True while nothing should be added.
+   */
+  isPrefillBusy(nowMs: number): boolean {
+    return this.prefillQueueMs(nowMs) > MAX_PREFILL_QUEUE_MS;
+  }
+
   #usedWithKept(need: Need): Usage {
     const used = { ...this.used };
     for (const kept of this.#keptFrom(need)) {
@@ -194,6 +206,13 @@
   }
 }
 
+/**
+ * Prompt work that may stand before new work on an engine. Engines know no
+ * tiers: what waits there, waits before every higher tier that comes later. It
+ * suffices to bridge the time until the next placement.
+ */
+const MAX_PREFILL_QUEUE_MS = 250;
+
 /**
  * Tells what would be missing for work on a target.
  *
@@ -211,7 +230,7 @@
     return PassedOver.NoSlot;
   }
   const bounded = room.kind === TargetKind.Engine;
-  return bounded && used.kvTokens + need.kvTokens > room.kvTotalTokens
+  return bounded && used.kvTokens + need.kvTokens > kvForTier(room, need)
     ? PassedOver.NoKvMemory
     : undefined;
 }
@@ -231,6 +250,15 @@
   return Math.min(slotsTotal, Math.max(1, slotsTotal - headroom));
 }
 
+/**
+ * Gives the KV memory that a tier may fill: all but its headroom, and always
+ * enough for one request that has the target to itself.
+ */
+function kvForTier(room: TargetRoom, need: Need): number {
+  const share = room.kvTotalTokens * (1 - need.headroomShare);
+  return Math.min(room.kvTotalTokens, Math.max(share, need.kvTokens));
+}
+
 function slotsTotalOf({ settings, target }: RoomSource): number {
   const reported = target?.load?.slotsTotal ?? settings.slots;
   const slots = Math.min(settings.slots, reported);
--- a/packages/core/src/coordinator_controller.ts
+++ b/packages/core/src/coordinator_controller.ts
@@ -33,6 +33,7 @@
 import { newShard } from "./shard_queue.ts";
 import { ShardView } from "./shard_view.ts";
 import { shedOverload } from "./shedding.ts";
+import { shedBelow } from "./urgent_asks.ts";
 
 /** An empty shard is kept this long after its last ask or report. */
 const IDLE_SHARD_MS = 30_000;
@@ -148,6 +149,8 @@
   [PeerMessageKind.GrantUsed]: onGrantUsed,
   [PeerMessageKind.GrantReturned]: onGrantReturned,
   [PeerMessageKind.WorkDone]: onWorkDone,
+  [PeerMessageKind.ShedBelow]: (view, { tierRank }) =>
+    shedBelow(view, tierRank),
   [PeerMessageKind.HolderReport]: (view, message, from) => {
     reconcileReport(view, message, from);
     placeWaiting(new ShardView(view.shard, view.settings, view.turn));
--- a/packages/core/src/grant_account.ts
+++ b/packages/core/src/grant_account.ts
@@ -98,10 +98,23 @@
     costMs: ask.costMs,
     prefillQueueMs: prediction.prefillQueueMs,
     prefillEndMs,
+    prefillGrantedMs: countPrefill(view, room.targetId, prediction.prefillMs),
     loadFactor: prediction.loadFactor,
   };
 }
 
+/** Adds to all the prompt work ever granted on a target; gives the sum. */
+function countPrefill(
+  view: ShardView,
+  targetId: string,
+  prefillMs: number,
+): number {
+  const { prefillGrantedMs } = view.shard;
+  const sumMs = (prefillGrantedMs.get(targetId) ?? 0) + prefillMs;
+  prefillGrantedMs.set(targetId, sumMs);
+  return sumMs;
+}
+
 /**
  * Sends a grant, for the first time or again.
  *
@@ -173,8 +186,13 @@
  *
  * @param view The shard.
  * @param grant The grant it runs under.
+ * @param forWhom Who needs the room, in words.
  */
-export function preemptGrant(view: ShardView, grant: GrantAccount): void {
+export function preemptGrant(
+  view: ShardView,
+  grant: GrantAccount,
+  forWhom: string,
+): void {
   const { requestId, grantId } = grant;
   grant.preempted = true;
   view.turn.send(grant.holderId, {
@@ -182,7 +200,11 @@
     requestId,
     grantId,
   });
-  view.turn.decide(requestId, DECIDED_BY, "Cancelled for a higher tier");
+  view.turn.decide(
+    requestId,
+    DECIDED_BY,
+    `Cancelled to make room for ${forWhom}`,
+  );
 }
 
 /**
--- a/packages/core/src/holder_reconcile.ts
+++ b/packages/core/src/holder_reconcile.ts
@@ -95,7 +95,7 @@
   grant.used = true;
   if (grant.preempted) {
     // The first order may have been lost; a second does no harm.
-    preemptGrant(view, grant);
+    preemptGrant(view, grant, "a higher tier, ordered again");
   }
 }
 
@@ -129,6 +129,7 @@
     costMs: 0,
     prefillQueueMs: 0,
     prefillEndMs: nowMs,
+    prefillGrantedMs: shard.prefillGrantedMs.get(work.targetId) ?? 0,
     loadFactor: 1,
   };
   shard.grants.set(work.grantId, grant);
--- a/packages/core/src/holder_report.ts
+++ b/packages/core/src/holder_report.ts
@@ -61,7 +61,7 @@
 
 function gatherReports(turn: Turn): Map<string, Report> {
   const reports = new Map<string, Report>();
-  for (const request of turn.board.requests.byId.values()) {
+  for (const request of turn.board.requests.unfinished.values()) {
     if (request.state === RequestState.Waiting) {
       addWaiting(reports, request);
     } else if (request.state === RequestState.Dispatched) {
--- a/packages/core/src/learned_rates.ts
+++ b/packages/core/src/learned_rates.ts
@@ -14,13 +14,34 @@
 /** Weight of a new sample in the long-term rates. */
 const LONG_TERM_WEIGHT = 0.02;
 /** Fewer tokens than this tell nothing of a rate. */
-const MIN_SAMPLE_TOKENS = 8;
+const MIN_OUTPUT_TOKENS = 8;
+const MIN_PROMPT_TOKENS = 256;
+/** A prompt this long counts in full; shorter ones count by their length. */
+const FULL_PROMPT_TOKENS = 2000;
+/** Share of a decode's speed that is lost while the engine reads a prompt. */
+const DECODE_LOST_TO_PREFILL = 0.5;
 /** Beyond this ratio to the long-term rate a sample hardly moves it. */
 const ODD_RATIO = 1.5;
 const ODD_SAMPLE_DAMPING = 0.1;
 /** Samples after which the long-term rates rest on more than the settings. */
 const SETTLED_SAMPLES = 20;
 
+/** What is known beside the report of the work. */
+export interface LearningContext {
+  readonly settings: TargetSettings;
+  readonly kind: TargetKind;
+  readonly grant?: GrantAccount;
+  /** All prompt work granted on the target so far. */
+  readonly prefillGrantedMs: number;
+}
+
+interface RateSample {
+  readonly sample: number;
+  /** How much it counts, from 0 to 1. */
+  readonly weight: number;
+}
+
+type RateSamples = Partial<Record<RateName, RateSample>>;
 type WorkDone = PeerMessageOf<PeerMessageKind.WorkDone>;
 type RateName = keyof TargetPace["longTerm"];
 
@@ -35,16 +56,16 @@
 export function learnFrom(
   target: Target,
   done: WorkDone,
-  by: { settings: TargetSettings; kind: TargetKind; grant?: GrantAccount },
+  by: LearningContext,
 ): boolean {
   const samples = by.kind === TargetKind.Service
     ? serviceSamples(done)
-    : engineSamples(done, by.grant);
+    : engineSamples(done, by);
   const names = Object.keys(samples) as RateName[];
   for (const name of names) {
     learnRate(target, paceOf(target, by.settings), {
       name,
-      sample: samples[name]!,
+      ...samples[name]!,
     });
   }
   target.rates.samples += names.length > 0 ? 1 : 0;
@@ -68,25 +89,37 @@
   return target.pace;
 }
 
-function serviceSamples(done: WorkDone): Partial<Record<RateName, number>> {
+function serviceSamples(done: WorkDone): RateSamples {
   const callMs = done.firstTokenMs + done.decodeMs;
-  return done.failed || callMs <= 0 ? {} : { callMs };
+  return done.failed || callMs <= 0
+    ? {}
+    : { callMs: { sample: callMs, weight: 1 } };
 }
 
 /** Rates of an idle target: what the load then added is taken off. */
 function engineSamples(
   done: WorkDone,
-  grant: GrantAccount | undefined,
-): Partial<Record<RateName, number>> {
-  const samples: Partial<Record<RateName, number>> = {};
+  { grant, prefillGrantedMs }: LearningContext,
+): RateSamples {
+  const samples: RateSamples = {};
   const uncachedTokens = done.promptTokens - done.cachedTokens;
   const prefillMs = done.firstTokenMs - (grant?.prefillQueueMs ?? 0);
-  if (uncachedTokens >= MIN_SAMPLE_TOKENS && prefillMs > 0) {
-    samples.prefillMsPerToken = prefillMs / uncachedTokens;
+  if (uncachedTokens >= MIN_PROMPT_TOKENS && prefillMs > 0) {
+    samples.prefillMsPerToken = {
+      sample: prefillMs / uncachedTokens,
+      weight: Math.min(1, uncachedTokens / FULL_PROMPT_TOKENS),
+    };
   }
-  if (done.outputTokens >= MIN_SAMPLE_TOKENS && done.decodeMs > 0) {
-    samples.decodeMsPerToken = done.decodeMs / done.outputTokens /
-      (grant?.loadFactor ?? 1);
+  if (done.outputTokens >= MIN_OUTPUT_TOKENS && done.decodeMs > 0) {
+    const otherPrefillMs = prefillGrantedMs -
+      (grant?.prefillGrantedMs ?? prefillGrantedMs);
+    const lostMs = DECODE_LOST_TO_PREFILL *
+      Math.min(otherPrefillMs, done.decodeMs);
+    samples.decodeMsPerToken = {
+      sample: (done.decodeMs - lostMs) / done.outputTokens /
+        (grant?.loadFactor ?? 1),
+      weight: 1,
+    };
   }
   return samples;
 }
@@ -94,14 +127,14 @@
 function learnRate(
   { rates }: Target,
   { longTerm }: TargetPace,
-  { name, sample }: { name: RateName; sample: number },
+  { name, sample, weight }: RateSample & { name: RateName },
 ): void {
   // The first samples weigh more: settings only guess at a target's speed.
   const firstWeight = 1 / (rates.samples + 2);
   const isOdd = rates.samples >= SETTLED_SAMPLES &&
     sample > longTerm[name] * ODD_RATIO;
-  const recentWeight = Math.max(RECENT_WEIGHT, firstWeight);
-  const longTermWeight = Math.max(LONG_TERM_WEIGHT, firstWeight) *
+  const recentWeight = Math.max(RECENT_WEIGHT, firstWeight) * weight;
+  const longTermWeight = Math.max(LONG_TERM_WEIGHT, firstWeight) * weight *
     (isOdd ? ODD_SAMPLE_DAMPING : 1);
   rates[name] += recentWeight * (sample - rates[name]);
   longTerm[name] += longTermWeight * (sample - longTerm[name]);
--- a/packages/core/src/outcomes.ts
+++ b/packages/core/src/outcomes.ts
@@ -22,6 +22,7 @@
 
 /** How long a finished request is kept for callers that ask again. */
 const KEEP_FINISHED_MS = 60_000;
+const FORGET_EVERY_MS = 1000;
 
 /**
  * Tells whether a request has its final outcome.
@@ -207,6 +208,10 @@
  */
 export function forgetOldRequests(turn: Turn): void {
   const { requests } = turn.board;
+  if (turn.nowMs - requests.lastForgetAtMs < FORGET_EVERY_MS) {
+    return;
+  }
+  requests.lastForgetAtMs = turn.nowMs;
   for (const request of requests.byId.values()) {
     const isOld = turn.nowMs - request.finishedAtMs >= KEEP_FINISHED_MS;
     if (isFinished(request) && isOld) {
@@ -326,7 +331,8 @@
 }
 
 function closeRequest(turn: Turn, request: HeldRequest): void {
-  const { openByScope } = turn.board.requests;
+  const { openByScope, unfinished } = turn.board.requests;
+  unfinished.delete(request.spec.requestId);
   const key = scopeKey(request.spec);
   const open = (openByScope.get(key) ?? 1) - 1;
   if (open > 0) {
--- a/packages/core/src/overload_refusal.ts
+++ b/packages/core/src/overload_refusal.ts
@@ -5,6 +5,7 @@
 import { refuseAsk } from "./grant_account.ts";
 import { spreadRetryHint } from "./retry_hint.ts";
 import { lanesOfTier, type QueuedWork } from "./shard_queue.ts";
+import { raiseFloor } from "./shed_floor.ts";
 import type { ShardView } from "./shard_view.ts";
 import { estimateWaitMs, NO_WORK } from "./wait_estimate.ts";
 
@@ -20,6 +21,7 @@
   ask: WaitingAsk,
   reason: string,
 ): void {
+  raiseFloor(view, ask.detail.tierRank);
   const { retryAfterMs } = view.policyOf(ask.detail);
   const backlogMs = estimateWaitMs(view, ask, backlogOf(view, ask));
   const hintMs = Number.isFinite(backlogMs) ? backlogMs : 0;
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -13,6 +13,7 @@
 import { openGrant } from "./grant_account.ts";
 import { keepReservedRooms, keepRoomWhenAged } from "./kept_room.ts";
 import { lanesOfTier, orderLane, waitingTiers } from "./shard_queue.ts";
+import { floorOf } from "./shed_floor.ts";
 import type { ShardView } from "./shard_view.ts";
 import { choosePlace } from "./target_choice.ts";
 
@@ -47,7 +48,7 @@
 
   placeAll(): void {
     for (const tierRank of waitingTiers(this.#view.shard)) {
-      if (!this.#hasFreeSlot()) {
+      if (!this.#hasRoom() || tierRank > floorOf(this.#view)) {
         return;
       }
       this.#placeTier(tierRank);
@@ -69,7 +70,7 @@
       next: 0,
       tried: 0,
     }));
-    while (cursors.length > 0 && this.#hasFreeSlot()) {
+    while (cursors.length > 0 && this.#hasRoom()) {
       const cursor = this.#nextCursor(cursors);
       if (!this.#placeNext(cursor)) {
         cursors.splice(cursors.indexOf(cursor), 1);
@@ -125,8 +126,10 @@
     return true;
   }
 
-  #hasFreeSlot(): boolean {
-    return this.#view.rooms.some((room) => room.hasFreeSlot);
+  #hasRoom(): boolean {
+    return this.#view.rooms.some((room) =>
+      room.hasFreeSlot && !room.isPrefillBusy(this.#view.nowMs)
+    );
   }
 
   #someoneWaitsForRoom(tierRank: number): boolean {
--- a/packages/core/src/placement_test.ts
+++ b/packages/core/src/placement_test.ts
@@ -87,6 +87,7 @@
   for (let i = 0; i < 3; i++) {
     fake.ask({ ...short, requestId: `before${i}` });
   }
+  fake.advance(300);
   fake.ask({ requestId: "long", promptTokens: 3500, value: 0.1 });
   fake.ask({ ...short, requestId: "short", promptTokens: 300 });
   assert.is(grantedIds(fake).at(-1), "short", "no head-of-line blocking");
--- a/packages/core/src/request_controller.ts
+++ b/packages/core/src/request_controller.ts
@@ -153,6 +153,7 @@
   const { spec } = request;
   const key = scopeKey(spec);
   requests.byId.set(spec.requestId, request);
+  requests.unfinished.set(spec.requestId, request);
   requests.openByScope.set(key, (requests.openByScope.get(key) ?? 0) + 1);
   if (spec.idempotencyKey !== undefined) {
     requests.byKey.set(
@@ -256,11 +257,9 @@
     return;
   }
   beat(turn);
-  for (const request of [...turn.board.requests.byId.values()]) {
-    if (!isFinished(request)) {
-      dropLateCallers(turn, request);
-      TEND_BY_STATE[request.state]?.(turn, request);
-    }
+  for (const request of [...turn.board.requests.unfinished.values()]) {
+    dropLateCallers(turn, request);
+    TEND_BY_STATE[request.state]?.(turn, request);
   }
   reportToCoordinators(turn);
   forgetOldRequests(turn);
@@ -288,14 +287,12 @@
 }
 
 function refuseWhatIsLeft(turn: Turn): void {
-  for (const request of [...turn.board.requests.byId.values()]) {
-    if (!isFinished(request)) {
-      endRequest(turn, request, {
-        error: ErrorKind.ShuttingDown,
-        ran: runStateOf(request),
-        message: "This instance had to stop before the answer was whole.",
-        retryAfterMs: request.policy.retryAfterMs,
-      });
-    }
+  for (const request of [...turn.board.requests.unfinished.values()]) {
+    endRequest(turn, request, {
+      error: ErrorKind.ShuttingDown,
+      ran: runStateOf(request),
+      message: "This instance had to stop before the answer was whole.",
+      retryAfterMs: request.policy.retryAfterMs,
+    });
   }
 }
--- a/packages/core/src/scheduler_core.ts
+++ b/packages/core/src/scheduler_core.ts
@@ -114,6 +114,8 @@
     targets: { byId: new Map() },
     requests: {
       byId: new Map(),
+      unfinished: new Map(),
+      lastForgetAtMs: -Infinity,
       joined: new Map(),
       byKey: new Map(),
       holderBeat: 0,
--- a/packages/core/src/shard_domains.ts
+++ b/packages/core/src/shard_domains.ts
@@ -2,8 +2,7 @@
 
 import type { SettingsInForce } from "@chestnuthatch/settings/policy";
 import type { SelfSection } from "./blackboard.ts";
-
-const byPoolOfSettings = new WeakMap<SettingsInForce, Map<string, string[]>>();
+import { domainsOfPool } from "./settings_index.ts";
 
 /**
  * Lists a pool's failure domains as one instance should ask them: its own
@@ -28,24 +27,3 @@
   return [...domainsOfPool(settings, pool)]
     .sort((a, b) => distance(a) - distance(b));
 }
-
-function domainsOfPool(settings: SettingsInForce, pool: string): string[] {
-  let byPool = byPoolOfSettings.get(settings);
-  if (byPool === undefined) {
-    byPool = indexDomains(settings);
-    byPoolOfSettings.set(settings, byPool);
-  }
-  return byPool.get(pool) ?? [];
-}
-
-function indexDomains(settings: SettingsInForce): Map<string, string[]> {
-  const byPool = new Map<string, string[]>();
-  for (const target of settings.targets.values()) {
-    const domains = byPool.get(target.pool) ?? [];
-    if (!domains.includes(target.failureDomain)) {
-      domains.push(target.failureDomain);
-    }
-    byPool.set(target.pool, domains);
-  }
-  return byPool;
-}
--- a/packages/core/src/shard_view.ts
+++ b/packages/core/src/shard_view.ts
@@ -6,9 +6,16 @@
 } from "@chestnuthatch/settings/policy";
 import type { AskDetail } from "@chestnuthatch/wire/peer_messages";
 import { TargetKind } from "@chestnuthatch/wire/work";
-import type { Blackboard, Shard, WaitingAsk } from "./blackboard.ts";
+import {
+  type Blackboard,
+  type GrantAccount,
+  type Shard,
+  shardKey,
+  type WaitingAsk,
+} from "./blackboard.ts";
 import { type Need, TargetRoom } from "./capacity.ts";
 import type { Turn } from "./controller.ts";
+import { policyOfRank, shardsOf } from "./settings_index.ts";
 import { type Prediction, predictService, priorRates } from "./work_cost.ts";
 
 /** Share of a grant's life within which its holder must have been heard. */
@@ -29,9 +36,8 @@
   readonly nowMs: number;
   readonly turn: Turn;
   readonly kind: TargetKind;
-  /** Rooms of all targets that the settings name, by target id. */
-  readonly rooms: readonly TargetRoom[];
   readonly #region: string;
+  #rooms?: readonly TargetRoom[];
 
   /**
    * @param shard The shard.
@@ -45,7 +51,12 @@
     this.nowMs = turn.nowMs;
     this.kind = settings.pools.get(shard.pool)?.kind ?? TargetKind.Engine;
     this.#region = settings.regionOfDomain.get(shard.failureDomain) ?? "";
-    this.rooms = readRooms(this, turn.board);
+  }
+
+  /** Rooms of all targets that the settings name, by target id. */
+  get rooms(): readonly TargetRoom[] {
+    this.#rooms ??= readRooms(this, this.turn.board);
+    return this.#rooms;
   }
 
   /** @returns Rooms of the targets that may get work at all. */
@@ -60,13 +71,9 @@
    * @returns The policy in the shard's region.
    */
   policyOf(owner: { workspace: string; tierRank: number }): TierPolicy {
-    const { tiers } = this.settings;
-    const tier = tiers[Math.min(owner.tierRank, tiers.length - 1)];
-    return this.settings.policyFor({
-      region: this.#region,
-      workspace: owner.workspace,
-      tier,
-    });
+    const { workspace, tierRank } = owner;
+    const region = this.#region;
+    return policyOfRank(this.settings, { region, workspace, tierRank });
   }
 
   /**
@@ -174,20 +181,25 @@
 
 function readRooms(view: ShardView, board: Blackboard): TargetRoom[] {
   const { shard, settings, kind } = view;
-  const grants = [...shard.grants.values()];
-  return [...settings.targets.values()]
-    .filter((target) =>
-      target.pool === shard.pool &&
-      target.failureDomain === shard.failureDomain
-    )
-    .sort((a, b) => a.id < b.id ? -1 : 1)
-    .map((target) =>
-      new TargetRoom({
-        settings: target,
-        kind,
-        target: board.targets.byId.get(target.id),
-        grants: grants.filter((grant) => grant.work.targetId === target.id),
-        ended: shard.ended.get(target.id) ?? [],
-      })
-    );
+  const grantsByTarget = new Map<string, GrantAccount[]>();
+  for (const grant of shard.grants.values()) {
+    const { targetId } = grant.work;
+    const grants = grantsByTarget.get(targetId);
+    if (grants === undefined) {
+      grantsByTarget.set(targetId, [grant]);
+    } else {
+      grants.push(grant);
+    }
+  }
+  const key = shardKey(shard.pool, shard.failureDomain);
+  const targets = shardsOf(settings).get(key)?.targets ?? [];
+  return targets.map((target) =>
+    new TargetRoom({
+      settings: target,
+      kind,
+      target: board.targets.byId.get(target.id),
+      grants: grantsByTarget.get(target.id) ?? [],
+      ended: shard.ended.get(target.id) ?? [],
+    })
+  );
 }
--- a/packages/core/src/straggler.ts
+++ b/packages/core/src/straggler.ts
@@ -5,9 +5,9 @@
 import { paceOf } from "./learned_rates.ts";
 
 /** A target this much slower than it should be is cut. */
-const CUT_ABOVE = 1.5;
+const CUT_ABOVE = 2;
 /** A target that is being cut is cut until it is less slow than this. */
-const RECOVERED_BELOW = 1.25;
+const RECOVERED_BELOW = 1.5;
 /** Smallest share of its slots left; at least one slot is left as a probe. */
 const MIN_SLOT_SHARE = 0.05;
 /** Share of its slots that comes back in a second. */
--- a/packages/core/src/target_choice.ts
+++ b/packages/core/src/target_choice.ts
@@ -75,6 +75,9 @@
   if (obstacle !== undefined && !isFilledIn) {
     return obstacle;
   }
+  if (room.isPrefillBusy(view.nowMs)) {
+    return PassedOver.PrefillBusy;
+  }
   const { totalMs } = view.predict(room, ask.detail);
   return view.nowMs + totalMs > ask.deadlineAtMs
     ? PassedOver.TooLate
--- a/packages/core/src/target_controller.ts
+++ b/packages/core/src/target_controller.ts
@@ -12,7 +12,7 @@
 import { ListedKind } from "@chestnuthatch/wire/platform_protocol";
 import type { TargetLoad } from "@chestnuthatch/wire/work";
 import {
-  type GrantAccount,
+  type Shard,
   shardKey,
   type Target,
   TargetHealth,
@@ -181,7 +181,7 @@
   message: PeerMessageOf<PeerMessageKind.GrantReturned>,
   turn: Turn,
 ): void {
-  const grant = grantNamed(turn, message);
+  const grant = shardOf(turn, message)?.grants.get(message.grantId);
   const target = grant && turn.board.targets.byId.get(grant.work.targetId);
   if (message.targetUnreachable && target !== undefined) {
     suspend(turn, target, "it refused a connection");
@@ -200,7 +200,9 @@
     learnFrom(target, message, {
       settings: settings!,
       kind: pool.kind,
-      grant: grantNamed(turn, message),
+      grant: shardOf(turn, message)?.grants.get(message.grantId),
+      prefillGrantedMs: shardOf(turn, message)?.prefillGrantedMs
+        .get(message.targetId) ?? 0,
     });
   }
 }
@@ -226,11 +228,10 @@
   }
 }
 
-function grantNamed(
+function shardOf(
   turn: Turn,
-  message: { pool: string; failureDomain: string; grantId: string },
-): GrantAccount | undefined {
-  return turn.board.shards.byKey
-    .get(shardKey(message.pool, message.failureDomain))
-    ?.grants.get(message.grantId);
+  message: { pool: string; failureDomain: string },
+): Shard | undefined {
+  const key = shardKey(message.pool, message.failureDomain);
+  return turn.board.shards.byKey.get(key);
 }
--- a/packages/core/src/target_polls.ts
+++ b/packages/core/src/target_polls.ts
@@ -9,6 +9,7 @@
 import type { Turn } from "./controller.ts";
 import { rankCoordinators } from "./coordinators.ts";
 import { EffectKind } from "./effects.ts";
+import { shardsOf } from "./settings_index.ts";
 
 /** How often the cache events of an engine are read. */
 const CACHE_POLL_MS = 3000;
@@ -106,19 +107,36 @@
 
 /** Shards that this instance coordinates, or was asked to serve. */
 function servedShards(turn: Turn, settings: SettingsInForce): Set<string> {
+  return new Set([
+    ...turn.board.shards.byKey.keys(),
+    ...coordinatedShards(turn, settings),
+  ]);
+}
+
+/** Ranked anew only when the members or the settings have changed. */
+function coordinatedShards(
+  turn: Turn,
+  settings: SettingsInForce,
+): readonly string[] {
   const { board, nowMs } = turn;
-  const served = new Set(board.shards.byKey.keys());
-  const seen = new Set<string>();
-  for (const { pool, failureDomain } of settings.targets.values()) {
-    const key = shardKey(pool, failureDomain);
-    if (seen.has(key)) {
-      continue;
-    }
-    seen.add(key);
-    const [rightful] = rankCoordinators(board, { key, failureDomain }, nowMs);
-    if (rightful?.instanceId === board.self.instanceId) {
-      served.add(key);
-    }
+  const { viewNumber } = board.members;
+  const { coordinated } = board.targets;
+  if (
+    coordinated?.viewNumber === viewNumber &&
+    coordinated.settingsVersion === settings.version
+  ) {
+    return coordinated.shardKeys;
   }
-  return served;
+  const shardKeys = [...shardsOf(settings).values()]
+    .filter((shard) =>
+      rankCoordinators(board, shard, nowMs)[0]?.instanceId ===
+        board.self.instanceId
+    )
+    .map(({ key }) => key);
+  board.targets.coordinated = {
+    viewNumber,
+    settingsVersion: settings.version,
+    shardKeys,
+  };
+  return shardKeys;
 }
--- a/packages/core/src/urgent_asks.ts
+++ b/packages/core/src/urgent_asks.ts
@@ -6,6 +6,7 @@
 import type { WaitingAsk } from "./blackboard.ts";
 import { preemptGrant } from "./grant_account.ts";
 import { refuseOverloaded } from "./overload_refusal.ts";
+import { cancelBelow, tellOtherShards } from "./shed_floor.ts";
 import { highestTierOf, isPreemptible, RoomPlan } from "./preemption.ts";
 import { lanesOfTier, latestStartMs, waitingTiers } from "./shard_queue.ts";
 import type { ShardView } from "./shard_view.ts";
@@ -65,8 +66,9 @@
   const mayCancel = spareMs <= cancelMsOf(ask);
   const preemption = mayCancel ? plan.planVictims(ask) : undefined;
   if (preemption !== undefined) {
-    refuseLowerTiers(view, highestTierOf(preemption));
-    preemption.victims.forEach((grant) => preemptGrant(view, grant));
+    shedBelowEverywhere(view, highestTierOf(preemption));
+    const forWhom = describeAsk(ask);
+    preemption.victims.forEach((grant) => preemptGrant(view, grant, forWhom));
     ask.preemptedForAtMs = view.nowMs;
     ask.reservation = {
       targetId: preemption.room.targetId,
@@ -77,6 +79,10 @@
   }
 }
 
+function describeAsk({ detail }: WaitingAsk): string {
+  return `${detail.requestId} of tier ${detail.tierRank}`;
+}
+
 function awaitsCancelled(view: ShardView, ask: WaitingAsk): boolean {
   const sinceMs = view.nowMs - (ask.preemptedForAtMs ?? -Infinity);
   return sinceMs < PREEMPTION_PATIENCE_MS;
@@ -88,15 +94,27 @@
  */
 function refuseLate(view: ShardView, ask: WaitingAsk): void {
   const { tierRank } = ask.detail;
-  for (const grant of view.shard.grants.values()) {
-    if (isPreemptible(view, grant, tierRank)) {
-      preemptGrant(view, grant);
-    }
-  }
-  refuseLowerTiers(view, tierRank);
+  shedBelow(view, tierRank);
   refuseOverloaded(view, ask, "it can no longer end before its deadline");
 }
 
+/** Before work of a tier is cancelled, whatever is lower in reach gives way. */
+function shedBelowEverywhere(view: ShardView, tierRank: number): void {
+  shedBelow(view, tierRank);
+  tellOtherShards(view, tierRank);
+}
+
+/**
+ * Cancels and refuses what is below a tier, in this shard.
+ *
+ * @param view The shard.
+ * @param tierRank The tier whose work is shed somewhere in reach.
+ */
+export function shedBelow(view: ShardView, tierRank: number): void {
+  cancelBelow(view, tierRank);
+  refuseLowerTiers(view, tierRank);
+}
+
 /**
  * Refuses waiting asks below a tier, the lowest first; a tier below which
  * streams that may be cancelled still run is left waiting.
--- a/packages/wire/src/peer_messages.ts
+++ b/packages/wire/src/peer_messages.ts
@@ -22,6 +22,7 @@
   GrantUsed = "grant_used",
   WorkDone = "work_done",
   Preempt = "preempt",
+  ShedBelow = "shed_below",
   HolderReport = "holder_report",
   AsksUnknown = "asks_unknown",
   TargetsHeard = "targets_heard",
@@ -185,6 +186,14 @@
     kind: z.literal(PeerMessageKind.Preempt),
     ...grantRefSchema,
   }),
+  z.strictObject({
+    kind: z.literal(PeerMessageKind.ShedBelow),
+    pool: z.string(),
+    /** The domain whose shard is told. */
+    failureDomain: z.string(),
+    /** Tiers of a greater rank are not to be served for a while. */
+    tierRank: countSchema,
+  }),
   z.strictObject({
     kind: z.literal(PeerMessageKind.HolderReport),
     pool: z.string(),
