Tell truthfully of a key that could not be looked up; leave a margin at deadlines

Change: until its claim is held, a keyed request that must not run twice is refused as may_have_run, unless its caller states firstAttempt; refusals of keyed requests may be sent again under the same key. A grant after a wait needs room for a quarter more decode, and an ask whose expected wait is above 0.8 of its slack is refused early.

--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -38,19 +38,19 @@
 ): Admitted | RefusalCause {
   const settings = turn.board.settings.inForce;
   if (turn.board.self.leaving) {
-    return notRun(ErrorKind.ShuttingDown, {
+    return unread(spec, ErrorKind.ShuttingDown, {
       message: "This instance is shutting down; send the request to another.",
       retryAfterMs: 0,
     });
   }
   if (settings === undefined) {
-    return notRun(ErrorKind.NotReady, {
+    return unread(spec, ErrorKind.NotReady, {
       message: "This instance has no settings yet; try again shortly.",
       retryAfterMs: spreadRetryHint(turn, NOT_READY_RETRY_MS),
     });
   }
   if (settings.drainingInstances.has(turn.board.self.instanceId)) {
-    return notRun(ErrorKind.ShuttingDown, {
+    return unread(spec, ErrorKind.ShuttingDown, {
       message: "This instance is being drained; send the request to another.",
       retryAfterMs: 0,
     });
@@ -233,6 +233,32 @@
   });
 }
 
+/** Refuses before it is known whether the key of the request ran elsewhere. */
+function unread(
+  spec: RequestSpec,
+  error: ErrorKind,
+  rest: Omit<RefusalCause, "error" | "ran">,
+): RefusalCause {
+  const ran = runStateUnclaimed(spec, spec.idempotent ?? false);
+  return { error, ran, ...rest };
+}
+
+/**
+ * Tells what is known of a request that was refused without a claim.
+ *
+ * @param spec The request.
+ * @param idempotent Whether it may run twice.
+ * @returns Not run, but for a key that an earlier call may have run.
+ */
+export function runStateUnclaimed(
+  spec: RequestSpec,
+  idempotent: boolean,
+): RunState {
+  const keyInDoubt = !idempotent && spec.idempotencyKey !== undefined &&
+    !spec.firstAttempt;
+  return keyInDoubt ? RunState.MayHaveRun : RunState.NotRun;
+}
+
 function notRun(
   error: ErrorKind,
   rest: Omit<RefusalCause, "error" | "ran">,
--- a/packages/core/src/claim_flow.ts
+++ b/packages/core/src/claim_flow.ts
@@ -13,6 +13,7 @@
   deliverKeptAnswer,
   endRequest,
   keyName,
+  runStateOf,
 } from "./outcomes.ts";
 import { noteStep } from "./refusals.ts";
 import { RequestState } from "./request.ts";
@@ -173,9 +174,9 @@
 function refuseStoreAway(turn: Turn, request: HeldRequest): void {
   endRequest(turn, request, {
     error: ErrorKind.StoreUnavailable,
-    ran: RunState.NotRun,
+    ran: runStateOf(request),
     message:
-      "The platform's table did not confirm the claim that keeps this request from running twice.",
+      "The platform's table did not confirm the claim that keeps this request from running twice; this call was not run. Send it again with the same key.",
     retryAfterMs: spreadRetryHint(turn, request.policy.retryAfterMs),
   });
 }
--- a/packages/core/src/error_table.ts
+++ b/packages/core/src/error_table.ts
@@ -134,9 +134,9 @@
   },
   [ErrorKind.StoreUnavailable]: {
     httpStatus: 503,
-    defaultRun: RunState.NotRun,
+    defaultRun: RunState.MayHaveRun,
     mayRetry: true,
-    hint: "Send it again after the hint.",
+    hint: "Send it again under the same key after the hint.",
   },
   [ErrorKind.TargetFailed]: {
     httpStatus: 502,
--- a/packages/core/src/outcomes.ts
+++ b/packages/core/src/outcomes.ts
@@ -48,7 +48,7 @@
   cause: RefusalCause,
 ): void {
   withdrawAsks(turn, request);
-  if (cause.ran === RunState.NotRun) {
+  if (request.attempt === undefined || cause.ran === RunState.NotRun) {
     voidClaim(turn, request);
   }
   if (request.attempt !== undefined) {
@@ -161,14 +161,16 @@
 }
 
 /**
- * Tells truthfully whether a request ran.
+ * Tells truthfully whether a request ran. A request with a claim is its key:
+ * until the claim is ours, an earlier call at another instance may have run.
  *
  * @param request The request.
  * @returns What its callers may rely on now.
  */
 export function runStateOf(request: HeldRequest): RunState {
-  const inDoubt = request.attempt !== undefined ||
-    request.claim?.foundElsewhere !== undefined;
+  const { attempt, claim, spec } = request;
+  const keyInDoubt = claim !== undefined && !claim.held && !spec.firstAttempt;
+  const inDoubt = attempt !== undefined || keyInDoubt;
   return inDoubt ? RunState.MayHaveRun : RunState.NotRun;
 }
 
@@ -340,9 +342,10 @@
   } else {
     openByScope.delete(key);
   }
-  const ran = request.outcome?.refusal?.ran;
-  const mayRunAnew = ran === RunState.NotRun ||
-    (ran !== undefined && request.idempotent);
+  const refusal = request.outcome?.refusal;
+  const mayRunAnew = refusal !== undefined &&
+    (refusal.ran === RunState.NotRun || request.attempt === undefined ||
+      request.idempotent);
   if (mayRunAnew) {
     releaseKey(turn, request);
   }
--- a/packages/core/src/preemption.ts
+++ b/packages/core/src/preemption.ts
@@ -113,11 +113,11 @@
       nowMs,
       ...staying.map((grant) => grant.prefillEndMs),
     );
-    const { totalMs } = this.#view.predict(room, ask.detail, {
+    const { cautiousMs } = this.#view.predict(room, ask.detail, {
       prefillQueueMs: prefillEndMs - nowMs,
       utilization: then.used.slots / Math.max(1, room.slotsTotal),
     });
-    return nowMs + totalMs <= ask.deadlineAtMs;
+    return nowMs + cautiousMs <= ask.deadlineAtMs;
   }
 
   #addPromise(room: TargetRoom, need: Need): void {
--- a/packages/core/src/refusals.ts
+++ b/packages/core/src/refusals.ts
@@ -1,8 +1,9 @@
 /** Builds truthful refusals and ends requests. */
 
-import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
+import { type ErrorKind, RunState } from "@chestnuthatch/wire/work";
 import type { HeldRequest, WaitingCall } from "./blackboard.ts";
 import type { Turn } from "./controller.ts";
+import { ERROR_TABLE } from "./error_table.ts";
 import { CounterName, EffectKind } from "./effects.ts";
 import { type Refusal, RequestState } from "./request.ts";
 
@@ -15,24 +16,19 @@
   readonly retryAfterMs?: number;
 }
 
-/** Errors after which the same call, sent again, cannot fare better. */
-const FINAL_ERRORS: ReadonlySet<ErrorKind> = new Set([
-  ErrorKind.BadRequest,
-  ErrorKind.UnknownWorkspace,
-  ErrorKind.UnknownTier,
-  ErrorKind.UnknownPool,
-  ErrorKind.PromptTooLarge,
-  ErrorKind.KeyReusedDifferently,
-  ErrorKind.DeadlineUnreachable,
-]);
-
-/** Refuses a call that never became a request here. */
+/**
+ * Refuses a call that never became a request here.
+ *
+ * @param turn The turn it happens in.
+ * @param callId The call.
+ * @param cause Why it is refused.
+ */
 export function refuseCall(
   turn: Turn,
   callId: string,
   cause: RefusalCause,
 ): void {
-  emitRefusal(turn, callId, { cause, idempotent: true, callLog: [] });
+  emitRefusal(turn, callId, { cause, repeatable: true, callLog: [] });
 }
 
 /**
@@ -51,7 +47,7 @@
   turn.board.requests.joined.delete(options.call.callId);
   emitRefusal(turn, options.call.callId, {
     cause: options.cause,
-    idempotent: request.idempotent,
+    repeatable: isRepeatable(request),
     callLog: request.callLog,
   });
 }
@@ -76,7 +72,7 @@
   request.outcome = {
     refusal: makeRefusal(request.spec.requestId, {
       cause,
-      idempotent: request.idempotent,
+      repeatable: isRepeatable(request),
       callLog: request.callLog,
     }),
   };
@@ -98,10 +94,16 @@
 
 interface RefusalContext {
   readonly cause: RefusalCause;
-  readonly idempotent: boolean;
+  /** Whether the same call may be sent again without running twice. */
+  readonly repeatable: boolean;
   readonly callLog: readonly string[];
 }
 
+/** A key makes any request repeatable: a second call cannot run it again. */
+function isRepeatable(request: HeldRequest): boolean {
+  return request.idempotent || request.spec.idempotencyKey !== undefined;
+}
+
 function emitRefusal(turn: Turn, callId: string, of: RefusalContext): void {
   const refusal = makeRefusal(callId, of);
   turn.count(CounterName.Refusals, { error: refusal.error, ran: refusal.ran });
@@ -110,14 +112,14 @@
 
 function makeRefusal(requestId: string, of: RefusalContext): Refusal {
   const { cause } = of;
-  const safeToRepeat = cause.ran === RunState.NotRun || of.idempotent;
+  const safeToRepeat = cause.ran === RunState.NotRun || of.repeatable;
   return {
     requestId,
     error: cause.error,
     ran: cause.ran,
     message: cause.message,
     path: cause.path,
-    mayRetry: safeToRepeat && !FINAL_ERRORS.has(cause.error),
+    mayRetry: safeToRepeat && ERROR_TABLE[cause.error].mayRetry,
     retryAfterMs: cause.retryAfterMs,
     callLog: [...of.callLog],
   };
--- a/packages/core/src/request.ts
+++ b/packages/core/src/request.ts
@@ -25,6 +25,8 @@
   readonly deadlineMs?: number;
   readonly idempotent?: boolean;
   readonly idempotencyKey?: string;
+  /** The caller's word that no earlier call had this key. */
+  readonly firstAttempt?: boolean;
   readonly stream: boolean;
   /** Hash of everything that makes the request what it is. */
   readonly contentHash: string;
--- a/packages/core/src/request_controller.ts
+++ b/packages/core/src/request_controller.ts
@@ -7,6 +7,7 @@
   checkLimits,
   checkRequest,
   isRefusal,
+  runStateUnclaimed,
   scopeKey,
 } from "./admission.ts";
 import {
@@ -99,6 +100,7 @@
     refuseCall(turn, spec.requestId, admitted);
     return;
   }
+
   const known = requestOfKey(turn, spec);
   if (known !== undefined) {
     join(turn, known, { spec, deadlineMs: admitted.deadlineMs });
@@ -107,7 +109,8 @@
   const scope = { key: scopeKey(spec), policy: admitted.policy };
   const limited = checkLimits(turn, scope);
   if (limited !== undefined) {
-    refuseCall(turn, spec.requestId, limited);
+    const ran = runStateUnclaimed(spec, admitted.idempotent);
+    refuseCall(turn, spec.requestId, { ...limited, ran });
     return;
   }
   begin(turn, hold(turn, spec, admitted));
--- a/packages/core/src/shedding.ts
+++ b/packages/core/src/shedding.ts
@@ -24,9 +24,13 @@
 /** How often the whole queue is looked through for hopeless asks. */
 const QUEUE_CHECK_MS = 200;
 
-/** A predicted wait is clearly too long beyond the slack by this much. */
-const CLEAR_FACTOR = 1.25;
-const CLEAR_MARGIN_MS = 100;
+/**
+ * Share of its slack that an ask may be expected to wait. What waits longer is
+ * refused while the refusal is early, and what is served is not served at the
+ * last moment, when a slow answer would waste it.
+ */
+const MAX_WAIT_SHARE = 0.8;
+const WAIT_MARGIN_MS = 100;
 
 /**
  * Sheds what cannot be served, after everything was placed that could be.
@@ -123,7 +127,7 @@
   waitMs: number,
 ): boolean {
   const slackMs = Math.max(0, ask.deadlineAtMs - view.nowMs - ask.costMs);
-  if (waitMs <= slackMs * CLEAR_FACTOR + CLEAR_MARGIN_MS) {
+  if (waitMs <= slackMs * MAX_WAIT_SHARE + WAIT_MARGIN_MS) {
     return false;
   }
   const wait = Math.round(waitMs);
--- a/packages/core/src/target_choice.ts
+++ b/packages/core/src/target_choice.ts
@@ -8,6 +8,12 @@
 /** Targets passed over that a grant tells of. */
 const MAX_PASSED_OVER = 4;
 
+/**
+ * An ask this new gets a target that is only just fast enough: its deadline is
+ * its caller's choice, not the end of a long wait.
+ */
+const NEW_ASK_MS = 100;
+
 /** A target that was not chosen, for `why`. */
 export interface PassedOverTarget {
   readonly targetId: string;
@@ -78,10 +84,10 @@
   if (room.isPrefillBusy(view.nowMs)) {
     return PassedOver.PrefillBusy;
   }
-  const { totalMs } = view.predict(room, ask.detail);
-  return view.nowMs + totalMs > ask.deadlineAtMs
-    ? PassedOver.TooLate
-    : undefined;
+  const { totalMs, cautiousMs } = view.predict(room, ask.detail);
+  const hasWaited = view.nowMs - ask.arrivedAtMs > NEW_ASK_MS;
+  const endMs = view.nowMs + (hasWaited ? cautiousMs : totalMs);
+  return endMs > ask.deadlineAtMs ? PassedOver.TooLate : undefined;
 }
 
 function targetNotSooner(
--- a/packages/core/src/urgent_asks.ts
+++ b/packages/core/src/urgent_asks.ts
@@ -155,7 +155,7 @@
   let bestMs = Infinity;
   for (const room of view.rooms) {
     if (view.isPossible(room, ask)) {
-      bestMs = Math.min(bestMs, view.predict(room, ask.detail).totalMs);
+      bestMs = Math.min(bestMs, view.predict(room, ask.detail).cautiousMs);
     }
   }
   return ask.deadlineAtMs - view.nowMs - bestMs;
--- a/packages/core/src/work_cost.ts
+++ b/packages/core/src/work_cost.ts
@@ -7,6 +7,9 @@
 /** By how much a full target stretches a decode, over an idle one. */
 const DECODE_STRETCH_WHEN_FULL = 0.3;
 
+/** By how much a decode may well take longer than expected. */
+const DECODE_CAUTION = 1.25;
+
 const MS_PER_SECOND = 1000;
 
 /** What a prediction needs to know of the work. */
@@ -34,6 +37,8 @@
   readonly decodeMs: number;
   readonly loadFactor: number;
   readonly totalMs: number;
+  /** The total with a margin for longer answers and a busier target. */
+  readonly cautiousMs: number;
 }
 
 /**
@@ -52,6 +57,7 @@
       decodeMs: 0,
       loadFactor: 1,
       totalMs: rates.callMs,
+      cautiousMs: rates.callMs,
     };
   }
   const uncachedTokens = Math.max(0, work.promptTokens - work.cachedTokens);
@@ -65,6 +71,8 @@
     decodeMs,
     loadFactor,
     totalMs: speed.prefillQueueMs + prefillMs + decodeMs,
+    cautiousMs: speed.prefillQueueMs + prefillMs +
+      decodeMs * DECODE_CAUTION,
   };
 }
 
--- a/packages/daemon/src/caller_input.ts
+++ b/packages/daemon/src/caller_input.ts
@@ -36,6 +36,7 @@
   deadlineMs: "a whole number of milliseconds from 1 to 2^53 - 1",
   idempotent: "true or false",
   idempotencyKey: "a string of 1 to 200 characters",
+  firstAttempt: "true or false",
   stream: "true or false",
 };
 
--- a/packages/daemon/src/request_spec_of.ts
+++ b/packages/daemon/src/request_spec_of.ts
@@ -36,7 +36,12 @@
 
 // A cryptographic hash: two requests with one hash would share one answer.
 function contentHashOf(request: CallerRequest): string {
-  const { deadlineMs: _deadlineMs, stream: _stream, ...content } = request;
+  const {
+    deadlineMs: _deadlineMs,
+    stream: _stream,
+    firstAttempt: _firstAttempt,
+    ...content
+  } = request;
   const fields = Object.entries(content).sort(byName);
   return createHash("sha256").update(JSON.stringify(fields)).digest(
     "base64url",
--- a/packages/wire/src/caller_protocol.ts
+++ b/packages/wire/src/caller_protocol.ts
@@ -25,6 +25,8 @@
   /** False for work that must not run twice. */
   idempotent: z.boolean().optional(),
   idempotencyKey: z.string().min(1).max(200).optional(),
+  /** True where the caller has never sent this key before. */
+  firstAttempt: z.boolean().optional(),
   stream: z.boolean().optional(),
 });
 export type CallerRequest = z.infer<typeof callerRequestSchema>;
