--- a/packages/core/src/claim_flow.ts
+++ b/packages/core/src/claim_flow.ts
@@ -4,7 +4,7 @@
 import { startAsking } from "./ask_flow.ts";
 import type { HeldRequest } from "./blackboard.ts";
 import type { Turn } from "./controller.ts";
-import { isEligible } from "./coordinators.ts";
+import { isAlive } from "./coordinators.ts";
 import { EffectKind } from "./effects.ts";
 import { ClaimOutcome, type EventKind, type EventOf } from "./events.ts";
 import { readKeptAnswer } from "./kept_answer.ts";
@@ -95,7 +95,7 @@
   const holder = turn.board.members.byId.get(row.holderId);
   const holderLives = holder !== undefined &&
     holder.incarnation === row.holderIncarnation &&
-    isEligible(turn.board, holder, turn.nowMs);
+    isAlive(turn.board, holder, turn.nowMs);
   if (holderLives || event.unavailable) {
     request.claim!.lookAgainAtMs = turn.nowMs + LOOK_AGAIN_MS;
     return;
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -94,7 +94,12 @@
       readonly fromIncarnation: number;
       readonly message: PeerMessage;
     }
-    | { readonly kind: EventKind.PeerConnected; readonly peerId: string }
+    | {
+      readonly kind: EventKind.PeerConnected;
+      readonly peerId: string;
+      /** As the peer's handshake says, where the edge knows it. */
+      readonly failureDomain?: string;
+    }
     | { readonly kind: EventKind.PeerDisconnected; readonly peerId: string }
     | ({
       readonly kind: EventKind.DispatchNotSent;
--- a/packages/core/src/membership_controller.ts
+++ b/packages/core/src/membership_controller.ts
@@ -59,7 +59,7 @@
 
 const OWN_HANDLERS: EventHandlers = {
   [EventKind.Tick]: (_event, turn) => onTick(turn),
-  [EventKind.PeerConnected]: ({ peerId }, turn) => onConnected(turn, peerId),
+  [EventKind.PeerConnected]: onConnected,
   [EventKind.PeerDisconnected]: ({ peerId }, turn) =>
     onDisconnected(turn, peerId),
   [EventKind.PeerMessageReceived]: onMessage,
@@ -97,14 +97,20 @@
   turn.emit({ kind: EffectKind.PollInstanceList });
 }
 
-function onConnected(turn: Turn, peerId: string): void {
+function onConnected(
+  event: EventOf<EventKind.PeerConnected>,
+  turn: Turn,
+): void {
+  const { peerId } = event;
+  const failureDomain = event.failureDomain ?? "";
   const member = ensureMember(turn.board, {
     instanceId: peerId,
-    failureDomain: "",
+    failureDomain,
     address: "",
   });
   if (member !== undefined) {
     member.connected = true;
+    member.failureDomain ||= failureDomain;
     sendHeartbeat(turn, peerId);
     refreshView(turn);
   }
--- a/packages/core/src/outcomes.ts
+++ b/packages/core/src/outcomes.ts
@@ -112,11 +112,17 @@
  * Answers one call, in the words of that call.
  *
  * @param turn The turn it happens in.
- * @param callId The call.
- * @param answer The answer to the request it joined.
+ * @param request The request that the call joined.
+ * @param options The call, and the request's answer.
  */
-export function answerCall(turn: Turn, callId: string, answer: Answer): void {
-  turn.count(CounterName.Answers);
+export function answerCall(
+  turn: Turn,
+  request: HeldRequest,
+  options: { callId: string; answer: Answer },
+): void {
+  const { callId, answer } = options;
+  const { tier, workspace } = request.spec;
+  turn.count(CounterName.Answers, { tier, workspace });
   turn.emit({
     kind: EffectKind.AnswerCaller,
     requestId: callId,
@@ -250,7 +256,7 @@
 
 function answerCalls(turn: Turn, request: HeldRequest, answer: Answer): void {
   for (const callId of request.calls.keys()) {
-    answerCall(turn, callId, answer);
+    answerCall(turn, request, { callId, answer });
     turn.board.requests.joined.delete(callId);
   }
   request.calls.clear();
--- a/packages/core/src/refusals.ts
+++ b/packages/core/src/refusals.ts
@@ -48,6 +48,7 @@
   emitRefusal(turn, options.call.callId, {
     cause: options.cause,
     repeatable: isRepeatable(request),
+    tier: request.spec.tier,
     callLog: request.callLog,
   });
 }
@@ -96,6 +97,8 @@
   readonly cause: RefusalCause;
   /** Whether the same call may be sent again without running twice. */
   readonly repeatable: boolean;
+  /** Name of the tier, where the request was held. */
+  readonly tier?: string;
   readonly callLog: readonly string[];
 }
 
@@ -106,7 +109,11 @@
 
 function emitRefusal(turn: Turn, callId: string, of: RefusalContext): void {
   const refusal = makeRefusal(callId, of);
-  turn.count(CounterName.Refusals, { error: refusal.error, ran: refusal.ran });
+  turn.count(CounterName.Refusals, {
+    error: refusal.error,
+    ran: refusal.ran,
+    tier: of.tier ?? "",
+  });
   turn.emit({ kind: EffectKind.RefuseCaller, requestId: callId, refusal });
 }
 
--- a/packages/core/src/request_controller.ts
+++ b/packages/core/src/request_controller.ts
@@ -94,8 +94,12 @@
 }
 
 function arrive(spec: RequestSpec, turn: Turn): void {
-  turn.count(CounterName.RequestsReceived);
   const admitted = checkRequest(turn, spec);
+  const { tier, workspace } = spec;
+  turn.count(
+    CounterName.RequestsReceived,
+    isRefusal(admitted) ? {} : { tier, workspace },
+  );
   if (isRefusal(admitted)) {
     refuseCall(turn, spec.requestId, admitted);
     return;
@@ -211,7 +215,7 @@
   }
   const { answer, refusal } = request.outcome!;
   if (answer !== undefined) {
-    answerCall(turn, callId, answer);
+    answerCall(turn, request, { callId, answer });
     return;
   }
   refuseCall(turn, callId, refusal!);
--- a/packages/daemon/src/peer_links.ts
+++ b/packages/daemon/src/peer_links.ts
@@ -208,12 +208,17 @@
 
   /** Takes in a connection whose handshake is done. @inheritDoc */
   opened(connection: PeerConnection): void {
-    const peerId = connection.peer?.instanceId;
-    if (peerId === undefined) return;
+    const { peer } = connection;
+    if (peer === null) return;
+    const { instanceId: peerId, failureDomain } = peer;
     const isFirst = this.#registry.add(connection);
     this.#diallers.get(peerId)?.linkUp();
     if (isFirst) {
-      this.#context.emit({ kind: EventKind.PeerConnected, peerId });
+      this.#context.emit({
+        kind: EventKind.PeerConnected,
+        peerId,
+        failureDomain,
+      });
     }
     this.#registry.retireRedundant(connection);
   }
