Watch and poll only the targets of coordinated shards

Cause: every tick looked at every target of the settings, so a node's cost rose with the fleet's targets. Change: polls and pace go by the shards served here.

--- a/packages/core/src/target_polls.ts
+++ b/packages/core/src/target_polls.ts
@@ -28,20 +28,31 @@
   if (settings === undefined) {
     return;
   }
-  const served = servedShards(turn, settings);
-  for (const targetSettings of settings.targets.values()) {
-    const target = turn.board.targets.byId.get(targetSettings.id);
-    const key = shardKey(targetSettings.pool, targetSettings.failureDomain);
-    if (target !== undefined && served.has(key)) {
-      pollLoadWhenDue(turn, target, targetSettings);
-      const { kind } = settings.pools.get(targetSettings.pool)!;
-      if (affinity && kind === TargetKind.Engine) {
-        pollCacheWhenDue(turn, target, targetSettings);
-      }
+  for (const key of servedShards(turn, settings)) {
+    const shard = shardsOf(settings).get(key);
+    const kind = settings.pools.get(shard?.pool ?? "")?.kind;
+    const wantsCache = affinity && kind === TargetKind.Engine;
+    for (const targetSettings of shard?.targets ?? []) {
+      pollWhenDue(turn, targetSettings, wantsCache);
     }
   }
 }
 
+function pollWhenDue(
+  turn: Turn,
+  settings: TargetSettings,
+  wantsCache: boolean,
+): void {
+  const target = turn.board.targets.byId.get(settings.id);
+  if (target === undefined) {
+    return;
+  }
+  pollLoadWhenDue(turn, target, settings);
+  if (wantsCache) {
+    pollCacheWhenDue(turn, target, settings);
+  }
+}
+
 /**
  * Polls at once the targets of a shard that were never polled.
  *
@@ -53,13 +64,11 @@
   shard: { pool: string; failureDomain: string },
 ): void {
   const settings = turn.board.settings.inForce;
-  for (const targetSettings of settings?.targets.values() ?? []) {
+  const key = shardKey(shard.pool, shard.failureDomain);
+  const targets = settings && shardsOf(settings).get(key)?.targets;
+  for (const targetSettings of targets ?? []) {
     const target = turn.board.targets.byId.get(targetSettings.id);
-    if (
-      target !== undefined && target.lastPollAtMs === -Infinity &&
-      targetSettings.pool === shard.pool &&
-      targetSettings.failureDomain === shard.failureDomain
-    ) {
+    if (target !== undefined && target.lastPollAtMs === -Infinity) {
       pollLoad(turn, target, targetSettings);
     }
   }
