Tell coordinators when a prompt was read; learn answers by size and decodes by stretch

Decodes slow down while prompts are read, which no prediction knew. Change: holders tell prompt_read; a short prompt may wait behind the one being read, up to 800 ms; answers are learned by size classes too; predictions stretch decodes by what prompts lately cost. A call with firstAttempt whose claim is found held elsewhere is refused as may_have_run (it was not_run).

--- a/packages/core/src/blackboard.ts
+++ b/packages/core/src/blackboard.ts
@@ -93,6 +93,8 @@
   prefillMsPerToken: number;
   decodeMsPerToken: number;
   callMs: number;
+  /** By how much reading other prompts has lately stretched decodes. */
+  decodeStretch: number;
   samples: number;
   /** Recent over long-term time; 1 is normal, above 1 is slower. */
   slowdown: number;
@@ -187,6 +189,8 @@
   readonly coordinatorId: string;
   readonly failureDomain: string;
   readonly sentAtMs: number;
+  /** Whether the target has begun its answer. */
+  promptRead: boolean;
   firstTokenAtMs: number;
   cachedTokens: number;
   readonly pieces: string[];
@@ -333,8 +337,10 @@
   readonly costMs: number;
   /** Prompt work that stood before its own on the target when granted. */
   readonly prefillQueueMs: number;
-  /** When its prompt is expected to be worked off. */
-  readonly prefillEndMs: number;
+  /** Time that its own prompt was predicted to take. */
+  readonly prefillMs: number;
+  /** Whether its holder has told that its prompt was read. */
+  promptRead: boolean;
   /** All prompt work granted on the target so far, this one's included. */
   readonly prefillGrantedMs: number;
   /** By how much the load then was expected to stretch its decode. */
@@ -384,6 +390,8 @@
   readonly grants: Map<string, GrantAccount>;
   /** Below this tier nothing is served for a while. */
   floor?: { tierRank: number; untilMs: number };
+  /** When a prompt was last heard to have been read, by target. */
+  readonly lastReadAtMs: Map<string, number>;
   /** All prompt work ever granted, by target. */
   readonly prefillGrantedMs: Map<string, number>;
   /** Work given to each workspace by tier, for fair shares, in cost units. */
--- a/packages/core/src/capacity.ts
+++ b/packages/core/src/capacity.ts
@@ -8,6 +8,7 @@
   type RoomSource,
   type Usage,
 } from "./target_usage.ts";
+import { type PrefillQueue, prefillQueueOf } from "./prefill_queue.ts";
 
 /** Why a target gets nothing, or not this ask. Shown by `why`. */
 export enum PassedOver {
@@ -48,6 +49,8 @@
   readonly kind: TargetKind;
   readonly target: Target | undefined;
   readonly grants: GrantAccount[];
+  /** When a prompt was last heard to have been read here. */
+  readonly lastReadAtMs: number;
   readonly slotsTotal: number;
   readonly kvTotalTokens: number;
   readonly used: Usage;
@@ -60,6 +63,7 @@
     this.kind = source.kind;
     this.target = source.target;
     this.grants = [...source.grants];
+    this.lastReadAtMs = source.lastReadAtMs;
     this.slotsTotal = slotsTotalOf(source);
     this.kvTotalTokens = kvTotalOf(source);
     this.used = reconciledUsage(source);
@@ -172,22 +176,28 @@
    * @returns A duration in milliseconds.
    */
   prefillQueueMs(nowMs: number): number {
-    let endMs = nowMs;
-    for (const grant of this.grants) {
-      endMs = Math.max(endMs, grant.prefillEndMs);
-    }
-    return endMs - nowMs;
+    return this.#prefillQueue(nowMs).totalMs;
   }
 
   /**
    * Tells whether so much prompt work waits here that more should wait with
-   * the coordinator, where tiers are known.
+   * the coordinator, where tiers are known. A short prompt may wait behind the
+   * one being read, since it holds up nobody.
    *
    * @param nowMs The local time.
-   * @returns True while nothing should be added.
+   * @param prefillMs Time that the prompt in question takes.
+   * @returns True while it should not be added.
    */
-  isPrefillBusy(nowMs: number): boolean {
-    return this.prefillQueueMs(nowMs) > MAX_PREFILL_QUEUE_MS;
+  isPrefillBusy(nowMs: number, prefillMs: number): boolean {
+    const { totalMs, notBegunMs } = this.#prefillQueue(nowMs);
+    return totalMs > MAX_WAIT_BEHIND_MS ||
+      (totalMs > MAX_PREFILL_QUEUE_MS &&
+        notBegunMs + prefillMs > MAX_PREFILL_QUEUE_MS);
+  }
+
+  #prefillQueue(nowMs: number): PrefillQueue {
+    const { lastReadAtMs } = this;
+    return prefillQueueOf(this.grants, { nowMs, lastReadAtMs });
   }
 
   #usedWithKept(need: Need): Usage {
@@ -213,6 +223,9 @@
  */
 const MAX_PREFILL_QUEUE_MS = 250;
 
+/** A short prompt does not wait behind one that takes longer than this. */
+const MAX_WAIT_BEHIND_MS = 800;
+
 /**
  * Tells what would be missing for work on a target.
  *
--- a/packages/core/src/capacity_test.ts
+++ b/packages/core/src/capacity_test.ts
@@ -23,6 +23,7 @@
     target,
     grants: grants as unknown as GrantAccount[],
     ended,
+    lastReadAtMs: -Infinity,
   });
 }
 
--- a/packages/core/src/coordinator_controller.ts
+++ b/packages/core/src/coordinator_controller.ts
@@ -148,6 +148,7 @@
   [PeerMessageKind.AskWithdrawn]: onAskWithdrawn,
   [PeerMessageKind.GrantUsed]: onGrantUsed,
   [PeerMessageKind.GrantReturned]: onGrantReturned,
+  [PeerMessageKind.PromptRead]: onPromptRead,
   [PeerMessageKind.WorkDone]: onWorkDone,
   [PeerMessageKind.ShedBelow]: (view, { tierRank }) =>
     shedBelow(view, tierRank),
@@ -190,6 +191,20 @@
   }
 }
 
+function onPromptRead(
+  view: ShardView,
+  { grantId }: PeerMessageOf<PeerMessageKind.PromptRead>,
+): void {
+  const { shard, nowMs } = view;
+  const grant = shard.grants.get(grantId);
+  if (grant === undefined || grant.promptRead) {
+    return;
+  }
+  grant.promptRead = true;
+  shard.lastReadAtMs.set(grant.work.targetId, nowMs);
+  placeWaiting(view);
+}
+
 function onWorkDone(
   view: ShardView,
   message: PeerMessageOf<PeerMessageKind.WorkDone>,
--- a/packages/core/src/dispatch_flow.ts
+++ b/packages/core/src/dispatch_flow.ts
@@ -137,6 +137,7 @@
     coordinatorId,
     failureDomain: grant.failureDomain,
     sentAtMs: turn.nowMs,
+    promptRead: false,
     firstTokenAtMs: 0,
     cachedTokens: 0,
     pieces: [],
--- a/packages/core/src/grant_account.ts
+++ b/packages/core/src/grant_account.ts
@@ -68,8 +68,6 @@
   grantId: string,
 ): GrantAccount {
   const { detail } = ask;
-  const prefillEndMs = view.nowMs + prediction.prefillQueueMs +
-    prediction.prefillMs;
   return {
     grantId,
     requestId: detail.requestId,
@@ -97,7 +95,8 @@
     listedBeat: -1,
     costMs: ask.costMs,
     prefillQueueMs: prediction.prefillQueueMs,
-    prefillEndMs,
+    prefillMs: prediction.prefillMs,
+    promptRead: false,
     prefillGrantedMs: countPrefill(view, room.targetId, prediction.prefillMs),
     loadFactor: prediction.loadFactor,
   };
--- a/packages/core/src/holder_reconcile.ts
+++ b/packages/core/src/holder_reconcile.ts
@@ -128,7 +128,8 @@
     listedBeat: word.beat,
     costMs: 0,
     prefillQueueMs: 0,
-    prefillEndMs: nowMs,
+    prefillMs: 0,
+    promptRead: true,
     prefillGrantedMs: shard.prefillGrantedMs.get(work.targetId) ?? 0,
     loadFactor: 1,
   };
--- a/packages/core/src/learned_rates.ts
+++ b/packages/core/src/learned_rates.ts
@@ -58,9 +58,13 @@
   done: WorkDone,
   by: LearningContext,
 ): boolean {
+  const otherPrefillMs = by.grant === undefined
+    ? 0
+    : by.prefillGrantedMs - by.grant.prefillGrantedMs;
   const samples = by.kind === TargetKind.Service
     ? serviceSamples(done)
-    : engineSamples(done, by);
+    : engineSamples(done, by.grant, otherPrefillMs);
+  learnStretch(target, done, otherPrefillMs);
   const names = Object.keys(samples) as RateName[];
   for (const name of names) {
     learnRate(target, paceOf(target, by.settings), {
@@ -99,7 +103,8 @@
 /** Rates of an idle target: what the load then added is taken off. */
 function engineSamples(
   done: WorkDone,
-  { grant, prefillGrantedMs }: LearningContext,
+  grant: GrantAccount | undefined,
+  otherPrefillMs: number,
 ): RateSamples {
   const samples: RateSamples = {};
   const uncachedTokens = done.promptTokens - done.cachedTokens;
@@ -111,10 +116,7 @@
     };
   }
   if (done.outputTokens >= MIN_OUTPUT_TOKENS && done.decodeMs > 0) {
-    const otherPrefillMs = prefillGrantedMs -
-      (grant?.prefillGrantedMs ?? prefillGrantedMs);
-    const lostMs = DECODE_LOST_TO_PREFILL *
-      Math.min(otherPrefillMs, done.decodeMs);
+    const lostMs = lostDecodeMs(done, otherPrefillMs);
     samples.decodeMsPerToken = {
       sample: (done.decodeMs - lostMs) / done.outputTokens /
         (grant?.loadFactor ?? 1),
@@ -124,6 +126,23 @@
   return samples;
 }
 
+function lostDecodeMs(done: WorkDone, otherPrefillMs: number): number {
+  return DECODE_LOST_TO_PREFILL * Math.min(otherPrefillMs, done.decodeMs);
+}
+
+/** Learns how much longer decodes take for the prompts read beside them. */
+function learnStretch(
+  { rates }: Target,
+  done: WorkDone,
+  otherPrefillMs: number,
+): void {
+  if (done.outputTokens >= MIN_OUTPUT_TOKENS && done.decodeMs > 0) {
+    const ownMs = done.decodeMs - lostDecodeMs(done, otherPrefillMs);
+    const sample = done.decodeMs / ownMs;
+    rates.decodeStretch += RECENT_WEIGHT * (sample - rates.decodeStretch);
+  }
+}
+
 function learnRate(
   { rates }: Target,
   { longTerm }: TargetPace,
--- a/packages/core/src/outcomes.ts
+++ b/packages/core/src/outcomes.ts
@@ -87,7 +87,11 @@
   answerCalls(turn, request, answer);
   keepAnswer(turn, request, answer);
   reportWorkDone(turn, request, false);
-  learnOutputLength(turn.board.requests, request.spec, answer.outputTokens);
+  learnOutputLength(
+    turn.board.requests,
+    { ...request.spec, maxOutputTokens: request.maxOutputTokens },
+    answer.outputTokens,
+  );
   closeRequest(turn, request);
 }
 
@@ -175,7 +179,8 @@
  */
 export function runStateOf(request: HeldRequest): RunState {
   const { attempt, claim, spec } = request;
-  const keyInDoubt = claim !== undefined && !claim.held && !spec.firstAttempt;
+  const keyInDoubt = claim !== undefined && !claim.held &&
+    (!spec.firstAttempt || claim.foundElsewhere !== undefined);
   const inDoubt = attempt !== undefined || keyInDoubt;
   return inDoubt ? RunState.MayHaveRun : RunState.NotRun;
 }
--- a/packages/core/src/output_length.ts
+++ b/packages/core/src/output_length.ts
@@ -1,4 +1,8 @@
-/** Learns how long answers are, by workspace, tier and pool. */
+/**
+ * Learns how long answers are: by workspace, tier and pool, and by the size of
+ * the prompt and of the answer asked for, since one tier may hold short
+ * questions and long documents.
+ */
 
 import type { RequestsSection } from "./blackboard.ts";
 import type { RequestSpec } from "./request.ts";
@@ -9,7 +13,10 @@
 const STEP_SHARE = 0.05;
 const MAX_SCOPES = 5000;
 
-type LengthScope = Pick<RequestSpec, "workspace" | "tier" | "pool">;
+/** What an answer's length is learned by. */
+export type LengthScope =
+  & Pick<RequestSpec, "workspace" | "tier" | "pool" | "promptTokens">
+  & { readonly maxOutputTokens: number };
 
 /**
  * Moves the learned quantile by one answer.
@@ -40,19 +47,22 @@
  *
  * @param requests The section that holds the estimates.
  * @param scope Where the request belongs.
- * @param fallback The settings' expectation and the request's own bound.
+ * @param fallbackTokens What the settings expect.
  * @returns Tokens, at least 1 and at most the bound.
  */
 export function expectedOutputLength(
   requests: RequestsSection,
   scope: LengthScope,
-  fallback: { expectedOutputTokens: number; maxOutputTokens: number },
+  fallbackTokens: number,
 ): number {
   const learned = requests.learnedOutputTokens.get(lengthKey(scope)) ??
-    fallback.expectedOutputTokens;
-  return Math.max(1, Math.min(Math.round(learned), fallback.maxOutputTokens));
+    fallbackTokens;
+  return Math.max(1, Math.min(Math.round(learned), scope.maxOutputTokens));
 }
 
 function lengthKey(scope: LengthScope): string {
-  return `${scope.workspace}/${scope.tier}/${scope.pool}`;
+  const promptClass = Math.ceil(Math.log2(scope.promptTokens + 1) / 2);
+  const answerClass = Math.ceil(Math.log2(scope.maxOutputTokens + 1));
+  const owner = `${scope.workspace}/${scope.tier}/${scope.pool}`;
+  return `${owner}/${promptClass}/${answerClass}`;
 }
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -128,7 +128,7 @@
 
   #hasRoom(): boolean {
     return this.#view.rooms.some((room) =>
-      room.hasFreeSlot && !room.isPrefillBusy(this.#view.nowMs)
+      room.hasFreeSlot && !room.isPrefillBusy(this.#view.nowMs, 0)
     );
   }
 
--- a/packages/core/src/preemption.ts
+++ b/packages/core/src/preemption.ts
@@ -2,6 +2,7 @@
 
 import type { GrantAccount, WaitingAsk } from "./blackboard.ts";
 import { type Need, shortage, type TargetRoom } from "./capacity.ts";
+import { prefillQueueOf } from "./prefill_queue.ts";
 import type { ShardView } from "./shard_view.ts";
 import type { Usage } from "./target_usage.ts";
 
@@ -109,12 +110,11 @@
   ): boolean {
     const { nowMs } = this.#view;
     const staying = room.grants.filter((grant) => !then.ending.includes(grant));
-    const prefillEndMs = Math.max(
-      nowMs,
-      ...staying.map((grant) => grant.prefillEndMs),
-    );
     const { cautiousMs } = this.#view.predict(room, ask.detail, {
-      prefillQueueMs: prefillEndMs - nowMs,
+      prefillQueueMs: prefillQueueOf(staying, {
+        nowMs,
+        lastReadAtMs: room.lastReadAtMs,
+      }).totalMs,
       utilization: then.used.slots / Math.max(1, room.slotsTotal),
     });
     return nowMs + cautiousMs <= ask.deadlineAtMs;
--- a/packages/core/src/request_controller.ts
+++ b/packages/core/src/request_controller.ts
@@ -132,10 +132,11 @@
     streams,
     cancellable: streams && idempotent && policy.preemptible,
     maxOutputTokens,
-    expectedOutputTokens: expectedOutputLength(requests, spec, {
-      expectedOutputTokens: policy.expectedOutputTokens,
-      maxOutputTokens,
-    }),
+    expectedOutputTokens: expectedOutputLength(
+      requests,
+      { ...spec, maxOutputTokens },
+      policy.expectedOutputTokens,
+    ),
     arrivedAtMs: turn.nowMs,
     deadlineAtMs: turn.nowMs + admitted.deadlineMs,
     state: RequestState.Waiting,
--- a/packages/core/src/shard_queue.ts
+++ b/packages/core/src/shard_queue.ts
@@ -33,6 +33,7 @@
     failureDomain,
     waiting: new Map(),
     grants: new Map(),
+    lastReadAtMs: new Map(),
     prefillGrantedMs: new Map(),
     served: new Map(),
     sinceMs: nowMs,
--- a/packages/core/src/shard_view.ts
+++ b/packages/core/src/shard_view.ts
@@ -200,6 +200,7 @@
       target: board.targets.byId.get(target.id),
       grants: grantsByTarget.get(target.id) ?? [],
       ended: shard.ended.get(target.id) ?? [],
+      lastReadAtMs: shard.lastReadAtMs.get(target.id) ?? -Infinity,
     })
   );
 }
--- a/packages/core/src/stream_flow.ts
+++ b/packages/core/src/stream_flow.ts
@@ -4,6 +4,7 @@
   type EngineEvent,
   EngineEventKind,
 } from "@chestnuthatch/wire/target_protocol";
+import { PeerMessageKind } from "@chestnuthatch/wire/peer_messages";
 import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
 import type { Attempt, HeldRequest } from "./blackboard.ts";
 import type { Turn } from "./controller.ts";
@@ -24,9 +25,7 @@
 ) => void;
 
 const HANDLER_BY_KIND: { [K in EngineEventKind]: EventHandler<K> } = {
-  [EngineEventKind.Start]: (event, _turn, request) => {
-    request.attempt!.cachedTokens = event.cachedTokens;
-  },
+  [EngineEventKind.Start]: onStart,
   [EngineEventKind.Token]: onToken,
   [EngineEventKind.End]: onEnd,
   [EngineEventKind.Error]: onEngineError,
@@ -108,6 +107,26 @@
   }
 }
 
+function onStart(
+  event: Extract<EngineEvent, { kind: EngineEventKind.Start }>,
+  turn: Turn,
+  request: HeldRequest,
+): void {
+  const attempt = request.attempt!;
+  attempt.cachedTokens = event.cachedTokens;
+  if (attempt.promptRead) {
+    return;
+  }
+  attempt.promptRead = true;
+  turn.send(attempt.coordinatorId, {
+    kind: PeerMessageKind.PromptRead,
+    requestId: request.spec.requestId,
+    grantId: attempt.grantId,
+    pool: request.spec.pool,
+    failureDomain: attempt.failureDomain,
+  });
+}
+
 function onToken(
   event: Extract<EngineEvent, { kind: EngineEventKind.Token }>,
   turn: Turn,
--- a/packages/core/src/target_choice.ts
+++ b/packages/core/src/target_choice.ts
@@ -81,10 +81,10 @@
   if (obstacle !== undefined && !isFilledIn) {
     return obstacle;
   }
-  if (room.isPrefillBusy(view.nowMs)) {
+  const { totalMs, cautiousMs, prefillMs } = view.predict(room, ask.detail);
+  if (room.isPrefillBusy(view.nowMs, prefillMs)) {
     return PassedOver.PrefillBusy;
   }
-  const { totalMs, cautiousMs } = view.predict(room, ask.detail);
   const hasWaited = view.nowMs - ask.arrivedAtMs > NEW_ASK_MS;
   const endMs = view.nowMs + (hasWaited ? cautiousMs : totalMs);
   return endMs > ask.deadlineAtMs ? PassedOver.TooLate : undefined;
--- a/packages/core/src/target_usage.ts
+++ b/packages/core/src/target_usage.ts
@@ -18,6 +18,8 @@
   /** This coordinator's grants on the target. */
   readonly grants: readonly GrantAccount[];
   readonly ended: readonly EndedWork[];
+  /** When a prompt was last heard to have been read there. */
+  readonly lastReadAtMs: number;
 }
 
 /**
--- a/packages/core/src/work_cost.ts
+++ b/packages/core/src/work_cost.ts
@@ -64,7 +64,7 @@
   const prefillMs = uncachedTokens * rates.prefillMsPerToken;
   const loadFactor = loadFactorAt(speed.utilization);
   const decodeMs = work.expectedOutputTokens * rates.decodeMsPerToken *
-    loadFactor;
+    loadFactor * rates.decodeStretch;
   return {
     prefillQueueMs: speed.prefillQueueMs,
     prefillMs,
@@ -87,6 +87,7 @@
     prefillMsPerToken: msPerToken(settings.prefillTokensPerSecond),
     decodeMsPerToken: msPerToken(settings.decodeTokensPerSecond),
     callMs: settings.callMs,
+    decodeStretch: 1,
     samples: 0,
     slowdown: 1,
   };
--- a/packages/wire/src/peer_messages.ts
+++ b/packages/wire/src/peer_messages.ts
@@ -20,6 +20,7 @@
   Grant = "grant",
   GrantReturned = "grant_returned",
   GrantUsed = "grant_used",
+  PromptRead = "prompt_read",
   WorkDone = "work_done",
   Preempt = "preempt",
   ShedBelow = "shed_below",
@@ -166,6 +167,12 @@
     pool: z.string(),
     failureDomain: z.string(),
   }),
+  z.strictObject({
+    kind: z.literal(PeerMessageKind.PromptRead),
+    ...grantRefSchema,
+    pool: z.string(),
+    failureDomain: z.string(),
+  }),
   z.strictObject({
     kind: z.literal(PeerMessageKind.WorkDone),
     ...grantRefSchema,
