--- a/packages/core/src/dispatch_flow.ts
+++ b/packages/core/src/dispatch_flow.ts
@@ -77,11 +77,13 @@
     grantId: attempt.grantId,
     pool: request.spec.pool,
     failureDomain: attempt.failureDomain,
-    targetUnreachable: true,
+    targetUnreachable: event.targetUnreachable,
   });
   request.attempt = undefined;
   request.state = RequestState.Waiting;
-  request.excludedTargetIds.push(attempt.targetId);
+  if (event.targetUnreachable) {
+    request.excludedTargetIds.push(attempt.targetId);
+  }
   if (request.calls.size === 0 || request.attempts >= MAX_ATTEMPTS) {
     endRequest(turn, request, {
       error: ErrorKind.NoTarget,
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -104,6 +104,8 @@
     | ({
       readonly kind: EventKind.DispatchNotSent;
       readonly reason: string;
+      /** False where the cause lies with this instance, not the target. */
+      readonly targetUnreachable: boolean;
     } & AttemptRef)
     | ({
       readonly kind: EventKind.StreamEvent;
--- a/packages/daemon/src/entry_instance.ts
+++ b/packages/daemon/src/entry_instance.ts
@@ -14,6 +14,7 @@
 import { readinessOf } from "@chestnuthatch/core/readiness";
 import { SchedulerCore } from "@chestnuthatch/core/scheduler_core";
 import { statusOf } from "@chestnuthatch/core/status";
+import { isAlive } from "@chestnuthatch/core/coordinators";
 import { whyOf } from "@chestnuthatch/core/why";
 import { ConsoleSpanExporter } from "@opentelemetry/sdk-trace-base";
 import { CallerFront } from "./caller_front.ts";
@@ -42,6 +43,8 @@
 };
 
 const TICK_MS = 50;
+/** How long a stopping instance waits for the platform to take its writes. */
+const MAX_SETTLE_MS = 3000;
 const MAX_SEED = 2 ** 31;
 
 const MONOTONIC_CLOCK: Clock = { nowMs: () => performance.now() };
@@ -206,6 +209,7 @@
     clearInterval(this.#tickTimer);
     clearTimeout(this.#graceTimer);
     await this.#callers.stop();
+    await this.#platform.settle(MAX_SETTLE_MS);
     await this.#peers.stop();
     await this.#targets.stop();
     this.#platform.stop();
@@ -288,7 +292,8 @@
       [GaugeName.OpenRequests]: () => this.#callers.openRequests,
       [GaugeName.LiveMembers]: () =>
         [...board.members.byId.values()]
-          .filter((member) => member.connected).length + 1,
+          .filter((member) => isAlive(board, member, this.#clock.nowMs()))
+          .length,
       [GaugeName.SettingsVersion]: () => board.settings.inForce?.version ?? 0,
     };
     return new Metrics({ readGauge: (name) => readers[name]() });
@@ -350,6 +355,7 @@
 
   #makeTargets(context: EdgeContext): TargetClient {
     return new TargetClient(context, {
+      limits: { concurrentSends: this.#settings.limits.maxDispatchesPerPool },
       dispatchInput: (requestId) =>
         dispatchInputOf(
           this.core.board,
--- a/packages/daemon/src/platform_client.ts
+++ b/packages/daemon/src/platform_client.ts
@@ -49,6 +49,7 @@
 const MAX_KEEPS_IN_PROGRESS = 1024;
 const FIRST_PAUSE_MS = 100;
 const LOG_EVERY_MS = 10_000;
+const SETTLE_CHECK_MS = 20;
 
 /** Claims, kept answers, and polls of the list and the settings. */
 export class PlatformClient {
@@ -193,6 +194,21 @@
     });
   }
 
+  /**
+   * Waits until answers are kept and claims voided, or the time is over.
+   *
+   * @param limitMs How long to wait at most.
+   */
+  async settle(limitMs: number): Promise<void> {
+    const untilMs = this.#edge.clock.nowMs() + limitMs;
+    while (
+      this.#keepsInProgress + this.pendingVoids > 0 &&
+      this.#edge.clock.nowMs() < untilMs
+    ) {
+      await this.#sleep(SETTLE_CHECK_MS);
+    }
+  }
+
   /** Ends background work; calls in progress run to their end. */
   stop(): void {
     this.#stopped = true;
--- a/packages/daemon/src/start_settings.ts
+++ b/packages/daemon/src/start_settings.ts
@@ -49,7 +49,8 @@
     maxOpenRequests: z.number().int().positive().default(2000),
     slowCallerMs: z.number().positive().default(10_000),
     maxStreamBufferBytes: z.number().int().positive().default(1024 * 1024),
-    maxDispatchesPerPool: z.number().int().positive().default(1000),
+    /** Dispatches of one pool that are being connected and sent at a time. */
+    maxDispatchesPerPool: z.number().int().positive().default(64),
   }).prefault({}),
   log: z.strictObject({
     level: z.enum(LogLevel).default(LogLevel.Info),
--- a/packages/daemon/src/target_attempt.ts
+++ b/packages/daemon/src/target_attempt.ts
@@ -28,6 +28,15 @@
   readonly onEnd: () => void;
 }
 
+/** Ends that tell that the target does not take connections. */
+const CONNECT_FAULTS: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ETIMEDOUT",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
 const STATUS_OK = 200;
 const REASON_SUPERSEDED = "resumed by another stream";
 const REASON_CROSSED = "the answer names another attempt";
@@ -135,6 +144,7 @@
         kind: EventKind.DispatchNotSent,
         ...this.ref,
         reason: end.reason,
+        targetUnreachable: CONNECT_FAULTS.has(end.reason),
       });
       return;
     }
--- a/packages/daemon/src/target_client.ts
+++ b/packages/daemon/src/target_client.ts
@@ -169,7 +169,7 @@
       this.#stopped || kind === undefined || link === undefined ||
       request === undefined
     ) {
-      this.#emitLater(EventKind.StreamClosed, effect, REASON_NO_RESUME);
+      this.#emitClosed(effect, REASON_NO_RESUME);
       return;
     }
     const attempt = this.#openAttempt(effect, {
@@ -321,15 +321,24 @@
     return queue;
   }
 
-  #emitNotSent(ref: AttemptRef, reason: string): void {
-    this.#emitLater(EventKind.DispatchNotSent, ref, reason);
-  }
-
-  #emitLater(
-    kind: EventKind.DispatchNotSent | EventKind.StreamClosed,
+  /** Later, so that no event arises inside the effect that caused it. */
+  #emitNotSent(
     { requestId, attemptNonce }: AttemptRef,
     reason: string,
   ): void {
+    queueMicrotask(() =>
+      this.#edge.emit({
+        kind: EventKind.DispatchNotSent,
+        requestId,
+        attemptNonce,
+        reason,
+        targetUnreachable: false,
+      })
+    );
+  }
+
+  #emitClosed({ requestId, attemptNonce }: AttemptRef, reason: string): void {
+    const kind = EventKind.StreamClosed;
     queueMicrotask(() =>
       this.#edge.emit({ kind, requestId, attemptNonce, reason })
     );
--- /dev/null
+++ b/packages/measure/src/entry_instance.ts
@@ -0,0 +1,92 @@
+/** An entry instance as callers, the balancer and the faults see it. */
+
+import type { Refusal } from "@chestnuthatch/core/request";
+import type { ControlCosts } from "./control_costs.ts";
+import type { EventQueue } from "./event_queue.ts";
+import type { Network } from "./network.ts";
+import type { PeerLinks } from "./peer_links.ts";
+import type { PlatformHost } from "./platform_host.ts";
+import type { PromiseChecker } from "./promises.ts";
+import type { TargetHost } from "./target_host.ts";
+import type { CallerCall } from "./work_item.ts";
+
+/** Where the outcomes of calls go. */
+export interface CallerEnd {
+  /**
+   * Delivers an answer.
+   *
+   * @param requestId The call.
+   * @param text The text.
+   */
+  answered(requestId: string, text: string): void;
+  /**
+   * Delivers a refusal.
+   *
+   * @param requestId The call.
+   * @param refusal What it is told.
+   */
+  refused(requestId: string, refusal: Refusal): void;
+  /** @param requestId A call whose connection broke. */
+  lost(requestId: string): void;
+}
+
+/** What an instance shares with the world. */
+export interface InstanceContext {
+  readonly queue: EventQueue;
+  readonly network: Network;
+  readonly peers: PeerLinks;
+  readonly platform: PlatformHost;
+  readonly targets: ReadonlyMap<string, TargetHost>;
+  readonly checker: PromiseChecker;
+  readonly callers: CallerEnd;
+  readonly costs: ControlCosts;
+  /** Whether schedulers see the fingerprints of prompt blocks. */
+  readonly useAffinity: boolean;
+}
+
+/** Where an instance stands. */
+export interface InstancePlace {
+  readonly instanceId: string;
+  readonly failureDomain: string;
+}
+
+/** Work that an instance holds. */
+export interface HeldWork {
+  readonly requestId: string;
+  readonly pool: string;
+  readonly tierRank: number;
+  readonly running: boolean;
+  /** Whether a running stream of it may be cancelled. */
+  readonly cancellable: boolean;
+}
+
+/** An entry instance. */
+export interface EntryInstance extends InstancePlace {
+  readonly isLive: boolean;
+  readonly isPaused: boolean;
+  /** Whether the balancer may send it callers. */
+  readonly isReady: boolean;
+  /** When it last woke from a pause; -Infinity when it never was paused. */
+  readonly resumedAtMs: number;
+  /** Starts its process, anew after a kill. */
+  start(): void;
+  /** Kills its process; its open calls are lost. */
+  kill(): void;
+  /** Freezes its process. */
+  pause(): void;
+  /** Lets its process go on; what came meanwhile is handled in order. */
+  resume(): void;
+  /** @param call A call that arrives. */
+  receive(call: CallerCall): void;
+  /** @param requestId A call whose caller hangs up. */
+  hangUp(requestId: string): void;
+  /** @returns What it holds now. */
+  heldWork(): HeldWork[];
+  /**
+   * Tells a request's story.
+   *
+   * @param requestId The request.
+   * @returns Its steps.
+   */
+  story(requestId: string): string[];
+}
--- /dev/null
+++ b/packages/measure/src/main.ts
@@ -0,0 +1,130 @@
+/** `npm run measure`: runs scenarios, prints a report, writes JSON. */
+
+import { mkdirSync, writeFileSync } from "node:fs";
+import { dirname } from "node:path";
+import process from "node:process";
+import { Deployment } from "@chestnuthatch/standins/workload_kinds";
+import { Command, InvalidArgumentError, Option } from "commander";
+import { measure, type ScenarioMeasurement } from "./measurement.ts";
+import {
+  affinityRows,
+  brokenLines,
+  overviewRows,
+  tierRows,
+  totalOf,
+} from "./report.ts";
+import { Scenario } from "./scenarios.ts";
+import { measureSlopes } from "./slopes.ts";
+import { tableLines } from "./text_table.ts";
+
+interface MainOptions {
+  readonly deployment?: Deployment;
+  readonly scenario?: Scenario;
+  readonly seeds: number;
+  readonly json: string;
+  readonly quick?: true;
+  readonly affinity: boolean;
+  readonly compareAffinity?: true;
+  readonly slopes?: true;
+}
+
+const DEFAULT_SEEDS = 3;
+const BROKEN_EXIT_CODE = 1;
+
+const QUICK_SCENARIOS: readonly Scenario[] = [
+  Scenario.Calm,
+  Scenario.BurstAfterRain,
+  Scenario.HolderKilled,
+  Scenario.DomainCutOff,
+  Scenario.LostAnswers,
+];
+
+function main(): void {
+  const options = readOptions();
+  if (options.slopes) {
+    writeJson(options.json, measureSlopes(print));
+    return;
+  }
+  const measurements = measure({
+    deployments: options.deployment === undefined
+      ? Object.values(Deployment)
+      : [options.deployment],
+    scenarios: scenariosOf(options),
+    seeds: options.quick ? 1 : options.seeds,
+    useAffinity: options.affinity,
+    compareAffinity: options.compareAffinity === true,
+  }, tellProgress);
+  printReport(measurements);
+  writeJson(options.json, { options, measurements });
+  const broken = measurements.reduce(
+    (sum, { scheduler }) => sum + totalOf(scheduler.broken),
+    0,
+  );
+  print(`Promises broken: ${broken}`);
+  process.exitCode = broken === 0 ? 0 : BROKEN_EXIT_CODE;
+}
+
+function readOptions(): MainOptions {
+  return new Command("measure")
+    .addOption(
+      new Option("--deployment <name>", "only this deployment")
+        .choices(Object.values(Deployment)),
+    )
+    .addOption(
+      new Option("--scenario <name>", "only this scenario")
+        .choices(Object.values(Scenario)),
+    )
+    .option("--seeds <number>", "runs of each scenario", toCount, DEFAULT_SEEDS)
+    .option("--json <file>", "where to write", "measure-out/measure.json")
+    .option("--quick", "one seed of a few scenarios")
+    .option("--no-affinity", "place without regard to cached prefixes")
+    .option("--compare-affinity", "run the scheduler without affinity, too")
+    .option("--slopes", "measure the scheduler's own costs instead")
+    .parse()
+    .opts<MainOptions>();
+}
+
+function toCount(text: string): number {
+  const count = Number(text);
+  if (!Number.isInteger(count) || count < 1) {
+    throw new InvalidArgumentError("It must be a whole number above 0.");
+  }
+  return count;
+}
+
+function scenariosOf(options: MainOptions): readonly Scenario[] {
+  if (options.scenario !== undefined) {
+    return [options.scenario];
+  }
+  return options.quick ? QUICK_SCENARIOS : Object.values(Scenario);
+}
+
+function tellProgress(done: ScenarioMeasurement): void {
+  process.stderr.write(
+    `${done.deployment} ${done.scenario}: ` +
+      `${totalOf(done.scheduler.broken)} promises broken\n`,
+  );
+}
+
+function printReport(measurements: readonly ScenarioMeasurement[]): void {
+  const tables = [
+    tableLines(overviewRows(measurements)),
+    tableLines(tierRows(measurements)),
+    tableLines(affinityRows(measurements)),
+    brokenLines(measurements),
+  ];
+  for (const lines of tables.filter(({ length }) => length > 0)) {
+    print(`${lines.join("\n")}\n`);
+  }
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function writeJson(file: string, content: unknown): void {
+  mkdirSync(dirname(file), { recursive: true });
+  writeFileSync(file, `${JSON.stringify(content, undefined, 2)}\n`);
+}
+
+main();
--- /dev/null
+++ b/packages/measure/src/measurement.ts
@@ -0,0 +1,86 @@
+/** Runs scenarios with the scheduler and the baseline, on the same seeds. */
+
+import type { Deployment } from "@chestnuthatch/standins/workload_kinds";
+import { planOf } from "./deployments.ts";
+import { Variant } from "./manual_world.ts";
+import { type RunOptions, runScenario } from "./run_scenario.ts";
+import type { Scenario } from "./scenarios.ts";
+import { type BrokenInRun, summarize, type VariantSummary } from "./summary.ts";
+
+/** What to measure. */
+export interface MeasurementOptions {
+  readonly deployments: readonly Deployment[];
+  readonly scenarios: readonly Scenario[];
+  readonly seeds: number;
+  /** Whether schedulers place by prefix affinity. */
+  readonly useAffinity: boolean;
+  /** Whether the scheduler runs a second time without affinity. */
+  readonly compareAffinity: boolean;
+}
+
+/** One scenario of one deployment. */
+export interface ScenarioMeasurement {
+  readonly deployment: Deployment;
+  readonly scenario: Scenario;
+  readonly scheduler: VariantSummary;
+  readonly baseline: VariantSummary;
+  /** The scheduler without prefix affinity, where that was compared. */
+  readonly withoutAffinity?: VariantSummary;
+  /** Promises that the scheduler broke. */
+  readonly broken: readonly BrokenInRun[];
+}
+
+/**
+ * Measures everything that was asked for.
+ *
+ * @param options What to measure.
+ * @param progress Told each scenario once it is done.
+ * @returns One measurement for each deployment and scenario.
+ */
+export function measure(
+  options: MeasurementOptions,
+  progress: (done: ScenarioMeasurement) => void,
+): ScenarioMeasurement[] {
+  const measurements: ScenarioMeasurement[] = [];
+  for (const deployment of options.deployments) {
+    for (const scenario of options.scenarios) {
+      const done = measureScenario(options, { deployment, scenario });
+      measurements.push(done);
+      progress(done);
+    }
+  }
+  return measurements;
+}
+
+function measureScenario(
+  options: MeasurementOptions,
+  what: { deployment: Deployment; scenario: Scenario },
+): ScenarioMeasurement {
+  const plan = planOf(what.deployment);
+  const run = (rest: Pick<RunOptions, "variant" | "useAffinity">) =>
+    Array.from({ length: options.seeds }, (_, index) => ({
+      seed: index + 1,
+      result: runScenario({
+        plan,
+        scenario: what.scenario,
+        seed: index + 1,
+        ...rest,
+      }),
+    }));
+  const { useAffinity } = options;
+  const scheduler = run({ variant: Variant.Scheduler, useAffinity });
+  const baseline = run({ variant: Variant.Baseline, useAffinity: false });
+  const withoutAffinity = options.compareAffinity
+    ? run({ variant: Variant.Scheduler, useAffinity: false })
+    : undefined;
+  const results = (runs: typeof scheduler) => runs.map(({ result }) => result);
+  return {
+    ...what,
+    scheduler: summarize(results(scheduler)),
+    baseline: summarize(results(baseline)),
+    withoutAffinity: withoutAffinity && summarize(results(withoutAffinity)),
+    broken: scheduler.flatMap(({ seed, result }) =>
+      result.broken.map((broken) => ({ seed, ...broken }))
+    ),
+  };
+}
--- a/packages/measure/src/placeholder.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-/** Placeholder module until the package has its first. */
-
-export {};
--- /dev/null
+++ b/packages/measure/src/platform_host.ts
@@ -0,0 +1,244 @@
+/** The platform of the measured world, behind links and with faults. */
+
+import {
+  PlatformModel,
+  PlatformOutcome,
+  type PlatformReply,
+} from "@chestnuthatch/standins/platform_model";
+import type {
+  InstanceList,
+  ListedKind,
+  Row,
+  TransactAnswer,
+  TransactRequest,
+} from "@chestnuthatch/wire/platform_protocol";
+import type { EventQueue } from "./event_queue.ts";
+import type { Network } from "./network.ts";
+import type { Randomness } from "@chestnuthatch/core/randomness";
+
+/** One version of the settings in the platform's table. */
+export interface StoredSettings {
+  readonly version: number;
+  readonly content: string;
+  readonly changeId: string;
+}
+
+/** One way to and through the platform. */
+const ONE_WAY_MS = 2;
+/** A call to the platform is given up after this long. */
+const CALL_TIMEOUT_MS = 500;
+const LIST_LAG_MS = 5000;
+const WRITES_PER_SECOND = 300;
+const READS_PER_SECOND = 2000;
+const SETTINGS_KEY = "settings/current";
+
+/** Told the answer, or nothing when none came. */
+export type Reply<T> = (answer: T | undefined) => void;
+
+/** Runs a {@link PlatformModel} on the manual clock. */
+export class PlatformHost {
+  readonly #queue: EventQueue;
+  readonly #network: Network;
+  readonly #random: Randomness;
+  readonly #model = new PlatformModel({
+    listLagMs: LIST_LAG_MS,
+    writeLimit: { perSecond: WRITES_PER_SECOND, burst: WRITES_PER_SECOND },
+    readLimit: { perSecond: READS_PER_SECOND, burst: READS_PER_SECOND },
+    weightLimit: { perSecond: 1, burst: 1 },
+  });
+  #lostAnswerShare = 0;
+
+  /** @param context The clock, the links and a source of randomness. */
+  constructor(
+    context: { queue: EventQueue; network: Network; random: Randomness },
+  ) {
+    this.#queue = context.queue;
+    this.#network = context.network;
+    this.#random = context.random;
+  }
+
+  /** @param down Whether every call fails from now on. */
+  setDown(down: boolean): void {
+    this.#model.setDown(down);
+  }
+
+  /** @param share Share of writes whose answer is lost after their effect. */
+  setLostAnswerShare(share: number): void {
+    this.#lostAnswerShare = share;
+  }
+
+  /**
+   * Puts an instance or a target on the list.
+   *
+   * @param listed What the list says of it.
+   * @param options Whether the list shows it at once.
+   */
+  list(
+    listed: { id: string; kind: ListedKind; failureDomain: string },
+    options: { atOnce: boolean },
+  ): void {
+    const atMs = options.atOnce ? -Infinity : this.#queue.nowMs;
+    this.#model.list.put(
+      { ...listed, address: `${listed.id}:1`, leaving: false },
+      atMs,
+    );
+  }
+
+  /** @param id What the list will show as leaving. */
+  listLeaving(id: string): void {
+    this.#model.list.markLeaving(id, this.#queue.nowMs);
+  }
+
+  /** @param id What the list will show no longer. */
+  unlist(id: string): void {
+    this.#model.list.remove(id, this.#queue.nowMs);
+  }
+
+  /**
+   * Commits a version of the settings, as an operator does.
+   *
+   * @param settings The version.
+   */
+  commitSettings(settings: StoredSettings): void {
+    const reply = this.#model.transact({
+      conditions: [{ key: SETTINGS_KEY, version: settings.version - 1 }],
+      puts: [{ key: SETTINGS_KEY, value: JSON.stringify(settings) }],
+      deletes: [],
+    }, this.#queue.nowMs);
+    if (reply.answer?.committed !== true) {
+      throw new Error(`settings version ${settings.version} not committed`);
+    }
+  }
+
+  /**
+   * Reads the settings.
+   *
+   * @param failureDomain Where the reader is.
+   * @param reply Told the version in the table, or nothing.
+   */
+  readSettings(failureDomain: string, reply: Reply<StoredSettings>): void {
+    this.readRow(failureDomain, {
+      key: SETTINGS_KEY,
+      reply: (found) =>
+        reply(
+          found?.row === undefined ? undefined : JSON.parse(found.row.value),
+        ),
+    });
+  }
+
+  /**
+   * Reads the list.
+   *
+   * @param failureDomain Where the reader is.
+   * @param reply Told the list, or nothing.
+   */
+  readList(failureDomain: string, reply: Reply<InstanceList>): void {
+    const read = (nowMs: number) => this.#model.instances(nowMs);
+    this.#call(failureDomain, { isWrite: false, run: read, reply });
+  }
+
+  /**
+   * Runs a transaction on the table.
+   *
+   * @param failureDomain Where the writer is.
+   * @param options The transaction, and who is told how it ended.
+   */
+  transact(
+    failureDomain: string,
+    options: { request: TransactRequest; reply: Reply<TransactAnswer> },
+  ): void {
+    this.#call(failureDomain, {
+      isWrite: true,
+      run: (nowMs) => this.#model.transact(options.request, nowMs),
+      reply: options.reply,
+    });
+  }
+
+  /**
+   * Reads a row of the table.
+   *
+   * @param failureDomain Where the reader is.
+   * @param options Its key, and who is told what was found.
+   */
+  readRow(
+    failureDomain: string,
+    options: { key: string; reply: Reply<{ row: Row | undefined }> },
+  ): void {
+    this.#call(failureDomain, {
+      isWrite: false,
+      run: (nowMs) => this.#model.read([options.key], nowMs),
+      reply: (answer) =>
+        options.reply(
+          answer === undefined ? undefined : {
+            row: answer.rows[0],
+          },
+        ),
+    });
+  }
+
+  /**
+   * Writes an object.
+   *
+   * @param failureDomain Where the writer is.
+   * @param object Its key and content.
+   */
+  putObject(
+    failureDomain: string,
+    object: { key: string; content: string },
+  ): void {
+    this.#call(failureDomain, {
+      isWrite: true,
+      run: (nowMs) => this.#model.putObject(object, nowMs),
+      reply: () => {},
+    });
+  }
+
+  /**
+   * Reads an object.
+   *
+   * @param failureDomain Where the reader is.
+   * @param options Its key, and who is told its content.
+   */
+  getObject(
+    failureDomain: string,
+    options: {
+      key: string;
+      reply: Reply<{ content: string | undefined }>;
+    },
+  ): void {
+    this.#call(failureDomain, {
+      isWrite: false,
+      run: (nowMs) => this.#model.getObject(options.key, nowMs),
+      reply: options.reply,
+    });
+  }
+
+  #call<T>(
+    failureDomain: string,
+    options: {
+      isWrite: boolean;
+      run: (nowMs: number) => PlatformReply<T>;
+      reply: Reply<T>;
+    },
+  ): void {
+    const { isWrite, run, reply } = options;
+    const lose = () =>
+      this.#queue.after(CALL_TIMEOUT_MS, () => reply(undefined));
+    if (!this.#network.reachesPlatform(failureDomain)) {
+      lose();
+      return;
+    }
+    this.#queue.after(ONE_WAY_MS, () => {
+      const loses = isWrite && this.#random.next() < this.#lostAnswerShare;
+      const { outcome, answer, delayMs } = run(this.#queue.nowMs);
+      if (
+        loses || outcome === PlatformOutcome.Lost ||
+        !this.#network.reachesPlatform(failureDomain)
+      ) {
+        lose();
+        return;
+      }
+      this.#queue.after(ONE_WAY_MS + delayMs, () => reply(answer));
+    });
+  }
+}
--- /dev/null
+++ b/packages/measure/src/summary.ts
@@ -0,0 +1,164 @@
+/** Adds up the runs of one scenario and sets them beside the baseline's. */
+
+import { build, type Histogram } from "hdr-histogram-js";
+import type { BrokenPromise, PromiseKind } from "./promises.ts";
+import type { RunResult } from "./run_scenario.ts";
+import type { TierTally } from "./run_journal.ts";
+
+/** Waits until work began, in milliseconds. */
+export interface WaitSummary {
+  readonly count: number;
+  readonly p50Ms: number;
+  readonly p95Ms: number;
+  readonly p99Ms: number;
+}
+
+/** One variant's runs of one scenario, added up over seeds. */
+export interface VariantSummary {
+  readonly runs: number;
+  readonly calls: number;
+  readonly tiers: Readonly<Record<string, TierTally>>;
+  readonly valueInTime: number;
+  readonly waits: Readonly<Record<string, WaitSummary>>;
+  readonly refusals: Readonly<Record<string, number>>;
+  readonly prefilledTokens: number;
+  readonly wastedTokens: number;
+  readonly wastedShare: number;
+  readonly repeatedPrefixTokens: number;
+  readonly controlBytesPerRequest: number;
+  readonly controlBytesPerNodeSecond: number;
+  readonly controlBytesByKind: Readonly<Record<string, number>>;
+  /** Processor time of the cores alone, as this machine gave it. */
+  readonly coreMsPerRequest: number;
+  readonly broken: Readonly<Partial<Record<PromiseKind, number>>>;
+}
+
+/** A broken promise with where it happened. */
+export interface BrokenInRun extends BrokenPromise {
+  readonly seed: number;
+}
+
+const MS_PER_SECOND = 1000;
+
+/**
+ * Adds up runs.
+ *
+ * @param results Runs of one scenario and variant.
+ * @returns Their sums.
+ */
+export function summarize(results: readonly RunResult[]): VariantSummary {
+  const calls = sum(results, (result) => result.calls);
+  const tiers = addTiers(results);
+  const prefilledTokens = sum(results, (result) => result.prefilledTokens);
+  const wastedTokens = sum(results, (result) => result.wastedTokens);
+  const bytes = sum(results, ({ control }) => control.bytes);
+  const nodeSeconds = sum(
+    results,
+    (result) => result.instances * result.simulatedMs / MS_PER_SECOND,
+  );
+  return {
+    runs: results.length,
+    calls,
+    tiers,
+    valueInTime: sum(Object.values(tiers), (tally) => tally.valueInTime),
+    waits: addWaits(results),
+    refusals: addCounts(results.map((result) => result.refusals)),
+    prefilledTokens,
+    wastedTokens,
+    wastedShare: ratio(wastedTokens, prefilledTokens),
+    repeatedPrefixTokens: sum(
+      results,
+      (result) => result.repeatedPrefixTokens,
+    ),
+    controlBytesPerRequest: ratio(bytes, calls),
+    controlBytesPerNodeSecond: ratio(bytes, nodeSeconds),
+    controlBytesByKind: addCounts(
+      results.map(({ control }) => control.bytesByKind),
+    ),
+    coreMsPerRequest: ratio(
+      sum(results, ({ control }) => control.coreMs),
+      calls,
+    ),
+    broken: countBroken(results),
+  };
+}
+
+/**
+ * Divides, where there is something to divide by.
+ *
+ * @param part The part.
+ * @param whole The whole.
+ * @returns The ratio; 0 for no whole.
+ */
+export function ratio(part: number, whole: number): number {
+  return whole === 0 ? 0 : part / whole;
+}
+
+function sum<T>(items: readonly T[], value: (item: T) => number): number {
+  return items.reduce((total, item) => total + value(item), 0);
+}
+
+function addTiers(results: readonly RunResult[]): Record<string, TierTally> {
+  const tiers: Record<string, TierTally> = {};
+  for (const result of results) {
+    for (const [tier, tally] of result.tiers) {
+      const before = tiers[tier];
+      tiers[tier] = before === undefined ? tally : addTally(before, tally);
+    }
+  }
+  return tiers;
+}
+
+function addTally(a: TierTally, b: TierTally): TierTally {
+  return {
+    items: a.items + b.items,
+    value: a.value + b.value,
+    answeredInTime: a.answeredInTime + b.answeredInTime,
+    valueInTime: a.valueInTime + b.valueInTime,
+    answeredLate: a.answeredLate + b.answeredLate,
+    unanswered: a.unanswered + b.unanswered,
+  };
+}
+
+function addWaits(results: readonly RunResult[]): Record<string, WaitSummary> {
+  const merged = new Map<string, Histogram>();
+  for (const result of results) {
+    for (const [tier, histogram] of result.waits) {
+      const total = merged.get(tier) ?? build();
+      total.add(histogram);
+      merged.set(tier, total);
+    }
+  }
+  return Object.fromEntries(
+    [...merged].map(([tier, histogram]) => [tier, waitSummaryOf(histogram)]),
+  );
+}
+
+function waitSummaryOf(histogram: Histogram): WaitSummary {
+  return {
+    count: histogram.totalCount,
+    p50Ms: histogram.getValueAtPercentile(50),
+    p95Ms: histogram.getValueAtPercentile(95),
+    p99Ms: histogram.getValueAtPercentile(99),
+  };
+}
+
+function addCounts(
+  counts: readonly Readonly<Record<string, number>>[],
+): Record<string, number> {
+  const total: Record<string, number> = {};
+  for (const [key, count] of counts.flatMap((each) => Object.entries(each))) {
+    total[key] = (total[key] ?? 0) + count;
+  }
+  return total;
+}
+
+function countBroken(
+  results: readonly RunResult[],
+): Partial<Record<PromiseKind, number>> {
+  const counts: Partial<Record<PromiseKind, number>> = {};
+  for (const { kind } of results.flatMap(({ broken }) => broken)) {
+    counts[kind] = (counts[kind] ?? 0) + 1;
+  }
+  return counts;
+}
--- /dev/null
+++ b/packages/measure/src/target_port.ts
@@ -0,0 +1,167 @@
+/** How an entry instance reaches targets over links that can break. */
+
+import type { AttemptRef } from "@chestnuthatch/core/events";
+import type { CacheEventsAnswer } from "@chestnuthatch/wire/target_protocol";
+import type { TargetLoad } from "@chestnuthatch/wire/work";
+import type { InstanceContext } from "./entry_instance.ts";
+import { CONNECT_TIMEOUT_MS } from "./network.ts";
+import type { HolderEnd, TargetHost, TargetWork } from "./target_host.ts";
+
+const POLL_TIMEOUT_MS = 500;
+
+/** Calls to targets from one failure domain. */
+export class TargetPort {
+  readonly #context: InstanceContext;
+  readonly #failureDomain: string;
+
+  /**
+   * @param context The world.
+   * @param failureDomain Where the instance stands.
+   */
+  constructor(context: InstanceContext, failureDomain: string) {
+    this.#context = context;
+    this.#failureDomain = failureDomain;
+  }
+
+  /**
+   * Sends work.
+   *
+   * @param targetId The target.
+   * @param options The work, where its answer goes, and who is told that no
+   * byte of it left.
+   */
+  dispatch(
+    targetId: string,
+    options: {
+      work: TargetWork;
+      holder: HolderEnd;
+      notSent: (reason: string) => void;
+    },
+  ): void {
+    this.#reach(targetId, {
+      timeoutMs: CONNECT_TIMEOUT_MS,
+      run: (target) => target.dispatch(options.work, options.holder),
+      failed: options.notSent,
+    });
+  }
+
+  /**
+   * Asks for the rest of a stream.
+   *
+   * @param targetId The target.
+   * @param options The attempt, the first token wanted and where it goes.
+   */
+  resume(
+    targetId: string,
+    options: { attempt: AttemptRef; fromToken: number; holder: HolderEnd },
+  ): void {
+    this.#reach(targetId, {
+      timeoutMs: CONNECT_TIMEOUT_MS,
+      run: (target) => target.resume(options.attempt, options),
+      failed: (reason) => options.holder.closed(reason),
+    });
+  }
+
+  /**
+   * Stops a stream.
+   *
+   * @param targetId The target.
+   * @param attempt The attempt.
+   */
+  cancel(targetId: string, attempt: AttemptRef): void {
+    this.#reach(targetId, {
+      timeoutMs: CONNECT_TIMEOUT_MS,
+      run: (target) => target.cancel(attempt),
+      failed: () => {},
+    });
+  }
+
+  /**
+   * Reads a target's load.
+   *
+   * @param targetId The target.
+   * @param reply Told the load, or nothing when it did not answer.
+   */
+  pollLoad(
+    targetId: string,
+    reply: (load: TargetLoad | undefined) => void,
+  ): void {
+    this.#poll(targetId, { read: (target) => target.load(), reply });
+  }
+
+  /**
+   * Reads a target's cache events.
+   *
+   * @param targetId The target.
+   * @param options The sequence read last, and who is told.
+   */
+  pollCacheEvents(
+    targetId: string,
+    options: {
+      after: number;
+      reply: (answer: CacheEventsAnswer | undefined) => void;
+    },
+  ): void {
+    this.#poll(targetId, {
+      read: (target) => target.cacheEvents(options.after),
+      reply: options.reply,
+    });
+  }
+
+  #poll<T>(
+    targetId: string,
+    options: {
+      read: (target: TargetHost) => T;
+      reply: (answer: T | undefined) => void;
+    },
+  ): void {
+    this.#reach(targetId, {
+      timeoutMs: POLL_TIMEOUT_MS,
+      run: (target) => {
+        const answer = options.read(target);
+        this.#context.queue.after(
+          this.#delayMs(target),
+          () => options.reply(answer),
+        );
+      },
+      failed: () => options.reply(undefined),
+    });
+  }
+
+  #reach(
+    targetId: string,
+    options: {
+      timeoutMs: number;
+      run: (target: TargetHost) => void;
+      failed: (reason: string) => void;
+    },
+  ): void {
+    const { queue, network, targets } = this.#context;
+    const target = targets.get(targetId);
+    if (
+      target === undefined ||
+      !network.reaches(this.#failureDomain, target.settings.failureDomain)
+    ) {
+      queue.after(
+        options.timeoutMs,
+        () => options.failed("connect timed out"),
+      );
+      return;
+    }
+    const delayMs = this.#delayMs(target);
+    queue.after(delayMs, () => {
+      if (target.alive) {
+        options.run(target);
+      } else {
+        queue.after(delayMs, () => options.failed("connection refused"));
+      }
+    });
+  }
+
+  #delayMs(target: TargetHost): number {
+    return this.#context.network.delayMs(
+      this.#failureDomain,
+      target.settings.failureDomain,
+    );
+  }
+}
--- /dev/null
+++ b/packages/measure/src/work_items.ts
@@ -0,0 +1,65 @@
+/** Turns the generated workload into what callers of the world want done. */
+
+import type { SettingsInForce } from "@chestnuthatch/settings/policy";
+import {
+  generateWorkload,
+  type WorkItem as GeneratedItem,
+  type WorkloadOptions,
+} from "@chestnuthatch/standins/workload";
+import { BLOCK_TOKENS } from "./engine_host.ts";
+import type { WorkItem } from "./work_item.ts";
+
+/**
+ * Makes the items of one run.
+ *
+ * @param options What to generate.
+ * @param scope The settings, for tiers and values, and the callers' region.
+ * @returns The items in time order.
+ */
+export function makeWorkItems(
+  options: WorkloadOptions,
+  scope: { settings: SettingsInForce; region: string },
+): WorkItem[] {
+  return generateWorkload(options).map((item, index) =>
+    itemOf(item, { ...scope, itemId: `item-${index}` })
+  );
+}
+
+function itemOf(
+  item: GeneratedItem,
+  scope: { settings: SettingsInForce; region: string; itemId: string },
+): WorkItem {
+  const { settings, region, itemId } = scope;
+  const { workspace, tier } = item;
+  const policy = settings.policyFor({ region, workspace, tier });
+  return {
+    itemId,
+    atMs: item.atMs,
+    workspace,
+    tier,
+    tierRank: policy.rank,
+    value: policy.value,
+    pool: item.pool,
+    model: settings.pools.get(item.pool)?.model ?? "",
+    promptTokens: item.promptTokens,
+    maxOutputTokens: item.maxOutputTokens,
+    deadlineMs: item.deadlineMs,
+    idempotent: item.idempotent,
+    idempotencyKey: item.idempotencyKey,
+    prompt: item.seedText,
+    contentHash: item.seedText,
+    blockHashes: blockHashesOf(item),
+  };
+}
+
+function blockHashesOf(item: GeneratedItem): string[] {
+  const blocks = Math.floor(item.promptTokens / BLOCK_TOKENS);
+  const shared = Math.floor(item.prefixTokens / BLOCK_TOKENS);
+  return Array.from(
+    { length: blocks },
+    (_, index) =>
+      index < shared
+        ? `${item.prefixId}#${index}`
+        : `${item.seedText}#${index}`,
+  );
+}
