Split the ends and the asks of requests by job

Change: attempts, claim rows, the table of held requests, ask messages and refusals stand in modules of their own; no behaviour changed.

--- a/packages/core/src/ask_flow.ts
+++ b/packages/core/src/ask_flow.ts
@@ -1,10 +1,12 @@
 /** The holder's asks: where they go, when they move, when they have failed. */
 
 import {
-  PeerMessageKind,
+  type PeerMessageKind,
   type PeerMessageOf,
 } from "@chestnuthatch/wire/peer_messages";
-import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
+import { ErrorKind } from "@chestnuthatch/wire/work";
+import { domainsOf, newAsk, sendAsk, withdrawAsk } from "./ask_messages.ts";
+import { refuseForAsks } from "./ask_refusals.ts";
 import {
   AskState,
   type HeldRequest,
@@ -15,12 +17,9 @@
 import type { Turn } from "./controller.ts";
 import { rankCoordinators } from "./coordinators.ts";
 import { CounterName } from "./effects.ts";
-import { endRequest } from "./outcomes.ts";
 import { noteStep } from "./refusals.ts";
 import { RequestState } from "./request.ts";
 import { FLOOR_MS } from "./shed_floor.ts";
-import { domainsToAsk } from "./shard_domains.ts";
-import { spreadRetryHint } from "./retry_hint.ts";
 
 /** A predicted wait above this sends the ask to the other domains too. */
 const SPREAD_WAIT_MS = 20;
@@ -30,13 +29,6 @@
 /** Refusals of several domains count together while none is older. */
 const FRESH_REFUSAL_MS = FLOOR_MS * 0.75;
 
-/** Errors in the order in which they explain a refusal best. */
-const TELLING_ERRORS: readonly ErrorKind[] = [
-  ErrorKind.Overloaded,
-  ErrorKind.DeadlineUnreachable,
-  ErrorKind.NoTarget,
-];
-
 /**
  * Begins to ask for a place: at the nearest domain that has the pool.
  *
@@ -210,15 +202,6 @@
   request.asks.clear();
 }
 
-function withdrawAsk(turn: Turn, request: HeldRequest, ask: OutAsk): void {
-  turn.send(ask.coordinatorId, {
-    kind: PeerMessageKind.AskWithdrawn,
-    pool: request.spec.pool,
-    failureDomain: ask.failureDomain,
-    requestId: request.spec.requestId,
-  });
-}
-
 function askEverywhere(turn: Turn, request: HeldRequest): void {
   for (const domain of domainsOf(turn, request)) {
     if (!request.asks.has(domain)) {
@@ -282,27 +265,6 @@
     turn.nowMs - refusal.atMs > FRESH_REFUSAL_MS;
 }
 
-function refuseForAsks(turn: Turn, request: HeldRequest): void {
-  const refusals = [...request.asks.values()].flatMap((ask) =>
-    ask.refusal === undefined ? [] : [ask.refusal]
-  );
-  const error =
-    TELLING_ERRORS.find((kind) =>
-      refusals.some((refusal) => refusal.error === kind)
-    ) ?? ErrorKind.NoTarget;
-  const telling = refusals.filter((refusal) => refusal.error === error);
-  const hints = telling.map((refusal) => refusal.retryAfterMs);
-  endRequest(turn, request, {
-    error,
-    ran: RunState.NotRun,
-    message: telling[0]?.reason ??
-      `Pool ${request.spec.pool} has no target within reach.`,
-    retryAfterMs: hints.length > 0
-      ? Math.min(...hints)
-      : spreadRetryHint(turn, request.policy.retryAfterMs),
-  });
-}
-
 function currentAsk(
   turn: Turn,
   message: { requestId: string; failureDomain: string; askNumber: number },
@@ -338,50 +300,3 @@
   }
   return answering ?? ranked[0];
 }
-
-function sendAsk(turn: Turn, request: HeldRequest, ask: OutAsk): void {
-  const { spec, policy } = request;
-  const domains = domainsOf(turn, request);
-  turn.send(ask.coordinatorId, {
-    kind: PeerMessageKind.Ask,
-    failureDomain: ask.failureDomain,
-    holderBeat: turn.board.requests.holderBeat,
-    ask: {
-      requestId: spec.requestId,
-      askNumber: ask.askNumber,
-      pool: spec.pool,
-      workspace: spec.workspace,
-      tierRank: policy.rank,
-      value: policy.value,
-      promptTokens: spec.promptTokens,
-      expectedOutputTokens: request.expectedOutputTokens,
-      maxOutputTokens: request.maxOutputTokens,
-      timeLeftMs: Math.max(0, request.deadlineAtMs - turn.nowMs),
-      cancellable: request.cancellable,
-      excludedTargetIds: [...request.excludedTargetIds],
-      blockHashes: [...spec.blockHashes],
-      spreadOver: domains.length,
-      spreadIndex: domains.indexOf(ask.failureDomain),
-    },
-  });
-}
-
-function domainsOf(turn: Turn, request: HeldRequest): string[] {
-  return domainsToAsk(
-    turn.board.settings.inForce!,
-    turn.board.self,
-    request.spec.pool,
-  );
-}
-
-function newAsk(failureDomain: string): OutAsk {
-  return {
-    failureDomain,
-    coordinatorId: "",
-    coordinatorIncarnation: 0,
-    askNumber: 0,
-    sentAtMs: 0,
-    state: AskState.Sent,
-    silentIds: new Set(),
-  };
-}
--- /dev/null
+++ b/packages/core/src/ask_refusals.ts
@@ -0,0 +1,41 @@
+/** Which of several coordinators' refusals a caller is told. */
+
+import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
+import type { HeldRequest } from "./blackboard.ts";
+import type { Turn } from "./controller.ts";
+import { endRequest } from "./outcomes.ts";
+import { spreadRetryHint } from "./retry_hint.ts";
+
+/** Errors in the order in which they explain a refusal best. */
+const TELLING_ERRORS: readonly ErrorKind[] = [
+  ErrorKind.Overloaded,
+  ErrorKind.DeadlineUnreachable,
+  ErrorKind.NoTarget,
+];
+
+/**
+ * Refuses a request for the reasons that its coordinators gave.
+ *
+ * @param turn The turn it happens in.
+ * @param request A request whose asks were all refused.
+ */
+export function refuseForAsks(turn: Turn, request: HeldRequest): void {
+  const refusals = [...request.asks.values()].flatMap((ask) =>
+    ask.refusal === undefined ? [] : [ask.refusal]
+  );
+  const error =
+    TELLING_ERRORS.find((kind) =>
+      refusals.some((refusal) => refusal.error === kind)
+    ) ?? ErrorKind.NoTarget;
+  const telling = refusals.filter((refusal) => refusal.error === error);
+  const hints = telling.map((refusal) => refusal.retryAfterMs);
+  endRequest(turn, request, {
+    error,
+    ran: RunState.NotRun,
+    message: telling[0]?.reason ??
+      `Pool ${request.spec.pool} has no target within reach.`,
+    retryAfterMs: hints.length > 0
+      ? Math.min(...hints)
+      : spreadRetryHint(turn, request.policy.retryAfterMs),
+  });
+}
--- a/packages/core/src/claim_flow.ts
+++ b/packages/core/src/claim_flow.ts
@@ -8,13 +8,8 @@
 import { EffectKind } from "./effects.ts";
 import { ClaimOutcome, type EventKind, type EventOf } from "./events.ts";
 import { readKeptAnswer } from "./kept_answer.ts";
-import {
-  claimRowOf,
-  deliverKeptAnswer,
-  endRequest,
-  keyName,
-  runStateOf,
-} from "./outcomes.ts";
+import { claimRowOf, keyName } from "./claim_rows.ts";
+import { deliverKeptAnswer, endRequest, runStateOf } from "./outcomes.ts";
 import { noteStep } from "./refusals.ts";
 import { RequestState } from "./request.ts";
 import { spreadRetryHint } from "./retry_hint.ts";
--- a/packages/core/src/outcomes.ts
+++ b/packages/core/src/outcomes.ts
@@ -1,13 +1,13 @@
 /** How requests end, and what is kept of them afterwards. */
 
-import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
-import { PeerMessageKind } from "@chestnuthatch/wire/peer_messages";
-import { scopeKey } from "./admission.ts";
+import { type ErrorKind, RunState } from "@chestnuthatch/wire/work";
 import { withdrawAsks } from "./ask_flow.ts";
+import { cancelAttempt, countWaste, reportWorkDone } from "./attempts.ts";
 import type { HeldRequest, WaitingCall } from "./blackboard.ts";
+import { keepAnswer, voidClaim } from "./claim_rows.ts";
 import type { Turn } from "./controller.ts";
 import { CounterName, EffectKind } from "./effects.ts";
-import { keptAnswerOf } from "./kept_answer.ts";
+import { closeRequest } from "./held_requests.ts";
 import { learnOutputLength } from "./output_length.ts";
 import {
   noteStep,
@@ -17,23 +17,8 @@
 } from "./refusals.ts";
 import { type Answer, RequestState } from "./request.ts";
 
-/** How long after its deadline an answer is still gathered for its key. */
-const GATHER_BEYOND_MS = 60_000;
-
-/** How long a finished request is kept for callers that ask again. */
-const KEEP_FINISHED_MS = 60_000;
-const FORGET_EVERY_MS = 1000;
-
-/**
- * Tells whether a request has its final outcome.
- *
- * @param request The request.
- * @returns True once it is answered or refused.
- */
-export function isFinished(request: HeldRequest): boolean {
-  return request.state === RequestState.Answered ||
-    request.state === RequestState.Refused;
-}
+/** Share of the expected answer from which a stream is worth finishing. */
+const NEARLY_DONE_SHARE = 0.8;
 
 /**
  * Ends a request with a refusal, and everything that was begun for it.
@@ -185,68 +170,6 @@
   return inDoubt ? RunState.MayHaveRun : RunState.NotRun;
 }
 
-/**
- * Tells how long an answer is gathered. One that will be kept for its key is
- * gathered beyond its callers' deadlines.
- *
- * @param turn The turn it happens in.
- * @param request A dispatched request.
- * @returns A duration in milliseconds, at least 1.
- */
-export function answerTimeLeftMs(turn: Turn, request: HeldRequest): number {
-  const beyondMs = request.claim === undefined ? 0 : GATHER_BEYOND_MS;
-  return Math.max(1, request.deadlineAtMs - turn.nowMs) + beyondMs;
-}
-
-/**
- * Orders the target to stop a request's stream.
- *
- * @param turn The turn it happens in.
- * @param request A dispatched request.
- */
-export function cancelAttempt(turn: Turn, request: HeldRequest): void {
-  const attempt = request.attempt!;
-  turn.emit({
-    kind: EffectKind.CancelStream,
-    requestId: request.spec.requestId,
-    attemptNonce: attempt.attemptNonce,
-    targetId: attempt.targetId,
-  });
-}
-
-/**
- * Forgets finished requests that have been kept long enough.
- *
- * @param turn The turn of a tick.
- */
-export function forgetOldRequests(turn: Turn): void {
-  const { requests } = turn.board;
-  if (turn.nowMs - requests.lastForgetAtMs < FORGET_EVERY_MS) {
-    return;
-  }
-  requests.lastForgetAtMs = turn.nowMs;
-  for (const request of requests.byId.values()) {
-    const isOld = turn.nowMs - request.finishedAtMs >= KEEP_FINISHED_MS;
-    if (isFinished(request) && isOld) {
-      requests.byId.delete(request.spec.requestId);
-      releaseKey(turn, request);
-    }
-  }
-}
-
-/**
- * Names an idempotency key within its workspace.
- *
- * @param workspace The workspace.
- * @param idempotencyKey The caller's key.
- * @returns The name used in the table, the object store and here.
- */
-export function keyName(workspace: string, idempotencyKey: string): string {
-  return `${encodeURIComponent(workspace)}/${
-    encodeURIComponent(idempotencyKey)
-  }`;
-}
-
 function isWorthFinishing(request: HeldRequest): boolean {
   if (!request.streams || !request.idempotent) {
     return true;
@@ -257,8 +180,6 @@
   return request.spec.idempotencyKey !== undefined && nearlyDone;
 }
 
-const NEARLY_DONE_SHARE = 0.8;
-
 function answerCalls(turn: Turn, request: HeldRequest, answer: Answer): void {
   for (const callId of request.calls.keys()) {
     answerCall(turn, request, { callId, answer });
@@ -269,107 +190,3 @@
   request.outcome = { answer };
   request.finishedAtMs = turn.nowMs;
 }
-
-function keepAnswer(turn: Turn, request: HeldRequest, answer: Answer): void {
-  const key = request.spec.idempotencyKey;
-  if (key === undefined || request.claim === undefined) {
-    return;
-  }
-  turn.emit({
-    kind: EffectKind.KeepAnswer,
-    requestId: request.spec.requestId,
-    key: `answer/${keyName(request.spec.workspace, key)}`,
-    content: keptAnswerOf(answer, request.spec.contentHash),
-  });
-}
-
-function voidClaim(turn: Turn, request: HeldRequest): void {
-  const { claim } = request;
-  if (claim === undefined || claim.foundElsewhere !== undefined) {
-    return;
-  }
-  turn.emit({
-    kind: EffectKind.VoidClaim,
-    requestId: request.spec.requestId,
-    key: claim.key,
-    row: claimRowOf(turn, request),
-  });
-}
-
-/**
- * Writes a request's claim row.
- *
- * @param turn The turn, for who the holder is.
- * @param request The request.
- * @returns The row.
- */
-export function claimRowOf(turn: Turn, request: HeldRequest) {
-  return {
-    nonce: request.nonce,
-    holderId: turn.board.self.instanceId,
-    holderIncarnation: turn.board.self.incarnation,
-    requestId: request.spec.requestId,
-    contentHash: request.spec.contentHash,
-  };
-}
-
-function reportWorkDone(
-  turn: Turn,
-  request: HeldRequest,
-  failed: boolean,
-): void {
-  const attempt = request.attempt!;
-  const firstTokenAtMs = attempt.firstTokenAtMs || turn.nowMs;
-  turn.send(attempt.coordinatorId, {
-    kind: PeerMessageKind.WorkDone,
-    requestId: request.spec.requestId,
-    grantId: attempt.grantId,
-    pool: request.spec.pool,
-    failureDomain: attempt.failureDomain,
-    targetId: attempt.targetId,
-    failed,
-    promptTokens: request.spec.promptTokens,
-    cachedTokens: attempt.cachedTokens,
-    outputTokens: attempt.tokensReceived,
-    firstTokenMs: Math.max(0, firstTokenAtMs - attempt.sentAtMs),
-    decodeMs: Math.max(0, turn.nowMs - firstTokenAtMs),
-    blockHashes: [...request.spec.blockHashes],
-  });
-}
-
-function countWaste(turn: Turn, request: HeldRequest): void {
-  const { spec, attempt } = request;
-  const read = Math.max(0, spec.promptTokens - (attempt?.cachedTokens ?? 0));
-  turn.count(CounterName.PromptTokensWasted, { tier: spec.tier }, read);
-}
-
-function closeRequest(turn: Turn, request: HeldRequest): void {
-  const { openByScope, unfinished } = turn.board.requests;
-  unfinished.delete(request.spec.requestId);
-  const key = scopeKey(request.spec);
-  const open = (openByScope.get(key) ?? 1) - 1;
-  if (open > 0) {
-    openByScope.set(key, open);
-  } else {
-    openByScope.delete(key);
-  }
-  const refusal = request.outcome?.refusal;
-  const mayRunAnew = refusal !== undefined &&
-    (refusal.ran === RunState.NotRun || request.attempt === undefined ||
-      request.idempotent);
-  if (mayRunAnew) {
-    releaseKey(turn, request);
-  }
-}
-
-function releaseKey(turn: Turn, request: HeldRequest): void {
-  const { byKey } = turn.board.requests;
-  const { workspace, idempotencyKey, requestId } = request.spec;
-  if (idempotencyKey === undefined) {
-    return;
-  }
-  const name = keyName(workspace, idempotencyKey);
-  if (byKey.get(name) === requestId) {
-    byKey.delete(name);
-  }
-}
--- a/packages/core/src/request_controller.ts
+++ b/packages/core/src/request_controller.ts
@@ -29,15 +29,9 @@
 import { CounterName, EffectKind } from "./effects.ts";
 import { EventKind, type EventOf } from "./events.ts";
 import { beat, reportToCoordinators } from "./holder_report.ts";
-import {
-  answerCall,
-  dropCaller,
-  endRequest,
-  forgetOldRequests,
-  isFinished,
-  keyName,
-  runStateOf,
-} from "./outcomes.ts";
+import { keyName } from "./claim_rows.ts";
+import { forgetOldRequests, isFinished } from "./held_requests.ts";
+import { answerCall, dropCaller, endRequest, runStateOf } from "./outcomes.ts";
 import { expectedOutputLength } from "./output_length.ts";
 import { noteStep, refuseCall } from "./refusals.ts";
 import { type RequestSpec, RequestState } from "./request.ts";
--- a/packages/core/src/shutdown_controller.ts
+++ b/packages/core/src/shutdown_controller.ts
@@ -11,7 +11,7 @@
 import { EventKind } from "./events.ts";
 import { onEveryEvent } from "./every_event.ts";
 import { beatToAll } from "./heartbeat_gossip.ts";
-import { isFinished } from "./outcomes.ts";
+import { isFinished } from "./held_requests.ts";
 
 /** Writes `leaving` of this instance. */
 export class ShutdownController implements Controller {
