Send new asks where engines are idle, and count prompts in the expected wait

Cause: a fault note was placed behind a prompt being read in its own domain while other domains' engines were idle (p95 wait 395 ms at half load), since the expected wait counted slots and memory, not prompts. Change: an ask that may go elsewhere waits behind at most 50 ms of prompt work during its first 100 ms; the expected wait counts the prompts before it.

--- a/packages/core/src/ask_intake.ts
+++ b/packages/core/src/ask_intake.ts
@@ -83,7 +83,7 @@
   came: { detail: AskDetail; from: HolderWord; waiting?: WaitingAsk },
 ): void {
   const { detail, from, waiting } = came;
-  const { idleMs, loadedMs } = view.outlook(detail);
+  const { idleMs, loadedMs, prefillMs } = view.outlook(detail);
   const ask: WaitingAsk = {
     holderId: from.holderId,
     holderIncarnation: from.incarnation,
@@ -94,6 +94,7 @@
     renewedAtMs: view.nowMs,
     idleServiceMs: Number.isFinite(idleMs) ? idleMs : 0,
     costMs: Number.isFinite(loadedMs) ? loadedMs : 0,
+    prefillMs,
     kvTokens: view.kvTokensOf(detail),
     reservation: waiting?.reservation,
     preemptedForAtMs: waiting?.preemptedForAtMs,
--- a/packages/core/src/blackboard.ts
+++ b/packages/core/src/blackboard.ts
@@ -299,6 +299,8 @@
   idleServiceMs: number;
   /** The same while all its slots are taken: its cost for fair shares. */
   costMs: number;
+  /** The part of it that reading the prompt takes. */
+  prefillMs: number;
   /** KV memory it would need, in tokens. */
   kvTokens: number;
   /** Room kept for it on one target. */
@@ -374,6 +376,8 @@
   costMs: number;
   /** KV memory times the time it is held, in token milliseconds. */
   kvTokenMs: number;
+  /** Waiting prompt work. */
+  prefillMs: number;
 }
 
 /** An ask or a grant that is over, remembered against late messages. */
--- a/packages/core/src/shard_queue.ts
+++ b/packages/core/src/shard_queue.ts
@@ -13,6 +13,8 @@
 export interface QueuedWork {
   readonly costMs: number;
   readonly kvTokenMs: number;
+  /** Time for which one engine would read its prompts. */
+  readonly prefillMs: number;
 }
 
 /**
@@ -65,12 +67,14 @@
     asks: new Map<string, WaitingAsk>(),
     costMs: 0,
     kvTokenMs: 0,
+    prefillMs: 0,
   };
   shard.lanes.set(key, lane);
   lane.asks.set(requestId, ask);
   const work = queuedWorkOf(ask);
   lane.costMs += work.costMs;
   lane.kvTokenMs += work.kvTokenMs;
+  lane.prefillMs += work.prefillMs;
   shard.waiting.set(requestId, ask);
 }
 
@@ -96,6 +100,7 @@
   const work = queuedWorkOf(ask);
   lane.costMs -= work.costMs;
   lane.kvTokenMs -= work.kvTokenMs;
+  lane.prefillMs -= work.prefillMs;
   if (lane.asks.size === 0) {
     shard.lanes.delete(key);
   }
@@ -110,8 +115,13 @@
  * @returns Time on a slot, and KV memory times that time.
  */
 export function queuedWorkOf(ask: WaitingAsk): QueuedWork {
-  const costMs = ask.costMs / ask.detail.spreadOver;
-  return { costMs, kvTokenMs: ask.kvTokens * costMs };
+  const { spreadOver } = ask.detail;
+  const costMs = ask.costMs / spreadOver;
+  return {
+    costMs,
+    kvTokenMs: ask.kvTokens * costMs,
+    prefillMs: ask.prefillMs / spreadOver,
+  };
 }
 
 /**
--- a/packages/core/src/shard_view.ts
+++ b/packages/core/src/shard_view.ts
@@ -27,6 +27,8 @@
   readonly idleMs: number;
   /** On the best target with all its slots taken. */
   readonly loadedMs: number;
+  /** The part of the loaded time that reading the prompt takes. */
+  readonly prefillMs: number;
 }
 
 /** A shard during one event: its queue, its targets' rooms, its policies. */
@@ -154,16 +156,21 @@
   outlook(detail: AskDetail): ServiceOutlook {
     let idleMs = Infinity;
     let loadedMs = Infinity;
+    let prefillMs = 0;
     const kvTokens = this.kvTokensOf(detail);
     for (const room of this.rooms) {
       if (this.isPossible(room, { detail, kvTokens })) {
         const idle = { prefillQueueMs: 0, utilization: 0 };
         const full = { prefillQueueMs: 0, utilization: 1 };
         idleMs = Math.min(idleMs, this.predict(room, detail, idle).totalMs);
-        loadedMs = Math.min(loadedMs, this.predict(room, detail, full).totalMs);
+        const loaded = this.predict(room, detail, full);
+        if (loaded.totalMs < loadedMs) {
+          loadedMs = loaded.totalMs;
+          prefillMs = loaded.prefillMs;
+        }
       }
     }
-    return { idleMs, loadedMs };
+    return { idleMs, loadedMs, prefillMs };
   }
 
   /**
--- a/packages/core/src/shedding.ts
+++ b/packages/core/src/shedding.ts
@@ -63,6 +63,7 @@
   const waitMs = estimateWaitMs(view, ask, {
     costMs: lane.costMs - own.costMs,
     kvTokenMs: lane.kvTokenMs - own.kvTokenMs,
+    prefillMs: lane.prefillMs - own.prefillMs,
   });
   return refuseIfHopeless(view, ask, waitMs);
 }
--- a/packages/core/src/target_choice.ts
+++ b/packages/core/src/target_choice.ts
@@ -14,6 +14,9 @@
  */
 const NEW_ASK_MS = 100;
 
+/** A new ask waits behind no more than this: other domains may be idle. */
+const IDLE_QUEUE_MS = 50;
+
 /** A target that was not chosen, for `why`. */
 export interface PassedOverTarget {
   readonly targetId: string;
@@ -86,6 +89,10 @@
     return PassedOver.PrefillBusy;
   }
   const hasWaited = view.nowMs - ask.arrivedAtMs > NEW_ASK_MS;
+  const mayGoElsewhere = !hasWaited && ask.detail.spreadOver > 1;
+  if (mayGoElsewhere && room.prefillQueueMs(view.nowMs) > IDLE_QUEUE_MS) {
+    return PassedOver.PrefillBusy;
+  }
   const endMs = view.nowMs + (hasWaited ? cautiousMs : totalMs);
   return endMs > ask.deadlineAtMs ? PassedOver.TooLate : undefined;
 }
--- a/packages/core/src/wait_estimate.ts
+++ b/packages/core/src/wait_estimate.ts
@@ -6,11 +6,15 @@
 import type { ShardView } from "./shard_view.ts";
 
 /** No work at all. */
-export const NO_WORK: QueuedWork = { costMs: 0, kvTokenMs: 0 };
+export const NO_WORK: QueuedWork = {
+  costMs: 0,
+  kvTokenMs: 0,
+  prefillMs: 0,
+};
 
 /**
  * Estimates an ask's wait: what higher tiers and its own fair turn put before
- * it, over the slots and the KV memory that serve it.
+ * it, over the slots, the KV memory and the reading of prompts that serve it.
  *
  * @param view The shard.
  * @param ask The ask.
@@ -25,7 +29,9 @@
   const need = view.needOf(ask);
   let slots = 0;
   let kvTokens = 0;
+  let targets = 0;
   let firstFreeMs = Infinity;
+  let firstReadMs = Infinity;
   for (const room of view.rooms) {
     if (!view.isPossible(room, ask)) {
       continue;
@@ -33,13 +39,22 @@
     slots += slotsForTier(room.slotsTotal, need.headroomShare);
     kvTokens += room.kvTotalTokens;
     const isFree = shortage(room, need, room.used) === undefined;
+    targets += 1;
     firstFreeMs = Math.min(firstFreeMs, isFree ? 0 : nextEndMs(view, room));
+    firstReadMs = Math.min(firstReadMs, room.prefillQueueMs(view.nowMs));
   }
   const ahead = workAhead(view, ask, ownAhead);
   const slotWaitMs = slots > 0 ? ahead.costMs / slots : Infinity;
   const kvWaitMs = kvTokens > 0 ? ahead.kvTokenMs / kvTokens : 0;
-  const startMs = Number.isFinite(firstFreeMs) ? firstFreeMs : 0;
-  return startMs + Math.max(slotWaitMs, kvWaitMs);
+  const readWaitMs = targets > 0 ? ahead.prefillMs / targets : 0;
+  return Math.max(
+    finite(firstFreeMs) + Math.max(slotWaitMs, kvWaitMs),
+    finite(firstReadMs) + readWaitMs,
+  );
+}
+
+function finite(ms: number): number {
+  return Number.isFinite(ms) ? ms : 0;
 }
 
 /**
@@ -53,6 +68,7 @@
   return {
     costMs: a.costMs + b.costMs,
     kvTokenMs: a.kvTokenMs + b.kvTokenMs,
+    prefillMs: a.prefillMs + b.prefillMs,
   };
 }
 
@@ -84,7 +100,11 @@
   const ownCostMs = own.ownAhead.costMs + own.ask.costMs;
   const fairCostMs = ownCostMs * laneWeight / Math.max(ownWeight, 0.001);
   const share = Math.min(1, fairCostMs / Math.max(lane.costMs, 0.001));
-  return { costMs: lane.costMs * share, kvTokenMs: lane.kvTokenMs * share };
+  return {
+    costMs: lane.costMs * share,
+    kvTokenMs: lane.kvTokenMs * share,
+    prefillMs: lane.prefillMs * share,
+  };
 }
 
 function nextEndMs(
