--- a/packages/core/src/attempts.ts
+++ b/packages/core/src/attempts.ts
@@ -7,6 +7,8 @@
 
 /** How long after its deadline an answer is still gathered for its key. */
 const GATHER_BEYOND_MS = 60_000;
+/** Lets the holder end a request at its deadline before the edge does. */
+const EDGE_MARGIN_MS = 1000;
 
 /**
  * Tells how long an answer is gathered. One that will be kept for its key is
@@ -17,7 +19,9 @@
  * @returns A duration in milliseconds, at least 1.
  */
 export function answerTimeLeftMs(turn: Turn, request: HeldRequest): number {
-  const beyondMs = request.claim === undefined ? 0 : GATHER_BEYOND_MS;
+  const beyondMs = request.claim === undefined
+    ? EDGE_MARGIN_MS
+    : GATHER_BEYOND_MS;
   return Math.max(1, request.deadlineAtMs - turn.nowMs) + beyondMs;
 }
 
--- a/packages/core/src/capacity.ts
+++ b/packages/core/src/capacity.ts
@@ -17,6 +17,7 @@
   Draining = "draining",
   Unreachable = "unreachable",
   NoReport = "no load report yet",
+  WorkUnknown = "runs work that no holder has reported yet",
   Excluded = "refused a connection for this request",
   TooSmall = "cannot hold it even when empty",
   NoSlot = "no free slot for this tier",
@@ -85,6 +86,11 @@
       : undefined;
   }
 
+  /** Whether the target shows work that this account does not have. */
+  get hasUnknownWork(): boolean {
+    return this.used.slots > this.grants.length;
+  }
+
   /** @returns Whether any slot is free. */
   get hasFreeSlot(): boolean {
     return this.closedFor === undefined && this.target?.load !== undefined &&
--- a/packages/core/src/shard_view.ts
+++ b/packages/core/src/shard_view.ts
@@ -21,6 +21,9 @@
 /** Share of a grant's life within which its holder must have been heard. */
 const FRESH_BEAT_SHARE = 0.8;
 
+/** Time for holders' reports to come, beyond their interval. */
+const WARM_UP_MARGIN_MS = 200;
+
 /** The service an ask can expect of a shard. */
 export interface ServiceOutlook {
   /** On the best target, were it idle. Infinity where none could hold it. */
@@ -61,6 +64,16 @@
     return this.#rooms;
   }
 
+  /**
+   * Whether this instance became the shard's coordinator so lately that some
+   * holders may not have reported yet what they run. Until then a load report
+   * shows such work, but not how much memory it will come to need.
+   */
+  get isWarmingUp(): boolean {
+    const warmUpMs = this.settings.timing.holderReportMs + WARM_UP_MARGIN_MS;
+    return this.nowMs - this.shard.sinceMs < warmUpMs;
+  }
+
   /** @returns Rooms of the targets that may get work at all. */
   get liveRooms(): TargetRoom[] {
     return this.rooms.filter((room) => room.closedFor === undefined);
--- a/packages/core/src/target_choice.ts
+++ b/packages/core/src/target_choice.ts
@@ -78,6 +78,9 @@
   if (ask.detail.excludedTargetIds.includes(room.targetId)) {
     return PassedOver.Excluded;
   }
+  if (view.isWarmingUp && room.hasUnknownWork) {
+    return PassedOver.WorkUnknown;
+  }
   const obstacle = room.obstacle(need);
   const isFilledIn = obstacle === PassedOver.Kept &&
     endsBeforeKeptRoom(view, ask, on);
--- a/packages/core/src/urgent_asks.ts
+++ b/packages/core/src/urgent_asks.ts
@@ -16,6 +16,9 @@
 const MIN_URGENT_MS = 400;
 const MAX_URGENT_MS = 2000;
 
+/** Time that other domains have to grant a new ask. */
+const ELSEWHERE_MS = 500;
+
 /** Within this time only room that is free or being freed counts. */
 const LAST_CALL_MS = 200;
 
@@ -56,7 +59,10 @@
   state: { spareMs: number; plan: RoomPlan },
 ): void {
   const { spareMs, plan } = state;
-  if (view.shard.waiting.get(ask.detail.requestId) !== ask) {
+  if (
+    view.shard.waiting.get(ask.detail.requestId) !== ask ||
+    mayYetGoElsewhere(view, ask)
+  ) {
     return;
   }
   const byMs = spareMs > LAST_CALL_MS ? view.nowMs + spareMs : -Infinity;
@@ -79,6 +85,12 @@
   }
 }
 
+/** A domain whose targets are slow must not shed for what others can serve. */
+function mayYetGoElsewhere(view: ShardView, ask: WaitingAsk): boolean {
+  return ask.detail.spreadOver > 1 &&
+    view.nowMs - ask.arrivedAtMs < ELSEWHERE_MS;
+}
+
 function describeAsk({ detail }: WaitingAsk): string {
   return `${detail.requestId} of tier ${detail.tierRank}`;
 }
--- a/packages/daemon/src/caller_front.ts
+++ b/packages/daemon/src/caller_front.ts
@@ -3,14 +3,7 @@
  * each outcome to the caller that waits for it.
  */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
-import type { AddressInfo } from "node:net";
-import type { Duplex } from "node:stream";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { LogLevel, LogPart } from "@chestnuthatch/core/effects";
 import { EventKind } from "@chestnuthatch/core/events";
 import type { Answer, Refusal } from "@chestnuthatch/core/request";
@@ -19,36 +12,26 @@
   REQUEST_ID_HEADER,
 } from "@chestnuthatch/wire/caller_protocol";
 import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
-import polka from "polka";
 import { type BodyFault, readBody } from "./body_reader.ts";
 import { ByteBudget } from "./byte_budget.ts";
 import { parseCallerRequest } from "./caller_input.ts";
 import { type CallerLimits, DEFAULT_CALLER_LIMITS } from "./caller_limits.ts";
-import { refusalReply, sendReply } from "./caller_reply.ts";
+import { CallerServer, type CallerServerOptions } from "./caller_server.ts";
 import { type EdgeFault, edgeRefusal } from "./edge_refusal.ts";
-import { faultOfHttpError, refuseConnection } from "./malformed_http.ts";
 import { CallStage, OpenCall, OpenCalls } from "./open_calls.ts";
 import { type EdgeContext, EdgeCounterName } from "./ports.ts";
-import {
-  answerRead,
-  type InstanceReads,
-  READ_ROUTES,
-  type RoutedRequest,
-} from "./read_routes.ts";
 import { refuseUnread } from "./refuse_unread.ts";
 import { RequestBodies } from "./request_bodies.ts";
 import { requestSpecOf } from "./request_spec_of.ts";
-import { type CancelTimer, NODE_TIMERS, type Timers } from "./timers.ts";
+import { NODE_TIMERS, type Timers } from "./timers.ts";
 import type { RequestTracing } from "./tracing.ts";
 
 /** What the callers' edge is made of. */
-export interface CallerFrontOptions {
-  readonly host: string;
-  /** 0 lets the system choose one; see {@link CallerFront.address}. */
-  readonly port: number;
-  readonly reads: InstanceReads;
-  /** Gives an id that no other request of the fleet has. */
-  readonly mintRequestId: () => string;
+export interface CallerFrontOptions extends
+  Pick<
+    CallerServerOptions,
+    "host" | "port" | "reads" | "mintRequestId"
+  > {
   readonly limits?: Partial<CallerLimits>;
   readonly timers?: Timers;
   readonly tracing?: Pick<RequestTracing, "received">;
@@ -61,20 +44,16 @@
   [ErrorKind.CallerGone]: "The caller hung up while sending.",
 };
 
-/** Serves callers over HTTP. */
+/** Takes callers' requests, and hands each its outcome. */
 export class CallerFront {
   readonly #context: EdgeContext;
   readonly #options: CallerFrontOptions;
   readonly #limits: CallerLimits;
   readonly #timers: Timers;
-  readonly #server: Server;
+  readonly #server: CallerServer;
   readonly #calls = new OpenCalls();
   readonly #bodies = new RequestBodies();
   readonly #bodyBudget: ByteBudget;
-  /** Every response that is not over, those of refused calls included. */
-  readonly #responses = new Set<ServerResponse>();
-  #shuttingDown = false;
-  #onIdle: () => void = () => {};
 
   /**
    * @param context What every edge is handed.
@@ -86,7 +65,12 @@
     this.#limits = { ...DEFAULT_CALLER_LIMITS, ...options.limits };
     this.#timers = options.timers ?? NODE_TIMERS;
     this.#bodyBudget = new ByteBudget(this.#limits.maxKeptBodyBytes);
-    this.#server = this.#makeServer();
+    this.#server = new CallerServer(context, {
+      ...options,
+      limits: this.#limits,
+      timers: this.#timers,
+      onRequest: (request, response) => this.#onRequest(request, response),
+    });
   }
 
   /** How many calls are open, those still being received included. */
@@ -96,20 +80,12 @@
 
   /** @returns Nothing, once the edge listens. */
   start(): Promise<void> {
-    const { host, port } = this.#options;
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        this.#server.off("error", reject);
-        resolve();
-      });
-    });
+    return this.#server.start();
   }
 
   /** @returns `host:port` that the edge listens on. */
   address(): string {
-    const { address, port } = this.#server.address() as AddressInfo;
-    return `${address}:${port}`;
+    return this.#server.address();
   }
 
   /**
@@ -129,7 +105,7 @@
    * @param answer The answer.
    */
   answer(requestId: string, answer: Answer): void {
-    this.#end(requestId, (call) => call.answer(answer));
+    this.#deliverOutcome(requestId, (call) => call.answer(answer));
   }
 
   /**
@@ -139,7 +115,7 @@
    * @param refusal The refusal.
    */
   refuse(requestId: string, refusal: Refusal): void {
-    this.#end(requestId, (call) => call.refuse(refusal));
+    this.#deliverOutcome(requestId, (call) => call.refuse(refusal));
   }
 
   /**
@@ -164,90 +140,12 @@
 
   /** Refuses new requests from now on; those open go on to their end. */
   beginShutdown(): void {
-    this.#shuttingDown = true;
-    for (const response of this.#responses) {
-      if (!response.headersSent) {
-        response.setHeader("connection", "close");
-      }
-    }
-    this.#server.closeIdleConnections();
+    this.#server.beginShutdown();
   }
 
   /** @returns Nothing, once every call has ended and the port is closed. */
-  async stop(): Promise<void> {
-    this.beginShutdown();
-    const closed = new Promise<void>((resolve) => {
-      this.#server.close(() => resolve());
-    });
-    await this.#idle();
-    this.#server.closeAllConnections();
-    await closed;
-  }
-
-  #idle(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#onIdle = resolve;
-      this.#checkIdle();
-    });
-  }
-
-  #checkIdle(): void {
-    if (this.#responses.size === 0) {
-      this.#onIdle();
-    }
-  }
-
-  #makeServer(): Server {
-    const server = createServer({
-      maxHeaderSize: this.#limits.maxHeaderBytes,
-      headersTimeout: this.#limits.headersTimeoutMs,
-      connectionsCheckingInterval: this.#limits.headersTimeoutMs,
-      // The body reader has a timer of its own, which answers truthfully.
-      requestTimeout: 0,
-    });
-    server.maxConnections = this.#limits.maxConnections;
-    server.on("clientError", (error, socket) => {
-      this.#onClientError(error, socket);
-    });
-    server.on("request", this.#makeRoutes());
-    return server;
-  }
-
-  #makeRoutes(): (request: IncomingMessage, response: ServerResponse) => void {
-    const routes = polka({
-      onNoMatch: (request, response) => this.#onNoRoute(request, response),
-    });
-    routes.post("/v1/requests", (request, response) => {
-      this.#onRequest(request, response);
-    });
-    for (const [pattern, handler] of Object.entries(READ_ROUTES)) {
-      routes.get(pattern, (request, response) => {
-        const exchange = { request: request as RoutedRequest, response };
-        this.#boundDelivery(response);
-        answerRead(handler, this.#options.reads, exchange).catch((error) =>
-          this.#onRouteFault(response, error)
-        );
-      });
-    }
-    return (request, response) => {
-      this.#track(response);
-      try {
-        routes.handler(request as polka.Request, response);
-      } catch (error) {
-        this.#onRouteFault(response, error);
-      }
-    };
-  }
-
-  #track(response: ServerResponse): void {
-    this.#responses.add(response);
-    if (this.#shuttingDown) {
-      response.setHeader("connection", "close");
-    }
-    response.once("close", () => {
-      this.#responses.delete(response);
-      this.#checkIdle();
-    });
+  stop(): Promise<void> {
+    return this.#server.stop();
   }
 
   #onRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -266,7 +164,7 @@
   }
 
   #admissionFault(): EdgeFault | undefined {
-    if (this.#shuttingDown) {
+    if (this.#server.shuttingDown) {
       return {
         error: ErrorKind.ShuttingDown,
         message: "This instance is shutting down.",
@@ -351,25 +249,17 @@
     this.#countRefusal(fault.error);
     this.#giveBackBody(call);
     call.refuse(edgeRefusal(call.requestId, fault));
-    this.#boundDelivery(call.response);
+    this.#server.boundDelivery(call.response);
   }
 
-  #end(requestId: string, deliver: (call: OpenCall) => void): void {
+  #deliverOutcome(requestId: string, deliver: (call: OpenCall) => void): void {
     const call = this.#calls.waiting(requestId);
     if (call === undefined) {
       return;
     }
-    this.#forgetBody(call);
+    this.#releaseBody(call);
     deliver(call);
-    this.#boundDelivery(call.response);
-  }
-
-  #boundDelivery(response: ServerResponse): void {
-    const cancel: CancelTimer = this.#timers.after(
-      this.#limits.deliverTimeoutMs,
-      () => response.destroy(),
-    );
-    response.once("close", cancel);
+    this.#server.boundDelivery(call.response);
   }
 
   #onClosed(call: OpenCall): void {
@@ -378,12 +268,12 @@
       return;
     }
     call.stage = CallStage.Ended;
-    this.#forgetBody(call);
+    this.#releaseBody(call);
     const { requestId } = call;
     this.#context.emit({ kind: EventKind.CallerHungUp, requestId });
   }
 
-  #forgetBody(call: OpenCall): void {
+  #releaseBody(call: OpenCall): void {
     this.#bodies.release(call.requestId);
     this.#giveBackBody(call);
   }
@@ -399,7 +289,7 @@
       return;
     }
     const accepted = call.stage === CallStage.Accepted;
-    this.#forgetBody(call);
+    this.#releaseBody(call);
     call.refuse(edgeRefusal(call.requestId, {
       error: ErrorKind.Internal,
       message: "This instance failed while taking the request.",
@@ -407,47 +297,6 @@
     }));
   }
 
-  #onRouteFault(response: ServerResponse, error: unknown): void {
-    this.#log(LogLevel.Error, `Could not answer a call: ${error}`);
-    this.#refusePlainly(response, {
-      error: ErrorKind.Internal,
-      message: "This instance failed to answer.",
-      ran: RunState.NotRun,
-    });
-  }
-
-  #onNoRoute(request: IncomingMessage, response: ServerResponse): void {
-    this.#refusePlainly(response, {
-      error: ErrorKind.BadRequest,
-      message: `There is no such path for ${request.method}; allowed are ` +
-        `POST /v1/requests and GET ${Object.keys(READ_ROUTES).join(", ")}.`,
-    });
-  }
-
-  #refusePlainly(response: ServerResponse, fault: EdgeFault): void {
-    if (response.headersSent) {
-      response.destroy();
-      return;
-    }
-    const refusal = edgeRefusal(this.#options.mintRequestId(), fault);
-    sendReply(response, refusalReply(refusal));
-  }
-
-  #onClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
-    // A refusal here would be read as the answer to the call under way.
-    const underWay = [...this.#responses].some((response) =>
-      response.socket === socket
-    );
-    if (underWay || error.code === "ECONNRESET" || !socket.writable) {
-      socket.destroy();
-      return;
-    }
-    const fault = faultOfHttpError(error.code);
-    this.#countRefusal(fault.error);
-    const refusal = edgeRefusal(this.#options.mintRequestId(), fault);
-    refuseConnection(socket, refusal);
-  }
-
   #countRefusal(error: ErrorKind): void {
     this.#context.count(EdgeCounterName.CallerBodiesRejected, { error }, 1);
   }
--- a/packages/daemon/src/entry_instance.ts
+++ b/packages/daemon/src/entry_instance.ts
@@ -1,6 +1,5 @@
 /** One entry instance: the core, wired to its edges. */
 
-import { randomUUID } from "node:crypto";
 import process from "node:process";
 import {
   type Effect,
@@ -11,24 +10,13 @@
 } from "@chestnuthatch/core/effects";
 import { type CoreEvent, EventKind } from "@chestnuthatch/core/events";
 import { seededRandomness } from "@chestnuthatch/core/randomness";
-import { readinessOf } from "@chestnuthatch/core/readiness";
 import { SchedulerCore } from "@chestnuthatch/core/scheduler_core";
-import { statusOf } from "@chestnuthatch/core/status";
-import { isAlive } from "@chestnuthatch/core/coordinators";
-import { whyOf } from "@chestnuthatch/core/why";
-import { ConsoleSpanExporter } from "@opentelemetry/sdk-trace-base";
-import { CallerFront } from "./caller_front.ts";
-import { dispatchInputOf } from "./dispatch_input.ts";
+import { type InstanceEdges, makeEdges } from "./instance_edges.ts";
 import { Logger } from "./logger.ts";
-import { GaugeName, Metrics } from "./metrics.ts";
-import { PeerLinks } from "./peer_links.ts";
-import { PlatformClient } from "./platform_client.ts";
-import { PlatformHttp } from "./platform_http.ts";
-import type { Clock, EdgeContext, UntimedEvent } from "./ports.ts";
+import type { Clock, UntimedEvent } from "./ports.ts";
 import { RequestHops } from "./request_hops.ts";
-import { type StartSettings, TraceExport } from "./start_settings.ts";
-import { TargetClient } from "./target_client.ts";
-import { NO_TRACING, type RequestTracing, SpanTracing } from "./tracing.ts";
+import { requestIdOf } from "./request_reads.ts";
+import type { StartSettings } from "./start_settings.ts";
 
 /** What may be handed to an instance besides its start settings. */
 export interface EntryInstanceOptions {
@@ -56,14 +44,8 @@
   readonly #options: EntryInstanceOptions;
   readonly #clock: Clock;
   readonly #logger: Logger;
-  readonly #metrics: Metrics;
-  readonly #tracing: RequestTracing;
+  readonly #edges: InstanceEdges;
   readonly #hops: RequestHops;
-  readonly #callers: CallerFront;
-  readonly #peers: PeerLinks;
-  readonly #targets: TargetClient;
-  readonly #platformHttp: PlatformHttp;
-  readonly #platform: PlatformClient;
   readonly #inbox: UntimedEvent[] = [];
   readonly #handlers: EffectHandlers;
   #draining = false;
@@ -83,36 +65,25 @@
     const incarnation = Date.now();
     this.core = makeCore(settings, incarnation);
     this.#logger = this.#makeLogger();
-    this.#metrics = this.#makeMetrics();
-    this.#tracing = this.#makeTracing();
-    this.#hops = new RequestHops(this.#tracing);
-    const context = this.#makeContext();
-    this.#callers = this.#makeCallers(context);
-    this.#peers = makePeers(context, settings, incarnation);
-    this.#targets = this.#makeTargets(context);
-    this.#platformHttp = new PlatformHttp({
-      address: settings.platform.address,
+    this.#edges = makeEdges({
+      settings,
+      incarnation,
+      core: this.core,
       clock: this.#clock,
-      count: context.count,
-      readsPerSecond: settings.platform.maxReadsPerSecond,
-      writesPerSecond: settings.platform.maxWritesPerSecond,
-      callTimeoutMs: settings.platform.timeoutMs,
-    });
-    this.#platform = new PlatformClient(context, {
-      http: this.#platformHttp,
-      claimWaitMs: (requestId) =>
-        this.core.board.requests.byId.get(requestId)?.policy.claimWaitMs ?? 0,
+      logger: this.#logger,
+      emit: (event) => this.emit(event),
     });
+    this.#hops = new RequestHops(this.#edges.tracing);
     this.#handlers = this.#makeHandlers();
   }
 
   /** @returns Nothing, once callers and peers can connect. */
   async start(): Promise<void> {
-    const listening = await this.#peers.start();
+    const listening = await this.#edges.peers.start();
     if (listening.isErr()) {
       throw listening.error;
     }
-    await this.#callers.start();
+    await this.#edges.callers.start();
     this.#tickTimer = setInterval(() => {
       this.emit({ kind: EventKind.Tick });
     }, TICK_MS);
@@ -126,12 +97,12 @@
 
   /** `host:port` that callers connect to. */
   get callerAddress(): string {
-    return this.#callers.address();
+    return this.#edges.callers.address();
   }
 
   /** `host:port` that peers connect to. */
   get peerAddress(): string {
-    return this.#peers.address();
+    return this.#edges.peers.address();
   }
 
   /** Begins a graceful shutdown; a second call ends it at once. */
@@ -140,7 +111,7 @@
       this.emit({ kind: EventKind.ShutdownForced });
       return;
     }
-    this.#callers.beginShutdown();
+    this.#edges.callers.beginShutdown();
     this.#graceTimer = setTimeout(
       () => this.emit({ kind: EventKind.ShutdownForced }),
       this.#settings.shutdownGraceMs,
@@ -206,74 +177,63 @@
   }
 
   async #stopEdges(): Promise<void> {
+    const { callers, peers, platform, platformHttp, targets, tracing } =
+      this.#edges;
     clearInterval(this.#tickTimer);
     clearTimeout(this.#graceTimer);
-    await this.#callers.stop();
-    await this.#platform.settle(MAX_SETTLE_MS);
-    await this.#peers.stop();
-    await this.#targets.stop();
-    this.#platform.stop();
-    await this.#platformHttp.stop();
-    await this.#tracing.stop();
+    await callers.stop();
+    await platform.settle(MAX_SETTLE_MS);
+    await peers.stop();
+    await targets.stop();
+    platform.stop();
+    await platformHttp.stop();
+    await tracing.stop();
     this.#logger.write(LogLevel.Info, LogPart.Daemon, "Stopped.");
     this.#logger.close();
     this.#options.onStopped?.();
   }
 
   #makeHandlers(): EffectHandlers {
+    const { callers, metrics, peers, platform, targets } = this.#edges;
     return {
       [EffectKind.SendPeer]: ({ peerId, message }) => {
-        this.#peers.send(peerId, message);
+        peers.send(peerId, message);
       },
       [EffectKind.ConnectPeer]: ({ peerId, address }) =>
-        this.#peers.connect(peerId, address),
-      [EffectKind.ForgetPeer]: ({ peerId }) => this.#peers.forget(peerId),
-      [EffectKind.Dispatch]: (effect) => this.#targets.dispatch(effect),
-      [EffectKind.ResumeStream]: (effect) => this.#targets.resumeStream(effect),
-      [EffectKind.CancelStream]: (effect) => this.#targets.cancelStream(effect),
-      [EffectKind.PollLoad]: (effect) => this.#targets.pollLoad(effect),
-      [EffectKind.PollCacheEvents]: (effect) =>
-        this.#targets.pollCacheEvents(effect),
-      [EffectKind.WriteClaim]: (effect) =>
-        void this.#platform.writeClaim(effect),
-      [EffectKind.VoidClaim]: (effect) => void this.#platform.voidClaim(effect),
-      [EffectKind.KeepAnswer]: (effect) =>
-        void this.#platform.keepAnswer(effect),
+        peers.connect(peerId, address),
+      [EffectKind.ForgetPeer]: ({ peerId }) => peers.forget(peerId),
+      [EffectKind.Dispatch]: (effect) => targets.dispatch(effect),
+      [EffectKind.ResumeStream]: (effect) => targets.resumeStream(effect),
+      [EffectKind.CancelStream]: (effect) => targets.cancelStream(effect),
+      [EffectKind.PollLoad]: (effect) => targets.pollLoad(effect),
+      [EffectKind.PollCacheEvents]: (effect) => targets.pollCacheEvents(effect),
+      [EffectKind.WriteClaim]: (effect) => void platform.writeClaim(effect),
+      [EffectKind.VoidClaim]: (effect) => void platform.voidClaim(effect),
+      [EffectKind.KeepAnswer]: (effect) => void platform.keepAnswer(effect),
       [EffectKind.ReadKeptAnswer]: (effect) =>
-        void this.#platform.readKeptAnswer(effect),
-      [EffectKind.PollInstanceList]: () =>
-        void this.#platform.pollInstanceList(),
-      [EffectKind.PollSettings]: (effect) =>
-        void this.#platform.pollSettings(effect),
+        void platform.readKeptAnswer(effect),
+      [EffectKind.PollInstanceList]: () => void platform.pollInstanceList(),
+      [EffectKind.PollSettings]: (effect) => void platform.pollSettings(effect),
       [EffectKind.AnswerCaller]: (effect) => this.#answer(effect),
       [EffectKind.RefuseCaller]: ({ requestId, refusal }) =>
-        this.#callers.refuse(requestId, refusal),
+        callers.refuse(requestId, refusal),
       [EffectKind.StreamToCaller]: ({ requestId, text }) =>
-        this.#callers.streamText(requestId, text),
+        callers.streamText(requestId, text),
       [EffectKind.SettingsInForce]: () => {},
       [EffectKind.Log]: ({ level, part, text }) =>
         this.#logger.write(level, part, text),
       [EffectKind.Count]: ({ counter, labels, by }) =>
-        this.#metrics.count(counter, labels, by),
+        metrics.count(counter, labels, by),
       [EffectKind.ShutdownDone]: () => void this.stop(),
     };
   }
 
-  #answer(effect: EffectOf<EffectKind.AnswerCaller>): void {
-    const { requests } = this.core.board;
-    const heldId = requests.joined.get(effect.requestId) ?? effect.requestId;
-    const tier = requests.byId.get(heldId)?.spec.tier ?? "joined";
-    this.#metrics.observeAnswer(tier, effect.answer);
-    this.#callers.answer(effect.requestId, effect.answer);
-  }
-
-  #makeContext(): EdgeContext {
-    return {
-      clock: this.#clock,
-      emit: (event) => this.emit(event),
-      log: this.#logger.write,
-      count: this.#metrics.count,
-    };
+  #answer({ requestId, answer }: EffectOf<EffectKind.AnswerCaller>): void {
+    const { board } = this.core;
+    const request = board.requests.byId.get(requestIdOf(board, requestId));
+    const tier = request?.spec.tier ?? "joined";
+    this.#edges.metrics.observeAnswer(tier, answer);
+    this.#edges.callers.answer(requestId, answer);
   }
 
   #makeLogger(): Logger {
@@ -285,89 +245,6 @@
       output: this.#options.logOutput ?? process.stderr,
     });
   }
-
-  #makeMetrics(): Metrics {
-    const { board } = this.core;
-    const readers: Record<GaugeName, () => number> = {
-      [GaugeName.OpenRequests]: () => this.#callers.openRequests,
-      [GaugeName.LiveMembers]: () =>
-        [...board.members.byId.values()]
-          .filter((member) => isAlive(board, member, this.#clock.nowMs()))
-          .length,
-      [GaugeName.SettingsVersion]: () => board.settings.inForce?.version ?? 0,
-    };
-    return new Metrics({ readGauge: (name) => readers[name]() });
-  }
-
-  #makeTracing(): RequestTracing {
-    if (this.#settings.traces.export === TraceExport.Off) {
-      return NO_TRACING;
-    }
-    return new SpanTracing({
-      exporter: new ConsoleSpanExporter(),
-      clock: this.#clock,
-      clockZeroMs: Date.now() - this.#clock.nowMs(),
-      instanceId: this.#settings.instanceId,
-    });
-  }
-
-  #makeCallers(context: EdgeContext): CallerFront {
-    const { limits, callers } = this.#settings;
-    const { board } = this.core;
-    return new CallerFront(context, {
-      ...callers,
-      mintRequestId: randomUUID,
-      tracing: this.#tracing,
-      limits: {
-        maxBodyBytes: limits.maxBodyBytes,
-        maxHeaderBytes: limits.maxHeaderBytes,
-        maxOpenRequests: limits.maxOpenRequests,
-        bodyTimeoutMs: limits.slowCallerMs,
-        maxBufferedStreamBytes: limits.maxStreamBufferBytes,
-      },
-      reads: {
-        readiness: () => readinessOf(board),
-        requestState: (id) => this.#requestState(id),
-        why: (id) => this.#why(id),
-        status: () => statusOf(board, this.#clock.nowMs()),
-        metrics: () => this.#metrics.page(),
-      },
-    });
-  }
-
-  #requestState(callId: string): object | undefined {
-    const { requests } = this.core.board;
-    const request = requests.byId.get(requests.joined.get(callId) ?? callId);
-    if (request === undefined) {
-      return undefined;
-    }
-    const { state, outcome, callLog } = request;
-    return { requestId: callId, state, ...outcome, callLog };
-  }
-
-  #why(callId: string): object | undefined {
-    const { board } = this.core;
-    const requestId = board.requests.joined.get(callId) ?? callId;
-    const isKnown = board.requests.byId.has(requestId) ||
-      board.decisions.story(requestId).length > 0;
-    return isKnown ? whyOf(board, requestId) : undefined;
-  }
-
-  #makeTargets(context: EdgeContext): TargetClient {
-    return new TargetClient(context, {
-      limits: { concurrentSends: this.#settings.limits.maxDispatchesPerPool },
-      dispatchInput: (requestId) =>
-        dispatchInputOf(
-          this.core.board,
-          requestId,
-          (callId) => this.#callers.bodyOf(callId),
-        ),
-      traceHeaders: (requestId): Readonly<Record<string, string>> => {
-        const traceparent = this.#tracing.traceparentOf(requestId);
-        return traceparent === undefined ? {} : { traceparent };
-      },
-    });
-  }
 }
 
 function makeCore(settings: StartSettings, incarnation: number): SchedulerCore {
@@ -380,21 +257,3 @@
     random: seededRandomness(incarnation % MAX_SEED),
   });
 }
-
-function makePeers(
-  context: EdgeContext,
-  settings: StartSettings,
-  incarnation: number,
-): PeerLinks {
-  return new PeerLinks(context, {
-    identity: {
-      instanceId: settings.instanceId,
-      incarnation,
-      failureDomain: settings.failureDomain,
-    },
-    secret: settings.peers.secret,
-    host: settings.peers.host,
-    port: settings.peers.port,
-    random: Math.random,
-  });
-}
--- a/packages/daemon/src/log_rate_limit.ts
+++ b/packages/daemon/src/log_rate_limit.ts
@@ -1,4 +1,4 @@
-/** Keeps one fault from flooding the log. */
+/** A bound on how often lines that are alike may be written. */
 
 /** What the rate limit allows. */
 export interface LogRate {
@@ -18,7 +18,7 @@
 
 /** Lines that were held back. */
 export interface Suppressed {
-  /** What the lines have in common, ids and digits removed. */
+  /** What the lines have in common. */
   readonly pattern: string;
   readonly lines: number;
 }
@@ -28,8 +28,6 @@
   lines: number;
 }
 
-const WORD_WITH_DIGIT = /[\w-]*\d[\w-]*/g;
-
 /** Counts lines by pattern within windows of time. */
 export class LogRateLimit {
   readonly #rate: LogRate;
@@ -41,12 +39,13 @@
   }
 
   /**
-   * @param line The line, its prefix included.
+   * Counts a line.
+   *
+   * @param pattern What it has in common with its like.
    * @param nowMs The time.
    * @returns Whether it may be written.
    */
-  allow(line: string, nowMs: number): boolean {
-    const pattern = line.replace(WORD_WITH_DIGIT, "#");
+  allow(pattern: string, nowMs: number): boolean {
     const window = this.#windows.get(pattern);
     if (window !== undefined) {
       window.lines++;
@@ -68,15 +67,35 @@
   closeWindows(nowMs: number): Suppressed[] {
     const suppressed: Suppressed[] = [];
     for (const [pattern, window] of this.#windows) {
-      if (nowMs - window.startedAtMs < this.#rate.windowMs) {
+      if (!this.#isOver(window, nowMs)) {
         // Windows are kept in the order in which they began.
         break;
       }
-      this.#windows.delete(pattern);
-      if (window.lines > this.#rate.maxLines) {
-        suppressed.push({ pattern, lines: window.lines - this.#rate.maxLines });
+      const lines = this.closeWindow(pattern, nowMs);
+      if (lines > 0) {
+        suppressed.push({ pattern, lines });
       }
     }
     return suppressed;
   }
+
+  /**
+   * Closes one pattern's window, if it is over.
+   *
+   * @param pattern The pattern.
+   * @param nowMs The time.
+   * @returns How many lines it held back.
+   */
+  closeWindow(pattern: string, nowMs: number): number {
+    const window = this.#windows.get(pattern);
+    if (window === undefined || !this.#isOver(window, nowMs)) {
+      return 0;
+    }
+    this.#windows.delete(pattern);
+    return Math.max(0, window.lines - this.#rate.maxLines);
+  }
+
+  #isOver(window: PatternWindow, nowMs: number): boolean {
+    return nowMs - window.startedAtMs >= this.#rate.windowMs;
+  }
 }
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -38,6 +38,8 @@
   ),
 };
 
+const WORD_WITH_DIGIT = /[\w-]*\d[\w-]*/g;
+
 /** Writes log lines, at a bounded rate for each pattern of text. */
 export class Logger {
   readonly #clock: Clock;
@@ -74,7 +76,8 @@
       return;
     }
     this.reportSuppressed();
-    if (this.#rateLimit.allow(`[${part}] ${text}`, this.#clock.nowMs())) {
+    const pattern = patternOf(`[${part}] ${text}`);
+    if (this.#rateLimit.allow(pattern, this.#clock.nowMs())) {
       this.#winston.log(level, text, { part });
     }
   };
@@ -101,3 +104,8 @@
     }
   }
 }
+
+/** What lines about different ids and figures have in common. */
+function patternOf(line: string): string {
+  return line.replace(WORD_WITH_DIGIT, "#");
+}
--- a/packages/daemon/src/peer_connection.ts
+++ b/packages/daemon/src/peer_connection.ts
@@ -10,14 +10,9 @@
   type FrameFault,
 } from "@chestnuthatch/wire/frame_codec";
 import {
-  createNonce,
-  createProof,
-  HandshakeMessageKind,
   HandshakeRole,
-  type HandshakeTranscript,
   type Hello,
   helloSchema,
-  isProofValid,
   MAX_HANDSHAKE_FRAME_BYTES,
   type Proof,
   proofSchema,
@@ -33,6 +28,7 @@
   type OutboundFrame,
   OutboundQueue,
 } from "./outbound_queue.ts";
+import { PeerHandshake } from "./peer_handshake.ts";
 import type { PeerLimits } from "./peer_limits.ts";
 import { type EdgeContext, EdgeCounterName } from "./ports.ts";
 
@@ -89,16 +85,11 @@
   schema: peerMessageSchema,
 };
 
-const OTHER_ROLE: Readonly<Record<HandshakeRole, HandshakeRole>> = {
-  [HandshakeRole.Dialler]: HandshakeRole.Acceptor,
-  [HandshakeRole.Acceptor]: HandshakeRole.Dialler,
-};
-
 /** One connection, from its first byte to its close. */
 export class PeerConnection {
   readonly #socket: Socket;
   readonly #options: PeerConnectionOptions;
-  readonly #ownHello: Hello;
+  readonly #handshake: PeerHandshake;
   readonly #decoder = new FrameDecoder();
   readonly #queue = new OutboundQueue();
   readonly #handshakeTimer: NodeJS.Timeout;
@@ -125,14 +116,14 @@
   constructor(socket: Socket, options: PeerConnectionOptions) {
     this.#socket = socket;
     this.#options = options;
-    this.#ownHello = createHello(options.identity);
+    this.#handshake = new PeerHandshake(options);
     this.#handshakeTimer = setTimeout(
       () => this.close(CloseReason.HandshakeTimeout),
       options.limits.handshakeTimeoutMs,
     );
     this.#handshakeTimer.unref();
     this.#listen();
-    this.#sendHandshake(this.#ownHello);
+    this.#sendHandshake(this.#handshake.ownHello);
   }
 
   /** @returns Which side of the connection this instance is. */
@@ -276,7 +267,7 @@
   }
 
   #readHello(): boolean {
-    const hello = this.#take(HELLO_EXPECTED);
+    const hello = this.#nextFrame(HELLO_EXPECTED);
     if (!hello) return false;
     if (hello.protocolVersion !== PEER_PROTOCOL_VERSION) {
       this.close(CloseReason.ProtocolMismatch);
@@ -290,7 +281,7 @@
 
   #readProof(): boolean {
     const hello = this.#peerHello;
-    const proof = this.#take(PROOF_EXPECTED);
+    const proof = this.#nextFrame(PROOF_EXPECTED);
     if (!hello || !proof) return false;
     const refusal = this.#refusalOf(hello, proof);
     if (refusal) {
@@ -305,22 +296,19 @@
   }
 
   #refusalOf(hello: Hello, proof: Proof): CloseReason | null {
-    const valid = isProofValid(proof, {
-      secret: this.#options.secret,
-      role: OTHER_ROLE[this.role],
-      transcript: this.#transcript(hello),
-    });
-    return valid ? this.#options.owner.admit(this) : CloseReason.ProofRejected;
+    return this.#handshake.isValid(hello, proof)
+      ? this.#options.owner.admit(this)
+      : CloseReason.ProofRejected;
   }
 
   #readMessage(): boolean {
-    const message = this.#take(MESSAGE_EXPECTED);
+    const message = this.#nextFrame(MESSAGE_EXPECTED);
     if (!message) return false;
     this.#options.owner.received(this, message);
     return true;
   }
 
-  #take<T>(expectation: FrameExpectation<T>): T | null {
+  #nextFrame<T>(expectation: FrameExpectation<T>): T | null {
     const result = this.#decoder.next(expectation);
     if (result.isOk()) return result.value;
     this.#rejectFrame(result.error);
@@ -332,16 +320,8 @@
     this.close(CloseReason.BadFrame);
   }
 
-  #transcript(peerHello: Hello): HandshakeTranscript {
-    return this.role === HandshakeRole.Dialler
-      ? { dialler: this.#ownHello, acceptor: peerHello }
-      : { dialler: peerHello, acceptor: this.#ownHello };
-  }
-
   #sendProof(peerHello: Hello): void {
-    const transcript = this.#transcript(peerHello);
-    const claim = { transcript, role: this.role };
-    this.#sendHandshake(createProof(this.#options.secret, claim));
+    this.#sendHandshake(this.#handshake.prove(peerHello));
   }
 
   #sendHandshake(message: Hello | Proof): void {
@@ -375,14 +355,3 @@
     this.#options.context.count(counter, {}, by);
   }
 }
-
-function createHello(identity: PeerIdentity): Hello {
-  return {
-    kind: HandshakeMessageKind.Hello,
-    protocolVersion: PEER_PROTOCOL_VERSION,
-    instanceId: identity.instanceId,
-    incarnation: identity.incarnation,
-    failureDomain: identity.failureDomain,
-    nonce: createNonce(),
-  };
-}
--- a/packages/daemon/src/peer_links.ts
+++ b/packages/daemon/src/peer_links.ts
@@ -3,7 +3,6 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
 import { Buffer } from "node:buffer";
 import { EventKind } from "@chestnuthatch/core/events";
-import { LogLevel, LogPart } from "@chestnuthatch/core/effects";
 import { encodeFrame, type FrameFault } from "@chestnuthatch/wire/frame_codec";
 import { HandshakeRole, MIN_SECRET_BYTES } from "@chestnuthatch/wire/handshake";
 import {
@@ -11,8 +10,7 @@
   PeerMessageKind,
 } from "@chestnuthatch/wire/peer_messages";
 import { err, ok, type Result } from "neverthrow";
-import { Backoff } from "./backoff.ts";
-import { CLOSE_REPORTS, CloseReason } from "./close_reason.ts";
+import { CloseReason } from "./close_reason.ts";
 import {
   formatPeerAddress,
   parsePeerAddress,
@@ -23,11 +21,11 @@
   type PeerConnectionOwner,
   type PeerIdentity,
 } from "./peer_connection.ts";
-import { PeerDialler } from "./peer_dialler.ts";
+import { PeerDiallers } from "./peer_diallers.ts";
 import { DEFAULT_PEER_LIMITS, type PeerLimits } from "./peer_limits.ts";
+import { PeerLog } from "./peer_log.ts";
 import { PeerRegistry } from "./peer_registry.ts";
-import { type EdgeContext, EdgeCounterName } from "./ports.ts";
-import { RateLimitedLog } from "./rate_limited_log.ts";
+import type { EdgeContext } from "./ports.ts";
 
 /** Messages that are sent again anyway, so that losing one does no harm. */
 const REPEATED_KINDS: ReadonlySet<PeerMessageKind> = new Set([
@@ -59,11 +57,11 @@
   readonly #context: EdgeContext;
   readonly #options: PeerLinksOptions;
   readonly #limits: PeerLimits;
-  readonly #log: RateLimitedLog;
+  readonly #log: PeerLog;
   readonly #registry: PeerRegistry;
   readonly #server: Server;
   readonly #connections = new Set<PeerConnection>();
-  readonly #diallers = new Map<string, PeerDialler>();
+  readonly #diallers: PeerDiallers;
   #keepAliveTimer: NodeJS.Timeout | null = null;
   #stopping = false;
   #onAllClosed: () => void = () => {};
@@ -82,11 +80,13 @@
     this.#context = context;
     this.#options = options;
     this.#limits = { ...DEFAULT_PEER_LIMITS, ...options.limits };
-    this.#log = new RateLimitedLog(context, {
-      part: LogPart.Peers,
-      intervalMs: this.#limits.logIntervalMs,
-    });
+    this.#log = new PeerLog(context, this.#limits.logIntervalMs);
     this.#registry = new PeerRegistry(options.identity.instanceId);
+    this.#diallers = new PeerDiallers({
+      limits: this.#limits,
+      random: options.random,
+      dial: (peerId, address) => this.#dial(peerId, address),
+    });
     this.#server = this.#createServer();
   }
 
@@ -104,7 +104,8 @@
     if (failure) return err(failure);
     this.#server.on(
       "error",
-      (error) => this.#logError("listen", `listening failed: ${error.message}`),
+      (error) =>
+        this.#log.error("listen", `listening failed: ${error.message}`),
     );
     this.#keepAliveTimer = setInterval(
       () => this.#intervalPassed(),
@@ -131,10 +132,13 @@
     const parsed = parsePeerAddress(address);
     if (this.#stopping || peerId === this.#options.identity.instanceId) return;
     if (!parsed) {
-      this.#logError("bad_address", `${peerId} has no valid address`);
+      this.#log.error("bad_address", `${peerId} has no valid address`);
       return;
     }
-    this.#diallerTo(peerId, parsed);
+    if (!this.#diallers.dialsAt(peerId, parsed)) {
+      this.#stopDialling(peerId);
+      this.#diallers.add(peerId, parsed);
+    }
     this.#dialIfDown(peerId);
   }
 
@@ -144,9 +148,7 @@
    * @param peerId The peer's id.
    */
   forget(peerId: string): void {
-    this.#diallers.get(peerId)?.stop();
-    this.#diallers.delete(peerId);
-    this.#abandonAttempts(peerId);
+    this.#stopDialling(peerId);
     for (const link of this.#registry.linksOf(peerId)) link.retire();
   }
 
@@ -163,7 +165,7 @@
     if (!link) return false;
     const frame = encodeFrame(message);
     if (frame.isErr()) {
-      this.#logError("bad_message", `a message is ${frame.error}`);
+      this.#log.error("bad_message", `a message is ${frame.error}`);
       return false;
     }
     const repeated = REPEATED_KINDS.has(message.kind);
@@ -183,7 +185,7 @@
   async stop(): Promise<void> {
     this.#stopping = true;
     if (this.#keepAliveTimer) clearInterval(this.#keepAliveTimer);
-    for (const dialler of this.#diallers.values()) dialler.stop();
+    this.#diallers.stop();
     const serverClosed = new Promise<void>((resolve) => {
       this.#server.close(() => resolve());
     });
@@ -236,18 +238,13 @@
 
   /** Counts and logs a bad frame. @inheritDoc */
   frameRejected(connection: PeerConnection, fault: FrameFault): void {
-    this.#context.count(EdgeCounterName.PeerFramesRejected, { fault }, 1);
-    this.#log.write({
-      lineKind: fault,
-      level: LogLevel.Warn,
-      text: `a frame from ${nameOf(connection)} is refused: ${fault}`,
-    });
+    this.#log.frameRejected(nameOf(connection), fault);
   }
 
   /** Forgets a connection, and dials anew where it was the last. @inheritDoc */
   closed(connection: PeerConnection, reason: CloseReason): void {
     this.#connections.delete(connection);
-    this.#reportClose(reason, nameOf(connection));
+    this.#log.connectionClosed(nameOf(connection), reason);
     const { peer, expectedPeerId } = connection;
     const wasLast = this.#registry.remove(connection);
     if (wasLast && peer) {
@@ -273,7 +270,7 @@
     server.maxConnections = this.#limits.maxInboundConnections;
     server.on("drop", (dropped) => {
       const name = dropped?.remoteAddress ?? "an unknown address";
-      this.#reportClose(CloseReason.TooManyConnections, name);
+      this.#log.connectionClosed(name, CloseReason.TooManyConnections);
     });
     return server;
   }
@@ -299,28 +296,11 @@
     return connection;
   }
 
-  #diallerTo(peerId: string, address: PeerAddress): void {
-    const present = this.#diallers.get(peerId);
-    const sameAddress = present &&
-      formatPeerAddress(present.address) === formatPeerAddress(address);
-    if (sameAddress) return;
-    present?.stop();
-    this.#abandonAttempts(peerId);
-    this.#diallers.set(peerId, this.#createDialler(peerId, address));
-  }
-
-  #createDialler(peerId: string, address: PeerAddress): PeerDialler {
-    const backoff = new Backoff({
-      baseMs: this.#limits.redialBaseMs,
-      maxMs: this.#limits.redialMaxMs,
-      random: this.#options.random,
+  #dial(peerId: string, { host, port }: PeerAddress): PeerConnection {
+    return this.#track(connect({ host, port, allowHalfOpen: true }), {
+      role: HandshakeRole.Dialler,
+      expectedPeerId: peerId,
     });
-    const dial = ({ host, port }: PeerAddress) =>
-      this.#track(connect({ host, port, allowHalfOpen: true }), {
-        role: HandshakeRole.Dialler,
-        expectedPeerId: peerId,
-      });
-    return new PeerDialler({ address, backoff, dial });
   }
 
   #dialIfDown(peerId: string): void {
@@ -328,7 +308,8 @@
     this.#diallers.get(peerId)?.ensureDialling();
   }
 
-  #abandonAttempts(peerId: string): void {
+  #stopDialling(peerId: string): void {
+    this.#diallers.remove(peerId);
     for (const connection of this.#connections) {
       const isAttempt = connection.expectedPeerId === peerId &&
         !connection.isOpen;
@@ -352,26 +333,6 @@
       this.#onAllClosed = resolve;
     });
   }
-
-  #reportClose(reason: CloseReason, name: string): void {
-    const { level, text, refused } = CLOSE_REPORTS[reason];
-    if (refused) {
-      this.#context.count(
-        EdgeCounterName.PeerConnectionsRefused,
-        { reason },
-        1,
-      );
-    }
-    this.#log.write({
-      lineKind: reason,
-      level,
-      text: `the connection with ${name} is closed: ${text}`,
-    });
-  }
-
-  #logError(lineKind: string, text: string): void {
-    this.#log.write({ lineKind, level: LogLevel.Error, text });
-  }
 }
 
 function nameOf(connection: PeerConnection): string {
--- a/packages/daemon/src/platform_http.ts
+++ b/packages/daemon/src/platform_http.ts
@@ -11,41 +11,25 @@
   type TransactRequest,
 } from "@chestnuthatch/wire/platform_protocol";
 import { err, ok, type Result } from "neverthrow";
-import { Pool } from "undici";
 import type { z } from "zod";
-import { CallGate } from "./call_gate.ts";
-import { type CallFault, callHttp, type HttpAnswer } from "./http_call.ts";
 import type { HttpRequest } from "./http_exchange.ts";
 import { parseJson } from "./ndjson_reader.ts";
-import { type Clock, type CountSink, EdgeCounterName } from "./ports.ts";
-
-/** Every way a call to the platform can fail. The list is closed. */
-export enum PlatformFault {
-  /** No connection, or it broke: a write may have taken effect. */
-  Unreachable = "unreachable",
-  /** No whole answer in time: a write may have taken effect. */
-  TimedOut = "timed_out",
-  /** The platform says it is down: a write may have taken effect. */
-  Unavailable = "unavailable",
-  /** Over the platform's rate or our share of it: nothing was done. */
-  RateLimited = "rate_limited",
-  /** The answer is not one: a write may have taken effect. */
-  BadAnswer = "bad_answer",
-}
-
-/** What a call gives. */
-export type PlatformResult<T> = Promise<Result<T, PlatformFault>>;
-
-/** Where the platform is, and this process's share of its rates. */
-export interface PlatformHttpOptions {
-  /** `host:port`, or a URL with scheme `http`. */
-  readonly address: string;
-  readonly clock: Clock;
-  readonly count?: CountSink;
-  readonly readsPerSecond?: number;
-  readonly writesPerSecond?: number;
-  readonly callTimeoutMs?: number;
-}
+import {
+  type CallOptions,
+  type PlatformCall,
+  PlatformCalls,
+  type PlatformCallsOptions,
+  PlatformFault,
+  PlatformRate,
+  type PlatformResult,
+} from "./platform_calls.ts";
+
+export {
+  type CallOptions,
+  type PlatformCallsOptions as PlatformHttpOptions,
+  PlatformFault,
+  type PlatformResult,
+};
 
 /** Which part of a prefix to scan. */
 export interface ScanRange {
@@ -55,28 +39,6 @@
   readonly limit: number;
 }
 
-/** How one call may differ from the others. */
-export interface CallOptions {
-  /** Time until the answer must be here, at most the client's own. */
-  readonly timeoutMs?: number;
-}
-
-interface PlatformCall extends CallOptions {
-  readonly name: string;
-  readonly gate: CallGate;
-  readonly request: HttpRequest;
-}
-
-/** Eight instances within 2000 reads a second. */
-const DEFAULT_READS_PER_SECOND = 200;
-/** Eight instances within 400 writes a second. */
-const DEFAULT_WRITES_PER_SECOND = 50;
-const DEFAULT_CALL_TIMEOUT_MS = 2000;
-const CONNECTIONS = 16;
-const CONNECT_TIMEOUT_MS = 1000;
-const KEEP_ALIVE_MS = 4000;
-const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
-
 const STATUS_OK = 200;
 const STATUS_NO_CONTENT = 204;
 const STATUS_CREATED = 201;
@@ -101,29 +63,11 @@
 
 /** The platform's client. It never sends anything twice of itself. */
 export class PlatformHttp {
-  readonly #pool: Pool;
-  readonly #clock: Clock;
-  readonly #count: CountSink;
-  readonly #callTimeoutMs: number;
-  readonly #reads: CallGate;
-  readonly #writes: CallGate;
+  readonly #calls: PlatformCalls;
 
   /** @param options Where the platform is. */
-  constructor(options: PlatformHttpOptions) {
-    this.#clock = options.clock;
-    this.#count = options.count ?? (() => {});
-    this.#callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
-    this.#reads = this.#gate(options.readsPerSecond, DEFAULT_READS_PER_SECOND);
-    this.#writes = this.#gate(
-      options.writesPerSecond,
-      DEFAULT_WRITES_PER_SECOND,
-    );
-    this.#pool = new Pool(originOf(options.address), {
-      connections: CONNECTIONS,
-      pipelining: 1,
-      connectTimeout: CONNECT_TIMEOUT_MS,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-    });
+  constructor(options: PlatformCallsOptions) {
+    this.#calls = new PlatformCalls(options);
   }
 
   /**
@@ -138,10 +82,10 @@
     request: TransactRequest,
     options: CallOptions = {},
   ): PlatformResult<TransactAnswer> {
-    const answer = await this.#call({
+    const answer = await this.#calls.run({
       ...options,
       name: "transact",
-      gate: this.#writes,
+      rate: PlatformRate.Writes,
       request: post("/table/transact", request),
     });
     return answer.andThen(({ statusCode, body }) =>
@@ -163,7 +107,12 @@
     options: CallOptions = {},
   ): PlatformResult<RowsAnswer> {
     const request = post("/table/read", { keys });
-    const call = { ...options, name: "read", gate: this.#reads, request };
+    const call = {
+      ...options,
+      name: "read",
+      rate: PlatformRate.Reads,
+      request,
+    };
     return this.#callFor(call, rowsAnswerSchema);
   }
 
@@ -181,7 +130,7 @@
     });
     const request = get(`/table/scan?${query}`);
     return this.#callFor(
-      { name: "scan", gate: this.#reads, request },
+      { name: "scan", rate: PlatformRate.Reads, request },
       rowsAnswerSchema,
     );
   }
@@ -194,9 +143,9 @@
    * @returns Nothing of use; a fault leaves open whether it was stored.
    */
   async putObject(key: string, content: string): PlatformResult<void> {
-    const answer = await this.#call({
+    const answer = await this.#calls.run({
       name: "put_object",
-      gate: this.#writes,
+      rate: PlatformRate.Writes,
       request: { method: "PUT", path: objectPath(key), body: content },
     });
     return answer.andThen(({ statusCode }) =>
@@ -211,9 +160,9 @@
    * @returns Its text, or undefined when there is none.
    */
   async getObject(key: string): PlatformResult<string | undefined> {
-    const answer = await this.#call({
+    const answer = await this.#calls.run({
       name: "get_object",
-      gate: this.#reads,
+      rate: PlatformRate.Reads,
       request: get(objectPath(key)),
     });
     return answer.andThen(({ statusCode, body }) => {
@@ -229,7 +178,11 @@
   /** @returns The lagging list of instances and targets. */
   instances(): PlatformResult<InstanceList> {
     return this.#callFor(
-      { name: "instances", gate: this.#reads, request: get("/instances") },
+      {
+        name: "instances",
+        rate: PlatformRate.Reads,
+        request: get("/instances"),
+      },
       instanceListSchema,
     );
   }
@@ -241,9 +194,9 @@
    * @returns Its bytes.
    */
   async weights(name: string): PlatformResult<Buffer> {
-    const answer = await this.#call({
+    const answer = await this.#calls.run({
       name: "weights",
-      gate: this.#reads,
+      rate: PlatformRate.Reads,
       request: get(`/weights/${encodeURIComponent(name)}`),
     });
     return answer.andThen(({ statusCode, body }) =>
@@ -253,71 +206,20 @@
 
   /** Cuts all connections; calls in progress fail as unreachable. */
   async stop(): Promise<void> {
-    await this.#pool.destroy();
-  }
-
-  #gate(perSecond: number | undefined, defaultPerSecond: number): CallGate {
-    return new CallGate({
-      callsPerSecond: perSecond ?? defaultPerSecond,
-      maxWaitMs: this.#callTimeoutMs,
-      concurrency: CONNECTIONS,
-    });
+    await this.#calls.stop();
   }
 
   async #callFor<T>(
     call: PlatformCall,
     schema: z.ZodType<T>,
   ): PlatformResult<T> {
-    const answer = await this.#call(call);
+    const answer = await this.#calls.run(call);
     return answer.andThen(({ statusCode, body }) =>
       statusCode === STATUS_OK
         ? parseBody(body, schema)
         : err(faultOf(statusCode))
     );
   }
-
-  async #call(call: PlatformCall): PlatformResult<HttpAnswer> {
-    this.#count(EdgeCounterName.PlatformCalls, { call: call.name }, 1);
-    const result = await this.#callInTurn(call);
-    if (result.isErr()) {
-      const labels = { call: call.name, fault: result.error };
-      this.#count(EdgeCounterName.PlatformFailures, labels, 1);
-    }
-    return result;
-  }
-
-  async #callInTurn(call: PlatformCall): PlatformResult<HttpAnswer> {
-    const timeoutMs = Math.min(
-      call.timeoutMs ?? Infinity,
-      this.#callTimeoutMs,
-    );
-    const deadlineAtMs = this.#clock.nowMs() + timeoutMs;
-    const result = await call.gate.run(() =>
-      this.#send(call.request, deadlineAtMs - this.#clock.nowMs())
-    );
-    return result ?? err(PlatformFault.RateLimited);
-  }
-
-  async #send(
-    request: HttpRequest,
-    timeoutMs: number,
-  ): PlatformResult<HttpAnswer> {
-    if (timeoutMs <= 0) {
-      return err(PlatformFault.RateLimited);
-    }
-    const answer = await callHttp(this.#pool, request, {
-      clock: this.#clock,
-      timeoutMs,
-      maxAnswerBytes: MAX_ANSWER_BYTES,
-    });
-    return answer.mapErr(faultOfCall);
-  }
-}
-
-function originOf(address: string): string {
-  return address.includes("://")
-    ? new URL(address).origin
-    : `http://${address}`;
 }
 
 function get(path: string): HttpRequest {
@@ -337,10 +239,6 @@
   return FAULT_BY_STATUS.get(statusCode) ?? PlatformFault.BadAnswer;
 }
 
-function faultOfCall(fault: CallFault): PlatformFault {
-  return fault.timedOut ? PlatformFault.TimedOut : PlatformFault.Unreachable;
-}
-
 function parseBody<T>(
   body: Buffer,
   schema: z.ZodType<T>,
--- a/packages/daemon/src/sleep.ts
+++ b/packages/daemon/src/sleep.ts
@@ -1,6 +1,6 @@
 /** Waiting, handed in so that tests need not wait. */
 
-import { setTimeout as wait } from "node:timers/promises";
+import { NODE_TIMERS } from "./timers.ts";
 
 /** Waits for some milliseconds. */
 export type Sleep = (delayMs: number) => Promise<void>;
@@ -9,7 +9,10 @@
  * Waits by the runtime's timer, without keeping the process alive.
  *
  * @param delayMs How long.
+ * @returns Nothing, once the time is over.
  */
-export async function sleepByTimer(delayMs: number): Promise<void> {
-  await wait(delayMs, undefined, { ref: false });
+export function sleepByTimer(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    NODE_TIMERS.after(delayMs, resolve);
+  });
 }
--- a/packages/daemon/src/target_client.ts
+++ b/packages/daemon/src/target_client.ts
@@ -8,12 +8,14 @@
   LogPart,
 } from "@chestnuthatch/core/effects";
 import { TargetKind } from "@chestnuthatch/wire/work";
-import PQueue from "p-queue";
 import { EngineAdapter } from "./engine_adapter.ts";
-import { callHttp } from "./http_call.ts";
 import type { HttpRequest } from "./http_exchange.ts";
-import { type EdgeContext, EdgeCounterName } from "./ports.ts";
-import { RankedQueue, type RankOptions } from "./ranked_queue.ts";
+import {
+  type EdgeContext,
+  EdgeCounterName,
+  type UntimedEvent,
+} from "./ports.ts";
+import { type SendQueueLimits, SendQueues } from "./send_queues.ts";
 import { ServiceAdapter } from "./service_adapter.ts";
 import type {
   AnswerLimits,
@@ -21,6 +23,7 @@
   TargetAdapter,
 } from "./target_adapter.ts";
 import { TargetAttempt } from "./target_attempt.ts";
+import { sendCancel } from "./target_cancels.ts";
 import {
   type ConnectionLimits,
   DEFAULT_CONNECTION_LIMITS,
@@ -31,11 +34,8 @@
 import type { Timers } from "./timers.ts";
 
 /** Bounds of the client. */
-export interface TargetClientLimits extends AnswerLimits, ConnectionLimits {
-  /** Dispatches of one pool that are being connected and sent at a time. */
-  readonly concurrentSends: number;
-  /** Dispatches of one pool that wait for their turn. */
-  readonly maxQueuedSends: number;
+export interface TargetClientLimits
+  extends AnswerLimits, ConnectionLimits, SendQueueLimits {
   /** A dispatch that has waited this long is not sent any more. */
   readonly maxSendWaitMs: number;
 }
@@ -61,7 +61,6 @@
 type DispatchEffect = EffectOf<EffectKind.Dispatch>;
 type ResumeEffect = EffectOf<EffectKind.ResumeStream>;
 type CancelEffect = EffectOf<EffectKind.CancelStream>;
-type SendQueue = PQueue<RankedQueue, RankOptions>;
 
 const DEFAULT_LIMITS: TargetClientLimits = {
   ...DEFAULT_CONNECTION_LIMITS,
@@ -71,9 +70,6 @@
   maxQueuedSends: 4096,
   maxSendWaitMs: 1000,
 };
-const CANCEL_TIMEOUT_MS = 1000;
-const CANCEL_TRIES = 2;
-const MAX_CANCEL_ANSWER_BYTES = 64 * 1024;
 const REASON_NO_ADDRESS = "the target's address is unknown";
 const REASON_NO_CONNECTION = "all connections to the target are in use";
 const REASON_QUEUE_FULL = "too many dispatches wait to be sent";
@@ -93,7 +89,7 @@
   readonly #limits: TargetClientLimits;
   readonly #connections: TargetConnections;
   readonly #polls: TargetPolls;
-  readonly #queues = new Map<string, SendQueue>();
+  readonly #queues: SendQueues;
   /** Open attempts by request id. */
   readonly #open = new Map<string, TargetAttempt>();
   readonly #kinds = new Map<string, TargetKind>();
@@ -107,6 +103,7 @@
     this.#edge = edge;
     this.#options = options;
     this.#limits = { ...DEFAULT_LIMITS, ...options.limits };
+    this.#queues = new SendQueues(this.#limits);
     this.#connections = new TargetConnections(this.#limits);
     this.#polls = new TargetPolls(edge, this.#connections);
   }
@@ -136,8 +133,7 @@
       this.#emitNotSent(effect, REASON_NO_ADDRESS);
       return;
     }
-    const queue = this.#queueOf(effect.pool);
-    if (queue.size >= this.#limits.maxQueuedSends) {
+    if (this.#queues.isFull(effect.pool)) {
       this.#emitNotSent(effect, REASON_QUEUE_FULL);
       return;
     }
@@ -148,7 +144,8 @@
       timeToSendMs: effect.timeLeftMs,
     });
     const request = ADAPTERS[input.kind].dispatch({ ...effect, input });
-    void queue.add(() => this.#send(attempt, link, request), {
+    this.#queues.add(() => this.#send(attempt, link, request), {
+      pool: effect.pool,
       tierRank: effect.tierRank,
       value: effect.value,
     });
@@ -195,7 +192,8 @@
     const request = kind && ADAPTERS[kind].cancel(effect);
     const link = this.#linkOf(effect);
     if (request !== undefined && link !== undefined && !this.#stopped) {
-      void this.#sendCancel(link, this.#traced(effect, request));
+      const traced = this.#traced(effect, request);
+      void sendCancel(this.#edge, { link, request: traced });
     }
   }
 
@@ -232,25 +230,6 @@
     return attempt.send(link.streams, this.#traced(attempt.ref, request));
   }
 
-  async #sendCancel(link: TargetLink, request: HttpRequest): Promise<void> {
-    for (let tries = 0; tries < CANCEL_TRIES; tries++) {
-      this.#edge.count(EdgeCounterName.TargetCalls, { call: "cancel" }, 1);
-      const answer = await callHttp(link.control, request, {
-        clock: this.#edge.clock,
-        timeoutMs: CANCEL_TIMEOUT_MS,
-        maxAnswerBytes: MAX_CANCEL_ANSWER_BYTES,
-      });
-      if (answer.isOk()) {
-        return;
-      }
-    }
-    this.#edge.log(
-      LogLevel.Warn,
-      LogPart.Targets,
-      `A cancel at ${link.address} got no answer.`,
-    );
-  }
-
   #traced(ref: AttemptRef, request: HttpRequest): HttpRequest {
     const headers = this.#options.traceHeaders?.(ref.requestId);
     return headers === undefined ? request : { ...request, headers };
@@ -309,38 +288,23 @@
     return input && this.#connections.link(effect.targetId, input.address);
   }
 
-  #queueOf(pool: string): SendQueue {
-    let queue = this.#queues.get(pool);
-    if (queue === undefined) {
-      queue = new PQueue<RankedQueue, RankOptions>({
-        concurrency: this.#limits.concurrentSends,
-        queueClass: RankedQueue,
-      });
-      this.#queues.set(pool, queue);
-    }
-    return queue;
-  }
-
-  /** Later, so that no event arises inside the effect that caused it. */
-  #emitNotSent(
-    { requestId, attemptNonce }: AttemptRef,
-    reason: string,
-  ): void {
-    queueMicrotask(() =>
-      this.#edge.emit({
-        kind: EventKind.DispatchNotSent,
-        requestId,
-        attemptNonce,
-        reason,
-        targetUnreachable: false,
-      })
-    );
+  #emitNotSent({ requestId, attemptNonce }: AttemptRef, reason: string): void {
+    this.#emitLater({
+      kind: EventKind.DispatchNotSent,
+      requestId,
+      attemptNonce,
+      reason,
+      targetUnreachable: false,
+    });
   }
 
   #emitClosed({ requestId, attemptNonce }: AttemptRef, reason: string): void {
     const kind = EventKind.StreamClosed;
-    queueMicrotask(() =>
-      this.#edge.emit({ kind, requestId, attemptNonce, reason })
-    );
+    this.#emitLater({ kind, requestId, attemptNonce, reason });
+  }
+
+  /** Later, so that no event arises inside the effect that caused it. */
+  #emitLater(event: UntimedEvent): void {
+    queueMicrotask(() => this.#edge.emit(event));
   }
 }
--- a/packages/measure/src/baseline_instance.ts
+++ b/packages/measure/src/baseline_instance.ts
@@ -140,6 +140,7 @@
       requestId: call.requestId,
       pool: call.item.pool,
       tierRank: call.item.tierRank,
+      heldSinceMs: call.sentAtMs,
       running: true,
       cancellable: false,
     }));
--- a/packages/measure/src/core_instance.ts
+++ b/packages/measure/src/core_instance.ts
@@ -449,6 +449,7 @@
 
   /** @inheritdoc */
   heldWork(): HeldWork[] {
+    const offsetMs = this.#process?.clockOffsetMs ?? 0;
     const held = this.#process?.core.board.requests.byId.values() ?? [];
     return [...held]
       .filter(({ state }) =>
@@ -458,6 +459,7 @@
         requestId: request.spec.requestId,
         pool: request.spec.pool,
         tierRank: request.policy.rank,
+        heldSinceMs: request.arrivedAtMs - offsetMs,
         running: request.state === RequestState.Dispatched,
         cancellable: request.cancellable,
       }));
--- a/packages/measure/src/entry_instance.ts
+++ b/packages/measure/src/entry_instance.ts
@@ -55,6 +55,7 @@
   readonly requestId: string;
   readonly pool: string;
   readonly tierRank: number;
+  readonly heldSinceMs: number;
   readonly running: boolean;
   /** Whether a running stream of it may be cancelled. */
   readonly cancellable: boolean;
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -26,9 +26,11 @@
   readonly affinity: boolean;
   readonly compareAffinity?: true;
   readonly slopes?: true;
+  readonly maxInstances: number;
 }
 
 const DEFAULT_SEEDS = 3;
+const DEFAULT_MAX_INSTANCES = 128;
 const BROKEN_EXIT_CODE = 1;
 
 const QUICK_SCENARIOS: readonly Scenario[] = [
@@ -42,7 +44,7 @@
 function main(): void {
   const options = readOptions();
   if (options.slopes) {
-    writeJson(options.json, measureSlopes(print));
+    writeJson(options.json, measureSlopes(print, options.maxInstances));
     return;
   }
   const measurements = measure({
@@ -80,6 +82,12 @@
     .option("--no-affinity", "place without regard to cached prefixes")
     .option("--compare-affinity", "run the scheduler without affinity, too")
     .option("--slopes", "measure the scheduler's own costs instead")
+    .option(
+      "--max-instances <number>",
+      "largest fleet of --slopes",
+      toCount,
+      DEFAULT_MAX_INSTANCES,
+    )
     .parse()
     .opts<MainOptions>();
 }
--- a/packages/measure/src/slopes.ts
+++ b/packages/measure/src/slopes.ts
@@ -47,23 +47,24 @@
  * Measures costs over sizes.
  *
  * @param print Takes the lines of the report.
+ * @param maxInstances Leaves larger fleets out.
  * @returns Everything measured.
  */
-export function measureSlopes(print: (line: string) => void): Slopes {
-  const byInstances = INSTANCE_COUNTS.map((instances) =>
-    costsOf({ instances, targets: instances * TARGETS_PER_INSTANCE })
-  );
-  printCosts(print, byInstances);
+export function measureSlopes(
+  print: (line: string) => void,
+  maxInstances: number,
+): Slopes {
+  const memory = measureMemory();
+  printMemory(print, memory);
   const byTargets = TARGET_COUNTS.map((targets) =>
     costsOf({ instances: INSTANCES_OF_TARGET_SWEEP, targets })
   );
   printCosts(print, byTargets);
-  const memory = measureMemory();
-  const rows = Object.entries(memory).map(([what, bytes]) => ({
-    memory: what,
-    bytes: Math.round(bytes),
-  }));
-  tableLines(rows).forEach(print);
+  const byInstances = INSTANCE_COUNTS.filter((count) => count <= maxInstances)
+    .map((instances) =>
+      costsOf({ instances, targets: instances * TARGETS_PER_INSTANCE })
+    );
+  printCosts(print, byInstances);
   return { byInstances, byTargets, memory };
 }
 
@@ -113,6 +114,18 @@
   };
 }
 
+function printMemory(
+  print: (line: string) => void,
+  memory: MemoryCosts,
+): void {
+  const rows = Object.entries(memory).map(([what, bytes]) => ({
+    memory: what,
+    bytes: Math.round(bytes),
+  }));
+  tableLines(rows).forEach(print);
+  print("");
+}
+
 function printCosts(
   print: (line: string) => void,
   costs: readonly SizeCosts[],
--- a/packages/standins/src/deployments.ts
+++ b/packages/standins/src/deployments.ts
@@ -1,7 +1,7 @@
 /** The targets of the two deployments, and what stand-ins make of them. */
 
 import { TargetKind } from "@chestnuthatch/wire/work";
-import type { EngineModelOptions } from "./engine_model.ts";
+import type { EngineModelOptions } from "./engine_options.ts";
 import { hash32 } from "@chestnuthatch/core/text_hash";
 import type { ServiceModelOptions } from "./service_model.ts";
 import { Deployment } from "./workload_kinds.ts";
--- a/packages/standins/src/target_faults.ts
+++ b/packages/standins/src/target_faults.ts
@@ -26,7 +26,7 @@
   Die = "die",
 }
 
-/** Faults that strike a number of requests. */
+/** Faults that apply to a number of requests. */
 export type CountedFaultKind =
   | TargetFaultKind.BreakStream
   | TargetFaultKind.DropBeforeAnswer
@@ -35,7 +35,7 @@
   | TargetFaultKind.DuplicateEnd;
 
 /** Sent by crossed answers when no other request is at hand. */
-export const UNKNOWN_ATTEMPT: AttemptRef = {
+const UNKNOWN_ATTEMPT: AttemptRef = {
   requestId: "unknown-request",
   attemptNonce: "unknown-attempt",
 };
@@ -73,29 +73,48 @@
 ]);
 export type TargetFault = z.infer<typeof targetFaultSchema>;
 
-/** Which counted faults are still to strike. */
-export class FaultCounters {
+/** The faults of one target that are switched on. */
+export class ActiveFaults {
+  /** Position of the token at which streams break. */
+  breakAfterTokens = 0;
+  /** How long answers are held back. */
+  delayMs = 0;
+  refusesOrders = false;
   readonly #left = new Map<CountedFaultKind, number>();
+  #lastAttempt = UNKNOWN_ATTEMPT;
 
   /**
-   * Sets how often a fault strikes from now on.
+   * Sets how often a fault applies from now on.
    *
    * @param kind The fault.
-   * @param count How many requests it strikes.
+   * @param count To how many requests it applies.
    */
   set(kind: CountedFaultKind, count: number): void {
     this.#left.set(kind, count);
   }
 
   /**
-   * Uses up one stroke.
+   * Counts one request towards a fault.
    *
    * @param kind The fault.
-   * @returns Whether it strikes now.
+   * @returns Whether the fault applies to the request.
    */
   take(kind: CountedFaultKind): boolean {
     const left = this.#left.get(kind) ?? 0;
     this.#left.set(kind, Math.max(0, left - 1));
     return left > 0;
   }
+
+  /**
+   * Counts one attempt towards crossed answers.
+   *
+   * @param attempt The attempt.
+   * @returns Ids to send in place of its own, if the fault applies to it.
+   */
+  takeCrossing(attempt: AttemptRef): AttemptRef | undefined {
+    const previous = this.#lastAttempt;
+    const { requestId, attemptNonce } = attempt;
+    this.#lastAttempt = { requestId, attemptNonce };
+    return this.take(TargetFaultKind.CrossAnswers) ? previous : undefined;
+  }
 }
