Go on resuming a stream that was cut until its deadline

Cause: a broken stream was given up after 1.25 s, so a domain cut off for 20 s lost every stream across the cut and wasted their prompts. Change: a connection that was cut is tried again until the deadline; a target that refuses connections, knows no such attempt or ends wrongly gets three tries as before.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -116,6 +116,8 @@
       readonly kind: EventKind.StreamClosed;
       /** Why it closed; empty for a clean end of the HTTP body. */
       readonly reason: string;
+      /** True where the target refuses connections or knows no such attempt. */
+      readonly lost?: boolean;
     } & AttemptRef)
     | ({
       readonly kind: EventKind.ServiceAnswered;
--- a/packages/core/src/stream_flow.ts
+++ b/packages/core/src/stream_flow.ts
@@ -16,8 +16,13 @@
 import { RequestState } from "./request.ts";
 import { spreadRetryHint } from "./retry_hint.ts";
 
-/** Delays before the tries to resume a broken stream on the same target. */
-const RESUME_DELAYS_MS: readonly number[] = [0, 250, 1000];
+/**
+ * Delays before the tries to resume a broken stream on the same target; the
+ * last one is repeated until the deadline, since a cut may last.
+ */
+const RESUME_DELAYS_MS: readonly number[] = [0, 250, 1000, 2000, 4000];
+/** Tries where the connection is not what failed. */
+const MAX_RESUMES_UNLESS_CUT = 3;
 
 type EventHandler<K extends EngineEventKind> = (
   event: Extract<EngineEvent, { kind: K }>,
@@ -91,8 +96,9 @@
   if (request === undefined) {
     return;
   }
+  const isCut = event.reason !== "" && !event.lost;
   const reason = event.reason === "" ? "closed before its end" : event.reason;
-  breakStream(turn, request, reason);
+  breakStream(turn, request, { reason, isCut });
 }
 
 /**
@@ -139,7 +145,8 @@
     return;
   }
   if (event.index > attempt.tokensReceived) {
-    breakStream(turn, request, `token ${attempt.tokensReceived} is missing`);
+    const reason = `token ${attempt.tokensReceived} is missing`;
+    breakStream(turn, request, { reason, isCut: false });
     return;
   }
   if (attempt.firstTokenAtMs === 0) {
@@ -165,11 +172,9 @@
 ): void {
   const attempt = request.attempt!;
   if (event.outputTokens !== attempt.tokensReceived) {
-    breakStream(
-      turn,
-      request,
-      `${attempt.tokensReceived} of ${event.outputTokens} tokens came`,
-    );
+    const reason =
+      `${attempt.tokensReceived} of ${event.outputTokens} tokens came`;
+    breakStream(turn, request, { reason, isCut: false });
     return;
   }
   deliverAnswer(turn, request, attempt.pieces.join(""));
@@ -189,13 +194,20 @@
   });
 }
 
-function breakStream(turn: Turn, request: HeldRequest, reason: string): void {
+/** A cut may heal until the deadline; a target that has no more will not. */
+function breakStream(
+  turn: Turn,
+  request: HeldRequest,
+  { reason, isCut }: { reason: string; isCut: boolean },
+): void {
   const attempt = request.attempt!;
-  const delayMs = RESUME_DELAYS_MS[attempt.resumes];
-  if (!request.streams || delayMs === undefined) {
+  const isHopeless = !isCut && attempt.resumes >= MAX_RESUMES_UNLESS_CUT;
+  if (!request.streams || isHopeless) {
     refuseBroken(turn, request, reason);
     return;
   }
+  const delayMs = RESUME_DELAYS_MS[attempt.resumes] ??
+    RESUME_DELAYS_MS.at(-1)!;
   noteStep(turn, request, `Stream broke (${reason}); to be resumed`);
   attempt.resumes += 1;
   attempt.resumeAtMs = turn.nowMs + delayMs;
--- a/packages/daemon/src/target_attempt.ts
+++ b/packages/daemon/src/target_attempt.ts
@@ -28,6 +28,12 @@
   readonly onEnd: () => void;
 }
 
+/** Ends of a resume that tell that the target has the stream no more. */
+const LOST_REASONS: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "status 404",
+]);
+
 /** Ends that tell that the target does not take connections. */
 const CONNECT_FAULTS: ReadonlySet<string> = new Set([
   "ECONNREFUSED",
@@ -154,6 +160,7 @@
         kind: EventKind.StreamClosed,
         ...this.ref,
         reason,
+        lost: LOST_REASONS.has(reason),
       });
     }
   }
--- a/packages/measure/src/core_instance.ts
+++ b/packages/measure/src/core_instance.ts
@@ -29,7 +29,7 @@
 import { Mailbox } from "./mailbox.ts";
 import type { PeerNode } from "./peer_links.ts";
 import type { HolderEnd } from "./target_host.ts";
-import { TargetPort } from "./target_port.ts";
+import { REFUSED_REASON, TargetPort } from "./target_port.ts";
 import type { CallerCall } from "./work_item.ts";
 
 type WithoutTime<T> = T extends unknown ? Omit<T, "nowMs"> : never;
@@ -334,6 +334,7 @@
           requestId,
           attemptNonce,
           reason,
+          lost: reason === REFUSED_REASON,
         }),
     };
   }
--- a/packages/measure/src/target_port.ts
+++ b/packages/measure/src/target_port.ts
@@ -7,6 +7,9 @@
 import { CONNECT_TIMEOUT_MS } from "./network.ts";
 import type { HolderEnd, TargetHost, TargetWork } from "./target_host.ts";
 
+/** Why a call to a target that is gone fails. */
+export const REFUSED_REASON = "connection refused";
+
 const POLL_TIMEOUT_MS = 500;
 
 /** Calls to targets from one failure domain. */
@@ -153,7 +156,7 @@
       if (target.alive) {
         options.run(target);
       } else {
-        queue.after(delayMs, () => options.failed("connection refused"));
+        queue.after(delayMs, () => options.failed(REFUSED_REASON));
       }
     });
   }
