Shed lower tiers when a request is refused for good, not when one domain refuses

Cause: a domain that could not serve an ask in time cancelled everything lower there before it refused, though other domains still could serve the ask; it also cancelled ten streams only to make a slow target faster.

--- a/packages/core/src/overload_refusal.ts
+++ b/packages/core/src/overload_refusal.ts
@@ -21,7 +21,9 @@
   ask: WaitingAsk,
   reason: string,
 ): void {
-  raiseFloor(view, ask.detail.tierRank);
+  if (ask.detail.spreadOver === 1) {
+    raiseFloor(view, ask.detail.tierRank);
+  }
   const { retryAfterMs } = view.policyOf(ask.detail);
   const backlogMs = estimateWaitMs(view, ask, backlogOf(view, ask));
   const hintMs = Number.isFinite(backlogMs) ? backlogMs : 0;
--- a/packages/core/src/preemption.ts
+++ b/packages/core/src/preemption.ts
@@ -74,8 +74,13 @@
     const victims: GrantAccount[] = [];
     for (const grant of candidates) {
       victims.push(grant);
-      if (this.#fitsWithout(room, ask, [...going, ...victims])) {
-        return victims;
+      const ending = [...going, ...victims];
+      const used = this.#usedWithout(room, ending);
+      if (shortage(room, this.#view.needOf(ask), used) === undefined) {
+        // More are not cancelled only to make the target faster.
+        return this.#endsInTime(room, ask, { ending, used })
+          ? victims
+          : undefined;
       }
     }
     return undefined;
@@ -93,14 +98,18 @@
     ask: WaitingAsk,
     ending: readonly GrantAccount[],
   ): boolean {
+    const used = this.#usedWithout(room, ending);
+    return shortage(room, this.#view.needOf(ask), used) === undefined &&
+      this.#endsInTime(room, ask, { ending, used });
+  }
+
+  #usedWithout(room: TargetRoom, ending: readonly GrantAccount[]): Usage {
     const promised = this.#promised.get(room.targetId);
-    const used: Usage = {
+    return {
       slots: room.used.slots - ending.length + (promised?.slots ?? 0),
       kvTokens: room.used.kvTokens + (promised?.kvTokens ?? 0) -
         ending.reduce((sum, grant) => sum + grant.kvTokens, 0),
     };
-    return shortage(room, this.#view.needOf(ask), used) === undefined &&
-      this.#endsInTime(room, ask, { ending, used });
   }
 
   #endsInTime(
--- a/packages/core/src/urgent_asks.ts
+++ b/packages/core/src/urgent_asks.ts
@@ -106,7 +106,9 @@
  */
 function refuseLate(view: ShardView, ask: WaitingAsk): void {
   const { tierRank } = ask.detail;
-  shedBelow(view, tierRank);
+  if (ask.detail.spreadOver === 1) {
+    shedBelow(view, tierRank);
+  }
   refuseOverloaded(view, ask, "it can no longer end before its deadline");
 }
 
