--- a/tests/core_net.ts
+++ b/tests/core_net.ts
@@ -6,7 +6,10 @@
 
 import { type Effect, EffectKind } from "@chestnuthatch/core/effects";
 import { type CoreEvent, EventKind } from "@chestnuthatch/core/events";
-import type { PeerMessage } from "@chestnuthatch/wire/peer_messages";
+import type {
+  PeerMessage,
+  PeerMessageKind,
+} from "@chestnuthatch/wire/peer_messages";
 import {
   type Randomness,
   seededRandomness,
@@ -53,6 +56,13 @@
   readonly onEffect?: (effect: NetEffect, net: CoreNet) => void;
 }
 
+/** A message to lose. */
+export interface LostMessage {
+  readonly fromId: string;
+  readonly toId: string;
+  readonly kind: PeerMessageKind;
+}
+
 interface NetNode extends NetInstance {
   readonly index: number;
   readonly clockOffsetMs: number;
@@ -83,6 +93,7 @@
   readonly #random: Randomness;
   readonly #nodes = new Map<string, NetNode>();
   readonly #cuts = new Set<string>();
+  readonly #toLose: LostMessage[] = [];
 
   /** @param options How to run the cores. */
   constructor(options: CoreNetOptions) {
@@ -171,14 +182,20 @@
     this.#node(id).paused = true;
   }
 
-  /** @param id The instance to wake; its timers run before its messages. */
-  resume(id: string): void {
+  /**
+   * Wakes an instance; its timers run before its messages, or after them.
+   *
+   * @param id The instance.
+   * @param messagesFirst Whether it gets what waited before its first tick.
+   */
+  resume(id: string, messagesFirst = false): void {
     const node = this.#node(id);
     node.paused = false;
     const missed = node.inbox;
     node.inbox = [];
-    this.#deliver(node, { kind: EventKind.Tick });
+    if (!messagesFirst) this.#deliver(node, { kind: EventKind.Tick });
     for (const event of missed) this.#deliver(node, event);
+    if (messagesFirst) this.#deliver(node, { kind: EventKind.Tick });
   }
 
   /**
@@ -207,6 +224,15 @@
     for (const link of this.#links(a, b)) this.#cuts.delete(link.key);
   }
 
+  /**
+   * Loses the next message of a kind between two instances.
+   *
+   * @param message Its sender, its receiver and its kind.
+   */
+  loseNext(message: LostMessage): void {
+    this.#toLose.push(message);
+  }
+
   /** @param id The instance whose process dies. */
   kill(id: string): void {
     const node = this.#node(id);
@@ -324,6 +350,7 @@
 
   #carry(from: NetNode, peerId: string, message: PeerMessage): void {
     if (!from.connected.has(peerId)) return;
+    if (this.#isLost(from.instanceId, peerId, message)) return;
     const { dropShare = 0, duplicateShare = 0 } = this.#options;
     if (this.#random.next() < dropShare) return;
     const copies = this.#random.next() < duplicateShare ? 2 : 1;
@@ -343,6 +370,15 @@
     }
   }
 
+  #isLost(fromId: string, toId: string, { kind }: PeerMessage): boolean {
+    const index = this.#toLose.findIndex((lost) =>
+      lost.fromId === fromId && lost.toId === toId && lost.kind === kind
+    );
+    if (index < 0) return false;
+    this.#toLose.splice(index, 1);
+    return true;
+  }
+
   #delayMs(): number {
     return this.#options.delayMs ?? DEFAULT_DELAY_MS;
   }
--- /dev/null
+++ b/tests/link_relay.ts
@@ -0,0 +1,206 @@
+/** A TCP relay in the test process: one link that can be cut, frozen, healed. */
+
+import {
+  type AddressInfo,
+  connect,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import process from "node:process";
+
+/** What a link does. */
+export enum LinkState {
+  Open = "open",
+  /** Connections are dropped and refused. */
+  Cut = "cut",
+  /** Connections are accepted; nothing is forwarded. */
+  Frozen = "frozen",
+  /** What the upstream sends is held; the other way is open. */
+  InboundHeld = "inbound_held",
+  /** What the dialling side sends is held; the other way is open. */
+  OutboundHeld = "outbound_held",
+}
+
+type HeldState = Exclude<LinkState, LinkState.Open | LinkState.Cut>;
+
+const OUTBOUND_FLOWS: ReadonlySet<LinkState> = new Set([
+  LinkState.Open,
+  LinkState.InboundHeld,
+]);
+const INBOUND_FLOWS: ReadonlySet<LinkState> = new Set([
+  LinkState.Open,
+  LinkState.OutboundHeld,
+]);
+
+/** One connection through the relay. */
+interface Passage {
+  readonly near: Socket;
+  readonly far: Socket;
+}
+
+const OCTET = 256;
+const LOOPBACK_OCTET = 127;
+const MIDDLE_OCTETS = 250;
+
+let hostsUsed = 0;
+
+/** Forwards connections to one upstream address. */
+export class LinkRelay {
+  readonly #passages = new Set<Passage>();
+  readonly #host = nextHost();
+  #server: Server | undefined;
+  #port = 0;
+  #upstream: string | undefined;
+  #state = LinkState.Open;
+
+  private constructor(upstream?: string) {
+    this.#upstream = upstream;
+  }
+
+  /**
+   * Starts a relay.
+   *
+   * @param upstream `host:port` to forward to, if it is known yet.
+   * @returns The relay, listening.
+   */
+  static async start(upstream?: string): Promise<LinkRelay> {
+    const relay = new LinkRelay(upstream);
+    await relay.#listen();
+    return relay;
+  }
+
+  /** `host:port` to connect to; it stays the same, also through cuts. */
+  get address(): string {
+    return `${this.#host}:${this.#port}`;
+  }
+
+  /** @param upstream `host:port` of a process that was started anew. */
+  setUpstream(upstream: string): void {
+    this.#upstream = upstream;
+  }
+
+  /** Drops every connection and refuses new ones. */
+  async cut(): Promise<void> {
+    this.#state = LinkState.Cut;
+    await this.#close();
+  }
+
+  /** Holds everything back, in both directions. */
+  freeze(): void {
+    this.#hold(LinkState.Frozen);
+  }
+
+  /** Holds back what the upstream sends, and forwards the rest. */
+  holdInbound(): void {
+    this.#hold(LinkState.InboundHeld);
+  }
+
+  /** Holds back what the dialling side sends, and forwards the rest. */
+  holdOutbound(): void {
+    this.#hold(LinkState.OutboundHeld);
+  }
+
+  /** Forwards again, also what was held back. */
+  async heal(): Promise<void> {
+    this.#state = LinkState.Open;
+    if (this.#server === undefined) {
+      await this.#listen();
+    }
+    this.#passages.forEach((passage) => this.#flow(passage));
+  }
+
+  /** Ends the relay and its connections. */
+  async stop(): Promise<void> {
+    await this.#close();
+  }
+
+  #hold(state: HeldState): void {
+    this.#state = state;
+    this.#passages.forEach((passage) => this.#flow(passage));
+  }
+
+  #listen(): Promise<void> {
+    const server = createServer(
+      { allowHalfOpen: true },
+      (near) => this.#accept(near),
+    );
+    this.#server = server;
+    return new Promise((resolve, reject) => {
+      server.on("error", reject);
+      server.listen(this.#port, this.#host, () => {
+        this.#port = (server.address() as AddressInfo).port;
+        resolve();
+      });
+    });
+  }
+
+  async #close(): Promise<void> {
+    const server = this.#server;
+    this.#server = undefined;
+    for (const passage of [...this.#passages]) {
+      this.#drop(passage);
+    }
+    await new Promise<void>((resolve) => {
+      server === undefined ? resolve() : server.close(() => resolve());
+    });
+  }
+
+  #accept(near: Socket): void {
+    const separator = this.#upstream?.lastIndexOf(":");
+    if (this.#upstream === undefined || separator === undefined) {
+      near.destroy();
+      return;
+    }
+    const host = this.#upstream.slice(0, separator);
+    const port = Number(this.#upstream.slice(separator + 1));
+    const far = connect({ host, port, allowHalfOpen: true });
+    const passage = { near, far };
+    this.#passages.add(passage);
+    for (const socket of [near, far]) {
+      socket.setNoDelay(true);
+      socket.on("error", () => {});
+      socket.on("close", () => this.#closed(passage));
+    }
+    this.#flow(passage);
+  }
+
+  #flow(passage: Passage): void {
+    const { near, far } = passage;
+    near.unpipe(far);
+    far.unpipe(near);
+    if (OUTBOUND_FLOWS.has(this.#state)) {
+      near.pipe(far);
+    }
+    if (INBOUND_FLOWS.has(this.#state)) {
+      far.pipe(near);
+    }
+    this.#closed(passage);
+  }
+
+  /** A link that is held hides also that one of its ends is gone. */
+  #closed(passage: Passage): void {
+    const { near, far } = passage;
+    const isOpen = this.#state === LinkState.Open;
+    if (isOpen && (near.destroyed || far.destroyed)) {
+      this.#drop(passage);
+    }
+  }
+
+  #drop(passage: Passage): void {
+    this.#passages.delete(passage);
+    passage.near.destroy();
+    passage.far.destroy();
+  }
+}
+
+/**
+ * Hosts of relays differ by process and relay, so that no other process can
+ * take a port while its link is cut.
+ */
+function nextHost(): string {
+  hostsUsed += 1;
+  const second = 1 + Math.floor(process.pid / MIDDLE_OCTETS) % MIDDLE_OCTETS;
+  const third = 1 + process.pid % MIDDLE_OCTETS;
+  return [LOOPBACK_OCTET, second, third, 1 + hostsUsed % (OCTET - 2)].join(".");
+}
--- /dev/null
+++ b/tests/link_relay_test.ts
@@ -0,0 +1,146 @@
+/** The relay that stands for a link in tests of failures. */
+
+import {
+  type AddressInfo,
+  connect,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { LinkRelay } from "./link_relay.ts";
+import { waitFor } from "./wait_for.ts";
+
+test("should forward both ways", () =>
+  withEcho(async (relay) => {
+    const caller = new Caller(relay.address);
+    caller.send("one");
+    await caller.hears("one");
+    caller.close();
+  }));
+
+test("should drop and refuse while cut, and listen there again", () =>
+  withEcho(async (relay) => {
+    const { address } = relay;
+    const before = new Caller(address);
+    before.send("one");
+    await before.hears("one");
+    await relay.cut();
+    await before.ended();
+    const refused = new Caller(address);
+    await refused.ended();
+    assert.is(refused.fault, "ECONNREFUSED");
+    await relay.heal();
+    const after = new Caller(address);
+    after.send("two");
+    await after.hears("two");
+    after.close();
+  }));
+
+test("should hold everything while frozen, and forward it once healed", () =>
+  withEcho(async (relay, heard) => {
+    const before = new Caller(relay.address);
+    before.send("one");
+    await before.hears("one");
+    relay.freeze();
+    before.send("two");
+    const during = new Caller(relay.address);
+    during.send("three");
+    await during.connected();
+    assert.equal(heard, ["one"]);
+    await relay.heal();
+    await before.hears("onetwo");
+    await during.hears("three");
+    before.close();
+    during.close();
+  }));
+
+test("should hold one way alone", () =>
+  withEcho(async (relay, heard) => {
+    relay.holdInbound();
+    const caller = new Caller(relay.address);
+    caller.send("one");
+    await waitFor("the upstream to hear it", () => heard.includes("one"));
+    assert.is(caller.text, "");
+    await relay.heal();
+    await caller.hears("one");
+    caller.close();
+  }));
+
+/** One connection through a relay. */
+class Caller {
+  readonly #socket: Socket;
+  #text = "";
+  #fault = "";
+  #connected = false;
+
+  constructor(address: string) {
+    const [host, port] = address.split(":");
+    this.#socket = connect(Number(port), host)
+      .on("connect", () => this.#connected = true)
+      .on("data", (chunk) => this.#text += String(chunk))
+      .on("error", (error: NodeJS.ErrnoException) => {
+        this.#fault = error.code ?? "";
+      });
+  }
+
+  get text(): string {
+    return this.#text;
+  }
+
+  get fault(): string {
+    return this.#fault;
+  }
+
+  send(text: string): void {
+    this.#socket.write(text);
+  }
+
+  close(): void {
+    this.#socket.destroy();
+  }
+
+  async connected(): Promise<void> {
+    await waitFor("a connection", () => this.#connected);
+  }
+
+  async hears(text: string): Promise<void> {
+    await waitFor(`${text} to come back`, () => this.#text === text);
+  }
+
+  async ended(): Promise<void> {
+    await waitFor("the end of a connection", () => this.#socket.closed);
+  }
+}
+
+async function withEcho(
+  body: (relay: LinkRelay, heard: readonly string[]) => Promise<void>,
+): Promise<void> {
+  const heard: string[] = [];
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", (chunk) => {
+      heard.push(String(chunk));
+      socket.write(chunk);
+    });
+  });
+  const relay = await LinkRelay.start(await listen(server));
+  try {
+    await body(relay, heard);
+  } finally {
+    await relay.stop();
+    server.close();
+  }
+}
+
+function listen(server: Server): Promise<string> {
+  return new Promise((resolve) => {
+    server.listen(0, "127.0.0.1", () => {
+      const { address, port } = server.address() as AddressInfo;
+      resolve(`${address}:${port}`);
+    });
+  });
+}
+
+test.run();
--- /dev/null
+++ b/tests/process_broken_targets_test.ts
@@ -0,0 +1,132 @@
+/** Targets that refuse a connection, and targets that break one. */
+
+import { RequestState } from "@chestnuthatch/core/request";
+import { TargetFaultKind } from "@chestnuthatch/standins/target_faults";
+import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { engineRequest, serviceRequest } from "./fleet_requests.ts";
+import { FleetPool } from "./fleet_settings.ts";
+import {
+  expectAnswer,
+  expectRefusal,
+  expectStreamError,
+} from "./outcome_checks.ts";
+import { type ProcessFleetOptions, withFleet } from "./process_fleet.ts";
+
+const TARGET_FAILED = {
+  error: ErrorKind.TargetFailed,
+  ran: RunState.MayHaveRun,
+};
+const SHORT_DEADLINE_MS = 1_500;
+const CALL_MS = 600;
+
+test("should answer from another target when one refuses connections", () =>
+  withFleet(fleetOf({ slots: 1 }), async (fleet) => {
+    const [holder] = [...fleet.instances.values()];
+    await fleet.targetRelay("desk-1").cut();
+    const requests = [serviceRequest(), serviceRequest()];
+    const outcomes = await Promise.all(
+      requests.map((request) => holder.send(request)),
+    );
+    const answers = outcomes.map((outcome, i) =>
+      expectAnswer(outcome, requests[i])
+    );
+    const stories = await Promise.all(
+      answers.map(({ requestId }) => holder.why(requestId)),
+    );
+    assert.match(stories.join(), /Not sent to desk-1/);
+    const { dispatchesByTarget } = await fleet.counts();
+    assert.is(dispatchesByTarget["desk-1"], 0);
+    assert.is(dispatchesByTarget["desk-2"], requests.length);
+  }));
+
+test("should never send again what a target dropped", () =>
+  withFleet(fleetOf({ slots: 4 }), async (fleet) => {
+    const [holder, other] = [...fleet.instances.values()];
+    for (const id of ["desk-1", "desk-2"]) {
+      await fleet.setTargetFault(id, {
+        kind: TargetFaultKind.DropBeforeAnswer,
+        times: 1,
+      });
+    }
+    const request = serviceRequest();
+    const refusal = expectRefusal(await holder.send(request), TARGET_FAILED);
+    assert.ok(refusal.mayRetry, "a key makes sending again safe");
+    expectRefusal(await holder.send(request), TARGET_FAILED);
+    expectRefusal(
+      await other.send({ ...request, deadlineMs: SHORT_DEADLINE_MS }),
+      { error: ErrorKind.DeadlineExceeded, ran: RunState.MayHaveRun },
+    );
+    assert.is((await fleet.counts()).dispatches, 1);
+  }));
+
+test("should tell of doubt when the link breaks during a call", () =>
+  withFleet(fleetOf({ slots: 4 }), async (fleet) => {
+    const [holder] = [...fleet.instances.values()];
+    const requests = [
+      serviceRequest(),
+      serviceRequest({ idempotencyKey: undefined }),
+    ];
+    const outcomes = requests.map((request) => holder.send(request));
+    await fleet.countsUntil(
+      "both calls",
+      ({ dispatches }) => dispatches === requests.length,
+    );
+    await fleet.targetRelay("desk-1").cut();
+    await fleet.targetRelay("desk-2").cut();
+    const [keyed, keyless] = (await Promise.all(outcomes))
+      .map((outcome) => expectRefusal(outcome, TARGET_FAILED));
+    assert.ok(keyed.mayRetry, "a key makes sending again safe");
+    assert.not.ok(keyless.mayRetry, "without a key it would run again");
+    await fleet.targetRelay("desk-1").heal();
+    await fleet.targetRelay("desk-2").heal();
+    const next = serviceRequest();
+    expectAnswer(await holder.send(next), next);
+    assert.is((await fleet.counts()).mostDispatchesOfOne, 1);
+    assert.is((await fleet.counts()).dispatches, requests.length + 1);
+  }));
+
+test("should end a stream in an error when its engine is lost", () =>
+  withFleet(fleetOf({ slots: 4 }), async (fleet) => {
+    const [holder] = [...fleet.instances.values()];
+    const request = engineRequest(1000);
+    const stream = holder.stream(request);
+    await stream.begun();
+    await holder.holds(RequestState.Dispatched, 1);
+    await fleet.targetRelay("engine-1").cut();
+    await fleet.targetRelay("engine-2").cut();
+    await stream.ended;
+    const { ran, mayRetry } = expectStreamError(stream);
+    assert.equal({ ran, mayRetry }, {
+      ran: RunState.MayHaveRun,
+      mayRetry: true,
+    });
+    assert.is((await fleet.counts()).dispatches, 1);
+  }));
+
+/** Loads are polled rarely, so that only a dispatch meets a cut link. */
+function fleetOf({ slots }: { slots: number }): ProcessFleetOptions {
+  const place = { failureDomain: "njiro-hall", slots };
+  const service = { ...place, pool: FleetPool.Services, callMs: CALL_MS };
+  const engine = {
+    ...place,
+    pool: FleetPool.Engines,
+    decodeTokensPerSecond: 50,
+  };
+  return {
+    instances: [
+      { id: "njiro-1", failureDomain: "njiro-hall" },
+      { id: "njiro-2", failureDomain: "njiro-hall" },
+    ],
+    targets: [
+      { ...service, id: "desk-1" },
+      { ...service, id: "desk-2" },
+      { ...engine, id: "engine-1" },
+      { ...engine, id: "engine-2" },
+    ],
+    settings: [[["fleet", "timing", "loadPollMs"], 10_000]],
+  };
+}
+
+test.run();
--- /dev/null
+++ b/tests/process_hang_up_test.ts
@@ -0,0 +1,95 @@
+/** Callers that hang up while their request runs. */
+
+import { RequestState } from "@chestnuthatch/core/request";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { engineRequest, serviceRequest } from "./fleet_requests.ts";
+import { FleetPool } from "./fleet_settings.ts";
+import { expectAnswer, expectWholeStream } from "./outcome_checks.ts";
+import { type ProcessFleetOptions, withFleet } from "./process_fleet.ts";
+import { waitFor } from "./wait_for.ts";
+
+const LONG_ANSWER_TOKENS = 20_000;
+
+const FLEET: ProcessFleetOptions = {
+  instances: [
+    { id: "njiro-1", failureDomain: "njiro-hall" },
+    { id: "njiro-2", failureDomain: "njiro-hall" },
+  ],
+  targets: [
+    {
+      id: "engine-1",
+      pool: FleetPool.Engines,
+      failureDomain: "njiro-hall",
+      slots: 1,
+    },
+    {
+      id: "desk-1",
+      pool: FleetPool.Services,
+      failureDomain: "njiro-hall",
+      slots: 1,
+      callMs: 1_000,
+    },
+  ],
+};
+
+for (const holderId of ["njiro-1", "njiro-2"]) {
+  test(`should cancel a stream that its caller left at ${holderId}`, () =>
+    withFleet(FLEET, async (fleet) => {
+      const holder = fleet.instance(holderId);
+      const left = holder.stream(engineRequest(LONG_ANSWER_TOKENS));
+      await left.begun();
+      const next = engineRequest(10);
+      const answered = holder.send(next);
+      await holder.holds(RequestState.Waiting, 1);
+      left.hangUp();
+      await fleet.countsUntil("a cancel", ({ cancelled }) => cancelled === 1);
+      expectAnswer(await answered, next);
+      await waitFor("no grants to be left", async () => {
+        const statuses = await Promise.all(
+          [...fleet.instances.values()].map((each) => each.status()),
+        );
+        return statuses.flatMap(({ shards }) => shards)
+          .every(({ grants }) => grants === 0);
+      });
+      const counts = await fleet.counts();
+      assert.is(counts.dispatches, 2);
+      assert.is(counts.cancelled, 1);
+    }));
+}
+
+test("should go on with a stream that another caller of its key waits for", () =>
+  withFleet(FLEET, async (fleet) => {
+    const holder = fleet.instance("njiro-1");
+    const request = engineRequest(200, { idempotencyKey: "plan" });
+    const left = holder.stream(request);
+    await left.begun();
+    const stays = holder.stream(request);
+    await stays.begun();
+    left.hangUp();
+    await left.ended;
+    await stays.ended;
+    expectWholeStream(stays, request);
+    const counts = await fleet.counts();
+    assert.is(counts.dispatches, 1);
+    assert.is(counts.cancelled, 0);
+  }));
+
+test("should keep the answer of a call that may not be repeated", () =>
+  withFleet(FLEET, async (fleet) => {
+    const holder = fleet.instance("njiro-1");
+    const request = serviceRequest();
+    const left = holder.stream(request);
+    await fleet.countsUntil(
+      "the run",
+      (counts) => counts.runsOfKey(request.idempotencyKey) === 1,
+    );
+    left.hangUp();
+    await left.ended;
+    expectAnswer(await holder.send(request), request);
+    const other = fleet.instance("njiro-2");
+    expectAnswer(await other.send(request), request);
+    assert.is((await fleet.counts()).dispatches, 1);
+  }));
+
+test.run();
--- /dev/null
+++ b/tests/process_shutdown_test.ts
@@ -0,0 +1,118 @@
+/** SIGTERM while long streams run and requests wait. */
+
+import { RequestState } from "@chestnuthatch/core/request";
+import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { FleetInstance } from "./fleet_instance.ts";
+import { engineRequest, serviceRequest } from "./fleet_requests.ts";
+import { FleetPool } from "./fleet_settings.ts";
+import {
+  expectAnswer,
+  expectRefusal,
+  expectStreamError,
+  expectTruthful,
+  expectWholeStream,
+} from "./outcome_checks.ts";
+import { type ProcessFleetOptions, withFleet } from "./process_fleet.ts";
+import { waitFor } from "./wait_for.ts";
+
+const SLOTS = 2;
+const DECODE_TOKENS_PER_SECOND = 100;
+const CLEAN_END = { code: 0, signal: null };
+const SHUTTING_DOWN = {
+  error: ErrorKind.ShuttingDown,
+  ran: RunState.NotRun,
+};
+
+const FLEET: ProcessFleetOptions = {
+  instances: [
+    { id: "njiro-1", failureDomain: "njiro-hall" },
+    { id: "njiro-2", failureDomain: "njiro-hall" },
+  ],
+  targets: [
+    {
+      id: "engine-1",
+      pool: FleetPool.Engines,
+      failureDomain: "njiro-hall",
+      slots: SLOTS,
+      decodeTokensPerSecond: DECODE_TOKENS_PER_SECOND,
+    },
+    {
+      id: "desk-1",
+      pool: FleetPool.Services,
+      failureDomain: "njiro-hall",
+      slots: 1,
+      callMs: 1_000,
+    },
+  ],
+};
+
+for (const leavingId of ["njiro-1", "njiro-2"]) {
+  test(`should end what it holds before it leaves, as ${leavingId}`, () =>
+    withFleet(FLEET, async (fleet) => {
+      const leaving = fleet.instance(leavingId);
+      const staying = [...fleet.instances.values()]
+        .find((instance) => instance !== leaving)!;
+      const requests = Array.from(
+        { length: 2 * SLOTS },
+        () => engineRequest(150),
+      );
+      const calls = requests.map((request) => leaving.stream(request));
+      const post = serviceRequest();
+      const posted = leaving.send(post);
+      await leaving.holds(RequestState.Dispatched, SLOTS + 1);
+      await leaving.holds(RequestState.Waiting, SLOTS);
+      leaving.terminate();
+      await leavingSeen(leaving);
+      const refused = await leaving.send(serviceRequest());
+      if (!("broken" in refused)) {
+        expectRefusal(refused, SHUTTING_DOWN);
+      }
+      for (const [i, call] of calls.entries()) {
+        await call.ended;
+        expectWholeStream(call, requests[i]);
+      }
+      expectAnswer(await posted, post);
+      assert.equal(await leaving.ended(), CLEAN_END);
+      const next = serviceRequest();
+      expectAnswer(await staying.send(next), next);
+      const counts = await fleet.counts();
+      assert.is(counts.mostDispatchesOfOne, 1);
+      assert.is(counts.dispatches, requests.length + 2);
+    }));
+}
+
+test("should refuse what is left at a second SIGTERM, truthfully", () =>
+  withFleet(FLEET, async (fleet) => {
+    const leaving = fleet.instance("njiro-1");
+    const calls = Array.from(
+      { length: 2 * SLOTS },
+      () => leaving.stream(engineRequest(4_000)),
+    );
+    await leaving.holds(RequestState.Dispatched, SLOTS);
+    await leaving.holds(RequestState.Waiting, SLOTS);
+    leaving.terminate();
+    await leavingSeen(leaving);
+    leaving.terminate();
+    assert.equal(await leaving.ended(), CLEAN_END);
+    await Promise.all(calls.map(({ ended }) => ended));
+    const refusals = calls.map(expectStreamError);
+    const counts = await fleet.counts();
+    refusals.forEach((refusal) => expectTruthful(refusal, counts));
+    assert.equal(refusals.map(({ error }) => error), [
+      ...Array(calls.length).fill(ErrorKind.ShuttingDown),
+    ]);
+    const notRun = refusals.filter(({ ran }) => ran === RunState.NotRun);
+    assert.is(notRun.length, SLOTS);
+    assert.is(counts.dispatches, SLOTS);
+  }));
+
+async function leavingSeen(instance: FleetInstance): Promise<void> {
+  await waitFor(
+    "the shutdown to begin",
+    async () => instance.server.hasEnded || (await instance.status()).leaving,
+  );
+}
+
+test.run();
--- /dev/null
+++ b/tests/process_stray_answers_test.ts
@@ -0,0 +1,179 @@
+/** Answers that are crossed, doubled, late or cut. */
+
+import { CounterName } from "@chestnuthatch/core/effects";
+import {
+  type TargetFault,
+  TargetFaultKind,
+} from "@chestnuthatch/standins/target_faults";
+import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { engineRequest, serviceRequest } from "./fleet_requests.ts";
+import { FleetPool } from "./fleet_settings.ts";
+import {
+  expectAnswer,
+  expectRefusal,
+  expectWholeStream,
+} from "./outcome_checks.ts";
+import {
+  type ProcessFleet,
+  type ProcessFleetOptions,
+  withFleet,
+} from "./process_fleet.ts";
+
+const ENGINES = ["engine-1", "engine-2"];
+const CALLERS = 4;
+const OUTPUT_TOKENS = 40;
+const SHORT_DEADLINE_MS = 1_000;
+const LATE_MS = 2_500;
+const DEADLINE_PASSED = {
+  error: ErrorKind.DeadlineExceeded,
+  ran: RunState.MayHaveRun,
+};
+
+const FLEET: ProcessFleetOptions = {
+  instances: [{ id: "njiro-1", failureDomain: "njiro-hall" }],
+  targets: [
+    ...ENGINES.map((id) => ({
+      id,
+      pool: FleetPool.Engines,
+      failureDomain: "njiro-hall",
+      slots: 8,
+    })),
+    {
+      id: "desk-1",
+      pool: FleetPool.Services,
+      failureDomain: "njiro-hall",
+      slots: 8,
+    },
+  ],
+};
+
+interface StreamFault {
+  readonly fault: TargetFault;
+  /** Shows that the fault has struck. */
+  readonly counter: CounterName;
+}
+
+const STREAM_FAULTS: Record<string, StreamFault> = {
+  "crossed": {
+    fault: { kind: TargetFaultKind.CrossAnswers, times: CALLERS },
+    counter: CounterName.StrayAnswersDropped,
+  },
+  "doubled at the end": {
+    fault: { kind: TargetFaultKind.DuplicateEnd, times: CALLERS },
+    counter: CounterName.StrayAnswersDropped,
+  },
+  "cut before the first token": cutAfter(0),
+  "cut after the first token": cutAfter(1),
+  "cut in the middle": cutAfter(OUTPUT_TOKENS / 2),
+  "cut before the last token": cutAfter(OUTPUT_TOKENS - 1),
+};
+
+for (const [name, { fault, counter }] of Object.entries(STREAM_FAULTS)) {
+  test(`should deliver streams whole that are ${name}`, () =>
+    withFleet(FLEET, async (fleet) => {
+      for (const id of ENGINES) {
+        await fleet.setTargetFault(id, fault);
+      }
+      await expectAllWhole(fleet);
+      assert.ok(await fleet.instance("njiro-1").count(counter) > 0);
+    }));
+}
+
+test("should refuse crossed answers of a service and deliver the others", () =>
+  withFleet(FLEET, async (fleet) => {
+    const instance = fleet.instance("njiro-1");
+    await fleet.setTargetFault("desk-1", {
+      kind: TargetFaultKind.CrossAnswers,
+      times: 2,
+    });
+    const requests = Array.from({ length: CALLERS }, () => serviceRequest());
+    const outcomes = await Promise.all(
+      requests.map((request) => instance.send(request)),
+    );
+    const refused = outcomes.filter((outcome) => "refusal" in outcome);
+    assert.is(refused.length, 2);
+    for (const [i, outcome] of outcomes.entries()) {
+      if ("refusal" in outcome) {
+        expectRefusal(outcome, {
+          error: ErrorKind.TargetFailed,
+          ran: RunState.MayHaveRun,
+        });
+      } else {
+        expectAnswer(outcome, requests[i]);
+      }
+    }
+    assert.is((await fleet.counts()).dispatches, CALLERS);
+  }));
+
+test("should give a late answer to its own key and nobody else", () =>
+  withFleet(FLEET, async (fleet) => {
+    const instance = fleet.instance("njiro-1");
+    const late = serviceRequest({ deadlineMs: SHORT_DEADLINE_MS });
+    await delayAnswers(fleet, LATE_MS);
+    const outcome = await instance.send(late);
+    expectRefusal(outcome, DEADLINE_PASSED);
+    await delayAnswers(fleet, 0);
+    const others = Array.from({ length: CALLERS }, () => serviceRequest());
+    for (const request of others) {
+      expectAnswer(await instance.send(request), request);
+    }
+    expectAnswer(await instance.send({ ...late, deadlineMs: undefined }), late);
+    const counts = await fleet.counts();
+    assert.is(counts.runsOfKey(late.idempotencyKey), 1);
+    assert.is(counts.dispatches, others.length + 1);
+  }));
+
+test("should name the deadline when it passes during a call without a key", () =>
+  withFleet(FLEET, async (fleet) => {
+    const instance = fleet.instance("njiro-1");
+    await delayAnswers(fleet, LATE_MS);
+    const late = serviceRequest({
+      deadlineMs: SHORT_DEADLINE_MS,
+      idempotencyKey: undefined,
+    });
+    expectRefusal(await instance.send(late), DEADLINE_PASSED);
+    assert.is((await fleet.counts()).dispatches, 1);
+  }));
+
+function delayAnswers(fleet: ProcessFleet, delayMs: number): Promise<void> {
+  return fleet.setTargetFault("desk-1", {
+    kind: TargetFaultKind.DelayAnswers,
+    delayMs,
+  });
+}
+
+/** Half of the callers read along; each must get the whole of its own. */
+async function expectAllWhole(fleet: ProcessFleet): Promise<void> {
+  const instance = fleet.instance("njiro-1");
+  const streamed = requestsForEngines().map((request) => ({
+    request,
+    call: instance.stream(request),
+  }));
+  const gathered = requestsForEngines().map(async (request) =>
+    expectAnswer(await instance.send(request), request)
+  );
+  await Promise.all(gathered);
+  for (const { request, call } of streamed) {
+    await call.ended;
+    expectWholeStream(call, request);
+  }
+  const counts = await fleet.counts();
+  assert.is(counts.dispatches, 2 * CALLERS);
+  assert.is(counts.mostDispatchesOfOne, 1);
+}
+
+function requestsForEngines() {
+  return Array.from({ length: CALLERS }, () => engineRequest(OUTPUT_TOKENS));
+}
+
+function cutAfter(afterTokens: number): StreamFault {
+  const kind = TargetFaultKind.BreakStream as const;
+  return {
+    fault: { kind, times: CALLERS, afterTokens },
+    counter: CounterName.StreamResumes,
+  };
+}
+
+test.run();
