Count the memory that unreported work will come to need

Change: work that only a report shows counts with room for its answers; an orphan is freed by reports only against work used 300 ms before them, and by time only where the report shows less work than the account.

--- a/packages/core/src/capacity.ts
+++ b/packages/core/src/capacity.ts
@@ -86,6 +86,13 @@
       : undefined;
   }
 
+  /** Whether the target's report shows as much work as this account has. */
+  get showsAllItsWork(): boolean {
+    const load = this.target?.load;
+    return load !== undefined &&
+      load.slotsUsed + load.waitingRequests >= this.grants.length;
+  }
+
   /** Whether the target shows work that this account does not have. */
   get hasUnknownWork(): boolean {
     return this.used.slots > this.grants.length;
--- a/packages/core/src/holder_presence.ts
+++ b/packages/core/src/holder_presence.ts
@@ -71,7 +71,7 @@
       removeWaiting(shard, ask.detail.requestId);
     }
   }
-  dropOverdueOrphans(shard, nowMs);
+  dropOverdueOrphans(view);
 }
 
 /** Forgets the asks of a holder's earlier incarnations, and orphans its work. */
--- a/packages/core/src/orphaned_work.ts
+++ b/packages/core/src/orphaned_work.ts
@@ -1,23 +1,30 @@
 /** Work whose holder is gone: kept until its target or time shows it ended. */
 
 import type { TargetLoad } from "@chestnuthatch/wire/work";
-import type { Shard } from "./blackboard.ts";
 import { closeGrant } from "./grant_account.ts";
 import type { ShardView } from "./shard_view.ts";
 
+/** Work used this lately may not have reached its target at a report's time. */
+const ARRIVAL_MARGIN_MS = 300;
+
 /** How long after its expected end the work of a gone holder is kept. */
 const ORPHAN_MARGIN_MS = 10_000;
 
 /**
- * Frees work of gone holders that must have ended long ago.
+ * Frees work of gone holders that must have ended long ago, unless its target
+ * still shows as much work as the account has.
  *
- * @param shard The shard.
- * @param nowMs The local time.
+ * @param view The shard.
  */
-export function dropOverdueOrphans(shard: Shard, nowMs: number): void {
+export function dropOverdueOrphans(view: ShardView): void {
+  const { shard, nowMs } = view;
+  const full = new Set(
+    view.rooms.filter((room) => room.showsAllItsWork)
+      .map((room) => room.targetId),
+  );
   for (const grant of [...shard.grants.values()]) {
     if (
-      grant.orphanedAtMs !== undefined &&
+      grant.orphanedAtMs !== undefined && !full.has(grant.work.targetId) &&
       nowMs > Math.max(grant.expectedEndMs, grant.orphanedAtMs) +
           ORPHAN_MARGIN_MS
     ) {
@@ -38,7 +45,8 @@
   const room = view.rooms.find((each) => each.targetId === load.targetId);
   const asOfMs = room?.target?.loadAsOfMs ?? nowMs;
   const grants = [...shard.grants.values()].filter((grant) =>
-    grant.work.targetId === load.targetId && grant.usedAtMs <= asOfMs
+    grant.work.targetId === load.targetId &&
+    grant.usedAtMs <= asOfMs - ARRIVAL_MARGIN_MS
   );
   const excess = Math.max(
     0,
--- a/packages/core/src/target_usage.ts
+++ b/packages/core/src/target_usage.ts
@@ -28,6 +28,9 @@
  */
 const REPORT_MARGIN_MS = 10;
 
+/** Least growth assumed of an answer that is not in the account. */
+const MIN_GROWTH_TOKENS = 1024;
+
 /**
  * Weighs the own account against the target's stale report, the larger one
  * counting: the report is carried forward by what was granted and what ended
@@ -48,15 +51,46 @@
     work.endedAtMs > target.loadAsOfMs + REPORT_MARGIN_MS
   );
   const reportedSlots = load.slotsUsed + load.waitingRequests;
+  const slots = Math.max(own.slots, reportedSlots + since.length - gone.length);
+  const unknown = unknownKvTokens(grants, {
+    unknownSlots: slots - own.slots,
+    kvTokens: load.kvUsedTokens - sumKvTokens(gone),
+    isKnown: (grant) => isInReport(grant, target),
+  });
   return {
-    slots: Math.max(own.slots, reportedSlots + since.length - gone.length),
+    slots,
     kvTokens: Math.max(
-      own.kvTokens,
+      own.kvTokens + unknown,
       load.kvUsedTokens + sumKvTokens(since) - sumKvTokens(gone),
     ),
   };
 }
 
+/**
+ * Estimates the KV memory of work that is not in the account: what the report
+ * shows beyond the account's prompts, and room for its answers to grow.
+ */
+function unknownKvTokens(
+  grants: readonly GrantAccount[],
+  report: {
+    unknownSlots: number;
+    kvTokens: number;
+    isKnown: (grant: GrantAccount) => boolean;
+  },
+): number {
+  if (report.unknownSlots <= 0) {
+    return 0;
+  }
+  let promptTokens = 0;
+  let growthTokens = MIN_GROWTH_TOKENS;
+  for (const grant of grants) {
+    promptTokens += report.isKnown(grant) ? grant.work.promptTokens : 0;
+    growthTokens = Math.max(growthTokens, grant.work.maxOutputTokens);
+  }
+  return Math.max(0, report.kvTokens - promptTokens) +
+    report.unknownSlots * growthTokens;
+}
+
 function isInReport(work: { usedAtMs: number }, target: Target): boolean {
   return work.usedAtMs <= target.loadAsOfMs - REPORT_MARGIN_MS;
 }
