--- a/packages/core/src/outcomes.ts
+++ b/packages/core/src/outcomes.ts
@@ -132,13 +132,15 @@
   request: HeldRequest,
   options: { call: WaitingCall; error: ErrorKind; message: string },
 ): void {
+  // For the others that wait for it, the request may still run.
+  const isShared = request.calls.size > 1;
   const cause: RefusalCause = {
     error: options.error,
-    ran: runStateOf(request),
+    ran: isShared ? RunState.MayHaveRun : runStateOf(request),
     message: options.message,
     retryAfterMs: request.policy.retryAfterMs,
   };
-  if (request.calls.size > 1) {
+  if (isShared) {
     refuseOneCall(turn, request, { call: options.call, cause });
     return;
   }
