Ask under a fresh beat; send prompts that begin alike to one domain

Change: an ask raises the holder's beat when it is due; a grant of a leaving target excludes that target; work that gave no token teaches no rate; a prompt of 512 tokens or more is first asked for in the domain that its beginning hashes to.

--- a/packages/core/src/ask_messages.ts
+++ b/packages/core/src/ask_messages.ts
@@ -3,7 +3,12 @@
 import { PeerMessageKind } from "@chestnuthatch/wire/peer_messages";
 import { AskState, type HeldRequest, type OutAsk } from "./blackboard.ts";
 import type { Turn } from "./controller.ts";
+import { beat } from "./holder_report.ts";
 import { domainsToAsk } from "./shard_domains.ts";
+import { hash32 } from "./text_hash.ts";
+
+/** Blocks of a prompt that tell where it belongs: 512 tokens. */
+const BEGINNING_BLOCKS = 8;
 
 /**
  * Takes one ask back.
@@ -33,6 +38,8 @@
  * @param ask The ask.
  */
 export function sendAsk(turn: Turn, request: HeldRequest, ask: OutAsk): void {
+  // An ask under an old beat would only bring grants that are too old.
+  beat(turn);
   const { spec, policy } = request;
   const domains = domainsOf(turn, request);
   turn.send(ask.coordinatorId, {
@@ -60,18 +67,32 @@
 }
 
 /**
- * Lists the domains that a request may be asked at, nearest first.
+ * Lists the domains that a request may be asked at, the first to ask in front:
+ * the nearest, or for a long prompt the one that its beginning belongs to, so
+ * that prompts which begin alike meet the same caches.
  *
  * @param turn The turn, for the settings and where this instance is.
  * @param request The request.
  * @returns Names of failure domains.
  */
 export function domainsOf(turn: Turn, request: HeldRequest): string[] {
-  return domainsToAsk(
-    turn.board.settings.inForce!,
-    turn.board.self,
-    request.spec.pool,
-  );
+  const settings = turn.board.settings.inForce!;
+  const { self } = turn.board;
+  const { pool, blockHashes } = request.spec;
+  const domains = domainsToAsk(settings, self, pool);
+  const beginning = blockHashes[BEGINNING_BLOCKS - 1];
+  if (beginning === undefined) {
+    return domains;
+  }
+  const isNear = (domain: string) =>
+    settings.regionOfDomain.get(domain) === self.region;
+  const near = domains.filter(isNear)
+    .map((domain) => ({ domain, score: hash32(`${beginning}/${domain}`) }))
+    .sort((a, b) => b.score - a.score);
+  return [
+    ...near.map(({ domain }) => domain),
+    ...domains.filter((domain) => !isNear(domain)),
+  ];
 }
 
 /**
--- a/packages/core/src/attempts.ts
+++ b/packages/core/src/attempts.ts
@@ -54,7 +54,8 @@
   failed: boolean,
 ): void {
   const attempt = request.attempt!;
-  const firstTokenAtMs = attempt.firstTokenAtMs || turn.nowMs;
+  const firstTokenAtMs = attempt.firstTokenAtMs;
+  const hasBegun = firstTokenAtMs > 0;
   turn.send(attempt.coordinatorId, {
     kind: PeerMessageKind.WorkDone,
     requestId: request.spec.requestId,
@@ -66,8 +67,8 @@
     promptTokens: request.spec.promptTokens,
     cachedTokens: attempt.cachedTokens,
     outputTokens: attempt.tokensReceived,
-    firstTokenMs: Math.max(0, firstTokenAtMs - attempt.sentAtMs),
-    decodeMs: Math.max(0, turn.nowMs - firstTokenAtMs),
+    firstTokenMs: hasBegun ? firstTokenAtMs - attempt.sentAtMs : 0,
+    decodeMs: hasBegun ? turn.nowMs - firstTokenAtMs : 0,
     blockHashes: [...request.spec.blockHashes],
   });
 }
--- a/packages/core/src/dispatch_flow.ts
+++ b/packages/core/src/dispatch_flow.ts
@@ -19,6 +19,9 @@
 /** Connections a request may find refused before it is given up. */
 const MAX_ATTEMPTS = 4;
 
+/** Why a grant is returned whose coordinator has not heard the sign yet. */
+const LEAVING_TARGET = "the target is leaving";
+
 type Grant = PeerMessageOf<PeerMessageKind.Grant>;
 
 /**
@@ -48,6 +51,9 @@
   }
   noteStep(turn, request, `Grant of ${grant.targetId} returned: ${fault}`);
   returnGrant(turn, grant, { coordinatorId, pool: request.spec.pool });
+  if (fault === LEAVING_TARGET) {
+    request.excludedTargetIds.push(grant.targetId);
+  }
   if (request.deadlineAtMs > turn.nowMs) {
     askDomain(turn, request, grant.failureDomain);
   }
@@ -211,7 +217,7 @@
     return "the settings do not have the target in this pool";
   }
   if (settings.draining || board.targets.byId.get(grant.targetId)?.leaving) {
-    return "the target is leaving";
+    return LEAVING_TARGET;
   }
   if (request.excludedTargetIds.includes(grant.targetId)) {
     return "the target refused a connection before";
