Take a prompt as read once a later one was

Change: engines read prompts in order, so a prompt_read marks all work used before it on that target. Shown failing first: without the marking the new placement test fails (the next prompt is not granted).

--- a/packages/core/src/coordinator_controller.ts
+++ b/packages/core/src/coordinator_controller.ts
@@ -11,7 +11,7 @@
 import { CacheEventKind } from "@chestnuthatch/wire/target_protocol";
 import { TargetKind } from "@chestnuthatch/wire/work";
 import { onAsk } from "./ask_intake.ts";
-import { type Shard, shardKey } from "./blackboard.ts";
+import { type GrantAccount, type Shard, shardKey } from "./blackboard.ts";
 import type { Controller, EventHandlers, Turn } from "./controller.ts";
 import {
   type CoordinatorOptions,
@@ -201,10 +201,26 @@
     return;
   }
   grant.promptRead = true;
+  markEarlierPromptsRead(shard, grant);
   shard.lastReadAtMs.set(grant.work.targetId, nowMs);
   placeWaiting(view);
 }
 
+/**
+ * Engines read prompts in the order they came, so earlier ones were read too.
+ * Their own word may be lost, or their holder gone.
+ */
+function markEarlierPromptsRead(shard: Shard, read: GrantAccount): void {
+  for (const grant of shard.grants.values()) {
+    if (
+      grant.work.targetId === read.work.targetId &&
+      grant.usedAtMs < read.usedAtMs
+    ) {
+      grant.promptRead = true;
+    }
+  }
+}
+
 function onWorkDone(
   view: ShardView,
   message: PeerMessageOf<PeerMessageKind.WorkDone>,
--- a/packages/core/src/placement_test.ts
+++ b/packages/core/src/placement_test.ts
@@ -1,7 +1,7 @@
 import { PeerMessageKind } from "@chestnuthatch/wire/peer_messages";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { FakeShard, POOL } from "./fake_shard.ts";
+import { DOMAIN, FakeShard, POOL } from "./fake_shard.ts";
 
 function grantedIds(fake: FakeShard): string[] {
   return fake.grants.map(({ requestId }) => requestId);
@@ -155,4 +155,24 @@
   assert.is(fake.board.shards.byKey.get(`${POOL}@njiro-hall`), fake.shard);
 });
 
+test("should take a prompt as read when one that came after it was", () => {
+  const fake = new FakeShard({ targets: [{ slots: 8, kvTokens: 50_000 }] });
+  fake.ask({ requestId: "lost word", promptTokens: 9000 });
+  fake.use(fake.grants[0]);
+  fake.advance(850);
+  fake.ask({ requestId: "later", promptTokens: 200 });
+  const later = fake.grants[1];
+  fake.use(later);
+  fake.advance(100);
+  fake.hear({
+    kind: PeerMessageKind.PromptRead,
+    requestId: "later",
+    grantId: later.grantId,
+    pool: POOL,
+    failureDomain: DOMAIN,
+  });
+  fake.ask({ requestId: "next", promptTokens: 9000 });
+  assert.is(grantedIds(fake).at(-1), "next", "nothing is left to be read");
+});
+
 test.run();
