Count only refused work as not served

Cause: the check of tier order took any end within 50 ms, also an answer, as not served. Change: only a refusal within 50 ms exempts lower-tier work; a test shows that an answered one counts.

--- a/packages/measure/src/promises.ts
+++ b/packages/measure/src/promises.ts
@@ -127,7 +127,8 @@
   readonly broken: BrokenPromise[] = [];
   readonly #world: WorldView;
   readonly #calls = new Map<string, CallRecord>();
-  readonly #endedAtMs = new Map<string, number>();
+  readonly #ended = new Set<string>();
+  readonly #refusedAtMs = new Map<string, number>();
   readonly #suspicions: TierOrderSuspicion[] = [];
   readonly #received = new Map<string, WorkReceived[]>();
   readonly #started = new Set<string>();
@@ -221,6 +222,7 @@
    */
   callRefused(requestId: string, refusal: ToldRefusal): void {
     this.#end(requestId);
+    this.#refusedAtMs.set(requestId, this.#world.nowMs());
     const call = this.#calls.get(requestId);
     if (call === undefined) {
       return;
@@ -264,7 +266,7 @@
    * @param requestId The call.
    */
   outcomeDue(requestId: string): void {
-    if (!this.#endedAtMs.has(requestId)) {
+    if (!this.#ended.has(requestId)) {
       this.#breakPromise(
         PromiseKind.NoOutcome,
         requestId,
@@ -313,17 +315,14 @@
   }
 
   #end(requestId: string): void {
-    if (this.#endedAtMs.has(requestId)) {
+    if (this.#ended.has(requestId)) {
       this.#breakPromise(
         PromiseKind.AnsweredTwice,
         requestId,
         "a second outcome was told",
       );
     }
-    this.#endedAtMs.set(
-      requestId,
-      this.#endedAtMs.get(requestId) ?? this.#world.nowMs(),
-    );
+    this.#ended.add(requestId);
   }
 
   #checkNotRun(call: CallRecord, refusal: ToldRefusal): void {
@@ -369,10 +368,11 @@
     }
   }
 
-  /** Work that was refused or ended at the same moment was not served. */
+  /** Work that was refused at the same moment was not served. */
   #judge({ call, refusal, atMs, works, story }: TierOrderSuspicion): void {
     const served = works.find(({ requestId }) =>
-      (this.#endedAtMs.get(requestId) ?? Infinity) > atMs + REFUSAL_IN_FLIGHT_MS
+      (this.#refusedAtMs.get(requestId) ?? Infinity) >
+        atMs + REFUSAL_IN_FLIGHT_MS
     );
     if (served !== undefined) {
       this.broken.push({
--- a/packages/measure/src/promises_test.ts
+++ b/packages/measure/src/promises_test.ts
@@ -179,6 +179,14 @@
   atOnce.checker.finish();
   assert.equal(atOnce.checker.broken, []);
 
+  const answered = setUp();
+  answered.world.lowerTier = [LOWER];
+  answered.checker.callRefused("call-1", OVERLOADED);
+  answered.checker.answerMade("call-9", "whole");
+  answered.checker.callAnswered("call-9", "whole");
+  answered.checker.finish();
+  assert.ok(kindsOf(answered.checker).includes(PromiseKind.TierOrder));
+
   const later = setUp();
   later.world.lowerTier = [LOWER];
   later.checker.callRefused("call-1", OVERLOADED);
