Tell of a straggler's cut once, not on every tick

Cause: work that is overdue cuts a target a little more on each tick, and each cut was a log line. Change: only a cut by a tenth or more is told; the cuts themselves are as before.

--- a/packages/core/src/straggler.ts
+++ b/packages/core/src/straggler.ts
@@ -8,6 +8,8 @@
 const CUT_ABOVE = 2;
 /** A target that is being cut is cut until it is less slow than this. */
 const RECOVERED_BELOW = 1.5;
+/** A cut is told of when this share or less of the former slots is left. */
+const CLEAR_CUT_SHARE = 0.9;
 /** Smallest share of its slots left; at least one slot is left as a probe. */
 const MIN_SLOT_SHARE = 0.05;
 /** Share of its slots that comes back in a second. */
@@ -81,7 +83,7 @@
  * @param target The target.
  * @param settings Its settings.
  * @param seen Its slowdown now, and the local time.
- * @returns Whether its slots were cut now.
+ * @returns Whether its slots were clearly cut now.
  */
 export function adjustSlots(
   target: Target,
@@ -100,8 +102,9 @@
   pace.lastRecoveryAtMs = nowMs;
   const isCut = share < pace.slotShare;
   const regained = RECOVERY_SHARE_PER_SECOND * elapsedMs / MS_PER_SECOND;
+  const isClearCut = share < pace.slotShare * CLEAR_CUT_SHARE;
   pace.slotShare = isCut ? share : Math.min(share, pace.slotShare + regained);
-  return isCut;
+  return isClearCut;
 }
 
 /**
