Let each tier's floor end by itself; hold lower grants while domains refuse

And a lower tier was granted in one domain between two domains' refusals of the same request, 14 ms apart. Tried and reverted: counting an ask whose time is short from the start as no overload (the surge property found that it can be served by preemption). Change: floors run by tier; after refusing an ask that waits elsewhere a shard grants nothing below it for 100 ms.

--- a/packages/core/src/blackboard.ts
+++ b/packages/core/src/blackboard.ts
@@ -392,8 +392,10 @@
   readonly failureDomain: string;
   readonly waiting: Map<string, WaitingAsk>;
   readonly grants: Map<string, GrantAccount>;
-  /** Below this tier nothing is served for a while. */
-  floor?: { tierRank: number; untilMs: number };
+  /** Until when nothing below a tier is served, by the tier's rank. */
+  readonly floorUntilMs: Map<number, number>;
+  /** Until when nothing below a tier is granted, by the tier's rank. */
+  readonly grantHoldUntilMs: Map<number, number>;
   /** When a prompt was last heard to have been read, by target. */
   readonly lastReadAtMs: Map<string, number>;
   /** All prompt work ever granted, by target. */
--- a/packages/core/src/overload_refusal.ts
+++ b/packages/core/src/overload_refusal.ts
@@ -5,7 +5,7 @@
 import { refuseAsk } from "./grant_account.ts";
 import { spreadRetryHint } from "./retry_hint.ts";
 import { lanesOfTier, type QueuedWork } from "./shard_queue.ts";
-import { raiseFloor } from "./shed_floor.ts";
+import { holdGrantsBelow, raiseFloor } from "./shed_floor.ts";
 import type { ShardView } from "./shard_view.ts";
 import { estimateWaitMs, NO_WORK } from "./wait_estimate.ts";
 
@@ -23,6 +23,8 @@
 ): void {
   if (ask.detail.spreadOver === 1) {
     raiseFloor(view, ask.detail.tierRank);
+  } else {
+    holdGrantsBelow(view, ask.detail.tierRank);
   }
   const { retryAfterMs } = view.policyOf(ask.detail);
   const backlogMs = estimateWaitMs(view, ask, backlogOf(view, ask));
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -13,7 +13,7 @@
 import { openGrant } from "./grant_account.ts";
 import { keepReservedRooms, keepRoomWhenAged } from "./kept_room.ts";
 import { lanesOfTier, orderLane, waitingTiers } from "./shard_queue.ts";
-import { floorOf } from "./shed_floor.ts";
+import { lowestGrantableTier } from "./shed_floor.ts";
 import type { ShardView } from "./shard_view.ts";
 import { choosePlace } from "./target_choice.ts";
 
@@ -48,7 +48,7 @@
 
   placeAll(): void {
     for (const tierRank of waitingTiers(this.#view.shard)) {
-      if (!this.#hasRoom() || tierRank > floorOf(this.#view)) {
+      if (!this.#hasRoom() || tierRank > lowestGrantableTier(this.#view)) {
         return;
       }
       this.#placeTier(tierRank);
--- a/packages/core/src/shard_queue.ts
+++ b/packages/core/src/shard_queue.ts
@@ -35,6 +35,8 @@
     failureDomain,
     waiting: new Map(),
     grants: new Map(),
+    floorUntilMs: new Map(),
+    grantHoldUntilMs: new Map(),
     lastReadAtMs: new Map(),
     prefillGrantedMs: new Map(),
     served: new Map(),
--- a/packages/core/src/shed_floor.ts
+++ b/packages/core/src/shed_floor.ts
@@ -16,6 +16,9 @@
 /** How long a floor stands after the last shedding. */
 export const FLOOR_MS = 2000;
 
+/** Two ticks: domains that refuse for the same reason do so within it. */
+const GRANT_HOLD_MS = 100;
+
 /**
  * Raises the floor to a tier whose work is shed, or lets it stand longer.
  *
@@ -23,12 +26,29 @@
  * @param tierRank The tier.
  */
 export function raiseFloor(view: ShardView, tierRank: number): void {
-  const { shard, nowMs } = view;
-  const standing = floorOf(view);
-  shard.floor = {
-    tierRank: Math.min(standing, tierRank),
-    untilMs: nowMs + FLOOR_MS,
-  };
+  view.shard.floorUntilMs.set(tierRank, view.nowMs + FLOOR_MS);
+}
+
+/**
+ * Grants nothing below a tier for a moment: other domains may be refusing the
+ * same request just now, and then its holder will have lower tiers shed.
+ *
+ * @param view The shard.
+ * @param tierRank The tier of the request that this shard refused.
+ */
+export function holdGrantsBelow(view: ShardView, tierRank: number): void {
+  view.shard.grantHoldUntilMs.set(tierRank, view.nowMs + GRANT_HOLD_MS);
+}
+
+/**
+ * Gives the lowest tier that may be granted now.
+ *
+ * @param view The shard.
+ * @returns Its rank; Infinity where any may.
+ */
+export function lowestGrantableTier(view: ShardView): number {
+  const { grantHoldUntilMs } = view.shard;
+  return Math.min(floorOf(view), highestStanding(grantHoldUntilMs, view.nowMs));
 }
 
 /**
@@ -38,10 +58,23 @@
  * @returns Its rank; Infinity where no floor stands.
  */
 export function floorOf({ shard, nowMs }: ShardView): number {
-  const { floor } = shard;
-  return floor !== undefined && nowMs < floor.untilMs
-    ? floor.tierRank
-    : Infinity;
+  return highestStanding(shard.floorUntilMs, nowMs);
+}
+
+/**
+ * Each tier's time runs by itself: what a floor refuses must not prolong it.
+ */
+function highestStanding(
+  untilMsByRank: Map<number, number>,
+  nowMs: number,
+): number {
+  let highest = Infinity;
+  for (const [tierRank, untilMs] of untilMsByRank) {
+    if (nowMs < untilMs) {
+      highest = Math.min(highest, tierRank);
+    }
+  }
+  return highest;
 }
 
 /**
--- a/packages/core/src/shedding_test.ts
+++ b/packages/core/src/shedding_test.ts
@@ -6,7 +6,7 @@
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { FakeShard } from "./fake_shard.ts";
+import { DOMAIN, FakeShard, POOL } from "./fake_shard.ts";
 
 const RUNS = 150;
 const TIERS = [{}, { preemptible: false }, {}, { headroomShare: 0.5 }];
@@ -189,4 +189,22 @@
   assert.is(fake.grants.length, 0);
 });
 
+test("should let a floor end though what it refuses is shed as well", () => {
+  const fake = new FakeShard({ targets: [{}], tiers: [{}, {}, {}] });
+  const shed = (tierRank: number) =>
+    fake.hear({
+      kind: PeerMessageKind.ShedBelow,
+      pool: POOL,
+      failureDomain: DOMAIN,
+      tierRank,
+    });
+  fake.ask({ requestId: "begins" });
+  shed(0);
+  fake.advance(1500);
+  shed(1);
+  fake.advance(600);
+  fake.ask({ requestId: "middle", tierRank: 1 });
+  assert.is(fake.grants.at(-1)?.requestId, "middle");
+});
+
 test.run();
