Send the requests of the callers' page over HTTP in a test

Cause: the page's examples were checked against the schemas only. Change: each request of the page is sent to a callers' edge and its answer read in the form the page shows.

--- a/packages/daemon/src/callers_page_test.ts
+++ b/packages/daemon/src/callers_page_test.ts
@@ -1,13 +1,16 @@
 import { readFileSync } from "node:fs";
+import { EventKind } from "@chestnuthatch/core/events";
 import { ERROR_TABLE } from "@chestnuthatch/core/error_table";
 import {
   callerAnswerSchema,
+  CallerEventKind,
   callerEventSchema,
   callerRefusalSchema,
   callerRequestSchema,
 } from "@chestnuthatch/wire/caller_protocol";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { CallerFront } from "./caller_front.ts";
 
 const PAGE = readFileSync(
   new URL("../../../docs/operators/callers.md", import.meta.url),
@@ -18,6 +21,14 @@
 const STREAM_TYPE = "application/x-ndjson";
 const ROW = /^\| `(\w+)` +\| (\d+) +\| `(\w+)` +\| (yes|no) +\| (.*?) +\|$/gm;
 
+const ANSWER = {
+  text: "Lift the blade guard.",
+  outputTokens: 5,
+  targetId: "msaidizi-3",
+  waitedMs: 12,
+  totalMs: 640,
+};
+
 interface HttpExample {
   readonly firstLine: string;
   readonly headers: string;
@@ -67,4 +78,58 @@
   assert.equal(Object.fromEntries(told), ERROR_TABLE);
 });
 
+/** A callers' edge whose every request is answered at once. */
+function answeringFront(): CallerFront {
+  const front: CallerFront = new CallerFront({
+    clock: { nowMs: () => 0 },
+    emit: (event) => {
+      if (event.kind === EventKind.RequestArrived) {
+        const { requestId } = event.spec;
+        front.answer(requestId, { ...ANSWER, requestId });
+      }
+    },
+    log: () => {},
+    count: () => {},
+  }, {
+    host: "127.0.0.1",
+    port: 0,
+    mintRequestId: () => "njiro-1-42",
+    reads: {
+      readiness: () => ({ ready: true, reasons: [] }),
+      requestState: () => undefined,
+      why: () => undefined,
+      status: () => ({}),
+      metrics: () => Promise.resolve({ contentType: "text/plain", text: "" }),
+    },
+  });
+  return front;
+}
+
+function checkReply(wantsStream: boolean, text: string): void {
+  if (!wantsStream) {
+    callerAnswerSchema.parse(JSON.parse(text));
+    return;
+  }
+  const events = text.trimEnd().split("\n").map((line) =>
+    callerEventSchema.parse(JSON.parse(line))
+  );
+  assert.is(events.at(-1)?.kind, CallerEventKind.Final);
+}
+
+test("should take every request of the page over HTTP, and answer in the form it shows", async () => {
+  const front = answeringFront();
+  await front.start();
+  const sent = httpExamples().filter(({ firstLine }) =>
+    REQUEST_LINE.test(firstLine)
+  );
+  for (const { body } of sent) {
+    const url = `http://${front.address()}/v1/requests`;
+    const response = await fetch(url, { method: "POST", body });
+    assert.is(response.status, 200);
+    checkReply(JSON.parse(body).stream === true, await response.text());
+  }
+  await front.stop();
+  assert.ok(sent.length >= 2);
+});
+
 test.run();
