Name claim and answer keys in one place; order a request's domains once

Cause: reading the whole change: the keys of claim rows and kept answers were written out three times beside a constant that nothing used, and every tick ordered the domains of every waiting request anew, hashing its beginning. Change: claimKeyOf and answerKeyOf in claim_rows; the unused constant is gone; a request keeps its domains for one version of the settings. No behaviour changed.

--- a/packages/core/src/ask_messages.ts
+++ b/packages/core/src/ask_messages.ts
@@ -75,7 +75,19 @@
  * @param request The request.
  * @returns Names of failure domains.
  */
-export function domainsOf(turn: Turn, request: HeldRequest): string[] {
+export function domainsOf(
+  turn: Turn,
+  request: HeldRequest,
+): readonly string[] {
+  const settingsVersion = turn.board.settings.inForce!.version;
+  if (request.domains?.settingsVersion !== settingsVersion) {
+    const names = orderDomains(turn, request);
+    request.domains = { settingsVersion, names };
+  }
+  return request.domains.names;
+}
+
+function orderDomains(turn: Turn, request: HeldRequest): string[] {
   const settings = turn.board.settings.inForce!;
   const { self } = turn.board;
   const { pool, blockHashes } = request.spec;
--- a/packages/core/src/blackboard.ts
+++ b/packages/core/src/blackboard.ts
@@ -241,6 +241,8 @@
   /** Where the claim stands; absent for requests that need none. */
   claim?: HeldClaim;
   readonly asks: Map<string, OutAsk>;
+  /** Domains it may be asked at, by one version of the settings. */
+  domains?: { settingsVersion: number; names: readonly string[] };
   askNumber: number;
   readonly excludedTargetIds: string[];
   /** The member view its asks were placed by. */
--- a/packages/core/src/claim_flow.ts
+++ b/packages/core/src/claim_flow.ts
@@ -8,7 +8,7 @@
 import { EffectKind } from "./effects.ts";
 import { ClaimOutcome, type EventKind, type EventOf } from "./events.ts";
 import { readKeptAnswer } from "./kept_answer.ts";
-import { claimRowOf, keyName } from "./claim_rows.ts";
+import { answerKeyOf, claimKeyOf, claimRowOf } from "./claim_rows.ts";
 import { deliverKeptAnswer, endRequest, runStateOf } from "./outcomes.ts";
 import { noteStep } from "./refusals.ts";
 import { RequestState } from "./request.ts";
@@ -38,8 +38,8 @@
  * @param request A request with an idempotency key.
  */
 export function startClaim(turn: Turn, request: HeldRequest): void {
-  const { workspace, idempotencyKey, requestId } = request.spec;
-  const key = `claim/${keyName(workspace, idempotencyKey!)}`;
+  const { requestId } = request.spec;
+  const key = claimKeyOf(request.spec);
   request.claim = { key, askedAtMs: turn.nowMs, held: false };
   turn.emit({
     kind: EffectKind.WriteClaim,
@@ -158,11 +158,10 @@
 }
 
 function lookForKeptAnswer(turn: Turn, request: HeldRequest): void {
-  const { workspace, idempotencyKey, requestId } = request.spec;
   turn.emit({
     kind: EffectKind.ReadKeptAnswer,
-    requestId,
-    key: `answer/${keyName(workspace, idempotencyKey!)}`,
+    requestId: request.spec.requestId,
+    key: answerKeyOf(request.spec),
   });
 }
 
--- a/packages/core/src/claim_rows.ts
+++ b/packages/core/src/claim_rows.ts
@@ -5,7 +5,7 @@
 import { EffectKind } from "./effects.ts";
 import type { ClaimRow } from "./events.ts";
 import { keptAnswerOf } from "./kept_answer.ts";
-import type { Answer } from "./request.ts";
+import type { Answer, RequestSpec } from "./request.ts";
 
 /**
  * Names an idempotency key within its workspace.
@@ -20,6 +20,26 @@
   }`;
 }
 
+/**
+ * Names the row of a request's claim in the platform's table.
+ *
+ * @param spec A request with an idempotency key.
+ * @returns The row's key.
+ */
+export function claimKeyOf(spec: RequestSpec): string {
+  return `claim/${keyName(spec.workspace, spec.idempotencyKey!)}`;
+}
+
+/**
+ * Names the answer kept for a request's key in the object store.
+ *
+ * @param spec A request with an idempotency key.
+ * @returns The object's key.
+ */
+export function answerKeyOf(spec: RequestSpec): string {
+  return `answer/${keyName(spec.workspace, spec.idempotencyKey!)}`;
+}
+
 /**
  * Keeps an answer for the key of a claimed request.
  *
@@ -32,14 +52,13 @@
   request: HeldRequest,
   answer: Answer,
 ): void {
-  const key = request.spec.idempotencyKey;
-  if (key === undefined || request.claim === undefined) {
+  if (request.claim === undefined) {
     return;
   }
   turn.emit({
     kind: EffectKind.KeepAnswer,
     requestId: request.spec.requestId,
-    key: `answer/${keyName(request.spec.workspace, key)}`,
+    key: answerKeyOf(request.spec),
     content: keptAnswerOf(answer, request.spec.contentHash),
   });
 }
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -148,6 +148,3 @@
 
 /** The event of one kind. */
 export type EventOf<K extends EventKind> = Extract<CoreEvent, { kind: K }>;
-
-/** Row key prefix of claims in the platform's table. */
-export const CLAIM_PREFIX = "claim/";
