--- /dev/null
+++ b/packages/gateway/src/caller_reply.ts
@@ -0,0 +1,118 @@
+/** What goes back to one caller. */
+
+import type { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  ERROR_ANSWERS,
+  type RoutedError,
+} from "@chestnuthatch/routing/refusal";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
+
+const MS_PER_S = 1000;
+const RETRY_AFTER_DIGITS = 3;
+
+/** An error's facts for the caller. */
+export interface ErrorFacts {
+  readonly requestId: string;
+  /** When to come back; absent where coming back is of no use. */
+  readonly retryAfterMs?: number;
+}
+
+/** Writes one answer. */
+export class CallerReply {
+  readonly #response: ServerResponse;
+  readonly #closes: boolean;
+  #begun = false;
+
+  /**
+   * @param response Where to write.
+   * @param closes Whether the connection is to close after the answer.
+   */
+  constructor(response: ServerResponse, closes: boolean) {
+    this.#response = response;
+    this.#closes = closes;
+    response.sendDate = false;
+  }
+
+  /** Whether the caller has got a part of an answer. */
+  get begun(): boolean {
+    return this.#begun;
+  }
+
+  /**
+   * Passes on a whole answer of a target.
+   *
+   * @param answer Its status and headers.
+   * @param body Its whole body.
+   */
+  whole(answer: IncomingMessage, body: Buffer): void {
+    this.#begun = true;
+    const headers = this.#headers(answer.rawHeaders);
+    headers.push("Content-Length", String(body.length));
+    this.#response.writeHead(
+      answer.statusCode!,
+      answer.statusMessage,
+      headers,
+    );
+    this.#response.end(body);
+  }
+
+  /** @param answer Status and headers of a stream that begins. */
+  begin(answer: IncomingMessage): void {
+    this.#begun = true;
+    const headers = this.#headers(answer.rawHeaders);
+    headers.push("Transfer-Encoding", "chunked");
+    this.#response.writeHead(
+      answer.statusCode!,
+      answer.statusMessage,
+      headers,
+    );
+  }
+
+  /**
+   * @param bytes Whole events of a stream.
+   * @returns False where the caller reads too slowly; `drain` follows.
+   */
+  write(bytes: Buffer): boolean {
+    return this.#response.write(bytes);
+  }
+
+  /** Ends a stream as whole. */
+  end(): void {
+    this.#response.end();
+  }
+
+  /** Breaks the answer off, so that it cannot pass for a whole one. */
+  cut(): void {
+    this.#begun = true;
+    this.#response.destroy();
+  }
+
+  /**
+   * Answers with an error.
+   *
+   * @param error Its kind.
+   * @param facts What the caller is told beside it.
+   */
+  fail(error: RoutedError, facts: ErrorFacts): void {
+    this.#begun = true;
+    const { status, ran, text } = ERROR_ANSWERS[error];
+    const body = JSON.stringify({ error, ran, text, ...facts });
+    const headers = ["Content-Type", "application/json"];
+    if (facts.retryAfterMs !== undefined) {
+      const seconds = facts.retryAfterMs / MS_PER_S;
+      headers.push("Retry-After", seconds.toFixed(RETRY_AFTER_DIGITS));
+    }
+    headers.push("Content-Length", String(body.length));
+    this.#response.writeHead(status, [...headers, ...this.#closeHeader()]);
+    this.#response.end(body);
+  }
+
+  #headers(rawHeaders: readonly string[]): string[] {
+    return [...endToEndHeaders(rawHeaders), ...this.#closeHeader()];
+  }
+
+  #closeHeader(): string[] {
+    return this.#closes ? ["Connection", "close"] : [];
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet_news.ts
@@ -0,0 +1,254 @@
+/**
+ * Keeps what this instance believes of the configuration and the targets up to
+ * date: from the platform, and from peers while the platform is out of reach.
+ */
+
+import { fleetConfigurationSchema } from "@chestnuthatch/routing/fleet_configuration_schema";
+import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
+import type { MemberNews } from "@chestnuthatch/routing/member_view";
+import { targetChangesSchema } from "@chestnuthatch/routing/peer_messages";
+import { RouteTable } from "@chestnuthatch/routing/route_table";
+import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import {
+  type TargetBelief,
+  type TargetChange,
+  TargetNews,
+} from "@chestnuthatch/routing/target_directory";
+import { type EventLog, LogPart } from "./event_log.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { Beat } from "./membership_keeper.ts";
+import { CatalogItem, fetchItem } from "./peer_catalog.ts";
+import type { Clock, PlatformSink } from "./ports.ts";
+
+/**
+ * Time between two reads of the targets from a peer while the platform is out
+ * of reach; well below the time within which a leaving target must be known.
+ */
+const TARGETS_FROM_PEER_MS = 500;
+
+/** Pause before a peer is asked for the configuration again. */
+const CONFIGURATION_RETRY_MS = 200;
+
+/** Time for which heartbeats name a target that is leaving or gone. */
+const TELL_LEAVING_MS = 2500;
+
+/** What the keeper works with. */
+export interface NewsParts {
+  readonly board: RoutingBoard;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  readonly catalogPort: number;
+  /** Called when what is known of targets has changed. */
+  onTargets(): void;
+  /** Called when another version came into force. */
+  onConfiguration(configuration: FleetConfiguration): void;
+}
+
+/** Takes in news. */
+export class FleetNews implements PlatformSink {
+  readonly #parts: NewsParts;
+  #reachesStore = false;
+  #knowsTargets = false;
+  #fetchingConfiguration = false;
+  #fetchingTargets = false;
+  #configurationAskedAtMs = -Infinity;
+  #targetsAskedAtMs = -Infinity;
+  #leaving: { change: TargetChange; untilMs: number }[] = [];
+
+  /** @param parts What the keeper works with. */
+  constructor(parts: NewsParts) {
+    this.#parts = parts;
+  }
+
+  /** Whether the platform's store answers. */
+  get reachesStore(): boolean {
+    return this.#reachesStore;
+  }
+
+  /** Whether requests can be served. */
+  get isComplete(): boolean {
+    return this.#parts.board.routes !== undefined && this.#knowsTargets;
+  }
+
+  /** @returns Targets that lately turned out to be leaving or gone. */
+  leavingTargets(): TargetChange[] {
+    const nowMs = this.#parts.clock.nowMs();
+    this.#leaving = this.#leaving.filter(({ untilMs }) => untilMs > nowMs);
+    return this.#leaving.map(({ change }) => change);
+  }
+
+  /** @param configuration A version, from the platform or a peer. */
+  configurationRead(configuration: FleetConfiguration): void {
+    const { board, log, metrics } = this.#parts;
+    const before = board.routes?.configuration.version ?? 0;
+    if (configuration.version <= before) {
+      return;
+    }
+    board.routes = new RouteTable(configuration);
+    metrics.configurationVersion(configuration.version);
+    log.info(LogPart.Configuration, "configuration in force", {
+      version: configuration.version,
+      before,
+      routes: configuration.routes.length,
+      workspaces: configuration.workspaces.length,
+    });
+    this.#parts.onConfiguration(configuration);
+  }
+
+  /**
+   * @param entries Every target on the platform's list.
+   * @param version The list's version.
+   */
+  targetsRead(entries: readonly TargetChange[], version: number): void {
+    const { targets } = this.#parts.board;
+    this.#knowsTargets = true;
+    const nowMs = this.#parts.clock.nowMs();
+    this.#believed(targets.replace(entries, version, nowMs));
+  }
+
+  /** @param changes Rows of the list that changed. */
+  targetsChanged(changes: readonly TargetChange[]): void {
+    const nowMs = this.#parts.clock.nowMs();
+    this.#believed(this.#parts.board.targets.apply(changes, nowMs));
+  }
+
+  /** @param members Instances on the platform's list. */
+  membersRead(members: readonly MemberNews[]): void {
+    for (const member of members) {
+      this.#parts.board.members.toldOf(member);
+    }
+  }
+
+  /**
+   * @param what What the platform holds that cannot be read.
+   * @param where Its name there, or the field that is wrong.
+   */
+  unreadable(what: string, where: string): void {
+    this.#parts.log.warn(LogPart.Platform, "unreadable row", { what, where });
+  }
+
+  /** The platform answers, again or at first. */
+  reached(): void {
+    if (!this.#reachesStore) {
+      this.#parts.log.info(LogPart.Platform, "store reached");
+    }
+    this.#reachesStore = true;
+    this.#parts.board.targets.listAnswers(this.#parts.clock.nowMs());
+  }
+
+  /** @param reason Why the platform does not answer. */
+  lost(reason: string): void {
+    if (this.#reachesStore) {
+      this.#parts.log.warn(LogPart.Platform, "store lost", { reason });
+    }
+    this.#reachesStore = false;
+    this.#parts.board.targets.listLost();
+  }
+
+  /** @param beat A heartbeat that may tell of news elsewhere. */
+  heard(beat: Beat): void {
+    this.targetsChanged(beat.leavingTargets);
+    const { board, clock } = this.#parts;
+    const nowMs = clock.nowMs();
+    const version = board.routes?.configuration.version ?? 0;
+    if (
+      beat.configurationVersion > version && !this.#fetchingConfiguration &&
+      nowMs - this.#configurationAskedAtMs >= CONFIGURATION_RETRY_MS
+    ) {
+      this.#configurationAskedAtMs = nowMs;
+      void this.#fetchConfiguration(beat.from);
+    }
+    const wantsTargets = !this.#reachesStore &&
+      beat.targetsVersion > board.targets.version;
+    if (
+      wantsTargets && !this.#fetchingTargets &&
+      nowMs - this.#targetsAskedAtMs >= TARGETS_FROM_PEER_MS
+    ) {
+      this.#targetsAskedAtMs = nowMs;
+      void this.#fetchTargets(beat.from);
+    }
+  }
+
+  /**
+   * @param item What a peer asks for.
+   * @returns Its content, if there is any.
+   */
+  content(item: CatalogItem): unknown {
+    const { board } = this.#parts;
+    if (item === CatalogItem.Configuration) {
+      return board.routes?.configuration;
+    }
+    return this.#knowsTargets ? board.targets.all().map(changeOf) : undefined;
+  }
+
+  async #fetchConfiguration(from: MemberNews): Promise<void> {
+    this.#fetchingConfiguration = true;
+    const fetched = await fetchItem(
+      this.#catalogOf(from),
+      CatalogItem.Configuration,
+      fleetConfigurationSchema,
+    );
+    this.#fetchingConfiguration = false;
+    fetched.match(
+      (configuration) => this.configurationRead(configuration),
+      (reason) => this.#logFetch(from, CatalogItem.Configuration, reason),
+    );
+  }
+
+  async #fetchTargets(from: MemberNews): Promise<void> {
+    this.#fetchingTargets = true;
+    const fetched = await fetchItem(
+      this.#catalogOf(from),
+      CatalogItem.Targets,
+      targetChangesSchema,
+    );
+    this.#fetchingTargets = false;
+    fetched.match((changes) => {
+      this.#knowsTargets = true;
+      this.targetsChanged(changes);
+    }, (reason) => this.#logFetch(from, CatalogItem.Targets, reason));
+  }
+
+  #logFetch(from: MemberNews, item: CatalogItem, reason: string): void {
+    const facts = { member: from.instanceId, item, reason };
+    this.#parts.log.warn(LogPart.Members, "peer handed nothing over", facts);
+  }
+
+  #catalogOf(member: MemberNews): string {
+    const [host] = member.address.split(":");
+    return `${host}:${this.#parts.catalogPort}`;
+  }
+
+  #believed(beliefs: readonly TargetBelief[]): void {
+    const { board, clock, log } = this.#parts;
+    const untilMs = clock.nowMs() + TELL_LEAVING_MS;
+    for (const { targetId, news, rowVersion } of beliefs) {
+      const target = board.targets.get(targetId)!;
+      log.info(LogPart.Targets, `target ${news}`, {
+        targetId,
+        rowVersion,
+        pool: target.pool,
+        address: target.address,
+        targetDomain: target.failureDomain,
+        slots: target.slots,
+        reachesStore: this.#reachesStore,
+      });
+      if (news === TargetNews.Leaving) {
+        this.#leaving.push({ change: changeOf(target), untilMs });
+      }
+    }
+    if (beliefs.length > 0) {
+      this.#parts.onTargets();
+    }
+  }
+}
+
+function changeOf(
+  target: ReturnType<RoutingBoard["targets"]["all"]>[number],
+): TargetChange {
+  const { rowVersion, removedAtMs, usableUntilMs: _until, ...entry } = target;
+  return removedAtMs === undefined
+    ? { targetId: target.targetId, rowVersion, entry }
+    : { targetId: target.targetId, rowVersion };
+}
--- /dev/null
+++ b/packages/gateway/src/front_server.ts
@@ -0,0 +1,255 @@
+/** Reads callers' requests, finds their routes, and begins their lives. */
+
+import { Buffer } from "node:buffer";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type {
+  CallerLimits,
+  RoutePolicy,
+  WorkspacePolicy,
+} from "@chestnuthatch/routing/fleet_configuration";
+import { RoutedError } from "@chestnuthatch/routing/refusal";
+import type { RouteTable } from "@chestnuthatch/routing/route_table";
+import { CallerReply } from "./caller_reply.ts";
+import { LogPart } from "./event_log.ts";
+import type { GatewayParts } from "./gateway_parts.ts";
+import { listen } from "./peer_catalog.ts";
+import type { CallFacts } from "./ports.ts";
+import type { RoutedCall } from "./routed_call.ts";
+import { RoutedRequest } from "./routed_request.ts";
+
+/** Until a configuration is known. */
+const STARTING_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16 * 1024,
+  maxBodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 3000,
+  idleTimeoutMs: 15_000,
+};
+
+/** Time between two looks for connections that are too slow. */
+const CONNECTION_CHECK_MS = 1000;
+
+/** When to come back to an instance that has no configuration yet. */
+const NO_CONFIGURATION_RETRY_MS = 300;
+
+/** What the configuration says of a request. */
+type Admission =
+  | { readonly error: RoutedError; readonly retryAfterMs?: number }
+  | {
+    readonly table: RouteTable;
+    readonly route: RoutePolicy;
+    readonly workspace?: WorkspacePolicy;
+    readonly pool: string;
+  };
+
+/** The server that callers connect to. */
+export class FrontServer {
+  readonly #parts: GatewayParts;
+  readonly #server: Server;
+  readonly #open = new Set<RoutedRequest>();
+  #limits = STARTING_LIMITS;
+  #closing = false;
+  /** Requests whose bodies are being read. */
+  #reading = 0;
+
+  /** @param parts The instance's parts. */
+  constructor(parts: GatewayParts) {
+    this.#parts = parts;
+    this.#server = createServer({
+      keepAliveTimeout: STARTING_LIMITS.idleTimeoutMs,
+      headersTimeout: STARTING_LIMITS.headerTimeoutMs,
+      requestTimeout: 0,
+      connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      maxHeaderSize: STARTING_LIMITS.maxHeaderBytes,
+      noDelay: true,
+    }, (request, response) => this.#read(request, response));
+  }
+
+  /** Requests in progress. */
+  get openCount(): number {
+    return this.#open.size + this.#reading;
+  }
+
+  /** `ip:port` that callers connect to. */
+  get address(): string {
+    const address = this.#server.address();
+    return typeof address === "object" && address !== null
+      ? `${address.address}:${address.port}`
+      : "";
+  }
+
+  /**
+   * @param address `ip:port` to listen at.
+   * @returns Once callers can connect.
+   */
+  open(address: string): Promise<void> {
+    return listen(this.#server, address);
+  }
+
+  /** @param limits What callers may send, from now on. */
+  setLimits(limits: CallerLimits): void {
+    this.#limits = limits;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  /** From now on, answers tell callers to close their connections. */
+  beginClosing(): void {
+    this.#closing = true;
+  }
+
+  /** Ends all connections; requests in progress are told so. */
+  close(): void {
+    for (const request of this.#open) {
+      request.abort();
+    }
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  #read(request: IncomingMessage, response: ServerResponse): void {
+    const { clock, protocol } = this.#parts;
+    const arrivedAtMs = clock.nowMs();
+    const facts = protocol.readCall(request.headers);
+    const reply = new CallerReply(response, this.#closing);
+    const admission = this.#admit(request, facts);
+    if ("error" in admission) {
+      this.#refuse(reply, facts, admission);
+      request.resume();
+      return;
+    }
+    this.#parts.metrics.requestRead(admission.route.name);
+    this.#reading++;
+    let isRead = false;
+    const doneReading = () => {
+      if (!isRead) {
+        isRead = true;
+        this.#reading--;
+      }
+    };
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on("data", (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > this.#limits.maxBodyBytes && !isRead) {
+        doneReading();
+        this.#refuse(reply, facts, { error: RoutedError.BodyTooLarge });
+        request.removeAllListeners("data");
+        request.resume();
+        return;
+      }
+      chunks.push(chunk);
+    });
+    request.on("end", () => {
+      if (isRead) {
+        return;
+      }
+      doneReading();
+      const call = callOf({ request, facts, chunks, arrivedAtMs, admission });
+      this.#begin(call, response, reply);
+    });
+    request.on("error", (error) => {
+      doneReading();
+      this.#parts.log.info(LogPart.Request, "caller broke off", {
+        requestId: facts.requestId,
+        reason: error.message,
+      });
+    });
+    request.on("close", doneReading);
+  }
+
+  #admit(request: IncomingMessage, facts: CallFacts): Admission {
+    const table = this.#parts.board.routes;
+    if (table === undefined) {
+      const retryAfterMs = NO_CONFIGURATION_RETRY_MS;
+      return { error: RoutedError.NoConfiguration, retryAfterMs };
+    }
+    const host = (request.headers.host ?? "").replace(/:\d+$/, "")
+      .toLowerCase();
+    const path = request.url!.split("?", 1)[0]!;
+    const route = table.match(host, path);
+    if (route === undefined) {
+      return { error: RoutedError.NoRoute };
+    }
+    const workspace = facts.key === undefined
+      ? undefined
+      : table.workspaceOfKey(facts.key);
+    const needsKey = table.needsKeys && !route.isPublic;
+    if (needsKey && workspace === undefined) {
+      return { error: RoutedError.UnknownKey };
+    }
+    const pool = table.pickPool(route, facts.requestId);
+    return pool === undefined
+      ? { error: RoutedError.NoTarget, retryAfterMs: NO_CONFIGURATION_RETRY_MS }
+      : { table, route, workspace, pool };
+  }
+
+  #refuse(
+    reply: CallerReply,
+    facts: CallFacts,
+    of: { error: RoutedError; retryAfterMs?: number },
+  ): void {
+    const { board, log, metrics } = this.#parts;
+    metrics.failed("none", of.error);
+    log.info(LogPart.Request, "refused at the door", {
+      requestId: facts.requestId,
+      error: of.error,
+      configurationVersion: board.routes?.configuration.version,
+    });
+    const { requestId } = facts;
+    reply.fail(of.error, { requestId, retryAfterMs: of.retryAfterMs });
+  }
+
+  #begin(
+    call: RoutedCall,
+    response: ServerResponse,
+    reply: CallerReply,
+  ): void {
+    const routed = new RoutedRequest(this.#parts, call, {
+      reply,
+      onDone: () => {
+        this.#open.delete(routed);
+        this.#parts.metrics.openRequests(this.#open.size);
+      },
+    });
+    this.#open.add(routed);
+    this.#parts.metrics.openRequests(this.#open.size);
+    response.on("close", () => {
+      if (!response.writableFinished) {
+        routed.callerLeft();
+      }
+    });
+    response.on("drain", () => routed.callerReads());
+    routed.start();
+  }
+}
+
+function callOf(
+  of: {
+    request: IncomingMessage;
+    facts: CallFacts;
+    chunks: readonly Buffer[];
+    arrivedAtMs: number;
+    admission: Exclude<Admission, { error: RoutedError }>;
+  },
+): RoutedCall {
+  const { request, facts, chunks, arrivedAtMs, admission } = of;
+  const hasBody = request.headers["content-length"] !== undefined ||
+    request.headers["transfer-encoding"] !== undefined;
+  return {
+    facts,
+    route: admission.route,
+    workspace: admission.workspace,
+    pool: admission.pool,
+    configurationVersion: admission.table.configuration.version,
+    method: request.method!,
+    path: request.url!,
+    rawHeaders: request.rawHeaders,
+    body: hasBody ? Buffer.concat(chunks) : undefined,
+    arrivedAtMs,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,310 @@
+/** One entry instance that routes requests: its parts, wired together. */
+
+import process from "node:process";
+import { Coordinator } from "@chestnuthatch/routing/coordinator";
+import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
+import {
+  type MemberNews,
+  MemberView,
+} from "@chestnuthatch/routing/member_view";
+import {
+  MessageKind,
+  type RoutingMessage,
+} from "@chestnuthatch/routing/peer_messages";
+import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
+import { TargetHealth } from "@chestnuthatch/routing/target_health";
+import { TargetPaces } from "@chestnuthatch/routing/target_paces";
+import { EventLog, LogPart } from "./event_log.ts";
+import { FleetNews } from "./fleet_news.ts";
+import { FrontServer } from "./front_server.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+import type { GatewayParts } from "./gateway_parts.ts";
+import type { GatewaySettings } from "./gateway_settings.ts";
+import { MembershipKeeper } from "./membership_keeper.ts";
+import { PeerCatalog } from "./peer_catalog.ts";
+import { PeerSocket } from "./peer_socket.ts";
+import { PlacementDesk } from "./placement_desk.ts";
+import type { CallProtocol, Clock, PlatformPort } from "./ports.ts";
+import { StatusServer } from "./status_server.ts";
+import { TargetConnections } from "./target_connections.ts";
+
+/** Time between two looks at what depends on time. */
+const TICK_MS = 20;
+
+/** A tick this late means that the process stood still. */
+const PAUSE_MS = 400;
+
+/**
+ * Least time from a stop signal to the end: the balancer needs two failed
+ * readiness checks, one second apart, before it sends no more callers.
+ */
+const LEAST_STOPPING_MS = 3000;
+
+/** Time before the kill at which whatever still runs is broken off. */
+const GRACE_MARGIN_MS = 500;
+
+/** Time between two looks at whether the last request has ended. */
+const STOP_CHECK_MS = 50;
+
+/** What a gateway is made of beside its settings. */
+export interface GatewayOptions {
+  readonly protocol: CallProtocol;
+  readonly platform: PlatformPort;
+  readonly logOutput?: NodeJS.WritableStream;
+  readonly clock?: Clock;
+}
+
+const MONOTONIC_CLOCK: Clock = { nowMs: () => performance.now() };
+
+/** Runs one entry instance within this process. */
+export class Gateway {
+  readonly board: RoutingBoard;
+  readonly #settings: GatewaySettings;
+  readonly #platform: PlatformPort;
+  readonly #clock: Clock;
+  readonly #log: EventLog;
+  readonly #metrics = new GatewayMetrics();
+  readonly #self: MemberNews;
+  readonly #socket: PeerSocket;
+  readonly #catalog: PeerCatalog;
+  readonly #connections = new TargetConnections();
+  readonly #coordinator: Coordinator;
+  readonly #desk: PlacementDesk;
+  readonly #membership: MembershipKeeper;
+  readonly #news: FleetNews;
+  readonly #front: FrontServer;
+  readonly #status: StatusServer;
+  #askCounter = 0;
+  #leaving = false;
+  #tickTimer?: NodeJS.Timeout;
+  #tickedAtMs = 0;
+  #wasCoordinator = false;
+  #stopping?: Promise<void>;
+
+  /**
+   * @param settings Start settings.
+   * @param options How calls look and where the platform is.
+   */
+  constructor(settings: GatewaySettings, options: GatewayOptions) {
+    this.#settings = settings;
+    this.#platform = options.platform;
+    this.#clock = options.clock ?? MONOTONIC_CLOCK;
+    const { instanceId, failureDomain, peerAddress } = settings;
+    this.#log = new EventLog(this.#clock, instanceId, options.logOutput);
+    this.#self = {
+      instanceId,
+      address: peerAddress,
+      failureDomain,
+      // Only ever compared with earlier starts of the same instance.
+      incarnation: Date.now(),
+      leaving: false,
+    };
+    this.board = {
+      targets: new TargetDirectory(),
+      members: new MemberView(this.#self),
+      health: new TargetHealth(),
+      paces: new TargetPaces(),
+    };
+    this.#socket = new PeerSocket(this.#log, this.#metrics);
+    this.#coordinator = new Coordinator(this.board, settings.retryBudget);
+    this.#desk = new PlacementDesk({
+      board: this.board,
+      coordinator: this.#coordinator,
+      clock: this.#clock,
+      log: this.#log,
+      send: (member, message) => this.#socket.send(member.address, message),
+    });
+    this.#news = this.#makeNews();
+    this.#catalog = new PeerCatalog((item) => this.#news.content(item));
+    this.#membership = this.#makeMembership();
+    this.#front = new FrontServer(this.#makeParts(options.protocol));
+    this.#status = new StatusServer({
+      metrics: this.#metrics,
+      isReady: () => this.isReady,
+    });
+  }
+
+  /** Whether callers may be sent here. */
+  get isReady(): boolean {
+    return this.#news.isComplete && !this.#leaving;
+  }
+
+  /** `ip:port` that callers connect to. */
+  get callerAddress(): string {
+    return this.#front.address;
+  }
+
+  /** @returns Once callers and peers can connect. */
+  async start(): Promise<void> {
+    const settings = this.#settings;
+    const [host] = settings.peerAddress.split(":");
+    await this.#socket.open(settings.peerAddress, (message, from) => {
+      this.#heard(message, from);
+    });
+    await this.#catalog.open(`${host}:${settings.catalogPort}`);
+    await this.#status.open(settings.statusAddress, settings.metricsAddress);
+    await this.#front.open(settings.callerAddress);
+    this.#platform.start(this.#self, this.#news);
+    this.#tickedAtMs = this.#clock.nowMs();
+    this.#tickTimer = setInterval(() => this.#tick(), TICK_MS);
+    this.#log.info(LogPart.Process, "started", {
+      callerAddress: settings.callerAddress,
+      peerAddress: settings.peerAddress,
+      failureDomain: settings.failureDomain,
+      sinceProcessStartMs: Math.round(performance.now()),
+    });
+  }
+
+  /**
+   * Ends gracefully: no longer ready at once, then every request in progress is
+   * finished, and only what outlasts the grace time is broken off.
+   *
+   * @returns Once all is closed.
+   */
+  stop(): Promise<void> {
+    this.#stopping ??= this.#stop();
+    return this.#stopping;
+  }
+
+  async #stop(): Promise<void> {
+    const beganAtMs = this.#clock.nowMs();
+    this.#leaving = true;
+    this.#front.beginClosing();
+    this.#membership.leave();
+    this.#log.info(LogPart.Process, "stopping", {
+      openRequests: this.#front.openCount,
+      graceMs: this.#settings.graceMs,
+    });
+    const lastMs = this.#settings.graceMs - GRACE_MARGIN_MS;
+    for (;;) {
+      const spentMs = this.#clock.nowMs() - beganAtMs;
+      const isIdle = this.#front.openCount === 0;
+      if (spentMs >= lastMs || (isIdle && spentMs >= LEAST_STOPPING_MS)) {
+        break;
+      }
+      await new Promise((resolve) => setTimeout(resolve, STOP_CHECK_MS));
+    }
+    this.#log.info(LogPart.Process, "stopped", {
+      cutRequests: this.#front.openCount,
+      tookMs: Math.round(this.#clock.nowMs() - beganAtMs),
+    });
+    clearInterval(this.#tickTimer);
+    this.#front.close();
+    this.#platform.stop();
+    this.#status.close();
+    this.#catalog.close();
+    this.#connections.close();
+    this.#socket.close();
+  }
+
+  #heard(message: RoutingMessage, fromAddress: string): void {
+    if (message.kind === MessageKind.Beat) {
+      this.#membership.heard(message);
+      this.#news.heard(message);
+      return;
+    }
+    const sender = this.board.members.others()
+      .find(({ address }) => address === fromAddress);
+    this.#desk.heard(message, sender?.instanceId);
+  }
+
+  #tick(): void {
+    const nowMs = this.#clock.nowMs();
+    const lateMs = nowMs - this.#tickedAtMs - TICK_MS;
+    this.#tickedAtMs = nowMs;
+    if (lateMs > PAUSE_MS) {
+      // Holders went elsewhere meanwhile; their reports tell what is left.
+      this.#log.warn(LogPart.Process, "process stood still", {
+        lateMs: Math.round(lateMs),
+      });
+      this.#coordinator.forgetAll();
+    }
+    this.#membership.tick();
+    this.#desk.tick();
+    this.#noteCoordinator();
+  }
+
+  #noteCoordinator(): void {
+    const isCoordinator = this.#desk.coordinatorId === this.#self.instanceId;
+    if (isCoordinator !== this.#wasCoordinator) {
+      this.#wasCoordinator = isCoordinator;
+      this.#log.info(LogPart.Placement, "coordinator changed", {
+        coordinatorId: this.#desk.coordinatorId,
+        alive: this.board.members.alive(this.#clock.nowMs()).length,
+      });
+    }
+  }
+
+  #makeParts(protocol: CallProtocol): GatewayParts {
+    const { instanceId, failureDomain } = this.#settings;
+    const prefix = `${instanceId}.${this.#self.incarnation.toString(36)}`;
+    return {
+      board: this.board,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      desk: this.#desk,
+      protocol,
+      failureDomain,
+      nextAskId: () => `${prefix}.${(this.#askCounter++).toString(36)}`,
+      agentFor: (pool, address) =>
+        this.#connections.agent(address, {
+          maxConnections: this.board.routes?.pool(pool)?.maxConnections ?? 1,
+          instances: this.board.members.alive(this.#clock.nowMs()).length,
+        }),
+      noteClosing: () => {},
+    };
+  }
+
+  #makeNews(): FleetNews {
+    return new FleetNews({
+      board: this.board,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      catalogPort: this.#settings.catalogPort,
+      onTargets: () => this.#targetsChanged(),
+      onConfiguration: (configuration) => this.#configured(configuration),
+    });
+  }
+
+  #makeMembership(): MembershipKeeper {
+    return new MembershipKeeper({
+      board: this.board,
+      clock: this.#clock,
+      log: this.#log,
+      seedAddresses: this.#settings.seedAddresses,
+      send: (address, message) => this.#socket.send(address, message),
+      reachesStore: () => this.#news.reachesStore,
+      leavingTargets: () => this.#news.leavingTargets(),
+    }, this.#self);
+  }
+
+  #targetsChanged(): void {
+    const nowMs = this.#clock.nowMs();
+    const { targets, paces } = this.board;
+    targets.forgetOld(nowMs);
+    const all = targets.all();
+    paces.keepOnly(new Set(all.map(({ targetId }) => targetId)));
+    const usable = all.filter((target) => targets.isUsable(target, nowMs));
+    this.#connections.keepOnly(new Set(usable.map(({ address }) => address)));
+  }
+
+  #configured(configuration: FleetConfiguration): void {
+    this.#front.setLimits(configuration.limits);
+  }
+}
+
+/**
+ * Stops a gateway and its process on the usual signals.
+ *
+ * @param gateway The gateway.
+ */
+export function stopOnSignals(gateway: Gateway): void {
+  const stop = () => {
+    void gateway.stop().then(() => process.exit(0));
+  };
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -0,0 +1,154 @@
+/** Counters and histograms, served on the metrics address. */
+
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Upper bounds of the latency buckets, in milliseconds. */
+const LATENCY_BUCKETS_MS = [
+  5,
+  10,
+  25,
+  50,
+  100,
+  200,
+  400,
+  800,
+  1600,
+  3200,
+  6400,
+  15_000,
+];
+
+/** All metrics of one instance. */
+export class GatewayMetrics {
+  readonly #registry = new Registry();
+  readonly #requests = this.#counter("requests_total", "Requests read.", [
+    "route",
+  ]);
+  readonly #answers = this.#counter(
+    "answers_total",
+    "Answers of targets that were passed on whole.",
+    ["route", "status"],
+  );
+  readonly #errors = this.#counter(
+    "errors_total",
+    "Requests answered with an error of the gateway.",
+    ["route", "error"],
+  );
+  readonly #attempts = this.#counter(
+    "attempts_total",
+    "Sends to targets, by how they ended.",
+    ["pool", "end"],
+  );
+  readonly #peerMessages = this.#counter(
+    "peer_messages_total",
+    "Messages from other instances.",
+    ["kind"],
+  );
+  readonly #first = this.#histogram(
+    "first_byte_ms",
+    "Time to a stream's first event or to the answer.",
+    ["route"],
+  );
+  readonly #placement = this.#histogram(
+    "placement_ms",
+    "Time until a place at a target was given.",
+    ["pool"],
+  );
+  readonly #open = this.#gauge("open_requests", "Requests in progress.");
+  readonly #version = this.#gauge(
+    "configuration_version",
+    "Version of the configuration in force.",
+  );
+
+  /** @param route Name of the route of a request that was read. */
+  requestRead(route: string): void {
+    this.#requests.inc({ route });
+  }
+
+  /**
+   * @param route Name of the route.
+   * @param status Status code passed on.
+   */
+  answered(route: string, status: number): void {
+    this.#answers.inc({ route, status });
+  }
+
+  /**
+   * @param route Name of the route.
+   * @param error Kind of the error.
+   */
+  failed(route: string, error: string): void {
+    this.#errors.inc({ route, error });
+  }
+
+  /**
+   * @param pool Name of the pool.
+   * @param end How the attempt ended.
+   */
+  attemptEnded(pool: string, end: string): void {
+    this.#attempts.inc({ pool, end });
+  }
+
+  /** @param kind Kind of a message from another instance. */
+  peerMessage(kind: string): void {
+    this.#peerMessages.inc({ kind });
+  }
+
+  /**
+   * @param route Name of the route.
+   * @param tookMs Time to the first event or the answer.
+   */
+  firstByte(route: string, tookMs: number): void {
+    this.#first.observe({ route }, tookMs);
+  }
+
+  /**
+   * @param pool Name of the pool.
+   * @param tookMs Time until a place was given.
+   */
+  placed(pool: string, tookMs: number): void {
+    this.#placement.observe({ pool }, tookMs);
+  }
+
+  /** @param count Requests in progress. */
+  openRequests(count: number): void {
+    this.#open.set(count);
+  }
+
+  /** @param version Version of the configuration in force. */
+  configurationVersion(version: number): void {
+    this.#version.set(version);
+  }
+
+  /** @returns All metrics as text. */
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #counter(name: string, help: string, labelNames: string[]): Counter {
+    return new Counter({
+      name: `chestnuthatch_${name}`,
+      help,
+      labelNames,
+      registers: [this.#registry],
+    });
+  }
+
+  #histogram(name: string, help: string, labelNames: string[]): Histogram {
+    return new Histogram({
+      name: `chestnuthatch_${name}`,
+      help,
+      labelNames,
+      buckets: LATENCY_BUCKETS_MS,
+      registers: [this.#registry],
+    });
+  }
+
+  #gauge(name: string, help: string): Gauge {
+    return new Gauge({
+      name: `chestnuthatch_${name}`,
+      help,
+      registers: [this.#registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_settings.ts
@@ -0,0 +1,24 @@
+/** What one gateway process has to know at its start. */
+
+import type { RetryBudgetBound } from "@chestnuthatch/routing/retry_budget";
+
+/** Start settings of a gateway. */
+export interface GatewaySettings {
+  readonly instanceId: string;
+  readonly failureDomain: string;
+  /** `ip:port` that callers connect to. */
+  readonly callerAddress: string;
+  /** `ip:port` that tells whether this instance is ready. */
+  readonly statusAddress: string;
+  /** `ip:port` of metrics. */
+  readonly metricsAddress: string;
+  /** `ip:port` of datagrams between instances. */
+  readonly peerAddress: string;
+  /** Port at which instances hand each other what is too large for those. */
+  readonly catalogPort: number;
+  /** Peer addresses of instances that may be asked first. */
+  readonly seedAddresses: readonly string[];
+  /** Time from a stop signal until the process is killed. */
+  readonly graceMs: number;
+  readonly retryBudget: RetryBudgetBound;
+}
--- /dev/null
+++ b/packages/gateway/src/membership_keeper.ts
@@ -0,0 +1,147 @@
+/** Tells the other instances of this one, and notes what they tell. */
+
+import {
+  MessageKind,
+  type RoutingMessage,
+} from "@chestnuthatch/routing/peer_messages";
+import type { MemberNews } from "@chestnuthatch/routing/member_view";
+import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import type { TargetChange } from "@chestnuthatch/routing/target_directory";
+import { type EventLog, LogPart } from "./event_log.ts";
+import type { Clock } from "./ports.ts";
+
+/** Time between two heartbeats; four may be lost before a member counts gone. */
+const BEAT_MS = 220;
+
+/** Every so many heartbeats, one names the members that the sender hears. */
+const BEATS_PER_DIGEST = 5;
+
+/** A heartbeat of another instance. */
+export type Beat = Extract<RoutingMessage, { kind: MessageKind.Beat }>;
+
+/** What the keeper works with. */
+export interface MembershipParts {
+  readonly board: RoutingBoard;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  /** Peer addresses that are told of this instance though nobody is known. */
+  readonly seedAddresses: readonly string[];
+  send(address: string, message: RoutingMessage): void;
+  /** @returns Whether this instance reaches the platform's store. */
+  reachesStore(): boolean;
+  /** @returns Targets that lately turned out to be leaving or gone. */
+  leavingTargets(): readonly TargetChange[];
+}
+
+/** Sends and takes in heartbeats. */
+export class MembershipKeeper {
+  readonly #parts: MembershipParts;
+  #self: MemberNews;
+  #beats = 0;
+  #beatAtMs = -Infinity;
+  #aliveIds = new Set<string>();
+
+  /**
+   * @param parts What the keeper works with.
+   * @param self This instance.
+   */
+  constructor(parts: MembershipParts, self: MemberNews) {
+    this.#parts = parts;
+    this.#self = self;
+  }
+
+  /** Tells all others that this instance is leaving. */
+  leave(): void {
+    this.#self = { ...this.#self, leaving: true };
+    this.#beat(this.#parts.clock.nowMs());
+  }
+
+  /** Lets time pass: beats, and notes who fell silent. */
+  tick(): void {
+    const nowMs = this.#parts.clock.nowMs();
+    if (nowMs - this.#beatAtMs >= BEAT_MS) {
+      this.#beat(nowMs);
+    }
+    this.#noteChanges(nowMs);
+    this.#parts.board.members.forgetOld(nowMs);
+  }
+
+  /** @param beat A heartbeat of another instance. */
+  heard(beat: Beat): void {
+    const { members } = this.#parts.board;
+    const nowMs = this.#parts.clock.nowMs();
+    const isNew = members.heard(beat.from, nowMs);
+    for (const other of beat.others) {
+      members.toldOf(other);
+    }
+    if (isNew && beat.from.instanceId !== members.selfId) {
+      // So that it hears of this instance at once, too.
+      this.#sendBeat(beat.from.address, true);
+    }
+  }
+
+  #beat(nowMs: number): void {
+    this.#beatAtMs = nowMs;
+    this.#beats++;
+    const withOthers = this.#beats % BEATS_PER_DIGEST === 1;
+    const others = this.#parts.board.members.others();
+    const addresses = new Set(others.map(({ address }) => address));
+    if (withOthers) {
+      for (const seed of this.#parts.seedAddresses) {
+        addresses.add(seed);
+      }
+    }
+    addresses.delete(this.#self.address);
+    for (const address of addresses) {
+      this.#sendBeat(address, withOthers);
+    }
+  }
+
+  #sendBeat(address: string, withOthers: boolean): void {
+    const { board, clock } = this.#parts;
+    const others = withOthers
+      ? board.members.alive(clock.nowMs())
+        .filter(({ instanceId }) => instanceId !== board.members.selfId)
+        .map(newsOf)
+      : [];
+    this.#parts.send(address, {
+      kind: MessageKind.Beat,
+      from: this.#self,
+      configurationVersion: board.routes?.configuration.version ?? 0,
+      targetsVersion: board.targets.version,
+      reachesStore: this.#parts.reachesStore(),
+      others,
+      leavingTargets: [...this.#parts.leavingTargets()],
+    });
+  }
+
+  #noteChanges(nowMs: number): void {
+    const { members } = this.#parts.board;
+    const alive = new Set(members.alive(nowMs).map((m) => m.instanceId));
+    for (const instanceId of alive) {
+      if (!this.#aliveIds.has(instanceId) && instanceId !== members.selfId) {
+        this.#parts.log.info(LogPart.Members, "member heard", {
+          member: instanceId,
+          incarnation: members.get(instanceId)?.incarnation,
+          alive: alive.size,
+        });
+      }
+    }
+    for (const instanceId of this.#aliveIds) {
+      if (!alive.has(instanceId)) {
+        const heardAtMs = members.get(instanceId)?.heardAtMs;
+        this.#parts.log.warn(LogPart.Members, "member silent", {
+          member: instanceId,
+          silentMs: heardAtMs && Math.round(nowMs - heardAtMs),
+          alive: alive.size,
+        });
+      }
+    }
+    this.#aliveIds = alive;
+  }
+}
+
+function newsOf(member: MemberNews): MemberNews {
+  const { instanceId, address, failureDomain, incarnation, leaving } = member;
+  return { instanceId, address, failureDomain, incarnation, leaving };
+}
--- /dev/null
+++ b/packages/gateway/src/peer_socket.ts
@@ -0,0 +1,180 @@
+/**
+ * Datagrams between the instances that route requests.
+ *
+ * Every message may be lost: asks are sent again until they are answered, and
+ * regular reports bring the account in line. So there are no connections that
+ * could fall silent, and a lost packet holds nothing up behind it.
+ */
+
+import type { Buffer } from "node:buffer";
+import { createSocket, type Socket } from "node:dgram";
+import { Decoder, Encoder } from "cbor-x";
+import {
+  MessageKind,
+  peerMessageSchema,
+  type RoutingMessage,
+} from "@chestnuthatch/routing/peer_messages";
+import { type EventLog, LogPart } from "./event_log.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+
+/** Short codes for the names of fields, in the order of their introduction. */
+const FIELD_NAMES = [
+  "kind",
+  "from",
+  "instanceId",
+  "address",
+  "failureDomain",
+  "incarnation",
+  "leaving",
+  "configurationVersion",
+  "targetsVersion",
+  "reachesStore",
+  "others",
+  "leavingTargets",
+  "targetId",
+  "rowVersion",
+  "entry",
+  "pool",
+  "slots",
+  "ask",
+  "askId",
+  "holderId",
+  "workspace",
+  "rank",
+  "cost",
+  "promptTokens",
+  "outputTokens",
+  "objectiveLeftMs",
+  "patienceLeftMs",
+  "excluded",
+  "cause",
+  "decision",
+  "expectedMs",
+  "refusal",
+  "retryAfterMs",
+  "end",
+  "firstMs",
+  "eventGapMs",
+  "failed",
+  "report",
+  "running",
+  "waiting",
+  "spent",
+  "firstSeen",
+];
+
+/** Bytes that the receive buffer of the socket holds. */
+const RECEIVE_BUFFER_BYTES = 1024 * 1024;
+
+const keyMap = Object.fromEntries(
+  FIELD_NAMES.map((name, index) => [name, index + 1]),
+);
+const codecOptions = { useRecords: false, variableMapSize: true, keyMap };
+const encoder = new Encoder(codecOptions);
+const decoder = new Decoder(codecOptions);
+
+/** Who hears messages. */
+export type MessageSink = (
+  message: RoutingMessage,
+  fromAddress: string,
+) => void;
+
+/** The datagram socket of one instance. */
+export class PeerSocket {
+  readonly #log: EventLog;
+  readonly #metrics: GatewayMetrics;
+  readonly #socket: Socket;
+
+  /**
+   * @param log Where faults are told.
+   * @param metrics Where messages are counted.
+   */
+  constructor(log: EventLog, metrics: GatewayMetrics) {
+    this.#log = log;
+    this.#metrics = metrics;
+    this.#socket = createSocket({ type: "udp4" });
+  }
+
+  /**
+   * Begins to receive.
+   *
+   * @param address `ip:port` to receive at.
+   * @param sink Who hears messages.
+   * @returns Once messages can arrive.
+   */
+  open(address: string, sink: MessageSink): Promise<void> {
+    const [host, port] = address.split(":");
+    this.#socket.on("error", (error) => {
+      this.#log.warn(LogPart.Members, "peer socket failed", {
+        reason: error.message,
+      });
+    });
+    this.#socket.on("message", (bytes, from) => {
+      const message = this.#decode(bytes, `${from.address}:${from.port}`);
+      if (message !== undefined) {
+        this.#metrics.peerMessage(message.kind);
+        sink(message, `${from.address}:${from.port}`);
+      }
+    });
+    return new Promise((resolve, reject) => {
+      this.#socket.once("error", reject);
+      this.#socket.bind(Number(port), host, () => {
+        this.#socket.setRecvBufferSize(RECEIVE_BUFFER_BYTES);
+        this.#socket.removeListener("error", reject);
+        resolve();
+      });
+    });
+  }
+
+  /** `ip:port` that it receives at. */
+  get address(): string {
+    const { address, port } = this.#socket.address();
+    return `${address}:${port}`;
+  }
+
+  /**
+   * Sends a message; it may be lost.
+   *
+   * @param address `ip:port` of the receiver.
+   * @param message The message.
+   */
+  send(address: string, message: RoutingMessage): void {
+    const [host, port] = address.split(":");
+    this.#socket.send(encoder.encode(message), Number(port), host, (error) => {
+      if (error !== null && message.kind !== MessageKind.Beat) {
+        this.#log.warn(LogPart.Members, "message not sent", {
+          address,
+          kind: message.kind,
+          reason: error.message,
+        });
+      }
+    });
+  }
+
+  /** Stops receiving. */
+  close(): void {
+    this.#socket.close();
+  }
+
+  #decode(bytes: Buffer, from: string): RoutingMessage | undefined {
+    let content: unknown;
+    try {
+      content = decoder.decode(bytes);
+    } catch (error) {
+      this.#log.warn(LogPart.Members, "datagram is no message", {
+        from,
+        reason: String(error),
+      });
+      return undefined;
+    }
+    const parsed = peerMessageSchema.safeParse(content);
+    if (parsed.success) {
+      return parsed.data;
+    }
+    this.#log.warn(LogPart.Members, "message of an unknown form", {
+      from,
+      reason: parsed.error.issues[0]?.path.join("."),
+    });
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/ports.ts
@@ -0,0 +1,100 @@
+/** What the gateway needs from outside: calls' wire form, platform, clock. */
+
+import type { IncomingHttpHeaders } from "node:http";
+import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
+import type { MemberNews } from "@chestnuthatch/routing/member_view";
+import type { TargetChange } from "@chestnuthatch/routing/target_directory";
+
+/** The instance's monotonic time. */
+export interface Clock {
+  /** @returns Milliseconds since some moment in the past. */
+  nowMs(): number;
+}
+
+/** What a caller's headers say of a call. */
+export interface CallFacts {
+  /** Unique for each attempt of a caller. */
+  readonly requestId: string;
+  /** Time that the caller waits; absent where it does not say. */
+  readonly deadlineMs?: number;
+  /** Key that shows the caller's workspace. */
+  readonly key?: string;
+  /** Absent where the call tells no token counts. */
+  readonly tokens?: { readonly prompt: number; readonly output: number };
+  /** Last event of a stream that the caller already has. */
+  readonly resumeAfter?: number;
+}
+
+/** What the gateway adds to a call on its way to a target. */
+export interface ForwardFacts {
+  readonly targetId: string;
+  /** Whole milliseconds that the target may work. */
+  readonly deadlineLeftMs: number;
+  /** Absent for calls without a key. */
+  readonly workspace?: string;
+  /** Last event that was received whole. */
+  readonly resumeAfter?: number;
+}
+
+/** What a target's answer says beside its body. */
+export interface AnswerFacts {
+  /** The target says that it did not run the call. */
+  readonly notRun: boolean;
+  /** Another target has the address now. */
+  readonly wrongTarget: boolean;
+  /** Whether the target vouches for the answer as a whole one of its own. */
+  readonly genuine: boolean;
+  /** Call that it answers; absent where it does not say. */
+  readonly requestId?: string;
+  /** The target closes its connections: it may be leaving. */
+  readonly closing: boolean;
+}
+
+/** How calls look on the wire. */
+export interface CallProtocol {
+  /**
+   * @param headers Headers of a caller's request.
+   * @returns What they say.
+   */
+  readCall(headers: IncomingHttpHeaders): CallFacts;
+  /**
+   * @param rawHeaders Names and values as the caller sent them.
+   * @param facts What the gateway adds.
+   * @returns Names and values for the target, without those of the body.
+   */
+  forwardHeaders(rawHeaders: readonly string[], facts: ForwardFacts): string[];
+  /**
+   * @param status Status code of a target's answer.
+   * @param headers Its headers.
+   * @returns What they say.
+   */
+  readAnswer(status: number, headers: IncomingHttpHeaders): AnswerFacts;
+}
+
+/** Where news of the platform goes. */
+export interface PlatformSink {
+  configurationRead(configuration: FleetConfiguration): void;
+  /** The whole list of targets as of a version. */
+  targetsRead(entries: readonly TargetChange[], version: number): void;
+  targetsChanged(changes: readonly TargetChange[]): void;
+  membersRead(members: readonly MemberNews[]): void;
+  /** The platform holds something that cannot be read. */
+  unreadable(what: string, where: string): void;
+  /** The platform answers, again or at first. */
+  reached(): void;
+  /** The platform does not answer. */
+  lost(reason: string): void;
+}
+
+/** The platform that the fleet runs on. */
+export interface PlatformPort {
+  /**
+   * Begins to tell news, and makes this instance known to the others.
+   *
+   * @param self This instance.
+   * @param sink Where news goes.
+   */
+  start(self: MemberNews, sink: PlatformSink): void;
+  /** Ends all calls. */
+  stop(): void;
+}
--- /dev/null
+++ b/packages/routing/src/coordinator.ts
@@ -0,0 +1,303 @@
+/**
+ * Decides where the fleet's requests run. Every instance has one and serves any
+ * ask that reaches it; the members agree on whose they ask by rendezvous
+ * hashing. Its account is soft state that holders' reports renew.
+ */
+
+import { PoolSchedule } from "./pool_schedule.ts";
+import { RetryBudget, type RetryBudgetBound } from "./retry_budget.ts";
+import { AllotmentLedger, type LedgerScope } from "./allotment_ledger.ts";
+import type { RoutingBoard } from "./routing_board.ts";
+import {
+  AskCause,
+  type AskDecision,
+  AskRefusal,
+  type HolderReport,
+  type SpentLately,
+  type WorkAsk,
+  type WorkEnd,
+} from "./work_ask.ts";
+
+/**
+ * Age below which work that a holder's report leaves out is kept: the report
+ * may have been made before the grant reached the holder.
+ */
+const REPORT_LAG_MS = 400;
+
+/** Silence after which the work of a holder is no longer counted. */
+const HOLDER_GONE_MS = 1500;
+
+const RETRY_BUDGET_AFTER_MS = 1000;
+
+/** Coordinates asks of all holders that reach this instance. */
+export class Coordinator {
+  readonly #board: RoutingBoard;
+  readonly #budgetBound: RetryBudgetBound;
+  readonly #pools = new Map<string, PoolSchedule>();
+  readonly #budgets = new Map<string, RetryBudget>();
+  readonly #ledger = new AllotmentLedger();
+  readonly #poolOfAsk = new Map<string, string>();
+  readonly #charges = new Map<string, { workspace: string; cost: number }>();
+  readonly #reportedAtMs = new Map<string, number>();
+  readonly #spentBy = new Map<string, readonly SpentLately[]>();
+
+  /**
+   * @param board What the instance believes.
+   * @param budgetBound Bound on repeats for the whole fleet.
+   */
+  constructor(board: RoutingBoard, budgetBound: RetryBudgetBound) {
+    this.#board = board;
+    this.#budgetBound = budgetBound;
+  }
+
+  /**
+   * Takes in an ask. One that was sent again gets the same decision again.
+   *
+   * @param ask The ask.
+   * @param of The share (0 to 1) of the fleet's allotments and retry budgets
+   * that this instance may hand out, and the local time.
+   * @returns Decisions, for this ask and for others; none for this one while
+   * it waits.
+   */
+  ask(ask: WorkAsk, of: LedgerScope): AskDecision[] {
+    const schedule = this.#pool(ask.pool);
+    this.#reportedAtMs.set(ask.holderId, of.nowMs);
+    const placed = schedule.placed(ask.askId);
+    if (placed !== undefined) {
+      return [placed.decision];
+    }
+    if (schedule.isWaiting(ask.askId)) {
+      return [];
+    }
+    const refusal = this.#refusedAtDoor(ask, of);
+    if (refusal !== undefined) {
+      return [refusal];
+    }
+    this.#poolOfAsk.set(ask.askId, ask.pool);
+    return this.#settled(schedule.add(ask, of.nowMs));
+  }
+
+  /**
+   * Notes that a stream's first event came.
+   *
+   * @param askId The ask it was placed by.
+   */
+  firstSeen(askId: string): void {
+    this.#scheduleOf(askId)?.firstSeen(askId);
+  }
+
+  /**
+   * Frees what ended work held, and learns from it.
+   *
+   * @param end How it ended.
+   * @param nowMs The local time.
+   * @returns Decisions on asks that waited.
+   */
+  ended(end: WorkEnd, nowMs: number): AskDecision[] {
+    const schedule = this.#pool(end.pool);
+    const { work, decisions } = schedule.release(end.askId, nowMs);
+    const isStream = this.#board.routes?.pool(end.pool)?.engine !== undefined;
+    const tokensAhead = work?.tokensAhead ?? 0;
+    this.#board.paces.learn(end, { isStream, tokensAhead });
+    this.#forget(end.askId);
+    return this.#settled(decisions);
+  }
+
+  /**
+   * Drops an ask whose caller has left or that was placed elsewhere.
+   *
+   * @param askId The ask.
+   * @param nowMs The local time.
+   * @returns Decisions on asks that waited.
+   */
+  dropped(askId: string, nowMs: number): AskDecision[] {
+    const schedule = this.#scheduleOf(askId);
+    if (schedule === undefined) {
+      return [];
+    }
+    this.#refund(askId);
+    const { decisions } = schedule.release(askId, nowMs);
+    this.#forget(askId);
+    return this.#settled(decisions);
+  }
+
+  /**
+   * Brings the account in line with what a holder has open and has spent.
+   *
+   * @param report The holder's report.
+   * @param of Share of the fleet's allotments, and the local time.
+   * @returns Decisions on asks that waited.
+   */
+  report(report: HolderReport, of: LedgerScope): AskDecision[] {
+    const { nowMs } = of;
+    this.#reportedAtMs.set(report.holderId, nowMs);
+    this.#spentBy.set(report.holderId, report.spent);
+    this.#holdToSpending(of);
+    for (const running of report.running) {
+      this.#poolOfAsk.set(running.askId, running.pool);
+      this.#pool(running.pool).adopt(report.holderId, running, nowMs);
+    }
+    const open = new Set([
+      ...report.running.map(({ askId }) => askId),
+      ...report.waiting,
+    ]);
+    return this.#releaseUnlisted(report.holderId, open, nowMs);
+  }
+
+  /**
+   * Lets time pass: waiting asks are looked at again, and the work of holders
+   * that fell silent is no longer counted.
+   *
+   * @param nowMs The local time.
+   * @returns Decisions on asks that waited.
+   */
+  tick(nowMs: number): AskDecision[] {
+    const decisions: AskDecision[] = [];
+    for (const [holderId, heardAtMs] of this.#reportedAtMs) {
+      if (nowMs - heardAtMs > HOLDER_GONE_MS) {
+        this.#reportedAtMs.delete(holderId);
+        this.#spentBy.delete(holderId);
+        decisions.push(...this.#releaseUnlisted(holderId, new Set(), nowMs));
+      }
+    }
+    for (const schedule of this.#pools.values()) {
+      decisions.push(...this.#settled(schedule.tick(nowMs)));
+    }
+    return decisions;
+  }
+
+  /** Forgets all asks, after a pause in which holders went elsewhere. */
+  forgetAll(): void {
+    this.#pools.clear();
+    this.#poolOfAsk.clear();
+    this.#charges.clear();
+    this.#reportedAtMs.clear();
+  }
+
+  /** @returns Requests that wait and that run, by pool. */
+  load(): { pool: string; waiting: number; placed: number }[] {
+    return [...this.#pools].map(([pool, schedule]) => ({
+      pool,
+      waiting: schedule.waitingCount,
+      placed: schedule.placedCount,
+    }));
+  }
+
+  /** Counts what all holders told that they spent, here or elsewhere. */
+  #holdToSpending(of: LedgerScope): void {
+    const totals = new Map<string, number>();
+    for (const spent of this.#spentBy.values()) {
+      for (const { workspace, spent: amount } of spent) {
+        totals.set(workspace, (totals.get(workspace) ?? 0) + amount);
+      }
+    }
+    for (const [workspace, spent] of totals) {
+      const allotment = this.#board.routes?.workspace(workspace)?.allotment;
+      if (allotment !== undefined) {
+        this.#ledger.holdTo(workspace, allotment, { ...of, spent });
+      }
+    }
+  }
+
+  #refusedAtDoor(
+    ask: WorkAsk,
+    of: LedgerScope,
+  ): AskDecision | undefined {
+    const { askId, holderId } = ask;
+    const budget = this.#budget(ask.pool);
+    if (ask.cause === AskCause.Repeat && !budget.take(of.share, of.nowMs)) {
+      return {
+        askId,
+        holderId,
+        refusal: AskRefusal.RetryBudget,
+        retryAfterMs: RETRY_BUDGET_AFTER_MS,
+      };
+    }
+    if (ask.cause === AskCause.First) {
+      budget.noteFirst(of.nowMs);
+    }
+    const allotment = this.#board.routes?.workspace(ask.workspace)?.allotment;
+    if (allotment === undefined || ask.cost === 0) {
+      return undefined;
+    }
+    const charge = this.#ledger.charge(ask.workspace, allotment, {
+      ...of,
+      cost: ask.cost,
+    });
+    if (charge.allowed) {
+      const { workspace, cost } = ask;
+      this.#charges.set(askId, { workspace, cost });
+      return undefined;
+    }
+    const { retryAfterMs } = charge;
+    return { askId, holderId, refusal: AskRefusal.Allotment, retryAfterMs };
+  }
+
+  #settled(decisions: AskDecision[]): AskDecision[] {
+    for (const decision of decisions) {
+      if ("refusal" in decision) {
+        this.#refund(decision.askId);
+        this.#forget(decision.askId);
+      }
+    }
+    return decisions;
+  }
+
+  #releaseUnlisted(
+    holderId: string,
+    open: ReadonlySet<string>,
+    nowMs: number,
+  ): AskDecision[] {
+    const decisions: AskDecision[] = [];
+    for (const schedule of this.#pools.values()) {
+      const { placed, waiting } = schedule.asksOf(holderId);
+      const old = placed.filter((w) => nowMs - w.placedAtMs > REPORT_LAG_MS)
+        .map(({ askId }) => askId);
+      const oldWaiting = waiting.filter((askId) =>
+        nowMs - (schedule.waitingSince(askId) ?? nowMs) > REPORT_LAG_MS
+      );
+      for (const askId of [...old, ...oldWaiting]) {
+        if (!open.has(askId)) {
+          decisions.push(...schedule.release(askId, nowMs).decisions);
+          this.#forget(askId);
+        }
+      }
+    }
+    return this.#settled(decisions);
+  }
+
+  #refund(askId: string): void {
+    const charge = this.#charges.get(askId);
+    if (charge !== undefined) {
+      this.#ledger.refund(charge.workspace, charge.cost);
+    }
+  }
+
+  #forget(askId: string): void {
+    this.#poolOfAsk.delete(askId);
+    this.#charges.delete(askId);
+  }
+
+  #scheduleOf(askId: string): PoolSchedule | undefined {
+    const pool = this.#poolOfAsk.get(askId);
+    return pool === undefined ? undefined : this.#pools.get(pool);
+  }
+
+  #pool(name: string): PoolSchedule {
+    let schedule = this.#pools.get(name);
+    if (schedule === undefined) {
+      schedule = new PoolSchedule(name, this.#board);
+      this.#pools.set(name, schedule);
+    }
+    return schedule;
+  }
+
+  #budget(pool: string): RetryBudget {
+    let budget = this.#budgets.get(pool);
+    if (budget === undefined) {
+      budget = new RetryBudget(this.#budgetBound);
+      this.#budgets.set(pool, budget);
+    }
+    return budget;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/member_view.ts
@@ -0,0 +1,146 @@
+/** Which entry instances are alive, and which of them coordinates. */
+
+import { hash32 } from "@chestnuthatch/core/text_hash";
+
+/** One entry instance as this one knows it. */
+export interface MemberRecord {
+  readonly instanceId: string;
+  /** `ip:port` of its peer socket. */
+  readonly address: string;
+  readonly failureDomain: string;
+  /** Rises with every start of the instance's process. */
+  readonly incarnation: number;
+  /** Whether it has said that it is shutting down. */
+  readonly leaving: boolean;
+  /** Local time at which it was last heard; -Infinity before the first time. */
+  readonly heardAtMs: number;
+}
+
+/**
+ * Silence after which a member counts as gone: four heartbeats, so that the
+ * loss of three in a row on a bad link is needed to be wrong.
+ */
+export const MEMBER_SILENCE_MS = 900;
+
+/** Silence after which a member no longer counts towards the fleet's size. */
+const FORGET_MEMBER_MS = 20_000;
+
+/** How a member is told of: by itself, by another, or by the platform's list. */
+export type MemberNews = Omit<MemberRecord, "heardAtMs">;
+
+/** The members, this instance included. */
+export class MemberView {
+  readonly selfId: string;
+  readonly #byId = new Map<string, MemberRecord>();
+
+  /** @param self This instance. */
+  constructor(self: MemberNews) {
+    this.selfId = self.instanceId;
+    this.#byId.set(self.instanceId, { ...self, heardAtMs: Infinity });
+  }
+
+  /**
+   * Notes that a member spoke.
+   *
+   * @param news What it said of itself.
+   * @param nowMs The local time.
+   * @returns Whether it counted as gone, or was unknown, before.
+   */
+  heard(news: MemberNews, nowMs: number): boolean {
+    const known = this.#byId.get(news.instanceId);
+    if (
+      news.instanceId === this.selfId ||
+      (known !== undefined && known.incarnation > news.incarnation)
+    ) {
+      return false;
+    }
+    this.#byId.set(news.instanceId, { ...news, heardAtMs: nowMs });
+    return known === undefined || !isHeard(known, nowMs);
+  }
+
+  /**
+   * Notes a member that was only told of; it counts once it is heard.
+   *
+   * @param news What was told.
+   */
+  toldOf(news: MemberNews): void {
+    const known = this.#byId.get(news.instanceId);
+    if (known === undefined || known.incarnation < news.incarnation) {
+      const heardAtMs = known?.heardAtMs ?? -Infinity;
+      this.#byId.set(news.instanceId, { ...news, heardAtMs });
+    }
+  }
+
+  /**
+   * @param instanceId A member's id.
+   * @returns The member.
+   */
+  get(instanceId: string): MemberRecord | undefined {
+    return this.#byId.get(instanceId);
+  }
+
+  /** @returns All members but this instance, heard or not. */
+  others(): MemberRecord[] {
+    return [...this.#byId.values()]
+      .filter(({ instanceId }) => instanceId !== this.selfId);
+  }
+
+  /**
+   * @param nowMs The local time.
+   * @returns Members that are alive, this instance included.
+   */
+  alive(nowMs: number): MemberRecord[] {
+    return [...this.#byId.values()].filter((m) => isHeard(m, nowMs));
+  }
+
+  /**
+   * Gives the share of the fleet that this instance hears, by which it scales
+   * what the fleet as a whole may spend.
+   *
+   * @param nowMs The local time.
+   * @returns Above 0, at most 1.
+   */
+  heardShare(nowMs: number): number {
+    const present = [...this.#byId.values()].filter((m) =>
+      nowMs - m.heardAtMs < FORGET_MEMBER_MS
+    );
+    return this.alive(nowMs).length / Math.max(1, present.length);
+  }
+
+  /**
+   * Picks the coordinator by rendezvous hashing: every instance with the same
+   * view picks the same one, and a change moves no more than it must.
+   *
+   * @param nowMs The local time.
+   * @param shunned Members that did not answer lately.
+   * @returns A member; this instance where no other is alive.
+   */
+  coordinator(nowMs: number, shunned: ReadonlySet<string>): MemberRecord {
+    const alive = this.alive(nowMs);
+    const staying = alive.filter((m) => !m.leaving);
+    const eligible = (staying.length > 0 ? staying : alive)
+      .filter((m) => !shunned.has(m.instanceId));
+    const self = this.#byId.get(this.selfId)!;
+    return eligible.reduce(
+      (best, m) => scoreOf(m) > scoreOf(best) ? m : best,
+      eligible[0] ?? self,
+    );
+  }
+
+  /** @param nowMs Members long silent by then are forgotten. */
+  forgetOld(nowMs: number): void {
+    for (const { instanceId, heardAtMs } of this.others()) {
+      if (heardAtMs > -Infinity && nowMs - heardAtMs > FORGET_MEMBER_MS) {
+        this.#byId.delete(instanceId);
+      }
+    }
+  }
+}
+
+function isHeard(member: MemberRecord, nowMs: number): boolean {
+  return nowMs - member.heardAtMs < MEMBER_SILENCE_MS;
+}
+
+function scoreOf(member: MemberRecord): number {
+  return hash32(`coordinator ${member.instanceId}`);
+}
--- /dev/null
+++ b/packages/routing/src/peer_messages.ts
@@ -0,0 +1,132 @@
+/**
+ * Messages between the instances that route requests. Declared once, here, and
+ * checked when they arrive. No message carries a clock.
+ */
+
+import { z } from "zod";
+import { RequestKind } from "./fleet_configuration.ts";
+import { AskCause, AskRefusal } from "./work_ask.ts";
+
+/** Kinds of message. */
+export enum MessageKind {
+  Beat = "beat",
+  Ask = "ask",
+  /** The ask arrived and waits. */
+  Queued = "queued",
+  Decision = "decision",
+  FirstSeen = "first_seen",
+  End = "end",
+  Drop = "drop",
+  Report = "report",
+}
+
+const member = z.object({
+  instanceId: z.string(),
+  address: z.string(),
+  failureDomain: z.string(),
+  incarnation: z.number(),
+  leaving: z.boolean(),
+});
+
+const targetChange = z.object({
+  targetId: z.string(),
+  rowVersion: z.number(),
+  entry: z.object({
+    targetId: z.string(),
+    pool: z.string(),
+    address: z.string(),
+    failureDomain: z.string(),
+    slots: z.number(),
+    leaving: z.boolean(),
+  }).optional(),
+});
+
+/** Checks what a peer tells of targets. */
+export const targetChangesSchema = z.array(targetChange);
+
+const ask = z.object({
+  askId: z.string(),
+  holderId: z.string(),
+  pool: z.string(),
+  workspace: z.string(),
+  kind: z.enum(RequestKind),
+  rank: z.number(),
+  cost: z.number(),
+  promptTokens: z.number(),
+  outputTokens: z.number(),
+  objectiveLeftMs: z.number(),
+  patienceLeftMs: z.number(),
+  failureDomain: z.string(),
+  excluded: z.array(z.string()).readonly(),
+  cause: z.enum(AskCause),
+});
+
+const end = z.object({
+  askId: z.string(),
+  targetId: z.string(),
+  pool: z.string(),
+  promptTokens: z.number(),
+  firstMs: z.number().optional(),
+  eventGapMs: z.number().optional(),
+  failed: z.boolean(),
+});
+
+const running = z.object({
+  askId: z.string(),
+  pool: z.string(),
+  targetId: z.string(),
+  promptTokens: z.number(),
+  outputTokens: z.number(),
+  firstSeen: z.boolean(),
+});
+
+const report = z.object({
+  holderId: z.string(),
+  running: z.array(running).readonly(),
+  waiting: z.array(z.string()).readonly(),
+  spent: z.array(z.object({ workspace: z.string(), spent: z.number() }))
+    .readonly(),
+});
+
+const decision = z.union([
+  z.object({
+    askId: z.string(),
+    holderId: z.string(),
+    targetId: z.string(),
+    expectedMs: z.number(),
+  }),
+  z.object({
+    askId: z.string(),
+    holderId: z.string(),
+    refusal: z.enum(AskRefusal),
+    retryAfterMs: z.number(),
+  }),
+]);
+
+/** Checks a message from a peer. */
+export const peerMessageSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal(MessageKind.Beat),
+    from: member,
+    /** Version of the configuration that the sender has; 0 for none. */
+    configurationVersion: z.number(),
+    /** Version of the newest news that it has of targets. */
+    targetsVersion: z.number(),
+    /** Whether the sender reaches the platform's store. */
+    reachesStore: z.boolean(),
+    /** Other members that it hears. */
+    others: z.array(member),
+    /** Targets that it lately learned are leaving or gone. */
+    leavingTargets: targetChangesSchema,
+  }),
+  z.object({ kind: z.literal(MessageKind.Ask), ask }),
+  z.object({ kind: z.literal(MessageKind.Queued), askId: z.string() }),
+  z.object({ kind: z.literal(MessageKind.Decision), decision }),
+  z.object({ kind: z.literal(MessageKind.FirstSeen), askId: z.string() }),
+  z.object({ kind: z.literal(MessageKind.End), end }),
+  z.object({ kind: z.literal(MessageKind.Drop), askId: z.string() }),
+  z.object({ kind: z.literal(MessageKind.Report), report }),
+]);
+
+/** A message between instances. */
+export type RoutingMessage = z.infer<typeof peerMessageSchema>;
--- /dev/null
+++ b/packages/routing/src/routing_board.ts
@@ -0,0 +1,24 @@
+/**
+ * What one instance believes about the fleet. Each section is written by the
+ * part named in its comment and only read by the others.
+ */
+
+import type { MemberView } from "./member_view.ts";
+import type { RouteTable } from "./route_table.ts";
+import type { TargetDirectory } from "./target_directory.ts";
+import type { TargetHealth } from "./target_health.ts";
+import type { TargetPaces } from "./target_paces.ts";
+
+/** The beliefs of one instance. */
+export interface RoutingBoard {
+  /** Written by the configuration keeper; absent until a version is known. */
+  routes?: RouteTable;
+  /** Written by the target keeper. */
+  readonly targets: TargetDirectory;
+  /** Written by the membership keeper. */
+  readonly members: MemberView;
+  /** Written by the holder, from what targets did to its own requests. */
+  readonly health: TargetHealth;
+  /** Written by the coordinator, from how work ended. */
+  readonly paces: TargetPaces;
+}
--- /dev/null
+++ b/packages/routing/src/target_choice.ts
@@ -0,0 +1,98 @@
+/** Chooses the target that is expected to finish a request first. */
+
+import type { KnownTarget } from "./target_directory.ts";
+import type { TargetPace } from "./target_pace.ts";
+import type { WorkAsk } from "./work_ask.ts";
+
+/** What runs at one target, as the coordinator accounts for it. */
+export interface TargetUse {
+  readonly running: number;
+  /** Tokens of prompts that it has still to read. */
+  readonly tokensAhead: number;
+  /** Tokens of memory that running requests will come to need. */
+  readonly kvTokens: number;
+}
+
+/** A target that could take a request. */
+export interface Candidate {
+  readonly target: KnownTarget;
+  readonly use: TargetUse;
+  readonly pace: TargetPace;
+  /** Memory of a model engine; absent for plain services. */
+  readonly kvCapacityTokens?: number;
+}
+
+/** A choice, with what is expected of it. */
+export interface Choice {
+  readonly target: KnownTarget;
+  /** Expected time to the first event, or to the answer of a plain call. */
+  readonly firstMs: number;
+}
+
+/**
+ * Time that a target in another failure domain has to be faster by. Bytes
+ * between domains cost money and the way there a few milliseconds.
+ */
+const OTHER_DOMAIN_MS = 15;
+
+/** Output tokens in one event of a stream, as a starting figure. */
+const TOKENS_PER_EVENT = 5;
+
+/** Share of a maximal answer that is generated on average. */
+const EXPECTED_OUTPUT_SHARE = 0.7;
+
+/**
+ * Chooses among targets that have a free slot and room in memory.
+ *
+ * @param ask The request.
+ * @param candidates Targets of its pool.
+ * @returns The best, or undefined where none can hold it now.
+ */
+export function chooseTarget(
+  ask: WorkAsk,
+  candidates: readonly Candidate[],
+): Choice | undefined {
+  let best: Choice | undefined;
+  let bestMs = Infinity;
+  for (const candidate of candidates) {
+    if (!canHold(candidate, ask)) {
+      continue;
+    }
+    const firstMs = firstMsAt(candidate, ask);
+    const doneMs = firstMs + restMsAt(candidate, ask) +
+      (candidate.target.failureDomain === ask.failureDomain
+        ? 0
+        : OTHER_DOMAIN_MS);
+    if (doneMs < bestMs) {
+      best = { target: candidate.target, firstMs };
+      bestMs = doneMs;
+    }
+  }
+  return best;
+}
+
+function canHold({ target, use, kvCapacityTokens }: Candidate, ask: WorkAsk) {
+  if (use.running >= target.slots || ask.excluded.includes(target.targetId)) {
+    return false;
+  }
+  const needed = use.kvTokens + ask.promptTokens + ask.outputTokens;
+  return kvCapacityTokens === undefined || use.running === 0 ||
+    needed <= kvCapacityTokens;
+}
+
+function firstMsAt(candidate: Candidate, ask: WorkAsk): number {
+  const { pace, use, kvCapacityTokens } = candidate;
+  if (kvCapacityTokens !== undefined) {
+    return pace.firstEventMs(ask.promptTokens, use.tokensAhead);
+  }
+  // A plain target shares its processor among what it runs.
+  return pace.callMs * (1 + use.running / candidate.target.slots);
+}
+
+function restMsAt(candidate: Candidate, ask: WorkAsk): number {
+  if (candidate.kvCapacityTokens === undefined) {
+    return 0;
+  }
+  const events = EXPECTED_OUTPUT_SHARE * ask.outputTokens / TOKENS_PER_EVENT;
+  return events * candidate.pace.eventGapMs;
+}
--- /dev/null
+++ b/packages/routing/src/target_directory.ts
@@ -0,0 +1,222 @@
+/** Which targets exist, as the platform's list and peers tell. */
+
+/** What the platform's list says of one target. */
+export interface TargetEntry {
+  readonly targetId: string;
+  readonly pool: string;
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly slots: number;
+  readonly leaving: boolean;
+}
+
+/** One target as this instance knows it. */
+export interface KnownTarget extends TargetEntry {
+  /** Version of the list's row that said so. */
+  readonly rowVersion: number;
+  /** When it was taken off the list; absent while it is listed. */
+  readonly removedAtMs?: number;
+  /** Until when a target taken off the list may still get new work. */
+  readonly usableUntilMs?: number;
+}
+
+/** A row of the list that changed. */
+export interface TargetChange {
+  readonly targetId: string;
+  readonly rowVersion: number;
+  /** Absent where the row was removed. */
+  readonly entry?: TargetEntry;
+}
+
+/** What a change did to the belief about a target. */
+export enum TargetNews {
+  Added = "added",
+  Leaving = "leaving",
+  Removed = "removed",
+  Updated = "updated",
+}
+
+/** One change of belief. */
+export interface TargetBelief {
+  readonly targetId: string;
+  readonly news: TargetNews;
+  readonly rowVersion: number;
+}
+
+/**
+ * How long a target whose row vanished around an outage of the list is still
+ * used. The platform brings entries of live targets back within about 2 s.
+ */
+const RETURN_GRACE_MS = 2200;
+
+/**
+ * How long the list must have answered without a break before the removal of a
+ * row counts at once. A row needs three missed heartbeats to expire, so rows
+ * that vanish sooner after an outage may have expired during it.
+ */
+const STEADY_LIST_MS = 4000;
+
+/** How long a removed target's id is remembered against older news. */
+const FORGET_REMOVED_MS = 60_000;
+
+/** The targets, kept up to date from rows that arrive in any order. */
+export class TargetDirectory {
+  readonly #byId = new Map<string, KnownTarget>();
+  /** Newest row version that any news carried. */
+  version = 0;
+  /** Since when the list has answered without a break. */
+  #steadySinceMs = Infinity;
+
+  /** @param nowMs When the list began to answer, again or at first. */
+  listAnswers(nowMs: number): void {
+    this.#steadySinceMs = Math.min(this.#steadySinceMs, nowMs);
+  }
+
+  /** Notes that the list does not answer. */
+  listLost(): void {
+    this.#steadySinceMs = Infinity;
+  }
+
+  /**
+   * Takes in changed rows.
+   *
+   * @param changes The rows, from the list or from a peer.
+   * @param nowMs The local time.
+   * @returns What changed in what this instance believes.
+   */
+  apply(changes: readonly TargetChange[], nowMs: number): TargetBelief[] {
+    return changes.flatMap((change) => this.#applyOne(change, nowMs));
+  }
+
+  /**
+   * Takes in the whole list: targets that it lacks are gone.
+   *
+   * @param entries Every row of the list.
+   * @param version The list's version at that moment.
+   * @param nowMs The local time.
+   * @returns What changed in what this instance believes.
+   */
+  replace(
+    entries: readonly TargetChange[],
+    version: number,
+    nowMs: number,
+  ): TargetBelief[] {
+    const listed = new Set(entries.map(({ targetId }) => targetId));
+    const gone = [...this.#byId.values()].filter((known) =>
+      known.removedAtMs === undefined && known.rowVersion <= version &&
+      !listed.has(known.targetId)
+    ).map(({ targetId }) => ({ targetId, rowVersion: version }));
+    return this.apply([...entries, ...gone], nowMs);
+  }
+
+  /**
+   * @param targetId A target's id.
+   * @returns What is known of it.
+   */
+  get(targetId: string): KnownTarget | undefined {
+    return this.#byId.get(targetId);
+  }
+
+  /**
+   * Tells whether a target may be given new work.
+   *
+   * @param target The target.
+   * @param nowMs The local time.
+   * @returns False once it is leaving or gone.
+   */
+  isUsable(target: KnownTarget, nowMs: number): boolean {
+    if (target.leaving) {
+      return false;
+    }
+    return target.usableUntilMs === undefined || nowMs < target.usableUntilMs;
+  }
+
+  /**
+   * @param pool Name of a pool.
+   * @param nowMs The local time.
+   * @returns The pool's targets that may get new work.
+   */
+  usable(pool: string, nowMs: number): KnownTarget[] {
+    return [...this.#byId.values()].filter((target) =>
+      target.pool === pool && this.isUsable(target, nowMs)
+    );
+  }
+
+  /** @returns Every target that is remembered, also those that are gone. */
+  all(): KnownTarget[] {
+    return [...this.#byId.values()];
+  }
+
+  /** @param nowMs Targets long gone by then are forgotten. */
+  forgetOld(nowMs: number): void {
+    for (const { targetId, removedAtMs } of this.#byId.values()) {
+      if (
+        removedAtMs !== undefined && removedAtMs + FORGET_REMOVED_MS < nowMs
+      ) {
+        this.#byId.delete(targetId);
+      }
+    }
+  }
+
+  #graceMs(removedAtMs: number): number {
+    return removedAtMs - this.#steadySinceMs >= STEADY_LIST_MS
+      ? 0
+      : RETURN_GRACE_MS;
+  }
+
+  #applyOne(change: TargetChange, nowMs: number): TargetBelief[] {
+    this.version = Math.max(this.version, change.rowVersion);
+    const known = this.#byId.get(change.targetId);
+    if (known !== undefined && known.rowVersion >= change.rowVersion) {
+      return [];
+    }
+    const { targetId, rowVersion, entry } = change;
+    if (entry === undefined) {
+      return this.#remove(known, rowVersion, nowMs);
+    }
+    // A late heartbeat of a leaving target may still say that it is not.
+    const leaving = entry.leaving || known?.leaving === true;
+    const next = { ...entry, leaving, rowVersion };
+    this.#byId.set(targetId, next);
+    const news = newsOf(known, next);
+    return news === undefined ? [] : [{ targetId, news, rowVersion }];
+  }
+
+  #remove(
+    known: KnownTarget | undefined,
+    rowVersion: number,
+    nowMs: number,
+  ): TargetBelief[] {
+    if (known === undefined) {
+      return [];
+    }
+    const { targetId } = known;
+    if (known.removedAtMs !== undefined) {
+      this.#byId.set(targetId, { ...known, rowVersion });
+      return [];
+    }
+    const usableUntilMs = nowMs + this.#graceMs(nowMs);
+    this.#byId.set(targetId, {
+      ...known,
+      rowVersion,
+      removedAtMs: nowMs,
+      usableUntilMs,
+    });
+    return [{ targetId, news: TargetNews.Removed, rowVersion }];
+  }
+}
+
+function newsOf(
+  known: KnownTarget | undefined,
+  entry: TargetEntry,
+): TargetNews | undefined {
+  if (known === undefined || known.removedAtMs !== undefined) {
+    return entry.leaving ? TargetNews.Leaving : TargetNews.Added;
+  }
+  if (entry.leaving && !known.leaving) {
+    return TargetNews.Leaving;
+  }
+  const same = known.address === entry.address && known.pool === entry.pool &&
+    known.slots === entry.slots && known.leaving === entry.leaving;
+  return same ? undefined : TargetNews.Updated;
+}
--- /dev/null
+++ b/packages/routing/src/target_pace.ts
@@ -0,0 +1,93 @@
+/** How fast targets are, as learned from what they did. */
+
+/** How much one observation moves what was learned. */
+const LEARNING_RATE = 0.2;
+
+/**
+ * Time to the first event of an empty prompt on an idle engine, and time to
+ * read a prompt token. Where learning starts; of the order that large
+ * mixture-of-experts engines need, and corrected within some tens of requests.
+ */
+const FIRST_EVENT_MS = 45;
+const PROMPT_TOKEN_MS = 0.012;
+/** Extra time that long prompts take, for each million of token pairs. */
+const PROMPT_PAIRS_MS_PER_M = 0.25;
+
+/** Time between two events of a stream where learning starts. */
+const EVENT_GAP_MS = 25;
+
+/** Time that a plain call takes where learning starts. */
+const CALL_MS = 50;
+
+/** Slowest and fastest that a target is believed to be, against the average. */
+const MAX_SLOWNESS = 20;
+const MIN_SLOWNESS = 0.1;
+
+const PAIRS_PER_M = 1e6;
+
+/** Learned figures of one target. */
+export class TargetPace {
+  /** How much slower than the starting figures it reads prompts. */
+  #slowness = 1;
+  #eventGapMs = EVENT_GAP_MS;
+  #callMs = CALL_MS;
+
+  /**
+   * Predicts the time to a stream's first event.
+   *
+   * @param promptTokens Tokens of its prompt.
+   * @param tokensAhead Prompt tokens that wait there to be read before it.
+   * @returns A time in milliseconds.
+   */
+  firstEventMs(promptTokens: number, tokensAhead: number): number {
+    return this.#slowness * plainFirstEventMs(promptTokens, tokensAhead);
+  }
+
+  /** Time between two events of one stream. */
+  get eventGapMs(): number {
+    return this.#eventGapMs;
+  }
+
+  /** Time that a plain call takes. */
+  get callMs(): number {
+    return this.#callMs;
+  }
+
+  /**
+   * Learns from a stream's first event.
+   *
+   * @param promptTokens Tokens of its prompt.
+   * @param tokensAhead Prompt tokens that waited there before it.
+   * @param tookMs The time it took.
+   */
+  learnFirstEvent(
+    promptTokens: number,
+    tokensAhead: number,
+    tookMs: number,
+  ): void {
+    const seen = tookMs / plainFirstEventMs(promptTokens, tokensAhead);
+    this.#slowness = learned(
+      this.#slowness,
+      Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, seen)),
+    );
+  }
+
+  /** @param gapMs Mean time between the events of a stream that ended. */
+  learnEventGap(gapMs: number): void {
+    this.#eventGapMs = learned(this.#eventGapMs, gapMs);
+  }
+
+  /** @param tookMs Time that a plain call took. */
+  learnCall(tookMs: number): void {
+    this.#callMs = learned(this.#callMs, tookMs);
+  }
+}
+
+function plainFirstEventMs(promptTokens: number, tokensAhead: number): number {
+  return FIRST_EVENT_MS + PROMPT_TOKEN_MS * (promptTokens + tokensAhead) +
+    PROMPT_PAIRS_MS_PER_M * promptTokens * promptTokens / PAIRS_PER_M;
+}
+
+function learned(before: number, seen: number): number {
+  return before + LEARNING_RATE * (seen - before);
+}
--- /dev/null
+++ b/packages/routing/src/work_ask.ts
@@ -0,0 +1,104 @@
+/** What a holder asks a coordinator, and what it gets back. */
+
+import type { RequestKind } from "./fleet_configuration.ts";
+
+/** Why a request asks for a place. */
+export enum AskCause {
+  /** No target has got it yet. */
+  First = "first",
+  /** It was sent, but certainly reached no target. */
+  NeverArrived = "never_arrived",
+  /** A target got it: another send draws on the retry budget. */
+  Repeat = "repeat",
+}
+
+/** One request that needs a place at a target. */
+export interface WorkAsk {
+  /** Unique in the fleet; a repeat of the request asks under a new id. */
+  readonly askId: string;
+  readonly holderId: string;
+  readonly pool: string;
+  readonly workspace: string;
+  readonly kind: RequestKind;
+  /** 0 is the most valuable. */
+  readonly rank: number;
+  /** Cost units to charge to the workspace; 0 once they were charged. */
+  readonly cost: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  /** Time left to the first event or the answer for the full value. */
+  readonly objectiveLeftMs: number;
+  /** Time left until the caller gives up. */
+  readonly patienceLeftMs: number;
+  /** The holder's failure domain. */
+  readonly failureDomain: string;
+  /** Targets that must not get it. */
+  readonly excluded: readonly string[];
+  readonly cause: AskCause;
+}
+
+/** Why a coordinator gives no place. */
+export enum AskRefusal {
+  /** Its wait would outlast the caller's patience. */
+  Overload = "overload",
+  /** The workspace has spent its allotment. */
+  Allotment = "allotment",
+  /** No target may get it. */
+  NoTarget = "no_target",
+  /** The fleet has sent too many repeats lately. */
+  RetryBudget = "retry_budget",
+}
+
+/** What a coordinator decided about an ask. */
+export type AskDecision =
+  | {
+    readonly askId: string;
+    readonly holderId: string;
+    readonly targetId: string;
+    /** When the first event or the answer is expected, from now. */
+    readonly expectedMs: number;
+  }
+  | {
+    readonly askId: string;
+    readonly holderId: string;
+    readonly refusal: AskRefusal;
+    readonly retryAfterMs: number;
+  };
+
+/** How work at a target ended, told by its holder. */
+export interface WorkEnd {
+  readonly askId: string;
+  readonly targetId: string;
+  readonly pool: string;
+  readonly promptTokens: number;
+  /** Time to the first event or the answer; absent where none came. */
+  readonly firstMs?: number;
+  /** Mean time between events; absent where too few came. */
+  readonly eventGapMs?: number;
+  /** Whether the target failed it: no answer, a broken or a wrong one. */
+  readonly failed: boolean;
+}
+
+/** Work that a holder has at a target, for a coordinator that is new to it. */
+export interface RunningWork {
+  readonly askId: string;
+  readonly pool: string;
+  readonly targetId: string;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly firstSeen: boolean;
+}
+
+/** Cost units that a workspace spent lately through one holder. */
+export interface SpentLately {
+  readonly workspace: string;
+  readonly spent: number;
+}
+
+/** All that a holder has open, told regularly. */
+export interface HolderReport {
+  readonly holderId: string;
+  readonly running: readonly RunningWork[];
+  readonly waiting: readonly string[];
+  readonly spent: readonly SpentLately[];
+}
--- a/utils/check_layers.ts
+++ b/utils/check_layers.ts
@@ -11,9 +11,9 @@
 import { dirname, join, relative, resolve } from "node:path";
 import process from "node:process";
 
-const ROOTS = ["packages", "utils", "tests"];
+const ROOTS = ["packages", "platform", "utils", "tests"];
 const SKIPPED_FOLDERS = new Set(["dist", "node_modules", "golden"]);
-const IMPORT_PATTERN = /(?:from|import)\s*\(?\s*"([^"]+)"/g;
+const IMPORT_PATTERN = /\b(?:from\s+|import\s*\(?\s*)"([^"]+)"/g;
 const IMPURE_PATTERN =
   /\b(Date\.now|Math\.random|setTimeout|setInterval|performance\.now)\(|new Date\(\)/;
 
--- a/utils/run_tests.ts
+++ b/utils/run_tests.ts
@@ -10,7 +10,7 @@
 import { join } from "node:path";
 import process from "node:process";
 
-const ROOTS = ["packages", "utils", "tests"];
+const ROOTS = ["packages", "platform", "utils", "tests"];
 const FILES_AT_ONCE = 4;
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
 const MAX_KNOWN_RED = 3;
