--- /dev/null
+++ b/packages/gateway/src/event_splitter_test.ts
@@ -0,0 +1,32 @@
+import { Buffer } from "node:buffer";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { EventSplitter } from "./event_splitter.ts";
+
+const STREAM = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\nda";
+
+function idsOf(chunks: readonly string[]): (number | undefined)[] {
+  const splitter = new EventSplitter();
+  return chunks.flatMap((chunk) => splitter.push(Buffer.from(chunk)))
+    .map(({ id }) => id);
+}
+
+test("events come out whole, however the bytes are cut", () => {
+  for (let size = 1; size <= STREAM.length; size++) {
+    const chunks = [];
+    for (let at = 0; at < STREAM.length; at += size) {
+      chunks.push(STREAM.slice(at, at + size));
+    }
+    assert.equal(idsOf(chunks), [1, 2, undefined], `chunks of ${size}`);
+  }
+});
+
+test("no byte is changed, and the rest is kept back", () => {
+  const splitter = new EventSplitter();
+  const events = splitter.push(Buffer.from(STREAM));
+  const text = events.map(({ bytes }) => bytes.toString()).join("");
+  assert.is(text + splitter.rest.toString(), STREAM);
+  assert.is(splitter.rest.toString(), "id: 4\nda");
+});
+
+test.run();
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -36,6 +36,18 @@
 /** When to come back to an instance that has no configuration yet. */
 const NO_CONFIGURATION_RETRY_MS = 300;
 
+/** When to come back to another instance than one that is leaving. */
+const LEAVING_RETRY_MS = 50;
+
+/** How far a graceful shutdown has come. */
+enum ClosingStage {
+  Open,
+  /** Requests are served, and connections close after their answers. */
+  Announcing,
+  /** Requests that still arrive are refused: they could not finish. */
+  Refusing,
+}
+
 /** What the configuration says of a request. */
 type Admission =
   | { readonly error: RoutedError; readonly retryAfterMs?: number }
@@ -52,7 +64,7 @@
   readonly #server: Server;
   readonly #open = new Set<RoutedRequest>();
   #limits = STARTING_LIMITS;
-  #closing = false;
+  #stage = ClosingStage.Open;
   /** Requests whose bodies are being read. */
   #reading = 0;
 
@@ -98,8 +110,14 @@
   }
 
   /** From now on, answers tell callers to close their connections. */
-  beginClosing(): void {
-    this.#closing = true;
+  announceClosing(): void {
+    this.#stage = ClosingStage.Announcing;
+  }
+
+  /** From now on, requests are refused and idle connections are closed. */
+  refuseRequests(): void {
+    this.#stage = ClosingStage.Refusing;
+    this.#server.closeIdleConnections();
   }
 
   /** Ends all connections; requests in progress are told so. */
@@ -115,7 +133,10 @@
     const { clock, protocol } = this.#parts;
     const arrivedAtMs = clock.nowMs();
     const facts = protocol.readCall(request.headers);
-    const reply = new CallerReply(response, this.#closing);
+    const reply = new CallerReply(
+      response,
+      this.#stage !== ClosingStage.Open,
+    );
     const admission = this.#admit(request, facts);
     if ("error" in admission) {
       this.#refuse(reply, facts, admission);
@@ -163,6 +184,10 @@
   }
 
   #admit(request: IncomingMessage, facts: CallFacts): Admission {
+    if (this.#stage === ClosingStage.Refusing) {
+      const retryAfterMs = LEAVING_RETRY_MS;
+      return { error: RoutedError.Leaving, retryAfterMs };
+    }
     const table = this.#parts.board.routes;
     if (table === undefined) {
       const retryAfterMs = NO_CONFIGURATION_RETRY_MS;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,6 +41,13 @@
  */
 const LEAST_STOPPING_MS = 3000;
 
+/**
+ * Time from a stop signal after which requests are refused: by then the
+ * balancer sends no new callers, and what still arrives on kept connections
+ * might outlast the grace time.
+ */
+const REFUSE_AFTER_MS = 2600;
+
 /** Time before the kill at which whatever still runs is broken off. */
 const GRACE_MARGIN_MS = 500;
 
@@ -63,6 +70,7 @@
   readonly #settings: GatewaySettings;
   readonly #platform: PlatformPort;
   readonly #clock: Clock;
+  readonly #startedAtMs: number;
   readonly #log: EventLog;
   readonly #metrics = new GatewayMetrics();
   readonly #self: MemberNews;
@@ -90,6 +98,7 @@
     this.#settings = settings;
     this.#platform = options.platform;
     this.#clock = options.clock ?? MONOTONIC_CLOCK;
+    this.#startedAtMs = this.#clock.nowMs();
     const { instanceId, failureDomain, peerAddress } = settings;
     this.#log = new EventLog(this.#clock, instanceId, options.logOutput);
     this.#self = {
@@ -107,13 +116,15 @@
       paces: new TargetPaces(),
     };
     this.#socket = new PeerSocket(this.#log, this.#metrics);
-    this.#coordinator = new Coordinator(this.board, settings.retryBudget);
+    this.#coordinator = new Coordinator(this.board, settings.bounds);
     this.#desk = new PlacementDesk({
       board: this.board,
       coordinator: this.#coordinator,
       clock: this.#clock,
       log: this.#log,
       send: (member, message) => this.#socket.send(member.address, message),
+      startedAtMs: this.#startedAtMs,
+      spendingWindowMs: settings.bounds.allotmentTolerance.windowMs,
     });
     this.#news = this.#makeNews();
     this.#catalog = new PeerCatalog((item) => this.#news.content(item));
@@ -170,7 +181,7 @@
   async #stop(): Promise<void> {
     const beganAtMs = this.#clock.nowMs();
     this.#leaving = true;
-    this.#front.beginClosing();
+    this.#front.announceClosing();
     this.#membership.leave();
     this.#log.info(LogPart.Process, "stopping", {
       openRequests: this.#front.openCount,
@@ -183,6 +194,9 @@
       if (spentMs >= lastMs || (isIdle && spentMs >= LEAST_STOPPING_MS)) {
         break;
       }
+      if (spentMs >= REFUSE_AFTER_MS) {
+        this.#front.refuseRequests();
+      }
       await new Promise((resolve) => setTimeout(resolve, STOP_CHECK_MS));
     }
     this.#log.info(LogPart.Process, "stopped", {
@@ -276,6 +290,7 @@
       log: this.#log,
       seedAddresses: this.#settings.seedAddresses,
       send: (address, message) => this.#socket.send(address, message),
+      memoryMs: () => this.#clock.nowMs() - this.#startedAtMs,
       reachesStore: () => this.#news.reachesStore,
       leavingTargets: () => this.#news.leavingTargets(),
     }, this.#self);
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -1,6 +1,6 @@
 /** What one gateway process has to know at its start. */
 
-import type { RetryBudgetBound } from "@chestnuthatch/routing/retry_budget";
+import type { FleetBounds } from "@chestnuthatch/routing/coordinator";
 
 /** Start settings of a gateway. */
 export interface GatewaySettings {
@@ -20,5 +20,6 @@
   readonly seedAddresses: readonly string[];
   /** Time from a stop signal until the process is killed. */
   readonly graceMs: number;
-  readonly retryBudget: RetryBudgetBound;
+  /** Bounds that hold for all instances together. */
+  readonly bounds: FleetBounds;
 }
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -27,6 +27,8 @@
   /** Peer addresses that are told of this instance though nobody is known. */
   readonly seedAddresses: readonly string[];
   send(address: string, message: RoutingMessage): void;
+  /** @returns How long this instance remembers what workspaces spent. */
+  memoryMs(): number;
   /** @returns Whether this instance reaches the platform's store. */
   reachesStore(): boolean;
   /** @returns Targets that lately turned out to be leaving or gone. */
@@ -71,6 +73,7 @@
     const { members } = this.#parts.board;
     const nowMs = this.#parts.clock.nowMs();
     const isNew = members.heard(beat.from, nowMs);
+    members.remembers(beat.from.instanceId, beat.memoryMs);
     for (const other of beat.others) {
       members.toldOf(other);
     }
@@ -107,6 +110,7 @@
     this.#parts.send(address, {
       kind: MessageKind.Beat,
       from: this.#self,
+      memoryMs: this.#parts.memoryMs(),
       configurationVersion: board.routes?.configuration.version ?? 0,
       targetsVersion: board.targets.version,
       reachesStore: this.#parts.reachesStore(),
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -61,6 +61,7 @@
   "waiting",
   "spent",
   "firstSeen",
+  "memoryMs",
 ];
 
 /** Bytes that the receive buffer of the socket holds. */
--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -3,6 +3,7 @@
  * while no word comes, and decides by itself when the coordinator is silent.
  */
 
+import type { LedgerScope } from "@chestnuthatch/routing/allotment_ledger";
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
 import type { MemberRecord } from "@chestnuthatch/routing/member_view";
 import {
@@ -67,6 +68,10 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly send: PeerSend;
+  /** When this instance began to remember what workspaces spent. */
+  readonly startedAtMs: number;
+  /** Time over which the operators judge what workspaces spend. */
+  readonly spendingWindowMs: number;
 }
 
 /** Open asks of this instance, as holder and as coordinator for others. */
@@ -74,13 +79,14 @@
   readonly #parts: DeskParts;
   readonly #open = new Map<string, OpenAsk>();
   readonly #shunnedUntilMs = new Map<string, number>();
-  readonly #spending = new SpendingLog();
+  readonly #spending: SpendingLog;
   #reportedAtMs = -Infinity;
   #reportedTo = "";
 
   /** @param parts What the desk works with. */
   constructor(parts: DeskParts) {
     this.#parts = parts;
+    this.#spending = new SpendingLog(parts.spendingWindowMs);
   }
 
   /** The coordinator that asks go to now. */
@@ -166,7 +172,7 @@
         this.#carryOut(coordinator.dropped(message.askId, nowMs));
         return;
       case MessageKind.Report:
-        this.#carryOut(coordinator.report(message.report, this.#scope()));
+        this.#carryOut(coordinator.report(message.report, nowMs));
         return;
       case MessageKind.Queued:
         this.#noteHeard(message.askId, fromId);
@@ -292,7 +298,7 @@
     const report = this.#report(coordinator.instanceId, nowMs);
     if (this.#isSelf(coordinator.instanceId)) {
       const { coordinator: own } = this.#parts;
-      this.#carryOut(own.report(report, this.#scope()));
+      this.#carryOut(own.report(report, nowMs));
     } else {
       this.#parts.send(coordinator, { kind: MessageKind.Report, report });
     }
@@ -353,14 +359,18 @@
    * Share of the fleet's allotments and retry budgets that this instance hands
    * out: all that it hears where it coordinates, and else its own part.
    */
-  #scope(): { share: number; nowMs: number } {
+  #scope(): LedgerScope {
     const nowMs = this.#nowMs();
     const { members } = this.#parts.board;
     const heard = members.heardShare(nowMs);
     const agreed = members.coordinator(nowMs, NONE_SHUNNED);
     const isCoordinator = this.#isSelf(agreed.instanceId);
     const alive = members.alive(nowMs).length;
-    return { share: isCoordinator ? heard : heard / alive, nowMs };
+    return {
+      share: isCoordinator ? heard : heard / alive,
+      memoryMs: members.memoryMs(nowMs - this.#parts.startedAtMs, nowMs),
+      nowMs,
+    };
   }
 
   #send(instanceId: string, message: RoutingMessage): void {
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -27,6 +27,7 @@
 import type { GatewayParts } from "./gateway_parts.ts";
 import {
   deadlineAtMs,
+  rankOf,
   type RoutedCall,
   streamPatienceMs,
 } from "./routed_call.ts";
@@ -178,7 +179,7 @@
       pool: call.pool,
       workspace: workspace?.name ?? "",
       kind: route.kind,
-      rank: route.rank,
+      rank: rankOf(call),
       cost: this.#charged ? 0 : this.#cost(),
       promptTokens: facts.tokens?.prompt ?? 0,
       outputTokens: facts.tokens?.output ?? 0,
@@ -230,6 +231,9 @@
       this.#giveBack(decision.targetId);
       return;
     }
+    if (this.#attempt !== undefined) {
+      this.#leaveSilentTarget(this.#attempt);
+    }
     this.#send(target, decision.expectedMs);
   }
 
@@ -238,12 +242,24 @@
     this.#log("place not usable", { targetId });
     this.#excluded.add(targetId);
     this.#dropAsk();
-    this.#charged = false;
+    if (this.#attempt !== undefined) {
+      return;
+    }
+    this.#charged = this.#runs > 0;
     this.#rejections++;
     this.#follow(AttemptEnd.NotSent);
   }
 
+  #leaveSilentTarget(attempt: Attempt): void {
+    this.#attempt = undefined;
+    this.#closeAttempt(attempt, AttemptEnd.Lost, "silent");
+  }
+
   #refused(refusal: AskRefusal, retryAfterMs: number): void {
+    if (this.#attempt !== undefined) {
+      this.#log("no other place, still waiting", { refusal });
+      return;
+    }
     if (this.#runs > 0) {
       this.#log("no place to run again", { refusal });
       this.#fail(RoutedError.AnswerLost);
@@ -372,6 +388,7 @@
     this.#lastEventId = id ?? this.#lastEventId;
     attempt.events++;
     attempt.lastEventAtMs = nowMs;
+    this.#stayAtTarget(attempt);
     if (attempt.firstAtMs === undefined) {
       attempt.firstAtMs = nowMs;
       this.#parts.desk.firstSeen(attempt.askId);
@@ -433,6 +450,8 @@
   }
 
   #served(attempt: Attempt): void {
+    this.#attempt = undefined;
+    this.#dropAsk();
     this.#parts.board.health.served(attempt.target.targetId);
     this.#tellEnded(attempt, false);
     this.#parts.metrics.attemptEnded(this.#call.pool, "served");
@@ -467,12 +486,23 @@
   /** An attempt ended without an answer that can be passed on. */
   #endAttempt(end: AttemptEnd, reason: string): void {
     const attempt = this.#attempt!;
+    this.#attempt = undefined;
+    // An ask that was made beside it goes by other facts now.
+    this.#dropAsk();
+    this.#closeAttempt(attempt, end, reason);
+    if (end === AttemptEnd.NotSent || end === AttemptEnd.Rejected) {
+      this.#runs--;
+      this.#rejections++;
+    }
+    this.#follow(end, attempt);
+  }
+
+  #closeAttempt(attempt: Attempt, end: AttemptEnd, reason: string): void {
     const { targetId } = attempt.target;
     if (end !== AttemptEnd.Failed) {
       attempt.exchange?.cancel();
     }
     clearTimeout(this.#silenceTimer);
-    this.#attempt = undefined;
     this.#excluded.add(targetId);
     const isUnreachable = end === AttemptEnd.NotSent;
     this.#parts.board.health.failed(targetId, isUnreachable, this.#nowMs());
@@ -486,11 +516,6 @@
       tookMs: Math.round(this.#nowMs() - attempt.sentAtMs),
       failuresInRow: this.#parts.board.health.failuresInRow(targetId),
     });
-    if (end === AttemptEnd.NotSent || end === AttemptEnd.Rejected) {
-      this.#runs--;
-      this.#rejections++;
-    }
-    this.#follow(end, attempt);
   }
 
   #follow(end: AttemptEnd, attempt?: Attempt): void {
@@ -598,9 +623,33 @@
     const limitMs = attempt.events > 0
       ? gapLimitMs(route, pace)
       : firstEventLimitMs(route, attempt.expectedMs);
-    this.#silenceTimer = setTimeout(() => {
-      this.#endAttempt(AttemptEnd.Lost, `silent for ${Math.round(limitMs)} ms`);
-    }, limitMs);
+    this.#silenceTimer = setTimeout(() => this.#askBeside(limitMs), limitMs);
+  }
+
+  /**
+   * Asks for another place while the silent target is still waited for: where
+   * there is none, or where the target goes on first, nothing is lost.
+   */
+  #askBeside(silentMs: number): void {
+    const attempt = this.#attempt;
+    if (attempt === undefined || this.#askId !== undefined) {
+      return;
+    }
+    this.#log("target is silent", {
+      targetId: attempt.target.targetId,
+      silentMs: Math.round(silentMs),
+      events: attempt.events,
+    });
+    this.#excluded.add(attempt.target.targetId);
+    this.#ask(AskCause.Repeat);
+  }
+
+  /** The silent target went on: the other place is not needed. */
+  #stayAtTarget(attempt: Attempt): void {
+    if (this.#askId !== undefined) {
+      this.#dropAsk();
+      this.#excluded.delete(attempt.target.targetId);
+    }
   }
 
   #noteFirstByte(): void {
--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -1,6 +1,6 @@
 /** One request to one target, and its answer as it comes. */
 
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import {
   type Agent,
   type ClientRequest,
@@ -44,6 +44,8 @@
  */
 const CONNECT_TIMEOUT_MS = 300;
 
+const NO_BYTES = Buffer.alloc(0);
+
 /** Runs one exchange. */
 export class TargetExchange {
   readonly #sink: ExchangeSink;
@@ -51,6 +53,8 @@
   #answer?: IncomingMessage;
   #sent = false;
   #over = false;
+  /** Whether it is still open if the connection's end was a reset. */
+  #probing = false;
   #connectTimer?: NodeJS.Timeout;
 
   /**
@@ -122,6 +126,10 @@
       return;
     }
     this.#answer = answer;
+    if (endsWithConnection(answer)) {
+      // First, since the parser closes the connection when it ends.
+      answer.socket.prependListener("end", () => this.#probeReset(answer));
+    }
     this.#sink.head(answer);
     answer.on("data", (chunk: Buffer) => {
       if (!this.#over) {
@@ -133,8 +141,25 @@
     answer.on("close", () => this.#broke("answer cut off"));
   }
 
+  /**
+   * Finds out whether a connection that ended was reset. Where data and a reset
+   * arrive together, the runtime tells of a plain end; the reset shows only on
+   * the next use of the connection, here by a write of no bytes.
+   */
+  #probeReset(answer: IncomingMessage): void {
+    this.#probing = true;
+    answer.socket.write(NO_BYTES, (error) => {
+      this.#probing = false;
+      if (error !== undefined && error !== null) {
+        this.#broke(`answer cut off: ${error.message}`);
+      } else if (answer.readableEnded) {
+        this.#answerEnded(answer);
+      }
+    });
+  }
+
   #answerEnded(answer: IncomingMessage): void {
-    if (this.#over) {
+    if (this.#over || this.#probing) {
       return;
     }
     if (!answer.complete) {
@@ -154,3 +179,9 @@
     this.#sink.broke({ sent: this.#sent, reason });
   }
 }
+
+/** Whether only the end of its connection tells where an answer ends. */
+function endsWithConnection({ headers }: IncomingMessage): boolean {
+  return headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -1,15 +1,44 @@
-/** What is left of workspaces' allotments: a token bucket for each. */
+/**
+ * Holds workspaces to their allotments over a sliding window, as the operators
+ * judge them: what was spent within the window may not pass what the allotment
+ * and its tolerance give for it.
+ */
 
 import type { Allotment } from "./fleet_configuration.ts";
-import { LOOK_BACK_S } from "./spending_log.ts";
+import { SpendingLog, type WorkspaceSpending } from "./spending_log.ts";
 
 const MS_PER_S = 1000;
 
-interface Bucket {
-  level: number;
-  filledAtMs: number;
-  perS: number;
-  burst: number;
+/**
+ * Share of the tolerance that is handed out. Where the whole fleet is heard the
+ * account is exact; the rest covers charges of instances that cut-off or
+ * killed coordinators knew of.
+ */
+const TOLERANCE_USED = 0.7;
+
+/**
+ * Share of the burst that a workspace may spend at once while nobody in the
+ * fleet remembers what it spent within the window, as after the loss of all
+ * instances at once.
+ */
+const UNREMEMBERED_BURST = 0.3;
+
+/** How far spending may go beyond an allotment, by the operators' word. */
+export interface AllotmentTolerance {
+  readonly windowMs: number;
+  /** Part of the allotment of one window. */
+  readonly overage: number;
+  /** Cost units. */
+  readonly slack: number;
+}
+
+/** What a ledger may hand out, and when. */
+export interface LedgerScope {
+  /** Share of the fleet's allotments, above 0, at most 1. */
+  readonly share: number;
+  /** How long the fleet has remembered all spending. */
+  readonly memoryMs: number;
+  readonly nowMs: number;
 }
 
 /** Outcome of a charge. */
@@ -17,45 +46,52 @@
   readonly allowed: boolean;
   /** When the charge would pass, where it does not. */
   readonly retryAfterMs: number;
+  /** Cost units spent in the window, and the bound on them. */
+  readonly spent: number;
+  readonly bound: number;
 }
 
-/** Share of the fleet's allotments that a ledger may hand out, and the time. */
-export interface LedgerScope {
-  /** Above 0, at most 1. */
-  readonly share: number;
-  readonly nowMs: number;
-}
-
-/** Buckets by workspace. */
+/** Spending of all workspaces, here and through other coordinators. */
 export class AllotmentLedger {
-  readonly #buckets = new Map<string, Bucket>();
+  readonly #tolerance: AllotmentTolerance;
+  readonly #own: SpendingLog;
+  /** Spent through other coordinators, as holders told last. */
+  readonly #elsewhere = new Map<string, number>();
+
+  /** @param tolerance How far spending may go beyond an allotment. */
+  constructor(tolerance: AllotmentTolerance) {
+    this.#tolerance = tolerance;
+    this.#own = new SpendingLog(tolerance.windowMs);
+  }
 
   /**
    * Charges a request to its workspace if the allotment allows it.
    *
    * @param workspace Name of the workspace.
    * @param allotment What it may spend, over the whole fleet.
-   * @param of The request's cost, the ledger's share and the time.
+   * @param cost The request's cost.
+   * @param scope What this ledger may hand out.
    * @returns Whether it was charged, and else when to come back.
    */
   charge(
     workspace: string,
     allotment: Allotment,
-    of: LedgerScope & { cost: number },
+    of: { cost: number; scope: LedgerScope },
   ): ChargeResult {
-    const bucket = this.#refilled(workspace, allotment, of);
-    // One request dearer than the whole burst passes on a full bucket;
+    const { cost, scope } = of;
+    const spent = this.#own.spent(workspace, scope.nowMs) +
+      (this.#elsewhere.get(workspace) ?? 0);
+    const bound = this.#bound(allotment, scope);
+    // A request dearer than the bound passes when nothing else was spent;
     // else it could never run at all.
-    const needed = Math.min(of.cost, bucket.burst);
-    if (bucket.level < needed) {
-      const missing = needed - bucket.level;
-      return {
-        allowed: false,
-        retryAfterMs: Math.ceil(missing / bucket.perS * MS_PER_S),
-      };
+    if (spent > 0 && spent + cost > bound) {
+      const excess = spent + cost - bound;
+      const retryAfterMs = this.#own
+        .untilLeft(workspace, excess, scope.nowMs);
+      return { allowed: false, retryAfterMs, spent, bound };
     }
-    bucket.level -= of.cost;
-    return { allowed: true, retryAfterMs: 0 };
+    this.#own.note(workspace, cost, scope.nowMs);
+    return { allowed: true, retryAfterMs: 0, spent, bound };
   }
 
   /**
@@ -63,50 +99,37 @@
    *
    * @param workspace Name of the workspace.
    * @param cost What was charged.
+   * @param nowMs The local time.
    */
-  refund(workspace: string, cost: number): void {
-    const bucket = this.#buckets.get(workspace);
-    if (bucket !== undefined) {
-      bucket.level = Math.min(bucket.burst, bucket.level + cost);
-    }
+  refund(workspace: string, cost: number, nowMs: number): void {
+    this.#own.note(workspace, -cost, nowMs);
   }
 
   /**
-   * Holds a bucket to what its workspace spent lately, through this ledger or
-   * any other. No bucket that was filled all the while can hold more, so this
-   * changes nothing but for a ledger that was empty when others charged.
+   * Counts what was charged elsewhere: by a coordinator before this one, or by
+   * holders on their own.
    *
-   * @param workspace Name of the workspace.
-   * @param allotment What it may spend, over the whole fleet.
-   * @param of Cost units spent within the look-back, share and time.
+   * @param totals What all holders told that they spent, wherever charged.
+   * @param nowMs The local time.
    */
-  holdTo(
-    workspace: string,
-    allotment: Allotment,
-    of: LedgerScope & { spent: number },
-  ): void {
-    const bucket = this.#refilled(workspace, allotment, of);
-    const left = bucket.burst + LOOK_BACK_S * bucket.perS - of.spent;
-    bucket.level = Math.min(bucket.level, left);
+  heard(totals: readonly WorkspaceSpending[], nowMs: number): void {
+    this.#elsewhere.clear();
+    for (const { workspace, spent } of totals) {
+      const own = this.#own.spent(workspace, nowMs);
+      this.#elsewhere.set(workspace, Math.max(0, spent - own));
+    }
   }
 
-  #refilled(
-    workspace: string,
-    allotment: Allotment,
-    of: LedgerScope,
-  ): Bucket {
-    const perS = allotment.perS * of.share;
-    const burst = allotment.burst * of.share;
-    let bucket = this.#buckets.get(workspace);
-    if (bucket === undefined) {
-      bucket = { level: burst, filledAtMs: of.nowMs, perS, burst };
-      this.#buckets.set(workspace, bucket);
-    }
-    const gain = bucket.perS * (of.nowMs - bucket.filledAtMs) / MS_PER_S;
-    bucket.level = Math.min(burst, bucket.level + gain);
-    bucket.filledAtMs = of.nowMs;
-    bucket.perS = perS;
-    bucket.burst = burst;
-    return bucket;
+  #bound(allotment: Allotment, scope: LedgerScope): number {
+    const { windowMs, overage, slack } = this.#tolerance;
+    const { perS, burst } = allotment;
+    const whole = (perS * windowMs / MS_PER_S + burst) *
+        (1 + overage * TOLERANCE_USED) + slack * TOLERANCE_USED;
+    const unremembered = perS * scope.memoryMs / MS_PER_S +
+      burst * UNREMEMBERED_BURST;
+    const bound = scope.memoryMs < windowMs
+      ? Math.min(whole, unremembered)
+      : whole;
+    return bound * scope.share;
   }
 }
--- /dev/null
+++ b/packages/routing/src/allotment_ledger_test.ts
@@ -0,0 +1,106 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { AllotmentLedger, type LedgerScope } from "./allotment_ledger.ts";
+
+const TOLERANCE = { windowMs: 8000, overage: 0.1, slack: 1000 };
+const ALLOTMENT = { perS: 1000, burst: 500, inTokens: true, plainTokens: 10 };
+/** (1000 × 8 + 500) × 1.07 + 700. */
+const WHOLE_BOUND = 9795;
+
+function scope(nowMs: number, over: Partial<LedgerScope> = {}): LedgerScope {
+  return { share: 1, memoryMs: Infinity, nowMs, ...over };
+}
+
+function spendAll(ledger: AllotmentLedger, over: LedgerScope): number {
+  let spent = 0;
+  while (
+    ledger.charge("w", ALLOTMENT, { cost: 5, scope: over }).allowed
+  ) {
+    spent += 5;
+  }
+  return spent;
+}
+
+test("a window holds the allotment and the used part of its tolerance", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  assert.is(spendAll(ledger, scope(0)), WHOLE_BOUND);
+  assert.is(spendAll(ledger, scope(7999)), 0);
+  assert.is(spendAll(ledger, scope(8300)), WHOLE_BOUND);
+});
+
+test("no sliding window holds more, however spending is timed", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  const charges: { atMs: number; cost: number }[] = [];
+  for (let atMs = 0; atMs < 40_000; atMs += 37) {
+    const cost = 40 + (atMs * 7919) % 400;
+    const result = ledger.charge("w", ALLOTMENT, { cost, scope: scope(atMs) });
+    if (result.allowed) {
+      charges.push({ atMs, cost });
+    }
+  }
+  for (const { atMs } of charges) {
+    const inWindow = charges
+      .filter((c) => c.atMs >= atMs && c.atMs <= atMs + TOLERANCE.windowMs)
+      .reduce((sum, c) => sum + c.cost, 0);
+    assert.ok(inWindow <= WHOLE_BOUND, `${inWindow} from ${atMs}`);
+  }
+});
+
+test("a refusal tells when the charge would pass", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  spendAll(ledger, scope(0));
+  const of = { cost: 5, scope: scope(2000) };
+  const { allowed, retryAfterMs } = ledger.charge("w", ALLOTMENT, of);
+  assert.is(allowed, false);
+  const later = { cost: 5, scope: scope(2000 + retryAfterMs + 1) };
+  assert.ok(ledger.charge("w", ALLOTMENT, later).allowed);
+});
+
+test("a part of the fleet hands out its share only", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  const spent = spendAll(ledger, scope(0, { share: 0.25 }));
+  assert.ok(spent <= WHOLE_BOUND / 4, String(spent));
+});
+
+test("what was charged elsewhere counts for a new coordinator", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  ledger.heard([{ workspace: "w", spent: WHOLE_BOUND - 100 }], 0);
+  assert.is(spendAll(ledger, scope(0)), 100);
+});
+
+test("reports of its own charges change nothing", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  ledger.charge("w", ALLOTMENT, { cost: 4000, scope: scope(0) });
+  ledger.heard([{ workspace: "w", spent: 3900 }], 500);
+  assert.is(spendAll(ledger, scope(500)), WHOLE_BOUND - 4000);
+});
+
+test("a fleet that lost its memory hands out little more than the rate", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  const spent = spendAll(ledger, scope(0, { memoryMs: 1000 }));
+  assert.is(spent, 1000 + 150);
+});
+
+test("a lowered limit binds what was spent before, too", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  spendAll(ledger, scope(0));
+  const lower = { ...ALLOTMENT, perS: 100 };
+  const of = { cost: 5, scope: scope(1000) };
+  assert.is(ledger.charge("w", lower, of).allowed, false);
+});
+
+test("a single request beyond the bound passes when nothing was spent", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  const of = { cost: WHOLE_BOUND * 2, scope: scope(0) };
+  assert.ok(ledger.charge("w", ALLOTMENT, of).allowed);
+  assert.is(ledger.charge("w", ALLOTMENT, of).allowed, false);
+});
+
+test("a refund can be spent again", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  spendAll(ledger, scope(0));
+  ledger.refund("w", 500, 100);
+  assert.is(spendAll(ledger, scope(100)), 500);
+});
+
+test.run();
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -6,14 +6,18 @@
 
 import { PoolSchedule } from "./pool_schedule.ts";
 import { RetryBudget, type RetryBudgetBound } from "./retry_budget.ts";
-import { AllotmentLedger, type LedgerScope } from "./allotment_ledger.ts";
+import {
+  AllotmentLedger,
+  type AllotmentTolerance,
+  type LedgerScope,
+} from "./allotment_ledger.ts";
+import type { WorkspaceSpending } from "./spending_log.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import {
   AskCause,
   type AskDecision,
   AskRefusal,
   type HolderReport,
-  type SpentLately,
   type WorkAsk,
   type WorkEnd,
 } from "./work_ask.ts";
@@ -29,39 +33,46 @@
 
 const RETRY_BUDGET_AFTER_MS = 1000;
 
+/** Bounds that the operators set on the fleet as a whole. */
+export interface FleetBounds {
+  readonly retryBudget: RetryBudgetBound;
+  readonly allotmentTolerance: AllotmentTolerance;
+}
+
 /** Coordinates asks of all holders that reach this instance. */
 export class Coordinator {
   readonly #board: RoutingBoard;
   readonly #budgetBound: RetryBudgetBound;
   readonly #pools = new Map<string, PoolSchedule>();
   readonly #budgets = new Map<string, RetryBudget>();
-  readonly #ledger = new AllotmentLedger();
+  readonly #ledger: AllotmentLedger;
   readonly #poolOfAsk = new Map<string, string>();
   readonly #charges = new Map<string, { workspace: string; cost: number }>();
   readonly #reportedAtMs = new Map<string, number>();
-  readonly #spentBy = new Map<string, readonly SpentLately[]>();
+  readonly #spentBy = new Map<string, readonly WorkspaceSpending[]>();
 
   /**
    * @param board What the instance believes.
-   * @param budgetBound Bound on repeats for the whole fleet.
+   * @param bounds Bounds that hold for the whole fleet.
    */
-  constructor(board: RoutingBoard, budgetBound: RetryBudgetBound) {
+  constructor(board: RoutingBoard, bounds: FleetBounds) {
     this.#board = board;
-    this.#budgetBound = budgetBound;
+    this.#budgetBound = bounds.retryBudget;
+    this.#ledger = new AllotmentLedger(bounds.allotmentTolerance);
   }
 
   /**
    * Takes in an ask. One that was sent again gets the same decision again.
    *
    * @param ask The ask.
-   * @param of The share (0 to 1) of the fleet's allotments and retry budgets
-   * that this instance may hand out, and the local time.
+   * @param scope What of the fleet's allotments and retry budgets this instance
+   * may hand out, and the local time.
    * @returns Decisions, for this ask and for others; none for this one while
    * it waits.
    */
-  ask(ask: WorkAsk, of: LedgerScope): AskDecision[] {
+  ask(ask: WorkAsk, scope: LedgerScope): AskDecision[] {
     const schedule = this.#pool(ask.pool);
-    this.#reportedAtMs.set(ask.holderId, of.nowMs);
+    this.#reportedAtMs.set(ask.holderId, scope.nowMs);
     const placed = schedule.placed(ask.askId);
     if (placed !== undefined) {
       return [placed.decision];
@@ -69,12 +80,12 @@
     if (schedule.isWaiting(ask.askId)) {
       return [];
     }
-    const refusal = this.#refusedAtDoor(ask, of);
+    const refusal = this.#refusedAtDoor(ask, scope);
     if (refusal !== undefined) {
       return [refusal];
     }
     this.#poolOfAsk.set(ask.askId, ask.pool);
-    return this.#settled(schedule.add(ask, of.nowMs));
+    return this.#settled(schedule.add(ask, scope.nowMs), scope.nowMs);
   }
 
   /**
@@ -100,7 +111,7 @@
     const tokensAhead = work?.tokensAhead ?? 0;
     this.#board.paces.learn(end, { isStream, tokensAhead });
     this.#forget(end.askId);
-    return this.#settled(decisions);
+    return this.#settled(decisions, nowMs);
   }
 
   /**
@@ -115,24 +126,23 @@
     if (schedule === undefined) {
       return [];
     }
-    this.#refund(askId);
+    this.#refund(askId, nowMs);
     const { decisions } = schedule.release(askId, nowMs);
     this.#forget(askId);
-    return this.#settled(decisions);
+    return this.#settled(decisions, nowMs);
   }
 
   /**
    * Brings the account in line with what a holder has open and has spent.
    *
    * @param report The holder's report.
-   * @param of Share of the fleet's allotments, and the local time.
+   * @param nowMs The local time.
    * @returns Decisions on asks that waited.
    */
-  report(report: HolderReport, of: LedgerScope): AskDecision[] {
-    const { nowMs } = of;
+  report(report: HolderReport, nowMs: number): AskDecision[] {
     this.#reportedAtMs.set(report.holderId, nowMs);
     this.#spentBy.set(report.holderId, report.spent);
-    this.#holdToSpending(of);
+    this.#holdToSpending(nowMs);
     for (const running of report.running) {
       this.#poolOfAsk.set(running.askId, running.pool);
       this.#pool(running.pool).adopt(report.holderId, running, nowMs);
@@ -161,7 +171,7 @@
       }
     }
     for (const schedule of this.#pools.values()) {
-      decisions.push(...this.#settled(schedule.tick(nowMs)));
+      decisions.push(...this.#settled(schedule.tick(nowMs), nowMs));
     }
     return decisions;
   }
@@ -184,28 +194,27 @@
   }
 
   /** Counts what all holders told that they spent, here or elsewhere. */
-  #holdToSpending(of: LedgerScope): void {
+  #holdToSpending(nowMs: number): void {
     const totals = new Map<string, number>();
     for (const spent of this.#spentBy.values()) {
       for (const { workspace, spent: amount } of spent) {
         totals.set(workspace, (totals.get(workspace) ?? 0) + amount);
       }
     }
-    for (const [workspace, spent] of totals) {
-      const allotment = this.#board.routes?.workspace(workspace)?.allotment;
-      if (allotment !== undefined) {
-        this.#ledger.holdTo(workspace, allotment, { ...of, spent });
-      }
-    }
+    const spending = [...totals]
+      .map(([workspace, spent]) => ({ workspace, spent }));
+    this.#ledger.heard(spending, nowMs);
   }
 
   #refusedAtDoor(
     ask: WorkAsk,
-    of: LedgerScope,
+    scope: LedgerScope,
   ): AskDecision | undefined {
     const { askId, holderId } = ask;
     const budget = this.#budget(ask.pool);
-    if (ask.cause === AskCause.Repeat && !budget.take(of.share, of.nowMs)) {
+    if (
+      ask.cause === AskCause.Repeat && !budget.take(scope.share, scope.nowMs)
+    ) {
       return {
         askId,
         holderId,
@@ -214,18 +223,17 @@
       };
     }
     if (ask.cause === AskCause.First) {
-      budget.noteFirst(of.nowMs);
+      budget.noteFirst(scope.nowMs);
     }
     const allotment = this.#board.routes?.workspace(ask.workspace)?.allotment;
     if (allotment === undefined || ask.cost === 0) {
       return undefined;
     }
-    const charge = this.#ledger.charge(ask.workspace, allotment, {
-      ...of,
-      cost: ask.cost,
-    });
+    const { cost } = ask;
+    const of = { cost, scope };
+    const charge = this.#ledger.charge(ask.workspace, allotment, of);
     if (charge.allowed) {
-      const { workspace, cost } = ask;
+      const { workspace } = ask;
       this.#charges.set(askId, { workspace, cost });
       return undefined;
     }
@@ -233,10 +241,10 @@
     return { askId, holderId, refusal: AskRefusal.Allotment, retryAfterMs };
   }
 
-  #settled(decisions: AskDecision[]): AskDecision[] {
+  #settled(decisions: AskDecision[], nowMs: number): AskDecision[] {
     for (const decision of decisions) {
       if ("refusal" in decision) {
-        this.#refund(decision.askId);
+        this.#refund(decision.askId, nowMs);
         this.#forget(decision.askId);
       }
     }
@@ -263,13 +271,13 @@
         }
       }
     }
-    return this.#settled(decisions);
+    return this.#settled(decisions, nowMs);
   }
 
-  #refund(askId: string): void {
+  #refund(askId: string, nowMs: number): void {
     const charge = this.#charges.get(askId);
     if (charge !== undefined) {
-      this.#ledger.refund(charge.workspace, charge.cost);
+      this.#ledger.refund(charge.workspace, charge.cost, nowMs);
     }
   }
 
--- /dev/null
+++ b/packages/routing/src/coordinator_test.ts
@@ -0,0 +1,150 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { Coordinator } from "./coordinator.ts";
+import type { FleetConfiguration } from "./fleet_configuration.ts";
+import { askOf, boardOf } from "./routing_test_support.ts";
+import { AskCause, type AskDecision, type WorkEnd } from "./work_ask.ts";
+
+const BOUNDS = {
+  retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
+  allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
+};
+
+function coordinatorOf(
+  targetIds: readonly string[],
+  over: Partial<FleetConfiguration> = {},
+): Coordinator {
+  return new Coordinator(boardOf(targetIds, over), BOUNDS);
+}
+
+function scope(nowMs: number) {
+  return { share: 1, memoryMs: Infinity, nowMs };
+}
+
+function endOf(askId: string, targetId: string): WorkEnd {
+  return { askId, targetId, pool: "p", promptTokens: 500, failed: false };
+}
+
+/** `ask -> target` or `ask: refusal`. */
+function texts(decisions: readonly AskDecision[]): string[] {
+  return decisions.map((d) =>
+    "targetId" in d ? `${d.askId} -> ${d.targetId}` : `${d.askId}: ${d.refusal}`
+  );
+}
+
+test("no target gets more than its slots; the rest waits by rank", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  const asks = [
+    askOf("a1"),
+    askOf("a2"),
+    askOf("low", { rank: 2 }),
+    askOf("high", { rank: 0 }),
+  ];
+  const decided = asks.flatMap((ask) => coordinator.ask(ask, scope(0)));
+  assert.equal(texts(decided), ["a1 -> t1", "a2 -> t1"]);
+  assert.equal(texts(coordinator.ended(endOf("a1", "t1"), 50)), [
+    "high -> t1",
+  ]);
+  assert.equal(texts(coordinator.ended(endOf("a2", "t1"), 60)), ["low -> t1"]);
+});
+
+test("an ask that is sent again gets the same place", () => {
+  const coordinator = coordinatorOf(["t1", "t2"]);
+  const first = coordinator.ask(askOf("a1"), scope(0));
+  assert.equal(coordinator.ask(askOf("a1"), scope(40)), first);
+  assert.equal(coordinator.load(), [{ pool: "p", waiting: 0, placed: 1 }]);
+});
+
+test("what would wait longer than its caller is refused at once", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  coordinator.ask(askOf("a1"), scope(0));
+  coordinator.ask(askOf("a2"), scope(0));
+  const hasty = askOf("hasty", { patienceLeftMs: 100 });
+  const [refusal] = coordinator.ask(hasty, scope(0));
+  assert.equal(texts([refusal!]), ["hasty: overload"]);
+  assert.ok("retryAfterMs" in refusal! && refusal.retryAfterMs >= 500);
+});
+
+test("a request of a higher rank pushes the lowest out, not itself", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  coordinator.ask(askOf("a1"), scope(0));
+  coordinator.ask(askOf("a2"), scope(0));
+  coordinator.ask(askOf("low", { rank: 2, patienceLeftMs: 400 }), scope(0));
+  const high = askOf("high", { patienceLeftMs: 400 });
+  assert.equal(texts(coordinator.ask(high, scope(10))), ["low: overload"]);
+});
+
+test("an engine is never promised more memory than it has", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  const big = { promptTokens: 60_000, outputTokens: 1000 };
+  assert.equal(texts(coordinator.ask(askOf("b1", big), scope(0))), [
+    "b1 -> t1",
+  ]);
+  assert.equal(coordinator.ask(askOf("b2", big), scope(0)), []);
+});
+
+test("a target that failed the request is not given it again", () => {
+  const coordinator = coordinatorOf(["t1", "t2"]);
+  const ask = askOf("a1", { excluded: ["t1"], cause: AskCause.Repeat });
+  assert.equal(texts(coordinator.ask(ask, scope(0))), ["a1 -> t2"]);
+  const none = askOf("a2", { excluded: ["t1", "t2"] });
+  assert.equal(texts(coordinator.ask(none, scope(0))), ["a2: no_target"]);
+});
+
+test("repeats draw on a budget of the whole fleet", () => {
+  const coordinator = coordinatorOf(["t1", "t2", "t3"]);
+  const again = (id: string) =>
+    texts(coordinator.ask(askOf(id, { cause: AskCause.Repeat }), scope(0)));
+  assert.equal(
+    [...again("r1"), ...again("r2"), ...again("r3"), ...again("r4")]
+      .filter((text) => text.endsWith("retry_budget")),
+    ["r4: retry_budget"],
+  );
+});
+
+test("a holder's report frees what it no longer has, and brings work along", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  coordinator.ask(askOf("a1", { holderId: "i2" }), scope(0));
+  const running = {
+    askId: "b1",
+    pool: "p",
+    targetId: "t1",
+    promptTokens: 500,
+    outputTokens: 100,
+    firstSeen: true,
+  };
+  const report = { holderId: "i2", running: [running], waiting: [], spent: [] };
+  coordinator.report(report, 100);
+  assert.equal(coordinator.load()[0], { pool: "p", waiting: 0, placed: 2 });
+  coordinator.report({ ...report, running: [] }, 1000);
+  assert.equal(coordinator.load()[0], { pool: "p", waiting: 0, placed: 0 });
+});
+
+test("the work of a holder that fell silent is no longer counted", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  coordinator.ask(askOf("a1", { holderId: "i2" }), scope(0));
+  coordinator.ask(askOf("a2", { holderId: "i2" }), scope(0));
+  assert.equal(coordinator.ask(askOf("a3"), scope(10)), []);
+  coordinator.report(
+    { holderId: "i1", running: [], waiting: ["a3"], spent: [] },
+    1000,
+  );
+  assert.equal(texts(coordinator.tick(1600)), ["a3 -> t1"]);
+});
+
+test("an allotment is charged once, and given back for what never ran", () => {
+  const allotment = { perS: 100, burst: 200, inTokens: true, plainTokens: 1 };
+  const coordinator = coordinatorOf(["t1"], {
+    workspaces: [{ name: "w", keys: [], allotment }],
+  });
+  const ask = askOf("a1", { cost: 1000 });
+  assert.equal(texts(coordinator.ask(ask, scope(0))), ["a1 -> t1"]);
+  coordinator.ask(ask, scope(40));
+  const second = askOf("a2", { cost: 100 });
+  assert.equal(texts(coordinator.ask(second, scope(50))), ["a2: allotment"]);
+  coordinator.dropped("a1", 60);
+  const third = askOf("a3", { cost: 100 });
+  assert.equal(texts(coordinator.ask(third, scope(70))), ["a3 -> t1"]);
+});
+
+test.run();
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -32,6 +32,7 @@
 export class MemberView {
   readonly selfId: string;
   readonly #byId = new Map<string, MemberRecord>();
+  readonly #memoryMs = new Map<string, number>();
 
   /** @param self This instance. */
   constructor(self: MemberNews) {
@@ -107,6 +108,29 @@
     return this.alive(nowMs).length / Math.max(1, present.length);
   }
 
+  /**
+   * Tells how long the fleet has remembered what workspaces spent: what one
+   * instance forgot with its process, others still know.
+   *
+   * @param ownMs How long this instance has run.
+   * @param nowMs The local time.
+   * @returns A duration in milliseconds.
+   */
+  memoryMs(ownMs: number, nowMs: number): number {
+    const alive = this.alive(nowMs).map(({ instanceId }) =>
+      this.#memoryMs.get(instanceId) ?? 0
+    );
+    return Math.max(ownMs, ...alive);
+  }
+
+  /**
+   * @param instanceId A member.
+   * @param memoryMs How long it has remembered what workspaces spent.
+   */
+  remembers(instanceId: string, memoryMs: number): void {
+    this.#memoryMs.set(instanceId, memoryMs);
+  }
+
   /**
    * Picks the coordinator by rendezvous hashing: every instance with the same
    * view picks the same one, and a change moves no more than it must.
@@ -132,6 +156,7 @@
     for (const { instanceId, heardAtMs } of this.others()) {
       if (heardAtMs > -Infinity && nowMs - heardAtMs > FORGET_MEMBER_MS) {
         this.#byId.delete(instanceId);
+        this.#memoryMs.delete(instanceId);
       }
     }
   }
--- /dev/null
+++ b/packages/routing/src/member_view_test.ts
@@ -0,0 +1,73 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { type MemberNews, MemberView } from "./member_view.ts";
+
+const NONE = new Set<string>();
+
+function news(instanceId: string, over: Partial<MemberNews> = {}): MemberNews {
+  return {
+    instanceId,
+    address: `${instanceId}:7000`,
+    failureDomain: "a",
+    incarnation: 1,
+    leaving: false,
+    ...over,
+  };
+}
+
+function viewOf(selfId: string, others: readonly string[]): MemberView {
+  const view = new MemberView(news(selfId));
+  for (const id of others) {
+    view.heard(news(id), 0);
+  }
+  return view;
+}
+
+test("instances with the same view pick the same coordinator", () => {
+  const ids = ["i1", "i2", "i3", "i4"];
+  const picked = ids.map((self) =>
+    viewOf(self, ids.filter((id) => id !== self)).coordinator(100, NONE)
+      .instanceId
+  );
+  assert.is(new Set(picked).size, 1);
+});
+
+test("a silent or leaving coordinator is replaced by another", () => {
+  const view = viewOf("i1", ["i2", "i3"]);
+  const first = view.coordinator(100, NONE).instanceId;
+  assert.is.not(view.coordinator(100, new Set([first])).instanceId, first);
+  const others = ["i2", "i3"].filter((id) => id !== first);
+  view.heard(news(first, { leaving: true }), 100);
+  assert.ok(["i1", ...others].includes(view.coordinator(100, NONE).instanceId));
+  assert.is(view.coordinator(5000, NONE).instanceId, "i1");
+});
+
+test("an instance cut off counts its share of the fleet", () => {
+  const view = viewOf("i1", ["i2", "i3", "i4"]);
+  assert.is(view.heardShare(100), 1);
+  view.heard(news("i2"), 5000);
+  assert.is(view.heardShare(5000), 0.5);
+});
+
+test("word of an earlier start of a member is ignored", () => {
+  const view = viewOf("i1", []);
+  view.heard(news("i2", { incarnation: 2, address: "new:1" }), 0);
+  view.heard(news("i2", { incarnation: 1, address: "old:1" }), 10);
+  assert.is(view.get("i2")?.address, "new:1");
+});
+
+test("a member that was only told of gets no duties", () => {
+  const view = viewOf("i1", []);
+  view.toldOf(news("i2"));
+  assert.is(view.coordinator(0, NONE).instanceId, "i1");
+  assert.is(view.heardShare(0), 1);
+});
+
+test("the fleet remembers as long as its oldest instance", () => {
+  const view = viewOf("i1", ["i2"]);
+  view.remembers("i2", 9000);
+  assert.is(view.memoryMs(100, 50), 9000);
+  assert.is(view.memoryMs(2000, 3000), 2000);
+});
+
+test.run();
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -108,6 +108,8 @@
   z.object({
     kind: z.literal(MessageKind.Beat),
     from: member,
+    /** How long the sender has remembered what workspaces spent. */
+    memoryMs: z.number(),
     /** Version of the configuration that the sender has; 0 for none. */
     configurationVersion: z.number(),
     /** Version of the newest news that it has of targets. */
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -7,6 +7,8 @@
   NoRoute = "no_route",
   UnknownKey = "unknown_key",
   BodyTooLarge = "body_too_large",
+  /** This instance is shutting down; others are not. */
+  Leaving = "leaving",
   /** The workspace has spent its allotment. */
   Allotment = "allotment",
   /** It would wait longer than its caller does. */
@@ -65,6 +67,11 @@
     ran: RanState.NotRun,
     text: "The body is larger than the configured limit.",
   },
+  [RoutedError.Leaving]: {
+    status: 503,
+    ran: RanState.NotRun,
+    text: "This instance is shutting down; ask again on a new connection.",
+  },
   [RoutedError.Allotment]: {
     status: 429,
     ran: RanState.NotRun,
--- /dev/null
+++ b/packages/routing/src/routing_test_support.ts
@@ -0,0 +1,127 @@
+/** Builders for tests. */
+
+import {
+  type FleetConfiguration,
+  RequestKind,
+  type RoutePolicy,
+} from "./fleet_configuration.ts";
+import { MemberView } from "./member_view.ts";
+import { RouteTable } from "./route_table.ts";
+import type { RoutingBoard } from "./routing_board.ts";
+import { TargetDirectory } from "./target_directory.ts";
+import { TargetHealth } from "./target_health.ts";
+import { TargetPaces } from "./target_paces.ts";
+import { AskCause, type WorkAsk } from "./work_ask.ts";
+
+/**
+ * @param over What differs from a plain route.
+ * @returns A route of pool `p`.
+ */
+export function routeOf(over: Partial<RoutePolicy> = {}): RoutePolicy {
+  return {
+    name: "r",
+    host: "h.example",
+    prefix: "/r/",
+    kind: RequestKind.ResumableStream,
+    rank: 0,
+    pools: [{ pool: "p", weight: 1 }],
+    timeoutMs: 15_000,
+    objectiveMs: 800,
+    longestGapMs: 300,
+    maxAttempts: 2,
+    isPublic: false,
+    ...over,
+  };
+}
+
+/**
+ * @param over What differs from a configuration with one engine pool `p`.
+ * @returns A configuration.
+ */
+export function configurationOf(
+  over: Partial<FleetConfiguration> = {},
+): FleetConfiguration {
+  return {
+    version: 1,
+    routes: [routeOf()],
+    pools: [{
+      name: "p",
+      maxConnections: 100,
+      engine: { slots: 2, kvCapacityTokens: 100_000 },
+    }],
+    workspaces: [],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    ...over,
+  };
+}
+
+/**
+ * @param targetIds Targets of pool `p` with two slots each.
+ * @param over What differs in the configuration.
+ * @returns A board of instance `i1`.
+ */
+export function boardOf(
+  targetIds: readonly string[],
+  over: Partial<FleetConfiguration> = {},
+): RoutingBoard {
+  const targets = new TargetDirectory();
+  targets.listAnswers(0);
+  targets.apply(
+    targetIds.map((targetId, index) => ({
+      targetId,
+      rowVersion: index + 1,
+      entry: {
+        targetId,
+        pool: "p",
+        address: `10.0.0.${index + 1}:80`,
+        failureDomain: "a",
+        slots: 2,
+        leaving: false,
+      },
+    })),
+    0,
+  );
+  return {
+    routes: new RouteTable(configurationOf(over)),
+    targets,
+    members: new MemberView({
+      instanceId: "i1",
+      address: "10.1.0.1:7000",
+      failureDomain: "a",
+      incarnation: 1,
+      leaving: false,
+    }),
+    health: new TargetHealth(),
+    paces: new TargetPaces(),
+  };
+}
+
+/**
+ * @param askId The ask's id.
+ * @param over What differs from a small stream of rank 0.
+ * @returns An ask.
+ */
+export function askOf(askId: string, over: Partial<WorkAsk> = {}): WorkAsk {
+  return {
+    askId,
+    holderId: "i1",
+    pool: "p",
+    workspace: "w",
+    kind: RequestKind.ResumableStream,
+    rank: 0,
+    cost: 0,
+    promptTokens: 500,
+    outputTokens: 100,
+    objectiveLeftMs: 800,
+    patienceLeftMs: 2000,
+    failureDomain: "a",
+    excluded: [],
+    cause: AskCause.First,
+    ...over,
+  };
+}
--- /dev/null
+++ b/packages/routing/src/target_directory_test.ts
@@ -0,0 +1,100 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  type TargetChange,
+  TargetDirectory,
+  TargetNews,
+} from "./target_directory.ts";
+
+function row(
+  rowVersion: number,
+  over: { leaving?: boolean; targetId?: string } = {},
+): TargetChange {
+  const { leaving = false, targetId = "t1" } = over;
+  return {
+    targetId,
+    rowVersion,
+    entry: {
+      targetId,
+      pool: "p",
+      address: "10.0.0.1:80",
+      failureDomain: "a",
+      slots: 4,
+      leaving,
+    },
+  };
+}
+
+function directory(): TargetDirectory {
+  const targets = new TargetDirectory();
+  targets.listAnswers(0);
+  return targets;
+}
+
+function usableIds(targets: TargetDirectory, nowMs: number): string[] {
+  return targets.usable("p", nowMs).map(({ targetId }) => targetId);
+}
+
+test("a leaving target gets no new work", () => {
+  const targets = directory();
+  targets.apply([row(1)], 10);
+  assert.equal(usableIds(targets, 10), ["t1"]);
+  const beliefs = targets.apply([row(2, { leaving: true })], 20);
+  assert.is(beliefs[0]!.news, TargetNews.Leaving);
+  assert.equal(usableIds(targets, 20), []);
+});
+
+test("a late heartbeat does not bring a leaving target back", () => {
+  const targets = directory();
+  targets.apply([row(2, { leaving: true }), row(3)], 10);
+  assert.equal(usableIds(targets, 10), []);
+});
+
+test("news older than what is known changes nothing", () => {
+  const targets = directory();
+  targets.apply([row(5)], 10);
+  assert.equal(targets.apply([row(4, { leaving: true })], 20), []);
+  assert.equal(usableIds(targets, 20), ["t1"]);
+});
+
+test("a row that vanishes from a steady list counts at once", () => {
+  const targets = directory();
+  targets.apply([row(1)], 10);
+  targets.apply([{ targetId: "t1", rowVersion: 2 }], 5000);
+  assert.equal(usableIds(targets, 5000), []);
+});
+
+test("a row that vanished around an outage is given time to return", () => {
+  const targets = directory();
+  targets.apply([row(1)], 10);
+  targets.listLost();
+  targets.listAnswers(9000);
+  targets.apply([{ targetId: "t1", rowVersion: 2 }], 9000);
+  assert.equal(usableIds(targets, 11_000), ["t1"]);
+  assert.equal(usableIds(targets, 11_300), []);
+});
+
+test("an outage after a removal does not bring the target back", () => {
+  const targets = directory();
+  targets.apply([row(1)], 10);
+  targets.apply([{ targetId: "t1", rowVersion: 2 }], 5000);
+  targets.listLost();
+  assert.equal(usableIds(targets, 5100), []);
+});
+
+test("a target whose row returns is used again", () => {
+  const targets = directory();
+  targets.apply([row(1)], 10);
+  targets.apply([{ targetId: "t1", rowVersion: 2 }], 5000);
+  targets.apply([row(3)], 6000);
+  assert.equal(usableIds(targets, 6000), ["t1"]);
+});
+
+test("a whole read removes what it lacks, unless that is newer", () => {
+  const targets = directory();
+  targets.apply([row(1), row(9, { targetId: "t2" })], 10);
+  targets.replace([], 5, 5000);
+  assert.equal(usableIds(targets, 5000), ["t2"]);
+});
+
+test.run();
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -1,6 +1,7 @@
 /** What a holder asks a coordinator, and what it gets back. */
 
 import type { RequestKind } from "./fleet_configuration.ts";
+import type { WorkspaceSpending } from "./spending_log.ts";
 
 /** Why a request asks for a place. */
 export enum AskCause {
@@ -89,16 +90,11 @@
   readonly firstSeen: boolean;
 }
 
-/** Cost units that a workspace spent lately through one holder. */
-export interface SpentLately {
-  readonly workspace: string;
-  readonly spent: number;
-}
-
 /** All that a holder has open, told regularly. */
 export interface HolderReport {
   readonly holderId: string;
   readonly running: readonly RunningWork[];
   readonly waiting: readonly string[];
-  readonly spent: readonly SpentLately[];
+  /** What workspaces spent within the window, through this holder. */
+  readonly spent: readonly WorkspaceSpending[];
 }
