--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -129,6 +129,11 @@
     this.#server.closeIdleConnections();
   }
 
+  /** Drops every connection. */
+  kill(): void {
+    this.#server.closeAllConnections();
+  }
+
   #read(request: IncomingMessage, response: ServerResponse): void {
     const { clock, protocol } = this.#parts;
     const arrivedAtMs = clock.nowMs();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -67,7 +67,7 @@
 /** Runs one entry instance within this process. */
 export class Gateway {
   readonly board: RoutingBoard;
-  readonly #settings: GatewaySettings;
+  #settings: GatewaySettings;
   readonly #platform: PlatformPort;
   readonly #clock: Clock;
   readonly #startedAtMs: number;
@@ -85,6 +85,7 @@
   readonly #status: StatusServer;
   #askCounter = 0;
   #leaving = false;
+  #closed = false;
   #tickTimer?: NodeJS.Timeout;
   #tickedAtMs = 0;
   #wasCoordinator = false;
@@ -146,6 +147,39 @@
     return this.#front.address;
   }
 
+  /** The instance that gives places to requests now. */
+  get coordinatorId(): string {
+    return this.#desk.coordinatorId;
+  }
+
+  /**
+   * Takes in a version of the configuration, as from the platform.
+   *
+   * @param configuration The version; an older one than that in force is
+   * ignored.
+   */
+  takeConfiguration(configuration: FleetConfiguration): void {
+    this.#news.configurationRead(configuration);
+  }
+
+  /**
+   * Takes in changed start settings. Bounds and the grace time change at once;
+   * addresses and names are those of the process until it starts again.
+   *
+   * @param settings The new settings.
+   */
+  reload(settings: GatewaySettings): void {
+    const { bounds, graceMs } = settings;
+    this.#settings = { ...this.#settings, bounds, graceMs };
+    this.#coordinator.setBounds(bounds);
+    this.#log.info(LogPart.Process, "reloaded", { graceMs });
+  }
+
+  /** @param faults Why changed start settings cannot be used. */
+  cannotReload(faults: readonly string[]): void {
+    this.#log.warn(LogPart.Process, "settings not usable", { faults });
+  }
+
   /** @returns Once callers and peers can connect. */
   async start(): Promise<void> {
     const settings = this.#settings;
@@ -203,6 +237,20 @@
       cutRequests: this.#front.openCount,
       tookMs: Math.round(this.#clock.nowMs() - beganAtMs),
     });
+    this.#close();
+  }
+
+  /** Ends at once, as a killed process would; for tests. */
+  kill(): void {
+    this.#close();
+    this.#front.kill();
+  }
+
+  #close(): void {
+    if (this.#closed) {
+      return;
+    }
+    this.#closed = true;
     clearInterval(this.#tickTimer);
     this.#front.close();
     this.#platform.stop();
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -57,6 +57,9 @@
 /** Status codes from here on are failures of a target. */
 const FIRST_FAILURE_STATUS = 500;
 
+/** Share of a caller's time left after which it is asked to come back. */
+const COME_BACK_SHARE = 0.3;
+
 /** Time that a refused caller is asked to wait where nothing says more. */
 const RETRY_AFTER_MS = 500;
 
@@ -265,7 +268,17 @@
       this.#fail(RoutedError.AnswerLost);
       return;
     }
-    this.#fail(REFUSAL_ERRORS[refusal], retryAfterMs);
+    this.#fail(REFUSAL_ERRORS[refusal], this.#comeBackMs(retryAfterMs));
+  }
+
+  /**
+   * A surge outlasts the wait of one request by far, and a caller that comes
+   * back into it is refused again. So it is asked to wait for as long as callers
+   * heed, a third of the time that they have left.
+   */
+  #comeBackMs(retryAfterMs: number): number {
+    const leftMs = deadlineAtMs(this.#call) - this.#nowMs();
+    return Math.max(retryAfterMs, COME_BACK_SHARE * leftMs);
   }
 
   #send(target: KnownTarget, expectedMs: number): void {
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -53,7 +53,7 @@
 
 /** Spending of all workspaces, here and through other coordinators. */
 export class AllotmentLedger {
-  readonly #tolerance: AllotmentTolerance;
+  #tolerance: AllotmentTolerance;
   readonly #own: SpendingLog;
   /** Spent through other coordinators, as holders told last. */
   readonly #elsewhere = new Map<string, number>();
@@ -64,6 +64,14 @@
     this.#own = new SpendingLog(tolerance.windowMs);
   }
 
+  /**
+   * @param tolerance The tolerance from now on. Spending is remembered for as
+   * long as the window was at the start.
+   */
+  setTolerance(tolerance: AllotmentTolerance): void {
+    this.#tolerance = tolerance;
+  }
+
   /**
    * Charges a request to its workspace if the allotment allows it.
    *
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -42,10 +42,10 @@
 /** Coordinates asks of all holders that reach this instance. */
 export class Coordinator {
   readonly #board: RoutingBoard;
-  readonly #budgetBound: RetryBudgetBound;
   readonly #pools = new Map<string, PoolSchedule>();
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #ledger: AllotmentLedger;
+  #bounds: FleetBounds;
   readonly #poolOfAsk = new Map<string, string>();
   readonly #charges = new Map<string, { workspace: string; cost: number }>();
   readonly #reportedAtMs = new Map<string, number>();
@@ -57,7 +57,7 @@
    */
   constructor(board: RoutingBoard, bounds: FleetBounds) {
     this.#board = board;
-    this.#budgetBound = bounds.retryBudget;
+    this.#bounds = bounds;
     this.#ledger = new AllotmentLedger(bounds.allotmentTolerance);
   }
 
@@ -176,6 +176,15 @@
     return decisions;
   }
 
+  /** @param bounds Bounds that hold from now on. */
+  setBounds(bounds: FleetBounds): void {
+    this.#bounds = bounds;
+    this.#ledger.setTolerance(bounds.allotmentTolerance);
+    for (const budget of this.#budgets.values()) {
+      budget.setBound(bounds.retryBudget);
+    }
+  }
+
   /** Forgets all asks, after a pause in which holders went elsewhere. */
   forgetAll(): void {
     this.#pools.clear();
@@ -303,7 +312,7 @@
   #budget(pool: string): RetryBudget {
     let budget = this.#budgets.get(pool);
     if (budget === undefined) {
-      budget = new RetryBudget(this.#budgetBound);
+      budget = new RetryBudget(this.#bounds.retryBudget);
       this.#budgets.set(pool, budget);
     }
     return budget;
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -8,6 +8,7 @@
  */
 
 import type { PoolPolicy } from "./fleet_configuration.ts";
+import { RankShares } from "./rank_shares.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import { type Candidate, chooseTarget } from "./target_choice.ts";
 import {
@@ -54,6 +55,7 @@
   readonly #placed = new Map<string, PlacedWork>();
   readonly #byTarget = new Map<string, Map<string, PlacedWork>>();
   readonly #waiting = new Map<string, WaitingWork>();
+  readonly #shares = new RankShares();
   #holdMs = STARTING_HOLD_MS;
 
   /**
@@ -212,13 +214,14 @@
     const usable = candidates.filter((c) => c !== undefined);
     const decisions: AskDecision[] = [];
     let ahead = 0;
-    for (const waiting of this.#inOrder(nowMs)) {
+    for (const waiting of this.#inOrder(usable, nowMs)) {
       const decision = this.#decide(waiting, { usable, ahead, nowMs });
       if (decision === undefined) {
         ahead++;
         continue;
       }
       this.#waiting.delete(waiting.ask.askId);
+      this.#shares.note(waiting.ask.rank, "targetId" in decision, nowMs);
       decisions.push(decision);
       if ("targetId" in decision) {
         const index = usable.findIndex((c) =>
@@ -292,15 +295,28 @@
     return decision;
   }
 
-  /** Rank first; within a rank, those that can still be on time. */
-  #inOrder(nowMs: number): WaitingWork[] {
-    const isLate = ({ ask, sinceMs }: WaitingWork) =>
-      nowMs - sinceMs > ask.objectiveLeftMs;
-    return [...this.#waiting.values()].sort((a, b) =>
-      a.ask.rank - b.ask.rank ||
-      Number(isLate(a)) - Number(isLate(b)) ||
-      a.sinceMs - b.sinceMs
+  /**
+   * Orders the queue: what can still be on time goes before what cannot, and
+   * among these a neglected rank first, then by rank, then by age.
+   */
+  #inOrder(usable: readonly Candidate[], nowMs: number): WaitingWork[] {
+    const neglected = this.#shares.neglected(nowMs);
+    const keyed = [...this.#waiting.values()].map((waiting) => {
+      const { ask, sinceMs } = waiting;
+      const lastStartMs = sinceMs + ask.objectiveLeftMs -
+        leastFirstMs(usable, ask);
+      return {
+        waiting,
+        isLate: nowMs > lastStartMs,
+        rank: neglected.has(ask.rank) ? -1 : ask.rank,
+      };
+    });
+    keyed.sort((a, b) =>
+      Number(a.isLate) - Number(b.isLate) ||
+      a.rank - b.rank ||
+      a.waiting.sinceMs - b.waiting.sinceMs
     );
+    return keyed.map(({ waiting }) => waiting);
   }
 
   #place(work: PlacedWork): void {
@@ -341,6 +357,16 @@
   }
 }
 
+/** Time to the first event or answer on the fastest target, if it were idle. */
+function leastFirstMs(usable: readonly Candidate[], ask: WorkAsk): number {
+  const times = usable.map(({ pace, kvCapacityTokens }) =>
+    kvCapacityTokens === undefined
+      ? pace.callMs
+      : pace.firstEventMs(ask.promptTokens, 0)
+  );
+  return Math.min(Infinity, ...times);
+}
+
 function sum(
   works: ReadonlyMap<string, PlacedWork> | undefined,
   of: (work: PlacedWork) => number,
--- /dev/null
+++ b/packages/routing/src/rank_shares_test.ts
@@ -0,0 +1,43 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { RankShares } from "./rank_shares.ts";
+
+function note(
+  shares: RankShares,
+  rank: number,
+  served: number,
+  refused: number,
+) {
+  for (let i = 0; i < served; i++) {
+    shares.note(rank, true, 0);
+  }
+  for (let i = 0; i < refused; i++) {
+    shares.note(rank, false, 0);
+  }
+}
+
+test("a rank that gets far less than those above goes first", () => {
+  const shares = new RankShares();
+  note(shares, 0, 8, 2);
+  note(shares, 1, 6, 4);
+  note(shares, 2, 1, 9);
+  assert.equal([...shares.neglected(0)], [2]);
+});
+
+test("the highest rank is never neglected, nor is a rank seldom seen", () => {
+  const shares = new RankShares();
+  note(shares, 0, 1, 9);
+  note(shares, 1, 9, 1);
+  note(shares, 2, 0, 2);
+  assert.equal([...shares.neglected(0)], []);
+});
+
+test("what was long ago does not count", () => {
+  const shares = new RankShares();
+  note(shares, 0, 10, 0);
+  note(shares, 2, 0, 10);
+  assert.equal([...shares.neglected(0)], [2]);
+  assert.equal([...shares.neglected(30_000)], []);
+});
+
+test.run();
--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -26,7 +26,7 @@
 
 /** Counts first sends and repeats of a pool over a sliding window. */
 export class RetryBudget {
-  readonly #bound: RetryBudgetBound;
+  #bound: RetryBudgetBound;
   readonly #slices: Slice[] = [];
 
   /** @param bound The bound that holds for the whole fleet. */
@@ -34,6 +34,11 @@
     this.#bound = bound;
   }
 
+  /** @param bound The bound from now on. */
+  setBound(bound: RetryBudgetBound): void {
+    this.#bound = bound;
+  }
+
   /**
    * Notes a request's first send.
    *
