Order the queue for time, bound what neglected ranks get, keep the coordinator

After the loss of all instances the new ledger counted a window twice and refused 546 requests in 2 s. A restarted instance took the coordination back with an empty account.

Change: neglected ranks get one grant in three at most, and only short work is to be served as often as the ranks above; whether a request can be on time is judged with a margin; recorded spending replaces the assumption for its workspaces; the members that have run longest coordinate.

--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -9,6 +9,7 @@
 import { targetChangesSchema } from "@chestnuthatch/routing/peer_messages";
 import { RouteTable } from "@chestnuthatch/routing/route_table";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import type { WorkspaceSpending } from "@chestnuthatch/routing/spending_log";
 import {
   type TargetBelief,
   type TargetChange,
@@ -41,6 +42,8 @@
   readonly catalogPort: number;
   /** Called when what is known of targets has changed. */
   onTargets(): void;
+  /** Called with what the fleet recorded of workspaces' spending. */
+  onSpending(record: readonly WorkspaceSpending[], ageMs: number): void;
   /** Called when another version came into force. */
   onConfiguration(configuration: FleetConfiguration): void;
 }
@@ -115,11 +118,24 @@
 
   /** @param members Instances on the platform's list. */
   membersRead(members: readonly MemberNews[]): void {
+    const nowMs = this.#parts.clock.nowMs();
     for (const member of members) {
-      this.#parts.board.members.toldOf(member);
+      this.#parts.board.members.toldOf(member, nowMs);
     }
   }
 
+  /**
+   * @param record What workspaces had spent.
+   * @param ageMs How long ago that was recorded.
+   */
+  spendingRead(record: readonly WorkspaceSpending[], ageMs: number): void {
+    this.#parts.log.info(LogPart.Platform, "spending taken up", {
+      ageMs: Math.round(ageMs),
+      workspaces: record.map(({ workspace }) => workspace),
+    });
+    this.#parts.onSpending(record, ageMs);
+  }
+
   /**
    * @param what What the platform holds that cannot be read.
    * @param where Its name there, or the field that is wrong.
@@ -132,9 +148,9 @@
   reached(): void {
     if (!this.#reachesStore) {
       this.#parts.log.info(LogPart.Platform, "store reached");
+      this.#parts.board.targets.listAnswers(this.#parts.clock.nowMs());
     }
     this.#reachesStore = true;
-    this.#parts.board.targets.listAnswers(this.#parts.clock.nowMs());
   }
 
   /** @param reason Why the platform does not answer. */
@@ -143,7 +159,6 @@
       this.#parts.log.warn(LogPart.Platform, "store lost", { reason });
     }
     this.#reachesStore = false;
-    this.#parts.board.targets.listLost();
   }
 
   /** @param beat A heartbeat that may tell of news elsewhere. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -51,6 +51,9 @@
 /** Time before the kill at which whatever still runs is broken off. */
 const GRACE_MARGIN_MS = 500;
 
+/** Least time between two records of spending: five writes a second at most. */
+const RECORD_PAUSE_MS = 200;
+
 /** Time between two looks at whether the last request has ended. */
 const STOP_CHECK_MS = 50;
 
@@ -89,6 +92,7 @@
   #tickTimer?: NodeJS.Timeout;
   #tickedAtMs = 0;
   #wasCoordinator = false;
+  #recordedAtMs = -Infinity;
   #stopping?: Promise<void>;
 
   /**
@@ -282,6 +286,10 @@
       });
       this.#coordinator.forgetAll();
     }
+    this.board.members.remembers(
+      this.#self.instanceId,
+      nowMs - this.#startedAtMs,
+    );
     this.#membership.tick();
     this.#desk.tick();
     this.#noteCoordinator();
@@ -296,6 +304,14 @@
         alive: this.board.members.alive(this.#clock.nowMs()).length,
       });
     }
+    const nowMs = this.#clock.nowMs();
+    if (isCoordinator && nowMs - this.#recordedAtMs >= RECORD_PAUSE_MS) {
+      const record = this.#coordinator.spendingToRecord(nowMs);
+      if (record !== undefined) {
+        this.#recordedAtMs = nowMs;
+        this.#platform.recordSpending(record);
+      }
+    }
   }
 
   #makeParts(protocol: CallProtocol): GatewayParts {
@@ -328,6 +344,10 @@
       catalogPort: this.#settings.catalogPort,
       onTargets: () => this.#targetsChanged(),
       onConfiguration: (configuration) => this.#configured(configuration),
+      onSpending: (record, ageMs) => {
+        const nowMs = this.#clock.nowMs();
+        this.#coordinator.takeUpSpending(record, ageMs, nowMs);
+      },
     });
   }
 
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -75,7 +75,7 @@
     const isNew = members.heard(beat.from, nowMs);
     members.remembers(beat.from.instanceId, beat.memoryMs);
     for (const other of beat.others) {
-      members.toldOf(other);
+      members.toldOf(other, nowMs);
     }
     if (isNew && beat.from.instanceId !== members.selfId) {
       // So that it hears of this instance at once, too.
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -62,6 +62,7 @@
   "spent",
   "firstSeen",
   "memoryMs",
+  "figures",
 ];
 
 /** Bytes that the receive buffer of the socket holds. */
--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -402,13 +402,7 @@
 }
 
 function runningOf(ask: WorkAsk, targetId: string): RunningWork {
-  const { askId, pool, promptTokens, outputTokens } = ask;
-  return {
-    askId,
-    pool,
-    targetId,
-    promptTokens,
-    outputTokens,
-    firstSeen: false,
-  };
+  const { askId, pool, rank, promptTokens, outputTokens } = ask;
+  const firstSeen = false;
+  return { askId, pool, targetId, rank, promptTokens, outputTokens, firstSeen };
 }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -3,6 +3,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
 import type { MemberNews } from "@chestnuthatch/routing/member_view";
+import type { WorkspaceSpending } from "@chestnuthatch/routing/spending_log";
 import type { TargetChange } from "@chestnuthatch/routing/target_directory";
 
 /** The instance's monotonic time. */
@@ -78,6 +79,8 @@
   targetsRead(entries: readonly TargetChange[], version: number): void;
   targetsChanged(changes: readonly TargetChange[]): void;
   membersRead(members: readonly MemberNews[]): void;
+  /** What workspaces had spent when the fleet last recorded it. */
+  spendingRead(record: readonly WorkspaceSpending[], ageMs: number): void;
   /** The platform holds something that cannot be read. */
   unreadable(what: string, where: string): void;
   /** The platform answers, again or at first. */
@@ -95,6 +98,12 @@
    * @param sink Where news goes.
    */
   start(self: MemberNews, sink: PlatformSink): void;
+  /**
+   * Records what workspaces spent, for a fleet that loses all its instances.
+   *
+   * @param record Spending by workspace.
+   */
+  recordSpending(record: readonly WorkspaceSpending[]): void;
   /** Ends all calls. */
   stop(): void;
 }
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -91,6 +91,9 @@
   #rejections = 0;
   #charged = false;
   #lastEventId?: number;
+  #lastEventAtMs = 0;
+  /** Longest pause between two events of the stream, over all attempts. */
+  #longestGapMs = 0;
   #deadlineTimer?: NodeJS.Timeout;
   #silenceTimer?: NodeJS.Timeout;
   #callerGone = false;
@@ -222,6 +225,7 @@
     }
     if ("refusal" in decision) {
       this.#askId = undefined;
+      this.#log("no place", { refusal: decision.refusal, ...decision.figures });
       this.#refused(decision.refusal, decision.retryAfterMs);
       return;
     }
@@ -312,6 +316,7 @@
     this.#log("sent", {
       targetId: target.targetId,
       targetVersion: target.rowVersion,
+      route: call.route.name,
       pool: call.pool,
       attempt: this.#runs,
       resumeAfter: this.#lastEventId,
@@ -400,6 +405,11 @@
     }
     this.#lastEventId = id ?? this.#lastEventId;
     attempt.events++;
+    if (attempt.firstAtMs !== undefined || this.#reply.begun) {
+      const gapMs = nowMs - this.#lastEventAtMs;
+      this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
+    }
+    this.#lastEventAtMs = nowMs;
     attempt.lastEventAtMs = nowMs;
     this.#stayAtTarget(attempt);
     if (attempt.firstAtMs === undefined) {
@@ -484,6 +494,7 @@
       status,
       events: attempt.events,
       firstMs: msSince(attempt.sentAtMs, attempt.firstAtMs),
+      longestGapMs: Math.round(this.#longestGapMs),
       tookMs: Math.round(this.#nowMs() - this.#call.arrivedAtMs),
     });
   }
@@ -578,6 +589,7 @@
     this.#parts.metrics.failed(this.#call.route.name, error);
     this.#log("failed", {
       error,
+      route: this.#call.route.name,
       retryAfterMs: retryAfterMs && Math.round(retryAfterMs),
       runs: this.#runs,
       rejections: this.#rejections,
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -17,11 +17,15 @@
 const TOLERANCE_USED = 0.7;
 
 /**
- * Share of the burst that a workspace may spend at once while nobody in the
- * fleet remembers what it spent within the window, as after the loss of all
- * instances at once.
+ * Share of a window's bound from which on spending is recorded in the platform's
+ * store. A fleet that lost its memory and finds no record hands out the other
+ * part of the bound until it has seen a whole window. Workspaces usually spend
+ * about half of their allotments, so calm days write nothing.
  */
-const UNREMEMBERED_BURST = 0.3;
+const RECORDED_SHARE = 0.5;
+
+/** Growth, as a share of the bound, after which spending is recorded again. */
+const RECORD_STEP = 0.05;
 
 /** How far spending may go beyond an allotment, by the operators' word. */
 export interface AllotmentTolerance {
@@ -57,6 +61,11 @@
   readonly #own: SpendingLog;
   /** Spent through other coordinators, as holders told last. */
   readonly #elsewhere = new Map<string, number>();
+  /** Bounds of one window, by workspace, as last charged by. */
+  readonly #wholeBounds = new Map<string, number>();
+  readonly #recorded = new Map<string, number>();
+  /** Workspaces whose spending before the start of this process is known. */
+  readonly #takenUp = new Set<string>();
 
   /** @param tolerance How far spending may go beyond an allotment. */
   constructor(tolerance: AllotmentTolerance) {
@@ -87,9 +96,8 @@
     of: { cost: number; scope: LedgerScope },
   ): ChargeResult {
     const { cost, scope } = of;
-    const spent = this.#own.spent(workspace, scope.nowMs) +
-      (this.#elsewhere.get(workspace) ?? 0);
-    const bound = this.#bound(allotment, scope);
+    const spent = this.#spent(workspace, scope.nowMs);
+    const bound = this.#bound(workspace, allotment, scope);
     // A request dearer than the bound passes when nothing else was spent;
     // else it could never run at all.
     if (spent > 0 && spent + cost > bound) {
@@ -128,16 +136,73 @@
     }
   }
 
-  #bound(allotment: Allotment, scope: LedgerScope): number {
+  /**
+   * Tells what has to be recorded so that a fleet that loses all its instances
+   * still knows it.
+   *
+   * @param nowMs The local time.
+   * @returns Spending of all workspaces near their bounds, where it has grown
+   * since the last record; undefined where the last record will do.
+   */
+  toRecord(nowMs: number): WorkspaceSpending[] | undefined {
+    const record: WorkspaceSpending[] = [];
+    let hasGrown = false;
+    for (const [workspace, bound] of this.#wholeBounds) {
+      const spent = this.#spent(workspace, nowMs);
+      if (spent < bound * (RECORDED_SHARE - RECORD_STEP)) {
+        this.#recorded.delete(workspace);
+        continue;
+      }
+      const last = this.#recorded.get(workspace) ?? 0;
+      hasGrown ||= spent > last;
+      // What is spent until the next record is counted ahead.
+      record.push({ workspace, spent: spent + RECORD_STEP * bound });
+    }
+    if (!hasGrown) {
+      return undefined;
+    }
+    for (const { workspace, spent } of record) {
+      this.#recorded.set(workspace, spent);
+    }
+    return record;
+  }
+
+  /**
+   * Takes up a record that the fleet left before it lost its instances.
+   *
+   * @param record The record.
+   * @param ageMs How long ago it was made.
+   * @param nowMs The local time.
+   */
+  takeUp(
+    record: readonly WorkspaceSpending[],
+    ageMs: number,
+    nowMs: number,
+  ): void {
+    for (const { workspace, spent } of record) {
+      this.#own.note(workspace, spent, nowMs - ageMs);
+      this.#takenUp.add(workspace);
+    }
+  }
+
+  #spent(workspace: string, nowMs: number): number {
+    return this.#own.spent(workspace, nowMs) +
+      (this.#elsewhere.get(workspace) ?? 0);
+  }
+
+  #bound(
+    workspace: string,
+    allotment: Allotment,
+    scope: LedgerScope,
+  ): number {
     const { windowMs, overage, slack } = this.#tolerance;
     const { perS, burst } = allotment;
     const whole = (perS * windowMs / MS_PER_S + burst) *
         (1 + overage * TOLERANCE_USED) + slack * TOLERANCE_USED;
-    const unremembered = perS * scope.memoryMs / MS_PER_S +
-      burst * UNREMEMBERED_BURST;
-    const bound = scope.memoryMs < windowMs
-      ? Math.min(whole, unremembered)
-      : whole;
-    return bound * scope.share;
+    this.#wholeBounds.set(workspace, whole);
+    const isRemembered = scope.memoryMs >= windowMs ||
+      this.#takenUp.has(workspace);
+    const remembered = isRemembered ? 1 : 1 - RECORDED_SHARE;
+    return whole * remembered * scope.share;
   }
 }
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -176,6 +176,29 @@
     return decisions;
   }
 
+  /**
+   * @param nowMs The local time.
+   * @returns Spending to be recorded in the platform's store, if any is.
+   */
+  spendingToRecord(nowMs: number): WorkspaceSpending[] | undefined {
+    return this.#ledger.toRecord(nowMs);
+  }
+
+  /**
+   * Takes up what the fleet recorded before it lost its instances.
+   *
+   * @param record Spending by workspace.
+   * @param ageMs How long ago it was recorded.
+   * @param nowMs The local time.
+   */
+  takeUpSpending(
+    record: readonly WorkspaceSpending[],
+    ageMs: number,
+    nowMs: number,
+  ): void {
+    this.#ledger.takeUp(record, ageMs, nowMs);
+  }
+
   /** @param bounds Bounds that hold from now on. */
   setBounds(bounds: FleetBounds): void {
     this.#bounds = bounds;
@@ -229,6 +252,7 @@
         holderId,
         refusal: AskRefusal.RetryBudget,
         retryAfterMs: RETRY_BUDGET_AFTER_MS,
+        figures: { share: scope.share },
       };
     }
     if (ask.cause === AskCause.First) {
@@ -246,8 +270,20 @@
       this.#charges.set(askId, { workspace, cost });
       return undefined;
     }
-    const { retryAfterMs } = charge;
-    return { askId, holderId, refusal: AskRefusal.Allotment, retryAfterMs };
+    const { retryAfterMs, spent, bound } = charge;
+    return {
+      askId,
+      holderId,
+      refusal: AskRefusal.Allotment,
+      retryAfterMs,
+      figures: {
+        cost,
+        spent,
+        bound: Math.round(bound),
+        share: scope.share,
+        memoryMs: Math.round(scope.memoryMs),
+      },
+    };
   }
 
   #settled(decisions: AskDecision[], nowMs: number): AskDecision[] {
--- a/packages/routing/src/coordinator_test.ts
+++ b/packages/routing/src/coordinator_test.ts
@@ -109,6 +109,7 @@
     askId: "b1",
     pool: "p",
     targetId: "t1",
+    rank: 0,
     promptTokens: 500,
     outputTokens: 100,
     firstSeen: true,
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -25,6 +25,19 @@
 /** Silence after which a member no longer counts towards the fleet's size. */
 const FORGET_MEMBER_MS = 20_000;
 
+/**
+ * Time within which a member that was told of should be heard. Until then it
+ * counts towards the fleet's size, so that an instance that has just started
+ * does not take itself for the whole fleet.
+ */
+const EXPECT_MEMBER_MS = 2000;
+
+/**
+ * Members whose run times differ by less count as started together. Above the
+ * time within which a fleet starts, and its spread in what heartbeats tell.
+ */
+const STARTED_TOGETHER_MS = 2000;
+
 /** How a member is told of: by itself, by another, or by the platform's list. */
 export type MemberNews = Omit<MemberRecord, "heardAtMs">;
 
@@ -33,6 +46,7 @@
   readonly selfId: string;
   readonly #byId = new Map<string, MemberRecord>();
   readonly #memoryMs = new Map<string, number>();
+  readonly #toldAtMs = new Map<string, number>();
 
   /** @param self This instance. */
   constructor(self: MemberNews) {
@@ -60,15 +74,17 @@
   }
 
   /**
-   * Notes a member that was only told of; it counts once it is heard.
+   * Notes a member that was only told of; it gets duties once it is heard.
    *
    * @param news What was told.
+   * @param nowMs The local time.
    */
-  toldOf(news: MemberNews): void {
+  toldOf(news: MemberNews, nowMs: number): void {
     const known = this.#byId.get(news.instanceId);
     if (known === undefined || known.incarnation < news.incarnation) {
       const heardAtMs = known?.heardAtMs ?? -Infinity;
       this.#byId.set(news.instanceId, { ...news, heardAtMs });
+      this.#toldAtMs.set(news.instanceId, nowMs);
     }
   }
 
@@ -103,7 +119,8 @@
    */
   heardShare(nowMs: number): number {
     const present = [...this.#byId.values()].filter((m) =>
-      nowMs - m.heardAtMs < FORGET_MEMBER_MS
+      nowMs - m.heardAtMs < FORGET_MEMBER_MS ||
+      nowMs - this.#toldAtMs.get(m.instanceId)! < EXPECT_MEMBER_MS
     );
     return this.alive(nowMs).length / Math.max(1, present.length);
   }
@@ -132,8 +149,9 @@
   }
 
   /**
-   * Picks the coordinator by rendezvous hashing: every instance with the same
-   * view picks the same one, and a change moves no more than it must.
+   * Picks the coordinator: among the members that have run longest the one that
+   * rendezvous hashing gives. Every instance with the same view picks the same
+   * one, and an instance that has just started takes over from nobody.
    *
    * @param nowMs The local time.
    * @param shunned Members that did not answer lately.
@@ -142,8 +160,9 @@
   coordinator(nowMs: number, shunned: ReadonlySet<string>): MemberRecord {
     const alive = this.alive(nowMs);
     const staying = alive.filter((m) => !m.leaving);
-    const eligible = (staying.length > 0 ? staying : alive)
+    const answering = (staying.length > 0 ? staying : alive)
       .filter((m) => !shunned.has(m.instanceId));
+    const eligible = this.#longestRunning(answering);
     const self = this.#byId.get(this.selfId)!;
     return eligible.reduce(
       (best, m) => scoreOf(m) > scoreOf(best) ? m : best,
@@ -151,12 +170,19 @@
     );
   }
 
+  #longestRunning(members: readonly MemberRecord[]): MemberRecord[] {
+    const runMs = (m: MemberRecord) => this.#memoryMs.get(m.instanceId) ?? 0;
+    const longestMs = Math.max(0, ...members.map(runMs));
+    return members.filter((m) => runMs(m) >= longestMs - STARTED_TOGETHER_MS);
+  }
+
   /** @param nowMs Members long silent by then are forgotten. */
   forgetOld(nowMs: number): void {
     for (const { instanceId, heardAtMs } of this.others()) {
       if (heardAtMs > -Infinity && nowMs - heardAtMs > FORGET_MEMBER_MS) {
         this.#byId.delete(instanceId);
         this.#memoryMs.delete(instanceId);
+        this.#toldAtMs.delete(instanceId);
       }
     }
   }
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -75,6 +75,7 @@
   askId: z.string(),
   pool: z.string(),
   targetId: z.string(),
+  rank: z.number(),
   promptTokens: z.number(),
   outputTokens: z.number(),
   firstSeen: z.boolean(),
@@ -100,6 +101,7 @@
     holderId: z.string(),
     refusal: z.enum(AskRefusal),
     retryAfterMs: z.number(),
+    figures: z.record(z.string(), z.number()),
   }),
 ]);
 
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -23,6 +23,7 @@
   readonly askId: string;
   readonly holderId: string;
   readonly targetId: string;
+  readonly rank: number;
   readonly promptTokens: number;
   readonly kvTokens: number;
   readonly placedAtMs: number;
@@ -33,6 +34,8 @@
   readonly decision: AskDecision;
 }
 
+const NO_RANKS: ReadonlySet<number> = new Set();
+
 interface WaitingWork {
   readonly ask: WorkAsk;
   readonly sinceMs: number;
@@ -42,6 +45,19 @@
 const STARTING_HOLD_MS = 600;
 const HOLD_LEARNING_RATE = 0.05;
 
+/**
+ * Placements of other ranks between two that a neglected rank gets ahead of its
+ * turn. A long queue of short work would else hold up all ranks above it.
+ */
+const PLACED_BETWEEN_NEGLECTED = 2;
+
+/**
+ * Part that a first event is allowed to take longer than foreseen where it is
+ * judged whether a request can still be on time. Requests are served just before
+ * it would be too late when a pool is full, so what is foreseen must hold.
+ */
+const FIRST_MARGIN = 1.4;
+
 /** Shortest time after which a refused caller is asked to come back. */
 const MIN_RETRY_AFTER_MS = 500;
 
@@ -57,6 +73,7 @@
   readonly #waiting = new Map<string, WaitingWork>();
   readonly #shares = new RankShares();
   #holdMs = STARTING_HOLD_MS;
+  #placedSinceNeglected = 0;
 
   /**
    * @param pool The pool's name.
@@ -135,8 +152,9 @@
     }
     this.#placed.delete(askId);
     this.#byTarget.get(work.targetId)?.delete(askId);
-    this.#holdMs += HOLD_LEARNING_RATE *
-      (nowMs - work.placedAtMs - this.#holdMs);
+    const tookMs = nowMs - work.placedAtMs;
+    this.#holdMs += HOLD_LEARNING_RATE * (tookMs - this.#holdMs);
+    this.#shares.noteWork(work.rank, tookMs, nowMs);
     return { work, decisions: this.#settle(nowMs) };
   }
 
@@ -155,13 +173,15 @@
       }
       return;
     }
-    const { askId, targetId, promptTokens, outputTokens, firstSeen } = running;
+    const { askId, targetId, rank, promptTokens, outputTokens, firstSeen } =
+      running;
     const decision = { askId, holderId, targetId, expectedMs: 0 };
     this.#waiting.delete(askId);
     this.#place({
       askId,
       holderId,
       targetId,
+      rank,
       promptTokens,
       kvTokens: promptTokens + outputTokens,
       placedAtMs: nowMs,
@@ -221,7 +241,7 @@
         continue;
       }
       this.#waiting.delete(waiting.ask.askId);
-      this.#shares.note(waiting.ask.rank, "targetId" in decision, nowMs);
+      this.#notePlaced(waiting.ask.rank, "targetId" in decision, nowMs);
       decisions.push(decision);
       if ("targetId" in decision) {
         const index = usable.findIndex((c) =>
@@ -233,6 +253,17 @@
     return decisions;
   }
 
+  #notePlaced(rank: number, isPlaced: boolean, nowMs: number): void {
+    this.#shares.note(rank, isPlaced, nowMs);
+    if (!isPlaced) {
+      return;
+    }
+    const isNeglected = this.#shares.neglected(nowMs).has(rank);
+    this.#placedSinceNeglected = isNeglected
+      ? 0
+      : this.#placedSinceNeglected + 1;
+  }
+
   #decide(
     { ask, sinceMs }: WaitingWork,
     of: { usable: readonly Candidate[]; ahead: number; nowMs: number },
@@ -248,6 +279,7 @@
         holderId,
         refusal: AskRefusal.NoTarget,
         retryAfterMs: NO_TARGET_RETRY_MS,
+        figures: { usable: usable.length, excluded: ask.excluded.length },
       };
     }
     const choice = chooseTarget(ask, open);
@@ -265,6 +297,13 @@
       holderId,
       refusal: AskRefusal.Overload,
       retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
+      figures: {
+        ahead,
+        slots,
+        holdMs: Math.round(this.#holdMs),
+        waitMs: Math.round(waitMs),
+        leftMs: Math.round(leftMs),
+      },
     };
   }
 
@@ -285,6 +324,7 @@
       askId,
       holderId,
       targetId,
+      rank: ask.rank,
       promptTokens,
       kvTokens: promptTokens + outputTokens,
       placedAtMs: nowMs,
@@ -296,15 +336,17 @@
   }
 
   /**
-   * Orders the queue: what can still be on time goes before what cannot, and
-   * among these a neglected rank first, then by rank, then by age.
+   * Orders the queue: a neglected rank first, then by rank; within a rank what
+   * can still be on time goes before what cannot, and among these by age.
    */
   #inOrder(usable: readonly Candidate[], nowMs: number): WaitingWork[] {
-    const neglected = this.#shares.neglected(nowMs);
+    const neglected = this.#placedSinceNeglected >= PLACED_BETWEEN_NEGLECTED
+      ? this.#shares.neglected(nowMs)
+      : NO_RANKS;
     const keyed = [...this.#waiting.values()].map((waiting) => {
       const { ask, sinceMs } = waiting;
       const lastStartMs = sinceMs + ask.objectiveLeftMs -
-        leastFirstMs(usable, ask);
+        FIRST_MARGIN * usualFirstMs(usable, ask);
       return {
         waiting,
         isLate: nowMs > lastStartMs,
@@ -312,8 +354,8 @@
       };
     });
     keyed.sort((a, b) =>
-      Number(a.isLate) - Number(b.isLate) ||
       a.rank - b.rank ||
+      Number(a.isLate) - Number(b.isLate) ||
       a.waiting.sinceMs - b.waiting.sinceMs
     );
     return keyed.map(({ waiting }) => waiting);
@@ -357,14 +399,15 @@
   }
 }
 
-/** Time to the first event or answer on the fastest target, if it were idle. */
-function leastFirstMs(usable: readonly Candidate[], ask: WorkAsk): number {
+/** Mean time to the first event or answer on a target of the pool. */
+function usualFirstMs(usable: readonly Candidate[], ask: WorkAsk): number {
   const times = usable.map(({ pace, kvCapacityTokens }) =>
     kvCapacityTokens === undefined
       ? pace.callMs
       : pace.firstEventMs(ask.promptTokens, 0)
   );
-  return Math.min(Infinity, ...times);
+  const total = times.reduce((sum, time) => sum + time, 0);
+  return total / Math.max(1, times.length);
 }
 
 function sum(
--- a/packages/routing/src/rank_shares.ts
+++ b/packages/routing/src/rank_shares.ts
@@ -7,11 +7,23 @@
 const HALF_LIFE_MS = 3000;
 
 /**
- * A rank whose served share is below this part of the least served higher
- * rank's goes first. Operators require at least a quarter of what all requests
- * get; short requests of low rank take little from the others.
+ * A rank goes first while its served share is below this part of the least
+ * served rank above it. Operators require at least a quarter of what all
+ * requests get.
  */
-const LEAST_PART = 0.6;
+const LEAST_PART = 0.35;
+
+/**
+ * The same for a rank of short work, which takes next to nothing from the ranks
+ * above: it is to be served as often as they are, but not more.
+ */
+const LEAST_PART_SHORT = 0.95;
+
+/** Work is short if it takes this part of the time of the ranks above. */
+const SHORT_PART = 0.4;
+
+/** How much one observation moves the time that a rank's work takes. */
+const TIME_LEARNING_RATE = 0.05;
 
 /** Counts below this are chance. */
 const FEW = 3;
@@ -20,6 +32,8 @@
   served: number;
   refused: number;
   atMs: number;
+  /** Time that its work takes at a target; 0 until some has ended. */
+  workMs: number;
 }
 
 /** Served shares by rank. */
@@ -42,6 +56,20 @@
     }
   }
 
+  /**
+   * Notes how long work took at its target.
+   *
+   * @param rank The work's rank.
+   * @param tookMs The time it took.
+   * @param nowMs The local time.
+   */
+  noteWork(rank: number, tookMs: number, nowMs: number): void {
+    const counts = this.#faded(rank, nowMs);
+    counts.workMs = counts.workMs === 0
+      ? tookMs
+      : counts.workMs + TIME_LEARNING_RATE * (tookMs - counts.workMs);
+  }
+
   /**
    * Finds ranks that get too little beside the ranks above them.
    *
@@ -51,16 +79,20 @@
   neglected(nowMs: number): ReadonlySet<number> {
     const neglected = new Set<number>();
     let leastAbove = Infinity;
+    let longestAboveMs = 0;
     for (const rank of [...this.#byRank.keys()].sort((a, b) => a - b)) {
-      const { served, refused } = this.#faded(rank, nowMs);
+      const { served, refused, workMs } = this.#faded(rank, nowMs);
       const total = served + refused;
       if (total < FEW) {
         continue;
       }
       const share = served / total;
-      if (leastAbove !== Infinity && share < LEAST_PART * leastAbove) {
+      const isShort = workMs < SHORT_PART * longestAboveMs;
+      const part = isShort ? LEAST_PART_SHORT : LEAST_PART;
+      if (leastAbove !== Infinity && share < part * leastAbove) {
         neglected.add(rank);
       }
+      longestAboveMs = Math.max(longestAboveMs, workMs);
       leastAbove = Math.min(leastAbove, share);
     }
     return neglected;
@@ -69,7 +101,7 @@
   #faded(rank: number, nowMs: number): Counts {
     let counts = this.#byRank.get(rank);
     if (counts === undefined) {
-      counts = { served: 0, refused: 0, atMs: nowMs };
+      counts = { served: 0, refused: 0, atMs: nowMs, workMs: 0 };
       this.#byRank.set(rank, counts);
     }
     const factor = 0.5 ** ((nowMs - counts.atMs) / HALF_LIFE_MS);
--- a/packages/routing/src/rank_shares_test.ts
+++ b/packages/routing/src/rank_shares_test.ts
@@ -24,6 +24,20 @@
   assert.equal([...shares.neglected(0)], [2]);
 });
 
+test("a rank of short work is to be served as often as those above", () => {
+  const shares = new RankShares();
+  note(shares, 0, 8, 2);
+  note(shares, 1, 5, 5);
+  note(shares, 2, 5, 5);
+  assert.equal([...shares.neglected(0)], []);
+  shares.noteWork(0, 2000, 0);
+  shares.noteWork(1, 1500, 0);
+  shares.noteWork(2, 200, 0);
+  assert.equal([...shares.neglected(0)], []);
+  note(shares, 2, 0, 2);
+  assert.equal([...shares.neglected(0)], [2]);
+});
+
 test("the highest rank is never neglected, nor is a rank seldom seen", () => {
   const shares = new RankShares();
   note(shares, 0, 1, 9);
--- a/packages/routing/src/target_directory.ts
+++ b/packages/routing/src/target_directory.ts
@@ -44,18 +44,12 @@
 }
 
 /**
- * How long a target whose row vanished around an outage of the list is still
- * used. The platform brings entries of live targets back within about 2 s.
+ * Time from the list's return after an outage until a row that is still missing
+ * means that its target is gone. Rows may expire during an outage, and the
+ * platform brings those of live targets back within about 2 s.
  */
 const RETURN_GRACE_MS = 2200;
 
-/**
- * How long the list must have answered without a break before the removal of a
- * row counts at once. A row needs three missed heartbeats to expire, so rows
- * that vanish sooner after an outage may have expired during it.
- */
-const STEADY_LIST_MS = 4000;
-
 /** How long a removed target's id is remembered against older news. */
 const FORGET_REMOVED_MS = 60_000;
 
@@ -64,17 +58,12 @@
   readonly #byId = new Map<string, KnownTarget>();
   /** Newest row version that any news carried. */
   version = 0;
-  /** Since when the list has answered without a break. */
-  #steadySinceMs = Infinity;
+  /** When the list last began to answer after it had not. */
+  #answersSinceMs = -Infinity;
 
   /** @param nowMs When the list began to answer, again or at first. */
   listAnswers(nowMs: number): void {
-    this.#steadySinceMs = Math.min(this.#steadySinceMs, nowMs);
-  }
-
-  /** Notes that the list does not answer. */
-  listLost(): void {
-    this.#steadySinceMs = Infinity;
+    this.#answersSinceMs = nowMs;
   }
 
   /**
@@ -158,12 +147,6 @@
     }
   }
 
-  #graceMs(removedAtMs: number): number {
-    return removedAtMs - this.#steadySinceMs >= STEADY_LIST_MS
-      ? 0
-      : RETURN_GRACE_MS;
-  }
-
   #applyOne(change: TargetChange, nowMs: number): TargetBelief[] {
     this.version = Math.max(this.version, change.rowVersion);
     const known = this.#byId.get(change.targetId);
@@ -195,7 +178,7 @@
       this.#byId.set(targetId, { ...known, rowVersion });
       return [];
     }
-    const usableUntilMs = nowMs + this.#graceMs(nowMs);
+    const usableUntilMs = this.#answersSinceMs + RETURN_GRACE_MS;
     this.#byId.set(targetId, {
       ...known,
       rowVersion,
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -64,6 +64,8 @@
     readonly holderId: string;
     readonly refusal: AskRefusal;
     readonly retryAfterMs: number;
+    /** What it was decided by, for the log. */
+    readonly figures: Readonly<Record<string, number>>;
   };
 
 /** How work at a target ended, told by its holder. */
@@ -85,6 +87,7 @@
   readonly askId: string;
   readonly pool: string;
   readonly targetId: string;
+  readonly rank: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly firstSeen: boolean;
