Let the coordinator follow the store for all; charge allotments by rank

Change: only the coordinator follows the store closely, heartbeats carry what it learns, everyone does so while it does not reach the store; each rank leaves 5 % of the bound to those above; 0.8 of the tolerance is handed out.

--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -13,7 +13,6 @@
 import {
   type TargetBelief,
   type TargetChange,
-  TargetNews,
 } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
@@ -30,8 +29,8 @@
 /** Pause before a peer is asked for the configuration again. */
 const CONFIGURATION_RETRY_MS = 200;
 
-/** Time for which heartbeats name a target that is leaving or gone. */
-const TELL_LEAVING_MS = 2500;
+/** Time for which heartbeats tell what was learned of a target. */
+const TELL_NEWS_MS = 2500;
 
 /** What the keeper works with. */
 export interface NewsParts {
@@ -40,6 +39,11 @@
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
   readonly catalogPort: number;
+  /**
+   * Whether this instance is the one that follows the store for all, or has
+   * nobody who does.
+   */
+  followsStore(): boolean;
   /** Called when what is known of targets has changed. */
   onTargets(): void;
   /** Called with what the fleet recorded of workspaces' spending. */
@@ -57,7 +61,7 @@
   #fetchingTargets = false;
   #configurationAskedAtMs = -Infinity;
   #targetsAskedAtMs = -Infinity;
-  #leaving: { change: TargetChange; untilMs: number }[] = [];
+  #targetNews: { change: TargetChange; untilMs: number }[] = [];
 
   /** @param parts What the keeper works with. */
   constructor(parts: NewsParts) {
@@ -74,11 +78,18 @@
     return this.#parts.board.routes !== undefined && this.#knowsTargets;
   }
 
-  /** @returns Targets that lately turned out to be leaving or gone. */
-  leavingTargets(): TargetChange[] {
+  /** @returns Whether this instance is to follow the store closely. */
+  followsStore(): boolean {
+    return this.#parts.followsStore();
+  }
+
+  /** @returns What this instance lately learned of targets. */
+  targetNews(): TargetChange[] {
     const nowMs = this.#parts.clock.nowMs();
-    this.#leaving = this.#leaving.filter(({ untilMs }) => untilMs > nowMs);
-    return this.#leaving.map(({ change }) => change);
+    this.#targetNews = this.#targetNews.filter(({ untilMs }) =>
+      untilMs > nowMs
+    );
+    return this.#targetNews.map(({ change }) => change);
   }
 
   /** @param configuration A version, from the platform or a peer. */
@@ -105,9 +116,14 @@
    */
   targetsRead(entries: readonly TargetChange[], version: number): void {
     const { targets } = this.#parts.board;
+    const isFirst = !this.#knowsTargets;
     this.#knowsTargets = true;
     const nowMs = this.#parts.clock.nowMs();
     this.#believed(targets.replace(entries, version, nowMs));
+    if (isFirst) {
+      // The others have read the list themselves.
+      this.#targetNews = [];
+    }
   }
 
   /** @param changes Rows of the list that changed. */
@@ -163,7 +179,7 @@
 
   /** @param beat A heartbeat that may tell of news elsewhere. */
   heard(beat: Beat): void {
-    this.targetsChanged(beat.leavingTargets);
+    this.targetsChanged(beat.targetNews);
     const { board, clock } = this.#parts;
     const nowMs = clock.nowMs();
     const version = board.routes?.configuration.version ?? 0;
@@ -237,7 +253,7 @@
 
   #believed(beliefs: readonly TargetBelief[]): void {
     const { board, clock, log } = this.#parts;
-    const untilMs = clock.nowMs() + TELL_LEAVING_MS;
+    const untilMs = clock.nowMs() + TELL_NEWS_MS;
     for (const { targetId, news, rowVersion } of beliefs) {
       const target = board.targets.get(targetId)!;
       log.info(LogPart.Targets, `target ${news}`, {
@@ -249,9 +265,7 @@
         slots: target.slots,
         reachesStore: this.#reachesStore,
       });
-      if (news === TargetNews.Leaving) {
-        this.#leaving.push({ change: changeOf(target), untilMs });
-      }
+      this.#targetNews.push({ change: changeOf(target), untilMs });
     }
     if (beliefs.length > 0) {
       this.#parts.onTargets();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -342,6 +342,7 @@
       log: this.#log,
       metrics: this.#metrics,
       catalogPort: this.#settings.catalogPort,
+      followsStore: () => this.#followsStore(),
       onTargets: () => this.#targetsChanged(),
       onConfiguration: (configuration) => this.#configured(configuration),
       onSpending: (record, ageMs) => {
@@ -360,10 +361,17 @@
       send: (address, message) => this.#socket.send(address, message),
       memoryMs: () => this.#clock.nowMs() - this.#startedAtMs,
       reachesStore: () => this.#news.reachesStore,
-      leavingTargets: () => this.#news.leavingTargets(),
+      targetNews: () => this.#news.targetNews(),
     }, this.#self);
   }
 
+  /** The coordinator does, and everyone while it does not reach the store. */
+  #followsStore(): boolean {
+    const { coordinatorId } = this.#desk;
+    return coordinatorId === this.#self.instanceId ||
+      !this.#membership.reachesStore(coordinatorId);
+  }
+
   #targetsChanged(): void {
     const nowMs = this.#clock.nowMs();
     const { targets, paces } = this.board;
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -31,8 +31,8 @@
   memoryMs(): number;
   /** @returns Whether this instance reaches the platform's store. */
   reachesStore(): boolean;
-  /** @returns Targets that lately turned out to be leaving or gone. */
-  leavingTargets(): readonly TargetChange[];
+  /** @returns What this instance lately learned of targets. */
+  targetNews(): readonly TargetChange[];
 }
 
 /** Sends and takes in heartbeats. */
@@ -42,6 +42,8 @@
   #beats = 0;
   #beatAtMs = -Infinity;
   #aliveIds = new Set<string>();
+  /** Members that said last that they reach the platform's store. */
+  readonly #reachStore = new Set<string>();
 
   /**
    * @param parts What the keeper works with.
@@ -63,9 +65,17 @@
     const nowMs = this.#parts.clock.nowMs();
     if (nowMs - this.#beatAtMs >= BEAT_MS) {
       this.#beat(nowMs);
+      this.#noteChanges(nowMs);
+      this.#parts.board.members.forgetOld(nowMs);
     }
-    this.#noteChanges(nowMs);
-    this.#parts.board.members.forgetOld(nowMs);
+  }
+
+  /**
+   * @param instanceId A member.
+   * @returns Whether it said last that it reaches the platform's store.
+   */
+  reachesStore(instanceId: string): boolean {
+    return this.#reachStore.has(instanceId);
   }
 
   /** @param beat A heartbeat of another instance. */
@@ -73,6 +83,11 @@
     const { members } = this.#parts.board;
     const nowMs = this.#parts.clock.nowMs();
     const isNew = members.heard(beat.from, nowMs);
+    if (beat.reachesStore) {
+      this.#reachStore.add(beat.from.instanceId);
+    } else {
+      this.#reachStore.delete(beat.from.instanceId);
+    }
     members.remembers(beat.from.instanceId, beat.memoryMs);
     for (const other of beat.others) {
       members.toldOf(other, nowMs);
@@ -115,7 +130,7 @@
       targetsVersion: board.targets.version,
       reachesStore: this.#parts.reachesStore(),
       others,
-      leavingTargets: [...this.#parts.leavingTargets()],
+      targetNews: [...this.#parts.targetNews()],
     });
   }
 
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -30,7 +30,7 @@
   "targetsVersion",
   "reachesStore",
   "others",
-  "leavingTargets",
+  "targetNews",
   "targetId",
   "rowVersion",
   "entry",
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -78,6 +78,8 @@
   /** The whole list of targets as of a version. */
   targetsRead(entries: readonly TargetChange[], version: number): void;
   targetsChanged(changes: readonly TargetChange[]): void;
+  /** Whether the platform's store is to be followed closely from here. */
+  followsStore(): boolean;
   membersRead(members: readonly MemberNews[]): void;
   /** What workspaces had spent when the fleet last recorded it. */
   spendingRead(record: readonly WorkspaceSpending[], ageMs: number): void;
--- a/packages/gateway/src/routed_call.ts
+++ b/packages/gateway/src/routed_call.ts
@@ -36,19 +36,6 @@
   return arrivedAtMs + timeoutMs;
 }
 
-/** Ranks that routes have at most. */
-const ROUTE_RANKS = 1000;
-
-/**
- * Orders requests by their workspaces' ranks first, then by their routes'.
- *
- * @param call The request.
- * @returns A rank; 0 is the most valuable.
- */
-export function rankOf({ route, workspace }: RoutedCall): number {
-  return (workspace?.rank ?? 0) * ROUTE_RANKS + route.rank;
-}
-
 /** Callers leave a stream that has not begun after the longest of these. */
 const LEAST_PATIENCE_MS = 2000;
 const PATIENCE_OBJECTIVES = 4;
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -14,6 +14,7 @@
   nextStep,
 } from "@chestnuthatch/routing/next_step";
 import { PROMISES_NOT_RUN, RoutedError } from "@chestnuthatch/routing/refusal";
+import { rankOf } from "@chestnuthatch/routing/ranks";
 import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
 import {
   AskCause,
@@ -27,7 +28,6 @@
 import type { GatewayParts } from "./gateway_parts.ts";
 import {
   deadlineAtMs,
-  rankOf,
   type RoutedCall,
   streamPatienceMs,
 } from "./routed_call.ts";
@@ -185,7 +185,7 @@
       pool: call.pool,
       workspace: workspace?.name ?? "",
       kind: route.kind,
-      rank: rankOf(call),
+      rank: rankOf(workspace?.rank ?? 0, route.rank),
       cost: this.#charged ? 0 : this.#cost(),
       promptTokens: facts.tokens?.prompt ?? 0,
       outputTokens: facts.tokens?.output ?? 0,
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -11,10 +11,19 @@
 
 /**
  * Share of the tolerance that is handed out. Where the whole fleet is heard the
- * account is exact; the rest covers charges of instances that cut-off or
- * killed coordinators knew of.
+ * account is exact; the rest covers charges that only cut-off or killed
+ * coordinators knew of.
  */
-const TOLERANCE_USED = 0.7;
+const TOLERANCE_USED = 0.8;
+
+/**
+ * Part of the bound that each rank below the highest leaves to those above it,
+ * and the most that any leaves, so that where an allotment runs short the least
+ * valuable work is refused first. With the tolerance, every rank still gets what
+ * the plain allotment allows.
+ */
+const LEFT_TO_RANK_ABOVE = 0.05;
+const MOST_LEFT = 0.1;
 
 /**
  * Share of a window's bound from which on spending is recorded in the platform's
@@ -86,18 +95,20 @@
    *
    * @param workspace Name of the workspace.
    * @param allotment What it may spend, over the whole fleet.
-   * @param cost The request's cost.
-   * @param scope What this ledger may hand out.
+   * @param of The request's cost and its rank within the workspace, and what
+   * this ledger may hand out.
    * @returns Whether it was charged, and else when to come back.
    */
   charge(
     workspace: string,
     allotment: Allotment,
-    of: { cost: number; scope: LedgerScope },
+    of: { cost: number; rank: number; scope: LedgerScope },
   ): ChargeResult {
-    const { cost, scope } = of;
+    const { cost, rank, scope } = of;
     const spent = this.#spent(workspace, scope.nowMs);
-    const bound = this.#bound(workspace, allotment, scope);
+    const leftToOthers = Math.min(MOST_LEFT, LEFT_TO_RANK_ABOVE * rank);
+    const bound = this.#bound(workspace, allotment, scope) *
+      (1 - leftToOthers);
     // A request dearer than the bound passes when nothing else was spent;
     // else it could never run at all.
     if (spent > 0 && spent + cost > bound) {
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -21,6 +21,7 @@
   type WorkAsk,
   type WorkEnd,
 } from "./work_ask.ts";
+import { routeRankOf } from "./ranks.ts";
 
 /**
  * Age below which work that a holder's report leaves out is kept: the report
@@ -263,7 +264,7 @@
       return undefined;
     }
     const { cost } = ask;
-    const of = { cost, scope };
+    const of = { cost, rank: routeRankOf(ask.rank), scope };
     const charge = this.#ledger.charge(ask.workspace, allotment, of);
     if (charge.allowed) {
       const { workspace } = ask;
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -120,8 +120,8 @@
     reachesStore: z.boolean(),
     /** Other members that it hears. */
     others: z.array(member),
-    /** Targets that it lately learned are leaving or gone. */
-    leavingTargets: targetChangesSchema,
+    /** What it lately learned of targets. */
+    targetNews: targetChangesSchema,
   }),
   z.object({ kind: z.literal(MessageKind.Ask), ask }),
   z.object({ kind: z.literal(MessageKind.Queued), askId: z.string() }),
