Split the life of a request from its attempts

The one file held asking, sending, gathering and following up (650 lines). An attempt at a target, and what is asked of the coordinator, are parts of their own now.

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -239,7 +239,8 @@
     response: ServerResponse,
     reply: CallerReply,
   ): void {
-    const routed = new RoutedRequest(this.#parts, call, {
+    const routed = new RoutedRequest(this.#parts, {
+      call,
       reply,
       onDone: () => {
         this.#open.delete(routed);
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -4,8 +4,7 @@
  * request allows it, send again or resume elsewhere.
  */
 
-import { Buffer } from "node:buffer";
-import type { IncomingMessage } from "node:http";
+import type { Buffer } from "node:buffer";
 import { RequestKind } from "@chestnuthatch/routing/fleet_configuration";
 import {
   AttemptEnd,
@@ -13,49 +12,20 @@
   NextStep,
   nextStep,
 } from "@chestnuthatch/routing/next_step";
-import { PROMISES_NOT_RUN, RoutedError } from "@chestnuthatch/routing/refusal";
-import { rankOf } from "@chestnuthatch/routing/ranks";
+import { RoutedError } from "@chestnuthatch/routing/refusal";
 import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
 import {
   AskCause,
   type AskDecision,
   AskRefusal,
-  type WorkAsk,
 } from "@chestnuthatch/routing/work_ask";
 import type { CallerReply } from "./caller_reply.ts";
-import { LogPart } from "./event_log.ts";
-import { EventSplitter, type StreamedEvent } from "./event_splitter.ts";
+import { type LogFacts, LogPart } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
-import {
-  deadlineAtMs,
-  type RoutedCall,
-  streamPatienceMs,
-} from "./routed_call.ts";
-import { type ExchangeFault, TargetExchange } from "./target_exchange.ts";
+import { deadlineAtMs, type RoutedCall } from "./routed_call.ts";
 import { firstEventLimitMs, gapLimitMs } from "./silence_limits.ts";
-
-/** One send to one target. */
-interface Attempt {
-  readonly askId: string;
-  readonly target: KnownTarget;
-  readonly expectedMs: number;
-  readonly sentAtMs: number;
-  exchange?: TargetExchange;
-  answer?: IncomingMessage;
-  /** Parts of a body that is passed on whole. */
-  readonly parts: Buffer[];
-  partBytes: number;
-  readonly splitter: EventSplitter;
-  firstAtMs?: number;
-  lastEventAtMs: number;
-  events: number;
-}
-
-/** Bodies up to this size are passed on only once they are whole. */
-const MAX_WHOLE_BYTES = 1024 * 1024;
-
-/** Status codes from here on are failures of a target. */
-const FIRST_FAILURE_STATUS = 500;
+import { TargetAttempt } from "./target_attempt.ts";
+import { workAskOf } from "./work_ask_of.ts";
 
 /** Share of a caller's time left after which it is asked to come back. */
 const COME_BACK_SHARE = 0.3;
@@ -63,13 +33,6 @@
 /** Time that a refused caller is asked to wait where nothing says more. */
 const RETRY_AFTER_MS = 500;
 
-const IS_STREAM: Readonly<Record<RequestKind, boolean>> = {
-  [RequestKind.Repeatable]: false,
-  [RequestKind.AtMostOnce]: false,
-  [RequestKind.Stream]: true,
-  [RequestKind.ResumableStream]: true,
-};
-
 const REFUSAL_ERRORS: Readonly<Record<AskRefusal, RoutedError>> = {
   [AskRefusal.Overload]: RoutedError.Overload,
   [AskRefusal.Allotment]: RoutedError.Allotment,
@@ -77,46 +40,51 @@
   [AskRefusal.RetryBudget]: RoutedError.NoTarget,
 };
 
+/** What a request works with, besides the instance's parts. */
+export interface RequestOptions {
+  readonly call: RoutedCall;
+  readonly reply: CallerReply;
+  /** Called once nothing of the request is left to do. */
+  onDone(): void;
+}
+
 /** One request in progress. */
 export class RoutedRequest {
   readonly #parts: GatewayParts;
   readonly #call: RoutedCall;
   readonly #reply: CallerReply;
   readonly #onDone: () => void;
-  readonly #excluded = new Set<string>();
+  readonly #tried = new Set<string>();
+  /** The ask that is out, if any. */
   #askId?: string;
   #askedAtMs = 0;
-  #attempt?: Attempt;
+  #attempt?: TargetAttempt;
+  /** Targets that may have run it. */
   #runs = 0;
+  /** Sends that certainly no target ran. */
   #rejections = 0;
   #charged = false;
   #lastEventId?: number;
-  #lastEventAtMs = 0;
+  #lastEventAtMs?: number;
   /** Longest pause between two events of the stream, over all attempts. */
   #longestGapMs = 0;
   #deadlineTimer?: NodeJS.Timeout;
   #silenceTimer?: NodeJS.Timeout;
   #callerGone = false;
+  #callerSlow = false;
   #answered = false;
   #done = false;
-  #paused = false;
 
   /**
    * @param parts The instance's parts.
-   * @param call The request.
-   * @param reply Where its answer goes.
-   * @param onDone Called once nothing of it is left to do.
+   * @param options The request, and where its answer goes.
    */
-  constructor(
-    parts: GatewayParts,
-    call: RoutedCall,
-    of: { reply: CallerReply; onDone: () => void },
-  ) {
+  constructor(parts: GatewayParts, options: RequestOptions) {
     this.#parts = parts;
-    this.#call = call;
-    this.#reply = of.reply;
-    this.#onDone = of.onDone;
-    this.#lastEventId = call.facts.resumeAfter;
+    this.#call = options.call;
+    this.#reply = options.reply;
+    this.#onDone = () => options.onDone();
+    this.#lastEventId = options.call.facts.resumeAfter;
   }
 
   /** Begins: asks for a place. */
@@ -133,92 +101,41 @@
     }
     this.#callerGone = true;
     this.#log("caller left", { running: this.#attempt !== undefined });
-    if (this.#attempt === undefined) {
-      this.#dropAsk();
-      this.#finish();
-      return;
-    }
     // Work that must not be repeated is let finish: it has its effect.
-    if (this.#call.route.kind !== RequestKind.AtMostOnce) {
-      this.#stopAttempt();
-      this.#finish();
+    const mayStop = this.#attempt === undefined ||
+      this.#call.route.kind !== RequestKind.AtMostOnce;
+    if (mayStop) {
+      this.#stop();
     }
   }
 
   /** The caller reads again after it was slow. */
   callerReads(): void {
-    this.#paused = false;
-    this.#attempt?.exchange?.resume();
+    this.#callerSlow = false;
+    this.#attempt?.resume();
     this.#watchSilence();
   }
 
   /** Breaks the request off: the process ends. */
   abort(): void {
+    const isSent = this.#runs > 0;
     this.#fail(
-      this.#runs === 0 && this.#attempt === undefined
-        ? RoutedError.NoTarget
-        : RoutedError.AnswerLost,
-      RETRY_AFTER_MS,
+      isSent ? RoutedError.AnswerLost : RoutedError.Leaving,
+      isSent ? undefined : RETRY_AFTER_MS,
     );
   }
 
   #ask(cause: AskCause): void {
-    const ask = this.#makeAsk(cause);
+    const ask = workAskOf(this.#parts, this.#call, {
+      cause,
+      charged: this.#charged,
+      tried: this.#tried,
+    });
     this.#askId = ask.askId;
     this.#askedAtMs = this.#nowMs();
     this.#parts.desk.ask(ask, (decision) => this.#decided(decision));
   }
 
-  #makeAsk(cause: AskCause): WorkAsk {
-    const call = this.#call;
-    const { route, workspace, facts } = call;
-    const { health } = this.#parts.board;
-    const nowMs = this.#nowMs();
-    const spentMs = nowMs - call.arrivedAtMs;
-    const left = deadlineAtMs(call) - nowMs;
-    const patience = IS_STREAM[route.kind]
-      ? streamPatienceMs(route) - spentMs
-      : left;
-    return {
-      askId: this.#parts.nextAskId(),
-      holderId: this.#parts.board.members.selfId,
-      pool: call.pool,
-      workspace: workspace?.name ?? "",
-      kind: route.kind,
-      rank: rankOf(workspace?.rank ?? 0, route.rank),
-      cost: this.#charged ? 0 : this.#cost(),
-      promptTokens: facts.tokens?.prompt ?? 0,
-      outputTokens: facts.tokens?.output ?? 0,
-      objectiveLeftMs: route.objectiveMs - spentMs,
-      patienceLeftMs: Math.min(left, patience) - route.objectiveMs / 2,
-      failureDomain: this.#parts.failureDomain,
-      excluded: this.#usableExclusions([
-        ...new Set([...this.#excluded, ...health.paused(nowMs)]),
-      ]),
-      cause,
-    };
-  }
-
-  /** Health is only advice: where it rules out every target, it is ignored. */
-  #usableExclusions(excluded: string[]): string[] {
-    const { targets } = this.#parts.board;
-    const usable = targets.usable(this.#call.pool, this.#nowMs());
-    const isAnyLeft = usable.some((t) => !excluded.includes(t.targetId));
-    return isAnyLeft ? excluded : [...this.#excluded];
-  }
-
-  #cost(): number {
-    const allotment = this.#call.workspace?.allotment;
-    if (allotment === undefined) {
-      return 0;
-    }
-    const { tokens } = this.#call.facts;
-    const inTokens = tokens === undefined
-      ? allotment.plainTokens
-      : tokens.prompt + tokens.output;
-    return allotment.inTokens ? inTokens : 1;
-  }
-
   #decided(decision: AskDecision): void {
     if (this.#done) {
       return;
@@ -229,17 +146,17 @@
       this.#refused(decision.refusal, decision.retryAfterMs);
       return;
     }
+    const { targets } = this.#parts.board;
     const nowMs = this.#nowMs();
-    this.#charged = true;
     this.#parts.metrics.placed(this.#call.pool, nowMs - this.#askedAtMs);
-    const target = this.#parts.board.targets.get(decision.targetId);
-    const { targets } = this.#parts.board;
+    const target = targets.get(decision.targetId);
     if (target === undefined || !targets.isUsable(target, nowMs)) {
       this.#giveBack(decision.targetId);
       return;
     }
+    this.#charged = true;
     if (this.#attempt !== undefined) {
-      this.#leaveSilentTarget(this.#attempt);
+      this.#closeAttempt(this.#attempt, AttemptEnd.Lost, "silent");
     }
     this.#send(target, decision.expectedMs);
   }
@@ -247,32 +164,23 @@
   /** A place at a target that this instance knows to be leaving or gone. */
   #giveBack(targetId: string): void {
     this.#log("place not usable", { targetId });
-    this.#excluded.add(targetId);
+    this.#tried.add(targetId);
     this.#dropAsk();
-    if (this.#attempt !== undefined) {
-      return;
+    if (this.#attempt === undefined) {
+      this.#rejections++;
+      this.#follow(AttemptEnd.NotSent);
     }
-    this.#charged = this.#runs > 0;
-    this.#rejections++;
-    this.#follow(AttemptEnd.NotSent);
-  }
-
-  #leaveSilentTarget(attempt: Attempt): void {
-    this.#attempt = undefined;
-    this.#closeAttempt(attempt, AttemptEnd.Lost, "silent");
   }
 
   #refused(refusal: AskRefusal, retryAfterMs: number): void {
     if (this.#attempt !== undefined) {
       this.#log("no other place, still waiting", { refusal });
-      return;
-    }
-    if (this.#runs > 0) {
+    } else if (this.#runs > 0) {
       this.#log("no place to run again", { refusal });
       this.#fail(RoutedError.AnswerLost);
-      return;
+    } else {
+      this.#fail(REFUSAL_ERRORS[refusal], this.#comeBackMs(retryAfterMs));
     }
-    this.#fail(REFUSAL_ERRORS[refusal], this.#comeBackMs(retryAfterMs));
   }
 
   /**
@@ -286,33 +194,22 @@
   }
 
   #send(target: KnownTarget, expectedMs: number): void {
-    const parts = this.#parts;
     const call = this.#call;
-    const nowMs = this.#nowMs();
-    const attempt: Attempt = {
+    const attempt = new TargetAttempt(this.#parts, {
+      call,
       askId: this.#askId!,
       target,
       expectedMs,
-      sentAtMs: nowMs,
-      parts: [],
-      partBytes: 0,
-      splitter: new EventSplitter(),
-      lastEventAtMs: nowMs,
-      events: 0,
-    };
+      resumeAfter: this.#lastEventId,
+    }, {
+      event: (bytes) => this.#passEvent(attempt, bytes),
+      streamEnded: (rest) => this.#streamEnded(attempt, rest),
+      answered: () => this.#served(attempt),
+      ended: (end, reason) => this.#attemptEnded(attempt, end, reason),
+    });
     this.#askId = undefined;
     this.#attempt = attempt;
     this.#runs++;
-    const deadlineLeftMs = Math.floor(deadlineAtMs(call) - nowMs);
-    const headers = parts.protocol.forwardHeaders(call.rawHeaders, {
-      targetId: target.targetId,
-      deadlineLeftMs,
-      workspace: call.workspace?.name,
-      resumeAfter: this.#lastEventId,
-    });
-    if (call.body !== undefined) {
-      headers.push("Content-Length", String(call.body.length));
-    }
     this.#log("sent", {
       targetId: target.targetId,
       targetVersion: target.rowVersion,
@@ -320,197 +217,91 @@
       pool: call.pool,
       attempt: this.#runs,
       resumeAfter: this.#lastEventId,
-      waitedMs: Math.round(nowMs - call.arrivedAtMs),
+      waitedMs: Math.round(attempt.sentAtMs - call.arrivedAtMs),
       expectedMs: Math.round(expectedMs),
-      deadlineLeftMs,
+      deadlineLeftMs: Math.floor(deadlineAtMs(call) - attempt.sentAtMs),
       configurationVersion: call.configurationVersion,
     });
-    attempt.exchange = new TargetExchange({
-      agent: parts.agentFor(call.pool, target.address),
-      address: target.address,
-      method: call.method,
-      path: call.path,
-      headers,
-      body: call.body,
-    }, {
-      head: (answer) => this.#head(attempt, answer),
-      data: (chunk) => this.#data(attempt, chunk),
-      ended: () => this.#ended(attempt),
-      broke: (fault) => this.#broke(attempt, fault),
-    });
+    attempt.send();
     this.#watchSilence();
   }
 
-  #head(attempt: Attempt, answer: IncomingMessage): void {
-    attempt.answer = answer;
-    const facts = this.#parts.protocol.readAnswer(
-      answer.statusCode!,
-      answer.headers,
-    );
-    if (facts.closing) {
-      this.#parts.noteClosing(attempt.target.targetId);
-    }
-    const isOther = facts.requestId !== undefined &&
-      facts.requestId !== this.#call.facts.requestId;
-    if (isOther) {
-      this.#endAttempt(AttemptEnd.Lost, "answer to another request");
-    } else if (facts.notRun || facts.wrongTarget) {
-      this.#endAttempt(AttemptEnd.Rejected, `rejected ${answer.statusCode}`);
-    } else if (!facts.genuine) {
-      this.#endAttempt(AttemptEnd.Lost, "answer is not the target's own");
-    }
-  }
-
-  #data(attempt: Attempt, chunk: Buffer): void {
-    if (this.#passesEvents(attempt)) {
-      this.#passEvents(attempt, attempt.splitter.push(chunk));
-      return;
-    }
-    attempt.firstAtMs ??= this.#nowMs();
-    attempt.parts.push(chunk);
-    attempt.partBytes += chunk.length;
-    if (attempt.partBytes > MAX_WHOLE_BYTES) {
-      this.#endAttempt(AttemptEnd.Lost, "answer is too large");
-    }
-  }
-
-  #passesEvents({ answer }: Attempt): boolean {
-    return IS_STREAM[this.#call.route.kind] && answer!.statusCode === 200;
-  }
-
-  #passEvents(attempt: Attempt, events: readonly StreamedEvent[]): void {
-    for (const event of events) {
-      const fault = this.#passEvent(attempt, event);
-      if (fault !== undefined) {
-        this.#endAttempt(AttemptEnd.Lost, fault);
-        return;
-      }
-    }
-    if (events.length > 0) {
-      this.#watchSilence();
-    }
-  }
-
-  /** @returns Why the event cannot follow on the last one, if it cannot. */
-  #passEvent(attempt: Attempt, event: StreamedEvent): string | undefined {
+  #passEvent(attempt: TargetAttempt, bytes: Buffer): void {
     const nowMs = this.#nowMs();
-    const { id } = event;
-    if (id !== undefined && this.#lastEventId !== undefined) {
-      if (id <= this.#lastEventId) {
-        return undefined;
-      }
-      if (id > this.#lastEventId + 1) {
-        return "an event is missing";
-      }
-    }
-    this.#lastEventId = id ?? this.#lastEventId;
-    attempt.events++;
-    if (attempt.firstAtMs !== undefined || this.#reply.begun) {
-      const gapMs = nowMs - this.#lastEventAtMs;
-      this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
-    }
+    const gapMs = nowMs - (this.#lastEventAtMs ?? nowMs);
+    this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
     this.#lastEventAtMs = nowMs;
-    attempt.lastEventAtMs = nowMs;
+    this.#lastEventId = attempt.lastEventId;
     this.#stayAtTarget(attempt);
-    if (attempt.firstAtMs === undefined) {
-      attempt.firstAtMs = nowMs;
-      this.#parts.desk.firstSeen(attempt.askId);
-    }
-    this.#writeEvent(attempt, event.bytes);
-    return undefined;
+    this.#write(attempt, bytes);
+    this.#watchSilence();
   }
 
-  #writeEvent(attempt: Attempt, bytes: Buffer): void {
+  #write(attempt: TargetAttempt, bytes: Buffer): void {
     if (this.#callerGone) {
       return;
     }
     if (!this.#reply.begun) {
-      this.#reply.begin(attempt.answer!);
+      this.#reply.begin(attempt.answer);
       this.#noteFirstByte();
     }
-    if (!this.#reply.write(bytes)) {
-      this.#paused = true;
-      attempt.exchange?.pause();
+    if (bytes.length > 0 && !this.#reply.write(bytes)) {
+      this.#callerSlow = true;
+      attempt.pause();
     }
   }
 
-  #ended(attempt: Attempt): void {
-    if (this.#passesEvents(attempt)) {
-      const { rest } = attempt.splitter;
-      if (rest.length > 0) {
-        this.#writeEvent(attempt, rest);
-      }
-      if (!this.#reply.begun && !this.#callerGone) {
-        this.#reply.begin(attempt.answer!);
-      }
-      this.#reply.end();
-      this.#served(attempt);
-      return;
-    }
-    const status = attempt.answer!.statusCode!;
-    if (PROMISES_NOT_RUN.has(status)) {
-      // Without the target's word that it did not run, the status cannot be
-      // passed on: callers take it for a promise.
-      this.#endAttempt(AttemptEnd.Lost, `unfounded status ${status}`);
-      return;
-    }
-    if (status >= FIRST_FAILURE_STATUS) {
-      this.#endAttempt(AttemptEnd.Failed, `target answered ${status}`);
-      return;
-    }
+  #streamEnded(attempt: TargetAttempt, rest: Buffer): void {
+    this.#write(attempt, rest);
+    this.#reply.end();
+    this.#noteServed(attempt);
+  }
+
+  #served(attempt: TargetAttempt): void {
     this.#passOn(attempt);
-    this.#served(attempt);
+    this.#noteServed(attempt);
   }
 
   /** Passes a whole answer on, be it a failure of the target's own. */
-  #passOn(attempt: Attempt): void {
+  #passOn(attempt: TargetAttempt): void {
     if (!this.#callerGone && !this.#reply.begun) {
       this.#noteFirstByte();
-      this.#reply.whole(attempt.answer!, Buffer.concat(attempt.parts));
+      this.#reply.whole(attempt.answer, attempt.body);
     }
-    this.#logAnswered(attempt);
-    this.#finish();
   }
 
-  #served(attempt: Attempt): void {
+  #noteServed(attempt: TargetAttempt): void {
     this.#attempt = undefined;
     this.#dropAsk();
-    this.#parts.board.health.served(attempt.target.targetId);
-    this.#tellEnded(attempt, false);
+    this.#parts.board.health.served(attempt.order.target.targetId);
+    this.#parts.desk.ended(attempt.workEnd(false));
     this.#parts.metrics.attemptEnded(this.#call.pool, "served");
-    this.#logAnswered(attempt);
-    this.#finish();
+    this.#noteAnswered(attempt);
   }
 
-  #logAnswered(attempt: Attempt): void {
-    if (this.#answered) {
-      return;
-    }
-    this.#answered = true;
-    const status = attempt.answer!.statusCode!;
+  #noteAnswered(attempt: TargetAttempt): void {
+    const status = attempt.answer.statusCode!;
     this.#parts.metrics.answered(this.#call.route.name, status);
     this.#log("answered", {
-      targetId: attempt.target.targetId,
+      targetId: attempt.order.target.targetId,
       status,
       events: attempt.events,
-      firstMs: msSince(attempt.sentAtMs, attempt.firstAtMs),
+      firstMs: attempt.firstMs,
       longestGapMs: Math.round(this.#longestGapMs),
-      tookMs: Math.round(this.#nowMs() - this.#call.arrivedAtMs),
+      tookMs: this.#tookMs(),
     });
+    this.#finish();
   }
 
-  #broke(attempt: Attempt, fault: ExchangeFault): void {
+  /** An attempt ended without an answer of its target that counts. */
+  #attemptEnded(
+    attempt: TargetAttempt,
+    end: AttemptEnd,
+    reason: string,
+  ): void {
     if (attempt !== this.#attempt) {
       return;
     }
-    const end = fault.sent ? AttemptEnd.Lost : AttemptEnd.NotSent;
-    this.#endAttempt(end, fault.reason);
-  }
-
-  /** An attempt ended without an answer that can be passed on. */
-  #endAttempt(end: AttemptEnd, reason: string): void {
-    const attempt = this.#attempt!;
-    this.#attempt = undefined;
     // An ask that was made beside it goes by other facts now.
     this.#dropAsk();
     this.#closeAttempt(attempt, end, reason);
@@ -521,16 +312,19 @@
     this.#follow(end, attempt);
   }
 
-  #closeAttempt(attempt: Attempt, end: AttemptEnd, reason: string): void {
-    const { targetId } = attempt.target;
-    if (end !== AttemptEnd.Failed) {
-      attempt.exchange?.cancel();
-    }
+  #closeAttempt(
+    attempt: TargetAttempt,
+    end: AttemptEnd,
+    reason: string,
+  ): void {
+    const { targetId } = attempt.order.target;
+    const { health } = this.#parts.board;
+    this.#attempt = undefined;
+    attempt.cancel();
     clearTimeout(this.#silenceTimer);
-    this.#excluded.add(targetId);
-    const isUnreachable = end === AttemptEnd.NotSent;
-    this.#parts.board.health.failed(targetId, isUnreachable, this.#nowMs());
-    this.#tellEnded(attempt, true);
+    this.#tried.add(targetId);
+    health.failed(targetId, end === AttemptEnd.NotSent, this.#nowMs());
+    this.#parts.desk.ended(attempt.workEnd(true));
     this.#parts.metrics.attemptEnded(this.#call.pool, end);
     this.#log("attempt ended", {
       targetId,
@@ -538,11 +332,11 @@
       reason,
       events: attempt.events,
       tookMs: Math.round(this.#nowMs() - attempt.sentAtMs),
-      failuresInRow: this.#parts.board.health.failuresInRow(targetId),
+      failuresInRow: health.failuresInRow(targetId),
     });
   }
 
-  #follow(end: AttemptEnd, attempt?: Attempt): void {
+  #follow(end: AttemptEnd, attempt?: TargetAttempt): void {
     const step = this.#callerGone ? NextStep.FailMayHaveRun : nextStep({
       kind: this.#call.route.kind,
       end,
@@ -558,6 +352,7 @@
         return;
       case NextStep.PassOn:
         this.#passOn(attempt!);
+        this.#noteAnswered(attempt!);
         return;
       case NextStep.RefuseNotRun:
         this.#fail(RoutedError.NoTarget, RETRY_AFTER_MS);
@@ -581,11 +376,6 @@
     if (this.#done) {
       return;
     }
-    if (this.#attempt !== undefined) {
-      this.#stopAttempt();
-    }
-    this.#dropAsk();
-    this.#answered = true;
     this.#parts.metrics.failed(this.#call.route.name, error);
     this.#log("failed", {
       error,
@@ -595,7 +385,7 @@
       rejections: this.#rejections,
       begun: this.#reply.begun,
       callerGone: this.#callerGone,
-      tookMs: Math.round(this.#nowMs() - this.#call.arrivedAtMs),
+      tookMs: this.#tookMs(),
     });
     if (this.#reply.begun) {
       this.#reply.cut();
@@ -603,14 +393,19 @@
       const { requestId } = this.#call.facts;
       this.#reply.fail(error, { requestId, retryAfterMs });
     }
-    this.#finish();
+    this.#stop();
   }
 
-  #stopAttempt(): void {
-    const attempt = this.#attempt!;
+  /** Ends whatever is still out for the request. */
+  #stop(): void {
+    const attempt = this.#attempt;
     this.#attempt = undefined;
-    attempt.exchange?.cancel();
-    this.#tellEnded(attempt, false);
+    if (attempt !== undefined) {
+      attempt.cancel();
+      this.#parts.desk.ended(attempt.workEnd(false));
+    }
+    this.#dropAsk();
+    this.#finish();
   }
 
   #dropAsk(): void {
@@ -620,34 +415,19 @@
     }
   }
 
-  #tellEnded(attempt: Attempt, failed: boolean): void {
-    const { askId, target, firstAtMs, events } = attempt;
-    this.#parts.desk.ended({
-      askId,
-      targetId: target.targetId,
-      pool: this.#call.pool,
-      promptTokens: this.#call.facts.tokens?.prompt ?? 0,
-      firstMs: msSince(attempt.sentAtMs, firstAtMs),
-      eventGapMs: events > 1
-        ? (attempt.lastEventAtMs - firstAtMs!) / (events - 1)
-        : undefined,
-      failed,
-    });
-  }
-
   /** Sets the time after which a silent target is given up for another. */
   #watchSilence(): void {
     clearTimeout(this.#silenceTimer);
     const attempt = this.#attempt;
     const { route } = this.#call;
     const canMove = mayRunAgain(route.kind) && this.#runs < route.maxAttempts;
-    if (attempt === undefined || !canMove || this.#paused) {
+    if (attempt === undefined || !canMove || this.#callerSlow) {
       return;
     }
-    const pace = this.#parts.board.paces.of(attempt.target.targetId);
+    const { target, expectedMs } = attempt.order;
     const limitMs = attempt.events > 0
-      ? gapLimitMs(route, pace)
-      : firstEventLimitMs(route, attempt.expectedMs);
+      ? gapLimitMs(route, this.#parts.board.paces.of(target.targetId))
+      : firstEventLimitMs(route, expectedMs);
     this.#silenceTimer = setTimeout(() => this.#askBeside(limitMs), limitMs);
   }
 
@@ -660,26 +440,26 @@
     if (attempt === undefined || this.#askId !== undefined) {
       return;
     }
+    const { targetId } = attempt.order.target;
     this.#log("target is silent", {
-      targetId: attempt.target.targetId,
+      targetId,
       silentMs: Math.round(silentMs),
       events: attempt.events,
     });
-    this.#excluded.add(attempt.target.targetId);
+    this.#tried.add(targetId);
     this.#ask(AskCause.Repeat);
   }
 
   /** The silent target went on: the other place is not needed. */
-  #stayAtTarget(attempt: Attempt): void {
+  #stayAtTarget(attempt: TargetAttempt): void {
     if (this.#askId !== undefined) {
       this.#dropAsk();
-      this.#excluded.delete(attempt.target.targetId);
+      this.#tried.delete(attempt.order.target.targetId);
     }
   }
 
   #noteFirstByte(): void {
-    const tookMs = this.#nowMs() - this.#call.arrivedAtMs;
-    this.#parts.metrics.firstByte(this.#call.route.name, tookMs);
+    this.#parts.metrics.firstByte(this.#call.route.name, this.#tookMs());
   }
 
   #finish(): void {
@@ -693,19 +473,16 @@
     this.#onDone();
   }
 
-  #log(
-    message: string,
-    facts: Record<string, string | number | boolean | undefined>,
-  ): void {
+  #log(message: string, facts: LogFacts): void {
     const { requestId } = this.#call.facts;
     this.#parts.log.info(LogPart.Request, message, { requestId, ...facts });
   }
 
+  #tookMs(): number {
+    return Math.round(this.#nowMs() - this.#call.arrivedAtMs);
+  }
+
   #nowMs(): number {
     return this.#parts.clock.nowMs();
   }
 }
-
-function msSince(fromMs: number, atMs: number | undefined): number | undefined {
-  return atMs === undefined ? undefined : Math.round(atMs - fromMs);
-}
--- /dev/null
+++ b/packages/gateway/src/work_ask_of.ts
@@ -0,0 +1,90 @@
+/** What a request asks the coordinator for. */
+
+import { rankOf } from "@chestnuthatch/routing/ranks";
+import type { AskCause, WorkAsk } from "@chestnuthatch/routing/work_ask";
+import type { GatewayParts } from "./gateway_parts.ts";
+import {
+  deadlineAtMs,
+  type RoutedCall,
+  streamPatienceMs,
+} from "./routed_call.ts";
+import { isStream } from "./target_attempt.ts";
+
+/** Part of the objective kept back from a caller's patience, for the answer. */
+const ANSWER_PART = 0.5;
+
+/** What is known of a request besides the call itself. */
+export interface AskFacts {
+  readonly cause: AskCause;
+  /** Whether its cost was charged before. */
+  readonly charged: boolean;
+  /** Targets that must not get it again. */
+  readonly tried: ReadonlySet<string>;
+}
+
+/**
+ * Makes an ask for a request, as of now.
+ *
+ * @param parts The instance's parts.
+ * @param call The request.
+ * @param facts What is known besides.
+ * @returns The ask.
+ */
+export function workAskOf(
+  parts: GatewayParts,
+  call: RoutedCall,
+  facts: AskFacts,
+): WorkAsk {
+  const { route, workspace } = call;
+  const { tokens } = call.facts;
+  const nowMs = parts.clock.nowMs();
+  const spentMs = nowMs - call.arrivedAtMs;
+  const leftMs = deadlineAtMs(call) - nowMs;
+  const patienceMs = isStream(route.kind)
+    ? Math.min(leftMs, streamPatienceMs(route) - spentMs)
+    : leftMs;
+  return {
+    askId: parts.nextAskId(),
+    holderId: parts.board.members.selfId,
+    pool: call.pool,
+    workspace: workspace?.name ?? "",
+    kind: route.kind,
+    rank: rankOf(workspace?.rank ?? 0, route.rank),
+    cost: facts.charged ? 0 : costOf(call),
+    promptTokens: tokens?.prompt ?? 0,
+    outputTokens: tokens?.output ?? 0,
+    objectiveLeftMs: route.objectiveMs - spentMs,
+    patienceLeftMs: patienceMs - ANSWER_PART * route.objectiveMs,
+    failureDomain: parts.failureDomain,
+    excluded: excludedFor(parts, call, facts.tried),
+    cause: facts.cause,
+  };
+}
+
+/** Health is only advice: where it rules out every target, it is ignored. */
+function excludedFor(
+  { board, clock }: GatewayParts,
+  { pool }: RoutedCall,
+  tried: ReadonlySet<string>,
+): string[] {
+  const nowMs = clock.nowMs();
+  const excluded = new Set([...tried, ...board.health.paused(nowMs)]);
+  const isAnyLeft = board.targets.usable(pool, nowMs)
+    .some(({ targetId }) => !excluded.has(targetId));
+  return [...(isAnyLeft ? excluded : tried)];
+}
+
+/** Cost units of a request for its workspace's allotment. */
+function costOf({ facts, workspace }: RoutedCall): number {
+  const allotment = workspace?.allotment;
+  if (allotment === undefined) {
+    return 0;
+  }
+  if (!allotment.inTokens) {
+    return 1;
+  }
+  const { tokens } = facts;
+  return tokens === undefined
+    ? allotment.plainTokens
+    : tokens.prompt + tokens.output;
+}
