--- a/packages/cli/src/command_line.ts
+++ b/packages/cli/src/command_line.ts
@@ -17,6 +17,7 @@
 import { addSettingsStatusCommand } from "./settings_status_command.ts";
 import { addStatusCommand } from "./status_command.ts";
 import { addTryCommand } from "./try_command.ts";
+import { addTryRoutedCommand } from "./try_routed_command.ts";
 import { addWhyCommand } from "./why_command.ts";
 
 const EXIT_CODE_HELP = `
@@ -64,6 +65,7 @@
   addDrainCommand(program, runner);
   addOrderCommand(program, runner);
   addTryCommand(program, runner);
+  addTryRoutedCommand(program, runner);
   return program;
 }
 
--- a/packages/gateway/src/caller_reply.ts
+++ b/packages/gateway/src/caller_reply.ts
@@ -9,6 +9,9 @@
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 
 const MS_PER_S = 1000;
+
+/** Status codes of answers that never have a body. */
+const HAS_NO_BODY: ReadonlySet<number> = new Set([204, 304]);
 const RETRY_AFTER_DIGITS = 3;
 
 /** An error's facts for the caller. */
@@ -47,13 +50,15 @@
    */
   whole(answer: IncomingMessage, body: Buffer): void {
     this.#begun = true;
+    const status = answer.statusCode!;
     const headers = this.#headers(answer.rawHeaders);
-    headers.push("Content-Length", String(body.length));
-    this.#response.writeHead(
-      answer.statusCode!,
-      answer.statusMessage,
-      headers,
-    );
+    if (this.#response.req.method === "HEAD") {
+      const length = answer.headers["content-length"];
+      headers.push(...(length === undefined ? [] : ["Content-Length", length]));
+    } else if (!HAS_NO_BODY.has(status)) {
+      headers.push("Content-Length", String(body.length));
+    }
+    this.#response.writeHead(status, answer.statusMessage, headers);
     this.#response.end(body);
   }
 
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -63,10 +63,11 @@
    */
   heard(news: MemberNews, nowMs: number): boolean {
     const known = this.#byId.get(news.instanceId);
-    if (
-      news.instanceId === this.selfId ||
-      (known !== undefined && known.incarnation > news.incarnation)
-    ) {
+    // A lower incarnation is an old word on its way, or a process that started
+    // after the time of day was put back: it counts once the other is silent.
+    const isOld = known !== undefined &&
+      known.incarnation > news.incarnation && isHeard(known, nowMs);
+    if (news.instanceId === this.selfId || isOld) {
       return false;
     }
     this.#byId.set(news.instanceId, { ...news, heardAtMs: nowMs });
--- a/packages/routing/src/member_view_test.ts
+++ b/packages/routing/src/member_view_test.ts
@@ -70,6 +70,13 @@
   assert.is(view.get("i2")?.address, "new:1");
 });
 
+test("an instance restarted after its clock was put back is heard again", () => {
+  const view = viewOf("i1", []);
+  view.heard(news("i2", { incarnation: 2, address: "old:1" }), 0);
+  view.heard(news("i2", { incarnation: 1, address: "new:1" }), 1500);
+  assert.is(view.get("i2")?.address, "new:1");
+});
+
 test("a member that was only told of gets no duties", () => {
   const view = viewOf("i1", []);
   view.toldOf(news("i2"), 0);
