Tell the coordinator's spending in heartbeats; serve short work evenly

Change: heartbeats of the coordinator name workspaces near their bounds, and a part of the fleet that is cut off takes its share of that spending over. Short work of a low rank is to be served as often as the best rank above.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import type { WorkspaceSpending } from "@chestnuthatch/routing/spending_log";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
 import { TargetPaces } from "@chestnuthatch/routing/target_paces";
@@ -65,6 +66,11 @@
   readonly clock?: Clock;
 }
 
+interface FleetSpending {
+  readonly spending: readonly WorkspaceSpending[];
+  readonly atMs: number;
+}
+
 const MONOTONIC_CLOCK: Clock = { nowMs: () => performance.now() };
 
 /** Runs one entry instance within this process. */
@@ -93,6 +99,8 @@
   #tickedAtMs = 0;
   #wasCoordinator = false;
   #recordedAtMs = -Infinity;
+  /** What the coordinator told last of workspaces near their bounds. */
+  #fleetSpending: FleetSpending = { spending: [], atMs: 0 };
   #stopping?: Promise<void>;
 
   /**
@@ -267,6 +275,10 @@
   #heard(message: RoutingMessage, fromAddress: string): void {
     if (message.kind === MessageKind.Beat) {
       this.#membership.heard(message);
+      if (message.from.instanceId === this.#desk.coordinatorId) {
+        const { spending } = message;
+        this.#fleetSpending = { spending, atMs: this.#clock.nowMs() };
+      }
       this.#news.heard(message);
       return;
     }
@@ -299,6 +311,9 @@
     const isCoordinator = this.#desk.coordinatorId === this.#self.instanceId;
     if (isCoordinator !== this.#wasCoordinator) {
       this.#wasCoordinator = isCoordinator;
+      if (isCoordinator) {
+        this.#takeUpFleetSpending();
+      }
       this.#log.info(LogPart.Placement, "coordinator changed", {
         coordinatorId: this.#desk.coordinatorId,
         alive: this.board.members.alive(this.#clock.nowMs()).length,
@@ -314,6 +329,22 @@
     }
   }
 
+  /**
+   * Goes on from what the coordinator before this one told. A part of the fleet
+   * that was cut off takes its share of the spending as it takes its share of
+   * the allotments, so that the parts together hand out no more than the whole.
+   */
+  #takeUpFleetSpending(): void {
+    const { spending, atMs } = this.#fleetSpending;
+    const nowMs = this.#clock.nowMs();
+    const share = this.board.members.heardShare(nowMs);
+    const own = spending.map(({ workspace, spent }) => ({
+      workspace,
+      spent: spent * share,
+    }));
+    this.#coordinator.takeUpSpending(own, nowMs - atMs, nowMs);
+  }
+
   #makeParts(protocol: CallProtocol): GatewayParts {
     const { instanceId, failureDomain } = this.#settings;
     const prefix = `${instanceId}.${this.#self.incarnation.toString(36)}`;
@@ -361,6 +392,10 @@
       send: (address, message) => this.#socket.send(address, message),
       memoryMs: () => this.#clock.nowMs() - this.#startedAtMs,
       reachesStore: () => this.#news.reachesStore,
+      spending: () =>
+        this.#wasCoordinator
+          ? this.#coordinator.muchSpent(this.#clock.nowMs())
+          : [],
       targetNews: () => this.#news.targetNews(),
     }, this.#self);
   }
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -6,6 +6,7 @@
 } from "@chestnuthatch/routing/peer_messages";
 import type { MemberNews } from "@chestnuthatch/routing/member_view";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import type { WorkspaceSpending } from "@chestnuthatch/routing/spending_log";
 import type { TargetChange } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock } from "./ports.ts";
@@ -31,6 +32,8 @@
   memoryMs(): number;
   /** @returns Whether this instance reaches the platform's store. */
   reachesStore(): boolean;
+  /** @returns Workspaces near their bounds; none unless it coordinates. */
+  spending(): readonly WorkspaceSpending[];
   /** @returns What this instance lately learned of targets. */
   targetNews(): readonly TargetChange[];
 }
@@ -130,6 +133,7 @@
       targetsVersion: board.targets.version,
       reachesStore: this.#parts.reachesStore(),
       others,
+      spending: this.#parts.spending(),
       targetNews: [...this.#parts.targetNews()],
     });
   }
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -63,6 +63,7 @@
   "firstSeen",
   "memoryMs",
   "figures",
+  "spending",
 ];
 
 /** Bytes that the receive buffer of the socket holds. */
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -156,28 +156,37 @@
    * since the last record; undefined where the last record will do.
    */
   toRecord(nowMs: number): WorkspaceSpending[] | undefined {
-    const record: WorkspaceSpending[] = [];
-    let hasGrown = false;
-    for (const [workspace, bound] of this.#wholeBounds) {
-      const spent = this.#spent(workspace, nowMs);
-      if (spent < bound * (RECORDED_SHARE - RECORD_STEP)) {
-        this.#recorded.delete(workspace);
-        continue;
-      }
-      const last = this.#recorded.get(workspace) ?? 0;
-      hasGrown ||= spent > last;
-      // What is spent until the next record is counted ahead.
-      record.push({ workspace, spent: spent + RECORD_STEP * bound });
-    }
+    const much = this.muchSpent(nowMs);
+    const hasGrown = much.some(({ workspace, spent }) =>
+      spent > (this.#recorded.get(workspace) ?? 0)
+    );
     if (!hasGrown) {
       return undefined;
     }
+    // What is spent until the next record is counted ahead.
+    const record = much.map(({ workspace, spent }) => ({
+      workspace,
+      spent: spent + RECORD_STEP * this.#wholeBounds.get(workspace)!,
+    }));
+    this.#recorded.clear();
     for (const { workspace, spent } of record) {
       this.#recorded.set(workspace, spent);
     }
     return record;
   }
 
+  /**
+   * @param nowMs The local time.
+   * @returns Spending of the workspaces that are near their bounds.
+   */
+  muchSpent(nowMs: number): WorkspaceSpending[] {
+    return [...this.#wholeBounds].flatMap(([workspace, bound]) => {
+      const spent = this.#spent(workspace, nowMs);
+      const isMuch = spent >= bound * (RECORDED_SHARE - RECORD_STEP);
+      return isMuch ? [{ workspace, spent }] : [];
+    });
+  }
+
   /**
    * Takes up a record that the fleet left before it lost its instances.
    *
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -185,6 +185,14 @@
     return this.#ledger.toRecord(nowMs);
   }
 
+  /**
+   * @param nowMs The local time.
+   * @returns Spending of workspaces near their bounds.
+   */
+  muchSpent(nowMs: number): WorkspaceSpending[] {
+    return this.#ledger.muchSpent(nowMs);
+  }
+
   /**
    * Takes up what the fleet recorded before it lost its instances.
    *
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -120,6 +120,9 @@
     reachesStore: z.boolean(),
     /** Other members that it hears. */
     others: z.array(member),
+    /** From the coordinator: workspaces that spent much of their allotments. */
+    spending: z.array(z.object({ workspace: z.string(), spent: z.number() }))
+      .readonly(),
     /** What it lately learned of targets. */
     targetNews: targetChangesSchema,
   }),
--- a/packages/routing/src/rank_shares.ts
+++ b/packages/routing/src/rank_shares.ts
@@ -15,7 +15,7 @@
 
 /**
  * The same for a rank of short work, which takes next to nothing from the ranks
- * above: it is to be served as often as they are, but not more.
+ * above: it is to be served as often as the best served of them, but not more.
  */
 const LEAST_PART_SHORT = 0.95;
 
@@ -79,6 +79,7 @@
   neglected(nowMs: number): ReadonlySet<number> {
     const neglected = new Set<number>();
     let leastAbove = Infinity;
+    let mostAbove = 0;
     let longestAboveMs = 0;
     for (const rank of [...this.#byRank.keys()].sort((a, b) => a - b)) {
       const { served, refused, workMs } = this.#faded(rank, nowMs);
@@ -88,10 +89,13 @@
       }
       const share = served / total;
       const isShort = workMs < SHORT_PART * longestAboveMs;
-      const part = isShort ? LEAST_PART_SHORT : LEAST_PART;
-      if (leastAbove !== Infinity && share < part * leastAbove) {
+      const least = isShort
+        ? LEAST_PART_SHORT * mostAbove
+        : LEAST_PART * leastAbove;
+      if (leastAbove !== Infinity && share < least) {
         neglected.add(rank);
       }
+      mostAbove = Math.max(mostAbove, share);
       longestAboveMs = Math.max(longestAboveMs, workMs);
       leastAbove = Math.min(leastAbove, share);
     }
