--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -47,7 +47,7 @@
   /** Called when what is known of targets has changed. */
   onTargets(): void;
   /** Called with what the fleet recorded of workspaces' spending. */
-  onSpending(record: readonly WorkspaceSpending[], ageMs: number): void;
+  onSpending(record: readonly WorkspaceSpending[]): void;
   /** Called when another version came into force. */
   onConfiguration(configuration: FleetConfiguration): void;
 }
@@ -149,7 +149,7 @@
       ageMs: Math.round(ageMs),
       workspaces: record.map(({ workspace }) => workspace),
     });
-    this.#parts.onSpending(record, ageMs);
+    this.#parts.onSpending(record);
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,6 +55,9 @@
 /** Least time between two records of spending: five writes a second at most. */
 const RECORD_PAUSE_MS = 200;
 
+/** Time after which a new coordinator makes its first record. */
+const FIRST_RECORD_MS = 1000;
+
 /** Time between two looks at whether the last request has ended. */
 const STOP_CHECK_MS = 50;
 
@@ -313,6 +316,9 @@
       this.#wasCoordinator = isCoordinator;
       if (isCoordinator) {
         this.#takeUpFleetSpending();
+        this.#coordinator.recordAnew();
+        // By then all holders have reported what they spent.
+        this.#recordedAtMs = this.#clock.nowMs() + FIRST_RECORD_MS;
       }
       this.#log.info(LogPart.Placement, "coordinator changed", {
         coordinatorId: this.#desk.coordinatorId,
@@ -342,7 +348,7 @@
       workspace,
       spent: spent * share,
     }));
-    this.#coordinator.takeUpSpending(own, nowMs - atMs, nowMs);
+    this.#coordinator.takeUpSpending(own, atMs);
   }
 
   #makeParts(protocol: CallProtocol): GatewayParts {
@@ -362,7 +368,6 @@
           maxConnections: this.board.routes?.pool(pool)?.maxConnections ?? 1,
           instances: this.board.members.alive(this.#clock.nowMs()).length,
         }),
-      noteClosing: () => {},
     };
   }
 
@@ -376,9 +381,10 @@
       followsStore: () => this.#followsStore(),
       onTargets: () => this.#targetsChanged(),
       onConfiguration: (configuration) => this.#configured(configuration),
-      onSpending: (record, ageMs) => {
-        const nowMs = this.#clock.nowMs();
-        this.#coordinator.takeUpSpending(record, ageMs, nowMs);
+      onSpending: (record) => {
+        // The record holds until it is made anew, so that it may be old and
+        // still be what was spent just before the fleet was lost.
+        this.#coordinator.takeUpSpending(record, this.#clock.nowMs());
       },
     });
   }
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -21,6 +21,4 @@
   nextAskId(): string;
   /** @returns The agent that keeps connections to a target of a pool. */
   agentFor(pool: string, address: string): Agent;
-  /** Notes that a target closes its connections. */
-  noteClosing(targetId: string): void;
 }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -47,8 +47,6 @@
   readonly genuine: boolean;
   /** Call that it answers; absent where it does not say. */
   readonly requestId?: string;
-  /** The target closes its connections: it may be leaving. */
-  readonly closing: boolean;
 }
 
 /** How calls look on the wire. */
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -48,7 +48,6 @@
     holderId: parts.board.members.selfId,
     pool: call.pool,
     workspace: workspace?.name ?? "",
-    kind: route.kind,
     rank: rankOf(workspace?.rank ?? 0, route.rank),
     cost: facts.charged ? 0 : costOf(call),
     promptTokens: tokens?.prompt ?? 0,
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -14,7 +14,7 @@
  * account is exact; the rest covers charges that only cut-off or killed
  * coordinators knew of.
  */
-const TOLERANCE_USED = 0.8;
+const TOLERANCE_USED = 0.75;
 
 /**
  * Part of the bound that each rank below the highest leaves to those above it,
@@ -36,6 +36,12 @@
 /** Growth, as a share of the bound, after which spending is recorded again. */
 const RECORD_STEP = 0.05;
 
+/**
+ * Share of the bound below which a recorded workspace is taken off the record,
+ * well under where it came on, so that it does not go on and off.
+ */
+const NO_LONGER_MUCH = 0.35;
+
 /** How far spending may go beyond an allotment, by the operators' word. */
 export interface AllotmentTolerance {
   readonly windowMs: number;
@@ -72,7 +78,8 @@
   readonly #elsewhere = new Map<string, number>();
   /** Bounds of one window, by workspace, as last charged by. */
   readonly #wholeBounds = new Map<string, number>();
-  readonly #recorded = new Map<string, number>();
+  /** The last record of this ledger; absent until it has made one. */
+  #recorded?: Map<string, number>;
   /** Workspaces whose spending before the start of this process is known. */
   readonly #takenUp = new Set<string>();
 
@@ -149,18 +156,20 @@
 
   /**
    * Tells what has to be recorded so that a fleet that loses all its instances
-   * still knows it.
+   * still knows it. What the last record says is never less than what its
+   * workspaces have spent, however old it is.
    *
    * @param nowMs The local time.
-   * @returns Spending of all workspaces near their bounds, where it has grown
-   * since the last record; undefined where the last record will do.
+   * @returns Spending of all workspaces near their bounds, where the last record
+   * no longer holds; undefined where it does.
    */
   toRecord(nowMs: number): WorkspaceSpending[] | undefined {
     const much = this.muchSpent(nowMs);
-    const hasGrown = much.some(({ workspace, spent }) =>
-      spent > (this.#recorded.get(workspace) ?? 0)
-    );
-    if (!hasGrown) {
+    const holds = this.#recorded !== undefined &&
+      much.every(({ workspace, spent }) =>
+        spent <= (this.#recorded!.get(workspace) ?? 0)
+      ) && !this.#isOutdated(nowMs);
+    if (holds) {
       return undefined;
     }
     // What is spent until the next record is counted ahead.
@@ -168,13 +177,23 @@
       workspace,
       spent: spent + RECORD_STEP * this.#wholeBounds.get(workspace)!,
     }));
-    this.#recorded.clear();
-    for (const { workspace, spent } of record) {
-      this.#recorded.set(workspace, spent);
-    }
+    this.#recorded = new Map(record.map((r) => [r.workspace, r.spent]));
     return record;
   }
 
+  /** Forgets the last record: another ledger may have made a newer one. */
+  recordAnew(): void {
+    this.#recorded = undefined;
+  }
+
+  /** Whether the record holds a workspace to what it spent long ago. */
+  #isOutdated(nowMs: number): boolean {
+    return [...this.#recorded!.keys()].some((workspace) => {
+      const bound = this.#wholeBounds.get(workspace) ?? 0;
+      return this.#spent(workspace, nowMs) < bound * NO_LONGER_MUCH;
+    });
+  }
+
   /**
    * @param nowMs The local time.
    * @returns Spending of the workspaces that are near their bounds.
@@ -191,16 +210,11 @@
    * Takes up a record that the fleet left before it lost its instances.
    *
    * @param record The record.
-   * @param ageMs How long ago it was made.
-   * @param nowMs The local time.
+   * @param spentAtMs Local time at which all of it counts as spent.
    */
-  takeUp(
-    record: readonly WorkspaceSpending[],
-    ageMs: number,
-    nowMs: number,
-  ): void {
+  takeUp(record: readonly WorkspaceSpending[], spentAtMs: number): void {
     for (const { workspace, spent } of record) {
-      this.#own.note(workspace, spent, nowMs - ageMs);
+      this.#own.note(workspace, spent, spentAtMs);
       this.#takenUp.add(workspace);
     }
   }
--- a/packages/routing/src/allotment_ledger_test.ts
+++ b/packages/routing/src/allotment_ledger_test.ts
@@ -2,10 +2,10 @@
 import * as assert from "uvu/assert";
 import { AllotmentLedger, type LedgerScope } from "./allotment_ledger.ts";
 
-const TOLERANCE = { windowMs: 8000, overage: 0.1, slack: 1000 };
+const TOLERANCE = { windowMs: 8000, overage: 0.1, slack: 1010 };
 const ALLOTMENT = { perS: 1000, burst: 500, inTokens: true, plainTokens: 10 };
-/** (1000 × 8 + 500) × 1.08 + 800. */
-const WHOLE_BOUND = 9980;
+/** (1000 × 8 + 500) × 1.075 + 757.5. */
+const WHOLE_BOUND = 9895;
 
 function scope(nowMs: number, over: Partial<LedgerScope> = {}): LedgerScope {
   return { share: 1, memoryMs: Infinity, nowMs, ...over };
@@ -90,6 +90,8 @@
   const spend = (cost: number) =>
     ledger.charge("w", ALLOTMENT, { cost, rank: 0, scope: scope(0) });
   spend(WHOLE_BOUND * 0.4);
+  // The first record, so that none of an earlier ledger is left.
+  assert.equal(ledger.toRecord(0), []);
   assert.is(ledger.toRecord(0), undefined);
   spend(WHOLE_BOUND * 0.2);
   const [record] = ledger.toRecord(0)!;
@@ -100,6 +102,21 @@
   assert.is(ledger.toRecord(0)!.length, 1);
 });
 
+test("a record never says less than was spent, and is cleared in the end", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  let recorded = 0;
+  for (let atMs = 0; atMs < 30_000; atMs += 50) {
+    const cost = atMs < 15_000 ? 60 : 5;
+    const of = { cost, rank: 0, scope: scope(atMs) };
+    ledger.charge("w", ALLOTMENT, of);
+    const record = ledger.toRecord(atMs);
+    recorded = record === undefined ? recorded : record[0]?.spent ?? 0;
+    const [spent] = ledger.muchSpent(atMs);
+    assert.ok((spent?.spent ?? 0) <= recorded, `at ${atMs}`);
+  }
+  assert.is(recorded, 0);
+});
+
 test("before and after the loss of all instances, a window holds its bound", () => {
   for (const part of [0.3, 0.5, 0.7, 1]) {
     const before = new AllotmentLedger(TOLERANCE);
@@ -114,7 +131,7 @@
       record = before.toRecord(0) ?? record;
     }
     const after = new AllotmentLedger(TOLERANCE);
-    after.takeUp(record, 1500, 0);
+    after.takeUp(record, 0);
     spent += spendAll(after, scope(0, { memoryMs: 0 }));
     assert.ok(spent <= WHOLE_BOUND + 100, `${part}: ${spent}`);
   }
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -197,15 +197,18 @@
    * Takes up what the fleet recorded before it lost its instances.
    *
    * @param record Spending by workspace.
-   * @param ageMs How long ago it was recorded.
-   * @param nowMs The local time.
+   * @param spentAtMs Local time at which all of it counts as spent.
    */
   takeUpSpending(
     record: readonly WorkspaceSpending[],
-    ageMs: number,
-    nowMs: number,
+    spentAtMs: number,
   ): void {
-    this.#ledger.takeUp(record, ageMs, nowMs);
+    this.#ledger.takeUp(record, spentAtMs);
+  }
+
+  /** Spending is to be recorded anew: another instance may have done so. */
+  recordAnew(): void {
+    this.#ledger.recordAnew();
   }
 
   /** @param bounds Bounds that hold from now on. */
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -4,7 +4,6 @@
  */
 
 import { z } from "zod";
-import { RequestKind } from "./fleet_configuration.ts";
 import { AskCause, AskRefusal } from "./work_ask.ts";
 
 /** Kinds of message. */
@@ -49,7 +48,6 @@
   holderId: z.string(),
   pool: z.string(),
   workspace: z.string(),
-  kind: z.enum(RequestKind),
   rank: z.number(),
   cost: z.number(),
   promptTokens: z.number(),
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -112,7 +112,6 @@
     holderId: "i1",
     pool: "p",
     workspace: "w",
-    kind: RequestKind.ResumableStream,
     rank: 0,
     cost: 0,
     promptTokens: 500,
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -1,6 +1,5 @@
 /** What a holder asks a coordinator, and what it gets back. */
 
-import type { RequestKind } from "./fleet_configuration.ts";
 import type { WorkspaceSpending } from "./spending_log.ts";
 
 /** Why a request asks for a place. */
@@ -20,7 +19,6 @@
   readonly holderId: string;
   readonly pool: string;
   readonly workspace: string;
-  readonly kind: RequestKind;
   /** 0 is the most valuable. */
   readonly rank: number;
   /** Cost units to charge to the workspace; 0 once they were charged. */
