Bound the heartbeats of a large fleet

Cause: every instance beat to every other, 36,000 messages a second at 90 instances. Change: beyond 12 others a heartbeat goes to the coordinator and 12 members in turn, the coordinator beats to all; other members may be silent for a round. Run times are kept as start times, so that their age does not matter.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -304,6 +304,7 @@
     this.board.members.remembers(
       this.#self.instanceId,
       nowMs - this.#startedAtMs,
+      nowMs,
     );
     this.#membership.tick();
     this.#desk.tick();
@@ -396,6 +397,7 @@
       log: this.#log,
       seedAddresses: this.#settings.seedAddresses,
       send: (address, message) => this.#socket.send(address, message),
+      coordinatorId: () => this.#desk.coordinatorId,
       memoryMs: () => this.#clock.nowMs() - this.#startedAtMs,
       reachesStore: () => this.#news.reachesStore,
       spending: () =>
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -4,7 +4,10 @@
   MessageKind,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
-import type { MemberNews } from "@chestnuthatch/routing/member_view";
+import {
+  BEAT_FANOUT,
+  type MemberNews,
+} from "@chestnuthatch/routing/member_view";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { WorkspaceSpending } from "@chestnuthatch/routing/spending_log";
 import type { TargetChange } from "@chestnuthatch/routing/target_directory";
@@ -17,6 +20,9 @@
 /** Every so many heartbeats, one names the members that the sender hears. */
 const BEATS_PER_DIGEST = 5;
 
+/** Members that one heartbeat names; a larger fleet is named in turn. */
+const MAX_DIGEST = 24;
+
 /** A heartbeat of another instance. */
 export type Beat = Extract<RoutingMessage, { kind: MessageKind.Beat }>;
 
@@ -28,6 +34,8 @@
   /** Peer addresses that are told of this instance though nobody is known. */
   readonly seedAddresses: readonly string[];
   send(address: string, message: RoutingMessage): void;
+  /** @returns Id of the coordinator. */
+  coordinatorId(): string;
   /** @returns How long this instance remembers what workspaces spent. */
   memoryMs(): number;
   /** @returns Whether this instance reaches the platform's store. */
@@ -91,7 +99,7 @@
     } else {
       this.#reachStore.delete(beat.from.instanceId);
     }
-    members.remembers(beat.from.instanceId, beat.memoryMs);
+    members.remembers(beat.from.instanceId, beat.memoryMs, nowMs);
     for (const other of beat.others) {
       members.toldOf(other, nowMs);
     }
@@ -105,8 +113,7 @@
     this.#beatAtMs = nowMs;
     this.#beats++;
     const withOthers = this.#beats % BEATS_PER_DIGEST === 1;
-    const others = this.#parts.board.members.others();
-    const addresses = new Set(others.map(({ address }) => address));
+    const addresses = new Set(this.#listeners().map((m) => m.address));
     if (withOthers) {
       for (const seed of this.#parts.seedAddresses) {
         addresses.add(seed);
@@ -118,13 +125,26 @@
     }
   }
 
+  /** All others, or in a large fleet the coordinator and some in turn. */
+  #listeners(): MemberNews[] {
+    const { members } = this.#parts.board;
+    const others = members.others();
+    const coordinatorId = this.#parts.coordinatorId();
+    const isAll = others.length <= BEAT_FANOUT ||
+      coordinatorId === members.selfId;
+    if (isAll) {
+      return others;
+    }
+    const some = inTurn(others, BEAT_FANOUT, this.#beats);
+    return [...some, members.get(coordinatorId) ?? []].flat();
+  }
+
   #sendBeat(address: string, withOthers: boolean): void {
     const { board, clock } = this.#parts;
-    const others = withOthers
-      ? board.members.alive(clock.nowMs())
-        .filter(({ instanceId }) => instanceId !== board.members.selfId)
-        .map(newsOf)
-      : [];
+    const alive = withOthers ? board.members.alive(clock.nowMs()) : [];
+    const others = inTurn(alive, MAX_DIGEST, this.#beats)
+      .filter(({ instanceId }) => instanceId !== board.members.selfId)
+      .map(newsOf);
     this.#parts.send(address, {
       kind: MessageKind.Beat,
       from: this.#self,
@@ -164,6 +184,15 @@
   }
 }
 
+/** Takes some of a list, others with each turn. */
+function inTurn<T>(all: readonly T[], count: number, turn: number): T[] {
+  if (all.length <= count) {
+    return [...all];
+  }
+  const begin = turn * count % all.length;
+  return [...all, ...all].slice(begin, begin + count);
+}
+
 function newsOf(member: MemberNews): MemberNews {
   const { instanceId, address, failureDomain, incarnation, leaving } = member;
   return { instanceId, address, failureDomain, incarnation, leaving };
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -22,6 +22,13 @@
  */
 export const MEMBER_SILENCE_MS = 900;
 
+/**
+ * Members that one heartbeat goes to, besides the coordinator, so that its cost
+ * does not grow with the fleet. Fleets up to this size hear each other directly
+ * with every heartbeat.
+ */
+export const BEAT_FANOUT = 12;
+
 /** Silence after which a member no longer counts towards the fleet's size. */
 const FORGET_MEMBER_MS = 20_000;
 
@@ -45,7 +52,10 @@
 export class MemberView {
   readonly selfId: string;
   readonly #byId = new Map<string, MemberRecord>();
-  readonly #memoryMs = new Map<string, number>();
+  /** Local time since which a member remembers what workspaces spent. */
+  readonly #remembersSinceMs = new Map<string, number>();
+  /** Since when a coordinator that is not heard should be. */
+  readonly #expectedSinceMs = new Map<string, number>();
   readonly #toldAtMs = new Map<string, number>();
 
   /** @param self This instance. */
@@ -66,12 +76,12 @@
     // A lower incarnation is an old word on its way, or a process that started
     // after the time of day was put back: it counts once the other is silent.
     const isOld = known !== undefined &&
-      known.incarnation > news.incarnation && isHeard(known, nowMs);
+      known.incarnation > news.incarnation && this.#isHeard(known, nowMs);
     if (news.instanceId === this.selfId || isOld) {
       return false;
     }
     this.#byId.set(news.instanceId, { ...news, heardAtMs: nowMs });
-    return known === undefined || !isHeard(known, nowMs);
+    return known === undefined || !this.#isHeard(known, nowMs);
   }
 
   /**
@@ -108,7 +118,7 @@
    * @returns Members that are alive, this instance included.
    */
   alive(nowMs: number): MemberRecord[] {
-    return [...this.#byId.values()].filter((m) => isHeard(m, nowMs));
+    return [...this.#byId.values()].filter((m) => this.#isHeard(m, nowMs));
   }
 
   /**
@@ -135,18 +145,17 @@
    * @returns A duration in milliseconds.
    */
   memoryMs(ownMs: number, nowMs: number): number {
-    const alive = this.alive(nowMs).map(({ instanceId }) =>
-      this.#memoryMs.get(instanceId) ?? 0
-    );
+    const alive = this.alive(nowMs).map((m) => this.#runMs(m, nowMs));
     return Math.max(ownMs, ...alive);
   }
 
   /**
    * @param instanceId A member.
    * @param memoryMs How long it has remembered what workspaces spent.
+   * @param nowMs The local time.
    */
-  remembers(instanceId: string, memoryMs: number): void {
-    this.#memoryMs.set(instanceId, memoryMs);
+  remembers(instanceId: string, memoryMs: number, nowMs: number): void {
+    this.#remembersSinceMs.set(instanceId, nowMs - memoryMs);
   }
 
   /**
@@ -163,18 +172,45 @@
     const staying = alive.filter((m) => !m.leaving);
     const answering = (staying.length > 0 ? staying : alive)
       .filter((m) => !shunned.has(m.instanceId));
-    const eligible = this.#longestRunning(answering);
-    const self = this.#byId.get(this.selfId)!;
-    return eligible.reduce(
-      (best, m) => scoreOf(m) > scoreOf(best) ? m : best,
-      eligible[0] ?? self,
+    const eligible = this.#longestRunning(answering, nowMs);
+    eligible.sort((a, b) => scoreOf(b) - scoreOf(a));
+    return eligible.find((m) => this.#isFresh(m, nowMs)) ??
+      this.#byId.get(this.selfId)!;
+  }
+
+  /**
+   * A coordinator beats to every instance, however large the fleet is. One that
+   * has just become it is given the time to notice.
+   */
+  #isFresh({ instanceId, heardAtMs }: MemberRecord, nowMs: number): boolean {
+    if (nowMs - heardAtMs < MEMBER_SILENCE_MS) {
+      this.#expectedSinceMs.delete(instanceId);
+      return true;
+    }
+    const sinceMs = this.#expectedSinceMs.get(instanceId) ?? nowMs;
+    this.#expectedSinceMs.set(instanceId, sinceMs);
+    return nowMs - sinceMs < MEMBER_SILENCE_MS;
+  }
+
+  /** In a large fleet, a member is heard once in a round over all of it. */
+  #isHeard(member: MemberRecord, nowMs: number): boolean {
+    const rounds = Math.max(1, Math.ceil((this.#byId.size - 1) / BEAT_FANOUT));
+    return nowMs - member.heardAtMs < MEMBER_SILENCE_MS * rounds;
+  }
+
+  #longestRunning(
+    members: readonly MemberRecord[],
+    nowMs: number,
+  ): MemberRecord[] {
+    const times = members.map((m) => this.#runMs(m, nowMs));
+    const longestMs = Math.max(0, ...times);
+    return members.filter((_, index) =>
+      times[index]! >= longestMs - STARTED_TOGETHER_MS
     );
   }
 
-  #longestRunning(members: readonly MemberRecord[]): MemberRecord[] {
-    const runMs = (m: MemberRecord) => this.#memoryMs.get(m.instanceId) ?? 0;
-    const longestMs = Math.max(0, ...members.map(runMs));
-    return members.filter((m) => runMs(m) >= longestMs - STARTED_TOGETHER_MS);
+  #runMs({ instanceId }: MemberRecord, nowMs: number): number {
+    return nowMs - (this.#remembersSinceMs.get(instanceId) ?? nowMs);
   }
 
   /** @param nowMs Members long silent by then are forgotten. */
@@ -182,17 +218,14 @@
     for (const { instanceId, heardAtMs } of this.others()) {
       if (heardAtMs > -Infinity && nowMs - heardAtMs > FORGET_MEMBER_MS) {
         this.#byId.delete(instanceId);
-        this.#memoryMs.delete(instanceId);
+        this.#remembersSinceMs.delete(instanceId);
+        this.#expectedSinceMs.delete(instanceId);
         this.#toldAtMs.delete(instanceId);
       }
     }
   }
 }
 
-function isHeard(member: MemberRecord, nowMs: number): boolean {
-  return nowMs - member.heardAtMs < MEMBER_SILENCE_MS;
-}
-
 function scoreOf(member: MemberRecord): number {
   return hash32(`coordinator ${member.instanceId}`);
 }
