Retry records of spending; survive unreadable rows and unexpected errors

Found reading the change: a record that the store did not take counted as made, one made while another was on its way was dropped, a malformed row of our own tables ended the process, and so did any error that nothing handled.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,6 +55,9 @@
 /** Least time between two records of spending: five writes a second at most. */
 const RECORD_PAUSE_MS = 200;
 
+/** Pause after a record that the platform did not take. */
+const RECORD_RETRY_MS = 1000;
+
 /** Time after which a new coordinator makes its first record. */
 const FIRST_RECORD_MS = 1000;
 
@@ -101,6 +104,7 @@
   #tickTimer?: NodeJS.Timeout;
   #tickedAtMs = 0;
   #wasCoordinator = false;
+  #recording = false;
   #recordedAtMs = -Infinity;
   /** What the coordinator told last of workspaces near their bounds. */
   #fleetSpending: FleetSpending = { spending: [], atMs: 0 };
@@ -195,6 +199,18 @@
     this.#log.warn(LogPart.Process, "settings not usable", { faults });
   }
 
+  /**
+   * Tells of an error that nothing handled. The process goes on: the requests in
+   * progress are worth more than a clean start.
+   *
+   * @param error The error.
+   */
+  unexpected(error: unknown): void {
+    this.#log.warn(LogPart.Process, "unexpected error", {
+      reason: error instanceof Error ? error.stack : String(error),
+    });
+  }
+
   /** @returns Once callers and peers can connect. */
   async start(): Promise<void> {
     const settings = this.#settings;
@@ -326,13 +342,31 @@
         alive: this.board.members.alive(this.#clock.nowMs()).length,
       });
     }
+    if (isCoordinator) {
+      void this.#recordSpending();
+    }
+  }
+
+  /** Records what workspaces spent, unless the last record still holds. */
+  async #recordSpending(): Promise<void> {
     const nowMs = this.#clock.nowMs();
-    if (isCoordinator && nowMs - this.#recordedAtMs >= RECORD_PAUSE_MS) {
-      const record = this.#coordinator.spendingToRecord(nowMs);
-      if (record !== undefined) {
-        this.#recordedAtMs = nowMs;
-        this.#platform.recordSpending(record);
-      }
+    if (this.#recording || nowMs - this.#recordedAtMs < RECORD_PAUSE_MS) {
+      return;
+    }
+    const record = this.#coordinator.spendingToRecord(nowMs);
+    if (record === undefined) {
+      return;
+    }
+    this.#recording = true;
+    this.#recordedAtMs = nowMs;
+    const isRecorded = await this.#platform.recordSpending(record);
+    this.#recording = false;
+    if (!isRecorded) {
+      this.#log.warn(LogPart.Platform, "spending not recorded", {
+        workspaces: record.map(({ workspace }) => workspace),
+      });
+      this.#coordinator.recordAnew();
+      this.#recordedAtMs = this.#clock.nowMs() + RECORD_RETRY_MS;
     }
   }
 
@@ -431,7 +465,7 @@
 }
 
 /**
- * Stops a gateway and its process on the usual signals.
+ * Stops a gateway and its process on the usual signals, and on no error.
  *
  * @param gateway The gateway.
  */
@@ -439,6 +473,8 @@
   const stop = () => {
     void gateway.stop().then(() => process.exit(0));
   };
+  process.on("uncaughtException", (error) => gateway.unexpected(error));
+  process.on("unhandledRejection", (error) => gateway.unexpected(error));
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
 }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -102,8 +102,9 @@
    * Records what workspaces spent, for a fleet that loses all its instances.
    *
    * @param record Spending by workspace.
+   * @returns Whether the platform has it.
    */
-  recordSpending(record: readonly WorkspaceSpending[]): void;
+  recordSpending(record: readonly WorkspaceSpending[]): Promise<boolean>;
   /** Ends all calls. */
   stop(): void;
 }
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -29,7 +29,7 @@
   readonly placedAtMs: number;
   /** Prompt tokens that waited at the target when it was placed. */
   readonly tokensAhead: number;
-  /** Whether its prompt was read; always true for plain calls. */
+  /** Whether its first event came, so that its prompt was read. */
   firstSeen: boolean;
   readonly decision: AskDecision;
 }
