--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -16,6 +16,7 @@
 } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
+import { hostPortOf } from "./host_port.ts";
 import type { Beat } from "./membership_keeper.ts";
 import { CatalogItem, fetchItem } from "./peer_catalog.ts";
 import type { Clock, PlatformSink } from "./ports.ts";
@@ -247,7 +248,7 @@
   }
 
   #catalogOf(member: MemberNews): string {
-    const [host] = member.address.split(":");
+    const { host } = hostPortOf(member.address);
     return `${host}:${this.#parts.catalogPort}`;
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
+import { hostPortOf } from "./host_port.ts";
 import { MembershipKeeper } from "./membership_keeper.ts";
 import { PeerCatalog } from "./peer_catalog.ts";
 import { PeerSocket } from "./peer_socket.ts";
@@ -214,7 +215,7 @@
   /** @returns Once callers and peers can connect. */
   async start(): Promise<void> {
     const settings = this.#settings;
-    const [host] = settings.peerAddress.split(":");
+    const { host } = hostPortOf(settings.peerAddress);
     await this.#socket.open(settings.peerAddress, (message, from) => {
       this.#heard(message, from);
     });
--- a/packages/gateway/src/peer_catalog.ts
+++ b/packages/gateway/src/peer_catalog.ts
@@ -7,6 +7,7 @@
 import { createServer, get, type Server } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import type { z } from "zod";
+import { hostPortOf } from "./host_port.ts";
 
 /** What can be asked for. */
 export enum CatalogItem {
@@ -76,11 +77,11 @@
   item: CatalogItem,
   schema: z.ZodType<T>,
 ): Promise<Result<T, string>> {
-  const [host, port] = address.split(":");
+  const { host, port } = hostPortOf(address);
   return new Promise((resolve) => {
     const request = get({
       host,
-      port: Number(port),
+      port,
       path: item,
       agent: false,
       timeout: FETCH_TIMEOUT_MS,
@@ -127,10 +128,10 @@
  * @returns Once it listens.
  */
 export function listen(server: Server, address: string): Promise<void> {
-  const [host, port] = address.split(":");
+  const { host, port } = hostPortOf(address);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
-    server.listen(Number(port), host, () => {
+    server.listen(port, host, () => {
       server.removeListener("error", reject);
       resolve();
     });
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -16,6 +16,7 @@
 } from "@chestnuthatch/routing/peer_messages";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
+import { hostPortOf } from "./host_port.ts";
 
 /** Short codes for the names of fields, in the order of their introduction. */
 const FIELD_NAMES = [
@@ -107,7 +108,7 @@
    * @returns Once messages can arrive.
    */
   open(address: string, sink: MessageSink): Promise<void> {
-    const [host, port] = address.split(":");
+    const { host, port } = hostPortOf(address);
     this.#socket.on("error", (error) => {
       this.#log.warn(LogPart.Members, "peer socket failed", {
         reason: error.message,
@@ -122,7 +123,7 @@
     });
     return new Promise((resolve, reject) => {
       this.#socket.once("error", reject);
-      this.#socket.bind(Number(port), host, () => {
+      this.#socket.bind(port, host, () => {
         this.#socket.setRecvBufferSize(RECEIVE_BUFFER_BYTES);
         this.#socket.removeListener("error", reject);
         resolve();
@@ -143,8 +144,8 @@
    * @param message The message.
    */
   send(address: string, message: RoutingMessage): void {
-    const [host, port] = address.split(":");
-    this.#socket.send(encoder.encode(message), Number(port), host, (error) => {
+    const { host, port } = hostPortOf(address);
+    this.#socket.send(encoder.encode(message), port, host, (error) => {
       if (error !== null && message.kind !== MessageKind.Beat) {
         this.#log.warn(LogPart.Members, "message not sent", {
           address,
--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -8,6 +8,7 @@
   request,
 } from "node:http";
 import type { Socket } from "node:net";
+import { hostPortOf } from "./host_port.ts";
 
 /** What is sent. */
 export interface ExchangeOrder {
@@ -65,10 +66,10 @@
    */
   constructor(order: ExchangeOrder, sink: ExchangeSink) {
     this.#sink = sink;
-    const [host, port] = order.address.split(":");
+    const { host, port } = hostPortOf(order.address);
     this.#request = request({
       host,
-      port: Number(port),
+      port,
       agent: order.agent,
       method: order.method,
       path: order.path,
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -10,7 +10,13 @@
 import type { PoolPolicy } from "./fleet_configuration.ts";
 import { RankShares } from "./rank_shares.ts";
 import type { RoutingBoard } from "./routing_board.ts";
-import { type Candidate, chooseTarget, restMsAt } from "./target_choice.ts";
+import {
+  type Candidate,
+  chooseTarget,
+  firstMsAt,
+  IDLE,
+  restMsAt,
+} from "./target_choice.ts";
 import {
   type AskDecision,
   AskRefusal,
@@ -350,11 +356,11 @@
       : NO_RANKS;
     const keyed = [...this.#waiting.values()].map((waiting) => {
       const { ask, sinceMs } = waiting;
-      const firstMs = usualFirstMs(usable, ask);
+      const firstMs = meanMs(usable, (c) => firstMsAt(c, ask, IDLE));
       const onTimeUntilMs = sinceMs + ask.objectiveLeftMs -
         FIRST_MARGIN * firstMs;
       const wholeUntilMs = sinceMs + ask.deadlineLeftMs - firstMs -
-        usualRestMs(usable, ask);
+        meanMs(usable, (c) => restMsAt(c, ask));
       return {
         waiting,
         isLate: nowMs > onTimeUntilMs,
@@ -410,26 +416,17 @@
   }
 }
 
-/** Mean time to the first event or answer on a target of the pool. */
-function usualFirstMs(usable: readonly Candidate[], ask: WorkAsk): number {
-  const times = usable.map(({ pace, kvCapacityTokens }) =>
-    kvCapacityTokens === undefined
-      ? pace.callMs
-      : pace.firstEventMs(ask.promptTokens, 0)
-  );
-  const total = times.reduce((sum, time) => sum + time, 0);
-  return total / Math.max(1, times.length);
-}
-
 /** Whether the deadline is about as near as the end of the caller's patience. */
 function isShortLived(ask: WorkAsk): boolean {
   return ask.deadlineLeftMs < SHORT_LIVED_PATIENCES * ask.patienceLeftMs;
 }
 
-/** Mean time from the first event to the last on a target of the pool. */
-function usualRestMs(usable: readonly Candidate[], ask: WorkAsk): number {
-  const total = usable
-    .reduce((sum, candidate) => sum + restMsAt(candidate, ask), 0);
+/** Mean of a time over the targets of the pool. */
+function meanMs(
+  usable: readonly Candidate[],
+  timeMs: (candidate: Candidate) => number,
+): number {
+  const total = usable.reduce((sum, candidate) => sum + timeMs(candidate), 0);
   return total / Math.max(1, usable.length);
 }
 
--- a/packages/routing/src/target_choice.ts
+++ b/packages/routing/src/target_choice.ts
@@ -13,6 +13,9 @@
   readonly kvTokens: number;
 }
 
+/** What runs at a target that is idle. */
+export const IDLE: TargetUse = { running: 0, tokensAhead: 0, kvTokens: 0 };
+
 /** A target that could take a request. */
 export interface Candidate {
   readonly target: KnownTarget;
@@ -58,7 +61,7 @@
     if (!canHold(candidate, ask)) {
       continue;
     }
-    const firstMs = firstMsAt(candidate, ask);
+    const firstMs = firstMsAt(candidate, ask, candidate.use);
     const doneMs = firstMs + restMsAt(candidate, ask) +
       (candidate.target.failureDomain === ask.failureDomain
         ? 0
@@ -80,8 +83,18 @@
     needed <= kvCapacityTokens;
 }
 
-function firstMsAt(candidate: Candidate, ask: WorkAsk): number {
-  const { pace, use, kvCapacityTokens } = candidate;
+/**
+ * @param candidate A target.
+ * @param ask A request.
+ * @param use What runs there beside it.
+ * @returns Expected time to its first event there, or to its answer.
+ */
+export function firstMsAt(
+  candidate: Candidate,
+  ask: WorkAsk,
+  use: TargetUse,
+): number {
+  const { pace, kvCapacityTokens } = candidate;
   if (kvCapacityTokens !== undefined) {
     return pace.firstEventMs(ask.promptTokens, use.tokensAhead);
   }
