Let one coordinator decide for ninety instances

One look at a queue cost requests times targets, at each of some 1,900 events a second. Change: sums for each target and holder are kept (placed_works); the queue is ordered with the mean pace of the targets (queue_order, the same figures); only targets with a free slot are weighed; a queue above 32 is looked at for new requests every 10 ms; reports change totals in place of adding all up; hashes of members are kept; strong instances coordinate before weak ones.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -129,6 +129,7 @@
       // Only ever compared with earlier starts of the same instance.
       incarnation: Date.now(),
       leaving: false,
+      cores: settings.cores,
     };
     this.board = {
       targets: new TargetDirectory(),
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -18,6 +18,8 @@
   readonly catalogPort: number;
   /** Peer addresses of instances that may be asked first. */
   readonly seedAddresses: readonly string[];
+  /** Processor cores that the instance may use; it may be part of one. */
+  readonly cores: number;
   /** Time from a stop signal until the process is killed. */
   readonly graceMs: number;
   /** Bounds that hold for all instances together. */
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -7,6 +7,7 @@
 import {
   BEAT_FANOUT,
   type MemberNews,
+  type MemberRecord,
 } from "@chestnuthatch/routing/member_view";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { WorkspaceSpending } from "@chestnuthatch/routing/spending_log";
@@ -193,7 +194,7 @@
   return [...all, ...all].slice(begin, begin + count);
 }
 
-function newsOf(member: MemberNews): MemberNews {
-  const { instanceId, address, failureDomain, incarnation, leaving } = member;
-  return { instanceId, address, failureDomain, incarnation, leaving };
+function newsOf(member: MemberRecord): MemberNews {
+  const { heardAtMs: _, ...news } = member;
+  return news;
 }
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -66,6 +66,7 @@
   "figures",
   "spending",
   "deadlineLeftMs",
+  "cores",
 ];
 
 /** Bytes that the receive buffer of the socket holds. */
--- a/packages/gateway/src/placement_desk_test.ts
+++ b/packages/gateway/src/placement_desk_test.ts
@@ -37,6 +37,7 @@
       failureDomain: "a",
       incarnation: 1,
       leaving: false,
+      cores: 1,
     }, 0);
   }
   const coordinatorId = board.members.coordinator(0, NONE).instanceId;
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -6,6 +6,7 @@
 import { Deployment } from "@chestnuthatch/standins/workload_kinds";
 import { Command, InvalidArgumentError, Option } from "commander";
 import { measure, type ScenarioMeasurement } from "./measurement.ts";
+import { measurePlacement } from "./placement_costs.ts";
 import {
   affinityRows,
   brokenLines,
@@ -26,6 +27,7 @@
   readonly affinity: boolean;
   readonly compareAffinity?: true;
   readonly slopes?: true;
+  readonly placement?: true;
   readonly maxInstances: number;
 }
 
@@ -47,6 +49,10 @@
     writeJson(options.json, measureSlopes(print, options.maxInstances));
     return;
   }
+  if (options.placement) {
+    writeJson(options.json, measurePlacement(print));
+    return;
+  }
   const measurements = measure({
     deployments: options.deployment === undefined
       ? Object.values(Deployment)
@@ -82,6 +88,7 @@
     .option("--no-affinity", "place without regard to cached prefixes")
     .option("--compare-affinity", "run the scheduler without affinity, too")
     .option("--slopes", "measure the scheduler's own costs instead")
+    .option("--placement", "measure the routed form's coordinator instead")
     .option(
       "--max-instances <number>",
       "largest fleet of --slopes",
--- /dev/null
+++ b/packages/measure/src/placement_costs.ts
@@ -0,0 +1,300 @@
+/**
+ * Processor time that the routed form's coordinator takes for each request, by
+ * the size of the fleet, the number of targets and how full they are. One
+ * coordinator decides for the whole fleet, so this bounds how large a fleet can
+ * be.
+ */
+
+import { performance } from "node:perf_hooks";
+import {
+  type Randomness,
+  seededRandomness,
+} from "@chestnuthatch/core/randomness";
+import { Coordinator } from "@chestnuthatch/routing/coordinator";
+import {
+  type FleetConfiguration,
+  RequestKind,
+} from "@chestnuthatch/routing/fleet_configuration";
+import { MemberView } from "@chestnuthatch/routing/member_view";
+import { RouteTable } from "@chestnuthatch/routing/route_table";
+import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
+import { TargetHealth } from "@chestnuthatch/routing/target_health";
+import { TargetPaces } from "@chestnuthatch/routing/target_paces";
+import {
+  AskCause,
+  type AskDecision,
+  type RunningWork,
+  type WorkAsk,
+} from "@chestnuthatch/routing/work_ask";
+import { EventQueue } from "./event_queue.ts";
+import { tableLines } from "./text_table.ts";
+
+/** A fleet, and what is asked of it. */
+interface PlacementLoad {
+  readonly instances: number;
+  readonly targets: number;
+  /** Requests against what the targets can do; above 1 a queue stands. */
+  readonly load: number;
+}
+
+/** Costs of placement under one load. */
+export interface PlacementCosts extends PlacementLoad {
+  readonly requestsPerSecond: number;
+  readonly refusedShare: number;
+  readonly coreMsPerRequest: number;
+  /** Share of one core that the coordinator needs. */
+  readonly coreShare: number;
+}
+
+const LOADS: readonly PlacementLoad[] = [
+  { instances: 8, targets: 10, load: 0.6 },
+  { instances: 8, targets: 10, load: 1.3 },
+  { instances: 90, targets: 42, load: 0.6 },
+  { instances: 90, targets: 42, load: 1.3 },
+  { instances: 90, targets: 168, load: 0.6 },
+  { instances: 90, targets: 168, load: 1.3 },
+];
+
+const SLOTS = 8;
+const HOLD_MS = 700;
+const FIRST_EVENT_MS = 120;
+const TICK_MS = 20;
+const REPORT_MS = 500;
+const WARM_UP_MS = 4000;
+const MEASURED_MS = 8000;
+const MS_PER_SECOND = 1000;
+const RANKS = 3;
+const SEED = 1;
+
+/**
+ * Measures the coordinator alone, on a manual clock.
+ *
+ * @param print Takes the lines of the report.
+ * @returns Costs under each load.
+ */
+export function measurePlacement(
+  print: (line: string) => void,
+): readonly PlacementCosts[] {
+  const costs = LOADS.map((load) => new PlacementRun(load).run());
+  const rows = costs.map((cost) => ({
+    "instances": cost.instances,
+    "targets": cost.targets,
+    "load": cost.load,
+    "requests/s": Math.round(cost.requestsPerSecond),
+    "refused": cost.refusedShare.toFixed(3),
+    "core ms/request": cost.coreMsPerRequest.toFixed(3),
+    "core share": cost.coreShare.toFixed(3),
+  }));
+  print(`${tableLines(rows).join("\n")}\n`);
+  return costs;
+}
+
+/** One load, played. */
+class PlacementRun {
+  readonly #load: PlacementLoad;
+  readonly #queue = new EventQueue();
+  readonly #random: Randomness = seededRandomness(SEED);
+  readonly #coordinator: Coordinator;
+  readonly #running = new Map<string, RunningWork & { holderId: string }>();
+  readonly #waiting = new Map<string, WorkAsk>();
+  #spentMs = 0;
+  #asked = 0;
+  #refused = 0;
+
+  constructor(load: PlacementLoad) {
+    this.#load = load;
+    this.#coordinator = new Coordinator(boardOf(load), {
+      retryBudget: { ratio: 0.2, slack: 100, windowS: 10 },
+      allotmentTolerance: { windowMs: 8000, overage: 0.1, slack: 1000 },
+    });
+  }
+
+  run(): PlacementCosts {
+    this.#scheduleArrival();
+    this.#scheduleTick();
+    for (let index = 0; index < this.#load.instances; index++) {
+      this.#scheduleReport(`i${index}`, REPORT_MS * this.#random.next());
+    }
+    this.#queue.runUntil(WARM_UP_MS);
+    this.#spentMs = 0;
+    this.#asked = 0;
+    this.#refused = 0;
+    this.#queue.runUntil(WARM_UP_MS + MEASURED_MS);
+    return {
+      ...this.#load,
+      requestsPerSecond: this.#asked * MS_PER_SECOND / MEASURED_MS,
+      refusedShare: this.#refused / this.#asked,
+      coreMsPerRequest: this.#spentMs / this.#asked,
+      coreShare: this.#spentMs / MEASURED_MS,
+    };
+  }
+
+  #scheduleArrival(): void {
+    const { targets, load } = this.#load;
+    const meanGapMs = HOLD_MS / (targets * SLOTS * load);
+    const gapMs = -Math.log(1 - this.#random.next()) * meanGapMs;
+    this.#queue.after(gapMs, () => {
+      this.#arrive();
+      this.#scheduleArrival();
+    });
+  }
+
+  #scheduleTick(): void {
+    this.#queue.after(TICK_MS, () => {
+      this.#timed(() => this.#coordinator.tick(this.#queue.nowMs));
+      this.#scheduleTick();
+    });
+  }
+
+  #scheduleReport(holderId: string, inMs: number): void {
+    this.#queue.after(inMs, () => {
+      const report = {
+        holderId,
+        running: [...this.#running.values()]
+          .filter((work) => work.holderId === holderId),
+        waiting: [...this.#waiting.values()]
+          .filter((ask) => ask.holderId === holderId)
+          .map(({ askId }) => askId),
+        spent: [],
+      };
+      this.#timed(() => this.#coordinator.report(report, this.#queue.nowMs));
+      this.#scheduleReport(holderId, REPORT_MS);
+    });
+  }
+
+  #arrive(): void {
+    const index = this.#asked++;
+    const holder = Math.floor(this.#random.next() * this.#load.instances);
+    const ask: WorkAsk = {
+      askId: `${this.#queue.nowMs}.${index}`,
+      holderId: `i${holder}`,
+      pool: "p",
+      workspace: "w",
+      rank: Math.floor(this.#random.next() * RANKS),
+      cost: 0,
+      promptTokens: Math.floor(200 + 4000 * this.#random.next()),
+      outputTokens: Math.floor(50 + 200 * this.#random.next()),
+      objectiveLeftMs: 600,
+      patienceLeftMs: 1000,
+      deadlineLeftMs: 10_000,
+      failureDomain: `d${holder % 4}`,
+      excluded: [],
+      cause: AskCause.First,
+    };
+    this.#waiting.set(ask.askId, ask);
+    const scope = { share: 1, memoryMs: 60_000, nowMs: this.#queue.nowMs };
+    this.#timed(() => this.#coordinator.ask(ask, scope));
+  }
+
+  /** Runs a call of the coordinator, and acts on what it decides. */
+  #timed(call: () => readonly AskDecision[]): void {
+    const beganAtMs = performance.now();
+    const decisions = call();
+    this.#spentMs += performance.now() - beganAtMs;
+    for (const decision of decisions) {
+      this.#carryOut(decision);
+    }
+  }
+
+  #carryOut(decision: AskDecision): void {
+    const { askId, holderId } = decision;
+    const ask = this.#waiting.get(askId);
+    this.#waiting.delete(askId);
+    if (ask === undefined || !("targetId" in decision)) {
+      this.#refused++;
+      return;
+    }
+    const { pool, rank, promptTokens, outputTokens } = ask;
+    const { targetId } = decision;
+    const work = { askId, pool, targetId, rank, promptTokens, outputTokens };
+    this.#running.set(askId, { ...work, holderId, firstSeen: false });
+    this.#queue.after(FIRST_EVENT_MS, () => {
+      this.#timed(() => {
+        this.#coordinator.firstSeen(askId);
+        return [];
+      });
+    });
+    const holdMs = HOLD_MS * (0.5 + this.#random.next());
+    this.#queue.after(holdMs, () => this.#end(ask, targetId));
+  }
+
+  #end({ askId, pool, promptTokens }: WorkAsk, targetId: string): void {
+    this.#running.delete(askId);
+    const end = {
+      askId,
+      targetId,
+      pool,
+      promptTokens,
+      firstMs: FIRST_EVENT_MS,
+      eventGapMs: 15,
+      failed: false,
+    };
+    this.#timed(() => this.#coordinator.ended(end, this.#queue.nowMs));
+  }
+}
+
+function boardOf(load: PlacementLoad): RoutingBoard {
+  const targets = new TargetDirectory();
+  targets.listAnswers(0);
+  targets.apply(
+    Array.from({ length: load.targets }, (_, index) => ({
+      targetId: `t${index}`,
+      rowVersion: index + 1,
+      entry: {
+        targetId: `t${index}`,
+        pool: "p",
+        address: `10.0.${Math.floor(index / 250)}.${index % 250}:80`,
+        failureDomain: `d${index % 4}`,
+        slots: SLOTS,
+        leaving: false,
+      },
+    })),
+    0,
+  );
+  return {
+    routes: new RouteTable(configuration()),
+    targets,
+    members: new MemberView({
+      instanceId: "i0",
+      address: "10.1.0.1:7000",
+      failureDomain: "d0",
+      incarnation: 1,
+      leaving: false,
+      cores: 1,
+    }),
+    health: new TargetHealth(),
+    paces: new TargetPaces(),
+  };
+}
+
+function configuration(): FleetConfiguration {
+  return {
+    version: 1,
+    routes: [{
+      name: "r",
+      host: "h.example",
+      prefix: "/",
+      kind: RequestKind.ResumableStream,
+      rank: 0,
+      pools: [{ pool: "p", weight: 1 }],
+      timeoutMs: 15_000,
+      objectiveMs: 600,
+      longestGapMs: 300,
+      maxAttempts: 2,
+      isPublic: true,
+    }],
+    pools: [{
+      name: "p",
+      maxConnections: 100,
+      engine: { slots: SLOTS, kvCapacityTokens: 400_000 },
+    }],
+    workspaces: [],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -11,6 +11,7 @@
   type AllotmentTolerance,
   type LedgerScope,
 } from "./allotment_ledger.ts";
+import { HeardSpending } from "./heard_spending.ts";
 import type { WorkspaceSpending } from "./spending_log.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import {
@@ -50,7 +51,7 @@
   readonly #poolOfAsk = new Map<string, string>();
   readonly #charges = new Map<string, { workspace: string; cost: number }>();
   readonly #reportedAtMs = new Map<string, number>();
-  readonly #spentBy = new Map<string, readonly WorkspaceSpending[]>();
+  readonly #spending = new HeardSpending();
 
   /**
    * @param board What the instance believes.
@@ -74,9 +75,9 @@
   ask(ask: WorkAsk, scope: LedgerScope): AskDecision[] {
     const schedule = this.#pool(ask.pool);
     this.#reportedAtMs.set(ask.holderId, scope.nowMs);
-    const placed = schedule.placed(ask.askId);
-    if (placed !== undefined) {
-      return [placed.decision];
+    const decision = schedule.decisionOn(ask.askId);
+    if (decision !== undefined) {
+      return [decision];
     }
     if (schedule.isWaiting(ask.askId)) {
       return [];
@@ -142,8 +143,9 @@
    */
   report(report: HolderReport, nowMs: number): AskDecision[] {
     this.#reportedAtMs.set(report.holderId, nowMs);
-    this.#spentBy.set(report.holderId, report.spent);
-    this.#holdToSpending(nowMs);
+    this.#spending.put(report.holderId, report.spent);
+    // Counts what all holders told that they spent, here or elsewhere.
+    this.#ledger.heard(this.#spending.totals(), nowMs);
     for (const running of report.running) {
       this.#poolOfAsk.set(running.askId, running.pool);
       this.#pool(running.pool).adopt(report.holderId, running, nowMs);
@@ -167,7 +169,7 @@
     for (const [holderId, heardAtMs] of this.#reportedAtMs) {
       if (nowMs - heardAtMs > HOLDER_GONE_MS) {
         this.#reportedAtMs.delete(holderId);
-        this.#spentBy.delete(holderId);
+        this.#spending.put(holderId, []);
         decisions.push(...this.#releaseUnlisted(holderId, new Set(), nowMs));
       }
     }
@@ -237,19 +239,6 @@
     }));
   }
 
-  /** Counts what all holders told that they spent, here or elsewhere. */
-  #holdToSpending(nowMs: number): void {
-    const totals = new Map<string, number>();
-    for (const spent of this.#spentBy.values()) {
-      for (const { workspace, spent: amount } of spent) {
-        totals.set(workspace, (totals.get(workspace) ?? 0) + amount);
-      }
-    }
-    const spending = [...totals]
-      .map(([workspace, spent]) => ({ workspace, spent }));
-    this.#ledger.heard(spending, nowMs);
-  }
-
   #refusedAtDoor(
     ask: WorkAsk,
     scope: LedgerScope,
@@ -315,13 +304,7 @@
   ): AskDecision[] {
     const decisions: AskDecision[] = [];
     for (const schedule of this.#pools.values()) {
-      const { placed, waiting } = schedule.asksOf(holderId);
-      const old = placed.filter((w) => nowMs - w.placedAtMs > REPORT_LAG_MS)
-        .map(({ askId }) => askId);
-      const oldWaiting = waiting.filter((askId) =>
-        nowMs - (schedule.waitingSince(askId) ?? nowMs) > REPORT_LAG_MS
-      );
-      for (const askId of [...old, ...oldWaiting]) {
+      for (const askId of schedule.askIdsOf(holderId, nowMs - REPORT_LAG_MS)) {
         if (!open.has(askId)) {
           decisions.push(...schedule.release(askId, nowMs).decisions);
           this.#forget(askId);
--- a/packages/routing/src/coordinator_test.ts
+++ b/packages/routing/src/coordinator_test.ts
@@ -55,6 +55,20 @@
   assert.equal(coordinator.load(), [{ pool: "p", waiting: 0, placed: 1 }]);
 });
 
+test("a long queue is looked at once in a while, and whenever work ends", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  const asks = Array.from(
+    { length: 40 },
+    (_, index) => askOf(`a${index}`, { rank: 1, patienceLeftMs: 60_000 }),
+  );
+  asks.forEach((ask) => coordinator.ask(ask, scope(0)));
+  const late = askOf("late", { rank: 2, patienceLeftMs: 0 });
+  assert.equal(texts(coordinator.ask(late, scope(5))), []);
+  assert.equal(texts(coordinator.tick(20)), ["late: overload"]);
+  coordinator.ask(askOf("high"), scope(25));
+  assert.equal(texts(coordinator.ended(endOf("a0", "t1"), 26)), ["high -> t1"]);
+});
+
 test("what would wait longer than its caller is refused at once", () => {
   const coordinator = coordinatorOf(["t1"]);
   coordinator.ask(askOf("a1"), scope(0));
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -12,6 +12,8 @@
   readonly incarnation: number;
   /** Whether it has said that it is shutting down. */
   readonly leaving: boolean;
+  /** Processor cores that it may use. */
+  readonly cores: number;
   /** Local time at which it was last heard; -Infinity before the first time. */
   readonly heardAtMs: number;
 }
@@ -45,6 +47,13 @@
  */
 const STARTED_TOGETHER_MS = 2000;
 
+/**
+ * Part of the cores of the strongest member that a coordinator has at least.
+ * One that decides for a fleet of 90 needs about a fifth of a core for it, more
+ * than a small instance has to spare.
+ */
+const STRONG_PART = 0.5;
+
 /** How a member is told of: by itself, by another, or by the platform's list. */
 export type MemberNews = Omit<MemberRecord, "heardAtMs">;
 
@@ -57,6 +66,8 @@
   /** Since when a coordinator that is not heard should be. */
   readonly #expectedSinceMs = new Map<string, number>();
   readonly #toldAtMs = new Map<string, number>();
+  /** Rendezvous scores, which are costly to hash on every look. */
+  readonly #scores = new Map<string, number>();
 
   /** @param self This instance. */
   constructor(self: MemberNews) {
@@ -172,10 +183,23 @@
     const staying = alive.filter((m) => !m.leaving);
     const answering = (staying.length > 0 ? staying : alive)
       .filter((m) => !shunned.has(m.instanceId));
-    const eligible = this.#longestRunning(answering, nowMs);
-    eligible.sort((a, b) => scoreOf(b) - scoreOf(a));
-    return eligible.find((m) => this.#isFresh(m, nowMs)) ??
-      this.#byId.get(this.selfId)!;
+    const eligible = new Set(strongest(this.#longestRunning(answering, nowMs)));
+    for (;;) {
+      const best = highest(eligible, (m) => this.#score(m.instanceId));
+      if (best === undefined || this.#isFresh(best, nowMs)) {
+        return best ?? this.#byId.get(this.selfId)!;
+      }
+      eligible.delete(best);
+    }
+  }
+
+  #score(instanceId: string): number {
+    let score = this.#scores.get(instanceId);
+    if (score === undefined) {
+      score = hash32(`coordinator ${instanceId}`);
+      this.#scores.set(instanceId, score);
+    }
+    return score;
   }
 
   /**
@@ -221,11 +245,29 @@
         this.#remembersSinceMs.delete(instanceId);
         this.#expectedSinceMs.delete(instanceId);
         this.#toldAtMs.delete(instanceId);
+        this.#scores.delete(instanceId);
       }
     }
   }
 }
 
-function scoreOf(member: MemberRecord): number {
-  return hash32(`coordinator ${member.instanceId}`);
+function strongest(members: readonly MemberRecord[]): MemberRecord[] {
+  const mostCores = Math.max(0, ...members.map(({ cores }) => cores));
+  return members.filter(({ cores }) => cores >= mostCores * STRONG_PART);
+}
+
+function highest<T>(
+  all: Iterable<T>,
+  scoreOf: (one: T) => number,
+): T | undefined {
+  let best: T | undefined;
+  let bestScore = -Infinity;
+  for (const one of all) {
+    const score = scoreOf(one);
+    if (score > bestScore) {
+      best = one;
+      bestScore = score;
+    }
+  }
+  return best;
 }
--- a/packages/routing/src/member_view_test.ts
+++ b/packages/routing/src/member_view_test.ts
@@ -11,6 +11,7 @@
     failureDomain: "a",
     incarnation: 1,
     leaving: false,
+    cores: 1,
     ...over,
   };
 }
@@ -56,6 +57,19 @@
   assert.is(view.coordinator(100, NONE).instanceId, first);
 });
 
+test("a weak instance coordinates only where no strong one is heard", () => {
+  const ids = ["i1", "i2", "i3", "i4", "i5", "i6", "i7", "i8"];
+  for (const strong of ids) {
+    const view = new MemberView(news("i0", { cores: 0.3 }));
+    for (const id of ids) {
+      view.heard(news(id, { cores: id === strong ? 1.3 : 0.3 }), 0);
+    }
+    assert.is(view.coordinator(100, NONE).instanceId, strong);
+    const next = view.coordinator(100, new Set([strong])).instanceId;
+    assert.is.not(next, strong);
+  }
+});
+
 test("an instance cut off counts its share of the fleet", () => {
   const view = viewOf("i1", ["i2", "i3", "i4"]);
   assert.is(view.heardShare(100), 1);
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -25,6 +25,7 @@
   failureDomain: z.string(),
   incarnation: z.number(),
   leaving: z.boolean(),
+  cores: z.number(),
 });
 
 const targetChange = z.object({
--- /dev/null
+++ b/packages/routing/src/placed_works.ts
@@ -0,0 +1,109 @@
+/** What runs at the targets of one pool, with sums for each target. */
+
+import { IDLE, type TargetUse } from "./target_choice.ts";
+
+/** Work at a target. */
+export interface PlacedWork {
+  readonly askId: string;
+  readonly holderId: string;
+  readonly targetId: string;
+  readonly rank: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly placedAtMs: number;
+  /** Prompt tokens that waited at the target when it was placed. */
+  readonly tokensAhead: number;
+  /** When its first event was expected, from its placement; 0 if unknown. */
+  readonly expectedMs: number;
+  /** Whether its first event came, so that its prompt was read. */
+  readonly firstSeen: boolean;
+}
+
+/** Placed work by ask, by target and by holder. */
+export class PlacedWorks {
+  readonly #byAsk = new Map<string, PlacedWork>();
+  readonly #askIdsByHolder = new Map<string, Set<string>>();
+  readonly #useByTarget = new Map<string, TargetUse>();
+
+  /** Number of works. */
+  get size(): number {
+    return this.#byAsk.size;
+  }
+
+  /**
+   * @param askId An ask.
+   * @returns Its work, if it was placed.
+   */
+  get(askId: string): PlacedWork | undefined {
+    return this.#byAsk.get(askId);
+  }
+
+  /**
+   * @param targetId A target.
+   * @returns What runs there.
+   */
+  use(targetId: string): TargetUse {
+    return this.#useByTarget.get(targetId) ?? IDLE;
+  }
+
+  /**
+   * @param holderId A holder.
+   * @returns Its works.
+   */
+  ofHolder(holderId: string): PlacedWork[] {
+    const askIds = this.#askIdsByHolder.get(holderId) ?? [];
+    return [...askIds].map((askId) => this.#byAsk.get(askId)!);
+  }
+
+  /** @param work Work that a target has got; known work is replaced. */
+  put(work: PlacedWork): void {
+    this.remove(work.askId);
+    this.#byAsk.set(work.askId, work);
+    const askIds = this.#askIdsByHolder.get(work.holderId) ?? new Set();
+    this.#askIdsByHolder.set(work.holderId, askIds.add(work.askId));
+    this.#count(work, 1);
+  }
+
+  /** @param askId Work whose first event came. */
+  firstSeen(askId: string): void {
+    const work = this.#byAsk.get(askId);
+    if (work !== undefined && !work.firstSeen) {
+      this.put({ ...work, firstSeen: true });
+    }
+  }
+
+  /**
+   * @param askId Work that has ended.
+   * @returns The work, if there was any.
+   */
+  remove(askId: string): PlacedWork | undefined {
+    const work = this.#byAsk.get(askId);
+    if (work === undefined) {
+      return undefined;
+    }
+    this.#byAsk.delete(askId);
+    const askIds = this.#askIdsByHolder.get(work.holderId);
+    askIds?.delete(askId);
+    if (askIds?.size === 0) {
+      this.#askIdsByHolder.delete(work.holderId);
+    }
+    this.#count(work, -1);
+    return work;
+  }
+
+  #count(work: PlacedWork, times: 1 | -1): void {
+    const { targetId, promptTokens, outputTokens, firstSeen } = work;
+    const use = this.use(targetId);
+    const running = use.running + times;
+    if (running === 0) {
+      this.#useByTarget.delete(targetId);
+      return;
+    }
+    const unread = firstSeen ? 0 : promptTokens;
+    this.#useByTarget.set(targetId, {
+      running,
+      tokensAhead: use.tokensAhead + times * unread,
+      kvTokens: use.kvTokens + times * (promptTokens + outputTokens),
+    });
+  }
+}
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -8,15 +8,11 @@
  */
 
 import type { PoolPolicy } from "./fleet_configuration.ts";
+import { type PlacedWork, PlacedWorks } from "./placed_works.ts";
+import { inOrder, type WaitingWork } from "./queue_order.ts";
 import { RankShares } from "./rank_shares.ts";
 import type { RoutingBoard } from "./routing_board.ts";
-import {
-  type Candidate,
-  chooseTarget,
-  firstMsAt,
-  IDLE,
-  restMsAt,
-} from "./target_choice.ts";
+import { type Candidate, type Choice, chooseTarget } from "./target_choice.ts";
 import {
   type AskDecision,
   AskRefusal,
@@ -24,29 +20,8 @@
   type WorkAsk,
 } from "./work_ask.ts";
 
-/** Work at a target. */
-export interface PlacedWork {
-  readonly askId: string;
-  readonly holderId: string;
-  readonly targetId: string;
-  readonly rank: number;
-  readonly promptTokens: number;
-  readonly kvTokens: number;
-  readonly placedAtMs: number;
-  /** Prompt tokens that waited at the target when it was placed. */
-  readonly tokensAhead: number;
-  /** Whether its first event came, so that its prompt was read. */
-  firstSeen: boolean;
-  readonly decision: AskDecision;
-}
-
 const NO_RANKS: ReadonlySet<number> = new Set();
 
-interface WaitingWork {
-  readonly ask: WorkAsk;
-  readonly sinceMs: number;
-}
-
 /** Time that work holds a slot where learning starts. */
 const STARTING_HOLD_MS = 600;
 const HOLD_LEARNING_RATE = 0.05;
@@ -58,14 +33,12 @@
 const PLACED_BETWEEN_NEGLECTED = 2;
 
 /**
- * Part that a first event is allowed to take longer than foreseen where it is
- * judged whether a request can still be on time. Requests are served just before
- * it would be too late when a pool is full, so what is foreseen must hold.
+ * A queue longer than this is looked at for new requests only every so often: a
+ * look costs time in proportion to its length. Measured with 300 waiting before
+ * 42 targets, looks at every request took most of a core.
  */
-const FIRST_MARGIN = 1.4;
-
-/** A deadline within so many times the caller's patience bounds the start. */
-const SHORT_LIVED_PATIENCES = 2;
+const LONG_QUEUE = 32;
+const LOOK_MS = 10;
 
 /** Shortest time after which a refused caller is asked to come back. */
 const MIN_RETRY_AFTER_MS = 500;
@@ -73,16 +46,29 @@
 /** How long a pool without any usable target is waited for. */
 const NO_TARGET_RETRY_MS = 1000;
 
+/** What one look at the queue works with. */
+interface Look {
+  readonly nowMs: number;
+  /** Targets that may get new work. */
+  readonly usable: readonly Candidate[];
+  /** Slots of all of them. */
+  readonly slots: number;
+  /** Those with a free slot. */
+  free: readonly Candidate[];
+  /** Requests that stay ahead in the queue. */
+  ahead: number;
+}
+
 /** Places and queue of one pool. */
 export class PoolSchedule {
   readonly #board: RoutingBoard;
   readonly #pool: string;
-  readonly #placed = new Map<string, PlacedWork>();
-  readonly #byTarget = new Map<string, Map<string, PlacedWork>>();
+  readonly #placed = new PlacedWorks();
   readonly #waiting = new Map<string, WaitingWork>();
   readonly #shares = new RankShares();
   #holdMs = STARTING_HOLD_MS;
   #placedSinceNeglected = 0;
+  #lookedAtMs = -Infinity;
 
   /**
    * @param pool The pool's name.
@@ -105,10 +91,11 @@
 
   /**
    * @param askId An ask.
-   * @returns Where it was placed, if it was.
+   * @returns The decision that placed it, if it was placed.
    */
-  placed(askId: string): PlacedWork | undefined {
-    return this.#placed.get(askId);
+  decisionOn(askId: string): AskDecision | undefined {
+    const work = this.#placed.get(askId);
+    return work && decisionOf(work);
   }
 
   /**
@@ -124,11 +111,14 @@
    *
    * @param ask The ask.
    * @param nowMs The local time.
-   * @returns Decisions on this ask and on others that it displaced.
+   * @returns Decisions on this ask and on others that it displaced; those of a
+   * long queue follow with the next look at it.
    */
   add(ask: WorkAsk, nowMs: number): AskDecision[] {
     this.#waiting.set(ask.askId, { ask, sinceMs: nowMs });
-    return this.#settle(nowMs);
+    const waits = this.#waiting.size > LONG_QUEUE &&
+      nowMs - this.#lookedAtMs < LOOK_MS;
+    return waits ? [] : this.#settle(nowMs);
   }
 
   /**
@@ -137,10 +127,7 @@
    * @param askId The ask it was placed by.
    */
   firstSeen(askId: string): void {
-    const work = this.#placed.get(askId);
-    if (work !== undefined) {
-      work.firstSeen = true;
-    }
+    this.#placed.firstSeen(askId);
   }
 
   /**
@@ -155,12 +142,10 @@
     nowMs: number,
   ): { work?: PlacedWork; decisions: AskDecision[] } {
     this.#waiting.delete(askId);
-    const work = this.#placed.get(askId);
+    const work = this.#placed.remove(askId);
     if (work === undefined) {
       return { decisions: [] };
     }
-    this.#placed.delete(askId);
-    this.#byTarget.get(work.targetId)?.delete(askId);
     const tookMs = nowMs - work.placedAtMs;
     this.#holdMs += HOLD_LEARNING_RATE * (tookMs - this.#holdMs);
     this.#shares.noteWork(work.rank, tookMs, nowMs);
@@ -176,50 +161,45 @@
    * @param nowMs The local time.
    */
   adopt(holderId: string, running: RunningWork, nowMs: number): void {
-    if (this.#placed.has(running.askId)) {
-      if (running.firstSeen) {
-        this.firstSeen(running.askId);
+    const { askId, targetId, rank, promptTokens, outputTokens, firstSeen } =
+      running;
+    if (this.#placed.get(askId) !== undefined) {
+      if (firstSeen) {
+        this.firstSeen(askId);
       }
       return;
     }
-    const { askId, targetId, rank, promptTokens, outputTokens, firstSeen } =
-      running;
-    const decision = { askId, holderId, targetId, expectedMs: 0 };
     this.#waiting.delete(askId);
-    this.#place({
+    this.#placed.put({
       askId,
       holderId,
       targetId,
       rank,
       promptTokens,
-      kvTokens: promptTokens + outputTokens,
+      outputTokens,
       placedAtMs: nowMs,
       tokensAhead: 0,
+      expectedMs: 0,
       firstSeen,
-      decision,
     });
   }
 
   /**
-   * @param holderId A holder.
-   * @returns Ids of its asks that are placed and of those that wait.
-   */
-  asksOf(holderId: string): { placed: PlacedWork[]; waiting: string[] } {
-    return {
-      placed: [...this.#placed.values()]
-        .filter((work) => work.holderId === holderId),
-      waiting: [...this.#waiting.values()]
-        .filter(({ ask }) => ask.holderId === holderId)
-        .map(({ ask }) => ask.askId),
-    };
-  }
-
-  /**
-   * @param askId An ask that waits.
-   * @returns When it began to wait.
+   * Finds what the account holds for a holder, but for what is newer than a
+   * report of the holder's can tell of.
+   *
+   * @param holderId The holder.
+   * @param beforeMs Only asks that were placed or began to wait before this.
+   * @returns Ids of its asks, placed or waiting.
    */
-  waitingSince(askId: string): number | undefined {
-    return this.#waiting.get(askId)?.sinceMs;
+  askIdsOf(holderId: string, beforeMs: number): string[] {
+    const placed = this.#placed.ofHolder(holderId)
+      .filter(({ placedAtMs }) => placedAtMs < beforeMs);
+    const waiting = [...this.#waiting.values()].filter(({ ask, sinceMs }) =>
+      ask.holderId === holderId && sinceMs < beforeMs
+    );
+    return [...placed, ...waiting.map(({ ask }) => ask)]
+      .map(({ askId }) => askId);
   }
 
   /**
@@ -229,39 +209,53 @@
    * @returns Decisions on asks that waited.
    */
   tick(nowMs: number): AskDecision[] {
-    return this.#waiting.size === 0 ? [] : this.#settle(nowMs);
+    return this.#settle(nowMs);
   }
 
   #settle(nowMs: number): AskDecision[] {
     if (this.#waiting.size === 0) {
       return [];
     }
-    const targets = this.#board.targets.usable(this.#pool, nowMs);
-    const candidates = targets.map((target) =>
-      this.#candidate(target.targetId)
-    );
-    const usable = candidates.filter((c) => c !== undefined);
+    this.#lookedAtMs = nowMs;
+    const look = this.#look(nowMs);
+    const queue = inOrder(this.#waiting.values(), {
+      candidates: look.usable,
+      promoted: this.#promoted(nowMs),
+      nowMs,
+    });
     const decisions: AskDecision[] = [];
-    let ahead = 0;
-    for (const waiting of this.#inOrder(usable, nowMs)) {
-      const decision = this.#decide(waiting, { usable, ahead, nowMs });
+    for (const waiting of queue) {
+      const decision = this.#decide(waiting, look);
       if (decision === undefined) {
-        ahead++;
+        look.ahead++;
         continue;
       }
       this.#waiting.delete(waiting.ask.askId);
       this.#notePlaced(waiting.ask.rank, "targetId" in decision, nowMs);
       decisions.push(decision);
-      if ("targetId" in decision) {
-        const index = usable.findIndex((c) =>
-          c.target.targetId === decision.targetId
-        );
-        usable[index] = this.#candidate(decision.targetId)!;
-      }
     }
     return decisions;
   }
 
+  #look(nowMs: number): Look {
+    const usable = this.#board.targets.usable(this.#pool, nowMs)
+      .map(({ targetId }) => this.#candidate(targetId));
+    return {
+      nowMs,
+      usable,
+      slots: usable.reduce((sum, { target }) => sum + target.slots, 0),
+      free: usable.filter(hasFreeSlot),
+      ahead: 0,
+    };
+  }
+
+  /** Ranks that go ahead of their turn with the next placement. */
+  #promoted(nowMs: number): ReadonlySet<number> {
+    return this.#placedSinceNeglected >= PLACED_BETWEEN_NEGLECTED
+      ? this.#shares.neglected(nowMs)
+      : NO_RANKS;
+  }
+
   #notePlaced(rank: number, isPlaced: boolean, nowMs: number): void {
     this.#shares.note(rank, isPlaced, nowMs);
     if (!isPlaced) {
@@ -273,29 +267,27 @@
       : this.#placedSinceNeglected + 1;
   }
 
-  #decide(
-    { ask, sinceMs }: WaitingWork,
-    of: { usable: readonly Candidate[]; ahead: number; nowMs: number },
-  ): AskDecision | undefined {
-    const { askId, holderId } = ask;
-    const { usable, ahead, nowMs } = of;
-    const open = usable.filter((c) =>
-      !ask.excluded.includes(c.target.targetId)
-    );
-    if (open.length === 0) {
+  #decide({ ask, sinceMs }: WaitingWork, look: Look): AskDecision | undefined {
+    const { askId, holderId, excluded } = ask;
+    const barred = excluded.length === 0
+      ? []
+      : look.usable.filter(({ target }) => excluded.includes(target.targetId));
+    if (barred.length === look.usable.length) {
       return {
         askId,
         holderId,
         refusal: AskRefusal.NoTarget,
         retryAfterMs: NO_TARGET_RETRY_MS,
-        figures: { usable: usable.length, excluded: ask.excluded.length },
+        figures: { usable: look.usable.length, excluded: excluded.length },
       };
     }
-    const choice = chooseTarget(ask, open);
+    const choice = chooseTarget(ask, look.free);
     if (choice !== undefined) {
-      return this.#placeAt(ask, choice, nowMs);
+      return this.#placeAt(ask, choice, look);
     }
-    const slots = open.reduce((sum, c) => sum + c.target.slots, 0);
+    const { nowMs, ahead } = look;
+    const slots = look.slots -
+      barred.reduce((sum, { target }) => sum + target.slots, 0);
     const waitMs = (ahead + 1) * this.#holdMs / slots;
     const leftMs = ask.patienceLeftMs - (nowMs - sinceMs);
     if (waitMs <= leftMs) {
@@ -316,127 +308,47 @@
     };
   }
 
-  #placeAt(
-    ask: WorkAsk,
-    choice: { target: { targetId: string }; firstMs: number },
-    nowMs: number,
-  ): AskDecision {
-    const { askId, holderId, promptTokens, outputTokens } = ask;
+  #placeAt(ask: WorkAsk, choice: Choice, look: Look): AskDecision {
     const { targetId } = choice.target;
-    const decision = {
-      askId,
-      holderId,
-      targetId,
-      expectedMs: choice.firstMs,
-    };
-    this.#place({
+    const { askId, holderId, rank, promptTokens, outputTokens } = ask;
+    const work = {
       askId,
       holderId,
       targetId,
-      rank: ask.rank,
+      rank,
       promptTokens,
-      kvTokens: promptTokens + outputTokens,
-      placedAtMs: nowMs,
-      tokensAhead: this.#tokensAhead(targetId),
+      outputTokens,
+      placedAtMs: look.nowMs,
+      tokensAhead: this.#placed.use(targetId).tokensAhead,
+      expectedMs: choice.firstMs,
       firstSeen: false,
-      decision,
-    });
-    return decision;
-  }
-
-  /**
-   * Orders the queue: a neglected rank first, then by rank; within a rank what
-   * can still be on time goes before what cannot, and among these what has to
-   * start soonest. Large requests need longer before their deadline: by age
-   * alone, the largest tenth of short-lived work was served half as often.
-   */
-  #inOrder(usable: readonly Candidate[], nowMs: number): WaitingWork[] {
-    const neglected = this.#placedSinceNeglected >= PLACED_BETWEEN_NEGLECTED
-      ? this.#shares.neglected(nowMs)
-      : NO_RANKS;
-    const keyed = [...this.#waiting.values()].map((waiting) => {
-      const { ask, sinceMs } = waiting;
-      const firstMs = meanMs(usable, (c) => firstMsAt(c, ask, IDLE));
-      const onTimeUntilMs = sinceMs + ask.objectiveLeftMs -
-        FIRST_MARGIN * firstMs;
-      const wholeUntilMs = sinceMs + ask.deadlineLeftMs - firstMs -
-        meanMs(usable, (c) => restMsAt(c, ask));
-      return {
-        waiting,
-        isLate: nowMs > onTimeUntilMs,
-        startByMs: isShortLived(ask)
-          ? Math.min(sinceMs + ask.patienceLeftMs, wholeUntilMs)
-          : sinceMs + ask.patienceLeftMs,
-        rank: neglected.has(ask.rank) ? -1 : ask.rank,
-      };
-    });
-    keyed.sort((a, b) =>
-      a.rank - b.rank ||
-      Number(a.isLate) - Number(b.isLate) ||
-      a.startByMs - b.startByMs
-    );
-    return keyed.map(({ waiting }) => waiting);
-  }
-
-  #place(work: PlacedWork): void {
-    this.#placed.set(work.askId, work);
-    const atTarget = this.#byTarget.get(work.targetId) ?? new Map();
-    atTarget.set(work.askId, work);
-    this.#byTarget.set(work.targetId, atTarget);
+    };
+    this.#placed.put(work);
+    look.free = look.free
+      .map((c) => c.target === choice.target ? this.#candidate(targetId) : c)
+      .filter(hasFreeSlot);
+    return decisionOf(work);
   }
 
-  #candidate(targetId: string): Candidate | undefined {
-    const target = this.#board.targets.get(targetId);
-    if (target === undefined) {
-      return undefined;
-    }
-    const works = this.#byTarget.get(targetId);
-    const kvTokens = sum(works, (work) => work.kvTokens);
+  #candidate(targetId: string): Candidate {
     return {
-      target,
-      use: {
-        running: works?.size ?? 0,
-        tokensAhead: this.#tokensAhead(targetId),
-        kvTokens,
-      },
+      target: this.#board.targets.get(targetId)!,
+      use: this.#placed.use(targetId),
       pace: this.#board.paces.of(targetId),
       kvCapacityTokens: this.#policy()?.engine?.kvCapacityTokens,
     };
   }
 
-  #tokensAhead(targetId: string): number {
-    return sum(
-      this.#byTarget.get(targetId),
-      (work) => work.firstSeen ? 0 : work.promptTokens,
-    );
-  }
-
   #policy(): PoolPolicy | undefined {
     return this.#board.routes?.pool(this.#pool);
   }
 }
 
-/** Whether the deadline is about as near as the end of the caller's patience. */
-function isShortLived(ask: WorkAsk): boolean {
-  return ask.deadlineLeftMs < SHORT_LIVED_PATIENCES * ask.patienceLeftMs;
-}
-
-/** Mean of a time over the targets of the pool. */
-function meanMs(
-  usable: readonly Candidate[],
-  timeMs: (candidate: Candidate) => number,
-): number {
-  const total = usable.reduce((sum, candidate) => sum + timeMs(candidate), 0);
-  return total / Math.max(1, usable.length);
+function hasFreeSlot({ target, use }: Candidate): boolean {
+  return use.running < target.slots;
 }
 
-function sum(
-  works: ReadonlyMap<string, PlacedWork> | undefined,
-  of: (work: PlacedWork) => number,
-): number {
-  let total = 0;
-  for (const work of works?.values() ?? []) {
-    total += of(work);
-  }
-  return total;
+function decisionOf(work: PlacedWork): AskDecision {
+  const { askId, holderId, targetId, expectedMs } = work;
+  return { askId, holderId, targetId, expectedMs };
 }
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -95,6 +95,7 @@
       failureDomain: "a",
       incarnation: 1,
       leaving: false,
+      cores: 1,
     }),
     health: new TargetHealth(),
     paces: new TargetPaces(),
--- a/packages/routing/src/target_choice.ts
+++ b/packages/routing/src/target_choice.ts
@@ -1,7 +1,7 @@
 /** Chooses the target that is expected to finish a request first. */
 
 import type { KnownTarget } from "./target_directory.ts";
-import type { TargetPace } from "./target_pace.ts";
+import { TargetPace } from "./target_pace.ts";
 import type { WorkAsk } from "./work_ask.ts";
 
 /** What runs at one target, as the coordinator accounts for it. */
@@ -74,6 +74,21 @@
   return best;
 }
 
+/**
+ * @param candidates Targets of one pool.
+ * @returns An idle one of their mean pace; undefined where there are none.
+ */
+export function typicalOf(
+  candidates: readonly Candidate[],
+): Candidate | undefined {
+  const [first] = candidates;
+  return first && {
+    ...first,
+    use: IDLE,
+    pace: TargetPace.mean(candidates.map(({ pace }) => pace)),
+  };
+}
+
 function canHold({ target, use, kvCapacityTokens }: Candidate, ask: WorkAsk) {
   if (use.running >= target.slots || ask.excluded.includes(target.targetId)) {
     return false;
--- a/packages/routing/src/target_pace.ts
+++ b/packages/routing/src/target_pace.ts
@@ -32,6 +32,18 @@
   #eventGapMs = EVENT_GAP_MS;
   #callMs = CALL_MS;
 
+  /**
+   * @param paces Paces of targets, one at least.
+   * @returns A pace whose predictions are the means of theirs.
+   */
+  static mean(paces: readonly TargetPace[]): TargetPace {
+    const mean = new TargetPace();
+    mean.#slowness = meanOf(paces.map((pace) => pace.#slowness));
+    mean.#eventGapMs = meanOf(paces.map((pace) => pace.#eventGapMs));
+    mean.#callMs = meanOf(paces.map((pace) => pace.#callMs));
+    return mean;
+  }
+
   /**
    * Predicts the time to a stream's first event.
    *
@@ -91,3 +103,7 @@
 function learned(before: number, seen: number): number {
   return before + LEARNING_RATE * (seen - before);
 }
+
+function meanOf(figures: readonly number[]): number {
+  return figures.reduce((sum, figure) => sum + figure, 0) / figures.length;
+}
