--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -84,6 +84,12 @@
     return this.#parts.followsStore();
   }
 
+  /** @returns Instances that are alive as far as this one hears. */
+  fleetSize(): number {
+    const { board, clock } = this.#parts;
+    return board.members.alive(clock.nowMs()).length;
+  }
+
   /** @returns What this instance lately learned of targets. */
   targetNews(): TargetChange[] {
     const nowMs = this.#parts.clock.nowMs();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -303,9 +303,7 @@
       this.#news.heard(message);
       return;
     }
-    const sender = this.board.members.others()
-      .find(({ address }) => address === fromAddress);
-    this.#desk.heard(message, sender?.instanceId);
+    this.#desk.heard(message, this.board.members.idAt(fromAddress));
   }
 
   #tick(): void {
@@ -432,7 +430,7 @@
       clock: this.#clock,
       log: this.#log,
       seedAddresses: this.#settings.seedAddresses,
-      send: (address, message) => this.#socket.send(address, message),
+      send: (addresses, message) => this.#socket.sendAll(addresses, message),
       coordinatorId: () => this.#desk.coordinatorId,
       memoryMs: () => this.#clock.nowMs() - this.#startedAtMs,
       reachesStore: () => this.#news.reachesStore,
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -34,7 +34,7 @@
   readonly log: EventLog;
   /** Peer addresses that are told of this instance though nobody is known. */
   readonly seedAddresses: readonly string[];
-  send(address: string, message: RoutingMessage): void;
+  send(addresses: Iterable<string>, message: RoutingMessage): void;
   /** @returns Id of the coordinator. */
   coordinatorId(): string;
   /** @returns How long this instance remembers what workspaces spent. */
@@ -106,7 +106,7 @@
     }
     if (isNew && beat.from.instanceId !== members.selfId) {
       // So that it hears of this instance at once, too.
-      this.#sendBeat(beat.from.address, true);
+      this.#sendBeat([beat.from.address], true);
     }
   }
 
@@ -121,9 +121,7 @@
       }
     }
     addresses.delete(this.#self.address);
-    for (const address of addresses) {
-      this.#sendBeat(address, withOthers);
-    }
+    this.#sendBeat(addresses, withOthers);
   }
 
   /** All others, or in a large fleet the coordinator and some in turn. */
@@ -140,13 +138,13 @@
     return [...some, members.get(coordinatorId) ?? []].flat();
   }
 
-  #sendBeat(address: string, withOthers: boolean): void {
+  #sendBeat(addresses: Iterable<string>, withOthers: boolean): void {
     const { board, clock } = this.#parts;
     const alive = withOthers ? board.members.alive(clock.nowMs()) : [];
     const others = inTurn(alive, MAX_DIGEST, this.#beats)
       .filter(({ instanceId }) => instanceId !== board.members.selfId)
       .map(newsOf);
-    this.#parts.send(address, {
+    this.#parts.send(addresses, {
       kind: MessageKind.Beat,
       from: this.#self,
       memoryMs: this.#parts.memoryMs(),
--- a/packages/gateway/src/peer_catalog.ts
+++ b/packages/gateway/src/peer_catalog.ts
@@ -5,6 +5,7 @@
 
 import { Buffer } from "node:buffer";
 import { createServer, get, type Server } from "node:http";
+import { gunzipSync, gzipSync } from "node:zlib";
 import { err, ok, type Result } from "neverthrow";
 import type { z } from "zod";
 import { hostPortOf } from "./host_port.ts";
@@ -21,12 +22,17 @@
 /** Largest item that is accepted; 1,000 routes take about 300 KB. */
 const MAX_ITEM_BYTES = 8 * 1024 * 1024;
 
+/** The fastest packing; the slowest saves a tenth of the bytes. */
+const PACKING_LEVEL = 1;
+
 /** Gives the content of an item; undefined where there is none yet. */
 export type CatalogContent = (item: CatalogItem) => unknown;
 
 /** Serves and fetches items. */
 export class PeerCatalog {
   readonly #server: Server;
+  /** What was packed last, kept while its content is the same object. */
+  #packed?: { readonly content: unknown; readonly bytes: Buffer };
 
   /** @param content Gives the content of an item. */
   constructor(content: CatalogContent) {
@@ -38,11 +44,23 @@
         response.writeHead(404).end();
         return;
       }
-      response.writeHead(200, { "Content-Type": "application/json" })
-        .end(JSON.stringify(found));
+      response.writeHead(200, { "Content-Type": "application/gzip" })
+        .end(this.#pack(found));
     });
   }
 
+  /**
+   * Items are repetitive text: 1,400 routes pack to a fifteenth, so that one
+   * instance with a narrow link can hand them to a whole fleet within a second.
+   */
+  #pack(content: unknown): Buffer {
+    if (this.#packed?.content !== content) {
+      const bytes = gzipSync(JSON.stringify(content), { level: PACKING_LEVEL });
+      this.#packed = { content, bytes };
+    }
+    return this.#packed!.bytes;
+  }
+
   /**
    * @param address `ip:port` to serve at.
    * @returns Once peers can ask.
@@ -111,7 +129,9 @@
 
 function parsed<T>(bytes: Buffer, schema: z.ZodType<T>): Result<T, string> {
   try {
-    const checked = schema.safeParse(JSON.parse(bytes.toString("utf8")));
+    const text = gunzipSync(bytes, { maxOutputLength: MAX_ITEM_BYTES })
+      .toString("utf8");
+    const checked = schema.safeParse(JSON.parse(text));
     return checked.success
       ? ok(checked.data)
       : err(`wrong at ${checked.error.issues[0]?.path.join(".")}`);
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -145,16 +145,31 @@
    * @param message The message.
    */
   send(address: string, message: RoutingMessage): void {
-    const { host, port } = hostPortOf(address);
-    this.#socket.send(encoder.encode(message), port, host, (error) => {
-      if (error !== null && message.kind !== MessageKind.Beat) {
-        this.#log.warn(LogPart.Members, "message not sent", {
-          address,
-          kind: message.kind,
-          reason: error.message,
-        });
-      }
-    });
+    this.sendAll([address], message);
+  }
+
+  /**
+   * Sends one message to many; it may be lost on the way to some of them.
+   *
+   * @param addresses `ip:port` of the receivers.
+   * @param message The message.
+   */
+  sendAll(addresses: Iterable<string>, message: RoutingMessage): void {
+    const bytes = encoder.encode(message);
+    for (const address of addresses) {
+      const { host, port } = hostPortOf(address);
+      this.#socket.send(bytes, port, host, (error) => {
+        this.#noteSent(error, address, message.kind);
+      });
+    }
+  }
+
+  #noteSent(error: Error | null, address: string, kind: MessageKind): void {
+    if (error !== null && kind !== MessageKind.Beat) {
+      const reason = error.message;
+      const facts = { address, kind, reason };
+      this.#log.warn(LogPart.Members, "message not sent", facts);
+    }
   }
 
   /** Stops receiving. */
--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -43,6 +43,13 @@
 /** Time between two reports of what is open. */
 const REPORT_MS = 500;
 
+/**
+ * Time for which a look at the members holds. It costs time in proportion to
+ * their number: at 90 instances, looks at every message took a quarter of the
+ * processor time of an idle instance.
+ */
+const MEMBERS_LOOK_MS = 20;
+
 const NONE_SHUNNED: ReadonlySet<string> = new Set();
 
 /** An ask with what is known of it here. */
@@ -58,6 +65,14 @@
   running?: RunningWork;
 }
 
+/** What one look at the members gave. */
+interface MembersLook {
+  readonly untilMs: number;
+  readonly coordinator: MemberRecord;
+  /** Share of the fleet's allotments that this instance hands out. */
+  readonly share: number;
+}
+
 /** How the desk reaches other instances. */
 export type PeerSend = (member: MemberRecord, message: RoutingMessage) => void;
 
@@ -82,6 +97,7 @@
   readonly #spending: SpendingLog;
   #reportedAtMs = -Infinity;
   #reportedTo = "";
+  #membersLook?: MembersLook;
 
   /** @param parts What the desk works with. */
   constructor(parts: DeskParts) {
@@ -343,10 +359,36 @@
       });
     }
     this.#shunnedUntilMs.set(instanceId, nowMs + SHUN_MS);
+    this.#membersLook = undefined;
   }
 
   #coordinator(): MemberRecord {
+    return this.#lookAtMembers().coordinator;
+  }
+
+  #scope(): LedgerScope {
+    const { board, startedAtMs } = this.#parts;
+    const nowMs = this.#nowMs();
+    return {
+      share: this.#lookAtMembers().share,
+      memoryMs: board.members.memoryMs(nowMs - startedAtMs, nowMs),
+      nowMs,
+    };
+  }
+
+  #lookAtMembers(): MembersLook {
     const nowMs = this.#nowMs();
+    if (this.#membersLook === undefined || nowMs >= this.#membersLook.untilMs) {
+      this.#membersLook = {
+        untilMs: nowMs + MEMBERS_LOOK_MS,
+        coordinator: this.#pickCoordinator(nowMs),
+        share: this.#share(nowMs),
+      };
+    }
+    return this.#membersLook;
+  }
+
+  #pickCoordinator(nowMs: number): MemberRecord {
     for (const [instanceId, untilMs] of this.#shunnedUntilMs) {
       if (untilMs <= nowMs) {
         this.#shunnedUntilMs.delete(instanceId);
@@ -360,18 +402,13 @@
    * Share of the fleet's allotments and retry budgets that this instance hands
    * out: all that it hears where it coordinates, and else its own part.
    */
-  #scope(): LedgerScope {
-    const nowMs = this.#nowMs();
+  #share(nowMs: number): number {
     const { members } = this.#parts.board;
     const heard = members.heardShare(nowMs);
     const agreed = members.coordinator(nowMs, NONE_SHUNNED);
-    const isCoordinator = this.#isSelf(agreed.instanceId);
-    const alive = members.alive(nowMs).length;
-    return {
-      share: isCoordinator ? heard : heard / alive,
-      memoryMs: members.memoryMs(nowMs - this.#parts.startedAtMs, nowMs),
-      nowMs,
-    };
+    return this.#isSelf(agreed.instanceId)
+      ? heard
+      : heard / members.alive(nowMs).length;
   }
 
   #send(instanceId: string, message: RoutingMessage): void {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -78,6 +78,8 @@
   targetsChanged(changes: readonly TargetChange[]): void;
   /** Whether the platform's store is to be followed closely from here. */
   followsStore(): boolean;
+  /** Instances that are alive as far as this one hears. */
+  fleetSize(): number;
   membersRead(members: readonly MemberNews[]): void;
   /** What workspaces had spent when the fleet last recorded it. */
   spendingRead(record: readonly WorkspaceSpending[], ageMs: number): void;
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -66,6 +66,7 @@
   /** Since when a coordinator that is not heard should be. */
   readonly #expectedSinceMs = new Map<string, number>();
   readonly #toldAtMs = new Map<string, number>();
+  readonly #idByAddress = new Map<string, string>();
   /** Rendezvous scores, which are costly to hash on every look. */
   readonly #scores = new Map<string, number>();
 
@@ -91,7 +92,7 @@
     if (news.instanceId === this.selfId || isOld) {
       return false;
     }
-    this.#byId.set(news.instanceId, { ...news, heardAtMs: nowMs });
+    this.#put({ ...news, heardAtMs: nowMs });
     return known === undefined || !this.#isHeard(known, nowMs);
   }
 
@@ -105,7 +106,7 @@
     const known = this.#byId.get(news.instanceId);
     if (known === undefined || known.incarnation < news.incarnation) {
       const heardAtMs = known?.heardAtMs ?? -Infinity;
-      this.#byId.set(news.instanceId, { ...news, heardAtMs });
+      this.#put({ ...news, heardAtMs });
       this.#toldAtMs.set(news.instanceId, nowMs);
     }
   }
@@ -118,6 +119,19 @@
     return this.#byId.get(instanceId);
   }
 
+  /**
+   * @param address `ip:port` of a peer socket.
+   * @returns The member that was last said to be there.
+   */
+  idAt(address: string): string | undefined {
+    return this.#idByAddress.get(address);
+  }
+
+  #put(member: MemberRecord): void {
+    this.#byId.set(member.instanceId, member);
+    this.#idByAddress.set(member.address, member.instanceId);
+  }
+
   /** @returns All members but this instance, heard or not. */
   others(): MemberRecord[] {
     return [...this.#byId.values()]
@@ -239,13 +253,16 @@
 
   /** @param nowMs Members long silent by then are forgotten. */
   forgetOld(nowMs: number): void {
-    for (const { instanceId, heardAtMs } of this.others()) {
+    for (const { instanceId, heardAtMs, address } of this.others()) {
       if (heardAtMs > -Infinity && nowMs - heardAtMs > FORGET_MEMBER_MS) {
         this.#byId.delete(instanceId);
         this.#remembersSinceMs.delete(instanceId);
         this.#expectedSinceMs.delete(instanceId);
         this.#toldAtMs.delete(instanceId);
         this.#scores.delete(instanceId);
+        if (this.#idByAddress.get(address) === instanceId) {
+          this.#idByAddress.delete(address);
+        }
       }
     }
   }
