Add a fault soak that runs the routed form as separate processes

Cause: the routed form had no test with separate processes, and no random mix of faults from outside. Change: npm run soak plays seeds: instances as processes (killed, paused, shut down, reloaded, all at once, with a time of day that is off), relays before the store and each target (reset, cut, silent, held one way, slow), a store that is busy or forgets, targets that misbehave or leave, changed configurations, a surge. It checks from what callers and targets saw: once at most, true refusals, own and whole answers, no call without an answer, keys kept, service afterwards. Datagrams between instances are not disturbed yet.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,6 @@
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
-import type { WorkspaceSpending } from "@chestnuthatch/routing/spending_log";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
 import { TargetPaces } from "@chestnuthatch/routing/target_paces";
@@ -28,6 +27,7 @@
 import { PeerSocket } from "./peer_socket.ts";
 import { PlacementDesk } from "./placement_desk.ts";
 import type { CallProtocol, Clock, PlatformPort } from "./ports.ts";
+import { SpendingKeeper } from "./spending_keeper.ts";
 import { StatusServer } from "./status_server.ts";
 import { TargetConnections } from "./target_connections.ts";
 
@@ -53,15 +53,6 @@
 /** Time before the kill at which whatever still runs is broken off. */
 const GRACE_MARGIN_MS = 500;
 
-/** Least time between two records of spending: five writes a second at most. */
-const RECORD_PAUSE_MS = 200;
-
-/** Pause after a record that the platform did not take. */
-const RECORD_RETRY_MS = 1000;
-
-/** Time after which a new coordinator makes its first record. */
-const FIRST_RECORD_MS = 1000;
-
 /** Time between two looks at whether the last request has ended. */
 const STOP_CHECK_MS = 50;
 
@@ -73,11 +64,6 @@
   readonly clock?: Clock;
 }
 
-interface FleetSpending {
-  readonly spending: readonly WorkspaceSpending[];
-  readonly atMs: number;
-}
-
 const MONOTONIC_CLOCK: Clock = { nowMs: () => performance.now() };
 
 /** Runs one entry instance within this process. */
@@ -97,6 +83,7 @@
   readonly #desk: PlacementDesk;
   readonly #membership: MembershipKeeper;
   readonly #news: FleetNews;
+  readonly #spending: SpendingKeeper;
   readonly #front: FrontServer;
   readonly #status: StatusServer;
   #askCounter = 0;
@@ -105,10 +92,6 @@
   #tickTimer?: NodeJS.Timeout;
   #tickedAtMs = 0;
   #wasCoordinator = false;
-  #recording = false;
-  #recordedAtMs = -Infinity;
-  /** What the coordinator told last of workspaces near their bounds. */
-  #fleetSpending: FleetSpending = { spending: [], atMs: 0 };
   #stopping?: Promise<void>;
 
   /**
@@ -148,6 +131,13 @@
       startedAtMs: this.#startedAtMs,
       spendingWindowMs: settings.bounds.allotmentTolerance.windowMs,
     });
+    this.#spending = new SpendingKeeper({
+      board: this.board,
+      coordinator: this.#coordinator,
+      platform: this.#platform,
+      clock: this.#clock,
+      log: this.#log,
+    });
     this.#news = this.#makeNews();
     this.#catalog = new PeerCatalog((item) => this.#news.content(item));
     this.#membership = this.#makeMembership();
@@ -297,8 +287,7 @@
     if (message.kind === MessageKind.Beat) {
       this.#membership.heard(message);
       if (message.from.instanceId === this.#desk.coordinatorId) {
-        const { spending } = message;
-        this.#fleetSpending = { spending, atMs: this.#clock.nowMs() };
+        this.#spending.told(message.spending);
       }
       this.#news.heard(message);
       return;
@@ -332,10 +321,7 @@
     if (isCoordinator !== this.#wasCoordinator) {
       this.#wasCoordinator = isCoordinator;
       if (isCoordinator) {
-        this.#takeUpFleetSpending();
-        this.#coordinator.recordAnew();
-        // By then all holders have reported what they spent.
-        this.#recordedAtMs = this.#clock.nowMs() + FIRST_RECORD_MS;
+        this.#spending.becameCoordinator();
       }
       this.#log.info(LogPart.Placement, "coordinator changed", {
         coordinatorId: this.#desk.coordinatorId,
@@ -343,49 +329,10 @@
       });
     }
     if (isCoordinator) {
-      void this.#recordSpending();
-    }
-  }
-
-  /** Records what workspaces spent, unless the last record still holds. */
-  async #recordSpending(): Promise<void> {
-    const nowMs = this.#clock.nowMs();
-    if (this.#recording || nowMs - this.#recordedAtMs < RECORD_PAUSE_MS) {
-      return;
-    }
-    const record = this.#coordinator.spendingToRecord(nowMs);
-    if (record === undefined) {
-      return;
-    }
-    this.#recording = true;
-    this.#recordedAtMs = nowMs;
-    const isRecorded = await this.#platform.recordSpending(record);
-    this.#recording = false;
-    if (!isRecorded) {
-      this.#log.warn(LogPart.Platform, "spending not recorded", {
-        workspaces: record.map(({ workspace }) => workspace),
-      });
-      this.#coordinator.recordAnew();
-      this.#recordedAtMs = this.#clock.nowMs() + RECORD_RETRY_MS;
+      void this.#spending.record();
     }
   }
 
-  /**
-   * Goes on from what the coordinator before this one told. A part of the fleet
-   * that was cut off takes its share of the spending as it takes its share of
-   * the allotments, so that the parts together hand out no more than the whole.
-   */
-  #takeUpFleetSpending(): void {
-    const { spending, atMs } = this.#fleetSpending;
-    const nowMs = this.#clock.nowMs();
-    const share = this.board.members.heardShare(nowMs);
-    const own = spending.map(({ workspace, spent }) => ({
-      workspace,
-      spent: spent * share,
-    }));
-    this.#coordinator.takeUpSpending(own, atMs);
-  }
-
   #makeParts(protocol: CallProtocol): GatewayParts {
     const { instanceId, failureDomain } = this.#settings;
     const prefix = `${instanceId}.${this.#self.incarnation.toString(36)}`;
@@ -416,11 +363,7 @@
       followsStore: () => this.#followsStore(),
       onTargets: () => this.#targetsChanged(),
       onConfiguration: (configuration) => this.#configured(configuration),
-      onSpending: (record) => {
-        // The record holds until it is made anew, so that it may be old and
-        // still be what was spent just before the fleet was lost.
-        this.#coordinator.takeUpSpending(record, this.#clock.nowMs());
-      },
+      onSpending: (record) => this.#spending.takeUpRecord(record),
     });
   }
 
--- /dev/null
+++ b/packages/gateway/src/spending_keeper.ts
@@ -0,0 +1,107 @@
+/**
+ * Keeps what workspaces spent beyond the coordinator that counts it: another
+ * coordinator goes on from what heartbeats told, and a fleet that lost all its
+ * instances from what the platform's store has.
+ */
+
+import type { Coordinator } from "@chestnuthatch/routing/coordinator";
+import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import type { WorkspaceSpending } from "@chestnuthatch/routing/spending_log";
+import { type EventLog, LogPart } from "./event_log.ts";
+import type { Clock, PlatformPort } from "./ports.ts";
+
+/** Least time between two records of spending: five writes a second at most. */
+const RECORD_PAUSE_MS = 200;
+
+/** Pause after a record that the platform did not take. */
+const RECORD_RETRY_MS = 1000;
+
+/** Time after which a new coordinator makes its first record. */
+const FIRST_RECORD_MS = 1000;
+
+/** What the keeper works with. */
+export interface SpendingParts {
+  readonly board: RoutingBoard;
+  readonly coordinator: Coordinator;
+  readonly platform: PlatformPort;
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
+
+/** Records spending, and takes it up. */
+export class SpendingKeeper {
+  readonly #parts: SpendingParts;
+  #recording = false;
+  #recordedAtMs = -Infinity;
+  /** What the coordinator told last of workspaces near their bounds. */
+  #told: readonly WorkspaceSpending[] = [];
+  #toldAtMs = 0;
+
+  /** @param parts What the keeper works with. */
+  constructor(parts: SpendingParts) {
+    this.#parts = parts;
+  }
+
+  /** @param spending What a heartbeat of the coordinator told. */
+  told(spending: readonly WorkspaceSpending[]): void {
+    this.#told = spending;
+    this.#toldAtMs = this.#parts.clock.nowMs();
+  }
+
+  /** @param record What the fleet recorded before it lost its instances. */
+  takeUpRecord(record: readonly WorkspaceSpending[]): void {
+    const { coordinator, clock } = this.#parts;
+    // The record holds until it is made anew, so that it may be old and still
+    // be what was spent just before the fleet was lost.
+    coordinator.takeUpSpending(record, clock.nowMs());
+  }
+
+  /**
+   * This instance has become the coordinator: it goes on from what the one
+   * before it told. A part of the fleet that was cut off takes its share of the
+   * spending as it takes its share of the allotments, so that the parts together
+   * hand out no more than the whole.
+   */
+  becameCoordinator(): void {
+    const { board, coordinator, clock } = this.#parts;
+    const nowMs = clock.nowMs();
+    const share = board.members.heardShare(nowMs);
+    const own = this.#told.map(({ workspace, spent }) => ({
+      workspace,
+      spent: spent * share,
+    }));
+    coordinator.takeUpSpending(own, this.#toldAtMs);
+    coordinator.recordAnew();
+    // By then all holders have reported what they spent.
+    this.#recordedAtMs = nowMs + FIRST_RECORD_MS;
+  }
+
+  /**
+   * Records what workspaces spent, unless the last record still holds; for the
+   * coordinator alone.
+   *
+   * @returns Once the platform has it or did not take it.
+   */
+  async record(): Promise<void> {
+    const { coordinator, platform, clock, log } = this.#parts;
+    const nowMs = clock.nowMs();
+    if (this.#recording || nowMs - this.#recordedAtMs < RECORD_PAUSE_MS) {
+      return;
+    }
+    const record = coordinator.spendingToRecord(nowMs);
+    if (record === undefined) {
+      return;
+    }
+    this.#recording = true;
+    this.#recordedAtMs = nowMs;
+    const isRecorded = await platform.recordSpending(record);
+    this.#recording = false;
+    if (!isRecorded) {
+      log.warn(LogPart.Platform, "spending not recorded", {
+        workspaces: record.map(({ workspace }) => workspace),
+      });
+      coordinator.recordAnew();
+      this.#recordedAtMs = clock.nowMs() + RECORD_RETRY_MS;
+    }
+  }
+}
--- a/tests/link_relay.ts
+++ b/tests/link_relay.ts
@@ -1,5 +1,6 @@
 /** A TCP relay in the test process: one link that can be cut, frozen, healed. */
 
+import { Buffer } from "node:buffer";
 import {
   type AddressInfo,
   connect,
@@ -8,6 +9,7 @@
   type Socket,
 } from "node:net";
 import process from "node:process";
+import { Transform } from "node:stream";
 
 /** What a link does. */
 export enum LinkState {
@@ -37,8 +39,12 @@
 interface Passage {
   readonly near: Socket;
   readonly far: Socket;
+  /** What passes from one to the other, each part as late as the link is. */
+  readonly outbound: Transform;
+  readonly inbound: Transform;
 }
 
+const NO_BYTES = Buffer.alloc(0);
 const OCTET = 256;
 const LOOPBACK_OCTET = 127;
 const MIDDLE_OCTETS = 250;
@@ -53,6 +59,7 @@
   #port = 0;
   #upstream: string | undefined;
   #state = LinkState.Open;
+  #delayMs = 0;
 
   private constructor(upstream?: string) {
     this.#upstream = upstream;
@@ -101,6 +108,27 @@
     this.#hold(LinkState.OutboundHeld);
   }
 
+  /** Resets every connection; new ones are served. */
+  reset(): void {
+    for (const passage of [...this.#passages]) {
+      this.#reset(passage);
+    }
+  }
+
+  /** A reset of one end is one of the other, not a plain end. */
+  #reset(passage: Passage): void {
+    if (this.#state === LinkState.Open) {
+      this.#passages.delete(passage);
+      passage.near.resetAndDestroy();
+      passage.far.resetAndDestroy();
+    }
+  }
+
+  /** @param delayMs How late each part arrives on the other side. */
+  setDelay(delayMs: number): void {
+    this.#delayMs = delayMs;
+  }
+
   /** Forwards again, also what was held back. */
   async heal(): Promise<void> {
     this.#state = LinkState.Open;
@@ -155,29 +183,64 @@
     const host = this.#upstream.slice(0, separator);
     const port = Number(this.#upstream.slice(separator + 1));
     const far = connect({ host, port, allowHalfOpen: true });
-    const passage = { near, far };
+    const passage = {
+      near,
+      far,
+      outbound: this.#delayLine(),
+      inbound: this.#delayLine(),
+    };
+    passage.outbound.pipe(far);
+    passage.inbound.pipe(near);
     this.#passages.add(passage);
     for (const socket of [near, far]) {
       socket.setNoDelay(true);
-      socket.on("error", () => {});
+      socket.on("error", () => this.#reset(passage));
       socket.on("close", () => this.#closed(passage));
     }
+    near.on("end", () => this.#ended(passage, near, passage.outbound));
+    far.on("end", () => this.#ended(passage, far, passage.inbound));
     this.#flow(passage);
   }
 
+  /**
+   * Where data and a reset arrive together, the runtime tells of a plain end;
+   * a write of no bytes shows the reset.
+   */
+  #ended(passage: Passage, socket: Socket, line: Transform): void {
+    socket.write(NO_BYTES, (error) => {
+      if (error === undefined || error === null) {
+        line.end();
+      } else {
+        this.#reset(passage);
+      }
+    });
+  }
+
   #flow(passage: Passage): void {
-    const { near, far } = passage;
-    near.unpipe(far);
-    far.unpipe(near);
+    const { near, far, outbound, inbound } = passage;
+    near.unpipe(outbound);
+    far.unpipe(inbound);
     if (OUTBOUND_FLOWS.has(this.#state)) {
-      near.pipe(far);
+      near.pipe(outbound, { end: false });
     }
     if (INBOUND_FLOWS.has(this.#state)) {
-      far.pipe(near);
+      far.pipe(inbound, { end: false });
     }
     this.#closed(passage);
   }
 
+  #delayLine(): Transform {
+    return new Transform({
+      transform: (chunk, _encoding, done) => {
+        if (this.#delayMs === 0) {
+          done(null, chunk);
+        } else {
+          setTimeout(() => done(null, chunk), this.#delayMs);
+        }
+      },
+    });
+  }
+
   /** A link that is held hides also that one of its ends is gone. */
   #closed(passage: Passage): void {
     const { near, far } = passage;
@@ -197,8 +260,10 @@
 /**
  * Hosts of relays differ by process and relay, so that no other process can
  * take a port while its link is cut.
+ *
+ * @returns An IP number on the loopback.
  */
-function nextHost(): string {
+export function nextHost(): string {
   hostsUsed += 1;
   const second = 1 + Math.floor(process.pid / MIDDLE_OCTETS) % MIDDLE_OCTETS;
   const third = 1 + process.pid % MIDDLE_OCTETS;
--- a/tests/server_process.ts
+++ b/tests/server_process.ts
@@ -18,6 +18,17 @@
 const running = new Set<ServerProcess>();
 process.on("exit", () => running.forEach((each) => each.signal("SIGKILL")));
 
+/** How a process is started. */
+export interface ProcessOptions {
+  readonly args: readonly string[];
+  /** Arguments of the runtime. */
+  readonly nodeArgs?: readonly string[];
+  /** Variables beside those of this process. */
+  readonly env?: Readonly<Record<string, string>>;
+  /** Called with each line on its standard output. */
+  readonly onLine?: (line: string) => void;
+}
+
 /** A process that tells its addresses in one JSON line. */
 export class ServerProcess {
   readonly #child: ChildProcess;
@@ -26,9 +37,12 @@
   readonly ended: Promise<ProcessEnd>;
   #hasEnded = false;
 
-  private constructor(script: URL, args: readonly string[]) {
-    this.#child = spawn(process.execPath, [script.pathname, ...args], {
+  private constructor(script: URL, options: ProcessOptions) {
+    const { args, nodeArgs = [], env = {} } = options;
+    const line = [...nodeArgs, script.pathname, ...args];
+    this.#child = spawn(process.execPath, line, {
       stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ...env },
     });
     running.add(this);
     this.ended = new Promise((resolve) => {
@@ -46,15 +60,16 @@
    * Starts a process.
    *
    * @param script Compiled module to run.
-   * @param args Its arguments.
+   * @param options Its arguments, or these and what else it gets.
    * @returns The process, and the object in the first line that it printed.
    */
   static async start<T>(
     script: URL,
-    args: readonly string[],
+    options: readonly string[] | ProcessOptions,
   ): Promise<{ server: ServerProcess; announced: T }> {
-    const server = new ServerProcess(script, args);
-    const line = await server.#firstLine();
+    const whole = "args" in options ? options : { args: options };
+    const server = new ServerProcess(script, whole);
+    const line = await server.#firstLine(whole.onLine);
     if (line === undefined) {
       throw new Error(`${script.pathname} did not start:\n${server.log}`);
     }
@@ -106,8 +121,11 @@
     return state === STOPPED_STATE;
   }
 
-  #firstLine(): Promise<string | undefined> {
+  #firstLine(
+    onLine: (line: string) => void = () => {},
+  ): Promise<string | undefined> {
     const lines = createInterface({ input: this.#child.stdout! });
+    lines.on("line", onLine);
     return new Promise((resolve) => {
       lines.once("line", resolve);
       lines.once("close", () => resolve(undefined));
--- /dev/null
+++ b/tests/soak.ts
@@ -0,0 +1,71 @@
+/** `npm run soak`: plays seeds against real processes and tells what broke. */
+
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { Command, InvalidArgumentError } from "commander";
+import { planSoak } from "./soak_plan.ts";
+import { playSoak, type SoakOutcome } from "./soak_run.ts";
+
+interface SoakOptions {
+  readonly from: number;
+  readonly seeds: number;
+  readonly seconds: number;
+  readonly keep: string;
+}
+
+const MS_PER_S = 1000;
+const BROKEN_EXIT_CODE = 1;
+
+async function main(): Promise<void> {
+  const options = readOptions();
+  let failed = 0;
+  for (let seed = options.from; seed < options.from + options.seeds; seed++) {
+    const plan = planSoak(seed, options.seconds * MS_PER_S);
+    const outcome = await playSoak(plan);
+    const { calls, whole, refused, broken } = outcome;
+    print(
+      `seed ${seed}: ${calls} calls, ${whole} whole, ${refused} refused, ` +
+        `${plan.faults.length} faults, ${broken.length} promises broken`,
+    );
+    if (broken.length > 0) {
+      failed++;
+      broken.forEach((each) => print(`  ${JSON.stringify(each)}`));
+      keepLogs(join(options.keep, `seed-${seed}`), outcome);
+    }
+  }
+  print(`${options.seeds} seeds, ${failed} with broken promises`);
+  process.exitCode = failed === 0 ? 0 : BROKEN_EXIT_CODE;
+}
+
+function readOptions(): SoakOptions {
+  return new Command("soak")
+    .option("--from <seed>", "the first seed", toCount, 1)
+    .option("--seeds <number>", "how many seeds", toCount, 5)
+    .option("--seconds <number>", "how long each is", toCount, 8)
+    .option("--keep <folder>", "where logs of failed seeds go", "soak-out")
+    .parse()
+    .opts<SoakOptions>();
+}
+
+function toCount(text: string): number {
+  const count = Number(text);
+  if (!Number.isInteger(count) || count < 1) {
+    throw new InvalidArgumentError("It must be a whole number above 0.");
+  }
+  return count;
+}
+
+function keepLogs(folder: string, { logs, broken }: SoakOutcome): void {
+  mkdirSync(folder, { recursive: true });
+  for (const [instanceId, lines] of logs) {
+    writeFileSync(join(folder, `${instanceId}.log`), lines.join("\n"));
+  }
+  writeFileSync(join(folder, "broken.json"), JSON.stringify(broken, null, 2));
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+await main();
--- /dev/null
+++ b/tests/soak_fleet.ts
@@ -0,0 +1,139 @@
+/** The parts of one soak: instances as processes, and stand-ins behind relays. */
+
+import { freePorts } from "@chestnuthatch/platform/free_ports";
+import {
+  CALLER_KEY,
+  DESK_POOL,
+  ENGINE_POOL,
+  LIMITS,
+  ROUTES,
+} from "@chestnuthatch/platform/standin_fleet";
+import { StandinStore } from "@chestnuthatch/platform/standin_store";
+import { StandinTarget } from "@chestnuthatch/platform/standin_target";
+import { LinkRelay } from "./link_relay.ts";
+import { SoakInstance } from "./soak_instance.ts";
+import type { SoakPlan } from "./soak_plan.ts";
+import { waitFor } from "./wait_for.ts";
+
+/** A target behind its relay. */
+export interface SoakTarget {
+  readonly target: StandinTarget;
+  readonly pool: string;
+  readonly relay: LinkRelay;
+  /** When the list said that it is leaving. */
+  leavingAtMs?: number;
+}
+
+const PACE_MS = 5;
+const SLOTS = 4;
+const PORTS = 4;
+const DOMAINS = ["a", "b", "c"];
+
+/** Starts all parts, and ends them. */
+export class SoakFleet {
+  readonly store = new StandinStore();
+  readonly targets: SoakTarget[] = [];
+  readonly instances: SoakInstance[] = [];
+  #storeRelay?: LinkRelay;
+  #version = 0;
+
+  /** The link between the instances and the store. */
+  get storeRelay(): LinkRelay {
+    return this.#storeRelay!;
+  }
+
+  /**
+   * @param plan What the fleet is made of.
+   * @returns Once all instances are ready.
+   */
+  async start(plan: SoakPlan): Promise<void> {
+    await this.store.open("127.0.0.1");
+    this.#storeRelay = await LinkRelay.start(this.store.address);
+    for (let index = 0; index < plan.engines + plan.desks; index++) {
+      const pool = index < plan.engines ? ENGINE_POOL : DESK_POOL;
+      await this.#addTarget(`target-${index}`, pool);
+    }
+    this.configure();
+    const ports = await freePorts(PORTS);
+    const storeAddress = this.storeRelay.address;
+    for (let index = 0; index < plan.instances; index++) {
+      this.instances.push(new SoakInstance({ index, ports, storeAddress }));
+    }
+    await Promise.all(this.instances.map((instance) => instance.start(0)));
+    await this.allReady();
+  }
+
+  /** @returns Once all instances say that they are ready. */
+  async allReady(): Promise<void> {
+    for (const instance of this.instances) {
+      await waitFor(`${instance.id} to be ready`, () => instance.isReady());
+    }
+  }
+
+  /** Writes another version of the configuration, with the same content. */
+  configure(): void {
+    this.#version++;
+    const engine = { slots: SLOTS, kvCapacityTokens: 1_000_000 };
+    this.store.put("op", "config", {
+      version: this.#version,
+      routes: ROUTES,
+      services: [
+        { name: ENGINE_POOL, maxConnections: 100, engine },
+        { name: DESK_POOL, maxConnections: 100 },
+      ],
+      limits: LIMITS,
+      tenants: [{ name: "w", apiKeys: [CALLER_KEY] }],
+    });
+  }
+
+  /**
+   * Says on the list that a target is leaving, if its pool has another.
+   *
+   * @param target The target.
+   */
+  retire(target: SoakTarget): void {
+    const others = this.targets.filter((other) =>
+      other.pool === target.pool && other !== target &&
+      other.leavingAtMs === undefined
+    );
+    if (others.length > 0 && target.leavingAtMs === undefined) {
+      target.leavingAtMs = performance.now();
+      this.#list(target);
+    }
+  }
+
+  /** @returns Once every process and stand-in has ended. */
+  async end(): Promise<void> {
+    await Promise.all(this.instances.map((instance) => instance.end()));
+    for (const { target, relay } of this.targets) {
+      await relay.stop();
+      target.close();
+    }
+    await this.#storeRelay?.stop();
+    this.store.close();
+  }
+
+  async #addTarget(id: string, pool: string): Promise<void> {
+    const target = new StandinTarget({ id, paceMs: PACE_MS });
+    await target.open("127.0.0.1");
+    const relay = await LinkRelay.start(target.address);
+    const added = { target, pool, relay };
+    this.targets.push(added);
+    this.#list(added);
+  }
+
+  #list(listed: SoakTarget): void {
+    const { target, pool, relay, leavingAtMs } = listed;
+    const index = this.targets.indexOf(listed);
+    this.store.put("servers", target.id, {
+      service: pool,
+      address: relay.address,
+      zone: DOMAINS[index % DOMAINS.length],
+      version: "v1",
+      slots: SLOTS,
+      state: leavingAtMs === undefined ? "ready" : "draining",
+      coldRemainingMs: 0,
+      sequence: leavingAtMs === undefined ? 1 : 2,
+    });
+  }
+}
