Count a large fleet's members by heartbeats that reach the coordinator

Cause: above 12 others a member counted as heard for up to 7 s, so that two parts of a fleet cut in two would both have handed out the whole of each allotment. Found by reading; a test of the view fails without it. Change: a coordinator that has stood for 0.9 s counts who reached it within that time; in a large fleet heartbeats go to 5 others and the coordinator, not 12.

--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -6,6 +6,7 @@
 } from "@chestnuthatch/routing/peer_messages";
 import {
   BEAT_FANOUT,
+  FULL_MESH,
   type MemberNews,
   type MemberRecord,
 } from "@chestnuthatch/routing/member_view";
@@ -129,7 +130,7 @@
     const { members } = this.#parts.board;
     const others = members.others();
     const coordinatorId = this.#parts.coordinatorId();
-    const isAll = others.length <= BEAT_FANOUT ||
+    const isAll = others.length <= FULL_MESH ||
       coordinatorId === members.selfId;
     if (isAll) {
       return others;
--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -5,7 +5,10 @@
 
 import type { LedgerScope } from "@chestnuthatch/routing/allotment_ledger";
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
-import type { MemberRecord } from "@chestnuthatch/routing/member_view";
+import {
+  MEMBER_SILENCE_MS,
+  type MemberRecord,
+} from "@chestnuthatch/routing/member_view";
 import {
   MessageKind,
   type RoutingMessage,
@@ -98,6 +101,8 @@
   #reportedAtMs = -Infinity;
   #reportedTo = "";
   #membersLook?: MembersLook;
+  /** Since when the members agree on this instance as the coordinator. */
+  #agreedSinceMs?: number;
 
   /** @param parts What the desk works with. */
   constructor(parts: DeskParts) {
@@ -404,11 +409,15 @@
    */
   #share(nowMs: number): number {
     const { members } = this.#parts.board;
-    const heard = members.heardShare(nowMs);
     const agreed = members.coordinator(nowMs, NONE_SHUNNED);
-    return this.#isSelf(agreed.instanceId)
-      ? heard
-      : heard / members.alive(nowMs).length;
+    if (!this.#isSelf(agreed.instanceId)) {
+      this.#agreedSinceMs = undefined;
+      return members.heardShare(nowMs) / members.alive(nowMs).length;
+    }
+    this.#agreedSinceMs ??= nowMs;
+    return nowMs - this.#agreedSinceMs < MEMBER_SILENCE_MS
+      ? members.heardShare(nowMs)
+      : members.directShare(nowMs);
   }
 
   #send(instanceId: string, message: RoutingMessage): void {
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -24,12 +24,20 @@
  */
 export const MEMBER_SILENCE_MS = 900;
 
+/** Other members up to which every heartbeat goes to all of them. */
+export const FULL_MESH = 12;
+
+/**
+ * Members that a heartbeat goes to in a larger fleet, besides the coordinator,
+ * so that its cost does not grow with the fleet.
+ */
+export const BEAT_FANOUT = 5;
+
 /**
- * Members that one heartbeat goes to, besides the coordinator, so that its cost
- * does not grow with the fleet. Fleets up to this size hear each other directly
- * with every heartbeat.
+ * Silence for each heartbeat of a round over a large fleet after which a member
+ * counts as gone: two and a half rounds, so that one lost datagram is borne.
  */
-export const BEAT_FANOUT = 12;
+const ROUND_SILENCE_MS = 550;
 
 /** Silence after which a member no longer counts towards the fleet's size. */
 const FORGET_MEMBER_MS = 20_000;
@@ -154,11 +162,31 @@
    * @returns Above 0, at most 1.
    */
   heardShare(nowMs: number): number {
+    return this.alive(nowMs).length / this.#presentCount(nowMs);
+  }
+
+  /**
+   * Gives the same for a coordinator that has stood for as long as a member may
+   * be silent: every heartbeat of every member goes to it, also in a large
+   * fleet. By the rounds there, two parts of a fleet that was cut in two would
+   * both hand out the whole for seconds.
+   *
+   * @param nowMs The local time.
+   * @returns Above 0, at most 1.
+   */
+  directShare(nowMs: number): number {
+    const direct = [...this.#byId.values()].filter(({ heardAtMs }) =>
+      nowMs - heardAtMs < MEMBER_SILENCE_MS
+    );
+    return direct.length / this.#presentCount(nowMs);
+  }
+
+  #presentCount(nowMs: number): number {
     const present = [...this.#byId.values()].filter((m) =>
       nowMs - m.heardAtMs < FORGET_MEMBER_MS ||
       nowMs - this.#toldAtMs.get(m.instanceId)! < EXPECT_MEMBER_MS
     );
-    return this.alive(nowMs).length / Math.max(1, present.length);
+    return Math.max(1, present.length);
   }
 
   /**
@@ -232,8 +260,11 @@
 
   /** In a large fleet, a member is heard once in a round over all of it. */
   #isHeard(member: MemberRecord, nowMs: number): boolean {
-    const rounds = Math.max(1, Math.ceil((this.#byId.size - 1) / BEAT_FANOUT));
-    return nowMs - member.heardAtMs < MEMBER_SILENCE_MS * rounds;
+    const others = this.#byId.size - 1;
+    const roundMs = others <= FULL_MESH
+      ? 0
+      : Math.ceil(others / BEAT_FANOUT) * ROUND_SILENCE_MS;
+    return nowMs - member.heardAtMs < Math.max(MEMBER_SILENCE_MS, roundMs);
   }
 
   #longestRunning(
--- a/packages/routing/src/member_view_test.ts
+++ b/packages/routing/src/member_view_test.ts
@@ -70,6 +70,16 @@
   }
 });
 
+test("a standing coordinator of a large fleet soon misses a part of it", () => {
+  const ids = Array.from({ length: 80 }, (_, index) => `i${index + 1}`);
+  const view = viewOf("i0", ids);
+  for (const id of ids.slice(0, 60)) {
+    view.heard(news(id), 1000);
+  }
+  assert.is(view.heardShare(1100), 1);
+  assert.is(view.directShare(1100), 61 / 81);
+});
+
 test("an instance cut off counts its share of the fleet", () => {
   const view = viewOf("i1", ["i2", "i3", "i4"]);
   assert.is(view.heardShare(100), 1);
