Write log lines in batches

Cause: each line was a write of its own, about four a request. Ruled out: that a reader who stops reading holds the process up.

--- a/packages/gateway/src/event_log.ts
+++ b/packages/gateway/src/event_log.ts
@@ -4,8 +4,9 @@
  * slow never holds up the process.
  */
 
-import process from "node:process";
+import { Writable } from "node:stream";
 import winston from "winston";
+import { LogOutput } from "./log_output.ts";
 import type { Clock } from "./ports.ts";
 
 /** Part of the gateway that a line comes from. */
@@ -31,13 +32,10 @@
 const MAX_LINES_PER_S = 300;
 const MS_PER_S = 1000;
 
-/** Bytes that may wait for the reader before lines are left out. */
-const MAX_WAITING_BYTES = 256 * 1024;
-
 /** Writes the lines. */
 export class EventLog {
   readonly #clock: Clock;
-  readonly #output: NodeJS.WritableStream;
+  readonly #output: LogOutput;
   readonly #winston: winston.Logger;
   #windowBeganAtMs = -Infinity;
   #linesInWindow = 0;
@@ -51,15 +49,22 @@
   constructor(
     clock: Clock,
     instanceId: string,
-    output: NodeJS.WritableStream = process.stdout,
+    output?: NodeJS.WritableStream,
   ) {
     this.#clock = clock;
-    this.#output = output;
+    this.#output = new LogOutput(output);
+    const stream = new Writable({
+      decodeStrings: false,
+      write: (line: string, _encoding, done) => {
+        this.#output.write(line);
+        done();
+      },
+    });
     this.#winston = winston.createLogger({
       format: winston.format.json(),
       defaultMeta: { instance: instanceId },
       transports: [
-        new winston.transports.Stream({ stream: output, eol: "\n" }),
+        new winston.transports.Stream({ stream, eol: "" }),
       ],
     });
   }
@@ -86,6 +91,11 @@
     this.#write("warn", { part, message, facts });
   }
 
+  /** Writes what was gathered; the process may end now. */
+  flush(): void {
+    this.#output.flush();
+  }
+
   #write(
     level: string,
     line: { part: LogPart; message: string; facts: LogFacts },
@@ -107,8 +117,6 @@
       this.#linesInWindow = 0;
     }
     this.#linesInWindow++;
-    const { writableLength } = this.#output as { writableLength?: number };
-    return this.#linesInWindow <= MAX_LINES_PER_S &&
-      (writableLength ?? 0) < MAX_WAITING_BYTES;
+    return this.#linesInWindow <= MAX_LINES_PER_S && this.#output.hasRoom;
   }
 }
--- /dev/null
+++ b/packages/gateway/src/event_log_test.ts
@@ -0,0 +1,70 @@
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import process from "node:process";
+import { Writable } from "node:stream";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { EventLog, LogPart } from "./event_log.ts";
+
+/** Writes more than any pipe holds, then tells on the standard error. */
+const BUSY_PROCESS = `
+  const { EventLog, LogPart } = await import("./event_log.js");
+  let nowMs = 0;
+  const log = new EventLog({ nowMs: () => nowMs }, "i1");
+  const text = "x".repeat(1000);
+  for (let line = 0; line < 2000; line++) {
+    nowMs += 10;
+    log.info(LogPart.Request, "served", { text });
+  }
+  log.flush();
+  process.stderr.write("served on");
+  process.exit(0);
+`;
+
+function lines(count: number): { nowMs: () => number; texts: string[] } {
+  const texts: string[] = [];
+  let nowMs = 0;
+  const output = new Writable({
+    write(chunk, _encoding, done) {
+      texts.push(String(chunk));
+      done();
+    },
+  });
+  const log = new EventLog({ nowMs: () => nowMs }, "i1", output);
+  for (let line = 0; line < count; line++) {
+    log.info(LogPart.Request, "served", { line });
+  }
+  nowMs = 2000;
+  log.warn(LogPart.Process, "last");
+  log.flush();
+  return { nowMs: () => nowMs, texts };
+}
+
+test("lines are JSON, and those beyond the bound are counted", () => {
+  const all = lines(500).texts.join("").trimEnd().split("\n")
+    .map((text) => JSON.parse(text));
+  assert.is(all.length, 301);
+  assert.is(all[0].line, 0);
+  assert.is(all[0].instance, "i1");
+  assert.equal(all.at(-1), {
+    atMs: 2000,
+    instance: "i1",
+    leftOut: 200,
+    level: "warn",
+    message: "last",
+    part: "process",
+  });
+});
+
+test("a reader that does not read holds nothing up", async () => {
+  const child = spawn(
+    process.execPath,
+    ["--input-type=module", "--eval", BUSY_PROCESS],
+    { stdio: ["ignore", "pipe", "pipe"], cwd: import.meta.dirname },
+  );
+  const [told] = await once(child.stderr, "data");
+  assert.is(String(told), "served on");
+  child.kill();
+});
+
+test.run();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -201,6 +201,7 @@
     this.#log.warn(LogPart.Process, "unexpected error", {
       reason: error instanceof Error ? error.stack : String(error),
     });
+    this.#log.flush();
   }
 
   /** @returns Once callers and peers can connect. */
@@ -281,6 +282,7 @@
     this.#catalog.close();
     this.#connections.close();
     this.#socket.close();
+    this.#log.flush();
   }
 
   #heard(message: RoutingMessage, fromAddress: string): void {
