--- /dev/null
+++ b/packages/gateway/src/coordinator_choice.ts
@@ -0,0 +1,120 @@
+/** Which instance this one asks for places, and what it may hand out itself. */
+
+import type { LedgerScope } from "@chestnuthatch/routing/allotment_ledger";
+import {
+  MEMBER_SILENCE_MS,
+  type MemberRecord,
+  type MemberView,
+} from "@chestnuthatch/routing/member_view";
+
+/** Time for which a silent coordinator is passed over. */
+const SHUN_MS = 1000;
+
+/**
+ * Time for which a look at the members holds. It costs time in proportion to
+ * their number: at 90 instances, looks at every message took a quarter of the
+ * processor time of an idle instance.
+ */
+const LOOK_MS = 20;
+
+const NONE_SHUNNED: ReadonlySet<string> = new Set();
+
+/** What one look at the members gave. */
+interface Look {
+  readonly untilMs: number;
+  readonly coordinator: MemberRecord;
+  /** Share of the fleet's allotments that this instance hands out. */
+  readonly share: number;
+}
+
+/** Picks the coordinator anew as members come, go or fall silent. */
+export class CoordinatorChoice {
+  readonly #members: MemberView;
+  readonly #startedAtMs: number;
+  readonly #shunnedUntilMs = new Map<string, number>();
+  #look?: Look;
+  /** Since when the members agree on this instance as the coordinator. */
+  #agreedSinceMs?: number;
+
+  /**
+   * @param members The members.
+   * @param startedAtMs When this instance began to remember what workspaces
+   * spent.
+   */
+  constructor(members: MemberView, startedAtMs: number) {
+    this.#members = members;
+    this.#startedAtMs = startedAtMs;
+  }
+
+  /**
+   * @param nowMs The local time.
+   * @returns The instance to ask for places.
+   */
+  current(nowMs: number): MemberRecord {
+    return this.#lookAt(nowMs).coordinator;
+  }
+
+  /**
+   * @param nowMs The local time.
+   * @returns What this instance may hand out where it gives places.
+   */
+  scope(nowMs: number): LedgerScope {
+    return {
+      share: this.#lookAt(nowMs).share,
+      memoryMs: this.#members.memoryMs(nowMs - this.#startedAtMs, nowMs),
+      nowMs,
+    };
+  }
+
+  /**
+   * Passes a silent coordinator over for a while.
+   *
+   * @param instanceId The coordinator.
+   * @param nowMs The local time.
+   * @returns Whether it was not passed over already.
+   */
+  shun(instanceId: string, nowMs: number): boolean {
+    const isNew = !this.#shunnedUntilMs.has(instanceId);
+    this.#shunnedUntilMs.set(instanceId, nowMs + SHUN_MS);
+    this.#look = undefined;
+    return isNew;
+  }
+
+  #lookAt(nowMs: number): Look {
+    if (this.#look === undefined || nowMs >= this.#look.untilMs) {
+      this.#look = {
+        untilMs: nowMs + LOOK_MS,
+        coordinator: this.#pick(nowMs),
+        share: this.#share(nowMs),
+      };
+    }
+    return this.#look;
+  }
+
+  #pick(nowMs: number): MemberRecord {
+    for (const [instanceId, untilMs] of this.#shunnedUntilMs) {
+      if (untilMs <= nowMs) {
+        this.#shunnedUntilMs.delete(instanceId);
+      }
+    }
+    const shunned = new Set(this.#shunnedUntilMs.keys());
+    return this.#members.coordinator(nowMs, shunned);
+  }
+
+  /**
+   * Share of the fleet's allotments and retry budgets that this instance hands
+   * out: all that it hears where it coordinates, and else its own part.
+   */
+  #share(nowMs: number): number {
+    const agreed = this.#members.coordinator(nowMs, NONE_SHUNNED);
+    if (agreed.instanceId !== this.#members.selfId) {
+      this.#agreedSinceMs = undefined;
+      const alive = this.#members.alive(nowMs).length;
+      return this.#members.heardShare(nowMs) / alive;
+    }
+    this.#agreedSinceMs ??= nowMs;
+    return nowMs - this.#agreedSinceMs < MEMBER_SILENCE_MS
+      ? this.#members.heardShare(nowMs)
+      : this.#members.directShare(nowMs);
+  }
+}
--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -3,12 +3,8 @@
  * while no word comes, and decides by itself when the coordinator is silent.
  */
 
-import type { LedgerScope } from "@chestnuthatch/routing/allotment_ledger";
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
-import {
-  MEMBER_SILENCE_MS,
-  type MemberRecord,
-} from "@chestnuthatch/routing/member_view";
+import type { MemberRecord } from "@chestnuthatch/routing/member_view";
 import {
   MessageKind,
   type RoutingMessage,
@@ -22,6 +18,7 @@
   WorkAsk,
   WorkEnd,
 } from "@chestnuthatch/routing/work_ask";
+import { CoordinatorChoice } from "./coordinator_choice.ts";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock } from "./ports.ts";
 
@@ -37,24 +34,12 @@
  */
 const SILENT_COORDINATOR_MS = 130;
 
-/** Time for which a silent coordinator is passed over. */
-const SHUN_MS = 1000;
-
 /** Time after which a waiting ask is renewed; a lost decision costs this much. */
 const RENEW_MS = 250;
 
 /** Time between two reports of what is open. */
 const REPORT_MS = 500;
 
-/**
- * Time for which a look at the members holds. It costs time in proportion to
- * their number: at 90 instances, looks at every message took a quarter of the
- * processor time of an idle instance.
- */
-const MEMBERS_LOOK_MS = 20;
-
-const NONE_SHUNNED: ReadonlySet<string> = new Set();
-
 /** An ask with what is known of it here. */
 interface OpenAsk {
   readonly ask: WorkAsk;
@@ -68,14 +53,6 @@
   running?: RunningWork;
 }
 
-/** What one look at the members gave. */
-interface MembersLook {
-  readonly untilMs: number;
-  readonly coordinator: MemberRecord;
-  /** Share of the fleet's allotments that this instance hands out. */
-  readonly share: number;
-}
-
 /** How the desk reaches other instances. */
 export type PeerSend = (member: MemberRecord, message: RoutingMessage) => void;
 
@@ -96,18 +73,17 @@
 export class PlacementDesk {
   readonly #parts: DeskParts;
   readonly #open = new Map<string, OpenAsk>();
-  readonly #shunnedUntilMs = new Map<string, number>();
+  readonly #choice: CoordinatorChoice;
   readonly #spending: SpendingLog;
   #reportedAtMs = -Infinity;
   #reportedTo = "";
-  #membersLook?: MembersLook;
-  /** Since when the members agree on this instance as the coordinator. */
-  #agreedSinceMs?: number;
 
   /** @param parts What the desk works with. */
   constructor(parts: DeskParts) {
     this.#parts = parts;
     this.#spending = new SpendingLog(parts.spendingWindowMs);
+    const { board, startedAtMs } = parts;
+    this.#choice = new CoordinatorChoice(board.members, startedAtMs);
   }
 
   /** The coordinator that asks go to now. */
@@ -263,7 +239,10 @@
 
   /** Serves an ask as coordinator. */
   #serve(ask: WorkAsk): void {
-    const decisions = this.#parts.coordinator.ask(ask, this.#scope());
+    const decisions = this.#parts.coordinator.ask(
+      ask,
+      this.#choice.scope(this.#nowMs()),
+    );
     this.#carryOut(decisions);
     const isDecided = decisions.some(({ askId }) => askId === ask.askId);
     if (!isDecided && !this.#isSelf(ask.holderId)) {
@@ -357,67 +336,16 @@
   }
 
   #shun(instanceId: string, nowMs: number): void {
-    if (!this.#shunnedUntilMs.has(instanceId)) {
+    if (this.#choice.shun(instanceId, nowMs)) {
       this.#parts.log.warn(LogPart.Placement, "coordinator is silent", {
         coordinatorId: instanceId,
         silentMs: SILENT_COORDINATOR_MS,
       });
     }
-    this.#shunnedUntilMs.set(instanceId, nowMs + SHUN_MS);
-    this.#membersLook = undefined;
   }
 
   #coordinator(): MemberRecord {
-    return this.#lookAtMembers().coordinator;
-  }
-
-  #scope(): LedgerScope {
-    const { board, startedAtMs } = this.#parts;
-    const nowMs = this.#nowMs();
-    return {
-      share: this.#lookAtMembers().share,
-      memoryMs: board.members.memoryMs(nowMs - startedAtMs, nowMs),
-      nowMs,
-    };
-  }
-
-  #lookAtMembers(): MembersLook {
-    const nowMs = this.#nowMs();
-    if (this.#membersLook === undefined || nowMs >= this.#membersLook.untilMs) {
-      this.#membersLook = {
-        untilMs: nowMs + MEMBERS_LOOK_MS,
-        coordinator: this.#pickCoordinator(nowMs),
-        share: this.#share(nowMs),
-      };
-    }
-    return this.#membersLook;
-  }
-
-  #pickCoordinator(nowMs: number): MemberRecord {
-    for (const [instanceId, untilMs] of this.#shunnedUntilMs) {
-      if (untilMs <= nowMs) {
-        this.#shunnedUntilMs.delete(instanceId);
-      }
-    }
-    const shunned = new Set(this.#shunnedUntilMs.keys());
-    return this.#parts.board.members.coordinator(nowMs, shunned);
-  }
-
-  /**
-   * Share of the fleet's allotments and retry budgets that this instance hands
-   * out: all that it hears where it coordinates, and else its own part.
-   */
-  #share(nowMs: number): number {
-    const { members } = this.#parts.board;
-    const agreed = members.coordinator(nowMs, NONE_SHUNNED);
-    if (!this.#isSelf(agreed.instanceId)) {
-      this.#agreedSinceMs = undefined;
-      return members.heardShare(nowMs) / members.alive(nowMs).length;
-    }
-    this.#agreedSinceMs ??= nowMs;
-    return nowMs - this.#agreedSinceMs < MEMBER_SILENCE_MS
-      ? members.heardShare(nowMs)
-      : members.directShare(nowMs);
+    return this.#choice.current(this.#nowMs());
   }
 
   #send(instanceId: string, message: RoutingMessage): void {
