Bound what a heartbeat tells of targets; break two circles of imports

Cause: a heartbeat told all changes of targets within 2.5 s, 150 bytes each: above some 400 no datagram holds them, and the coordinator would have fallen silent. Found by reading; the first of two new tests failed before. Change: 24 changes a heartbeat, leaving targets in each, the rest in turn. In packages/core, withdrawAsks and SeedPeer moved to where both sides may import them.

--- a/packages/core/src/ask_flow.ts
+++ b/packages/core/src/ask_flow.ts
@@ -180,28 +180,6 @@
   }
 }
 
-/**
- * Withdraws the asks of a request that needs no place any more.
- *
- * @param turn The turn it happens in.
- * @param request The request.
- * @param exceptDomain A domain whose coordinator knows already.
- */
-export function withdrawAsks(
-  turn: Turn,
-  request: HeldRequest,
-  exceptDomain?: string,
-): void {
-  for (const ask of request.asks.values()) {
-    if (
-      ask.failureDomain !== exceptDomain && ask.state !== AskState.Refused
-    ) {
-      withdrawAsk(turn, request, ask);
-    }
-  }
-  request.asks.clear();
-}
-
 function askEverywhere(turn: Turn, request: HeldRequest): void {
   for (const domain of domainsOf(turn, request)) {
     if (!request.asks.has(domain)) {
--- a/packages/core/src/ask_messages.ts
+++ b/packages/core/src/ask_messages.ts
@@ -30,6 +30,28 @@
   });
 }
 
+/**
+ * Withdraws the asks of a request that needs no place any more.
+ *
+ * @param turn The turn it happens in.
+ * @param request The request.
+ * @param exceptDomain A domain whose coordinator knows already.
+ */
+export function withdrawAsks(
+  turn: Turn,
+  request: HeldRequest,
+  exceptDomain?: string,
+): void {
+  for (const ask of request.asks.values()) {
+    if (
+      ask.failureDomain !== exceptDomain && ask.state !== AskState.Refused
+    ) {
+      withdrawAsk(turn, request, ask);
+    }
+  }
+  request.asks.clear();
+}
+
 /**
  * Sends an ask to its coordinator.
  *
--- a/packages/core/src/dispatch_flow.ts
+++ b/packages/core/src/dispatch_flow.ts
@@ -5,7 +5,8 @@
   type PeerMessageOf,
 } from "@chestnuthatch/wire/peer_messages";
 import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
-import { askDomain, withdrawAsks } from "./ask_flow.ts";
+import { askDomain } from "./ask_flow.ts";
+import { withdrawAsks } from "./ask_messages.ts";
 import type { HeldRequest } from "./blackboard.ts";
 import type { Turn } from "./controller.ts";
 import { CounterName, EffectKind } from "./effects.ts";
--- a/packages/core/src/membership_controller.ts
+++ b/packages/core/src/membership_controller.ts
@@ -24,10 +24,17 @@
   mergeInstanceList,
 } from "./member_table.ts";
 import { notePause } from "./pause_watch.ts";
-import type { SeedPeer } from "./scheduler_core.ts";
 import { timingOf, withJitter } from "./timing.ts";
 import { keepConnections } from "./wanted_peers.ts";
 
+/** An instance named by the start settings. */
+export interface SeedPeer {
+  readonly instanceId: string;
+  readonly failureDomain: string;
+  /** `host:port` of its peer port. */
+  readonly address: string;
+}
+
 /** Writes the members section. */
 export class MembershipController implements Controller {
   readonly name = "membership";
--- a/packages/core/src/outcomes.ts
+++ b/packages/core/src/outcomes.ts
@@ -1,7 +1,7 @@
 /** How requests end, and what is kept of them afterwards. */
 
 import { type ErrorKind, RunState } from "@chestnuthatch/wire/work";
-import { withdrawAsks } from "./ask_flow.ts";
+import { withdrawAsks } from "./ask_messages.ts";
 import { cancelAttempt, countWaste, reportWorkDone } from "./attempts.ts";
 import type { HeldRequest, WaitingCall } from "./blackboard.ts";
 import { keepAnswer, voidClaim } from "./claim_rows.ts";
--- a/packages/core/src/scheduler_core.ts
+++ b/packages/core/src/scheduler_core.ts
@@ -7,7 +7,10 @@
 import { DecisionLog } from "./decision_log.ts";
 import type { Effect } from "./effects.ts";
 import { type CoreEvent, EventKind } from "./events.ts";
-import { MembershipController } from "./membership_controller.ts";
+import {
+  MembershipController,
+  type SeedPeer,
+} from "./membership_controller.ts";
 import type { Randomness } from "./randomness.ts";
 import { RequestController } from "./request_controller.ts";
 import { SettingsController } from "./settings_controller.ts";
@@ -29,14 +32,6 @@
   readonly policy?: CoordinatorOptions;
 }
 
-/** An instance named by the start settings. */
-export interface SeedPeer {
-  readonly instanceId: string;
-  readonly failureDomain: string;
-  /** `host:port` of its peer port. */
-  readonly address: string;
-}
-
 const DEFAULT_MAX_DECISIONS = 2000;
 
 /** Runs the controllers over the blackboard, in a fixed order. */
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -25,6 +25,12 @@
 /** Members that one heartbeat names; a larger fleet is named in turn. */
 const MAX_DIGEST = 24;
 
+/**
+ * Changes of targets that one heartbeat tells of, 3 KB of them, so that it fits a
+ * datagram and does not fill the links of small instances.
+ */
+const MAX_NEWS = 24;
+
 /** A heartbeat of another instance. */
 export type Beat = Extract<RoutingMessage, { kind: MessageKind.Beat }>;
 
@@ -154,10 +160,19 @@
       reachesStore: this.#parts.reachesStore(),
       others,
       spending: this.#parts.spending(),
-      targetNews: [...this.#parts.targetNews()],
+      targetNews: this.#newsToTell(),
     });
   }
 
+  /** Leaving targets in every heartbeat, the rest in turn. */
+  #newsToTell(): TargetChange[] {
+    const news = this.#parts.targetNews();
+    const urgent = inTurn(news.filter(isUrgent), MAX_NEWS, this.#beats);
+    const others = news.filter((change) => !isUrgent(change));
+    const room = MAX_NEWS - urgent.length;
+    return [...urgent, ...inTurn(others, room, this.#beats)];
+  }
+
   #noteChanges(nowMs: number): void {
     const { members } = this.#parts.board;
     const alive = new Set(members.alive(nowMs).map((m) => m.instanceId));
@@ -193,6 +208,11 @@
   return [...all, ...all].slice(begin, begin + count);
 }
 
+/** Whether a target must get nothing any more. */
+function isUrgent({ entry }: TargetChange): boolean {
+  return entry === undefined || entry.leaving;
+}
+
 function newsOf(member: MemberRecord): MemberNews {
   const { heardAtMs: _, ...news } = member;
   return news;
--- /dev/null
+++ b/packages/gateway/src/membership_keeper_test.ts
@@ -0,0 +1,87 @@
+import { Writable } from "node:stream";
+import { MessageKind } from "@chestnuthatch/routing/peer_messages";
+import { boardOf } from "@chestnuthatch/routing/routing_test_support";
+import type { TargetChange } from "@chestnuthatch/routing/target_directory";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { EventLog } from "./event_log.ts";
+import { type Beat, MembershipKeeper } from "./membership_keeper.ts";
+
+const BEAT_MS = 220;
+
+function changeOf(index: number, leaving: boolean): TargetChange {
+  const targetId = `t${index}`;
+  const entry = {
+    targetId,
+    pool: "p",
+    address: `10.0.0.${index}:80`,
+    failureDomain: "a",
+    slots: 4,
+    leaving,
+  };
+  return { targetId, rowVersion: index, entry };
+}
+
+/** Heartbeats of an instance that hears of one other. */
+function beatsOf(news: readonly TargetChange[], count: number): Beat[] {
+  const beats: Beat[] = [];
+  const self = {
+    instanceId: "i1",
+    address: "10.1.0.1:7000",
+    failureDomain: "a",
+    incarnation: 1,
+    leaving: false,
+    cores: 1,
+  };
+  const board = boardOf([]);
+  board.members.heard({ ...self, instanceId: "i2", address: "i2:7000" }, 0);
+  let nowMs = 0;
+  const clock = { nowMs: () => nowMs };
+  const nowhere = new Writable({ write: (_chunk, _code, done) => done() });
+  const keeper = new MembershipKeeper({
+    board,
+    clock,
+    log: new EventLog(clock, "i1", nowhere),
+    seedAddresses: [],
+    send: (_addresses, message) => {
+      if (message.kind === MessageKind.Beat) {
+        beats.push(message);
+      }
+    },
+    coordinatorId: () => "i2",
+    memoryMs: () => 0,
+    reachesStore: () => true,
+    spending: () => [],
+    targetNews: () => news,
+  }, self);
+  for (; beats.length < count; nowMs += BEAT_MS) {
+    keeper.tick();
+  }
+  return beats;
+}
+
+test("a heartbeat fits a datagram however much is new", () => {
+  const news = Array.from(
+    { length: 100 },
+    (_, index) => changeOf(index, index >= 90),
+  );
+  const beats = beatsOf(news, 10);
+  assert.ok(beats.every(({ targetNews }) => targetNews.length <= 24));
+  const told = new Set(
+    beats.flatMap((beat) => beat.targetNews.map(({ targetId }) => targetId)),
+  );
+  assert.is(told.size, 100);
+});
+
+test("each heartbeat tells of all leaving targets first", () => {
+  const news = Array.from(
+    { length: 100 },
+    (_, index) => changeOf(index, index >= 90),
+  );
+  for (const { targetNews } of beatsOf(news, 3)) {
+    const leaving = targetNews.filter(({ entry }) => entry?.leaving === true);
+    assert.is(leaving.length, 10);
+  }
+});
+
+test.run();
--- a/packages/measure/src/core_instance.ts
+++ b/packages/measure/src/core_instance.ts
@@ -14,10 +14,8 @@
 import { seededRandomness } from "@chestnuthatch/core/randomness";
 import { readinessOf } from "@chestnuthatch/core/readiness";
 import { type RequestSpec, RequestState } from "@chestnuthatch/core/request";
-import {
-  SchedulerCore,
-  type SeedPeer,
-} from "@chestnuthatch/core/scheduler_core";
+import type { SeedPeer } from "@chestnuthatch/core/membership_controller";
+import { SchedulerCore } from "@chestnuthatch/core/scheduler_core";
 import type { PeerMessage } from "@chestnuthatch/wire/peer_messages";
 import { ClaimPort } from "./claim_port.ts";
 import type {
--- a/tests/core_net.ts
+++ b/tests/core_net.ts
@@ -14,10 +14,8 @@
   type Randomness,
   seededRandomness,
 } from "@chestnuthatch/core/randomness";
-import {
-  SchedulerCore,
-  type SeedPeer,
-} from "@chestnuthatch/core/scheduler_core";
+import type { SeedPeer } from "@chestnuthatch/core/membership_controller";
+import { SchedulerCore } from "@chestnuthatch/core/scheduler_core";
 import { ManualClock } from "./manual_clock.ts";
 
 type WithoutTime<T> = T extends unknown ? Omit<T, "nowMs"> : never;
