--- a/utils/check_layers.ts
+++ b/utils/check_layers.ts
@@ -1,7 +1,7 @@
 /**
  * Checks that every source file imports only what the `DEPS.list` of its
- * folder names, and that folders marked `pure` use no clock, timer or
- * randomness of their own.
+ * folder names, that folders marked `pure` use no clock, timer or randomness of
+ * their own, and that no files import each other in a circle.
  *
  * A `DEPS.list` has one entry a line: a package or `node:` module, a relative
  * folder, `test: NAME` for what only test files may import, or `pure`.
@@ -24,7 +24,8 @@
 }
 
 function main(): void {
-  const faults = ROOTS.flatMap(sourceFiles).flatMap(checkFile);
+  const files = ROOTS.flatMap(sourceFiles);
+  const faults = [...files.flatMap(checkFile), ...circles(files)];
   for (const fault of faults) {
     console.error(fault);
   }
@@ -59,6 +60,32 @@
   return faults;
 }
 
+/** Finds circles of imports between files, each told once. */
+function circles(files: readonly string[]): string[] {
+  const found: string[] = [];
+  const done = new Set<string>();
+  function visit(file: string, way: readonly string[]): void {
+    if (way.includes(file)) {
+      const circle = [...way.slice(way.indexOf(file)), file];
+      found.push(`${circle.join(" -> ")}: import each other`);
+    } else if (files.includes(file) && !done.has(file)) {
+      for (const imported of importedFiles(file)) {
+        visit(imported, [...way, file]);
+      }
+      done.add(file);
+    }
+  }
+  files.forEach((file) => visit(file, []));
+  return found;
+}
+
+function importedFiles(file: string): string[] {
+  return [...readFileSync(file, "utf8").matchAll(IMPORT_PATTERN)]
+    .map((match) => match[1]!)
+    .filter((name) => name.startsWith("."))
+    .map((name) => join(dirname(file), name));
+}
+
 function isAllowed(
   name: string,
   of: { path: string; deps: DepsList; isTest: boolean },
