--- a/tests/fleet_instance.ts
+++ b/tests/fleet_instance.ts
@@ -15,11 +15,16 @@
 import { getJson, getReply, getText } from "./fleet_http.ts";
 import { REGION } from "./fleet_settings.ts";
 import { LinkRelay } from "./link_relay.ts";
-import type { InstancePlace } from "./process_fleet.ts";
 import { type ProcessEnd, ServerProcess } from "./server_process.ts";
 import { StreamedCall } from "./streamed_call.ts";
 import { waitFor } from "./wait_for.ts";
 
+/** Where an instance belongs. */
+export interface InstancePlace {
+  readonly id: string;
+  readonly failureDomain: string;
+}
+
 /** What an instance prints once it serves. */
 interface Announced {
   readonly callers: string;
--- a/tests/process_fleet.ts
+++ b/tests/process_fleet.ts
@@ -18,7 +18,7 @@
   type TransactAnswer,
 } from "@chestnuthatch/wire/platform_protocol";
 import { Agent, setGlobalDispatcher } from "undici";
-import { FleetInstance } from "./fleet_instance.ts";
+import { FleetInstance, type InstancePlace } from "./fleet_instance.ts";
 import { getReply, postJson } from "./fleet_http.ts";
 import {
   fleetSettings,
@@ -31,12 +31,6 @@
 import { TargetCounts } from "./target_counts.ts";
 import { waitFor } from "./wait_for.ts";
 
-/** Where an instance belongs. */
-export interface InstancePlace {
-  readonly id: string;
-  readonly failureDomain: string;
-}
-
 /** What a fleet is made of. */
 export interface ProcessFleetOptions {
   readonly instances: readonly InstancePlace[];
