--- a/packages/gateway/src/coordinator_choice.ts
+++ b/packages/gateway/src/coordinator_choice.ts
@@ -82,21 +82,26 @@
 
   #lookAt(nowMs: number): Look {
     if (this.#look === undefined || nowMs >= this.#look.untilMs) {
+      const agreed = this.#members.coordinator(nowMs, NONE_SHUNNED);
       this.#look = {
         untilMs: nowMs + LOOK_MS,
-        coordinator: this.#pick(nowMs),
-        share: this.#share(nowMs),
+        coordinator: this.#answering(agreed, nowMs),
+        share: this.#share(agreed, nowMs),
       };
     }
     return this.#look;
   }
 
-  #pick(nowMs: number): MemberRecord {
+  /** The agreed coordinator, or the next one while it is passed over. */
+  #answering(agreed: MemberRecord, nowMs: number): MemberRecord {
     for (const [instanceId, untilMs] of this.#shunnedUntilMs) {
       if (untilMs <= nowMs) {
         this.#shunnedUntilMs.delete(instanceId);
       }
     }
+    if (this.#shunnedUntilMs.size === 0) {
+      return agreed;
+    }
     const shunned = new Set(this.#shunnedUntilMs.keys());
     return this.#members.coordinator(nowMs, shunned);
   }
@@ -105,8 +110,7 @@
    * Share of the fleet's allotments and retry budgets that this instance hands
    * out: all that it hears where it coordinates, and else its own part.
    */
-  #share(nowMs: number): number {
-    const agreed = this.#members.coordinator(nowMs, NONE_SHUNNED);
+  #share(agreed: MemberRecord, nowMs: number): number {
     if (agreed.instanceId !== this.#members.selfId) {
       this.#agreedSinceMs = undefined;
       const alive = this.#members.alive(nowMs).length;
--- a/tests/soak_callers.ts
+++ b/tests/soak_callers.ts
@@ -1,6 +1,7 @@
 /** Callers of the soak: they keep their connections and note what came back. */
 
 import { Agent } from "node:http";
+import { setTimeout as pause } from "node:timers/promises";
 import {
   type Randomness,
   seededRandomness,
@@ -161,7 +162,3 @@
   const inSurge = spentMs >= surge.atMs && spentMs < surge.atMs + surge.forMs;
   return inSurge ? surge.callsPerS : callsPerS;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/tests/soak_fleet.ts
+++ b/tests/soak_fleet.ts
@@ -2,11 +2,10 @@
 
 import { freePorts } from "@chestnuthatch/platform/free_ports";
 import {
-  CALLER_KEY,
+  configurationOf,
   DESK_POOL,
   ENGINE_POOL,
-  LIMITS,
-  ROUTES,
+  targetRow,
 } from "@chestnuthatch/platform/standin_fleet";
 import { StandinStore } from "@chestnuthatch/platform/standin_store";
 import { StandinTarget } from "@chestnuthatch/platform/standin_target";
@@ -73,17 +72,7 @@
   /** Writes another version of the configuration, with the same content. */
   configure(): void {
     this.#version++;
-    const engine = { slots: SLOTS, kvCapacityTokens: 1_000_000 };
-    this.store.put("op", "config", {
-      version: this.#version,
-      routes: ROUTES,
-      services: [
-        { name: ENGINE_POOL, maxConnections: 100, engine },
-        { name: DESK_POOL, maxConnections: 100 },
-      ],
-      limits: LIMITS,
-      tenants: [{ name: "w", apiKeys: [CALLER_KEY] }],
-    });
+    this.store.put("op", "config", configurationOf(this.#version));
   }
 
   /**
@@ -125,15 +114,16 @@
   #list(listed: SoakTarget): void {
     const { target, pool, relay, leavingAtMs } = listed;
     const index = this.targets.indexOf(listed);
-    this.store.put("servers", target.id, {
-      service: pool,
-      address: relay.address,
-      zone: DOMAINS[index % DOMAINS.length],
-      version: "v1",
-      slots: SLOTS,
-      state: leavingAtMs === undefined ? "ready" : "draining",
-      coldRemainingMs: 0,
-      sequence: leavingAtMs === undefined ? 1 : 2,
-    });
+    this.store.put(
+      "servers",
+      target.id,
+      targetRow({
+        pool,
+        address: relay.address,
+        domain: DOMAINS[index % DOMAINS.length]!,
+        slots: SLOTS,
+        leaving: leavingAtMs !== undefined,
+      }),
+    );
   }
 }
--- a/tests/soak_run.ts
+++ b/tests/soak_run.ts
@@ -1,5 +1,6 @@
 /** Plays one seed of the soak and checks it. */
 
+import { setTimeout as pause } from "node:timers/promises";
 import { StoreMode } from "@chestnuthatch/platform/standin_store";
 import { TargetConduct } from "@chestnuthatch/platform/standin_target";
 import {
@@ -218,7 +219,3 @@
 function isRefused({ result }: CallRecord): boolean {
   return result?.status === 429 || result?.status === 503;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
