Know callers that come back by their requests; feed neglected ranks by time

The coordinator took the time left to a caller for a sign of an earlier attempt; there, callers of one route set deadlines that differ by 15 %, so that two thirds of first attempts counted as late and went behind (spentBeforeMs of 200 to 700 on calm seconds). And a neglected rank got one placement in three; where its work holds a slot five times as long as the highest rank's, that is most of the slots.

Neglected ranks go ahead within 0.15 of the time at targets.

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -15,7 +15,6 @@
 import { RoutedError } from "@chestnuthatch/routing/refusal";
 import type { RouteTable } from "@chestnuthatch/routing/route_table";
 import { CallerReply } from "./caller_reply.ts";
-import { CallerTimes } from "./caller_times.ts";
 import { LogPart } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { listen } from "./peer_catalog.ts";
@@ -64,7 +63,6 @@
   readonly #parts: GatewayParts;
   readonly #server: Server;
   readonly #open = new Set<RoutedRequest>();
-  readonly #callerTimes = new CallerTimes();
   #limits = STARTING_LIMITS;
   #stage = ClosingStage.Open;
   /** Requests whose bodies are being read. */
@@ -177,13 +175,11 @@
         return;
       }
       doneReading();
-      const spentBeforeMs = this.#spentBefore(facts, admission.route);
       const call = callOf({
         request,
         facts,
         chunks,
         arrivedAtMs,
-        spentBeforeMs,
         admission,
       });
       this.#begin(call, response, reply);
@@ -228,14 +224,6 @@
       : { table, route, workspace, pool };
   }
 
-  #spentBefore({ deadlineMs }: CallFacts, route: RoutePolicy): number {
-    return deadlineMs === undefined ? 0 : this.#callerTimes.spentBefore(
-      route.name,
-      deadlineMs,
-      this.#parts.clock.nowMs(),
-    );
-  }
-
   #refuse(
     reply: CallerReply,
     facts: CallFacts,
@@ -283,7 +271,6 @@
     facts: CallFacts;
     chunks: readonly Buffer[];
     arrivedAtMs: number;
-    spentBeforeMs: number;
     admission: Exclude<Admission, { error: RoutedError }>;
   },
 ): RoutedCall {
@@ -301,6 +288,5 @@
     rawHeaders: request.rawHeaders,
     body: hasBody ? Buffer.concat(chunks) : undefined,
     arrivedAtMs: of.arrivedAtMs,
-    spentBeforeMs: of.spentBeforeMs,
   };
 }
--- a/packages/gateway/src/placement_desk_test.ts
+++ b/packages/gateway/src/placement_desk_test.ts
@@ -65,7 +65,13 @@
 }
 
 function grant(askId: string, targetId = "t1"): RoutingMessage {
-  const decision = { askId, holderId: "i1", targetId, expectedMs: 50 };
+  const decision = {
+    askId,
+    holderId: "i1",
+    targetId,
+    expectedMs: 50,
+    cameBackMs: 0,
+  };
   return { kind: MessageKind.Decision, decision };
 }
 
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -22,6 +22,11 @@
   readonly key?: string;
   /** Absent where the call tells no token counts. */
   readonly tokens?: { readonly prompt: number; readonly output: number };
+  /**
+   * What tells one prompt from another, the same for all attempts of a caller;
+   * absent where the call tells nothing of its prompt.
+   */
+  readonly prompt?: string;
   /** Last event of a stream that the caller already has. */
   readonly resumeAfter?: number;
 }
--- a/packages/gateway/src/routed_call.ts
+++ b/packages/gateway/src/routed_call.ts
@@ -22,8 +22,6 @@
   /** Absent where the caller sent none. */
   readonly body?: Buffer;
   readonly arrivedAtMs: number;
-  /** Time that its caller spent on earlier attempts, as far as it shows. */
-  readonly spentBeforeMs: number;
 }
 
 /**
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -158,7 +158,7 @@
     if (this.#attempt !== undefined) {
       this.#closeAttempt(this.#attempt, AttemptEnd.Lost, "silent");
     }
-    this.#send(target, decision.expectedMs);
+    this.#send(target, decision);
   }
 
   /** A place at a target that this instance knows to be leaving or gone. */
@@ -193,7 +193,10 @@
     return Math.max(retryAfterMs, COME_BACK_SHARE * leftMs);
   }
 
-  #send(target: KnownTarget, expectedMs: number): void {
+  #send(
+    target: KnownTarget,
+    { expectedMs, cameBackMs }: { expectedMs: number; cameBackMs: number },
+  ): void {
     const call = this.#call;
     const attempt = new TargetAttempt(this.#parts, {
       call,
@@ -217,7 +220,7 @@
       pool: call.pool,
       attempt: this.#runs,
       resumeAfter: this.#lastEventId,
-      spentBeforeMs: Math.round(call.spentBeforeMs),
+      cameBackMs: Math.round(cameBackMs),
       waitedMs: Math.round(attempt.sentAtMs - call.arrivedAtMs),
       expectedMs: Math.round(expectedMs),
       deadlineLeftMs: Math.floor(deadlineAtMs(call) - attempt.sentAtMs),
@@ -385,7 +388,6 @@
       runs: this.#runs,
       rejections: this.#rejections,
       begun: this.#reply.begun,
-      spentBeforeMs: Math.round(this.#call.spentBeforeMs),
       callerGone: this.#callerGone,
       tookMs: this.#tookMs(),
     });
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -1,5 +1,6 @@
 /** What a request asks the coordinator for. */
 
+import { hash32 } from "@chestnuthatch/core/text_hash";
 import { rankOf } from "@chestnuthatch/routing/ranks";
 import type { AskCause, WorkAsk } from "@chestnuthatch/routing/work_ask";
 import type { GatewayParts } from "./gateway_parts.ts";
@@ -46,13 +47,14 @@
   return {
     askId: parts.nextAskId(),
     holderId: parts.board.members.selfId,
+    callHash: callHashOf(call),
     pool: call.pool,
     workspace: workspace?.name ?? "",
     rank: rankOf(workspace?.rank ?? 0, route.rank),
     cost: facts.charged ? 0 : costOf(call),
     promptTokens: tokens?.prompt ?? 0,
     outputTokens: tokens?.output ?? 0,
-    objectiveLeftMs: route.objectiveMs - call.spentBeforeMs - spentMs,
+    objectiveLeftMs: route.objectiveMs - spentMs,
     patienceLeftMs: patienceMs - ANSWER_PART * route.objectiveMs,
     deadlineLeftMs: leftMs,
     failureDomain: parts.failureDomain,
@@ -61,6 +63,13 @@
   };
 }
 
+/** Callers repeat a request unchanged; plain calls are too much alike. */
+function callHashOf({ facts, method, path }: RoutedCall): number {
+  return facts.prompt === undefined
+    ? 0
+    : hash32(`${facts.key} ${method} ${path} ${facts.prompt}`);
+}
+
 /** Health is only advice: where it rules out every target, it is ignored. */
 function excludedFor(
   { board, clock }: GatewayParts,
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -169,6 +169,7 @@
     const ask: WorkAsk = {
       askId: `${this.#queue.nowMs}.${index}`,
       holderId: `i${holder}`,
+      callHash: 0,
       pool: "p",
       workspace: "w",
       rank: Math.floor(this.#random.next() * RANKS),
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -23,6 +23,7 @@
   type WorkEnd,
 } from "./work_ask.ts";
 import { routeRankOf } from "./ranks.ts";
+import { RefusedCallers } from "./refused_callers.ts";
 
 /**
  * Age below which work that a holder's report leaves out is kept: the report
@@ -41,6 +42,12 @@
   readonly allotmentTolerance: AllotmentTolerance;
 }
 
+/** When the caller of an open ask first came with its request. */
+interface FirstAttempt {
+  readonly callHash: number;
+  readonly atMs: number;
+}
+
 /** Coordinates asks of all holders that reach this instance. */
 export class Coordinator {
   readonly #board: RoutingBoard;
@@ -49,6 +56,8 @@
   readonly #ledger: AllotmentLedger;
   #bounds: FleetBounds;
   readonly #poolOfAsk = new Map<string, string>();
+  readonly #firstAttempts = new Map<string, FirstAttempt>();
+  readonly #refusedCallers = new RefusedCallers();
   readonly #charges = new Map<string, { workspace: string; cost: number }>();
   readonly #reportedAtMs = new Map<string, number>();
   readonly #spending = new HeardSpending();
@@ -82,12 +91,18 @@
     if (schedule.isWaiting(ask.askId)) {
       return [];
     }
+    const { askId, callHash } = ask;
+    const { nowMs } = scope;
+    const atMs = this.#refusedCallers.firstAtMs(callHash, nowMs);
     const refusal = this.#refusedAtDoor(ask, scope);
     if (refusal !== undefined) {
+      this.#refusedCallers.note(callHash, atMs, nowMs);
       return [refusal];
     }
-    this.#poolOfAsk.set(ask.askId, ask.pool);
-    return this.#settled(schedule.add(ask, scope.nowMs), scope.nowMs);
+    this.#poolOfAsk.set(askId, ask.pool);
+    this.#firstAttempts.set(askId, { callHash, atMs });
+    const cameBackMs = nowMs - atMs;
+    return this.#settled(schedule.add(ask, { cameBackMs, nowMs }), nowMs);
   }
 
   /**
@@ -226,6 +241,7 @@
   forgetAll(): void {
     this.#pools.clear();
     this.#poolOfAsk.clear();
+    this.#firstAttempts.clear();
     this.#charges.clear();
     this.#reportedAtMs.clear();
   }
@@ -289,9 +305,11 @@
 
   #settled(decisions: AskDecision[], nowMs: number): AskDecision[] {
     for (const decision of decisions) {
+      const { askId } = decision;
       if ("refusal" in decision) {
-        this.#refund(decision.askId, nowMs);
-        this.#forget(decision.askId);
+        this.#noteRefused(askId, nowMs);
+        this.#refund(askId, nowMs);
+        this.#forget(askId);
       }
     }
     return decisions;
@@ -314,6 +332,13 @@
     return this.#settled(decisions, nowMs);
   }
 
+  #noteRefused(askId: string, nowMs: number): void {
+    const first = this.#firstAttempts.get(askId);
+    if (first !== undefined) {
+      this.#refusedCallers.note(first.callHash, first.atMs, nowMs);
+    }
+  }
+
   #refund(askId: string, nowMs: number): void {
     const charge = this.#charges.get(askId);
     if (charge !== undefined) {
@@ -323,6 +348,7 @@
 
   #forget(askId: string): void {
     this.#poolOfAsk.delete(askId);
+    this.#firstAttempts.delete(askId);
     this.#charges.delete(askId);
   }
 
--- a/packages/routing/src/coordinator_test.ts
+++ b/packages/routing/src/coordinator_test.ts
@@ -94,6 +94,22 @@
   ]);
 });
 
+test("within a rank, who was refused before goes after who is still on time", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  coordinator.ask(askOf("a1"), scope(0));
+  coordinator.ask(askOf("a2"), scope(0));
+  const again = { callHash: 7 };
+  const first = askOf("first", { ...again, patienceLeftMs: 0 });
+  assert.equal(texts(coordinator.ask(first, scope(0))), ["first: overload"]);
+  coordinator.ask(askOf("second", again), scope(1000));
+  coordinator.ask(askOf("new", { deadlineLeftMs: 8000 }), scope(1001));
+  const decided = coordinator.ended(endOf("a1", "t1"), 1010);
+  assert.equal(texts(decided), ["new -> t1"]);
+  const [late] = coordinator.ended(endOf("a2", "t1"), 1020);
+  assert.equal(texts([late!]), ["second -> t1"]);
+  assert.is("targetId" in late! && late.cameBackMs, 1000);
+});
+
 test("a request of a higher rank pushes the lowest out, not itself", () => {
   const coordinator = coordinatorOf(["t1"]);
   coordinator.ask(askOf("a1"), scope(0));
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -47,6 +47,7 @@
 const ask = z.object({
   askId: z.string(),
   holderId: z.string(),
+  callHash: z.number(),
   pool: z.string(),
   workspace: z.string(),
   rank: z.number(),
@@ -95,6 +96,7 @@
     holderId: z.string(),
     targetId: z.string(),
     expectedMs: z.number(),
+    cameBackMs: z.number(),
   }),
   z.object({
     askId: z.string(),
--- a/packages/routing/src/placed_works.ts
+++ b/packages/routing/src/placed_works.ts
@@ -15,6 +15,8 @@
   readonly tokensAhead: number;
   /** When its first event was expected, from its placement; 0 if unknown. */
   readonly expectedMs: number;
+  /** Time since its caller's first attempt, where that was refused. */
+  readonly cameBackMs: number;
   /** Whether its first event came, so that its prompt was read. */
   readonly firstSeen: boolean;
 }
--- a/packages/routing/src/placed_works_test.ts
+++ b/packages/routing/src/placed_works_test.ts
@@ -13,6 +13,7 @@
     placedAtMs: 0,
     tokensAhead: 0,
     expectedMs: 0,
+    cameBackMs: 0,
     firstSeen: false,
     ...over,
   };
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -27,10 +27,15 @@
 const HOLD_LEARNING_RATE = 0.05;
 
 /**
- * Placements of other ranks between two that a neglected rank gets ahead of its
- * turn. A long queue of short work would else hold up all ranks above it.
+ * Share of the time at targets that neglected ranks get ahead of their turn, so
+ * that their queues don't hold up all ranks above. It is counted in time and not
+ * in placements: where the lowest rank's work held a slot five times as long as
+ * the highest's, one placement in three gave it most slots.
  */
-const PLACED_BETWEEN_NEGLECTED = 2;
+const NEGLECTED_TIME_SHARE = 0.15;
+
+/** Time at targets that neglected ranks may save up, about one long stream. */
+const MOST_NEGLECTED_CREDIT_MS = 1000;
 
 /**
  * A queue longer than this is looked at for new requests only every so often: a
@@ -67,7 +72,8 @@
   readonly #waiting = new Map<string, WaitingWork>();
   readonly #shares = new RankShares();
   #holdMs = STARTING_HOLD_MS;
-  #placedSinceNeglected = 0;
+  /** Time at targets that neglected ranks may take ahead of their turn. */
+  #neglectedCreditMs = 0;
   #lookedAtMs = -Infinity;
 
   /**
@@ -110,12 +116,16 @@
    * Takes in an ask: it is placed, waits, or is refused.
    *
    * @param ask The ask.
-   * @param nowMs The local time.
+   * @param of Time since its caller's first attempt, where that was refused,
+   * and the local time.
    * @returns Decisions on this ask and on others that it displaced; those of a
    * long queue follow with the next look at it.
    */
-  add(ask: WorkAsk, nowMs: number): AskDecision[] {
-    this.#waiting.set(ask.askId, { ask, sinceMs: nowMs });
+  add(
+    ask: WorkAsk,
+    { cameBackMs, nowMs }: { cameBackMs: number; nowMs: number },
+  ): AskDecision[] {
+    this.#waiting.set(ask.askId, { ask, cameBackMs, sinceMs: nowMs });
     const waits = this.#waiting.size > LONG_QUEUE &&
       nowMs - this.#lookedAtMs < LOOK_MS;
     return waits ? [] : this.#settle(nowMs);
@@ -180,6 +190,7 @@
       placedAtMs: nowMs,
       tokensAhead: 0,
       expectedMs: 0,
+      cameBackMs: 0,
       firstSeen,
     });
   }
@@ -251,7 +262,7 @@
 
   /** Ranks that go ahead of their turn with the next placement. */
   #promoted(nowMs: number): ReadonlySet<number> {
-    return this.#placedSinceNeglected >= PLACED_BETWEEN_NEGLECTED
+    return this.#neglectedCreditMs > 0
       ? this.#shares.neglected(nowMs)
       : NO_RANKS;
   }
@@ -262,12 +273,17 @@
       return;
     }
     const isNeglected = this.#shares.neglected(nowMs).has(rank);
-    this.#placedSinceNeglected = isNeglected
-      ? 0
-      : this.#placedSinceNeglected + 1;
+    const workMs = this.#shares.workMs(rank) ?? this.#holdMs;
+    this.#neglectedCreditMs = isNeglected
+      ? this.#neglectedCreditMs - workMs
+      : Math.min(
+        MOST_NEGLECTED_CREDIT_MS,
+        this.#neglectedCreditMs + NEGLECTED_TIME_SHARE * workMs,
+      );
   }
 
-  #decide({ ask, sinceMs }: WaitingWork, look: Look): AskDecision | undefined {
+  #decide(waiting: WaitingWork, look: Look): AskDecision | undefined {
+    const { ask, sinceMs } = waiting;
     const { askId, holderId, excluded } = ask;
     const barred = excluded.length === 0
       ? []
@@ -283,7 +299,7 @@
     }
     const choice = chooseTarget(ask, look.free);
     if (choice !== undefined) {
-      return this.#placeAt(ask, choice, look);
+      return this.#placeAt(waiting, choice, look);
     }
     const { nowMs, ahead } = look;
     const slots = look.slots -
@@ -308,7 +324,8 @@
     };
   }
 
-  #placeAt(ask: WorkAsk, choice: Choice, look: Look): AskDecision {
+  #placeAt(waiting: WaitingWork, choice: Choice, look: Look): AskDecision {
+    const { ask, cameBackMs } = waiting;
     const { targetId } = choice.target;
     const { askId, holderId, rank, promptTokens, outputTokens } = ask;
     const work = {
@@ -321,6 +338,7 @@
       placedAtMs: look.nowMs,
       tokensAhead: this.#placed.use(targetId).tokensAhead,
       expectedMs: choice.firstMs,
+      cameBackMs,
       firstSeen: false,
     };
     this.#placed.put(work);
@@ -349,6 +367,6 @@
 }
 
 function decisionOf(work: PlacedWork): AskDecision {
-  const { askId, holderId, targetId, expectedMs } = work;
-  return { askId, holderId, targetId, expectedMs };
+  const { askId, holderId, targetId, expectedMs, cameBackMs } = work;
+  return { askId, holderId, targetId, expectedMs, cameBackMs };
 }
--- a/packages/routing/src/queue_order.ts
+++ b/packages/routing/src/queue_order.ts
@@ -22,6 +22,8 @@
 /** A request that waits. */
 export interface WaitingWork {
   readonly ask: WorkAsk;
+  /** Time since its caller's first attempt, where that was refused. */
+  readonly cameBackMs: number;
   readonly sinceMs: number;
 }
 
@@ -63,9 +65,10 @@
 }
 
 function keyOf(work: WaitingWork, typical: Candidate, nowMs: number) {
-  const { ask, sinceMs } = work;
+  const { ask, cameBackMs, sinceMs } = work;
   const firstMs = firstMsAt(typical, ask, IDLE);
-  const onTimeUntilMs = sinceMs + ask.objectiveLeftMs - FIRST_MARGIN * firstMs;
+  const onTimeUntilMs = sinceMs + ask.objectiveLeftMs - cameBackMs -
+    FIRST_MARGIN * firstMs;
   const patientUntilMs = sinceMs + ask.patienceLeftMs;
   const wholeUntilMs = sinceMs + ask.deadlineLeftMs - firstMs -
     restMsAt(typical, ask);
--- a/packages/routing/src/rank_shares.ts
+++ b/packages/routing/src/rank_shares.ts
@@ -70,6 +70,14 @@
       : counts.workMs + TIME_LEARNING_RATE * (tookMs - counts.workMs);
   }
 
+  /**
+   * @param rank A rank.
+   * @returns Time that its work takes at a target; undefined until some ended.
+   */
+  workMs(rank: number): number | undefined {
+    return this.#byRank.get(rank)?.workMs || undefined;
+  }
+
   /**
    * Finds ranks that get too little beside the ranks above them.
    *
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -111,6 +111,7 @@
   return {
     askId,
     holderId: "i1",
+    callHash: 0,
     pool: "p",
     workspace: "w",
     rank: 0,
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -17,6 +17,8 @@
   /** Unique in the fleet; a repeat of the request asks under a new id. */
   readonly askId: string;
   readonly holderId: string;
+  /** The same for all attempts of a caller at one request; 0 if unknown. */
+  readonly callHash: number;
   readonly pool: string;
   readonly workspace: string;
   /** 0 is the most valuable. */
@@ -58,6 +60,8 @@
     readonly targetId: string;
     /** When the first event or the answer is expected, from now. */
     readonly expectedMs: number;
+    /** Time since its caller's first attempt, where that was refused. */
+    readonly cameBackMs: number;
   }
   | {
     readonly askId: string;
