Hand spending over with its times; keep allotments for higher ranks

Ruled out: the half bound without a record (memory was whole, share 1), the store being away.

Change: heartbeats and the store's record tell spending by seconds; a ledger takes the larger of two accounts of a workspace, never their sum; a record is made anew every second while a workspace has spent half of its bound.

--- a/packages/core/src/kept_answer.ts
+++ b/packages/core/src/kept_answer.ts
@@ -1,6 +1,6 @@
 /** Answers as they are kept in the object store, for callers that ask again. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { Answer } from "./request.ts";
 
 const keptAnswerSchema = z.strictObject({
--- a/packages/daemon/src/caller_input.ts
+++ b/packages/daemon/src/caller_input.ts
@@ -7,7 +7,7 @@
   callerRequestSchema,
 } from "@chestnuthatch/wire/caller_protocol";
 import { err, ok, type Result } from "neverthrow";
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** What is wrong with a caller's body. */
 export interface InputFault {
--- a/packages/daemon/src/claim_rows.ts
+++ b/packages/daemon/src/claim_rows.ts
@@ -2,7 +2,7 @@
 
 import { ClaimOutcome, type ClaimRow } from "@chestnuthatch/core/events";
 import type { Row } from "@chestnuthatch/wire/platform_protocol";
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "./ndjson_reader.ts";
 
 const claimRowSchema: z.ZodType<ClaimRow> = z.strictObject({
--- a/packages/daemon/src/order_rows.ts
+++ b/packages/daemon/src/order_rows.ts
@@ -5,7 +5,7 @@
   OrderKind,
 } from "@chestnuthatch/wire/target_protocol";
 import type { Row } from "@chestnuthatch/wire/platform_protocol";
-import { z } from "zod";
+import * as z from "zod";
 import { parseJson } from "./ndjson_reader.ts";
 
 /** How far the order of a row has come. */
--- a/packages/daemon/src/platform_http.ts
+++ b/packages/daemon/src/platform_http.ts
@@ -11,7 +11,7 @@
   type TransactRequest,
 } from "@chestnuthatch/wire/platform_protocol";
 import { err, ok, type Result } from "neverthrow";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { HttpRequest } from "./http_exchange.ts";
 import { parseJson } from "./ndjson_reader.ts";
 import {
--- a/packages/daemon/src/start_settings.ts
+++ b/packages/daemon/src/start_settings.ts
@@ -2,7 +2,7 @@
 
 import { err, ok, type Result } from "neverthrow";
 import { parseDocument } from "yaml";
-import { z } from "zod";
+import * as z from "zod";
 import { LogLevel } from "@chestnuthatch/core/effects";
 import { LogFormat } from "./logger.ts";
 
--- a/packages/daemon/src/target_polls.ts
+++ b/packages/daemon/src/target_polls.ts
@@ -12,7 +12,7 @@
   loadAnswerSchema,
 } from "@chestnuthatch/wire/target_protocol";
 import { err, ok, type Result } from "neverthrow";
-import type { z } from "zod";
+import type * as z from "zod";
 import { callHttp } from "./http_call.ts";
 import { parseJson } from "./ndjson_reader.ts";
 import { type EdgeContext, EdgeCounterName } from "./ports.ts";
--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -9,7 +9,7 @@
 import { targetChangesSchema } from "@chestnuthatch/routing/peer_messages";
 import { RouteTable } from "@chestnuthatch/routing/route_table";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
-import type { WorkspaceSpending } from "@chestnuthatch/routing/spending_log";
+import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
 import {
   type TargetBelief,
   type TargetChange,
@@ -48,7 +48,7 @@
   /** Called when what is known of targets has changed. */
   onTargets(): void;
   /** Called with what the fleet recorded of workspaces' spending. */
-  onSpending(record: readonly WorkspaceSpending[]): void;
+  onSpending(record: readonly SpendingHistory[], ageMs: number): void;
   /** Called when another version came into force. */
   onConfiguration(configuration: FleetConfiguration): void;
 }
@@ -151,12 +151,12 @@
    * @param record What workspaces had spent.
    * @param ageMs How long ago that was recorded.
    */
-  spendingRead(record: readonly WorkspaceSpending[], ageMs: number): void {
+  spendingRead(record: readonly SpendingHistory[], ageMs: number): void {
     this.#parts.log.info(LogPart.Platform, "spending taken up", {
       ageMs: Math.round(ageMs),
       workspaces: record.map(({ workspace }) => workspace),
     });
-    this.#parts.onSpending(record);
+    this.#parts.onSpending(record, ageMs);
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -365,7 +365,7 @@
       followsStore: () => this.#followsStore(),
       onTargets: () => this.#targetsChanged(),
       onConfiguration: (configuration) => this.#configured(configuration),
-      onSpending: (record) => this.#spending.takeUpRecord(record),
+      onSpending: (record, ageMs) => this.#spending.takeUpRecord(record, ageMs),
     });
   }
 
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -11,7 +11,7 @@
   type MemberRecord,
 } from "@chestnuthatch/routing/member_view";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
-import type { WorkspaceSpending } from "@chestnuthatch/routing/spending_log";
+import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
 import type { TargetChange } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock } from "./ports.ts";
@@ -49,7 +49,7 @@
   /** @returns Whether this instance reaches the platform's store. */
   reachesStore(): boolean;
   /** @returns Workspaces near their bounds; none unless it coordinates. */
-  spending(): readonly WorkspaceSpending[];
+  spending(): readonly SpendingHistory[];
   /** @returns What this instance lately learned of targets. */
   targetNews(): readonly TargetChange[];
 }
--- a/packages/gateway/src/peer_catalog.ts
+++ b/packages/gateway/src/peer_catalog.ts
@@ -7,7 +7,7 @@
 import { createServer, get, type Server } from "node:http";
 import { gunzipSync, gzipSync } from "node:zlib";
 import { err, ok, type Result } from "neverthrow";
-import type { z } from "zod";
+import type * as z from "zod";
 import { hostPortOf } from "./host_port.ts";
 
 /** What can be asked for. */
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -67,6 +67,9 @@
   "spending",
   "deadlineLeftMs",
   "cores",
+  "callHash",
+  "cameBackMs",
+  "bySecond",
 ];
 
 /** Bytes that the receive buffer of the socket holds. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -3,7 +3,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
 import type { MemberNews } from "@chestnuthatch/routing/member_view";
-import type { WorkspaceSpending } from "@chestnuthatch/routing/spending_log";
+import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
 import type { TargetChange } from "@chestnuthatch/routing/target_directory";
 
 /** The instance's monotonic time. */
@@ -87,7 +87,7 @@
   fleetSize(): number;
   membersRead(members: readonly MemberNews[]): void;
   /** What workspaces had spent when the fleet last recorded it. */
-  spendingRead(record: readonly WorkspaceSpending[], ageMs: number): void;
+  spendingRead(record: readonly SpendingHistory[], ageMs: number): void;
   /** The platform holds something that cannot be read. */
   unreadable(what: string, where: string): void;
   /** The platform answers, again or at first. */
@@ -111,7 +111,7 @@
    * @param record Spending by workspace.
    * @returns Whether the platform has it.
    */
-  recordSpending(record: readonly WorkspaceSpending[]): Promise<boolean>;
+  recordSpending(record: readonly SpendingHistory[]): Promise<boolean>;
   /** Ends all calls. */
   stop(): void;
 }
--- a/packages/gateway/src/spending_keeper.ts
+++ b/packages/gateway/src/spending_keeper.ts
@@ -6,7 +6,10 @@
 
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
-import type { WorkspaceSpending } from "@chestnuthatch/routing/spending_log";
+import {
+  agedHistory,
+  type SpendingHistory,
+} from "@chestnuthatch/routing/spending_log";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock, PlatformPort } from "./ports.ts";
 
@@ -19,6 +22,12 @@
 /** Time after which a new coordinator makes its first record. */
 const FIRST_RECORD_MS = 1000;
 
+/**
+ * Age up to which a record's times are believed: it is made anew every second,
+ * and a lost fleet is back within about two.
+ */
+const FRESH_RECORD_MS = 3500;
+
 /** What the keeper works with. */
 export interface SpendingParts {
   readonly board: RoutingBoard;
@@ -34,7 +43,7 @@
   #recording = false;
   #recordedAtMs = -Infinity;
   /** What the coordinator told last of workspaces near their bounds. */
-  #told: readonly WorkspaceSpending[] = [];
+  #told: readonly SpendingHistory[] = [];
   #toldAtMs = 0;
 
   /** @param parts What the keeper works with. */
@@ -43,17 +52,24 @@
   }
 
   /** @param spending What a heartbeat of the coordinator told. */
-  told(spending: readonly WorkspaceSpending[]): void {
+  told(spending: readonly SpendingHistory[]): void {
     this.#told = spending;
     this.#toldAtMs = this.#parts.clock.nowMs();
   }
 
-  /** @param record What the fleet recorded before it lost its instances. */
-  takeUpRecord(record: readonly WorkspaceSpending[]): void {
+  /**
+   * @param record What the fleet recorded before it lost its instances.
+   * @param ageMs Its age.
+   */
+  takeUpRecord(record: readonly SpendingHistory[], ageMs: number): void {
     const { coordinator, clock } = this.#parts;
-    // The record holds until it is made anew, so that it may be old and still
-    // be what was spent just before the fleet was lost.
-    coordinator.takeUpSpending(record, clock.nowMs());
+    // The record holds until it is made anew, so that an old one may still be
+    // what was spent just before the fleet was lost: all of it, just now.
+    const isFresh = ageMs <= FRESH_RECORD_MS;
+    const histories = record.map((history) =>
+      isFresh ? agedHistory(history, ageMs) : allJustNow(history)
+    );
+    coordinator.takeUpSpending(histories, clock.nowMs());
   }
 
   /**
@@ -66,10 +82,7 @@
     const { board, coordinator, clock } = this.#parts;
     const nowMs = clock.nowMs();
     const share = board.members.heardShare(nowMs);
-    const own = this.#told.map(({ workspace, spent }) => ({
-      workspace,
-      spent: spent * share,
-    }));
+    const own = this.#told.map((history) => partOf(history, share));
     coordinator.takeUpSpending(own, this.#toldAtMs);
     coordinator.recordAnew();
     // By then all holders have reported what they spent.
@@ -105,3 +118,18 @@
     }
   }
 }
+
+function allJustNow({ workspace, spent }: SpendingHistory): SpendingHistory {
+  return { workspace, spent, bySecond: [spent] };
+}
+
+function partOf(
+  { workspace, spent, bySecond }: SpendingHistory,
+  share: number,
+): SpendingHistory {
+  return {
+    workspace,
+    spent: spent * share,
+    bySecond: bySecond.map((cost) => cost * share),
+  };
+}
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -5,7 +5,13 @@
  */
 
 import type { Allotment } from "./fleet_configuration.ts";
-import { SpendingLog, type WorkspaceSpending } from "./spending_log.ts";
+import { RankDemand } from "./rank_demand.ts";
+import {
+  grownBy,
+  type SpendingHistory,
+  SpendingLog,
+  type WorkspaceSpending,
+} from "./spending_log.ts";
 
 const MS_PER_S = 1000;
 
@@ -36,6 +42,14 @@
 /** Growth, as a share of the bound, after which spending is recorded again. */
 const RECORD_STEP = 0.05;
 
+/**
+ * Age at which a record of workspaces near their bounds is made anew, so that
+ * their spending leaves the account of a fleet that was lost second by second,
+ * as it leaves the window, and not all at once. One write a second, while some
+ * workspace has spent half of its bound.
+ */
+const RECORD_AGE_MS = 1000;
+
 /**
  * Share of the bound below which a recorded workspace is taken off the record,
  * well under where it came on, so that it does not go on and off.
@@ -74,12 +88,14 @@
 export class AllotmentLedger {
   #tolerance: AllotmentTolerance;
   readonly #own: SpendingLog;
+  readonly #demand: RankDemand;
   /** Spent through other coordinators, as holders told last. */
   readonly #elsewhere = new Map<string, number>();
   /** Bounds of one window, by workspace, as last charged by. */
   readonly #wholeBounds = new Map<string, number>();
   /** The last record of this ledger; absent until it has made one. */
   #recorded?: Map<string, number>;
+  #recordedAtMs = -Infinity;
   /** Workspaces whose spending before the start of this process is known. */
   readonly #takenUp = new Set<string>();
 
@@ -87,6 +103,7 @@
   constructor(tolerance: AllotmentTolerance) {
     this.#tolerance = tolerance;
     this.#own = new SpendingLog(tolerance.windowMs);
+    this.#demand = new RankDemand(tolerance.windowMs);
   }
 
   /**
@@ -112,19 +129,20 @@
     of: { cost: number; rank: number; scope: LedgerScope },
   ): ChargeResult {
     const { cost, rank, scope } = of;
-    const spent = this.#spent(workspace, scope.nowMs);
-    const leftToOthers = Math.min(MOST_LEFT, LEFT_TO_RANK_ABOVE * rank);
-    const bound = this.#bound(workspace, allotment, scope) *
-      (1 - leftToOthers);
+    const { nowMs } = scope;
+    const spent = this.#spent(workspace, nowMs);
+    const bound = this.#boundFor(workspace, allotment, of);
+    this.#demand.asked(workspace, { cost, rank, nowMs });
     // A request dearer than the bound passes when nothing else was spent;
     // else it could never run at all.
     if (spent > 0 && spent + cost > bound) {
       const excess = spent + cost - bound;
       const retryAfterMs = this.#own
-        .untilLeft(workspace, excess, scope.nowMs);
+        .untilLeft(workspace, excess, nowMs);
       return { allowed: false, retryAfterMs, spent, bound };
     }
-    this.#own.note(workspace, cost, scope.nowMs);
+    this.#own.note(workspace, cost, nowMs);
+    this.#demand.spent(workspace, { cost, rank, nowMs });
     return { allowed: true, retryAfterMs: 0, spent, bound };
   }
 
@@ -134,9 +152,11 @@
    * @param workspace Name of the workspace.
    * @param cost What was charged.
    * @param nowMs The local time.
+   * @param rank Rank of the request within the workspace.
    */
-  refund(workspace: string, cost: number, nowMs: number): void {
+  refund(workspace: string, cost: number, nowMs: number, rank = 0): void {
     this.#own.note(workspace, -cost, nowMs);
+    this.#demand.spent(workspace, { cost: -cost, rank, nowMs });
   }
 
   /**
@@ -163,7 +183,7 @@
    * @returns Spending of all workspaces near their bounds, where the last record
    * no longer holds; undefined where it does.
    */
-  toRecord(nowMs: number): WorkspaceSpending[] | undefined {
+  toRecord(nowMs: number): SpendingHistory[] | undefined {
     const much = this.muchSpent(nowMs);
     const holds = this.#recorded !== undefined &&
       much.every(({ workspace, spent }) =>
@@ -173,11 +193,14 @@
       return undefined;
     }
     // What is spent until the next record is counted ahead.
-    const record = much.map(({ workspace, spent }) => ({
-      workspace,
-      spent: spent + RECORD_STEP * this.#wholeBounds.get(workspace)!,
-    }));
+    const record = much.map((history) =>
+      grownBy(
+        history,
+        RECORD_STEP * this.#wholeBounds.get(history.workspace)!,
+      )
+    );
     this.#recorded = new Map(record.map((r) => [r.workspace, r.spent]));
+    this.#recordedAtMs = nowMs;
     return record;
   }
 
@@ -188,6 +211,10 @@
 
   /** Whether the record holds a workspace to what it spent long ago. */
   #isOutdated(nowMs: number): boolean {
+    const ageMs = nowMs - this.#recordedAtMs;
+    if (this.#recorded!.size > 0 && ageMs >= RECORD_AGE_MS) {
+      return true;
+    }
     return [...this.#recorded!.keys()].some((workspace) => {
       const bound = this.#wholeBounds.get(workspace) ?? 0;
       return this.#spent(workspace, nowMs) < bound * NO_LONGER_MUCH;
@@ -198,24 +225,38 @@
    * @param nowMs The local time.
    * @returns Spending of the workspaces that are near their bounds.
    */
-  muchSpent(nowMs: number): WorkspaceSpending[] {
+  muchSpent(nowMs: number): SpendingHistory[] {
     return [...this.#wholeBounds].flatMap(([workspace, bound]) => {
       const spent = this.#spent(workspace, nowMs);
       const isMuch = spent >= bound * (RECORDED_SHARE - RECORD_STEP);
-      return isMuch ? [{ workspace, spent }] : [];
+      return isMuch ? [this.#history(workspace, nowMs)] : [];
     });
   }
 
+  /** What was spent elsewhere has no times: it counts as spent just now. */
+  #history(workspace: string, nowMs: number): SpendingHistory {
+    const own = this.#own.history(workspace, nowMs);
+    return grownBy(own, this.#elsewhere.get(workspace) ?? 0);
+  }
+
   /**
-   * Takes up a record that the fleet left before it lost its instances.
+   * Goes on from the account of another ledger. Where this one has counted more,
+   * its own account stands: the two have spending in common, and adding them up
+   * held workspaces to nothing for a window after every second loss of a
+   * coordinator.
    *
-   * @param record The record.
-   * @param spentAtMs Local time at which all of it counts as spent.
+   * @param histories What workspaces spent, and when.
+   * @param atMs Local time that the ages in it count from.
    */
-  takeUp(record: readonly WorkspaceSpending[], spentAtMs: number): void {
-    for (const { workspace, spent } of record) {
-      this.#own.note(workspace, spent, spentAtMs);
-      this.#takenUp.add(workspace);
+  takeUp(histories: readonly SpendingHistory[], atMs: number): void {
+    for (const history of histories) {
+      const own = this.#own.history(history.workspace, atMs);
+      this.#takenUp.add(history.workspace);
+      if (own.spent < history.spent) {
+        // What was charged here last may not have been told.
+        const lately = own.bySecond[0] ?? 0;
+        this.#own.setHistory(grownBy(history, lately), atMs);
+      }
     }
   }
 
@@ -224,6 +265,25 @@
       (this.#elsewhere.get(workspace) ?? 0);
   }
 
+  /** What a rank may bring the workspace's spending to. */
+  #boundFor(
+    workspace: string,
+    allotment: Allotment,
+    of: { cost: number; rank: number; scope: LedgerScope },
+  ): number {
+    const { cost, rank, scope } = of;
+    const whole = this.#bound(workspace, allotment, scope);
+    const left = whole * Math.min(MOST_LEFT, LEFT_TO_RANK_ABOVE * rank);
+    const { nowMs } = scope;
+    const kept = this.#demand.keptAbove(workspace, {
+      rank,
+      cost,
+      bound: whole,
+      nowMs,
+    });
+    return whole - Math.max(left, kept);
+  }
+
   #bound(
     workspace: string,
     allotment: Allotment,
--- a/packages/routing/src/allotment_ledger_test.ts
+++ b/packages/routing/src/allotment_ledger_test.ts
@@ -1,6 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { AllotmentLedger, type LedgerScope } from "./allotment_ledger.ts";
+import { agedHistory, type SpendingHistory } from "./spending_log.ts";
 
 const TOLERANCE = { windowMs: 8000, overage: 0.1, slack: 1010 };
 const ALLOTMENT = { perS: 1000, burst: 500, inTokens: true, plainTokens: 10 };
@@ -121,7 +122,7 @@
   for (const part of [0.3, 0.5, 0.7, 1]) {
     const before = new AllotmentLedger(TOLERANCE);
     let spent = 0;
-    let record: readonly { workspace: string; spent: number }[] = [];
+    let record: readonly SpendingHistory[] = [];
     while (spent < WHOLE_BOUND * part) {
       const of = { cost: 100, rank: 0, scope: scope(0) };
       if (!before.charge("w", ALLOTMENT, of).allowed) {
@@ -137,6 +138,62 @@
   }
 });
 
+test("a new coordinator goes on from the account of the one before", () => {
+  const before = new AllotmentLedger(TOLERANCE);
+  for (let atMs = 0; atMs < 8000; atMs += 1000) {
+    const of = { cost: 1000, rank: 0, scope: scope(atMs) };
+    assert.ok(before.charge("w", ALLOTMENT, of).allowed);
+  }
+  const after = new AllotmentLedger(TOLERANCE);
+  after.takeUp(before.muchSpent(7500), 7500);
+  assert.is(spendAll(after, scope(7500)), WHOLE_BOUND - 8000);
+  // Each second's spending leaves the window with the second.
+  assert.is(spendAll(after, scope(9300)), 1000);
+});
+
+test("what two accounts have in common counts once", () => {
+  const first = new AllotmentLedger(TOLERANCE);
+  const second = new AllotmentLedger(TOLERANCE);
+  const record = [{ workspace: "w", spent: 6000, bySecond: [6000] }];
+  first.takeUp(record, 0);
+  second.takeUp(record, 0);
+  const of = { cost: 2000, rank: 0, scope: scope(3000) };
+  assert.ok(first.charge("w", ALLOTMENT, of).allowed);
+  second.takeUp(first.muchSpent(3000), 3000);
+  assert.is(spendAll(second, scope(3000)), WHOLE_BOUND - 8000);
+});
+
+test("a record that is some seconds old still counts in full", () => {
+  const record = { workspace: "w", spent: 900, bySecond: [100, 200, 0, 600] };
+  const aged = agedHistory(record, 1200);
+  assert.equal(aged, { ...record, bySecond: [600, 0, 100, 200] });
+});
+
+test("while much is spent, the record is made anew every second", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  const of = { cost: WHOLE_BOUND * 0.6, rank: 0, scope: scope(0) };
+  ledger.charge("w", ALLOTMENT, of);
+  assert.is(ledger.toRecord(0)!.length, 1);
+  assert.is(ledger.toRecord(900), undefined);
+  assert.is(ledger.toRecord(1000)!.length, 1);
+});
+
+test("higher ranks are left what they ask for, where it runs short", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  const served = [0, 0, 0];
+  for (let atMs = 0; atMs < 16_000; atMs += 50) {
+    for (const [rank, cost] of [[2, 60], [1, 60], [0, 45]] as const) {
+      const of = { cost, rank, scope: scope(atMs) };
+      const { allowed } = ledger.charge("w", ALLOTMENT, of);
+      // What ranks ask for shows only after a window.
+      served[rank]! += allowed && atMs >= 8000 ? 1 : 0;
+    }
+  }
+  const [high, middle, low] = served.map((count) => count / 160);
+  assert.ok(high! > 0.95, `${high}`);
+  assert.ok(middle! + low! > 0.05 && middle! + low! < 0.6, `${middle} ${low}`);
+});
+
 test("a lowered limit binds what was spent before, too", () => {
   const ledger = new AllotmentLedger(TOLERANCE);
   spendAll(ledger, scope(0));
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -12,7 +12,7 @@
   type LedgerScope,
 } from "./allotment_ledger.ts";
 import { HeardSpending } from "./heard_spending.ts";
-import type { WorkspaceSpending } from "./spending_log.ts";
+import type { SpendingHistory } from "./spending_log.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import {
   AskCause,
@@ -42,6 +42,14 @@
   readonly allotmentTolerance: AllotmentTolerance;
 }
 
+/** What an open ask cost its workspace. */
+interface Charge {
+  readonly workspace: string;
+  readonly cost: number;
+  /** Within the workspace. */
+  readonly rank: number;
+}
+
 /** When the caller of an open ask first came with its request. */
 interface FirstAttempt {
   readonly callHash: number;
@@ -58,7 +66,7 @@
   readonly #poolOfAsk = new Map<string, string>();
   readonly #firstAttempts = new Map<string, FirstAttempt>();
   readonly #refusedCallers = new RefusedCallers();
-  readonly #charges = new Map<string, { workspace: string; cost: number }>();
+  readonly #charges = new Map<string, Charge>();
   readonly #reportedAtMs = new Map<string, number>();
   readonly #spending = new HeardSpending();
 
@@ -198,7 +206,7 @@
    * @param nowMs The local time.
    * @returns Spending to be recorded in the platform's store, if any is.
    */
-  spendingToRecord(nowMs: number): WorkspaceSpending[] | undefined {
+  spendingToRecord(nowMs: number): SpendingHistory[] | undefined {
     return this.#ledger.toRecord(nowMs);
   }
 
@@ -206,21 +214,19 @@
    * @param nowMs The local time.
    * @returns Spending of workspaces near their bounds.
    */
-  muchSpent(nowMs: number): WorkspaceSpending[] {
+  muchSpent(nowMs: number): SpendingHistory[] {
     return this.#ledger.muchSpent(nowMs);
   }
 
   /**
-   * Takes up what the fleet recorded before it lost its instances.
+   * Goes on from what another coordinator counted, or the fleet recorded before
+   * it lost its instances.
    *
-   * @param record Spending by workspace.
-   * @param spentAtMs Local time at which all of it counts as spent.
+   * @param histories What workspaces spent, and when.
+   * @param atMs Local time that the ages in it count from.
    */
-  takeUpSpending(
-    record: readonly WorkspaceSpending[],
-    spentAtMs: number,
-  ): void {
-    this.#ledger.takeUp(record, spentAtMs);
+  takeUpSpending(histories: readonly SpendingHistory[], atMs: number): void {
+    this.#ledger.takeUp(histories, atMs);
   }
 
   /** Spending is to be recorded anew: another instance may have done so. */
@@ -280,11 +286,12 @@
       return undefined;
     }
     const { cost } = ask;
-    const of = { cost, rank: routeRankOf(ask.rank), scope };
+    const rank = routeRankOf(ask.rank);
+    const of = { cost, rank, scope };
     const charge = this.#ledger.charge(ask.workspace, allotment, of);
     if (charge.allowed) {
       const { workspace } = ask;
-      this.#charges.set(askId, { workspace, cost });
+      this.#charges.set(askId, { workspace, cost, rank });
       return undefined;
     }
     const { retryAfterMs, spent, bound } = charge;
@@ -342,7 +349,8 @@
   #refund(askId: string, nowMs: number): void {
     const charge = this.#charges.get(askId);
     if (charge !== undefined) {
-      this.#ledger.refund(charge.workspace, charge.cost, nowMs);
+      const { workspace, cost, rank } = charge;
+      this.#ledger.refund(workspace, cost, nowMs, rank);
     }
   }
 
--- a/packages/routing/src/coordinator_test.ts
+++ b/packages/routing/src/coordinator_test.ts
@@ -119,6 +119,43 @@
   assert.equal(texts(coordinator.ask(high, scope(10))), ["low: overload"]);
 });
 
+test("a neglected rank of long work goes ahead for its share of time only", () => {
+  // Short work of rank 0 fills all 20 slots; rank 2 holds one ten times as long.
+  const targetIds = Array.from({ length: 10 }, (_, index) => `t${index}`);
+  const coordinator = coordinatorOf(targetIds);
+  const holdMs = { high: 100, low: 1000 };
+  const timeMs = { high: 0, low: 0 };
+  const running: { askId: string; endsAtMs: number }[] = [];
+  let asked = 0;
+  const take = (decisions: readonly AskDecision[], nowMs: number) => {
+    for (const decision of decisions) {
+      if ("targetId" in decision) {
+        const { askId } = decision;
+        const kind = askId.startsWith("low") ? "low" : "high";
+        timeMs[kind] += holdMs[kind];
+        running.push({ askId, endsAtMs: nowMs + holdMs[kind] });
+      }
+    }
+  };
+  for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
+    const ended = running.filter(({ endsAtMs }) => endsAtMs <= nowMs);
+    for (const work of ended) {
+      running.splice(running.indexOf(work), 1);
+      take(coordinator.ended(endOf(work.askId, "t1"), nowMs), nowMs);
+    }
+    for (
+      const [kind, rank] of [["high", 0], ["high", 0], ["low", 2]] as const
+    ) {
+      const askId = `${kind}${asked++}`;
+      const ask = askOf(askId, { rank, patienceLeftMs: 400 });
+      take(coordinator.ask(ask, scope(nowMs)), nowMs);
+    }
+    take(coordinator.tick(nowMs), nowMs);
+  }
+  const share = timeMs.low / (timeMs.low + timeMs.high);
+  assert.ok(share > 0.05 && share < 0.2, String(share));
+});
+
 test("an engine is never promised more memory than it has", () => {
   const coordinator = coordinatorOf(["t1"]);
   const big = { promptTokens: 60_000, outputTokens: 1000 };
--- a/packages/routing/src/fleet_configuration_schema.ts
+++ b/packages/routing/src/fleet_configuration_schema.ts
@@ -1,6 +1,6 @@
 /** Checks a configuration that a peer hands over. */
 
-import { z } from "zod";
+import * as z from "zod";
 import { type FleetConfiguration, RequestKind } from "./fleet_configuration.ts";
 
 const route = z.object({
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -3,7 +3,7 @@
  * checked when they arrive. No message carries a clock.
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { AskCause, AskRefusal } from "./work_ask.ts";
 
 /** Kinds of message. */
@@ -90,6 +90,13 @@
     .readonly(),
 });
 
+/** Checks what another instance tells of a workspace's spending. */
+export const spendingHistorySchema = z.object({
+  workspace: z.string(),
+  spent: z.number(),
+  bySecond: z.array(z.number()).readonly(),
+});
+
 const decision = z.union([
   z.object({
     askId: z.string(),
@@ -123,8 +130,7 @@
     /** Other members that it hears. */
     others: z.array(member),
     /** From the coordinator: workspaces that spent much of their allotments. */
-    spending: z.array(z.object({ workspace: z.string(), spent: z.number() }))
-      .readonly(),
+    spending: z.array(spendingHistorySchema).readonly(),
     /** What it lately learned of targets. */
     targetNews: targetChangesSchema,
   }),
--- a/packages/routing/src/spending_log.ts
+++ b/packages/routing/src/spending_log.ts
@@ -1,5 +1,7 @@
 /** What workspaces spent within the last seconds. */
 
+const MS_PER_S = 1000;
+
 /** Spending is added up in slices of this length. */
 export const SLICE_MS = 250;
 
@@ -14,6 +16,49 @@
   readonly spent: number;
 }
 
+/** When a workspace spent, for another instance that goes on from it. */
+export interface SpendingHistory extends WorkspaceSpending {
+  /** Cost units by whole seconds of age, the last second first. */
+  readonly bySecond: readonly number[];
+}
+
+/**
+ * @param history Spending of a workspace as it was some time ago.
+ * @param ageMs How long ago.
+ * @returns The same as of now. What may have been spent since is not known: as
+ * much as has left the window counts as spent just now.
+ */
+export function agedHistory(
+  { workspace, spent, bySecond }: SpendingHistory,
+  ageMs: number,
+): SpendingHistory {
+  const seconds = Math.ceil(ageMs / MS_PER_S);
+  const kept = bySecond.slice(0, Math.max(0, bySecond.length - seconds));
+  const aged = {
+    workspace,
+    spent: sumOf(kept),
+    bySecond: [...new Array<number>(seconds).fill(0), ...kept],
+  };
+  return grownBy(aged, spent - aged.spent);
+}
+
+/**
+ * @param history Spending of a workspace.
+ * @param cost Cost units.
+ * @returns The same with so much more in the last second.
+ */
+export function grownBy(
+  { workspace, spent, bySecond }: SpendingHistory,
+  cost: number,
+): SpendingHistory {
+  const [last = 0, ...rest] = bySecond;
+  return { workspace, spent: spent + cost, bySecond: [last + cost, ...rest] };
+}
+
+function sumOf(figures: readonly number[]): number {
+  return figures.reduce((sum, figure) => sum + figure, 0);
+}
+
 /** Spending by workspace, in slices of time. */
 export class SpendingLog {
   readonly #windowMs: number;
@@ -46,8 +91,37 @@
    * @returns Cost units that it spent within the window.
    */
   spent(workspace: string, nowMs: number): number {
-    return this.#slices(workspace, nowMs)
-      .reduce((sum, slice) => sum + slice.spent, 0);
+    return sumOf(this.#slices(workspace, nowMs).map(({ spent }) => spent));
+  }
+
+  /**
+   * @param workspace A workspace.
+   * @param nowMs The local time.
+   * @returns When it spent what it spent within the window.
+   */
+  history(workspace: string, nowMs: number): SpendingHistory {
+    const seconds = Math.ceil(this.#lengthMs() / MS_PER_S);
+    const bySecond: number[] = new Array(seconds).fill(0);
+    for (const { beganAtMs, spent } of this.#slices(workspace, nowMs)) {
+      const age = Math.floor((nowMs - beganAtMs) / MS_PER_S);
+      bySecond[Math.min(age, seconds - 1)]! += spent;
+    }
+    return { workspace, spent: sumOf(bySecond), bySecond };
+  }
+
+  /**
+   * Replaces what is known of a workspace. Each second's spending counts as
+   * spent at its end, so never too early.
+   *
+   * @param history When it spent.
+   * @param atMs Local time that the history's ages count from.
+   */
+  setHistory({ workspace, bySecond }: SpendingHistory, atMs: number): void {
+    const slices = bySecond.map((spent, age) => ({
+      beganAtMs: atMs - age * MS_PER_S,
+      spent,
+    }));
+    this.#byWorkspace.set(workspace, slices.reverse());
   }
 
   /**
--- a/packages/settings/src/schema_faults.ts
+++ b/packages/settings/src/schema_faults.ts
@@ -1,6 +1,6 @@
 /** Turns what the schema found into faults that operators can act on. */
 
-import type { z } from "zod";
+import type * as z from "zod";
 import { nearestName } from "./nearest_name.ts";
 import { faultAt, type PlacedFault } from "./placed_fault.ts";
 import { describeValue, SettingsFaultKind } from "./settings_fault.ts";
--- a/packages/settings/src/settings_rows.ts
+++ b/packages/settings/src/settings_rows.ts
@@ -6,7 +6,7 @@
 
 import { createHash } from "node:crypto";
 import { err, ok, Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import type { Row } from "@chestnuthatch/wire/platform_protocol";
 
 /** Key of the row that names the version in force. */
--- a/packages/settings/src/tree_schema.ts
+++ b/packages/settings/src/tree_schema.ts
@@ -4,7 +4,7 @@
  * faults from them.
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { TargetKind } from "@chestnuthatch/wire/work";
 import type { TierPolicy, TimingSettings } from "./policy.ts";
 import {
--- a/packages/standins/src/http_host.ts
+++ b/packages/standins/src/http_host.ts
@@ -10,7 +10,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { performance } from "node:perf_hooks";
 import polka from "polka";
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** Where a stand-in listens. */
 export interface ListenOptions {
--- a/packages/standins/src/platform_server.ts
+++ b/packages/standins/src/platform_server.ts
@@ -6,7 +6,7 @@
   readRequestSchema,
   transactRequestSchema,
 } from "@chestnuthatch/wire/platform_protocol";
-import { z } from "zod";
+import * as z from "zod";
 import {
   HttpHost,
   jsonRoute,
--- a/packages/standins/src/target_faults.ts
+++ b/packages/standins/src/target_faults.ts
@@ -1,6 +1,6 @@
 /** Fault switches of target stand-ins: bodies of `POST /standin/faults`. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { AttemptRef } from "./engine_stream.ts";
 
 /** What can be made to go wrong. */
--- a/packages/wire/src/caller_protocol.ts
+++ b/packages/wire/src/caller_protocol.ts
@@ -7,7 +7,7 @@
  * ends in one `final` or one `error` event.
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { ErrorKind, RunState } from "./work.ts";
 
 /** Body of `POST /v1/requests`. */
--- a/packages/wire/src/frame_codec.ts
+++ b/packages/wire/src/frame_codec.ts
@@ -10,7 +10,7 @@
 import { Buffer } from "node:buffer";
 import { Decoder, Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
-import type { z } from "zod";
+import type * as z from "zod";
 import { fieldCodes } from "./field_codes.ts";
 import { PEER_PROTOCOL_VERSION } from "./peer_messages.ts";
 import { isPlainCbor } from "./plain_cbor.ts";
--- a/packages/wire/src/handshake.ts
+++ b/packages/wire/src/handshake.ts
@@ -15,7 +15,7 @@
 
 import { Buffer } from "node:buffer";
 import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 
 /** The largest frame taken from a peer that has not proved itself. */
 export const MAX_HANDSHAKE_FRAME_BYTES = 1024;
--- a/packages/wire/src/peer_messages.ts
+++ b/packages/wire/src/peer_messages.ts
@@ -4,7 +4,7 @@
  * No message carries a machine's clock: deadlines travel as time left.
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { ErrorKind, targetLoadSchema } from "./work.ts";
 
 /** Version of the peer protocol; peers of another version are turned away. */
--- a/packages/wire/src/platform_protocol.ts
+++ b/packages/wire/src/platform_protocol.ts
@@ -8,7 +8,7 @@
  * Any of them answers 503 while the platform is down.
  */
 
-import { z } from "zod";
+import * as z from "zod";
 
 /** Version of a row; 0 stands for "the row does not exist". */
 export const ABSENT_ROW_VERSION = 0;
--- a/packages/wire/src/target_protocol.ts
+++ b/packages/wire/src/target_protocol.ts
@@ -8,7 +8,7 @@
  * Service paths: `POST /v1/call`, `GET /v1/load`.
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { targetLoadSchema } from "./work.ts";
 
 /** Body of `POST /v1/generate`. */
--- a/packages/wire/src/work.ts
+++ b/packages/wire/src/work.ts
@@ -3,7 +3,7 @@
  * a request may end.
  */
 
-import { z } from "zod";
+import * as z from "zod";
 
 /** What kind of back end a target is. */
 export enum TargetKind {
