Leave streams at a silent target where another would be late, too

Targets pause for 100 to 200 ms while they read others' long prompts; a stream moved after 0.6 of the longest gap could not go on within it, as its prompt takes 90 ms to read, and took a second place.

Change: a stream moves early only where another target can go on in time, and else after two longest gaps.

RoutedRequest's progress, silence watch and refusals, and the coordinator's three maps of open asks, get places of their own; behaviour as before.

--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -8,7 +8,6 @@
 import { RequestKind } from "@chestnuthatch/routing/fleet_configuration";
 import {
   AttemptEnd,
-  mayRunAgain,
   NextStep,
   nextStep,
 } from "@chestnuthatch/routing/next_step";
@@ -17,29 +16,18 @@
 import {
   AskCause,
   type AskDecision,
-  AskRefusal,
+  type AskRefusal,
 } from "@chestnuthatch/routing/work_ask";
 import type { CallerReply } from "./caller_reply.ts";
+import { comeBackMs, REFUSAL_ERRORS, RETRY_AFTER_MS } from "./come_back.ts";
 import { type LogFacts, LogPart } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { deadlineAtMs, type RoutedCall } from "./routed_call.ts";
-import { firstEventLimitMs, gapLimitMs } from "./silence_limits.ts";
+import { SilenceWatch } from "./silence_watch.ts";
+import { StreamProgress } from "./stream_progress.ts";
 import { TargetAttempt } from "./target_attempt.ts";
 import { workAskOf } from "./work_ask_of.ts";
 
-/** Share of a caller's time left after which it is asked to come back. */
-const COME_BACK_SHARE = 0.3;
-
-/** Time that a refused caller is asked to wait where nothing says more. */
-const RETRY_AFTER_MS = 500;
-
-const REFUSAL_ERRORS: Readonly<Record<AskRefusal, RoutedError>> = {
-  [AskRefusal.Overload]: RoutedError.Overload,
-  [AskRefusal.Allotment]: RoutedError.Allotment,
-  [AskRefusal.NoTarget]: RoutedError.NoTarget,
-  [AskRefusal.RetryBudget]: RoutedError.NoTarget,
-};
-
 /** What a request works with, besides the instance's parts. */
 export interface RequestOptions {
   readonly call: RoutedCall;
@@ -64,12 +52,9 @@
   /** Sends that certainly no target ran. */
   #rejections = 0;
   #charged = false;
-  #lastEventId?: number;
-  #lastEventAtMs?: number;
-  /** Longest pause between two events of the stream, over all attempts. */
-  #longestGapMs = 0;
+  readonly #progress: StreamProgress;
+  readonly #silence: SilenceWatch;
   #deadlineTimer?: NodeJS.Timeout;
-  #silenceTimer?: NodeJS.Timeout;
   #callerGone = false;
   #callerSlow = false;
   #answered = false;
@@ -84,7 +69,12 @@
     this.#call = options.call;
     this.#reply = options.reply;
     this.#onDone = () => options.onDone();
-    this.#lastEventId = options.call.facts.resumeAfter;
+    this.#progress = new StreamProgress(options.call.facts.resumeAfter);
+    this.#silence = new SilenceWatch(
+      options.call,
+      parts.board.paces,
+      (silentMs) => this.#askBeside(silentMs),
+    );
   }
 
   /** Begins: asks for a place. */
@@ -179,20 +169,11 @@
       this.#log("no place to run again", { refusal });
       this.#fail(RoutedError.AnswerLost);
     } else {
-      this.#fail(REFUSAL_ERRORS[refusal], this.#comeBackMs(retryAfterMs));
+      const waitMs = comeBackMs(this.#call, retryAfterMs, this.#nowMs());
+      this.#fail(REFUSAL_ERRORS[refusal], waitMs);
     }
   }
 
-  /**
-   * A surge outlasts the wait of one request by far, and a caller that comes
-   * back into it is refused again. So it is asked to wait for as long as callers
-   * heed, a third of the time that they have left.
-   */
-  #comeBackMs(retryAfterMs: number): number {
-    const leftMs = deadlineAtMs(this.#call) - this.#nowMs();
-    return Math.max(retryAfterMs, COME_BACK_SHARE * leftMs);
-  }
-
   #send(
     target: KnownTarget,
     { expectedMs, cameBackMs }: { expectedMs: number; cameBackMs: number },
@@ -203,7 +184,7 @@
       askId: this.#askId!,
       target,
       expectedMs,
-      resumeAfter: this.#lastEventId,
+      resumeAfter: this.#progress.lastEventId,
     }, {
       event: (bytes) => this.#passEvent(attempt, bytes),
       streamEnded: (rest) => this.#streamEnded(attempt, rest),
@@ -219,7 +200,7 @@
       route: call.route.name,
       pool: call.pool,
       attempt: this.#runs,
-      resumeAfter: this.#lastEventId,
+      resumeAfter: this.#progress.lastEventId,
       cameBackMs: Math.round(cameBackMs),
       waitedMs: Math.round(attempt.sentAtMs - call.arrivedAtMs),
       expectedMs: Math.round(expectedMs),
@@ -231,11 +212,7 @@
   }
 
   #passEvent(attempt: TargetAttempt, bytes: Buffer): void {
-    const nowMs = this.#nowMs();
-    const gapMs = nowMs - (this.#lastEventAtMs ?? nowMs);
-    this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
-    this.#lastEventAtMs = nowMs;
-    this.#lastEventId = attempt.lastEventId;
+    this.#progress.passed(attempt.lastEventId, this.#nowMs());
     this.#stayAtTarget(attempt);
     this.#write(attempt, bytes);
     this.#watchSilence();
@@ -291,7 +268,7 @@
       status,
       events: attempt.events,
       firstMs: attempt.firstMs,
-      longestGapMs: Math.round(this.#longestGapMs),
+      longestGapMs: Math.round(this.#progress.longestGapMs),
       tookMs: this.#tookMs(),
     });
     this.#finish();
@@ -325,7 +302,7 @@
     const { health } = this.#parts.board;
     this.#attempt = undefined;
     attempt.cancel();
-    clearTimeout(this.#silenceTimer);
+    this.#silence.stop();
     this.#tried.add(targetId);
     health.failed(targetId, end === AttemptEnd.NotSent, this.#nowMs());
     this.#parts.desk.ended(attempt.workEnd(true));
@@ -419,20 +396,15 @@
     }
   }
 
-  /** Sets the time after which a silent target is given up for another. */
+  /** Waits for the next sign of life of the target, unless the caller is slow. */
   #watchSilence(): void {
-    clearTimeout(this.#silenceTimer);
     const attempt = this.#attempt;
-    const { route } = this.#call;
-    const canMove = mayRunAgain(route.kind) && this.#runs < route.maxAttempts;
-    if (attempt === undefined || !canMove || this.#callerSlow) {
+    if (attempt === undefined || this.#callerSlow) {
+      this.#silence.stop();
       return;
     }
-    const { target, expectedMs } = attempt.order;
-    const limitMs = attempt.events > 0
-      ? gapLimitMs(route, this.#parts.board.paces.of(target.targetId))
-      : firstEventLimitMs(route, expectedMs);
-    this.#silenceTimer = setTimeout(() => this.#askBeside(limitMs), limitMs);
+    const seenGapMs = this.#progress.longestGapMs;
+    this.#silence.start({ attempt, runs: this.#runs, seenGapMs });
   }
 
   /**
@@ -473,7 +445,7 @@
     this.#done = true;
     this.#answered = true;
     clearTimeout(this.#deadlineTimer);
-    clearTimeout(this.#silenceTimer);
+    this.#silence.stop();
     this.#onDone();
   }
 
--- a/packages/gateway/src/silence_limits.ts
+++ b/packages/gateway/src/silence_limits.ts
@@ -9,6 +9,15 @@
  */
 const GAP_SHARE = 0.6;
 
+/**
+ * Longest gaps after which a silent target is given up where another could not
+ * go on in time anyway. Targets fall silent for a gap or two while they read
+ * long prompts of others; moved at 0.6 of a gap, such streams came late for
+ * certain, read their prompts twice and took two places: 144 of 5,000 streams on
+ * a day of high load.
+ */
+const LATE_GAPS = 2;
+
 /** A gap this many times the usual one is no longer chance. */
 const USUAL_GAPS = 4;
 
@@ -18,16 +27,29 @@
 /** A first event this many times later than expected is no longer chance. */
 const EXPECTED_TIMES = 3;
 
+/** A stream whose target is silent between two events. */
+export interface SilentStream {
+  readonly route: RoutePolicy;
+  /** How fast its target is. */
+  readonly pace: TargetPace;
+  readonly promptTokens: number;
+  /** Longest gap that its caller has seen. */
+  readonly seenGapMs: number;
+}
+
 /**
- * @param route The stream's route.
- * @param pace How fast its target is.
+ * @param stream A stream.
  * @returns Longest silence between events, in milliseconds.
  */
-export function gapLimitMs(route: RoutePolicy, pace: TargetPace): number {
-  return Math.max(
-    GAP_SHARE * route.longestGapMs,
-    USUAL_GAPS * pace.eventGapMs,
-  );
+export function gapLimitMs(
+  { route, pace, promptTokens, seenGapMs }: SilentStream,
+): number {
+  const { longestGapMs } = route;
+  const usualMs = USUAL_GAPS * pace.eventGapMs;
+  const limitMs = Math.max(GAP_SHARE * longestGapMs, usualMs);
+  const elsewhereMs = limitMs + pace.firstEventMs(promptTokens, 0);
+  const canBeInTime = Math.max(seenGapMs, elsewhereMs) <= longestGapMs;
+  return canBeInTime ? limitMs : Math.max(LATE_GAPS * longestGapMs, usualMs);
 }
 
 /**
--- /dev/null
+++ b/packages/gateway/src/silence_limits_test.ts
@@ -0,0 +1,34 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { routeOf } from "@chestnuthatch/routing/routing_test_support";
+import { TargetPace } from "@chestnuthatch/routing/target_pace";
+import { gapLimitMs } from "./silence_limits.ts";
+
+const ROUTE = routeOf({ longestGapMs: 200 });
+
+function streamOf(promptTokens: number, seenGapMs = 0) {
+  return { route: ROUTE, pace: new TargetPace(), promptTokens, seenGapMs };
+}
+
+test("a stream moves early where another target can go on in time", () => {
+  assert.is(gapLimitMs(streamOf(500)), 120);
+});
+
+test("a stream stays for longer where any other target would be late", () => {
+  assert.is(gapLimitMs(streamOf(6000)), 400);
+});
+
+test("a stream that is late already stays for longer", () => {
+  assert.is(gapLimitMs(streamOf(500, 220)), 400);
+});
+
+test("a slow target is not silent", () => {
+  const pace = new TargetPace();
+  for (let i = 0; i < 60; i++) {
+    pace.learnEventGap(150);
+  }
+  const limitMs = gapLimitMs({ ...streamOf(500), pace });
+  assert.ok(limitMs > 590, String(limitMs));
+});
+
+test.run();
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -19,6 +19,7 @@
   type AskDecision,
   AskRefusal,
   type HolderReport,
+  type RunningWork,
   type WorkAsk,
   type WorkEnd,
 } from "./work_ask.ts";
@@ -50,12 +51,22 @@
   readonly rank: number;
 }
 
-/** When the caller of an open ask first came with its request. */
-interface FirstAttempt {
+/** What is known of an ask that waits or was placed. */
+interface OpenAsk {
+  readonly pool: string;
+  /** The same for all attempts of a caller at one request; 0 if unknown. */
   readonly callHash: number;
-  readonly atMs: number;
+  /** When its caller first came with the request. */
+  readonly firstAtMs: number;
+  /** Absent where it cost nothing, or was charged by another coordinator. */
+  readonly charge?: Charge;
 }
 
+/** Whether an ask may wait for a place. */
+type DoorCheck = { readonly refusal: AskDecision } | {
+  readonly charge?: Charge;
+};
+
 /** Coordinates asks of all holders that reach this instance. */
 export class Coordinator {
   readonly #board: RoutingBoard;
@@ -63,10 +74,8 @@
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #ledger: AllotmentLedger;
   #bounds: FleetBounds;
-  readonly #poolOfAsk = new Map<string, string>();
-  readonly #firstAttempts = new Map<string, FirstAttempt>();
+  readonly #openAsks = new Map<string, OpenAsk>();
   readonly #refusedCallers = new RefusedCallers();
-  readonly #charges = new Map<string, Charge>();
   readonly #reportedAtMs = new Map<string, number>();
   readonly #spending = new HeardSpending();
 
@@ -101,15 +110,16 @@
     }
     const { askId, callHash } = ask;
     const { nowMs } = scope;
-    const atMs = this.#refusedCallers.firstAtMs(callHash, nowMs);
-    const refusal = this.#refusedAtDoor(ask, scope);
-    if (refusal !== undefined) {
-      this.#refusedCallers.note(callHash, atMs, nowMs);
-      return [refusal];
+    const firstAtMs = this.#refusedCallers.firstAtMs(callHash, nowMs);
+    const checked = this.#checkAtDoor(ask, scope);
+    if ("refusal" in checked) {
+      this.#refusedCallers.note(callHash, firstAtMs, nowMs);
+      return [checked.refusal];
     }
-    this.#poolOfAsk.set(askId, ask.pool);
-    this.#firstAttempts.set(askId, { callHash, atMs });
-    const cameBackMs = nowMs - atMs;
+    const { pool } = ask;
+    const { charge } = checked;
+    this.#openAsks.set(askId, { pool, callHash, firstAtMs, charge });
+    const cameBackMs = nowMs - firstAtMs;
     return this.#settled(schedule.add(ask, { cameBackMs, nowMs }), nowMs);
   }
 
@@ -170,7 +180,7 @@
     // Counts what all holders told that they spent, here or elsewhere.
     this.#ledger.heard(this.#spending.totals(), nowMs);
     for (const running of report.running) {
-      this.#poolOfAsk.set(running.askId, running.pool);
+      this.#noteAdopted(running, nowMs);
       this.#pool(running.pool).adopt(report.holderId, running, nowMs);
     }
     const open = new Set([
@@ -246,9 +256,7 @@
   /** Forgets all asks, after a pause in which holders went elsewhere. */
   forgetAll(): void {
     this.#pools.clear();
-    this.#poolOfAsk.clear();
-    this.#firstAttempts.clear();
-    this.#charges.clear();
+    this.#openAsks.clear();
     this.#reportedAtMs.clear();
   }
 
@@ -261,41 +269,41 @@
     }));
   }
 
-  #refusedAtDoor(
-    ask: WorkAsk,
-    scope: LedgerScope,
-  ): AskDecision | undefined {
+  #checkAtDoor(ask: WorkAsk, scope: LedgerScope): DoorCheck {
     const { askId, holderId } = ask;
     const budget = this.#budget(ask.pool);
     if (
       ask.cause === AskCause.Repeat && !budget.take(scope.share, scope.nowMs)
     ) {
-      return {
+      const refusal = {
         askId,
         holderId,
         refusal: AskRefusal.RetryBudget,
         retryAfterMs: RETRY_BUDGET_AFTER_MS,
         figures: { share: scope.share },
       };
+      return { refusal };
     }
     if (ask.cause === AskCause.First) {
       budget.noteFirst(scope.nowMs);
     }
-    const allotment = this.#board.routes?.workspace(ask.workspace)?.allotment;
-    if (allotment === undefined || ask.cost === 0) {
-      return undefined;
+    return this.#charge(ask, scope);
+  }
+
+  #charge(ask: WorkAsk, scope: LedgerScope): DoorCheck {
+    const { askId, holderId, workspace, cost } = ask;
+    const allotment = this.#board.routes?.workspace(workspace)?.allotment;
+    if (allotment === undefined || cost === 0) {
+      return {};
     }
-    const { cost } = ask;
     const rank = routeRankOf(ask.rank);
-    const of = { cost, rank, scope };
-    const charge = this.#ledger.charge(ask.workspace, allotment, of);
-    if (charge.allowed) {
-      const { workspace } = ask;
-      this.#charges.set(askId, { workspace, cost, rank });
-      return undefined;
+    const result = this.#ledger
+      .charge(workspace, allotment, { cost, rank, scope });
+    if (result.allowed) {
+      return { charge: { workspace, cost, rank } };
     }
-    const { retryAfterMs, spent, bound } = charge;
-    return {
+    const { retryAfterMs, spent, bound } = result;
+    const refusal = {
       askId,
       holderId,
       refusal: AskRefusal.Allotment,
@@ -308,6 +316,14 @@
         memoryMs: Math.round(scope.memoryMs),
       },
     };
+    return { refusal };
+  }
+
+  /** Work that another coordinator placed. */
+  #noteAdopted({ askId, pool }: RunningWork, nowMs: number): void {
+    if (!this.#openAsks.has(askId)) {
+      this.#openAsks.set(askId, { pool, callHash: 0, firstAtMs: nowMs });
+    }
   }
 
   #settled(decisions: AskDecision[], nowMs: number): AskDecision[] {
@@ -340,14 +356,14 @@
   }
 
   #noteRefused(askId: string, nowMs: number): void {
-    const first = this.#firstAttempts.get(askId);
-    if (first !== undefined) {
-      this.#refusedCallers.note(first.callHash, first.atMs, nowMs);
+    const open = this.#openAsks.get(askId);
+    if (open !== undefined) {
+      this.#refusedCallers.note(open.callHash, open.firstAtMs, nowMs);
     }
   }
 
   #refund(askId: string, nowMs: number): void {
-    const charge = this.#charges.get(askId);
+    const charge = this.#openAsks.get(askId)?.charge;
     if (charge !== undefined) {
       const { workspace, cost, rank } = charge;
       this.#ledger.refund(workspace, cost, nowMs, rank);
@@ -355,13 +371,11 @@
   }
 
   #forget(askId: string): void {
-    this.#poolOfAsk.delete(askId);
-    this.#firstAttempts.delete(askId);
-    this.#charges.delete(askId);
+    this.#openAsks.delete(askId);
   }
 
   #scheduleOf(askId: string): PoolSchedule | undefined {
-    const pool = this.#poolOfAsk.get(askId);
+    const pool = this.#openAsks.get(askId)?.pool;
     return pool === undefined ? undefined : this.#pools.get(pool);
   }
 
