Pass over failure domains that cannot be reached; give up connections sooner

The coordinators beyond it were asked one after another, 130 ms each.

Ruled out: the targets on this side were not full (median wait 3 ms).

Members that missed a heartbeat are not asked for places once the coordinator gave no answer. A connection is given up after 120 ms, unless this instance was late itself.

--- a/packages/gateway/src/coordinator_choice.ts
+++ b/packages/gateway/src/coordinator_choice.ts
@@ -102,7 +102,10 @@
     if (this.#shunnedUntilMs.size === 0) {
       return agreed;
     }
-    const shunned = new Set(this.#shunnedUntilMs.keys());
+    // Where the way to one is cut, it is to its whole failure domain: those that
+    // missed a heartbeat are not asked one after another.
+    const late = this.#members.late(nowMs).map((member) => member.instanceId);
+    const shunned = new Set([...this.#shunnedUntilMs.keys(), ...late]);
     return this.#members.coordinator(nowMs, shunned);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 
 import process from "node:process";
 import { Coordinator } from "@chestnuthatch/routing/coordinator";
+import { CutDomains } from "@chestnuthatch/routing/cut_domains";
 import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
 import {
   type MemberNews,
@@ -114,9 +115,11 @@
       leaving: false,
       cores: settings.cores,
     };
+    const members = new MemberView(this.#self);
     this.board = {
       targets: new TargetDirectory(),
-      members: new MemberView(this.#self),
+      members,
+      cutDomains: new CutDomains(members),
       health: new TargetHealth(),
       paces: new TargetPaces(),
     };
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -26,6 +26,7 @@
 import { SilenceWatch } from "./silence_watch.ts";
 import { StreamProgress } from "./stream_progress.ts";
 import { TargetAttempt } from "./target_attempt.ts";
+import { NO_CONNECTION } from "./target_exchange.ts";
 import { workAskOf } from "./work_ask_of.ts";
 
 /** What a request works with, besides the instance's parts. */
@@ -305,6 +306,9 @@
     this.#silence.stop();
     this.#tried.add(targetId);
     health.failed(targetId, end === AttemptEnd.NotSent, this.#nowMs());
+    if (reason === NO_CONNECTION) {
+      this.#noteUnanswered(attempt);
+    }
     this.#parts.desk.ended(attempt.workEnd(true));
     this.#parts.metrics.attemptEnded(this.#call.pool, end);
     this.#log("attempt ended", {
@@ -317,6 +321,15 @@
     });
   }
 
+  /** The target gave no sign of life: so may its whole failure domain. */
+  #noteUnanswered(attempt: TargetAttempt): void {
+    const { failureDomain } = attempt.order.target;
+    const { cutDomains } = this.#parts.board;
+    if (cutDomains.unanswered(failureDomain, this.#nowMs())) {
+      this.#log("failure domain is cut off", { failureDomain });
+    }
+  }
+
   #follow(end: AttemptEnd, attempt?: TargetAttempt): void {
     const step = this.#callerGone ? NextStep.FailMayHaveRun : nextStep({
       kind: this.#call.route.kind,
@@ -423,6 +436,7 @@
       events: attempt.events,
     });
     this.#tried.add(targetId);
+    this.#noteUnanswered(attempt);
     this.#ask(AskCause.Repeat);
   }
 
--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -40,10 +40,15 @@
 }
 
 /**
- * Time that a connection may take. Within a region it takes a few
- * milliseconds; a lost opening packet is sent again only after a second.
+ * Time that a connection may take. Within a region it takes a few milliseconds,
+ * and on a slow instance some tens; a lost opening packet is sent again only
+ * after a second. What was not sent can go to another target and still be in
+ * time for objectives of 400 ms.
  */
-const CONNECT_TIMEOUT_MS = 300;
+const CONNECT_TIMEOUT_MS = 120;
+
+/** Why an exchange ended that found no connection in time. */
+export const NO_CONNECTION = "no connection in time";
 
 const NO_BYTES = Buffer.alloc(0);
 
@@ -112,8 +117,9 @@
     }
     socket.setNoDelay(true);
     this.#connectTimer = setTimeout(() => {
-      this.#broke("no connection in time");
-      this.#request.destroy();
+      // Where this instance was late itself, the connection may be there, its
+      // event not yet handled.
+      setImmediate(() => this.#notConnected(socket));
     }, CONNECT_TIMEOUT_MS);
     socket.once("connect", () => {
       this.#sent = true;
@@ -121,6 +127,13 @@
     });
   }
 
+  #notConnected(socket: Socket): void {
+    if (socket.connecting) {
+      this.#broke(NO_CONNECTION);
+      this.#request.destroy();
+    }
+  }
+
   #answered(answer: IncomingMessage): void {
     if (this.#over) {
       answer.destroy();
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -77,9 +77,14 @@
   tried: ReadonlySet<string>,
 ): string[] {
   const nowMs = clock.nowMs();
-  const excluded = new Set([...tried, ...board.health.paused(nowMs)]);
-  const isAnyLeft = board.targets.usable(pool, nowMs)
-    .some(({ targetId }) => !excluded.has(targetId));
+  const usable = board.targets.usable(pool, nowMs);
+  const excluded = new Set([
+    ...tried,
+    ...board.health.paused(nowMs),
+    ...board.cutDomains.unreachable(usable, nowMs)
+      .map(({ targetId }) => targetId),
+  ]);
+  const isAnyLeft = usable.some(({ targetId }) => !excluded.has(targetId));
   return [...(isAnyLeft ? excluded : tried)];
 }
 
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -15,6 +15,7 @@
   type FleetConfiguration,
   RequestKind,
 } from "@chestnuthatch/routing/fleet_configuration";
+import { CutDomains } from "@chestnuthatch/routing/cut_domains";
 import { MemberView } from "@chestnuthatch/routing/member_view";
 import { RouteTable } from "@chestnuthatch/routing/route_table";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
@@ -253,17 +254,19 @@
     })),
     0,
   );
+  const members = new MemberView({
+    instanceId: "i0",
+    address: "10.1.0.1:7000",
+    failureDomain: "d0",
+    incarnation: 1,
+    leaving: false,
+    cores: 1,
+  });
   return {
     routes: new RouteTable(configuration()),
     targets,
-    members: new MemberView({
-      instanceId: "i0",
-      address: "10.1.0.1:7000",
-      failureDomain: "d0",
-      incarnation: 1,
-      leaving: false,
-      cores: 1,
-    }),
+    members,
+    cutDomains: new CutDomains(members),
     health: new TargetHealth(),
     paces: new TargetPaces(),
   };
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -39,6 +39,20 @@
  */
 const ROUND_SILENCE_MS = 550;
 
+/**
+ * Silence of all instances of a failure domain after which the way there may be
+ * cut: two heartbeats of each and the time to see that a third is late. In a
+ * large fleet, five rounds of heartbeats, as few of them come here.
+ */
+const DOMAIN_SILENCE_MS = 480;
+const LARGE_DOMAIN_SILENCE_MS = 1100;
+
+/**
+ * A member that was heard within this time is asked for a place before one that
+ * was not, where the first choice gives no answer: one heartbeat and its way.
+ */
+const LATELY_HEARD_MS = 330;
+
 /** Silence after which a member no longer counts towards the fleet's size. */
 const FORGET_MEMBER_MS = 20_000;
 
@@ -140,6 +154,34 @@
     this.#idByAddress.set(member.address, member.instanceId);
   }
 
+  /**
+   * @param failureDomain A failure domain.
+   * @param nowMs The local time.
+   * @returns Whether none of its instances was heard lately, though some were
+   * before.
+   */
+  isSilentDomain(failureDomain: string, nowMs: number): boolean {
+    const limitMs = this.#byId.size - 1 <= FULL_MESH
+      ? DOMAIN_SILENCE_MS
+      : LARGE_DOMAIN_SILENCE_MS;
+    const heard = [...this.#byId.values()].filter((member) =>
+      member.failureDomain === failureDomain && !member.leaving &&
+      member.heardAtMs > -Infinity
+    );
+    return heard.length > 0 &&
+      heard.every(({ heardAtMs }) => nowMs - heardAtMs > limitMs);
+  }
+
+  /**
+   * @param nowMs The local time.
+   * @returns Members whose last heartbeat is late; none in a large fleet, where
+   * heartbeats come in rounds.
+   */
+  late(nowMs: number): MemberRecord[] {
+    return this.#byId.size - 1 > FULL_MESH ? [] : [...this.#byId.values()]
+      .filter(({ heardAtMs }) => nowMs - heardAtMs > LATELY_HEARD_MS);
+  }
+
   /** @returns All members but this instance, heard or not. */
   others(): MemberRecord[] {
     return [...this.#byId.values()]
--- a/packages/routing/src/routing_board.ts
+++ b/packages/routing/src/routing_board.ts
@@ -3,6 +3,7 @@
  * part named in its comment and only read by the others.
  */
 
+import type { CutDomains } from "./cut_domains.ts";
 import type { MemberView } from "./member_view.ts";
 import type { RouteTable } from "./route_table.ts";
 import type { TargetDirectory } from "./target_directory.ts";
@@ -19,6 +20,8 @@
   readonly members: MemberView;
   /** Written by the holder, from what targets did to its own requests. */
   readonly health: TargetHealth;
+  /** Written by the holder, from targets that gave no sign of life. */
+  readonly cutDomains: CutDomains;
   /** Written by the coordinator, from how work ended. */
   readonly paces: TargetPaces;
 }
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -5,6 +5,7 @@
   RequestKind,
   type RoutePolicy,
 } from "./fleet_configuration.ts";
+import { CutDomains } from "./cut_domains.ts";
 import { MemberView } from "./member_view.ts";
 import { RouteTable } from "./route_table.ts";
 import type { RoutingBoard } from "./routing_board.ts";
@@ -86,17 +87,19 @@
     })),
     0,
   );
+  const members = new MemberView({
+    instanceId: "i1",
+    address: "10.1.0.1:7000",
+    failureDomain: "a",
+    incarnation: 1,
+    leaving: false,
+    cores: 1,
+  });
   return {
     routes: new RouteTable(configurationOf(over)),
     targets,
-    members: new MemberView({
-      instanceId: "i1",
-      address: "10.1.0.1:7000",
-      failureDomain: "a",
-      incarnation: 1,
-      leaving: false,
-      cores: 1,
-    }),
+    members,
+    cutDomains: new CutDomains(members),
     health: new TargetHealth(),
     paces: new TargetPaces(),
   };
