Tell spending in whole units, and rarely in large fleets; one place for "in time"

Spending by seconds would take a fifth of a small instance's link in a fleet of 64 with 16 workspaces: one heartbeat in five tells it there. When a first event is in time is worked out in one place; a charge is one value. Behaviour of small fleets is as before.

--- a/packages/gateway/src/coordinator_choice.ts
+++ b/packages/gateway/src/coordinator_choice.ts
@@ -104,8 +104,9 @@
     }
     // Where the way to one is cut, it is to its whole failure domain: those that
     // missed a heartbeat are not asked one after another.
-    const late = this.#members.late(nowMs).map((member) => member.instanceId);
-    const shunned = new Set([...this.#shunnedUntilMs.keys(), ...late]);
+    const overdue = this.#members.overdue(nowMs)
+      .map((member) => member.instanceId);
+    const shunned = new Set([...this.#shunnedUntilMs.keys(), ...overdue]);
     return this.#members.coordinator(nowMs, shunned);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import { roundedUp } from "@chestnuthatch/routing/spending_log";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
 import { TargetPaces } from "@chestnuthatch/routing/target_paces";
@@ -291,7 +292,9 @@
   #heard(message: RoutingMessage, fromAddress: string): void {
     if (message.kind === MessageKind.Beat) {
       this.#membership.heard(message);
-      if (message.from.instanceId === this.#desk.coordinatorId) {
+      const isCoordinator =
+        message.from.instanceId === this.#desk.coordinatorId;
+      if (isCoordinator && message.spending !== undefined) {
         this.#spending.told(message.spending);
       }
       this.#news.heard(message);
@@ -384,7 +387,7 @@
       reachesStore: () => this.#news.reachesStore,
       spending: () =>
         this.#wasCoordinator
-          ? this.#coordinator.muchSpent(this.#clock.nowMs())
+          ? this.#coordinator.muchSpent(this.#clock.nowMs()).map(roundedUp)
           : [],
       targetNews: () => this.#news.targetNews(),
     }, this.#self);
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -159,11 +159,22 @@
       targetsVersion: board.targets.version,
       reachesStore: this.#parts.reachesStore(),
       others,
-      spending: this.#parts.spending(),
+      spending: this.#tellsSpending(withOthers)
+        ? this.#parts.spending()
+        : undefined,
       targetNews: this.#newsToTell(),
     });
   }
 
+  /**
+   * In a large fleet, the seconds of sixteen workspaces would be a fifth of what
+   * a small instance's link carries; there, one heartbeat in five tells them.
+   */
+  #tellsSpending(isDigest: boolean): boolean {
+    return isDigest ||
+      this.#parts.board.members.others().length <= FULL_MESH;
+  }
+
   /** Leaving targets in every heartbeat, the rest in turn. */
   #newsToTell(): TargetChange[] {
     const news = this.#parts.targetNews();
--- a/packages/gateway/src/membership_keeper_test.ts
+++ b/packages/gateway/src/membership_keeper_test.ts
@@ -23,7 +23,11 @@
 }
 
 /** Heartbeats of an instance that hears of one other. */
-function beatsOf(news: readonly TargetChange[], count: number): Beat[] {
+function beatsOf(
+  news: readonly TargetChange[],
+  count: number,
+  others = 1,
+): Beat[] {
   const beats: Beat[] = [];
   const self = {
     instanceId: "i1",
@@ -34,7 +38,10 @@
     cores: 1,
   };
   const board = boardOf([]);
-  board.members.heard({ ...self, instanceId: "i2", address: "i2:7000" }, 0);
+  for (let index = 2; index < 2 + others; index++) {
+    const instanceId = `i${index}`;
+    board.members.heard({ ...self, instanceId, address: `${instanceId}:7` }, 0);
+  }
   let nowMs = 0;
   const clock = { nowMs: () => nowMs };
   const nowhere = new Writable({ write: (_chunk, _code, done) => done() });
@@ -84,4 +91,12 @@
   }
 });
 
+test("a large fleet is told spending once in a while", () => {
+  const told = (others: number) =>
+    beatsOf([], 20, others).filter(({ spending }) => spending !== undefined)
+      .length;
+  assert.is(told(7), 20);
+  assert.is(told(63), 4);
+});
+
 test.run();
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -74,6 +74,14 @@
   readonly nowMs: number;
 }
 
+/** What a request cost its workspace. */
+export interface Charge {
+  readonly workspace: string;
+  readonly cost: number;
+  /** Rank of the request within the workspace. */
+  readonly rank: number;
+}
+
 /** Outcome of a charge. */
 export interface ChargeResult {
   readonly allowed: boolean;
@@ -149,12 +157,10 @@
   /**
    * Gives back a charge whose request never ran.
    *
-   * @param workspace Name of the workspace.
-   * @param cost What was charged.
+   * @param charge What was charged, and to whom.
    * @param nowMs The local time.
-   * @param rank Rank of the request within the workspace.
    */
-  refund(workspace: string, cost: number, nowMs: number, rank = 0): void {
+  refund({ workspace, cost, rank }: Charge, nowMs: number): void {
     this.#own.note(workspace, -cost, nowMs);
     this.#demand.spent(workspace, { cost: -cost, rank, nowMs });
   }
--- a/packages/routing/src/allotment_ledger_test.ts
+++ b/packages/routing/src/allotment_ledger_test.ts
@@ -1,7 +1,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { AllotmentLedger, type LedgerScope } from "./allotment_ledger.ts";
-import { agedHistory, type SpendingHistory } from "./spending_log.ts";
+import {
+  agedHistory,
+  roundedUp,
+  type SpendingHistory,
+} from "./spending_log.ts";
 
 const TOLERANCE = { windowMs: 8000, overage: 0.1, slack: 1010 };
 const ALLOTMENT = { perS: 1000, burst: 500, inTokens: true, plainTokens: 10 };
@@ -169,6 +173,12 @@
   assert.equal(aged, { ...record, bySecond: [600, 0, 100, 200] });
 });
 
+test("spending is told in whole units, and never too little", () => {
+  const history = { workspace: "w", spent: 3.3, bySecond: [1.2, 0, 2.1] };
+  const told = roundedUp(history);
+  assert.equal(told, { workspace: "w", spent: 5, bySecond: [2, 0, 3] });
+});
+
 test("while much is spent, the record is made anew every second", () => {
   const ledger = new AllotmentLedger(TOLERANCE);
   const of = { cost: WHOLE_BOUND * 0.6, rank: 0, scope: scope(0) };
@@ -229,7 +239,7 @@
 test("a refund can be spent again", () => {
   const ledger = new AllotmentLedger(TOLERANCE);
   spendAll(ledger, scope(0));
-  ledger.refund("w", 500, 100);
+  ledger.refund({ workspace: "w", cost: 500, rank: 0 }, 100);
   assert.is(spendAll(ledger, scope(100)), 500);
 });
 
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -9,6 +9,7 @@
 import {
   AllotmentLedger,
   type AllotmentTolerance,
+  type Charge,
   type LedgerScope,
 } from "./allotment_ledger.ts";
 import { HeardSpending } from "./heard_spending.ts";
@@ -43,14 +44,6 @@
   readonly allotmentTolerance: AllotmentTolerance;
 }
 
-/** What an open ask cost its workspace. */
-interface Charge {
-  readonly workspace: string;
-  readonly cost: number;
-  /** Within the workspace. */
-  readonly rank: number;
-}
-
 /** What is known of an ask that waits or was placed. */
 interface OpenAsk {
   readonly pool: string;
@@ -365,8 +358,7 @@
   #refund(askId: string, nowMs: number): void {
     const charge = this.#openAsks.get(askId)?.charge;
     if (charge !== undefined) {
-      const { workspace, cost, rank } = charge;
-      this.#ledger.refund(workspace, cost, nowMs, rank);
+      this.#ledger.refund(charge, nowMs);
     }
   }
 
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -177,7 +177,7 @@
    * @returns Members whose last heartbeat is late; none in a large fleet, where
    * heartbeats come in rounds.
    */
-  late(nowMs: number): MemberRecord[] {
+  overdue(nowMs: number): MemberRecord[] {
     return this.#byId.size - 1 > FULL_MESH ? [] : [...this.#byId.values()]
       .filter(({ heardAtMs }) => nowMs - heardAtMs > LATELY_HEARD_MS);
   }
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -129,8 +129,11 @@
     reachesStore: z.boolean(),
     /** Other members that it hears. */
     others: z.array(member),
-    /** From the coordinator: workspaces that spent much of their allotments. */
-    spending: z.array(spendingHistorySchema).readonly(),
+    /**
+     * From the coordinator: workspaces that spent much of their allotments.
+     * Absent where this heartbeat does not tell.
+     */
+    spending: z.array(spendingHistorySchema).readonly().optional(),
     /** What it lately learned of targets. */
     targetNews: targetChangesSchema,
   }),
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -9,7 +9,7 @@
 
 import type { PoolPolicy } from "./fleet_configuration.ts";
 import { type PlacedWork, PlacedWorks } from "./placed_works.ts";
-import { inOrder, type WaitingWork } from "./queue_order.ts";
+import { inOrder, onTimeUntilMs, type WaitingWork } from "./queue_order.ts";
 import { RankShares } from "./rank_shares.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import {
@@ -305,7 +305,7 @@
     const choice = chooseTarget(ask, look.free);
     if (choice !== undefined) {
       const candidates = look.usable;
-      const leftMs = onTimeLeftMs(waiting, look.nowMs);
+      const leftMs = onTimeUntilMs(waiting) - look.nowMs;
       return isWorthWaiting(ask, choice, { candidates, leftMs })
         ? undefined
         : this.#placeAt(waiting, choice, look);
@@ -371,14 +371,6 @@
   }
 }
 
-/** Time left until the first event would no longer be in time. */
-function onTimeLeftMs(
-  { ask, cameBackMs, sinceMs }: WaitingWork,
-  nowMs: number,
-): number {
-  return ask.objectiveLeftMs - cameBackMs - (nowMs - sinceMs);
-}
-
 function hasFreeSlot({ target, use }: Candidate): boolean {
   return use.running < target.slots;
 }
--- a/packages/routing/src/queue_order.ts
+++ b/packages/routing/src/queue_order.ts
@@ -64,17 +64,26 @@
   return keyed.map(({ work }) => work);
 }
 
+/**
+ * @param waiting A request that waits.
+ * @returns Local time until which its first event would be in time.
+ */
+export function onTimeUntilMs(
+  { ask, cameBackMs, sinceMs }: WaitingWork,
+): number {
+  return sinceMs + ask.objectiveLeftMs - cameBackMs;
+}
+
 function keyOf(work: WaitingWork, typical: Candidate, nowMs: number) {
-  const { ask, cameBackMs, sinceMs } = work;
+  const { ask, sinceMs } = work;
   const firstMs = firstMsAt(typical, ask, IDLE);
-  const onTimeUntilMs = sinceMs + ask.objectiveLeftMs - cameBackMs -
-    FIRST_MARGIN * firstMs;
+  const startOnTimeByMs = onTimeUntilMs(work) - FIRST_MARGIN * firstMs;
   const patientUntilMs = sinceMs + ask.patienceLeftMs;
   const wholeUntilMs = sinceMs + ask.deadlineLeftMs - firstMs -
     restMsAt(typical, ask);
   return {
     work,
-    isLate: nowMs > onTimeUntilMs,
+    isLate: nowMs > startOnTimeByMs,
     startByMs: isShortLived(ask)
       ? Math.min(patientUntilMs, wholeUntilMs)
       : patientUntilMs,
--- a/packages/routing/src/spending_log.ts
+++ b/packages/routing/src/spending_log.ts
@@ -55,6 +55,17 @@
   return { workspace, spent: spent + cost, bySecond: [last + cost, ...rest] };
 }
 
+/**
+ * @param history Spending of a workspace.
+ * @returns The same in whole cost units, which take half the bytes.
+ */
+export function roundedUp(
+  { workspace, bySecond }: SpendingHistory,
+): SpendingHistory {
+  const whole = bySecond.map(Math.ceil);
+  return { workspace, spent: sumOf(whole), bySecond: whole };
+}
+
 function sumOf(figures: readonly number[]): number {
   return figures.reduce((sum, figure) => sum + figure, 0);
 }
