--- a/packages/routing/src/coordinator_test.ts
+++ b/packages/routing/src/coordinator_test.ts
@@ -156,15 +156,20 @@
   assert.ok(share > 0.05 && share < 0.2, String(share));
 });
 
-test("a large prompt waits for a fast target rather than be late at a slow one", () => {
+/** A target that is full, and one three times as slow that is idle. */
+function beforeFullFastTarget(): Coordinator {
   const board = boardOf(["fast", "slow"]);
   for (let i = 0; i < 40; i++) {
-    // A slow target takes three times as long as foreseen at first.
     board.paces.of("slow").learnFirstEvent(1000, 0, 180);
   }
   const coordinator = new Coordinator(board, BOUNDS);
   coordinator.ask(askOf("a1"), scope(0));
   coordinator.ask(askOf("a2"), scope(0));
+  return coordinator;
+}
+
+test("a large prompt waits for a fast target rather than be late at a slow one", () => {
+  const coordinator = beforeFullFastTarget();
   const large = { promptTokens: 10_000, objectiveLeftMs: 400 };
   assert.equal(coordinator.ask(askOf("large", large), scope(0)), []);
   // Small ones do not wait for it, and go where there is room.
@@ -176,13 +181,7 @@
 });
 
 test("a large prompt that is late anyway goes where there is room", () => {
-  const board = boardOf(["fast", "slow"]);
-  for (let i = 0; i < 40; i++) {
-    board.paces.of("slow").learnFirstEvent(1000, 0, 180);
-  }
-  const coordinator = new Coordinator(board, BOUNDS);
-  coordinator.ask(askOf("a1"), scope(0));
-  coordinator.ask(askOf("a2"), scope(0));
+  const coordinator = beforeFullFastTarget();
   const late = askOf("late", { promptTokens: 10_000, objectiveLeftMs: 100 });
   assert.equal(texts(coordinator.ask(late, scope(0))), ["late -> slow"]);
 });
