--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -46,7 +46,7 @@
    */
   followsStore(): boolean;
   /** Called when what is known of targets has changed. */
-  onTargets(): void;
+  onTargets(beliefs: readonly TargetBelief[]): void;
   /** Called with what the fleet recorded of workspaces' spending. */
   onSpending(record: readonly SpendingHistory[], ageMs: number): void;
   /** Called when another version came into force. */
@@ -265,6 +265,7 @@
       const target = board.targets.get(targetId)!;
       log.info(LogPart.Targets, `target ${news}`, {
         targetId,
+        incarnation: target.incarnation,
         rowVersion,
         pool: target.pool,
         address: target.address,
@@ -275,7 +276,7 @@
       this.#targetNews.push({ change: changeOf(target), untilMs });
     }
     if (beliefs.length > 0) {
-      this.#parts.onTargets();
+      this.#parts.onTargets(beliefs);
     }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,7 +14,11 @@
 } from "@chestnuthatch/routing/peer_messages";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import { roundedUp } from "@chestnuthatch/routing/spending_log";
-import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
+import {
+  type TargetBelief,
+  TargetDirectory,
+  TargetNews,
+} from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
 import { TargetPaces } from "@chestnuthatch/routing/target_paces";
 import { EventLog, LogPart } from "./event_log.ts";
@@ -369,7 +373,7 @@
       metrics: this.#metrics,
       catalogPort: this.#settings.catalogPort,
       followsStore: () => this.#followsStore(),
-      onTargets: () => this.#targetsChanged(),
+      onTargets: (beliefs) => this.#targetsChanged(beliefs),
       onConfiguration: (configuration) => this.#configured(configuration),
       onSpending: (record, ageMs) => this.#spending.takeUpRecord(record, ageMs),
     });
@@ -400,9 +404,14 @@
       !this.#membership.reachesStore(coordinatorId);
   }
 
-  #targetsChanged(): void {
+  #targetsChanged(beliefs: readonly TargetBelief[]): void {
     const nowMs = this.#clock.nowMs();
     const { targets, paces } = this.board;
+    for (const { targetId, news } of beliefs) {
+      if (news === TargetNews.Restarted) {
+        this.#targetRestarted(targetId);
+      }
+    }
     targets.forgetOld(nowMs);
     const all = targets.all();
     paces.keepOnly(new Set(all.map(({ targetId }) => targetId)));
@@ -410,6 +419,13 @@
     this.#connections.keepOnly(new Set(usable.map(({ address }) => address)));
   }
 
+  /** Its pace is that of its machine, and stays. */
+  #targetRestarted(targetId: string): void {
+    this.board.health.restarted(targetId);
+    this.#coordinator.targetRestarted(targetId);
+    this.#connections.dropIdle(this.board.targets.get(targetId)!.address);
+  }
+
   #configured(configuration: FleetConfiguration): void {
     this.#front.setLimits(configuration.limits);
   }
--- a/packages/gateway/src/membership_keeper_test.ts
+++ b/packages/gateway/src/membership_keeper_test.ts
@@ -13,6 +13,7 @@
   const targetId = `t${index}`;
   const entry = {
     targetId,
+    incarnation: 1,
     pool: "p",
     address: `10.0.0.${index}:80`,
     failureDomain: "a",
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -71,6 +71,17 @@
     return agent;
   }
 
+  /**
+   * @param address Address of a target whose process started again: what is kept
+   * of the old one fails on its next use.
+   */
+  dropIdle(address: string): void {
+    const kept = this.#byAddress.get(address)?.freeSockets ?? {};
+    for (const socket of Object.values(kept).flatMap((list) => list ?? [])) {
+      socket.destroy();
+    }
+  }
+
   /** @param addresses Addresses still in use; connections to others close. */
   keepOnly(addresses: ReadonlySet<string>): void {
     for (const [address, agent] of this.#byAddress) {
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -245,6 +245,7 @@
       rowVersion: index + 1,
       entry: {
         targetId: `t${index}`,
+        incarnation: 1,
         pool: "p",
         address: `10.0.${Math.floor(index / 250)}.${index % 250}:80`,
         failureDomain: `d${index % 4}`,
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -246,6 +246,13 @@
     }
   }
 
+  /** @param targetId A target whose process started again under its id. */
+  targetRestarted(targetId: string): void {
+    for (const schedule of this.#pools.values()) {
+      schedule.targetRestarted(targetId);
+    }
+  }
+
   /** Forgets all asks, after a pause in which holders went elsewhere. */
   forgetAll(): void {
     this.#pools.clear();
--- a/packages/routing/src/coordinator_test.ts
+++ b/packages/routing/src/coordinator_test.ts
@@ -245,6 +245,18 @@
   assert.equal(texts(coordinator.tick(1600)), ["a3 -> t1"]);
 });
 
+test("what ran at a target that started again is no longer counted", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  coordinator.ask(askOf("a1"), scope(0));
+  coordinator.ask(askOf("a2"), scope(0));
+  assert.equal(coordinator.ask(askOf("a3"), scope(10)), []);
+  coordinator.targetRestarted("t1");
+  assert.equal(texts(coordinator.tick(20)), ["a3 -> t1"]);
+  // The holder tells of the end later.
+  coordinator.ended(endOf("a1", "t1"), 30);
+  assert.is(coordinator.load()[0]!.placed, 1);
+});
+
 test("an allotment is charged once, and given back for what never ran", () => {
   const allotment = { perS: 100, burst: 200, inTokens: true, plainTokens: 1 };
   const coordinator = coordinatorOf(["t1"], {
--- a/packages/routing/src/cut_domains_test.ts
+++ b/packages/routing/src/cut_domains_test.ts
@@ -18,6 +18,7 @@
 function targetOf(targetId: string, failureDomain: string): KnownTarget {
   return {
     targetId,
+    incarnation: 1,
     pool: "p",
     address: `${targetId}:80`,
     failureDomain,
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -33,6 +33,7 @@
   rowVersion: z.number(),
   entry: z.object({
     targetId: z.string(),
+    incarnation: z.number(),
     pool: z.string(),
     address: z.string(),
     failureDomain: z.string(),
--- a/packages/routing/src/placed_works.ts
+++ b/packages/routing/src/placed_works.ts
@@ -57,6 +57,15 @@
     return [...askIds].map((askId) => this.#byAsk.get(askId)!);
   }
 
+  /**
+   * @param targetId A target.
+   * @returns Its works.
+   */
+  ofTarget(targetId: string): PlacedWork[] {
+    return [...this.#byAsk.values()]
+      .filter((work) => work.targetId === targetId);
+  }
+
   /** @param work Work that a target has got; known work is replaced. */
   put(work: PlacedWork): void {
     this.remove(work.askId);
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -200,6 +200,18 @@
     });
   }
 
+  /**
+   * Forgets the work at a target whose process started again: it is lost, and
+   * its holders will say so.
+   *
+   * @param targetId The target.
+   */
+  targetRestarted(targetId: string): void {
+    for (const { askId } of this.#placed.ofTarget(targetId)) {
+      this.#placed.remove(askId);
+    }
+  }
+
   /**
    * Finds what the account holds for a holder, but for what is newer than a
    * report of the holder's can tell of.
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -78,6 +78,7 @@
       rowVersion: index + 1,
       entry: {
         targetId,
+        incarnation: 1,
         pool: "p",
         address: `10.0.0.${index + 1}:80`,
         failureDomain: "a",
--- a/packages/routing/src/target_directory.ts
+++ b/packages/routing/src/target_directory.ts
@@ -3,6 +3,11 @@
 /** What the platform's list says of one target. */
 export interface TargetEntry {
   readonly targetId: string;
+  /**
+   * When its process started, in Unix milliseconds: a target that starts again
+   * may keep its id, and knows nothing of before. 0 where it does not tell.
+   */
+  readonly incarnation: number;
   readonly pool: string;
   readonly address: string;
   readonly failureDomain: string;
@@ -33,6 +38,8 @@
   Added = "added",
   Leaving = "leaving",
   Removed = "removed",
+  /** It started again under its id: what was believed of it is void. */
+  Restarted = "restarted",
   Updated = "updated",
 }
 
@@ -157,8 +164,11 @@
     if (entry === undefined) {
       return this.#remove(known, rowVersion, nowMs);
     }
-    // A late heartbeat of a leaving target may still say that it is not.
-    const leaving = entry.leaving || known?.leaving === true;
+    // A late heartbeat of a leaving target may still say that it is not. One of
+    // the process before it may come late, too: it counts until the next one, as
+    // work for a leaving target is worse than none for a short while.
+    const leaving = entry.leaving ||
+      known?.leaving === true && !hasRestarted(known, entry);
     const next = { ...entry, leaving, rowVersion };
     this.#byId.set(targetId, next);
     const news = newsOf(known, next);
@@ -189,10 +199,17 @@
   }
 }
 
+function hasRestarted(known: TargetEntry, entry: TargetEntry): boolean {
+  return known.incarnation !== 0 && entry.incarnation > known.incarnation;
+}
+
 function newsOf(
   known: KnownTarget | undefined,
   entry: TargetEntry,
 ): TargetNews | undefined {
+  if (known !== undefined && hasRestarted(known, entry)) {
+    return TargetNews.Restarted;
+  }
   if (known === undefined || known.removedAtMs !== undefined) {
     return entry.leaving ? TargetNews.Leaving : TargetNews.Added;
   }
--- a/packages/routing/src/target_directory_test.ts
+++ b/packages/routing/src/target_directory_test.ts
@@ -8,14 +8,15 @@
 
 function row(
   rowVersion: number,
-  over: { leaving?: boolean; targetId?: string } = {},
+  over: { leaving?: boolean; targetId?: string; incarnation?: number } = {},
 ): TargetChange {
-  const { leaving = false, targetId = "t1" } = over;
+  const { leaving = false, targetId = "t1", incarnation = 0 } = over;
   return {
     targetId,
     rowVersion,
     entry: {
       targetId,
+      incarnation,
       pool: "p",
       address: "10.0.0.1:80",
       failureDomain: "a",
@@ -50,6 +51,28 @@
   assert.equal(usableIds(targets, 10), []);
 });
 
+test("a target that starts again under its id is used again", () => {
+  const targets = directory();
+  targets.apply([row(1, { incarnation: 100 })], 10);
+  targets.apply([row(2, { incarnation: 100, leaving: true })], 20);
+  assert.equal(usableIds(targets, 20), []);
+  const beliefs = targets.apply([row(3, { incarnation: 200 })], 30);
+  assert.is(beliefs[0]!.news, TargetNews.Restarted);
+  assert.equal(usableIds(targets, 30), ["t1"]);
+});
+
+test("a late word of the process before counts until the next heartbeat", () => {
+  const targets = directory();
+  targets.apply([row(1, { incarnation: 200 })], 10);
+  targets.apply([row(2, { incarnation: 100, leaving: true })], 20);
+  assert.equal(usableIds(targets, 20), []);
+  targets.apply([row(3, { incarnation: 200 })], 30);
+  assert.equal(usableIds(targets, 30), ["t1"]);
+  targets.apply([row(4, { incarnation: 200, leaving: true })], 40);
+  targets.apply([row(5, { incarnation: 100 })], 50);
+  assert.equal(usableIds(targets, 50), []);
+});
+
 test("news older than what is known changes nothing", () => {
   const targets = directory();
   targets.apply([row(5)], 10);
--- a/packages/routing/src/target_health.ts
+++ b/packages/routing/src/target_health.ts
@@ -42,6 +42,11 @@
     });
   }
 
+  /** @param targetId A target whose process started again. */
+  restarted(targetId: string): void {
+    this.#byId.delete(targetId);
+  }
+
   /** @param targetId A target that has just served a request well. */
   served(targetId: string): void {
     this.#byId.delete(targetId);
