--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -5,7 +5,6 @@
  */
 
 import type { Allotment } from "./fleet_configuration.ts";
-import { RankDemand } from "./rank_demand.ts";
 import {
   grownBy,
   type SpendingHistory,
@@ -78,8 +77,6 @@
 export interface Charge {
   readonly workspace: string;
   readonly cost: number;
-  /** Rank of the request within the workspace. */
-  readonly rank: number;
 }
 
 /** Outcome of a charge. */
@@ -96,7 +93,6 @@
 export class AllotmentLedger {
   #tolerance: AllotmentTolerance;
   readonly #own: SpendingLog;
-  readonly #demand: RankDemand;
   /** Spent through other coordinators, as holders told last. */
   readonly #elsewhere = new Map<string, number>();
   /** Bounds of one window, by workspace, as last charged by. */
@@ -111,7 +107,6 @@
   constructor(tolerance: AllotmentTolerance) {
     this.#tolerance = tolerance;
     this.#own = new SpendingLog(tolerance.windowMs);
-    this.#demand = new RankDemand(tolerance.windowMs);
   }
 
   /**
@@ -139,8 +134,9 @@
     const { cost, rank, scope } = of;
     const { nowMs } = scope;
     const spent = this.#spent(workspace, nowMs);
-    const bound = this.#boundFor(workspace, allotment, of);
-    this.#demand.asked(workspace, { cost, rank, nowMs });
+    const leftToOthers = Math.min(MOST_LEFT, LEFT_TO_RANK_ABOVE * rank);
+    const bound = this.#bound(workspace, allotment, scope) *
+      (1 - leftToOthers);
     // A request dearer than the bound passes when nothing else was spent;
     // else it could never run at all.
     if (spent > 0 && spent + cost > bound) {
@@ -150,7 +146,6 @@
       return { allowed: false, retryAfterMs, spent, bound };
     }
     this.#own.note(workspace, cost, nowMs);
-    this.#demand.spent(workspace, { cost, rank, nowMs });
     return { allowed: true, retryAfterMs: 0, spent, bound };
   }
 
@@ -160,9 +155,8 @@
    * @param charge What was charged, and to whom.
    * @param nowMs The local time.
    */
-  refund({ workspace, cost, rank }: Charge, nowMs: number): void {
+  refund({ workspace, cost }: Charge, nowMs: number): void {
     this.#own.note(workspace, -cost, nowMs);
-    this.#demand.spent(workspace, { cost: -cost, rank, nowMs });
   }
 
   /**
@@ -271,25 +265,6 @@
       (this.#elsewhere.get(workspace) ?? 0);
   }
 
-  /** What a rank may bring the workspace's spending to. */
-  #boundFor(
-    workspace: string,
-    allotment: Allotment,
-    of: { cost: number; rank: number; scope: LedgerScope },
-  ): number {
-    const { cost, rank, scope } = of;
-    const whole = this.#bound(workspace, allotment, scope);
-    const left = whole * Math.min(MOST_LEFT, LEFT_TO_RANK_ABOVE * rank);
-    const { nowMs } = scope;
-    const kept = this.#demand.keptAbove(workspace, {
-      rank,
-      cost,
-      bound: whole,
-      nowMs,
-    });
-    return whole - Math.max(left, kept);
-  }
-
   #bound(
     workspace: string,
     allotment: Allotment,
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -300,7 +300,7 @@
     const result = this.#ledger
       .charge(workspace, allotment, { cost, rank, scope });
     if (result.allowed) {
-      return { charge: { workspace, cost, rank } };
+      return { charge: { workspace, cost } };
     }
     const { retryAfterMs, spent, bound } = result;
     const refusal = {
