--- /dev/null
+++ b/packages/gateway/src/slow_coordinator_test.ts
@@ -0,0 +1,160 @@
+import { Writable } from "node:stream";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { Coordinator } from "@chestnuthatch/routing/coordinator";
+import { CutDomains } from "@chestnuthatch/routing/cut_domains";
+import { MemberView } from "@chestnuthatch/routing/member_view";
+import {
+  MessageKind,
+  type RoutingMessage,
+} from "@chestnuthatch/routing/peer_messages";
+import { askOf, boardOf } from "@chestnuthatch/routing/routing_test_support";
+import { EventLog } from "./event_log.ts";
+import { MembershipKeeper } from "./membership_keeper.ts";
+import { PlacementDesk } from "./placement_desk.ts";
+
+const WINDOW_MS = 8000;
+const BOUNDS = {
+  retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
+  allotmentTolerance: { windowMs: WINDOW_MS, overage: 0, slack: 0 },
+};
+const ALLOTMENT = { perS: 1000, burst: 0, inTokens: true, plainTokens: 1 };
+const IDS = ["i1", "i2", "i3", "i4"];
+const TARGET_IDS = Array.from({ length: 10 }, (_, index) => `t${index}`);
+const STEP_MS = 20;
+const WORK_MS = 100;
+/** Answers of a slow instance come after holders have given it up. */
+const SLOW_MS = 400;
+/** Half of what the allotment gives in a step. */
+const COST = 10;
+
+/** A fleet on a manual clock. Heartbeats of the slow instance are in time. */
+class Fleet {
+  readonly clock = { atMs: 0, nowMs: () => this.clock.atMs };
+  readonly refusals: string[] = [];
+  slowId = "";
+  readonly #nodes = new Map(IDS.map((id) => [id, this.#node(id)]));
+  #onTheWay: { atMs: number; deliver: () => void }[] = [];
+  #asked = 0;
+
+  get coordinatorId(): string {
+    return this.#nodes.get("i1")!.desk.coordinatorId;
+  }
+
+  /** Lets time pass, with one request in each step. */
+  run(ms: number): void {
+    for (let i = 0; i < ms; i += STEP_MS) {
+      this.clock.atMs += STEP_MS;
+      this.#deliverDue();
+      for (const [id, { members, keeper, desk }] of this.#nodes) {
+        members.remembers(id, 60_000 + this.clock.atMs, this.clock.atMs);
+        keeper.tick();
+        desk.tick();
+      }
+      this.#request();
+      this.#deliverDue();
+    }
+  }
+
+  #request(): void {
+    const holders = IDS.filter((id) => id !== this.slowId);
+    const holderId = holders[this.#asked % holders.length]!;
+    const { desk } = this.#nodes.get(holderId)!;
+    const askId = `a${this.#asked++}`;
+    desk.ask(askOf(askId, { holderId, cost: COST }), (decision) => {
+      if ("refusal" in decision) {
+        this.refusals.push(`${this.clock.atMs}: ${decision.refusal}`);
+        return;
+      }
+      const { targetId } = decision;
+      const end = { askId, targetId, pool: "p", promptTokens: 500 };
+      const atMs = this.clock.atMs + WORK_MS;
+      const deliver = () => desk.ended({ ...end, failed: false });
+      this.#onTheWay.push({ atMs, deliver });
+    });
+  }
+
+  #deliverDue(): void {
+    const due = this.#onTheWay.filter(({ atMs }) => atMs <= this.clock.atMs);
+    this.#onTheWay = this.#onTheWay.filter((one) => !due.includes(one));
+    due.forEach(({ deliver }) => deliver());
+  }
+
+  #send(fromId: string, toId: string, message: RoutingMessage): void {
+    const isLate = fromId === this.slowId && message.kind !== MessageKind.Beat;
+    const atMs = this.clock.atMs + (isLate ? SLOW_MS : 0);
+    const deliver = () => {
+      const { keeper, desk } = this.#nodes.get(toId)!;
+      if (message.kind === MessageKind.Beat) {
+        keeper.heard(message);
+      } else {
+        desk.heard(message, fromId);
+      }
+    };
+    this.#onTheWay.push({ atMs, deliver });
+  }
+
+  #node(instanceId: string) {
+    const self = {
+      instanceId,
+      address: `${instanceId}:7000`,
+      failureDomain: "a",
+      incarnation: 1,
+      leaving: false,
+      cores: 1,
+    };
+    const members = new MemberView(self);
+    const workspaces = [{ name: "w", keys: [], allotment: ALLOTMENT }];
+    const board = {
+      ...boardOf(TARGET_IDS, { workspaces }),
+      members,
+      cutDomains: new CutDomains(members),
+    };
+    const { clock } = this;
+    const nowhere = new Writable({ write: (_chunk, _code, done) => done() });
+    const log = new EventLog(clock, instanceId, nowhere);
+    const desk = new PlacementDesk({
+      board,
+      coordinator: new Coordinator(board, BOUNDS),
+      clock,
+      log,
+      send: (member, message) =>
+        this.#send(instanceId, member.instanceId, message),
+      startedAtMs: -60_000,
+      spendingWindowMs: WINDOW_MS,
+    });
+    const keeper = new MembershipKeeper({
+      board,
+      clock,
+      log,
+      seedAddresses: IDS.map((id) => `${id}:7000`),
+      send: (addresses, message) => {
+        for (const address of addresses) {
+          this.#send(instanceId, address.split(":")[0]!, message);
+        }
+      },
+      coordinatorId: () => desk.coordinatorId,
+      memoryMs: () => 60_000 + clock.nowMs(),
+      reachesStore: () => true,
+      spending: () => [],
+      targetNews: () => [],
+    }, self);
+    return { members, keeper, desk };
+  }
+}
+
+test("a fleet with a quick coordinator serves what an allotment allows", () => {
+  const fleet = new Fleet();
+  fleet.run(10_000);
+  assert.equal(fleet.refusals, []);
+});
+
+test("a coordinator that answers too late is replaced by all", () => {
+  const fleet = new Fleet();
+  fleet.run(4000);
+  fleet.slowId = fleet.coordinatorId;
+  fleet.run(6000);
+  assert.equal(fleet.refusals, []);
+});
+
+test.run();
