Ask in one place whether all beat to all; build members for tests in one place

MemberView tells isFullMesh, and the tests share memberOf. Behaviour stays as it is; the tests keep their assertions.

Not mended: two margins, 1.3 and 1.4, say how much longer a first event may take than foreseen; one for both would change who waits.

--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -6,7 +6,6 @@
 } from "@chestnuthatch/routing/peer_messages";
 import {
   BEAT_FANOUT,
-  FULL_MESH,
   type MemberNews,
   type MemberRecord,
 } from "@chestnuthatch/routing/member_view";
@@ -136,7 +135,7 @@
     const { members } = this.#parts.board;
     const others = members.others();
     const coordinatorId = this.#parts.coordinatorId();
-    const isAll = others.length <= FULL_MESH ||
+    const isAll = members.isFullMesh ||
       coordinatorId === members.selfId;
     if (isAll) {
       return others;
@@ -171,8 +170,7 @@
    * a small instance's link carries; there, one heartbeat in five tells them.
    */
   #tellsSpending(isDigest: boolean): boolean {
-    return isDigest ||
-      this.#parts.board.members.others().length <= FULL_MESH;
+    return isDigest || this.#parts.board.members.isFullMesh;
   }
 
   /** Leaving targets in every heartbeat, the rest in turn. */
--- a/packages/gateway/src/membership_keeper_test.ts
+++ b/packages/gateway/src/membership_keeper_test.ts
@@ -1,6 +1,6 @@
 import { Writable } from "node:stream";
 import { MessageKind } from "@chestnuthatch/routing/peer_messages";
-import { boardOf } from "@chestnuthatch/routing/routing_test_support";
+import { boardOf, memberOf } from "@chestnuthatch/routing/routing_test_support";
 import type { TargetChange } from "@chestnuthatch/routing/target_directory";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -30,18 +30,10 @@
   others = 1,
 ): Beat[] {
   const beats: Beat[] = [];
-  const self = {
-    instanceId: "i1",
-    address: "10.1.0.1:7000",
-    failureDomain: "a",
-    incarnation: 1,
-    leaving: false,
-    cores: 1,
-  };
+  const self = memberOf("i1");
   const board = boardOf([]);
   for (let index = 2; index < 2 + others; index++) {
-    const instanceId = `i${index}`;
-    board.members.heard({ ...self, instanceId, address: `${instanceId}:7` }, 0);
+    board.members.heard(memberOf(`i${index}`), 0);
   }
   let nowMs = 0;
   const clock = { nowMs: () => nowMs };
--- a/packages/gateway/src/placement_desk_test.ts
+++ b/packages/gateway/src/placement_desk_test.ts
@@ -6,7 +6,11 @@
   MessageKind,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
-import { askOf, boardOf } from "@chestnuthatch/routing/routing_test_support";
+import {
+  askOf,
+  boardOf,
+  memberOf,
+} from "@chestnuthatch/routing/routing_test_support";
 import type { AskDecision } from "@chestnuthatch/routing/work_ask";
 import { EventLog } from "./event_log.ts";
 import { PlacementDesk } from "./placement_desk.ts";
@@ -31,14 +35,7 @@
   // They have run longer than this instance, so one of them coordinates.
   for (let i = 2; i < 6; i++) {
     board.members.remembers(`i${i}`, 60_000, 0);
-    board.members.heard({
-      instanceId: `i${i}`,
-      address: `10.1.0.${i}:7000`,
-      failureDomain: "a",
-      incarnation: 1,
-      leaving: false,
-      cores: 1,
-    }, 0);
+    board.members.heard(memberOf(`i${i}`), 0);
   }
   const coordinatorId = board.members.coordinator(0, NONE).instanceId;
   const desk = new PlacementDesk({
--- a/packages/gateway/src/slow_coordinator_test.ts
+++ b/packages/gateway/src/slow_coordinator_test.ts
@@ -8,7 +8,11 @@
   MessageKind,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
-import { askOf, boardOf } from "@chestnuthatch/routing/routing_test_support";
+import {
+  askOf,
+  boardOf,
+  memberOf,
+} from "@chestnuthatch/routing/routing_test_support";
 import { EventLog } from "./event_log.ts";
 import { MembershipKeeper } from "./membership_keeper.ts";
 import { PlacementDesk } from "./placement_desk.ts";
@@ -95,14 +99,7 @@
   }
 
   #node(instanceId: string) {
-    const self = {
-      instanceId,
-      address: `${instanceId}:7000`,
-      failureDomain: "a",
-      incarnation: 1,
-      leaving: false,
-      cores: 1,
-    };
+    const self = memberOf(instanceId);
     const members = new MemberView(self);
     const workspaces = [{ name: "w", keys: [], allotment: ALLOTMENT }];
     const board = {
--- a/packages/routing/src/cut_domains_test.ts
+++ b/packages/routing/src/cut_domains_test.ts
@@ -3,17 +3,7 @@
 import { CutDomains } from "./cut_domains.ts";
 import type { KnownTarget } from "./target_directory.ts";
 import { MemberView } from "./member_view.ts";
-
-function memberOf(instanceId: string, failureDomain: string) {
-  return {
-    instanceId,
-    address: `${instanceId}:7000`,
-    failureDomain,
-    incarnation: 1,
-    leaving: false,
-    cores: 1,
-  };
-}
+import { memberOf } from "./routing_test_support.ts";
 
 function targetOf(targetId: string, failureDomain: string): KnownTarget {
   return {
@@ -32,9 +22,9 @@
 
 /** Instances of domains `a`, where this one is, and `b`, heard at time 0. */
 function fleet() {
-  const members = new MemberView(memberOf("i1", "a"));
-  members.heard(memberOf("i2", "b"), 0);
-  members.heard(memberOf("i3", "b"), 0);
+  const members = new MemberView(memberOf("i1"));
+  members.heard(memberOf("i2", { failureDomain: "b" }), 0);
+  members.heard(memberOf("i3", { failureDomain: "b" }), 0);
   const cut = new CutDomains(members);
   const ids = (nowMs: number) =>
     cut.unreachable(TARGETS, nowMs).map(({ targetId }) => targetId);
@@ -50,7 +40,7 @@
 
 test("a silent target is not enough where instances beside it are heard", () => {
   const { members, cut, ids } = fleet();
-  members.heard(memberOf("i3", "b"), 400);
+  members.heard(memberOf("i3", { failureDomain: "b" }), 400);
   assert.is(cut.unanswered("b", 600), false);
   assert.equal(ids(610), []);
 });
@@ -63,7 +53,7 @@
 test("a domain is used again once any of its instances is heard", () => {
   const { members, cut, ids } = fleet();
   cut.unanswered("b", 600);
-  members.heard(memberOf("i2", "b"), 900);
+  members.heard(memberOf("i2", { failureDomain: "b" }), 900);
   assert.equal(ids(901), []);
 });
 
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -25,7 +25,7 @@
 export const MEMBER_SILENCE_MS = 900;
 
 /** Other members up to which every heartbeat goes to all of them. */
-export const FULL_MESH = 12;
+const FULL_MESH = 12;
 
 /**
  * Members that a heartbeat goes to in a larger fleet, besides the coordinator,
@@ -98,6 +98,11 @@
     this.#byId.set(self.instanceId, { ...self, heardAtMs: Infinity });
   }
 
+  /** Whether the fleet is small enough for all to beat to all. */
+  get isFullMesh(): boolean {
+    return this.#byId.size - 1 <= FULL_MESH;
+  }
+
   /**
    * Notes that a member spoke.
    *
@@ -161,7 +166,7 @@
    * before.
    */
   isSilentDomain(failureDomain: string, nowMs: number): boolean {
-    const limitMs = this.#byId.size - 1 <= FULL_MESH
+    const limitMs = this.isFullMesh
       ? DOMAIN_SILENCE_MS
       : LARGE_DOMAIN_SILENCE_MS;
     const heard = [...this.#byId.values()].filter((member) =>
@@ -178,7 +183,7 @@
    * heartbeats come in rounds.
    */
   overdue(nowMs: number): MemberRecord[] {
-    return this.#byId.size - 1 > FULL_MESH ? [] : [...this.#byId.values()]
+    return !this.isFullMesh ? [] : [...this.#byId.values()]
       .filter(({ heardAtMs }) => nowMs - heardAtMs > LATELY_HEARD_MS);
   }
 
@@ -303,7 +308,7 @@
   /** In a large fleet, a member is heard once in a round over all of it. */
   #isHeard(member: MemberRecord, nowMs: number): boolean {
     const others = this.#byId.size - 1;
-    const roundMs = others <= FULL_MESH
+    const roundMs = this.isFullMesh
       ? 0
       : Math.ceil(others / BEAT_FANOUT) * ROUND_SILENCE_MS;
     return nowMs - member.heardAtMs < Math.max(MEMBER_SILENCE_MS, roundMs);
--- a/packages/routing/src/member_view_test.ts
+++ b/packages/routing/src/member_view_test.ts
@@ -1,25 +1,14 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type MemberNews, MemberView } from "./member_view.ts";
+import { MemberView } from "./member_view.ts";
+import { memberOf } from "./routing_test_support.ts";
 
 const NONE = new Set<string>();
 
-function news(instanceId: string, over: Partial<MemberNews> = {}): MemberNews {
-  return {
-    instanceId,
-    address: `${instanceId}:7000`,
-    failureDomain: "a",
-    incarnation: 1,
-    leaving: false,
-    cores: 1,
-    ...over,
-  };
-}
-
 function viewOf(selfId: string, others: readonly string[]): MemberView {
-  const view = new MemberView(news(selfId));
+  const view = new MemberView(memberOf(selfId));
   for (const id of others) {
-    view.heard(news(id), 0);
+    view.heard(memberOf(id), 0);
   }
   return view;
 }
@@ -38,7 +27,7 @@
   const first = view.coordinator(100, NONE).instanceId;
   assert.is.not(view.coordinator(100, new Set([first])).instanceId, first);
   const others = ["i2", "i3"].filter((id) => id !== first);
-  view.heard(news(first, { leaving: true }), 100);
+  view.heard(memberOf(first, { leaving: true }), 100);
   assert.ok(["i1", ...others].includes(view.coordinator(100, NONE).instanceId));
   assert.is(view.coordinator(5000, NONE).instanceId, "i1");
 });
@@ -60,9 +49,9 @@
 test("a weak instance coordinates only where no strong one is heard", () => {
   const ids = ["i1", "i2", "i3", "i4", "i5", "i6", "i7", "i8"];
   for (const strong of ids) {
-    const view = new MemberView(news("i0", { cores: 0.3 }));
+    const view = new MemberView(memberOf("i0", { cores: 0.3 }));
     for (const id of ids) {
-      view.heard(news(id, { cores: id === strong ? 1.3 : 0.3 }), 0);
+      view.heard(memberOf(id, { cores: id === strong ? 1.3 : 0.3 }), 0);
     }
     assert.is(view.coordinator(100, NONE).instanceId, strong);
     const next = view.coordinator(100, new Set([strong])).instanceId;
@@ -74,7 +63,7 @@
   const ids = Array.from({ length: 80 }, (_, index) => `i${index + 1}`);
   const view = viewOf("i0", ids);
   for (const id of ids.slice(0, 60)) {
-    view.heard(news(id), 1000);
+    view.heard(memberOf(id), 1000);
   }
   assert.is(view.heardShare(1100), 1);
   assert.is(view.directShare(1100), 61 / 81);
@@ -83,21 +72,21 @@
 test("an instance cut off counts its share of the fleet", () => {
   const view = viewOf("i1", ["i2", "i3", "i4"]);
   assert.is(view.heardShare(100), 1);
-  view.heard(news("i2"), 5000);
+  view.heard(memberOf("i2"), 5000);
   assert.is(view.heardShare(5000), 0.5);
 });
 
 test("word of an earlier start of a member is ignored", () => {
   const view = viewOf("i1", []);
-  view.heard(news("i2", { incarnation: 2, address: "new:1" }), 0);
-  view.heard(news("i2", { incarnation: 1, address: "old:1" }), 10);
+  view.heard(memberOf("i2", { incarnation: 2, address: "new:1" }), 0);
+  view.heard(memberOf("i2", { incarnation: 1, address: "old:1" }), 10);
   assert.is(view.get("i2")?.address, "new:1");
 });
 
 test("an instance restarted after its clock was put back is heard again", () => {
   const view = viewOf("i1", []);
-  view.heard(news("i2", { incarnation: 2, address: "old:1" }), 0);
-  view.heard(news("i2", { incarnation: 1, address: "new:1" }), 1500);
+  view.heard(memberOf("i2", { incarnation: 2, address: "old:1" }), 0);
+  view.heard(memberOf("i2", { incarnation: 1, address: "new:1" }), 1500);
   assert.is(view.get("i2")?.address, "new:1");
 });
 
@@ -111,13 +100,13 @@
   assert.is(view.coordinator(2500, NONE).instanceId, first);
   const second = view.coordinator(3000, NONE).instanceId;
   assert.is.not(second, first);
-  view.heard(news(first), 3100);
+  view.heard(memberOf(first), 3100);
   assert.is(view.coordinator(3100, NONE).instanceId, first);
 });
 
 test("a member that was only told of gets no duties", () => {
   const view = viewOf("i1", []);
-  view.toldOf(news("i2"), 0);
+  view.toldOf(memberOf("i2"), 0);
   assert.is(view.coordinator(0, NONE).instanceId, "i1");
   // It may be about to be heard, and then it is gone for good.
   assert.is(view.heardShare(100), 0.5);
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -6,7 +6,7 @@
   type RoutePolicy,
 } from "./fleet_configuration.ts";
 import { CutDomains } from "./cut_domains.ts";
-import { MemberView } from "./member_view.ts";
+import { type MemberNews, MemberView } from "./member_view.ts";
 import { RouteTable } from "./route_table.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import { TargetDirectory } from "./target_directory.ts";
@@ -14,6 +14,26 @@
 import { TargetPaces } from "./target_paces.ts";
 import { AskCause, type WorkAsk } from "./work_ask.ts";
 
+/**
+ * @param instanceId The member's id.
+ * @param over What differs from one in failure domain `a`.
+ * @returns What it says of itself.
+ */
+export function memberOf(
+  instanceId: string,
+  over: Partial<MemberNews> = {},
+): MemberNews {
+  return {
+    instanceId,
+    address: `${instanceId}:7000`,
+    failureDomain: "a",
+    incarnation: 1,
+    leaving: false,
+    cores: 1,
+    ...over,
+  };
+}
+
 /**
  * @param over What differs from a plain route.
  * @returns A route of pool `p`.
@@ -88,14 +108,7 @@
     })),
     0,
   );
-  const members = new MemberView({
-    instanceId: "i1",
-    address: "10.1.0.1:7000",
-    failureDomain: "a",
-    incarnation: 1,
-    leaving: false,
-    cores: 1,
-  });
+  const members = new MemberView(memberOf("i1"));
   return {
     routes: new RouteTable(configurationOf(over)),
     targets,
