Log how callers' connections end while an answer is owed, and count all ends

Cause: nothing told how a caller's connection ended. `answered` says that an answer was handed to the connection, not that it was written out; `stopped` had only requests in progress; the line `caller left` also came for connections that the instance itself closed; an error while stopping was an `unexpected error` like any other.

Change: caller_connections.ts knows the open connections and the answers owed on each, and tells for each unanswered request what ended its connection, the stage of the shutdown, how far the answer was, the targets that may have run it, and the bytes that waited; two counters. `stopping` and `stopped` have connections, owed answers and waiting bytes; `stopping failed` has the error. The new line takes the place of `caller left` and `caller broke off`, so there are no more lines for ordinary events than before. When anything is closed is as before.

--- /dev/null
+++ b/packages/gateway/src/caller_connection.ts
@@ -0,0 +1,144 @@
+/** One open connection of a caller: how it ends, and what is owed on it. */
+
+import type { Socket } from "node:net";
+import type { OwedAnswer } from "./owed_answer.ts";
+
+/** What ended a connection. The first cause seen counts. */
+export enum ConnectionEnd {
+  /** No request came within the time that a connection may idle. */
+  IdleTime = "idle_time",
+  /** A request's headers were not whole within their time limit. */
+  HeadersTime = "headers_time",
+  /** The instance closed its idle connections while it stopped. */
+  ClosedIdle = "closed_idle",
+  /** The instance closed all connections: the process ends. */
+  ProcessEnd = "process_end",
+  /** The instance closed it after an answer that said so. */
+  AfterAnswer = "after_answer",
+  /** The instance broke an answer off that it had begun. */
+  BrokenOff = "broken_off",
+  /** The caller closed it. */
+  CallerLeft = "caller_left",
+  /** The caller or the network reset it, or a write to it failed. */
+  Reset = "reset",
+  /** What came was no request in the protocol. */
+  Unreadable = "unreadable",
+  /** None of the above was seen. */
+  Unknown = "unknown",
+}
+
+const HEADERS_TIME_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
+
+/** Prefix of the codes of errors of the runtime's HTTP parser. */
+const PARSER_CODE_PREFIX = "HPE_";
+
+/** Observes one connection; never closes it or changes what is sent. */
+export class CallerConnection {
+  readonly #socket: Socket;
+  readonly #owed = new Set<OwedAnswer>();
+  #end?: ConnectionEnd;
+  #reason?: string;
+  #waitingBytes = 0;
+
+  /**
+   * @param socket The connection.
+   * @param onClosed Called once it has closed.
+   */
+  constructor(socket: Socket, onClosed: () => void) {
+    this.#socket = socket;
+    // Ahead of the server's own listeners, which close the connection.
+    socket.prependListener("end", () => this.endsBy(ConnectionEnd.CallerLeft));
+    socket.prependListener(
+      "timeout",
+      () => this.endsBy(ConnectionEnd.IdleTime),
+    );
+    socket.prependListener("error", (error) => this.#failed(error));
+    socket.on("close", onClosed);
+  }
+
+  /** What ended it, as far as was seen. */
+  get end(): ConnectionEnd {
+    return this.#end ?? ConnectionEnd.Unknown;
+  }
+
+  /** Code or text of the error that it ended with, if any. */
+  get reason(): string | undefined {
+    return this.#reason;
+  }
+
+  /** Whether the instance has let go of it. */
+  get isDestroyed(): boolean {
+    return this.#socket.destroyed;
+  }
+
+  /** Answers that are not written out, oldest first. */
+  get owed(): readonly OwedAnswer[] {
+    return [...this.#owed];
+  }
+
+  /**
+   * Bytes that were not known to be written out when last looked at. A write
+   * counts whole until its last byte is written.
+   */
+  get waitingBytes(): number {
+    return this.#waitingBytes;
+  }
+
+  /** @param answer An answer that the connection owes from now on. */
+  owe(answer: OwedAnswer): void {
+    this.#owed.add(answer);
+    answer.response.on("prefinish", () => this.#handedOver(answer));
+    answer.response.on("finish", () => this.#finished(answer));
+  }
+
+  /** @param end What is about to end the connection, or has. */
+  endsBy(end: ConnectionEnd): void {
+    this.look();
+    this.#end ??= end;
+  }
+
+  /** Notes how much waits, while the runtime still tells. */
+  look(): void {
+    const { destroyed, writableLength } = this.#socket;
+    this.#waitingBytes = destroyed
+      ? Math.max(this.#waitingBytes, writableLength)
+      : writableLength;
+  }
+
+  /** Where no byte had to wait, the answer is written out already. */
+  #handedOver(answer: OwedAnswer): void {
+    this.look();
+    if (!this.#socket.destroyed && this.#waitingBytes === 0) {
+      this.#written(answer);
+    }
+  }
+
+  /** The runtime tells `finish` also where it gave the bytes up. */
+  #finished(answer: OwedAnswer): void {
+    if (!this.#socket.destroyed && this.#socket.errored === null) {
+      this.look();
+      this.#written(answer);
+    }
+  }
+
+  #written(answer: OwedAnswer): void {
+    this.#owed.delete(answer);
+    if (answer.facts.closesAfter) {
+      this.endsBy(ConnectionEnd.AfterAnswer);
+    }
+  }
+
+  #failed(error: NodeJS.ErrnoException): void {
+    this.#reason = error.code ?? error.message;
+    this.endsBy(endOfCode(error.code ?? ""));
+  }
+}
+
+function endOfCode(code: string): ConnectionEnd {
+  if (code === HEADERS_TIME_CODE) {
+    return ConnectionEnd.HeadersTime;
+  }
+  return code.startsWith(PARSER_CODE_PREFIX)
+    ? ConnectionEnd.Unreadable
+    : ConnectionEnd.Reset;
+}
--- /dev/null
+++ b/packages/gateway/src/caller_connections_test.ts
@@ -0,0 +1,352 @@
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { Writable } from "node:stream";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ConnectionEnd } from "./caller_connection.ts";
+import { CallerConnections } from "./caller_connections.ts";
+import { ClosingStage } from "./closing_stage.ts";
+import { EventLog } from "./event_log.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+import { OwedAnswer } from "./owed_answer.ts";
+
+const HOST = "127.0.0.1";
+/** More than the buffers of a loopback connection hold. */
+const LARGE_BYTES = 32 * 1024 * 1024;
+const SMALL = Buffer.from("whole");
+const CLOCK = { nowMs: () => 0 };
+const POLLS = 1500;
+const POLL_MS = 10;
+/** What no test waits for. */
+const NEVER_MS = 600_000;
+
+/** Time limits of the server. */
+interface Limits {
+  idleTimeMs?: number;
+  headersTimeMs?: number;
+}
+
+/** A server whose paths answer in different ways, and the account of it. */
+class Bench {
+  readonly callers: Socket[] = [];
+  readonly #texts: string[] = [];
+  readonly #metrics = new GatewayMetrics();
+  readonly #log = new EventLog(
+    CLOCK,
+    "i1",
+    new Writable({
+      write: (chunk, _encoding, done) => {
+        this.#texts.push(String(chunk));
+        done();
+      },
+    }),
+  );
+  readonly connections = new CallerConnections({
+    clock: CLOCK,
+    log: this.#log,
+    metrics: this.#metrics,
+    stage: () => ClosingStage.Refusing,
+  });
+  readonly server: Server;
+  /** The latest answer owed. */
+  latest?: OwedAnswer;
+
+  constructor({ idleTimeMs = NEVER_MS, headersTimeMs = NEVER_MS }: Limits) {
+    this.server = createServer({
+      keepAliveTimeout: idleTimeMs,
+      headersTimeout: headersTimeMs,
+      requestTimeout: 0,
+      connectionsCheckingInterval: POLL_MS,
+    }, (request, response) => this.#read(request, response));
+    this.server.on("connection", (socket) => this.connections.add(socket));
+  }
+
+  /** Connects a caller that reads nothing yet. */
+  async call(text: string): Promise<Socket> {
+    const { port } = this.server.address() as AddressInfo;
+    const caller = connect(port, HOST);
+    caller.on("error", () => {});
+    this.callers.push(caller);
+    await once(caller, "connect");
+    caller.write(text);
+    return caller;
+  }
+
+  /** Connects a caller whose request is read. */
+  async request(path: string, more = ""): Promise<Socket> {
+    this.latest = undefined;
+    const caller = await this.call(requestOf(path, more));
+    await until(() => this.latest !== undefined);
+    return caller;
+  }
+
+  /** Lines of the account, without what every line has. */
+  lines(): Record<string, unknown>[] {
+    this.#log.flush();
+    const lines = this.#texts.join("").split("\n").filter((text) => text);
+    return lines.map((text) => {
+      const { atMs: _, instance: _instance, level: _level, part, ...facts } =
+        JSON.parse(text);
+      assert.is(part, "request");
+      return facts;
+    });
+  }
+
+  /** Lines, once there are as many. */
+  async linesOf(count: number): Promise<Record<string, unknown>[]> {
+    await until(() => this.lines().length >= count);
+    return this.lines();
+  }
+
+  /** Counters above 0, once the connections of all callers have ended. */
+  async counters(): Promise<string[]> {
+    await until(() => this.connections.summary.openConnections === 0);
+    const text = await this.#metrics.text();
+    return text.split("\n").filter((line) =>
+      /^chestnuthatch_(caller_connections_ended|unanswered)/.test(line)
+    );
+  }
+
+  close(): void {
+    this.callers.forEach((caller) => caller.destroy());
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  #read(request: IncomingMessage, response: ServerResponse): void {
+    const owed = new OwedAnswer(response, {
+      requestId: request.url!,
+      arrivedAtMs: 0,
+      closesAfter: !response.shouldKeepAlive,
+    });
+    this.connections.owe(owed);
+    ANSWERS[request.url!]!(response);
+    request.on("error", () => {});
+    request.resume();
+    this.latest = owed;
+  }
+}
+
+const ANSWERS: Readonly<Record<string, (response: ServerResponse) => void>> = {
+  "/large": (response) => response.end(Buffer.alloc(LARGE_BYTES)),
+  "/small": (response) => response.end(SMALL),
+  "/begun": (response) => response.write(SMALL),
+  "/never": () => {},
+};
+
+function requestOf(path: string, more = ""): string {
+  return `POST ${path} HTTP/1.1\r\nHost: h\r\n${more}\r\n`;
+}
+
+async function until(holds: () => boolean): Promise<void> {
+  for (let polls = 0; !holds(); polls++) {
+    assert.ok(polls < POLLS, `waited in vain for ${holds}`);
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
+function testOn(
+  name: string,
+  run: (bench: Bench) => Promise<void>,
+  limits: Limits = {},
+): void {
+  test(name, async () => {
+    const bench = new Bench(limits);
+    bench.server.listen(0, HOST);
+    await once(bench.server, "listening");
+    try {
+      await run(bench);
+    } finally {
+      bench.close();
+    }
+  });
+}
+
+function ended(end: string): string {
+  return `chestnuthatch_caller_connections_ended_total{end="${end}"} 1`;
+}
+
+function unanswered(end: string, answer: string): string {
+  const labels = `end="${end}",answer="${answer}"`;
+  return `chestnuthatch_unanswered_requests_total{${labels}} 1`;
+}
+
+const LINE = {
+  message: "connection ended unanswered",
+  stage: "refusing",
+  runs: 0,
+  waitingBytes: 0,
+  tookMs: 0,
+};
+
+testOn("an answer that is cut while it waits is told", async (bench) => {
+  await bench.request("/large");
+  bench.connections.closing(
+    ConnectionEnd.ClosedIdle,
+    () => bench.server.closeAllConnections(),
+  );
+  const [line] = await bench.linesOf(1);
+  const { waitingBytes, ...facts } = line!;
+  assert.ok(Number(waitingBytes) >= LARGE_BYTES, String(waitingBytes));
+  assert.equal({ ...facts, waitingBytes: 0 }, {
+    ...LINE,
+    requestId: "/large",
+    end: "closed_idle",
+    answer: "handed_over",
+  });
+  assert.equal(await bench.counters(), [
+    ended("closed_idle"),
+    unanswered("closed_idle", "handed_over"),
+  ]);
+});
+
+testOn("closing tells only of connections that it ends", async (bench) => {
+  const caller = await bench.request("/never");
+  bench.connections.closing(
+    ConnectionEnd.ClosedIdle,
+    () => bench.server.closeIdleConnections(),
+  );
+  caller.destroy();
+  assert.equal(await bench.counters(), [
+    ended("caller_left"),
+    unanswered("caller_left", "pending"),
+  ]);
+});
+
+testOn("an answer written out owes nothing", async (bench) => {
+  const caller = await bench.request("/small", "Connection: close\r\n");
+  caller.resume();
+  await once(caller, "close");
+  assert.equal(await bench.counters(), [ended("after_answer")]);
+  assert.equal(bench.lines(), []);
+});
+
+testOn("an answer written in the tick of the close counts", async (bench) => {
+  const caller = await bench.request("/never");
+  bench.connections.closing(ConnectionEnd.ProcessEnd, () => {
+    bench.latest!.response.end(SMALL);
+    bench.server.closeAllConnections();
+  });
+  caller.resume();
+  assert.equal(await bench.counters(), [ended("process_end")]);
+  assert.equal(bench.lines(), []);
+});
+
+testOn("a caller that leaves before its answer is told", async (bench) => {
+  const caller = await bench.request("/never");
+  bench.latest!.countRuns = () => 1;
+  caller.destroy();
+  assert.equal(await bench.linesOf(1), [{
+    ...LINE,
+    requestId: "/never",
+    end: "caller_left",
+    answer: "pending",
+    runs: 1,
+  }]);
+});
+
+testOn("an answer whose write fails is not written out", async (bench) => {
+  const caller = await bench.request("/large");
+  caller.end();
+  const { socket } = bench.latest!.response.req;
+  await until(() => socket.readableEnded);
+  caller.resetAndDestroy();
+  const [line] = await bench.linesOf(1);
+  assert.ok(Number(line!.waitingBytes) >= LARGE_BYTES);
+  assert.equal(await bench.counters(), [
+    ended("caller_left"),
+    unanswered("caller_left", "handed_over"),
+  ]);
+});
+
+testOn("a reset tells its error and what waited", async (bench) => {
+  const caller = await bench.request("/large");
+  caller.resetAndDestroy();
+  const [line] = await bench.linesOf(1);
+  assert.ok(Number(line!.waitingBytes) >= LARGE_BYTES);
+  assert.match(String(line!.reason), "ECONNRESET");
+  assert.equal(await bench.counters(), [
+    ended("reset"),
+    unanswered("reset", "handed_over"),
+  ]);
+});
+
+testOn("a request whose reading breaks off is told", async (bench) => {
+  const caller = await bench.request("/never", "Content-Length: 9\r\n");
+  caller.end("part");
+  assert.equal(await bench.linesOf(1), [{
+    ...LINE,
+    requestId: "/never",
+    end: "caller_left",
+    reason: "HPE_INVALID_EOF_STATE",
+    answer: "reading",
+  }]);
+});
+
+testOn("an answer broken off by the instance is told", async (bench) => {
+  await bench.request("/begun");
+  bench.connections.endsBy(bench.latest!, ConnectionEnd.BrokenOff);
+  bench.latest!.response.destroy();
+  assert.equal(await bench.linesOf(1), [{
+    ...LINE,
+    requestId: "/begun",
+    end: "broken_off",
+    answer: "begun",
+  }]);
+});
+
+testOn("each pipelined request is told by itself", async (bench) => {
+  const caller = await bench.call(requestOf("/never") + requestOf("/small"));
+  await until(() => bench.latest?.facts.requestId === "/small");
+  caller.destroy();
+  const lines = await bench.linesOf(2);
+  assert.equal(lines.map(({ requestId, answer }) => [requestId, answer]), [
+    ["/never", "pending"],
+    ["/small", "handed_over"],
+  ]);
+});
+
+testOn("what is open when the process ends is told once", async (bench) => {
+  await bench.request("/large");
+  await bench.request("/never");
+  const { waitingBytes, ...open } = bench.connections.summary;
+  assert.equal(open, { openConnections: 2, owedAnswers: 2 });
+  assert.ok(waitingBytes >= LARGE_BYTES, String(waitingBytes));
+  bench.connections.endAll(ConnectionEnd.ProcessEnd);
+  bench.callers.forEach((caller) => caller.destroy());
+  await Promise.all(bench.callers.map((caller) => once(caller, "close")));
+  assert.equal(
+    bench.lines().map(({ requestId, end }) => [requestId, end]),
+    [["/large", "process_end"], ["/never", "process_end"]],
+  );
+});
+
+testOn("idle time is counted", async (bench) => {
+  const caller = await bench.request("/small");
+  caller.resume();
+  assert.equal(await bench.counters(), [ended("idle_time")]);
+  assert.equal(bench.lines(), []);
+}, { idleTimeMs: POLL_MS });
+
+testOn("the time limit of headers is counted", async (bench) => {
+  const caller = await bench.call("POST /small HT");
+  caller.resume();
+  await once(caller, "close");
+  assert.equal(await bench.counters(), [ended("headers_time")]);
+}, { headersTimeMs: POLL_MS });
+
+testOn("what is no request is counted", async (bench) => {
+  const caller = await bench.call("no request\r\n\r\n");
+  caller.resume();
+  await once(caller, "close");
+  assert.equal(await bench.counters(), [ended("unreadable")]);
+});
+
+test.run();
--- a/packages/gateway/src/caller_reply.ts
+++ b/packages/gateway/src/caller_reply.ts
@@ -21,19 +21,27 @@
   readonly retryAfterMs?: number;
 }
 
+/** How one answer goes back. */
+export interface ReplyOptions {
+  /** Whether the connection is to close after the answer. */
+  readonly closes: boolean;
+  /** Called when a begun answer is about to be broken off. */
+  beforeCut(): void;
+}
+
 /** Writes one answer. */
 export class CallerReply {
   readonly #response: ServerResponse;
-  readonly #closes: boolean;
+  readonly #options: ReplyOptions;
   #begun = false;
 
   /**
    * @param response Where to write.
-   * @param closes Whether the connection is to close after the answer.
+   * @param options How the answer goes back.
    */
-  constructor(response: ServerResponse, closes: boolean) {
+  constructor(response: ServerResponse, options: ReplyOptions) {
     this.#response = response;
-    this.#closes = closes;
+    this.#options = options;
     response.sendDate = false;
   }
 
@@ -90,6 +98,7 @@
   /** Breaks the answer off, so that it cannot pass for a whole one. */
   cut(): void {
     this.#begun = true;
+    this.#options.beforeCut();
     this.#response.destroy();
   }
 
@@ -118,6 +127,6 @@
   }
 
   #closeHeader(): string[] {
-    return this.#closes ? ["Connection", "close"] : [];
+    return this.#options.closes ? ["Connection", "close"] : [];
   }
 }
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -14,9 +14,16 @@
 } from "@chestnuthatch/routing/fleet_configuration";
 import { RoutedError } from "@chestnuthatch/routing/refusal";
 import type { RouteTable } from "@chestnuthatch/routing/route_table";
+import { ConnectionEnd } from "./caller_connection.ts";
+import {
+  CallerConnections,
+  type OpenConnections,
+} from "./caller_connections.ts";
 import { CallerReply } from "./caller_reply.ts";
+import { ClosingStage } from "./closing_stage.ts";
 import { LogPart } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
+import { OwedAnswer } from "./owed_answer.ts";
 import { listen } from "./peer_catalog.ts";
 import type { CallFacts } from "./ports.ts";
 import type { RoutedCall } from "./routed_call.ts";
@@ -39,15 +46,6 @@
 /** When to come back to another instance than one that is leaving. */
 const LEAVING_RETRY_MS = 50;
 
-/** How far a graceful shutdown has come. */
-enum ClosingStage {
-  Open,
-  /** Requests are served, and connections close after their answers. */
-  Announcing,
-  /** Requests that still arrive are refused: they could not finish. */
-  Refusing,
-}
-
 /** What the configuration says of a request. */
 type Admission =
   | { readonly error: RoutedError; readonly retryAfterMs?: number }
@@ -62,6 +60,7 @@
 export class FrontServer {
   readonly #parts: GatewayParts;
   readonly #server: Server;
+  readonly #connections: CallerConnections;
   readonly #open = new Set<RoutedRequest>();
   #limits = STARTING_LIMITS;
   #stage = ClosingStage.Open;
@@ -79,6 +78,10 @@
       maxHeaderSize: STARTING_LIMITS.maxHeaderBytes,
       noDelay: true,
     }, (request, response) => this.#read(request, response));
+    const { clock, log, metrics } = parts;
+    const stage = () => this.#stage;
+    this.#connections = new CallerConnections({ clock, log, metrics, stage });
+    this.#server.on("connection", (socket) => this.#connections.add(socket));
   }
 
   /** Requests in progress. */
@@ -86,6 +89,11 @@
     return this.#open.size + this.#reading;
   }
 
+  /** Callers' connections, and what waits on them. */
+  get connections(): OpenConnections {
+    return this.#connections.summary;
+  }
+
   /** `ip:port` that callers connect to. */
   get address(): string {
     const address = this.#server.address();
@@ -117,16 +125,22 @@
   /** From now on, requests are refused and idle connections are closed. */
   refuseRequests(): void {
     this.#stage = ClosingStage.Refusing;
-    this.#server.closeIdleConnections();
+    this.#connections.closing(
+      ConnectionEnd.ClosedIdle,
+      () => this.#server.closeIdleConnections(),
+    );
   }
 
   /** Ends all connections; requests in progress are told so. */
   close(): void {
-    for (const request of this.#open) {
-      request.abort();
-    }
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    this.#connections.closing(ConnectionEnd.ProcessEnd, () => {
+      for (const request of this.#open) {
+        request.abort();
+      }
+      this.#server.close();
+      this.#server.closeIdleConnections();
+    });
+    this.#connections.endAll(ConnectionEnd.ProcessEnd);
   }
 
   /** Drops every connection. */
@@ -138,10 +152,19 @@
     const { clock, protocol } = this.#parts;
     const arrivedAtMs = clock.nowMs();
     const facts = protocol.readCall(request.headers);
-    const reply = new CallerReply(
-      response,
-      this.#stage !== ClosingStage.Open,
-    );
+    const { requestId } = facts;
+    const closes = this.#stage !== ClosingStage.Open;
+    const closesAfter = closes || !response.shouldKeepAlive;
+    const owed = new OwedAnswer(response, {
+      requestId,
+      arrivedAtMs,
+      closesAfter,
+    });
+    this.#connections.owe(owed);
+    const reply = new CallerReply(response, {
+      closes,
+      beforeCut: () => this.#connections.endsBy(owed, ConnectionEnd.BrokenOff),
+    });
     const admission = this.#admit(request, facts);
     if ("error" in admission) {
       this.#refuse(reply, facts, admission);
@@ -182,15 +205,10 @@
         arrivedAtMs,
         admission,
       });
-      this.#begin(call, response, reply);
-    });
-    request.on("error", (error) => {
-      doneReading();
-      this.#parts.log.info(LogPart.Request, "caller broke off", {
-        requestId: facts.requestId,
-        reason: error.message,
-      });
+      this.#begin(call, owed, reply);
     });
+    // The end of its connection is logged, with the reason.
+    request.on("error", doneReading);
     request.on("close", doneReading);
   }
 
@@ -242,7 +260,7 @@
 
   #begin(
     call: RoutedCall,
-    response: ServerResponse,
+    owed: OwedAnswer,
     reply: CallerReply,
   ): void {
     const routed = new RoutedRequest(this.#parts, {
@@ -253,8 +271,10 @@
         this.#parts.metrics.openRequests(this.#open.size);
       },
     });
+    owed.countRuns = () => routed.runs;
     this.#open.add(routed);
     this.#parts.metrics.openRequests(this.#open.size);
+    const { response } = owed;
     response.on("close", () => {
       if (!response.writableFinished) {
         routed.callerLeft();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -207,7 +207,20 @@
    */
   unexpected(error: unknown): void {
     this.#log.warn(LogPart.Process, "unexpected error", {
-      reason: error instanceof Error ? error.stack : String(error),
+      reason: reasonOf(error),
+    });
+    this.#log.flush();
+  }
+
+  /**
+   * Tells that stopping has failed; the process is still running then.
+   *
+   * @param error The error.
+   */
+  cannotStop(error: unknown): void {
+    this.#log.warn(LogPart.Process, "stopping failed", {
+      reason: reasonOf(error),
+      ...this.#front.connections,
     });
     this.#log.flush();
   }
@@ -251,6 +264,7 @@
     this.#membership.leave();
     this.#log.info(LogPart.Process, "stopping", {
       openRequests: this.#front.openCount,
+      ...this.#front.connections,
       graceMs: this.#settings.graceMs,
     });
     const lastMs = this.#settings.graceMs - GRACE_MARGIN_MS;
@@ -267,6 +281,7 @@
     }
     this.#log.info(LogPart.Process, "stopped", {
       cutRequests: this.#front.openCount,
+      ...this.#front.connections,
       tookMs: Math.round(this.#clock.nowMs() - beganAtMs),
     });
     this.#close();
@@ -431,6 +446,10 @@
   }
 }
 
+function reasonOf(error: unknown): string | undefined {
+  return error instanceof Error ? error.stack : String(error);
+}
+
 /**
  * Stops a gateway and its process on the usual signals, and on no error.
  *
@@ -438,7 +457,10 @@
  */
 export function stopOnSignals(gateway: Gateway): void {
   const stop = () => {
-    void gateway.stop().then(() => process.exit(0));
+    void gateway.stop().then(
+      () => process.exit(0),
+      (error) => gateway.cannotStop(error),
+    );
   };
   process.on("uncaughtException", (error) => gateway.unexpected(error));
   process.on("unhandledRejection", (error) => gateway.unexpected(error));
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -54,6 +54,16 @@
     "Time until a place at a target was given.",
     ["pool"],
   );
+  readonly #connectionEnds = this.#counter(
+    "caller_connections_ended_total",
+    "Connections of callers, by what ended them.",
+    ["end"],
+  );
+  readonly #unanswered = this.#counter(
+    "unanswered_requests_total",
+    "Requests whose connection ended before their answer was written out.",
+    ["end", "answer"],
+  );
   readonly #open = this.#gauge("open_requests", "Requests in progress.");
   readonly #version = this.#gauge(
     "configuration_version",
@@ -110,6 +120,19 @@
     this.#placement.observe({ pool }, tookMs);
   }
 
+  /** @param end What ended a connection of a caller. */
+  connectionEnded(end: string): void {
+    this.#connectionEnds.inc({ end });
+  }
+
+  /**
+   * @param end What ended the connection of a request.
+   * @param answer How far its answer had come.
+   */
+  unanswered(end: string, answer: string): void {
+    this.#unanswered.inc({ end, answer });
+  }
+
   /** @param count Requests in progress. */
   openRequests(count: number): void {
     this.#open.set(count);
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -48,7 +48,6 @@
   #askId?: string;
   #askedAtMs = 0;
   #attempt?: TargetAttempt;
-  /** Targets that may have run it. */
   #runs = 0;
   /** Sends that certainly no target ran. */
   #rejections = 0;
@@ -78,6 +77,11 @@
     );
   }
 
+  /** Targets that may have run it. */
+  get runs(): number {
+    return this.#runs;
+  }
+
   /** Begins: asks for a place. */
   start(): void {
     const leftMs = deadlineAtMs(this.#call) - this.#nowMs();
@@ -91,7 +95,6 @@
       return;
     }
     this.#callerGone = true;
-    this.#log("caller left", { running: this.#attempt !== undefined });
     // Work that must not be repeated is let finish: it has its effect.
     const mayStop = this.#attempt === undefined ||
       this.#call.route.kind !== RequestKind.AtMostOnce;
