Mend: an answer counts as given once it is written out, not once it is handed over

Cause: while an instance stops, the runtime's closeIdleConnections() was called every 50 ms. It takes a connection for idle as soon as its answer is ended, though bytes of it wait for the caller; and the process ended as soon as no request was in progress, whatever waited. The class: a state that is left when work was handed on, not when it was done.

Ruled out: requests cut after the stop signal by the coordinator or the targets; all were answered whole.

Change: connections know what is owed on them and close as idle by that; stopping waits for what waits (graceful_stop.ts, out of gateway.ts); refusals end once the request is read; a raised idle time holds for connections that idle now; a failed stop ends the process instead of leaving it to the kill.

--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -32,13 +32,15 @@
 /** Prefix of the codes of errors of the runtime's HTTP parser. */
 const PARSER_CODE_PREFIX = "HPE_";
 
-/** Observes one connection; never closes it or changes what is sent. */
+/** Observes one connection, and closes it only where nothing is owed on it. */
 export class CallerConnection {
   readonly #socket: Socket;
   readonly #owed = new Set<OwedAnswer>();
   #end?: ConnectionEnd;
   #reason?: string;
   #waitingBytes = 0;
+  /** Bytes that had been read when its last answer was written out. */
+  #idleAtBytes?: number;
 
   /**
    * @param socket The connection.
@@ -84,6 +86,27 @@
     return this.#waitingBytes;
   }
 
+  /**
+   * Whether its last answer is written out and no part of another request has
+   * come. The runtime takes a connection for idle as soon as an answer is handed
+   * to it, though bytes of it may still wait for the caller; closed then, a
+   * caller behind a narrow link gets 4 of 11 MB.
+   */
+  get isIdle(): boolean {
+    return this.#owed.size === 0 &&
+      this.#socket.bytesRead === this.#idleAtBytes;
+  }
+
+  /** Closes it. */
+  close(): void {
+    this.#socket.destroy();
+  }
+
+  /** @param idleTimeMs Time from now that it may idle. */
+  mayIdle(idleTimeMs: number): void {
+    this.#socket.setTimeout(idleTimeMs);
+  }
+
   /** @param answer An answer that the connection owes from now on. */
   owe(answer: OwedAnswer): void {
     this.#owed.add(answer);
@@ -123,6 +146,7 @@
 
   #written(answer: OwedAnswer): void {
     this.#owed.delete(answer);
+    this.#idleAtBytes = this.#socket.bytesRead;
     if (answer.facts.closesAfter) {
       this.endsBy(ConnectionEnd.AfterAnswer);
     }
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -1,7 +1,7 @@
 /** All open connections of callers, and an account of those that ended. */
 
 import type { Socket } from "node:net";
-import { CallerConnection, type ConnectionEnd } from "./caller_connection.ts";
+import { CallerConnection, ConnectionEnd } from "./caller_connection.ts";
 import type { ClosingStage } from "./closing_stage.ts";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
@@ -65,6 +65,24 @@
     this.#open.get(answer.response.req.socket)?.endsBy(end);
   }
 
+  /** Closes those on which nothing is owed and no request has begun. */
+  closeIdle(): void {
+    for (const connection of this.#idle()) {
+      connection.endsBy(ConnectionEnd.ClosedIdle);
+      connection.close();
+    }
+  }
+
+  /**
+   * Lets connections that idle now do so for longer. Callers go by the newest
+   * limit: one that reuses a connection within it must not find it closed.
+   *
+   * @param idleTimeMs The time, from now.
+   */
+  mayIdle(idleTimeMs: number): void {
+    this.#idle().forEach((connection) => connection.mayIdle(idleTimeMs));
+  }
+
   /**
    * Closes connections, and notes which ended by that.
    *
@@ -93,6 +111,10 @@
     }
   }
 
+  #idle(): CallerConnection[] {
+    return [...this.#open.values()].filter(({ isIdle }) => isIdle);
+  }
+
   #ended(socket: Socket): void {
     const connection = this.#open.get(socket);
     if (connection === undefined) {
--- a/packages/gateway/src/caller_connections_test.ts
+++ b/packages/gateway/src/caller_connections_test.ts
@@ -36,6 +36,8 @@
 /** A server whose paths answer in different ways, and the account of it. */
 class Bench {
   readonly callers: Socket[] = [];
+  /** The server's ends of their connections. */
+  readonly accepted: Socket[] = [];
   readonly #texts: string[] = [];
   readonly #metrics = new GatewayMetrics();
   readonly #log = new EventLog(
@@ -65,7 +67,10 @@
       requestTimeout: 0,
       connectionsCheckingInterval: POLL_MS,
     }, (request, response) => this.#read(request, response));
-    this.server.on("connection", (socket) => this.connections.add(socket));
+    this.server.on("connection", (socket) => {
+      this.accepted.push(socket);
+      this.connections.add(socket);
+    });
   }
 
   /** Connects a caller that reads nothing yet. */
@@ -220,6 +225,41 @@
   ]);
 });
 
+testOn("an answer that waits is not closed as idle", async (bench) => {
+  const caller = await bench.request("/large");
+  bench.connections.closeIdle();
+  let bytesRead = 0;
+  caller.on("data", (chunk: Buffer) => bytesRead += chunk.length);
+  await until(() => bytesRead > LARGE_BYTES);
+  await until(() => {
+    bench.connections.closeIdle();
+    return bench.connections.summary.openConnections === 0;
+  });
+  assert.equal(await bench.counters(), [ended("closed_idle")]);
+  assert.equal(bench.lines(), []);
+});
+
+testOn("a request that has begun to arrive is no idle time", async (bench) => {
+  const caller = await bench.request("/small");
+  caller.resume();
+  await until(() => bench.connections.summary.owedAnswers === 0);
+  const [accepted] = bench.accepted;
+  caller.write("POST /small HTTP/1.1\r\n");
+  const bytesBefore = requestOf("/small").length;
+  await until(() => accepted!.bytesRead > bytesBefore);
+  bench.connections.closeIdle();
+  assert.is(bench.connections.summary.openConnections, 1);
+});
+
+testOn("a raised limit holds for connections that idle", async (bench) => {
+  const caller = await bench.request("/small");
+  caller.resume();
+  await until(() => bench.connections.summary.owedAnswers === 0);
+  const [accepted] = bench.accepted;
+  bench.connections.mayIdle(2 * NEVER_MS);
+  assert.is(accepted!.timeout, 2 * NEVER_MS);
+});
+
 testOn("an answer written out owes nothing", async (bench) => {
   const caller = await bench.request("/small", "Connection: close\r\n");
   caller.resume();
--- a/packages/gateway/src/caller_reply.ts
+++ b/packages/gateway/src/caller_reply.ts
@@ -119,7 +119,22 @@
     }
     headers.push("Content-Length", String(body.length));
     this.#response.writeHead(status, [...headers, ...this.#closeHeader()]);
-    this.#response.end(body);
+    this.#response.write(body);
+    this.#endOnceRead();
+  }
+
+  /**
+   * The answer is out, and whole by its length. Where it closes the connection,
+   * that waits for the rest of the request: closed with bytes unread, the
+   * connection is reset, and a caller that is still sending loses the answer.
+   */
+  #endOnceRead(): void {
+    const { req } = this.#response;
+    if (req.complete) {
+      this.#response.end();
+    } else {
+      req.once("end", () => this.#response.end());
+    }
   }
 
   #headers(rawHeaders: readonly string[]): string[] {
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -84,6 +84,11 @@
     this.#server.on("connection", (socket) => this.#connections.add(socket));
   }
 
+  /** Whether no request is in progress and every answer is written out. */
+  get isIdle(): boolean {
+    return this.openCount === 0 && this.connections.owedAnswers === 0;
+  }
+
   /** Requests in progress. */
   get openCount(): number {
     return this.#open.size + this.#reading;
@@ -112,6 +117,9 @@
 
   /** @param limits What callers may send, from now on. */
   setLimits(limits: CallerLimits): void {
+    if (limits.idleTimeoutMs > this.#limits.idleTimeoutMs) {
+      this.#connections.mayIdle(limits.idleTimeoutMs);
+    }
     this.#limits = limits;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
     this.#server.headersTimeout = limits.headerTimeoutMs;
@@ -125,20 +133,21 @@
   /** From now on, requests are refused and idle connections are closed. */
   refuseRequests(): void {
     this.#stage = ClosingStage.Refusing;
-    this.#connections.closing(
-      ConnectionEnd.ClosedIdle,
-      () => this.#server.closeIdleConnections(),
-    );
+    this.#connections.closeIdle();
   }
 
-  /** Ends all connections; requests in progress are told so. */
+  /** Ends requests in progress; their callers are told so. */
+  abortRequests(): void {
+    for (const request of this.#open) {
+      request.abort();
+    }
+  }
+
+  /** Ends all connections, whatever is owed on them. */
   close(): void {
     this.#connections.closing(ConnectionEnd.ProcessEnd, () => {
-      for (const request of this.#open) {
-        request.abort();
-      }
+      this.abortRequests();
       this.#server.close();
-      this.#server.closeIdleConnections();
     });
     this.#connections.endAll(ConnectionEnd.ProcessEnd);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** One entry instance that routes requests: its parts, wired together. */
 
 import process from "node:process";
+import { setTimeout as pause } from "node:timers/promises";
 import { Coordinator } from "@chestnuthatch/routing/coordinator";
 import { CutDomains } from "@chestnuthatch/routing/cut_domains";
 import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
@@ -27,6 +28,7 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
+import { GracefulStop } from "./graceful_stop.ts";
 import { hostPortOf } from "./host_port.ts";
 import { MembershipKeeper } from "./membership_keeper.ts";
 import { PeerCatalog } from "./peer_catalog.ts";
@@ -43,25 +45,6 @@
 /** A tick this late means that the process stood still. */
 const PAUSE_MS = 400;
 
-/**
- * Least time from a stop signal to the end: the balancer needs two failed
- * readiness checks, one second apart, before it sends no more callers.
- */
-const LEAST_STOPPING_MS = 3000;
-
-/**
- * Time from a stop signal after which requests are refused: by then the
- * balancer sends no new callers, and what still arrives on kept connections
- * might outlast the grace time.
- */
-const REFUSE_AFTER_MS = 2600;
-
-/** Time before the kill at which whatever still runs is broken off. */
-const GRACE_MARGIN_MS = 500;
-
-/** Time between two looks at whether the last request has ended. */
-const STOP_CHECK_MS = 50;
-
 /** What a gateway is made of beside its settings. */
 export interface GatewayOptions {
   readonly protocol: CallProtocol;
@@ -70,6 +53,9 @@
   readonly clock?: Clock;
 }
 
+const EXIT_STOPPED = 0;
+const EXIT_CANNOT_STOP = 1;
+
 const MONOTONIC_CLOCK: Clock = { nowMs: () => performance.now() };
 
 /** Runs one entry instance within this process. */
@@ -213,7 +199,7 @@
   }
 
   /**
-   * Tells that stopping has failed; the process is still running then.
+   * Tells that stopping has failed, before the process ends.
    *
    * @param error The error.
    */
@@ -258,32 +244,15 @@
   }
 
   async #stop(): Promise<void> {
-    const beganAtMs = this.#clock.nowMs();
     this.#leaving = true;
-    this.#front.announceClosing();
     this.#membership.leave();
-    this.#log.info(LogPart.Process, "stopping", {
-      openRequests: this.#front.openCount,
-      ...this.#front.connections,
-      graceMs: this.#settings.graceMs,
-    });
-    const lastMs = this.#settings.graceMs - GRACE_MARGIN_MS;
-    for (;;) {
-      const spentMs = this.#clock.nowMs() - beganAtMs;
-      const isIdle = this.#front.openCount === 0;
-      if (spentMs >= lastMs || (isIdle && spentMs >= LEAST_STOPPING_MS)) {
-        break;
-      }
-      if (spentMs >= REFUSE_AFTER_MS) {
-        this.#front.refuseRequests();
-      }
-      await new Promise((resolve) => setTimeout(resolve, STOP_CHECK_MS));
-    }
-    this.#log.info(LogPart.Process, "stopped", {
-      cutRequests: this.#front.openCount,
-      ...this.#front.connections,
-      tookMs: Math.round(this.#clock.nowMs() - beganAtMs),
-    });
+    await new GracefulStop({
+      front: this.#front,
+      clock: this.#clock,
+      log: this.#log,
+      graceMs: () => this.#settings.graceMs,
+      pause: (forMs) => pause(forMs),
+    }).run();
     this.#close();
   }
 
@@ -458,8 +427,11 @@
 export function stopOnSignals(gateway: Gateway): void {
   const stop = () => {
     void gateway.stop().then(
-      () => process.exit(0),
-      (error) => gateway.cannotStop(error),
+      () => process.exit(EXIT_STOPPED),
+      (error) => {
+        gateway.cannotStop(error);
+        process.exit(EXIT_CANNOT_STOP);
+      },
     );
   };
   process.on("uncaughtException", (error) => gateway.unexpected(error));
--- /dev/null
+++ b/packages/gateway/src/graceful_stop.ts
@@ -0,0 +1,121 @@
+/** The end of an instance: what it has read is answered before it goes. */
+
+import { type EventLog, LogPart } from "./event_log.ts";
+import type { OpenConnections } from "./caller_connections.ts";
+import type { Clock } from "./ports.ts";
+
+/**
+ * Least time from a stop signal to the end: the balancer needs two failed
+ * readiness checks, one second apart, before it sends no more callers.
+ */
+const LEAST_STOPPING_MS = 3000;
+
+/**
+ * Time from a stop signal after which requests are refused: by then the
+ * balancer sends no new callers, and what still arrives on kept connections
+ * might outlast the grace time.
+ */
+const REFUSE_AFTER_MS = 2600;
+
+/** Time before the kill at which whatever still runs is broken off. */
+const BREAK_OFF_MARGIN_MS = 500;
+
+/**
+ * Time before the kill at which the process ends even if bytes still wait. The
+ * time between lets refusals and errors of what was broken off reach callers.
+ */
+const END_MARGIN_MS = 200;
+
+/** Time between two looks at whether all is answered. */
+const LOOK_MS = 50;
+
+/** The server for callers, as far as stopping it goes. */
+export interface StoppingServer {
+  /** Whether no request is in progress and every answer is written out. */
+  readonly isIdle: boolean;
+  /** Requests in progress. */
+  readonly openCount: number;
+  readonly connections: OpenConnections;
+  /** From now on, answers tell callers to close their connections. */
+  announceClosing(): void;
+  /** From now on, requests are refused and idle connections are closed. */
+  refuseRequests(): void;
+  /** Ends requests in progress; their callers are told so. */
+  abortRequests(): void;
+}
+
+/** What is stopped, and how long it may take. */
+export interface StopParts {
+  readonly front: StoppingServer;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  /** @returns Time from the stop signal to the kill. */
+  graceMs(): number;
+  /** @returns Once some milliseconds have passed. */
+  pause(forMs: number): Promise<void>;
+}
+
+/** Stops serving callers within the grace time. */
+export class GracefulStop {
+  readonly #parts: StopParts;
+  readonly #beganAtMs: number;
+
+  /** @param parts What is stopped. */
+  constructor(parts: StopParts) {
+    this.#parts = parts;
+    this.#beganAtMs = parts.clock.nowMs();
+  }
+
+  /**
+   * Finishes what is in progress, refuses what comes late, and breaks off only
+   * what outlasts the grace time.
+   *
+   * @returns Once every answer is written out, or the time is over.
+   */
+  async run(): Promise<void> {
+    const { front, log } = this.#parts;
+    front.announceClosing();
+    log.info(LogPart.Process, "stopping", {
+      openRequests: front.openCount,
+      ...front.connections,
+      graceMs: this.#parts.graceMs(),
+    });
+    await this.#finishRequests();
+    const cutRequests = front.openCount;
+    front.abortRequests();
+    await this.#writeOut();
+    log.info(LogPart.Process, "stopped", {
+      cutRequests,
+      ...front.connections,
+      tookMs: Math.round(this.#spentMs),
+    });
+  }
+
+  async #finishRequests(): Promise<void> {
+    const { front } = this.#parts;
+    while (!this.#isWithin(BREAK_OFF_MARGIN_MS)) {
+      if (front.isIdle && this.#spentMs >= LEAST_STOPPING_MS) {
+        return;
+      }
+      if (this.#spentMs >= REFUSE_AFTER_MS) {
+        front.refuseRequests();
+      }
+      await this.#parts.pause(LOOK_MS);
+    }
+  }
+
+  async #writeOut(): Promise<void> {
+    while (!this.#parts.front.isIdle && !this.#isWithin(END_MARGIN_MS)) {
+      await this.#parts.pause(LOOK_MS);
+    }
+  }
+
+  get #spentMs(): number {
+    return this.#parts.clock.nowMs() - this.#beganAtMs;
+  }
+
+  /** Whether the kill is at most so far away. */
+  #isWithin(marginMs: number): boolean {
+    return this.#spentMs >= this.#parts.graceMs() - marginMs;
+  }
+}
