Play callers that do not read against a whole instance, and count queued answers

Cause: the account of callers' connections was tested on a bare server only, and `waitingBytes` left out answers that wait behind earlier ones of a connection.

Change: queued answers count; a test of a whole instance with one target shows the lines for a caller that leaves, a reset with answers waiting, answers still owed at the end of the process, and an error while stopping.

Ruled out: one large answer as the test's load. Whole answers over 1 MB are not passed on, and one of 1 MB is taken in by the connection at once.

--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -100,15 +100,25 @@
   /** Notes how much waits, while the runtime still tells. */
   look(): void {
     const { destroyed, writableLength } = this.#socket;
+    const bytes = writableLength + this.#queuedBytes();
     this.#waitingBytes = destroyed
-      ? Math.max(this.#waitingBytes, writableLength)
-      : writableLength;
+      ? Math.max(this.#waitingBytes, bytes)
+      : bytes;
+  }
+
+  /** Bytes of answers that wait for those of earlier requests to go out. */
+  #queuedBytes(): number {
+    let bytes = 0;
+    for (const { response } of this.#owed) {
+      bytes += response.socket === null ? response.writableLength : 0;
+    }
+    return bytes;
   }
 
   /** Where no byte had to wait, the answer is written out already. */
   #handedOver(answer: OwedAnswer): void {
     this.look();
-    if (!this.#socket.destroyed && this.#waitingBytes === 0) {
+    if (!this.#socket.destroyed && this.#socket.writableLength === 0) {
       this.#written(answer);
     }
   }
--- a/packages/gateway/src/caller_connections_test.ts
+++ b/packages/gateway/src/caller_connections_test.ts
@@ -18,7 +18,7 @@
 import { OwedAnswer } from "./owed_answer.ts";
 
 const HOST = "127.0.0.1";
-/** More than the buffers of a loopback connection hold. */
+/** More than a connection takes in that is not read. */
 const LARGE_BYTES = 32 * 1024 * 1024;
 const SMALL = Buffer.from("whole");
 const CLOCK = { nowMs: () => 0 };
@@ -302,6 +302,13 @@
   }]);
 });
 
+testOn("answers that wait for earlier ones count", async (bench) => {
+  await bench.call(requestOf("/never") + requestOf("/large"));
+  await until(() => bench.latest?.facts.requestId === "/large");
+  const { waitingBytes } = bench.connections.summary;
+  assert.ok(waitingBytes >= LARGE_BYTES, String(waitingBytes));
+});
+
 testOn("each pipelined request is told by itself", async (bench) => {
   const caller = await bench.call(requestOf("/never") + requestOf("/small"));
   await until(() => bench.latest?.facts.requestId === "/small");
--- /dev/null
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -0,0 +1,241 @@
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import { createServer, type ServerResponse } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { Writable } from "node:stream";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { RequestKind } from "@chestnuthatch/routing/fleet_configuration";
+import {
+  configurationOf,
+  routeOf,
+} from "@chestnuthatch/routing/routing_test_support";
+import { Gateway } from "./gateway.ts";
+import type { CallProtocol, PlatformPort } from "./ports.ts";
+
+const HOST = "127.0.0.1";
+const ANY_PORT = `${HOST}:0`;
+/** The most that is passed on as a whole answer is a little more. */
+const LARGE_BYTES = 1_000_000;
+/** A connection that is not read takes in fewer large answers than these. */
+const LARGE_IDS = Array.from({ length: 32 }, (_, index) => `q${index}`);
+const LAST_ID = LARGE_IDS.at(-1)!;
+const GRACE_MS = 10_000;
+const POLLS = 1500;
+const POLL_MS = 10;
+
+const PROTOCOL: CallProtocol = {
+  readCall: (headers) => ({ requestId: String(headers["x-request-id"]) }),
+  forwardHeaders: (rawHeaders) => [...rawHeaders],
+  readAnswer: () => ({ notRun: false, wrongTarget: false, genuine: true }),
+};
+
+/** One line of the log. */
+type Line = Readonly<Record<string, unknown>>;
+
+/** An instance with one target, on a clock that can be set forward. */
+class Bench {
+  /** Requests that the target got. */
+  runs = 0;
+  readonly #callers: Socket[] = [];
+  readonly #texts: string[] = [];
+  readonly #target = createServer((_request, response) => {
+    this.runs++;
+    this.targetAnswers(response);
+  });
+  targetAnswers: (response: ServerResponse) => void = () => {};
+  clockFails = false;
+  #aheadMs = 0;
+  readonly #platform: PlatformPort = {
+    start: (_self, sink) => {
+      sink.configurationRead(configurationOf({
+        routes: [routeOf({ kind: RequestKind.Repeatable, isPublic: true })],
+      }));
+      const { port } = this.#target.address() as AddressInfo;
+      const entry = {
+        targetId: "t1",
+        incarnation: 1,
+        pool: "p",
+        address: `${HOST}:${port}`,
+        failureDomain: "a",
+        slots: 8,
+        leaving: false,
+      };
+      sink.targetsRead([{ targetId: "t1", rowVersion: 1, entry }], 1);
+    },
+    recordSpending: () => Promise.resolve(true),
+    stop: () => {},
+  };
+  readonly gateway = new Gateway({
+    instanceId: "i1",
+    failureDomain: "a",
+    callerAddress: ANY_PORT,
+    statusAddress: ANY_PORT,
+    metricsAddress: ANY_PORT,
+    peerAddress: ANY_PORT,
+    catalogPort: 0,
+    seedAddresses: [],
+    cores: 1,
+    graceMs: GRACE_MS,
+    bounds: {
+      retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
+      allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
+    },
+  }, {
+    protocol: PROTOCOL,
+    platform: this.#platform,
+    clock: { nowMs: () => this.#nowMs() },
+    logOutput: new Writable({
+      write: (chunk, _encoding, done) => {
+        this.#texts.push(String(chunk));
+        done();
+      },
+    }),
+  });
+
+  async start(): Promise<void> {
+    this.#target.listen(0, HOST);
+    await once(this.#target, "listening");
+    await this.gateway.start();
+  }
+
+  /** Sends requests on one connection, from a caller that reads nothing. */
+  request(requestIds: readonly string[]): Socket {
+    const port = Number(this.gateway.callerAddress.split(":")[1]);
+    const caller = connect(port, HOST);
+    caller.on("error", () => {});
+    this.#callers.push(caller);
+    caller.write(requestIds.map(requestOf).join(""));
+    return caller;
+  }
+
+  /** Hands a caller that reads nothing more than its connection holds. */
+  async handOverLarge(): Promise<Socket> {
+    this.targetAnswers = (response) => response.end(Buffer.alloc(LARGE_BYTES));
+    const caller = this.request(LARGE_IDS);
+    await Promise.all(LARGE_IDS.map((id) => this.line("answered", id)));
+    return caller;
+  }
+
+  /** Waits for a line of the log, of a request where one is named. */
+  async line(message: string, requestId?: string): Promise<Line> {
+    const find = () =>
+      this.#lines().find((line) =>
+        line.message === message && line.requestId === requestId
+      );
+    await until(() => find() !== undefined);
+    return find()!;
+  }
+
+  /** Lets the time of the whole grace period pass. */
+  passGrace(): void {
+    this.#aheadMs += GRACE_MS;
+  }
+
+  close(): void {
+    this.#callers.forEach((caller) => caller.destroy());
+    this.gateway.kill();
+    this.#target.closeAllConnections();
+    this.#target.close();
+  }
+
+  #nowMs(): number {
+    if (this.clockFails) {
+      throw new Error("no time");
+    }
+    return performance.now() + this.#aheadMs;
+  }
+
+  #lines(): Line[] {
+    return this.#texts.join("").split("\n").filter((text) => text)
+      .map((text) => JSON.parse(text));
+  }
+}
+
+function requestOf(requestId: string): string {
+  return `GET /r/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ${requestId}\r\n\r\n`;
+}
+
+async function until(holds: () => boolean): Promise<void> {
+  for (let polls = 0; !holds(); polls++) {
+    assert.ok(polls < POLLS, `waited in vain for ${holds}`);
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
+/** What a line says of a connection's end. */
+function endOf({ end, stage, answer, runs }: Line): Line {
+  return { end, stage, answer, runs };
+}
+
+function testOn(name: string, run: (bench: Bench) => Promise<void>): void {
+  test(name, async () => {
+    const bench = new Bench();
+    await bench.start();
+    try {
+      await run(bench);
+    } finally {
+      bench.close();
+    }
+  });
+}
+
+testOn("a caller that leaves while a target works is told", async (bench) => {
+  const caller = bench.request(["q"]);
+  await until(() => bench.runs === 1);
+  caller.destroy();
+  const line = await bench.line("connection ended unanswered", "q");
+  assert.equal(endOf(line), {
+    end: "caller_left",
+    stage: "open",
+    answer: "pending",
+    runs: 1,
+  });
+});
+
+testOn("an answer handed over and not written out is told", async (bench) => {
+  const caller = await bench.handOverLarge();
+  caller.resetAndDestroy();
+  const line = await bench.line("connection ended unanswered", LAST_ID);
+  assert.equal(endOf(line), {
+    end: "reset",
+    stage: "open",
+    answer: "handed_over",
+    runs: 1,
+  });
+  assert.ok(Number(line.waitingBytes) >= LARGE_BYTES);
+});
+
+testOn("what is still owed when the process ends is told", async (bench) => {
+  await bench.handOverLarge();
+  const stopped = bench.gateway.stop();
+  bench.passGrace();
+  await stopped;
+  const { openConnections, owedAnswers, waitingBytes, cutRequests } =
+    await bench.line("stopped");
+  assert.equal({ openConnections, cutRequests }, {
+    openConnections: 1,
+    cutRequests: 0,
+  });
+  assert.ok(Number(owedAnswers) >= 1);
+  assert.ok(Number(waitingBytes) >= LARGE_BYTES);
+  const line = await bench.line("connection ended unanswered", LAST_ID);
+  assert.equal(endOf(line), {
+    end: "process_end",
+    stage: "announcing",
+    answer: "handed_over",
+    runs: 1,
+  });
+});
+
+testOn("an error while stopping is told", async (bench) => {
+  bench.clockFails = true;
+  const stopped = bench.gateway.stop();
+  bench.clockFails = false;
+  bench.gateway.cannotStop(await stopped.catch((error) => error));
+  const { reason, level } = await bench.line("stopping failed");
+  assert.is(level, "warn");
+  assert.match(String(reason), "no time");
+});
+
+test.run();
