Mend what else ends a request falsely: order of breaking off, little grace time, large heads

Causes, each shown by a test of kept connections: (1) as the grace time ended, requests were broken off in the order of their arrival; those that waited got the places that the others left, were sent to targets in the middle of the end and told 'may have run' (16 of 16). (2) with a grace time of 3 s requests were taken until 0.1 s after whatever runs is broken off (13 of 24 cut). (3) the runtime takes its limit for headers once: a configuration that allows more than 16 KB was not in force (30 of 30 got a bare 431), nor was a lower one.

Change: waiting requests are refused first; requests are taken for half of the grace time at most; heads are read up to 256 KB and checked against the limit in force. Reading bodies is a module of its own (request_body.ts).

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -1,6 +1,6 @@
 /** Reads callers' requests, finds their routes, and begins their lives. */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import {
   createServer,
   type IncomingMessage,
@@ -27,6 +27,7 @@
 import { listen } from "./peer_catalog.ts";
 import type { CallFacts } from "./ports.ts";
 import type { RoutedCall } from "./routed_call.ts";
+import { RequestBody } from "./request_body.ts";
 import { RoutedRequest } from "./routed_request.ts";
 
 /** Until a configuration is known. */
@@ -37,6 +38,15 @@
   idleTimeoutMs: 15_000,
 };
 
+/**
+ * Largest head that is read at all. The runtime takes this limit once, at the
+ * start; that of the configuration is checked on what was read.
+ */
+const LARGEST_HEAD_BYTES = 256 * 1024;
+
+/** Bytes of a header line beside its name and value: colon, space, line end. */
+const HEADER_LINE_BYTES = 4;
+
 /** Time between two looks for connections that are too slow. */
 const CONNECTION_CHECK_MS = 1000;
 
@@ -75,7 +85,7 @@
       headersTimeout: STARTING_LIMITS.headerTimeoutMs,
       requestTimeout: 0,
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
-      maxHeaderSize: STARTING_LIMITS.maxHeaderBytes,
+      maxHeaderSize: LARGEST_HEAD_BYTES,
       noDelay: true,
     }, (request, response) => this.#read(request, response));
     const { clock, log, metrics } = parts;
@@ -136,9 +146,15 @@
     this.#connections.closeIdle();
   }
 
-  /** Ends requests in progress; their callers are told so. */
+  /**
+   * Ends requests in progress; their callers are told so. Those that wait for a
+   * place go first: they would get the places that the others leave, and be sent
+   * to targets only to be broken off there.
+   */
   abortRequests(): void {
-    for (const request of this.#open) {
+    const open = [...this.#open];
+    const waiting = open.filter(({ runs }) => runs === 0);
+    for (const request of [...waiting, ...open]) {
       request.abort();
     }
   }
@@ -182,43 +198,21 @@
     }
     this.#parts.metrics.requestRead(admission.route.name);
     this.#reading++;
-    let isRead = false;
-    const doneReading = () => {
-      if (!isRead) {
-        isRead = true;
-        this.#reading--;
-      }
-    };
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    request.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > this.#limits.maxBodyBytes && !isRead) {
-        doneReading();
-        this.#refuse(reply, facts, { error: RoutedError.BodyTooLarge });
-        request.removeAllListeners("data");
-        request.resume();
-        return;
-      }
-      chunks.push(chunk);
-    });
-    request.on("end", () => {
-      if (isRead) {
-        return;
-      }
-      doneReading();
-      const call = callOf({
-        request,
-        facts,
-        chunks,
-        arrivedAtMs,
-        admission,
-      });
-      this.#begin(call, owed, reply);
+    new RequestBody(request, {
+      maxBytes: this.#limits.maxBodyBytes,
+      sink: {
+        whole: (body) => {
+          this.#reading--;
+          const call = callOf({ request, facts, body, arrivedAtMs, admission });
+          this.#begin(call, owed, reply);
+        },
+        tooLarge: () => {
+          this.#reading--;
+          this.#refuse(reply, facts, { error: RoutedError.BodyTooLarge });
+        },
+        brokenOff: () => this.#reading--,
+      },
     });
-    // The end of its connection is logged, with the reason.
-    request.on("error", doneReading);
-    request.on("close", doneReading);
   }
 
   #admit(request: IncomingMessage, facts: CallFacts): Admission {
@@ -226,6 +220,9 @@
       const retryAfterMs = LEAVING_RETRY_MS;
       return { error: RoutedError.Leaving, retryAfterMs };
     }
+    if (headBytes(request) > this.#limits.maxHeaderBytes) {
+      return { error: RoutedError.HeadTooLarge };
+    }
     const table = this.#parts.board.routes;
     if (table === undefined) {
       const retryAfterMs = NO_CONFIGURATION_RETRY_MS;
@@ -294,16 +291,21 @@
   }
 }
 
+function headBytes({ rawHeaders }: IncomingMessage): number {
+  return rawHeaders.reduce((sum, part) => sum + part.length, 0) +
+    rawHeaders.length / 2 * HEADER_LINE_BYTES;
+}
+
 function callOf(
   of: {
     request: IncomingMessage;
     facts: CallFacts;
-    chunks: readonly Buffer[];
+    body: Buffer;
     arrivedAtMs: number;
     admission: Exclude<Admission, { error: RoutedError }>;
   },
 ): RoutedCall {
-  const { request, facts, chunks, admission } = of;
+  const { request, facts, admission } = of;
   const hasBody = request.headers["content-length"] !== undefined ||
     request.headers["transfer-encoding"] !== undefined;
   return {
@@ -315,7 +317,7 @@
     method: request.method!,
     path: request.url!,
     rawHeaders: request.rawHeaders,
-    body: hasBody ? Buffer.concat(chunks) : undefined,
+    body: hasBody ? of.body : undefined,
     arrivedAtMs: of.arrivedAtMs,
   };
 }
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -17,6 +17,9 @@
  */
 const REFUSE_AFTER_MS = 2600;
 
+/** Most of the grace time in which requests are still taken. */
+const TAKING_SHARE = 0.5;
+
 /** Time before the kill at which whatever still runs is broken off. */
 const BREAK_OFF_MARGIN_MS = 500;
 
@@ -97,7 +100,7 @@
       if (front.isIdle && this.#spentMs >= LEAST_STOPPING_MS) {
         return;
       }
-      if (this.#spentMs >= REFUSE_AFTER_MS) {
+      if (this.#spentMs >= this.#refuseAfterMs) {
         front.refuseRequests();
       }
       await this.#parts.pause(LOOK_MS);
@@ -110,6 +113,10 @@
     }
   }
 
+  get #refuseAfterMs(): number {
+    return Math.min(REFUSE_AFTER_MS, TAKING_SHARE * this.#parts.graceMs());
+  }
+
   get #spentMs(): number {
     return this.#parts.clock.nowMs() - this.#beganAtMs;
   }
--- a/packages/gateway/src/graceful_stop_test.ts
+++ b/packages/gateway/src/graceful_stop_test.ts
@@ -9,6 +9,7 @@
 /** A server whose time passes while it is waited for, and what happened when. */
 class Scene implements StoppingServer {
   atMs = 0;
+  graceMs = GRACE_MS;
   readonly seen: [string, number][] = [];
   /** When the last request ends, and when its answer is written out. */
   doneAtMs = 0;
@@ -47,7 +48,7 @@
       front: this,
       clock,
       log: new EventLog(clock, "i1", nowhere),
-      graceMs: () => GRACE_MS,
+      graceMs: () => this.graceMs,
       pause: (forMs) => {
         this.atMs += forMs;
         return Promise.resolve();
@@ -91,6 +92,19 @@
   assert.ok(endedAtMs >= 7650 && endedAtMs < GRACE_MS, String(endedAtMs));
 });
 
+test("with little grace time, requests are refused in time to finish", async () => {
+  const scene = new Scene();
+  scene.graceMs = 3000;
+  scene.doneAtMs = 2000;
+  const endedAtMs = await scene.stop();
+  assert.equal(scene.seen, [
+    ["announced", 0],
+    ["refused", 1500],
+    ["aborted", 2500],
+  ]);
+  assert.is(endedAtMs, 2500);
+});
+
 test("a caller that never reads does not hold the process past the kill", async () => {
   const scene = new Scene();
   scene.writtenAtMs = Infinity;
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -7,6 +7,7 @@
   NoRoute = "no_route",
   UnknownKey = "unknown_key",
   BodyTooLarge = "body_too_large",
+  HeadTooLarge = "head_too_large",
   /** This instance is shutting down; others are not. */
   Leaving = "leaving",
   /** The workspace has spent its allotment. */
@@ -67,6 +68,11 @@
     ran: RanState.NotRun,
     text: "The body is larger than the configured limit.",
   },
+  [RoutedError.HeadTooLarge]: {
+    status: 431,
+    ran: RanState.NotRun,
+    text: "The headers are larger than the configured limit.",
+  },
   [RoutedError.Leaving]: {
     status: 503,
     ran: RanState.NotRun,
