--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -29,6 +29,13 @@
 
 const HEADERS_TIME_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
 
+/** Answers to what cannot be read, by the code of the runtime's error. */
+const UNREADABLE_ANSWERS: Readonly<Record<string, string>> = {
+  [HEADERS_TIME_CODE]: "408 Request Timeout",
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+};
+const BAD_REQUEST = "400 Bad Request";
+
 /** Prefix of the codes of errors of the runtime's HTTP parser. */
 const PARSER_CODE_PREFIX = "HPE_";
 
@@ -68,6 +75,11 @@
     return this.#reason;
   }
 
+  /** Whether it was seen to end. */
+  get hasEnded(): boolean {
+    return this.#end !== undefined;
+  }
+
   /** Whether the instance has let go of it. */
   get isDestroyed(): boolean {
     return this.#socket.destroyed;
@@ -97,6 +109,32 @@
       this.#socket.bytesRead === this.#idleAtBytes;
   }
 
+  /** Whether it closes after an answer, so that no more can be answered. */
+  get isClosing(): boolean {
+    return this.#end !== undefined ||
+      this.owed.some(({ facts }) => facts.closesAfter);
+  }
+
+  /**
+   * Takes in that what came is no request, or came too slowly. What is owed on
+   * the connection is still given: the runtime would write its own answer in
+   * place of the one that is owed, and with 408 promise that what a target runs
+   * has not run.
+   *
+   * @param error The runtime's error.
+   */
+  unreadable(error: NodeJS.ErrnoException): void {
+    this.#failed(error);
+    const owed = this.owed.filter(({ response }) => response.req.complete);
+    const last = owed.at(-1)?.response;
+    if (last === undefined) {
+      this.#socket.end(answerTo(error.code), () => this.#socket.destroy());
+      return;
+    }
+    this.#socket.pause();
+    last.on("finish", () => this.#socket.destroySoon());
+  }
+
   /** Closes it. */
   close(): void {
     this.#socket.destroy();
@@ -168,6 +206,11 @@
   }
 }
 
+function answerTo(code = ""): string {
+  const status = UNREADABLE_ANSWERS[code] ?? BAD_REQUEST;
+  return `HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`;
+}
+
 function endOfCode(code: string): ConnectionEnd {
   if (code === HEADERS_TIME_CODE) {
     return ConnectionEnd.HeadersTime;
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -52,6 +52,31 @@
     this.#open.set(socket, connection);
   }
 
+  /**
+   * @param socket A caller's connection.
+   * @returns Whether it closes after an answer, or is closed: a request read on
+   * it cannot be answered any more.
+   */
+  isClosing(socket: Socket): boolean {
+    return this.#open.get(socket)?.isClosing ?? true;
+  }
+
+  /**
+   * @param answer An answer that is owed.
+   * @returns Whether its connection has ended, or is seen to end.
+   */
+  hasEnded(answer: OwedAnswer): boolean {
+    return this.#open.get(answer.response.req.socket)?.hasEnded ?? true;
+  }
+
+  /**
+   * @param socket A connection on which no request can be read any more.
+   * @param error The runtime's error.
+   */
+  unreadable(socket: Socket, error: Error): void {
+    this.#open.get(socket)?.unreadable(error);
+  }
+
   /** @param answer The answer to a request just read. */
   owe(answer: OwedAnswer): void {
     this.#open.get(answer.response.req.socket)?.owe(answer);
--- a/packages/gateway/src/caller_reply.ts
+++ b/packages/gateway/src/caller_reply.ts
@@ -1,6 +1,6 @@
 /** What goes back to one caller. */
 
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
   ERROR_ANSWERS,
@@ -14,6 +14,16 @@
 const HAS_NO_BODY: ReadonlySet<number> = new Set([204, 304]);
 const RETRY_AFTER_DIGITS = 3;
 
+/**
+ * Time that the rest of a refused request may take: twice that of 4 MB over a
+ * link of 70 Mbit/s. A caller that stalls must not hold its connection, nor the
+ * end of the process.
+ */
+const READ_REST_MS = 1000;
+
+/** What the runtime sends in no status line. */
+const NO_PHRASE = /[^\t\x20-\x7e\x80-\xff]/;
+
 /** An error's facts for the caller. */
 export interface ErrorFacts {
   readonly requestId: string;
@@ -57,7 +67,6 @@
    * @param body Its whole body.
    */
   whole(answer: IncomingMessage, body: Buffer): void {
-    this.#begun = true;
     const status = answer.statusCode!;
     const headers = this.#headers(answer.rawHeaders);
     if (this.#response.req.method === "HEAD") {
@@ -66,20 +75,17 @@
     } else if (!HAS_NO_BODY.has(status)) {
       headers.push("Content-Length", String(body.length));
     }
-    this.#response.writeHead(status, answer.statusMessage, headers);
+    this.#response.writeHead(status, phraseOf(answer), headers);
+    this.#begun = true;
     this.#response.end(body);
   }
 
   /** @param answer Status and headers of a stream that begins. */
   begin(answer: IncomingMessage): void {
-    this.#begun = true;
     const headers = this.#headers(answer.rawHeaders);
     headers.push("Transfer-Encoding", "chunked");
-    this.#response.writeHead(
-      answer.statusCode!,
-      answer.statusMessage,
-      headers,
-    );
+    this.#response.writeHead(answer.statusCode!, phraseOf(answer), headers);
+    this.#begun = true;
   }
 
   /**
@@ -117,7 +123,7 @@
       const seconds = facts.retryAfterMs / MS_PER_S;
       headers.push("Retry-After", seconds.toFixed(RETRY_AFTER_DIGITS));
     }
-    headers.push("Content-Length", String(body.length));
+    headers.push("Content-Length", String(Buffer.byteLength(body)));
     this.#response.writeHead(status, [...headers, ...this.#closeHeader()]);
     this.#response.write(body);
     this.#endOnceRead();
@@ -132,9 +138,15 @@
     const { req } = this.#response;
     if (req.complete) {
       this.#response.end();
-    } else {
-      req.once("end", () => this.#response.end());
+      return;
     }
+    const end = () => {
+      clearTimeout(timer);
+      this.#response.end();
+    };
+    const timer = setTimeout(end, READ_REST_MS);
+    req.once("end", end);
+    req.once("close", () => clearTimeout(timer));
   }
 
   #headers(rawHeaders: readonly string[]): string[] {
@@ -145,3 +157,8 @@
     return this.#options.closes ? ["Connection", "close"] : [];
   }
 }
+
+/** The target's reason phrase, or none where it cannot be sent. */
+function phraseOf({ statusMessage = "" }: IncomingMessage): string {
+  return NO_PHRASE.test(statusMessage) ? "" : statusMessage;
+}
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -7,6 +7,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import type {
   CallerLimits,
   RoutePolicy,
@@ -47,6 +48,12 @@
 /** Bytes of a header line beside its name and value: colon, space, line end. */
 const HEADER_LINE_BYTES = 4;
 
+/**
+ * Lateness of this process from which callers may have left before their
+ * requests are read. Callers that leave early do so after some hundred ms.
+ */
+const LATE_MS = 50;
+
 /** Time between two looks for connections that are too slow. */
 const CONNECTION_CHECK_MS = 1000;
 
@@ -92,6 +99,9 @@
     const stage = () => this.#stage;
     this.#connections = new CallerConnections({ clock, log, metrics, stage });
     this.#server.on("connection", (socket) => this.#connections.add(socket));
+    this.#server.on("clientError", (error, socket) => {
+      this.#connections.unreadable(socket as Socket, error);
+    });
   }
 
   /** Whether no request is in progress and every answer is written out. */
@@ -174,10 +184,16 @@
   }
 
   #read(request: IncomingMessage, response: ServerResponse): void {
-    const { clock, protocol } = this.#parts;
+    const { clock, log, protocol } = this.#parts;
     const arrivedAtMs = clock.nowMs();
     const facts = protocol.readCall(request.headers);
     const { requestId } = facts;
+    if (this.#connections.isClosing(request.socket)) {
+      // Its caller gets no answer; what is not passed on can be asked again.
+      log.info(LogPart.Request, "not read, connection closes", { requestId });
+      request.resume();
+      return;
+    }
     const closes = this.#stage !== ClosingStage.Open;
     const closesAfter = closes || !response.shouldKeepAlive;
     const owed = new OwedAnswer(response, {
@@ -198,23 +214,46 @@
     }
     this.#parts.metrics.requestRead(admission.route.name);
     this.#reading++;
+    const refuse = (error: RoutedError) => {
+      this.#reading--;
+      this.#refuse(reply, facts, { error });
+    };
+    const { timeoutMs } = admission.route;
     new RequestBody(request, {
       maxBytes: this.#limits.maxBodyBytes,
+      timeoutMs: Math.min(facts.deadlineMs ?? Infinity, timeoutMs),
       sink: {
         whole: (body) => {
-          this.#reading--;
           const call = callOf({ request, facts, body, arrivedAtMs, admission });
-          this.#begin(call, owed, reply);
-        },
-        tooLarge: () => {
-          this.#reading--;
-          this.#refuse(reply, facts, { error: RoutedError.BodyTooLarge });
+          this.#unlessLeft(owed, () => this.#begin(call, owed, reply));
         },
+        tooLarge: () => refuse(RoutedError.BodyTooLarge),
+        tooSlow: () => refuse(RoutedError.BodyTooSlow),
         brokenOff: () => this.#reading--,
       },
     });
   }
 
+  /**
+   * Begins a request that was read whole. Where this process is late, its caller
+   * may have left meanwhile, and the end of its connection lies unread behind
+   * the request; it is read with the next poll. A coordinator at its limit began
+   * 497 requests in a minute that nobody waited for.
+   */
+  #unlessLeft(owed: OwedAnswer, begin: () => void): void {
+    const go = () => {
+      this.#reading--;
+      if (!this.#connections.hasEnded(owed)) {
+        begin();
+      }
+    };
+    if (this.#parts.lateMs() < LATE_MS) {
+      go();
+    } else {
+      setImmediate(() => setImmediate(go));
+    }
+  }
+
   #admit(request: IncomingMessage, facts: CallFacts): Admission {
     if (this.#stage === ClosingStage.Refusing) {
       const retryAfterMs = LEAVING_RETRY_MS;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -83,6 +83,8 @@
   #closed = false;
   #tickTimer?: NodeJS.Timeout;
   #tickedAtMs = 0;
+  /** By how much the latest tick was late. */
+  #lateMs = 0;
   #wasCoordinator = false;
   #stopping?: Promise<void>;
 
@@ -293,12 +295,12 @@
 
   #tick(): void {
     const nowMs = this.#clock.nowMs();
-    const lateMs = nowMs - this.#tickedAtMs - TICK_MS;
+    this.#lateMs = nowMs - this.#tickedAtMs - TICK_MS;
     this.#tickedAtMs = nowMs;
-    if (lateMs > PAUSE_MS) {
+    if (this.#lateMs > PAUSE_MS) {
       // Holders went elsewhere meanwhile; their reports tell what is left.
       this.#log.warn(LogPart.Process, "process stood still", {
-        lateMs: Math.round(lateMs),
+        lateMs: Math.round(this.#lateMs),
       });
       this.#coordinator.forgetAll();
     }
@@ -340,6 +342,7 @@
       desk: this.#desk,
       protocol,
       failureDomain,
+      lateMs: () => this.#lateMs,
       nextAskId: () => `${prefix}.${(this.#askCounter++).toString(36)}`,
       agentFor: (pool, address) =>
         this.#connections.agent(address, {
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -17,6 +17,8 @@
   readonly protocol: CallProtocol;
   /** The instance's own failure domain. */
   readonly failureDomain: string;
+  /** @returns By how much this process was late for its latest tick. */
+  lateMs(): number;
   /** @returns An ask's id, unique in the fleet. */
   nextAskId(): string;
   /** @returns The agent that keeps connections to a target of a pool. */
--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -9,10 +9,20 @@
   whole(body: Buffer): void;
   /** It is larger than allowed; what still comes is dropped. */
   tooLarge(): void;
+  /** It was not whole within its time; what still comes is dropped. */
+  tooSlow(): void;
   /** The caller broke off. */
   brokenOff(): void;
 }
 
+/** What a body may be, and who hears what became of it. */
+export interface BodyOptions {
+  readonly maxBytes: number;
+  /** Time until it has to be whole. */
+  readonly timeoutMs: number;
+  readonly sink: BodySink;
+}
+
 /** One body on its way in. */
 export class RequestBody {
   readonly #maxBytes: number;
@@ -20,19 +30,24 @@
   #chunks: Buffer[] = [];
   #bytes = 0;
   #over = false;
+  readonly #timer: NodeJS.Timeout;
 
   /**
    * Begins to read.
    *
    * @param request The request, whose headers are read.
-   * @param options The largest body, in bytes, and who hears how it ended.
+   * @param options What it may be, and who hears what became of it.
    */
   constructor(
     request: IncomingMessage,
-    { maxBytes, sink }: { maxBytes: number; sink: BodySink },
+    { maxBytes, timeoutMs, sink }: BodyOptions,
   ) {
     this.#maxBytes = maxBytes;
     this.#sink = sink;
+    this.#timer = setTimeout(() => {
+      this.#chunks = [];
+      this.#end(() => sink.tooSlow());
+    }, timeoutMs);
     request.on("data", (chunk: Buffer) => this.#read(chunk));
     request.on(
       "end",
@@ -58,6 +73,7 @@
   #end(tell: () => void): void {
     if (!this.#over) {
       this.#over = true;
+      clearTimeout(this.#timer);
       tell();
     }
   }
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -24,6 +24,7 @@
 import type { GatewayParts } from "./gateway_parts.ts";
 import { deadlineAtMs, type RoutedCall } from "./routed_call.ts";
 import { SilenceWatch } from "./silence_watch.ts";
+import { StandbyAttempt } from "./standby_attempt.ts";
 import { StreamProgress } from "./stream_progress.ts";
 import { TargetAttempt } from "./target_attempt.ts";
 import { NO_CONNECTION } from "./target_exchange.ts";
@@ -54,6 +55,10 @@
   #charged = false;
   readonly #progress: StreamProgress;
   readonly #silence: SilenceWatch;
+  /** An attempt at a silent target, while another target has not begun. */
+  readonly #standby = new StandbyAttempt((attempt) =>
+    this.#closeAttempt(attempt, AttemptEnd.Lost, "silent")
+  );
   #deadlineTimer?: NodeJS.Timeout;
   #callerGone = false;
   #callerSlow = false;
@@ -85,7 +90,10 @@
   /** Begins: asks for a place. */
   start(): void {
     const leftMs = deadlineAtMs(this.#call) - this.#nowMs();
-    this.#deadlineTimer = setTimeout(() => this.#timeOver(), leftMs);
+    this.#deadlineTimer = setTimeout(() => {
+      // An answer that has arrived by now is read first.
+      setImmediate(() => this.#timeOver());
+    }, leftMs);
     this.#ask(AskCause.First);
   }
 
@@ -127,7 +135,10 @@
     });
     this.#askId = ask.askId;
     this.#askedAtMs = this.#nowMs();
-    this.#parts.desk.ask(ask, (decision) => this.#decided(decision));
+    this.#parts.desk.ask(
+      ask,
+      (decision) => this.#orFail(() => this.#decided(decision)),
+    );
   }
 
   #decided(decision: AskDecision): void {
@@ -150,11 +161,22 @@
     }
     this.#charged = true;
     if (this.#attempt !== undefined) {
-      this.#closeAttempt(this.#attempt, AttemptEnd.Lost, "silent");
+      // It is sound as far as is known, and the other target may turn it away.
+      this.#standby.keep(this.#attempt);
     }
     this.#send(target, decision);
   }
 
+  /** What cannot be sent or passed on must not leave a request unanswered. */
+  #orFail(goOn: () => void): void {
+    try {
+      goOn();
+    } catch (error) {
+      this.#log("cannot go on", { reason: String(error) });
+      this.#fail(RoutedError.AnswerLost);
+    }
+  }
+
   /** A place at a target that this instance knows to be leaving or gone. */
   #giveBack(targetId: string): void {
     this.#log("place not usable", { targetId });
@@ -190,9 +212,10 @@
       expectedMs,
       resumeAfter: this.#progress.lastEventId,
     }, {
-      event: (bytes) => this.#passEvent(attempt, bytes),
-      streamEnded: (rest) => this.#streamEnded(attempt, rest),
-      answered: () => this.#served(attempt),
+      event: (bytes) => this.#orFail(() => this.#passEvent(attempt, bytes)),
+      streamEnded: (rest) =>
+        this.#orFail(() => this.#streamEnded(attempt, rest)),
+      answered: () => this.#orFail(() => this.#served(attempt)),
       ended: (end, reason) => this.#attemptEnded(attempt, end, reason),
     });
     this.#askId = undefined;
@@ -215,7 +238,22 @@
     this.#watchSilence();
   }
 
+  /** Of two attempts, the one that gives a sign of life first goes on. */
+  #prefer(attempt: TargetAttempt): void {
+    if (!this.#standby.is(attempt)) {
+      this.#standby.end();
+      return;
+    }
+    const other = this.#attempt;
+    this.#attempt = this.#standby.take();
+    if (other !== undefined) {
+      this.#closeAttempt(other, AttemptEnd.Lost, "the other target went on");
+    }
+    this.#tried.delete(attempt.order.target.targetId);
+  }
+
   #passEvent(attempt: TargetAttempt, bytes: Buffer): void {
+    this.#prefer(attempt);
     this.#progress.passed(attempt.lastEventId, this.#nowMs());
     this.#stayAtTarget(attempt);
     this.#write(attempt, bytes);
@@ -237,12 +275,14 @@
   }
 
   #streamEnded(attempt: TargetAttempt, rest: Buffer): void {
+    this.#prefer(attempt);
     this.#write(attempt, rest);
     this.#reply.end();
     this.#noteServed(attempt);
   }
 
   #served(attempt: TargetAttempt): void {
+    this.#prefer(attempt);
     this.#passOn(attempt);
     this.#noteServed(attempt);
   }
@@ -284,6 +324,11 @@
     end: AttemptEnd,
     reason: string,
   ): void {
+    if (this.#standby.is(attempt)) {
+      this.#standby.take();
+      this.#closeAttempt(attempt, end, reason);
+      return;
+    }
     if (attempt !== this.#attempt) {
       return;
     }
@@ -294,7 +339,13 @@
       this.#runs--;
       this.#rejections++;
     }
-    this.#follow(end, attempt);
+    const standby = this.#standby.take();
+    if (standby === undefined) {
+      this.#follow(end, attempt);
+      return;
+    }
+    this.#attempt = standby;
+    this.#watchSilence();
   }
 
   #closeAttempt(
@@ -304,9 +355,11 @@
   ): void {
     const { targetId } = attempt.order.target;
     const { health } = this.#parts.board;
-    this.#attempt = undefined;
+    if (attempt === this.#attempt) {
+      this.#attempt = undefined;
+      this.#silence.stop();
+    }
     attempt.cancel();
-    this.#silence.stop();
     this.#tried.add(targetId);
     health.failed(targetId, end === AttemptEnd.NotSent, this.#nowMs());
     if (reason === NO_CONNECTION) {
@@ -395,12 +448,13 @@
 
   /** Ends whatever is still out for the request. */
   #stop(): void {
-    const attempt = this.#attempt;
-    this.#attempt = undefined;
-    if (attempt !== undefined) {
-      attempt.cancel();
-      this.#parts.desk.ended(attempt.workEnd(false));
+    for (const attempt of [this.#attempt, this.#standby.take()]) {
+      attempt?.cancel();
+      if (attempt !== undefined) {
+        this.#parts.desk.ended(attempt.workEnd(false));
+      }
     }
+    this.#attempt = undefined;
     this.#dropAsk();
     this.#finish();
   }
--- a/packages/gateway/src/silence_watch.ts
+++ b/packages/gateway/src/silence_watch.ts
@@ -44,13 +44,24 @@
     const { kind, maxAttempts } = this.#call.route;
     if (mayRunAgain(kind) && watched.runs < maxAttempts) {
       const limitMs = this.#limitMs(watched);
-      this.#timer = setTimeout(() => this.#onSilent(limitMs), limitMs);
+      const timer = setTimeout(() => {
+        // Timers come before what has arrived meanwhile: where this instance
+        // was late itself, a sign of life may be there, not yet read.
+        setImmediate(() => this.#isOver(timer) && this.#onSilent(limitMs));
+      }, limitMs);
+      this.#timer = timer;
     }
   }
 
   /** Watches nothing until it is started again. */
   stop(): void {
     clearTimeout(this.#timer);
+    this.#timer = undefined;
+  }
+
+  /** Whether nothing was heard since a timer was set. */
+  #isOver(timer: NodeJS.Timeout): boolean {
+    return this.#timer === timer;
   }
 
   #limitMs({ attempt, seenGapMs }: WatchedAttempt): number {
