Tests of kept connections of processes that get signals

Two instances as processes, stand-ins behind relays, 24 callers an instance (50 at the phases of a request): a stop, two stops with configurations, every moment of the grace time until the process is gone, requests that outlast it, good and unusable settings by reload under load, longer and shorter grace times, and stops, restarts, reloads and configurations that overlap.

--- /dev/null
+++ b/tests/process_kept_connections_test.ts
@@ -0,0 +1,363 @@
+/** Kept connections of callers while processes get signals. */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import { tallyOf, unkept } from "@chestnuthatch/platform/connection_checks";
+import {
+  CallKind,
+  EVENTS,
+  keepSending,
+  mixedCall,
+  plainCall,
+  streamCall,
+} from "@chestnuthatch/platform/standin_calls";
+import {
+  CallEnd,
+  type ConnectionResult,
+  StandinConnection,
+} from "@chestnuthatch/platform/standin_connection";
+import { configurationOf } from "@chestnuthatch/platform/standin_fleet";
+import { TargetConduct } from "@chestnuthatch/platform/standin_target";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { SoakFleet } from "./soak_fleet.ts";
+import type { SoakInstance } from "./soak_instance.ts";
+import { waitFor } from "./wait_for.ts";
+
+const FLEET = { instances: 2, engines: 3, desks: 2 };
+const CLEAN_END = { code: 0, signal: null };
+const CALLERS = 24;
+const HTTP_UNAVAILABLE = 503;
+const HTTP_BAD_GATEWAY = 502;
+
+/** Time between two calls of one caller: load, and not a wait for anything. */
+const THINK_MS = 20;
+
+/** Longer than any stream of these tests. */
+const LONG_TIMEOUT_MS = 30_000;
+
+async function withFleet(
+  run: (fleet: SoakFleet) => Promise<void>,
+): Promise<void> {
+  const fleet = new SoakFleet();
+  try {
+    await fleet.start(FLEET);
+    await run(fleet);
+  } finally {
+    await fleet.end();
+  }
+}
+
+function openAll(
+  instance: SoakInstance,
+  count = CALLERS,
+): Promise<StandinConnection[]> {
+  return Promise.all(
+    Array.from(
+      { length: count },
+      () => StandinConnection.open(instance.callerAddress),
+    ),
+  );
+}
+
+/** Faults of the results, by what targets saw and instances logged. */
+function faultsOf(
+  fleet: SoakFleet,
+  results: readonly ConnectionResult[],
+): string[] {
+  return unkept(results, {
+    seen: fleet.targets.flatMap(({ target }) => target.seen),
+    lines: fleet.instances.flatMap(({ lines }) => lines),
+    events: EVENTS,
+  });
+}
+
+async function logged(instance: SoakInstance, message: string): Promise<void> {
+  await waitFor(
+    `${instance.id} to log ${message}`,
+    () =>
+      instance.lines.some((line) => line.includes(`"message":"${message}"`)),
+  );
+}
+
+/** Asks on new connections until a stopping instance refuses. */
+async function refusing(instance: SoakInstance): Promise<void> {
+  await waitFor(`${instance.id} to refuse`, async () => {
+    const probe = await StandinConnection.open(instance.callerAddress);
+    const { answer } = await probe.send(plainCall());
+    probe.close();
+    return answer?.status === HTTP_UNAVAILABLE;
+  });
+}
+
+/** When a test's instance was seen to stop, and to refuse. */
+interface StopSeen {
+  readonly stopping: Promise<void>;
+  readonly refusing: Promise<void>;
+}
+
+type Phase = (
+  kept: StandinConnection,
+  seen: StopSeen,
+) => Promise<ConnectionResult[]>;
+
+/** How far a caller's request is when the stop signal comes. */
+const PHASES: Readonly<Record<string, Phase>> = {
+  "half of the head sent": async (kept, { stopping }) => [
+    await kept.send(plainCall({ beforeHeadEnd: () => stopping })),
+  ],
+  "head sent": async (kept, { stopping }) => [
+    await kept.send(plainCall({ beforePart: () => stopping })),
+  ],
+  "half of the body sent": async (kept, { stopping }) => [
+    await kept.send(plainCall({
+      body: ["some", "body"],
+      beforePart: (index) => index === 1 ? stopping : Promise.resolve(),
+    })),
+  ],
+  "half of the body sent, the rest much later": async (kept, seen) => [
+    await kept.send(plainCall({
+      body: ["some", "body"],
+      beforePart: (index) => index === 1 ? seen.refusing : Promise.resolve(),
+    })),
+  ],
+  "half of the head sent, the rest much later": async (kept, seen) => [
+    await kept.send(plainCall({ beforeHeadEnd: () => seen.refusing })),
+  ],
+  "waiting or in progress": async (kept) => [
+    await kept.send(streamCall(CallKind.Long)),
+  ],
+  "in progress, once at most": async (kept) => [
+    await kept.send(streamCall(CallKind.Long, { path: "/note/" })),
+  ],
+  "just answered": (kept) => keepSending([kept], () => true),
+  "idle, used at once": async (kept, { stopping }) => {
+    const before = await kept.send(plainCall());
+    await stopping;
+    return [before, await kept.send(plainCall())];
+  },
+  "idle, used late": async (kept, { refusing }) => {
+    const before = await kept.send(plainCall());
+    await refusing;
+    return [before, await kept.send(plainCall())];
+  },
+};
+
+const PER_PHASE = 5;
+
+for (const isDisturbed of [false, true]) {
+  const how = isDisturbed ? "two stop signals and configurations" : "a stop";
+  test(`${how} at each phase of a request leaves none without an answer`, () =>
+    withFleet(async (fleet) => {
+      const leaving = fleet.instances[0]!;
+      const phases = Object.entries(PHASES).flatMap((phase) =>
+        Array(PER_PHASE).fill(phase) as (typeof phase)[]
+      );
+      const connections = await openAll(leaving, phases.length);
+      await Promise.all(connections.map((kept) => kept.send(plainCall())));
+      const stopping = logged(leaving, "stopping");
+      const seen = {
+        stopping,
+        refusing: stopping.then(() => refusing(leaving)),
+      };
+      const calls = phases.map(async ([name, phase], index) => {
+        const results = await phase(connections[index]!, seen);
+        return faultsOf(fleet, results).map((fault) => `${name}: ${fault}`);
+      });
+      await logged(leaving, "sent");
+      const ended = leaving.stop();
+      if (isDisturbed) {
+        fleet.configure();
+        void leaving.stop();
+        await seen.stopping;
+        fleet.configure();
+      }
+      assert.equal((await Promise.all(calls)).flat(), []);
+      assert.equal(await ended, CLEAN_END);
+    }));
+}
+
+/** A caller that goes on, on new connections where it has to. */
+async function sendWhile(
+  goesOn: () => boolean,
+  instance: SoakInstance,
+  firstTurn: number,
+): Promise<ConnectionResult[]> {
+  const results: ConnectionResult[] = [];
+  let kept = await StandinConnection.open(instance.callerAddress);
+  for (let turn = firstTurn; goesOn(); turn++) {
+    if (!kept.isUsable) {
+      kept.close();
+      kept = await StandinConnection.open(instance.callerAddress);
+    }
+    results.push(await kept.send(mixedCall(turn)));
+    await sleep(THINK_MS);
+  }
+  kept.close();
+  return results;
+}
+
+async function sendAllWhile(
+  goesOn: () => boolean,
+  instance: SoakInstance,
+): Promise<ConnectionResult[]> {
+  const callers = Array.from(
+    { length: CALLERS },
+    (_, index) => sendWhile(goesOn, instance, index),
+  );
+  return (await Promise.all(callers)).flat();
+}
+
+test("requests at every moment of a stop are kept until the process is gone", () =>
+  withFleet(async (fleet) => {
+    const leaving = fleet.instances[0]!;
+    await allowLong(fleet, leaving);
+    // It has to stay until its grace time is over.
+    const [busy] = await openAll(leaving, 1);
+    const outlasting = busy!.send(streamCall(CallKind.Long, {
+      requestId: "outlasts",
+      headers: { "X-Token-Counts": "100,2000" },
+    }));
+    const sending = sendAllWhile(() => leaving.runs, leaving);
+    await logged(leaving, "answered");
+    const ended = leaving.stop();
+    await logged(leaving, "stopping");
+    void leaving.stop();
+    fleet.configure({ routes: longRoutes() });
+    const results = await sending;
+    assert.equal(faultsOf(fleet, results), []);
+    const tally = tallyOf(results);
+    assert.ok(tally[200]! > 0 && tally[503]! > 0, JSON.stringify(tally));
+    assert.is((await outlasting).answer, undefined);
+    assert.equal(await ended, CLEAN_END);
+  }));
+
+function longRoutes(): unknown[] {
+  const { routes } = configurationOf(0) as { routes: object[] };
+  return routes.map((route) => ({ ...route, timeoutMs: LONG_TIMEOUT_MS }));
+}
+
+/** Lets requests take long, and waits until an instance knows it. */
+async function allowLong(
+  fleet: SoakFleet,
+  instance: SoakInstance,
+): Promise<void> {
+  const version = fleet.configure({ routes: longRoutes() });
+  await waitFor(
+    "the configuration to be in force",
+    () =>
+      instance.lines.some((line) =>
+        line.includes('"message":"configuration in force"') &&
+        line.includes(`"version":${version}`)
+      ),
+  );
+}
+
+test("what outlasts the grace time is told so, whether it ran or waits", () =>
+  withFleet(async (fleet) => {
+    const leaving = fleet.instances[0]!;
+    await allowLong(fleet, leaving);
+    for (const { target } of fleet.targets) {
+      target.conduct = TargetConduct.FallSilent;
+    }
+    const connections = await openAll(leaving);
+    const calls = connections.map((kept) => kept.send(plainCall()));
+    await logged(leaving, "sent");
+    const ended = leaving.stop();
+    const results = await Promise.all(calls);
+    assert.equal(await ended, CLEAN_END);
+    const ran = new Set(
+      fleet.targets.flatMap(({ target }) => target.ranIds),
+    );
+    const told = results.filter(({ requestId, answer }) =>
+      answer?.status ===
+        (ran.has(requestId) ? HTTP_BAD_GATEWAY : HTTP_UNAVAILABLE)
+    );
+    assert.is(told.length, results.length, JSON.stringify(tallyOf(results)));
+  }));
+
+test("changed and unusable settings under load close no connection", () =>
+  withFleet(async (fleet) => {
+    const connections = (await Promise.all(
+      fleet.instances.map((instance) => openAll(instance)),
+    )).flat();
+    let goesOn = true;
+    const sending = keepSending(connections, () => goesOn);
+    for (let round = 0; round < 20; round++) {
+      for (const instance of fleet.instances) {
+        instance.changeSettings({ "bounds.graceS": String(4 + round % 5) });
+        instance.reload();
+        await sleep(20);
+        instance.changeSettings({ "bounds.graceS": "soon" });
+        instance.reload();
+        instance.reload();
+      }
+      await sleep(20);
+    }
+    for (const instance of fleet.instances) {
+      await logged(instance, "reloaded");
+      await logged(instance, "settings not usable");
+    }
+    goesOn = false;
+    const results = await sending;
+    assert.equal(faultsOf(fleet, results), []);
+    assert.ok(results.every(({ end }) => end === CallEnd.Answered));
+    assert.ok(connections.every(({ isUsable }) => isUsable));
+  }));
+
+test("stops, restarts, reloads and configurations that overlap lose nothing", () =>
+  withFleet(async (fleet) => {
+    let goesOn = true;
+    const sending = fleet.instances.map((instance) =>
+      sendAllWhile(() => goesOn, instance)
+    );
+    const [first, second] = fleet.instances;
+    for (const [leaving, staying] of [[first, second], [second, first]]) {
+      const ended = leaving!.stop();
+      for (let round = 0; round < 10; round++) {
+        staying!.changeSettings({ "bounds.graceS": String(4 + round % 2) });
+        staying!.reload();
+        leaving!.reload();
+        fleet.configure();
+        await sleep(100);
+      }
+      assert.equal(await ended, CLEAN_END);
+      await leaving!.start(0);
+      await fleet.allReady();
+    }
+    goesOn = false;
+    const results = (await Promise.all(sending)).flat();
+    assert.equal(faultsOf(fleet, results), []);
+    assert.ok(tallyOf(results)[200]! > 0);
+  }));
+
+const GRACE_CHANGES = [
+  { how: "lengthened", graceS: 15, isServed: true },
+  { how: "shortened", graceS: 4, isServed: false },
+  { how: "shortened to the least time of a stop", graceS: 3, isServed: false },
+];
+
+for (const { how, graceS, isServed } of GRACE_CHANGES) {
+  test(`a grace time ${how} by reload holds for the next stop`, () =>
+    withFleet(async (fleet) => {
+      const leaving = fleet.instances[0]!;
+      await allowLong(fleet, leaving);
+      leaving.changeSettings({ "bounds.graceS": String(graceS) });
+      leaving.reload();
+      await logged(leaving, "reloaded");
+      const [busy] = await openAll(leaving, 1);
+      // Seven seconds: more than the usual and the shortened grace time.
+      const long = busy!.send(streamCall(CallKind.Long, {
+        requestId: "outlasts",
+        headers: { "X-Token-Counts": "100,1400" },
+      }));
+      const sending = sendAllWhile(() => leaving.runs, leaving);
+      await logged(leaving, "sent");
+      const ended = leaving.stop();
+      const results = await sending;
+      assert.equal(faultsOf(fleet, results), []);
+      assert.is((await long).answer !== undefined, isServed);
+      assert.equal(await ended, CLEAN_END);
+    }));
+}
+
+test.run();
--- a/tests/soak_fleet.ts
+++ b/tests/soak_fleet.ts
@@ -42,20 +42,22 @@
   }
 
   /**
-   * @param plan What the fleet is made of.
+   * @param size What the fleet is made of.
    * @returns Once all instances are ready.
    */
-  async start(plan: SoakPlan): Promise<void> {
+  async start(
+    size: Pick<SoakPlan, "instances" | "engines" | "desks">,
+  ): Promise<void> {
     await this.store.open("127.0.0.1");
     this.#storeRelay = await LinkRelay.start(this.store.address);
-    for (let index = 0; index < plan.engines + plan.desks; index++) {
-      const pool = index < plan.engines ? ENGINE_POOL : DESK_POOL;
+    for (let index = 0; index < size.engines + size.desks; index++) {
+      const pool = index < size.engines ? ENGINE_POOL : DESK_POOL;
       await this.#addTarget(`target-${index}`, pool);
     }
     this.configure();
     const ports = await freePorts(PORTS);
     const storeAddress = this.storeRelay.address;
-    for (let index = 0; index < plan.instances; index++) {
+    for (let index = 0; index < size.instances; index++) {
       this.instances.push(new SoakInstance({ index, ports, storeAddress }));
     }
     await Promise.all(this.instances.map((instance) => instance.start(0)));
@@ -69,10 +71,17 @@
     }
   }
 
-  /** Writes another version of the configuration, with the same content. */
-  configure(): void {
+  /**
+   * Writes another version of the configuration.
+   *
+   * @param over What differs from the usual one, in the operator's words.
+   * @returns The number of the version.
+   */
+  configure(over: Readonly<Record<string, unknown>> = {}): number {
     this.#version++;
-    this.store.put("op", "config", configurationOf(this.#version));
+    const usual = configurationOf(this.#version);
+    this.store.put("op", "config", { ...usual, ...over });
+    return this.#version;
   }
 
   /**
--- a/tests/soak_instance.ts
+++ b/tests/soak_instance.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { nextHost } from "./link_relay.ts";
-import { ServerProcess } from "./server_process.ts";
+import { type ProcessEnd, ServerProcess } from "./server_process.ts";
 
 /** Where an instance is reached, and what it reaches. */
 export interface SoakInstanceOptions {
@@ -38,6 +38,7 @@
   readonly #statusAddress: string;
   readonly #metricsPort: number;
   readonly #folder = mkdtempSync(join(tmpdir(), "soak-"));
+  readonly #settings: Readonly<Record<string, string>>;
   #server?: ServerProcess;
   #starting = Promise.resolve();
 
@@ -49,21 +50,26 @@
     this.callerAddress = `${ip}:${front}`;
     this.#statusAddress = `${ip}:${status}`;
     this.#metricsPort = metrics!;
-    writeFileSync(
-      this.#settingsPath,
-      [
-        `nodeName=${this.id}`,
-        `zone=${DOMAINS[index % DOMAINS.length]}`,
-        `ip=${ip}`,
-        `listen.front=${this.callerAddress}`,
-        `listen.ready=${this.#statusAddress}`,
-        `internalPortRange=${peer},${peer! + 1}`,
-        "seeds=",
-        `platform.address=${storeAddress}`,
-        `bounds.graceS=${GRACE_S}`,
-        "bounds.retryBudgetSlack=100",
-      ].join("\n"),
-    );
+    this.#settings = {
+      nodeName: this.id,
+      zone: DOMAINS[index % DOMAINS.length]!,
+      ip,
+      "listen.front": this.callerAddress,
+      "listen.ready": this.#statusAddress,
+      internalPortRange: `${peer},${peer! + 1}`,
+      seeds: "",
+      "platform.address": storeAddress,
+      "bounds.graceS": String(GRACE_S),
+      "bounds.retryBudgetSlack": "100",
+    };
+    this.changeSettings();
+  }
+
+  /** @param over Lines of its settings file that differ from the usual ones. */
+  changeSettings(over: Readonly<Record<string, string>> = {}): void {
+    const lines = Object.entries({ ...this.#settings, ...over })
+      .map(([name, value]) => `${name}=${value}`);
+    writeFileSync(this.#settingsPath, lines.join("\n"));
   }
 
   /**
@@ -123,11 +129,12 @@
   }
 
   /** @returns How its process ended after it was asked to. */
-  async stop(): Promise<void> {
+  async stop(): Promise<ProcessEnd | undefined> {
     const server = this.#server;
     server?.signal("SIGTERM");
-    await server?.ended;
+    const end = await server?.ended;
     this.#leave();
+    return end;
   }
 
   /** Asks it to read its settings again. */
