--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -92,16 +92,29 @@
         response.setHeader("connection", "close");
       }
     }
-    this.#server.closeIdleConnections();
+    this.#closeIdle();
+  }
+
+  /**
+   * The runtime takes a connection for idle once its answer is ended, though
+   * bytes of it may wait for the caller; closed then, a caller that reads slowly
+   * gets 4 of 33 MB. So it is asked only while nothing waits.
+   */
+  #closeIdle(): void {
+    const waits = [...this.#responses].some((each) => each.writableEnded);
+    if (!waits) {
+      this.#server.closeIdleConnections();
+    }
   }
 
   /** @returns Nothing, once every response is over and the port is closed. */
   async stop(): Promise<void> {
     this.beginShutdown();
+    // Until then callers are refused: closing the port closes what seems idle.
+    await this.#idle();
     const closed = new Promise<void>((resolve) => {
       this.#server.close(() => resolve());
     });
-    await this.#idle();
     this.#server.closeAllConnections();
     await closed;
   }
@@ -177,6 +190,9 @@
     }
     response.once("close", () => {
       this.#responses.delete(response);
+      if (this.#shuttingDown) {
+        this.#closeIdle();
+      }
       this.#checkIdle();
     });
   }
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -149,6 +149,7 @@
     this.#parts.metrics.connectionEnded(connection.end);
     for (const answer of connection.owed) {
       this.#unanswered(connection, answer);
+      answer.onUnanswered();
     }
   }
 
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -22,6 +22,7 @@
 } from "./caller_connections.ts";
 import { CallerReply } from "./caller_reply.ts";
 import { ClosingStage } from "./closing_stage.ts";
+import { RETRY_AFTER_MS } from "./come_back.ts";
 import { LogPart } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { OwedAnswer } from "./owed_answer.ts";
@@ -214,9 +215,9 @@
     }
     this.#parts.metrics.requestRead(admission.route.name);
     this.#reading++;
-    const refuse = (error: RoutedError) => {
+    const refuse = (error: RoutedError, retryAfterMs?: number) => {
       this.#reading--;
-      this.#refuse(reply, facts, { error });
+      this.#refuse(reply, facts, { error, retryAfterMs });
     };
     const { timeoutMs } = admission.route;
     new RequestBody(request, {
@@ -228,7 +229,7 @@
           this.#unlessLeft(owed, () => this.#begin(call, owed, reply));
         },
         tooLarge: () => refuse(RoutedError.BodyTooLarge),
-        tooSlow: () => refuse(RoutedError.BodyTooSlow),
+        tooSlow: () => refuse(RoutedError.TimeoutNotRun, RETRY_AFTER_MS),
         brokenOff: () => this.#reading--,
       },
     });
@@ -319,13 +320,10 @@
     owed.countRuns = () => routed.runs;
     this.#open.add(routed);
     this.#parts.metrics.openRequests(this.#open.size);
-    const { response } = owed;
-    response.on("close", () => {
-      if (!response.writableFinished) {
-        routed.callerLeft();
-      }
-    });
-    response.on("drain", () => routed.callerReads());
+    // The runtime tells of a response's end only once it has its turn on the
+    // connection, and one that waits behind another never gets it.
+    owed.onUnanswered = () => routed.callerLeft();
+    owed.response.on("drain", () => routed.callerReads());
     routed.start();
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -254,10 +254,16 @@
       log: this.#log,
       graceMs: () => this.#settings.graceMs,
       pause: (forMs) => pause(forMs),
-    }).run();
+    }, this.#lateNowMs()).run();
     this.#close();
   }
 
+  /** By how much this process is late, its next tick included. */
+  #lateNowMs(): number {
+    const sinceTickMs = this.#clock.nowMs() - this.#tickedAtMs;
+    return Math.max(0, this.#lateMs, sinceTickMs - TICK_MS);
+  }
+
   /** Ends at once, as a killed process would; for tests. */
   kill(): void {
     this.#close();
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -5,7 +5,7 @@
 import type { Clock } from "./ports.ts";
 
 /**
- * Least time from a stop signal to the end: the balancer needs two failed
+ * Least time from the handling of a stop signal to the end: the balancer needs two failed
  * readiness checks, one second apart, before it sends no more callers.
  */
 const LEAST_STOPPING_MS = 3000;
@@ -29,6 +29,12 @@
  */
 const END_MARGIN_MS = 200;
 
+/**
+ * Least time for these to be written out, also where the grace time was made
+ * shorter meanwhile.
+ */
+const LEAST_WRITE_OUT_MS = 100;
+
 /** Time between two looks at whether all is answered. */
 const LOOK_MS = 50;
 
@@ -61,12 +67,20 @@
 /** Stops serving callers within the grace time. */
 export class GracefulStop {
   readonly #parts: StopParts;
+  /** When the signal came, at the earliest. */
   readonly #beganAtMs: number;
+  /** When it was handled, and the instance said that it is not ready. */
+  readonly #handledAtMs: number;
 
-  /** @param parts What is stopped. */
-  constructor(parts: StopParts) {
+  /**
+   * @param parts What is stopped.
+   * @param lateMs By how much the process was late. The grace time counts from
+   * the signal, which may have waited for so long.
+   */
+  constructor(parts: StopParts, lateMs = 0) {
     this.#parts = parts;
-    this.#beganAtMs = parts.clock.nowMs();
+    this.#handledAtMs = parts.clock.nowMs();
+    this.#beganAtMs = this.#handledAtMs - lateMs;
   }
 
   /**
@@ -95,9 +109,10 @@
   }
 
   async #finishRequests(): Promise<void> {
-    const { front } = this.#parts;
+    const { clock, front } = this.#parts;
     while (!this.#isWithin(BREAK_OFF_MARGIN_MS)) {
-      if (front.isIdle && this.#spentMs >= LEAST_STOPPING_MS) {
+      const toldMs = clock.nowMs() - this.#handledAtMs;
+      if (front.isIdle && toldMs >= LEAST_STOPPING_MS) {
         return;
       }
       if (this.#spentMs >= this.#refuseAfterMs) {
@@ -108,7 +123,10 @@
   }
 
   async #writeOut(): Promise<void> {
-    while (!this.#parts.front.isIdle && !this.#isWithin(END_MARGIN_MS)) {
+    const leastMs = this.#spentMs + LEAST_WRITE_OUT_MS;
+    const isOver = () =>
+      this.#isWithin(END_MARGIN_MS) && this.#spentMs >= leastMs;
+    while (!this.#parts.front.isIdle && !isOver()) {
       await this.#parts.pause(LOOK_MS);
     }
   }
--- a/packages/gateway/src/owed_answer.ts
+++ b/packages/gateway/src/owed_answer.ts
@@ -28,6 +28,8 @@
   readonly response: ServerResponse;
   /** Counts the targets that may have run the request. */
   countRuns: () => number = () => 0;
+  /** Called when the connection ends before the answer is written out. */
+  onUnanswered: () => void = () => {};
 
   /**
    * @param response Where the answer goes.
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -154,6 +154,11 @@
     const { targets } = this.#parts.board;
     const nowMs = this.#nowMs();
     this.#parts.metrics.placed(this.#call.pool, nowMs - this.#askedAtMs);
+    if (nowMs >= deadlineAtMs(this.#call)) {
+      // Sent now, it would be told that it may have run.
+      this.#timeOver();
+      return;
+    }
     const target = targets.get(decision.targetId);
     if (target === undefined || !targets.isUsable(target, nowMs)) {
       this.#giveBack(decision.targetId);
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -8,8 +8,6 @@
   UnknownKey = "unknown_key",
   BodyTooLarge = "body_too_large",
   HeadTooLarge = "head_too_large",
-  /** Its body was not there in time. */
-  BodyTooSlow = "body_too_slow",
   /** This instance is shutting down; others are not. */
   Leaving = "leaving",
   /** The workspace has spent its allotment. */
@@ -75,11 +73,6 @@
     ran: RanState.NotRun,
     text: "The headers are larger than the configured limit.",
   },
-  [RoutedError.BodyTooSlow]: {
-    status: 408,
-    ran: RanState.NotRun,
-    text: "The body was not read whole within the request's time.",
-  },
   [RoutedError.Leaving]: {
     status: 503,
     ran: RanState.NotRun,
