Replace a coordinator that answers too late, for all

Cause: whom a holder passes over is its own knowledge. An instance whose heartbeats are in time but whose decisions are late stayed coordinator; each holder passed it over for a second at a time, and the one that stood in handed out its own part of the allotments only.

Change: a holder that passes a coordinator over tells it. One that half of the others passed over within 1.2 s stands aside for 10 s and says so in its heartbeats, to all at once; all leave it out then, itself included. Only the instance itself states the fact, so there is nothing to agree on.

--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -59,6 +59,8 @@
   #self: MemberNews;
   #beats = 0;
   #beatAtMs = -Infinity;
+  /** Whether the others were told that this instance stands aside. */
+  #toldAside = false;
   #aliveIds = new Set<string>();
   /** Members that said last that they reach the platform's store. */
   readonly #reachStore = new Set<string>();
@@ -81,6 +83,10 @@
   /** Lets time pass: beats, and notes who fell silent. */
   tick(): void {
     const nowMs = this.#parts.clock.nowMs();
+    const standsAside = this.#parts.board.members.standsAside(nowMs);
+    if (standsAside !== this.#toldAside) {
+      this.#tellAside(standsAside);
+    }
     if (nowMs - this.#beatAtMs >= BEAT_MS) {
       this.#beat(nowMs);
       this.#noteChanges(nowMs);
@@ -116,6 +122,15 @@
     }
   }
 
+  /** All hear it at once: who coordinates is only then the same for all. */
+  #tellAside(standsAside: boolean): void {
+    const { board, log } = this.#parts;
+    this.#toldAside = standsAside;
+    this.#self = { ...this.#self, standsAside };
+    log.info(LogPart.Members, "stands aside as coordinator", { standsAside });
+    this.#sendBeat(board.members.others().map((m) => m.address), false);
+  }
+
   #beat(nowMs: number): void {
     this.#beatAtMs = nowMs;
     this.#beats++;
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -70,6 +70,7 @@
   "callHash",
   "cameBackMs",
   "bySecond",
+  "standsAside",
 ];
 
 /** Bytes that the receive buffer of the socket holds. */
--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -177,6 +177,9 @@
       case MessageKind.Decision:
         this.#decided(message.decision, fromId);
         return;
+      case MessageKind.PassedOver:
+        this.#passedOver(fromId, nowMs);
+        return;
       default:
         return;
     }
@@ -337,6 +340,7 @@
 
   #shun(instanceId: string, nowMs: number): void {
     if (this.#choice.shun(instanceId, nowMs)) {
+      this.#send(instanceId, { kind: MessageKind.PassedOver });
       this.#parts.log.warn(LogPart.Placement, "coordinator is silent", {
         coordinatorId: instanceId,
         silentMs: SILENT_COORDINATOR_MS,
@@ -344,6 +348,13 @@
     }
   }
 
+  #passedOver(byId: string | undefined, nowMs: number): void {
+    const { members } = this.#parts.board;
+    if (byId !== undefined) {
+      members.passedOver(byId, nowMs);
+    }
+  }
+
   #coordinator(): MemberRecord {
     return this.#choice.current(this.#nowMs());
   }
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -14,6 +14,8 @@
   readonly leaving: boolean;
   /** Processor cores that it may use. */
   readonly cores: number;
+  /** Whether it has said that it is too slow to coordinate. */
+  readonly standsAside?: boolean;
   /** Local time at which it was last heard; -Infinity before the first time. */
   readonly heardAtMs: number;
 }
@@ -76,6 +78,22 @@
  */
 const STRONG_PART = 0.5;
 
+/**
+ * Time within which members that passed this instance over as coordinator count
+ * together: those that ask seldom find out later than others.
+ */
+const PASSED_OVER_MS = 1200;
+
+/** Part of the other members that passed it over, for it to stand aside. */
+const PASSED_OVER_PART = 0.5;
+
+/**
+ * Time for which a coordinator that is passed over stands aside. An instance
+ * that is slow is so for seconds; being replaced costs the fleet nothing, as
+ * another that is as strong takes over.
+ */
+const STAND_ASIDE_MS = 10_000;
+
 /** How a member is told of: by itself, by another, or by the platform's list. */
 export type MemberNews = Omit<MemberRecord, "heardAtMs">;
 
@@ -89,6 +107,9 @@
   readonly #expectedSinceMs = new Map<string, number>();
   readonly #toldAtMs = new Map<string, number>();
   readonly #idByAddress = new Map<string, string>();
+  /** When each member said that this instance does not answer it. */
+  readonly #passedOverAtMs = new Map<string, number>();
+  #standsAsideUntilMs = -Infinity;
   /** Rendezvous scores, which are costly to hash on every look. */
   readonly #scores = new Map<string, number>();
 
@@ -258,6 +279,38 @@
     this.#remembersSinceMs.set(instanceId, nowMs - memoryMs);
   }
 
+  /**
+   * Notes that a member asked this instance for places in vain and went on to
+   * another. Each holder knows only of itself whom it passes over, and the one
+   * that stands in hands out no more than its own part of allotments; an
+   * instance that stands aside is replaced by all, who then hand out the whole.
+   *
+   * @param byId The member.
+   * @param nowMs The local time.
+   */
+  passedOver(byId: string, nowMs: number): void {
+    this.#passedOverAtMs.set(byId, nowMs);
+    const others = this.alive(nowMs)
+      .filter(({ instanceId }) => instanceId !== this.selfId);
+    const saying = others.filter(({ instanceId }) =>
+      nowMs - (this.#passedOverAtMs.get(instanceId) ?? -Infinity) <
+        PASSED_OVER_MS
+    );
+    if (
+      saying.length > 0 && saying.length >= PASSED_OVER_PART * others.length
+    ) {
+      this.#standsAsideUntilMs = nowMs + STAND_ASIDE_MS;
+    }
+  }
+
+  /**
+   * @param nowMs The local time.
+   * @returns Whether this instance is too slow to coordinate.
+   */
+  standsAside(nowMs: number): boolean {
+    return nowMs < this.#standsAsideUntilMs;
+  }
+
   /**
    * Picks the coordinator: among the members that have run longest the one that
    * rendezvous hashing gives. Every instance with the same view picks the same
@@ -270,7 +323,8 @@
   coordinator(nowMs: number, shunned: ReadonlySet<string>): MemberRecord {
     const alive = this.alive(nowMs);
     const staying = alive.filter((m) => !m.leaving);
-    const answering = (staying.length > 0 ? staying : alive)
+    const quick = staying.filter((m) => !this.#isAside(m, nowMs));
+    const answering = [quick, staying, alive].find(({ length }) => length > 0)!
       .filter((m) => !shunned.has(m.instanceId));
     const eligible = new Set(strongest(this.#longestRunning(answering, nowMs)));
     for (;;) {
@@ -282,6 +336,12 @@
     }
   }
 
+  #isAside({ instanceId, standsAside }: MemberRecord, nowMs: number): boolean {
+    return instanceId === this.selfId
+      ? this.standsAside(nowMs)
+      : standsAside === true;
+  }
+
   #score(instanceId: string): number {
     let score = this.#scores.get(instanceId);
     if (score === undefined) {
@@ -337,6 +397,7 @@
         this.#remembersSinceMs.delete(instanceId);
         this.#expectedSinceMs.delete(instanceId);
         this.#toldAtMs.delete(instanceId);
+        this.#passedOverAtMs.delete(instanceId);
         this.#scores.delete(instanceId);
         if (this.#idByAddress.get(address) === instanceId) {
           this.#idByAddress.delete(address);
--- a/packages/routing/src/member_view_test.ts
+++ b/packages/routing/src/member_view_test.ts
@@ -32,6 +32,44 @@
   assert.is(view.coordinator(5000, NONE).instanceId, "i1");
 });
 
+test("an instance that half of the others passed over stands aside", () => {
+  const others = ["i2", "i3", "i4", "i5"];
+  const view = viewOf("i1", others);
+  view.passedOver("i2", 100);
+  view.passedOver("i2", 200);
+  assert.is(view.standsAside(200), false);
+  others.forEach((id) => view.heard(memberOf(id), 1500));
+  view.passedOver("i3", 1500);
+  assert.is(view.standsAside(1500), false, "the first word is too old");
+  view.passedOver("i2", 1600);
+  assert.is(view.standsAside(1600), true);
+  assert.is(view.standsAside(20_000), false);
+});
+
+test("all replace a coordinator that stands aside, itself included", () => {
+  const ids = ["i1", "i2", "i3"];
+  const slowId = viewOf("i1", ["i2", "i3"]).coordinator(100, NONE).instanceId;
+  const picked = ids.map((self) => {
+    const others = ids.filter((id) => id !== self);
+    const view = viewOf(self, others);
+    if (self === slowId) {
+      others.forEach((id) => view.passedOver(id, 100));
+    }
+    view.heard(memberOf(slowId, { standsAside: true }), 100);
+    return view.coordinator(100, NONE).instanceId;
+  });
+  assert.is(new Set(picked).size, 1);
+  assert.is.not(picked[0], slowId);
+});
+
+test("where all stand aside, one of them coordinates", () => {
+  const view = viewOf("i1", ["i2"]);
+  view.heard(memberOf("i2", { standsAside: true }), 0);
+  view.passedOver("i2", 100);
+  assert.is(view.standsAside(100), true);
+  assert.ok(["i1", "i2"].includes(view.coordinator(100, NONE).instanceId));
+});
+
 test("an instance that has just started takes over from nobody", () => {
   const ids = ["i1", "i2", "i3", "i4", "i5", "i6"];
   const view = viewOf("i1", ids.slice(1));
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -17,6 +17,8 @@
   End = "end",
   Drop = "drop",
   Report = "report",
+  /** The sender asked the receiver for places in vain, and went on. */
+  PassedOver = "passed_over",
 }
 
 const member = z.object({
@@ -26,6 +28,7 @@
   incarnation: z.number(),
   leaving: z.boolean(),
   cores: z.number(),
+  standsAside: z.boolean().optional(),
 });
 
 const targetChange = z.object({
@@ -145,6 +148,7 @@
   z.object({ kind: z.literal(MessageKind.End), end }),
   z.object({ kind: z.literal(MessageKind.Drop), askId: z.string() }),
   z.object({ kind: z.literal(MessageKind.Report), report }),
+  z.object({ kind: z.literal(MessageKind.PassedOver) }),
 ]);
 
 /** A message between instances. */
