--- a/tests/link_relay.ts
+++ b/tests/link_relay.ts
@@ -44,6 +44,7 @@
   readonly inbound: Transform;
 }
 
+const MS_PER_S = 1000;
 const NO_BYTES = Buffer.alloc(0);
 const OCTET = 256;
 const LOOPBACK_OCTET = 127;
@@ -60,6 +61,7 @@
   #upstream: string | undefined;
   #state = LinkState.Open;
   #delayMs = 0;
+  #inboundBytesPerS = Infinity;
 
   private constructor(upstream?: string) {
     this.#upstream = upstream;
@@ -129,6 +131,11 @@
     this.#delayMs = delayMs;
   }
 
+  /** @param bytesPerS How much of what the upstream sends passes, for each connection. */
+  narrowInbound(bytesPerS: number): void {
+    this.#inboundBytesPerS = bytesPerS;
+  }
+
   /** Forwards again, also what was held back. */
   async heal(): Promise<void> {
     this.#state = LinkState.Open;
@@ -186,8 +193,8 @@
     const passage = {
       near,
       far,
-      outbound: this.#delayLine(),
-      inbound: this.#delayLine(),
+      outbound: this.#delayLine(() => Infinity),
+      inbound: this.#delayLine(() => this.#inboundBytesPerS),
     };
     passage.outbound.pipe(far);
     passage.inbound.pipe(near);
@@ -229,13 +236,14 @@
     this.#closed(passage);
   }
 
-  #delayLine(): Transform {
+  #delayLine(bytesPerS: () => number): Transform {
     return new Transform({
-      transform: (chunk, _encoding, done) => {
-        if (this.#delayMs === 0) {
+      transform: (chunk: Buffer, _encoding, done) => {
+        const waitMs = this.#delayMs + chunk.length / bytesPerS() * MS_PER_S;
+        if (waitMs === 0) {
           done(null, chunk);
         } else {
-          setTimeout(() => done(null, chunk), this.#delayMs);
+          setTimeout(() => done(null, chunk), waitMs);
         }
       },
     });
--- /dev/null
+++ b/tests/narrow_writes.ts
@@ -0,0 +1,66 @@
+/**
+ * Loaded into an instance's process ahead of its program: connections that it
+ * accepts take so many bytes a second. The kernel's buffers on the loopback take
+ * some 3 MB at once (measured: 3 MB are taken whole, of 4 MB most wait), so that
+ * no plain answer ever waits in the process; on links with small windows it does.
+ */
+
+import { Buffer } from "node:buffer";
+import { Socket } from "node:net";
+import process from "node:process";
+import { WRITE_RATE_VARIABLE } from "./write_rate.ts";
+
+type Done = (error?: Error | null) => void;
+type WriteGeneric = (
+  this: Socket,
+  many: boolean,
+  data: unknown,
+  encoding: string,
+  done: Done,
+) => void;
+
+/** Bytes handed to the kernel at once: one window of a narrow link. */
+const PIECE_BYTES = 16 * 1024;
+const MS_PER_S = 1000;
+
+const prototype = Socket.prototype as unknown as {
+  _writeGeneric: WriteGeneric;
+};
+const writeAtOnce = prototype._writeGeneric;
+const bytesPerS = Number(process.env[WRITE_RATE_VARIABLE] ?? Infinity);
+
+prototype._writeGeneric = function (many, data, encoding, done) {
+  const isAccepted = (this as { server?: unknown }).server !== undefined;
+  if (!isAccepted || !Number.isFinite(bytesPerS)) {
+    writeAtOnce.call(this, many, data, encoding, done);
+    return;
+  }
+  writeInPieces(this, bytesOf(many, data, encoding), done);
+};
+
+function writeInPieces(socket: Socket, bytes: Buffer, done: Done): void {
+  const piece = bytes.subarray(0, PIECE_BYTES);
+  const rest = bytes.subarray(PIECE_BYTES);
+  writeAtOnce.call(socket, false, piece, "buffer", (error) => {
+    if (error || rest.length === 0) {
+      done(error);
+      return;
+    }
+    const waitMs = piece.length / bytesPerS * MS_PER_S;
+    setTimeout(() => writeInPieces(socket, rest, done), waitMs);
+  });
+}
+
+function bytesOf(many: boolean, data: unknown, encoding: string): Buffer {
+  if (!many) {
+    return oneOf(data as Buffer | string, encoding);
+  }
+  const parts = data as { chunk: Buffer | string; encoding: string }[];
+  return Buffer.concat(parts.map((part) => oneOf(part.chunk, part.encoding)));
+}
+
+function oneOf(data: Buffer | string, encoding: string): Buffer {
+  return typeof data === "string"
+    ? Buffer.from(data, encoding as BufferEncoding)
+    : data;
+}
--- a/tests/soak.ts
+++ b/tests/soak.ts
@@ -3,8 +3,8 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import process from "node:process";
-import { Command, InvalidArgumentError } from "commander";
-import { planSoak } from "./soak_plan.ts";
+import { Command, InvalidArgumentError, Option } from "commander";
+import { planSoak, SoakSize } from "./soak_plan.ts";
 import { playSoak, type SoakOutcome } from "./soak_run.ts";
 
 interface SoakOptions {
@@ -12,6 +12,9 @@
   readonly seeds: number;
   readonly seconds: number;
   readonly keep: string;
+  readonly size: SoakSize;
+  readonly instances?: number;
+  readonly engines?: number;
 }
 
 const MS_PER_S = 1000;
@@ -21,12 +24,16 @@
   const options = readOptions();
   let failed = 0;
   for (let seed = options.from; seed < options.from + options.seeds; seed++) {
-    const plan = planSoak(seed, options.seconds * MS_PER_S);
+    const plan = planSoak(seed, {
+      ...options,
+      lengthMs: options.seconds * MS_PER_S,
+    });
     const outcome = await playSoak(plan);
     const { calls, whole, refused, broken } = outcome;
     print(
       `seed ${seed}: ${calls} calls, ${whole} whole, ${refused} refused, ` +
-        `${plan.faults.length} faults, ${broken.length} promises broken`,
+        `${plan.instances} instances, ${plan.faults.length} faults, ` +
+        `${broken.length} promises broken`,
     );
     if (broken.length > 0) {
       failed++;
@@ -44,6 +51,12 @@
     .option("--seeds <number>", "how many seeds", toCount, 5)
     .option("--seconds <number>", "how long each is", toCount, 8)
     .option("--keep <folder>", "where logs of failed seeds go", "soak-out")
+    .addOption(
+      new Option("--size <size>", "how large fleets are")
+        .choices(Object.values(SoakSize)).default(SoakSize.Small),
+    )
+    .option("--instances <number>", "instead of the number drawn", toCount)
+    .option("--engines <number>", "instead of the number drawn", toCount)
     .parse()
     .opts<SoakOptions>();
 }
--- a/tests/soak_callers.ts
+++ b/tests/soak_callers.ts
@@ -1,6 +1,6 @@
 /** Callers of the soak: they keep their connections and note what came back. */
 
-import { Agent } from "node:http";
+import { Agent, type IncomingMessage } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
 import {
   type Randomness,
@@ -11,8 +11,10 @@
   sendCall,
 } from "@chestnuthatch/platform/standin_caller";
 import { CALLER_KEY } from "@chestnuthatch/platform/standin_fleet";
+import { ANSWER_BYTES_HEADER } from "@chestnuthatch/platform/standin_target";
+import { SECOND_KEY, SECOND_ROUTE, type SoakFleet } from "./soak_fleet.ts";
 import type { SoakInstance } from "./soak_instance.ts";
-import type { SoakPlan } from "./soak_plan.ts";
+import { type PlannedCaller, ReadingPace, type SoakPlan } from "./soak_plan.ts";
 
 /** A kind of call. */
 export interface CallKind {
@@ -22,6 +24,9 @@
   readonly events: number;
   /** Whether it may run once at most. */
   readonly once: boolean;
+  /** Size of a plain answer, or of each event; the target's own where absent. */
+  readonly answerBytes?: number;
+  readonly key?: string;
 }
 
 /** One call, and what came of it. */
@@ -33,11 +38,28 @@
   endedAtMs: number;
   /** Whether its caller left before the end. */
   left: boolean;
+  /** What came back; without the padding of its body. */
   result?: CallResult;
+  /** Length of the body with its padding. */
+  bodyBytes: number;
+}
+
+/** How one call is sent. */
+interface SendOptions {
+  readonly kind: CallKind;
+  readonly instance: SoakInstance;
+  /** `ip:port` to connect to, where that is a link to the instance. */
+  readonly address?: string;
+  readonly agent?: Agent;
+  readonly pace?: ReadingPace;
+  readonly leaves?: boolean;
 }
 
 const PROMPT_TOKENS = 300;
 
+/** What stand-ins pad their answers with. */
+const PADDING = /\.{8,}/g;
+
 /** Kinds of call, in turn. */
 export const CALL_KINDS: readonly CallKind[] = [
   { path: "/plan/", method: "POST", events: 30, once: false },
@@ -46,17 +68,47 @@
   { path: "/status/", method: "GET", events: 0, once: false },
 ];
 
-const DEADLINE_MS = 4000;
+/** Answers that wait on narrow links and for slow callers. */
+const LARGE_KINDS: readonly CallKind[] = [
+  { ...CALL_KINDS[0]!, events: 10, answerBytes: 100_000 },
+  { ...CALL_KINDS[2]!, answerBytes: 300_000 },
+  { ...CALL_KINDS[1]!, events: 4, answerBytes: 600_000 },
+  { ...CALL_KINDS[3]!, answerBytes: 600_000 },
+];
+
+/** What only some versions of the configuration allow. */
+const CHANGING_KINDS: readonly CallKind[] = [
+  { ...CALL_KINDS[3]!, key: SECOND_KEY },
+  { ...CALL_KINDS[3]!, path: SECOND_ROUTE.prefix },
+];
+
+const KEPT_KINDS = [...LARGE_KINDS, ...CALL_KINDS, ...CHANGING_KINDS];
+
+/** Time that a caller waits for its answer. */
+export const DEADLINE_MS = 4000;
 const LEAVING_SHARE = 0.04;
 const MS_PER_S = 1000;
 
+/** Longest time between two calls on a kept connection. */
+const MOST_THINKING_MS = 300;
+
+/** Time before the next call after one that was not served. */
+const COME_BACK_MS = 50;
+
+/** Time for which a caller that starts late reads nothing. */
+const LATE_START_MS = 600;
+
+/** Rest of a slow caller after each part that it reads: some 64 KB. */
+const REST_MS = 20;
+
 /** Sends calls to the instances of a fleet. */
 export class SoakCallers {
   readonly records: CallRecord[] = [];
   readonly #seed: number;
   readonly #random: Randomness;
   readonly #agent = new Agent({ keepAlive: true });
-  readonly #open = new Set<Promise<void>>();
+  readonly #keptAgents: Agent[] = [];
+  readonly #open = new Set<Promise<unknown>>();
 
   /** @param seed Names the calls, and draws who leaves. */
   constructor(seed: number) {
@@ -65,28 +117,26 @@
   }
 
   /**
-   * Calls for as long as the plan says.
+   * Calls for as long as the plan says, and until all faults are over.
    *
-   * @param plan How often.
-   * @param instances Whom to call, in turn.
+   * @param plan How often, and from which callers.
+   * @param fleet Whom to call.
+   * @param faults Settles once the last fault is over.
    * @returns Once the last call was sent.
    */
   async run(
     plan: SoakPlan,
-    instances: readonly SoakInstance[],
+    fleet: SoakFleet,
+    faults: Promise<unknown>,
   ): Promise<void> {
-    const beganAtMs = performance.now();
-    for (let index = 0;; index++) {
-      const spentMs = performance.now() - beganAtMs;
-      if (spentMs >= plan.lengthMs) {
-        return;
-      }
-      const kind = CALL_KINDS[index % CALL_KINDS.length]!;
-      const drawn = Math.floor(this.#random.next() * instances.length);
-      const leaves = this.#random.next() < LEAVING_SHARE;
-      this.#begin(kind, instances[drawn]!, leaves);
-      await pause(MS_PER_S / rateOf(plan, spentMs));
-    }
+    let isOver = false;
+    const over = Promise.allSettled([faults, pause(plan.lengthMs)])
+      .then(() => isOver = true);
+    const kept = plan.callers.map((planned) =>
+      this.#callInTurn(planned, fleet, () => isOver)
+    );
+    await this.#callAtRandom(plan, fleet.instances, () => isOver);
+    await Promise.all([over, ...kept]);
   }
 
   /**
@@ -96,10 +146,8 @@
    * @param instance Whom to call.
    * @returns What became of it.
    */
-  async send(kind: CallKind, instance: SoakInstance): Promise<CallRecord> {
-    const record = this.#recordOf(kind, instance);
-    await this.#call(record, false);
-    return record;
+  send(kind: CallKind, instance: SoakInstance): Promise<CallRecord> {
+    return this.#call({ kind, instance });
   }
 
   /** @returns Once every call has an end. */
@@ -109,55 +157,116 @@
 
   /** Closes kept connections. */
   close(): void {
-    this.#agent.destroy();
+    [this.#agent, ...this.#keptAgents].forEach((agent) => agent.destroy());
   }
 
-  #begin(kind: CallKind, instance: SoakInstance, leaves: boolean): void {
-    const record = this.#recordOf(kind, instance);
-    const ended = this.#call(record, leaves)
-      .finally(() => this.#open.delete(ended));
-    this.#open.add(ended);
+  /** Calls one after the other on one connection, kept until it is closed. */
+  async #callInTurn(
+    planned: PlannedCaller,
+    fleet: SoakFleet,
+    isOver: () => boolean,
+  ): Promise<void> {
+    const { index, pace, isBehindNarrowLink } = planned;
+    const instance = fleet.instances[index]!;
+    const address = isBehindNarrowLink
+      ? fleet.narrowLinks[index]!.address
+      : undefined;
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    this.#keptAgents.push(agent);
+    for (let turn = index; !isOver(); turn++) {
+      const kind = KEPT_KINDS[turn % KEPT_KINDS.length]!;
+      const leaves = this.#random.next() < LEAVING_SHARE;
+      const options = { kind, instance, address, agent, pace, leaves };
+      const { result } = await this.#call(options);
+      const isServed = result!.status !== 0 && result!.whole;
+      await pause(
+        isServed ? MOST_THINKING_MS * this.#random.next() : COME_BACK_MS,
+      );
+    }
   }
 
-  #recordOf(kind: CallKind, instance: SoakInstance): CallRecord {
-    const record = {
+  async #callAtRandom(
+    plan: SoakPlan,
+    instances: readonly SoakInstance[],
+    isOver: () => boolean,
+  ): Promise<void> {
+    const beganAtMs = performance.now();
+    for (let index = 0; !isOver(); index++) {
+      const kind = CALL_KINDS[index % CALL_KINDS.length]!;
+      const drawn = Math.floor(this.#random.next() * instances.length);
+      const leaves = this.#random.next() < LEAVING_SHARE;
+      const instance = instances[drawn]!;
+      const ended = this.#call({ kind, instance, leaves })
+        .finally(() => this.#open.delete(ended));
+      this.#open.add(ended);
+      await pause(MS_PER_S / rateOf(plan, performance.now() - beganAtMs));
+    }
+  }
+
+  async #call(options: SendOptions): Promise<CallRecord> {
+    const { kind, instance } = options;
+    const record: CallRecord = {
       requestId: `soak-${this.#seed}-${this.records.length}`,
       kind,
       instance,
       startedAtMs: performance.now(),
       endedAtMs: Infinity,
       left: false,
+      bodyBytes: 0,
     };
     this.records.push(record);
-    return record;
-  }
-
-  async #call(record: CallRecord, leaves: boolean): Promise<void> {
-    const { requestId, kind, instance } = record;
-    record.result = await sendCall({
-      address: instance.callerAddress,
+    const result = await sendCall({
+      address: options.address ?? instance.callerAddress,
       path: kind.path,
       method: kind.method,
-      requestId,
-      key: CALLER_KEY,
-      agent: this.#agent,
-      headers: {
-        "X-Deadline-Ms": String(DEADLINE_MS),
-        ...(kind.events === 0
-          ? {}
-          : { "X-Token-Counts": `${PROMPT_TOKENS},${kind.events}` }),
-      },
-      onData: (_text, leave) => {
-        if (leaves) {
+      requestId: record.requestId,
+      key: kind.key ?? CALLER_KEY,
+      agent: options.agent ?? this.#agent,
+      headers: headersOf(kind),
+      onAnswer: (answer) => READERS[options.pace ?? ReadingPace.AtOnce](answer),
+      onData: options.leaves
+        ? (_text, leave) => {
           record.left = true;
           leave();
         }
-      },
+        : undefined,
     });
     record.endedAtMs = performance.now();
+    record.bodyBytes = result.body.length;
+    record.result = { ...result, body: result.body.replace(PADDING, "") };
+    return record;
   }
 }
 
+/** How an answer is read at each pace. */
+const READERS: Readonly<
+  Record<ReadingPace, (answer: IncomingMessage) => void>
+> = {
+  [ReadingPace.AtOnce]: () => {},
+  [ReadingPace.Slow]: (answer) => {
+    answer.on("data", () => {
+      answer.pause();
+      setTimeout(() => answer.resume(), REST_MS);
+    });
+  },
+  [ReadingPace.LateStart]: (answer) => {
+    answer.pause();
+    setTimeout(() => answer.resume(), LATE_START_MS);
+  },
+};
+
+function headersOf(
+  { events, answerBytes }: CallKind,
+): Record<string, string> {
+  return {
+    "X-Deadline-Ms": String(DEADLINE_MS),
+    ...(events === 0 ? {} : { "X-Token-Counts": `${PROMPT_TOKENS},${events}` }),
+    ...(answerBytes === undefined
+      ? {}
+      : { [ANSWER_BYTES_HEADER]: String(answerBytes) }),
+  };
+}
+
 function rateOf({ surge, callsPerS }: SoakPlan, spentMs: number): number {
   const inSurge = spentMs >= surge.atMs && spentMs < surge.atMs + surge.forMs;
   return inSurge ? surge.callsPerS : callsPerS;
--- a/tests/soak_checks.ts
+++ b/tests/soak_checks.ts
@@ -2,7 +2,9 @@
 
 import type { SeenRequest } from "@chestnuthatch/platform/standin_target";
 import type { CallRecord } from "./soak_callers.ts";
-import type { SoakTarget } from "./soak_fleet.ts";
+import { AnswerEnds } from "./soak_ends.ts";
+import type { ConfiguredLeast, SoakTarget } from "./soak_fleet.ts";
+import { EndCause, type SoakInstance } from "./soak_instance.ts";
 
 /** A promise that was broken. */
 export interface BrokenPromise {
@@ -16,6 +18,8 @@
 export interface SoakEvidence {
   readonly records: readonly CallRecord[];
   readonly targets: readonly SoakTarget[];
+  readonly instances: readonly SoakInstance[];
+  readonly least: ConfiguredLeast;
 }
 
 type Check = (record: CallRecord, runs: readonly SeenRequest[]) => string[];
@@ -31,12 +35,6 @@
   503,
 ]);
 
-/**
- * Time before its instance went away within which a call may have been on its
- * way to a connection that was just being closed.
- */
-const CLOSING_MS = 250;
-
 const CHECKS: Readonly<Record<string, Check>> = {
   "runs once at most": ({ kind }, runs) =>
     kind.once && runs.length > 1 ? [`ran ${runs.length} times`] : [],
@@ -45,13 +43,18 @@
       ? [`status ${result!.status}, but it ran`]
       : [],
   "an answer is its own and whole": (record) => foreignParts(record),
-  "every call gets an answer": (record) => unanswered(record),
   "keys stay with the entry": (_record, runs) =>
     runs.some(({ headers }) => headers.authorization !== undefined)
       ? ["a target saw the key"]
       : [],
 };
 
+/** Ends of processes that break a promise by themselves. */
+const ENDS: Readonly<Partial<Record<EndCause, string>>> = {
+  [EndCause.Outlasted]: "a stopping process ends within its grace time",
+  [EndCause.Unasked]: "a process ends only when it is asked to",
+};
+
 /**
  * Checks a seed.
  *
@@ -66,8 +69,15 @@
       runsById.set(seen.requestId, [...runs, seen]);
     }
   }
-  return evidence.records.flatMap((record) =>
-    Object.entries(CHECKS).flatMap(([promise, check]) =>
+  const ends = new AnswerEnds(evidence);
+  const checks: Readonly<Record<string, Check>> = {
+    ...CHECKS,
+    "a request that was read ends as an answer, a refusal or an error": (
+      record,
+    ) => ends.faultsOf(record),
+  };
+  const ofCalls = evidence.records.flatMap((record) =>
+    Object.entries(checks).flatMap(([promise, check]) =>
       check(record, runsById.get(record.requestId) ?? []).map((detail) => ({
         promise,
         requestId: record.requestId,
@@ -76,9 +86,21 @@
       }))
     )
   );
+  return [...ofCalls, ...evidence.instances.flatMap(badEnds)];
 }
 
-function foreignParts({ kind, requestId, result }: CallRecord): string[] {
+function badEnds({ id, ends }: SoakInstance): BrokenPromise[] {
+  return ends.flatMap(({ cause, code, signal }) => {
+    const promise = ENDS[cause];
+    const detail = `ended ${cause}, code ${code}, signal ${signal}`;
+    return promise === undefined
+      ? []
+      : [{ promise, requestId: "", instanceId: id, detail }];
+  });
+}
+
+function foreignParts(record: CallRecord): string[] {
+  const { kind, requestId, result, bodyBytes } = record;
   const { status, whole, body, headers } = result!;
   if (status !== STATUS_OK) {
     return [];
@@ -89,7 +111,10 @@
   }
   if (kind.events === 0) {
     const isOwn = body.startsWith(`answer to ${requestId} by `);
-    return whole && !isOwn ? [`is no answer to it: ${body}`] : [];
+    const isShort = bodyBytes < (kind.answerBytes ?? 0);
+    return whole && (!isOwn || isShort)
+      ? [`is no answer to it: ${body}, ${bodyBytes} bytes`]
+      : [];
   }
   const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
   const isInOrder = ids.every((id, index) => id === index + 1);
@@ -100,15 +125,3 @@
     ? [`ended as whole after ${ids.length} of ${kind.events} events`]
     : [];
 }
-
-/** A call goes without any answer only where its instance went away. */
-function unanswered(
-  { instance, result, startedAtMs, endedAtMs, left }: CallRecord,
-): string[] {
-  const wentAway = instance.away.some(({ fromMs, untilMs }) =>
-    startedAtMs <= untilMs && endedAtMs >= fromMs - CLOSING_MS
-  );
-  return result!.status === 0 && !left && !wentAway
-    ? [`no answer after ${Math.round(endedAtMs - startedAtMs)} ms`]
-    : [];
-}
--- /dev/null
+++ b/tests/soak_faults.ts
@@ -0,0 +1,190 @@
+/** How each fault of the soak begins and ends. */
+
+import { setTimeout as pause } from "node:timers/promises";
+import { StoreMode } from "@chestnuthatch/platform/standin_store";
+import { TargetConduct } from "@chestnuthatch/platform/standin_target";
+import { type SoakFleet, type SoakTarget, startAll } from "./soak_fleet.ts";
+import type { SoakInstance } from "./soak_instance.ts";
+import { type PlannedFault, SoakFault } from "./soak_plan.ts";
+
+/** What a fault needs to know. */
+interface FaultScene {
+  readonly fleet: SoakFleet;
+  readonly fault: PlannedFault;
+  readonly instance: SoakInstance;
+  /** Several instances, never all of a fleet. */
+  readonly several: readonly SoakInstance[];
+  readonly target: SoakTarget;
+}
+
+const SLOW_LINK_MS = 60;
+
+/** Time between two restarts or versions of a series: shorter than either. */
+const SERIES_GAP_MS = 150;
+
+/** Several instances are so many of a fleet at most. */
+const SEVERAL_SHARE = 0.5;
+
+const FAULTS: Readonly<
+  Record<SoakFault, (scene: FaultScene) => Promise<void>>
+> = {
+  [SoakFault.InstanceKilled]: (scene) => killedFor(scene, [scene.instance]),
+  [SoakFault.AllInstancesKilled]: (scene) =>
+    killedFor(scene, scene.fleet.instances),
+  [SoakFault.InstancePaused]: async ({ instance, fault }) => {
+    if (instance.runs) {
+      await instance.pause();
+      await pause(fault.forMs);
+      instance.resume();
+    }
+  },
+  [SoakFault.InstanceRestarted]: ({ instance, fault }) =>
+    restarted(instance, fault),
+  [SoakFault.InstanceReloaded]: async ({ instance }) => {
+    await Promise.resolve(instance.reload());
+  },
+  [SoakFault.InstanceReloadedWhileStopping]: async (scene) => {
+    const { fleet, instance, fault } = scene;
+    const restart = restarted(instance, fault);
+    await pause(fault.forMs);
+    instance.reload();
+    fleet.configure(fault.change);
+    await pause(fault.forMs);
+    instance.reload();
+    await restart;
+  },
+  [SoakFault.InstanceAskedTwice]: async ({ instance, fault }) => {
+    const restart = restarted(instance, fault);
+    await pause(fault.forMs);
+    await Promise.all([restart, restarted(instance, fault)]);
+  },
+  [SoakFault.InstancesRestartedTogether]: async ({ several, fault }) => {
+    await Promise.all(several.map((instance) => instance.stop()));
+    await startAll(several, fault.clockSkewMs);
+  },
+  [SoakFault.InstancesRestartedInTurn]: async ({ several, fault }) => {
+    await Promise.all(several.map(async (instance, index) => {
+      await pause(index * SERIES_GAP_MS);
+      await restarted(instance, fault);
+    }));
+  },
+  [SoakFault.TargetLinkReset]: (scene) =>
+    harmed(scene, () => scene.target.relay.reset()),
+  [SoakFault.TargetLinkCut]: (scene) =>
+    harmedFor(scene, () => scene.target.relay.cut()),
+  [SoakFault.TargetLinkSilent]: (scene) =>
+    harmedFor(scene, () => scene.target.relay.freeze()),
+  [SoakFault.TargetAnswersHeld]: (scene) =>
+    harmedFor(scene, () => scene.target.relay.holdInbound()),
+  [SoakFault.TargetRequestsHeld]: (scene) =>
+    harmedFor(scene, () => scene.target.relay.holdOutbound()),
+  [SoakFault.TargetLinkSlow]: async ({ target, fault }) => {
+    target.relay.setDelay(SLOW_LINK_MS);
+    await pause(fault.forMs);
+    target.relay.setDelay(0);
+  },
+  [SoakFault.TargetMisbehaves]: (scene) =>
+    harmed(scene, async () => {
+      const { target } = scene.target;
+      target.conduct = scene.fault.conduct;
+      await pause(scene.fault.forMs);
+      target.conduct = TargetConduct.Serve;
+    }),
+  [SoakFault.TargetLeaves]: async ({ fleet, target }) => {
+    await Promise.resolve(fleet.retire(target));
+  },
+  [SoakFault.StoreLinkReset]: async ({ fleet }) => {
+    await Promise.resolve(fleet.storeRelay.reset());
+  },
+  [SoakFault.StoreLinkCut]: async ({ fleet, fault }) => {
+    await fleet.storeRelay.cut();
+    await pause(fault.forMs);
+    await fleet.storeRelay.heal();
+  },
+  [SoakFault.StoreLinkSilent]: async ({ fleet, fault }) => {
+    fleet.storeRelay.freeze();
+    await pause(fault.forMs);
+    await fleet.storeRelay.heal();
+  },
+  [SoakFault.StoreBusy]: async ({ fleet, fault }) => {
+    fleet.store.mode = StoreMode.Busy;
+    await pause(fault.forMs);
+    fleet.store.mode = StoreMode.Well;
+  },
+  [SoakFault.StoreForgets]: async ({ fleet }) => {
+    await Promise.resolve(fleet.store.forgetHistory());
+  },
+  [SoakFault.ConfigurationChanged]: async ({ fleet, fault }) => {
+    await Promise.resolve(fleet.configure(fault.change));
+  },
+  [SoakFault.ConfigurationsInSeries]: async ({ fleet, fault }) => {
+    for (let version = 0; version < fault.count; version++) {
+      fleet.configure(version % 2 === 0 ? fault.change : undefined);
+      await pause(SERIES_GAP_MS);
+    }
+  },
+};
+
+/**
+ * Plays a fault at its time.
+ *
+ * @param fleet Whom it strikes.
+ * @param fault The fault.
+ * @returns Once it is over.
+ */
+export async function inflict(
+  fleet: SoakFleet,
+  fault: PlannedFault,
+): Promise<void> {
+  await pause(fault.atMs);
+  const { instances, targets } = fleet;
+  const first = fault.index % instances.length;
+  const most = Math.max(1, Math.floor(instances.length * SEVERAL_SHARE));
+  const round = [...instances.slice(first), ...instances.slice(0, first)];
+  await FAULTS[fault.fault]({
+    fleet,
+    fault,
+    instance: instances[first]!,
+    several: round.slice(0, Math.min(fault.count, most)),
+    target: targets[fault.index % targets.length]!,
+  });
+}
+
+async function restarted(
+  instance: SoakInstance,
+  { clockSkewMs }: PlannedFault,
+): Promise<void> {
+  await instance.stop();
+  await instance.start(clockSkewMs);
+}
+
+async function killedFor(
+  { fault }: FaultScene,
+  instances: readonly SoakInstance[],
+): Promise<void> {
+  await Promise.all(instances.map((instance) => instance.kill()));
+  await pause(fault.forMs);
+  await startAll(instances, fault.clockSkewMs);
+}
+
+async function harmedFor(
+  scene: FaultScene,
+  harm: () => Promise<void> | void,
+): Promise<void> {
+  await harmed(scene, async () => {
+    await harm();
+    await pause(scene.fault.forMs);
+    await scene.target.relay.heal();
+  });
+}
+
+/** Notes the time of a fault of a target or its link. */
+async function harmed(
+  { target }: FaultScene,
+  play: () => Promise<void> | void,
+): Promise<void> {
+  const span = { fromMs: performance.now(), untilMs: Infinity };
+  target.harmed.push(span);
+  await play();
+  span.untilMs = performance.now();
+}
--- a/tests/soak_fleet.ts
+++ b/tests/soak_fleet.ts
@@ -2,16 +2,19 @@
 
 import { freePorts } from "@chestnuthatch/platform/free_ports";
 import {
+  CALLER_KEY,
   configurationOf,
   DESK_POOL,
   ENGINE_POOL,
+  LIMITS,
+  ROUTES,
   targetRow,
 } from "@chestnuthatch/platform/standin_fleet";
 import { StandinStore } from "@chestnuthatch/platform/standin_store";
 import { StandinTarget } from "@chestnuthatch/platform/standin_target";
 import { LinkRelay } from "./link_relay.ts";
-import { SoakInstance } from "./soak_instance.ts";
-import type { SoakPlan } from "./soak_plan.ts";
+import { SoakInstance, type Span } from "./soak_instance.ts";
+import type { ConfigurationChange, SoakPlan } from "./soak_plan.ts";
 import { waitFor } from "./wait_for.ts";
 
 /** A target behind its relay. */
@@ -19,10 +22,36 @@
   readonly target: StandinTarget;
   readonly pool: string;
   readonly relay: LinkRelay;
+  /** Times at which it or its link was at fault. */
+  readonly harmed: Span[];
   /** When the list said that it is leaving. */
   leavingAtMs?: number;
 }
 
+/** What versions of the configuration allowed so far. */
+export interface ConfiguredLeast {
+  /** Time that connections may idle, and since when that may be in force. */
+  idleTimeoutMs: number;
+  idleSinceMs: number;
+  timeoutShare: number;
+}
+
+/** A key that only some versions have. */
+export const SECOND_KEY = "second-key-of-w";
+
+/** A route that only some versions have. */
+export const SECOND_ROUTE = {
+  ...ROUTES[3]!,
+  name: "second",
+  prefix: "/second/",
+};
+
+/** A narrow link between callers and an instance passes so much a second. */
+const NARROW_LINK_BYTES_PER_S = 2_000_000;
+
+/** Processes that are started at the same time. */
+const STARTED_TOGETHER = 8;
+
 const PACE_MS = 5;
 const SLOTS = 4;
 const PORTS = 4;
@@ -33,6 +62,13 @@
   readonly store = new StandinStore();
   readonly targets: SoakTarget[] = [];
   readonly instances: SoakInstance[] = [];
+  /** Narrow links to the instances, in their order. */
+  readonly narrowLinks: LinkRelay[] = [];
+  readonly least: ConfiguredLeast = {
+    idleTimeoutMs: LIMITS.idleTimeoutMs,
+    idleSinceMs: Infinity,
+    timeoutShare: 1,
+  };
   #storeRelay?: LinkRelay;
   #version = 0;
 
@@ -55,10 +91,15 @@
     this.configure();
     const ports = await freePorts(PORTS);
     const storeAddress = this.storeRelay.address;
-    for (let index = 0; index < plan.instances; index++) {
-      this.instances.push(new SoakInstance({ index, ports, storeAddress }));
+    for (const [index, writeBytesPerS] of plan.writeBytesPerS.entries()) {
+      const options = { index, ports, storeAddress, writeBytesPerS };
+      const instance = new SoakInstance(options);
+      this.instances.push(instance);
+      const link = await LinkRelay.start(instance.callerAddress);
+      link.narrowInbound(NARROW_LINK_BYTES_PER_S);
+      this.narrowLinks.push(link);
     }
-    await Promise.all(this.instances.map((instance) => instance.start(0)));
+    await startAll(this.instances, 0);
     await this.allReady();
   }
 
@@ -69,10 +110,19 @@
     }
   }
 
-  /** Writes another version of the configuration, with the same content. */
-  configure(): void {
+  /**
+   * Writes another version of the configuration.
+   *
+   * @param change What differs from the usual one; nothing where absent.
+   */
+  configure(change?: ConfigurationChange): void {
     this.#version++;
-    this.store.put("op", "config", configurationOf(this.#version));
+    const usual = configurationOf(this.#version);
+    const changed = change === undefined ? {} : changedContent(change);
+    this.store.put("op", "config", { ...usual, ...changed });
+    if (change !== undefined) {
+      this.#noteLeast(change);
+    }
   }
 
   /**
@@ -94,6 +144,7 @@
   /** @returns Once every process and stand-in has ended. */
   async end(): Promise<void> {
     await Promise.all(this.instances.map((instance) => instance.end()));
+    await Promise.all(this.narrowLinks.map((link) => link.stop()));
     for (const { target, relay } of this.targets) {
       await relay.stop();
       target.close();
@@ -106,11 +157,20 @@
     const target = new StandinTarget({ id, paceMs: PACE_MS });
     await target.open("127.0.0.1");
     const relay = await LinkRelay.start(target.address);
-    const added = { target, pool, relay };
+    const added = { target, pool, relay, harmed: [] };
     this.targets.push(added);
     this.#list(added);
   }
 
+  #noteLeast({ idleTimeoutMs, timeoutShare }: ConfigurationChange): void {
+    if (idleTimeoutMs < this.least.idleTimeoutMs) {
+      this.least.idleTimeoutMs = idleTimeoutMs;
+      const sinceMs = this.least.idleSinceMs;
+      this.least.idleSinceMs = Math.min(sinceMs, performance.now());
+    }
+    this.least.timeoutShare = Math.min(this.least.timeoutShare, timeoutShare);
+  }
+
   #list(listed: SoakTarget): void {
     const { target, pool, relay, leavingAtMs } = listed;
     const index = this.targets.indexOf(listed);
@@ -127,3 +187,36 @@
     );
   }
 }
+
+/**
+ * Starts instances, a few at the same time.
+ *
+ * @param instances The instances.
+ * @param clockSkewMs How far the time of day of their processes is off.
+ * @returns Once all listen.
+ */
+export async function startAll(
+  instances: readonly SoakInstance[],
+  clockSkewMs: number,
+): Promise<void> {
+  for (let from = 0; from < instances.length; from += STARTED_TOGETHER) {
+    await Promise.all(
+      instances.slice(from, from + STARTED_TOGETHER)
+        .map((instance) => instance.start(clockSkewMs)),
+    );
+  }
+}
+
+function changedContent(change: ConfigurationChange): Record<string, unknown> {
+  const { idleTimeoutMs, headerTimeoutMs, timeoutShare } = change;
+  const routes = change.hasSecondRoute ? [...ROUTES, SECOND_ROUTE] : ROUTES;
+  const apiKeys = change.hasSecondKey ? [CALLER_KEY, SECOND_KEY] : [CALLER_KEY];
+  return {
+    limits: { ...LIMITS, idleTimeoutMs, headerTimeoutMs },
+    routes: routes.map((route) => ({
+      ...route,
+      timeoutMs: route.timeoutMs * timeoutShare,
+    })),
+    tenants: [{ name: "w", apiKeys }],
+  };
+}
--- a/tests/soak_instance.ts
+++ b/tests/soak_instance.ts
@@ -1,16 +1,20 @@
 /** One entry instance of the soak as a process of its own. */
 
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, renameSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
 import { nextHost } from "./link_relay.ts";
-import { ServerProcess } from "./server_process.ts";
+import { type ProcessEnd, ServerProcess } from "./server_process.ts";
+import { WRITE_RATE_VARIABLE } from "./write_rate.ts";
 
 /** Where an instance is reached, and what it reaches. */
 export interface SoakInstanceOptions {
   readonly index: number;
   readonly ports: readonly number[];
   readonly storeAddress: string;
+  /** Bytes a second that each connection of a caller takes. */
+  readonly writeBytesPerS: number;
 }
 
 /** A span of time, on this process's clock. */
@@ -19,51 +23,76 @@
   untilMs: number;
 }
 
+/** Why a process ended. */
+export enum EndCause {
+  /** Killed as planned. */
+  Killed = "killed",
+  /** Asked to shut down, and ended by itself. */
+  Asked = "asked",
+  /** Asked to shut down, and killed at the end of its grace time. */
+  Outlasted = "outlasted",
+  /** Nobody had asked it to. */
+  Unasked = "unasked",
+}
+
+/** How a process ended, and when. */
+export interface InstanceEnd extends ProcessEnd {
+  readonly atMs: number;
+  readonly cause: EndCause;
+}
+
+/** One life of the process. */
+interface Life {
+  readonly server: ServerProcess;
+  /** When it was first asked to shut down. */
+  askedAtMs?: number;
+  isKilled: boolean;
+}
+
 const PLATFORM_MAIN = new URL(
   "../../platform/dist/main.js",
   import.meta.url,
 );
+const NARROW_WRITES = new URL("./narrow_writes.js", import.meta.url);
 const SETTINGS_VARIABLE = "CHESTNUTHATCH_CONFIG";
 const DOMAINS = ["a", "b", "c"];
 const GRACE_S = 5;
+const MS_PER_S = 1000;
+
+/** Time from the signal to shut down until a process that still runs is killed. */
+export const GRACE_MS = GRACE_S * MS_PER_S;
+const LOOK_MS = 20;
+const RETRY_BUDGET_SLACK = 100;
 const MAX_LINES = 20_000;
 
 /** Starts, signals and ends the process. */
 export class SoakInstance {
   readonly id: string;
   readonly callerAddress: string;
-  /** Times at which its process was not running, or ended. */
+  /** Times from a signal that ends its process until it runs again. */
   readonly away: Span[] = [];
+  /** Times at which its process was paused. */
+  readonly paused: Span[] = [];
+  /** When its process was killed as planned. */
+  readonly killedAtMs: number[] = [];
+  readonly ends: InstanceEnd[] = [];
   readonly lines: string[] = [];
+  readonly #options: SoakInstanceOptions;
+  readonly #ip = nextHost();
   readonly #statusAddress: string;
-  readonly #metricsPort: number;
   readonly #folder = mkdtempSync(join(tmpdir(), "soak-"));
-  #server?: ServerProcess;
+  #life?: Life;
   #starting = Promise.resolve();
+  #reloads = 0;
 
   /** @param options Where it is reached, and what it reaches. */
-  constructor({ index, ports, storeAddress }: SoakInstanceOptions) {
-    const [front, status, peer, metrics] = ports;
-    const ip = nextHost();
-    this.id = `entry-${index}`;
-    this.callerAddress = `${ip}:${front}`;
-    this.#statusAddress = `${ip}:${status}`;
-    this.#metricsPort = metrics!;
-    writeFileSync(
-      this.#settingsPath,
-      [
-        `nodeName=${this.id}`,
-        `zone=${DOMAINS[index % DOMAINS.length]}`,
-        `ip=${ip}`,
-        `listen.front=${this.callerAddress}`,
-        `listen.ready=${this.#statusAddress}`,
-        `internalPortRange=${peer},${peer! + 1}`,
-        "seeds=",
-        `platform.address=${storeAddress}`,
-        `bounds.graceS=${GRACE_S}`,
-        "bounds.retryBudgetSlack=100",
-      ].join("\n"),
-    );
+  constructor(options: SoakInstanceOptions) {
+    const [front, status] = options.ports;
+    this.#options = options;
+    this.id = `entry-${options.index}`;
+    this.callerAddress = `${this.#ip}:${front}`;
+    this.#statusAddress = `${this.#ip}:${status}`;
+    this.#writeSettings();
   }
 
   /**
@@ -83,18 +112,23 @@
     const skew = `data:text/javascript,` +
       `const now=Date.now;Date.now=()=>now()+(${clockSkewMs})`;
     const { server } = await ServerProcess.start(PLATFORM_MAIN, {
-      args: ["--metrics-port", String(this.#metricsPort)],
-      nodeArgs: [`--import=${skew}`],
-      env: { [SETTINGS_VARIABLE]: this.#settingsPath },
+      args: ["--metrics-port", String(this.#options.ports[3])],
+      nodeArgs: [`--import=${skew}`, `--import=${NARROW_WRITES.href}`],
+      env: {
+        [SETTINGS_VARIABLE]: this.#settingsPath,
+        [WRITE_RATE_VARIABLE]: String(this.#options.writeBytesPerS),
+      },
       onLine: (line) => this.#note(line),
     });
-    this.#server = server;
-    this.#back();
+    const life = { server, isKilled: false };
+    this.#life = life;
+    void server.ended.then((end) => this.#ended(life, end));
+    this.#back(this.away);
   }
 
   /** Whether its process runs. */
   get runs(): boolean {
-    return this.#server !== undefined && !this.#server.hasEnded;
+    return this.#life !== undefined && !this.#life.server.hasEnded;
   }
 
   /** @returns Whether it says that it is ready. */
@@ -106,55 +140,120 @@
 
   /** @returns Once its process was killed. */
   async kill(): Promise<void> {
-    this.#leave();
-    await this.#server?.kill();
+    const life = this.#life;
+    if (life !== undefined && this.runs) {
+      life.isKilled = true;
+      this.killedAtMs.push(performance.now());
+      this.#leave(this.away);
+      await life.server.kill();
+    }
   }
 
-  /** @returns Once its process is paused. */
+  /** @returns Once its process is paused, or has ended. */
   async pause(): Promise<void> {
-    this.#leave();
-    await this.#server?.freeze();
+    const server = this.#life?.server;
+    if (server !== undefined && this.runs) {
+      this.#leave(this.paused);
+      const frozen = server.freeze().catch(() => {});
+      await Promise.race([frozen, server.ended]);
+    }
   }
 
   /** Lets a paused process go on. */
   resume(): void {
-    this.#server?.thaw();
-    this.#back();
+    this.#life?.server.thaw();
+    this.#back(this.paused);
   }
 
-  /** @returns How its process ended after it was asked to. */
+  /**
+   * Asks its process to shut down; it may have been asked already.
+   *
+   * @returns Once its process has ended, at the end of its grace time at last.
+   */
   async stop(): Promise<void> {
-    const server = this.#server;
-    server?.signal("SIGTERM");
-    await server?.ended;
-    this.#leave();
+    const life = this.#life;
+    if (life !== undefined && this.runs) {
+      this.#ask(life);
+    }
+    while (life !== undefined && !life.server.hasEnded) {
+      if (this.#graceLeftMs(life) <= 0) {
+        await life.server.kill();
+        return;
+      }
+      await Promise.race([life.server.ended, pause(LOOK_MS)]);
+    }
   }
 
-  /** Asks it to read its settings again. */
+  /** Asks it to read its settings again, which have changed. */
   reload(): void {
-    this.#server?.signal("SIGHUP");
+    this.#reloads++;
+    this.#writeSettings();
+    this.#life?.server.signal("SIGHUP");
   }
 
   /** @returns Once nothing of it is left. */
   async end(): Promise<void> {
-    this.#server?.thaw();
-    await this.#server?.kill();
+    this.#life?.server.thaw();
+    await this.kill();
     rmSync(this.#folder, { recursive: true });
   }
 
+  #ask(life: Life): void {
+    if (life.askedAtMs === undefined) {
+      life.askedAtMs = performance.now();
+      this.#leave(this.away);
+    }
+    life.server.signal("SIGTERM");
+  }
+
+  #ended(life: Life, end: ProcessEnd): void {
+    const atMs = performance.now();
+    this.ends.push({ ...end, atMs, cause: causeOf(life, end) });
+    this.#back(this.paused);
+  }
+
+  /** A paused process cannot use its grace time. */
+  #graceLeftMs({ askedAtMs }: Life): number {
+    const nowMs = performance.now();
+    const pausedMs = this.paused.reduce((sum, { fromMs, untilMs }) => {
+      const from = Math.max(fromMs, askedAtMs!);
+      return sum + Math.max(0, Math.min(untilMs, nowMs) - from);
+    }, 0);
+    return askedAtMs! + GRACE_MS + pausedMs - nowMs;
+  }
+
   get #settingsPath(): string {
     return join(this.#folder, "settings");
   }
 
-  #leave(): void {
-    this.away.push({ fromMs: performance.now(), untilMs: Infinity });
+  #writeSettings(): void {
+    const { index, ports, storeAddress } = this.#options;
+    const peer = ports[2]!;
+    const slack = RETRY_BUDGET_SLACK + this.#reloads;
+    const lines = [
+      `nodeName=${this.id}`,
+      `zone=${DOMAINS[index % DOMAINS.length]}`,
+      `ip=${this.#ip}`,
+      `listen.front=${this.callerAddress}`,
+      `listen.ready=${this.#statusAddress}`,
+      `internalPortRange=${peer},${peer + 1}`,
+      "seeds=",
+      `platform.address=${storeAddress}`,
+      `bounds.graceS=${GRACE_S}`,
+      `bounds.retryBudgetSlack=${slack}`,
+    ];
+    // Renamed, as its process may read the file at any moment.
+    const nextPath = `${this.#settingsPath}.next`;
+    writeFileSync(nextPath, lines.join("\n"));
+    renameSync(nextPath, this.#settingsPath);
   }
 
-  #back(): void {
-    if (!this.runs) {
-      return;
-    }
-    for (const span of this.away) {
+  #leave(spans: Span[]): void {
+    spans.push({ fromMs: performance.now(), untilMs: Infinity });
+  }
+
+  #back(spans: readonly Span[]): void {
+    for (const span of spans) {
       span.untilMs = Math.min(span.untilMs, performance.now());
     }
   }
@@ -165,3 +264,13 @@
     }
   }
 }
+
+function causeOf(life: Life, { signal }: ProcessEnd): EndCause {
+  if (life.isKilled) {
+    return EndCause.Killed;
+  }
+  if (life.askedAtMs === undefined) {
+    return EndCause.Unasked;
+  }
+  return signal === null ? EndCause.Asked : EndCause.Outlasted;
+}
--- a/tests/soak_plan.ts
+++ b/tests/soak_plan.ts
@@ -13,6 +13,14 @@
   /** Shut down gracefully, and started again. */
   InstanceRestarted = "instance_restarted",
   InstanceReloaded = "instance_reloaded",
+  /** Shut down while its settings change and it is asked to reload them. */
+  InstanceReloadedWhileStopping = "instance_reloaded_while_stopping",
+  /** Asked twice to shut down, and started again. */
+  InstanceAskedTwice = "instance_asked_twice",
+  /** Several restarted at once. */
+  InstancesRestartedTogether = "instances_restarted_together",
+  /** Several restarted one shortly after the other. */
+  InstancesRestartedInTurn = "instances_restarted_in_turn",
   AllInstancesKilled = "all_instances_killed",
   TargetLinkReset = "target_link_reset",
   TargetLinkCut = "target_link_cut",
@@ -28,6 +36,36 @@
   StoreBusy = "store_busy",
   StoreForgets = "store_forgets",
   ConfigurationChanged = "configuration_changed",
+  /** Several versions one shortly after the other. */
+  ConfigurationsInSeries = "configurations_in_series",
+}
+
+/** How fast a caller reads its answers. */
+export enum ReadingPace {
+  AtOnce = "at_once",
+  /** Some bytes, a rest, and on. */
+  Slow = "slow",
+  /** Nothing for some hundred milliseconds, then all. */
+  LateStart = "late_start",
+}
+
+/** One caller that keeps its connection, and sends one call after the other. */
+export interface PlannedCaller {
+  /** Which instance it calls. */
+  readonly index: number;
+  readonly pace: ReadingPace;
+  /** Whether the link between it and the instance is narrow. */
+  readonly isBehindNarrowLink: boolean;
+}
+
+/** What a version of the configuration changes. */
+export interface ConfigurationChange {
+  readonly idleTimeoutMs: number;
+  readonly headerTimeoutMs: number;
+  /** Part of the usual timeout that each route has. */
+  readonly timeoutShare: number;
+  readonly hasSecondKey: boolean;
+  readonly hasSecondRoute: boolean;
 }
 
 /** One fault, at its time. */
@@ -37,6 +75,9 @@
   readonly forMs: number;
   /** Which instance or target, counted round. */
   readonly index: number;
+  /** How many instances or versions, where there are several. */
+  readonly count: number;
+  readonly change: ConfigurationChange;
   /** What a target does meanwhile. */
   readonly conduct: TargetConduct;
   /** How far the time of day of a process that starts is off. */
@@ -56,11 +97,66 @@
     readonly atMs: number;
     readonly forMs: number;
   };
+  /** How long callers call at least; they go on until the last fault is over. */
   readonly lengthMs: number;
   /** In order of time; they may overlap. */
   readonly faults: readonly PlannedFault[];
+  readonly callers: readonly PlannedCaller[];
+  /** Bytes a second that a connection takes, for each instance. */
+  readonly writeBytesPerS: readonly number[];
+}
+
+/** How large a fleet is drawn. */
+export enum SoakSize {
+  Small = "small",
+  Large = "large",
 }
 
+/** What a seed is planned for. */
+export interface PlanOptions {
+  /** How long callers call at least. */
+  readonly lengthMs: number;
+  readonly size?: SoakSize;
+  /** Instead of the number drawn. */
+  readonly instances?: number;
+  /** Instead of the number drawn. */
+  readonly engines?: number;
+}
+
+type Range = readonly [least: number, below: number];
+
+/** Numbers that a size draws from. */
+interface SizeRanges {
+  readonly instances: Range;
+  readonly engines: Range;
+  readonly desks: Range;
+  readonly callsPerS: Range;
+  readonly surgePerS: Range;
+  /** Callers with kept connections, for each instance. */
+  readonly callers: Range;
+}
+
+const SIZES: Readonly<Record<SoakSize, SizeRanges>> = {
+  [SoakSize.Small]: {
+    instances: [2, 6],
+    engines: [2, 5],
+    desks: [2, 4],
+    callsPerS: [20, 60],
+    surgePerS: [100, 200],
+    callers: [2, 5],
+  },
+  // Callers, targets and relays share one process: more calls a second than
+  // these, and what is late there would show as faults of the instances.
+  [SoakSize.Large]: {
+    instances: [24, 40],
+    engines: [12, 20],
+    desks: [6, 10],
+    callsPerS: [60, 100],
+    surgePerS: [150, 250],
+    callers: [1, 3],
+  },
+};
+
 const CONDUCTS = [
   TargetConduct.Reject,
   TargetConduct.Fail,
@@ -71,57 +167,161 @@
   TargetConduct.Unsealed,
 ];
 
+/**
+ * What operators do on purpose. Half of the seeds have nothing else: there, no
+ * broken answer has a fault beside it that could excuse it.
+ */
+const PLANNED_WORK = [
+  SoakFault.InstanceRestarted,
+  SoakFault.InstanceReloaded,
+  SoakFault.InstanceReloadedWhileStopping,
+  SoakFault.InstanceAskedTwice,
+  SoakFault.InstancesRestartedTogether,
+  SoakFault.InstancesRestartedInTurn,
+  SoakFault.TargetLeaves,
+  SoakFault.ConfigurationChanged,
+  SoakFault.ConfigurationsInSeries,
+];
+const ONLY_PLANNED_SHARE = 0.5;
+
 const MAX_CLOCK_SKEW_MS = 5000;
 const LONGEST_FAULT_MS = 2000;
 const SHORTEST_FAULT_MS = 100;
 const MS_PER_S = 1000;
 const FAULTS_PER_S = 1.5;
+const MOST_IN_SERIES = 6;
+
+const IDLE_TIMEOUTS_MS = [150, 1000, 15_000];
+const HEADER_TIMEOUTS_MS = [1000, 3000];
+const TIMEOUT_SHARES = [0.7, 1];
+
+/** Half of the surges come while stopping instances begin to refuse calls. */
+const SURGE_IN_STOP_SHARE = 0.5;
+const SURGE_AFTER_SIGNAL_MS = 2400;
+
+const NARROW_LINK_SHARE = 0.3;
+const NARROW_INSTANCE_SHARE = 0.6;
+
+/**
+ * Bytes a second that a connection takes at an instance with narrow links: an
+ * answer of 300 KB waits for some 200 ms, the largest stream for two seconds.
+ */
+const NARROW_BYTES_PER_S = 1_500_000;
+
+/** Draws for one plan. */
+class Draw {
+  readonly #random: Randomness;
+
+  constructor(seed: number) {
+    this.#random = seededRandomness(seed);
+  }
+
+  between(least: number, below: number): number {
+    return Math.floor(least + (below - least) * this.#random.next());
+  }
+
+  isWithin(share: number): boolean {
+    return this.#random.next() < share;
+  }
+
+  oneOf<T>(all: readonly T[]): T {
+    return all[this.between(0, all.length)]!;
+  }
+}
 
 /**
  * Plans a seed.
  *
  * @param seed The seed.
- * @param lengthMs How long callers call.
- * @returns The plan; the same for the same seed and length.
+ * @param options What it is planned for.
+ * @returns The plan; the same for the same seed and options.
  */
-export function planSoak(seed: number, lengthMs: number): SoakPlan {
-  const random = seededRandomness(seed);
-  const between = (least: number, most: number) =>
-    Math.floor(least + (most - least) * random.next());
-  const count = Math.ceil(lengthMs / MS_PER_S * FAULTS_PER_S);
-  const faults = Array.from(
-    { length: count },
-    () => planFault(random, lengthMs),
-  ).sort((a, b) => a.atMs - b.atMs);
+export function planSoak(seed: number, options: PlanOptions): SoakPlan {
+  const draw = new Draw(seed);
+  const { lengthMs, size = SoakSize.Small } = options;
+  const ranges = SIZES[size];
+  const drawn = {
+    instances: draw.between(...ranges.instances),
+    engines: draw.between(...ranges.engines),
+    desks: draw.between(...ranges.desks),
+  };
+  const instances = options.instances ?? drawn.instances;
+  const faults = planFaults(draw, lengthMs);
   return {
     seed,
-    instances: between(2, 6),
-    engines: between(2, 5),
-    desks: between(2, 4),
-    callsPerS: between(20, 60),
+    ...drawn,
+    instances,
+    engines: options.engines ?? drawn.engines,
+    callsPerS: draw.between(...ranges.callsPerS),
     surge: {
-      callsPerS: between(100, 200),
-      atMs: between(0, lengthMs),
-      forMs: between(300, 1000),
+      callsPerS: draw.between(...ranges.surgePerS),
+      atMs: surgeAtMs(draw, lengthMs, faults),
+      forMs: draw.between(300, 1000),
     },
     lengthMs,
     faults,
+    callers: Array.from(
+      { length: instances * draw.between(...ranges.callers) },
+      (_, index) => planCaller(draw, index % instances),
+    ),
+    writeBytesPerS: Array.from(
+      { length: instances },
+      () =>
+        draw.isWithin(NARROW_INSTANCE_SHARE) ? NARROW_BYTES_PER_S : Infinity,
+    ),
   };
 }
 
-function planFault(random: Randomness, lengthMs: number): PlannedFault {
-  const forMs = SHORTEST_FAULT_MS +
-    (LONGEST_FAULT_MS - SHORTEST_FAULT_MS) * random.next();
+function planFaults(draw: Draw, lengthMs: number): PlannedFault[] {
+  const kinds = draw.isWithin(ONLY_PLANNED_SHARE)
+    ? PLANNED_WORK
+    : Object.values(SoakFault);
+  const count = Math.ceil(lengthMs / MS_PER_S * FAULTS_PER_S);
+  return Array.from({ length: count }, () => planFault(draw, lengthMs, kinds))
+    .sort((a, b) => a.atMs - b.atMs);
+}
+
+function planFault(
+  draw: Draw,
+  lengthMs: number,
+  kinds: readonly SoakFault[],
+): PlannedFault {
   return {
-    fault: oneOf(Object.values(SoakFault), random),
-    atMs: lengthMs * random.next(),
-    forMs,
-    index: Math.floor(1000 * random.next()),
-    conduct: oneOf(CONDUCTS, random),
-    clockSkewMs: Math.round((2 * random.next() - 1) * MAX_CLOCK_SKEW_MS),
+    fault: draw.oneOf(kinds),
+    atMs: draw.between(0, lengthMs),
+    forMs: draw.between(SHORTEST_FAULT_MS, LONGEST_FAULT_MS),
+    index: draw.between(0, 1000),
+    count: draw.between(2, MOST_IN_SERIES),
+    change: {
+      idleTimeoutMs: draw.oneOf(IDLE_TIMEOUTS_MS),
+      headerTimeoutMs: draw.oneOf(HEADER_TIMEOUTS_MS),
+      timeoutShare: draw.oneOf(TIMEOUT_SHARES),
+      hasSecondKey: draw.isWithin(0.5),
+      hasSecondRoute: draw.isWithin(0.5),
+    },
+    conduct: draw.oneOf(CONDUCTS),
+    clockSkewMs: draw.between(-MAX_CLOCK_SKEW_MS, MAX_CLOCK_SKEW_MS),
   };
 }
 
-function oneOf<T>(all: readonly T[], random: Randomness): T {
-  return all[Math.floor(random.next() * all.length)]!;
+function surgeAtMs(
+  draw: Draw,
+  lengthMs: number,
+  faults: readonly PlannedFault[],
+): number {
+  const stop = faults.find(({ fault }) =>
+    fault === SoakFault.InstanceRestarted ||
+    fault === SoakFault.InstancesRestartedTogether
+  );
+  return stop !== undefined && draw.isWithin(SURGE_IN_STOP_SHARE)
+    ? stop.atMs + SURGE_AFTER_SIGNAL_MS
+    : draw.between(0, lengthMs);
+}
+
+function planCaller(draw: Draw, index: number): PlannedCaller {
+  return {
+    index,
+    pace: draw.oneOf(Object.values(ReadingPace)),
+    isBehindNarrowLink: draw.isWithin(NARROW_LINK_SHARE),
+  };
 }
--- a/tests/soak_run.ts
+++ b/tests/soak_run.ts
@@ -1,8 +1,5 @@
 /** Plays one seed of the soak and checks it. */
 
-import { setTimeout as pause } from "node:timers/promises";
-import { StoreMode } from "@chestnuthatch/platform/standin_store";
-import { TargetConduct } from "@chestnuthatch/platform/standin_target";
 import {
   CALL_KINDS,
   type CallKind,
@@ -10,9 +7,10 @@
   SoakCallers,
 } from "./soak_callers.ts";
 import { type BrokenPromise, brokenPromises } from "./soak_checks.ts";
-import { SoakFleet, type SoakTarget } from "./soak_fleet.ts";
+import { inflict } from "./soak_faults.ts";
+import { SoakFleet } from "./soak_fleet.ts";
 import type { SoakInstance } from "./soak_instance.ts";
-import { type PlannedFault, SoakFault, type SoakPlan } from "./soak_plan.ts";
+import type { SoakPlan } from "./soak_plan.ts";
 import { waitFor } from "./wait_for.ts";
 
 /** What came of a seed. */
@@ -25,91 +23,8 @@
   readonly logs: ReadonlyMap<string, readonly string[]>;
 }
 
-/** What a fault needs to know. */
-interface FaultScene {
-  readonly fleet: SoakFleet;
-  readonly fault: PlannedFault;
-  readonly instance: SoakInstance;
-  readonly target: SoakTarget;
-}
-
-const SLOW_LINK_MS = 60;
 const STATUS_OK = 200;
 
-/** How each fault begins and ends. */
-const FAULTS: Readonly<
-  Record<SoakFault, (scene: FaultScene) => Promise<void>>
-> = {
-  [SoakFault.InstanceKilled]: (scene) => killedFor(scene, [scene.instance]),
-  [SoakFault.AllInstancesKilled]: (scene) =>
-    killedFor(scene, scene.fleet.instances),
-  [SoakFault.InstancePaused]: async ({ instance, fault }) => {
-    if (instance.runs) {
-      await instance.pause();
-      await pause(fault.forMs);
-      instance.resume();
-    }
-  },
-  [SoakFault.InstanceRestarted]: async ({ instance, fault }) => {
-    await instance.stop();
-    await instance.start(fault.clockSkewMs);
-  },
-  [SoakFault.InstanceReloaded]: async ({ instance }) => {
-    await Promise.resolve(instance.reload());
-  },
-  [SoakFault.TargetLinkReset]: async ({ target }) => {
-    await Promise.resolve(target.relay.reset());
-  },
-  [SoakFault.TargetLinkCut]: async ({ target, fault }) => {
-    await target.relay.cut();
-    await pause(fault.forMs);
-    await target.relay.heal();
-  },
-  [SoakFault.TargetLinkSilent]: (scene) =>
-    heldFor(scene, () => scene.target.relay.freeze()),
-  [SoakFault.TargetAnswersHeld]: (scene) =>
-    heldFor(scene, () => scene.target.relay.holdInbound()),
-  [SoakFault.TargetRequestsHeld]: (scene) =>
-    heldFor(scene, () => scene.target.relay.holdOutbound()),
-  [SoakFault.TargetLinkSlow]: async ({ target, fault }) => {
-    target.relay.setDelay(SLOW_LINK_MS);
-    await pause(fault.forMs);
-    target.relay.setDelay(0);
-  },
-  [SoakFault.TargetMisbehaves]: async ({ target, fault }) => {
-    target.target.conduct = fault.conduct;
-    await pause(fault.forMs);
-    target.target.conduct = TargetConduct.Serve;
-  },
-  [SoakFault.TargetLeaves]: async ({ fleet, target }) => {
-    await Promise.resolve(fleet.retire(target));
-  },
-  [SoakFault.StoreLinkReset]: async ({ fleet }) => {
-    await Promise.resolve(fleet.storeRelay.reset());
-  },
-  [SoakFault.StoreLinkCut]: async ({ fleet, fault }) => {
-    await fleet.storeRelay.cut();
-    await pause(fault.forMs);
-    await fleet.storeRelay.heal();
-  },
-  [SoakFault.StoreLinkSilent]: async ({ fleet, fault }) => {
-    fleet.storeRelay.freeze();
-    await pause(fault.forMs);
-    await fleet.storeRelay.heal();
-  },
-  [SoakFault.StoreBusy]: async ({ fleet, fault }) => {
-    fleet.store.mode = StoreMode.Busy;
-    await pause(fault.forMs);
-    fleet.store.mode = StoreMode.Well;
-  },
-  [SoakFault.StoreForgets]: async ({ fleet }) => {
-    await Promise.resolve(fleet.store.forgetHistory());
-  },
-  [SoakFault.ConfigurationChanged]: async ({ fleet }) => {
-    await Promise.resolve(fleet.configure());
-  },
-};
-
 /**
  * Plays a seed.
  *
@@ -122,11 +37,12 @@
   try {
     await fleet.start(plan);
     const faults = Promise.all(plan.faults.map((f) => inflict(fleet, f)));
-    await callers.run(plan, fleet.instances);
+    await callers.run(plan, fleet, faults);
     await faults;
     await callers.settled();
     const { records } = callers;
-    const broken = brokenPromises({ records, targets: fleet.targets });
+    const { targets, instances, least } = fleet;
+    const broken = brokenPromises({ records, targets, instances, least });
     broken.push(...await notRecovered(fleet, callers));
     return {
       calls: records.length,
@@ -141,33 +57,6 @@
   }
 }
 
-async function inflict(fleet: SoakFleet, fault: PlannedFault): Promise<void> {
-  await pause(fault.atMs);
-  const instance = fleet.instances[fault.index % fleet.instances.length]!;
-  const target = fleet.targets[fault.index % fleet.targets.length]!;
-  await FAULTS[fault.fault]({ fleet, fault, instance, target });
-}
-
-async function killedFor(
-  { fault }: FaultScene,
-  instances: readonly SoakInstance[],
-): Promise<void> {
-  await Promise.all(instances.map((instance) => instance.kill()));
-  await pause(fault.forMs);
-  await Promise.all(
-    instances.map((instance) => instance.start(fault.clockSkewMs)),
-  );
-}
-
-async function heldFor(
-  { target, fault }: FaultScene,
-  hold: () => void,
-): Promise<void> {
-  hold();
-  await pause(fault.forMs);
-  await target.relay.heal();
-}
-
 /**
  * Once all faults are over, every instance serves every kind of call again, and
  * no target that is leaving gets any.
