--- a/tests/soak_ends.ts
+++ b/tests/soak_ends.ts
@@ -69,8 +69,8 @@
   }
 
   /**
-   * Nobody saw the request, its connection closed soon after it was sent, and
-   * there was a reason to close it.
+   * Nobody saw the request, and there was no process to read it, or its
+   * connection closed soon after it was sent and with a reason.
    */
   #isUnread(record: CallRecord): boolean {
     const { requestId, instance, result, startedAtMs, endedAtMs } = record;
@@ -80,6 +80,12 @@
     if (instance.paused.some((span) => overlaps(record, span))) {
       return true;
     }
+    const hadNoProcess = instance.down.some(({ fromMs, untilMs }) =>
+      fromMs <= startedAtMs && startedAtMs <= untilMs
+    );
+    if (hadNoProcess) {
+      return true;
+    }
     const mayIdleOut = result!.reused && this.#least.idleSinceMs <= endedAtMs;
     const isAway = instance.away.some((span) => overlaps(record, span));
     return endedAtMs - startedAtMs <= CROSSING_MS && (mayIdleOut || isAway);
--- a/tests/soak_instance.ts
+++ b/tests/soak_instance.ts
@@ -71,6 +71,8 @@
   readonly callerAddress: string;
   /** Times from a signal that ends its process until it runs again. */
   readonly away: Span[] = [];
+  /** Times at which it had no process. */
+  readonly down: Span[] = [];
   /** Times at which its process was paused. */
   readonly paused: Span[] = [];
   /** When its process was killed as planned. */
@@ -124,6 +126,7 @@
     this.#life = life;
     void server.ended.then((end) => this.#ended(life, end));
     this.#back(this.away);
+    this.#back(this.down);
   }
 
   /** Whether its process runs. */
@@ -210,6 +213,7 @@
     const atMs = performance.now();
     this.ends.push({ ...end, atMs, cause: causeOf(life, end) });
     this.#back(this.paused);
+    this.#leave(this.down);
   }
 
   /** A paused process cannot use its grace time. */
