--- a/packages/gateway/src/caller_reply.ts
+++ b/packages/gateway/src/caller_reply.ts
@@ -21,19 +21,27 @@
   readonly retryAfterMs?: number;
 }
 
+/** How one answer goes back. */
+export interface ReplyOptions {
+  /** Whether the connection is to close after the answer. */
+  readonly closes: boolean;
+  /** Called when a begun answer is about to be broken off. */
+  beforeCut(): void;
+}
+
 /** Writes one answer. */
 export class CallerReply {
   readonly #response: ServerResponse;
-  readonly #closes: boolean;
+  readonly #options: ReplyOptions;
   #begun = false;
 
   /**
    * @param response Where to write.
-   * @param closes Whether the connection is to close after the answer.
+   * @param options How the answer goes back.
    */
-  constructor(response: ServerResponse, closes: boolean) {
+  constructor(response: ServerResponse, options: ReplyOptions) {
     this.#response = response;
-    this.#closes = closes;
+    this.#options = options;
     response.sendDate = false;
   }
 
@@ -90,6 +98,7 @@
   /** Breaks the answer off, so that it cannot pass for a whole one. */
   cut(): void {
     this.#begun = true;
+    this.#options.beforeCut();
     this.#response.destroy();
   }
 
@@ -110,7 +119,22 @@
     }
     headers.push("Content-Length", String(body.length));
     this.#response.writeHead(status, [...headers, ...this.#closeHeader()]);
-    this.#response.end(body);
+    this.#response.write(body);
+    this.#endOnceRead();
+  }
+
+  /**
+   * The answer is out, and whole by its length. Where it closes the connection,
+   * that waits for the rest of the request: closed with bytes unread, the
+   * connection is reset, and a caller that is still sending loses the answer.
+   */
+  #endOnceRead(): void {
+    const { req } = this.#response;
+    if (req.complete) {
+      this.#response.end();
+    } else {
+      req.once("end", () => this.#response.end());
+    }
   }
 
   #headers(rawHeaders: readonly string[]): string[] {
@@ -118,6 +142,6 @@
   }
 
   #closeHeader(): string[] {
-    return this.#closes ? ["Connection", "close"] : [];
+    return this.#options.closes ? ["Connection", "close"] : [];
   }
 }
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -1,6 +1,6 @@
 /** Reads callers' requests, finds their routes, and begins their lives. */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import {
   createServer,
   type IncomingMessage,
@@ -14,12 +14,20 @@
 } from "@chestnuthatch/routing/fleet_configuration";
 import { RoutedError } from "@chestnuthatch/routing/refusal";
 import type { RouteTable } from "@chestnuthatch/routing/route_table";
+import { ConnectionEnd } from "./caller_connection.ts";
+import {
+  CallerConnections,
+  type OpenConnections,
+} from "./caller_connections.ts";
 import { CallerReply } from "./caller_reply.ts";
+import { ClosingStage } from "./closing_stage.ts";
 import { LogPart } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
+import { OwedAnswer } from "./owed_answer.ts";
 import { listen } from "./peer_catalog.ts";
 import type { CallFacts } from "./ports.ts";
 import type { RoutedCall } from "./routed_call.ts";
+import { RequestBody } from "./request_body.ts";
 import { RoutedRequest } from "./routed_request.ts";
 
 /** Until a configuration is known. */
@@ -30,6 +38,15 @@
   idleTimeoutMs: 15_000,
 };
 
+/**
+ * Largest head that is read at all. The runtime takes this limit once, at the
+ * start; that of the configuration is checked on what was read.
+ */
+const LARGEST_HEAD_BYTES = 256 * 1024;
+
+/** Bytes of a header line beside its name and value: colon, space, line end. */
+const HEADER_LINE_BYTES = 4;
+
 /** Time between two looks for connections that are too slow. */
 const CONNECTION_CHECK_MS = 1000;
 
@@ -39,15 +56,6 @@
 /** When to come back to another instance than one that is leaving. */
 const LEAVING_RETRY_MS = 50;
 
-/** How far a graceful shutdown has come. */
-enum ClosingStage {
-  Open,
-  /** Requests are served, and connections close after their answers. */
-  Announcing,
-  /** Requests that still arrive are refused: they could not finish. */
-  Refusing,
-}
-
 /** What the configuration says of a request. */
 type Admission =
   | { readonly error: RoutedError; readonly retryAfterMs?: number }
@@ -62,6 +70,7 @@
 export class FrontServer {
   readonly #parts: GatewayParts;
   readonly #server: Server;
+  readonly #connections: CallerConnections;
   readonly #open = new Set<RoutedRequest>();
   #limits = STARTING_LIMITS;
   #stage = ClosingStage.Open;
@@ -76,9 +85,18 @@
       headersTimeout: STARTING_LIMITS.headerTimeoutMs,
       requestTimeout: 0,
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
-      maxHeaderSize: STARTING_LIMITS.maxHeaderBytes,
+      maxHeaderSize: LARGEST_HEAD_BYTES,
       noDelay: true,
     }, (request, response) => this.#read(request, response));
+    const { clock, log, metrics } = parts;
+    const stage = () => this.#stage;
+    this.#connections = new CallerConnections({ clock, log, metrics, stage });
+    this.#server.on("connection", (socket) => this.#connections.add(socket));
+  }
+
+  /** Whether no request is in progress and every answer is written out. */
+  get isIdle(): boolean {
+    return this.openCount === 0 && this.connections.owedAnswers === 0;
   }
 
   /** Requests in progress. */
@@ -86,6 +104,11 @@
     return this.#open.size + this.#reading;
   }
 
+  /** Callers' connections, and what waits on them. */
+  get connections(): OpenConnections {
+    return this.#connections.summary;
+  }
+
   /** `ip:port` that callers connect to. */
   get address(): string {
     const address = this.#server.address();
@@ -104,6 +127,9 @@
 
   /** @param limits What callers may send, from now on. */
   setLimits(limits: CallerLimits): void {
+    if (limits.idleTimeoutMs > this.#limits.idleTimeoutMs) {
+      this.#connections.mayIdle(limits.idleTimeoutMs);
+    }
     this.#limits = limits;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
     this.#server.headersTimeout = limits.headerTimeoutMs;
@@ -117,16 +143,29 @@
   /** From now on, requests are refused and idle connections are closed. */
   refuseRequests(): void {
     this.#stage = ClosingStage.Refusing;
-    this.#server.closeIdleConnections();
+    this.#connections.closeIdle();
   }
 
-  /** Ends all connections; requests in progress are told so. */
-  close(): void {
-    for (const request of this.#open) {
+  /**
+   * Ends requests in progress; their callers are told so. Those that wait for a
+   * place go first: they would get the places that the others leave, and be sent
+   * to targets only to be broken off there.
+   */
+  abortRequests(): void {
+    const open = [...this.#open];
+    const waiting = open.filter(({ runs }) => runs === 0);
+    for (const request of [...waiting, ...open]) {
       request.abort();
     }
-    this.#server.close();
-    this.#server.closeIdleConnections();
+  }
+
+  /** Ends all connections, whatever is owed on them. */
+  close(): void {
+    this.#connections.closing(ConnectionEnd.ProcessEnd, () => {
+      this.abortRequests();
+      this.#server.close();
+    });
+    this.#connections.endAll(ConnectionEnd.ProcessEnd);
   }
 
   /** Drops every connection. */
@@ -138,10 +177,19 @@
     const { clock, protocol } = this.#parts;
     const arrivedAtMs = clock.nowMs();
     const facts = protocol.readCall(request.headers);
-    const reply = new CallerReply(
-      response,
-      this.#stage !== ClosingStage.Open,
-    );
+    const { requestId } = facts;
+    const closes = this.#stage !== ClosingStage.Open;
+    const closesAfter = closes || !response.shouldKeepAlive;
+    const owed = new OwedAnswer(response, {
+      requestId,
+      arrivedAtMs,
+      closesAfter,
+    });
+    this.#connections.owe(owed);
+    const reply = new CallerReply(response, {
+      closes,
+      beforeCut: () => this.#connections.endsBy(owed, ConnectionEnd.BrokenOff),
+    });
     const admission = this.#admit(request, facts);
     if ("error" in admission) {
       this.#refuse(reply, facts, admission);
@@ -150,48 +198,21 @@
     }
     this.#parts.metrics.requestRead(admission.route.name);
     this.#reading++;
-    let isRead = false;
-    const doneReading = () => {
-      if (!isRead) {
-        isRead = true;
-        this.#reading--;
-      }
-    };
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    request.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > this.#limits.maxBodyBytes && !isRead) {
-        doneReading();
-        this.#refuse(reply, facts, { error: RoutedError.BodyTooLarge });
-        request.removeAllListeners("data");
-        request.resume();
-        return;
-      }
-      chunks.push(chunk);
-    });
-    request.on("end", () => {
-      if (isRead) {
-        return;
-      }
-      doneReading();
-      const call = callOf({
-        request,
-        facts,
-        chunks,
-        arrivedAtMs,
-        admission,
-      });
-      this.#begin(call, response, reply);
-    });
-    request.on("error", (error) => {
-      doneReading();
-      this.#parts.log.info(LogPart.Request, "caller broke off", {
-        requestId: facts.requestId,
-        reason: error.message,
-      });
+    new RequestBody(request, {
+      maxBytes: this.#limits.maxBodyBytes,
+      sink: {
+        whole: (body) => {
+          this.#reading--;
+          const call = callOf({ request, facts, body, arrivedAtMs, admission });
+          this.#begin(call, owed, reply);
+        },
+        tooLarge: () => {
+          this.#reading--;
+          this.#refuse(reply, facts, { error: RoutedError.BodyTooLarge });
+        },
+        brokenOff: () => this.#reading--,
+      },
     });
-    request.on("close", doneReading);
   }
 
   #admit(request: IncomingMessage, facts: CallFacts): Admission {
@@ -199,6 +220,9 @@
       const retryAfterMs = LEAVING_RETRY_MS;
       return { error: RoutedError.Leaving, retryAfterMs };
     }
+    if (headBytes(request) > this.#limits.maxHeaderBytes) {
+      return { error: RoutedError.HeadTooLarge };
+    }
     const table = this.#parts.board.routes;
     if (table === undefined) {
       const retryAfterMs = NO_CONFIGURATION_RETRY_MS;
@@ -242,7 +266,7 @@
 
   #begin(
     call: RoutedCall,
-    response: ServerResponse,
+    owed: OwedAnswer,
     reply: CallerReply,
   ): void {
     const routed = new RoutedRequest(this.#parts, {
@@ -253,8 +277,10 @@
         this.#parts.metrics.openRequests(this.#open.size);
       },
     });
+    owed.countRuns = () => routed.runs;
     this.#open.add(routed);
     this.#parts.metrics.openRequests(this.#open.size);
+    const { response } = owed;
     response.on("close", () => {
       if (!response.writableFinished) {
         routed.callerLeft();
@@ -265,16 +291,21 @@
   }
 }
 
+function headBytes({ rawHeaders }: IncomingMessage): number {
+  return rawHeaders.reduce((sum, part) => sum + part.length, 0) +
+    rawHeaders.length / 2 * HEADER_LINE_BYTES;
+}
+
 function callOf(
   of: {
     request: IncomingMessage;
     facts: CallFacts;
-    chunks: readonly Buffer[];
+    body: Buffer;
     arrivedAtMs: number;
     admission: Exclude<Admission, { error: RoutedError }>;
   },
 ): RoutedCall {
-  const { request, facts, chunks, admission } = of;
+  const { request, facts, admission } = of;
   const hasBody = request.headers["content-length"] !== undefined ||
     request.headers["transfer-encoding"] !== undefined;
   return {
@@ -286,7 +317,7 @@
     method: request.method!,
     path: request.url!,
     rawHeaders: request.rawHeaders,
-    body: hasBody ? Buffer.concat(chunks) : undefined,
+    body: hasBody ? of.body : undefined,
     arrivedAtMs: of.arrivedAtMs,
   };
 }
