--- a/tests/link_relay_test.ts
+++ b/tests/link_relay_test.ts
@@ -68,6 +68,16 @@
     caller.close();
   }));
 
+test("should pass on all that a narrow link takes in pieces", () =>
+  withEcho(async (relay) => {
+    relay.narrowInbound(4_000_000);
+    const caller = new Caller(relay.address);
+    const text = "x".repeat(200_000);
+    caller.send(text);
+    await caller.hears(text);
+    caller.close();
+  }));
+
 /** One connection through a relay. */
 class Caller {
   readonly #socket: Socket;
--- /dev/null
+++ b/tests/soak_ends_test.ts
@@ -0,0 +1,148 @@
+/** Which ends of answers the soak takes for broken promises. */
+
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { CALL_KINDS, type CallRecord } from "./soak_callers.ts";
+import { AnswerEnds } from "./soak_ends.ts";
+import type { ConfiguredLeast, SoakTarget } from "./soak_fleet.ts";
+import { GRACE_MS, type SoakInstance, type Span } from "./soak_instance.ts";
+
+const [STREAM, , PLAIN] = CALL_KINDS;
+const SIGNAL_AT_MS = 1000;
+const STOPPING = { fromMs: SIGNAL_AT_MS, untilMs: SIGNAL_AT_MS + 4000 };
+
+/** What a case is made of; by default a stop without any other fault. */
+interface Case {
+  readonly record?: Partial<CallRecord>;
+  readonly status?: number;
+  readonly reused?: boolean;
+  readonly away?: readonly Span[];
+  readonly paused?: readonly Span[];
+  readonly down?: readonly Span[];
+  readonly killedAtMs?: readonly number[];
+  readonly lines?: readonly string[];
+  readonly isSeen?: boolean;
+  readonly harmed?: readonly Span[];
+  readonly idleSinceMs?: number;
+}
+
+const BROKEN: Readonly<Record<string, Case>> = {
+  "an answer that broke off while its instance stopped": {},
+  "a stream that broke off while its instance stopped": {
+    record: { kind: STREAM },
+  },
+  "a plain answer that broke off, though its target was at fault": {
+    harmed: [{ fromMs: 0, untilMs: Infinity }],
+  },
+  "no answer to what a target saw": { status: 0 },
+  "no answer to what the instance told of": {
+    status: 0,
+    isSeen: false,
+    lines: ['{"message":"sent","requestId":"call"}'],
+  },
+  "no answer to what was sent well before its connection closed": {
+    status: 0,
+    isSeen: false,
+  },
+  "no answer with nothing planned beside it": {
+    status: 0,
+    isSeen: false,
+    away: [],
+    record: { startedAtMs: 3900 },
+  },
+  "an answer that broke off before its instance was killed": {
+    killedAtMs: [4001],
+  },
+};
+
+const EXCUSED: Readonly<Record<string, Case>> = {
+  "its caller left": { record: { left: true } },
+  "its instance was killed meanwhile": { killedAtMs: [3800] },
+  "a stream's target was at fault meanwhile": {
+    record: { kind: STREAM },
+    harmed: [{ fromMs: 3500, untilMs: 3600 }],
+  },
+  "a stream reached its deadline": {
+    record: { kind: STREAM, startedAtMs: 0 },
+  },
+  "a stream outlasted a grace time in which its process was paused": {
+    record: { kind: STREAM, endedAtMs: SIGNAL_AT_MS + GRACE_MS - 500 },
+    away: [{ fromMs: SIGNAL_AT_MS, untilMs: Infinity }],
+    paused: [{ fromMs: 3500, untilMs: 4500 }],
+  },
+  "nobody saw it, and its connection closed at once in a stop": {
+    status: 0,
+    isSeen: false,
+    record: { startedAtMs: 3900 },
+  },
+  "nobody saw it, and its kept connection may have idled out": {
+    status: 0,
+    isSeen: false,
+    away: [],
+    reused: true,
+    idleSinceMs: 100,
+    record: { startedAtMs: 3900 },
+  },
+  "nobody saw it, and there was no process": {
+    status: 0,
+    isSeen: false,
+    down: [{ fromMs: 3000, untilMs: 5000 }],
+  },
+};
+
+for (const [name, each] of Object.entries(BROKEN)) {
+  test(`should report ${name}`, () => {
+    assert.is(faultsIn(each).length, 1);
+  });
+}
+
+for (const [name, each] of Object.entries(EXCUSED)) {
+  test(`should report nothing where ${name}`, () => {
+    assert.equal(faultsIn(each), []);
+  });
+}
+
+function faultsIn(of: Case): string[] {
+  const instance = {
+    id: "entry-0",
+    away: of.away ?? [STOPPING],
+    paused: of.paused ?? [],
+    down: of.down ?? [],
+    killedAtMs: of.killedAtMs ?? [],
+    lines: of.lines ?? [],
+  } as unknown as SoakInstance;
+  const seen = of.isSeen === false ? [] : [{ requestId: "call" }];
+  const target = {
+    target: { id: "target-0", seen },
+    harmed: of.harmed ?? [],
+  } as unknown as SoakTarget;
+  const least: ConfiguredLeast = {
+    idleTimeoutMs: 150,
+    idleSinceMs: of.idleSinceMs ?? Infinity,
+    timeoutShare: 1,
+  };
+  const ends = new AnswerEnds({
+    targets: [target],
+    instances: [instance],
+    least,
+  });
+  return ends.faultsOf({
+    requestId: "call",
+    kind: PLAIN!,
+    instance,
+    startedAtMs: 3500,
+    endedAtMs: 4000,
+    left: false,
+    bodyBytes: 5,
+    result: {
+      status: of.status ?? 200,
+      headers: {},
+      body: "answe",
+      whole: false,
+      reused: of.reused ?? false,
+    },
+    ...of.record,
+  });
+}
+
+test.run();
