Narrow links keep their rate when timers are late, and relays let processes end

And a relay that resets a socket whose end is on its way leaves a handle that the runtime counts as closing and never closes: the process of seed 2 spun in its clean-up for 100 s (stack taken).

Change: rates go by the time that passed; such sockets are destroyed instead. Seed 205 of 2 s, on which answers were cut on the product as it was, stays as a case.

--- a/tests/instance_probe.ts
+++ b/tests/instance_probe.ts
@@ -49,19 +49,29 @@
     writeAtOnce.call(this, many, data, encoding, done);
     return;
   }
-  writeInPieces(this, bytesOf(many, data, encoding), done);
+  const bytes = bytesOf(many, data, encoding);
+  writeInPieces(this, bytes, { done, pieceBytes: PIECE_BYTES });
 };
 
-function writeInPieces(socket: Socket, bytes: Buffer, done: Done): void {
-  const piece = bytes.subarray(0, PIECE_BYTES);
-  const rest = bytes.subarray(PIECE_BYTES);
+/** Late timers make pieces larger: the rate stays that of the link. */
+function writeInPieces(
+  socket: Socket,
+  bytes: Buffer,
+  { done, pieceBytes }: { done: Done; pieceBytes: number },
+): void {
+  const piece = bytes.subarray(0, pieceBytes);
+  const rest = bytes.subarray(pieceBytes);
+  const beganAtMs = performance.now();
   writeAtOnce.call(socket, false, piece, "buffer", (error) => {
     if (error || rest.length === 0) {
       done(error);
       return;
     }
-    const waitMs = piece.length / bytesPerS * MS_PER_S;
-    setTimeout(() => writeInPieces(socket, rest, done), waitMs);
+    setTimeout(() => {
+      const spentMs = performance.now() - beganAtMs;
+      const passed = Math.round(spentMs / MS_PER_S * bytesPerS);
+      writeInPieces(socket, rest, { done, pieceBytes: passed });
+    }, PIECE_BYTES / bytesPerS * MS_PER_S);
   });
 }
 
--- a/tests/link_relay.ts
+++ b/tests/link_relay.ts
@@ -45,6 +45,10 @@
 }
 
 const MS_PER_S = 1000;
+
+/** A busy process is late by so much: a narrow link makes up for it. */
+const LATE_TIMER_MS = 100;
+
 const NO_BYTES = Buffer.alloc(0);
 const OCTET = 256;
 const LOOPBACK_OCTET = 127;
@@ -121,8 +125,8 @@
   #reset(passage: Passage): void {
     if (this.#state === LinkState.Open) {
       this.#passages.delete(passage);
-      passage.near.resetAndDestroy();
-      passage.far.resetAndDestroy();
+      resetSocket(passage.near);
+      resetSocket(passage.far);
     }
   }
 
@@ -236,10 +240,15 @@
     this.#closed(passage);
   }
 
+  /** Parts pass in their order, each as late as the link is and its rate asks. */
   #delayLine(bytesPerS: () => number): Transform {
+    let freeAtMs = 0;
     return new Transform({
       transform: (chunk: Buffer, _encoding, done) => {
-        const waitMs = this.#delayMs + chunk.length / bytesPerS() * MS_PER_S;
+        const nowMs = performance.now();
+        const passingMs = chunk.length / bytesPerS() * MS_PER_S;
+        freeAtMs = Math.max(freeAtMs, nowMs - LATE_TIMER_MS) + passingMs;
+        const waitMs = this.#delayMs + Math.max(0, freeAtMs - nowMs);
         if (waitMs === 0) {
           done(null, chunk);
         } else {
@@ -265,6 +274,18 @@
   }
 }
 
+/**
+ * The runtime cannot reset a socket whose end is on its way, and then never ends
+ * its process either.
+ */
+function resetSocket(socket: Socket): void {
+  if (socket.writableEnded) {
+    socket.destroy();
+  } else {
+    socket.resetAndDestroy();
+  }
+}
+
 /**
  * Hosts of relays differ by process and relay, so that no other process can
  * take a port while its link is cut.
--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -1,3 +1,5 @@
+/** Short seeds of the soak, and those on which a promise was once broken. */
+
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { planSoak } from "./soak_plan.ts";
@@ -6,12 +8,22 @@
 /** Enough for the faults of a seed to overlap, and short enough for CI. */
 const OPTIONS = { lengthMs: 4000 };
 
+/** Seeds on which a promise was broken, by the cause. */
+const BROKEN_ONCE = [
+  {
+    seed: 205,
+    lengthMs: 2000,
+    cause: "answers not written out yet are cut while instances stop",
+  },
+];
+
 for (const seed of [1, 2]) {
-  test(`soak: seed ${seed} breaks no promise`, async () => {
-    const outcome = await playSoak(planSoak(seed, OPTIONS));
-    assert.equal(outcome.broken, []);
-    assert.ok(outcome.whole > 0);
-  });
+  test(`soak: seed ${seed} breaks no promise`, () => playWell(seed, OPTIONS));
+}
+
+for (const { seed, lengthMs, cause } of BROKEN_ONCE) {
+  test(`soak: seed ${seed} breaks no promise again: ${cause}`, () =>
+    playWell(seed, { lengthMs }));
 }
 
 test("a plan is the same for the same seed", () => {
@@ -19,4 +31,13 @@
   assert.not.equal(planSoak(7, OPTIONS), planSoak(8, OPTIONS));
 });
 
+async function playWell(
+  seed: number,
+  options: { lengthMs: number },
+): Promise<void> {
+  const outcome = await playSoak(planSoak(seed, options));
+  assert.equal(outcome.broken, []);
+  assert.ok(outcome.whole > 0);
+}
+
 test.run();
