--- a/tests/soak_ends.ts
+++ b/tests/soak_ends.ts
@@ -1,7 +1,6 @@
 /** How the answers of a seed ended, and which of these ends nothing excuses. */
 
-import type { CallRecord } from "./soak_callers.ts";
-import { DEADLINE_MS } from "./soak_callers.ts";
+import { type CallRecord, DEADLINE_MS } from "./soak_callers.ts";
 import type { ConfiguredLeast, SoakTarget } from "./soak_fleet.ts";
 import { GRACE_MS, type SoakInstance, type Span } from "./soak_instance.ts";
 
