--- a/tests/soak_faults.ts
+++ b/tests/soak_faults.ts
@@ -40,17 +40,17 @@
   },
   [SoakFault.InstanceRestarted]: ({ instance, fault }) =>
     restarted(instance, fault),
-  [SoakFault.InstanceReloaded]: async ({ instance }) => {
-    await Promise.resolve(instance.reload());
+  [SoakFault.InstanceReloaded]: async ({ instance, fault }) => {
+    await Promise.resolve(reloaded(instance, fault.forMs));
   },
   [SoakFault.InstanceReloadedWhileStopping]: async (scene) => {
     const { fleet, instance, fault } = scene;
     const restart = restarted(instance, fault);
     await pause(fault.forMs);
-    instance.reload();
-    fleet.configure(fault.change);
+    reloaded(instance, fault.forMs);
+    fleet.change(fault.change);
     await pause(fault.forMs);
-    instance.reload();
+    reloaded(instance, fault.forMs + 1);
     await restart;
   },
   [SoakFault.InstanceAskedTwice]: async ({ instance, fault }) => {
@@ -115,11 +115,15 @@
     await Promise.resolve(fleet.store.forgetHistory());
   },
   [SoakFault.ConfigurationChanged]: async ({ fleet, fault }) => {
-    await Promise.resolve(fleet.configure(fault.change));
+    await Promise.resolve(fleet.change(fault.change));
   },
   [SoakFault.ConfigurationsInSeries]: async ({ fleet, fault }) => {
     for (let version = 0; version < fault.count; version++) {
-      fleet.configure(version % 2 === 0 ? fault.change : undefined);
+      if (version % 2 === 0) {
+        fleet.change(fault.change);
+      } else {
+        fleet.configure();
+      }
       await pause(SERIES_GAP_MS);
     }
   },
@@ -150,6 +154,14 @@
   });
 }
 
+/** Makes the settings differ by a number, and asks to reload them. */
+function reloaded(instance: SoakInstance, retryBudgetSlack: number): void {
+  instance.changeSettings({
+    "bounds.retryBudgetSlack": String(retryBudgetSlack),
+  });
+  instance.reload();
+}
+
 async function restarted(
   instance: SoakInstance,
   { clockSkewMs }: PlannedFault,
--- a/tests/soak_fleet.ts
+++ b/tests/soak_fleet.ts
@@ -36,6 +36,11 @@
   timeoutShare: number;
 }
 
+/** What a fleet is made of. */
+export type FleetSize =
+  & Pick<SoakPlan, "instances" | "engines" | "desks">
+  & Partial<Pick<SoakPlan, "writeBytesPerS">>;
+
 /** A key that only some versions have. */
 export const SECOND_KEY = "second-key-of-w";
 
@@ -78,20 +83,21 @@
   }
 
   /**
-   * @param plan What the fleet is made of.
+   * @param size What the fleet is made of; links are wide where it does not tell.
    * @returns Once all instances are ready.
    */
-  async start(plan: SoakPlan): Promise<void> {
+  async start(size: FleetSize): Promise<void> {
     await this.store.open("127.0.0.1");
     this.#storeRelay = await LinkRelay.start(this.store.address);
-    for (let index = 0; index < plan.engines + plan.desks; index++) {
-      const pool = index < plan.engines ? ENGINE_POOL : DESK_POOL;
+    for (let index = 0; index < size.engines + size.desks; index++) {
+      const pool = index < size.engines ? ENGINE_POOL : DESK_POOL;
       await this.#addTarget(`target-${index}`, pool);
     }
     this.configure();
     const ports = await freePorts(PORTS);
     const storeAddress = this.storeRelay.address;
-    for (const [index, writeBytesPerS] of plan.writeBytesPerS.entries()) {
+    for (let index = 0; index < size.instances; index++) {
+      const writeBytesPerS = size.writeBytesPerS?.[index] ?? Infinity;
       const options = { index, ports, storeAddress, writeBytesPerS };
       const instance = new SoakInstance(options);
       this.instances.push(instance);
@@ -113,16 +119,20 @@
   /**
    * Writes another version of the configuration.
    *
-   * @param change What differs from the usual one; nothing where absent.
+   * @param over What differs from the usual one, in the operator's words.
+   * @returns The number of the version.
    */
-  configure(change?: ConfigurationChange): void {
+  configure(over: Readonly<Record<string, unknown>> = {}): number {
     this.#version++;
     const usual = configurationOf(this.#version);
-    const changed = change === undefined ? {} : changedContent(change);
-    this.store.put("op", "config", { ...usual, ...changed });
-    if (change !== undefined) {
-      this.#noteLeast(change);
-    }
+    this.store.put("op", "config", { ...usual, ...over });
+    return this.#version;
+  }
+
+  /** @param change What another version of the configuration changes. */
+  change(change: ConfigurationChange): void {
+    this.configure(changedContent(change));
+    this.#noteLeast(change);
   }
 
   /**
--- a/tests/soak_instance.ts
+++ b/tests/soak_instance.ts
@@ -85,7 +85,7 @@
   readonly #folder = mkdtempSync(join(tmpdir(), "soak-"));
   #life?: Life;
   #starting = Promise.resolve();
-  #reloads = 0;
+  #graceMs = GRACE_MS;
 
   /** @param options Where it is reached, and what it reaches. */
   constructor(options: SoakInstanceOptions) {
@@ -94,7 +94,38 @@
     this.id = `entry-${options.index}`;
     this.callerAddress = `${this.#ip}:${front}`;
     this.#statusAddress = `${this.#ip}:${status}`;
-    this.#writeSettings();
+    this.changeSettings();
+  }
+
+  /** @param over Lines of its settings file that differ from the usual ones. */
+  changeSettings(over: Readonly<Record<string, string>> = {}): void {
+    const settings = { ...this.#usualSettings(), ...over };
+    const lines = Object.entries(settings)
+      .map(([name, value]) => `${name}=${value}`);
+    // Renamed, as its process may read the file at any moment.
+    const nextPath = `${this.#settingsPath}.next`;
+    writeFileSync(nextPath, lines.join("\n"));
+    renameSync(nextPath, this.#settingsPath);
+    const graceS = Number(settings["bounds.graceS"]);
+    // What cannot be used leaves in force what was so before.
+    this.#graceMs = Number.isNaN(graceS) ? this.#graceMs : graceS * MS_PER_S;
+  }
+
+  #usualSettings(): Readonly<Record<string, string>> {
+    const { index, ports, storeAddress } = this.#options;
+    const peer = ports[2]!;
+    return {
+      nodeName: this.id,
+      zone: DOMAINS[index % DOMAINS.length]!,
+      ip: this.#ip,
+      "listen.front": this.callerAddress,
+      "listen.ready": this.#statusAddress,
+      internalPortRange: `${peer},${peer + 1}`,
+      seeds: "",
+      "platform.address": storeAddress,
+      "bounds.graceS": String(GRACE_S),
+      "bounds.retryBudgetSlack": String(RETRY_BUDGET_SLACK),
+    };
   }
 
   /**
@@ -171,26 +202,25 @@
   /**
    * Asks its process to shut down; it may have been asked already.
    *
-   * @returns Once its process has ended, at the end of its grace time at last.
+   * @returns How its process ended, at the end of its grace time at last.
    */
-  async stop(): Promise<void> {
+  async stop(): Promise<ProcessEnd | undefined> {
     const life = this.#life;
-    if (life !== undefined && this.runs) {
+    if (life === undefined) {
+      return undefined;
+    }
+    if (this.runs) {
       this.#ask(life);
     }
-    while (life !== undefined && !life.server.hasEnded) {
-      if (this.#graceLeftMs(life) <= 0) {
-        await life.server.kill();
-        return;
-      }
+    while (!life.server.hasEnded && this.#graceLeftMs(life) > 0) {
       await Promise.race([life.server.ended, pause(LOOK_MS)]);
     }
+    await life.server.kill();
+    return life.server.ended;
   }
 
-  /** Asks it to read its settings again, which have changed. */
+  /** Asks it to read its settings again. */
   reload(): void {
-    this.#reloads++;
-    this.#writeSettings();
     this.#life?.server.signal("SIGHUP");
   }
 
@@ -223,35 +253,13 @@
       const from = Math.max(fromMs, askedAtMs!);
       return sum + Math.max(0, Math.min(untilMs, nowMs) - from);
     }, 0);
-    return askedAtMs! + GRACE_MS + pausedMs - nowMs;
+    return askedAtMs! + this.#graceMs + pausedMs - nowMs;
   }
 
   get #settingsPath(): string {
     return join(this.#folder, "settings");
   }
 
-  #writeSettings(): void {
-    const { index, ports, storeAddress } = this.#options;
-    const peer = ports[2]!;
-    const slack = RETRY_BUDGET_SLACK + this.#reloads;
-    const lines = [
-      `nodeName=${this.id}`,
-      `zone=${DOMAINS[index % DOMAINS.length]}`,
-      `ip=${this.#ip}`,
-      `listen.front=${this.callerAddress}`,
-      `listen.ready=${this.#statusAddress}`,
-      `internalPortRange=${peer},${peer + 1}`,
-      "seeds=",
-      `platform.address=${storeAddress}`,
-      `bounds.graceS=${GRACE_S}`,
-      `bounds.retryBudgetSlack=${slack}`,
-    ];
-    // Renamed, as its process may read the file at any moment.
-    const nextPath = `${this.#settingsPath}.next`;
-    writeFileSync(nextPath, lines.join("\n"));
-    renameSync(nextPath, this.#settingsPath);
-  }
-
   #leave(spans: Span[]): void {
     spans.push({ fromMs: performance.now(), untilMs: Infinity });
   }
