--- a/packages/gateway/src/caller_connections_test.ts
+++ b/packages/gateway/src/caller_connections_test.ts
@@ -34,7 +34,7 @@
 }
 
 /** A server whose paths answer in different ways, and the account of it. */
-class Bench {
+class Harness {
   readonly callers: Socket[] = [];
   /** The server's ends of their connections. */
   readonly accepted: Socket[] = [];
@@ -159,17 +159,17 @@
 
 function testOn(
   name: string,
-  run: (bench: Bench) => Promise<void>,
+  run: (harness: Harness) => Promise<void>,
   limits: Limits = {},
 ): void {
   test(name, async () => {
-    const bench = new Bench(limits);
-    bench.server.listen(0, HOST);
-    await once(bench.server, "listening");
+    const harness = new Harness(limits);
+    harness.server.listen(0, HOST);
+    await once(harness.server, "listening");
     try {
-      await run(bench);
+      await run(harness);
     } finally {
-      bench.close();
+      harness.close();
     }
   });
 }
@@ -191,13 +191,13 @@
   tookMs: 0,
 };
 
-testOn("an answer that is cut while it waits is told", async (bench) => {
-  await bench.request("/large");
-  bench.connections.closing(
+testOn("an answer that is cut while it waits is told", async (harness) => {
+  await harness.request("/large");
+  harness.connections.closing(
     ConnectionEnd.ClosedIdle,
-    () => bench.server.closeAllConnections(),
+    () => harness.server.closeAllConnections(),
   );
-  const [line] = await bench.linesOf(1);
+  const [line] = await harness.linesOf(1);
   const { waitingBytes, ...facts } = line!;
   assert.ok(Number(waitingBytes) >= LARGE_BYTES, String(waitingBytes));
   assert.equal({ ...facts, waitingBytes: 0 }, {
@@ -206,84 +206,87 @@
     end: "closed_idle",
     answer: "handed_over",
   });
-  assert.equal(await bench.counters(), [
+  assert.equal(await harness.counters(), [
     ended("closed_idle"),
     unanswered("closed_idle", "handed_over"),
   ]);
 });
 
-testOn("closing tells only of connections that it ends", async (bench) => {
-  const caller = await bench.request("/never");
-  bench.connections.closing(
+testOn("closing tells only of connections that it ends", async (harness) => {
+  const caller = await harness.request("/never");
+  harness.connections.closing(
     ConnectionEnd.ClosedIdle,
-    () => bench.server.closeIdleConnections(),
+    () => harness.server.closeIdleConnections(),
   );
   caller.destroy();
-  assert.equal(await bench.counters(), [
+  assert.equal(await harness.counters(), [
     ended("caller_left"),
     unanswered("caller_left", "pending"),
   ]);
 });
 
-testOn("an answer that waits is not closed as idle", async (bench) => {
-  const caller = await bench.request("/large");
-  bench.connections.closeIdle();
+testOn("an answer that waits is not closed as idle", async (harness) => {
+  const caller = await harness.request("/large");
+  harness.connections.closeIdle();
   let bytesRead = 0;
   caller.on("data", (chunk: Buffer) => bytesRead += chunk.length);
   await until(() => bytesRead > LARGE_BYTES);
   await until(() => {
-    bench.connections.closeIdle();
-    return bench.connections.summary.openConnections === 0;
+    harness.connections.closeIdle();
+    return harness.connections.summary.openConnections === 0;
   });
-  assert.equal(await bench.counters(), [ended("closed_idle")]);
-  assert.equal(bench.lines(), []);
+  assert.equal(await harness.counters(), [ended("closed_idle")]);
+  assert.equal(harness.lines(), []);
 });
 
-testOn("a request that has begun to arrive is no idle time", async (bench) => {
-  const caller = await bench.request("/small");
+testOn(
+  "a request that has begun to arrive is no idle time",
+  async (harness) => {
+    const caller = await harness.request("/small");
+    caller.resume();
+    await until(() => harness.connections.summary.owedAnswers === 0);
+    const [accepted] = harness.accepted;
+    caller.write("POST /small HTTP/1.1\r\n");
+    const bytesBefore = requestOf("/small").length;
+    await until(() => accepted!.bytesRead > bytesBefore);
+    harness.connections.closeIdle();
+    assert.is(harness.connections.summary.openConnections, 1);
+  },
+);
+
+testOn("a raised limit holds for connections that idle", async (harness) => {
+  const caller = await harness.request("/small");
   caller.resume();
-  await until(() => bench.connections.summary.owedAnswers === 0);
-  const [accepted] = bench.accepted;
-  caller.write("POST /small HTTP/1.1\r\n");
-  const bytesBefore = requestOf("/small").length;
-  await until(() => accepted!.bytesRead > bytesBefore);
-  bench.connections.closeIdle();
-  assert.is(bench.connections.summary.openConnections, 1);
-});
-
-testOn("a raised limit holds for connections that idle", async (bench) => {
-  const caller = await bench.request("/small");
-  caller.resume();
-  await until(() => bench.connections.summary.owedAnswers === 0);
-  const [accepted] = bench.accepted;
-  bench.connections.mayIdle(2 * NEVER_MS);
+  await until(() => harness.connections.summary.owedAnswers === 0);
+  const [accepted] = harness.accepted;
+  harness.connections.mayIdle(2 * NEVER_MS);
   assert.is(accepted!.timeout, 2 * NEVER_MS);
 });
 
-testOn("an answer written out owes nothing", async (bench) => {
-  const caller = await bench.request("/small", "Connection: close\r\n");
+testOn("an answer written out owes nothing", async (harness) => {
+  const caller = await harness.request("/small", "Connection: close\r\n");
   caller.resume();
   await once(caller, "close");
-  assert.equal(await bench.counters(), [ended("after_answer")]);
-  assert.equal(bench.lines(), []);
+  assert.equal(await harness.counters(), [ended("after_answer")]);
+  assert.equal(harness.lines(), []);
 });
 
-testOn("an answer written in the tick of the close counts", async (bench) => {
-  const caller = await bench.request("/never");
-  bench.connections.closing(ConnectionEnd.ProcessEnd, () => {
-    bench.latest!.response.end(SMALL);
-    bench.server.closeAllConnections();
+testOn("an answer written in the tick of the close counts", async (harness) => {
+  const caller = await harness.request("/never");
+  harness.connections.closing(ConnectionEnd.ProcessEnd, () => {
+    harness.latest!.response.end(SMALL);
+    harness.server.closeAllConnections();
   });
   caller.resume();
-  assert.equal(await bench.counters(), [ended("process_end")]);
-  assert.equal(bench.lines(), []);
+  assert.equal(await harness.counters(), [ended("process_end")]);
+  assert.equal(harness.lines(), []);
 });
 
-testOn("a caller that leaves before its answer is told", async (bench) => {
-  const caller = await bench.request("/never");
-  bench.latest!.countRuns = () => 1;
+testOn("a caller that leaves before its answer is told", async (harness) => {
+  const caller = await harness.request("/never");
+  harness.latest!.countRuns = () => 1;
   caller.destroy();
-  assert.equal(await bench.linesOf(1), [{
+  assert.equal(await harness.linesOf(1), [{
     ...LINE,
     requestId: "/never",
     end: "caller_left",
@@ -292,36 +295,36 @@
   }]);
 });
 
-testOn("an answer whose write fails is not written out", async (bench) => {
-  const caller = await bench.request("/large");
+testOn("an answer whose write fails is not written out", async (harness) => {
+  const caller = await harness.request("/large");
   caller.end();
-  const { socket } = bench.latest!.response.req;
+  const { socket } = harness.latest!.response.req;
   await until(() => socket.readableEnded);
   caller.resetAndDestroy();
-  const [line] = await bench.linesOf(1);
+  const [line] = await harness.linesOf(1);
   assert.ok(Number(line!.waitingBytes) >= LARGE_BYTES);
-  assert.equal(await bench.counters(), [
+  assert.equal(await harness.counters(), [
     ended("caller_left"),
     unanswered("caller_left", "handed_over"),
   ]);
 });
 
-testOn("a reset tells its error and what waited", async (bench) => {
-  const caller = await bench.request("/large");
+testOn("a reset tells its error and what waited", async (harness) => {
+  const caller = await harness.request("/large");
   caller.resetAndDestroy();
-  const [line] = await bench.linesOf(1);
+  const [line] = await harness.linesOf(1);
   assert.ok(Number(line!.waitingBytes) >= LARGE_BYTES);
   assert.match(String(line!.reason), "ECONNRESET");
-  assert.equal(await bench.counters(), [
+  assert.equal(await harness.counters(), [
     ended("reset"),
     unanswered("reset", "handed_over"),
   ]);
 });
 
-testOn("a request whose reading breaks off is told", async (bench) => {
-  const caller = await bench.request("/never", "Content-Length: 9\r\n");
+testOn("a request whose reading breaks off is told", async (harness) => {
+  const caller = await harness.request("/never", "Content-Length: 9\r\n");
   caller.end("part");
-  assert.equal(await bench.linesOf(1), [{
+  assert.equal(await harness.linesOf(1), [{
     ...LINE,
     requestId: "/never",
     end: "caller_left",
@@ -330,11 +333,11 @@
   }]);
 });
 
-testOn("an answer broken off by the instance is told", async (bench) => {
-  await bench.request("/begun");
-  bench.connections.endsBy(bench.latest!, ConnectionEnd.BrokenOff);
-  bench.latest!.response.destroy();
-  assert.equal(await bench.linesOf(1), [{
+testOn("an answer broken off by the instance is told", async (harness) => {
+  await harness.request("/begun");
+  harness.connections.endsBy(harness.latest!, ConnectionEnd.BrokenOff);
+  harness.latest!.response.destroy();
+  assert.equal(await harness.linesOf(1), [{
     ...LINE,
     requestId: "/begun",
     end: "broken_off",
@@ -342,58 +345,58 @@
   }]);
 });
 
-testOn("answers that wait for earlier ones count", async (bench) => {
-  await bench.call(requestOf("/never") + requestOf("/large"));
-  await until(() => bench.latest?.facts.requestId === "/large");
-  const { waitingBytes } = bench.connections.summary;
+testOn("answers that wait for earlier ones count", async (harness) => {
+  await harness.call(requestOf("/never") + requestOf("/large"));
+  await until(() => harness.latest?.facts.requestId === "/large");
+  const { waitingBytes } = harness.connections.summary;
   assert.ok(waitingBytes >= LARGE_BYTES, String(waitingBytes));
 });
 
-testOn("each pipelined request is told by itself", async (bench) => {
-  const caller = await bench.call(requestOf("/never") + requestOf("/small"));
-  await until(() => bench.latest?.facts.requestId === "/small");
+testOn("each pipelined request is told by itself", async (harness) => {
+  const caller = await harness.call(requestOf("/never") + requestOf("/small"));
+  await until(() => harness.latest?.facts.requestId === "/small");
   caller.destroy();
-  const lines = await bench.linesOf(2);
+  const lines = await harness.linesOf(2);
   assert.equal(lines.map(({ requestId, answer }) => [requestId, answer]), [
     ["/never", "pending"],
     ["/small", "handed_over"],
   ]);
 });
 
-testOn("what is open when the process ends is told once", async (bench) => {
-  await bench.request("/large");
-  await bench.request("/never");
-  const { waitingBytes, ...open } = bench.connections.summary;
+testOn("what is open when the process ends is told once", async (harness) => {
+  await harness.request("/large");
+  await harness.request("/never");
+  const { waitingBytes, ...open } = harness.connections.summary;
   assert.equal(open, { openConnections: 2, owedAnswers: 2 });
   assert.ok(waitingBytes >= LARGE_BYTES, String(waitingBytes));
-  bench.connections.endAll(ConnectionEnd.ProcessEnd);
-  bench.callers.forEach((caller) => caller.destroy());
-  await Promise.all(bench.callers.map((caller) => once(caller, "close")));
+  harness.connections.endAll(ConnectionEnd.ProcessEnd);
+  harness.callers.forEach((caller) => caller.destroy());
+  await Promise.all(harness.callers.map((caller) => once(caller, "close")));
   assert.equal(
-    bench.lines().map(({ requestId, end }) => [requestId, end]),
+    harness.lines().map(({ requestId, end }) => [requestId, end]),
     [["/large", "process_end"], ["/never", "process_end"]],
   );
 });
 
-testOn("idle time is counted", async (bench) => {
-  const caller = await bench.request("/small");
+testOn("idle time is counted", async (harness) => {
+  const caller = await harness.request("/small");
   caller.resume();
-  assert.equal(await bench.counters(), [ended("idle_time")]);
-  assert.equal(bench.lines(), []);
+  assert.equal(await harness.counters(), [ended("idle_time")]);
+  assert.equal(harness.lines(), []);
 }, { idleTimeMs: POLL_MS });
 
-testOn("the time limit of headers is counted", async (bench) => {
-  const caller = await bench.call("POST /small HT");
+testOn("the time limit of headers is counted", async (harness) => {
+  const caller = await harness.call("POST /small HT");
   caller.resume();
   await once(caller, "close");
-  assert.equal(await bench.counters(), [ended("headers_time")]);
+  assert.equal(await harness.counters(), [ended("headers_time")]);
 }, { headersTimeMs: POLL_MS });
 
-testOn("what is no request is counted", async (bench) => {
-  const caller = await bench.call("no request\r\n\r\n");
+testOn("what is no request is counted", async (harness) => {
+  const caller = await harness.call("no request\r\n\r\n");
   caller.resume();
   await once(caller, "close");
-  assert.equal(await bench.counters(), [ended("unreadable")]);
+  assert.equal(await harness.counters(), [ended("unreadable")]);
 });
 
 test.run();
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -34,7 +34,7 @@
 type Line = Readonly<Record<string, unknown>>;
 
 /** An instance with one target, on a clock that can be set forward. */
-class Bench {
+class Harness {
   /** Requests that the target got. */
   runs = 0;
   readonly #callers: Socket[] = [];
@@ -168,23 +168,23 @@
   return { end, stage, answer, runs };
 }
 
-function testOn(name: string, run: (bench: Bench) => Promise<void>): void {
+function testOn(name: string, run: (harness: Harness) => Promise<void>): void {
   test(name, async () => {
-    const bench = new Bench();
-    await bench.start();
+    const harness = new Harness();
+    await harness.start();
     try {
-      await run(bench);
+      await run(harness);
     } finally {
-      bench.close();
+      harness.close();
     }
   });
 }
 
-testOn("a caller that leaves while a target works is told", async (bench) => {
-  const caller = bench.request(["q"]);
-  await until(() => bench.runs === 1);
+testOn("a caller that leaves while a target works is told", async (harness) => {
+  const caller = harness.request(["q"]);
+  await until(() => harness.runs === 1);
   caller.destroy();
-  const line = await bench.line("connection ended unanswered", "q");
+  const line = await harness.line("connection ended unanswered", "q");
   assert.equal(endOf(line), {
     end: "caller_left",
     stage: "open",
@@ -193,10 +193,10 @@
   });
 });
 
-testOn("an answer handed over and not written out is told", async (bench) => {
-  const caller = await bench.handOverLarge();
+testOn("an answer handed over and not written out is told", async (harness) => {
+  const caller = await harness.handOverLarge();
   caller.resetAndDestroy();
-  const line = await bench.line("connection ended unanswered", LAST_ID);
+  const line = await harness.line("connection ended unanswered", LAST_ID);
   assert.equal(endOf(line), {
     end: "reset",
     stage: "open",
@@ -206,20 +206,20 @@
   assert.ok(Number(line.waitingBytes) >= LARGE_BYTES);
 });
 
-testOn("what is still owed when the process ends is told", async (bench) => {
-  await bench.handOverLarge();
-  const stopped = bench.gateway.stop();
-  bench.passGrace();
+testOn("what is still owed when the process ends is told", async (harness) => {
+  await harness.handOverLarge();
+  const stopped = harness.gateway.stop();
+  harness.passGrace();
   await stopped;
   const { openConnections, owedAnswers, waitingBytes, cutRequests } =
-    await bench.line("stopped");
+    await harness.line("stopped");
   assert.equal({ openConnections, cutRequests }, {
     openConnections: 1,
     cutRequests: 0,
   });
   assert.ok(Number(owedAnswers) >= 1);
   assert.ok(Number(waitingBytes) >= LARGE_BYTES);
-  const line = await bench.line("connection ended unanswered", LAST_ID);
+  const line = await harness.line("connection ended unanswered", LAST_ID);
   assert.equal(endOf(line), {
     end: "process_end",
     stage: "announcing",
@@ -228,12 +228,12 @@
   });
 });
 
-testOn("an error while stopping is told", async (bench) => {
-  bench.clockFails = true;
-  const stopped = bench.gateway.stop();
-  bench.clockFails = false;
-  bench.gateway.cannotStop(await stopped.catch((error) => error));
-  const { reason, level } = await bench.line("stopping failed");
+testOn("an error while stopping is told", async (harness) => {
+  harness.clockFails = true;
+  const stopped = harness.gateway.stop();
+  harness.clockFails = false;
+  harness.gateway.cannotStop(await stopped.catch((error) => error));
+  const { reason, level } = await harness.line("stopping failed");
   assert.is(level, "warn");
   assert.match(String(reason), "no time");
 });
