Derive what stopping and standing aside had kept twice; refuse in one write

Whether a server is idle was worked out in the front server and in the stand-in of a test, and is asked only by the stop: it is derived there. Whether others were told that an instance stands aside is part of what they are told of it. A refusal of a request that is read whole, as nearly all are, goes out in one call again; only one whose body still comes is written before its end.

--- a/packages/gateway/src/caller_reply.ts
+++ b/packages/gateway/src/caller_reply.ts
@@ -125,8 +125,12 @@
     }
     headers.push("Content-Length", String(Buffer.byteLength(body)));
     this.#response.writeHead(status, [...headers, ...this.#closeHeader()]);
-    this.#response.write(body);
-    this.#endOnceRead();
+    if (this.#response.req.complete) {
+      this.#response.end(body);
+    } else {
+      this.#response.write(body);
+      this.#endOnceRead();
+    }
   }
 
   /**
@@ -136,10 +140,6 @@
    */
   #endOnceRead(): void {
     const { req } = this.#response;
-    if (req.complete) {
-      this.#response.end();
-      return;
-    }
     const end = () => {
       clearTimeout(timer);
       this.#response.end();
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -105,11 +105,6 @@
     });
   }
 
-  /** Whether no request is in progress and every answer is written out. */
-  get isIdle(): boolean {
-    return this.openCount === 0 && this.connections.owedAnswers === 0;
-  }
-
   /** Requests in progress. */
   get openCount(): number {
     return this.#open.size + this.#reading;
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -46,8 +46,6 @@
 
 /** The server for callers, as far as stopping it goes. */
 export interface StoppingServer {
-  /** Whether no request is in progress and every answer is written out. */
-  readonly isIdle: boolean;
   /** Requests in progress. */
   readonly openCount: number;
   readonly connections: OpenConnections;
@@ -118,7 +116,7 @@
     const { clock, front } = this.#parts;
     while (!this.#isWithin(BREAK_OFF_MARGIN_MS)) {
       const toldMs = clock.nowMs() - this.#handledAtMs;
-      if (front.isIdle && toldMs >= LEAST_STOPPING_MS) {
+      if (this.#isIdle && toldMs >= LEAST_STOPPING_MS) {
         return;
       }
       if (this.#spentMs >= this.#refuseAfterMs) {
@@ -132,11 +130,17 @@
     const leastMs = this.#spentMs + LEAST_WRITE_OUT_MS;
     const isOver = () =>
       this.#isWithin(END_MARGIN_MS) && this.#spentMs >= leastMs;
-    while (!this.#parts.front.isIdle && !isOver()) {
+    while (!this.#isIdle && !isOver()) {
       await this.#parts.pause(LOOK_MS);
     }
   }
 
+  /** Whether no request is in progress and every answer is written out. */
+  get #isIdle(): boolean {
+    const { connections, openCount } = this.#parts.front;
+    return openCount === 0 && connections.owedAnswers === 0;
+  }
+
   get #refuseAfterMs(): number {
     return Math.min(REFUSE_AFTER_MS, TAKING_SHARE * this.#parts.graceMs());
   }
--- a/packages/gateway/src/graceful_stop_limits_test.ts
+++ b/packages/gateway/src/graceful_stop_limits_test.ts
@@ -22,7 +22,6 @@
   const clock = { nowMs: () => atMs };
   await new GracefulStop({
     front: {
-      isIdle: false,
       openCount: 1,
       connections: { openConnections: 1, owedAnswers: 1, waitingBytes: 1 },
       announceClosing: note("announced"),
--- a/packages/gateway/src/graceful_stop_test.ts
+++ b/packages/gateway/src/graceful_stop_test.ts
@@ -15,10 +15,6 @@
   doneAtMs = 0;
   writtenAtMs = 0;
 
-  get isIdle(): boolean {
-    return this.openCount === 0 && this.connections.owedAnswers === 0;
-  }
-
   get openCount(): number {
     return this.atMs < this.doneAtMs ? 1 : 0;
   }
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -59,8 +59,6 @@
   #self: MemberNews;
   #beats = 0;
   #beatAtMs = -Infinity;
-  /** Whether the others were told that this instance stands aside. */
-  #toldAside = false;
   #aliveIds = new Set<string>();
   /** Members that said last that they reach the platform's store. */
   readonly #reachStore = new Set<string>();
@@ -84,7 +82,7 @@
   tick(): void {
     const nowMs = this.#parts.clock.nowMs();
     const standsAside = this.#parts.board.members.standsAside(nowMs);
-    if (standsAside !== this.#toldAside) {
+    if (standsAside !== (this.#self.standsAside ?? false)) {
       this.#tellAside(standsAside);
     }
     if (nowMs - this.#beatAtMs >= BEAT_MS) {
@@ -125,7 +123,6 @@
   /** All hear it at once: who coordinates is only then the same for all. */
   #tellAside(standsAside: boolean): void {
     const { board, log } = this.#parts;
-    this.#toldAside = standsAside;
     this.#self = { ...this.#self, standsAside };
     log.info(LogPart.Members, "stands aside as coordinator", { standsAside });
     this.#sendBeat(board.members.others().map((m) => m.address), false);
