Tell a late coordinator from a lost one; hold asks back from one that is late

Cause: in a rush, answers of the coordinator take over 130 ms. Every holder passed it over at once, sent all asks to the next one, which fell behind in its turn, and handed out a sixty-fourth of the allotments meanwhile. Seen by the new line "process is late" (time by kind of message, busy time) and the counter of late timers: a coordinator at its limit spends its time on repeats, renewals, drops and asks of requests that it refuses.

Change: answers' times are learned as for a retransmission timeout; an instance is gone after that time without any sign of life, and late before. Four asks for each pool are out without a word, the rest waits at its holder by rank. Reports name what waits and take the place of renewals; the coordinator repeats lost decisions and names asks that it lacks. What is sure to be refused like another just before is refused by the holder. A coordinator that is loaded and not slow does not stand aside. A long queue is looked at as a whole the less often the longer it is.

--- a/packages/gateway/src/coordinator_choice.ts
+++ b/packages/gateway/src/coordinator_choice.ts
@@ -11,20 +11,25 @@
 const SHUN_MS = 1000;
 
 /**
- * Time for which a look at the members holds. It costs time in proportion to
- * their number: at 90 instances, looks at every message took a quarter of the
- * processor time of an idle instance.
+ * Time for which a look at the members holds, unless one of them says something
+ * new of itself. It costs time in proportion to their number: at 90 instances,
+ * looks at every message took a quarter of the processor time of an idle
+ * instance. A member that falls silent is noticed so much later.
  */
-const LOOK_MS = 20;
+const LOOK_MS = 60;
 
 const NONE_SHUNNED: ReadonlySet<string> = new Set();
 
 /** What one look at the members gave. */
 interface Look {
   readonly untilMs: number;
+  /** Changes of the members that it takes in. */
+  readonly changes: number;
   readonly coordinator: MemberRecord;
   /** Share of the fleet's allotments that this instance hands out. */
   readonly share: number;
+  /** Since when the fleet remembers what workspaces spent. */
+  readonly remembersSinceMs: number;
 }
 
 /** Picks the coordinator anew as members come, go or fall silent. */
@@ -59,11 +64,8 @@
    * @returns What this instance may hand out where it gives places.
    */
   scope(nowMs: number): LedgerScope {
-    return {
-      share: this.#lookAt(nowMs).share,
-      memoryMs: this.#members.memoryMs(nowMs - this.#startedAtMs, nowMs),
-      nowMs,
-    };
+    const { share, remembersSinceMs } = this.#lookAt(nowMs);
+    return { share, memoryMs: nowMs - remembersSinceMs, nowMs };
   }
 
   /**
@@ -81,10 +83,17 @@
   }
 
   #lookAt(nowMs: number): Look {
-    if (this.#look === undefined || nowMs >= this.#look.untilMs) {
+    const { changes } = this.#members;
+    if (
+      this.#look === undefined || nowMs >= this.#look.untilMs ||
+      changes !== this.#look.changes
+    ) {
       const agreed = this.#members.coordinator(nowMs, NONE_SHUNNED);
+      const ownMs = nowMs - this.#startedAtMs;
       this.#look = {
         untilMs: nowMs + LOOK_MS,
+        changes,
+        remembersSinceMs: nowMs - this.#members.memoryMs(ownMs, nowMs),
         coordinator: this.#answering(agreed, nowMs),
         share: this.#share(agreed, nowMs),
       };
--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -62,6 +62,9 @@
   #fetchingTargets = false;
   #configurationAskedAtMs = -Infinity;
   #targetsAskedAtMs = -Infinity;
+  /** Newest version of targets that a heartbeat told of, and since when. */
+  #toldVersion = 0;
+  #toldAtMs = 0;
   #targetNews: { change: TargetChange; untilMs: number }[] = [];
 
   /** @param parts What the keeper works with. */
@@ -84,6 +87,14 @@
     return this.#parts.followsStore();
   }
 
+  /** @returns For how long heartbeats told of targets what is not known here. */
+  behindOnTargetsMs(): number {
+    const { board, clock } = this.#parts;
+    return board.targets.version < this.#toldVersion
+      ? clock.nowMs() - this.#toldAtMs
+      : 0;
+  }
+
   /** @returns Instances that are alive as far as this one hears. */
   fleetSize(): number {
     const { board, clock } = this.#parts;
@@ -189,6 +200,10 @@
     this.targetsChanged(beat.targetNews);
     const { board, clock } = this.#parts;
     const nowMs = clock.nowMs();
+    if (beat.targetsVersion > this.#toldVersion) {
+      this.#toldVersion = beat.targetsVersion;
+      this.#toldAtMs = nowMs;
+    }
     const version = board.routes?.configuration.version ?? 0;
     if (
       beat.configurationVersion > version && !this.#fetchingConfiguration &&
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,7 +22,7 @@
 } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
 import { TargetPaces } from "@chestnuthatch/routing/target_paces";
-import { EventLog, LogPart } from "./event_log.ts";
+import { EventLog, type LogFacts, LogPart } from "./event_log.ts";
 import { FleetNews } from "./fleet_news.ts";
 import { FrontServer } from "./front_server.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
@@ -30,6 +30,7 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { GracefulStop } from "./graceful_stop.ts";
 import { hostPortOf } from "./host_port.ts";
+import { LoopWatch } from "./loop_watch.ts";
 import { MembershipKeeper } from "./membership_keeper.ts";
 import { PeerCatalog } from "./peer_catalog.ts";
 import { PeerSocket } from "./peer_socket.ts";
@@ -78,6 +79,7 @@
   readonly #spending: SpendingKeeper;
   readonly #front: FrontServer;
   readonly #status: StatusServer;
+  readonly #loop: LoopWatch;
   #askCounter = 0;
   #leaving = false;
   #closed = false;
@@ -138,6 +140,12 @@
     this.#catalog = new PeerCatalog((item) => this.#news.content(item));
     this.#membership = this.#makeMembership();
     this.#front = new FrontServer(this.#makeParts(options.protocol));
+    this.#loop = new LoopWatch({
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      load: () => this.#load(),
+    });
     this.#status = new StatusServer({
       metrics: this.#metrics,
       isReady: () => this.isReady,
@@ -218,7 +226,7 @@
     const settings = this.#settings;
     const { host } = hostPortOf(settings.peerAddress);
     await this.#socket.open(settings.peerAddress, (message, from) => {
-      this.#heard(message, from);
+      this.#loop.run(message.kind, () => this.#heard(message, from));
     });
     await this.#catalog.open(`${host}:${settings.catalogPort}`);
     await this.#status.open(settings.statusAddress, settings.metricsAddress);
@@ -230,6 +238,7 @@
       callerAddress: settings.callerAddress,
       peerAddress: settings.peerAddress,
       failureDomain: settings.failureDomain,
+      cores: settings.cores,
       sinceProcessStartMs: Math.round(performance.now()),
     });
   }
@@ -302,6 +311,8 @@
   #tick(): void {
     const nowMs = this.#clock.nowMs();
     this.#lateMs = nowMs - this.#tickedAtMs - TICK_MS;
+    this.#loop.timerFired(this.#lateMs);
+    this.board.members.isLoaded = this.#loop.isLoaded;
     this.#tickedAtMs = nowMs;
     if (this.#lateMs > PAUSE_MS) {
       // Holders went elsewhere meanwhile; their reports tell what is left.
@@ -315,11 +326,24 @@
       nowMs - this.#startedAtMs,
       nowMs,
     );
-    this.#membership.tick();
-    this.#desk.tick();
+    this.#loop.run("tick", () => {
+      this.#membership.tick();
+      this.#desk.tick();
+    });
     this.#noteCoordinator();
   }
 
+  /** What there is to do, here and for other instances. */
+  #load(): LogFacts {
+    const pools = this.#coordinator.load();
+    return {
+      open: this.#front.openCount,
+      coordinatorId: this.#desk.coordinatorId,
+      waiting: pools.reduce((sum, { waiting }) => sum + waiting, 0),
+      placed: pools.reduce((sum, { placed }) => sum + placed, 0),
+    };
+  }
+
   #noteCoordinator(): void {
     const isCoordinator = this.#desk.coordinatorId === this.#self.instanceId;
     if (isCoordinator !== this.#wasCoordinator) {
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -64,6 +64,11 @@
     "Requests whose connection ended before their answer was written out.",
     ["end", "answer"],
   );
+  readonly #timerLate = this.#histogram(
+    "timer_late_ms",
+    "By how much regular timers were late.",
+    [],
+  );
   readonly #open = this.#gauge("open_requests", "Requests in progress.");
   readonly #version = this.#gauge(
     "configuration_version",
@@ -133,6 +138,11 @@
     this.#unanswered.inc({ end, answer });
   }
 
+  /** @param lateMs By how much a regular timer was late. */
+  timerLate(lateMs: number): void {
+    this.#timerLate.observe(lateMs);
+  }
+
   /** @param count Requests in progress. */
   openRequests(count: number): void {
     this.#open.set(count);
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -71,8 +71,12 @@
   "cameBackMs",
   "bySecond",
   "standsAside",
+  "askIds",
 ];
 
+/** Version of the internet protocol that peers speak. */
+const IP_FAMILY = 4;
+
 /** Bytes that the receive buffer of the socket holds. */
 const RECEIVE_BUFFER_BYTES = 1024 * 1024;
 
@@ -102,7 +106,12 @@
   constructor(log: EventLog, metrics: GatewayMetrics) {
     this.#log = log;
     this.#metrics = metrics;
-    this.#socket = createSocket({ type: "udp4" });
+    // Addresses are IP numbers: looked up in the usual way, each datagram would
+    // wait for the next turn of the event loop.
+    this.#socket = createSocket({
+      type: "udp4",
+      lookup: (host, _options, done) => done(null, host, IP_FAMILY),
+    });
   }
 
   /**
--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -11,34 +11,64 @@
 } from "@chestnuthatch/routing/peer_messages";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import { SpendingLog } from "@chestnuthatch/routing/spending_log";
-import type {
-  AskDecision,
-  HolderReport,
-  RunningWork,
-  WorkAsk,
-  WorkEnd,
+import { RecentRefusals } from "@chestnuthatch/routing/recent_refusals";
+import {
+  type AskDecision,
+  AskRefusal,
+  type HolderReport,
+  type RunningWork,
+  type WorkAsk,
+  type WorkEnd,
 } from "@chestnuthatch/routing/work_ask";
+import { AnswerWatch, Sign } from "./answer_watch.ts";
 import { CoordinatorChoice } from "./coordinator_choice.ts";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock } from "./ports.ts";
 
 /**
- * Time after which an ask without any word is sent again. Between failure
- * domains a word takes about 3 ms; a lost datagram costs this much.
+ * Time after which an ask without any word is sent again, doubled with each
+ * time. Between failure domains a word takes about 3 ms; a lost datagram costs
+ * this much. A coordinator under load gets few repeats.
  */
 const ASK_AGAIN_MS = 40;
 
+/** Time between two reports of what is open. */
+const REPORT_MS = 500;
+
 /**
- * Time without any word after which the coordinator is passed over: two lost
- * datagrams, and little against the objectives of streams.
+ * The same while asks wait. A report names them all, and the coordinator repeats
+ * decisions that were lost; a lost decision costs this much.
  */
-const SILENT_COORDINATOR_MS = 130;
+const WAITING_REPORT_MS = 250;
 
-/** Time after which a waiting ask is renewed; a lost decision costs this much. */
-const RENEW_MS = 250;
+/** Time after which a coordinator is told again that it answers late. */
+const TELL_LATE_MS = 250;
 
-/** Time between two reports of what is open. */
-const REPORT_MS = 500;
+/**
+ * Asks for places in a pool that are out without any word. The rest wait here, the most valuable
+ * first: a coordinator that is late then has little before it from each holder,
+ * and is late by less than a tenth of a second with 64 of them.
+ */
+const MOST_UNHEARD = 4;
+
+/**
+ * Time beyond a caller's patience by which the coordinator's refusal has come,
+ * if it is to come.
+ */
+const PATIENCE_SLACK_MS = 100;
+
+/** When callers are asked back whose ask got no word in time. */
+const UNHEARD_RETRY_MS = 500;
+
+/** Kinds of message that a coordinator answers with. */
+const IS_ANSWER: ReadonlySet<MessageKind> = new Set([
+  MessageKind.Queued,
+  MessageKind.Decision,
+  MessageKind.Unknown,
+]);
+
+/** Whom an ask was sent to that was not sent yet. */
+const NOBODY = "";
 
 /** An ask with what is known of it here. */
 interface OpenAsk {
@@ -50,6 +80,8 @@
   /** When it was first sent to its present coordinator. */
   firstSentAtMs: number;
   heard: boolean;
+  /** Time until it is sent again, while it is not heard. */
+  againMs: number;
   running?: RunningWork;
 }
 
@@ -77,6 +109,9 @@
   readonly #spending: SpendingLog;
   #reportedAtMs = -Infinity;
   #reportedTo = "";
+  readonly #answers: AnswerWatch;
+  readonly #refusals = new RecentRefusals();
+  #toldLateAtMs = -Infinity;
 
   /** @param parts What the desk works with. */
   constructor(parts: DeskParts) {
@@ -84,6 +119,7 @@
     this.#spending = new SpendingLog(parts.spendingWindowMs);
     const { board, startedAtMs } = parts;
     this.#choice = new CoordinatorChoice(board.members, startedAtMs);
+    this.#answers = new AnswerWatch(board.members);
   }
 
   /** The coordinator that asks go to now. */
@@ -99,17 +135,45 @@
    */
   ask(ask: WorkAsk, onDecision: (decision: AskDecision) => void): void {
     const nowMs = this.#nowMs();
+    const refusal = this.#refusals.refusalOf(ask, nowMs);
+    if (refusal !== undefined) {
+      onDecision(refusal);
+      return;
+    }
     const open: OpenAsk = {
       ask,
       sinceMs: nowMs,
       onDecision,
-      coordinatorId: "",
+      coordinatorId: NOBODY,
       sentAtMs: nowMs,
       firstSentAtMs: nowMs,
       heard: false,
+      againMs: ASK_AGAIN_MS,
     };
     this.#open.set(ask.askId, open);
-    this.#sendTo(this.#coordinator(), open);
+    this.#sendHeld();
+  }
+
+  /** Sends asks that are held here, as long as few are out without any word. */
+  #sendHeld(): void {
+    const waiting = [...this.#open.values()]
+      .filter(({ running }) => running === undefined);
+    const unheard = new Map<string, number>();
+    for (const open of waiting) {
+      const count = unheard.get(open.ask.pool) ?? 0;
+      const isOut = !open.heard && !isHeld(open);
+      unheard.set(open.ask.pool, count + Number(isOut));
+    }
+    // Of the same rank, the oldest goes first: the sort is stable.
+    const held = waiting.filter(isHeld)
+      .sort((a, b) => a.ask.rank - b.ask.rank);
+    for (const open of held) {
+      const count = unheard.get(open.ask.pool)!;
+      if (count < MOST_UNHEARD) {
+        unheard.set(open.ask.pool, count + 1);
+        this.#sendTo(this.#coordinator(), open);
+      }
+    }
   }
 
   /** @param askId An ask whose caller no longer waits for a place. */
@@ -118,6 +182,7 @@
     if (open !== undefined) {
       this.#open.delete(askId);
       this.#tellDropped(open.coordinatorId, askId);
+      this.#sendHeld();
     }
   }
 
@@ -155,6 +220,10 @@
   heard(message: RoutingMessage, fromId: string | undefined): void {
     const { coordinator } = this.#parts;
     const nowMs = this.#nowMs();
+    if (fromId !== undefined && IS_ANSWER.has(message.kind)) {
+      const tookMs = this.#answerTookMs(message, fromId);
+      this.#answers.answered(fromId, { nowMs, tookMs });
+    }
     switch (message.kind) {
       case MessageKind.Ask:
         this.#serve(message.ask);
@@ -169,7 +238,10 @@
         this.#carryOut(coordinator.dropped(message.askId, nowMs));
         return;
       case MessageKind.Report:
-        this.#carryOut(coordinator.report(message.report, nowMs));
+        this.#takeReport(message.report, nowMs);
+        return;
+      case MessageKind.Unknown:
+        this.#askAnew(message.askIds, fromId);
         return;
       case MessageKind.Queued:
         this.#noteHeard(message.askId, fromId);
@@ -185,6 +257,19 @@
     }
   }
 
+  /** How long the first word on an ask took, where the message is that. */
+  #answerTookMs(message: RoutingMessage, fromId: string): number | undefined {
+    const askId = message.kind === MessageKind.Queued
+      ? message.askId
+      : message.kind === MessageKind.Decision
+      ? message.decision.askId
+      : "";
+    const open = this.#open.get(askId);
+    const isFirst = open !== undefined && !open.heard &&
+      open.coordinatorId === fromId;
+    return isFirst ? this.#nowMs() - open.firstSentAtMs : undefined;
+  }
+
   /** Lets time pass: silent coordinators are passed over, reports are sent. */
   tick(): void {
     const nowMs = this.#nowMs();
@@ -194,26 +279,66 @@
         this.#chase(open, coordinator, nowMs);
       }
     }
+    this.#sendHeld();
     this.#reportIfDue(coordinator, nowMs);
     this.#carryOut(this.#parts.coordinator.tick(nowMs));
   }
 
   #chase(open: OpenAsk, coordinator: MemberRecord, nowMs: number): void {
-    const silentMs = nowMs - open.firstSentAtMs;
-    const waitedMs = nowMs - open.sentAtMs;
-    if (!open.heard && silentMs >= SILENT_COORDINATOR_MS) {
-      this.#shun(open.coordinatorId, nowMs);
-      this.#tellDropped(open.coordinatorId, open.ask.askId);
+    if (nowMs - open.sinceMs > open.ask.patienceLeftMs + PATIENCE_SLACK_MS) {
+      this.#refuseUnheard(open, nowMs);
+      return;
+    }
+    if (isHeld(open)) {
+      return;
+    }
+    const { coordinatorId, firstSentAtMs: sinceMs } = open;
+    const sign = open.heard
+      ? Sign.InTime
+      : this.#answers.sign(coordinatorId, { sinceMs, nowMs });
+    if (sign === Sign.Gone) {
+      this.#shun(coordinatorId, nowMs);
+      this.#tellDropped(coordinatorId, open.ask.askId);
       this.#sendTo(this.#self(), open);
       return;
     }
-    const moved = open.coordinatorId !== coordinator.instanceId &&
-      !this.#isSelf(open.coordinatorId);
+    if (sign === Sign.Late) {
+      this.#tellLate(coordinatorId, nowMs);
+    }
+    const moved = coordinatorId !== coordinator.instanceId &&
+      !this.#isSelf(coordinatorId);
+    const waitedMs = nowMs - open.sentAtMs;
     if (moved && waitedMs >= ASK_AGAIN_MS) {
-      this.#tellDropped(open.coordinatorId, open.ask.askId);
+      this.#tellDropped(coordinatorId, open.ask.askId);
       this.#sendTo(coordinator, open);
-    } else if (waitedMs >= (open.heard ? RENEW_MS : ASK_AGAIN_MS)) {
-      this.#sendTo(this.#member(open.coordinatorId) ?? coordinator, open);
+    } else if (!open.heard && waitedMs >= open.againMs) {
+      open.againMs *= 2;
+      this.#sendTo(this.#member(coordinatorId) ?? coordinator, open);
+    }
+  }
+
+  /** No word came for as long as its caller waits: it is told that nothing ran. */
+  #refuseUnheard(open: OpenAsk, nowMs: number): void {
+    const { askId, holderId } = open.ask;
+    this.#open.delete(askId);
+    this.#tellDropped(open.coordinatorId, askId);
+    open.onDecision({
+      askId,
+      holderId,
+      refusal: AskRefusal.Overload,
+      retryAfterMs: UNHEARD_RETRY_MS,
+      figures: {
+        unheardMs: Math.round(nowMs - open.sinceMs),
+        patienceMs: Math.round(open.ask.patienceLeftMs),
+      },
+    });
+  }
+
+  /** A coordinator that is slower than others would be makes way for one. */
+  #tellLate(coordinatorId: string, nowMs: number): void {
+    if (nowMs - this.#toldLateAtMs >= TELL_LATE_MS) {
+      this.#toldLateAtMs = nowMs;
+      this.#send(coordinatorId, { kind: MessageKind.PassedOver });
     }
   }
 
@@ -224,6 +349,7 @@
       open.coordinatorId = member.instanceId;
       open.firstSentAtMs = nowMs;
       open.heard = false;
+      open.againMs = Math.max(ASK_AGAIN_MS, this.#answers.usualMs);
     }
     open.sentAtMs = nowMs;
     const ask = {
@@ -282,8 +408,10 @@
       this.#noteSpending(open.ask);
     } else {
       this.#open.delete(decision.askId);
+      this.#refusals.note(open.ask, decision, this.#nowMs());
     }
     open.onDecision(decision);
+    this.#sendHeld();
   }
 
   #noteSpending(ask: WorkAsk): void {
@@ -294,20 +422,54 @@
 
   #reportIfDue(coordinator: MemberRecord, nowMs: number): void {
     const isNew = coordinator.instanceId !== this.#reportedTo;
-    if (!isNew && nowMs - this.#reportedAtMs < REPORT_MS) {
+    const everyMs = this.#hasWaiting() ? WAITING_REPORT_MS : REPORT_MS;
+    if (!isNew && nowMs - this.#reportedAtMs < everyMs) {
       return;
     }
     this.#reportedAtMs = nowMs;
     this.#reportedTo = coordinator.instanceId;
     const report = this.#report(coordinator.instanceId, nowMs);
     if (this.#isSelf(coordinator.instanceId)) {
-      const { coordinator: own } = this.#parts;
-      this.#carryOut(own.report(report, nowMs));
+      this.#takeReport(report, nowMs);
     } else {
       this.#parts.send(coordinator, { kind: MessageKind.Report, report });
     }
   }
 
+  #hasWaiting(): boolean {
+    return [...this.#open.values()].some((open) => open.running === undefined);
+  }
+
+  /** Serves a report as coordinator. */
+  #takeReport(report: HolderReport, nowMs: number): void {
+    const { coordinator } = this.#parts;
+    const { holderId, waiting } = report;
+    this.#carryOut(coordinator.report(report, nowMs));
+    const { decisions, unknownIds } = coordinator.lookUp(waiting);
+    this.#carryOut(decisions);
+    if (unknownIds.length > 0 && !this.#isSelf(holderId)) {
+      const askIds = unknownIds;
+      this.#send(holderId, { kind: MessageKind.Unknown, askIds });
+    }
+  }
+
+  /** Its coordinator knows nothing of these: they, or its refusals, were lost. */
+  #askAnew(askIds: readonly string[], fromId: string | undefined): void {
+    for (const askId of askIds) {
+      const open = this.#open.get(askId);
+      const member = this.#member(fromId ?? "");
+      if (
+        open === undefined || open.running !== undefined ||
+        open.coordinatorId !== member?.instanceId
+      ) {
+        continue;
+      }
+      if (this.#nowMs() - open.sentAtMs >= ASK_AGAIN_MS) {
+        this.#sendTo(member, open);
+      }
+    }
+  }
+
   #report(coordinatorId: string, nowMs: number): HolderReport {
     const opens = [...this.#open.values()];
     return {
@@ -326,10 +488,14 @@
     const open = this.#open.get(askId);
     if (open !== undefined && open.coordinatorId === fromId) {
       open.heard = true;
+      this.#sendHeld();
     }
   }
 
   #tellDropped(coordinatorId: string, askId: string): void {
+    if (coordinatorId === NOBODY) {
+      return;
+    }
     if (this.#isSelf(coordinatorId)) {
       const { coordinator } = this.#parts;
       this.#carryOut(coordinator.dropped(askId, this.#nowMs()));
@@ -343,7 +509,7 @@
       this.#send(instanceId, { kind: MessageKind.PassedOver });
       this.#parts.log.warn(LogPart.Placement, "coordinator is silent", {
         coordinatorId: instanceId,
-        silentMs: SILENT_COORDINATOR_MS,
+        silentMs: Math.round(this.#answers.silentMs),
       });
     }
   }
@@ -387,6 +553,10 @@
   }
 }
 
+function isHeld({ coordinatorId }: OpenAsk): boolean {
+  return coordinatorId === NOBODY;
+}
+
 function runningOf(ask: WorkAsk, targetId: string): RunningWork {
   const { askId, pool, rank, promptTokens, outputTokens } = ask;
   const firstSeen = false;
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -83,6 +83,8 @@
   targetsChanged(changes: readonly TargetChange[]): void;
   /** Whether the platform's store is to be followed closely from here. */
   followsStore(): boolean;
+  /** For how long other instances have had newer news of targets; 0 if none. */
+  behindOnTargetsMs(): number;
   /** Instances that are alive as far as this one hears. */
   fleetSize(): number;
   membersRead(members: readonly MemberNews[]): void;
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -183,6 +183,22 @@
     return this.#releaseUnlisted(report.holderId, open, nowMs);
   }
 
+  /**
+   * Looks up asks that their holder has no word of.
+   *
+   * @param askIds Asks that the holder waits for.
+   * @returns Decisions on those that were placed, and which are not known here.
+   */
+  lookUp(
+    askIds: readonly string[],
+  ): { decisions: AskDecision[]; unknownIds: string[] } {
+    const decisions = askIds.flatMap((askId) =>
+      this.#scheduleOf(askId)?.decisionOn(askId) ?? []
+    );
+    const unknownIds = askIds.filter((askId) => !this.#openAsks.has(askId));
+    return { decisions, unknownIds };
+  }
+
   /**
    * Lets time pass: waiting asks are looked at again, and the work of holders
    * that fell silent is no longer counted.
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -100,6 +100,13 @@
 /** The members, this instance included. */
 export class MemberView {
   readonly selfId: string;
+  /** Rises when a member comes, goes, or says something else of itself. */
+  changes = 0;
+  /**
+   * Whether this instance is late because of how much there is to do: another
+   * would be no quicker in its place, and knows less.
+   */
+  isLoaded = false;
   readonly #byId = new Map<string, MemberRecord>();
   /** Local time since which a member remembers what workspaces spent. */
   readonly #remembersSinceMs = new Map<string, number>();
@@ -176,6 +183,9 @@
   }
 
   #put(member: MemberRecord): void {
+    if (!saysTheSame(this.#byId.get(member.instanceId), member)) {
+      this.changes++;
+    }
     this.#byId.set(member.instanceId, member);
     this.#idByAddress.set(member.address, member.instanceId);
   }
@@ -297,9 +307,11 @@
         PASSED_OVER_MS
     );
     if (
-      saying.length > 0 && saying.length >= PASSED_OVER_PART * others.length
+      !this.isLoaded && saying.length > 0 &&
+      saying.length >= PASSED_OVER_PART * others.length
     ) {
       this.#standsAsideUntilMs = nowMs + STAND_ASIDE_MS;
+      this.changes++;
     }
   }
 
@@ -393,6 +405,7 @@
   forgetOld(nowMs: number): void {
     for (const { instanceId, heardAtMs, address } of this.others()) {
       if (heardAtMs > -Infinity && nowMs - heardAtMs > FORGET_MEMBER_MS) {
+        this.changes++;
         this.#byId.delete(instanceId);
         this.#remembersSinceMs.delete(instanceId);
         this.#expectedSinceMs.delete(instanceId);
@@ -407,6 +420,15 @@
   }
 }
 
+function saysTheSame(
+  known: MemberRecord | undefined,
+  member: MemberRecord,
+): boolean {
+  return known !== undefined && known.incarnation === member.incarnation &&
+    known.address === member.address && known.leaving === member.leaving &&
+    known.standsAside === member.standsAside && known.cores === member.cores;
+}
+
 function strongest(members: readonly MemberRecord[]): MemberRecord[] {
   const mostCores = Math.max(0, ...members.map(({ cores }) => cores));
   return members.filter(({ cores }) => cores >= mostCores * STRONG_PART);
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -17,7 +17,9 @@
   End = "end",
   Drop = "drop",
   Report = "report",
-  /** The sender asked the receiver for places in vain, and went on. */
+  /** Of asks that a holder reports as waiting, the receiver knows nothing. */
+  Unknown = "unknown",
+  /** The sender asked the receiver for places and got no answer in time. */
   PassedOver = "passed_over",
 }
 
@@ -148,6 +150,10 @@
   z.object({ kind: z.literal(MessageKind.End), end }),
   z.object({ kind: z.literal(MessageKind.Drop), askId: z.string() }),
   z.object({ kind: z.literal(MessageKind.Report), report }),
+  z.object({
+    kind: z.literal(MessageKind.Unknown),
+    askIds: z.array(z.string()).readonly(),
+  }),
   z.object({ kind: z.literal(MessageKind.PassedOver) }),
 ]);
 
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -9,7 +9,15 @@
 
 import type { PoolPolicy } from "./fleet_configuration.ts";
 import { type PlacedWork, PlacedWorks } from "./placed_works.ts";
-import { inOrder, onTimeUntilMs, type WaitingWork } from "./queue_order.ts";
+import {
+  inOrder,
+  type KeyedWork,
+  nextOf,
+  onTimeUntilMs,
+  type OrderFacts,
+  orderKeyOf,
+  type WaitingWork,
+} from "./queue_order.ts";
 import { RankShares } from "./rank_shares.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import {
@@ -17,6 +25,7 @@
   type Choice,
   chooseTarget,
   isWorthWaiting,
+  typicalOf,
 } from "./target_choice.ts";
 import {
   type AskDecision,
@@ -44,13 +53,20 @@
 const MOST_NEGLECTED_CREDIT_MS = 1000;
 
 /**
- * A queue longer than this is looked at for new requests only every so often: a
- * look costs time in proportion to its length. Measured with 300 waiting before
- * 42 targets, looks at every request took most of a core.
+ * A queue longer than this is looked at as a whole only every so often: a look
+ * costs time in proportion to its length. In between, only free slots are given
+ * away. With 130 waiting before 24 targets, a look at each end of work took
+ * 0.9 ms, and those alone half of a small instance's processor time.
  */
 const LONG_QUEUE = 32;
 const LOOK_MS = 10;
 
+/** Time between two looks for each request that waits. */
+const LOOK_MS_PER_WAITING = 0.25;
+
+/** Requests that may be passed by while a free slot is given away. */
+const MOST_PASSED = 8;
+
 /** Shortest time after which a refused caller is asked to come back. */
 const MIN_RETRY_AFTER_MS = 500;
 
@@ -75,12 +91,14 @@
   readonly #board: RoutingBoard;
   readonly #pool: string;
   readonly #placed = new PlacedWorks();
-  readonly #waiting = new Map<string, WaitingWork>();
+  readonly #waiting = new Map<string, KeyedWork>();
   readonly #shares = new RankShares();
   #holdMs = STARTING_HOLD_MS;
   /** Time at targets that neglected ranks may take ahead of their turn. */
   #neglectedCreditMs = 0;
   #lookedAtMs = -Infinity;
+  /** An idle target of their mean pace, as of the last look. */
+  #typical?: Candidate;
 
   /**
    * @param pool The pool's name.
@@ -131,10 +149,10 @@
     ask: WorkAsk,
     { cameBackMs, nowMs }: { cameBackMs: number; nowMs: number },
   ): AskDecision[] {
-    this.#waiting.set(ask.askId, { ask, cameBackMs, sinceMs: nowMs });
-    const waits = this.#waiting.size > LONG_QUEUE &&
-      nowMs - this.#lookedAtMs < LOOK_MS;
-    return waits ? [] : this.#settle(nowMs);
+    const work = { ask, cameBackMs, sinceMs: nowMs };
+    const key = orderKeyOf(work, this.#typical);
+    this.#waiting.set(ask.askId, { work, key });
+    return this.#settle(nowMs);
   }
 
   /**
@@ -224,10 +242,10 @@
   askIdsOf(holderId: string, beforeMs: number): string[] {
     const placed = this.#placed.ofHolder(holderId)
       .filter(({ placedAtMs }) => placedAtMs < beforeMs);
-    const waiting = [...this.#waiting.values()].filter(({ ask, sinceMs }) =>
-      ask.holderId === holderId && sinceMs < beforeMs
+    const waiting = [...this.#waiting.values()].filter(({ work }) =>
+      work.ask.holderId === holderId && work.sinceMs < beforeMs
     );
-    return [...placed, ...waiting.map(({ ask }) => ask)]
+    return [...placed, ...waiting.map(({ work }) => work.ask)]
       .map(({ askId }) => askId);
   }
 
@@ -245,27 +263,69 @@
     if (this.#waiting.size === 0) {
       return [];
     }
+    const { size } = this.#waiting;
+    const everyMs = Math.max(LOOK_MS, LOOK_MS_PER_WAITING * size);
+    const isDue = size <= LONG_QUEUE || nowMs - this.#lookedAtMs >= everyMs;
+    return isDue ? this.#lookAtAll(nowMs) : this.#fillSlots(nowMs);
+  }
+
+  /** Decides on all that can be decided now. */
+  #lookAtAll(nowMs: number): AskDecision[] {
     this.#lookedAtMs = nowMs;
     const look = this.#look(nowMs);
-    const queue = inOrder(this.#waiting.values(), {
-      candidates: look.usable,
-      promoted: this.#promoted(nowMs),
-      nowMs,
-    });
+    this.#typical = typicalOf(look.usable);
+    const keyed = [...this.#waiting.values()]
+      .map(({ work }) => ({ work, key: orderKeyOf(work, this.#typical) }));
     const decisions: AskDecision[] = [];
-    for (const waiting of queue) {
-      const decision = this.#decide(waiting, look);
+    for (const one of inOrder(keyed, this.#orderFacts(nowMs))) {
+      this.#waiting.set(one.work.ask.askId, one);
+      const decision = this.#decide(one.work, look);
       if (decision === undefined) {
         look.ahead++;
-        continue;
+      } else {
+        this.#noteDecided(one.work, decision, nowMs);
+        decisions.push(decision);
       }
-      this.#waiting.delete(waiting.ask.askId);
-      this.#notePlaced(waiting.ask.rank, "targetId" in decision, nowMs);
-      decisions.push(decision);
     }
     return decisions;
   }
 
+  /** Gives free slots to those that are next, in the order of the last look. */
+  #fillSlots(nowMs: number): AskDecision[] {
+    const look = this.#look(nowMs);
+    const facts = this.#orderFacts(nowMs);
+    const left = new Map(look.free.length > 0 ? this.#waiting : []);
+    const decisions: AskDecision[] = [];
+    while (look.free.length > 0 && look.ahead < MOST_PASSED) {
+      const next = nextOf(left.values(), facts);
+      if (next === undefined) {
+        break;
+      }
+      left.delete(next.work.ask.askId);
+      const decision = this.#decide(next.work, look);
+      if (decision === undefined) {
+        look.ahead++;
+      } else {
+        this.#noteDecided(next.work, decision, nowMs);
+        decisions.push(decision);
+      }
+    }
+    return decisions;
+  }
+
+  #noteDecided(
+    { ask }: WaitingWork,
+    decision: AskDecision,
+    nowMs: number,
+  ): void {
+    this.#waiting.delete(ask.askId);
+    this.#notePlaced(ask.rank, "targetId" in decision, nowMs);
+  }
+
+  #orderFacts(nowMs: number): OrderFacts {
+    return { promoted: this.#promoted(nowMs), nowMs };
+  }
+
   #look(nowMs: number): Look {
     const usable = this.#board.targets.usable(this.#pool, nowMs)
       .map(({ targetId }) => this.#candidate(targetId));
--- a/packages/routing/src/queue_order.ts
+++ b/packages/routing/src/queue_order.ts
@@ -1,12 +1,6 @@
 /** The order in which requests that wait for a target get their turn. */
 
-import {
-  type Candidate,
-  firstMsAt,
-  IDLE,
-  restMsAt,
-  typicalOf,
-} from "./target_choice.ts";
+import { type Candidate, firstMsAt, IDLE, restMsAt } from "./target_choice.ts";
 import type { WorkAsk } from "./work_ask.ts";
 
 /**
@@ -27,41 +21,69 @@
   readonly sinceMs: number;
 }
 
+/** What decides on a request's place in a queue. */
+export interface OrderKey {
+  /** Local time until which a start is soon enough to be on time. */
+  readonly startOnTimeByMs: number;
+  /** Local time by which it has to start at all. */
+  readonly startByMs: number;
+}
+
+/** A request with its key. */
+export interface KeyedWork {
+  readonly work: WaitingWork;
+  readonly key: OrderKey;
+}
+
+/** What an order depends on besides the requests. */
+export interface OrderFacts {
+  /** Ranks that go first for now. */
+  readonly promoted: ReadonlySet<number>;
+  readonly nowMs: number;
+}
+
 /**
  * Orders a queue: promoted ranks first, then by rank; within a rank what can
  * still be on time goes before what cannot, and among these what has to start
  * soonest. Large requests need longer before their deadline: by age alone, the
  * largest tenth of short-lived work was served half as often.
  *
- * Works with the mean pace of the targets, so that its cost does not grow with
- * the product of requests and targets.
- *
  * @param waiting The requests.
- * @param of Targets that may serve them, ranks that go first for now, and the
- * local time.
+ * @param facts What else decides.
  * @returns The requests, the next one first.
  */
 export function inOrder(
-  waiting: Iterable<WaitingWork>,
-  of: {
-    candidates: readonly Candidate[];
-    promoted: ReadonlySet<number>;
-    nowMs: number;
-  },
-): WaitingWork[] {
-  const { candidates, promoted, nowMs } = of;
-  const typical = typicalOf(candidates);
-  if (typical === undefined) {
-    return [...waiting];
+  waiting: Iterable<KeyedWork>,
+  facts: OrderFacts,
+): KeyedWork[] {
+  return [...waiting].sort((a, b) => compared(a, b, facts));
+}
+
+/**
+ * @param waiting Requests.
+ * @param facts What else decides.
+ * @returns The one that is next; undefined where there is none.
+ */
+export function nextOf(
+  waiting: Iterable<KeyedWork>,
+  facts: OrderFacts,
+): KeyedWork | undefined {
+  let next: KeyedWork | undefined;
+  for (const one of waiting) {
+    if (next === undefined || compared(one, next, facts) < 0) {
+      next = one;
+    }
   }
-  const keyed = [...waiting].map((work) => keyOf(work, typical, nowMs));
+  return next;
+}
+
+function compared(a: KeyedWork, b: KeyedWork, facts: OrderFacts): number {
+  const { promoted, nowMs } = facts;
   const rankOf = ({ rank }: WorkAsk) => promoted.has(rank) ? -1 : rank;
-  keyed.sort((a, b) =>
-    rankOf(a.work.ask) - rankOf(b.work.ask) ||
-    Number(a.isLate) - Number(b.isLate) ||
-    a.startByMs - b.startByMs
-  );
-  return keyed.map(({ work }) => work);
+  const isLate = ({ key }: KeyedWork) => nowMs > key.startOnTimeByMs;
+  return rankOf(a.work.ask) - rankOf(b.work.ask) ||
+    Number(isLate(a)) - Number(isLate(b)) ||
+    a.key.startByMs - b.key.startByMs;
 }
 
 /**
@@ -74,16 +96,25 @@
   return sinceMs + ask.objectiveLeftMs - cameBackMs;
 }
 
-function keyOf(work: WaitingWork, typical: Candidate, nowMs: number) {
+/**
+ * Makes a key with the mean pace of the targets, so that its cost does not grow
+ * with their number.
+ *
+ * @param work A request that waits.
+ * @param typical An idle target of their mean pace; absent where there is none.
+ * @returns What decides on its place in the queue.
+ */
+export function orderKeyOf(
+  work: WaitingWork,
+  typical: Candidate | undefined,
+): OrderKey {
   const { ask, sinceMs } = work;
-  const firstMs = firstMsAt(typical, ask, IDLE);
-  const startOnTimeByMs = onTimeUntilMs(work) - FIRST_MARGIN * firstMs;
+  const firstMs = typical === undefined ? 0 : firstMsAt(typical, ask, IDLE);
+  const restMs = typical === undefined ? 0 : restMsAt(typical, ask);
   const patientUntilMs = sinceMs + ask.patienceLeftMs;
-  const wholeUntilMs = sinceMs + ask.deadlineLeftMs - firstMs -
-    restMsAt(typical, ask);
+  const wholeUntilMs = sinceMs + ask.deadlineLeftMs - firstMs - restMs;
   return {
-    work,
-    isLate: nowMs > startOnTimeByMs,
+    startOnTimeByMs: onTimeUntilMs(work) - FIRST_MARGIN * firstMs,
     startByMs: isShortLived(ask)
       ? Math.min(patientUntilMs, wholeUntilMs)
       : patientUntilMs,
--- /dev/null
+++ b/packages/routing/src/recent_refusals.ts
@@ -0,0 +1,104 @@
+/**
+ * What a coordinator refused lately, for the holder that asked: what is sure to
+ * be refused as well is refused at once and costs the coordinator nothing.
+ *
+ * It answers to a surge in which refused callers come back within a second:
+ * there, most asks are such that the coordinator has just refused the like, and
+ * they would take the processor time in which it gives places.
+ */
+
+import type { AskDecision, WorkAsk } from "./work_ask.ts";
+import { AskRefusal } from "./work_ask.ts";
+
+/** A decision that gives no place. */
+export type Refusal = Extract<AskDecision, { refusal: AskRefusal }>;
+
+/**
+ * Time for which a full queue stands for itself. A queue at its bound moves by
+ * some tens of places meanwhile, and a caller that might have got one is asked
+ * back like all others.
+ */
+const QUEUE_HOLDS_MS = 100;
+
+/**
+ * The longest that a spent allotment stands for itself. It frees up no sooner
+ * than the coordinator said, unless a request that was charged never runs.
+ */
+const ALLOTMENT_HOLDS_MS = 200;
+
+/** Entries that are kept; the oldest make way. */
+const MOST_ENTRIES = 64;
+
+interface Entry {
+  readonly ask: WorkAsk;
+  readonly refusal: Refusal;
+  readonly atMs: number;
+  readonly untilMs: number;
+}
+
+/** How long each kind of refusal holds for asks alike; others don't. */
+const HOLDS_MS: Readonly<
+  Partial<Record<AskRefusal, (refusal: Refusal) => number>>
+> = {
+  [AskRefusal.Overload]: () => QUEUE_HOLDS_MS,
+  [AskRefusal.Allotment]: ({ retryAfterMs }) =>
+    Math.min(ALLOTMENT_HOLDS_MS, retryAfterMs),
+};
+
+/** Whether an ask would fare no better than one that was refused. */
+const IS_NO_BETTER: Readonly<
+  Partial<Record<AskRefusal, (ask: WorkAsk, refused: WorkAsk) => boolean>>
+> = {
+  [AskRefusal.Overload]: (ask, refused) =>
+    ask.pool === refused.pool && ask.rank >= refused.rank &&
+    ask.patienceLeftMs <= refused.patienceLeftMs,
+  [AskRefusal.Allotment]: (ask, refused) =>
+    ask.workspace === refused.workspace && ask.rank >= refused.rank &&
+    ask.cost >= refused.cost,
+};
+
+/** Refusals of the last moments. */
+export class RecentRefusals {
+  #entries: Entry[] = [];
+
+  /**
+   * @param ask An ask that was refused.
+   * @param refusal How.
+   * @param nowMs The local time.
+   */
+  note(ask: WorkAsk, refusal: Refusal, nowMs: number): void {
+    const holdsMs = HOLDS_MS[refusal.refusal]?.(refusal) ?? 0;
+    if (holdsMs > 0) {
+      const untilMs = nowMs + holdsMs;
+      this.#entries.push({ ask, refusal, atMs: nowMs, untilMs });
+      this.#entries = this.#entries.slice(-MOST_ENTRIES);
+    }
+  }
+
+  /**
+   * @param ask An ask.
+   * @param nowMs The local time.
+   * @returns Its refusal, where the like of it was refused just now.
+   */
+  refusalOf(ask: WorkAsk, nowMs: number): Refusal | undefined {
+    this.#entries = this.#entries.filter(({ untilMs }) => nowMs < untilMs);
+    const entry = this.#entries.findLast((one) =>
+      IS_NO_BETTER[one.refusal.refusal]?.(ask, one.ask) === true
+    );
+    return entry && {
+      askId: ask.askId,
+      holderId: ask.holderId,
+      refusal: entry.refusal.refusal,
+      retryAfterMs: entry.refusal.retryAfterMs,
+      figures: {
+        ...entry.refusal.figures,
+        rememberedMs: Math.round(nowMs - entry.atMs),
+      },
+    };
+  }
+
+  /** Forgets all: another coordinator may decide otherwise. */
+  clear(): void {
+    this.#entries = [];
+  }
+}
