--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -144,6 +144,7 @@
       clock: this.#clock,
       log: this.#log,
       metrics: this.#metrics,
+      busyMs: () => performance.eventLoopUtilization().active,
       load: () => this.#load(),
     });
     this.#status = new StatusServer({
--- a/packages/gateway/src/loop_watch.ts
+++ b/packages/gateway/src/loop_watch.ts
@@ -40,6 +40,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
+  /** @returns Time for which the process has been busy since its start. */
+  busyMs(): number;
   /** @returns What the process has to do now, for the log. */
   load(): LogFacts;
 }
@@ -50,9 +52,9 @@
   readonly #done = new Map<string, { count: number; tookMs: number }>();
   #toldAtMs = 0;
   #mostLateMs = 0;
-  #utilization = performance.eventLoopUtilization();
+  #toldBusyMs = 0;
   #spanBeganAtMs = 0;
-  #spanUtilization = performance.eventLoopUtilization();
+  #spanBusyMs = 0;
   #pieces = 0;
   /** Pieces of work in a millisecond of busy time. */
   #usualPieces?: number;
@@ -105,33 +107,33 @@
 
   #endSpan(nowMs: number): void {
     const spanMs = nowMs - this.#spanBeganAtMs;
-    const { active } = performance.eventLoopUtilization(this.#spanUtilization);
-    const pieces = this.#pieces / Math.max(1, active);
+    const busyMs = this.#parts.busyMs() - this.#spanBusyMs;
+    const pieces = this.#pieces / Math.max(1, busyMs);
     const usual = this.#usualPieces ?? pieces;
-    this.#isLoaded = active >= LOADED_PART * spanMs &&
+    this.#isLoaded = busyMs >= LOADED_PART * spanMs &&
       pieces >= SLOWED_PART * usual;
     if (this.#pieces >= FEWEST_PIECES) {
       this.#usualPieces = usual + USUAL_WEIGHT * (pieces - usual);
     }
     this.#spanBeganAtMs = nowMs;
-    this.#spanUtilization = performance.eventLoopUtilization();
+    this.#spanBusyMs += busyMs;
     this.#pieces = 0;
   }
 
   #tell(): void {
-    const utilization = performance.eventLoopUtilization(this.#utilization);
+    const busyMs = this.#parts.busyMs() - this.#toldBusyMs;
+    this.#toldBusyMs += busyMs;
     if (this.#mostLateMs >= LATE_MS) {
       const work = [...this.#done].map(([kind, { count, tookMs }]) =>
         `${kind} ${count} in ${Math.round(tookMs)} ms`
       );
       this.#parts.log.warn(LogPart.Process, "process is late", {
         mostLateMs: Math.round(this.#mostLateMs),
-        busyMs: Math.round(utilization.active),
+        busyMs: Math.round(busyMs),
         work,
         ...this.#parts.load(),
       });
     }
-    this.#utilization = performance.eventLoopUtilization();
     this.#done.clear();
     this.#mostLateMs = 0;
   }
--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -22,6 +22,14 @@
 } from "@chestnuthatch/routing/work_ask";
 import { AnswerWatch, Sign } from "./answer_watch.ts";
 import { CoordinatorChoice } from "./coordinator_choice.ts";
+import {
+  isHeld,
+  mayWaitMs,
+  MOST_UNHEARD,
+  NOBODY,
+  type OpenAsk,
+  OpenAsks,
+} from "./open_asks.ts";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock } from "./ports.ts";
 
@@ -44,34 +52,6 @@
 /** Time after which a coordinator is told again that it answers late. */
 const TELL_LATE_MS = 500;
 
-/**
- * Asks for places in a pool that are out without any word. The rest wait here, the most valuable
- * first: a coordinator that is late then has little before it from each holder,
- * and is late by less than a tenth of a second with 64 of them.
- */
-const MOST_UNHEARD = 4;
-
-/**
- * Part of a request's objective for which it is held back. Held for longer, it
- * would be late once it got a place, and its place would be taken from one that
- * is in time: in a rush, requests that were asked for just before their callers
- * left used up two thirds of what the coordinator could do.
- */
-const HOLD_PART = 0.5;
-
-/**
- * Time beyond a caller's patience by which the coordinator's refusal has come,
- * if it is to come.
- */
-const PATIENCE_SLACK_MS = 100;
-
-/**
- * Ended works that are remembered. An ask that was sent again under load is
- * answered again, often after its work has ended; to hand such a place back was
- * every third message that a coordinator at its limit took in.
- */
-const MOST_ENDED = 256;
-
 /** When callers are asked back whose ask got no word in time. */
 const UNHEARD_RETRY_MS = 500;
 
@@ -82,24 +62,6 @@
   MessageKind.Unknown,
 ]);
 
-/** Whom an ask was sent to that was not sent yet. */
-const NOBODY = "";
-
-/** An ask with what is known of it here. */
-interface OpenAsk {
-  readonly ask: WorkAsk;
-  readonly sinceMs: number;
-  readonly onDecision: (decision: AskDecision) => void;
-  coordinatorId: string;
-  sentAtMs: number;
-  /** When it was first sent to its present coordinator. */
-  firstSentAtMs: number;
-  heard: boolean;
-  /** Time until it is sent again, while it is not heard. */
-  againMs: number;
-  running?: RunningWork;
-}
-
 /** How the desk reaches other instances. */
 export type PeerSend = (member: MemberRecord, message: RoutingMessage) => void;
 
@@ -119,15 +81,13 @@
 /** Open asks of this instance, as holder and as coordinator for others. */
 export class PlacementDesk {
   readonly #parts: DeskParts;
-  readonly #open = new Map<string, OpenAsk>();
+  readonly #open = new OpenAsks();
   readonly #choice: CoordinatorChoice;
   readonly #spending: SpendingLog;
   #reportedAtMs = -Infinity;
   #reportedTo = "";
   readonly #answers: AnswerWatch;
   readonly #refusals = new RecentRefusals();
-  /** Work that ended last, whose decisions may come once more. */
-  readonly #ended = new Set<string>();
   #toldLateAtMs = -Infinity;
 
   /** @param parts What the desk works with. */
@@ -167,41 +127,22 @@
       heard: false,
       againMs: ASK_AGAIN_MS,
     };
-    this.#open.set(ask.askId, open);
+    this.#open.add(open);
     this.#sendHeld();
-    if (isHeld(open) && this.#heldForMs(open) > mayBeHeldMs(open)) {
+    if (isHeld(open) && this.#heldForMs(open) > mayWaitMs(open)) {
       this.#refuse(open);
     }
   }
 
   /** How long an ask will be held back, by what goes out before it. */
-  #heldForMs({ ask }: OpenAsk): number {
-    const ahead = [...this.#open.values()].filter((other) =>
-      isHeld(other) && other.ask.pool === ask.pool &&
-      other.ask.rank <= ask.rank
-    );
-    return ahead.length * this.#answers.meanMs / MOST_UNHEARD;
+  #heldForMs(open: OpenAsk): number {
+    return this.#open.heldUpTo(open) * this.#answers.meanMs / MOST_UNHEARD;
   }
 
-  /** Sends asks that are held here, as long as few are out without any word. */
+  /** Sends asks that are held back, as far as may be. */
   #sendHeld(): void {
-    const waiting = [...this.#open.values()]
-      .filter(({ running }) => running === undefined);
-    const unheard = new Map<string, number>();
-    for (const open of waiting) {
-      const count = unheard.get(open.ask.pool) ?? 0;
-      const isOut = !open.heard && !isHeld(open);
-      unheard.set(open.ask.pool, count + Number(isOut));
-    }
-    // Of the same rank, the oldest goes first: the sort is stable.
-    const held = waiting.filter(isHeld)
-      .sort((a, b) => a.ask.rank - b.ask.rank);
-    for (const open of held) {
-      const count = unheard.get(open.ask.pool)!;
-      if (count < MOST_UNHEARD) {
-        unheard.set(open.ask.pool, count + 1);
-        this.#sendTo(this.#coordinator(), open);
-      }
+    for (const open of this.#open.toSend()) {
+      this.#sendTo(this.#coordinator(), open);
     }
   }
 
@@ -209,7 +150,7 @@
   drop(askId: string): void {
     const open = this.#open.get(askId);
     if (open !== undefined) {
-      this.#open.delete(askId);
+      this.#open.remove(askId);
       this.#tellDropped(open.coordinatorId, askId);
       this.#sendHeld();
     }
@@ -232,8 +173,7 @@
   /** @param end How work at a target ended. */
   ended(end: WorkEnd): void {
     const open = this.#open.get(end.askId);
-    this.#open.delete(end.askId);
-    this.#noteEnded(end.askId);
+    this.#open.ended(end.askId);
     // This instance learns from its own work, in case it has to coordinate.
     this.#carryOut(this.#parts.coordinator.ended(end, this.#nowMs()));
     if (open !== undefined && !this.#isSelf(open.coordinatorId)) {
@@ -304,10 +244,8 @@
   tick(): void {
     const nowMs = this.#nowMs();
     const coordinator = this.#coordinator();
-    for (const open of this.#open.values()) {
-      if (open.running === undefined) {
-        this.#chase(open, coordinator, nowMs);
-      }
+    for (const open of this.#open.waiting()) {
+      this.#chase(open, coordinator, nowMs);
     }
     this.#sendHeld();
     this.#reportIfDue(coordinator, nowMs);
@@ -315,10 +253,7 @@
   }
 
   #chase(open: OpenAsk, coordinator: MemberRecord, nowMs: number): void {
-    const limitMs = isHeld(open)
-      ? mayBeHeldMs(open)
-      : open.ask.patienceLeftMs + PATIENCE_SLACK_MS;
-    if (nowMs - open.sinceMs > limitMs) {
+    if (nowMs - open.sinceMs > mayWaitMs(open)) {
       this.#refuse(open);
       return;
     }
@@ -354,7 +289,7 @@
   #refuse(open: OpenAsk): void {
     const { askId, holderId } = open.ask;
     const nowMs = this.#nowMs();
-    this.#open.delete(askId);
+    this.#open.remove(askId);
     this.#tellDropped(open.coordinatorId, askId);
     open.onDecision({
       askId,
@@ -437,7 +372,7 @@
       open.coordinatorId === fromId;
     if (!isWanted) {
       const isKnown = open?.coordinatorId === fromId ||
-        this.#ended.has(decision.askId);
+        this.#open.hasEnded(decision.askId);
       if ("targetId" in decision && fromId !== undefined && !isKnown) {
         this.#tellDropped(fromId, decision.askId);
       }
@@ -447,21 +382,13 @@
       open.running = runningOf(open.ask, decision.targetId);
       this.#noteSpending(open.ask);
     } else {
-      this.#open.delete(decision.askId);
+      this.#open.remove(decision.askId);
       this.#refusals.note(open.ask, decision, this.#nowMs());
     }
     open.onDecision(decision);
     this.#sendHeld();
   }
 
-  #noteEnded(askId: string): void {
-    this.#ended.add(askId);
-    if (this.#ended.size > MOST_ENDED) {
-      const [oldest] = this.#ended;
-      this.#ended.delete(oldest!);
-    }
-  }
-
   #noteSpending(ask: WorkAsk): void {
     if (ask.cost > 0) {
       this.#spending.note(ask.workspace, ask.cost, this.#nowMs());
@@ -470,7 +397,9 @@
 
   #reportIfDue(coordinator: MemberRecord, nowMs: number): void {
     const isNew = coordinator.instanceId !== this.#reportedTo;
-    const everyMs = this.#hasWaiting() ? WAITING_REPORT_MS : REPORT_MS;
+    const everyMs = this.#open.waiting().length > 0
+      ? WAITING_REPORT_MS
+      : REPORT_MS;
     if (!isNew && nowMs - this.#reportedAtMs < everyMs) {
       return;
     }
@@ -484,10 +413,6 @@
     }
   }
 
-  #hasWaiting(): boolean {
-    return [...this.#open.values()].some((open) => open.running === undefined);
-  }
-
   /** Serves a report as coordinator. */
   #takeReport(report: HolderReport, nowMs: number): void {
     const { coordinator } = this.#parts;
@@ -519,15 +444,12 @@
   }
 
   #report(coordinatorId: string, nowMs: number): HolderReport {
-    const opens = [...this.#open.values()];
+    const waiting = this.#open.waiting()
+      .filter((open) => open.coordinatorId === coordinatorId);
     return {
       holderId: this.#selfId(),
-      running: opens.flatMap(({ running }) => running ?? []),
-      waiting: opens
-        .filter((o) =>
-          o.running === undefined && o.coordinatorId === coordinatorId
-        )
-        .map(({ ask }) => ask.askId),
+      running: this.#open.running(),
+      waiting: waiting.map(({ ask }) => ask.askId),
       spent: this.#spending.lately(nowMs),
     };
   }
@@ -601,14 +523,6 @@
   }
 }
 
-function isHeld({ coordinatorId }: OpenAsk): boolean {
-  return coordinatorId === NOBODY;
-}
-
-function mayBeHeldMs({ ask }: OpenAsk): number {
-  return HOLD_PART * ask.objectiveLeftMs;
-}
-
 function runningOf(ask: WorkAsk, targetId: string): RunningWork {
   const { askId, pool, rank, promptTokens, outputTokens } = ask;
   const firstSeen = false;
--- a/packages/routing/src/coordinator_test.ts
+++ b/packages/routing/src/coordinator_test.ts
@@ -272,4 +272,53 @@
   assert.equal(texts(coordinator.ask(third, scope(70))), ["a3 -> t1"]);
 });
 
+test("a holder without word gets a lost decision again, not one on its way", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  const [placed] = coordinator.ask(askOf("a1"), scope(0));
+  assert.equal(coordinator.lookUp(["a1"], 100).decisions, []);
+  assert.equal(coordinator.lookUp(["a1"], 200).decisions, [placed]);
+});
+
+test("a holder is told of asks that are not known", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  ["a1", "a2", "a3"].forEach((id) => coordinator.ask(askOf(id), scope(0)));
+  const { unknownIds } = coordinator.lookUp(["a1", "a3", "lost"], 200);
+  assert.equal(unknownIds, ["lost"]);
+});
+
+test("between looks at a long queue, free slots go to those that are next", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  const waits = { rank: 1, patienceLeftMs: 60_000, deadlineLeftMs: 200_000 };
+  for (let i = 0; i < 200; i++) {
+    coordinator.ask(askOf(`a${i}`, waits), scope(0));
+  }
+  coordinator.tick(100);
+  coordinator.ask(askOf("first", { ...waits, rank: 0 }), scope(101));
+  const soonest = { ...waits, patienceLeftMs: 50_000 };
+  coordinator.ask(askOf("soonest", soonest), scope(102));
+  assert.equal(texts(coordinator.ended(endOf("a0", "t1"), 103)), [
+    "first -> t1",
+  ]);
+  assert.equal(texts(coordinator.ended(endOf("a1", "t1"), 104)), [
+    "soonest -> t1",
+  ]);
+});
+
+test("a low rank is refused at once while the ranks above fill the pool", () => {
+  const refusedAt = (higherPerS: number) => {
+    const coordinator = coordinatorOf(["t1", "t2"]);
+    for (let nowMs = 0; nowMs < 6000; nowMs += 1000 / higherPerS) {
+      const askId = `h${nowMs}`;
+      const decisions = coordinator.ask(askOf(askId), scope(nowMs));
+      if (decisions.every(({ askId: id }) => id !== askId)) {
+        coordinator.dropped(askId, nowMs);
+      }
+    }
+    const low = askOf("low", { rank: 2, patienceLeftMs: 900 });
+    return texts(coordinator.ask(low, scope(6000)));
+  };
+  assert.equal(refusedAt(20), ["low: overload"]);
+  assert.equal(refusedAt(1), []);
+});
+
 test.run();
--- a/packages/routing/src/member_view_test.ts
+++ b/packages/routing/src/member_view_test.ts
@@ -46,6 +46,25 @@
   assert.is(view.standsAside(20_000), false);
 });
 
+test("an instance that is late because of its load does not stand aside", () => {
+  const view = viewOf("i1", ["i2", "i3"]);
+  view.isLoaded = true;
+  ["i2", "i3"].forEach((id) => view.passedOver(id, 100));
+  assert.not.ok(view.standsAside(100));
+  view.isLoaded = false;
+  view.passedOver("i2", 200);
+  assert.ok(view.standsAside(200));
+});
+
+test("news of a member is told from its mere signs of life", () => {
+  const view = viewOf("i1", ["i2"]);
+  const before = view.changes;
+  view.heard(memberOf("i2"), 300);
+  assert.is(view.changes, before);
+  view.heard(memberOf("i2", { standsAside: true }), 400);
+  assert.is(view.changes, before + 1);
+});
+
 test("all replace a coordinator that stands aside, itself included", () => {
   const ids = ["i1", "i2", "i3"];
   const slowId = viewOf("i1", ["i2", "i3"]).coordinator(100, NONE).instanceId;
