Take placement and the queue apart; end waits that others ended

Read again, two loops went on with what an earlier step of theirs had ended: an ask that this instance decided by itself while it sent the one before was sent twice, and one that got its place during a tick was still chased.

--- a/packages/gateway/src/open_asks.ts
+++ b/packages/gateway/src/open_asks.ts
@@ -7,8 +7,11 @@
  * before it comes to them.
  */
 
-import type { RunningWork, WorkAsk } from "@chestnuthatch/routing/work_ask";
-import type { AskDecision } from "@chestnuthatch/routing/work_ask";
+import type {
+  AskDecision,
+  RunningWork,
+  WorkAsk,
+} from "@chestnuthatch/routing/work_ask";
 
 /** Asks for places in one pool that are out without any word. */
 export const MOST_UNHEARD = 4;
@@ -117,6 +120,15 @@
     return this.#ended.has(askId);
   }
 
+  /**
+   * @param open An ask.
+   * @returns Whether it is still open and has no place.
+   */
+  isWaiting(open: OpenAsk): boolean {
+    return open.running === undefined &&
+      this.#byId.get(open.ask.askId) === open;
+  }
+
   /** @returns Asks without a place, the oldest first. */
   waiting(): OpenAsk[] {
     return [...this.#byId.values()]
--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -1,6 +1,6 @@
 /**
  * The holder's side of placement: asks the coordinator for places, asks again
- * while no word comes, and decides by itself when the coordinator is silent.
+ * while no word comes, and decides by itself when the coordinator is gone.
  */
 
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
@@ -22,6 +22,7 @@
 } from "@chestnuthatch/routing/work_ask";
 import { AnswerWatch, Sign } from "./answer_watch.ts";
 import { CoordinatorChoice } from "./coordinator_choice.ts";
+import { PlaceService } from "./place_service.ts";
 import {
   isHeld,
   mayWaitMs,
@@ -85,6 +86,7 @@
   readonly #parts: DeskParts;
   readonly #open = new OpenAsks();
   readonly #choice: CoordinatorChoice;
+  readonly #service: PlaceService;
   readonly #spending: SpendingLog;
   #reportedAtMs = -Infinity;
   #reportedTo = "";
@@ -99,6 +101,15 @@
     const { board, startedAtMs } = parts;
     this.#choice = new CoordinatorChoice(board.members, startedAtMs);
     this.#answers = new AnswerWatch(board.members);
+    this.#service = new PlaceService({
+      coordinator: parts.coordinator,
+      clock: parts.clock,
+      selfId: board.members.selfId,
+      scope: () => this.#choice.scope(this.#nowMs()),
+      send: (holderId, message) => this.#send(holderId, message),
+      onOwnDecision: (decision) => this.#decided(decision, decision.holderId),
+      onWaiting: () => this.#parts.onWaiting?.(),
+    });
   }
 
   /** The coordinator that asks go to now. */
@@ -108,8 +119,7 @@
 
   /** Whether asks wait, of this holder or for this coordinator. */
   get hasWaiting(): boolean {
-    return this.#open.waiting().length > 0 ||
-      this.#parts.coordinator.load().some(({ waiting }) => waiting > 0);
+    return this.#open.waiting().length > 0 || this.#service.hasWaiting;
   }
 
   /**
@@ -152,7 +162,10 @@
   /** Sends asks that are held back, as far as may be. */
   #sendHeld(): void {
     for (const open of this.#open.toSend()) {
-      this.#sendTo(this.#coordinator(), open);
+      // What this instance decides by itself may have sent it meanwhile.
+      if (isHeld(open)) {
+        this.#sendTo(this.#coordinator(), open);
+      }
     }
   }
 
@@ -174,7 +187,7 @@
     }
     open.running = { ...open.running, firstSeen: true };
     if (this.#isSelf(open.coordinatorId)) {
-      this.#parts.coordinator.firstSeen(askId);
+      this.#service.firstSeen(askId);
     } else {
       this.#send(open.coordinatorId, { kind: MessageKind.FirstSeen, askId });
     }
@@ -185,7 +198,7 @@
     const open = this.#open.get(end.askId);
     this.#open.ended(end.askId);
     // This instance learns from its own work, in case it has to coordinate.
-    this.#carryOut(this.#parts.coordinator.ended(end, this.#nowMs()));
+    this.#service.ended(end);
     if (open !== undefined && !this.#isSelf(open.coordinatorId)) {
       this.#send(open.coordinatorId, { kind: MessageKind.End, end });
     }
@@ -198,7 +211,6 @@
    * @param fromId Who sent it, where that is known.
    */
   heard(message: RoutingMessage, fromId: string | undefined): void {
-    const { coordinator } = this.#parts;
     const nowMs = this.#nowMs();
     if (fromId !== undefined && IS_ANSWER.has(message.kind)) {
       const tookMs = this.#answerTookMs(message, fromId);
@@ -206,19 +218,19 @@
     }
     switch (message.kind) {
       case MessageKind.Ask:
-        this.#serve(message.ask);
+        this.#service.ask(message.ask);
         return;
       case MessageKind.FirstSeen:
-        coordinator.firstSeen(message.askId);
+        this.#service.firstSeen(message.askId);
         return;
       case MessageKind.End:
-        this.#carryOut(coordinator.ended(message.end, nowMs));
+        this.#service.ended(message.end);
         return;
       case MessageKind.Drop:
-        this.#carryOut(coordinator.dropped(message.askId, nowMs));
+        this.#service.dropped(message.askId);
         return;
       case MessageKind.Report:
-        this.#takeReport(message.report, nowMs);
+        this.#service.report(message.report);
         return;
       case MessageKind.Unknown:
         this.#askAnew(message.askIds, fromId);
@@ -255,11 +267,14 @@
     const nowMs = this.#nowMs();
     const coordinator = this.#coordinator();
     for (const open of this.#open.waiting()) {
-      this.#chase(open, coordinator, nowMs);
+      // The ones before it may have ended its wait.
+      if (this.#open.isWaiting(open)) {
+        this.#chase(open, coordinator, nowMs);
+      }
     }
     this.#sendHeld();
     this.#reportIfDue(coordinator, nowMs);
-    this.#carryOut(this.#parts.coordinator.tick(nowMs));
+    this.#service.tick();
   }
 
   #chase(open: OpenAsk, coordinator: MemberRecord, nowMs: number): void {
@@ -344,41 +359,12 @@
     };
     if (this.#isSelf(member.instanceId)) {
       open.heard = true;
-      this.#serve(ask);
+      this.#service.ask(ask);
     } else {
       this.#parts.send(member, { kind: MessageKind.Ask, ask });
     }
   }
 
-  /** Serves an ask as coordinator. */
-  #serve(ask: WorkAsk): void {
-    const decisions = this.#parts.coordinator.ask(
-      ask,
-      this.#choice.scope(this.#nowMs()),
-    );
-    this.#carryOut(decisions);
-    const isDecided = decisions.some(({ askId }) => askId === ask.askId);
-    if (!isDecided) {
-      this.#parts.onWaiting?.();
-    }
-    if (!isDecided && !this.#isSelf(ask.holderId)) {
-      const { askId } = ask;
-      this.#send(ask.holderId, { kind: MessageKind.Queued, askId });
-    }
-  }
-
-  /** Sends decisions to their holders. */
-  #carryOut(decisions: readonly AskDecision[]): void {
-    for (const decision of decisions) {
-      if (this.#isSelf(decision.holderId)) {
-        this.#decided(decision, decision.holderId);
-      } else {
-        const message = { kind: MessageKind.Decision as const, decision };
-        this.#send(decision.holderId, message);
-      }
-    }
-  }
-
   #decided(decision: AskDecision, fromId: string | undefined): void {
     const open = this.#open.get(decision.askId);
     const isWanted = open !== undefined && open.running === undefined &&
@@ -425,25 +411,12 @@
     this.#reportedTo = coordinator.instanceId;
     const report = this.#report(coordinator.instanceId, nowMs);
     if (this.#isSelf(coordinator.instanceId)) {
-      this.#takeReport(report, nowMs);
+      this.#service.report(report);
     } else {
       this.#parts.send(coordinator, { kind: MessageKind.Report, report });
     }
   }
 
-  /** Serves a report as coordinator. */
-  #takeReport(report: HolderReport, nowMs: number): void {
-    const { coordinator } = this.#parts;
-    const { holderId, waiting } = report;
-    this.#carryOut(coordinator.report(report, nowMs));
-    const { decisions, unknownIds } = coordinator.lookUp(waiting, nowMs);
-    this.#carryOut(decisions);
-    if (unknownIds.length > 0 && !this.#isSelf(holderId)) {
-      const askIds = unknownIds;
-      this.#send(holderId, { kind: MessageKind.Unknown, askIds });
-    }
-  }
-
   /** Its coordinator knows nothing of these: they, or its refusals, were lost. */
   #askAnew(askIds: readonly string[], fromId: string | undefined): void {
     for (const askId of askIds) {
@@ -485,8 +458,7 @@
       return;
     }
     if (this.#isSelf(coordinatorId)) {
-      const { coordinator } = this.#parts;
-      this.#carryOut(coordinator.dropped(askId, this.#nowMs()));
+      this.#service.dropped(askId);
     } else {
       this.#send(coordinatorId, { kind: MessageKind.Drop, askId });
     }
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -290,10 +290,9 @@
   }
 
   /**
-   * Notes that a member asked this instance for places in vain and went on to
-   * another. Each holder knows only of itself whom it passes over, and the one
-   * that stands in hands out no more than its own part of allotments; an
-   * instance that stands aside is replaced by all, who then hand out the whole.
+   * Notes that a member asked this instance for places and got no answer in time.
+   * An instance that stands aside is replaced by all at once, and the next one
+   * hands out the whole of the allotments.
    *
    * @param byId The member.
    * @param nowMs The local time.
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -8,15 +8,10 @@
  */
 
 import type { PoolPolicy } from "./fleet_configuration.ts";
-import { LateMargin } from "./late_margin.ts";
 import { type PlacedWork, PlacedWorks } from "./placed_works.ts";
 import {
-  inOrder,
-  type KeyedWork,
-  nextOf,
   onTimeUntilMs,
   type OrderFacts,
-  orderKeyOf,
   type WaitingWork,
 } from "./queue_order.ts";
 import { RankLoad } from "./rank_load.ts";
@@ -26,11 +21,9 @@
   type Candidate,
   type Choice,
   chooseTarget,
-  firstMsAt,
-  IDLE,
   isWorthWaiting,
-  typicalOf,
 } from "./target_choice.ts";
+import { WaitingQueue } from "./waiting_queue.ts";
 import {
   type AskDecision,
   AskRefusal,
@@ -56,18 +49,6 @@
 /** Time at targets that neglected ranks may save up, about one long stream. */
 const MOST_NEGLECTED_CREDIT_MS = 1000;
 
-/**
- * A queue longer than this is looked at as a whole only every so often: a look
- * costs time in proportion to its length. In between, only free slots are given
- * away. With 130 waiting before 24 targets, a look at each end of work took
- * 0.9 ms, and those alone half of a small instance's processor time.
- */
-const LONG_QUEUE = 32;
-const LOOK_MS = 10;
-
-/** Time between two looks for each request that waits. */
-const LOOK_MS_PER_WAITING = 0.25;
-
 /** Requests that may be passed by while a free slot is given away. */
 const MOST_PASSED = 8;
 
@@ -101,16 +82,12 @@
   readonly #board: RoutingBoard;
   readonly #pool: string;
   readonly #placed = new PlacedWorks();
-  readonly #waiting = new Map<string, KeyedWork>();
+  readonly #waiting = new WaitingQueue();
   readonly #shares = new RankShares();
   readonly #load = new RankLoad();
-  readonly #margin = new LateMargin();
   #holdMs = STARTING_HOLD_MS;
   /** Time at targets that neglected ranks may take ahead of their turn. */
   #neglectedCreditMs = 0;
-  #lookedAtMs = -Infinity;
-  /** An idle target of their mean pace, as of the last look. */
-  #typical?: Candidate;
 
   /**
    * @param pool The pool's name.
@@ -175,7 +152,7 @@
   ): AskDecision[] {
     const work = { ask, cameBackMs, sinceMs: nowMs };
     this.#load.note(ask.rank, this.#workMs(ask.rank), nowMs);
-    this.#waiting.set(ask.askId, this.#keyed(work));
+    this.#waiting.add(work);
     return this.#settle(nowMs);
   }
 
@@ -195,10 +172,7 @@
    * @param firstMs The time it took at its target.
    */
   learnFirst(promptTokens: number, firstMs: number): void {
-    if (this.#typical !== undefined) {
-      const foreseenMs = firstMsAt(this.#typical, { promptTokens }, IDLE);
-      this.#margin.learn(firstMs, foreseenMs);
-    }
+    this.#waiting.learnFirst(promptTokens, firstMs);
   }
 
   /**
@@ -212,7 +186,7 @@
     askId: string,
     nowMs: number,
   ): { work?: PlacedWork; decisions: AskDecision[] } {
-    this.#waiting.delete(askId);
+    this.#waiting.remove(askId);
     const work = this.#placed.remove(askId);
     if (work === undefined) {
       return { decisions: [] };
@@ -240,7 +214,7 @@
       }
       return;
     }
-    this.#waiting.delete(askId);
+    this.#waiting.remove(askId);
     this.#placed.put({
       askId,
       holderId,
@@ -279,11 +253,10 @@
   askIdsOf(holderId: string, beforeMs: number): string[] {
     const placed = this.#placed.ofHolder(holderId)
       .filter(({ placedAtMs }) => placedAtMs < beforeMs);
-    const waiting = [...this.#waiting.values()].filter(({ work }) =>
-      work.ask.holderId === holderId && work.sinceMs < beforeMs
-    );
-    return [...placed, ...waiting.map(({ work }) => work.ask)]
-      .map(({ askId }) => askId);
+    return [
+      ...placed.map(({ askId }) => askId),
+      ...this.#waiting.askIdsOf(holderId, beforeMs),
+    ];
   }
 
   /**
@@ -300,27 +273,22 @@
     if (this.#waiting.size === 0) {
       return [];
     }
-    const { size } = this.#waiting;
-    const everyMs = Math.max(LOOK_MS, LOOK_MS_PER_WAITING * size);
-    const isDue = size <= LONG_QUEUE || nowMs - this.#lookedAtMs >= everyMs;
-    return isDue ? this.#lookAtAll(nowMs) : this.#fillSlots(nowMs);
+    return this.#waiting.isDue(nowMs)
+      ? this.#lookAtAll(nowMs)
+      : this.#fillSlots(nowMs);
   }
 
   /** Decides on all that can be decided now. */
   #lookAtAll(nowMs: number): AskDecision[] {
-    this.#lookedAtMs = nowMs;
     const look = this.#look(nowMs);
-    this.#typical = typicalOf(look.usable);
-    const keyed = [...this.#waiting.values()]
-      .map(({ work }) => this.#keyed(work));
+    const facts = this.#orderFacts(nowMs);
     const decisions: AskDecision[] = [];
-    for (const one of inOrder(keyed, this.#orderFacts(nowMs))) {
-      this.#waiting.set(one.work.ask.askId, one);
-      const decision = this.#decide(one.work, look);
+    for (const waiting of this.#waiting.lookAt(look.usable, facts)) {
+      const decision = this.#decide(waiting, look);
       if (decision === undefined) {
         look.ahead++;
       } else {
-        this.#noteDecided(one.work, decision, nowMs);
+        this.#noteDecided(waiting, decision, nowMs);
         decisions.push(decision);
       }
     }
@@ -331,37 +299,31 @@
   #fillSlots(nowMs: number): AskDecision[] {
     const look = this.#look(nowMs);
     const facts = this.#orderFacts(nowMs);
-    const left = new Map(look.free.length > 0 ? this.#waiting : []);
+    const passed = new Set<string>();
     const decisions: AskDecision[] = [];
-    while (look.free.length > 0 && look.ahead < MOST_PASSED) {
-      const next = nextOf(left.values(), facts);
+    while (look.free.length > 0 && passed.size < MOST_PASSED) {
+      const next = this.#waiting.next(facts, passed);
       if (next === undefined) {
         break;
       }
-      left.delete(next.work.ask.askId);
-      const decision = this.#decide(next.work, look);
+      const decision = this.#decide(next, look);
       if (decision === undefined) {
         look.ahead++;
+        passed.add(next.ask.askId);
       } else {
-        this.#noteDecided(next.work, decision, nowMs);
+        this.#noteDecided(next, decision, nowMs);
         decisions.push(decision);
       }
     }
     return decisions;
   }
 
-  #keyed(work: WaitingWork): KeyedWork {
-    const typical = this.#typical;
-    const marginTimes = this.#margin.times;
-    return { work, key: orderKeyOf(work, { typical, marginTimes }) };
-  }
-
   #noteDecided(
     { ask }: WaitingWork,
     decision: AskDecision,
     nowMs: number,
   ): void {
-    this.#waiting.delete(ask.askId);
+    this.#waiting.remove(ask.askId);
     this.#notePlaced(ask.rank, "targetId" in decision, nowMs);
   }
 
