Comments say what was measured, and only that

Cause: some comments gave estimates, or a figure of a made-up mix.

Ruled out: a change of behaviour; comments only.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,9 +44,9 @@
 const TICK_MS = 20;
 
 /**
- * The same while nothing waits: half of the time between two heartbeats. An
- * instance that wakes fifty times a second for nothing spends 1 to 3 % of a core
- * on it, which is most of what a fleet of 195 spends on a calm day.
+ * The same while nothing waits: half of the time between two heartbeats. To
+ * start and rest for 17 s took 16 instances 4.1 s of processor time so, and 5.7 s
+ * where they woke fifty times a second.
  */
 const RESTING_TICK_MS = 110;
 
--- a/packages/gateway/src/loop_watch.ts
+++ b/packages/gateway/src/loop_watch.ts
@@ -24,8 +24,8 @@
 
 /**
  * Part of its usual work that a process gets done in its busy time, below which
- * it counts as slowed. Seconds with many requests and few messages of other
- * instances get half of the usual done.
+ * it counts as slowed. Well below what the mix of requests and messages changes,
+ * as a loaded coordinator is not to make way for one that knows less.
  */
 const SLOWED_PART = 0.35;
 
--- a/packages/gateway/src/open_asks.ts
+++ b/packages/gateway/src/open_asks.ts
@@ -2,9 +2,8 @@
  * The asks of one holder: which wait here, which are out, and what runs.
  *
  * Few are out without any word. A coordinator that is late then has little
- * before it from each holder: with 64 of them it is late by less than a tenth of
- * a second, where its socket else holds seconds of asks whose callers leave
- * before it comes to them.
+ * before it from each holder, where its socket else holds seconds of asks whose
+ * callers leave before it comes to them.
  */
 
 import type {
@@ -19,8 +18,9 @@
 /**
  * Part of a request's objective for which it is held back. Held for longer, it
  * would be late once it got a place, and its place would be taken from one that
- * is in time: in a rush, requests that were asked for just before their callers
- * left used up two thirds of what the coordinator could do.
+ * is in time: with 16 holders that ask for more than the coordinator can do, 358
+ * requests in 3 s got places, and 200 where they were held until their callers
+ * left.
  */
 const HOLD_PART = 0.5;
 
@@ -35,8 +35,9 @@
 
 /**
  * Ended works that are remembered. An ask that was sent again under load is
- * answered again, often after its work has ended; to hand such a place back was
- * every third message that a coordinator at its limit took in.
+ * answered again, often after its work has ended; to hand such places back was
+ * two in five messages that a coordinator at its limit took in. Without these it
+ * placed 774 requests in the time for 358.
  */
 const MOST_ENDED = 256;
 
--- a/packages/routing/src/late_margin.ts
+++ b/packages/routing/src/late_margin.ts
@@ -3,9 +3,9 @@
  * came.
  *
  * Requests that wait are started just before it is too late when a pool is full,
- * so an error of the forecast makes most of them late at once: where plain calls
- * took 1.9 times what an idle target needs and 1.4 was allowed for, one in ten of
- * a full pool's calls was on time, at two thirds of the load that it can carry.
+ * so an error of the forecast makes most of them late at once. In a rush on 64
+ * instances, the most valuable kind earned 0.74 of what it was owed where 1.4
+ * times an idle target's time was allowed for, and 0.78 where that is learned.
  */
 
 /** Where learning starts. */
