One fleet for the tests of coordinators; nothing looked up where no slot is free

Cause, found reading the whole change again: the test of a loaded coordinator had built its instances a second time, line for line as that of a slow one, with log lines that nothing read. Between two looks at a long queue, neglected ranks were worked out for every ask and end, also where no target had a free slot; asks out were counted where none was held back.

Ruled out: a change of behaviour. Tests keep their scenarios, bounds and assertions; the order, the window and the pauses are as before.

Change: gateway_test_support.ts builds and feeds an instance for both tests. Both paths return early.

--- a/packages/gateway/src/answer_watch.ts
+++ b/packages/gateway/src/answer_watch.ts
@@ -16,7 +16,7 @@
  * given up, where answers are quick: two lost datagrams, and little against the
  * objectives of streams.
  */
-export const SILENT_MS = 130;
+const SILENT_MS = 130;
 
 /**
  * The longest that the same may become where answers take long. The loss of a
--- /dev/null
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -0,0 +1,107 @@
+/** Instances of a fleet on a clock of a test, without sockets. */
+
+import { Writable } from "node:stream";
+import {
+  Coordinator,
+  type FleetBounds,
+} from "@chestnuthatch/routing/coordinator";
+import { CutDomains } from "@chestnuthatch/routing/cut_domains";
+import type { Allotment } from "@chestnuthatch/routing/fleet_configuration";
+import { MemberView } from "@chestnuthatch/routing/member_view";
+import {
+  MessageKind,
+  type RoutingMessage,
+} from "@chestnuthatch/routing/peer_messages";
+import { boardOf, memberOf } from "@chestnuthatch/routing/routing_test_support";
+import { EventLog } from "./event_log.ts";
+import { MembershipKeeper } from "./membership_keeper.ts";
+import { PlacementDesk } from "./placement_desk.ts";
+import type { Clock } from "./ports.ts";
+
+/** Time for which instances have run, on a clock that begins at 0. */
+export const RUN_MS = 60_000;
+
+/** One instance: whom it knows, its heartbeats and its places. */
+export interface FleetNode {
+  readonly members: MemberView;
+  readonly keeper: MembershipKeeper;
+  readonly desk: PlacementDesk;
+}
+
+/** What a fleet's instances have in common. */
+export interface FleetOptions {
+  readonly clock: Clock;
+  readonly bounds: FleetBounds;
+  /** What workspace `w` may spend. */
+  readonly allotment: Allotment;
+  readonly targetIds: readonly string[];
+  /** Instances that each tells of itself at first. */
+  readonly seedIds: readonly string[];
+  /** Takes a message from one instance to another. */
+  send(fromId: string, toId: string, message: RoutingMessage): void;
+}
+
+/**
+ * @param instanceId The instance's id.
+ * @param options What it has in common with the others.
+ * @returns The instance.
+ */
+export function fleetNode(
+  instanceId: string,
+  options: FleetOptions,
+): FleetNode {
+  const { clock, bounds, allotment, targetIds, seedIds, send } = options;
+  const self = memberOf(instanceId);
+  const members = new MemberView(self);
+  const workspaces = [{ name: "w", keys: [], allotment }];
+  const board = {
+    ...boardOf(targetIds, { workspaces }),
+    members,
+    cutDomains: new CutDomains(members),
+  };
+  const nowhere = new Writable({ write: (_chunk, _code, done) => done() });
+  const log = new EventLog(clock, instanceId, nowhere);
+  const desk = new PlacementDesk({
+    board,
+    coordinator: new Coordinator(board, bounds),
+    clock,
+    log,
+    send: (member, message) => send(instanceId, member.instanceId, message),
+    startedAtMs: -RUN_MS,
+    spendingWindowMs: bounds.allotmentTolerance.windowMs,
+  });
+  const keeper = new MembershipKeeper({
+    board,
+    clock,
+    log,
+    seedAddresses: seedIds.map((id) => memberOf(id).address),
+    send: (addresses, message) => {
+      for (const address of addresses) {
+        send(instanceId, address.split(":")[0]!, message);
+      }
+    },
+    coordinatorId: () => desk.coordinatorId,
+    memoryMs: () => RUN_MS + clock.nowMs(),
+    reachesStore: () => true,
+    spending: () => [],
+    targetNews: () => [],
+  }, self);
+  return { members, keeper, desk };
+}
+
+/**
+ * Takes a message in as the instance's socket would hand it over.
+ *
+ * @param node The instance.
+ * @param of The message, and who sent it.
+ */
+export function deliverTo(
+  { keeper, desk }: FleetNode,
+  { message, fromId }: { message: RoutingMessage; fromId: string },
+): void {
+  if (message.kind === MessageKind.Beat) {
+    keeper.heard(message);
+  } else {
+    desk.heard(message, fromId);
+  }
+}
--- a/packages/gateway/src/loaded_coordinator_test.ts
+++ b/packages/gateway/src/loaded_coordinator_test.ts
@@ -1,22 +1,14 @@
-import { Writable } from "node:stream";
-import { Coordinator } from "@chestnuthatch/routing/coordinator";
-import { CutDomains } from "@chestnuthatch/routing/cut_domains";
-import { MemberView } from "@chestnuthatch/routing/member_view";
-import {
-  MessageKind,
-  type RoutingMessage,
-} from "@chestnuthatch/routing/peer_messages";
-import {
-  askOf,
-  boardOf,
-  memberOf,
-} from "@chestnuthatch/routing/routing_test_support";
+import type { RoutingMessage } from "@chestnuthatch/routing/peer_messages";
+import { askOf } from "@chestnuthatch/routing/routing_test_support";
 import { AskRefusal } from "@chestnuthatch/routing/work_ask";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { EventLog } from "./event_log.ts";
-import { MembershipKeeper } from "./membership_keeper.ts";
-import { PlacementDesk } from "./placement_desk.ts";
+import {
+  deliverTo,
+  type FleetNode,
+  fleetNode,
+  RUN_MS,
+} from "./gateway_test_support.ts";
 
 // Seen on a fleet of 64 in a rush: all holders passed the coordinator over at
 // once, asked the next one, and so on through the whole fleet, while each gave
@@ -28,7 +20,7 @@
   allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
 };
 const INSTANCES = 16;
-const TARGETS = 60;
+const TARGET_IDS = Array.from({ length: 60 }, (_, index) => `t${index}`);
 const STEP_MS = 5;
 /** Messages that an instance takes in within a step: 600 a second. */
 const MESSAGES_A_STEP = 3;
@@ -37,17 +29,13 @@
 /** Far more than the fleet spends in the window, and 16 times a part of it. */
 const ALLOTMENT = { perS: 1e5, burst: 0, inTokens: true, plainTokens: 1 };
 
-interface Node {
-  readonly members: MemberView;
-  readonly keeper: MembershipKeeper;
-  readonly desk: PlacementDesk;
+interface Node extends FleetNode {
   readonly inbox: { message: RoutingMessage; fromId: string }[];
 }
 
 /** A fleet on a manual clock whose instances take messages in one by one. */
 class BusyFleet {
   readonly clock = { atMs: 0, nowMs: () => this.clock.atMs };
-  readonly log: string[] = [];
   readonly refusals: string[] = [];
   placed = 0;
   #askAtMs = 0;
@@ -89,17 +77,14 @@
     const due = this.#ends.filter(({ atMs }) => atMs <= nowMs);
     this.#ends = this.#ends.filter(({ atMs }) => atMs > nowMs);
     due.forEach(({ end }) => end());
-    for (const [id, { members, keeper, desk, inbox }] of this.#nodes) {
-      members.remembers(id, 60_000 + nowMs, nowMs);
+    for (const [id, node] of this.#nodes) {
+      const { members, keeper, desk, inbox } = node;
+      members.remembers(id, RUN_MS + nowMs, nowMs);
       members.isLoaded = inbox.length > MESSAGES_A_STEP;
       keeper.tick();
       desk.tick();
-      for (const { message, fromId } of inbox.splice(0, MESSAGES_A_STEP)) {
-        if (message.kind === MessageKind.Beat) {
-          keeper.heard(message);
-        } else {
-          desk.heard(message, fromId);
-        }
+      for (const received of inbox.splice(0, MESSAGES_A_STEP)) {
+        deliverTo(node, received);
       }
     }
   }
@@ -132,49 +117,15 @@
   }
 
   #node(instanceId: string): Node {
-    const self = memberOf(instanceId);
-    const members = new MemberView(self);
-    const targetIds = Array.from({ length: TARGETS }, (_, i) => `t${i}`);
-    const workspaces = [{ name: "w", keys: [], allotment: ALLOTMENT }];
-    const board = {
-      ...boardOf(targetIds, { workspaces }),
-      members,
-      cutDomains: new CutDomains(members),
-    };
-    const output = new Writable({
-      write: (chunk, _code, done) => {
-        this.log.push(...String(chunk).trimEnd().split("\n"));
-        done();
-      },
-    });
-    const { clock } = this;
-    const log = new EventLog(clock, instanceId, output);
-    const desk = new PlacementDesk({
-      board,
-      coordinator: new Coordinator(board, BOUNDS),
-      clock,
-      log,
-      send: (to, message) => this.#send(instanceId, to.instanceId, message),
-      startedAtMs: -60_000,
-      spendingWindowMs: BOUNDS.allotmentTolerance.windowMs,
+    const node = fleetNode(instanceId, {
+      clock: this.clock,
+      bounds: BOUNDS,
+      allotment: ALLOTMENT,
+      targetIds: TARGET_IDS,
+      seedIds: ["i1", "i2"],
+      send: (fromId, toId, message) => this.#send(fromId, toId, message),
     });
-    const keeper = new MembershipKeeper({
-      board,
-      clock,
-      log,
-      seedAddresses: ["i1:7000", "i2:7000"],
-      send: (addresses, message) => {
-        for (const address of addresses) {
-          this.#send(instanceId, address.split(":")[0]!, message);
-        }
-      },
-      coordinatorId: () => desk.coordinatorId,
-      memoryMs: () => 60_000 + clock.nowMs(),
-      reachesStore: () => true,
-      spending: () => [],
-      targetNews: () => [],
-    }, self);
-    return { members, keeper, desk, inbox: [] };
+    return { ...node, inbox: [] };
   }
 }
 
--- a/packages/gateway/src/open_asks.ts
+++ b/packages/gateway/src/open_asks.ts
@@ -144,15 +144,18 @@
   /** @returns Asks that may go out now, the most valuable of each pool. */
   toSend(): OpenAsk[] {
     const waiting = this.waiting();
+    // Of the same rank, the oldest goes first: the sort is stable.
+    const held = waiting.filter(isHeld)
+      .sort((a, b) => a.ask.rank - b.ask.rank);
+    if (held.length === 0) {
+      return held;
+    }
     const unheard = new Map<string, number>();
     for (const open of waiting) {
       const isOut = !open.heard && !isHeld(open);
       const count = unheard.get(open.ask.pool) ?? 0;
       unheard.set(open.ask.pool, count + Number(isOut));
     }
-    // Of the same rank, the oldest goes first: the sort is stable.
-    const held = waiting.filter(isHeld)
-      .sort((a, b) => a.ask.rank - b.ask.rank);
     return held.filter(({ ask }) => {
       const count = unheard.get(ask.pool)!;
       unheard.set(ask.pool, count + 1);
--- a/packages/gateway/src/slow_coordinator_test.ts
+++ b/packages/gateway/src/slow_coordinator_test.ts
@@ -1,21 +1,16 @@
-import { Writable } from "node:stream";
-import { test } from "uvu";
-import * as assert from "uvu/assert";
-import { Coordinator } from "@chestnuthatch/routing/coordinator";
-import { CutDomains } from "@chestnuthatch/routing/cut_domains";
-import { MemberView } from "@chestnuthatch/routing/member_view";
 import {
   MessageKind,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
+import { askOf } from "@chestnuthatch/routing/routing_test_support";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
 import {
-  askOf,
-  boardOf,
-  memberOf,
-} from "@chestnuthatch/routing/routing_test_support";
-import { EventLog } from "./event_log.ts";
-import { MembershipKeeper } from "./membership_keeper.ts";
-import { PlacementDesk } from "./placement_desk.ts";
+  deliverTo,
+  type FleetNode,
+  fleetNode,
+  RUN_MS,
+} from "./gateway_test_support.ts";
 
 const WINDOW_MS = 8000;
 const BOUNDS = {
@@ -51,7 +46,7 @@
       this.clock.atMs += STEP_MS;
       this.#deliverDue();
       for (const [id, { members, keeper, desk }] of this.#nodes) {
-        members.remembers(id, 60_000 + this.clock.atMs, this.clock.atMs);
+        members.remembers(id, RUN_MS + this.clock.atMs, this.clock.atMs);
         keeper.tick();
         desk.tick();
       }
@@ -88,55 +83,20 @@
     const isLate = fromId === this.slowId && message.kind !== MessageKind.Beat;
     const atMs = this.clock.atMs + (isLate ? SLOW_MS : 0);
     const deliver = () => {
-      const { keeper, desk } = this.#nodes.get(toId)!;
-      if (message.kind === MessageKind.Beat) {
-        keeper.heard(message);
-      } else {
-        desk.heard(message, fromId);
-      }
+      deliverTo(this.#nodes.get(toId)!, { message, fromId });
     };
     this.#onTheWay.push({ atMs, deliver });
   }
 
-  #node(instanceId: string) {
-    const self = memberOf(instanceId);
-    const members = new MemberView(self);
-    const workspaces = [{ name: "w", keys: [], allotment: ALLOTMENT }];
-    const board = {
-      ...boardOf(TARGET_IDS, { workspaces }),
-      members,
-      cutDomains: new CutDomains(members),
-    };
-    const { clock } = this;
-    const nowhere = new Writable({ write: (_chunk, _code, done) => done() });
-    const log = new EventLog(clock, instanceId, nowhere);
-    const desk = new PlacementDesk({
-      board,
-      coordinator: new Coordinator(board, BOUNDS),
-      clock,
-      log,
-      send: (member, message) =>
-        this.#send(instanceId, member.instanceId, message),
-      startedAtMs: -60_000,
-      spendingWindowMs: WINDOW_MS,
+  #node(instanceId: string): FleetNode {
+    return fleetNode(instanceId, {
+      clock: this.clock,
+      bounds: BOUNDS,
+      allotment: ALLOTMENT,
+      targetIds: TARGET_IDS,
+      seedIds: IDS,
+      send: (fromId, toId, message) => this.#send(fromId, toId, message),
     });
-    const keeper = new MembershipKeeper({
-      board,
-      clock,
-      log,
-      seedAddresses: IDS.map((id) => `${id}:7000`),
-      send: (addresses, message) => {
-        for (const address of addresses) {
-          this.#send(instanceId, address.split(":")[0]!, message);
-        }
-      },
-      coordinatorId: () => desk.coordinatorId,
-      memoryMs: () => 60_000 + clock.nowMs(),
-      reachesStore: () => true,
-      spending: () => [],
-      targetNews: () => [],
-    }, self);
-    return { members, keeper, desk };
   }
 }
 
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -298,6 +298,9 @@
   /** Gives free slots to those that are next, in the order of the last look. */
   #fillSlots(nowMs: number): AskDecision[] {
     const look = this.#look(nowMs);
+    if (look.free.length === 0) {
+      return [];
+    }
     const facts = this.#orderFacts(nowMs);
     const passed = new Set<string>();
     const decisions: AskDecision[] = [];
