Tell in the log which lost attempts were at the same request

Cause: attempts of a caller have ids of their own, so that no line of the log tells whether a target that ended was running the same request as the one before it. "attempt ended" now carries a fingerprint of workspace, method, path and body where the answer was lost; it is made only then.

--- a/packages/core/src/text_hash.ts
+++ b/packages/core/src/text_hash.ts
@@ -1,4 +1,4 @@
-/** A fast hash of short texts, the same on every instance. */
+/** Fast hashes of texts and bytes, the same on every instance. */
 
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
@@ -19,3 +19,31 @@
   hash ^= hash >>> 15;
   return hash >>> 0;
 }
+
+const HEX = 16;
+const HEX_DIGITS = 8;
+
+/** Start of the second half, so that the halves do not collide together. */
+const SECOND_OFFSET = 0x2f0b4c47;
+const SECOND_PRIME = 0x85ebca6b;
+
+/**
+ * Hashes bytes to 64 bits: wide enough to stand for the bytes themselves.
+ *
+ * @param bytes Any bytes.
+ * @returns Sixteen hexadecimal digits.
+ */
+export function hash64Hex(bytes: Uint8Array): string {
+  let first = FNV_OFFSET;
+  let second = SECOND_OFFSET;
+  for (const byte of bytes) {
+    first = Math.imul(first ^ byte, FNV_PRIME);
+    second = Math.imul(second ^ byte, SECOND_PRIME);
+    second = (second << 13) | (second >>> 19);
+  }
+  return hexOf(first) + hexOf(second);
+}
+
+function hexOf(hash: number): string {
+  return (hash >>> 0).toString(HEX).padStart(HEX_DIGITS, "0");
+}
--- a/packages/gateway/src/attempt_account.ts
+++ b/packages/gateway/src/attempt_account.ts
@@ -3,6 +3,7 @@
 import { AttemptEnd } from "@chestnuthatch/routing/next_step";
 import type { LogFacts } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
+import { fingerprintOf } from "./request_fingerprint.ts";
 import type { TargetAttempt } from "./target_attempt.ts";
 import { NO_CONNECTION } from "./target_exchange.ts";
 
@@ -57,6 +58,7 @@
       targetId,
       end,
       reason,
+      fingerprint: end === AttemptEnd.Lost ? fingerprintOf(call) : undefined,
       events: attempt.events,
       tookMs: Math.round(nowMs - attempt.sentAtMs),
       failuresInRow: health.failuresInRow(targetId),
