--- /dev/null
+++ b/tests/ended_targets_run.ts
@@ -0,0 +1,274 @@
+/**
+ * A run in which one request ends every target that begins it: instances as
+ * processes of their own, and targets that come back under another id. The same
+ * request comes again through all instances, beside callers with requests of
+ * their own, while instances are killed, paused and started.
+ */
+
+import { setTimeout as pause } from "node:timers/promises";
+import {
+  type Randomness,
+  seededRandomness,
+} from "@chestnuthatch/core/randomness";
+import { freePorts } from "@chestnuthatch/platform/free_ports";
+import {
+  type CallResult,
+  sendCall,
+} from "@chestnuthatch/platform/standin_caller";
+import {
+  CALLER_KEY,
+  configurationOf,
+  ENGINE_POOL,
+  targetRow,
+} from "@chestnuthatch/platform/standin_fleet";
+import { StandinStore } from "@chestnuthatch/platform/standin_store";
+import { StandinTarget } from "@chestnuthatch/platform/standin_target";
+import { startAll } from "./soak_fleet.ts";
+import { SoakInstance } from "./soak_instance.ts";
+import { waitFor } from "./wait_for.ts";
+
+/** What happens to instances before the request comes again. */
+export enum Disturbance {
+  None = "none",
+  /** Killed, and started again. */
+  OneKilled = "one_killed",
+  AllKilled = "all_killed",
+  /** Stands still while the request comes through another, then gets it. */
+  OnePaused = "one_paused",
+}
+
+/** What a run is made of. */
+export interface EndedTargetsPlan {
+  readonly seed: number;
+  readonly instances: number;
+  readonly engines: number;
+  /** Callers that each send one request after the other. */
+  readonly bystanders: number;
+  /** What happens before each time that the request comes. */
+  readonly disturbances: readonly Disturbance[];
+  /** Times that it comes at once, each through another instance. */
+  readonly atOnce: number;
+  /** How long an ended target is away. */
+  readonly awayMs: number;
+}
+
+/** What came of a run. */
+export interface EndedTargetsOutcome {
+  /** Targets that ended under the request. */
+  readonly ended: number;
+  /** Answers to the request, in the order in which it came. */
+  readonly answers: readonly CallResult[];
+  /** Answers to all other requests. */
+  readonly bystanders: readonly CallResult[];
+  /** What the instances logged, by their ids. */
+  readonly logs: ReadonlyMap<string, readonly string[]>;
+}
+
+const PATH = "/plan/of-a-field";
+/** What tells the request from those that look like it. */
+const ENDING_BODY = "ends what runs it";
+const TOKENS = { "X-Token-Counts": "60,20" };
+const PACE_MS = 5;
+const SLOTS = 4;
+const PORTS = 4;
+const DOMAINS = ["a", "b", "c"];
+const STATUS_OK = 200;
+
+/**
+ * @param plan What the run is made of.
+ * @returns What came of it.
+ */
+export async function playEndedTargets(
+  plan: EndedTargetsPlan,
+): Promise<EndedTargetsOutcome> {
+  const run = new EndedTargetsRun(plan);
+  try {
+    return await run.play();
+  } finally {
+    await run.end();
+  }
+}
+
+class EndedTargetsRun {
+  readonly #plan: EndedTargetsPlan;
+  readonly #store = new StandinStore();
+  readonly #engines: StandinTarget[] = [];
+  readonly #instances: SoakInstance[] = [];
+  readonly #randomness: Randomness;
+  readonly #returning = new Set<NodeJS.Timeout>();
+  readonly #answers: CallResult[] = [];
+  readonly #bystanders: CallResult[] = [];
+  #ended = 0;
+  #calls = 0;
+  #isOver = false;
+
+  constructor(plan: EndedTargetsPlan) {
+    this.#plan = plan;
+    this.#randomness = seededRandomness(plan.seed);
+  }
+
+  async play(): Promise<EndedTargetsOutcome> {
+    await this.#start();
+    const bystanders = Array.from(
+      { length: this.#plan.bystanders },
+      (_, index) => this.#callOn(index),
+    );
+    for (const [turn, disturbance] of this.#plan.disturbances.entries()) {
+      await this.#disturb(disturbance, turn);
+      await this.#comeAgain(turn);
+      await this.#allBack();
+    }
+    this.#isOver = true;
+    await Promise.all(bystanders);
+    return {
+      ended: this.#ended,
+      answers: this.#answers,
+      bystanders: this.#bystanders,
+      logs: new Map(this.#instances.map(({ id, lines }) => [id, lines])),
+    };
+  }
+
+  async end(): Promise<void> {
+    this.#isOver = true;
+    this.#returning.forEach((timer) => clearTimeout(timer));
+    await Promise.all(this.#instances.map((instance) => instance.end()));
+    this.#engines.forEach((engine) => engine.close());
+    this.#store.close();
+  }
+
+  async #start(): Promise<void> {
+    await this.#store.open("127.0.0.1");
+    for (let index = 0; index < this.#plan.engines; index++) {
+      const engine = new StandinTarget({ id: `e${index}`, paceMs: PACE_MS });
+      await engine.open("127.0.0.1");
+      engine.endsUnder = ({ body }) => body === ENDING_BODY;
+      engine.onEnded = () => this.#engineEnded(engine, index);
+      this.#engines.push(engine);
+      this.#list(engine, index);
+    }
+    this.#store.put("op", "config", configurationOf(1));
+    const ports = await freePorts(PORTS);
+    const storeAddress = this.#store.address;
+    for (let index = 0; index < this.#plan.instances; index++) {
+      const options = { index, ports, storeAddress, writeBytesPerS: Infinity };
+      this.#instances.push(new SoakInstance(options));
+    }
+    await this.#startAll();
+  }
+
+  async #startAll(): Promise<void> {
+    await startAll(this.#instances, 0);
+    for (const instance of this.#instances) {
+      await waitFor(`${instance.id} to be ready`, () => instance.isReady());
+    }
+  }
+
+  #list(engine: StandinTarget, index: number): void {
+    const domain = DOMAINS[index % DOMAINS.length]!;
+    const { address } = engine;
+    const row = { pool: ENGINE_POOL, address, domain, slots: SLOTS };
+    this.#store.put(
+      "servers",
+      engine.id,
+      targetRow({ ...row, leaving: false }),
+    );
+  }
+
+  #engineEnded(engine: StandinTarget, index: number): void {
+    this.#ended++;
+    const timer = setTimeout(() => {
+      this.#returning.delete(timer);
+      void this.#bringBack(engine, index);
+    }, this.#plan.awayMs);
+    this.#returning.add(timer);
+  }
+
+  async #bringBack(engine: StandinTarget, index: number): Promise<void> {
+    const before = engine.id;
+    await engine.startAgain(`${before.split(".")[0]}.${this.#ended}`);
+    this.#store.put("servers", before);
+    this.#list(engine, index);
+  }
+
+  async #disturb(disturbance: Disturbance, turn: number): Promise<void> {
+    const instance = this.#instance(turn);
+    switch (disturbance) {
+      case Disturbance.None:
+        return;
+      case Disturbance.OneKilled:
+        await instance.kill();
+        await this.#startAll();
+        return;
+      case Disturbance.AllKilled:
+        await Promise.all(this.#instances.map((each) => each.kill()));
+        await this.#startAll();
+        return;
+      case Disturbance.OnePaused:
+        await instance.pause();
+        await this.#send(this.#instance(turn + 1));
+        await this.#allBack();
+        instance.resume();
+        return;
+    }
+  }
+
+  async #comeAgain(turn: number): Promise<void> {
+    const calls = Array.from(
+      { length: this.#plan.atOnce },
+      (_, index) => this.#send(this.#instance(turn + index)),
+    );
+    await Promise.all(calls);
+  }
+
+  async #send(instance: SoakInstance): Promise<void> {
+    this.#answers.push(await this.#call(instance, PATH, ENDING_BODY));
+  }
+
+  /** Each sends requests that look like the one that ends targets. */
+  async #callOn(caller: number): Promise<void> {
+    for (let count = 0; !this.#isOver; count++) {
+      const instance = this.#anyInstance();
+      if (!instance.runs) {
+        await pause(PACE_MS);
+        continue;
+      }
+      const body = `request ${count} of caller ${caller}`;
+      this.#bystanders.push(await this.#call(instance, PATH, body));
+    }
+  }
+
+  #call(
+    instance: SoakInstance,
+    path: string,
+    body: string,
+  ): Promise<CallResult> {
+    return sendCall({
+      address: instance.callerAddress,
+      path,
+      requestId: `request-${this.#calls++}`,
+      key: CALLER_KEY,
+      body,
+      headers: TOKENS,
+    });
+  }
+
+  /** Once every engine is back, and every instance sends it requests again. */
+  async #allBack(): Promise<void> {
+    await waitFor("all engines to be back", () => this.#returning.size === 0);
+    const ids = () => this.#engines.map(({ id }) => id).join();
+    const before = ids();
+    await waitFor("a request to be served", async () => {
+      const { status } = await this.#call(this.#instance(0), PATH, "a probe");
+      return status === STATUS_OK && before === ids();
+    });
+  }
+
+  #anyInstance(): SoakInstance {
+    const { instances } = this.#plan;
+    return this.#instance(Math.floor(this.#randomness.next() * instances));
+  }
+
+  #instance(turn: number): SoakInstance {
+    return this.#instances[turn % this.#instances.length]!;
+  }
+}
