Wait in a test for the instance that decides to know the loads

Cause, as far as traced: it waited until any instance knew the loads, and cut the link of a target then.

Change: it waits for the instance that rendezvous hashing names, and until all know all members. Nothing it asserts has changed.

--- a/packages/core/src/coordinators.ts
+++ b/packages/core/src/coordinators.ts
@@ -118,10 +118,12 @@
  * @param shard The shard's key and failure domain.
  * @returns The members, best first.
  */
-export function rankMembers(
-  members: readonly Member[],
+export function rankMembers<
+  M extends Pick<Member, "instanceId" | "failureDomain">,
+>(
+  members: readonly M[],
   shard: { key: string; failureDomain: string },
-): Member[] {
+): M[] {
   const scored = members.map((member) => ({
     member,
     score: hash32(`${shard.key}/${member.instanceId}`) +
--- a/tests/process_broken_targets_test.ts
+++ b/tests/process_broken_targets_test.ts
@@ -1,6 +1,12 @@
 /** Targets that refuse a connection, and targets that break one. */
 
+import { shardKey } from "@chestnuthatch/core/blackboard";
+import { rankMembers } from "@chestnuthatch/core/coordinators";
 import { RequestState } from "@chestnuthatch/core/request";
+import {
+  type InstanceStatus,
+  MemberLiveness,
+} from "@chestnuthatch/core/status";
 import { TargetFaultKind } from "@chestnuthatch/standins/target_faults";
 import { ErrorKind, RunState } from "@chestnuthatch/wire/work";
 import { test } from "uvu";
@@ -25,6 +31,11 @@
 };
 const SHORT_DEADLINE_MS = 1_500;
 const CALL_MS = 600;
+const FAILURE_DOMAIN = "njiro-hall";
+const INSTANCES = [
+  { id: "njiro-1", failureDomain: FAILURE_DOMAIN },
+  { id: "njiro-2", failureDomain: FAILURE_DOMAIN },
+];
 
 test("should answer from another target when one refuses connections", () =>
   withFleet(fleetOf({ slots: 1 }), async (fleet) => {
@@ -113,23 +124,35 @@
 
 /**
  * A target whose first report is cut off is not asked at all, and the next comes
- * long after the test.
+ * long after the test. So the instance that decides has to know the loads, and
+ * all have to know that it is the one: an instance that started alone may know
+ * them for itself.
  */
 async function loadsKnown(fleet: ProcessFleet): Promise<void> {
-  await waitFor("the first report of every desk", async () => {
-    const statuses = await Promise.all(
-      [...fleet.instances.values()].map((instance) => instance.status()),
-    );
-    const known = statuses.flatMap(({ targets }) => targets)
+  const instances = [...fleet.instances.values()];
+  await waitFor("the one that decides to know the desks' loads", async () => {
+    const statuses = await Promise.all(instances.map((each) => each.status()));
+    const [decider] = rankMembers(statuses, {
+      key: shardKey(FleetPool.Services, FAILURE_DOMAIN),
+      failureDomain: FAILURE_DOMAIN,
+    });
+    const known = decider!.targets
       .filter(({ loadAgeMs }) => loadAgeMs !== undefined)
       .map(({ targetId }) => targetId);
-    return ["desk-1", "desk-2"].every((id) => known.includes(id));
+    return statuses.every(knowsAllMembers) &&
+      ["desk-1", "desk-2"].every((id) => known.includes(id));
   });
 }
 
+function knowsAllMembers({ members, settingsVersion }: InstanceStatus) {
+  const alive = members
+    .filter(({ liveness }) => liveness === MemberLiveness.Eligible);
+  return alive.length === INSTANCES.length && settingsVersion > 0;
+}
+
 /** Loads are polled rarely, so that only a dispatch meets a cut link. */
 function fleetOf({ slots }: { slots: number }): ProcessFleetOptions {
-  const place = { failureDomain: "njiro-hall", slots };
+  const place = { failureDomain: FAILURE_DOMAIN, slots };
   const service = { ...place, pool: FleetPool.Services, callMs: CALL_MS };
   const engine = {
     ...place,
@@ -137,10 +160,7 @@
     decodeTokensPerSecond: 50,
   };
   return {
-    instances: [
-      { id: "njiro-1", failureDomain: "njiro-hall" },
-      { id: "njiro-2", failureDomain: "njiro-hall" },
-    ],
+    instances: INSTANCES,
     targets: [
       { ...service, id: "desk-1" },
       { ...service, id: "desk-2" },
