Bear a store that comes back from an older copy

What users would have seen: a target that leaves after such a return still got work for as long as its row's version had been seen before, and an instance that started later did not find the others in the store.

Cause: versions of rows were compared as if they only rose, and an instance's row was written once, at its start.

Rows that are missing get the grace that they get after an outage, and a target that was taken off the list is not believed back by an old row, only by one that is written anew.

Ruled out: telling an old row from a new one by its version: which versions are the copy's is not told.

--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -52,6 +52,8 @@
   onSpending(record: readonly SpendingHistory[], ageMs: number): void;
   /** Called with requests under which targets ended, from anywhere. */
   onSuspects(news: readonly SuspectNews[]): void;
+  /** Called when what the fleet recorded of late may be gone. */
+  onStoreWentBack(): void;
   /** Called when another version came into force. */
   onConfiguration(configuration: FleetConfiguration): void;
 }
@@ -200,6 +202,17 @@
     this.#reachesStore = true;
   }
 
+  /**
+   * Rows that are missing now may only be lost, as after an outage, and what the
+   * fleet had recorded is recorded anew.
+   */
+  storeWentBack(): void {
+    const { board, clock, log, onStoreWentBack } = this.#parts;
+    log.warn(LogPart.Platform, "store came back from an older copy");
+    board.targets.listWentBack(clock.nowMs());
+    onStoreWentBack();
+  }
+
   /** @param reason Why the platform does not answer. */
   lost(reason: string): void {
     if (this.#reachesStore) {
--- a/packages/gateway/src/fleet_news_test.ts
+++ b/packages/gateway/src/fleet_news_test.ts
@@ -35,6 +35,7 @@
     onTargets: () => {},
     onSpending: () => {},
     onSuspects: () => {},
+    onStoreWentBack: () => {},
     onConfiguration: () => {},
   });
   news.reached();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -438,6 +438,10 @@
       onConfiguration: (configuration) => this.#configured(configuration),
       onSpending: (record, ageMs) => this.#spending.takeUpRecord(record, ageMs),
       onSuspects: (news) => this.#suspects.told(news),
+      onStoreWentBack: () => {
+        this.#coordinator.recordAnew();
+        this.#suspects.recordAnew();
+      },
     });
   }
 
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -97,6 +97,11 @@
   unreadable(what: string, where: string): void;
   /** The platform answers, again or at first. */
   reached(): void;
+  /**
+   * The platform's store came back from an older copy: what was written to it in
+   * the seconds before is gone.
+   */
+  storeWentBack(): void;
   /** The platform does not answer. */
   lost(reason: string): void;
 }
--- a/packages/gateway/src/suspect_keeper.ts
+++ b/packages/gateway/src/suspect_keeper.ts
@@ -14,6 +14,9 @@
 const RECORD_EVERY_MS = 500;
 const RECORD_RETRY_MS = 1000;
 
+/** No version of the board's. */
+const NOT_RECORDED = -1;
+
 /** What the keeper works with. */
 export interface SuspectParts {
   readonly board: RoutingBoard;
@@ -55,6 +58,12 @@
     }
   }
 
+  /** The record may be gone: it is made anew, if there is anything to record. */
+  recordAnew(): void {
+    const { isAny, version } = this.#parts.board.suspects;
+    this.#recordedVersion = isAny ? NOT_RECORDED : version;
+  }
+
   /** Records what is not recorded yet; for the coordinator alone. */
   record(): void {
     void this.#recorder.record();
@@ -70,7 +79,7 @@
   }
 
   #notRecorded(record: readonly SuspectNews[]): void {
-    this.#recordedVersion = -1;
+    this.#recordedVersion = NOT_RECORDED;
     this.#parts.log.warn(LogPart.Platform, "suspects not recorded", {
       fingerprints: record.map(({ fingerprint }) => fingerprint),
     });
--- a/packages/routing/src/target_directory.ts
+++ b/packages/routing/src/target_directory.ts
@@ -67,12 +67,25 @@
   version = 0;
   /** When the list last began to answer after it had not. */
   #answersSinceMs = -Infinity;
+  /** When the list last came back from an older copy. */
+  #wentBackAtMs = -Infinity;
 
   /** @param nowMs When the list began to answer, again or at first. */
   listAnswers(nowMs: number): void {
     this.#answersSinceMs = nowMs;
   }
 
+  /**
+   * The list came back from an older copy: it may lack targets that live, and
+   * still name some that are gone.
+   *
+   * @param nowMs When it did.
+   */
+  listWentBack(nowMs: number): void {
+    this.listAnswers(nowMs);
+    this.#wentBackAtMs = nowMs;
+  }
+
   /**
    * Takes in changed rows.
    *
@@ -102,7 +115,10 @@
       known.removedAtMs === undefined && known.rowVersion <= version &&
       !listed.has(known.targetId)
     ).map(({ targetId }) => ({ targetId, rowVersion: version }));
-    return this.apply([...entries, ...gone], nowMs);
+    const current = entries.filter(({ targetId }) =>
+      !this.#isOldRow(targetId, nowMs)
+    );
+    return this.apply([...current, ...gone], nowMs);
   }
 
   /**
@@ -154,6 +170,15 @@
     }
   }
 
+  /**
+   * A row of a target that is known to be gone, on a list that came back from an
+   * older copy just now. One that lives is written again.
+   */
+  #isOldRow(targetId: string, nowMs: number): boolean {
+    return nowMs < this.#wentBackAtMs + RETURN_GRACE_MS &&
+      this.#byId.get(targetId)?.removedAtMs !== undefined;
+  }
+
   #applyOne(change: TargetChange, nowMs: number): TargetBelief[] {
     this.version = Math.max(this.version, change.rowVersion);
     const known = this.#byId.get(change.targetId);
