Tell of requests that failed a trial before those that only ran beside them

A heartbeat, a report to a new coordinator and the record hold twelve suspects, the newest ones. After a rack was lost many requests are suspected that merely ran there, and one that is held back would have dropped out of what a new coordinator learns. Test: one that failed a trial, then forty others.

--- a/packages/routing/src/suspect_requests.ts
+++ b/packages/routing/src/suspect_requests.ts
@@ -159,13 +159,18 @@
 
   /**
    * @param nowMs The local time.
-   * @returns The newest suspects, for other instances and for the record.
+   * @returns The newest suspects, those that failed a trial before all others,
+   * for other instances and for the record.
    */
   toTell(nowMs: number): SuspectNews[] {
     if (!this.isAny) {
       return [];
     }
-    return [...this.#byFingerprint.values()].filter(isSuspect)
+    const suspects = [...this.#byFingerprint.values()].filter(isSuspect);
+    const onlySuspected = suspects.filter((request) =>
+      !hasFailedTrial(request)
+    );
+    return [...onlySuspected, ...suspects.filter(hasFailedTrial)]
       .slice(-MOST_TOLD).map((request) => newsOf(request, nowMs));
   }
 
@@ -191,9 +196,7 @@
     }
     this.#lookedAtMs = nowMs;
     for (const request of [...this.#byFingerprint.values()]) {
-      const keptMs = request.endedInTrial.size > 0
-        ? TRIAL_REMEMBERED_MS
-        : SUSPECT_MS;
+      const keptMs = hasFailedTrial(request) ? TRIAL_REMEMBERED_MS : SUSPECT_MS;
       if (nowMs - request.lastEndedAtMs > keptMs) {
         this.#remove(request.fingerprint);
       }
@@ -246,8 +249,12 @@
   }
 }
 
-function isSuspect({ ended, endedInTrial }: SuspectRequest): boolean {
-  return ended.size >= SUSPECT_ENDED || endedInTrial.size > 0;
+function isSuspect(request: SuspectRequest): boolean {
+  return request.ended.size >= SUSPECT_ENDED || hasFailedTrial(request);
+}
+
+function hasFailedTrial({ endedInTrial }: SuspectRequest): boolean {
+  return endedInTrial.size > 0;
 }
 
 function holdMs({ endedInTrial: { size } }: SuspectRequest): number {
--- a/packages/routing/src/suspect_requests_test.ts
+++ b/packages/routing/src/suspect_requests_test.ts
@@ -166,6 +166,23 @@
   assert.equal(coordinator.ask(copy, scope(1)), [], "it is on trial elsewhere");
 });
 
+test("one that failed a trial is told of before many that only ran beside it", () => {
+  const suspects = suspectsOf("f");
+  suspects.targetEnded({ fingerprint: "f", process: "t3", inTrial: true }, 0);
+  for (let other = 0; other < 40; other++) {
+    for (const process of ["t1", "t2"]) {
+      const fingerprint = `bystander-${other}`;
+      suspects.targetEnded(
+        { fingerprint, process, inTrial: false },
+        10 + other,
+      );
+    }
+  }
+  const told = suspects.toTell(100).map(({ fingerprint }) => fingerprint);
+  assert.ok(told.includes("f"));
+  assert.ok(told.length < 40, "a heartbeat has to fit a datagram");
+});
+
 test("what was noted long ago is forgotten", () => {
   const suspects = suspectsOf("f");
   suspects.forgetOld(11 * MINUTE_MS);
