Make fingerprints faster, and test that a healthy fleet makes none

While a request is suspected, each ask makes one. Tests: no field is sent while no targets end; attempts under other ids and keys of a workspace have the same fingerprint, look-alikes (body, path, method, workspace) another.

--- a/packages/core/src/text_hash.ts
+++ b/packages/core/src/text_hash.ts
@@ -36,7 +36,8 @@
 export function hash64Hex(bytes: Uint8Array): string {
   let first = FNV_OFFSET;
   let second = SECOND_OFFSET;
-  for (const byte of bytes) {
+  for (let i = 0; i < bytes.length; i++) {
+    const byte = bytes[i]!;
     first = Math.imul(first ^ byte, FNV_PRIME);
     second = Math.imul(second ^ byte, SECOND_PRIME);
     second = (second << 13) | (second >>> 19);
--- /dev/null
+++ b/packages/gateway/src/work_ask_of_test.ts
@@ -0,0 +1,67 @@
+/** What an ask tells of its request. */
+
+import { Buffer } from "node:buffer";
+import { boardOf, routeOf } from "@chestnuthatch/routing/routing_test_support";
+import { AskCause } from "@chestnuthatch/routing/work_ask";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { GatewayParts } from "./gateway_parts.ts";
+import { fingerprintOf } from "./request_fingerprint.ts";
+import type { RoutedCall } from "./routed_call.ts";
+import { workAskOf } from "./work_ask_of.ts";
+
+const CALL: RoutedCall = {
+  facts: { requestId: "q1", key: "k1" },
+  route: routeOf(),
+  workspace: { name: "w", rank: 0, keys: ["k1", "k2"] },
+  pool: "p",
+  configurationVersion: 1,
+  method: "POST",
+  path: "/r/of-a-field",
+  rawHeaders: [],
+  body: Buffer.from("a body"),
+  arrivedAtMs: 0,
+};
+const FACTS = {
+  cause: AskCause.First,
+  charged: false,
+  tried: new Set<string>(),
+};
+
+/** Only what an ask is made from. */
+function partsOf(): GatewayParts {
+  const parts = {
+    board: boardOf(["t1"]),
+    clock: { nowMs: () => 0 },
+    failureDomain: "a",
+    nextAskId: () => "a1",
+  };
+  return parts as unknown as GatewayParts;
+}
+
+test("a fleet in which no targets end makes no fingerprints", () => {
+  const parts = partsOf();
+  assert.not.ok("fingerprint" in workAskOf(parts, CALL, FACTS));
+  const suspect = { fingerprint: "of another", inTrial: false };
+  for (const process of ["t1", "t2"]) {
+    parts.board.suspects.targetEnded({ ...suspect, process }, 0);
+  }
+  const { fingerprint } = workAskOf(parts, CALL, FACTS);
+  assert.is(fingerprint, fingerprintOf(CALL));
+});
+
+test("attempts at one request have one fingerprint, look-alikes another", () => {
+  const again = { ...CALL, facts: { requestId: "q2", key: "k2" } };
+  assert.is(fingerprintOf(again), fingerprintOf(CALL));
+  const others: RoutedCall[] = [
+    { ...CALL, body: Buffer.from("b body") },
+    { ...CALL, body: undefined },
+    { ...CALL, path: "/r/of-a-garden" },
+    { ...CALL, method: "PUT" },
+    { ...CALL, workspace: { ...CALL.workspace!, name: "v" } },
+  ];
+  const all = new Set([CALL, ...others].map(fingerprintOf));
+  assert.is(all.size, others.length + 1);
+});
+
+test.run();
