--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -207,8 +207,12 @@
    * fleet had recorded is recorded anew.
    */
   storeWentBack(): void {
-    const { board, clock, log, onStoreWentBack } = this.#parts;
-    log.warn(LogPart.Platform, "store came back from an older copy");
+    const { board, clock, log, metrics, onStoreWentBack } = this.#parts;
+    metrics.storeWentBack();
+    log.warn(LogPart.Platform, "store came back from an older copy", {
+      targetsVersion: board.targets.version,
+      configurationVersion: board.routes?.configuration.version,
+    });
     board.targets.listWentBack(clock.nowMs());
     onStoreWentBack();
   }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -44,6 +44,11 @@
     "Messages from other instances.",
     ["kind"],
   );
+  readonly #storeReturns = this.#counter(
+    "store_went_back_total",
+    "Returns of the platform's store from an older copy",
+    [],
+  );
   readonly #first = this.#histogram(
     "first_byte_ms",
     "Time to a stream's first event or to the answer.",
@@ -104,6 +109,11 @@
     this.#attempts.inc({ pool, end });
   }
 
+  /** The platform's store came back from an older copy. */
+  storeWentBack(): void {
+    this.#storeReturns.inc();
+  }
+
   /** @param kind Kind of a message from another instance. */
   peerMessage(kind: string): void {
     this.#peerMessages.inc({ kind });
--- a/packages/routing/src/target_directory_test.ts
+++ b/packages/routing/src/target_directory_test.ts
@@ -127,4 +127,24 @@
   assert.equal(usableIds(targets, 5000), ["t2"]);
 });
 
+test("a list that went back brings no target back, but what is written anew does", () => {
+  const targets = directory();
+  targets.apply([row(5)], 0);
+  targets.apply([{ targetId: "t1", rowVersion: 6 }], 10);
+  targets.listWentBack(5000);
+  assert.equal(targets.replace([row(105)], 105, 5010), []);
+  const [belief] = targets.apply([row(106)], 5020);
+  assert.is(belief?.news, TargetNews.Added);
+});
+
+test("a target that a list lacks since it went back is used on for a while", () => {
+  const targets = directory();
+  targets.apply([row(5)], 0);
+  targets.listWentBack(5000);
+  targets.replace([], 105, 5010);
+  const target = () => targets.get("t1")!;
+  assert.ok(targets.isUsable(target(), 7000), "live ones are written again");
+  assert.not.ok(targets.isUsable(target(), 7300));
+});
+
 test.run();
--- a/tests/ended_targets_run.ts
+++ b/tests/ended_targets_run.ts
@@ -21,7 +21,10 @@
   ENGINE_POOL,
   targetRow,
 } from "@chestnuthatch/platform/standin_fleet";
-import { StandinStore } from "@chestnuthatch/platform/standin_store";
+import {
+  StandinStore,
+  type StoreCopy,
+} from "@chestnuthatch/platform/standin_store";
 import { StandinTarget } from "@chestnuthatch/platform/standin_target";
 import { startAll } from "./soak_fleet.ts";
 import { SoakInstance } from "./soak_instance.ts";
@@ -35,6 +38,8 @@
   AllKilled = "all_killed",
   /** Stands still while the request comes through another, then gets it. */
   OnePaused = "one_paused",
+  /** The store comes back as it was before the request came last. */
+  StoreWentBack = "store_went_back",
 }
 
 /** What a run is made of. */
@@ -81,7 +86,6 @@
 const AT_ONCE = { least: 1, most: 3 };
 const AWAY_MS = { least: 100, most: 2100 };
 
-/** One turn in two is without a disturbance. */
 const DISTURBANCES: readonly Disturbance[] = [
   Disturbance.None,
   Disturbance.None,
@@ -89,6 +93,7 @@
   Disturbance.OneKilled,
   Disturbance.AllKilled,
   Disturbance.OnePaused,
+  Disturbance.StoreWentBack,
 ];
 
 /**
@@ -171,6 +176,7 @@
   readonly #answers: CallResult[] = [];
   readonly #bystanders: CallResult[] = [];
   readonly #endedByTurn: number[] = [];
+  #copy?: StoreCopy;
   #returns = 0;
   #calls = 0;
   #isOver = false;
@@ -189,6 +195,7 @@
     for (const [turn, disturbance] of this.#plan.disturbances.entries()) {
       this.#endedByTurn.push(0);
       await this.#disturb(disturbance, turn);
+      this.#copy = this.#store.copy();
       await this.#comeAgain(turn);
       await this.#allBack(this.#instance(turn));
     }
@@ -283,7 +290,23 @@
         await this.#allBack(this.#instance(turn + 1));
         instance.resume();
         return;
+      case Disturbance.StoreWentBack:
+        this.#storeWentBack();
+        return;
+    }
+  }
+
+  /** The operator and the engines write again what they had written. */
+  #storeWentBack(): void {
+    if (this.#copy === undefined) {
+      return;
     }
+    this.#store.goBackTo(this.#copy);
+    this.#store.put("op", "config", configurationOf(1));
+    const ids = new Set(this.#engines.map(({ id }) => id));
+    this.#store.keysOf("servers").filter((id) => !ids.has(id))
+      .forEach((id) => this.#store.put("servers", id));
+    this.#engines.forEach((engine, index) => this.#list(engine, index));
   }
 
   async #comeAgain(turn: number): Promise<void> {
--- a/tests/process_ended_targets_test.ts
+++ b/tests/process_ended_targets_test.ts
@@ -21,7 +21,7 @@
   playEndedTargets,
 } from "./ended_targets_run.ts";
 
-const { None, OneKilled, AllKilled, OnePaused } = Disturbance;
+const { None, OneKilled, AllKilled, OnePaused, StoreWentBack } = Disturbance;
 
 /** Three may end until it is known for what it is, and three after that. */
 const MOST_ENDED = 6;
@@ -44,8 +44,15 @@
   assert.equal(faultsOf(outcome), []);
 });
 
-test("its copies at once, all instances lost right after: no more than that", async () => {
-  const disturbances = [None, AllKilled, OneKilled, AllKilled, OnePaused];
+test("its copies at once, all instances and what they wrote lost: no more than that", async () => {
+  const disturbances = [
+    None,
+    AllKilled,
+    OneKilled,
+    StoreWentBack,
+    AllKilled,
+    OnePaused,
+  ];
   const plan = { ...PLAN, seed: 2, disturbances, atOnce: 3 };
   assert.equal(faultsOf(await playEndedTargets(plan)), []);
 });
