Test of a begun stream's patience; it fails

A stream that lost its target midway is refused another place as soon as no slot is free, though its caller waits on.

--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -22,6 +22,8 @@
   readonly charged: boolean;
   /** Targets that must not get it again. */
   readonly tried: ReadonlySet<string>;
+  /** When the caller got the last event; absent before the first. */
+  readonly lastEventAtMs?: number;
 }
 
 /**
--- a/packages/gateway/src/work_ask_of_test.ts
+++ b/packages/gateway/src/work_ask_of_test.ts
@@ -7,7 +7,7 @@
 import * as assert from "uvu/assert";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { fingerprintOf } from "./request_fingerprint.ts";
-import type { RoutedCall } from "./routed_call.ts";
+import { type RoutedCall, streamPatienceMs } from "./routed_call.ts";
 import { workAskOf } from "./work_ask_of.ts";
 
 const CALL: RoutedCall = {
@@ -64,4 +64,22 @@
   assert.is(all.size, others.length + 1);
 });
 
+/**
+ * Streams that lost their target midway.
+ *
+ * Seen: some were given up as soon as no slot was free, though their callers
+ * waited on. Cause: the caller's patience was counted from the request's arrival,
+ * and a stream outlasts it by far; a caller leaves after a gap that long. Proof: a
+ * stream of 5 s whose last event came 100 ms ago had no patience left.
+ */
+test("a caller's patience with a begun stream counts from its last event", () => {
+  const parts = { ...partsOf(), clock: { nowMs: () => 5000 } };
+  const unbegun = workAskOf(parts, CALL, FACTS);
+  assert.ok(unbegun.patienceLeftMs < 0);
+  const begun = workAskOf(parts, CALL, { ...FACTS, lastEventAtMs: 4900 });
+  const { route } = CALL;
+  const patienceMs = streamPatienceMs(route) - 100 - route.objectiveMs / 2;
+  assert.is(begun.patienceLeftMs, patienceMs);
+});
+
 test.run();
