Count a caller's patience with a begun stream from its last event

Cause: the patience in its ask was counted from the request's arrival, and a stream lasts longer than that. Callers leave after a gap that long, whether before the first event or a later one; so it counts from the last event that was passed on. Its order among those that wait is unchanged.

Ruled out for now: its objective by the longest gap as well, which would move it ahead of others and has to be measured.

--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -138,6 +138,7 @@
       cause,
       charged: this.#charged,
       tried: this.#tried,
+      lastEventAtMs: this.#progress.lastEventAtMs,
     });
     this.#askId = ask.askId;
     this.#askedAtMs = this.#nowMs();
--- a/packages/gateway/src/stream_progress.ts
+++ b/packages/gateway/src/stream_progress.ts
@@ -14,6 +14,11 @@
     return this.#lastEventId;
   }
 
+  /** When it was passed on; absent before the first. */
+  get lastEventAtMs(): number | undefined {
+    return this.#lastEventAtMs;
+  }
+
   /** Longest pause between two events, in milliseconds. */
   get longestGapMs(): number {
     return this.#longestGapMs;
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -44,8 +44,10 @@
   const nowMs = parts.clock.nowMs();
   const spentMs = nowMs - call.arrivedAtMs;
   const leftMs = deadlineAtMs(call) - nowMs;
+  // Callers leave after a gap, whether before the first event or a later one.
+  const silentMs = nowMs - (facts.lastEventAtMs ?? call.arrivedAtMs);
   const patienceMs = isStream(route.kind)
-    ? Math.min(leftMs, streamPatienceMs(route) - spentMs)
+    ? Math.min(leftMs, streamPatienceMs(route) - silentMs)
     : leftMs;
   return {
     askId: parts.nextAskId(),
