Reports of a holder in a module of their own; name a message for what it says

The message "passed over" has long meant that the sender got no answer in time, and is named so (its text on the wire stays).

--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -10,12 +10,10 @@
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
-import { SpendingLog } from "@chestnuthatch/routing/spending_log";
 import { RecentRefusals } from "@chestnuthatch/routing/recent_refusals";
 import {
   type AskDecision,
   AskRefusal,
-  type HolderReport,
   type PlaceDecision,
   type RunningWork,
   type WorkAsk,
@@ -23,6 +21,7 @@
 } from "@chestnuthatch/routing/work_ask";
 import { AnswerWatch, Sign } from "./answer_watch.ts";
 import { CoordinatorChoice } from "./coordinator_choice.ts";
+import { HolderReports } from "./holder_reports.ts";
 import { PlaceService } from "./place_service.ts";
 import {
   isHeld,
@@ -42,15 +41,6 @@
  */
 const ASK_AGAIN_MS = 40;
 
-/** Time between two reports of what is open. */
-const REPORT_MS = 500;
-
-/**
- * The same while asks wait. A report names them all, and the coordinator repeats
- * decisions that were lost; a lost decision costs this much.
- */
-const WAITING_REPORT_MS = 250;
-
 /** Time after which a coordinator is told again that it answers late. */
 const TELL_LATE_MS = 500;
 
@@ -88,9 +78,7 @@
   readonly #open = new OpenAsks();
   readonly #choice: CoordinatorChoice;
   readonly #service: PlaceService;
-  readonly #spending: SpendingLog;
-  #reportedAtMs = -Infinity;
-  #reportedTo = "";
+  readonly #reports: HolderReports;
   readonly #answers: AnswerWatch;
   readonly #refusals = new RecentRefusals();
   #toldLateAtMs = -Infinity;
@@ -98,8 +86,12 @@
   /** @param parts What the desk works with. */
   constructor(parts: DeskParts) {
     this.#parts = parts;
-    this.#spending = new SpendingLog(parts.spendingWindowMs);
-    const { board, startedAtMs } = parts;
+    const { board, startedAtMs, spendingWindowMs } = parts;
+    this.#reports = new HolderReports({
+      board,
+      open: this.#open,
+      spendingWindowMs,
+    });
     this.#choice = new CoordinatorChoice(board.members, startedAtMs);
     this.#answers = new AnswerWatch(board.members);
     this.#service = new PlaceService({
@@ -242,8 +234,8 @@
       case MessageKind.Decision:
         this.#decided(message.decision, fromId);
         return;
-      case MessageKind.PassedOver:
-        this.#passedOver(fromId, nowMs);
+      case MessageKind.Unanswered:
+        this.#leftUnanswered(fromId, nowMs);
         return;
       default:
         return;
@@ -334,7 +326,7 @@
   #tellLate(coordinatorId: string, nowMs: number): void {
     if (nowMs - this.#toldLateAtMs >= TELL_LATE_MS) {
       this.#toldLateAtMs = nowMs;
-      this.#send(coordinatorId, { kind: MessageKind.PassedOver });
+      this.#send(coordinatorId, { kind: MessageKind.Unanswered });
     }
   }
 
@@ -380,7 +372,7 @@
     }
     if ("targetId" in decision) {
       open.running = runningOf(open.ask, decision);
-      this.#noteSpending(open.ask);
+      this.#reports.placed(open.ask, this.#nowMs());
     } else {
       this.#open.remove(decision.askId);
       if (fromId === this.coordinatorId) {
@@ -391,26 +383,15 @@
     this.#sendHeld();
   }
 
-  #noteSpending(ask: WorkAsk): void {
-    if (ask.cost > 0) {
-      this.#spending.note(ask.workspace, ask.cost, this.#nowMs());
-    }
-  }
-
   #reportIfDue(coordinator: MemberRecord, nowMs: number): void {
-    const isNew = coordinator.instanceId !== this.#reportedTo;
-    const everyMs = this.#open.waiting().length > 0
-      ? WAITING_REPORT_MS
-      : REPORT_MS;
-    if (!isNew && nowMs - this.#reportedAtMs < everyMs) {
+    const due = this.#reports.due(coordinator.instanceId, nowMs);
+    if (due === undefined) {
       return;
     }
-    if (isNew) {
+    if (due.isFirst) {
       this.#refusals.clear();
     }
-    this.#reportedAtMs = nowMs;
-    this.#reportedTo = coordinator.instanceId;
-    const report = this.#report(coordinator.instanceId, { isNew, nowMs });
+    const { report } = due;
     if (this.#isSelf(coordinator.instanceId)) {
       this.#service.report(report);
     } else {
@@ -435,23 +416,6 @@
     }
   }
 
-  #report(
-    coordinatorId: string,
-    { isNew, nowMs }: { isNew: boolean; nowMs: number },
-  ): HolderReport {
-    const { suspects } = this.#parts.board;
-    const told = isNew ? suspects.toTell(nowMs) : suspects.lately(nowMs);
-    const waiting = this.#open.waiting()
-      .filter((open) => open.coordinatorId === coordinatorId);
-    return {
-      holderId: this.#selfId(),
-      running: this.#open.running(),
-      waiting: waiting.map(({ ask }) => ask.askId),
-      spent: this.#spending.lately(nowMs),
-      ...(told.length > 0 ? { suspects: told } : undefined),
-    };
-  }
-
   #noteHeard(askId: string, fromId: string | undefined): void {
     const open = this.#open.get(askId);
     if (open !== undefined && open.coordinatorId === fromId) {
@@ -473,7 +437,7 @@
 
   #shun(instanceId: string, nowMs: number): void {
     if (this.#choice.shun(instanceId, nowMs)) {
-      this.#send(instanceId, { kind: MessageKind.PassedOver });
+      this.#send(instanceId, { kind: MessageKind.Unanswered });
       this.#parts.log.warn(LogPart.Placement, "coordinator is silent", {
         coordinatorId: instanceId,
         silentMs: Math.round(this.#answers.silentMs),
@@ -481,10 +445,10 @@
     }
   }
 
-  #passedOver(byId: string | undefined, nowMs: number): void {
+  #leftUnanswered(byId: string | undefined, nowMs: number): void {
     const { members } = this.#parts.board;
     if (byId !== undefined) {
-      members.passedOver(byId, nowMs);
+      members.leftUnanswered(byId, nowMs);
     }
   }
 
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -115,7 +115,7 @@
   readonly #toldAtMs = new Map<string, number>();
   readonly #idByAddress = new Map<string, string>();
   /** When each member said that this instance does not answer it. */
-  readonly #passedOverAtMs = new Map<string, number>();
+  readonly #unansweredAtMs = new Map<string, number>();
   #standsAsideUntilMs = -Infinity;
   /** Rendezvous scores, which are costly to hash on every look. */
   readonly #scores = new Map<string, number>();
@@ -297,12 +297,12 @@
    * @param byId The member.
    * @param nowMs The local time.
    */
-  passedOver(byId: string, nowMs: number): void {
-    this.#passedOverAtMs.set(byId, nowMs);
+  leftUnanswered(byId: string, nowMs: number): void {
+    this.#unansweredAtMs.set(byId, nowMs);
     const others = this.alive(nowMs)
       .filter(({ instanceId }) => instanceId !== this.selfId);
     const saying = others.filter(({ instanceId }) =>
-      nowMs - (this.#passedOverAtMs.get(instanceId) ?? -Infinity) <
+      nowMs - (this.#unansweredAtMs.get(instanceId) ?? -Infinity) <
         PASSED_OVER_MS
     );
     if (
@@ -409,7 +409,7 @@
         this.#remembersSinceMs.delete(instanceId);
         this.#expectedSinceMs.delete(instanceId);
         this.#toldAtMs.delete(instanceId);
-        this.#passedOverAtMs.delete(instanceId);
+        this.#unansweredAtMs.delete(instanceId);
         this.#scores.delete(instanceId);
         if (this.#idByAddress.get(address) === instanceId) {
           this.#idByAddress.delete(address);
--- a/packages/routing/src/member_view_test.ts
+++ b/packages/routing/src/member_view_test.ts
@@ -35,13 +35,13 @@
 test("an instance that half of the others passed over stands aside", () => {
   const others = ["i2", "i3", "i4", "i5"];
   const view = viewOf("i1", others);
-  view.passedOver("i2", 100);
-  view.passedOver("i2", 200);
+  view.leftUnanswered("i2", 100);
+  view.leftUnanswered("i2", 200);
   assert.is(view.standsAside(200), false);
   others.forEach((id) => view.heard(memberOf(id), 1500));
-  view.passedOver("i3", 1500);
+  view.leftUnanswered("i3", 1500);
   assert.is(view.standsAside(1500), false, "the first word is too old");
-  view.passedOver("i2", 1600);
+  view.leftUnanswered("i2", 1600);
   assert.is(view.standsAside(1600), true);
   assert.is(view.standsAside(20_000), false);
 });
@@ -49,10 +49,10 @@
 test("an instance that is late because of its load does not stand aside", () => {
   const view = viewOf("i1", ["i2", "i3"]);
   view.isLoaded = true;
-  ["i2", "i3"].forEach((id) => view.passedOver(id, 100));
+  ["i2", "i3"].forEach((id) => view.leftUnanswered(id, 100));
   assert.not.ok(view.standsAside(100));
   view.isLoaded = false;
-  view.passedOver("i2", 200);
+  view.leftUnanswered("i2", 200);
   assert.ok(view.standsAside(200));
 });
 
@@ -72,7 +72,7 @@
     const others = ids.filter((id) => id !== self);
     const view = viewOf(self, others);
     if (self === slowId) {
-      others.forEach((id) => view.passedOver(id, 100));
+      others.forEach((id) => view.leftUnanswered(id, 100));
     }
     view.heard(memberOf(slowId, { standsAside: true }), 100);
     return view.coordinator(100, NONE).instanceId;
@@ -84,7 +84,7 @@
 test("where all stand aside, one of them coordinates", () => {
   const view = viewOf("i1", ["i2"]);
   view.heard(memberOf("i2", { standsAside: true }), 0);
-  view.passedOver("i2", 100);
+  view.leftUnanswered("i2", 100);
   assert.is(view.standsAside(100), true);
   assert.ok(["i1", "i2"].includes(view.coordinator(100, NONE).instanceId));
 });
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -20,7 +20,7 @@
   /** Of asks that a holder reports as waiting, the receiver knows nothing. */
   Unknown = "unknown",
   /** The sender asked the receiver for places and got no answer in time. */
-  PassedOver = "passed_over",
+  Unanswered = "passed_over",
 }
 
 const member = z.object({
@@ -174,7 +174,7 @@
     kind: z.literal(MessageKind.Unknown),
     askIds: z.array(z.string()).readonly(),
   }),
-  z.object({ kind: z.literal(MessageKind.PassedOver) }),
+  z.object({ kind: z.literal(MessageKind.Unanswered) }),
 ]);
 
 /** A message between instances. */
