--- a/tests/ended_targets_soak.ts
+++ b/tests/ended_targets_soak.ts
@@ -2,10 +2,10 @@
 
 import process from "node:process";
 import { Command } from "commander";
+import { planEndedTargets } from "./ended_targets_plan.ts";
 import {
   type EndedTargetsOutcome,
   faultsOf,
-  planEndedTargets,
   playEndedTargets,
 } from "./ended_targets_run.ts";
 
--- a/tests/process_ended_targets_test.ts
+++ b/tests/process_ended_targets_test.ts
@@ -14,12 +14,8 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import {
-  Disturbance,
-  type EndedTargetsPlan,
-  faultsOf,
-  playEndedTargets,
-} from "./ended_targets_run.ts";
+import { Disturbance, type EndedTargetsPlan } from "./ended_targets_plan.ts";
+import { faultsOf, playEndedTargets } from "./ended_targets_run.ts";
 
 const { None, OneKilled, AllKilled, OnePaused, StoreWentBack } = Disturbance;
 
