--- a/packages/gateway/src/attempt_account.ts
+++ b/packages/gateway/src/attempt_account.ts
@@ -4,7 +4,7 @@
 import type { EndedTarget } from "@chestnuthatch/routing/suspect_requests";
 import type { LogFacts } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
-import { fingerprintOf } from "./request_fingerprint.ts";
+import { fingerprintIfNeeded, fingerprintOf } from "./request_fingerprint.ts";
 import type { RoutedCall } from "./routed_call.ts";
 import type { TargetAttempt } from "./target_attempt.ts";
 import { NO_CONNECTION } from "./target_exchange.ts";
@@ -47,7 +47,7 @@
 
   #suspectOf(call: RoutedCall): string | undefined {
     const { suspects } = this.#parts.board;
-    const fingerprint = suspects.isAny ? fingerprintOf(call) : undefined;
+    const fingerprint = fingerprintIfNeeded(call, suspects);
     return suspects.isSuspect(fingerprint) ? fingerprint : undefined;
   }
 
--- a/packages/gateway/src/request_fingerprint.ts
+++ b/packages/gateway/src/request_fingerprint.ts
@@ -5,6 +5,7 @@
 
 import { Buffer } from "node:buffer";
 import { hash64Hex } from "@chestnuthatch/core/text_hash";
+import type { SuspectRequests } from "@chestnuthatch/routing/suspect_requests";
 import type { RoutedCall } from "./routed_call.ts";
 
 const NO_BODY = Buffer.alloc(0);
@@ -20,3 +21,15 @@
   const head = `${workspace?.name ?? ""} ${method} ${path} `;
   return hash64Hex(Buffer.concat([Buffer.from(head), body]));
 }
+
+/**
+ * @param call A request.
+ * @param suspects Requests under which targets ended.
+ * @returns Its fingerprint; undefined while no request is a suspect.
+ */
+export function fingerprintIfNeeded(
+  call: RoutedCall,
+  suspects: SuspectRequests,
+): string | undefined {
+  return suspects.isAny ? fingerprintOf(call) : undefined;
+}
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -4,7 +4,7 @@
 import { rankOf } from "@chestnuthatch/routing/ranks";
 import type { AskCause, WorkAsk } from "@chestnuthatch/routing/work_ask";
 import type { GatewayParts } from "./gateway_parts.ts";
-import { fingerprintOf } from "./request_fingerprint.ts";
+import { fingerprintIfNeeded } from "./request_fingerprint.ts";
 import {
   deadlineAtMs,
   type RoutedCall,
@@ -49,6 +49,7 @@
   const patienceMs = isStream(route.kind)
     ? Math.min(leftMs, streamPatienceMs(route) - silentMs)
     : leftMs;
+  const fingerprint = fingerprintIfNeeded(call, parts.board.suspects);
   return {
     askId: parts.nextAskId(),
     holderId: parts.board.members.selfId,
@@ -65,9 +66,7 @@
     failureDomain: parts.failureDomain,
     excluded: excludedFor(parts, call, facts.tried),
     cause: facts.cause,
-    ...(parts.board.suspects.isAny
-      ? { fingerprint: fingerprintOf(call) }
-      : undefined),
+    ...(fingerprint === undefined ? undefined : { fingerprint }),
   };
 }
 
