--- a/packages/gateway/src/coordinator_choice.ts
+++ b/packages/gateway/src/coordinator_choice.ts
@@ -36,6 +36,7 @@
 export class CoordinatorChoice {
   readonly #members: MemberView;
   readonly #startedAtMs: number;
+  readonly #isAccounted: (instanceId: string) => boolean;
   readonly #shunnedUntilMs = new Map<string, number>();
   #look?: Look;
   /** Since when the members agree on this instance as the coordinator. */
@@ -43,12 +44,19 @@
 
   /**
    * @param members The members.
-   * @param startedAtMs When this instance began to remember what workspaces
-   * spent.
+   * @param of When this instance began to remember what workspaces spent, and
+   * whether a member reported to it what was spent through that member.
    */
-  constructor(members: MemberView, startedAtMs: number) {
+  constructor(
+    members: MemberView,
+    of: {
+      startedAtMs: number;
+      isAccounted: (instanceId: string) => boolean;
+    },
+  ) {
     this.#members = members;
-    this.#startedAtMs = startedAtMs;
+    this.#startedAtMs = of.startedAtMs;
+    this.#isAccounted = of.isAccounted;
   }
 
   /**
@@ -132,6 +140,6 @@
     this.#agreedSinceMs ??= nowMs;
     return nowMs - this.#agreedSinceMs < MEMBER_SILENCE_MS
       ? this.#members.heardShare(nowMs)
-      : this.#members.directShare(nowMs);
+      : this.#members.directShare(nowMs, this.#isAccounted);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -142,6 +142,7 @@
       startedAtMs: this.#startedAtMs,
       spendingWindowMs: settings.bounds.allotmentTolerance.windowMs,
       onWaiting: () => this.#tickWithin(TICK_MS),
+      onStandIn: (share) => this.#spending.standsIn(share),
     });
     this.#spending = new SpendingKeeper({
       board: this.board,
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -84,6 +84,7 @@
     send: (member, message) => send(instanceId, member.instanceId, message),
     startedAtMs: -RUN_MS,
     spendingWindowMs: bounds.allotmentTolerance.windowMs,
+    onStandIn: (share) => spending.standsIn(share),
   });
   const keeper = new MembershipKeeper({
     board,
--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -70,6 +70,12 @@
   readonly spendingWindowMs: number;
   /** Called when something begins to wait, so that it is soon looked at. */
   onWaiting?(): void;
+  /**
+   * Called before this instance gives places in place of a silent coordinator.
+   *
+   * @param share Part of the fleet's allotments that it hands out.
+   */
+  onStandIn?(share: number): void;
 }
 
 /** Open asks of this instance, as holder and as coordinator for others. */
@@ -92,7 +98,10 @@
       open: this.#open,
       spendingWindowMs,
     });
-    this.#choice = new CoordinatorChoice(board.members, startedAtMs);
+    this.#choice = new CoordinatorChoice(board.members, {
+      startedAtMs,
+      isAccounted: (id) => parts.coordinator.isAccounted(id),
+    });
     this.#answers = new AnswerWatch(board.members);
     this.#service = new PlaceService({
       coordinator: parts.coordinator,
@@ -437,6 +446,7 @@
 
   #shun(instanceId: string, nowMs: number): void {
     if (this.#choice.shun(instanceId, nowMs)) {
+      this.#parts.onStandIn?.(this.#choice.scope(nowMs).share);
       this.#send(instanceId, { kind: MessageKind.Unanswered });
       this.#parts.log.warn(LogPart.Placement, "coordinator is silent", {
         coordinatorId: instanceId,
--- a/packages/gateway/src/spending_keeper.ts
+++ b/packages/gateway/src/spending_keeper.ts
@@ -89,15 +89,31 @@
    */
   becameCoordinator(): void {
     const { board, coordinator, clock } = this.#parts;
-    const nowMs = clock.nowMs();
-    const share = board.members.heardShare(nowMs);
-    const own = this.#told.map((history) => partOf(history, share));
-    coordinator.takeUpSpending(own, this.#toldAtMs);
+    this.#takeUpTold(board.members.heardShare(clock.nowMs()));
     coordinator.recordAnew();
     // By then all holders have reported what they spent.
     this.#recorder.holdFor(FIRST_RECORD_MS + RECORD_PAUSE_MS);
   }
 
+  /**
+   * This instance gives places in place of a coordinator that is silent, which
+   * may live on elsewhere and have handed out what it told last.
+   *
+   * @param share Part of the fleet's allotments that it hands out.
+   */
+  standsIn(share: number): void {
+    this.#takeUpTold(share);
+  }
+
+  #takeUpTold(share: number): void {
+    const { coordinator, clock } = this.#parts;
+    const nowMs = clock.nowMs();
+    const ageMs = nowMs - this.#toldAtMs;
+    const own = this.#told
+      .map((history) => partOf(agedHistory(history, ageMs), share));
+    coordinator.takeUpSpending(own, nowMs);
+  }
+
   /**
    * Records what workspaces spent, unless the last record still holds; for the
    * coordinator alone.
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -55,6 +55,11 @@
  */
 const NO_LONGER_MUCH = 0.35;
 
+/**
+ * Age that a report of a holder may have: what was charged since is not in it.
+ */
+const REPORT_AGE_MS = 500;
+
 /** How far spending may go beyond an allotment, by the operators' word. */
 export interface AllotmentTolerance {
   readonly windowMs: number;
@@ -100,6 +105,11 @@
   /** The last record of this ledger; absent until it has made one. */
   #recorded?: Map<string, number>;
   #recordedAtMs = -Infinity;
+  /**
+   * Until when the window holds spending of which only holders' reports tell, or
+   * another coordinator's account.
+   */
+  #isMixedUntilMs = -Infinity;
   /** Workspaces whose spending before the start of this process is known. */
   readonly #takenUp = new Set<string>();
 
@@ -159,6 +169,16 @@
     this.#own.note(workspace, -cost, nowMs);
   }
 
+  /**
+   * A part of the spending within the window is known from others only: this
+   * ledger is new, or a holder has reported for the first time.
+   *
+   * @param nowMs The local time.
+   */
+  becameMixed(nowMs: number): void {
+    this.#isMixedUntilMs = nowMs + this.#tolerance.windowMs;
+  }
+
   /**
    * Counts what was charged elsewhere: by a coordinator before this one, or by
    * holders on their own.
@@ -168,8 +188,12 @@
    */
   heard(totals: readonly WorkspaceSpending[], nowMs: number): void {
     this.#elsewhere.clear();
+    // Charges that no report can tell of yet must not stand for others' spending.
+    const reportedMs = nowMs < this.#isMixedUntilMs
+      ? nowMs - REPORT_AGE_MS
+      : nowMs;
     for (const { workspace, spent } of totals) {
-      const own = this.#own.spent(workspace, nowMs);
+      const own = this.#own.spentUntil(workspace, reportedMs, nowMs);
       this.#elsewhere.set(workspace, Math.max(0, spent - own));
     }
   }
@@ -249,6 +273,7 @@
    * @param atMs Local time that the ages in it count from.
    */
   takeUp(histories: readonly SpendingHistory[], atMs: number): void {
+    this.becameMixed(atMs);
     for (const history of histories) {
       const own = this.#own.history(history.workspace, atMs);
       this.#takenUp.add(history.workspace);
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -70,6 +70,8 @@
   readonly #openAsks = new Map<string, OpenAsk>();
   readonly #refusedCallers = new RefusedCallers();
   readonly #reportedAtMs = new Map<string, number>();
+  /** Holders whose spending is known from a report. */
+  readonly #accounted = new Set<string>();
   readonly #spending = new HeardSpending();
 
   /**
@@ -173,6 +175,10 @@
    */
   report(report: HolderReport, nowMs: number): AskDecision[] {
     this.#reportedAtMs.set(report.holderId, nowMs);
+    if (!this.#accounted.has(report.holderId)) {
+      this.#accounted.add(report.holderId);
+      this.#ledger.becameMixed(nowMs);
+    }
     this.#spending.put(report.holderId, report.spent);
     this.#board.suspects.merge(report.suspects ?? [], nowMs);
     // Counts what all holders told that they spent, here or elsewhere.
@@ -220,6 +226,7 @@
     for (const [holderId, heardAtMs] of this.#reportedAtMs) {
       if (nowMs - heardAtMs > HOLDER_GONE_MS) {
         this.#reportedAtMs.delete(holderId);
+        this.#accounted.delete(holderId);
         this.#spending.put(holderId, []);
         decisions.push(...this.#releaseUnlisted(holderId, new Set(), nowMs));
       }
@@ -278,11 +285,20 @@
     }
   }
 
+  /**
+   * @param holderId A holder.
+   * @returns Whether it has reported here what was spent through it.
+   */
+  isAccounted(holderId: string): boolean {
+    return this.#accounted.has(holderId);
+  }
+
   /** Forgets all asks, after a pause in which holders went elsewhere. */
   forgetAll(): void {
     this.#pools.clear();
     this.#openAsks.clear();
     this.#reportedAtMs.clear();
+    this.#accounted.clear();
   }
 
   /** @returns Requests that wait and that run, by pool. */
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -55,6 +55,8 @@
  */
 const LATELY_HEARD_MS = 330;
 
+const NO_DOMAINS: ReadonlySet<string> = new Set();
+
 /** Silence after which a member no longer counts towards the fleet's size. */
 const FORGET_MEMBER_MS = 20_000;
 
@@ -240,21 +242,53 @@
    * @returns Above 0, at most 1.
    */
   heardShare(nowMs: number): number {
-    return this.alive(nowMs).length / this.#presentCount(nowMs);
+    const alive = this.alive(nowMs);
+    const cutOff = this.#cutOffDomains(nowMs);
+    const heard = alive.filter(({ failureDomain }) =>
+      !cutOff.has(failureDomain)
+    );
+    return heard.length / this.#presentCount(nowMs);
+  }
+
+  /**
+   * Failure domains of which no instance sent its last heartbeat. Of one that is
+   * cut off, the instances go on to hand out their part of what the fleet may
+   * spend, before any of them counts as gone here.
+   */
+  #cutOffDomains(nowMs: number): ReadonlySet<string> {
+    const overdue = this.overdue(nowMs);
+    if (overdue.length === 0) {
+      return NO_DOMAINS;
+    }
+    const punctual = new Set(
+      this.alive(nowMs).filter((member) => !overdue.includes(member))
+        .map(({ failureDomain }) => failureDomain),
+    );
+    const silent = overdue.map(({ failureDomain }) => failureDomain)
+      .filter((failureDomain) => !punctual.has(failureDomain));
+    return new Set(silent);
   }
 
   /**
    * Gives the same for a coordinator that has stood for as long as a member may
    * be silent: every heartbeat of every member goes to it, also in a large
    * fleet. By the rounds there, two parts of a fleet that was cut in two would
-   * both hand out the whole for seconds.
+   * both hand out the whole for seconds. A member counts once its spending is
+   * known: after a cut, the other part has spent what this one never heard of.
    *
    * @param nowMs The local time.
+   * @param isAccounted Whether a member reported what was spent through it.
    * @returns Above 0, at most 1.
    */
-  directShare(nowMs: number): number {
-    const direct = [...this.#byId.values()].filter(({ heardAtMs }) =>
-      nowMs - heardAtMs < MEMBER_SILENCE_MS
+  directShare(
+    nowMs: number,
+    isAccounted: (instanceId: string) => boolean,
+  ): number {
+    const cutOff = this.#cutOffDomains(nowMs);
+    const direct = [...this.#byId.values()].filter((member) =>
+      nowMs - member.heardAtMs < MEMBER_SILENCE_MS &&
+      !cutOff.has(member.failureDomain) &&
+      (member.instanceId === this.selfId || isAccounted(member.instanceId))
     );
     return direct.length / this.#presentCount(nowMs);
   }
--- a/packages/routing/src/spending_log.ts
+++ b/packages/routing/src/spending_log.ts
@@ -32,12 +32,15 @@
   { workspace, spent, bySecond }: SpendingHistory,
   ageMs: number,
 ): SpendingHistory {
-  const seconds = Math.ceil(ageMs / MS_PER_S);
-  const kept = bySecond.slice(0, Math.max(0, bySecond.length - seconds));
+  // Spending within a second that has left in part may not have left yet, and
+  // what remains is never taken for older than it may be.
+  const left = Math.ceil(ageMs / MS_PER_S);
+  const passed = Math.floor(ageMs / MS_PER_S);
+  const kept = bySecond.slice(0, Math.max(0, bySecond.length - left));
   const aged = {
     workspace,
     spent: sumOf(kept),
-    bySecond: [...new Array<number>(seconds).fill(0), ...kept],
+    bySecond: [...new Array<number>(passed).fill(0), ...kept],
   };
   return grownBy(aged, spent - aged.spent);
 }
@@ -105,6 +108,18 @@
     return sumOf(this.#slices(workspace, nowMs).map(({ spent }) => spent));
   }
 
+  /**
+   * @param workspace A workspace.
+   * @param untilMs Spending that began to be added up later is left out.
+   * @param nowMs The local time.
+   * @returns Cost units that it spent within the window until then.
+   */
+  spentUntil(workspace: string, untilMs: number, nowMs: number): number {
+    const slices = this.#slices(workspace, nowMs)
+      .filter(({ beganAtMs }) => beganAtMs <= untilMs);
+    return sumOf(slices.map(({ spent }) => spent));
+  }
+
   /**
    * @param workspace A workspace.
    * @param nowMs The local time.
