--- /dev/null
+++ b/packages/routing/src/version_evidence.ts
@@ -0,0 +1,422 @@
+/**
+ * Compares the answers of a new version's targets with those of the old one's,
+ * given to requests of the same routes in the same seconds.
+ *
+ * A fault of a few targets is no fault of their version, and one that both
+ * versions show is none of the new one's. A version may fail a part of its
+ * answers, or give them several times slower, on all routes or on one.
+ */
+
+/** One answer, or the lack of one. */
+export interface VersionAnswer {
+  readonly isCanary: boolean;
+  readonly targetId: string;
+  readonly route: string;
+  /** The target answered with a failure, or its answer broke off or is wrong. */
+  readonly failed: boolean;
+  /**
+   * Time that it took, in parts of what is usual for its size; absent where
+   * nothing came, or the target had not warmed up.
+   */
+  readonly slowness?: number;
+}
+
+/** What the answers say of the new version. */
+export enum Verdict {
+  TooFew = "too_few",
+  Sound = "sound",
+  Bad = "bad",
+}
+
+/** A verdict with what it goes by, for the log. */
+export interface VerdictFacts {
+  readonly verdict: Verdict;
+  /** Which comparison showed it, and on which route; absent unless bad. */
+  readonly reason?: string;
+  readonly canaryAnswers: number;
+  readonly canaryFailures: number;
+  readonly baselineAnswers: number;
+  readonly baselineFailures: number;
+}
+
+/** What the verdict has to do with. */
+export interface VerdictScope {
+  /** Targets that the new version has. */
+  readonly newTargets: number;
+  /**
+   * Whether all work goes to the new version by now: its times are those of
+   * another load than the old one's were.
+   */
+  readonly isPromoted: boolean;
+}
+
+/** Answers of the new version before it may be called sound. */
+const MIN_SOUND_ANSWERS = 20;
+
+/**
+ * Targets whose failures may be their own. The answers of the others have to be
+ * so many and as good as the old version's for the new one to be called sound.
+ */
+const MOST_FAULTY_TARGETS = 2;
+const MIN_OTHER_ANSWERS = 10;
+
+/** Answers of the new version before it may be called bad. */
+const MIN_BAD_ANSWERS = 8;
+
+/** Standard deviations by which rates have to differ; looked at many times. */
+const DEVIATIONS = 3;
+
+/** Part by which the rate of failures has to be higher, beyond chance. */
+const FAILURES_MARGIN = 0.1;
+
+/** Part of its targets that have to fail more often, and the least number. */
+const MIN_FAILING_PART = 0.5;
+const MIN_FAILING_TARGETS = 3;
+
+/** Answers of one target in a scope for it to be counted there. */
+const MIN_TARGET_ANSWERS = 3;
+
+/** Rate of failures that counts as usual where nothing is there to compare. */
+const UNKNOWN_RATE = 0.5;
+
+/** Part by which the rate of answers that are slow for their target is higher. */
+const STALLS_MARGIN = 0.12;
+
+/** An answer is a stall beyond so many times the lower quartile of its target. */
+const STALL_FACTOR = 2.5;
+
+/** The new version is slow where its quartiles are so many times the old one's. */
+const SLOW_FACTOR = 2.2;
+
+/** The same once it has all the load, beyond what a burst of requests costs. */
+const PROMOTED_SLOW_FACTOR = 3;
+
+/** Targets whose times have to show it, if there are as many. */
+const MIN_SLOW_TARGETS = 8;
+
+/** Answers of a target, or of a route, from which quartiles are taken. */
+const MIN_TARGET_TIMES = 4;
+const MIN_ROUTE_TIMES = 15;
+
+/**
+ * Latest answers of the new version that are looked at by themselves: it may
+ * turn bad late, after many good answers.
+ */
+const LATEST_ANSWERS = 40;
+
+/** Latest times that are kept of a target, and of a route. */
+const KEPT_TIMES = 60;
+
+/** Answers, counted. */
+interface Tally {
+  answers: number;
+  failures: number;
+}
+
+interface Quartiles {
+  readonly lower: number;
+  readonly median: number;
+}
+
+/** Answers of one version on one route or on all. */
+class ScopeTally {
+  readonly total = emptyTally();
+  readonly byTarget = new Map<string, Tally>();
+
+  add(targetId: string, failed: boolean): void {
+    count(this.total, failed);
+    count(entryOf(this.byTarget, targetId, emptyTally), failed);
+  }
+}
+
+/** Answers of one version. */
+class Side {
+  readonly all = new ScopeTally();
+  readonly byRoute = new Map<string, ScopeTally>();
+  readonly timesByTarget = new Map<string, number[]>();
+  readonly timesByRoute = new Map<string, number[]>();
+  readonly #latest: VersionAnswer[] = [];
+
+  add(answer: VersionAnswer): void {
+    const { targetId, route, failed, slowness } = answer;
+    keep(this.#latest, answer, LATEST_ANSWERS);
+    this.all.add(targetId, failed);
+    entryOf(this.byRoute, route, () => new ScopeTally()).add(targetId, failed);
+    if (slowness !== undefined) {
+      const ofTarget = entryOf(this.timesByTarget, targetId, emptyTimes);
+      keep(ofTarget, slowness, KEPT_TIMES);
+      const ofRoute = entryOf(this.timesByRoute, route, emptyTimes);
+      keep(ofRoute, slowness, KEPT_TIMES);
+    }
+  }
+
+  /** The latest answers alone. */
+  latest(): ScopeTally {
+    const tally = new ScopeTally();
+    this.#latest.forEach(({ targetId, failed }) => tally.add(targetId, failed));
+    return tally;
+  }
+
+  /** Quartiles of each target that answered often enough. */
+  quartiles(): Quartiles[] {
+    return [...this.timesByTarget.values()]
+      .filter(({ length }) => length >= MIN_TARGET_TIMES).map(quartilesOf);
+  }
+
+  /** Answers that were slow for their target. */
+  stalls(): Tally {
+    const tally = emptyTally();
+    for (const times of this.timesByTarget.values()) {
+      if (times.length >= MIN_TARGET_TIMES) {
+        const limit = STALL_FACTOR * quartilesOf(times).lower;
+        times.forEach((time) => count(tally, time > limit));
+      }
+    }
+    return tally;
+  }
+
+  timesOfOthers(route: string): number[] {
+    return [...this.timesByRoute].filter(([name]) => name !== route)
+      .flatMap(([, times]) => times);
+  }
+}
+
+/** Tells by what the new version is worse, if it is. */
+type Comparison = (
+  canary: Side,
+  baseline: Side,
+  newTargets: number,
+) => string | undefined;
+
+const FAILURE_COMPARISONS: readonly Comparison[] = [
+  (canary, baseline, newTargets) =>
+    failsMore(canary.all, baseline.all, newTargets) ? "failures" : undefined,
+  (canary, baseline, newTargets) =>
+    failsMore(canary.latest(), baseline.all, newTargets)
+      ? "failures lately"
+      : undefined,
+  (canary, baseline, newTargets) => {
+    const worse = [...canary.byRoute].find(([route, tally]) =>
+      failsMore(
+        tally,
+        baseline.byRoute.get(route) ?? new ScopeTally(),
+        newTargets,
+      )
+    );
+    return worse && `failures on ${worse[0]}`;
+  },
+];
+
+const TIME_COMPARISONS: readonly Comparison[] = [
+  (canary, baseline) =>
+    isRateHigher(canary.stalls(), baseline.stalls(), STALLS_MARGIN)
+      ? "stalls"
+      : undefined,
+  (canary, baseline, newTargets) => {
+    return isVersionSlower(canary, baseline, {
+        newTargets,
+        factor: SLOW_FACTOR,
+      })
+      ? "slow"
+      : undefined;
+  },
+  (canary, baseline) => {
+    const slower = [...canary.timesByRoute.keys()].find((route) =>
+      isRouteSlower(route, canary, baseline)
+    );
+    return slower && `slow on ${slower}`;
+  },
+];
+
+const PROMOTED_COMPARISONS: readonly Comparison[] = [
+  (canary, baseline, newTargets) => {
+    const factor = PROMOTED_SLOW_FACTOR;
+    return isVersionSlower(canary, baseline, { newTargets, factor })
+      ? "slow under all of the load"
+      : undefined;
+  },
+];
+
+/** Answers of both versions of one pool. */
+export class VersionEvidence {
+  readonly #canary = new Side();
+  readonly #baseline = new Side();
+
+  /** @param answer An answer of either version. */
+  add(answer: VersionAnswer): void {
+    (answer.isCanary ? this.#canary : this.#baseline).add(answer);
+  }
+
+  /**
+   * @param scope What it has to do with.
+   * @returns What the answers say by now.
+   */
+  verdict({ newTargets, isPromoted }: VerdictScope): VerdictFacts {
+    const canary = this.#canary;
+    const baseline = this.#baseline;
+    const { answers, failures } = canary.all.total;
+    const comparisons = answers < MIN_BAD_ANSWERS ? [] : [
+      ...FAILURE_COMPARISONS,
+      ...(isPromoted ? PROMOTED_COMPARISONS : TIME_COMPARISONS),
+    ];
+    const reason = comparisons
+      .map((compare) => compare(canary, baseline, newTargets))
+      .find((found) => found !== undefined);
+    const unlessBad = isSound(canary.all, baseline.all, newTargets)
+      ? Verdict.Sound
+      : Verdict.TooFew;
+    return {
+      verdict: reason === undefined ? unlessBad : Verdict.Bad,
+      reason,
+      canaryAnswers: answers,
+      canaryFailures: failures,
+      baselineAnswers: baseline.all.total.answers,
+      baselineFailures: baseline.all.total.failures,
+    };
+  }
+}
+
+/** Whether enough of its targets answer as well as the old version's. */
+function isSound(
+  canary: ScopeTally,
+  baseline: ScopeTally,
+  newTargets: number,
+): boolean {
+  const byFailures = [...canary.byTarget.values()]
+    .sort((a, b) => b.failures - a.failures);
+  const mayBeFaulty = newTargets > MOST_FAULTY_TARGETS
+    ? MOST_FAULTY_TARGETS
+    : 0;
+  const others = byFailures.slice(mayBeFaulty).reduce(
+    (sum, { answers, failures }) => ({
+      answers: sum.answers + answers,
+      failures: sum.failures + failures,
+    }),
+    emptyTally(),
+  );
+  return canary.total.answers >= MIN_SOUND_ANSWERS &&
+    others.answers >= MIN_OTHER_ANSWERS &&
+    rateOf(others) <= rateOf(baseline.total) + FAILURES_MARGIN;
+}
+
+/** Whether the version fails more often, and not only some of its targets. */
+function failsMore(
+  canary: ScopeTally,
+  baseline: ScopeTally,
+  newTargets: number,
+): boolean {
+  if (!isRateHigher(canary.total, baseline.total, FAILURES_MARGIN)) {
+    return false;
+  }
+  const limit = rateOf(baseline.total) + FAILURES_MARGIN;
+  const counted = [...canary.byTarget.values()]
+    .filter(({ answers }) => answers >= MIN_TARGET_ANSWERS);
+  const failing = counted.filter((tally) => rateOf(tally) > limit);
+  return failing.length >= Math.min(newTargets, MIN_FAILING_TARGETS) &&
+    failing.length >= MIN_FAILING_PART * counted.length;
+}
+
+function isRateHigher(
+  tally: Tally,
+  baseline: Tally,
+  margin: number,
+): boolean {
+  const [least] = wilsonBounds(tally);
+  const [, most] = wilsonBounds(baseline);
+  return tally.answers >= MIN_BAD_ANSWERS && least > most + margin;
+}
+
+function rateOf({ answers, failures }: Tally): number {
+  return answers === 0 ? UNKNOWN_RATE : failures / answers;
+}
+
+/** Wilson's interval for a rate, which holds for few answers, too. */
+function wilsonBounds(tally: Tally): [number, number] {
+  if (tally.answers === 0) {
+    return [UNKNOWN_RATE, UNKNOWN_RATE];
+  }
+  const n = tally.answers;
+  const rate = rateOf(tally);
+  const squared = DEVIATIONS * DEVIATIONS;
+  const scale = 1 + squared / n;
+  const center = (rate + squared / (2 * n)) / scale;
+  const variance = rate * (1 - rate) / n + squared / (4 * n * n);
+  const spread = DEVIATIONS * Math.sqrt(variance) / scale;
+  return [center - spread, center + spread];
+}
+
+/**
+ * Targets of one pool differ in speed: both the quick part and the middle of the
+ * new version's have to be slower than the old one's.
+ */
+function isVersionSlower(
+  canary: Side,
+  baseline: Side,
+  of: { newTargets: number; factor: number },
+): boolean {
+  const own = canary.quartiles().map(({ median }) => median);
+  const usual = baseline.quartiles().map(({ median }) => median);
+  const isEnough = usual.length > 0 && own.length > 0 &&
+    own.length >= Math.min(of.newTargets, MIN_SLOW_TARGETS);
+  return isEnough &&
+    areSlower(quartilesOf(own), quartilesOf(usual), of.factor);
+}
+
+function areSlower(
+  own: Quartiles,
+  usual: Quartiles,
+  factor: number,
+): boolean {
+  return own.lower > factor * usual.lower && own.median > factor * usual.median;
+}
+
+/** What the other routes show as well is a matter of which targets answered. */
+function isRouteSlower(route: string, canary: Side, baseline: Side): boolean {
+  const own = canary.timesByRoute.get(route) ?? [];
+  const usual = baseline.timesByRoute.get(route) ?? [];
+  const others = canary.timesOfOthers(route);
+  const usualOthers = baseline.timesOfOthers(route);
+  const samples = [own, usual, others, usualOthers];
+  if (samples.some(({ length }) => length < MIN_ROUTE_TIMES)) {
+    return false;
+  }
+  const otherRatio = quartilesOf(others).median /
+    quartilesOf(usualOthers).median;
+  const factor = SLOW_FACTOR * Math.max(1, otherRatio);
+  return areSlower(quartilesOf(own), quartilesOf(usual), factor);
+}
+
+function quartilesOf(figures: readonly number[]): Quartiles {
+  const sorted = [...figures].sort((a, b) => a - b);
+  const at = (part: number) => sorted[Math.floor(part * (sorted.length - 1))]!;
+  return { lower: at(0.25), median: at(0.5) };
+}
+
+function emptyTally(): Tally {
+  return { answers: 0, failures: 0 };
+}
+
+function emptyTimes(): number[] {
+  return [];
+}
+
+function count(tally: Tally, failed: boolean): void {
+  tally.answers++;
+  tally.failures += Number(failed);
+}
+
+function keep<T>(latest: T[], one: T, most: number): void {
+  latest.push(one);
+  if (latest.length > most) {
+    latest.shift();
+  }
+}
+
+function entryOf<T>(map: Map<string, T>, key: string, make: () => T): T {
+  let entry = map.get(key);
+  if (entry === undefined) {
+    entry = make();
+    map.set(key, entry);
+  }
+  return entry;
+}
