--- a/packages/gateway/src/attempt_account.ts
+++ b/packages/gateway/src/attempt_account.ts
@@ -15,6 +15,12 @@
   AttemptEnd.TargetEnded,
 ]);
 
+/** Ends that tell of the target's answer, and not of the way there. */
+const ANSWER_FAILED: ReadonlySet<AttemptEnd> = new Set([
+  AttemptEnd.Failed,
+  AttemptEnd.Lost,
+]);
+
 /** Writes a line on the request. */
 export type RequestLog = (message: string, facts: LogFacts) => void;
 
@@ -71,7 +77,10 @@
     if (reason === NO_CONNECTION) {
       this.unanswered(attempt);
     }
-    const workEnd = attempt.workEnd(true);
+    const workEnd = {
+      ...attempt.workEnd(true),
+      ...(ANSWER_FAILED.has(end) ? { answerFailed: true } : undefined),
+    };
     if (end === AttemptEnd.TargetEnded) {
       const endedTarget = endedTargetOf(attempt);
       desk.ended({ ...workEnd, endedTarget });
--- a/packages/gateway/src/event_log.ts
+++ b/packages/gateway/src/event_log.ts
@@ -18,6 +18,7 @@
   Members = "members",
   Configuration = "configuration",
   Platform = "platform",
+  Rollouts = "rollouts",
 }
 
 /** Facts of a line, beside its message. */
--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -8,6 +8,7 @@
 import type { MemberNews } from "@chestnuthatch/routing/member_view";
 import { targetChangesSchema } from "@chestnuthatch/routing/peer_messages";
 import { RouteTable } from "@chestnuthatch/routing/route_table";
+import type { RolloutNews, RolloutOrder } from "@chestnuthatch/routing/rollout";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
 import type { SuspectNews } from "@chestnuthatch/routing/suspect_requests";
@@ -34,6 +35,16 @@
 /** Time for which heartbeats tell what was learned of a target. */
 const TELL_NEWS_MS = 2500;
 
+/** Where news of roll-outs goes. */
+export interface RolloutNewsSink {
+  ordered(order: RolloutOrder): void;
+  withdrawn(pool: string): void;
+  listed(pools: ReadonlySet<string>): void;
+  told(news: readonly RolloutNews[]): void;
+  recordRead(record: readonly RolloutNews[], recordAgeMs: number): void;
+  storeWentBack(): void;
+}
+
 /** What the keeper works with. */
 export interface NewsParts {
   readonly board: RoutingBoard;
@@ -41,6 +52,7 @@
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
   readonly catalogPort: number;
+  readonly rollouts: RolloutNewsSink;
   /**
    * Whether this instance is the one that follows the store for all, or has
    * nobody who does.
@@ -185,6 +197,29 @@
     );
   }
 
+  /** @param order A roll-out that the operators have ordered. */
+  rolloutOrdered(order: RolloutOrder): void {
+    this.#parts.rollouts.ordered(order);
+  }
+
+  /** @param pool A pool whose order the operators have taken back. */
+  rolloutWithdrawn(pool: string): void {
+    this.#parts.rollouts.withdrawn(pool);
+  }
+
+  /** @param pools All pools that there are orders for. */
+  rolloutsListed(pools: ReadonlySet<string>): void {
+    this.#parts.rollouts.listed(pools);
+  }
+
+  /**
+   * @param record How far roll-outs were.
+   * @param ageMs How long ago that was recorded.
+   */
+  rolloutsRead(record: readonly RolloutNews[], ageMs: number): void {
+    this.#parts.rollouts.recordRead(record, ageMs);
+  }
+
   /**
    * @param what What the platform holds that cannot be read.
    * @param where Its name there, or the field that is wrong.
@@ -214,6 +249,7 @@
       configurationVersion: board.routes?.configuration.version,
     });
     board.targets.listWentBack(clock.nowMs());
+    this.#parts.rollouts.storeWentBack();
     onStoreWentBack();
   }
 
@@ -227,6 +263,8 @@
 
   /** @param beat A heartbeat that may tell of news elsewhere. */
   heard(beat: Beat): void {
+    // First, as it tells whether targets in the news may be used.
+    this.#parts.rollouts.told(beat.rollouts ?? []);
     this.targetsChanged(beat.targetNews);
     if (beat.suspects !== undefined) {
       this.#parts.onSuspects(beat.suspects);
@@ -332,7 +370,13 @@
 function changeOf(
   target: ReturnType<RoutingBoard["targets"]["all"]>[number],
 ): TargetChange {
-  const { rowVersion, removedAtMs, usableUntilMs: _until, ...entry } = target;
+  const {
+    rowVersion,
+    removedAtMs,
+    usableUntilMs: _until,
+    warmAtMs: _warm,
+    ...entry
+  } = target;
   return removedAtMs === undefined
     ? { targetId: target.targetId, rowVersion, entry }
     : { targetId: target.targetId, rowVersion };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
   MessageKind,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
+import { Rollouts } from "@chestnuthatch/routing/rollouts";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import { roundedUp } from "@chestnuthatch/routing/spending_log";
 import { SuspectRequests } from "@chestnuthatch/routing/suspect_requests";
@@ -36,6 +37,7 @@
 import { PeerCatalog } from "./peer_catalog.ts";
 import { PeerSocket } from "./peer_socket.ts";
 import { PlacementDesk } from "./placement_desk.ts";
+import { RolloutKeeper } from "./rollout_keeper.ts";
 import type { CallProtocol, Clock, PlatformPort } from "./ports.ts";
 import { SpendingKeeper } from "./spending_keeper.ts";
 import { StatusServer } from "./status_server.ts";
@@ -88,6 +90,7 @@
   readonly #news: FleetNews;
   readonly #spending: SpendingKeeper;
   readonly #suspects: SuspectKeeper;
+  readonly #rollouts: RolloutKeeper;
   readonly #front: FrontServer;
   readonly #status: StatusServer;
   readonly #loop: LoopWatch;
@@ -130,6 +133,7 @@
       health: new TargetHealth(),
       paces: new TargetPaces(),
       suspects: new SuspectRequests(),
+      rollouts: new Rollouts(settings.exposure),
     };
     this.#socket = new PeerSocket(this.#log, this.#metrics);
     this.#coordinator = new Coordinator(this.board, settings.bounds);
@@ -157,6 +161,15 @@
       clock: this.#clock,
       log: this.#log,
     });
+    this.#rollouts = new RolloutKeeper({
+      board: this.board,
+      coordinator: this.#coordinator,
+      platform: this.#platform,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      reachesStore: () => this.#news.reachesStore,
+    });
     this.#news = this.#makeNews();
     this.#catalog = new PeerCatalog((item) => this.#news.content(item));
     this.#membership = this.#makeMembership();
@@ -206,9 +219,10 @@
    * @param settings The new settings.
    */
   reload(settings: GatewaySettings): void {
-    const { bounds, graceMs } = settings;
-    this.#settings = { ...this.#settings, bounds, graceMs };
+    const { bounds, exposure, graceMs } = settings;
+    this.#settings = { ...this.#settings, bounds, exposure, graceMs };
     this.#coordinator.setBounds(bounds);
+    this.board.rollouts.setBound(exposure);
     this.#log.info(LogPart.Process, "reloaded", { graceMs });
   }
 
@@ -393,6 +407,7 @@
       this.#wasCoordinator = isCoordinator;
       if (isCoordinator) {
         this.#spending.becameCoordinator();
+        this.#rollouts.becameCoordinator();
       }
       this.#log.info(LogPart.Placement, "coordinator changed", {
         coordinatorId: this.#desk.coordinatorId,
@@ -402,6 +417,7 @@
     if (isCoordinator) {
       void this.#spending.record();
       this.#suspects.record();
+      this.#rollouts.tick(this.board.members.heardShare(this.#clock.nowMs()));
     }
   }
 
@@ -434,6 +450,7 @@
       log: this.#log,
       metrics: this.#metrics,
       catalogPort: this.#settings.catalogPort,
+      rollouts: this.#rollouts,
       followsStore: () => this.#followsStore(),
       onTargets: (beliefs) => this.#targetsChanged(beliefs),
       onConfiguration: (configuration) => this.#configured(configuration),
@@ -464,6 +481,7 @@
         this.#wasCoordinator
           ? this.board.suspects.toTell(this.#clock.nowMs())
           : [],
+      rollouts: () => this.board.rollouts.toTell(this.#clock.nowMs()),
       targetNews: () => this.#news.targetNews(),
     }, this.#self);
   }
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -11,7 +11,7 @@
   routeOf,
 } from "@chestnuthatch/routing/routing_test_support";
 import { Gateway } from "./gateway.ts";
-import type { CallProtocol, PlatformPort } from "./ports.ts";
+import { type CallProtocol, type PlatformPort, StatusWrite } from "./ports.ts";
 
 const HOST = "127.0.0.1";
 const ANY_PORT = `${HOST}:0`;
@@ -60,11 +60,14 @@
         failureDomain: "a",
         slots: 8,
         leaving: false,
+        version: "v1",
       };
       sink.targetsRead([{ targetId: "t1", rowVersion: 1, entry }], 1);
     },
     recordSpending: () => Promise.resolve(true),
     recordSuspects: () => Promise.resolve(true),
+    writeRolloutStatus: ({ rowVersion }) =>
+      Promise.resolve({ outcome: StatusWrite.Unknown, rowVersion }),
     stop: () => {},
   };
   readonly gateway = new Gateway({
@@ -82,6 +85,7 @@
       retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
       allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
     },
+    exposure: { share: 0.1, slack: 50 },
   }, {
     protocol: PROTOCOL,
     platform: this.#platform,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -74,6 +74,11 @@
     "By how much regular timers were late.",
     [],
   );
+  readonly #rolloutSteps = this.#counter(
+    "rollout_steps_total",
+    "Steps of roll-outs that this instance decided.",
+    ["pool", "phase"],
+  );
   readonly #open = this.#gauge("open_requests", "Requests in progress.");
   readonly #version = this.#gauge(
     "configuration_version",
@@ -114,6 +119,14 @@
     this.#storeReturns.inc();
   }
 
+  /**
+   * @param pool Name of the pool.
+   * @param phase The phase that its roll-out has entered.
+   */
+  rolloutStep(pool: string, phase: string): void {
+    this.#rolloutSteps.inc({ pool, phase });
+  }
+
   /** @param kind Kind of a message from another instance. */
   peerMessage(kind: string): void {
     this.#peerMessages.inc({ kind });
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -1,6 +1,7 @@
 /** What one gateway process has to know at its start. */
 
 import type { FleetBounds } from "@chestnuthatch/routing/coordinator";
+import type { ExposureBound } from "@chestnuthatch/routing/rollouts";
 
 /** Start settings of a gateway. */
 export interface GatewaySettings {
@@ -24,4 +25,6 @@
   readonly graceMs: number;
   /** Bounds that hold for all instances together. */
   readonly bounds: FleetBounds;
+  /** Requests that a version may get which turns out to be bad. */
+  readonly exposure: ExposureBound;
 }
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -16,7 +16,7 @@
 import { EventLog } from "./event_log.ts";
 import { MembershipKeeper } from "./membership_keeper.ts";
 import { PlacementDesk } from "./placement_desk.ts";
-import type { Clock, PlatformPort } from "./ports.ts";
+import { type Clock, type PlatformPort, StatusWrite } from "./ports.ts";
 import { SpendingKeeper } from "./spending_keeper.ts";
 
 /** Time for which instances have run, on a clock that begins at 0. */
@@ -104,6 +104,7 @@
         ? coordinator.muchSpent(clock.nowMs())
         : [],
     suspects: () => [],
+    rollouts: () => [],
     targetNews: () => [],
   }, self);
   let wasCoordinator = false;
@@ -125,6 +126,8 @@
   start: () => {},
   recordSpending: () => Promise.resolve(false),
   recordSuspects: () => Promise.resolve(false),
+  writeRolloutStatus: ({ rowVersion }) =>
+    Promise.resolve({ outcome: StatusWrite.Unknown, rowVersion }),
   stop: () => {},
 };
 
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -9,6 +9,7 @@
   type MemberNews,
   type MemberRecord,
 } from "@chestnuthatch/routing/member_view";
+import type { RolloutNews } from "@chestnuthatch/routing/rollout";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { SuspectNews } from "@chestnuthatch/routing/suspect_requests";
 import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
@@ -52,6 +53,8 @@
   spending(): readonly SpendingHistory[];
   /** @returns Requests under which targets ended; none unless it coordinates. */
   suspects(): readonly SuspectNews[];
+  /** @returns Roll-outs in progress, or ended just now. */
+  rollouts(): readonly RolloutNews[];
   /** @returns What this instance lately learned of targets. */
   targetNews(): readonly TargetChange[];
 }
@@ -175,6 +178,7 @@
       .map(newsOf);
     const tellsAll = this.#tellsAll(withOthers);
     const suspects = tellsAll ? this.#parts.suspects() : [];
+    const rollouts = this.#parts.rollouts();
     this.#parts.send(addresses, {
       kind: MessageKind.Beat,
       from: this.#self,
@@ -185,6 +189,7 @@
       others,
       spending: tellsAll ? this.#parts.spending() : undefined,
       ...(suspects.length > 0 ? { suspects } : undefined),
+      ...(rollouts.length > 0 ? { rollouts } : undefined),
       targetNews: this.#newsToTell(),
     });
   }
--- a/packages/gateway/src/membership_keeper_test.ts
+++ b/packages/gateway/src/membership_keeper_test.ts
@@ -19,6 +19,7 @@
     failureDomain: "a",
     slots: 4,
     leaving,
+    version: "v1",
   };
   return { targetId, rowVersion: index, entry };
 }
@@ -53,6 +54,7 @@
     reachesStore: () => true,
     spending: () => [],
     suspects: () => [],
+    rollouts: () => [],
     targetNews: () => news,
   }, self);
   for (; beats.length < count; nowMs += BEAT_MS) {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -2,6 +2,11 @@
 
 import type { IncomingHttpHeaders } from "node:http";
 import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
+import type {
+  RolloutNews,
+  RolloutOrder,
+  RolloutState,
+} from "@chestnuthatch/routing/rollout";
 import type { MemberNews } from "@chestnuthatch/routing/member_view";
 import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
 import type { SuspectNews } from "@chestnuthatch/routing/suspect_requests";
@@ -93,6 +98,14 @@
   spendingRead(record: readonly SpendingHistory[], ageMs: number): void;
   /** Requests under which targets had ended when the fleet last recorded it. */
   suspectsRead(record: readonly SuspectNews[], ageMs: number): void;
+  /** The operators have ordered a roll-out. */
+  rolloutOrdered(order: RolloutOrder): void;
+  /** The operators have taken the order for a pool back. */
+  rolloutWithdrawn(pool: string): void;
+  /** All pools that there are orders for. */
+  rolloutsListed(pools: ReadonlySet<string>): void;
+  /** How far roll-outs were when the fleet last recorded it. */
+  rolloutsRead(record: readonly RolloutNews[], ageMs: number): void;
   /** The platform holds something that cannot be read. */
   unreadable(what: string, where: string): void;
   /** The platform answers, again or at first. */
@@ -106,6 +119,35 @@
   lost(reason: string): void;
 }
 
+/** What the operators are to read of a roll-out. */
+export interface RolloutStatus {
+  readonly pool: string;
+  readonly version: string;
+  readonly state: RolloutState;
+  /** Version that its row must have to be written; 0 for none. */
+  readonly rowVersion: number;
+  /** What a fleet that loses all its instances goes on from. */
+  readonly record: readonly RolloutNews[];
+}
+
+/** What came of writing a status. */
+export enum StatusWrite {
+  Done = "done",
+  /** The row was another one, and is as it was found. */
+  Found = "found",
+  /** No answer: it may have been done, or be done later. */
+  Unknown = "unknown",
+}
+
+/** A status as it is now, as far as is known. */
+export interface StatusWritten {
+  readonly outcome: StatusWrite;
+  readonly rowVersion: number;
+  /** What was found; absent where that cannot be read. */
+  readonly version?: string;
+  readonly state?: RolloutState;
+}
+
 /** The platform that the fleet runs on. */
 export interface PlatformPort {
   /**
@@ -129,6 +171,13 @@
    * @returns Whether the platform has it.
    */
   recordSuspects(record: readonly SuspectNews[]): Promise<boolean>;
+  /**
+   * Writes what the operators are to read, unless its row has changed.
+   *
+   * @param status The status.
+   * @returns What came of it.
+   */
+  writeRolloutStatus(status: RolloutStatus): Promise<StatusWritten>;
   /** Ends all calls. */
   stop(): void;
 }
--- /dev/null
+++ b/packages/gateway/src/rollout_keeper_test.ts
@@ -0,0 +1,196 @@
+import { Writable } from "node:stream";
+import { Coordinator } from "@chestnuthatch/routing/coordinator";
+import {
+  type RolloutNews,
+  RolloutPhase,
+  RolloutState,
+} from "@chestnuthatch/routing/rollout";
+import { boardOf } from "@chestnuthatch/routing/routing_test_support";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { EventLog } from "./event_log.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+import {
+  type RolloutStatus,
+  StatusWrite,
+  type StatusWritten,
+} from "./ports.ts";
+import { RolloutKeeper } from "./rollout_keeper.ts";
+
+const ORDER = { pool: "p", version: "v2", withinMs: 16_000, rowVersion: 10 };
+const BOUNDS = {
+  retryBudget: { ratio: 0.2, slack: 100, windowS: 10 },
+  allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
+};
+
+type Answer = (status: RolloutStatus) => StatusWritten;
+
+/** The status row of one pool, written under a condition. */
+class StatusRow {
+  rowVersion = 0;
+  version = "";
+  state?: RolloutState;
+  /** States in the order in which they came to stand in the row. */
+  readonly states: RolloutState[] = [];
+
+  write: Answer = (status) => {
+    const { rowVersion, version, state } = this;
+    if (status.rowVersion !== rowVersion) {
+      return { outcome: StatusWrite.Found, rowVersion, version, state };
+    }
+    this.rowVersion++;
+    this.version = status.version;
+    this.state = status.state;
+    this.states.push(status.state);
+    return { outcome: StatusWrite.Done, rowVersion: this.rowVersion };
+  };
+}
+
+/** An instance that coordinates, on a manual clock. */
+class Node {
+  nowMs = 0;
+  answer: Answer;
+  record: readonly RolloutNews[] = [];
+  readonly board = boardOf(["t1", "t2"]);
+  readonly keeper: RolloutKeeper;
+
+  constructor(row: StatusRow) {
+    this.answer = row.write;
+    const clock = { nowMs: () => this.nowMs };
+    const nowhere = new Writable({ write: (_chunk, _code, done) => done() });
+    this.keeper = new RolloutKeeper({
+      board: this.board,
+      coordinator: new Coordinator(this.board, BOUNDS),
+      platform: {
+        start: () => {},
+        recordSpending: () => Promise.resolve(true),
+        recordSuspects: () => Promise.resolve(true),
+        writeRolloutStatus: (status) => {
+          this.record = status.record;
+          return Promise.resolve(this.answer(status));
+        },
+        stop: () => {},
+      },
+      clock,
+      log: new EventLog(clock, "i1", nowhere),
+      metrics: new GatewayMetrics(),
+      reachesStore: () => true,
+    });
+  }
+
+  get phase(): RolloutPhase | undefined {
+    return this.board.rollouts.phaseOf("p");
+  }
+
+  /** Looks as often as it takes for a write and what follows on it. */
+  async run(ms: number): Promise<void> {
+    const untilMs = this.nowMs + ms;
+    while (this.nowMs < untilMs) {
+      this.nowMs += 100;
+      this.keeper.tick(1);
+      await Promise.resolve();
+      await Promise.resolve();
+    }
+  }
+}
+
+function decided(phase: RolloutPhase): RolloutNews {
+  return { ...ORDER, phase, ageMs: 1000 };
+}
+
+test("each state is written once, and the outcome stands", async () => {
+  const row = new StatusRow();
+  const node = new Node(row);
+  node.keeper.ordered(ORDER);
+  await node.run(1000);
+  node.keeper.told([decided(RolloutPhase.Completing)]);
+  await node.run(1000);
+  assert.equal(row.states, [RolloutState.Running, RolloutState.Completed]);
+  assert.is(node.phase, RolloutPhase.Completed);
+  await node.run(3000);
+  assert.is(row.states.length, 2);
+});
+
+test("a write without an answer that was done is found, not repeated", async () => {
+  const row = new StatusRow();
+  const node = new Node(row);
+  node.keeper.ordered(ORDER);
+  node.answer = (status) => {
+    row.write(status);
+    return { outcome: StatusWrite.Unknown, rowVersion: status.rowVersion };
+  };
+  await node.run(200);
+  node.answer = row.write;
+  await node.run(2000);
+  assert.equal(row.states, [RolloutState.Running]);
+});
+
+test("an outcome that another instance wrote is taken over", async () => {
+  const row = new StatusRow();
+  const first = new Node(row);
+  const second = new Node(row);
+  for (const node of [first, second]) {
+    node.keeper.ordered(ORDER);
+    await node.run(500);
+  }
+  first.keeper.told([decided(RolloutPhase.RollingBack)]);
+  await first.run(500);
+  second.keeper.told([decided(RolloutPhase.Completing)]);
+  await second.run(1000);
+  assert.equal(row.states, [RolloutState.Running, RolloutState.RolledBack]);
+  assert.is(second.phase, RolloutPhase.RolledBack);
+});
+
+test("a status that stands from an earlier order is replaced", async () => {
+  const row = new StatusRow();
+  row.rowVersion = 4;
+  row.version = "v1";
+  row.state = RolloutState.Completed;
+  const node = new Node(row);
+  node.keeper.ordered(ORDER);
+  await node.run(1000);
+  assert.equal(row.states, [RolloutState.Running]);
+  assert.is(row.version, "v2");
+});
+
+test("a store that came back without the status gets it again", async () => {
+  const row = new StatusRow();
+  const node = new Node(row);
+  node.keeper.ordered(ORDER);
+  node.keeper.told([decided(RolloutPhase.RollingBack)]);
+  await node.run(1000);
+  row.rowVersion = 0;
+  row.state = undefined;
+  node.keeper.storeWentBack();
+  node.keeper.listed(new Set());
+  await node.run(1000);
+  assert.is(row.state, RolloutState.RolledBack);
+  assert.is(node.phase, RolloutPhase.RolledBack);
+});
+
+test("a fleet that lost all its instances goes on from the record", async () => {
+  const row = new StatusRow();
+  const before = new Node(row);
+  before.keeper.ordered(ORDER);
+  before.keeper.told([decided(RolloutPhase.RollingBack)]);
+  await before.run(1000);
+  const after = new Node(row);
+  after.keeper.ordered(ORDER);
+  after.keeper.recordRead(before.record, 2000);
+  assert.is(after.phase, RolloutPhase.RollingBack);
+  await after.run(1000);
+  assert.is(after.phase, RolloutPhase.RolledBack);
+  assert.is(row.state, RolloutState.RolledBack);
+});
+
+test("an order that is no longer listed is taken back", async () => {
+  const row = new StatusRow();
+  const node = new Node(row);
+  node.keeper.ordered(ORDER);
+  await node.run(500);
+  node.keeper.listed(new Set());
+  await node.run(500);
+  assert.equal(row.states, [RolloutState.Running, RolloutState.RolledBack]);
+});
+
+test.run();
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -158,7 +158,7 @@
       this.#refused(decision.refusal, decision.retryAfterMs);
       return;
     }
-    const { targets } = this.#parts.board;
+    const { targets, rollouts } = this.#parts.board;
     const nowMs = this.#nowMs();
     this.#parts.metrics.placed(this.#call.pool, nowMs - this.#askedAtMs);
     if (nowMs >= deadlineAtMs(this.#call)) {
@@ -167,7 +167,9 @@
       return;
     }
     const target = targets.get(decision.targetId);
-    if (target === undefined || !targets.isUsable(target, nowMs)) {
+    const isUsable = target !== undefined &&
+      targets.isUsable(target, nowMs) && rollouts.mayServe(target);
+    if (!isUsable) {
       this.#giveBack(decision.targetId);
       return;
     }
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -67,6 +67,9 @@
     excluded: excludedFor(parts, call, facts.tried),
     cause: facts.cause,
     ...(fingerprint === undefined ? undefined : { fingerprint }),
+    ...(parts.board.rollouts.isInProgress(call.pool)
+      ? { route: route.name }
+      : undefined),
   };
 }
 
@@ -84,7 +87,8 @@
   tried: ReadonlySet<string>,
 ): string[] {
   const nowMs = clock.nowMs();
-  const usable = board.targets.usable(pool, nowMs);
+  const { serving: usable } = board.rollouts
+    .split(pool, board.targets.usable(pool, nowMs), nowMs);
   const excluded = new Set([
     ...tried,
     ...board.health.paused(nowMs),
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -17,6 +17,7 @@
 } from "@chestnuthatch/routing/fleet_configuration";
 import { CutDomains } from "@chestnuthatch/routing/cut_domains";
 import { MemberView } from "@chestnuthatch/routing/member_view";
+import { Rollouts } from "@chestnuthatch/routing/rollouts";
 import { RouteTable } from "@chestnuthatch/routing/route_table";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
@@ -252,6 +253,7 @@
         failureDomain: `d${index % 4}`,
         slots: SLOTS,
         leaving: false,
+        version: "v1",
       },
     })),
     0,
@@ -272,6 +274,7 @@
     health: new TargetHealth(),
     paces: new TargetPaces(),
     suspects: new SuspectRequests(),
+    rollouts: new Rollouts({ share: 0.1, slack: 50 }),
   };
 }
 
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -26,6 +26,7 @@
 } from "./work_ask.ts";
 import { routeRankOf } from "./ranks.ts";
 import { RefusedCallers } from "./refused_callers.ts";
+import { CALL_MS, EVENT_GAP_MS, plainFirstEventMs } from "./target_pace.ts";
 
 /**
  * Age below which work that a holder's report leaves out is kept: the report
@@ -140,6 +141,12 @@
     const { work, decisions } = schedule.release(end.askId, nowMs);
     const isStream = this.#board.routes?.pool(end.pool)?.engine !== undefined;
     const tokensAhead = work?.tokensAhead ?? 0;
+    this.#compareVersions(end, {
+      isStream,
+      tokensAhead,
+      route: work?.route,
+      nowMs,
+    });
     this.#board.paces.learn(end, { isStream, tokensAhead });
     if (work !== undefined && !end.failed && end.firstMs !== undefined) {
       schedule.learnFirst(end.promptTokens, end.firstMs);
@@ -310,6 +317,40 @@
     }));
   }
 
+  /**
+   * @param pool A pool.
+   * @param targetIds Targets of it.
+   * @returns Requests that they work on.
+   */
+  runningAt(pool: string, targetIds: readonly string[]): number {
+    return this.#pool(pool).runningAt(targetIds);
+  }
+
+  /** What came of work tells of the version of its target. */
+  #compareVersions(
+    end: WorkEnd,
+    of: {
+      isStream: boolean;
+      tokensAhead: number;
+      route?: string;
+      nowMs: number;
+    },
+  ): void {
+    const { rollouts, targets } = this.#board;
+    const target = targets.get(end.targetId);
+    const failed = end.answerFailed === true;
+    const isAnswer = failed || end.firstMs !== undefined;
+    if (!isAnswer || target === undefined || !rollouts.isInProgress(end.pool)) {
+      return;
+    }
+    const isWarm = of.nowMs >= target.warmAtMs;
+    rollouts.answered(target, {
+      route: of.route ?? "",
+      failed,
+      slowness: failed || !isWarm ? undefined : slownessOf(end, of),
+    });
+  }
+
   #learnOfSuspect(
     { endedTarget, clearedFingerprint }: WorkEnd,
     nowMs: number,
@@ -455,3 +496,17 @@
     return budget;
   }
 }
+
+/** Time that work took, in parts of what is usual for its size. */
+function slownessOf(
+  { firstMs, eventGapMs, promptTokens }: WorkEnd,
+  { isStream, tokensAhead }: { isStream: boolean; tokensAhead: number },
+): number {
+  if (!isStream) {
+    return firstMs! / CALL_MS;
+  }
+  return Math.max(
+    firstMs! / plainFirstEventMs(promptTokens, tokensAhead),
+    (eventGapMs ?? 0) / EVENT_GAP_MS,
+  );
+}
--- a/packages/routing/src/cut_domains_test.ts
+++ b/packages/routing/src/cut_domains_test.ts
@@ -14,7 +14,9 @@
     failureDomain,
     slots: 2,
     leaving: false,
+    version: "v1",
     rowVersion: 1,
+    warmAtMs: 0,
   };
 }
 
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -4,6 +4,7 @@
  */
 
 import * as z from "zod";
+import { RolloutPhase } from "./rollout.ts";
 import { AskCause, AskRefusal } from "./work_ask.ts";
 
 /** Kinds of message. */
@@ -44,6 +45,8 @@
     failureDomain: z.string(),
     slots: z.number(),
     leaving: z.boolean(),
+    version: z.string(),
+    coldMs: z.number().optional(),
   }).optional(),
 });
 
@@ -58,6 +61,16 @@
   ageMs: z.number(),
 });
 
+/** Checks what another instance tells of a roll-out. */
+export const rolloutNewsSchema = z.object({
+  pool: z.string(),
+  version: z.string(),
+  withinMs: z.number(),
+  rowVersion: z.number(),
+  phase: z.enum(RolloutPhase),
+  ageMs: z.number(),
+});
+
 const ask = z.object({
   askId: z.string(),
   holderId: z.string(),
@@ -75,6 +88,7 @@
   excluded: z.array(z.string()).readonly(),
   cause: z.enum(AskCause),
   fingerprint: z.string().optional(),
+  route: z.string().optional(),
 });
 
 const end = z.object({
@@ -85,6 +99,7 @@
   firstMs: z.number().optional(),
   eventGapMs: z.number().optional(),
   failed: z.boolean(),
+  answerFailed: z.boolean().optional(),
   endedTarget: z.object({
     fingerprint: z.string(),
     process: z.string(),
@@ -160,6 +175,8 @@
     spending: z.array(spendingHistorySchema).readonly().optional(),
     /** From the coordinator: requests under which targets ended, if any. */
     suspects: z.array(suspectNewsSchema).readonly().optional(),
+    /** Roll-outs that are in progress or ended just now, if any. */
+    rollouts: z.array(rolloutNewsSchema).readonly().optional(),
     /** What it lately learned of targets. */
     targetNews: targetChangesSchema,
   }),
--- a/packages/routing/src/placed_works.ts
+++ b/packages/routing/src/placed_works.ts
@@ -21,6 +21,8 @@
   readonly firstSeen: boolean;
   /** Fingerprint of a request that runs on trial; absent for all others. */
   readonly trialOf?: string;
+  /** Its route, while versions of the pool's targets are compared. */
+  readonly route?: string;
 }
 
 /** Placed work by ask, by target and by holder. */
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -25,6 +25,7 @@
 } from "./target_choice.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
 import {
+  AskCause,
   type AskDecision,
   AskRefusal,
   type RunningWork,
@@ -73,6 +74,8 @@
   readonly slots: number;
   /** Those with a free slot. */
   free: readonly Candidate[];
+  /** Targets of a new version for the next request, where it is to get one. */
+  canary: readonly Candidate[];
   /** Requests that stay ahead in the queue. */
   ahead: number;
 }
@@ -250,6 +253,15 @@
     }
   }
 
+  /**
+   * @param targetIds Targets of the pool.
+   * @returns Requests that they work on.
+   */
+  runningAt(targetIds: readonly string[]): number {
+    return targetIds.map((targetId) => this.#placed.use(targetId).running)
+      .reduce((sum, running) => sum + running, 0);
+  }
+
   /**
    * Finds what the account holds for a holder, but for what is newer than a
    * report of the holder's can tell of.
@@ -343,13 +355,17 @@
   }
 
   #look(nowMs: number): Look {
-    const usable = this.#board.targets.usable(this.#pool, nowMs)
-      .map(({ targetId }) => this.#candidate(targetId));
+    const { targets, rollouts } = this.#board;
+    const { serving, canary } = rollouts
+      .split(this.#pool, targets.usable(this.#pool, nowMs), nowMs);
+    const usable = serving.map(({ targetId }) => this.#candidate(targetId));
     return {
       nowMs,
       usable,
       slots: usable.reduce((sum, { target }) => sum + target.slots, 0),
       free: usable.filter(hasFreeSlot),
+      canary: canary.map(({ targetId }) => this.#candidate(targetId))
+        .filter(hasFreeSlot),
       ahead: 0,
     };
   }
@@ -400,6 +416,11 @@
     if (heldForMs > 0) {
       return quarantined(ask, heldForMs);
     }
+    const canaryChoice = this.#chooseCanary(ask, look);
+    if (canaryChoice !== undefined) {
+      look.canary = [];
+      return this.#placeAt(waiting, canaryChoice, look);
+    }
     const choice = chooseTarget(ask, this.#freeFor(ask, look));
     if (choice !== undefined) {
       const candidates = look.usable;
@@ -434,6 +455,13 @@
     };
   }
 
+  /** What a target has failed already is not tried on a version on trial. */
+  #chooseCanary(ask: WorkAsk, { canary }: Look): Choice | undefined {
+    const mayTry = ask.cause !== AskCause.Repeat &&
+      !this.#board.suspects.isSuspect(ask.fingerprint);
+    return canary.length > 0 && mayTry ? chooseTarget(ask, canary) : undefined;
+  }
+
   #placeAt(waiting: WaitingWork, choice: Choice, look: Look): AskDecision {
     const { ask, cameBackMs } = waiting;
     const { targetId } = choice.target;
@@ -453,8 +481,10 @@
       trialOf: this.#board.suspects.isSuspect(ask.fingerprint)
         ? ask.fingerprint
         : undefined,
+      route: ask.route,
     };
     this.#placed.put(work);
+    this.#board.rollouts.placed(choice.target);
     look.free = look.free
       .map((c) => c.target === choice.target ? this.#candidate(targetId) : c)
       .filter(hasFreeSlot);
--- /dev/null
+++ b/packages/routing/src/rollouts_test.ts
@@ -0,0 +1,279 @@
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { isFinal, type RolloutNews, RolloutPhase } from "./rollout.ts";
+import { Rollouts } from "./rollouts.ts";
+import type { KnownTarget } from "./target_directory.ts";
+
+const BOUND = { share: 0.1, slack: 50 };
+const WITHIN_MS = 16_000;
+const STEP_MS = 100;
+
+function targetOf(version: string, index: number): KnownTarget {
+  return {
+    targetId: `${version}-${index}`,
+    incarnation: 1,
+    pool: "p",
+    address: `10.0.0.${index}:80`,
+    failureDomain: "a",
+    slots: 8,
+    leaving: false,
+    version,
+    rowVersion: 1,
+    warmAtMs: 0,
+  };
+}
+
+function targetsOf(version: string, count = 8): KnownTarget[] {
+  return Array.from({ length: count }, (_, index) => targetOf(version, index));
+}
+
+const OLD = targetsOf("v1");
+const NEW = targetsOf("v2");
+const BOTH = [...OLD, ...NEW];
+
+function orderOf(over: Partial<RolloutNews> = {}): RolloutNews {
+  return {
+    pool: "p",
+    version: "v2",
+    withinMs: WITHIN_MS,
+    rowVersion: 10,
+    phase: RolloutPhase.Pending,
+    ageMs: 0,
+    ...over,
+  };
+}
+
+/** An instance that coordinates, on a manual clock. */
+class Pool {
+  readonly rollouts = new Rollouts(BOUND);
+  nowMs = 0;
+  reachesStore = true;
+  oldWork = 0;
+  targets: readonly KnownTarget[] = BOTH;
+  exposed = 0;
+  total = 0;
+  #turn = 0;
+
+  /** Lets time pass, with requests at a rate and targets that fail or not. */
+  run(
+    ms: number,
+    of: { perStep?: number; isBad?: () => boolean } = {},
+  ): RolloutPhase[] {
+    const phases: RolloutPhase[] = [];
+    for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+      this.nowMs += STEP_MS;
+      for (let i = 0; i < (of.perStep ?? 20); i++) {
+        this.request(of.isBad?.() === true);
+      }
+      const step = this.tick();
+      if (step !== undefined) {
+        phases.push(step);
+      }
+    }
+    return phases;
+  }
+
+  tick(): RolloutPhase | undefined {
+    const { nowMs, reachesStore, oldWork, targets: usable } = this;
+    this.rollouts.accrue(1, nowMs);
+    const facts = { nowMs, usable, oldWork, reachesStore };
+    return this.rollouts.advance("p", facts)?.to;
+  }
+
+  request(isBad: boolean): void {
+    const { serving, canary } = this.rollouts
+      .split("p", this.targets, this.nowMs);
+    const targets = canary.length > 0 ? canary : serving;
+    const target = targets[this.#turn++ % targets.length]!;
+    this.rollouts.placed(target);
+    this.total++;
+    const isNew = target.version === "v2";
+    this.exposed += Number(isNew);
+    const failed = isNew && isBad;
+    const slowness = failed ? undefined : 1;
+    this.rollouts.answered(target, { route: "r", failed, slowness });
+  }
+
+  get phase(): RolloutPhase | undefined {
+    return this.rollouts.phaseOf("p");
+  }
+}
+
+function poolWith(news = orderOf()): Pool {
+  const pool = new Pool();
+  pool.rollouts.toldOf(news, 0);
+  return pool;
+}
+
+test("a sound version is tried, promoted and completed within its time", () => {
+  const pool = poolWith();
+  pool.oldWork = 3;
+  const phases = pool.run(WITHIN_MS);
+  assert.equal(phases, [
+    RolloutPhase.Canary,
+    RolloutPhase.Promoting,
+    RolloutPhase.Completing,
+  ]);
+  const ids = pool.rollouts.split("p", BOTH, pool.nowMs).serving;
+  assert.equal(ids, NEW);
+});
+
+test("the old version's work is waited for while there is time", () => {
+  const pool = poolWith();
+  pool.oldWork = 3;
+  pool.run(WITHIN_MS * 0.7);
+  assert.is(pool.phase, RolloutPhase.Promoting);
+  pool.oldWork = 0;
+  pool.run(200);
+  assert.is(pool.phase, RolloutPhase.Completing);
+});
+
+test("a version that fails is taken back, and gets nothing more", () => {
+  const pool = poolWith();
+  let turn = 0;
+  pool.run(WITHIN_MS, { isBad: () => turn++ % 2 === 0 });
+  assert.is(pool.phase, RolloutPhase.RollingBack);
+  assert.ok(pool.exposed <= 60, `${pool.exposed} exposed`);
+  assert.equal(pool.rollouts.split("p", BOTH, pool.nowMs).serving, OLD);
+  assert.not.ok(pool.rollouts.mayServe(NEW[0]!));
+  assert.ok(pool.rollouts.mayServe(OLD[0]!));
+});
+
+test("one that turns bad under the whole load stays within the bound", () => {
+  const pool = poolWith();
+  let turn = 0;
+  const isBad = () => pool.phase === RolloutPhase.Promoting && turn++ % 2 === 0;
+  pool.run(WITHIN_MS, { isBad });
+  assert.is(pool.phase, RolloutPhase.RollingBack);
+  const allowed = BOUND.share * pool.total + BOUND.slack;
+  assert.ok(pool.exposed <= allowed, `${pool.exposed} of ${allowed} allowed`);
+});
+
+test("no request goes to a version before its targets are tried", () => {
+  const pool = poolWith();
+  assert.equal(pool.rollouts.split("p", BOTH, 0), { serving: OLD, canary: [] });
+});
+
+test("without the store nothing is promoted; once it is back, all goes on", () => {
+  const pool = poolWith();
+  pool.reachesStore = false;
+  pool.run(WITHIN_MS * 0.8);
+  assert.is(pool.phase, RolloutPhase.Canary);
+  pool.reachesStore = true;
+  pool.run(WITHIN_MS * 0.3);
+  assert.is(pool.phase, RolloutPhase.Completing);
+});
+
+test("a version with too few targets for the load is not promoted", () => {
+  const pool = poolWith();
+  pool.targets = [...OLD, ...NEW.slice(0, 4)];
+  pool.run(WITHIN_MS);
+  assert.is(pool.phase, RolloutPhase.Canary);
+});
+
+test("a successor goes on where its forerunner was, and starts no budget", () => {
+  const first = poolWith();
+  first.run(WITHIN_MS * 0.4);
+  const second = new Pool();
+  second.nowMs = first.nowMs;
+  first.rollouts.toTell(first.nowMs).forEach((news) =>
+    second.rollouts.toldOf(news, second.nowMs)
+  );
+  assert.is(second.phase, RolloutPhase.Canary);
+  second.oldWork = 1;
+  second.run(WITHIN_MS * 0.3);
+  assert.is(second.phase, RolloutPhase.Promoting, "by the order's age");
+  const canaries = first.exposed;
+  assert.ok(canaries <= BOUND.share * first.total + BOUND.slack);
+});
+
+test("an order that is taken back ends the roll-out; a completed one stays", () => {
+  const pool = poolWith();
+  pool.run(1000);
+  pool.rollouts.withdrawn("p", pool.nowMs);
+  assert.is(pool.phase, RolloutPhase.RollingBack);
+  const done = poolWith(orderOf({ phase: RolloutPhase.Completed }));
+  done.rollouts.withdrawn("p", 0);
+  assert.is(done.phase, RolloutPhase.Completed);
+});
+
+test("a later order replaces an earlier one, whose version serves nobody", () => {
+  const pool = poolWith();
+  pool.run(1000);
+  pool.rollouts.toldOf(orderOf({ version: "v3", rowVersion: 20 }), pool.nowMs);
+  const targets = [...BOTH, ...targetsOf("v3")];
+  const { serving } = pool.rollouts.split("p", targets, pool.nowMs);
+  assert.equal(serving, OLD);
+  assert.not.ok(pool.rollouts.toldOf(orderOf(), pool.nowMs), "an old word");
+});
+
+test("an outcome does not change, whatever is told in any order", () => {
+  const phases = fc.constantFrom(...Object.values(RolloutPhase));
+  const told = fc.record({ phase: phases, ageMs: fc.nat(40_000) });
+  const events = fc.array(
+    fc.oneof(
+      told.map((news) => ({ told: news })),
+      fc.record({ runMs: fc.nat(6000), bad: fc.boolean() }),
+      fc.record({
+        written: fc.constantFrom(
+          RolloutPhase.Completed,
+          RolloutPhase.RolledBack,
+        ),
+      }),
+      fc.constant({ withdrawn: true }),
+    ),
+    { maxLength: 20 },
+  );
+  const outcomeStays = fc.property(events, (series) => {
+    const pool = poolWith();
+    let outcome: RolloutPhase | undefined;
+    for (const event of series) {
+      if ("told" in event) {
+        pool.rollouts.toldOf(orderOf(event.told), pool.nowMs);
+      } else if ("runMs" in event) {
+        pool.run(event.runMs, { perStep: 5, isBad: () => event.bad });
+      } else if ("written" in event) {
+        pool.rollouts.written("p", event.written, pool.nowMs);
+      } else {
+        pool.rollouts.withdrawn("p", pool.nowMs);
+      }
+      const phase = pool.phase!;
+      assert.ok(outcome === undefined || phase === outcome);
+      outcome ??= isFinal(phase) ? phase : undefined;
+    }
+  });
+  fc.assert(outcomeStays, { seed: 7, numRuns: 200 });
+});
+
+test("over series of coordinators the exposure stays within its bound", () => {
+  const spans = fc.array(fc.integer({ min: 100, max: 3000 }), {
+    minLength: 1,
+    maxLength: 6,
+  });
+  const staysBounded = fc.property(spans, fc.integer({ min: 1, max: 60 }), (
+    lives,
+    perStep,
+  ) => {
+    let exposed = 0;
+    let total = 0;
+    let nowMs = 0;
+    let told: readonly RolloutNews[] = [orderOf()];
+    for (const lifeMs of lives) {
+      const pool = new Pool();
+      pool.nowMs = nowMs;
+      told.forEach((news) => pool.rollouts.toldOf(news, nowMs));
+      const promoteMs = WITHIN_MS / 2 - nowMs;
+      pool.run(Math.min(lifeMs, promoteMs - 2 * STEP_MS), { perStep });
+      exposed += pool.exposed;
+      total += pool.total;
+      nowMs = pool.nowMs;
+      told = pool.rollouts.toTell(nowMs);
+    }
+    const allowed = BOUND.share * total + BOUND.slack;
+    assert.ok(exposed <= allowed, `${exposed} of ${allowed} allowed`);
+  });
+  fc.assert(staysBounded, { seed: 7, numRuns: 200 });
+});
+
+test.run();
--- a/packages/routing/src/routing_board.ts
+++ b/packages/routing/src/routing_board.ts
@@ -5,6 +5,7 @@
 
 import type { CutDomains } from "./cut_domains.ts";
 import type { MemberView } from "./member_view.ts";
+import type { Rollouts } from "./rollouts.ts";
 import type { RouteTable } from "./route_table.ts";
 import type { SuspectRequests } from "./suspect_requests.ts";
 import type { TargetDirectory } from "./target_directory.ts";
@@ -25,6 +26,8 @@
   readonly cutDomains: CutDomains;
   /** Written by the coordinator, from how work ended. */
   readonly paces: TargetPaces;
+  /** Written by the roll-out keeper, and by the coordinator from answers. */
+  readonly rollouts: Rollouts;
   /** Written by the coordinator and by holders, from targets that ended. */
   readonly suspects: SuspectRequests;
 }
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -7,6 +7,7 @@
 } from "./fleet_configuration.ts";
 import { CutDomains } from "./cut_domains.ts";
 import { type MemberNews, MemberView } from "./member_view.ts";
+import { Rollouts } from "./rollouts.ts";
 import { RouteTable } from "./route_table.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import { SuspectRequests } from "./suspect_requests.ts";
@@ -105,6 +106,7 @@
         failureDomain: "a",
         slots: 2,
         leaving: false,
+        version: "v1",
       },
     })),
     0,
@@ -118,6 +120,7 @@
     health: new TargetHealth(),
     paces: new TargetPaces(),
     suspects: new SuspectRequests(),
+    rollouts: new Rollouts({ share: 0.1, slack: 50 }),
   };
 }
 
--- a/packages/routing/src/target_directory.ts
+++ b/packages/routing/src/target_directory.ts
@@ -13,12 +13,18 @@
   readonly failureDomain: string;
   readonly slots: number;
   readonly leaving: boolean;
+  /** Version of its software. */
+  readonly version: string;
+  /** Time for which it is slow after its start; absent where it is not. */
+  readonly coldMs?: number;
 }
 
 /** One target as this instance knows it. */
 export interface KnownTarget extends TargetEntry {
   /** Version of the list's row that said so. */
   readonly rowVersion: number;
+  /** When it was taken in; it is cold for some time after that. */
+  readonly warmAtMs: number;
   /** When it was taken off the list; absent while it is listed. */
   readonly removedAtMs?: number;
   /** Until when a target taken off the list may still get new work. */
@@ -194,7 +200,8 @@
     // work for a leaving target is worse than none for a short while.
     const leaving = entry.leaving ||
       known?.leaving === true && !hasRestarted(known, entry);
-    const next = { ...entry, leaving, rowVersion };
+    const warmAtMs = nowMs + (entry.coldMs ?? 0);
+    const next = { ...entry, leaving, rowVersion, warmAtMs };
     this.#byId.set(targetId, next);
     const news = newsOf(known, next);
     return news === undefined ? [] : [{ targetId, news, rowVersion }];
--- a/packages/routing/src/target_directory_test.ts
+++ b/packages/routing/src/target_directory_test.ts
@@ -22,6 +22,7 @@
       failureDomain: "a",
       slots: 4,
       leaving,
+      version: "v1",
     },
   };
 }
--- a/packages/routing/src/target_pace.ts
+++ b/packages/routing/src/target_pace.ts
@@ -14,10 +14,10 @@
 const PROMPT_PAIRS_MS_PER_M = 0.25;
 
 /** Time between two events of a stream where learning starts. */
-const EVENT_GAP_MS = 25;
+export const EVENT_GAP_MS = 25;
 
 /** Time that a plain call takes where learning starts. */
-const CALL_MS = 50;
+export const CALL_MS = 50;
 
 /** Slowest and fastest that a target is believed to be, against the average. */
 const MAX_SLOWNESS = 20;
@@ -95,7 +95,16 @@
   }
 }
 
-function plainFirstEventMs(promptTokens: number, tokensAhead: number): number {
+/**
+ * @param promptTokens Tokens of a prompt.
+ * @param tokensAhead Prompt tokens that waited at the target before it.
+ * @returns Time to the first event where learning starts, to compare times of
+ * prompts of unlike sizes by.
+ */
+export function plainFirstEventMs(
+  promptTokens: number,
+  tokensAhead: number,
+): number {
   return FIRST_EVENT_MS + PROMPT_TOKEN_MS * (promptTokens + tokensAhead) +
     PROMPT_PAIRS_MS_PER_M * promptTokens * promptTokens / PAIRS_PER_M;
 }
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -44,6 +44,8 @@
    * request is suspected of ending targets.
    */
   readonly fingerprint?: string;
+  /** Its route; absent unless versions of the pool's targets are compared. */
+  readonly route?: string;
 }
 
 /** Why a coordinator gives no place. */
@@ -97,6 +99,11 @@
   readonly eventGapMs?: number;
   /** Whether the target failed it: no answer, a broken or a wrong one. */
   readonly failed: boolean;
+  /**
+   * Whether the target answered with a failure or gave no whole answer, and was
+   * not merely out of reach; absent where it did not.
+   */
+  readonly answerFailed?: boolean;
   /** The target's process, where that ended before the answer. */
   readonly endedTarget?: EndedTarget;
   /** Fingerprint of a suspect that was served. */
