--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -79,6 +79,13 @@
   "ageMs",
   "isTrial",
   "trialOf",
+  "version",
+  "coldMs",
+  "rollouts",
+  "withinMs",
+  "phase",
+  "route",
+  "answerFailed",
 ];
 
 /** Version of the internet protocol that peers speak. */
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -57,6 +57,7 @@
   { instances: 90, targets: 42, load: 1.3 },
   { instances: 90, targets: 168, load: 0.6 },
   { instances: 90, targets: 168, load: 1.3 },
+  { instances: 300, targets: 2500, load: 0.15 },
 ];
 
 const SLOTS = 8;
--- a/packages/routing/src/placed_works.ts
+++ b/packages/routing/src/placed_works.ts
@@ -32,6 +32,12 @@
   readonly #useByTarget = new Map<string, TargetUse>();
   /** Those that run on trial; hardly ever any. */
   readonly #trials = new Map<string, PlacedWork>();
+  readonly #onUse: (targetId: string, use: TargetUse) => void;
+
+  /** @param onUse Called when what runs at a target has changed. */
+  constructor(onUse: (targetId: string, use: TargetUse) => void = () => {}) {
+    this.#onUse = onUse;
+  }
 
   /** Number of works. */
   get size(): number {
@@ -132,17 +138,19 @@
 
   #count(work: PlacedWork, times: 1 | -1): void {
     const { targetId, promptTokens, outputTokens, firstSeen } = work;
-    const use = this.use(targetId);
-    const running = use.running + times;
-    if (running === 0) {
-      this.#useByTarget.delete(targetId);
-      return;
-    }
+    const before = this.use(targetId);
+    const running = before.running + times;
     const unread = firstSeen ? 0 : promptTokens;
-    this.#useByTarget.set(targetId, {
+    const use = running === 0 ? IDLE : {
       running,
-      tokensAhead: use.tokensAhead + times * unread,
-      kvTokens: use.kvTokens + times * (promptTokens + outputTokens),
-    });
+      tokensAhead: before.tokensAhead + times * unread,
+      kvTokens: before.kvTokens + times * (promptTokens + outputTokens),
+    };
+    if (use === IDLE) {
+      this.#useByTarget.delete(targetId);
+    } else {
+      this.#useByTarget.set(targetId, use);
+    }
+    this.#onUse(targetId, use);
   }
 }
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -7,6 +7,12 @@
  * caller is refused as soon as that can be foreseen.
  */
 
+import {
+  CandidateIndex,
+  hasFreeSlot,
+  type IndexSource,
+  isSameSource,
+} from "./candidate_index.ts";
 import type { PoolPolicy } from "./fleet_configuration.ts";
 import { type PlacedWork, PlacedWorks } from "./placed_works.ts";
 import {
@@ -23,6 +29,7 @@
   chooseTarget,
   isWorthWaiting,
 } from "./target_choice.ts";
+import type { KnownTarget } from "./target_directory.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
 import {
   AskCause,
@@ -69,11 +76,7 @@
 interface Look {
   readonly nowMs: number;
   /** Targets that may get new work. */
-  readonly usable: readonly Candidate[];
-  /** Slots of all of them. */
-  readonly slots: number;
-  /** Those with a free slot. */
-  free: readonly Candidate[];
+  readonly targets: CandidateIndex;
   /** Targets of a new version for the next request, where it is to get one. */
   canary: readonly Candidate[];
   /** Requests that stay ahead in the queue. */
@@ -84,7 +87,11 @@
 export class PoolSchedule {
   readonly #board: RoutingBoard;
   readonly #pool: string;
-  readonly #placed = new PlacedWorks();
+  readonly #placed = new PlacedWorks((targetId, use) =>
+    this.#targets?.used(targetId, use)
+  );
+  #targets?: CandidateIndex;
+  #source?: IndexSource;
   readonly #waiting = new WaitingQueue();
   readonly #shares = new RankShares();
   readonly #load = new RankLoad();
@@ -303,7 +310,8 @@
     const look = this.#look(nowMs);
     const facts = this.#orderFacts(nowMs);
     const decisions: AskDecision[] = [];
-    for (const waiting of this.#waiting.lookAt(look.usable, facts)) {
+    const typical = look.targets.typical(nowMs);
+    for (const waiting of this.#waiting.lookAt(typical, facts)) {
       const decision = this.#decide(waiting, look);
       if (decision === undefined) {
         look.ahead++;
@@ -318,13 +326,13 @@
   /** Gives free slots to those that are next, in the order of the last look. */
   #fillSlots(nowMs: number): AskDecision[] {
     const look = this.#look(nowMs);
-    if (look.free.length === 0) {
+    if (!look.targets.hasFree) {
       return [];
     }
     const facts = this.#orderFacts(nowMs);
     const passed = new Set<string>();
     const decisions: AskDecision[] = [];
-    while (look.free.length > 0 && passed.size < MOST_PASSED) {
+    while (look.targets.hasFree && passed.size < MOST_PASSED) {
       const next = this.#waiting.next(facts, passed);
       if (next === undefined) {
         break;
@@ -358,18 +366,29 @@
     const { targets, rollouts } = this.#board;
     const { serving, canary } = rollouts
       .split(this.#pool, targets.usable(this.#pool, nowMs), nowMs);
-    const usable = serving.map(({ targetId }) => this.#candidate(targetId));
     return {
       nowMs,
-      usable,
-      slots: usable.reduce((sum, { target }) => sum + target.slots, 0),
-      free: usable.filter(hasFreeSlot),
-      canary: canary.map(({ targetId }) => this.#candidate(targetId))
+      targets: this.#index(serving),
+      canary: canary.map((target) => this.#candidate(target))
         .filter(hasFreeSlot),
       ahead: 0,
     };
   }
 
+  #index(serving: readonly KnownTarget[]): CandidateIndex {
+    const kvCapacityTokens = this.#policy()?.engine?.kvCapacityTokens;
+    const source = { serving, kvCapacityTokens };
+    if (
+      this.#targets === undefined || !isSameSource(this.#source!, source)
+    ) {
+      this.#source = source;
+      this.#targets = new CandidateIndex(
+        serving.map((target) => this.#candidate(target)),
+      );
+    }
+    return this.#targets;
+  }
+
   /** Ranks that go ahead of their turn with the next placement. */
   #promoted(nowMs: number): ReadonlySet<number> {
     return this.#neglectedCreditMs > 0
@@ -399,16 +418,15 @@
   #decide(waiting: WaitingWork, look: Look): AskDecision | undefined {
     const { ask, sinceMs } = waiting;
     const { askId, holderId, excluded } = ask;
-    const barred = excluded.length === 0
-      ? []
-      : look.usable.filter(({ target }) => excluded.includes(target.targetId));
-    if (barred.length === look.usable.length) {
+    const { targets } = look;
+    const barred = excluded.flatMap((targetId) => targets.get(targetId) ?? []);
+    if (barred.length === targets.size) {
       return {
         askId,
         holderId,
         refusal: AskRefusal.NoTarget,
         retryAfterMs: NO_TARGET_RETRY_MS,
-        figures: { usable: look.usable.length, excluded: excluded.length },
+        figures: { usable: targets.size, excluded: excluded.length },
       };
     }
     const { suspects } = this.#board;
@@ -421,16 +439,14 @@
       look.canary = [];
       return this.#placeAt(waiting, canaryChoice, look);
     }
-    const choice = chooseTarget(ask, this.#freeFor(ask, look));
+    const choice = this.#choose(ask, look);
     if (choice !== undefined) {
-      const candidates = look.usable;
-      const leftMs = onTimeUntilMs(waiting) - look.nowMs;
-      return isWorthWaiting(ask, choice, { candidates, leftMs })
+      return this.#isWorthWaiting(waiting, choice, look)
         ? undefined
         : this.#placeAt(waiting, choice, look);
     }
     const { nowMs, ahead } = look;
-    const slots = look.slots -
+    const slots = targets.slots -
       barred.reduce((sum, { target }) => sum + target.slots, 0);
     const above = this.#load.slotsAbove(ask.rank, nowMs);
     const available = Math.max(slots - above, NEGLECTED_TIME_SHARE * slots);
@@ -485,28 +501,51 @@
     };
     this.#placed.put(work);
     this.#board.rollouts.placed(choice.target);
-    look.free = look.free
-      .map((c) => c.target === choice.target ? this.#candidate(targetId) : c)
-      .filter(hasFreeSlot);
     return decisionOf(work);
   }
 
+  #choose(ask: WorkAsk, { targets }: Look): Choice | undefined {
+    if (!targets.hasFree) {
+      return undefined;
+    }
+    if (this.#board.suspects.isSuspect(ask.fingerprint)) {
+      return chooseTarget(ask, this.#freeForTrial(ask, targets));
+    }
+    return chooseTarget(ask, targets.free(ask.failureDomain)) ??
+      chooseTarget(ask, targets.allFree());
+  }
+
   /**
    * A suspect runs at one target at a time and beside no other suspect: where
    * the target ends, it is known under which request.
    */
-  #freeFor({ fingerprint }: WorkAsk, { free }: Look): readonly Candidate[] {
-    if (!this.#board.suspects.isSuspect(fingerprint)) {
-      return free;
-    }
+  #freeForTrial(
+    { fingerprint }: WorkAsk,
+    targets: CandidateIndex,
+  ): readonly Candidate[] {
     return this.#placed.isOnTrial(fingerprint!)
       ? []
-      : free.filter(({ target }) => !this.#placed.hasTrialAt(target.targetId));
+      : targets.allFree().filter(({ target }) =>
+        !this.#placed.hasTrialAt(target.targetId)
+      );
   }
 
-  #candidate(targetId: string): Candidate {
+  #isWorthWaiting(
+    waiting: WaitingWork,
+    choice: Choice,
+    { targets, nowMs }: Look,
+  ): boolean {
+    const leftMs = onTimeUntilMs(waiting) - nowMs;
+    return isWorthWaiting(waiting.ask, choice, {
+      candidates: () => targets.all(),
+      leftMs,
+    });
+  }
+
+  #candidate(target: KnownTarget): Candidate {
+    const { targetId } = target;
     return {
-      target: this.#board.targets.get(targetId)!,
+      target,
       use: this.#placed.use(targetId),
       pace: this.#board.paces.of(targetId),
       kvCapacityTokens: this.#policy()?.engine?.kvCapacityTokens,
@@ -518,10 +557,6 @@
   }
 }
 
-function hasFreeSlot({ target, use }: Candidate): boolean {
-  return use.running < target.slots;
-}
-
 function decisionOf(work: PlacedWork): AskDecision {
   const { askId, holderId, targetId, expectedMs, cameBackMs, trialOf } = work;
   const decision = { askId, holderId, targetId, expectedMs, cameBackMs };
--- a/packages/routing/src/rollouts.ts
+++ b/packages/routing/src/rollouts.ts
@@ -98,6 +98,15 @@
   /** When this instance came to know the phase. */
   phaseAtMs: number;
   readonly evidence: VersionEvidence;
+  /** The pool's targets by version, as of the last change. */
+  targets?: SplitTargets;
+}
+
+/** A list of targets, split by version. */
+interface SplitTargets {
+  readonly usable: readonly KnownTarget[];
+  readonly old: readonly KnownTarget[];
+  readonly new: readonly KnownTarget[];
 }
 
 /** What a phase's handler decides by. */
@@ -442,9 +451,11 @@
     this.#noteProven(rollout);
   }
 
-  #noteProven({ order: { pool, version }, phase }: Rollout): void {
+  #noteProven(rollout: Rollout): void {
+    const { order: { pool, version }, phase } = rollout;
     const unproven = this.#unproven.get(pool) ?? new Set();
     this.#unproven.set(pool, unproven);
+    rollout.targets = undefined;
     if (phase === RolloutPhase.Completed) {
       unproven.delete(version);
     } else {
@@ -454,16 +465,22 @@
 
   /** A version that an earlier order brought in and did not complete is no base. */
   #versioned(
-    { order: { pool, version } }: Rollout,
+    rollout: Rollout,
     usable: readonly KnownTarget[],
-  ): Omit<VersionedTargets, "canary"> {
+  ): SplitTargets {
+    if (rollout.targets?.usable === usable) {
+      return rollout.targets;
+    }
+    const { pool, version } = rollout.order;
     const unproven = this.#unproven.get(pool);
-    return {
+    rollout.targets = {
+      usable,
       old: usable.filter((target) =>
         target.version !== version && unproven?.has(target.version) !== true
       ),
       new: usable.filter((target) => target.version === version),
     };
+    return rollout.targets;
   }
 
   /** As many targets as the canary's part of the requests loads fully, in turn. */
--- a/packages/routing/src/target_choice.ts
+++ b/packages/routing/src/target_choice.ts
@@ -102,14 +102,14 @@
 export function isWorthWaiting(
   ask: WorkAsk,
   best: Choice,
-  of: { candidates: readonly Candidate[]; leftMs: number },
+  of: { candidates: () => readonly Candidate[]; leftMs: number },
 ): boolean {
   const inTimeMs = of.leftMs / FIRST_EVENT_MARGIN;
   if (best.firstMs <= inTimeMs) {
     return false;
   }
   const longestMs = Math.min(inTimeMs, FASTER_PART * best.firstMs);
-  return of.candidates.some((candidate) =>
+  return of.candidates().some((candidate) =>
     !ask.excluded.includes(candidate.target.targetId) &&
     firstMsAt(candidate, ask, candidate.use) <= longestMs
   );
--- a/packages/routing/src/target_directory.ts
+++ b/packages/routing/src/target_directory.ts
@@ -66,9 +66,17 @@
 /** How long a removed target's id is remembered against older news. */
 const FORGET_REMOVED_MS = 60_000;
 
+/** Targets of a pool that may get new work, as of the last change. */
+interface UsableTargets {
+  readonly targets: readonly KnownTarget[];
+  /** When the first of them no longer may. */
+  readonly untilMs: number;
+}
+
 /** The targets, kept up to date from rows that arrive in any order. */
 export class TargetDirectory {
   readonly #byId = new Map<string, KnownTarget>();
+  readonly #usable = new Map<string, UsableTargets>();
   /** Newest row version that any news carried. */
   version = 0;
   /** When the list last began to answer after it had not. */
@@ -152,12 +160,21 @@
   /**
    * @param pool Name of a pool.
    * @param nowMs The local time.
-   * @returns The pool's targets that may get new work.
+   * @returns The pool's targets that may get new work; the same list while
+   * nothing changes.
    */
-  usable(pool: string, nowMs: number): KnownTarget[] {
-    return [...this.#byId.values()].filter((target) =>
+  usable(pool: string, nowMs: number): readonly KnownTarget[] {
+    const known = this.#usable.get(pool);
+    if (known !== undefined && nowMs < known.untilMs) {
+      return known.targets;
+    }
+    const targets = [...this.#byId.values()].filter((target) =>
       target.pool === pool && this.isUsable(target, nowMs)
     );
+    const ends = targets.map(({ usableUntilMs }) => usableUntilMs ?? Infinity);
+    const untilMs = Math.min(Infinity, ...ends);
+    this.#usable.set(pool, { targets, untilMs });
+    return targets;
   }
 
   /** @returns Every target that is remembered, also those that are gone. */
@@ -172,6 +189,7 @@
         removedAtMs !== undefined && removedAtMs + FORGET_REMOVED_MS < nowMs
       ) {
         this.#byId.delete(targetId);
+        this.#usable.clear();
       }
     }
   }
@@ -202,11 +220,16 @@
       known?.leaving === true && !hasRestarted(known, entry);
     const warmAtMs = nowMs + (entry.coldMs ?? 0);
     const next = { ...entry, leaving, rowVersion, warmAtMs };
-    this.#byId.set(targetId, next);
+    this.#put(next);
     const news = newsOf(known, next);
     return news === undefined ? [] : [{ targetId, news, rowVersion }];
   }
 
+  #put(target: KnownTarget): void {
+    this.#byId.set(target.targetId, target);
+    this.#usable.clear();
+  }
+
   #remove(
     known: KnownTarget | undefined,
     rowVersion: number,
@@ -217,11 +240,11 @@
     }
     const { targetId } = known;
     if (known.removedAtMs !== undefined) {
-      this.#byId.set(targetId, { ...known, rowVersion });
+      this.#put({ ...known, rowVersion });
       return [];
     }
     const usableUntilMs = this.#answersSinceMs + RETURN_GRACE_MS;
-    this.#byId.set(targetId, {
+    this.#put({
       ...known,
       rowVersion,
       removedAtMs: nowMs,
--- a/packages/routing/src/waiting_queue.ts
+++ b/packages/routing/src/waiting_queue.ts
@@ -12,7 +12,7 @@
   orderKeyOf,
   type WaitingWork,
 } from "./queue_order.ts";
-import { type Candidate, firstMsAt, IDLE, typicalOf } from "./target_choice.ts";
+import { type Candidate, firstMsAt, IDLE } from "./target_choice.ts";
 
 /**
  * A queue longer than this is looked at as a whole only every so often: a look
@@ -82,13 +82,13 @@
   /**
    * Looks at the queue as a whole.
    *
-   * @param usable Targets that may get new work.
+   * @param typical An idle target of the mean pace; absent where there is none.
    * @param facts What else decides on the order.
    * @returns All requests, the next one first.
    */
-  lookAt(usable: readonly Candidate[], facts: OrderFacts): WaitingWork[] {
+  lookAt(typical: Candidate | undefined, facts: OrderFacts): WaitingWork[] {
     this.#lookedAtMs = facts.nowMs;
-    this.#typical = typicalOf(usable);
+    this.#typical = typical;
     for (const { work } of this.#byAsk.values()) {
       this.add(work);
     }
