--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -45,6 +45,9 @@
   storeWentBack(): void;
 }
 
+/** Targets up to which a first list is logged one by one. */
+const MOST_LOGGED_AT_START = 100;
+
 /** What the keeper works with. */
 export interface NewsParts {
   readonly board: RoutingBoard;
@@ -154,10 +157,24 @@
     const isFirst = !this.#knowsTargets;
     this.#knowsTargets = true;
     const nowMs = this.#parts.clock.nowMs();
-    this.#believed(targets.replace(entries, version, nowMs));
+    const beliefs = targets.replace(entries, version, nowMs);
     if (isFirst) {
       // The others have read the list themselves.
+      this.#noteFirstList(beliefs, version);
       this.#targetNews = [];
+    } else {
+      this.#believed(beliefs);
+    }
+  }
+
+  /** A long list takes more lines than a starting instance may write. */
+  #noteFirstList(beliefs: readonly TargetBelief[], version: number): void {
+    const count = beliefs.length;
+    this.#parts.log.info(LogPart.Targets, "targets listed", { count, version });
+    if (count <= MOST_LOGGED_AT_START) {
+      this.#believed(beliefs);
+    } else {
+      this.#parts.onTargets(beliefs);
     }
   }
 
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -190,28 +190,42 @@
       spending: tellsAll ? this.#parts.spending() : undefined,
       ...(suspects.length > 0 ? { suspects } : undefined),
       ...(rollouts.length > 0 ? { rollouts } : undefined),
-      targetNews: this.#newsToTell(),
+      targetNews: this.#newsToTell(tellsAll),
     });
   }
 
   /**
    * In a large fleet, the seconds of sixteen workspaces would be a fifth of what
-   * a small instance's link carries; there, one heartbeat in five tells them, and
-   * the requests under which targets ended.
+   * a small instance's link carries; there, one heartbeat in five tells them, the
+   * requests under which targets ended, and new targets.
    */
   #tellsAll(isDigest: boolean): boolean {
     return isDigest || this.#parts.board.members.isFullMesh;
   }
 
   /** Leaving targets in every heartbeat, the rest in turn. */
-  #newsToTell(): TargetChange[] {
+  #newsToTell(tellsAll: boolean): TargetChange[] {
     const news = this.#parts.targetNews();
     const urgent = inTurn(news.filter(isUrgent), MAX_NEWS, this.#beats);
+    if (!tellsAll || !this.#tellsOfNewTargets()) {
+      return urgent;
+    }
     const others = news.filter((change) => !isUrgent(change));
     const room = MAX_NEWS - urgent.length;
     return [...urgent, ...inTurn(others, room, this.#beats)];
   }
 
+  /**
+   * In a large fleet, all hear of new targets from the coordinator, unless it
+   * does not hear of them itself.
+   */
+  #tellsOfNewTargets(): boolean {
+    const { members } = this.#parts.board;
+    const coordinatorId = this.#parts.coordinatorId();
+    return members.isFullMesh || coordinatorId === members.selfId ||
+      !this.#reachStore.has(coordinatorId);
+  }
+
   #noteChanges(nowMs: number): void {
     const { members } = this.#parts.board;
     const alive = new Set(members.alive(nowMs).map((m) => m.instanceId));
--- a/packages/gateway/src/membership_keeper_test.ts
+++ b/packages/gateway/src/membership_keeper_test.ts
@@ -27,8 +27,12 @@
 /** Heartbeats of an instance that hears of one other. */
 function beatsOf(
   news: readonly TargetChange[],
-  count: number,
-  others = 1,
+  { count, others = 1, reachesStore = true }: {
+    count: number;
+    others?: number;
+    /** Whether the coordinator reaches the store. */
+    reachesStore?: boolean;
+  },
 ): Beat[] {
   const beats: Beat[] = [];
   const self = memberOf("i1");
@@ -57,6 +61,16 @@
     rollouts: () => [],
     targetNews: () => news,
   }, self);
+  keeper.heard({
+    kind: MessageKind.Beat,
+    from: memberOf("i2"),
+    memoryMs: 0,
+    configurationVersion: 0,
+    targetsVersion: 0,
+    reachesStore,
+    others: [],
+    targetNews: [],
+  });
   for (; beats.length < count; nowMs += BEAT_MS) {
     keeper.tick();
   }
@@ -68,7 +82,7 @@
     { length: 100 },
     (_, index) => changeOf(index, index >= 90),
   );
-  const beats = beatsOf(news, 10);
+  const beats = beatsOf(news, { count: 10 });
   assert.ok(beats.every(({ targetNews }) => targetNews.length <= 24));
   const told = new Set(
     beats.flatMap((beat) => beat.targetNews.map(({ targetId }) => targetId)),
@@ -81,15 +95,31 @@
     { length: 100 },
     (_, index) => changeOf(index, index >= 90),
   );
-  for (const { targetNews } of beatsOf(news, 3)) {
+  for (const { targetNews } of beatsOf(news, { count: 3 })) {
     const leaving = targetNews.filter(({ entry }) => entry?.leaving === true);
     assert.is(leaving.length, 10);
   }
 });
 
+test("members of a large fleet leave news of new targets to the coordinator", () => {
+  const news = Array.from(
+    { length: 30 },
+    (_, index) => changeOf(index, index >= 20),
+  );
+  const beats = beatsOf(news, { count: 10, others: 63 });
+  const told = beats.flatMap(({ targetNews }) => targetNews);
+  assert.ok(told.length > 0);
+  assert.ok(told.every(({ entry }) => entry?.leaving === true));
+  const unheard = beatsOf(news, { count: 10, others: 63, reachesStore: false })
+    .flatMap(({ targetNews }) => targetNews);
+  assert.ok(unheard.some(({ entry }) => entry?.leaving === false));
+});
+
 test("a large fleet is told spending once in a while", () => {
   const told = (others: number) =>
-    beatsOf([], 20, others).filter(({ spending }) => spending !== undefined)
+    beatsOf([], { count: 20, others }).filter(({ spending }) =>
+      spending !== undefined
+    )
       .length;
   assert.is(told(7), 20);
   assert.is(told(63), 4);
