--- /dev/null
+++ b/utils/cached_program.ts
@@ -0,0 +1,9 @@
+/** Runs the bundled program that lies beside this file, from its code cache. */
+
+import { dirname, join } from "node:path";
+import process from "node:process";
+import { ProgramFile } from "./program_file.ts";
+
+const PROGRAM = "chestnuthatch-platform.cjs";
+
+new ProgramFile(join(dirname(process.argv[1]!), PROGRAM)).run();
--- /dev/null
+++ b/utils/program_file_test.ts
@@ -0,0 +1,48 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { codeCachePathOf, ProgramFile } from "./program_file.ts";
+
+const RAN = "programFileTestRan";
+const PROGRAM = `globalThis.${RAN} = [
+  __filename === require("node:path").resolve(__filename),
+  require("node:os").EOL.length > 0,
+  typeof exports === "object" && module.exports === exports,
+];`;
+
+function withProgram(check: (path: string) => void): void {
+  const folder = mkdtempSync(join(tmpdir(), "program-"));
+  try {
+    const path = join(folder, "program.cjs");
+    writeFileSync(path, PROGRAM);
+    check(path);
+  } finally {
+    rmSync(folder, { recursive: true });
+  }
+}
+
+function ran(path: string): unknown {
+  const world = globalThis as Record<string, unknown>;
+  delete world[RAN];
+  new ProgramFile(path).run();
+  return world[RAN];
+}
+
+test("a program gets what modules are given", () =>
+  withProgram((path) => {
+    assert.equal(ran(path), [true, true, true]);
+  }));
+
+test("it runs from its code cache, and without one that is spoilt", () =>
+  withProgram((path) => {
+    const file = new ProgramFile(path);
+    file.run();
+    writeFileSync(codeCachePathOf(path), file.codeCache());
+    assert.equal(ran(path), [true, true, true]);
+    writeFileSync(codeCachePathOf(path), "spoilt");
+    assert.equal(ran(path), [true, true, true]);
+  }));
+
+test.run();
