--- /dev/null
+++ b/packages/routing/src/placement_choice.ts
@@ -0,0 +1,172 @@
+/** Which targets of one pool a request may go to now, and which suits it best. */
+
+import {
+  CandidateIndex,
+  hasFreeSlot,
+  type IndexSource,
+  isSameSource,
+} from "./candidate_index.ts";
+import type { PoolPolicy } from "./fleet_configuration.ts";
+import type { PlacedWorks } from "./placed_works.ts";
+import { onTimeUntilMs, type WaitingWork } from "./queue_order.ts";
+import type { RoutingBoard } from "./routing_board.ts";
+import {
+  type Candidate,
+  type Choice,
+  chooseTarget,
+  isWorthWaiting,
+  type TargetUse,
+} from "./target_choice.ts";
+import type { KnownTarget } from "./target_directory.ts";
+import { AskCause, type WorkAsk } from "./work_ask.ts";
+
+/** The pool's targets at one moment. */
+export interface PlacementLook {
+  readonly nowMs: number;
+  /** Targets that may get new work. */
+  readonly targets: CandidateIndex;
+  /** Targets of a new version for the next request, where it is to get one. */
+  canary: readonly Candidate[];
+}
+
+/** What choices depend on. */
+export interface PlacementParts {
+  readonly board: RoutingBoard;
+  readonly placed: PlacedWorks;
+}
+
+/** Chooses among the targets of one pool. */
+export class PlacementChoice {
+  readonly #pool: string;
+  readonly #board: RoutingBoard;
+  readonly #placed: PlacedWorks;
+  #targets?: CandidateIndex;
+  #source?: IndexSource;
+
+  /**
+   * @param pool The pool's name.
+   * @param parts What choices depend on.
+   */
+  constructor(pool: string, parts: PlacementParts) {
+    this.#pool = pool;
+    this.#board = parts.board;
+    this.#placed = parts.placed;
+  }
+
+  /**
+   * @param targetId A target.
+   * @param use What runs there by now.
+   */
+  used(targetId: string, use: TargetUse): void {
+    this.#targets?.used(targetId, use);
+  }
+
+  /**
+   * @param nowMs The local time.
+   * @returns The targets that may get requests now.
+   */
+  look(nowMs: number): PlacementLook {
+    const { targets, rollouts } = this.#board;
+    const { serving, canary } = rollouts
+      .split(this.#pool, targets.usable(this.#pool, nowMs), nowMs);
+    return {
+      nowMs,
+      targets: this.#index(serving),
+      canary: canary.map((target) => this.#candidate(target))
+        .filter(hasFreeSlot),
+    };
+  }
+
+  #index(serving: readonly KnownTarget[]): CandidateIndex {
+    const kvCapacityTokens = this.#policy()?.engine?.kvCapacityTokens;
+    const source = { serving, kvCapacityTokens };
+    if (
+      this.#targets === undefined || !isSameSource(this.#source!, source)
+    ) {
+      this.#source = source;
+      this.#targets = new CandidateIndex(
+        serving.map((target) => this.#candidate(target)),
+      );
+    }
+    return this.#targets;
+  }
+
+  /**
+   * What a target has failed already is not tried on a version on trial.
+   *
+   * @param ask A request.
+   * @param look The targets.
+   * @returns A target of the new version, where the request is to go there.
+   */
+  chooseCanary(
+    ask: WorkAsk,
+    { canary }: PlacementLook,
+  ): Choice | undefined {
+    const mayTry = ask.cause !== AskCause.Repeat &&
+      !this.#board.suspects.isSuspect(ask.fingerprint);
+    return canary.length > 0 && mayTry ? chooseTarget(ask, canary) : undefined;
+  }
+
+  /**
+   * @param ask A request.
+   * @param look The targets.
+   * @returns The best that can take it; undefined where none can.
+   */
+  choose(ask: WorkAsk, { targets }: PlacementLook): Choice | undefined {
+    if (!targets.hasFree) {
+      return undefined;
+    }
+    if (this.#board.suspects.isSuspect(ask.fingerprint)) {
+      return chooseTarget(ask, this.#freeForTrial(ask, targets));
+    }
+    return chooseTarget(ask, targets.free(ask.failureDomain)) ??
+      chooseTarget(ask, targets.allFree());
+  }
+
+  /**
+   * A suspect runs at one target at a time and beside no other suspect: where
+   * the target ends, it is known under which request.
+   */
+  #freeForTrial(
+    { fingerprint }: WorkAsk,
+    targets: CandidateIndex,
+  ): readonly Candidate[] {
+    return this.#placed.isOnTrial(fingerprint!)
+      ? []
+      : targets.allFree().filter(({ target }) =>
+        !this.#placed.hasTrialAt(target.targetId)
+      );
+  }
+
+  /**
+   * @param waiting A request that waits.
+   * @param choice The best target that is free.
+   * @param look The targets.
+   * @returns Whether it had better wait for another.
+   */
+  isWorthWaiting(
+    waiting: WaitingWork,
+    choice: Choice,
+    { targets, nowMs }: PlacementLook,
+  ): boolean {
+    const leftMs = onTimeUntilMs(waiting) - nowMs;
+    return isWorthWaiting(waiting.ask, choice, {
+      candidates: () => targets.all(),
+      leftMs,
+    });
+  }
+
+  #candidate(target: KnownTarget): Candidate {
+    const { targetId } = target;
+    return {
+      target,
+      use: this.#placed.use(targetId),
+      pace: this.#board.paces.of(targetId),
+      kvCapacityTokens: this.#policy()?.engine?.kvCapacityTokens,
+    };
+  }
+
+  #policy(): PoolPolicy | undefined {
+    return this.#board.routes?.pool(this.#pool);
+  }
+}
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -7,32 +7,15 @@
  * caller is refused as soon as that can be foreseen.
  */
 
-import {
-  CandidateIndex,
-  hasFreeSlot,
-  type IndexSource,
-  isSameSource,
-} from "./candidate_index.ts";
-import type { PoolPolicy } from "./fleet_configuration.ts";
 import { type PlacedWork, PlacedWorks } from "./placed_works.ts";
-import {
-  onTimeUntilMs,
-  type OrderFacts,
-  type WaitingWork,
-} from "./queue_order.ts";
+import { PlacementChoice, type PlacementLook } from "./placement_choice.ts";
+import type { OrderFacts, WaitingWork } from "./queue_order.ts";
 import { RankLoad } from "./rank_load.ts";
 import { RankShares } from "./rank_shares.ts";
 import type { RoutingBoard } from "./routing_board.ts";
-import {
-  type Candidate,
-  type Choice,
-  chooseTarget,
-  isWorthWaiting,
-} from "./target_choice.ts";
-import type { KnownTarget } from "./target_directory.ts";
+import type { Choice } from "./target_choice.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
 import {
-  AskCause,
   type AskDecision,
   AskRefusal,
   type RunningWork,
@@ -73,12 +56,7 @@
 const NO_TARGET_RETRY_MS = 1000;
 
 /** What one look at the queue works with. */
-interface Look {
-  readonly nowMs: number;
-  /** Targets that may get new work. */
-  readonly targets: CandidateIndex;
-  /** Targets of a new version for the next request, where it is to get one. */
-  canary: readonly Candidate[];
+interface Look extends PlacementLook {
   /** Requests that stay ahead in the queue. */
   ahead: number;
 }
@@ -86,12 +64,10 @@
 /** Places and queue of one pool. */
 export class PoolSchedule {
   readonly #board: RoutingBoard;
-  readonly #pool: string;
   readonly #placed = new PlacedWorks((targetId, use) =>
-    this.#targets?.used(targetId, use)
+    this.#choices.used(targetId, use)
   );
-  #targets?: CandidateIndex;
-  #source?: IndexSource;
+  readonly #choices: PlacementChoice;
   readonly #waiting = new WaitingQueue();
   readonly #shares = new RankShares();
   readonly #load = new RankLoad();
@@ -104,8 +80,8 @@
    * @param board What the instance believes.
    */
   constructor(pool: string, board: RoutingBoard) {
-    this.#pool = pool;
     this.#board = board;
+    this.#choices = new PlacementChoice(pool, { board, placed: this.#placed });
   }
 
   /** Number of requests that wait. */
@@ -363,30 +339,7 @@
   }
 
   #look(nowMs: number): Look {
-    const { targets, rollouts } = this.#board;
-    const { serving, canary } = rollouts
-      .split(this.#pool, targets.usable(this.#pool, nowMs), nowMs);
-    return {
-      nowMs,
-      targets: this.#index(serving),
-      canary: canary.map((target) => this.#candidate(target))
-        .filter(hasFreeSlot),
-      ahead: 0,
-    };
-  }
-
-  #index(serving: readonly KnownTarget[]): CandidateIndex {
-    const kvCapacityTokens = this.#policy()?.engine?.kvCapacityTokens;
-    const source = { serving, kvCapacityTokens };
-    if (
-      this.#targets === undefined || !isSameSource(this.#source!, source)
-    ) {
-      this.#source = source;
-      this.#targets = new CandidateIndex(
-        serving.map((target) => this.#candidate(target)),
-      );
-    }
-    return this.#targets;
+    return { ...this.#choices.look(nowMs), ahead: 0 };
   }
 
   /** Ranks that go ahead of their turn with the next placement. */
@@ -434,14 +387,14 @@
     if (heldForMs > 0) {
       return quarantined(ask, heldForMs);
     }
-    const canaryChoice = this.#chooseCanary(ask, look);
+    const canaryChoice = this.#choices.chooseCanary(ask, look);
     if (canaryChoice !== undefined) {
       look.canary = [];
       return this.#placeAt(waiting, canaryChoice, look);
     }
-    const choice = this.#choose(ask, look);
+    const choice = this.#choices.choose(ask, look);
     if (choice !== undefined) {
-      return this.#isWorthWaiting(waiting, choice, look)
+      return this.#choices.isWorthWaiting(waiting, choice, look)
         ? undefined
         : this.#placeAt(waiting, choice, look);
     }
@@ -471,13 +424,6 @@
     };
   }
 
-  /** What a target has failed already is not tried on a version on trial. */
-  #chooseCanary(ask: WorkAsk, { canary }: Look): Choice | undefined {
-    const mayTry = ask.cause !== AskCause.Repeat &&
-      !this.#board.suspects.isSuspect(ask.fingerprint);
-    return canary.length > 0 && mayTry ? chooseTarget(ask, canary) : undefined;
-  }
-
   #placeAt(waiting: WaitingWork, choice: Choice, look: Look): AskDecision {
     const { ask, cameBackMs } = waiting;
     const { targetId } = choice.target;
@@ -503,58 +449,6 @@
     this.#board.rollouts.placed(choice.target);
     return decisionOf(work);
   }
-
-  #choose(ask: WorkAsk, { targets }: Look): Choice | undefined {
-    if (!targets.hasFree) {
-      return undefined;
-    }
-    if (this.#board.suspects.isSuspect(ask.fingerprint)) {
-      return chooseTarget(ask, this.#freeForTrial(ask, targets));
-    }
-    return chooseTarget(ask, targets.free(ask.failureDomain)) ??
-      chooseTarget(ask, targets.allFree());
-  }
-
-  /**
-   * A suspect runs at one target at a time and beside no other suspect: where
-   * the target ends, it is known under which request.
-   */
-  #freeForTrial(
-    { fingerprint }: WorkAsk,
-    targets: CandidateIndex,
-  ): readonly Candidate[] {
-    return this.#placed.isOnTrial(fingerprint!)
-      ? []
-      : targets.allFree().filter(({ target }) =>
-        !this.#placed.hasTrialAt(target.targetId)
-      );
-  }
-
-  #isWorthWaiting(
-    waiting: WaitingWork,
-    choice: Choice,
-    { targets, nowMs }: Look,
-  ): boolean {
-    const leftMs = onTimeUntilMs(waiting) - nowMs;
-    return isWorthWaiting(waiting.ask, choice, {
-      candidates: () => targets.all(),
-      leftMs,
-    });
-  }
-
-  #candidate(target: KnownTarget): Candidate {
-    const { targetId } = target;
-    return {
-      target,
-      use: this.#placed.use(targetId),
-      pace: this.#board.paces.of(targetId),
-      kvCapacityTokens: this.#policy()?.engine?.kvCapacityTokens,
-    };
-  }
-
-  #policy(): PoolPolicy | undefined {
-    return this.#board.routes?.pool(this.#pool);
-  }
 }
 
 function decisionOf(work: PlacedWork): AskDecision {
--- a/packages/routing/src/rollouts.ts
+++ b/packages/routing/src/rollouts.ts
@@ -15,8 +15,9 @@
   type RolloutOrder,
   RolloutPhase,
 } from "./rollout.ts";
+import { MIN_PROMOTION_MS, nextPhase, PROMOTE_PART } from "./rollout_steps.ts";
+import { type RolloutTargets, splitIn } from "./rollout_targets.ts";
 import {
-  Verdict,
   type VerdictFacts,
   type VersionAnswer,
   VersionEvidence,
@@ -45,32 +46,9 @@
  */
 const CANARY_TURN_MS = 1000;
 
-/** Part of a roll-out's time after which a sound version is promoted. */
-const PROMOTE_PART = 0.5;
-
-/** The same, by which the outcome is to be written. */
-const FINISH_PART = 0.85;
-
-/** Least time under the whole load before a roll-out is completed. */
-const MIN_PROMOTION_MS = 1500;
-
-/** Part of the old version's slots that the new one must have to be promoted. */
-const MIN_CAPACITY_PART = 0.7;
-
-/** Times a roll-out's own time after which one without a verdict is taken back. */
-const GIVE_UP_PART = 3;
-
 /** How long a finished roll-out is told of. */
 const TELL_FINISHED_MS = 10_000;
 
-/** A pool's targets, by what a roll-out makes of them. */
-export interface RolloutTargets {
-  /** Those that get the pool's requests. */
-  readonly serving: readonly KnownTarget[];
-  /** Those that get the next canary request, where one is due; else none. */
-  readonly canary: readonly KnownTarget[];
-}
-
 /** What a roll-out's next step depends on, besides the answers. */
 export interface RolloutFacts {
   readonly nowMs: number;
@@ -109,79 +87,8 @@
   readonly new: readonly KnownTarget[];
 }
 
-/** What a phase's handler decides by. */
-interface StepInput {
-  readonly rollout: Rollout;
-  readonly facts: RolloutFacts;
-  readonly verdict: Verdict;
-  readonly newSlots: number;
-  readonly oldSlots: number;
-}
-
-type Advance = (input: StepInput) => RolloutPhase;
-
-const ADVANCE: Readonly<Record<RolloutPhase, Advance>> = {
-  [RolloutPhase.Pending]: (input) => {
-    if (input.newSlots > 0) {
-      return RolloutPhase.Canary;
-    }
-    return isGivenUp(input) ? RolloutPhase.RollingBack : RolloutPhase.Pending;
-  },
-  [RolloutPhase.Canary]: (input) => {
-    if (input.verdict === Verdict.Bad || isGivenUp(input)) {
-      return RolloutPhase.RollingBack;
-    }
-    return mayPromote(input) ? RolloutPhase.Promoting : RolloutPhase.Canary;
-  },
-  [RolloutPhase.Promoting]: (input) => {
-    if (input.verdict === Verdict.Bad) {
-      return RolloutPhase.RollingBack;
-    }
-    return mayComplete(input)
-      ? RolloutPhase.Completing
-      : RolloutPhase.Promoting;
-  },
-  [RolloutPhase.Completing]: () => RolloutPhase.Completing,
-  [RolloutPhase.Completed]: () => RolloutPhase.Completed,
-  [RolloutPhase.RollingBack]: () => RolloutPhase.RollingBack,
-  [RolloutPhase.RolledBack]: () => RolloutPhase.RolledBack,
-};
-
-type Split = (targets: VersionedTargets) => RolloutTargets;
-
-/** A pool's usable targets by version. */
-interface VersionedTargets {
-  readonly old: readonly KnownTarget[];
-  readonly new: readonly KnownTarget[];
-  readonly canary: readonly KnownTarget[];
-}
-
 const NONE: readonly KnownTarget[] = [];
 
-/** A version on trial serves alone only where the old one is gone. */
-const oldBesideCanary: Split = (targets) =>
-  targets.old.length > 0
-    ? { serving: targets.old, canary: targets.canary }
-    : { serving: targets.new, canary: NONE };
-
-const onlyOld: Split = ({ old }) => ({ serving: old, canary: NONE });
-
-/** Where the one version is gone, the other serves. */
-const newOrOld: Split = (targets) => ({
-  serving: targets.new.length > 0 ? targets.new : targets.old,
-  canary: NONE,
-});
-
-const SPLIT: Readonly<Record<RolloutPhase, Split>> = {
-  [RolloutPhase.Pending]: onlyOld,
-  [RolloutPhase.Canary]: oldBesideCanary,
-  [RolloutPhase.Promoting]: newOrOld,
-  [RolloutPhase.Completing]: newOrOld,
-  [RolloutPhase.Completed]: newOrOld,
-  [RolloutPhase.RollingBack]: onlyOld,
-  [RolloutPhase.RolledBack]: onlyOld,
-};
-
 /** Roll-outs by pool. */
 export class Rollouts {
   #bound: ExposureBound;
@@ -315,7 +222,7 @@
     const canary = isDue
       ? this.#canaryGroup(rollout, targets.new, nowMs)
       : NONE;
-    return SPLIT[rollout.phase]({ ...targets, canary });
+    return splitIn(rollout.phase, { ...targets, canary });
   }
 
   /**
@@ -378,12 +285,15 @@
       newTargets: targets.new.length,
       isPromoted: from === RolloutPhase.Promoting,
     });
-    const to = ADVANCE[from]({
-      rollout,
-      facts,
+    const { nowMs, oldWork, reachesStore } = facts;
+    const to = nextPhase(from, {
+      agePart: (nowMs - rollout.orderedAtMs) / order.withinMs,
+      phaseAgeMs: nowMs - rollout.phaseAtMs,
       verdict: verdict.verdict,
       newSlots: slotsOf(targets.new),
       oldSlots: slotsOf(targets.old),
+      oldWork,
+      reachesStore,
     });
     if (to === from) {
       return undefined;
@@ -501,29 +411,6 @@
   }
 }
 
-function mayPromote(
-  { rollout, facts, verdict, newSlots, oldSlots }: StepInput,
-): boolean {
-  const { orderedAtMs, order } = rollout;
-  return verdict === Verdict.Sound && facts.reachesStore &&
-    newSlots >= MIN_CAPACITY_PART * oldSlots &&
-    facts.nowMs - orderedAtMs >= PROMOTE_PART * order.withinMs;
-}
-
-/** All old work is done, or there is no time left to wait for it. */
-function mayComplete({ rollout, facts }: StepInput): boolean {
-  const { orderedAtMs, phaseAtMs, order } = rollout;
-  const { nowMs, oldWork, reachesStore } = facts;
-  const isDue = nowMs - orderedAtMs >= FINISH_PART * order.withinMs;
-  return reachesStore && nowMs - phaseAtMs >= MIN_PROMOTION_MS &&
-    (oldWork === 0 || isDue);
-}
-
-function isGivenUp({ rollout, facts }: StepInput): boolean {
-  const { orderedAtMs, order } = rollout;
-  return facts.nowMs - orderedAtMs >= GIVE_UP_PART * order.withinMs;
-}
-
 function slotsOf(targets: readonly KnownTarget[]): number {
   return targets.reduce((sum, { slots }) => sum + slots, 0);
 }
