--- a/tests/soak.ts
+++ b/tests/soak.ts
@@ -15,6 +15,7 @@
   readonly size: SoakSize;
   readonly instances?: number;
   readonly engines?: number;
+  readonly rollout?: boolean;
 }
 
 const MS_PER_S = 1000;
@@ -58,6 +59,7 @@
     )
     .option("--instances <number>", "instead of the number drawn", toCount)
     .option("--engines <number>", "instead of the number drawn", toCount)
+    .option("--rollout", "a new version is rolled out beside the faults")
     .parse()
     .opts<SoakOptions>();
 }
--- a/tests/soak_fleet.ts
+++ b/tests/soak_fleet.ts
@@ -24,6 +24,7 @@
   readonly relay: LinkRelay;
   /** Times at which it or its link was at fault. */
   readonly harmed: Span[];
+  readonly version: string;
   /** When the list said that it is leaving. */
   leavingAtMs?: number;
 }
@@ -57,6 +58,7 @@
 /** Processes that are started at the same time. */
 const STARTED_TOGETHER = 8;
 
+const FIRST_VERSION = "v1";
 const PACE_MS = 5;
 const SLOTS = 4;
 const PORTS = 4;
@@ -163,13 +165,54 @@
     this.store.close();
   }
 
-  async #addTarget(id: string, pool: string): Promise<void> {
+  /**
+   * Starts as many targets of another version as a pool has.
+   *
+   * @param pool The pool.
+   * @param version Their version.
+   * @returns The targets.
+   */
+  async startVersion(pool: string, version: string): Promise<SoakTarget[]> {
+    const count = this.targets.filter((each) => each.pool === pool).length;
+    const started: SoakTarget[] = [];
+    for (let index = 0; index < count; index++) {
+      started.push(
+        await this.#addTarget(`${pool}-${version}-${index}`, pool, version),
+      );
+    }
+    return started;
+  }
+
+  /**
+   * Stops a pool's targets without warning.
+   *
+   * @param pool The pool.
+   * @param staying Those that go on.
+   */
+  stopOthers(pool: string, staying: readonly SoakTarget[]): void {
+    for (const stopped of this.targets) {
+      if (stopped.pool === pool && !staying.includes(stopped)) {
+        const fromMs = performance.now();
+        stopped.harmed.push({ fromMs, untilMs: Infinity });
+        stopped.leavingAtMs ??= fromMs;
+        this.store.put("servers", stopped.target.id);
+        stopped.target.close();
+      }
+    }
+  }
+
+  async #addTarget(
+    id: string,
+    pool: string,
+    version = FIRST_VERSION,
+  ): Promise<SoakTarget> {
     const target = new StandinTarget({ id, paceMs: PACE_MS });
     await target.open("127.0.0.1");
     const relay = await LinkRelay.start(target.address);
-    const added = { target, pool, relay, harmed: [] };
+    const added = { target, pool, relay, harmed: [], version };
     this.targets.push(added);
     this.#list(added);
+    return added;
   }
 
   #noteLeast({ idleTimeoutMs, timeoutShare }: ConfigurationChange): void {
@@ -182,7 +225,7 @@
   }
 
   #list(listed: SoakTarget): void {
-    const { target, pool, relay, leavingAtMs } = listed;
+    const { target, pool, relay, leavingAtMs, version } = listed;
     const index = this.targets.indexOf(listed);
     this.store.put(
       "servers",
@@ -193,6 +236,7 @@
         domain: DOMAINS[index % DOMAINS.length]!,
         slots: SLOTS,
         leaving: leavingAtMs !== undefined,
+        version,
       }),
     );
   }
--- a/tests/soak_instance.ts
+++ b/tests/soak_instance.ts
@@ -17,6 +17,9 @@
   readonly writeBytesPerS: number;
 }
 
+/** Requests that a bad version may get beyond its share. */
+export const EXPOSURE_SLACK = 50;
+
 /** A span of time, on this process's clock. */
 export interface Span {
   readonly fromMs: number;
@@ -125,6 +128,7 @@
       "platform.address": storeAddress,
       "bounds.graceS": String(GRACE_S),
       "bounds.retryBudgetSlack": String(RETRY_BUDGET_SLACK),
+      "bounds.exposureSlack": String(EXPOSURE_SLACK),
     };
   }
 
--- a/tests/soak_plan.ts
+++ b/tests/soak_plan.ts
@@ -4,6 +4,7 @@
   type Randomness,
   seededRandomness,
 } from "@chestnuthatch/core/randomness";
+import { type PlannedRollout, planRollout } from "./soak_rollout.ts";
 import { TargetConduct } from "@chestnuthatch/platform/standin_target";
 
 /** Kinds of fault. */
@@ -102,6 +103,8 @@
   /** In order of time; they may overlap. */
   readonly faults: readonly PlannedFault[];
   readonly callers: readonly PlannedCaller[];
+  /** A new version of the plain pool's targets, beside the faults. */
+  readonly rollout?: PlannedRollout;
   /** Bytes a second that a connection takes, for each instance. */
   readonly writeBytesPerS: readonly number[];
 }
@@ -121,6 +124,8 @@
   readonly instances?: number;
   /** Instead of the number drawn. */
   readonly engines?: number;
+  /** Whether a new version is rolled out meanwhile. */
+  readonly rollout?: boolean;
 }
 
 type Range = readonly [least: number, below: number];
@@ -260,6 +265,7 @@
     },
     lengthMs,
     faults,
+    rollout: options.rollout === true ? planRollout(seed, lengthMs) : undefined,
     callers: Array.from(
       { length: instances * draw.between(...ranges.callers) },
       (_, index) => planCaller(draw, index % instances),
--- /dev/null
+++ b/tests/soak_rollout.ts
@@ -0,0 +1,176 @@
+/** A roll-out beside the faults of a seed, and what must hold of it. */
+
+import { setTimeout as pause } from "node:timers/promises";
+import { DESK_POOL } from "@chestnuthatch/platform/standin_fleet";
+import { TargetConduct } from "@chestnuthatch/platform/standin_target";
+import { seededRandomness } from "@chestnuthatch/core/randomness";
+import type { BrokenPromise } from "./soak_checks.ts";
+import type { SoakFleet, SoakTarget } from "./soak_fleet.ts";
+import { EXPOSURE_SLACK } from "./soak_instance.ts";
+
+/** A roll-out of the plain pool, at its time. */
+export interface PlannedRollout {
+  readonly atMs: number;
+  readonly withinMs: number;
+  /** What the new version's targets do, from some time after their start on. */
+  readonly conduct: TargetConduct;
+  readonly turnsAfterMs: number;
+}
+
+/** Added to a seed, so that the faults drawn for it stay as they are. */
+const SEED_OFFSET = 100_000;
+const SHORTEST_MS = 4000;
+const LONGEST_MS = 8000;
+const EARLY_PART = 0.3;
+const LATE_SHARE = 0.3;
+
+/** Time between two looks at the status. */
+const LOOK_MS = 20;
+
+/** Time after a verdict by which all instances have heard of it. */
+const HEARD_MS = 3000;
+
+/** The operators' bound on requests that a bad version may get, beside a slack. */
+const EXPOSURE_SHARE = 0.1;
+
+const VERSION = "v2";
+const ROLLED_BACK = "rolled_back";
+const COMPLETED = "completed";
+const CONDUCTS = [
+  TargetConduct.Serve,
+  TargetConduct.Fail,
+  TargetConduct.CutOff,
+  TargetConduct.Unsealed,
+];
+const MS_PER_S = 1000;
+
+/**
+ * @param seed The seed.
+ * @param lengthMs How long it is.
+ * @returns The seed's roll-out.
+ */
+export function planRollout(seed: number, lengthMs: number): PlannedRollout {
+  const random = seededRandomness(seed + SEED_OFFSET);
+  const between = (least: number, below: number) =>
+    Math.floor(least + (below - least) * random.next());
+  return {
+    atMs: between(0, EARLY_PART * lengthMs),
+    withinMs: between(SHORTEST_MS, LONGEST_MS),
+    conduct: CONDUCTS[between(0, CONDUCTS.length)]!,
+    turnsAfterMs: random.next() < LATE_SHARE ? between(0, SHORTEST_MS) : 0,
+  };
+}
+
+/** Orders a roll-out, and watches what becomes of it. */
+export class SoakRollout {
+  readonly #fleet: SoakFleet;
+  readonly #plan: PlannedRollout;
+  readonly #states: string[] = [];
+  #targets: SoakTarget[] = [];
+  #orderedAtMs = 0;
+  #endedAtMs = Infinity;
+  #atHeard = 0;
+
+  /**
+   * @param fleet The fleet.
+   * @param plan The roll-out.
+   */
+  constructor(fleet: SoakFleet, plan: PlannedRollout) {
+    this.#fleet = fleet;
+    this.#plan = plan;
+  }
+
+  /** @returns Once its time is over and all may have heard of its outcome. */
+  async play(): Promise<void> {
+    const { atMs, withinMs, conduct, turnsAfterMs } = this.#plan;
+    await pause(atMs);
+    this.#orderedAtMs = performance.now();
+    const order = { service: DESK_POOL, to: VERSION };
+    const stepS = withinMs / MS_PER_S;
+    this.#fleet.store.put("op", `rollout/${DESK_POOL}`, { ...order, stepS });
+    this.#targets = await this.#fleet.startVersion(DESK_POOL, VERSION);
+    const turn = pause(turnsAfterMs).then(() => this.#turnInto(conduct));
+    while (performance.now() - this.#orderedAtMs < withinMs + HEARD_MS) {
+      this.#look();
+      await pause(LOOK_MS);
+    }
+    await turn;
+  }
+
+  /** @returns What was broken of what must hold. */
+  broken(): BrokenPromise[] {
+    const details = [
+      ...this.#changedOutcome(),
+      ...(this.#isBad ? [...this.#tooMuch(), ...this.#afterVerdict()] : []),
+    ];
+    return details.map((detail) => ({
+      promise: "a roll-out keeps to its bounds",
+      requestId: "",
+      instanceId: "",
+      detail,
+    }));
+  }
+
+  get #isBad(): boolean {
+    return this.#plan.conduct !== TargetConduct.Serve;
+  }
+
+  #turnInto(conduct: TargetConduct): void {
+    for (const { target, harmed } of this.#targets) {
+      target.conduct = conduct;
+      if (this.#isBad) {
+        harmed.push({ fromMs: performance.now(), untilMs: Infinity });
+      }
+    }
+  }
+
+  #look(): void {
+    const row = this.#fleet.store.contentOf("status", `rollout/${DESK_POOL}`);
+    const { state } = (row ?? {}) as { state?: string };
+    if (state !== undefined && state !== this.#states.at(-1)) {
+      this.#states.push(state);
+      this.#entered(state);
+    }
+    if (performance.now() < this.#endedAtMs + HEARD_MS) {
+      this.#atHeard = this.#exposed();
+    }
+  }
+
+  /** Once it is completed, the old targets stop at once, as on the platform. */
+  #entered(state: string): void {
+    if (state === ROLLED_BACK) {
+      this.#endedAtMs = performance.now();
+    }
+    if (state === COMPLETED) {
+      this.#fleet.stopOthers(DESK_POOL, this.#targets);
+    }
+  }
+
+  #exposed(): number {
+    return this.#targets
+      .reduce((sum, { target }) => sum + target.seen.length, 0);
+  }
+
+  #changedOutcome(): string[] {
+    const outcomes = this.#states.filter((state) => state !== "running");
+    return outcomes.length > 1 ? [`outcomes ${outcomes.join()}`] : [];
+  }
+
+  /** A version that is bad from the first answer on, over the ordered time. */
+  #tooMuch(): string[] {
+    const pool = this.#fleet.targets.filter(({ pool }) => pool === DESK_POOL);
+    const total = pool.reduce((sum, { target }) => sum + target.seen.length, 0);
+    const allowed = EXPOSURE_SHARE * total + EXPOSURE_SLACK;
+    const isAtOnce = this.#plan.turnsAfterMs === 0;
+    return isAtOnce && this.#exposed() > allowed
+      ? [`${this.#exposed()} of ${total} at the bad version`]
+      : [];
+  }
+
+  #afterVerdict(): string[] {
+    const later = this.#exposed() - this.#atHeard;
+    return this.#endedAtMs < Infinity && later > 0
+      ? [`${later} at a version that was rolled back`]
+      : [];
+  }
+}
--- a/tests/soak_run.ts
+++ b/tests/soak_run.ts
@@ -11,6 +11,7 @@
 import { SoakFleet } from "./soak_fleet.ts";
 import type { SoakInstance } from "./soak_instance.ts";
 import type { SoakPlan } from "./soak_plan.ts";
+import { SoakRollout } from "./soak_rollout.ts";
 import { waitFor } from "./wait_for.ts";
 
 /** What came of a seed. */
@@ -38,7 +39,11 @@
   const callers = new SoakCallers(plan.seed);
   try {
     await fleet.start(plan);
-    const faults = Promise.all(plan.faults.map((f) => inflict(fleet, f)));
+    const rollout = plan.rollout && new SoakRollout(fleet, plan.rollout);
+    const faults = Promise.all([
+      ...plan.faults.map((fault) => inflict(fleet, fault)),
+      rollout?.play(),
+    ]);
     await callers.run(plan, fleet, faults);
     await faults;
     await callers.settled();
@@ -46,6 +51,7 @@
     const { targets, instances, least } = fleet;
     const broken = brokenPromises({ records, targets, instances, least });
     broken.push(...await notRecovered(fleet, callers));
+    broken.push(...(rollout?.broken() ?? []));
     return {
       calls: records.length,
       whole: records.filter(isServed).length,
--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -2,12 +2,15 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { planSoak } from "./soak_plan.ts";
+import { type PlanOptions, planSoak } from "./soak_plan.ts";
 import { playSoak } from "./soak_run.ts";
 
 /** Enough for the faults of a seed to overlap, and short enough for CI. */
 const OPTIONS = { lengthMs: 4000 };
 
+/** A bad and a sound version beside the faults. */
+const ROLLOUT_SEEDS = [3, 5];
+
 /** Seeds on which answers not written out yet were cut by a stopping instance. */
 const CUT_WHILE_STOPPING = [205, 216];
 
@@ -18,6 +21,11 @@
   test(`soak: seed ${seed} breaks no promise`, () => playWell(seed, OPTIONS));
 }
 
+for (const seed of ROLLOUT_SEEDS) {
+  test(`soak: seed ${seed} keeps a roll-out within its bounds`, () =>
+    playWell(seed, { ...OPTIONS, rollout: true }));
+}
+
 for (const seed of CUT_WHILE_STOPPING) {
   test(`soak: seed ${seed} cuts no answer again`, () =>
     playWell(seed, ONE_STOP));
@@ -30,7 +38,7 @@
 
 async function playWell(
   seed: number,
-  options: { lengthMs: number },
+  options: PlanOptions,
 ): Promise<void> {
   const outcome = await playSoak(planSoak(seed, options));
   assert.equal(outcome.broken, []);
