--- a/tests/soak_plan.ts
+++ b/tests/soak_plan.ts
@@ -4,7 +4,7 @@
   type Randomness,
   seededRandomness,
 } from "@chestnuthatch/core/randomness";
-import { type PlannedRollout, planRollout } from "./soak_rollout.ts";
+import { type PlannedRollout, planRollout } from "./soak_rollout_plan.ts";
 import { TargetConduct } from "@chestnuthatch/platform/standin_target";
 
 /** Kinds of fault. */
--- a/tests/soak_rollout.ts
+++ b/tests/soak_rollout.ts
@@ -3,26 +3,10 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { DESK_POOL } from "@chestnuthatch/platform/standin_fleet";
 import { TargetConduct } from "@chestnuthatch/platform/standin_target";
-import { seededRandomness } from "@chestnuthatch/core/randomness";
 import type { BrokenPromise } from "./soak_checks.ts";
 import type { SoakFleet, SoakTarget } from "./soak_fleet.ts";
 import { EXPOSURE_SLACK } from "./soak_instance.ts";
-
-/** A roll-out of the plain pool, at its time. */
-export interface PlannedRollout {
-  readonly atMs: number;
-  readonly withinMs: number;
-  /** What the new version's targets do, from some time after their start on. */
-  readonly conduct: TargetConduct;
-  readonly turnsAfterMs: number;
-}
-
-/** Added to a seed, so that the faults drawn for it stay as they are. */
-const SEED_OFFSET = 100_000;
-const SHORTEST_MS = 4000;
-const LONGEST_MS = 8000;
-const EARLY_PART = 0.3;
-const LATE_SHARE = 0.3;
+import type { PlannedRollout } from "./soak_rollout_plan.ts";
 
 /** Time between two looks at the status. */
 const LOOK_MS = 20;
@@ -36,31 +20,8 @@
 const VERSION = "v2";
 const ROLLED_BACK = "rolled_back";
 const COMPLETED = "completed";
-const CONDUCTS = [
-  TargetConduct.Serve,
-  TargetConduct.Fail,
-  TargetConduct.CutOff,
-  TargetConduct.Unsealed,
-];
 const MS_PER_S = 1000;
 
-/**
- * @param seed The seed.
- * @param lengthMs How long it is.
- * @returns The seed's roll-out.
- */
-export function planRollout(seed: number, lengthMs: number): PlannedRollout {
-  const random = seededRandomness(seed + SEED_OFFSET);
-  const between = (least: number, below: number) =>
-    Math.floor(least + (below - least) * random.next());
-  return {
-    atMs: between(0, EARLY_PART * lengthMs),
-    withinMs: between(SHORTEST_MS, LONGEST_MS),
-    conduct: CONDUCTS[between(0, CONDUCTS.length)]!,
-    turnsAfterMs: random.next() < LATE_SHARE ? between(0, SHORTEST_MS) : 0,
-  };
-}
-
 /** Orders a roll-out, and watches what becomes of it. */
 export class SoakRollout {
   readonly #fleet: SoakFleet;
