--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -107,8 +107,7 @@
   /**
    * Whether its last answer is written out and no part of another request has
    * come. The runtime takes a connection for idle as soon as an answer is handed
-   * to it, though bytes of it may still wait for the caller; closed then, a
-   * caller behind a narrow link gets 4 of 11 MB.
+   * to it, though bytes of it may still wait for the caller.
    */
   get isIdle(): boolean {
     return this.#owed.size === 0 &&
--- a/packages/gateway/src/coordinator_choice.ts
+++ b/packages/gateway/src/coordinator_choice.ts
@@ -12,9 +12,8 @@
 
 /**
  * Time for which a look at the members holds, unless one of them says something
- * new of itself. It costs time in proportion to their number: at 90 instances,
- * looks at every message took a quarter of the processor time of an idle
- * instance. A member that falls silent is noticed so much later.
+ * new of itself. It costs time in proportion to their number. A member that falls
+ * silent is noticed so much later.
  */
 const LOOK_MS = 60;
 
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -235,9 +235,7 @@
    * and the end of its connection lies unread behind the request; it is read
    * with the next poll, which costs an idle process nothing. Timers that are late
    * tell of it, but not always: the runtime takes one new connection with each
-   * poll, so that callers wait for seconds where polls take 30 ms. Without this
-   * wait, a coordinator at its limit began 497 requests in a minute that nobody
-   * waited for.
+   * poll, so that callers wait for seconds where polls take long.
    */
   #unlessLeft(owed: OwedAnswer, begin: () => void): void {
     const go = () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,11 +48,7 @@
 /** Time between two looks at what depends on time, while requests wait. */
 const TICK_MS = 20;
 
-/**
- * The same while nothing waits: half of the time between two heartbeats. To
- * start and rest for 17 s took 16 instances 4.1 s of processor time so, and 5.7 s
- * where they woke fifty times a second.
- */
+/** The same while nothing waits: half of the time between two heartbeats. */
 const RESTING_TICK_MS = 110;
 
 /** A tick this late means that the process stood still. */
--- a/packages/gateway/src/open_asks.ts
+++ b/packages/gateway/src/open_asks.ts
@@ -18,9 +18,7 @@
 /**
  * Part of a request's objective for which it is held back. Held for longer, it
  * would be late once it got a place, and its place would be taken from one that
- * is in time: with 16 holders that ask for more than the coordinator can do, 358
- * requests in 3 s got places, and 200 where they were held until their callers
- * left.
+ * is in time.
  */
 const HOLD_PART = 0.5;
 
@@ -35,9 +33,8 @@
 
 /**
  * Ended works that are remembered. An ask that was sent again under load is
- * answered again, often after its work has ended; to hand such places back was
- * two in five messages that a coordinator at its limit took in. Without these it
- * placed 774 requests in the time for 358.
+ * answered again, often after its work has ended: such a place is not handed
+ * back, as it is free already, and the coordinator has little time then.
  */
 const MOST_ENDED = 256;
 
--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -350,8 +350,7 @@
     }
     open.sentAtMs = nowMs;
     // By the time that the coordinator has it and this instance its decision,
-    // so much of the objective has gone by: in a rush, half of the plain calls
-    // were given places a few milliseconds too late.
+    // so much of the objective has gone by.
     const wayMs = this.#isSelf(member.instanceId) ? 0 : this.#answers.meanMs;
     const ask = {
       ...open.ask,
--- a/packages/gateway/src/silence_limits.ts
+++ b/packages/gateway/src/silence_limits.ts
@@ -12,9 +12,8 @@
 /**
  * Longest gaps after which a silent target is given up where another could not
  * go on in time anyway. Targets fall silent for a gap or two while they read
- * long prompts of others; moved at 0.6 of a gap, such streams came late for
- * certain, read their prompts twice and took two places: 135 of 4,700 streams on
- * a day of high load.
+ * long prompts of others; moved then, a stream is late for certain, has its
+ * prompt read twice and takes two places.
  */
 const LATE_GAPS = 2;
 
--- a/packages/routing/src/late_margin.ts
+++ b/packages/routing/src/late_margin.ts
@@ -3,9 +3,7 @@
  * came.
  *
  * Requests that wait are started just before it is too late when a pool is full,
- * so an error of the forecast makes most of them late at once. In a rush on 64
- * instances, the most valuable kind earned 0.74 of what it was owed where 1.4
- * times an idle target's time was allowed for, and 0.78 where that is learned.
+ * so an error of the forecast makes most of them late at once.
  */
 
 /** Where learning starts. */
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -31,9 +31,7 @@
 /**
  * Share of the time at targets that neglected ranks get ahead of their turn, so
  * that their queues don't hold up all ranks above. It is counted in time and not
- * in placements: where the lowest rank's work held a slot three times as long as
- * the highest's, one placement in three gave it most slots. Between 0.01 and 0.02
- * of worth on two days of high load, a play each.
+ * in placements, as work of a low rank may hold a slot for much longer.
  */
 const NEGLECTED_TIME_SHARE = 0.15;
 
--- a/packages/routing/src/rank_load.ts
+++ b/packages/routing/src/rank_load.ts
@@ -4,8 +4,7 @@
  * A request of a low rank waits not only for what is before it, but also for
  * what will come before its turn. Where higher ranks alone fill a pool, its wait
  * is as long as their surge; told so at once, its caller comes back to a pool
- * that has room. In a rush on 64 instances, 0.76 of what was owed was earned with
- * it, and 0.72 without.
+ * that has room.
  */
 
 /**
--- a/packages/routing/src/recent_refusals.ts
+++ b/packages/routing/src/recent_refusals.ts
@@ -4,8 +4,7 @@
  *
  * It answers to a surge in which refused callers come back within a second:
  * there, most asks are such that the coordinator has just refused the like, and
- * they would take the processor time in which it gives places. In a rush on 64
- * instances, 3,928 of 13,793 refusals for full queues were given so.
+ * they would take the processor time in which it gives places.
  */
 
 import type { AskDecision, WorkAsk } from "./work_ask.ts";
--- a/packages/routing/src/refused_callers.ts
+++ b/packages/routing/src/refused_callers.ts
@@ -4,9 +4,7 @@
  *
  * Who comes back is late already: within a rank those who can still be on time
  * go first. The time that a caller still has does not tell the two apart, since
- * callers of one route set deadlines that differ by a seventh; taken for a sign,
- * it made most first attempts late, and 0.01 to 0.04 of what requests are worth
- * was lost on days of high load (three days, a play each).
+ * callers of one route set deadlines that differ.
  */
 
 /** Callers that were told to come back do so within their own deadlines. */
--- a/packages/routing/src/target_choice.ts
+++ b/packages/routing/src/target_choice.ts
@@ -15,8 +15,7 @@
 
 /**
  * Part that a first event is allowed to take longer than foreseen where it is
- * judged whether it will be in time: the median of large prompts that came late
- * was 1.2 times what was foreseen.
+ * judged whether it will be in time.
  */
 const FIRST_EVENT_MARGIN = 1.3;
 
@@ -87,11 +86,8 @@
 /**
  * Tells whether a request had better wait for a faster target than go to the
  * best that has a free slot: where it would be late there, and in time at one
- * that is busy now. Large prompts need it: where some targets were three times
- * as slow as others, 66 of 3,000 requests of the highest rank came late at slow
- * ones though they were placed at once, and a fast slot comes free within some
- * tens of milliseconds. On a day of high load the rank earned 0.942 so of what it
- * was owed, and 0.900 without.
+ * that is busy now. Large prompts need it where some targets are several times
+ * as slow as others: a fast slot comes free within some tens of milliseconds.
  *
  * @param ask The request.
  * @param best The best choice that is free.
--- a/packages/routing/src/waiting_queue.ts
+++ b/packages/routing/src/waiting_queue.ts
@@ -17,8 +17,7 @@
 /**
  * A queue longer than this is looked at as a whole only every so often: a look
  * costs time in proportion to its length. In between, only free slots are given
- * away. With 130 waiting before 24 targets, a look at each end of work took
- * 0.9 ms, and those alone half of a small instance's processor time.
+ * away.
  */
 const LONG_QUEUE = 32;
 const LOOK_MS = 10;
