--- a/packages/gateway/src/rollout_keeper.ts
+++ b/packages/gateway/src/rollout_keeper.ts
@@ -221,22 +221,20 @@
       state,
       ...written,
     });
-    if (rollouts.orderOf(pool)?.version === version) {
-      ON_WRITTEN[written.outcome]({
-        written,
-        wanted: { version, state },
-        isNow: (status) => this.#statusIs(pool, status, written.rowVersion),
-        retry: () => {
-          this.#writeNotBeforeMs = this.#nowMs() + WRITE_RETRY_MS;
-        },
-        foundAt: () => this.#rowVersions.set(pool, written.rowVersion),
-      });
+    if (rollouts.orderOf(pool)?.version !== version) {
+      return;
+    }
+    this.#rowVersions.set(pool, written.rowVersion);
+    const now = STATE_AFTER[written.outcome](written, { version, state });
+    if (now === undefined) {
+      this.#writeNotBeforeMs = this.#nowMs() + WRITE_RETRY_MS;
+    } else {
+      this.#statusIs(pool, now);
     }
   }
 
   /** The store holds a status of the order in force. */
-  #statusIs(pool: string, state: RolloutState, rowVersion: number): void {
-    this.#rowVersions.set(pool, rowVersion);
+  #statusIs(pool: string, state: RolloutState): void {
     this.#noteStatus(pool, state);
     const phase = WRITTEN_PHASE[state];
     if (phase !== undefined) {
@@ -255,31 +253,23 @@
   }
 }
 
-/** What a write came to, and what may follow. */
-interface WriteOutcome {
-  readonly written: StatusWritten;
-  readonly wanted: KnownStatus;
-  isNow(state: RolloutState): void;
-  retry(): void;
-  foundAt(): void;
-}
-
-const ON_WRITTEN: Readonly<
-  Record<StatusWrite, (outcome: WriteOutcome) => void>
+/**
+ * The state that a status row has after a write, of the order that was to be
+ * written; undefined where that is not known, or the row is about another one.
+ */
+const STATE_AFTER: Readonly<
+  Record<
+    StatusWrite,
+    (written: StatusWritten, wanted: KnownStatus) => RolloutState | undefined
+  >
 > = {
-  [StatusWrite.Done]: ({ wanted, isNow }) => isNow(wanted.state),
-  [StatusWrite.Found]: ({ written, wanted, isNow, foundAt }) => {
-    const { version, state } = written;
-    const isOurs = version === wanted.version && state !== undefined;
+  [StatusWrite.Done]: (_written, wanted) => wanted.state,
+  [StatusWrite.Found]: ({ version, state }, wanted) => {
     // An outcome that is written stands, whoever reached it.
-    if (
-      isOurs && (state === wanted.state || WRITTEN_PHASE[state] !== undefined)
-    ) {
-      isNow(state);
-    } else {
-      foundAt();
-    }
+    const stands = state === wanted.state ||
+      (state !== undefined && WRITTEN_PHASE[state] !== undefined);
+    return version === wanted.version && stands ? state : undefined;
   },
   // It may have been done, or be done later: the next one finds it.
-  [StatusWrite.Unknown]: ({ retry }) => retry(),
+  [StatusWrite.Unknown]: () => undefined,
 };
--- a/packages/routing/src/rollout_targets.ts
+++ b/packages/routing/src/rollout_targets.ts
@@ -37,7 +37,7 @@
 });
 
 const SPLIT: Readonly<Record<RolloutPhase, Split>> = {
-  [RolloutPhase.Pending]: onlyOld,
+  [RolloutPhase.Pending]: oldBesideCanary,
   [RolloutPhase.Canary]: oldBesideCanary,
   [RolloutPhase.Promoting]: newOrOld,
   [RolloutPhase.Completing]: newOrOld,
--- a/packages/routing/src/rollouts_test.ts
+++ b/packages/routing/src/rollouts_test.ts
@@ -155,6 +155,11 @@
   assert.equal(pool.rollouts.split("p", BOTH, 0), { serving: OLD, canary: [] });
 });
 
+test("an instance that knows of an order only serves where the old one is gone", () => {
+  const pool = poolWith();
+  assert.equal(pool.rollouts.split("p", NEW, 0).serving, NEW);
+});
+
 test("without the store nothing is promoted; once it is back, all goes on", () => {
   const pool = poolWith();
   pool.reachesStore = false;
