--- a/packages/gateway/src/coordinator_choice.ts
+++ b/packages/gateway/src/coordinator_choice.ts
@@ -35,7 +35,7 @@
 export class CoordinatorChoice {
   readonly #members: MemberView;
   readonly #startedAtMs: number;
-  readonly #isAccounted: (instanceId: string) => boolean;
+  readonly #spendingToldAtMs: (instanceId: string) => number;
   readonly #shunnedUntilMs = new Map<string, number>();
   #look?: Look;
   /** Since when the members agree on this instance as the coordinator. */
@@ -44,18 +44,18 @@
   /**
    * @param members The members.
    * @param of When this instance began to remember what workspaces spent, and
-   * whether a member reported to it what was spent through that member.
+   * when a member last told it what was spent through that member.
    */
   constructor(
     members: MemberView,
     of: {
       startedAtMs: number;
-      isAccounted: (instanceId: string) => boolean;
+      spendingToldAtMs: (instanceId: string) => number;
     },
   ) {
     this.#members = members;
     this.#startedAtMs = of.startedAtMs;
-    this.#isAccounted = of.isAccounted;
+    this.#spendingToldAtMs = of.spendingToldAtMs;
   }
 
   /**
@@ -139,6 +139,6 @@
     this.#agreedSinceMs ??= nowMs;
     return nowMs - this.#agreedSinceMs < MEMBER_SILENCE_MS
       ? this.#members.heardShare(nowMs)
-      : this.#members.directShare(nowMs, this.#isAccounted);
+      : this.#members.directShare(nowMs, this.#spendingToldAtMs);
   }
 }
--- a/packages/gateway/src/placement_desk.ts
+++ b/packages/gateway/src/placement_desk.ts
@@ -100,7 +100,7 @@
     });
     this.#choice = new CoordinatorChoice(board.members, {
       startedAtMs,
-      isAccounted: (id) => parts.coordinator.isAccounted(id),
+      spendingToldAtMs: (id) => parts.coordinator.spendingToldAtMs(id),
     });
     this.#answers = new AnswerWatch(board.members);
     this.#service = new PlaceService({
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -71,8 +71,8 @@
   readonly #openAsks = new Map<string, OpenAsk>();
   readonly #refusedCallers = new RefusedCallers();
   readonly #reportedAtMs = new Map<string, number>();
-  /** Holders whose spending is known from a report. */
-  readonly #accounted = new Set<string>();
+  /** When each holder last told what was spent through it. */
+  readonly #spendingToldAtMs = new Map<string, number>();
   readonly #spending = new HeardSpending();
 
   /**
@@ -182,10 +182,11 @@
    */
   report(report: HolderReport, nowMs: number): AskDecision[] {
     this.#reportedAtMs.set(report.holderId, nowMs);
-    if (!this.#accounted.has(report.holderId)) {
-      this.#accounted.add(report.holderId);
+    const toldBeforeMs = this.spendingToldAtMs(report.holderId);
+    if (nowMs - toldBeforeMs > HOLDER_GONE_MS) {
       this.#ledger.becameMixed(nowMs);
     }
+    this.#spendingToldAtMs.set(report.holderId, nowMs);
     this.#spending.put(report.holderId, report.spent);
     this.#board.suspects.merge(report.suspects ?? [], nowMs);
     // Counts what all holders told that they spent, here or elsewhere.
@@ -233,7 +234,6 @@
     for (const [holderId, heardAtMs] of this.#reportedAtMs) {
       if (nowMs - heardAtMs > HOLDER_GONE_MS) {
         this.#reportedAtMs.delete(holderId);
-        this.#accounted.delete(holderId);
         this.#spending.put(holderId, []);
         decisions.push(...this.#releaseUnlisted(holderId, new Set(), nowMs));
       }
@@ -294,10 +294,11 @@
 
   /**
    * @param holderId A holder.
-   * @returns Whether it has reported here what was spent through it.
+   * @returns When it last told here what was spent through it; -Infinity where it
+   * never did.
    */
-  isAccounted(holderId: string): boolean {
-    return this.#accounted.has(holderId);
+  spendingToldAtMs(holderId: string): number {
+    return this.#spendingToldAtMs.get(holderId) ?? -Infinity;
   }
 
   /** Forgets all asks, after a pause in which holders went elsewhere. */
@@ -305,7 +306,6 @@
     this.#pools.clear();
     this.#openAsks.clear();
     this.#reportedAtMs.clear();
-    this.#accounted.clear();
   }
 
   /** @returns Requests that wait and that run, by pool. */
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -115,6 +115,8 @@
   /** Since when a coordinator that is not heard should be. */
   readonly #expectedSinceMs = new Map<string, number>();
   readonly #toldAtMs = new Map<string, number>();
+  /** When a member of the same incarnation was heard again after silence. */
+  readonly #returnedAtMs = new Map<string, number>();
   readonly #idByAddress = new Map<string, string>();
   /** When each member said that this instance does not answer it. */
   readonly #unansweredAtMs = new Map<string, number>();
@@ -149,6 +151,12 @@
     if (news.instanceId === this.selfId || isOld) {
       return false;
     }
+    if (
+      known?.incarnation === news.incarnation &&
+      nowMs - known.heardAtMs >= MEMBER_SILENCE_MS
+    ) {
+      this.#returnedAtMs.set(news.instanceId, nowMs);
+    }
     this.#put({ ...news, heardAtMs: nowMs });
     return known === undefined || !this.#isHeard(known, nowMs);
   }
@@ -273,26 +281,31 @@
    * Gives the same for a coordinator that has stood for as long as a member may
    * be silent: every heartbeat of every member goes to it, also in a large
    * fleet. By the rounds there, two parts of a fleet that was cut in two would
-   * both hand out the whole for seconds. A member counts once its spending is
-   * known: after a cut, the other part has spent what this one never heard of.
+   * both hand out the whole for seconds. A member that was silent counts once it
+   * has told what was spent through it meanwhile.
    *
    * @param nowMs The local time.
-   * @param isAccounted Whether a member reported what was spent through it.
+   * @param toldAtMs When a member last told that.
    * @returns Above 0, at most 1.
    */
   directShare(
     nowMs: number,
-    isAccounted: (instanceId: string) => boolean,
+    toldAtMs: (instanceId: string) => number,
   ): number {
     const cutOff = this.#cutOffDomains(nowMs);
     const direct = [...this.#byId.values()].filter((member) =>
       nowMs - member.heardAtMs < MEMBER_SILENCE_MS &&
       !cutOff.has(member.failureDomain) &&
-      (member.instanceId === this.selfId || isAccounted(member.instanceId))
+      toldAtMs(member.instanceId) >= this.#returnedAtMsOf(member.instanceId)
     );
     return direct.length / this.#presentCount(nowMs);
   }
 
+  /** When its process was heard again after it had been silent. */
+  #returnedAtMsOf(instanceId: string): number {
+    return this.#returnedAtMs.get(instanceId) ?? -Infinity;
+  }
+
   #presentCount(nowMs: number): number {
     const present = [...this.#byId.values()].filter((m) =>
       nowMs - m.heardAtMs < FORGET_MEMBER_MS ||
@@ -444,6 +457,7 @@
         this.#expectedSinceMs.delete(instanceId);
         this.#toldAtMs.delete(instanceId);
         this.#unansweredAtMs.delete(instanceId);
+        this.#returnedAtMs.delete(instanceId);
         this.#scores.delete(instanceId);
         if (this.#idByAddress.get(address) === instanceId) {
           this.#idByAddress.delete(address);
