--- a/packages/routing/src/rollout_steps.ts
+++ b/packages/routing/src/rollout_steps.ts
@@ -10,7 +10,7 @@
 const FINISH_PART = 0.85;
 
 /** Least time under the whole load before a roll-out is completed. */
-export const MIN_PROMOTION_MS = 1500;
+const MIN_PROMOTION_MS = 1500;
 
 /** Part of the old version's slots that the new one must have to be promoted. */
 const MIN_CAPACITY_PART = 0.7;
--- a/packages/routing/src/rollouts.ts
+++ b/packages/routing/src/rollouts.ts
@@ -14,8 +14,10 @@
   type RolloutNews,
   type RolloutOrder,
   RolloutPhase,
+  RolloutState,
+  STATE_OF,
 } from "./rollout.ts";
-import { MIN_PROMOTION_MS, nextPhase, PROMOTE_PART } from "./rollout_steps.ts";
+import { nextPhase, PROMOTE_PART } from "./rollout_steps.ts";
 import { type RolloutTargets, splitIn } from "./rollout_targets.ts";
 import {
   type VerdictFacts,
@@ -40,6 +42,9 @@
 /** Placements that a canary may be owed at once. */
 const MOST_CREDIT = 2;
 
+/** Time for which canary requests accrue at once, after a change of coordinator. */
+const MOST_ACCRUED_MS = 1500;
+
 /**
  * Time for which the canary's requests go to the same few targets, so that these
  * are as loaded as the old ones, before others take their turn.
@@ -324,7 +329,7 @@
    * @param nowMs The local time.
    */
   accrue(share: number, nowMs: number): void {
-    const passedMs = Math.min(MIN_PROMOTION_MS, nowMs - this.#accruedAtMs);
+    const passedMs = Math.min(MOST_ACCRUED_MS, nowMs - this.#accruedAtMs);
     this.#accruedAtMs = nowMs;
     for (const [pool, { order, phase }] of this.#byPool) {
       if (phase === RolloutPhase.Canary) {
@@ -366,7 +371,8 @@
     const unproven = this.#unproven.get(pool) ?? new Set();
     this.#unproven.set(pool, unproven);
     rollout.targets = undefined;
-    if (phase === RolloutPhase.Completed) {
+    // Once its outcome may be written, the version before it may be gone.
+    if (STATE_OF[phase] === RolloutState.Completed) {
       unproven.delete(version);
     } else {
       unproven.add(version);
--- a/packages/routing/src/rollouts_test.ts
+++ b/packages/routing/src/rollouts_test.ts
@@ -213,6 +213,13 @@
   assert.not.ok(pool.rollouts.toldOf(orderOf(), pool.nowMs), "an old word");
 });
 
+test("a later order finds a version that may be completed as its base", () => {
+  const pool = poolWith(orderOf({ phase: RolloutPhase.Completing }));
+  pool.rollouts.toldOf(orderOf({ version: "v3", rowVersion: 20 }), 0);
+  const targets = [...NEW, ...targetsOf("v3")];
+  assert.equal(pool.rollouts.split("p", targets, 0).serving, NEW);
+});
+
 test("an outcome does not change, whatever is told in any order", () => {
   const phases = fc.constantFrom(...Object.values(RolloutPhase));
   const told = fc.record({ phase: phases, ageMs: fc.nat(40_000) });
