--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -109,7 +109,7 @@
    * Until when the window holds spending of which only holders' reports tell, or
    * another coordinator's account.
    */
-  #isMixedUntilMs = -Infinity;
+  #reliesOnReportsUntilMs = -Infinity;
   /** Workspaces whose spending before the start of this process is known. */
   readonly #takenUp = new Set<string>();
 
@@ -171,12 +171,12 @@
 
   /**
    * A part of the spending within the window is known from others only: this
-   * ledger is new, or a holder has reported for the first time.
+   * ledger is new, or a holder reports after it was silent.
    *
    * @param nowMs The local time.
    */
-  becameMixed(nowMs: number): void {
-    this.#isMixedUntilMs = nowMs + this.#tolerance.windowMs;
+  reliesOnReports(nowMs: number): void {
+    this.#reliesOnReportsUntilMs = nowMs + this.#tolerance.windowMs;
   }
 
   /**
@@ -189,7 +189,7 @@
   heard(totals: readonly WorkspaceSpending[], nowMs: number): void {
     this.#elsewhere.clear();
     // Charges that no report can tell of yet must not stand for others' spending.
-    const reportedMs = nowMs < this.#isMixedUntilMs
+    const reportedMs = nowMs < this.#reliesOnReportsUntilMs
       ? nowMs - REPORT_AGE_MS
       : nowMs;
     for (const { workspace, spent } of totals) {
@@ -273,7 +273,7 @@
    * @param atMs Local time that the ages in it count from.
    */
   takeUp(histories: readonly SpendingHistory[], atMs: number): void {
-    this.becameMixed(atMs);
+    this.reliesOnReports(atMs);
     for (const history of histories) {
       const own = this.#own.history(history.workspace, atMs);
       this.#takenUp.add(history.workspace);
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -184,7 +184,7 @@
     this.#reportedAtMs.set(report.holderId, nowMs);
     const toldBeforeMs = this.spendingToldAtMs(report.holderId);
     if (nowMs - toldBeforeMs > HOLDER_GONE_MS) {
-      this.#ledger.becameMixed(nowMs);
+      this.#ledger.reliesOnReports(nowMs);
     }
     this.#spendingToldAtMs.set(report.holderId, nowMs);
     this.#spending.put(report.holderId, report.spent);
