--- a/packages/routing/src/candidate_index.ts
+++ b/packages/routing/src/candidate_index.ts
@@ -3,7 +3,6 @@
  * choice costs does not grow with the number of targets.
  */
 
-import type { KnownTarget } from "./target_directory.ts";
 import { type Candidate, type TargetUse, typicalOf } from "./target_choice.ts";
 
 /** Free targets that are compared for one request, if there are as many. */
@@ -81,6 +80,11 @@
     return this.#byId.size;
   }
 
+  /** Number of targets with a free slot. */
+  get freeCount(): number {
+    return this.#freeCount;
+  }
+
   /** Whether any target has a free slot. */
   get hasFree(): boolean {
     return this.#freeCount > 0;
@@ -184,18 +188,3 @@
 export function hasFreeSlot({ target, use }: Candidate): boolean {
   return use.running < target.slots;
 }
-
-/** What an index is made from; it is made anew where any of these changes. */
-export interface IndexSource {
-  readonly serving: readonly KnownTarget[];
-  readonly kvCapacityTokens?: number;
-}
-
-/**
- * @param a What an index was made from.
- * @param b What it would be made from now.
- * @returns Whether it still holds.
- */
-export function isSameSource(a: IndexSource, b: IndexSource): boolean {
-  return a.serving === b.serving && a.kvCapacityTokens === b.kvCapacityTokens;
-}
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -337,10 +337,13 @@
     },
   ): void {
     const { rollouts, targets } = this.#board;
+    if (!rollouts.isInProgress(end.pool)) {
+      return;
+    }
     const target = targets.get(end.targetId);
     const failed = end.answerFailed === true;
     const isAnswer = failed || end.firstMs !== undefined;
-    if (!isAnswer || target === undefined || !rollouts.isInProgress(end.pool)) {
+    if (!isAnswer || target === undefined) {
       return;
     }
     const isWarm = of.nowMs >= target.warmAtMs;
--- a/packages/routing/src/placement_choice.ts
+++ b/packages/routing/src/placement_choice.ts
@@ -1,11 +1,6 @@
 /** Which targets of one pool a request may go to now, and which suits it best. */
 
-import {
-  CandidateIndex,
-  hasFreeSlot,
-  type IndexSource,
-  isSameSource,
-} from "./candidate_index.ts";
+import { CandidateIndex, hasFreeSlot } from "./candidate_index.ts";
 import type { PoolPolicy } from "./fleet_configuration.ts";
 import type { PlacedWorks } from "./placed_works.ts";
 import { onTimeUntilMs, type WaitingWork } from "./queue_order.ts";
@@ -41,7 +36,9 @@
   readonly #board: RoutingBoard;
   readonly #placed: PlacedWorks;
   #targets?: CandidateIndex;
-  #source?: IndexSource;
+  /** What the index was made from. */
+  #serving: readonly KnownTarget[] = [];
+  #kvCapacityTokens?: number;
 
   /**
    * @param pool The pool's name.
@@ -79,11 +76,11 @@
 
   #index(serving: readonly KnownTarget[]): CandidateIndex {
     const kvCapacityTokens = this.#policy()?.engine?.kvCapacityTokens;
-    const source = { serving, kvCapacityTokens };
-    if (
-      this.#targets === undefined || !isSameSource(this.#source!, source)
-    ) {
-      this.#source = source;
+    const isCurrent = serving === this.#serving &&
+      kvCapacityTokens === this.#kvCapacityTokens;
+    if (this.#targets === undefined || !isCurrent) {
+      this.#serving = serving;
+      this.#kvCapacityTokens = kvCapacityTokens;
       this.#targets = new CandidateIndex(
         serving.map((target) => this.#candidate(target)),
       );
@@ -119,8 +116,11 @@
     if (this.#board.suspects.isSuspect(ask.fingerprint)) {
       return chooseTarget(ask, this.#freeForTrial(ask, targets));
     }
-    return chooseTarget(ask, targets.free(ask.failureDomain)) ??
-      chooseTarget(ask, targets.allFree());
+    const compared = targets.free(ask.failureDomain);
+    const choice = chooseTarget(ask, compared);
+    return choice === undefined && compared.length < targets.freeCount
+      ? chooseTarget(ask, targets.allFree())
+      : choice;
   }
 
   /**
