Read limits that targets name in their answers, and tell the fleet of them

The platform's adapter decodes the header once; the holder writes the belief with its time, and heartbeats carry it with its age, the newest word winning on every instance alike. A line and a counter for each change, with where it was heard; a header that cannot be read is logged once a target and ignored. A limit is lifted only by an answer to a request that was sent after it was last named, and not within four seconds of that, as not every answer of a target in need has to name it.

No decision goes by it yet: requests are placed as before.

--- /dev/null
+++ b/packages/gateway/src/answer_news.ts
@@ -0,0 +1,109 @@
+/** Takes in what targets tell of themselves in their answers. */
+
+import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import type {
+  TargetLimitChange,
+  TargetLimitNews,
+} from "@chestnuthatch/routing/target_limits";
+import { type EventLog, LogPart } from "./event_log.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { Clock, TargetSignals } from "./ports.ts";
+
+/** What the part works with. */
+export interface AnswerNewsParts {
+  readonly board: RoutingBoard;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+}
+
+/** An answer of a target. */
+export interface AnswerOrigin {
+  readonly targetId: string;
+  /** When its request was sent. */
+  readonly sentAtMs: number;
+}
+
+/** Unreadable headers that are remembered, so that each is logged once. */
+const MOST_UNREADABLE = 256;
+
+/** Where a belief comes from. */
+enum NewsSource {
+  Answer = "answer",
+  Peer = "peer",
+}
+
+/** Writes the beliefs that answers bring, and tells of changes. */
+export class AnswerNews {
+  readonly #parts: AnswerNewsParts;
+  readonly #unreadable = new Set<string>();
+
+  /** @param parts What it works with. */
+  constructor(parts: AnswerNewsParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * @param origin The answer.
+   * @param signals What it tells of its target.
+   */
+  answered(origin: AnswerOrigin, signals: TargetSignals): void {
+    const { limitPerS, unreadable } = signals;
+    for (const header of unreadable) {
+      this.#noteUnreadable(origin.targetId, header);
+    }
+    // One that cannot be read does not say that there is no limit.
+    if (limitPerS !== undefined || unreadable.length === 0) {
+      this.#noteLimit(origin, limitPerS);
+    }
+  }
+
+  /** @param news Limits that another instance knows of. */
+  toldOfLimits(news: readonly TargetLimitNews[]): void {
+    const { board: { limits }, clock } = this.#parts;
+    for (const change of limits.merge(news, clock.nowMs())) {
+      this.#limitChanged(change, NewsSource.Peer);
+    }
+  }
+
+  #noteLimit(
+    { targetId, sentAtMs }: AnswerOrigin,
+    limitPerS: number | undefined,
+  ): void {
+    const { board: { limits }, clock } = this.#parts;
+    const nowMs = clock.nowMs();
+    const change = limitPerS === undefined
+      ? limits.notNamed(targetId, { sentAtMs, nowMs })
+      : limits.named(targetId, limitPerS, nowMs);
+    if (change !== undefined) {
+      this.#limitChanged(change, NewsSource.Answer);
+    }
+  }
+
+  #limitChanged(
+    { targetId, limitPerS, beforePerS }: TargetLimitChange,
+    source: NewsSource,
+  ): void {
+    const { log, metrics } = this.#parts;
+    const isLifted = limitPerS === undefined;
+    metrics.targetSignal(isLifted ? "limit_lifted" : "limit_named", source);
+    log.info(
+      LogPart.Targets,
+      isLifted ? "target limit lifted" : "target names a limit",
+      { targetId, limitPerS, beforePerS, source },
+    );
+  }
+
+  #noteUnreadable(targetId: string, header: string): void {
+    const known = `${targetId} ${header}`;
+    const isNew = !this.#unreadable.has(known) &&
+      this.#unreadable.size < MOST_UNREADABLE;
+    if (isNew) {
+      this.#unreadable.add(known);
+      this.#parts.log.warn(LogPart.Targets, "unreadable header ignored", {
+        targetId,
+        header,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/answer_news_test.ts
@@ -0,0 +1,69 @@
+import { Writable } from "node:stream";
+import { boardOf } from "@chestnuthatch/routing/routing_test_support";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { AnswerNews } from "./answer_news.ts";
+import { EventLog } from "./event_log.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+
+const NO_FAULT: readonly string[] = [];
+
+function newsOf() {
+  const lines: string[] = [];
+  const clock = { atMs: 0, nowMs: () => clock.atMs };
+  const output = new Writable({
+    write: (chunk, _code, done) => {
+      lines.push(...String(chunk).trim().split("\n"));
+      done();
+    },
+  });
+  const log = new EventLog(clock, "i1", output);
+  const board = boardOf(["t1"]);
+  const metrics = new GatewayMetrics();
+  const news = new AnswerNews({ board, clock, log, metrics });
+  const messages = () => {
+    log.flush();
+    return lines.map((line) => JSON.parse(line))
+      .map(({ message, source, limitPerS }) =>
+        [message, source, limitPerS].filter((part) => part !== undefined)
+          .join(" ")
+      );
+  };
+  return { news, board, clock, messages };
+}
+
+test("a limit is logged as it changes, with where it was heard", () => {
+  const { news, board, clock, messages } = newsOf();
+  const origin = { targetId: "t1", sentAtMs: 0 };
+  news.answered(origin, { limitPerS: 5, unreadable: NO_FAULT });
+  news.answered(origin, { limitPerS: 5, unreadable: NO_FAULT });
+  clock.atMs = 50;
+  news.toldOfLimits([{ targetId: "t1", limitPerS: 6, ageMs: 10 }]);
+  clock.atMs = 6000;
+  news.answered({ targetId: "t1", sentAtMs: 5000 }, { unreadable: NO_FAULT });
+  assert.equal(messages(), [
+    "target names a limit answer 5",
+    "target names a limit peer 6",
+    "target limit lifted answer",
+  ]);
+  assert.is(board.limits.limitPerS("t1"), undefined);
+});
+
+test("a header that cannot be read is logged once and lifts no limit", () => {
+  const { news, board, clock, messages } = newsOf();
+  news.answered({ targetId: "t1", sentAtMs: 0 }, {
+    limitPerS: 5,
+    unreadable: NO_FAULT,
+  });
+  clock.atMs = 6000;
+  const unreadable = ["server-limit: many"];
+  news.answered({ targetId: "t1", sentAtMs: 5000 }, { unreadable });
+  news.answered({ targetId: "t1", sentAtMs: 5000 }, { unreadable });
+  assert.equal(messages(), [
+    "target names a limit answer 5",
+    "unreadable header ignored",
+  ]);
+  assert.is(board.limits.limitPerS("t1"), 5);
+});
+
+test.run();
--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -16,6 +16,7 @@
   type TargetBelief,
   type TargetChange,
 } from "@chestnuthatch/routing/target_directory";
+import type { TargetLimitNews } from "@chestnuthatch/routing/target_limits";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { hostPortOf } from "./host_port.ts";
@@ -67,6 +68,8 @@
   onSpending(record: readonly SpendingHistory[], ageMs: number): void;
   /** Called with requests under which targets ended, from anywhere. */
   onSuspects(news: readonly SuspectNews[]): void;
+  /** Called with limits of targets that another instance knows of. */
+  onTargetLimits(news: readonly TargetLimitNews[]): void;
   /** Called when what the fleet recorded of late may be gone. */
   onStoreWentBack(): void;
   /** Called when another version came into force. */
@@ -286,6 +289,9 @@
     if (beat.suspects !== undefined) {
       this.#parts.onSuspects(beat.suspects);
     }
+    if (beat.targetLimits !== undefined) {
+      this.#parts.onTargetLimits(beat.targetLimits);
+    }
     const { board, clock } = this.#parts;
     const nowMs = clock.nowMs();
     if (beat.targetsVersion > this.#toldVersion) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,7 +23,9 @@
   TargetNews,
 } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
+import { TargetLimits } from "@chestnuthatch/routing/target_limits";
 import { TargetPaces } from "@chestnuthatch/routing/target_paces";
+import { AnswerNews } from "./answer_news.ts";
 import { EventLog, type LogFacts, LogPart } from "./event_log.ts";
 import { FleetNews } from "./fleet_news.ts";
 import { FrontServer } from "./front_server.ts";
@@ -87,6 +89,7 @@
   readonly #spending: SpendingKeeper;
   readonly #suspects: SuspectKeeper;
   readonly #rollouts: RolloutKeeper;
+  readonly #answerNews: AnswerNews;
   readonly #front: FrontServer;
   readonly #status: StatusServer;
   readonly #loop: LoopWatch;
@@ -127,6 +130,7 @@
       members,
       cutDomains: new CutDomains(members),
       health: new TargetHealth(),
+      limits: new TargetLimits(),
       paces: new TargetPaces(),
       suspects: new SuspectRequests(),
       rollouts: new Rollouts(settings.exposure),
@@ -166,6 +170,12 @@
       metrics: this.#metrics,
       reachesStore: () => this.#news.reachesStore,
     });
+    this.#answerNews = new AnswerNews({
+      board: this.board,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+    });
     this.#news = this.#makeNews();
     this.#catalog = new PeerCatalog((item) => this.#news.content(item));
     this.#membership = this.#makeMembership();
@@ -428,6 +438,7 @@
       desk: this.#desk,
       protocol,
       probes: new TargetProbes(),
+      answerNews: this.#answerNews,
       failureDomain,
       lateMs: () => this.#lateMs,
       nextAskId: () => `${prefix}.${(this.#askCounter++).toString(36)}`,
@@ -452,6 +463,7 @@
       onConfiguration: (configuration) => this.#configured(configuration),
       onSpending: (record, ageMs) => this.#spending.takeUpRecord(record, ageMs),
       onSuspects: (news) => this.#suspects.told(news),
+      onTargetLimits: (news) => this.#answerNews.toldOfLimits(news),
       onStoreWentBack: () => {
         this.#coordinator.recordAnew();
         this.#suspects.recordAnew();
@@ -478,6 +490,7 @@
           ? this.board.suspects.toTell(this.#clock.nowMs())
           : [],
       rollouts: () => this.board.rollouts.toTell(this.#clock.nowMs()),
+      targetLimits: () => this.board.limits.toTell(this.#clock.nowMs()),
       targetNews: () => this.#news.targetNews(),
     }, this.#self);
   }
@@ -491,7 +504,7 @@
 
   #targetsChanged(beliefs: readonly TargetBelief[]): void {
     const nowMs = this.#clock.nowMs();
-    const { targets, paces } = this.board;
+    const { targets, paces, limits } = this.board;
     for (const { targetId, news } of beliefs) {
       if (news === TargetNews.Restarted) {
         this.#targetRestarted(targetId);
@@ -499,7 +512,9 @@
     }
     targets.forgetOld(nowMs);
     const all = targets.all();
-    paces.keepOnly(new Set(all.map(({ targetId }) => targetId)));
+    const targetIds = new Set(all.map(({ targetId }) => targetId));
+    paces.keepOnly(targetIds);
+    limits.keepOnly(targetIds);
     const usable = all.filter((target) => targets.isUsable(target, nowMs));
     this.#connections.keepOnly(new Set(usable.map(({ address }) => address)));
   }
@@ -507,6 +522,7 @@
   /** Its pace is that of its machine, and stays. */
   #targetRestarted(targetId: string): void {
     this.board.health.restarted(targetId);
+    this.board.limits.restarted(targetId, this.#clock.nowMs());
     this.#coordinator.targetRestarted(targetId);
     this.#connections.dropIdle(this.board.targets.get(targetId)!.address);
   }
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -27,7 +27,12 @@
 const PROTOCOL: CallProtocol = {
   readCall: (headers) => ({ requestId: String(headers["x-request-id"]) }),
   forwardHeaders: (rawHeaders) => [...rawHeaders],
-  readAnswer: () => ({ notRun: false, wrongTarget: false, genuine: true }),
+  readAnswer: () => ({
+    notRun: false,
+    wrongTarget: false,
+    genuine: true,
+    signals: { unreadable: [] },
+  }),
 };
 
 /** One line of the log. */
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -79,6 +79,11 @@
     "Steps of roll-outs that this instance decided.",
     ["pool", "phase"],
   );
+  readonly #targetSignals = this.#counter(
+    "target_signals_total",
+    "Changes of belief about targets that answers brought.",
+    ["signal", "source"],
+  );
   readonly #open = this.#gauge("open_requests", "Requests in progress.");
   readonly #version = this.#gauge(
     "configuration_version",
@@ -127,6 +132,14 @@
     this.#rolloutSteps.inc({ pool, phase });
   }
 
+  /**
+   * @param signal What an answer told of its target.
+   * @param source Whether an answer or another instance told it.
+   */
+  targetSignal(signal: string, source: string): void {
+    this.#targetSignals.inc({ signal, source });
+  }
+
   /** @param kind Kind of a message from another instance. */
   peerMessage(kind: string): void {
     this.#peerMessages.inc({ kind });
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -13,6 +13,7 @@
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
 import { boardOf, memberOf } from "@chestnuthatch/routing/routing_test_support";
+import type { TargetLimits } from "@chestnuthatch/routing/target_limits";
 import { EventLog } from "./event_log.ts";
 import { MembershipKeeper } from "./membership_keeper.ts";
 import { PlacementDesk } from "./placement_desk.ts";
@@ -25,11 +26,14 @@
 /** One instance: whom it knows, its heartbeats and its places. */
 export interface FleetNode {
   readonly members: MemberView;
+  readonly limits: TargetLimits;
   readonly keeper: MembershipKeeper;
   readonly desk: PlacementDesk;
   readonly spending: SpendingKeeper;
   /** Lets time pass for all of its parts. */
   tick(): void;
+  /** @returns The test's clock. */
+  nowMs(): number;
 }
 
 /** What a fleet's instances have in common. */
@@ -105,6 +109,7 @@
         : [],
     suspects: () => [],
     rollouts: () => [],
+    targetLimits: () => board.limits.toTell(clock.nowMs()),
     targetNews: () => [],
   }, self);
   let wasCoordinator = false;
@@ -118,7 +123,9 @@
     }
     wasCoordinator = isCoordinator;
   };
-  return { members, keeper, desk, spending, tick };
+  const { limits } = board;
+  const nowMs = () => clock.nowMs();
+  return { members, limits, keeper, desk, spending, tick, nowMs };
 }
 
 /** A platform that takes no records. */
@@ -138,11 +145,12 @@
  * @param of The message, and who sent it.
  */
 export function deliverTo(
-  { keeper, desk, spending }: FleetNode,
+  { keeper, desk, spending, limits, nowMs }: FleetNode,
   { message, fromId }: { message: RoutingMessage; fromId: string },
 ): void {
   if (message.kind === MessageKind.Beat) {
     keeper.heard(message);
+    limits.merge(message.targetLimits ?? [], nowMs());
     if (fromId === desk.coordinatorId && message.spending !== undefined) {
       spending.told(message.spending);
     }
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -13,6 +13,7 @@
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { SuspectNews } from "@chestnuthatch/routing/suspect_requests";
 import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
+import type { TargetLimitNews } from "@chestnuthatch/routing/target_limits";
 import type { TargetChange } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock } from "./ports.ts";
@@ -32,6 +33,9 @@
  */
 const MAX_NEWS = 24;
 
+/** Limits of targets that one heartbeat tells of; more are told in turn. */
+const MAX_LIMITS = 24;
+
 /** A heartbeat of another instance. */
 export type Beat = Extract<RoutingMessage, { kind: MessageKind.Beat }>;
 
@@ -55,6 +59,8 @@
   suspects(): readonly SuspectNews[];
   /** @returns Roll-outs in progress, or ended just now. */
   rollouts(): readonly RolloutNews[];
+  /** @returns Limits that targets name, and those lifted lately. */
+  targetLimits(): readonly TargetLimitNews[];
   /** @returns What this instance lately learned of targets. */
   targetNews(): readonly TargetChange[];
 }
@@ -179,6 +185,9 @@
     const tellsAll = this.#tellsAll(withOthers);
     const suspects = tellsAll ? this.#parts.suspects() : [];
     const rollouts = this.#parts.rollouts();
+    const targetLimits = tellsAll
+      ? inTurn(this.#parts.targetLimits(), MAX_LIMITS, this.#beats)
+      : [];
     this.#parts.send(addresses, {
       kind: MessageKind.Beat,
       from: this.#self,
@@ -190,6 +199,7 @@
       spending: tellsAll ? this.#parts.spending() : undefined,
       ...(suspects.length > 0 ? { suspects } : undefined),
       ...(rollouts.length > 0 ? { rollouts } : undefined),
+      ...(targetLimits.length > 0 ? { targetLimits } : undefined),
       targetNews: this.#newsToTell(tellsAll),
     });
   }
--- a/packages/gateway/src/membership_keeper_test.ts
+++ b/packages/gateway/src/membership_keeper_test.ts
@@ -59,6 +59,7 @@
     spending: () => [],
     suspects: () => [],
     rollouts: () => [],
+    targetLimits: () => [],
     targetNews: () => news,
   }, self);
   keeper.heard({
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -86,6 +86,8 @@
   "phase",
   "route",
   "answerFailed",
+  "targetLimits",
+  "limitPerS",
 ];
 
 /** Version of the internet protocol that peers speak. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -48,6 +48,17 @@
   readonly resumeAfter?: number;
 }
 
+/** What a target tells of itself in an answer. */
+export interface TargetSignals {
+  /**
+   * Requests a second that it takes from all instances together; absent where
+   * it names no limit.
+   */
+  readonly limitPerS?: number;
+  /** Headers on the target that cannot be read, with their values. */
+  readonly unreadable: readonly string[];
+}
+
 /** What a target's answer says beside its body. */
 export interface AnswerFacts {
   /** The target says that it did not run the call. */
@@ -58,6 +69,7 @@
   readonly genuine: boolean;
   /** Call that it answers; absent where it does not say. */
   readonly requestId?: string;
+  readonly signals: TargetSignals;
 }
 
 /** How calls look on the wire. */
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -175,6 +175,11 @@
     this.#answer = answer;
     const status = answer.statusCode!;
     const facts = this.#parts.protocol.readAnswer(status, answer.headers);
+    if (!facts.wrongTarget) {
+      const { targetId } = this.order.target;
+      const origin = { targetId, sentAtMs: this.sentAtMs };
+      this.#parts.answerNews.answered(origin, facts.signals);
+    }
     const { requestId } = this.order.call.facts;
     if (facts.requestId !== undefined && facts.requestId !== requestId) {
       this.#end(AttemptEnd.Lost, "answer to another request");
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -23,6 +23,7 @@
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
 import { SuspectRequests } from "@chestnuthatch/routing/suspect_requests";
+import { TargetLimits } from "@chestnuthatch/routing/target_limits";
 import { TargetPaces } from "@chestnuthatch/routing/target_paces";
 import {
   AskCause,
@@ -273,6 +274,7 @@
     members,
     cutDomains: new CutDomains(members),
     health: new TargetHealth(),
+    limits: new TargetLimits(),
     paces: new TargetPaces(),
     suspects: new SuspectRequests(),
     rollouts: new Rollouts({ share: 0.1, slack: 50 }),
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -71,6 +71,12 @@
   ageMs: z.number(),
 });
 
+const targetLimitNews = z.object({
+  targetId: z.string(),
+  limitPerS: z.number().nonnegative().optional(),
+  ageMs: z.number(),
+});
+
 const ask = z.object({
   askId: z.string(),
   holderId: z.string(),
@@ -177,6 +183,8 @@
     suspects: z.array(suspectNewsSchema).readonly().optional(),
     /** Roll-outs that are in progress or ended just now, if any. */
     rollouts: z.array(rolloutNewsSchema).readonly().optional(),
+    /** Limits that targets name, and those lifted lately, if any. */
+    targetLimits: z.array(targetLimitNews).readonly().optional(),
     /** What it lately learned of targets. */
     targetNews: targetChangesSchema,
   }),
--- a/packages/routing/src/routing_board.ts
+++ b/packages/routing/src/routing_board.ts
@@ -10,6 +10,7 @@
 import type { SuspectRequests } from "./suspect_requests.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 import type { TargetHealth } from "./target_health.ts";
+import type { TargetLimits } from "./target_limits.ts";
 import type { TargetPaces } from "./target_paces.ts";
 
 /** The beliefs of one instance. */
@@ -24,6 +25,8 @@
   readonly health: TargetHealth;
   /** Written by the holder, from targets that gave no sign of life. */
   readonly cutDomains: CutDomains;
+  /** Written by the holder and by peers, from answers of targets. */
+  readonly limits: TargetLimits;
   /** Written by the coordinator, from how work ended. */
   readonly paces: TargetPaces;
   /** Written by the roll-out keeper, and by the coordinator from answers. */
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -13,6 +13,7 @@
 import { SuspectRequests } from "./suspect_requests.ts";
 import { TargetDirectory } from "./target_directory.ts";
 import { TargetHealth } from "./target_health.ts";
+import { TargetLimits } from "./target_limits.ts";
 import { TargetPaces } from "./target_paces.ts";
 import { AskCause, type WorkAsk } from "./work_ask.ts";
 
@@ -118,6 +119,7 @@
     members,
     cutDomains: new CutDomains(members),
     health: new TargetHealth(),
+    limits: new TargetLimits(),
     paces: new TargetPaces(),
     suspects: new SuspectRequests(),
     rollouts: new Rollouts({ share: 0.1, slack: 50 }),
--- /dev/null
+++ b/packages/routing/src/target_limits.ts
@@ -0,0 +1,154 @@
+/**
+ * Rate limits that targets in need name in their answers. A limit holds for all
+ * instances together, until the target answers without one.
+ *
+ * Instances tell each other what answers said and how long ago; the newest word
+ * on a target counts, so that all of them come to the same in any order.
+ */
+
+/** What instances tell each other of a target's limit. */
+export interface TargetLimitNews {
+  readonly targetId: string;
+  /** Requests a second from all instances together; absent once lifted. */
+  readonly limitPerS?: number;
+  /** How long ago an answer said so. */
+  readonly ageMs: number;
+}
+
+/** A change of what is believed of a target's limit. */
+export interface TargetLimitChange {
+  readonly targetId: string;
+  /** Absent where there was none. */
+  readonly beforePerS?: number;
+  /** Absent where there is none any more. */
+  readonly limitPerS?: number;
+}
+
+/**
+ * Time without an answer that names a limit before it may count as lifted:
+ * not every answer of a target in need has to name it.
+ */
+const LIFT_AFTER_MS = 4000;
+
+/** How long other instances are told that a limit was lifted. */
+const LIFT_TOLD_MS = 2500;
+
+interface KnownLimit {
+  /** Absent once lifted. */
+  readonly limitPerS?: number;
+  /** When an answer last named it, or lifted it. */
+  readonly saidAtMs: number;
+}
+
+/** Limits by target. */
+export class TargetLimits {
+  readonly #byId = new Map<string, KnownLimit>();
+
+  /**
+   * @param targetId A target.
+   * @returns Its limit in requests a second; absent where it names none.
+   */
+  limitPerS(targetId: string): number | undefined {
+    return this.#byId.get(targetId)?.limitPerS;
+  }
+
+  /** @returns Targets that name a limit. */
+  limited(): string[] {
+    return [...this.#byId].filter(([, { limitPerS }]) =>
+      limitPerS !== undefined
+    ).map(([targetId]) => targetId);
+  }
+
+  /**
+   * An answer named a limit.
+   *
+   * @param targetId Its target.
+   * @param limitPerS Requests a second from all instances together.
+   * @param nowMs The local time.
+   * @returns What changed, if anything did.
+   */
+  named(
+    targetId: string,
+    limitPerS: number,
+    nowMs: number,
+  ): TargetLimitChange | undefined {
+    return this.#put(targetId, { limitPerS, saidAtMs: nowMs });
+  }
+
+  /**
+   * An answer named no limit. That lifts the limit only where the request was
+   * sent after the limit was last named: older answers may arrive late.
+   *
+   * @param targetId Its target.
+   * @param of When the request was sent, and the local time.
+   * @returns What changed, if anything did.
+   */
+  notNamed(
+    targetId: string,
+    { sentAtMs, nowMs }: { sentAtMs: number; nowMs: number },
+  ): TargetLimitChange | undefined {
+    const known = this.#byId.get(targetId);
+    const isLifted = known?.limitPerS !== undefined &&
+      sentAtMs > known.saidAtMs && nowMs - known.saidAtMs >= LIFT_AFTER_MS;
+    return isLifted ? this.#put(targetId, { saidAtMs: nowMs }) : undefined;
+  }
+
+  /**
+   * A target's process started again: what the one before said is void.
+   *
+   * @param targetId The target.
+   * @param nowMs The local time.
+   */
+  restarted(targetId: string, nowMs: number): void {
+    if (this.#byId.has(targetId)) {
+      this.#put(targetId, { saidAtMs: nowMs });
+    }
+  }
+
+  /**
+   * @param news What another instance knows.
+   * @param nowMs The local time.
+   * @returns What changed here.
+   */
+  merge(news: readonly TargetLimitNews[], nowMs: number): TargetLimitChange[] {
+    return news.flatMap(({ targetId, limitPerS, ageMs }) => {
+      const saidAtMs = nowMs - ageMs;
+      const known = this.#byId.get(targetId);
+      return known !== undefined && known.saidAtMs >= saidAtMs
+        ? []
+        : this.#put(targetId, { limitPerS, saidAtMs }) ?? [];
+    });
+  }
+
+  /**
+   * @param nowMs The local time.
+   * @returns Limits, and those lifted lately, for other instances.
+   */
+  toTell(nowMs: number): TargetLimitNews[] {
+    return [...this.#byId].flatMap(([targetId, { limitPerS, saidAtMs }]) => {
+      const ageMs = Math.round(nowMs - saidAtMs);
+      if (limitPerS !== undefined) {
+        return { targetId, limitPerS, ageMs };
+      }
+      return ageMs <= LIFT_TOLD_MS ? { targetId, ageMs } : [];
+    });
+  }
+
+  /** @param targetIds Targets that exist; all others are forgotten. */
+  keepOnly(targetIds: ReadonlySet<string>): void {
+    for (const targetId of this.#byId.keys()) {
+      if (!targetIds.has(targetId)) {
+        this.#byId.delete(targetId);
+      }
+    }
+  }
+
+  #put(targetId: string, next: KnownLimit): TargetLimitChange | undefined {
+    const beforePerS = this.limitPerS(targetId);
+    const { limitPerS } = next;
+    this.#byId.set(targetId, next);
+    return beforePerS === limitPerS
+      ? undefined
+      : { targetId, beforePerS, limitPerS };
+  }
+}
--- /dev/null
+++ b/packages/routing/src/target_limits_test.ts
@@ -0,0 +1,80 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { TargetLimits } from "./target_limits.ts";
+
+function limitsOf(limitPerS: number, nowMs: number): TargetLimits {
+  const limits = new TargetLimits();
+  limits.named("t1", limitPerS, nowMs);
+  return limits;
+}
+
+test("a limit is the newest that an answer named", () => {
+  const limits = limitsOf(5, 0);
+  assert.equal(limits.named("t1", 3, 100), {
+    targetId: "t1",
+    beforePerS: 5,
+    limitPerS: 3,
+  });
+  assert.is(limits.named("t1", 3, 200), undefined);
+  assert.is(limits.limitPerS("t1"), 3);
+});
+
+test("answers without the header lift a limit only after a while", () => {
+  const limits = limitsOf(5, 0);
+  limits.notNamed("t1", { sentAtMs: 100, nowMs: 200 });
+  assert.is(limits.limitPerS("t1"), 5);
+  limits.notNamed("t1", { sentAtMs: 4000, nowMs: 4100 });
+  assert.is(limits.limitPerS("t1"), undefined);
+});
+
+test("an answer to a request sent before the limit was named lifts nothing", () => {
+  const limits = limitsOf(5, 1000);
+  limits.notNamed("t1", { sentAtMs: 900, nowMs: 9000 });
+  assert.is(limits.limitPerS("t1"), 5);
+});
+
+test("silence of a target does not lift its limit", () => {
+  const limits = limitsOf(0.2, 0);
+  assert.equal(limits.toTell(60_000), [
+    { targetId: "t1", limitPerS: 0.2, ageMs: 60_000 },
+  ]);
+});
+
+test("instances come to the same, in whatever order they hear", () => {
+  const older = { targetId: "t1", limitPerS: 5, ageMs: 300 };
+  const newer = { targetId: "t1", limitPerS: 7, ageMs: 100 };
+  const one = new TargetLimits();
+  one.merge([older], 1000);
+  one.merge([newer], 1000);
+  const other = new TargetLimits();
+  other.merge([newer], 1000);
+  other.merge([older], 1000);
+  assert.is(one.limitPerS("t1"), 7);
+  assert.is(other.limitPerS("t1"), 7);
+});
+
+test("a lifted limit is told for a while, and older news do not restore it", () => {
+  const limits = limitsOf(5, 0);
+  limits.notNamed("t1", { sentAtMs: 5000, nowMs: 5100 });
+  assert.equal(limits.toTell(5200), [{ targetId: "t1", ageMs: 100 }]);
+  assert.equal(limits.toTell(9000), []);
+  limits.merge([{ targetId: "t1", limitPerS: 5, ageMs: 5200 }], 9000);
+  assert.is(limits.limitPerS("t1"), undefined);
+});
+
+test("what a process said is void once it started again", () => {
+  const limits = limitsOf(5, 0);
+  limits.restarted("t1", 1000);
+  limits.merge([{ targetId: "t1", limitPerS: 5, ageMs: 600 }], 1100);
+  assert.is(limits.limitPerS("t1"), undefined);
+  limits.named("t1", 4, 1200);
+  assert.is(limits.limitPerS("t1"), 4);
+});
+
+test("targets that are gone are forgotten", () => {
+  const limits = limitsOf(5, 0);
+  limits.keepOnly(new Set(["t2"]));
+  assert.equal(limits.limited(), []);
+});
+
+test.run();
