--- /dev/null
+++ b/packages/gateway/src/named_limits_test.ts
@@ -0,0 +1,252 @@
+/**
+ * Targets name a limit in their answers, for all instances together, while the
+ * fleet's instances are killed or cut off.
+ */
+
+import {
+  type Randomness,
+  seededRandomness,
+} from "@chestnuthatch/core/randomness";
+import type { RoutingMessage } from "@chestnuthatch/routing/peer_messages";
+import { askOf } from "@chestnuthatch/routing/routing_test_support";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  deliverTo,
+  type FleetNode,
+  fleetNode,
+} from "./gateway_test_support.ts";
+
+const BOUNDS = {
+  retryBudget: { ratio: 0.2, slack: 100, windowS: 10 },
+  allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
+};
+const ALLOTMENT = { perS: 1e6, burst: 0, inTokens: true, plainTokens: 1 };
+const DOMAIN_OF: Readonly<Record<string, string>> = {
+  i1: "a",
+  i2: "b",
+  i3: "c",
+  i4: "d",
+  i5: "a",
+  i6: "b",
+  i7: "c",
+  i8: "d",
+};
+const IDS = Object.keys(DOMAIN_OF);
+const TARGET_IDS = ["t1", "t2", "t3", "t4"];
+const STEP_MS = 5;
+const WAY_MS = 4;
+const WORK_MS = 90;
+/** Half of what the targets can do. */
+const REQUESTS_PER_S = 40;
+
+/** What a target in need is promised. */
+const SETTLED_MS = 3000;
+const TOLD_MS = 500;
+const WINDOW_MS = 4000;
+const FACTOR = 1.5;
+const SPARE = 5;
+
+interface Arrival {
+  readonly atMs: number;
+  readonly holderId: string;
+}
+
+/** A fleet on a manual clock before targets that may name limits. */
+class LimitedFleet {
+  readonly clock = { atMs: 0, nowMs: () => this.clock.atMs };
+  readonly limitPerS = new Map<string, number>();
+  readonly refused: { atMs: number; retryAfterMs: number }[] = [];
+  readonly #random: Randomness;
+  readonly #nodes: Map<string, FleetNode>;
+  readonly #arrivals = new Map<string, Arrival[]>();
+  /** When each instance first passed on an answer with a limit, by target. */
+  readonly #toldAtMs = new Map<string, Map<string, number>>();
+  readonly #excused = new Set<string>();
+  #cutDomain?: string;
+  #later: { atMs: number; run: () => void }[] = [];
+  #asked = 0;
+
+  constructor(seed = 1) {
+    this.#random = seededRandomness(seed);
+    this.#nodes = new Map(IDS.map((id) => [id, this.#node(id)]));
+    this.run(6000);
+  }
+
+  get coordinatorId(): string {
+    return [...this.#nodes.values()][0]!.desk.coordinatorId;
+  }
+
+  kill(instanceId: string): void {
+    this.#nodes.delete(instanceId);
+    this.#excused.add(instanceId);
+  }
+
+  cutOff(failureDomain: string): void {
+    this.#cutDomain = failureDomain;
+    IDS.filter((id) => DOMAIN_OF[id] === failureDomain)
+      .forEach((id) => this.#excused.add(id));
+  }
+
+  heal(): void {
+    this.#cutDomain = undefined;
+  }
+
+  run(forMs: number): void {
+    const untilMs = this.clock.atMs + forMs;
+    while (this.clock.atMs < untilMs) {
+      this.clock.atMs += STEP_MS;
+      this.#runDue();
+      if (this.clock.atMs % (4 * STEP_MS) === 0) {
+        this.#nodes.forEach((node) => node.tick());
+      }
+      if (this.#random.next() < REQUESTS_PER_S * STEP_MS / 1000) {
+        this.#request();
+      }
+    }
+  }
+
+  /** Requests that reached a target from an instance it had told. */
+  arrivals(targetId: string, sinceMs: number): number[] {
+    const told = this.#toldAtMs.get(targetId) ?? new Map<string, number>();
+    return (this.#arrivals.get(targetId) ?? [])
+      .filter(({ atMs, holderId }) =>
+        atMs >= sinceMs && !this.#excused.has(holderId) &&
+        atMs >= (told.get(holderId) ?? Infinity) + TOLD_MS
+      ).map(({ atMs }) => atMs);
+  }
+
+  /** Targets that got more within a window than their limit allows. */
+  overrun(): string[] {
+    return [...this.limitPerS].flatMap(([targetId, limitPerS]) => {
+      const toldAtMs = [...this.#toldAtMs.get(targetId)?.values() ?? []];
+      const sinceMs = Math.min(...toldAtMs) + SETTLED_MS;
+      const most = mostWithin(this.arrivals(targetId, sinceMs), WINDOW_MS);
+      const allowed = FACTOR * limitPerS * WINDOW_MS / 1000 + SPARE;
+      return most <= allowed
+        ? []
+        : [`${targetId}: ${most} in 4 s, ${Math.floor(allowed)} allowed`];
+    });
+  }
+
+  /** Requests that reached a target, from anywhere. */
+  reached(targetId: string, sinceMs: number): number {
+    return (this.#arrivals.get(targetId) ?? [])
+      .filter(({ atMs }) => atMs >= sinceMs).length;
+  }
+
+  #request(): void {
+    const ids = [...this.#nodes.keys()];
+    const holderId = ids[this.#asked % ids.length]!;
+    const node = this.#nodes.get(holderId)!;
+    const askId = `a${this.#asked++}`;
+    const { atMs: askedAtMs } = this.clock;
+    node.desk.ask(askOf(askId, { holderId }), (decision) => {
+      if ("refusal" in decision) {
+        const { retryAfterMs } = decision;
+        this.refused.push({ atMs: this.clock.atMs, retryAfterMs });
+        assert.ok(this.clock.atMs - askedAtMs < 2000, "refused late");
+      } else {
+        this.#send(node, { askId, holderId, targetId: decision.targetId });
+      }
+    });
+  }
+
+  #send(
+    node: FleetNode,
+    of: { askId: string; holderId: string; targetId: string },
+  ): void {
+    const { askId, holderId, targetId } = of;
+    const sentAtMs = this.clock.atMs;
+    this.#after(WAY_MS, () => {
+      const list = this.#arrivals.get(targetId) ?? [];
+      this.#arrivals.set(targetId, list);
+      list.push({ atMs: this.clock.atMs, holderId });
+    });
+    this.#after(WORK_MS, () => {
+      const limitPerS = this.limitPerS.get(targetId);
+      this.#after(WAY_MS, () => {
+        const nowMs = this.clock.atMs;
+        if (limitPerS === undefined) {
+          node.limits.notNamed(targetId, { sentAtMs, nowMs });
+        } else {
+          this.#noteTold(holderId, targetId);
+          node.limits.named(targetId, limitPerS, nowMs);
+        }
+        const end = { askId, targetId, pool: "p", promptTokens: 500 };
+        node.desk.ended({ ...end, firstMs: WORK_MS, failed: false });
+      });
+    });
+  }
+
+  #noteTold(holderId: string, targetId: string): void {
+    const told = this.#toldAtMs.get(targetId) ?? new Map<string, number>();
+    this.#toldAtMs.set(targetId, told);
+    if (!told.has(holderId)) {
+      told.set(holderId, this.clock.atMs);
+    }
+  }
+
+  #after(ms: number, run: () => void): void {
+    this.#later.push({ atMs: this.clock.atMs + ms, run });
+  }
+
+  #runDue(): void {
+    const due = this.#later.filter(({ atMs }) => atMs <= this.clock.atMs);
+    this.#later = this.#later.filter(({ atMs }) => atMs > this.clock.atMs);
+    due.forEach(({ run }) => run());
+  }
+
+  #isCut(fromId: string, toId: string): boolean {
+    return this.#cutDomain !== undefined &&
+      (DOMAIN_OF[fromId] === this.#cutDomain) !==
+        (DOMAIN_OF[toId] === this.#cutDomain);
+  }
+
+  #deliver(fromId: string, toId: string, message: RoutingMessage): void {
+    if (!this.#nodes.has(fromId) || this.#isCut(fromId, toId)) {
+      return;
+    }
+    this.#after(WAY_MS, () => {
+      const node = this.#nodes.get(toId);
+      if (node !== undefined) {
+        deliverTo(node, { message, fromId });
+      }
+    });
+  }
+
+  #node(instanceId: string): FleetNode {
+    return fleetNode(instanceId, {
+      clock: this.clock,
+      bounds: BOUNDS,
+      allotment: ALLOTMENT,
+      targetIds: TARGET_IDS,
+      seedIds: ["i1", "i2"],
+      domainOf: (id) => DOMAIN_OF[id]!,
+      send: (fromId, toId, message) => this.#deliver(fromId, toId, message),
+    });
+  }
+}
+
+function mostWithin(atMs: readonly number[], windowMs: number): number {
+  let first = 0;
+  let most = 0;
+  for (const [index, endMs] of atMs.entries()) {
+    while (endMs - atMs[first]! > windowMs) {
+      first++;
+    }
+    most = Math.max(most, index - first + 1);
+  }
+  return most;
+}
+
+// Guards against requests being placed by slots and pace alone, whatever rate
+// their target has asked all instances to keep to.
+test("a target that names a limit gets no more than it from all instances", () => {
+  const fleet = new LimitedFleet();
+  fleet.limitPerS.set("t1", 4.5);
+  fleet.run(12_000);
+  assert.equal(fleet.overrun(), []);
+});
+
+test.run();
