Place requests by the limits that targets name, over all instances

What callers and operators saw: servers in need that had named 4.7 to 6.7 requests a second got 47 to 89 in 4 s; 33 to 45 were allowed.

Cause: an answer's headers were passed on to the caller and no decision read them. The coordinator went by slots and pace alone, and a server that answers fast because it is spared drew more requests still.

Why this works: all sends of the fleet go through the coordinator's choice, whatever their cause (first sends, repeats, resumed streams, trials of suspects, versions on trial). Each coordinator keeps a token bucket for a target that names a limit, at its share of the limit, half a second of it at once after a pause, and empty at first, as others may have placed requests there just before. A target whose limit is used up is no candidate, and none to wait for; its slots count in the estimate of waits as far as its limit lets work fill them, so that what cannot be served is refused at once with a true time. A limit of 0 gets one request in two seconds: only an answer tells that it takes more again. Slots go on holding beside limits.

--- a/packages/gateway/src/named_limits_test.ts
+++ b/packages/gateway/src/named_limits_test.ts
@@ -249,4 +249,89 @@
   assert.equal(fleet.overrun(), []);
 });
 
+test("the rest of the pool serves what the limit keeps away", () => {
+  const fleet = new LimitedFleet();
+  fleet.limitPerS.set("t1", 4.5);
+  const sinceMs = fleet.clock.atMs + 2000;
+  fleet.run(12_000);
+  assert.equal(fleet.refused, []);
+  const perS = fleet.reached("t1", sinceMs) / 10;
+  assert.ok(perS > 3.5 && perS < 5, `${perS} a second`);
+});
+
+test("a limit that is named anew holds from then on", () => {
+  const fleet = new LimitedFleet();
+  fleet.limitPerS.set("t1", 9);
+  fleet.run(6000);
+  fleet.limitPerS.set("t1", 2);
+  fleet.run(3000);
+  const sinceMs = fleet.clock.atMs;
+  fleet.run(8000);
+  const perS = fleet.reached("t1", sinceMs) / 8;
+  assert.ok(perS > 1.5 && perS < 2.3, `${perS} a second`);
+});
+
+test("a target that takes nothing gets a request now and then", () => {
+  const fleet = new LimitedFleet();
+  fleet.limitPerS.set("t1", 0);
+  fleet.run(16_000);
+  assert.equal(fleet.overrun(), []);
+  fleet.limitPerS.delete("t1");
+  fleet.run(8000);
+  const sinceMs = fleet.clock.atMs;
+  fleet.run(2000);
+  assert.ok(fleet.reached("t1", sinceMs) > 8);
+});
+
+// Guards against a successor that does not know the limits, and against one that
+// makes up for the time in which it placed nothing.
+test("limits hold while coordinators are killed one after another", () => {
+  const overrun: string[] = [];
+  for (let seed = 1; seed <= 12; seed++) {
+    const fleet = new LimitedFleet(seed);
+    fleet.limitPerS.set("t1", 4.5).set("t2", 6);
+    fleet.run(2500 + 130 * seed);
+    fleet.kill(fleet.coordinatorId);
+    fleet.run(1500);
+    fleet.kill(fleet.coordinatorId);
+    fleet.run(8000);
+    overrun.push(...fleet.overrun());
+  }
+  assert.equal(overrun, []);
+});
+
+// Guards against both sides of a cut handing out the whole limit.
+test("limits hold over both sides of a cut, and after it", () => {
+  const overrun: string[] = [];
+  for (let seed = 1; seed <= 12; seed++) {
+    const fleet = new LimitedFleet(seed);
+    fleet.limitPerS.set("t1", 4.5).set("t2", 6);
+    fleet.run(2500 + 130 * seed);
+    fleet.cutOff(["a", "b", "c", "d"][seed % 4]!);
+    fleet.run(4000);
+    fleet.heal();
+    fleet.run(6000);
+    overrun.push(...fleet.overrun());
+  }
+  assert.equal(overrun, []);
+});
+
+test("where all targets name limits, the rest is refused soon and truly", () => {
+  const fleet = new LimitedFleet();
+  TARGET_IDS.forEach((id) => fleet.limitPerS.set(id, 4));
+  fleet.run(5000);
+  const sinceMs = fleet.clock.atMs;
+  fleet.run(8000);
+  assert.equal(fleet.overrun(), []);
+  const served = TARGET_IDS.reduce(
+    (sum, id) => sum + fleet.reached(id, sinceMs),
+    0,
+  );
+  assert.ok(served >= 8 * 4 * 4 * 0.8, `${served} served`);
+  const waits = fleet.refused.filter(({ atMs }) => atMs >= sinceMs)
+    .map(({ retryAfterMs }) => retryAfterMs);
+  assert.ok(waits.length > 0);
+  assert.ok(waits.every((ms) => ms >= 500 && ms < 10_000), waits.join());
+});
+
 test.run();
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -4,6 +4,7 @@
  * hashing. Its account is soft state that holders' reports renew.
  */
 
+import { LimitPacer } from "./limit_pacer.ts";
 import { PoolSchedule, quarantined } from "./pool_schedule.ts";
 import { RetryBudget, type RetryBudgetBound } from "./retry_budget.ts";
 import {
@@ -67,6 +68,7 @@
   readonly #pools = new Map<string, PoolSchedule>();
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #ledger: AllotmentLedger;
+  readonly #pacer: LimitPacer;
   #bounds: FleetBounds;
   readonly #openAsks = new Map<string, OpenAsk>();
   readonly #refusedCallers = new RefusedCallers();
@@ -83,19 +85,21 @@
     this.#board = board;
     this.#bounds = bounds;
     this.#ledger = new AllotmentLedger(bounds.allotmentTolerance);
+    this.#pacer = new LimitPacer(board.limits);
   }
 
   /**
    * Takes in an ask. One that was sent again gets the same decision again.
    *
    * @param ask The ask.
-   * @param scope What of the fleet's allotments and retry budgets this instance
-   * may hand out, and the local time.
+   * @param scope What of the fleet's allotments, retry budgets and targets'
+   * limits this instance may hand out, and the local time.
    * @returns Decisions, for this ask and for others; none for this one while
    * it waits.
    */
   ask(ask: WorkAsk, scope: LedgerScope): AskDecision[] {
     const schedule = this.#pool(ask.pool);
+    this.#pacer.share = scope.share;
     this.#reportedAtMs.set(ask.holderId, scope.nowMs);
     const decision = schedule.decisionOn(ask.askId);
     if (decision !== undefined) {
@@ -230,6 +234,7 @@
    */
   tick(nowMs: number): AskDecision[] {
     this.#board.suspects.forgetOld(nowMs);
+    this.#pacer.forgetLifted();
     const decisions: AskDecision[] = [];
     for (const [holderId, heardAtMs] of this.#reportedAtMs) {
       if (nowMs - heardAtMs > HOLDER_GONE_MS) {
@@ -484,7 +489,10 @@
   #pool(name: string): PoolSchedule {
     let schedule = this.#pools.get(name);
     if (schedule === undefined) {
-      schedule = new PoolSchedule(name, this.#board);
+      schedule = new PoolSchedule(name, {
+        board: this.#board,
+        pacer: this.#pacer,
+      });
       this.#pools.set(name, schedule);
     }
     return schedule;
--- a/packages/routing/src/placement_choice.ts
+++ b/packages/routing/src/placement_choice.ts
@@ -2,6 +2,7 @@
 
 import { CandidateIndex, hasFreeSlot } from "./candidate_index.ts";
 import type { PoolPolicy } from "./fleet_configuration.ts";
+import type { LimitPacer } from "./limit_pacer.ts";
 import type { PlacedWorks } from "./placed_works.ts";
 import { onTimeUntilMs, type WaitingWork } from "./queue_order.ts";
 import type { RoutingBoard } from "./routing_board.ts";
@@ -28,6 +29,7 @@
 export interface PlacementParts {
   readonly board: RoutingBoard;
   readonly placed: PlacedWorks;
+  readonly pacer: LimitPacer;
 }
 
 /** Chooses among the targets of one pool. */
@@ -35,6 +37,7 @@
   readonly #pool: string;
   readonly #board: RoutingBoard;
   readonly #placed: PlacedWorks;
+  readonly #pacer: LimitPacer;
   #targets?: CandidateIndex;
   /** What the index was made from. */
   #serving: readonly KnownTarget[] = [];
@@ -48,6 +51,7 @@
     this.#pool = pool;
     this.#board = parts.board;
     this.#placed = parts.placed;
+    this.#pacer = parts.pacer;
   }
 
   /**
@@ -69,8 +73,10 @@
     return {
       nowMs,
       targets: this.#index(serving),
-      canary: canary.map((target) => this.#candidate(target))
-        .filter(hasFreeSlot),
+      canary: this.#withinLimits(
+        canary.map((target) => this.#candidate(target)).filter(hasFreeSlot),
+        nowMs,
+      ),
     };
   }
 
@@ -109,20 +115,34 @@
    * @param look The targets.
    * @returns The best that can take it; undefined where none can.
    */
-  choose(ask: WorkAsk, { targets }: PlacementLook): Choice | undefined {
+  choose(ask: WorkAsk, { targets, nowMs }: PlacementLook): Choice | undefined {
     if (!targets.hasFree) {
       return undefined;
     }
+    const chooseAmong = (free: readonly Candidate[]) =>
+      chooseTarget(ask, this.#withinLimits(free, nowMs));
     if (this.#board.suspects.isSuspect(ask.fingerprint)) {
-      return chooseTarget(ask, this.#freeForTrial(ask, targets));
+      return chooseAmong(this.#freeForTrial(ask, targets));
     }
     const compared = targets.free(ask.failureDomain);
-    const choice = chooseTarget(ask, compared);
+    const choice = chooseAmong(compared);
     return choice === undefined && compared.length < targets.freeCount
-      ? chooseTarget(ask, targets.allFree())
+      ? chooseAmong(targets.allFree())
       : choice;
   }
 
+  /** Leaves out targets that have got as much as their limits allow by now. */
+  #withinLimits(
+    candidates: readonly Candidate[],
+    nowMs: number,
+  ): readonly Candidate[] {
+    return this.#board.limits.isAny
+      ? candidates.filter(({ target }) =>
+        this.#pacer.mayTake(target.targetId, nowMs)
+      )
+      : candidates;
+  }
+
   /**
    * A suspect runs at one target at a time and beside no other suspect: where
    * the target ends, it is known under which request.
@@ -151,7 +171,7 @@
   ): boolean {
     const leftMs = onTimeUntilMs(waiting) - nowMs;
     return isWorthWaiting(waiting.ask, choice, {
-      candidates: () => targets.all(),
+      candidates: () => this.#withinLimits(targets.all(), nowMs),
       leftMs,
     });
   }
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -7,6 +7,7 @@
  * caller is refused as soon as that can be foreseen.
  */
 
+import type { LimitPacer } from "./limit_pacer.ts";
 import { type PlacedWork, PlacedWorks } from "./placed_works.ts";
 import { PlacementChoice, type PlacementLook } from "./placement_choice.ts";
 import type { OrderFacts, WaitingWork } from "./queue_order.ts";
@@ -14,6 +15,7 @@
 import { RankShares } from "./rank_shares.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import type { Choice } from "./target_choice.ts";
+import type { KnownTarget } from "./target_directory.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
 import {
   type AskDecision,
@@ -57,11 +59,14 @@
 interface Look extends PlacementLook {
   /** Requests that stay ahead in the queue. */
   ahead: number;
+  /** Slots that work may fill; absent until a wait is estimated. */
+  usableSlots?: number;
 }
 
 /** Places and queue of one pool. */
 export class PoolSchedule {
   readonly #board: RoutingBoard;
+  readonly #pacer: LimitPacer;
   readonly #placed = new PlacedWorks((targetId, use) =>
     this.#choices.used(targetId, use)
   );
@@ -75,11 +80,16 @@
 
   /**
    * @param pool The pool's name.
-   * @param board What the instance believes.
+   * @param parts What the instance believes, and what keeps targets' limits.
    */
-  constructor(pool: string, board: RoutingBoard) {
+  constructor(
+    pool: string,
+    { board, pacer }: { board: RoutingBoard; pacer: LimitPacer },
+  ) {
     this.#board = board;
-    this.#choices = new PlacementChoice(pool, { board, placed: this.#placed });
+    this.#pacer = pacer;
+    const placed = this.#placed;
+    this.#choices = new PlacementChoice(pool, { board, placed, pacer });
   }
 
   /** Number of requests that wait. */
@@ -397,8 +407,8 @@
         : this.#placeAt(waiting, choice, look);
     }
     const { nowMs, ahead } = look;
-    const slots = targets.slots -
-      barred.reduce((sum, { target }) => sum + target.slots, 0);
+    const slots = this.#usableSlots(look) -
+      barred.reduce((sum, { target }) => sum + this.#slotsOf(target), 0);
     const above = this.#load.slotsAbove(ask.rank, nowMs);
     const available = Math.max(slots - above, NEGLECTED_TIME_SHARE * slots);
     const waitMs = (ahead + 1) * this.#holdMs / available;
@@ -422,6 +432,21 @@
     };
   }
 
+  /** Slots of the pool, less what limits of targets keep empty. */
+  #usableSlots(look: Look): number {
+    look.usableSlots ??= this.#board.limits.limited()
+      .flatMap((targetId) => look.targets.get(targetId) ?? [])
+      .reduce(
+        (sum, { target }) => sum - target.slots + this.#slotsOf(target),
+        look.targets.slots,
+      );
+    return look.usableSlots;
+  }
+
+  #slotsOf(target: KnownTarget): number {
+    return this.#pacer.usableSlots(target, this.#holdMs);
+  }
+
   #placeAt(waiting: WaitingWork, choice: Choice, look: Look): AskDecision {
     const { ask, cameBackMs } = waiting;
     const { targetId } = choice.target;
@@ -444,6 +469,7 @@
       route: ask.route,
     };
     this.#placed.put(work);
+    this.#pacer.took(targetId, look.nowMs);
     this.#board.rollouts.placed(choice.target);
     return decisionOf(work);
   }
--- a/packages/routing/src/target_limits.ts
+++ b/packages/routing/src/target_limits.ts
@@ -43,6 +43,7 @@
 /** Limits by target. */
 export class TargetLimits {
   readonly #byId = new Map<string, KnownLimit>();
+  #limitedCount = 0;
 
   /**
    * @param targetId A target.
@@ -52,11 +53,16 @@
     return this.#byId.get(targetId)?.limitPerS;
   }
 
+  /** Whether any target names a limit. */
+  get isAny(): boolean {
+    return this.#limitedCount > 0;
+  }
+
   /** @returns Targets that name a limit. */
   limited(): string[] {
-    return [...this.#byId].filter(([, { limitPerS }]) =>
-      limitPerS !== undefined
-    ).map(([targetId]) => targetId);
+    return this.isAny
+      ? [...this.#byId.keys()].filter((targetId) => this.#isLimited(targetId))
+      : [];
   }
 
   /**
@@ -138,14 +144,21 @@
   keepOnly(targetIds: ReadonlySet<string>): void {
     for (const targetId of this.#byId.keys()) {
       if (!targetIds.has(targetId)) {
+        this.#limitedCount -= Number(this.#isLimited(targetId));
         this.#byId.delete(targetId);
       }
     }
   }
 
+  #isLimited(targetId: string): boolean {
+    return this.limitPerS(targetId) !== undefined;
+  }
+
   #put(targetId: string, next: KnownLimit): TargetLimitChange | undefined {
     const beforePerS = this.limitPerS(targetId);
     const { limitPerS } = next;
+    this.#limitedCount += Number(limitPerS !== undefined) -
+      Number(beforePerS !== undefined);
     this.#byId.set(targetId, next);
     return beforePerS === limitPerS
       ? undefined
