Soak: targets that name limits beside the faults

A seed's limits are drawn apart from its faults, so that known seeds play as they did. Counted are requests from instances that a target had told half a second before and that were not killed, paused or restarted since, from three seconds after the limit was first named; windows in which the target or its link was at fault don't count.

--- a/tests/soak.ts
+++ b/tests/soak.ts
@@ -16,6 +16,7 @@
   readonly instances?: number;
   readonly engines?: number;
   readonly rollout?: boolean;
+  readonly limits?: boolean;
 }
 
 const MS_PER_S = 1000;
@@ -60,6 +61,7 @@
     .option("--instances <number>", "instead of the number drawn", toCount)
     .option("--engines <number>", "instead of the number drawn", toCount)
     .option("--rollout", "a new version is rolled out beside the faults")
+    .option("--limits", "targets name limits beside the faults")
     .parse()
     .opts<SoakOptions>();
 }
--- a/tests/soak_run.ts
+++ b/tests/soak_run.ts
@@ -12,6 +12,7 @@
 import type { SoakInstance } from "./soak_instance.ts";
 import type { SoakPlan } from "./soak_plan.ts";
 import { SoakRollout } from "./soak_rollout.ts";
+import { SoakSignals } from "./soak_signals.ts";
 import { waitFor } from "./wait_for.ts";
 
 /** What came of a seed. */
@@ -40,9 +41,11 @@
   try {
     await fleet.start(plan);
     const rollout = plan.rollout && new SoakRollout(fleet, plan.rollout);
+    const signals = new SoakSignals(fleet, plan.limits);
     const faults = Promise.all([
       ...plan.faults.map((fault) => inflict(fleet, fault)),
       rollout?.play(),
+      signals.play(),
     ]);
     await callers.run(plan, fleet, faults);
     await faults;
@@ -50,6 +53,7 @@
     const { records } = callers;
     const { targets, instances, least } = fleet;
     const broken = brokenPromises({ records, targets, instances, least });
+    broken.push(...signals.broken(records));
     broken.push(...await notRecovered(fleet, callers));
     broken.push(...(rollout?.broken() ?? []));
     return {
--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -14,6 +14,12 @@
 /** Seeds on which answers not written out yet were cut by a stopping instance. */
 const CUT_WHILE_STOPPING = [205, 216];
 
+/** A target there got 61 requests in 4 s at a limit of 0.7 a second. */
+const LIMIT_SEED = 4;
+
+/** Enough for a limit to settle and for windows after that. */
+const LIMIT_OPTIONS = { lengthMs: 12_000, limits: true };
+
 /** Enough for one of their stops. */
 const ONE_STOP = { lengthMs: 2000 };
 
@@ -31,6 +37,10 @@
     playWell(seed, ONE_STOP));
 }
 
+// Guards against placements that go by slots alone where a target names a limit.
+test(`soak: seed ${LIMIT_SEED} keeps to the limits that targets name`, () =>
+  playWell(LIMIT_SEED, LIMIT_OPTIONS));
+
 test("a plan is the same for the same seed", () => {
   assert.equal(planSoak(7, OPTIONS), planSoak(7, OPTIONS));
   assert.not.equal(planSoak(7, OPTIONS), planSoak(8, OPTIONS));
