Ignore the limit that a target's earlier process named

A target may start again under its id. An answer of the process before could arrive after that, and its limit would have held for the new one until four seconds without the header had passed. Found on reading; no call showed it. A test of the late answer.

--- a/packages/gateway/src/answer_news.ts
+++ b/packages/gateway/src/answer_news.ts
@@ -5,6 +5,7 @@
   TargetLimitChange,
   TargetLimitNews,
 } from "@chestnuthatch/routing/target_limits";
+import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Clock, TargetSignals } from "./ports.ts";
@@ -19,7 +20,8 @@
 
 /** An answer of a target. */
 export interface AnswerOrigin {
-  readonly targetId: string;
+  /** The target as it was known when the request was sent. */
+  readonly target: KnownTarget;
   /** When its request was sent. */
   readonly sentAtMs: number;
 }
@@ -48,9 +50,15 @@
    * @param signals What it tells of its target.
    */
   answered(origin: AnswerOrigin, signals: TargetSignals): void {
+    const { targetId, incarnation } = origin.target;
+    const known = this.#parts.board.targets.get(targetId);
+    if (known?.incarnation !== incarnation) {
+      // It comes from a process that has been replaced since.
+      return;
+    }
     const { limitPerS, unreadable } = signals;
     for (const header of unreadable) {
-      this.#noteUnreadable(origin.targetId, header);
+      this.#noteUnreadable(targetId, header);
     }
     // One that cannot be read does not say that there is no limit.
     if (limitPerS !== undefined || unreadable.length === 0) {
@@ -67,7 +75,7 @@
   }
 
   #noteLimit(
-    { targetId, sentAtMs }: AnswerOrigin,
+    { target: { targetId }, sentAtMs }: AnswerOrigin,
     limitPerS: number | undefined,
   ): void {
     const { board: { limits }, clock } = this.#parts;
--- a/packages/gateway/src/answer_news_test.ts
+++ b/packages/gateway/src/answer_news_test.ts
@@ -34,13 +34,13 @@
 
 test("a limit is logged as it changes, with where it was heard", () => {
   const { news, board, clock, messages } = newsOf();
-  const origin = { targetId: "t1", sentAtMs: 0 };
+  const origin = { target: board.targets.get("t1")!, sentAtMs: 0 };
   news.answered(origin, { limitPerS: 5, unreadable: NO_FAULT });
   news.answered(origin, { limitPerS: 5, unreadable: NO_FAULT });
   clock.atMs = 50;
   news.toldOfLimits([{ targetId: "t1", limitPerS: 6, ageMs: 10 }]);
   clock.atMs = 6000;
-  news.answered({ targetId: "t1", sentAtMs: 5000 }, { unreadable: NO_FAULT });
+  news.answered({ ...origin, sentAtMs: 5000 }, { unreadable: NO_FAULT });
   assert.equal(messages(), [
     "target names a limit answer 5",
     "target names a limit peer 6",
@@ -51,14 +51,13 @@
 
 test("a header that cannot be read is logged once and lifts no limit", () => {
   const { news, board, clock, messages } = newsOf();
-  news.answered({ targetId: "t1", sentAtMs: 0 }, {
-    limitPerS: 5,
-    unreadable: NO_FAULT,
-  });
+  const origin = { target: board.targets.get("t1")!, sentAtMs: 0 };
+  news.answered(origin, { limitPerS: 5, unreadable: NO_FAULT });
   clock.atMs = 6000;
   const unreadable = ["server-limit: many"];
-  news.answered({ targetId: "t1", sentAtMs: 5000 }, { unreadable });
-  news.answered({ targetId: "t1", sentAtMs: 5000 }, { unreadable });
+  const later = { ...origin, sentAtMs: 5000 };
+  news.answered(later, { unreadable });
+  news.answered(later, { unreadable });
   assert.equal(messages(), [
     "target names a limit answer 5",
     "unreadable header ignored",
@@ -66,4 +65,12 @@
   assert.is(board.limits.limitPerS("t1"), 5);
 });
 
+test("a late answer of a process that was replaced says nothing", () => {
+  const { news, board } = newsOf();
+  const target = { ...board.targets.get("t1")!, incarnation: 0 };
+  const origin = { target, sentAtMs: 0 };
+  news.answered(origin, { limitPerS: 5, unreadable: NO_FAULT });
+  assert.is(board.limits.limitPerS("t1"), undefined);
+});
+
 test.run();
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -176,8 +176,8 @@
     const status = answer.statusCode!;
     const facts = this.#parts.protocol.readAnswer(status, answer.headers);
     if (!facts.wrongTarget) {
-      const { targetId } = this.order.target;
-      const origin = { targetId, sentAtMs: this.sentAtMs };
+      const { target } = this.order;
+      const origin = { target, sentAtMs: this.sentAtMs };
       this.#parts.answerNews.answered(origin, facts.signals);
     }
     const { requestId } = this.order.call.facts;
