Read in answers that a target is leaving, and log it

What callers saw: a registry server got requests 2.1 to 3.3 s after its answers had said that it leaves. Whether an instance had read that could not be told from any line of ours.

No decision goes by it yet.

--- a/packages/gateway/src/answer_news.ts
+++ b/packages/gateway/src/answer_news.ts
@@ -39,6 +39,7 @@
 export class AnswerNews {
   readonly #parts: AnswerNewsParts;
   readonly #unreadable = new Set<string>();
+  readonly #leavingIds = new Set<string>();
 
   /** @param parts What it works with. */
   constructor(parts: AnswerNewsParts) {
@@ -56,10 +57,13 @@
       // It comes from a process that has been replaced since.
       return;
     }
-    const { limitPerS, unreadable } = signals;
+    const { limitPerS, leaving, unreadable } = signals;
     for (const header of unreadable) {
       this.#noteUnreadable(targetId, header);
     }
+    if (leaving && !known.leaving) {
+      this.#noteLeaving(known);
+    }
     // One that cannot be read does not say that there is no limit.
     if (limitPerS !== undefined || unreadable.length === 0) {
       this.#noteLimit(origin, limitPerS);
@@ -74,6 +78,21 @@
     }
   }
 
+  #noteLeaving({ targetId, rowVersion }: KnownTarget): void {
+    if (this.#leavingIds.has(targetId)) {
+      return;
+    }
+    this.#leavingIds.add(targetId);
+    const source = NewsSource.Answer;
+    const { log, metrics } = this.#parts;
+    metrics.targetSignal("leaving", source);
+    log.info(LogPart.Targets, "target says that it leaves", {
+      targetId,
+      rowVersion,
+      source,
+    });
+  }
+
   #noteLimit(
     { target: { targetId }, sentAtMs }: AnswerOrigin,
     limitPerS: number | undefined,
--- a/packages/gateway/src/answer_news_test.ts
+++ b/packages/gateway/src/answer_news_test.ts
@@ -6,7 +6,7 @@
 import { EventLog } from "./event_log.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 
-const NO_FAULT: readonly string[] = [];
+const QUIET = { leaving: false, unreadable: [] };
 
 function newsOf() {
   const lines: string[] = [];
@@ -35,12 +35,12 @@
 test("a limit is logged as it changes, with where it was heard", () => {
   const { news, board, clock, messages } = newsOf();
   const origin = { target: board.targets.get("t1")!, sentAtMs: 0 };
-  news.answered(origin, { limitPerS: 5, unreadable: NO_FAULT });
-  news.answered(origin, { limitPerS: 5, unreadable: NO_FAULT });
+  news.answered(origin, { ...QUIET, limitPerS: 5 });
+  news.answered(origin, { ...QUIET, limitPerS: 5 });
   clock.atMs = 50;
   news.toldOfLimits([{ targetId: "t1", limitPerS: 6, ageMs: 10 }]);
   clock.atMs = 6000;
-  news.answered({ ...origin, sentAtMs: 5000 }, { unreadable: NO_FAULT });
+  news.answered({ ...origin, sentAtMs: 5000 }, QUIET);
   assert.equal(messages(), [
     "target names a limit answer 5",
     "target names a limit peer 6",
@@ -52,12 +52,12 @@
 test("a header that cannot be read is logged once and lifts no limit", () => {
   const { news, board, clock, messages } = newsOf();
   const origin = { target: board.targets.get("t1")!, sentAtMs: 0 };
-  news.answered(origin, { limitPerS: 5, unreadable: NO_FAULT });
+  news.answered(origin, { ...QUIET, limitPerS: 5 });
   clock.atMs = 6000;
   const unreadable = ["server-limit: many"];
   const later = { ...origin, sentAtMs: 5000 };
-  news.answered(later, { unreadable });
-  news.answered(later, { unreadable });
+  news.answered(later, { ...QUIET, unreadable });
+  news.answered(later, { ...QUIET, unreadable });
   assert.equal(messages(), [
     "target names a limit answer 5",
     "unreadable header ignored",
@@ -69,8 +69,16 @@
   const { news, board } = newsOf();
   const target = { ...board.targets.get("t1")!, incarnation: 0 };
   const origin = { target, sentAtMs: 0 };
-  news.answered(origin, { limitPerS: 5, unreadable: NO_FAULT });
+  news.answered(origin, { ...QUIET, limitPerS: 5 });
   assert.is(board.limits.limitPerS("t1"), undefined);
 });
 
+test("a target that says that it leaves is logged once", () => {
+  const { news, board, messages } = newsOf();
+  const origin = { target: board.targets.get("t1")!, sentAtMs: 0 };
+  news.answered(origin, { ...QUIET, leaving: true });
+  news.answered(origin, { ...QUIET, leaving: true });
+  assert.equal(messages(), ["target says that it leaves answer"]);
+});
+
 test.run();
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -31,7 +31,7 @@
     notRun: false,
     wrongTarget: false,
     genuine: true,
-    signals: { unreadable: [] },
+    signals: { leaving: false, unreadable: [] },
   }),
 };
 
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -55,6 +55,8 @@
    * it names no limit.
    */
   readonly limitPerS?: number;
+  /** Whether it is leaving. */
+  readonly leaving: boolean;
   /** Headers on the target that cannot be read, with their values. */
   readonly unreadable: readonly string[];
 }
