Believe a target's own word that it leaves, and tell the fleet

What callers saw: a registry server that had said in its answers that it leaves got requests 2.1 to 3.3 s later from the instance that had passed such an answer on; 2 s are allowed. The store was away, and the list told of the leaving 12 s late.

Cause: the platform's list was the only source of who leaves; no decision read the answers.

Why this works: the holder believes the word at once, so it sends nothing there any more, in touch with anyone or not: it gives places there back. Heartbeats tell the others, and tell again when a coordinator still gives such places. The belief is of the target's process: later rows that call it ready don't undo it, its next process under the same id starts afresh. It goes with a mark of its own in the news of targets, apart from rows and their versions.

--- a/packages/gateway/src/answer_news.ts
+++ b/packages/gateway/src/answer_news.ts
@@ -16,6 +16,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
+  /** Called when a target says that it is leaving. */
+  onLeaving(targetId: string): void;
 }
 
 /** An answer of a target. */
@@ -39,7 +41,6 @@
 export class AnswerNews {
   readonly #parts: AnswerNewsParts;
   readonly #unreadable = new Set<string>();
-  readonly #leavingIds = new Set<string>();
 
   /** @param parts What it works with. */
   constructor(parts: AnswerNewsParts) {
@@ -79,18 +80,15 @@
   }
 
   #noteLeaving({ targetId, rowVersion }: KnownTarget): void {
-    if (this.#leavingIds.has(targetId)) {
-      return;
-    }
-    this.#leavingIds.add(targetId);
     const source = NewsSource.Answer;
-    const { log, metrics } = this.#parts;
+    const { log, metrics, onLeaving } = this.#parts;
     metrics.targetSignal("leaving", source);
     log.info(LogPart.Targets, "target says that it leaves", {
       targetId,
       rowVersion,
       source,
     });
+    onLeaving(targetId);
   }
 
   #noteLimit(
--- a/packages/gateway/src/answer_news_test.ts
+++ b/packages/gateway/src/answer_news_test.ts
@@ -20,7 +20,13 @@
   const log = new EventLog(clock, "i1", output);
   const board = boardOf(["t1"]);
   const metrics = new GatewayMetrics();
-  const news = new AnswerNews({ board, clock, log, metrics });
+  const news = new AnswerNews({
+    board,
+    clock,
+    log,
+    metrics,
+    onLeaving: (targetId) => board.targets.saidLeaving(targetId),
+  });
   const messages = () => {
     log.flush();
     return lines.map((line) => JSON.parse(line))
--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -187,6 +187,20 @@
     this.#believed(this.#parts.board.targets.apply(changes, nowMs));
   }
 
+  /**
+   * @param targetId A target that says that it is leaving, or that another
+   * instance does not know to be leaving.
+   */
+  targetLeaves(targetId: string): void {
+    const { targets } = this.#parts.board;
+    const beliefs = targets.saidLeaving(targetId);
+    if (beliefs.length > 0) {
+      this.#believed(beliefs);
+    } else {
+      this.#tell(targetId);
+    }
+  }
+
   /** @param members Instances on the platform's list. */
   membersRead(members: readonly MemberNews[]): void {
     const nowMs = this.#parts.clock.nowMs();
@@ -368,8 +382,7 @@
   }
 
   #believed(beliefs: readonly TargetBelief[]): void {
-    const { board, clock, log } = this.#parts;
-    const untilMs = clock.nowMs() + TELL_NEWS_MS;
+    const { board, log } = this.#parts;
     for (const { targetId, news, rowVersion } of beliefs) {
       const target = board.targets.get(targetId)!;
       log.info(LogPart.Targets, `target ${news}`, {
@@ -382,12 +395,25 @@
         slots: target.slots,
         reachesStore: this.#reachesStore,
       });
-      this.#targetNews.push({ change: changeOf(target), untilMs });
+      this.#tell(targetId);
     }
     if (beliefs.length > 0) {
       this.#parts.onTargets(beliefs);
     }
   }
+
+  /** Lets the next heartbeats tell what is believed of a target. */
+  #tell(targetId: string): void {
+    const { board: { targets }, clock } = this.#parts;
+    const target = targets.get(targetId);
+    if (target !== undefined) {
+      this.#targetNews = this.#targetNews.filter(({ change }) =>
+        change.targetId !== targetId
+      );
+      const untilMs = clock.nowMs() + TELL_NEWS_MS;
+      this.#targetNews.push({ change: changeOf(target), untilMs });
+    }
+  }
 }
 
 function changeOf(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -175,6 +175,7 @@
       clock: this.#clock,
       log: this.#log,
       metrics: this.#metrics,
+      onLeaving: (targetId) => this.#news.targetLeaves(targetId),
     });
     this.#news = this.#makeNews();
     this.#catalog = new PeerCatalog((item) => this.#news.content(item));
@@ -439,6 +440,7 @@
       protocol,
       probes: new TargetProbes(),
       answerNews: this.#answerNews,
+      onPlacedAtLeaving: (targetId) => this.#news.targetLeaves(targetId),
       failureDomain,
       lateMs: () => this.#lateMs,
       nextAskId: () => `${prefix}.${(this.#askCounter++).toString(36)}`,
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -23,6 +23,8 @@
   readonly failureDomain: string;
   /** @returns By how much this process was late for its latest tick. */
   lateMs(): number;
+  /** Tells the coordinator of a target that it does not know to be leaving. */
+  onPlacedAtLeaving(targetId: string): void;
   /** @returns An ask's id, unique in the fleet. */
   nextAskId(): string;
   /** @returns The agent that keeps connections to a target of a pool. */
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -88,6 +88,7 @@
   "answerFailed",
   "targetLimits",
   "limitPerS",
+  "saidLeaving",
 ];
 
 /** Version of the internet protocol that peers speak. */
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -194,6 +194,9 @@
   /** A place at a target that this instance knows to be leaving or gone. */
   #giveBack(targetId: string): void {
     this.#log("place not usable", { targetId });
+    if (this.#parts.board.targets.get(targetId)?.leaving) {
+      this.#parts.onPlacedAtLeaving(targetId);
+    }
     this.#tried.add(targetId);
     this.#dropAsk();
     if (this.#attempt === undefined) {
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -45,6 +45,7 @@
     failureDomain: z.string(),
     slots: z.number(),
     leaving: z.boolean(),
+    saidLeaving: z.boolean().optional(),
     version: z.string(),
     coldMs: z.number().optional(),
   }).optional(),
--- a/packages/routing/src/target_directory.ts
+++ b/packages/routing/src/target_directory.ts
@@ -13,6 +13,8 @@
   readonly failureDomain: string;
   readonly slots: number;
   readonly leaving: boolean;
+  /** Whether its own answers say so, whatever its row says; absent if not. */
+  readonly saidLeaving?: boolean;
   /** Version of its software. */
   readonly version: string;
   /** Time for which it is slow after its start; absent where it is not. */
@@ -111,6 +113,23 @@
     return changes.flatMap((change) => this.#applyOne(change, nowMs));
   }
 
+  /**
+   * Takes in a target's own word that it is leaving, which may come before the
+   * list's.
+   *
+   * @param targetId The target.
+   * @returns What changed in what this instance believes.
+   */
+  saidLeaving(targetId: string): TargetBelief[] {
+    const known = this.#byId.get(targetId);
+    if (known === undefined || known.leaving) {
+      return [];
+    }
+    this.#put({ ...known, leaving: true, saidLeaving: true });
+    const { rowVersion } = known;
+    return [{ targetId, news: TargetNews.Leaving, rowVersion }];
+  }
+
   /**
    * Takes in the whole list: targets that it lacks are gone.
    *
@@ -206,20 +225,26 @@
   #applyOne(change: TargetChange, nowMs: number): TargetBelief[] {
     this.version = Math.max(this.version, change.rowVersion);
     const known = this.#byId.get(change.targetId);
-    if (known !== undefined && known.rowVersion >= change.rowVersion) {
-      return [];
-    }
     const { targetId, rowVersion, entry } = change;
+    if (known !== undefined && known.rowVersion >= rowVersion) {
+      const isSameProcess = entry?.incarnation === known.incarnation;
+      return entry?.saidLeaving === true && isSameProcess
+        ? this.saidLeaving(targetId)
+        : [];
+    }
     if (entry === undefined) {
       return this.#remove(known, rowVersion, nowMs);
     }
     // A late heartbeat of a leaving target may still say that it is not. One of
     // the process before it may come late, too: it counts until the next one, as
     // work for a leaving target is worse than none for a short while.
-    const leaving = entry.leaving ||
-      known?.leaving === true && !hasRestarted(known, entry);
+    const before = known !== undefined && !hasRestarted(known, entry)
+      ? known
+      : undefined;
+    const leaving = entry.leaving || before?.leaving === true;
+    const saidLeaving = entry.saidLeaving ?? before?.saidLeaving;
     const warmAtMs = nowMs + (entry.coldMs ?? 0);
-    const next = { ...entry, leaving, rowVersion, warmAtMs };
+    const next = { ...entry, leaving, saidLeaving, rowVersion, warmAtMs };
     this.#put(next);
     const news = newsOf(known, next);
     return news === undefined ? [] : [{ targetId, news, rowVersion }];
--- a/packages/routing/src/target_directory_test.ts
+++ b/packages/routing/src/target_directory_test.ts
@@ -8,9 +8,15 @@
 
 function row(
   rowVersion: number,
-  over: { leaving?: boolean; targetId?: string; incarnation?: number } = {},
+  over: {
+    leaving?: boolean;
+    saidLeaving?: boolean;
+    targetId?: string;
+    incarnation?: number;
+  } = {},
 ): TargetChange {
   const { leaving = false, targetId = "t1", incarnation = 0 } = over;
+  const { saidLeaving } = over;
   return {
     targetId,
     rowVersion,
@@ -22,6 +28,7 @@
       failureDomain: "a",
       slots: 4,
       leaving,
+      saidLeaving,
       version: "v1",
     },
   };
@@ -148,4 +155,38 @@
   assert.not.ok(targets.isUsable(target(), 7300));
 });
 
+test("a target's own word that it leaves counts, whatever rows say", () => {
+  const targets = directory();
+  targets.apply([row(5, { incarnation: 7 })], 10);
+  const [belief] = targets.saidLeaving("t1");
+  assert.is(belief!.news, TargetNews.Leaving);
+  assert.equal(targets.saidLeaving("t1"), []);
+  targets.apply([row(6, { incarnation: 7 })], 20);
+  targets.replace([row(8, { incarnation: 7 })], 8, 30);
+  assert.equal(usableIds(targets, 30), []);
+  targets.apply([row(9, { incarnation: 8 })], 40);
+  assert.equal(usableIds(targets, 40), ["t1"]);
+});
+
+test("a target that says that it leaves and drops off the list stays unused", () => {
+  const targets = directory();
+  targets.apply([row(5)], 10);
+  targets.saidLeaving("t1");
+  targets.apply([{ targetId: "t1", rowVersion: 6 }], 20);
+  assert.equal(usableIds(targets, 20), []);
+  targets.apply([row(7)], 30);
+  assert.equal(usableIds(targets, 30), []);
+});
+
+test("another instance's word that a target leaves counts with an older row", () => {
+  const said = { leaving: true, saidLeaving: true };
+  const told = [row(4, { ...said, incarnation: 7 })];
+  const targets = directory();
+  targets.apply([row(5, { incarnation: 7 })], 10);
+  assert.is(targets.apply(told, 20)[0]!.news, TargetNews.Leaving);
+  const restarted = directory();
+  restarted.apply([row(5, { incarnation: 8 })], 10);
+  assert.equal(restarted.apply(told, 20), []);
+});
+
 test.run();
