Read for how long a target that turns a request away wants rest, and log it

What operators saw: servers that had answered an instance 503 with three seconds of Retry-After got up to seven requests from it in that time. Our lines said only that the target had rejected a request, not for how long it wanted none.

No decision goes by it yet.

--- a/packages/gateway/src/answer_news.ts
+++ b/packages/gateway/src/answer_news.ts
@@ -58,13 +58,16 @@
       // It comes from a process that has been replaced since.
       return;
     }
-    const { limitPerS, leaving, unreadable } = signals;
+    const { limitPerS, leaving, restMs, unreadable } = signals;
     for (const header of unreadable) {
       this.#noteUnreadable(targetId, header);
     }
     if (leaving && !known.leaving) {
       this.#noteLeaving(known);
     }
+    if (restMs !== undefined) {
+      this.#noteRest(targetId, restMs);
+    }
     // One that cannot be read does not say that there is no limit.
     if (limitPerS !== undefined || unreadable.length === 0) {
       this.#noteLimit(origin, limitPerS);
@@ -91,6 +94,18 @@
     onLeaving(targetId);
   }
 
+  #noteRest(targetId: string, restMs: number): void {
+    const { board: { rests }, clock, log, metrics } = this.#parts;
+    const source = NewsSource.Answer;
+    rests.asked(targetId, restMs, clock.nowMs());
+    metrics.targetSignal("rest", source);
+    log.info(LogPart.Targets, "target asks for rest", {
+      targetId,
+      restMs,
+      source,
+    });
+  }
+
   #noteLimit(
     { target: { targetId }, sentAtMs }: AnswerOrigin,
     limitPerS: number | undefined,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
 import { TargetLimits } from "@chestnuthatch/routing/target_limits";
 import { TargetPaces } from "@chestnuthatch/routing/target_paces";
+import { TargetRests } from "@chestnuthatch/routing/target_rests";
 import { AnswerNews } from "./answer_news.ts";
 import { EventLog, type LogFacts, LogPart } from "./event_log.ts";
 import { FleetNews } from "./fleet_news.ts";
@@ -132,6 +133,7 @@
       health: new TargetHealth(),
       limits: new TargetLimits(),
       paces: new TargetPaces(),
+      rests: new TargetRests(),
       suspects: new SuspectRequests(),
       rollouts: new Rollouts(settings.exposure),
     };
@@ -524,6 +526,7 @@
   /** Its pace is that of its machine, and stays. */
   #targetRestarted(targetId: string): void {
     this.board.health.restarted(targetId);
+    this.board.rests.restarted(targetId);
     this.board.limits.restarted(targetId, this.#clock.nowMs());
     this.#coordinator.targetRestarted(targetId);
     this.#connections.dropIdle(this.board.targets.get(targetId)!.address);
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -57,6 +57,8 @@
   readonly limitPerS?: number;
   /** Whether it is leaving. */
   readonly leaving: boolean;
+  /** How long it wants nothing from this instance; absent if it does not say. */
+  readonly restMs?: number;
   /** Headers on the target that cannot be read, with their values. */
   readonly unreadable: readonly string[];
 }
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -25,6 +25,7 @@
 import { SuspectRequests } from "@chestnuthatch/routing/suspect_requests";
 import { TargetLimits } from "@chestnuthatch/routing/target_limits";
 import { TargetPaces } from "@chestnuthatch/routing/target_paces";
+import { TargetRests } from "@chestnuthatch/routing/target_rests";
 import {
   AskCause,
   type AskDecision,
@@ -276,6 +277,7 @@
     health: new TargetHealth(),
     limits: new TargetLimits(),
     paces: new TargetPaces(),
+    rests: new TargetRests(),
     suspects: new SuspectRequests(),
     rollouts: new Rollouts({ share: 0.1, slack: 50 }),
   };
--- a/packages/routing/src/routing_board.ts
+++ b/packages/routing/src/routing_board.ts
@@ -12,6 +12,7 @@
 import type { TargetHealth } from "./target_health.ts";
 import type { TargetLimits } from "./target_limits.ts";
 import type { TargetPaces } from "./target_paces.ts";
+import type { TargetRests } from "./target_rests.ts";
 
 /** The beliefs of one instance. */
 export interface RoutingBoard {
@@ -27,6 +28,8 @@
   readonly cutDomains: CutDomains;
   /** Written by the holder and by peers, from answers of targets. */
   readonly limits: TargetLimits;
+  /** Written by the holder, from targets that turned its requests away. */
+  readonly rests: TargetRests;
   /** Written by the coordinator, from how work ended. */
   readonly paces: TargetPaces;
   /** Written by the roll-out keeper, and by the coordinator from answers. */
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -15,6 +15,7 @@
 import { TargetHealth } from "./target_health.ts";
 import { TargetLimits } from "./target_limits.ts";
 import { TargetPaces } from "./target_paces.ts";
+import { TargetRests } from "./target_rests.ts";
 import { AskCause, type WorkAsk } from "./work_ask.ts";
 
 /**
@@ -121,6 +122,7 @@
     health: new TargetHealth(),
     limits: new TargetLimits(),
     paces: new TargetPaces(),
+    rests: new TargetRests(),
     suspects: new SuspectRequests(),
     rollouts: new Rollouts({ share: 0.1, slack: 50 }),
   };
