Leave a target alone for as long as it asks for

What callers and operators saw: servers that had turned an instance away with 503 and three seconds of Retry-After got up to seven requests from it in that time; two are allowed.

Cause: a 503 was a failure like any other. The pauses that follow failures are shorter, begin with the second one, end with any answer that is served, and are ignored where they leave no target.

Why this works: rests that answers ask for are kept beside those pauses and apart from them. A target at rest is excluded from every ask of this instance, and a place there that was on its way is given back. They hold for the instance that was asked; the others go on. Where all targets of a pool want nothing from it, a request is refused at once and told when the first rest ends, callers spread over a quarter of that, and nothing is asked of the coordinator.

--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -16,7 +16,7 @@
 import {
   AskCause,
   type AskDecision,
-  type AskRefusal,
+  AskRefusal,
   type PlaceDecision,
 } from "@chestnuthatch/routing/work_ask";
 import { AttemptAccount } from "./attempt_account.ts";
@@ -29,7 +29,7 @@
 import { StandbyAttempt } from "./standby_attempt.ts";
 import { StreamProgress } from "./stream_progress.ts";
 import { TargetAttempt } from "./target_attempt.ts";
-import { workAskOf } from "./work_ask_of.ts";
+import { restOfPoolMs, workAskOf } from "./work_ask_of.ts";
 
 /** What a request works with, besides the instance's parts. */
 export interface RequestOptions {
@@ -134,6 +134,12 @@
   }
 
   #ask(cause: AskCause): void {
+    const restMs = restOfPoolMs(this.#parts, this.#call);
+    if (restMs !== undefined) {
+      this.#log("all targets are at rest", { restMs: Math.round(restMs) });
+      this.#refused(AskRefusal.NoTarget, restMs);
+      return;
+    }
     const ask = workAskOf(this.#parts, this.#call, {
       cause,
       charged: this.#charged,
@@ -158,7 +164,7 @@
       this.#refused(decision.refusal, decision.retryAfterMs);
       return;
     }
-    const { targets, rollouts } = this.#parts.board;
+    const { targets, rollouts, rests } = this.#parts.board;
     const nowMs = this.#nowMs();
     this.#parts.metrics.placed(this.#call.pool, nowMs - this.#askedAtMs);
     if (nowMs >= deadlineAtMs(this.#call)) {
@@ -168,7 +174,8 @@
     }
     const target = targets.get(decision.targetId);
     const isUsable = target !== undefined &&
-      targets.isUsable(target, nowMs) && rollouts.mayServe(target);
+      targets.isUsable(target, nowMs) && rollouts.mayServe(target) &&
+      rests.leftMs(target.targetId, nowMs) === 0;
     if (!isUsable) {
       this.#giveBack(decision.targetId);
       return;
@@ -191,7 +198,7 @@
     }
   }
 
-  /** A place at a target that this instance knows to be leaving or gone. */
+  /** A place at a target that is leaving, gone or at rest, as is known here. */
   #giveBack(targetId: string): void {
     this.#log("place not usable", { targetId });
     if (this.#parts.board.targets.get(targetId)?.leaving) {
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -80,7 +80,10 @@
     : hash32(`${facts.key} ${method} ${path} ${facts.prompt}`);
 }
 
-/** Health is only advice: where it rules out every target, it is ignored. */
+/**
+ * Health is only advice: where it rules out every target, it is ignored. Rests
+ * that targets asked for are kept in any case.
+ */
 function excludedFor(
   { board, clock }: GatewayParts,
   { pool }: RoutedCall,
@@ -89,14 +92,43 @@
   const nowMs = clock.nowMs();
   const { serving: usable } = board.rollouts
     .split(pool, board.targets.usable(pool, nowMs), nowMs);
+  const barred = [...tried, ...board.rests.resting(nowMs)];
   const excluded = new Set([
-    ...tried,
+    ...barred,
     ...board.health.paused(nowMs),
     ...board.cutDomains.unreachable(usable, nowMs)
       .map(({ targetId }) => targetId),
   ]);
   const isAnyLeft = usable.some(({ targetId }) => !excluded.has(targetId));
-  return [...(isAnyLeft ? excluded : tried)];
+  return [...new Set(isAnyLeft ? excluded : barred)];
+}
+
+/** Part of a rest over which callers are spread that come back after it. */
+const SPREAD_SHARE = 0.25;
+const HASHES = 2 ** 32;
+
+/**
+ * @param parts The instance's parts.
+ * @param call A request.
+ * @returns When it is worth coming back, where all targets of its pool want
+ * nothing from this instance for now; absent where one may get it.
+ */
+export function restOfPoolMs(
+  { board, clock }: GatewayParts,
+  { pool, facts }: RoutedCall,
+): number | undefined {
+  const nowMs = clock.nowMs();
+  const usable = board.targets.usable(pool, nowMs);
+  const canAllRest = board.rests.resting(nowMs).length >= usable.length;
+  if (usable.length === 0 || !canAllRest) {
+    return undefined;
+  }
+  const restsMs = usable
+    .map(({ targetId }) => board.rests.leftMs(targetId, nowMs));
+  const shortestMs = Math.min(...restsMs);
+  return shortestMs > 0
+    ? shortestMs * (1 + SPREAD_SHARE * hash32(facts.requestId) / HASHES)
+    : undefined;
 }
 
 /** Cost units of a request for its workspace's allotment. */
