Soak: targets that say that they leave, and targets that ask for rest

Beside limits, drawn apart from a seed's faults and from each other, so that known seeds play as they did. A target that leaves says so in its answers up to five seconds before the list does; one at rest turns requests away for up to five seconds with one to three seconds of Retry-After. Counted are requests of instances that were told and were not killed, paused or restarted since.

--- a/tests/soak.ts
+++ b/tests/soak.ts
@@ -5,6 +5,7 @@
 import process from "node:process";
 import { Command, InvalidArgumentError, Option } from "commander";
 import { planSoak, SoakSize } from "./soak_plan.ts";
+import { SoakSignal } from "./soak_signals_plan.ts";
 import { playSoak, type SoakOutcome } from "./soak_run.ts";
 
 interface SoakOptions {
@@ -16,7 +17,7 @@
   readonly instances?: number;
   readonly engines?: number;
   readonly rollout?: boolean;
-  readonly limits?: boolean;
+  readonly signals?: readonly SoakSignal[];
 }
 
 const MS_PER_S = 1000;
@@ -61,7 +62,10 @@
     .option("--instances <number>", "instead of the number drawn", toCount)
     .option("--engines <number>", "instead of the number drawn", toCount)
     .option("--rollout", "a new version is rolled out beside the faults")
-    .option("--limits", "targets name limits beside the faults")
+    .addOption(
+      new Option("--signals <signals...>", "what targets tell in answers")
+        .choices(Object.values(SoakSignal)),
+    )
     .parse()
     .opts<SoakOptions>();
 }
--- a/tests/soak_fleet.ts
+++ b/tests/soak_fleet.ts
@@ -52,6 +52,9 @@
   prefix: "/second/",
 };
 
+/** Header by which a target says that it leaves. */
+export const LEAVING_HEADER = "Server-Leaving";
+
 /** A narrow link between callers and an instance passes so much a second. */
 const NARROW_LINK_BYTES_PER_S = 2_000_000;
 
@@ -143,16 +146,24 @@
    * @param target The target.
    */
   retire(target: SoakTarget): void {
-    const others = this.targets.filter((other) =>
-      other.pool === target.pool && other !== target &&
-      other.leavingAtMs === undefined
-    );
-    if (others.length > 0 && target.leavingAtMs === undefined) {
+    if (this.mayLeave(target)) {
       target.leavingAtMs = performance.now();
       this.#list(target);
     }
   }
 
+  /**
+   * @param target A target.
+   * @returns Whether it is staying, and its pool has another that is.
+   */
+  mayLeave(target: SoakTarget): boolean {
+    const others = this.targets.filter((other) =>
+      other.pool === target.pool && other !== target &&
+      other.leavingAtMs === undefined && !(LEAVING_HEADER in other.target.tells)
+    );
+    return others.length > 0 && target.leavingAtMs === undefined;
+  }
+
   /** @returns Once every process and stand-in has ended. */
   async end(): Promise<void> {
     await Promise.all(this.instances.map((instance) => instance.end()));
--- a/tests/soak_plan.ts
+++ b/tests/soak_plan.ts
@@ -5,7 +5,11 @@
   seededRandomness,
 } from "@chestnuthatch/core/randomness";
 import { type PlannedRollout, planRollout } from "./soak_rollout_plan.ts";
-import { planLimits, type PlannedLimit } from "./soak_signals_plan.ts";
+import {
+  type PlannedSignal,
+  planSignals,
+  type SoakSignal,
+} from "./soak_signals_plan.ts";
 import { TargetConduct } from "@chestnuthatch/platform/standin_target";
 
 /** Kinds of fault. */
@@ -106,8 +110,8 @@
   readonly callers: readonly PlannedCaller[];
   /** A new version of the plain pool's targets, beside the faults. */
   readonly rollout?: PlannedRollout;
-  /** Limits that targets name, beside the faults. */
-  readonly limits: readonly PlannedLimit[];
+  /** What targets tell of themselves, beside the faults. */
+  readonly signals: readonly PlannedSignal[];
   /** Bytes a second that a connection takes, for each instance. */
   readonly writeBytesPerS: readonly number[];
 }
@@ -129,8 +133,8 @@
   readonly engines?: number;
   /** Whether a new version is rolled out meanwhile. */
   readonly rollout?: boolean;
-  /** Whether targets name limits meanwhile. */
-  readonly limits?: boolean;
+  /** What targets tell of themselves meanwhile. */
+  readonly signals?: readonly SoakSignal[];
 }
 
 type Range = readonly [least: number, below: number];
@@ -271,7 +275,7 @@
     lengthMs,
     faults,
     rollout: options.rollout === true ? planRollout(seed, lengthMs) : undefined,
-    limits: options.limits === true ? planLimits(seed, lengthMs) : [],
+    signals: planSignals(seed, lengthMs, options.signals ?? []),
     callers: Array.from(
       { length: instances * draw.between(...ranges.callers) },
       (_, index) => planCaller(draw, index % instances),
--- a/tests/soak_run.ts
+++ b/tests/soak_run.ts
@@ -41,7 +41,7 @@
   try {
     await fleet.start(plan);
     const rollout = plan.rollout && new SoakRollout(fleet, plan.rollout);
-    const signals = new SoakSignals(fleet, plan.limits);
+    const signals = new SoakSignals(fleet, plan.signals);
     const faults = Promise.all([
       ...plan.faults.map((fault) => inflict(fleet, fault)),
       rollout?.play(),
--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -3,6 +3,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { type PlanOptions, planSoak } from "./soak_plan.ts";
+import { SoakSignal } from "./soak_signals_plan.ts";
 import { playSoak } from "./soak_run.ts";
 
 /** Enough for the faults of a seed to overlap, and short enough for CI. */
@@ -18,7 +19,7 @@
 const LIMIT_SEED = 4;
 
 /** Enough for a limit to settle and for windows after that. */
-const LIMIT_OPTIONS = { lengthMs: 12_000, limits: true };
+const LIMIT_OPTIONS = { lengthMs: 12_000, signals: [SoakSignal.Limit] };
 
 /** Enough for one of their stops. */
 const ONE_STOP = { lengthMs: 2000 };
