--- a/packages/gateway/src/answer_news.ts
+++ b/packages/gateway/src/answer_news.ts
@@ -5,6 +5,7 @@
   TargetLimitChange,
   TargetLimitNews,
 } from "@chestnuthatch/routing/target_limits";
+import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Clock, TargetSignals } from "./ports.ts";
@@ -15,11 +16,14 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
+  /** Called when a target says that it is leaving. */
+  onLeaving(targetId: string): void;
 }
 
 /** An answer of a target. */
 export interface AnswerOrigin {
-  readonly targetId: string;
+  /** The target as it was known when the request was sent. */
+  readonly target: KnownTarget;
   /** When its request was sent. */
   readonly sentAtMs: number;
 }
@@ -48,9 +52,21 @@
    * @param signals What it tells of its target.
    */
   answered(origin: AnswerOrigin, signals: TargetSignals): void {
-    const { limitPerS, unreadable } = signals;
+    const { targetId, incarnation } = origin.target;
+    const known = this.#parts.board.targets.get(targetId);
+    if (known?.incarnation !== incarnation) {
+      // It comes from a process that has been replaced since.
+      return;
+    }
+    const { limitPerS, leaving, restMs, unreadable } = signals;
     for (const header of unreadable) {
-      this.#noteUnreadable(origin.targetId, header);
+      this.#noteUnreadable(targetId, header);
+    }
+    if (leaving && !known.leaving) {
+      this.#noteLeaving(known);
+    }
+    if (restMs !== undefined) {
+      this.#noteRest(targetId, restMs);
     }
     // One that cannot be read does not say that there is no limit.
     if (limitPerS !== undefined || unreadable.length === 0) {
@@ -66,8 +82,32 @@
     }
   }
 
+  #noteLeaving({ targetId, rowVersion }: KnownTarget): void {
+    const source = NewsSource.Answer;
+    const { log, metrics, onLeaving } = this.#parts;
+    metrics.targetSignal("leaving", source);
+    log.info(LogPart.Targets, "target says that it leaves", {
+      targetId,
+      rowVersion,
+      source,
+    });
+    onLeaving(targetId);
+  }
+
+  #noteRest(targetId: string, restMs: number): void {
+    const { board: { rests }, clock, log, metrics } = this.#parts;
+    const source = NewsSource.Answer;
+    rests.asked(targetId, restMs, clock.nowMs());
+    metrics.targetSignal("rest", source);
+    log.info(LogPart.Targets, "target asks for rest", {
+      targetId,
+      restMs,
+      source,
+    });
+  }
+
   #noteLimit(
-    { targetId, sentAtMs }: AnswerOrigin,
+    { target: { targetId }, sentAtMs }: AnswerOrigin,
     limitPerS: number | undefined,
   ): void {
     const { board: { limits }, clock } = this.#parts;
--- a/tests/soak_plan.ts
+++ b/tests/soak_plan.ts
@@ -5,6 +5,11 @@
   seededRandomness,
 } from "@chestnuthatch/core/randomness";
 import { type PlannedRollout, planRollout } from "./soak_rollout_plan.ts";
+import {
+  type PlannedSignal,
+  planSignals,
+  type SoakSignal,
+} from "./soak_signals_plan.ts";
 import { TargetConduct } from "@chestnuthatch/platform/standin_target";
 
 /** Kinds of fault. */
@@ -105,6 +110,8 @@
   readonly callers: readonly PlannedCaller[];
   /** A new version of the plain pool's targets, beside the faults. */
   readonly rollout?: PlannedRollout;
+  /** What targets tell of themselves, beside the faults. */
+  readonly signals: readonly PlannedSignal[];
   /** Bytes a second that a connection takes, for each instance. */
   readonly writeBytesPerS: readonly number[];
 }
@@ -126,6 +133,8 @@
   readonly engines?: number;
   /** Whether a new version is rolled out meanwhile. */
   readonly rollout?: boolean;
+  /** What targets tell of themselves meanwhile. */
+  readonly signals?: readonly SoakSignal[];
 }
 
 type Range = readonly [least: number, below: number];
@@ -266,6 +275,7 @@
     lengthMs,
     faults,
     rollout: options.rollout === true ? planRollout(seed, lengthMs) : undefined,
+    signals: planSignals(seed, lengthMs, options.signals ?? []),
     callers: Array.from(
       { length: instances * draw.between(...ranges.callers) },
       (_, index) => planCaller(draw, index % instances),
