Tell limits that changed in every heartbeat, and the rest in turns of their own

Found on reading, for fleets over the full mesh: limits went with one heartbeat in five, 24 in turn, and the turn was the number of the heartbeat. The steps of both went together: of 120 limits the same 24 were told each time, and a coordinator would not have learned the others from a holder at all.

A test that failed before (24 of 120 told in 13 heartbeats): all are told within three seconds now. Limits that stay the same go with one heartbeat in five as before, in turns that count only what was told.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -494,7 +494,7 @@
           ? this.board.suspects.toTell(this.#clock.nowMs())
           : [],
       rollouts: () => this.board.rollouts.toTell(this.#clock.nowMs()),
-      targetLimits: () => this.board.limits.toTell(this.#clock.nowMs()),
+      targetLimits: (of) => this.board.limits.toTell(this.#clock.nowMs(), of),
       targetNews: () => this.#news.targetNews(),
     }, this.#self);
   }
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -109,7 +109,7 @@
         : [],
     suspects: () => [],
     rollouts: () => [],
-    targetLimits: () => board.limits.toTell(clock.nowMs()),
+    targetLimits: (of) => board.limits.toTell(clock.nowMs(), of),
     targetNews: () => [],
   }, self);
   let wasCoordinator = false;
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -60,7 +60,7 @@
   /** @returns Roll-outs in progress, or ended just now. */
   rollouts(): readonly RolloutNews[];
   /** @returns Limits that targets name, and those lifted lately. */
-  targetLimits(): readonly TargetLimitNews[];
+  targetLimits(of: { onlyChanged: boolean }): readonly TargetLimitNews[];
   /** @returns What this instance lately learned of targets. */
   targetNews(): readonly TargetChange[];
 }
@@ -70,6 +70,8 @@
   readonly #parts: MembershipParts;
   #self: MemberNews;
   #beats = 0;
+  /** Heartbeats that told of limits; they take other turns than all. */
+  #limitTurn = 0;
   #beatAtMs = -Infinity;
   #aliveIds = new Set<string>();
   /** Members that said last that they reach the platform's store. */
@@ -185,9 +187,7 @@
     const tellsAll = this.#tellsAll(withOthers);
     const suspects = tellsAll ? this.#parts.suspects() : [];
     const rollouts = this.#parts.rollouts();
-    const targetLimits = tellsAll
-      ? inTurn(this.#parts.targetLimits(), MAX_LIMITS, this.#beats)
-      : [];
+    const targetLimits = this.#limitsToTell(tellsAll);
     this.#parts.send(addresses, {
       kind: MessageKind.Beat,
       from: this.#self,
@@ -213,6 +213,13 @@
     return isDigest || this.#parts.board.members.isFullMesh;
   }
 
+  #limitsToTell(tellsAll: boolean): TargetLimitNews[] {
+    const limits = this.#parts.targetLimits({ onlyChanged: !tellsAll });
+    return limits.length === 0
+      ? []
+      : inTurn(limits, MAX_LIMITS, this.#limitTurn++);
+  }
+
   /** Leaving targets in every heartbeat, the rest in turn. */
   #newsToTell(tellsAll: boolean): TargetChange[] {
     const news = this.#parts.targetNews();
--- a/packages/gateway/src/membership_keeper_test.ts
+++ b/packages/gateway/src/membership_keeper_test.ts
@@ -27,9 +27,11 @@
 /** Heartbeats of an instance that hears of one other. */
 function beatsOf(
   news: readonly TargetChange[],
-  { count, others = 1, reachesStore = true }: {
+  { count, others = 1, reachesStore = true, limits = 0 }: {
     count: number;
     others?: number;
+    /** Targets that begin to name limits as the first heartbeat is due. */
+    limits?: number;
     /** Whether the coordinator reaches the store. */
     reachesStore?: boolean;
   },
@@ -40,6 +42,9 @@
   for (let index = 2; index < 2 + others; index++) {
     board.members.heard(memberOf(`i${index}`), 0);
   }
+  for (let index = 0; index < limits; index++) {
+    board.limits.named(`t${index}`, 5, 0);
+  }
   let nowMs = 0;
   const clock = { nowMs: () => nowMs };
   const nowhere = new Writable({ write: (_chunk, _code, done) => done() });
@@ -59,7 +64,7 @@
     spending: () => [],
     suspects: () => [],
     rollouts: () => [],
-    targetLimits: () => [],
+    targetLimits: (of) => board.limits.toTell(nowMs, of),
     targetNews: () => news,
   }, self);
   keeper.heard({
@@ -126,4 +131,21 @@
   assert.is(told(63), 4);
 });
 
+// Guards against the heartbeats of a large fleet naming the same limits each time,
+// as their turns and the turns of what they carry go in step.
+test("a large fleet hears of every limit within three seconds", () => {
+  const beats = beatsOf([], { count: 13, others: 63, limits: 120 });
+  const limits = beats.map(({ targetLimits = [] }) => targetLimits);
+  assert.ok(limits.every(({ length }) => length <= 24));
+  const told = new Set(limits.flat().map(({ targetId }) => targetId));
+  assert.is(told.size, 120);
+});
+
+test("a large fleet is told limits that stay the same once in a while", () => {
+  const beats = beatsOf([], { count: 40, others: 63, limits: 3 });
+  const later = beats.slice(15)
+    .filter(({ targetLimits }) => targetLimits !== undefined);
+  assert.is(later.length, 5);
+});
+
 test.run();
--- a/packages/routing/src/target_limits.ts
+++ b/packages/routing/src/target_limits.ts
@@ -30,16 +30,21 @@
  */
 const LIFT_AFTER_MS = 4000;
 
-/** How long other instances are told that a limit was lifted. */
-const LIFT_TOLD_MS = 2500;
+/** How long a change is told to other instances in every heartbeat. */
+const CHANGE_TOLD_MS = 2500;
 
 interface KnownLimit {
   /** Absent once lifted. */
   readonly limitPerS?: number;
   /** When an answer last named it, or lifted it. */
   readonly saidAtMs: number;
+  /** When the belief last changed here. */
+  readonly changedAtMs: number;
 }
 
+/** What an answer or another instance said. */
+type SaidLimit = Omit<KnownLimit, "changedAtMs">;
+
 /** Limits by target. */
 export class TargetLimits {
   readonly #byId = new Map<string, KnownLimit>();
@@ -78,7 +83,7 @@
     limitPerS: number,
     nowMs: number,
   ): TargetLimitChange | undefined {
-    return this.#put(targetId, { limitPerS, saidAtMs: nowMs });
+    return this.#put(targetId, { limitPerS, saidAtMs: nowMs }, nowMs);
   }
 
   /**
@@ -96,7 +101,9 @@
     const known = this.#byId.get(targetId);
     const isLifted = known?.limitPerS !== undefined &&
       sentAtMs > known.saidAtMs && nowMs - known.saidAtMs >= LIFT_AFTER_MS;
-    return isLifted ? this.#put(targetId, { saidAtMs: nowMs }) : undefined;
+    return isLifted
+      ? this.#put(targetId, { saidAtMs: nowMs }, nowMs)
+      : undefined;
   }
 
   /**
@@ -107,7 +114,7 @@
    */
   restarted(targetId: string, nowMs: number): void {
     if (this.#byId.has(targetId)) {
-      this.#put(targetId, { saidAtMs: nowMs });
+      this.#put(targetId, { saidAtMs: nowMs }, nowMs);
     }
   }
 
@@ -122,21 +129,26 @@
       const known = this.#byId.get(targetId);
       return known !== undefined && known.saidAtMs >= saidAtMs
         ? []
-        : this.#put(targetId, { limitPerS, saidAtMs }) ?? [];
+        : this.#put(targetId, { limitPerS, saidAtMs }, nowMs) ?? [];
     });
   }
 
   /**
    * @param nowMs The local time.
+   * @param of Whether to leave out limits that have not changed lately.
    * @returns Limits, and those lifted lately, for other instances.
    */
-  toTell(nowMs: number): TargetLimitNews[] {
-    return [...this.#byId].flatMap(([targetId, { limitPerS, saidAtMs }]) => {
-      const ageMs = Math.round(nowMs - saidAtMs);
-      if (limitPerS !== undefined) {
-        return { targetId, limitPerS, ageMs };
-      }
-      return ageMs <= LIFT_TOLD_MS ? { targetId, ageMs } : [];
+  toTell(
+    nowMs: number,
+    { onlyChanged }: { onlyChanged: boolean },
+  ): TargetLimitNews[] {
+    return [...this.#byId].flatMap(([targetId, known]) => {
+      const { limitPerS, saidAtMs, changedAtMs } = known;
+      const isNew = nowMs - changedAtMs <= CHANGE_TOLD_MS;
+      const isStanding = limitPerS !== undefined && !onlyChanged;
+      return isNew || isStanding
+        ? { targetId, limitPerS, ageMs: Math.round(nowMs - saidAtMs) }
+        : [];
     });
   }
 
@@ -154,12 +166,19 @@
     return this.limitPerS(targetId) !== undefined;
   }
 
-  #put(targetId: string, next: KnownLimit): TargetLimitChange | undefined {
-    const beforePerS = this.limitPerS(targetId);
-    const { limitPerS } = next;
+  #put(
+    targetId: string,
+    said: SaidLimit,
+    nowMs: number,
+  ): TargetLimitChange | undefined {
+    const before = this.#byId.get(targetId);
+    const beforePerS = before?.limitPerS;
+    const { limitPerS } = said;
+    const isSame = before !== undefined && beforePerS === limitPerS;
+    const changedAtMs = isSame ? before.changedAtMs : nowMs;
+    this.#byId.set(targetId, { ...said, changedAtMs });
     this.#limitedCount += Number(limitPerS !== undefined) -
       Number(beforePerS !== undefined);
-    this.#byId.set(targetId, next);
     return beforePerS === limitPerS
       ? undefined
       : { targetId, beforePerS, limitPerS };
--- a/packages/routing/src/target_limits_test.ts
+++ b/packages/routing/src/target_limits_test.ts
@@ -2,6 +2,8 @@
 import * as assert from "uvu/assert";
 import { TargetLimits } from "./target_limits.ts";
 
+const ALL = { onlyChanged: false };
+
 function limitsOf(limitPerS: number, nowMs: number): TargetLimits {
   const limits = new TargetLimits();
   limits.named("t1", limitPerS, nowMs);
@@ -35,7 +37,7 @@
 
 test("silence of a target does not lift its limit", () => {
   const limits = limitsOf(0.2, 0);
-  assert.equal(limits.toTell(60_000), [
+  assert.equal(limits.toTell(60_000, ALL), [
     { targetId: "t1", limitPerS: 0.2, ageMs: 60_000 },
   ]);
 });
@@ -56,12 +58,25 @@
 test("a lifted limit is told for a while, and older news do not restore it", () => {
   const limits = limitsOf(5, 0);
   limits.notNamed("t1", { sentAtMs: 5000, nowMs: 5100 });
-  assert.equal(limits.toTell(5200), [{ targetId: "t1", ageMs: 100 }]);
-  assert.equal(limits.toTell(9000), []);
+  assert.equal(limits.toTell(5200, ALL), [
+    { targetId: "t1", limitPerS: undefined, ageMs: 100 },
+  ]);
+  assert.equal(limits.toTell(9000, ALL), []);
   limits.merge([{ targetId: "t1", limitPerS: 5, ageMs: 5200 }], 9000);
   assert.is(limits.limitPerS("t1"), undefined);
 });
 
+test("a change is told in every heartbeat for a while", () => {
+  const limits = limitsOf(5, 0);
+  limits.named("t1", 5, 2000);
+  const told = (nowMs: number) =>
+    limits.toTell(nowMs, { onlyChanged: true }).length;
+  assert.is(told(2400), 1);
+  assert.is(told(2600), 0);
+  limits.named("t1", 6, 3000);
+  assert.is(told(3000), 1);
+});
+
 test("what a process said is void once it started again", () => {
   const limits = limitsOf(5, 0);
   limits.restarted("t1", 1000);
