Give each part that heartbeats carry in turn a turn of its own

Members, new targets and the listeners of heartbeats were taken in turn by the number of the heartbeat, but members and new targets go with one heartbeat in five only: in fleets whose size fits, the steps go together. Of 119 other members a digest named the same 24 each time, and it reached the same listeners only.

A rotation of its own for each. The test failed before (24 of 119 named) and passes for 60 and 119 others.

--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -17,6 +17,7 @@
 import type { TargetChange } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock } from "./ports.ts";
+import { Rotation } from "./rotation.ts";
 
 /** Time between two heartbeats; four may be lost before a member counts gone. */
 const BEAT_MS = 220;
@@ -70,8 +71,13 @@
   readonly #parts: MembershipParts;
   #self: MemberNews;
   #beats = 0;
-  /** Heartbeats that told of limits; they take other turns than all. */
-  #limitTurn = 0;
+  readonly #memberTurns = new Rotation();
+  readonly #listenerTurns = new Rotation();
+  /** So that digests reach all, and not only those whose turn falls on one. */
+  readonly #digestListenerTurns = new Rotation();
+  readonly #limitTurns = new Rotation();
+  readonly #urgentTurns = new Rotation();
+  readonly #newsTurns = new Rotation();
   #beatAtMs = -Infinity;
   #aliveIds = new Set<string>();
   /** Members that said last that they reach the platform's store. */
@@ -154,7 +160,8 @@
     this.#beatAtMs = nowMs;
     this.#beats++;
     const withOthers = this.#beats % BEATS_PER_DIGEST === 1;
-    const addresses = new Set(this.#listeners().map((m) => m.address));
+    const turns = withOthers ? this.#digestListenerTurns : this.#listenerTurns;
+    const addresses = new Set(this.#listeners(turns).map((m) => m.address));
     if (withOthers) {
       for (const seed of this.#parts.seedAddresses) {
         addresses.add(seed);
@@ -165,7 +172,7 @@
   }
 
   /** All others, or in a large fleet the coordinator and some in turn. */
-  #listeners(): MemberNews[] {
+  #listeners(turns: Rotation): MemberNews[] {
     const { members } = this.#parts.board;
     const others = members.others();
     const coordinatorId = this.#parts.coordinatorId();
@@ -174,14 +181,14 @@
     if (isAll) {
       return others;
     }
-    const some = inTurn(others, BEAT_FANOUT, this.#beats);
+    const some = turns.next(others, BEAT_FANOUT);
     return [...some, members.get(coordinatorId) ?? []].flat();
   }
 
   #sendBeat(addresses: Iterable<string>, withOthers: boolean): void {
     const { board, clock } = this.#parts;
     const alive = withOthers ? board.members.alive(clock.nowMs()) : [];
-    const others = inTurn(alive, MAX_DIGEST, this.#beats)
+    const others = this.#memberTurns.next(alive, MAX_DIGEST)
       .filter(({ instanceId }) => instanceId !== board.members.selfId)
       .map(newsOf);
     const tellsAll = this.#tellsAll(withOthers);
@@ -215,21 +222,19 @@
 
   #limitsToTell(tellsAll: boolean): TargetLimitNews[] {
     const limits = this.#parts.targetLimits({ onlyChanged: !tellsAll });
-    return limits.length === 0
-      ? []
-      : inTurn(limits, MAX_LIMITS, this.#limitTurn++);
+    return this.#limitTurns.next(limits, MAX_LIMITS);
   }
 
   /** Leaving targets in every heartbeat, the rest in turn. */
   #newsToTell(tellsAll: boolean): TargetChange[] {
     const news = this.#parts.targetNews();
-    const urgent = inTurn(news.filter(isUrgent), MAX_NEWS, this.#beats);
+    const urgent = this.#urgentTurns.next(news.filter(isUrgent), MAX_NEWS);
     if (!tellsAll || !this.#tellsOfNewTargets()) {
       return urgent;
     }
     const others = news.filter((change) => !isUrgent(change));
     const room = MAX_NEWS - urgent.length;
-    return [...urgent, ...inTurn(others, room, this.#beats)];
+    return [...urgent, ...this.#newsTurns.next(others, room)];
   }
 
   /**
@@ -269,15 +274,6 @@
   }
 }
 
-/** Takes some of a list, others with each turn. */
-function inTurn<T>(all: readonly T[], count: number, turn: number): T[] {
-  if (all.length <= count) {
-    return [...all];
-  }
-  const begin = turn * count % all.length;
-  return [...all, ...all].slice(begin, begin + count);
-}
-
 /** Whether a target must get nothing any more. */
 function isUrgent({ entry }: TargetChange): boolean {
   return entry === undefined || entry.leaving;
--- a/packages/gateway/src/membership_keeper_test.ts
+++ b/packages/gateway/src/membership_keeper_test.ts
@@ -24,6 +24,10 @@
   return { targetId, rowVersion: index, entry };
 }
 
+interface SentBeat extends Beat {
+  readonly addresses: readonly string[];
+}
+
 /** Heartbeats of an instance that hears of one other. */
 function beatsOf(
   news: readonly TargetChange[],
@@ -35,8 +39,8 @@
     /** Whether the coordinator reaches the store. */
     reachesStore?: boolean;
   },
-): Beat[] {
-  const beats: Beat[] = [];
+): SentBeat[] {
+  const beats: SentBeat[] = [];
   const self = memberOf("i1");
   const board = boardOf([]);
   for (let index = 2; index < 2 + others; index++) {
@@ -53,9 +57,9 @@
     clock,
     log: new EventLog(clock, "i1", nowhere),
     seedAddresses: [],
-    send: (_addresses, message) => {
+    send: (addresses, message) => {
       if (message.kind === MessageKind.Beat) {
-        beats.push(message);
+        beats.push({ ...message, addresses: [...addresses] });
       }
     },
     coordinatorId: () => "i2",
@@ -78,6 +82,9 @@
     targetNews: [],
   });
   for (; beats.length < count; nowMs += BEAT_MS) {
+    for (let index = 3; index < 2 + others; index++) {
+      board.members.heard(memberOf(`i${index}`), nowMs);
+    }
     keeper.tick();
   }
   return beats;
@@ -148,4 +155,21 @@
   assert.is(later.length, 5);
 });
 
+// Guards against the digests of a large fleet naming the same members each time,
+// and against their reaching the same members only.
+test("digests name every member in turn, and reach all of a large fleet", () => {
+  for (const others of [60, 119]) {
+    const beats = beatsOf([], { count: 5 * 60, others });
+    const named = new Set(
+      beats.flatMap((beat) => beat.others.map(({ instanceId }) => instanceId)),
+    );
+    assert.is(named.size, others);
+    const reached = new Set(
+      beats.filter((beat) => beat.others.length > 0)
+        .flatMap(({ addresses }) => addresses),
+    );
+    assert.is(reached.size, others);
+  }
+});
+
 test.run();
