Log an unreadable header once a target, whatever its values

Found on reading: a target that sent another bad value with each answer got a line for each, and a bad header on leaving kept a limit from being lifted. What cannot be read is told as name and value now, and whether a limit is named at all apart from whether it can be read. Tests as before, in the new shape.

--- a/packages/gateway/src/answer_news.ts
+++ b/packages/gateway/src/answer_news.ts
@@ -8,7 +8,7 @@
 import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
-import type { Clock, TargetSignals } from "./ports.ts";
+import type { Clock, TargetSignals, UnreadableHeader } from "./ports.ts";
 
 /** What the part works with. */
 export interface AnswerNewsParts {
@@ -31,6 +31,14 @@
 /** Unreadable headers that are remembered, so that each is logged once. */
 const MOST_UNREADABLE = 256;
 
+/** What an answer tells, in metrics. */
+enum SignalName {
+  LimitNamed = "limit_named",
+  LimitLifted = "limit_lifted",
+  Leaving = "leaving",
+  Rest = "rest",
+}
+
 /** Where a belief comes from. */
 enum NewsSource {
   Answer = "answer",
@@ -58,9 +66,9 @@
       // It comes from a process that has been replaced since.
       return;
     }
-    const { limitPerS, leaving, restMs, unreadable } = signals;
-    for (const header of unreadable) {
-      this.#noteUnreadable(targetId, header);
+    const { limitPerS, namesLimit, leaving, restMs, unreadable } = signals;
+    for (const each of unreadable) {
+      this.#noteUnreadable(targetId, each);
     }
     if (leaving && !known.leaving) {
       this.#noteLeaving(known);
@@ -68,8 +76,7 @@
     if (restMs !== undefined) {
       this.#noteRest(targetId, restMs);
     }
-    // One that cannot be read does not say that there is no limit.
-    if (limitPerS !== undefined || unreadable.length === 0) {
+    if (limitPerS !== undefined || !namesLimit) {
       this.#noteLimit(origin, limitPerS);
     }
   }
@@ -85,7 +92,7 @@
   #noteLeaving({ targetId, rowVersion }: KnownTarget): void {
     const source = NewsSource.Answer;
     const { log, metrics, onLeaving } = this.#parts;
-    metrics.targetSignal("leaving", source);
+    metrics.targetSignal(SignalName.Leaving, source);
     log.info(LogPart.Targets, "target says that it leaves", {
       targetId,
       rowVersion,
@@ -98,7 +105,7 @@
     const { board: { rests }, clock, log, metrics } = this.#parts;
     const source = NewsSource.Answer;
     rests.asked(targetId, restMs, clock.nowMs());
-    metrics.targetSignal("rest", source);
+    metrics.targetSignal(SignalName.Rest, source);
     log.info(LogPart.Targets, "target asks for rest", {
       targetId,
       restMs,
@@ -126,7 +133,10 @@
   ): void {
     const { log, metrics } = this.#parts;
     const isLifted = limitPerS === undefined;
-    metrics.targetSignal(isLifted ? "limit_lifted" : "limit_named", source);
+    metrics.targetSignal(
+      isLifted ? SignalName.LimitLifted : SignalName.LimitNamed,
+      source,
+    );
     log.info(
       LogPart.Targets,
       isLifted ? "target limit lifted" : "target names a limit",
@@ -134,7 +144,10 @@
     );
   }
 
-  #noteUnreadable(targetId: string, header: string): void {
+  #noteUnreadable(
+    targetId: string,
+    { header, value }: UnreadableHeader,
+  ): void {
     const known = `${targetId} ${header}`;
     const isNew = !this.#unreadable.has(known) &&
       this.#unreadable.size < MOST_UNREADABLE;
@@ -143,6 +156,7 @@
       this.#parts.log.warn(LogPart.Targets, "unreadable header ignored", {
         targetId,
         header,
+        value,
       });
     }
   }
--- a/packages/gateway/src/answer_news_test.ts
+++ b/packages/gateway/src/answer_news_test.ts
@@ -6,7 +6,7 @@
 import { EventLog } from "./event_log.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 
-const QUIET = { leaving: false, unreadable: [] };
+const QUIET = { namesLimit: false, leaving: false, unreadable: [] };
 
 function newsOf() {
   const lines: string[] = [];
@@ -41,8 +41,8 @@
 test("a limit is logged as it changes, with where it was heard", () => {
   const { news, board, clock, messages } = newsOf();
   const origin = { target: board.targets.get("t1")!, sentAtMs: 0 };
-  news.answered(origin, { ...QUIET, limitPerS: 5 });
-  news.answered(origin, { ...QUIET, limitPerS: 5 });
+  news.answered(origin, { ...QUIET, namesLimit: true, limitPerS: 5 });
+  news.answered(origin, { ...QUIET, namesLimit: true, limitPerS: 5 });
   clock.atMs = 50;
   news.toldOfLimits([{ targetId: "t1", limitPerS: 6, ageMs: 10 }]);
   clock.atMs = 6000;
@@ -58,12 +58,12 @@
 test("a header that cannot be read is logged once and lifts no limit", () => {
   const { news, board, clock, messages } = newsOf();
   const origin = { target: board.targets.get("t1")!, sentAtMs: 0 };
-  news.answered(origin, { ...QUIET, limitPerS: 5 });
+  news.answered(origin, { ...QUIET, namesLimit: true, limitPerS: 5 });
   clock.atMs = 6000;
-  const unreadable = ["server-limit: many"];
+  const unreadable = [{ header: "server-limit", value: "many" }];
   const later = { ...origin, sentAtMs: 5000 };
-  news.answered(later, { ...QUIET, unreadable });
-  news.answered(later, { ...QUIET, unreadable });
+  news.answered(later, { ...QUIET, namesLimit: true, unreadable });
+  news.answered(later, { ...QUIET, namesLimit: true, unreadable });
   assert.equal(messages(), [
     "target names a limit answer 5",
     "unreadable header ignored",
@@ -75,7 +75,7 @@
   const { news, board } = newsOf();
   const target = { ...board.targets.get("t1")!, incarnation: 0 };
   const origin = { target, sentAtMs: 0 };
-  news.answered(origin, { ...QUIET, limitPerS: 5 });
+  news.answered(origin, { ...QUIET, namesLimit: true, limitPerS: 5 });
   assert.is(board.limits.limitPerS("t1"), undefined);
 });
 
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -31,7 +31,7 @@
     notRun: false,
     wrongTarget: false,
     genuine: true,
-    signals: { leaving: false, unreadable: [] },
+    signals: { namesLimit: false, leaving: false, unreadable: [] },
   }),
 };
 
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -55,12 +55,19 @@
    * it names no limit.
    */
   readonly limitPerS?: number;
+  /** Whether it names one, be it one that cannot be read. */
+  readonly namesLimit: boolean;
   /** Whether it is leaving. */
   readonly leaving: boolean;
   /** How long it wants nothing from this instance; absent if it does not say. */
   readonly restMs?: number;
-  /** Headers on the target that cannot be read, with their values. */
-  readonly unreadable: readonly string[];
+  readonly unreadable: readonly UnreadableHeader[];
+}
+
+/** A header on a target that cannot be read. */
+export interface UnreadableHeader {
+  readonly header: string;
+  readonly value: string;
 }
 
 /** What a target's answer says beside its body. */
