Count on a tenth of a slot at least where limits keep a pool nearly empty

Found on reading: with all other targets excluded and a limit's share near 0, the estimate of a wait divided by a sum that may round to 0 or below; an infinite wait is no message of a known form. The estimate moved to a method of its own. Tests unchanged.

--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -14,7 +14,7 @@
 import { RankLoad } from "./rank_load.ts";
 import { RankShares } from "./rank_shares.ts";
 import type { RoutingBoard } from "./routing_board.ts";
-import type { Choice } from "./target_choice.ts";
+import type { Candidate, Choice } from "./target_choice.ts";
 import type { KnownTarget } from "./target_directory.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
 import {
@@ -40,6 +40,9 @@
 /** Time at targets that neglected ranks may save up, about one long stream. */
 const MOST_NEGLECTED_CREDIT_MS = 1000;
 
+/** Slots that are counted on where limits let work fill hardly any. */
+const LEAST_SLOTS = 0.1;
+
 /** Requests that may be passed by while a free slot is given away. */
 const MOST_PASSED = 8;
 
@@ -377,7 +380,7 @@
   }
 
   #decide(waiting: WaitingWork, look: Look): AskDecision | undefined {
-    const { ask, sinceMs } = waiting;
+    const { ask } = waiting;
     const { askId, holderId, excluded } = ask;
     const { targets } = look;
     const barred = excluded.flatMap((targetId) => targets.get(targetId) ?? []);
@@ -406,9 +409,19 @@
         ? undefined
         : this.#placeAt(waiting, choice, look);
     }
+    return this.#refuseIfTooLate(waiting, look, barred);
+  }
+
+  /** Refuses what would wait for longer than its caller does. */
+  #refuseIfTooLate(
+    { ask, sinceMs }: WaitingWork,
+    look: Look,
+    barred: readonly Candidate[],
+  ): AskDecision | undefined {
     const { nowMs, ahead } = look;
-    const slots = this.#usableSlots(look) -
-      barred.reduce((sum, { target }) => sum + this.#slotsOf(target), 0);
+    const barredSlots = barred
+      .reduce((sum, { target }) => sum + this.#slotsOf(target), 0);
+    const slots = Math.max(LEAST_SLOTS, this.#usableSlots(look) - barredSlots);
     const above = this.#load.slotsAbove(ask.rank, nowMs);
     const available = Math.max(slots - above, NEGLECTED_TIME_SHARE * slots);
     const waitMs = (ahead + 1) * this.#holdMs / available;
@@ -417,13 +430,13 @@
       return undefined;
     }
     return {
-      askId,
-      holderId,
+      askId: ask.askId,
+      holderId: ask.holderId,
       refusal: AskRefusal.Overload,
       retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
       figures: {
         ahead,
-        slots,
+        slots: Math.round(slots),
         available: Math.round(available),
         holdMs: Math.round(this.#holdMs),
         waitMs: Math.round(waitMs),
