Move upkeep of targets and signal handling out of the gateway

What follows on changes of targets (paces, limits, rests, kept connections) and what ends the process had grown into the class that wires the parts. Moves only; tests unchanged.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,5 @@
 /** One entry instance that routes requests: its parts, wired together. */
 
-import process from "node:process";
 import { setTimeout as pause } from "node:timers/promises";
 import { Coordinator } from "@chestnuthatch/routing/coordinator";
 import { CutDomains } from "@chestnuthatch/routing/cut_domains";
@@ -17,11 +16,7 @@
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import { roundedUp } from "@chestnuthatch/routing/spending_log";
 import { SuspectRequests } from "@chestnuthatch/routing/suspect_requests";
-import {
-  type TargetBelief,
-  TargetDirectory,
-  TargetNews,
-} from "@chestnuthatch/routing/target_directory";
+import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
 import { TargetLimits } from "@chestnuthatch/routing/target_limits";
 import { TargetPaces } from "@chestnuthatch/routing/target_paces";
@@ -47,6 +42,7 @@
 import { SuspectKeeper } from "./suspect_keeper.ts";
 import { TargetConnections } from "./target_connections.ts";
 import { TargetProbes } from "./target_probes.ts";
+import { TargetUpkeep } from "./target_upkeep.ts";
 
 /** Time between two looks at what depends on time, while requests wait. */
 const TICK_MS = 20;
@@ -65,9 +61,6 @@
   readonly clock?: Clock;
 }
 
-const EXIT_STOPPED = 0;
-const EXIT_CANNOT_STOP = 1;
-
 const MONOTONIC_CLOCK: Clock = { nowMs: () => performance.now() };
 
 /** Runs one entry instance within this process. */
@@ -91,6 +84,7 @@
   readonly #suspects: SuspectKeeper;
   readonly #rollouts: RolloutKeeper;
   readonly #answerNews: AnswerNews;
+  readonly #upkeep: TargetUpkeep;
   readonly #front: FrontServer;
   readonly #status: StatusServer;
   readonly #loop: LoopWatch;
@@ -172,6 +166,12 @@
       metrics: this.#metrics,
       reachesStore: () => this.#news.reachesStore,
     });
+    this.#upkeep = new TargetUpkeep({
+      board: this.board,
+      clock: this.#clock,
+      coordinator: this.#coordinator,
+      connections: this.#connections,
+    });
     this.#answerNews = new AnswerNews({
       board: this.board,
       clock: this.#clock,
@@ -463,7 +463,7 @@
       catalogPort: this.#settings.catalogPort,
       rollouts: this.#rollouts,
       followsStore: () => this.#followsStore(),
-      onTargets: (beliefs) => this.#targetsChanged(beliefs),
+      onTargets: (beliefs) => this.#upkeep.changed(beliefs),
       onConfiguration: (configuration) => this.#configured(configuration),
       onSpending: (record, ageMs) => this.#spending.takeUpRecord(record, ageMs),
       onSuspects: (news) => this.#suspects.told(news),
@@ -506,32 +506,6 @@
       !this.#membership.reachesStore(coordinatorId);
   }
 
-  #targetsChanged(beliefs: readonly TargetBelief[]): void {
-    const nowMs = this.#clock.nowMs();
-    const { targets, paces, limits } = this.board;
-    for (const { targetId, news } of beliefs) {
-      if (news === TargetNews.Restarted) {
-        this.#targetRestarted(targetId);
-      }
-    }
-    targets.forgetOld(nowMs);
-    const all = targets.all();
-    const targetIds = new Set(all.map(({ targetId }) => targetId));
-    paces.keepOnly(targetIds);
-    limits.keepOnly(targetIds);
-    const usable = all.filter((target) => targets.isUsable(target, nowMs));
-    this.#connections.keepOnly(new Set(usable.map(({ address }) => address)));
-  }
-
-  /** Its pace is that of its machine, and stays. */
-  #targetRestarted(targetId: string): void {
-    this.board.health.restarted(targetId);
-    this.board.rests.restarted(targetId);
-    this.board.limits.restarted(targetId, this.#clock.nowMs());
-    this.#coordinator.targetRestarted(targetId);
-    this.#connections.dropIdle(this.board.targets.get(targetId)!.address);
-  }
-
   #configured(configuration: FleetConfiguration): void {
     this.#front.setLimits(configuration.limits);
   }
@@ -540,24 +514,3 @@
 function reasonOf(error: unknown): string | undefined {
   return error instanceof Error ? error.stack : String(error);
 }
-
-/**
- * Stops a gateway and its process on the usual signals, and on no error.
- *
- * @param gateway The gateway.
- */
-export function stopOnSignals(gateway: Gateway): void {
-  const stop = () => {
-    void gateway.stop().then(
-      () => process.exit(EXIT_STOPPED),
-      (error) => {
-        gateway.cannotStop(error);
-        process.exit(EXIT_CANNOT_STOP);
-      },
-    );
-  };
-  process.on("uncaughtException", (error) => gateway.unexpected(error));
-  process.on("unhandledRejection", (error) => gateway.unexpected(error));
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
-}
--- /dev/null
+++ b/packages/gateway/src/target_upkeep.ts
@@ -0,0 +1,57 @@
+/** Brings what is kept of targets in line with changes of who they are. */
+
+import type { Coordinator } from "@chestnuthatch/routing/coordinator";
+import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import {
+  type TargetBelief,
+  TargetNews,
+} from "@chestnuthatch/routing/target_directory";
+import type { Clock } from "./ports.ts";
+import type { TargetConnections } from "./target_connections.ts";
+
+/** What the upkeep works with. */
+export interface UpkeepParts {
+  readonly board: RoutingBoard;
+  readonly clock: Clock;
+  readonly coordinator: Coordinator;
+  readonly connections: TargetConnections;
+}
+
+/** Forgets what was kept of targets that are gone or started again. */
+export class TargetUpkeep {
+  readonly #parts: UpkeepParts;
+
+  /** @param parts What it works with. */
+  constructor(parts: UpkeepParts) {
+    this.#parts = parts;
+  }
+
+  /** @param beliefs What changed in what this instance believes. */
+  changed(beliefs: readonly TargetBelief[]): void {
+    const { board: { targets, paces, limits }, clock } = this.#parts;
+    const nowMs = clock.nowMs();
+    for (const { targetId, news } of beliefs) {
+      if (news === TargetNews.Restarted) {
+        this.#restarted(targetId, nowMs);
+      }
+    }
+    targets.forgetOld(nowMs);
+    const all = targets.all();
+    const targetIds = new Set(all.map(({ targetId }) => targetId));
+    paces.keepOnly(targetIds);
+    limits.keepOnly(targetIds);
+    const usable = all.filter((target) => targets.isUsable(target, nowMs));
+    const addresses = new Set(usable.map(({ address }) => address));
+    this.#parts.connections.keepOnly(addresses);
+  }
+
+  /** Its pace is that of its machine, and stays. */
+  #restarted(targetId: string, nowMs: number): void {
+    const { board, coordinator, connections } = this.#parts;
+    board.health.restarted(targetId);
+    board.rests.restarted(targetId);
+    board.limits.restarted(targetId, nowMs);
+    coordinator.targetRestarted(targetId);
+    connections.dropIdle(board.targets.get(targetId)!.address);
+  }
+}
