--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -21,6 +21,13 @@
 /** Enough for a limit to settle and for windows after that. */
 const LIMIT_OPTIONS = { lengthMs: 12_000, signals: [SoakSignal.Limit] };
 
+/** Requests there went to a target that left, and to one at rest. */
+const NEEDS_SEED = 3;
+const NEEDS_OPTIONS = {
+  lengthMs: 8000,
+  signals: [SoakSignal.Leaving, SoakSignal.Rest],
+};
+
 /** Enough for one of their stops. */
 const ONE_STOP = { lengthMs: 2000 };
 
@@ -42,6 +49,10 @@
 test(`soak: seed ${LIMIT_SEED} keeps to the limits that targets name`, () =>
   playWell(LIMIT_SEED, LIMIT_OPTIONS));
 
+// Guards against beliefs about targets that rest on the list and on failures alone.
+test(`soak: seed ${NEEDS_SEED} leaves targets alone that ask for it`, () =>
+  playWell(NEEDS_SEED, NEEDS_OPTIONS));
+
 test("a plan is the same for the same seed", () => {
   assert.equal(planSoak(7, OPTIONS), planSoak(7, OPTIONS));
   assert.not.equal(planSoak(7, OPTIONS), planSoak(8, OPTIONS));
