Don't let repeated news of a limit look ever newer

Found on reading: an age does not count the way of its message. Two instances that repeat a limit to each other made it look newer by the way each time, so that a limit that its target had stopped naming was never four seconds old. News that agree with what is known count from a second newer on.

A test that failed before: two instances 30 ms apart, the limit named once, a later answer without it; it was not lifted after 4.5 s, and is now.

--- a/packages/routing/src/target_limits.ts
+++ b/packages/routing/src/target_limits.ts
@@ -30,6 +30,13 @@
  */
 const LIFT_AFTER_MS = 4000;
 
+/**
+ * News that agree with what is known count from so much newer on. The way of a
+ * message adds to the time that it tells, so that instances which repeat each
+ * other would make old news look ever newer.
+ */
+const ECHO_MS = 1000;
+
 /** How long a change is told to other instances in every heartbeat. */
 const CHANGE_TOLD_MS = 2500;
 
@@ -127,9 +134,12 @@
     return news.flatMap(({ targetId, limitPerS, ageMs }) => {
       const saidAtMs = nowMs - ageMs;
       const known = this.#byId.get(targetId);
-      return known !== undefined && known.saidAtMs >= saidAtMs
-        ? []
-        : this.#put(targetId, { limitPerS, saidAtMs }, nowMs) ?? [];
+      const leastMs = known?.limitPerS === limitPerS ? ECHO_MS : 0;
+      const isNewer = known === undefined ||
+        saidAtMs > known.saidAtMs + leastMs;
+      return isNewer
+        ? this.#put(targetId, { limitPerS, saidAtMs }, nowMs) ?? []
+        : [];
     });
   }
 
--- a/packages/routing/src/target_limits_test.ts
+++ b/packages/routing/src/target_limits_test.ts
@@ -92,4 +92,27 @@
   assert.equal(limits.limited(), []);
 });
 
+// Guards against a limit that never lifts, as instances repeat it to each other.
+test("news that go to and fro do not look newer each time", () => {
+  const one = limitsOf(5, 0);
+  const other = new TargetLimits();
+  const wayMs = 30;
+  let nowMs = 0;
+  for (; nowMs < 4500; nowMs += 220) {
+    other.merge(one.toTell(nowMs, ALL), nowMs + wayMs);
+    one.merge(other.toTell(nowMs, ALL), nowMs + wayMs);
+  }
+  one.notNamed("t1", { sentAtMs: nowMs - 100, nowMs });
+  assert.is(one.limitPerS("t1"), undefined);
+});
+
+test("news of a limit that is named on refresh it elsewhere", () => {
+  const one = limitsOf(5, 0);
+  const other = limitsOf(5, 0);
+  one.named("t1", 5, 3000);
+  other.merge(one.toTell(3100, ALL), 3110);
+  other.notNamed("t1", { sentAtMs: 4200, nowMs: 4300 });
+  assert.is(other.limitPerS("t1"), 5);
+});
+
 test.run();
