--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -16,7 +16,7 @@
   type TargetBelief,
   type TargetChange,
 } from "@chestnuthatch/routing/target_directory";
-import type { TargetLimitNews } from "@chestnuthatch/routing/target_limits";
+import type { RateLimitNews } from "@chestnuthatch/routing/target_rate_limits";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { hostPortOf } from "./host_port.ts";
@@ -68,8 +68,8 @@
   onSpending(record: readonly SpendingHistory[], ageMs: number): void;
   /** Called with requests under which targets ended, from anywhere. */
   onSuspects(news: readonly SuspectNews[]): void;
-  /** Called with limits of targets that another instance knows of. */
-  onTargetLimits(news: readonly TargetLimitNews[]): void;
+  /** Called with rate limits of targets that another instance reports. */
+  onRateLimits(news: readonly RateLimitNews[]): void;
   /** Called when what the fleet recorded of late may be gone. */
   onStoreWentBack(): void;
   /** Called when another version came into force. */
@@ -188,12 +188,12 @@
   }
 
   /**
-   * @param targetId A target that says that it is leaving, or that another
-   * instance does not know to be leaving.
+   * @param targetId A target that announced that it is leaving, or that another
+   * instance wrongly believes to be staying.
    */
   targetLeaves(targetId: string): void {
     const { targets } = this.#parts.board;
-    const beliefs = targets.saidLeaving(targetId);
+    const beliefs = targets.announcedLeaving(targetId);
     if (beliefs.length > 0) {
       this.#believed(beliefs);
     } else {
@@ -303,8 +303,8 @@
     if (beat.suspects !== undefined) {
       this.#parts.onSuspects(beat.suspects);
     }
-    if (beat.targetLimits !== undefined) {
-      this.#parts.onTargetLimits(beat.targetLimits);
+    if (beat.rateLimits !== undefined) {
+      this.#parts.onRateLimits(beat.rateLimits);
     }
     const { board, clock } = this.#parts;
     const nowMs = clock.nowMs();
--- a/packages/gateway/src/fleet_news_test.ts
+++ b/packages/gateway/src/fleet_news_test.ts
@@ -43,7 +43,7 @@
     onTargets: () => {},
     onSpending: () => {},
     onSuspects: () => {},
-    onTargetLimits: () => {},
+    onRateLimits: () => {},
     onStoreWentBack: () => {},
     onConfiguration: () => {},
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,10 +18,10 @@
 import { SuspectRequests } from "@chestnuthatch/routing/suspect_requests";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
-import { TargetLimits } from "@chestnuthatch/routing/target_limits";
+import { TargetRateLimits } from "@chestnuthatch/routing/target_rate_limits";
 import { TargetPaces } from "@chestnuthatch/routing/target_paces";
-import { TargetRests } from "@chestnuthatch/routing/target_rests";
-import { AnswerNews } from "./answer_news.ts";
+import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
+import { TargetSignalKeeper } from "./target_signal_keeper.ts";
 import { EventLog, type LogFacts, LogPart } from "./event_log.ts";
 import { FleetNews } from "./fleet_news.ts";
 import { FrontServer } from "./front_server.ts";
@@ -83,7 +83,7 @@
   readonly #spending: SpendingKeeper;
   readonly #suspects: SuspectKeeper;
   readonly #rollouts: RolloutKeeper;
-  readonly #answerNews: AnswerNews;
+  readonly #targetSignals: TargetSignalKeeper;
   readonly #upkeep: TargetUpkeep;
   readonly #front: FrontServer;
   readonly #status: StatusServer;
@@ -125,9 +125,9 @@
       members,
       cutDomains: new CutDomains(members),
       health: new TargetHealth(),
-      limits: new TargetLimits(),
+      rateLimits: new TargetRateLimits(),
       paces: new TargetPaces(),
-      rests: new TargetRests(),
+      backoffs: new TargetBackoffs(),
       suspects: new SuspectRequests(),
       rollouts: new Rollouts(settings.exposure),
     };
@@ -172,7 +172,7 @@
       coordinator: this.#coordinator,
       connections: this.#connections,
     });
-    this.#answerNews = new AnswerNews({
+    this.#targetSignals = new TargetSignalKeeper({
       board: this.board,
       clock: this.#clock,
       log: this.#log,
@@ -441,7 +441,7 @@
       desk: this.#desk,
       protocol,
       probes: new TargetProbes(),
-      answerNews: this.#answerNews,
+      targetSignals: this.#targetSignals,
       onPlacedAtLeaving: (targetId) => this.#news.targetLeaves(targetId),
       failureDomain,
       lateMs: () => this.#lateMs,
@@ -467,7 +467,7 @@
       onConfiguration: (configuration) => this.#configured(configuration),
       onSpending: (record, ageMs) => this.#spending.takeUpRecord(record, ageMs),
       onSuspects: (news) => this.#suspects.told(news),
-      onTargetLimits: (news) => this.#answerNews.toldOfLimits(news),
+      onRateLimits: (news) => this.#targetSignals.toldOfRateLimits(news),
       onStoreWentBack: () => {
         this.#coordinator.recordAnew();
         this.#suspects.recordAnew();
@@ -494,7 +494,7 @@
           ? this.board.suspects.toTell(this.#clock.nowMs())
           : [],
       rollouts: () => this.board.rollouts.toTell(this.#clock.nowMs()),
-      targetLimits: (of) => this.board.limits.toTell(this.#clock.nowMs(), of),
+      rateLimits: (of) => this.board.rateLimits.toTell(this.#clock.nowMs(), of),
       targetNews: () => this.#news.targetNews(),
     }, this.#self);
   }
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -31,7 +31,7 @@
     notRun: false,
     wrongTarget: false,
     genuine: true,
-    signals: { namesLimit: false, leaving: false, unreadable: [] },
+    signals: { hasLimit: false, leaving: false, malformed: [] },
   }),
 };
 
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -2,7 +2,7 @@
 
 import type { Agent } from "node:http";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
-import type { AnswerNews } from "./answer_news.ts";
+import type { TargetSignalKeeper } from "./target_signal_keeper.ts";
 import type { EventLog } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { PlacementDesk } from "./placement_desk.ts";
@@ -18,12 +18,12 @@
   readonly desk: PlacementDesk;
   readonly protocol: CallProtocol;
   readonly probes: TargetProbes;
-  readonly answerNews: AnswerNews;
+  readonly targetSignals: TargetSignalKeeper;
   /** The instance's own failure domain. */
   readonly failureDomain: string;
   /** @returns By how much this process was late for its latest tick. */
   lateMs(): number;
-  /** Tells the coordinator of a target that it does not know to be leaving. */
+  /** Called when the coordinator placed a request at a leaving target. */
   onPlacedAtLeaving(targetId: string): void;
   /** @returns An ask's id, unique in the fleet. */
   nextAskId(): string;
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -13,7 +13,7 @@
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
 import { boardOf, memberOf } from "@chestnuthatch/routing/routing_test_support";
-import type { TargetLimits } from "@chestnuthatch/routing/target_limits";
+import type { TargetRateLimits } from "@chestnuthatch/routing/target_rate_limits";
 import { EventLog } from "./event_log.ts";
 import { MembershipKeeper } from "./membership_keeper.ts";
 import { PlacementDesk } from "./placement_desk.ts";
@@ -26,7 +26,7 @@
 /** One instance: whom it knows, its heartbeats and its places. */
 export interface FleetNode {
   readonly members: MemberView;
-  readonly limits: TargetLimits;
+  readonly rateLimits: TargetRateLimits;
   readonly keeper: MembershipKeeper;
   readonly desk: PlacementDesk;
   readonly spending: SpendingKeeper;
@@ -109,7 +109,7 @@
         : [],
     suspects: () => [],
     rollouts: () => [],
-    targetLimits: (of) => board.limits.toTell(clock.nowMs(), of),
+    rateLimits: (of) => board.rateLimits.toTell(clock.nowMs(), of),
     targetNews: () => [],
   }, self);
   let wasCoordinator = false;
@@ -123,9 +123,9 @@
     }
     wasCoordinator = isCoordinator;
   };
-  const { limits } = board;
+  const { rateLimits } = board;
   const nowMs = () => clock.nowMs();
-  return { members, limits, keeper, desk, spending, tick, nowMs };
+  return { members, rateLimits, keeper, desk, spending, tick, nowMs };
 }
 
 /** A platform that takes no records. */
@@ -145,12 +145,12 @@
  * @param of The message, and who sent it.
  */
 export function deliverTo(
-  { keeper, desk, spending, limits, nowMs }: FleetNode,
+  { keeper, desk, spending, rateLimits, nowMs }: FleetNode,
   { message, fromId }: { message: RoutingMessage; fromId: string },
 ): void {
   if (message.kind === MessageKind.Beat) {
     keeper.heard(message);
-    limits.merge(message.targetLimits ?? [], nowMs());
+    rateLimits.merge(message.rateLimits ?? [], nowMs());
     if (fromId === desk.coordinatorId && message.spending !== undefined) {
       spending.told(message.spending);
     }
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -13,7 +13,7 @@
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { SuspectNews } from "@chestnuthatch/routing/suspect_requests";
 import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
-import type { TargetLimitNews } from "@chestnuthatch/routing/target_limits";
+import type { RateLimitNews } from "@chestnuthatch/routing/target_rate_limits";
 import type { TargetChange } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock } from "./ports.ts";
@@ -34,8 +34,8 @@
  */
 const MAX_NEWS = 24;
 
-/** Limits of targets that one heartbeat tells of; more are told in turn. */
-const MAX_LIMITS = 24;
+/** Rate limits that one heartbeat reports; more are reported in turn. */
+const MAX_RATE_LIMITS = 24;
 
 /** A heartbeat of another instance. */
 export type Beat = Extract<RoutingMessage, { kind: MessageKind.Beat }>;
@@ -60,8 +60,8 @@
   suspects(): readonly SuspectNews[];
   /** @returns Roll-outs in progress, or ended just now. */
   rollouts(): readonly RolloutNews[];
-  /** @returns Limits that targets name, and those lifted lately. */
-  targetLimits(of: { onlyChanged: boolean }): readonly TargetLimitNews[];
+  /** @returns Rate limits of targets, and recently lifted ones. */
+  rateLimits(of: { onlyChanged: boolean }): readonly RateLimitNews[];
   /** @returns What this instance lately learned of targets. */
   targetNews(): readonly TargetChange[];
 }
@@ -73,9 +73,9 @@
   #beats = 0;
   readonly #memberTurns = new Rotation();
   readonly #listenerTurns = new Rotation();
-  /** So that digests reach all, and not only those whose turn falls on one. */
+  /** Apart from the others, so that digests reach every member in turn. */
   readonly #digestListenerTurns = new Rotation();
-  readonly #limitTurns = new Rotation();
+  readonly #rateLimitTurns = new Rotation();
   readonly #urgentTurns = new Rotation();
   readonly #newsTurns = new Rotation();
   #beatAtMs = -Infinity;
@@ -194,7 +194,7 @@
     const tellsAll = this.#tellsAll(withOthers);
     const suspects = tellsAll ? this.#parts.suspects() : [];
     const rollouts = this.#parts.rollouts();
-    const targetLimits = this.#limitsToTell(tellsAll);
+    const rateLimits = this.#rateLimitsToTell(tellsAll);
     this.#parts.send(addresses, {
       kind: MessageKind.Beat,
       from: this.#self,
@@ -206,7 +206,7 @@
       spending: tellsAll ? this.#parts.spending() : undefined,
       ...(suspects.length > 0 ? { suspects } : undefined),
       ...(rollouts.length > 0 ? { rollouts } : undefined),
-      ...(targetLimits.length > 0 ? { targetLimits } : undefined),
+      ...(rateLimits.length > 0 ? { rateLimits } : undefined),
       targetNews: this.#newsToTell(tellsAll),
     });
   }
@@ -220,9 +220,9 @@
     return isDigest || this.#parts.board.members.isFullMesh;
   }
 
-  #limitsToTell(tellsAll: boolean): TargetLimitNews[] {
-    const limits = this.#parts.targetLimits({ onlyChanged: !tellsAll });
-    return this.#limitTurns.next(limits, MAX_LIMITS);
+  #rateLimitsToTell(tellsAll: boolean): RateLimitNews[] {
+    const limits = this.#parts.rateLimits({ onlyChanged: !tellsAll });
+    return this.#rateLimitTurns.next(limits, MAX_RATE_LIMITS);
   }
 
   /** Leaving targets in every heartbeat, the rest in turn. */
--- a/packages/gateway/src/membership_keeper_test.ts
+++ b/packages/gateway/src/membership_keeper_test.ts
@@ -34,7 +34,7 @@
   { count, others = 1, reachesStore = true, limits = 0 }: {
     count: number;
     others?: number;
-    /** Targets that begin to name limits as the first heartbeat is due. */
+    /** Targets with a rate limit. */
     limits?: number;
     /** Whether the coordinator reaches the store. */
     reachesStore?: boolean;
@@ -47,7 +47,7 @@
     board.members.heard(memberOf(`i${index}`), 0);
   }
   for (let index = 0; index < limits; index++) {
-    board.limits.named(`t${index}`, 5, 0);
+    board.rateLimits.advertised(`t${index}`, 5, 0);
   }
   let nowMs = 0;
   const clock = { nowMs: () => nowMs };
@@ -68,7 +68,7 @@
     spending: () => [],
     suspects: () => [],
     rollouts: () => [],
-    targetLimits: (of) => board.limits.toTell(nowMs, of),
+    rateLimits: (of) => board.rateLimits.toTell(nowMs, of),
     targetNews: () => news,
   }, self);
   keeper.heard({
@@ -138,26 +138,26 @@
   assert.is(told(63), 4);
 });
 
-// Guards against the heartbeats of a large fleet naming the same limits each time,
-// as their turns and the turns of what they carry go in step.
-test("a large fleet hears of every limit within three seconds", () => {
+// Guards against heartbeats of a large fleet that report the same limits each time
+// because two rotations run in step.
+test("a large fleet learns every rate limit within three seconds", () => {
   const beats = beatsOf([], { count: 13, others: 63, limits: 120 });
-  const limits = beats.map(({ targetLimits = [] }) => targetLimits);
+  const limits = beats.map(({ rateLimits = [] }) => rateLimits);
   assert.ok(limits.every(({ length }) => length <= 24));
   const told = new Set(limits.flat().map(({ targetId }) => targetId));
   assert.is(told.size, 120);
 });
 
-test("a large fleet is told limits that stay the same once in a while", () => {
+test("unchanged rate limits are reported to a large fleet once in a while", () => {
   const beats = beatsOf([], { count: 40, others: 63, limits: 3 });
   const later = beats.slice(15)
-    .filter(({ targetLimits }) => targetLimits !== undefined);
+    .filter(({ rateLimits }) => rateLimits !== undefined);
   assert.is(later.length, 5);
 });
 
-// Guards against the digests of a large fleet naming the same members each time,
-// and against their reaching the same members only.
-test("digests name every member in turn, and reach all of a large fleet", () => {
+// Guards against digests that list the same members each time, or that reach the
+// same members only.
+test("digests list every member in turn and reach all of a large fleet", () => {
   for (const others of [60, 119]) {
     const beats = beatsOf([], { count: 5 * 60, others });
     const named = new Set(
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -86,9 +86,9 @@
   "phase",
   "route",
   "answerFailed",
-  "targetLimits",
+  "rateLimits",
   "limitPerS",
-  "saidLeaving",
+  "announcedLeaving",
 ];
 
 /** Version of the internet protocol that peers speak. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -48,24 +48,21 @@
   readonly resumeAfter?: number;
 }
 
-/** What a target tells of itself in an answer. */
+/** What a target signals about itself in an answer. */
 export interface TargetSignals {
-  /**
-   * Requests a second that it takes from all instances together; absent where
-   * it names no limit.
-   */
+  /** Requests per second that it accepts from the whole fleet. */
   readonly limitPerS?: number;
-  /** Whether it names one, be it one that cannot be read. */
-  readonly namesLimit: boolean;
+  /** Whether the answer carried a limit, be it a malformed one. */
+  readonly hasLimit: boolean;
   /** Whether it is leaving. */
   readonly leaving: boolean;
-  /** How long it wants nothing from this instance; absent if it does not say. */
-  readonly restMs?: number;
-  readonly unreadable: readonly UnreadableHeader[];
+  /** Time for which this instance is not to send anything. */
+  readonly backoffMs?: number;
+  readonly malformed: readonly MalformedHeader[];
 }
 
-/** A header on a target that cannot be read. */
-export interface UnreadableHeader {
+/** A signal header that could not be parsed. */
+export interface MalformedHeader {
   readonly header: string;
   readonly value: string;
 }
--- a/packages/gateway/src/named_limits_test.ts
+++ b/packages/gateway/src/rate_limits_test.ts
@@ -1,6 +1,6 @@
 /**
- * Targets name a limit in their answers, for all instances together, while the
- * fleet's instances are killed or cut off.
+ * Targets advertise rate limits for the whole fleet, while its instances are
+ * killed or partitioned.
  */
 
 import {
@@ -40,7 +40,7 @@
 /** Half of what the targets can do. */
 const REQUESTS_PER_S = 40;
 
-/** What a target in need is promised. */
+/** Bounds that the platform sets for a limited target. */
 const SETTLED_MS = 3000;
 const TOLD_MS = 500;
 const WINDOW_MS = 4000;
@@ -52,8 +52,8 @@
   readonly holderId: string;
 }
 
-/** A fleet on a manual clock before targets that may name limits. */
-class LimitedFleet {
+/** A fleet on a manual clock before targets that may have rate limits. */
+class RateLimitedFleet {
   readonly clock = { atMs: 0, nowMs: () => this.clock.atMs };
   readonly limitPerS = new Map<string, number>();
   readonly refused: { atMs: number; retryAfterMs: number }[] = [];
@@ -168,10 +168,10 @@
       this.#after(WAY_MS, () => {
         const nowMs = this.clock.atMs;
         if (limitPerS === undefined) {
-          node.limits.notNamed(targetId, { sentAtMs, nowMs });
+          node.rateLimits.notAdvertised(targetId, { sentAtMs, nowMs });
         } else {
           this.#noteTold(holderId, targetId);
-          node.limits.named(targetId, limitPerS, nowMs);
+          node.rateLimits.advertised(targetId, limitPerS, nowMs);
         }
         const end = { askId, targetId, pool: "p", promptTokens: 500 };
         node.desk.ended({ ...end, firstMs: WORK_MS, failed: false });
@@ -240,17 +240,17 @@
   return most;
 }
 
-// Guards against requests being placed by slots and pace alone, whatever rate
-// their target has asked all instances to keep to.
-test("a target that names a limit gets no more than it from all instances", () => {
-  const fleet = new LimitedFleet();
+// Guards against placements that go by slots and pace alone and ignore the rate
+// limit that the target advertises.
+test("a rate limit holds for all instances together", () => {
+  const fleet = new RateLimitedFleet();
   fleet.limitPerS.set("t1", 4.5);
   fleet.run(12_000);
   assert.equal(fleet.overrun(), []);
 });
 
-test("the rest of the pool serves what the limit keeps away", () => {
-  const fleet = new LimitedFleet();
+test("other targets serve what a rate limit keeps away", () => {
+  const fleet = new RateLimitedFleet();
   fleet.limitPerS.set("t1", 4.5);
   const sinceMs = fleet.clock.atMs + 2000;
   fleet.run(12_000);
@@ -259,8 +259,8 @@
   assert.ok(perS > 3.5 && perS < 5, `${perS} a second`);
 });
 
-test("a limit that is named anew holds from then on", () => {
-  const fleet = new LimitedFleet();
+test("a changed rate limit holds from then on", () => {
+  const fleet = new RateLimitedFleet();
   fleet.limitPerS.set("t1", 9);
   fleet.run(6000);
   fleet.limitPerS.set("t1", 2);
@@ -271,8 +271,8 @@
   assert.ok(perS > 1.5 && perS < 2.3, `${perS} a second`);
 });
 
-test("a target that takes nothing gets a request now and then", () => {
-  const fleet = new LimitedFleet();
+test("a target with a limit of 0 is probed until the limit is lifted", () => {
+  const fleet = new RateLimitedFleet();
   fleet.limitPerS.set("t1", 0);
   fleet.run(16_000);
   assert.equal(fleet.overrun(), []);
@@ -285,10 +285,10 @@
 
 // Guards against a successor that does not know the limits, and against one that
 // makes up for the time in which it placed nothing.
-test("limits hold while coordinators are killed one after another", () => {
+test("rate limits hold while coordinators are killed one after another", () => {
   const overrun: string[] = [];
   for (let seed = 1; seed <= 12; seed++) {
-    const fleet = new LimitedFleet(seed);
+    const fleet = new RateLimitedFleet(seed);
     fleet.limitPerS.set("t1", 4.5).set("t2", 6);
     fleet.run(2500 + 130 * seed);
     fleet.kill(fleet.coordinatorId);
@@ -300,11 +300,11 @@
   assert.equal(overrun, []);
 });
 
-// Guards against both sides of a cut handing out the whole limit.
-test("limits hold over both sides of a cut, and after it", () => {
+// Guards against both sides of a partition using the whole limit.
+test("rate limits hold on both sides of a partition, and after it", () => {
   const overrun: string[] = [];
   for (let seed = 1; seed <= 12; seed++) {
-    const fleet = new LimitedFleet(seed);
+    const fleet = new RateLimitedFleet(seed);
     fleet.limitPerS.set("t1", 4.5).set("t2", 6);
     fleet.run(2500 + 130 * seed);
     fleet.cutOff(["a", "b", "c", "d"][seed % 4]!);
@@ -316,8 +316,8 @@
   assert.equal(overrun, []);
 });
 
-test("where all targets name limits, the rest is refused soon and truly", () => {
-  const fleet = new LimitedFleet();
+test("requests beyond the rate limits of a whole pool are refused with a true delay", () => {
+  const fleet = new RateLimitedFleet();
   TARGET_IDS.forEach((id) => fleet.limitPerS.set(id, 4));
   fleet.run(5000);
   const sinceMs = fleet.clock.atMs;
--- a/packages/gateway/src/rotation.ts
+++ b/packages/gateway/src/rotation.ts
@@ -1,13 +1,13 @@
-/** Takes parts of a list in turn. */
+/** Takes slices of a list in turn. */
 
-/** One turn; what takes its parts at other times needs one of its own. */
+/** The position of one rotation; each consumer needs its own. */
 export class Rotation {
   #begin = 0;
 
   /**
    * @param all A list; it may change between turns.
-   * @param count How many are taken.
-   * @returns Those whose turn it is; all of a list that is no longer.
+   * @param count Length of the slice.
+   * @returns The next slice; the whole list if it is no longer than that.
    */
   next<T>(all: readonly T[], count: number): T[] {
     if (all.length <= count) {
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -29,7 +29,7 @@
 import { StandbyAttempt } from "./standby_attempt.ts";
 import { StreamProgress } from "./stream_progress.ts";
 import { TargetAttempt } from "./target_attempt.ts";
-import { restOfPoolMs, workAskOf } from "./work_ask_of.ts";
+import { poolBackoffMs, workAskOf } from "./work_ask_of.ts";
 
 /** What a request works with, besides the instance's parts. */
 export interface RequestOptions {
@@ -134,10 +134,12 @@
   }
 
   #ask(cause: AskCause): void {
-    const restMs = restOfPoolMs(this.#parts, this.#call);
-    if (restMs !== undefined) {
-      this.#log("all targets are at rest", { restMs: Math.round(restMs) });
-      this.#refused(AskRefusal.NoTarget, restMs);
+    const backoffMs = poolBackoffMs(this.#parts, this.#call);
+    if (backoffMs !== undefined) {
+      this.#log("all targets asked to back off", {
+        backoffMs: Math.round(backoffMs),
+      });
+      this.#refused(AskRefusal.NoTarget, backoffMs);
       return;
     }
     const ask = workAskOf(this.#parts, this.#call, {
@@ -164,7 +166,7 @@
       this.#refused(decision.refusal, decision.retryAfterMs);
       return;
     }
-    const { targets, rollouts, rests } = this.#parts.board;
+    const { targets, rollouts, backoffs } = this.#parts.board;
     const nowMs = this.#nowMs();
     this.#parts.metrics.placed(this.#call.pool, nowMs - this.#askedAtMs);
     if (nowMs >= deadlineAtMs(this.#call)) {
@@ -175,7 +177,7 @@
     const target = targets.get(decision.targetId);
     const isUsable = target !== undefined &&
       targets.isUsable(target, nowMs) && rollouts.mayServe(target) &&
-      rests.leftMs(target.targetId, nowMs) === 0;
+      backoffs.remainingMs(target.targetId, nowMs) === 0;
     if (!isUsable) {
       this.#giveBack(decision.targetId);
       return;
@@ -198,7 +200,7 @@
     }
   }
 
-  /** A place at a target that is leaving, gone or at rest, as is known here. */
+  /** Returns a place at a target that must not be used now. */
   #giveBack(targetId: string): void {
     this.#log("place not usable", { targetId });
     if (this.#parts.board.targets.get(targetId)?.leaving) {
--- a/packages/gateway/src/target_upkeep.ts
+++ b/packages/gateway/src/target_upkeep.ts
@@ -1,4 +1,4 @@
-/** Brings what is kept of targets in line with changes of who they are. */
+/** Cleans up state of targets that were removed or restarted. */
 
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
@@ -9,7 +9,7 @@
 import type { Clock } from "./ports.ts";
 import type { TargetConnections } from "./target_connections.ts";
 
-/** What the upkeep works with. */
+/** What the clean-up works with. */
 export interface UpkeepParts {
   readonly board: RoutingBoard;
   readonly clock: Clock;
@@ -17,7 +17,7 @@
   readonly connections: TargetConnections;
 }
 
-/** Forgets what was kept of targets that are gone or started again. */
+/** Discards state of removed and restarted targets. */
 export class TargetUpkeep {
   readonly #parts: UpkeepParts;
 
@@ -28,7 +28,7 @@
 
   /** @param beliefs What changed in what this instance believes. */
   changed(beliefs: readonly TargetBelief[]): void {
-    const { board: { targets, paces, limits }, clock } = this.#parts;
+    const { board: { targets, paces, rateLimits }, clock } = this.#parts;
     const nowMs = clock.nowMs();
     for (const { targetId, news } of beliefs) {
       if (news === TargetNews.Restarted) {
@@ -39,18 +39,18 @@
     const all = targets.all();
     const targetIds = new Set(all.map(({ targetId }) => targetId));
     paces.keepOnly(targetIds);
-    limits.keepOnly(targetIds);
+    rateLimits.keepOnly(targetIds);
     const usable = all.filter((target) => targets.isUsable(target, nowMs));
     const addresses = new Set(usable.map(({ address }) => address));
     this.#parts.connections.keepOnly(addresses);
   }
 
-  /** Its pace is that of its machine, and stays. */
+  /** Keeps the learned pace, which is that of the machine. */
   #restarted(targetId: string, nowMs: number): void {
     const { board, coordinator, connections } = this.#parts;
     board.health.restarted(targetId);
-    board.rests.restarted(targetId);
-    board.limits.restarted(targetId, nowMs);
+    board.backoffs.restarted(targetId);
+    board.rateLimits.restarted(targetId, nowMs);
     coordinator.targetRestarted(targetId);
     connections.dropIdle(board.targets.get(targetId)!.address);
   }
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -81,8 +81,8 @@
 }
 
 /**
- * Health is only advice: where it rules out every target, it is ignored. Rests
- * that targets asked for are kept in any case.
+ * Health is only advice: where it rules out every target, it is ignored. A
+ * back-off that a target requested is kept in any case.
  */
 function excludedFor(
   { board, clock }: GatewayParts,
@@ -92,7 +92,7 @@
   const nowMs = clock.nowMs();
   const { serving: usable } = board.rollouts
     .split(pool, board.targets.usable(pool, nowMs), nowMs);
-  const barred = [...tried, ...board.rests.resting(nowMs)];
+  const barred = [...tried, ...board.backoffs.activeIds(nowMs)];
   const excluded = new Set([
     ...barred,
     ...board.health.paused(nowMs),
@@ -103,29 +103,29 @@
   return [...new Set(isAnyLeft ? excluded : barred)];
 }
 
-/** Part of a rest over which callers are spread that come back after it. */
+/** Part of a back-off over which the return of callers is spread. */
 const SPREAD_SHARE = 0.25;
 const HASHES = 2 ** 32;
 
 /**
  * @param parts The instance's parts.
  * @param call A request.
- * @returns When it is worth coming back, where all targets of its pool want
- * nothing from this instance for now; absent where one may get it.
+ * @returns When its caller should retry, if every target of its pool asked this
+ * instance to back off; absent otherwise.
  */
-export function restOfPoolMs(
+export function poolBackoffMs(
   { board, clock }: GatewayParts,
   { pool, facts }: RoutedCall,
 ): number | undefined {
   const nowMs = clock.nowMs();
   const usable = board.targets.usable(pool, nowMs);
-  const canAllRest = board.rests.resting(nowMs).length >= usable.length;
+  const canAllRest = board.backoffs.activeIds(nowMs).length >= usable.length;
   if (usable.length === 0 || !canAllRest) {
     return undefined;
   }
-  const restsMs = usable
-    .map(({ targetId }) => board.rests.leftMs(targetId, nowMs));
-  const shortestMs = Math.min(...restsMs);
+  const remainingMs = usable
+    .map(({ targetId }) => board.backoffs.remainingMs(targetId, nowMs));
+  const shortestMs = Math.min(...remainingMs);
   return shortestMs > 0
     ? shortestMs * (1 + SPREAD_SHARE * hash32(facts.requestId) / HASHES)
     : undefined;
--- a/packages/gateway/src/work_ask_of_test.ts
+++ b/packages/gateway/src/work_ask_of_test.ts
@@ -8,7 +8,7 @@
 import type { GatewayParts } from "./gateway_parts.ts";
 import { fingerprintOf } from "./request_fingerprint.ts";
 import { type RoutedCall, streamPatienceMs } from "./routed_call.ts";
-import { restOfPoolMs, workAskOf } from "./work_ask_of.ts";
+import { poolBackoffMs, workAskOf } from "./work_ask_of.ts";
 
 const CALL: RoutedCall = {
   facts: { requestId: "q1", key: "k1" },
@@ -82,23 +82,23 @@
   assert.is(begun.patienceLeftMs, patienceMs);
 });
 
-test("rests are kept, though health is ignored where it leaves no target", () => {
+test("back-off is kept where health is ignored as it leaves no target", () => {
   const parts = { ...partsOf(), board: boardOf(["t1", "t2"]) };
-  const { health, rests } = parts.board;
+  const { health, backoffs } = parts.board;
   health.failed("t2", true, 0);
   assert.equal(workAskOf(parts, CALL, FACTS).excluded, ["t2"]);
-  rests.asked("t1", 3000, 0);
+  backoffs.requested("t1", 3000, 0);
   assert.equal(workAskOf(parts, CALL, FACTS).excluded, ["t1"]);
 });
 
-test("where all targets are at rest, callers come back after the first", () => {
+test("where all targets asked to back off, callers retry after the first", () => {
   const parts = { ...partsOf(), board: boardOf(["t1", "t2"]) };
-  const { rests } = parts.board;
-  rests.asked("t1", 3000, 0);
-  assert.is(restOfPoolMs(parts, CALL), undefined);
-  rests.asked("t2", 2000, 0);
+  const { backoffs } = parts.board;
+  backoffs.requested("t1", 3000, 0);
+  assert.is(poolBackoffMs(parts, CALL), undefined);
+  backoffs.requested("t2", 2000, 0);
   const waitsMs = ["q1", "q2", "q3", "q4"].map((requestId) =>
-    restOfPoolMs(parts, { ...CALL, facts: { requestId } })!
+    poolBackoffMs(parts, { ...CALL, facts: { requestId } })!
   );
   assert.ok(waitsMs.every((ms) => ms >= 2000 && ms < 2500), waitsMs.join());
   assert.is(new Set(waitsMs).size, 4);
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -23,9 +23,9 @@
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
 import { SuspectRequests } from "@chestnuthatch/routing/suspect_requests";
-import { TargetLimits } from "@chestnuthatch/routing/target_limits";
+import { TargetRateLimits } from "@chestnuthatch/routing/target_rate_limits";
 import { TargetPaces } from "@chestnuthatch/routing/target_paces";
-import { TargetRests } from "@chestnuthatch/routing/target_rests";
+import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
 import {
   AskCause,
   type AskDecision,
@@ -275,9 +275,9 @@
     members,
     cutDomains: new CutDomains(members),
     health: new TargetHealth(),
-    limits: new TargetLimits(),
+    rateLimits: new TargetRateLimits(),
     paces: new TargetPaces(),
-    rests: new TargetRests(),
+    backoffs: new TargetBackoffs(),
     suspects: new SuspectRequests(),
     rollouts: new Rollouts({ share: 0.1, slack: 50 }),
   };
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -4,7 +4,7 @@
  * hashing. Its account is soft state that holders' reports renew.
  */
 
-import { LimitPacer } from "./limit_pacer.ts";
+import { RateLimiter } from "./rate_limiter.ts";
 import { PoolSchedule, quarantined } from "./pool_schedule.ts";
 import { RetryBudget, type RetryBudgetBound } from "./retry_budget.ts";
 import {
@@ -68,7 +68,7 @@
   readonly #pools = new Map<string, PoolSchedule>();
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #ledger: AllotmentLedger;
-  readonly #pacer: LimitPacer;
+  readonly #limiter: RateLimiter;
   #bounds: FleetBounds;
   readonly #openAsks = new Map<string, OpenAsk>();
   readonly #refusedCallers = new RefusedCallers();
@@ -85,7 +85,7 @@
     this.#board = board;
     this.#bounds = bounds;
     this.#ledger = new AllotmentLedger(bounds.allotmentTolerance);
-    this.#pacer = new LimitPacer(board.limits);
+    this.#limiter = new RateLimiter(board.rateLimits);
   }
 
   /**
@@ -99,7 +99,7 @@
    */
   ask(ask: WorkAsk, scope: LedgerScope): AskDecision[] {
     const schedule = this.#pool(ask.pool);
-    this.#pacer.share = scope.share;
+    this.#limiter.share = scope.share;
     this.#reportedAtMs.set(ask.holderId, scope.nowMs);
     const decision = schedule.decisionOn(ask.askId);
     if (decision !== undefined) {
@@ -234,7 +234,7 @@
    */
   tick(nowMs: number): AskDecision[] {
     this.#board.suspects.forgetOld(nowMs);
-    this.#pacer.forgetLifted();
+    this.#limiter.forgetLifted();
     const decisions: AskDecision[] = [];
     for (const [holderId, heardAtMs] of this.#reportedAtMs) {
       if (nowMs - heardAtMs > HOLDER_GONE_MS) {
@@ -491,7 +491,7 @@
     if (schedule === undefined) {
       schedule = new PoolSchedule(name, {
         board: this.#board,
-        pacer: this.#pacer,
+        limiter: this.#limiter,
       });
       this.#pools.set(name, schedule);
     }
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -45,7 +45,7 @@
     failureDomain: z.string(),
     slots: z.number(),
     leaving: z.boolean(),
-    saidLeaving: z.boolean().optional(),
+    announcedLeaving: z.boolean().optional(),
     version: z.string(),
     coldMs: z.number().optional(),
   }).optional(),
@@ -72,7 +72,7 @@
   ageMs: z.number(),
 });
 
-const targetLimitNews = z.object({
+const rateLimitNews = z.object({
   targetId: z.string(),
   limitPerS: z.number().nonnegative().optional(),
   ageMs: z.number(),
@@ -184,8 +184,8 @@
     suspects: z.array(suspectNewsSchema).readonly().optional(),
     /** Roll-outs that are in progress or ended just now, if any. */
     rollouts: z.array(rolloutNewsSchema).readonly().optional(),
-    /** Limits that targets name, and those lifted lately, if any. */
-    targetLimits: z.array(targetLimitNews).readonly().optional(),
+    /** Rate limits of targets, and recently lifted ones, if any. */
+    rateLimits: z.array(rateLimitNews).readonly().optional(),
     /** What it lately learned of targets. */
     targetNews: targetChangesSchema,
   }),
--- a/packages/routing/src/placement_choice.ts
+++ b/packages/routing/src/placement_choice.ts
@@ -2,7 +2,7 @@
 
 import { CandidateIndex, hasFreeSlot } from "./candidate_index.ts";
 import type { PoolPolicy } from "./fleet_configuration.ts";
-import type { LimitPacer } from "./limit_pacer.ts";
+import type { RateLimiter } from "./rate_limiter.ts";
 import type { PlacedWorks } from "./placed_works.ts";
 import { onTimeUntilMs, type WaitingWork } from "./queue_order.ts";
 import type { RoutingBoard } from "./routing_board.ts";
@@ -29,7 +29,7 @@
 export interface PlacementParts {
   readonly board: RoutingBoard;
   readonly placed: PlacedWorks;
-  readonly pacer: LimitPacer;
+  readonly limiter: RateLimiter;
 }
 
 /** Chooses among the targets of one pool. */
@@ -37,7 +37,7 @@
   readonly #pool: string;
   readonly #board: RoutingBoard;
   readonly #placed: PlacedWorks;
-  readonly #pacer: LimitPacer;
+  readonly #limiter: RateLimiter;
   #targets?: CandidateIndex;
   /** What the index was made from. */
   #serving: readonly KnownTarget[] = [];
@@ -51,7 +51,7 @@
     this.#pool = pool;
     this.#board = parts.board;
     this.#placed = parts.placed;
-    this.#pacer = parts.pacer;
+    this.#limiter = parts.limiter;
   }
 
   /**
@@ -131,14 +131,14 @@
       : choice;
   }
 
-  /** Leaves out targets that have got as much as their limits allow by now. */
+  /** Leaves out targets that have used up their rate limits. */
   #withinLimits(
     candidates: readonly Candidate[],
     nowMs: number,
   ): readonly Candidate[] {
-    return this.#board.limits.isAny
+    return this.#board.rateLimits.isAny
       ? candidates.filter(({ target }) =>
-        this.#pacer.mayTake(target.targetId, nowMs)
+        this.#limiter.allows(target.targetId, nowMs)
       )
       : candidates;
   }
--- a/packages/routing/src/pool_schedule.ts
+++ b/packages/routing/src/pool_schedule.ts
@@ -7,7 +7,7 @@
  * caller is refused as soon as that can be foreseen.
  */
 
-import type { LimitPacer } from "./limit_pacer.ts";
+import type { RateLimiter } from "./rate_limiter.ts";
 import { type PlacedWork, PlacedWorks } from "./placed_works.ts";
 import { PlacementChoice, type PlacementLook } from "./placement_choice.ts";
 import type { OrderFacts, WaitingWork } from "./queue_order.ts";
@@ -40,8 +40,8 @@
 /** Time at targets that neglected ranks may save up, about one long stream. */
 const MOST_NEGLECTED_CREDIT_MS = 1000;
 
-/** Slots that are counted on where limits let work fill hardly any. */
-const LEAST_SLOTS = 0.1;
+/** Least number of slots that waits are estimated with. */
+const MIN_SLOTS = 0.1;
 
 /** Requests that may be passed by while a free slot is given away. */
 const MOST_PASSED = 8;
@@ -62,14 +62,14 @@
 interface Look extends PlacementLook {
   /** Requests that stay ahead in the queue. */
   ahead: number;
-  /** Slots that work may fill; absent until a wait is estimated. */
+  /** Slots that can be busy; absent until a wait is estimated. */
   usableSlots?: number;
 }
 
 /** Places and queue of one pool. */
 export class PoolSchedule {
   readonly #board: RoutingBoard;
-  readonly #pacer: LimitPacer;
+  readonly #limiter: RateLimiter;
   readonly #placed = new PlacedWorks((targetId, use) =>
     this.#choices.used(targetId, use)
   );
@@ -83,16 +83,16 @@
 
   /**
    * @param pool The pool's name.
-   * @param parts What the instance believes, and what keeps targets' limits.
+   * @param parts What the instance believes, and the limiter of targets' rates.
    */
   constructor(
     pool: string,
-    { board, pacer }: { board: RoutingBoard; pacer: LimitPacer },
+    { board, limiter }: { board: RoutingBoard; limiter: RateLimiter },
   ) {
     this.#board = board;
-    this.#pacer = pacer;
+    this.#limiter = limiter;
     const placed = this.#placed;
-    this.#choices = new PlacementChoice(pool, { board, placed, pacer });
+    this.#choices = new PlacementChoice(pool, { board, placed, limiter });
   }
 
   /** Number of requests that wait. */
@@ -412,7 +412,7 @@
     return this.#refuseIfTooLate(waiting, look, barred);
   }
 
-  /** Refuses what would wait for longer than its caller does. */
+  /** Refuses a request that would wait for longer than its caller. */
   #refuseIfTooLate(
     { ask, sinceMs }: WaitingWork,
     look: Look,
@@ -421,7 +421,7 @@
     const { nowMs, ahead } = look;
     const barredSlots = barred
       .reduce((sum, { target }) => sum + this.#slotsOf(target), 0);
-    const slots = Math.max(LEAST_SLOTS, this.#usableSlots(look) - barredSlots);
+    const slots = Math.max(MIN_SLOTS, this.#usableSlots(look) - barredSlots);
     const above = this.#load.slotsAbove(ask.rank, nowMs);
     const available = Math.max(slots - above, NEGLECTED_TIME_SHARE * slots);
     const waitMs = (ahead + 1) * this.#holdMs / available;
@@ -445,9 +445,9 @@
     };
   }
 
-  /** Slots of the pool, less what limits of targets keep empty. */
+  /** Slots of the pool, less those that rate limits keep idle. */
   #usableSlots(look: Look): number {
-    look.usableSlots ??= this.#board.limits.limited()
+    look.usableSlots ??= this.#board.rateLimits.limitedIds()
       .flatMap((targetId) => look.targets.get(targetId) ?? [])
       .reduce(
         (sum, { target }) => sum - target.slots + this.#slotsOf(target),
@@ -457,7 +457,7 @@
   }
 
   #slotsOf(target: KnownTarget): number {
-    return this.#pacer.usableSlots(target, this.#holdMs);
+    return this.#limiter.usableSlots(target, this.#holdMs);
   }
 
   #placeAt(waiting: WaitingWork, choice: Choice, look: Look): AskDecision {
@@ -482,7 +482,7 @@
       route: ask.route,
     };
     this.#placed.put(work);
-    this.#pacer.took(targetId, look.nowMs);
+    this.#limiter.consume(targetId, look.nowMs);
     this.#board.rollouts.placed(choice.target);
     return decisionOf(work);
   }
--- a/packages/routing/src/limit_pacer.ts
+++ b/packages/routing/src/rate_limiter.ts
@@ -1,56 +1,57 @@
 /**
- * Keeps what is placed at targets that name a limit to that rate. A limit is in
- * requests a second and holds beside a target's slots: neither replaces the
- * other.
+ * Limits the rate of placements at targets that advertise a rate limit. The
+ * limit applies in addition to a target's slots.
  */
 
 import type { KnownTarget } from "./target_directory.ts";
-import type { TargetLimits } from "./target_limits.ts";
+import type { TargetRateLimits } from "./target_rate_limits.ts";
 
 const MS_PER_S = 1000;
 
-/** Time whose requests may come at once, after a pause. */
+/** Burst that a bucket holds, as time at the target's rate. */
 const BURST_S = 0.5;
-const LEAST_BURST = 1;
+const MIN_BURST = 1;
 
 /**
- * Rate at which a target gets requests though its limit is lower: only its
- * answers tell when it takes more again.
+ * Least rate at which a limited target is still probed: only its answers show
+ * that a limit was lifted.
  */
-const LEAST_PER_S = 0.5;
+const PROBE_PER_S = 0.5;
 
 interface Bucket {
   tokens: number;
   filledAtMs: number;
 }
 
-/** A token bucket for each target that names a limit. */
-export class LimitPacer {
-  readonly #limits: TargetLimits;
+/** One token bucket for each limited target. */
+export class RateLimiter {
+  readonly #limits: TargetRateLimits;
   readonly #buckets = new Map<string, Bucket>();
-  /** Share of each limit that this instance hands out. */
+  /** Share of each limit that this instance may use. */
   share = 1;
 
-  /** @param limits Limits that targets name. */
-  constructor(limits: TargetLimits) {
+  /** @param limits Rate limits of targets. */
+  constructor(limits: TargetRateLimits) {
     this.#limits = limits;
   }
 
   /**
    * @param targetId A target.
    * @param nowMs The local time.
-   * @returns Whether its limit, if it names one, leaves room for a request.
+   * @returns Whether its limit, if any, allows another request.
    */
-  mayTake(targetId: string, nowMs: number): boolean {
+  allows(targetId: string, nowMs: number): boolean {
     const bucket = this.#bucket(targetId, nowMs);
     return bucket === undefined || bucket.tokens >= 1;
   }
 
   /**
-   * @param targetId A target that was given a request.
+   * Takes one token.
+   *
+   * @param targetId A target that a request was placed at.
    * @param nowMs The local time.
    */
-  took(targetId: string, nowMs: number): void {
+  consume(targetId: string, nowMs: number): void {
     const bucket = this.#bucket(targetId, nowMs);
     if (bucket !== undefined) {
       bucket.tokens = Math.max(0, bucket.tokens - 1);
@@ -60,7 +61,7 @@
   /**
    * @param target A target.
    * @param holdMs How long work holds a slot.
-   * @returns Slots of it that its limit lets work fill, on average.
+   * @returns Slots that can be busy on average under its limit.
    */
   usableSlots({ targetId, slots }: KnownTarget, holdMs: number): number {
     const perS = this.#perS(targetId);
@@ -69,7 +70,7 @@
       : Math.min(slots, perS * holdMs / MS_PER_S);
   }
 
-  /** Forgets targets that name no limit any more. */
+  /** Drops buckets of targets without a limit. */
   forgetLifted(): void {
     for (const targetId of this.#buckets.keys()) {
       if (this.#limits.limitPerS(targetId) === undefined) {
@@ -82,10 +83,10 @@
     const limitPerS = this.#limits.limitPerS(targetId);
     return limitPerS === undefined
       ? undefined
-      : Math.max(LEAST_PER_S, limitPerS) * this.share;
+      : Math.max(PROBE_PER_S, limitPerS) * this.share;
   }
 
-  /** Begins empty: others may have placed requests there just now. */
+  /** A new bucket is empty: another coordinator may just have used the limit. */
   #bucket(targetId: string, nowMs: number): Bucket | undefined {
     const perS = this.#perS(targetId);
     if (perS === undefined) {
@@ -97,7 +98,7 @@
       this.#buckets.set(targetId, bucket);
     }
     const passedS = (nowMs - bucket.filledAtMs) / MS_PER_S;
-    const most = Math.max(LEAST_BURST, perS * BURST_S);
+    const most = Math.max(MIN_BURST, perS * BURST_S);
     bucket.tokens = Math.min(most, bucket.tokens + perS * passedS);
     bucket.filledAtMs = nowMs;
     return bucket;
--- a/packages/routing/src/limit_pacer_test.ts
+++ b/packages/routing/src/rate_limiter_test.ts
@@ -2,9 +2,9 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { Coordinator } from "./coordinator.ts";
-import { LimitPacer } from "./limit_pacer.ts";
+import { RateLimiter } from "./rate_limiter.ts";
 import { askOf, boardOf } from "./routing_test_support.ts";
-import { TargetLimits } from "./target_limits.ts";
+import { TargetRateLimits } from "./target_rate_limits.ts";
 
 const BOUNDS = {
   retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
@@ -12,27 +12,29 @@
 };
 const SCOPE = { share: 1, memoryMs: Infinity };
 
-test("in any four seconds a target gets no more than it is promised", () => {
+test("no window of four seconds exceeds the bound", () => {
   fc.assert(
     fc.property(
       fc.double({ min: 0, max: 60, noNaN: true }),
       fc.array(fc.integer({ min: 1, max: 900 }), { maxLength: 400 }),
       (limitPerS, gapsMs) => {
-        const limits = new TargetLimits();
-        limits.named("t1", limitPerS, 0);
-        const pacer = new LimitPacer(limits);
-        const tookAtMs: number[] = [];
+        const limits = new TargetRateLimits();
+        limits.advertised("t1", limitPerS, 0);
+        const limiter = new RateLimiter(limits);
+        const consumedAtMs: number[] = [];
         let nowMs = 0;
         for (const gapMs of gapsMs) {
           nowMs += gapMs;
-          while (pacer.mayTake("t1", nowMs)) {
-            pacer.took("t1", nowMs);
-            tookAtMs.push(nowMs);
+          while (limiter.allows("t1", nowMs)) {
+            limiter.consume("t1", nowMs);
+            consumedAtMs.push(nowMs);
           }
         }
         const allowed = 1.5 * limitPerS * 4 + 5;
-        return tookAtMs.every((endMs, last) =>
-          tookAtMs.filter((atMs, index) => index <= last && atMs > endMs - 4000)
+        return consumedAtMs.every((endMs, last) =>
+          consumedAtMs.filter((atMs, index) =>
+            index <= last && atMs > endMs - 4000
+          )
             .length <= allowed
         );
       },
@@ -41,24 +43,24 @@
   );
 });
 
-test("an instance that hands out a part keeps to that part", () => {
-  const limits = new TargetLimits();
-  limits.named("t1", 8, 0);
-  const pacer = new LimitPacer(limits);
-  pacer.share = 0.25;
+test("an instance with a share of the limit keeps to it", () => {
+  const limits = new TargetRateLimits();
+  limits.advertised("t1", 8, 0);
+  const limiter = new RateLimiter(limits);
+  limiter.share = 0.25;
   let count = 0;
   for (let nowMs = 0; nowMs <= 10_000; nowMs += 10) {
-    if (pacer.mayTake("t1", nowMs)) {
-      pacer.took("t1", nowMs);
+    if (limiter.allows("t1", nowMs)) {
+      limiter.consume("t1", nowMs);
       count++;
     }
   }
   assert.ok(count >= 19 && count <= 20, String(count));
 });
 
-test("slots hold beside a limit", () => {
+test("slots still apply under a rate limit", () => {
   const board = boardOf(["t1"]);
-  board.limits.named("t1", 1000, 0);
+  board.rateLimits.advertised("t1", 1000, 0);
   const coordinator = new Coordinator(board, BOUNDS);
   for (let nowMs = 0; nowMs < 100; nowMs += 10) {
     coordinator.ask(askOf(`a${nowMs}`), { ...SCOPE, nowMs });
@@ -66,9 +68,9 @@
   assert.is(coordinator.load()[0]!.placed, 2);
 });
 
-test("the trial of a suspect keeps to limits as well", () => {
+test("trials of suspect requests are rate limited", () => {
   const board = boardOf(["t1"]);
-  board.limits.named("t1", 1, 0);
+  board.rateLimits.advertised("t1", 1, 0);
   const ended = { fingerprint: "f", inTrial: false };
   board.suspects.targetEnded({ ...ended, process: "p1" }, 0);
   board.suspects.targetEnded({ ...ended, process: "p2" }, 0);
--- a/packages/routing/src/routing_board.ts
+++ b/packages/routing/src/routing_board.ts
@@ -10,9 +10,9 @@
 import type { SuspectRequests } from "./suspect_requests.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 import type { TargetHealth } from "./target_health.ts";
-import type { TargetLimits } from "./target_limits.ts";
+import type { TargetRateLimits } from "./target_rate_limits.ts";
 import type { TargetPaces } from "./target_paces.ts";
-import type { TargetRests } from "./target_rests.ts";
+import type { TargetBackoffs } from "./target_backoffs.ts";
 
 /** The beliefs of one instance. */
 export interface RoutingBoard {
@@ -26,10 +26,10 @@
   readonly health: TargetHealth;
   /** Written by the holder, from targets that gave no sign of life. */
   readonly cutDomains: CutDomains;
-  /** Written by the holder and by peers, from answers of targets. */
-  readonly limits: TargetLimits;
-  /** Written by the holder, from targets that turned its requests away. */
-  readonly rests: TargetRests;
+  /** Written by the signal keeper, from answers of targets and from peers. */
+  readonly rateLimits: TargetRateLimits;
+  /** Written by the signal keeper, from targets that rejected requests. */
+  readonly backoffs: TargetBackoffs;
   /** Written by the coordinator, from how work ended. */
   readonly paces: TargetPaces;
   /** Written by the roll-out keeper, and by the coordinator from answers. */
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -13,9 +13,9 @@
 import { SuspectRequests } from "./suspect_requests.ts";
 import { TargetDirectory } from "./target_directory.ts";
 import { TargetHealth } from "./target_health.ts";
-import { TargetLimits } from "./target_limits.ts";
+import { TargetRateLimits } from "./target_rate_limits.ts";
 import { TargetPaces } from "./target_paces.ts";
-import { TargetRests } from "./target_rests.ts";
+import { TargetBackoffs } from "./target_backoffs.ts";
 import { AskCause, type WorkAsk } from "./work_ask.ts";
 
 /**
@@ -120,9 +120,9 @@
     members,
     cutDomains: new CutDomains(members),
     health: new TargetHealth(),
-    limits: new TargetLimits(),
+    rateLimits: new TargetRateLimits(),
     paces: new TargetPaces(),
-    rests: new TargetRests(),
+    backoffs: new TargetBackoffs(),
     suspects: new SuspectRequests(),
     rollouts: new Rollouts({ share: 0.1, slack: 50 }),
   };
--- a/packages/routing/src/target_rests.ts
+++ b/packages/routing/src/target_backoffs.ts
@@ -1,20 +1,20 @@
 /**
- * Rests that targets ask of this instance as they turn its requests away. They
- * hold for this instance alone: a target asks each one by itself.
+ * Back-off that targets request when they reject requests of this instance. It
+ * applies to this instance only: targets ask each instance separately.
  */
 
-/** Ends of rests by target. */
-export class TargetRests {
+/** Back-off by target. */
+export class TargetBackoffs {
   readonly #untilMs = new Map<string, number>();
 
   /**
-   * A target asked for rest. An earlier request for a longer one stands.
+   * Starts or extends the back-off for a target; it is never shortened.
    *
    * @param targetId The target.
-   * @param forMs For how long, from now.
+   * @param forMs Requested duration, from now.
    * @param nowMs The local time.
    */
-  asked(targetId: string, forMs: number, nowMs: number): void {
+  requested(targetId: string, forMs: number, nowMs: number): void {
     const untilMs = this.#untilMs.get(targetId) ?? -Infinity;
     this.#untilMs.set(targetId, Math.max(untilMs, nowMs + forMs));
   }
@@ -22,17 +22,17 @@
   /**
    * @param targetId A target.
    * @param nowMs The local time.
-   * @returns How long it is to be left alone; 0 if it need not be.
+   * @returns Remaining back-off; 0 if there is none.
    */
-  leftMs(targetId: string, nowMs: number): number {
+  remainingMs(targetId: string, nowMs: number): number {
     return Math.max(0, (this.#untilMs.get(targetId) ?? -Infinity) - nowMs);
   }
 
   /**
    * @param nowMs The local time.
-   * @returns Targets that are to be left alone.
+   * @returns Targets that must not be sent requests.
    */
-  resting(nowMs: number): string[] {
+  activeIds(nowMs: number): string[] {
     for (const [targetId, untilMs] of this.#untilMs) {
       if (untilMs <= nowMs) {
         this.#untilMs.delete(targetId);
@@ -41,7 +41,7 @@
     return [...this.#untilMs.keys()];
   }
 
-  /** @param targetId A target whose process started again. */
+  /** @param targetId A target whose process was restarted. */
   restarted(targetId: string): void {
     this.#untilMs.delete(targetId);
   }
--- a/packages/routing/src/target_directory.ts
+++ b/packages/routing/src/target_directory.ts
@@ -13,8 +13,8 @@
   readonly failureDomain: string;
   readonly slots: number;
   readonly leaving: boolean;
-  /** Whether its own answers say so, whatever its row says; absent if not. */
-  readonly saidLeaving?: boolean;
+  /** Whether its answers announce it, whatever its row says; absent if not. */
+  readonly announcedLeaving?: boolean;
   /** Version of its software. */
   readonly version: string;
   /** Time for which it is slow after its start; absent where it is not. */
@@ -114,18 +114,18 @@
   }
 
   /**
-   * Takes in a target's own word that it is leaving, which may come before the
-   * list's.
+   * Records that a target announced in an answer that it is leaving, which may
+   * happen before the list says so.
    *
    * @param targetId The target.
    * @returns What changed in what this instance believes.
    */
-  saidLeaving(targetId: string): TargetBelief[] {
+  announcedLeaving(targetId: string): TargetBelief[] {
     const known = this.#byId.get(targetId);
     if (known === undefined || known.leaving) {
       return [];
     }
-    this.#put({ ...known, leaving: true, saidLeaving: true });
+    this.#put({ ...known, leaving: true, announcedLeaving: true });
     const { rowVersion } = known;
     return [{ targetId, news: TargetNews.Leaving, rowVersion }];
   }
@@ -228,8 +228,8 @@
     const { targetId, rowVersion, entry } = change;
     if (known !== undefined && known.rowVersion >= rowVersion) {
       const isSameProcess = entry?.incarnation === known.incarnation;
-      return entry?.saidLeaving === true && isSameProcess
-        ? this.saidLeaving(targetId)
+      return entry?.announcedLeaving === true && isSameProcess
+        ? this.announcedLeaving(targetId)
         : [];
     }
     if (entry === undefined) {
@@ -242,9 +242,9 @@
       ? known
       : undefined;
     const leaving = entry.leaving || before?.leaving === true;
-    const saidLeaving = entry.saidLeaving ?? before?.saidLeaving;
+    const announcedLeaving = entry.announcedLeaving ?? before?.announcedLeaving;
     const warmAtMs = nowMs + (entry.coldMs ?? 0);
-    const next = { ...entry, leaving, saidLeaving, rowVersion, warmAtMs };
+    const next = { ...entry, leaving, announcedLeaving, rowVersion, warmAtMs };
     this.#put(next);
     const news = newsOf(known, next);
     return news === undefined ? [] : [{ targetId, news, rowVersion }];
--- a/packages/routing/src/target_directory_test.ts
+++ b/packages/routing/src/target_directory_test.ts
@@ -10,13 +10,13 @@
   rowVersion: number,
   over: {
     leaving?: boolean;
-    saidLeaving?: boolean;
+    announcedLeaving?: boolean;
     targetId?: string;
     incarnation?: number;
   } = {},
 ): TargetChange {
   const { leaving = false, targetId = "t1", incarnation = 0 } = over;
-  const { saidLeaving } = over;
+  const { announcedLeaving } = over;
   return {
     targetId,
     rowVersion,
@@ -28,7 +28,7 @@
       failureDomain: "a",
       slots: 4,
       leaving,
-      saidLeaving,
+      announcedLeaving,
       version: "v1",
     },
   };
@@ -155,12 +155,12 @@
   assert.not.ok(targets.isUsable(target(), 7300));
 });
 
-test("a target's own word that it leaves counts, whatever rows say", () => {
+test("a target that announces that it is leaving stays unused, whatever rows say", () => {
   const targets = directory();
   targets.apply([row(5, { incarnation: 7 })], 10);
-  const [belief] = targets.saidLeaving("t1");
+  const [belief] = targets.announcedLeaving("t1");
   assert.is(belief!.news, TargetNews.Leaving);
-  assert.equal(targets.saidLeaving("t1"), []);
+  assert.equal(targets.announcedLeaving("t1"), []);
   targets.apply([row(6, { incarnation: 7 })], 20);
   targets.replace([row(8, { incarnation: 7 })], 8, 30);
   assert.equal(usableIds(targets, 30), []);
@@ -168,18 +168,18 @@
   assert.equal(usableIds(targets, 40), ["t1"]);
 });
 
-test("a target that says that it leaves and drops off the list stays unused", () => {
+test("a leaving target that drops off the list stays unused", () => {
   const targets = directory();
   targets.apply([row(5)], 10);
-  targets.saidLeaving("t1");
+  targets.announcedLeaving("t1");
   targets.apply([{ targetId: "t1", rowVersion: 6 }], 20);
   assert.equal(usableIds(targets, 20), []);
   targets.apply([row(7)], 30);
   assert.equal(usableIds(targets, 30), []);
 });
 
-test("another instance's word that a target leaves counts with an older row", () => {
-  const said = { leaving: true, saidLeaving: true };
+test("an announcement reported by a peer counts with an older row", () => {
+  const said = { leaving: true, announcedLeaving: true };
   const told = [row(4, { ...said, incarnation: 7 })];
   const targets = directory();
   targets.apply([row(5, { incarnation: 7 })], 10);
--- a/packages/routing/src/target_limits.ts
+++ b/packages/routing/src/target_rate_limits.ts
@@ -1,22 +1,22 @@
 /**
- * Rate limits that targets in need name in their answers. A limit holds for all
- * instances together, until the target answers without one.
+ * Rate limits that targets advertise in their answers. A limit applies to the
+ * whole fleet until the target answers without one.
  *
- * Instances tell each other what answers said and how long ago; the newest word
- * on a target counts, so that all of them come to the same in any order.
+ * Instances exchange what they observed together with its age. The newest
+ * observation wins, so all instances converge regardless of message order.
  */
 
-/** What instances tell each other of a target's limit. */
-export interface TargetLimitNews {
+/** A rate limit as instances report it to each other. */
+export interface RateLimitNews {
   readonly targetId: string;
-  /** Requests a second from all instances together; absent once lifted. */
+  /** Requests per second from the whole fleet; absent once lifted. */
   readonly limitPerS?: number;
-  /** How long ago an answer said so. */
+  /** Time since an answer said so. */
   readonly ageMs: number;
 }
 
-/** A change of what is believed of a target's limit. */
-export interface TargetLimitChange {
+/** A change of a target's known rate limit. */
+export interface RateLimitChange {
   readonly targetId: string;
   /** Absent where there was none. */
   readonly beforePerS?: number;
@@ -25,139 +25,140 @@
 }
 
 /**
- * Time without an answer that names a limit before it may count as lifted:
- * not every answer of a target in need has to name it.
+ * Time without an answer that carries the limit before it can be lifted: a
+ * target may advertise its limit in some of its answers only.
  */
 const LIFT_AFTER_MS = 4000;
 
 /**
- * News that agree with what is known count from so much newer on. The way of a
- * message adds to the time that it tells, so that instances which repeat each
- * other would make old news look ever newer.
+ * A report that repeats the known limit has to be this much newer to count.
+ * Ages leave out network delay, so instances that echo each other's reports
+ * would otherwise keep a stale limit fresh.
  */
-const ECHO_MS = 1000;
+const MIN_REFRESH_MS = 1000;
 
-/** How long a change is told to other instances in every heartbeat. */
-const CHANGE_TOLD_MS = 2500;
+/** Time for which every heartbeat reports a change. */
+const REPORT_CHANGE_MS = 2500;
 
 interface KnownLimit {
   /** Absent once lifted. */
   readonly limitPerS?: number;
-  /** When an answer last named it, or lifted it. */
-  readonly saidAtMs: number;
-  /** When the belief last changed here. */
+  /** When an answer last advertised or lifted it. */
+  readonly observedAtMs: number;
+  /** When it last changed on this instance. */
   readonly changedAtMs: number;
 }
 
-/** What an answer or another instance said. */
-type SaidLimit = Omit<KnownLimit, "changedAtMs">;
+/** A limit as an answer or another instance reported it. */
+type ObservedLimit = Omit<KnownLimit, "changedAtMs">;
 
-/** Limits by target. */
-export class TargetLimits {
+/** Rate limits by target. */
+export class TargetRateLimits {
   readonly #byId = new Map<string, KnownLimit>();
   #limitedCount = 0;
 
   /**
    * @param targetId A target.
-   * @returns Its limit in requests a second; absent where it names none.
+   * @returns Its limit in requests per second; absent where it has none.
    */
   limitPerS(targetId: string): number | undefined {
     return this.#byId.get(targetId)?.limitPerS;
   }
 
-  /** Whether any target names a limit. */
+  /** Whether any target has a limit. */
   get isAny(): boolean {
     return this.#limitedCount > 0;
   }
 
-  /** @returns Targets that name a limit. */
-  limited(): string[] {
+  /** @returns Targets that have a limit. */
+  limitedIds(): string[] {
     return this.isAny
       ? [...this.#byId.keys()].filter((targetId) => this.#isLimited(targetId))
       : [];
   }
 
   /**
-   * An answer named a limit.
+   * Records that an answer carried a limit.
    *
    * @param targetId Its target.
-   * @param limitPerS Requests a second from all instances together.
+   * @param limitPerS Requests per second from the whole fleet.
    * @param nowMs The local time.
    * @returns What changed, if anything did.
    */
-  named(
+  advertised(
     targetId: string,
     limitPerS: number,
     nowMs: number,
-  ): TargetLimitChange | undefined {
-    return this.#put(targetId, { limitPerS, saidAtMs: nowMs }, nowMs);
+  ): RateLimitChange | undefined {
+    return this.#put(targetId, { limitPerS, observedAtMs: nowMs }, nowMs);
   }
 
   /**
-   * An answer named no limit. That lifts the limit only where the request was
-   * sent after the limit was last named: older answers may arrive late.
+   * Records that an answer carried no limit. This lifts a limit only if the
+   * request was sent after the limit was last seen: answers may arrive late.
    *
    * @param targetId Its target.
    * @param of When the request was sent, and the local time.
    * @returns What changed, if anything did.
    */
-  notNamed(
+  notAdvertised(
     targetId: string,
     { sentAtMs, nowMs }: { sentAtMs: number; nowMs: number },
-  ): TargetLimitChange | undefined {
+  ): RateLimitChange | undefined {
     const known = this.#byId.get(targetId);
     const isLifted = known?.limitPerS !== undefined &&
-      sentAtMs > known.saidAtMs && nowMs - known.saidAtMs >= LIFT_AFTER_MS;
+      sentAtMs > known.observedAtMs &&
+      nowMs - known.observedAtMs >= LIFT_AFTER_MS;
     return isLifted
-      ? this.#put(targetId, { saidAtMs: nowMs }, nowMs)
+      ? this.#put(targetId, { observedAtMs: nowMs }, nowMs)
       : undefined;
   }
 
   /**
-   * A target's process started again: what the one before said is void.
+   * Discards the limit of a target whose process was restarted.
    *
    * @param targetId The target.
    * @param nowMs The local time.
    */
   restarted(targetId: string, nowMs: number): void {
     if (this.#byId.has(targetId)) {
-      this.#put(targetId, { saidAtMs: nowMs }, nowMs);
+      this.#put(targetId, { observedAtMs: nowMs }, nowMs);
     }
   }
 
   /**
-   * @param news What another instance knows.
+   * @param news Limits reported by another instance.
    * @param nowMs The local time.
    * @returns What changed here.
    */
-  merge(news: readonly TargetLimitNews[], nowMs: number): TargetLimitChange[] {
+  merge(news: readonly RateLimitNews[], nowMs: number): RateLimitChange[] {
     return news.flatMap(({ targetId, limitPerS, ageMs }) => {
-      const saidAtMs = nowMs - ageMs;
+      const observedAtMs = nowMs - ageMs;
       const known = this.#byId.get(targetId);
-      const leastMs = known?.limitPerS === limitPerS ? ECHO_MS : 0;
+      const leastMs = known?.limitPerS === limitPerS ? MIN_REFRESH_MS : 0;
       const isNewer = known === undefined ||
-        saidAtMs > known.saidAtMs + leastMs;
+        observedAtMs > known.observedAtMs + leastMs;
       return isNewer
-        ? this.#put(targetId, { limitPerS, saidAtMs }, nowMs) ?? []
+        ? this.#put(targetId, { limitPerS, observedAtMs }, nowMs) ?? []
         : [];
     });
   }
 
   /**
    * @param nowMs The local time.
-   * @param of Whether to leave out limits that have not changed lately.
-   * @returns Limits, and those lifted lately, for other instances.
+   * @param of Whether to leave out limits that have not changed recently.
+   * @returns Limits, and recently lifted ones, to report to other instances.
    */
   toTell(
     nowMs: number,
     { onlyChanged }: { onlyChanged: boolean },
-  ): TargetLimitNews[] {
+  ): RateLimitNews[] {
     return [...this.#byId].flatMap(([targetId, known]) => {
-      const { limitPerS, saidAtMs, changedAtMs } = known;
-      const isNew = nowMs - changedAtMs <= CHANGE_TOLD_MS;
+      const { limitPerS, observedAtMs, changedAtMs } = known;
+      const isNew = nowMs - changedAtMs <= REPORT_CHANGE_MS;
       const isStanding = limitPerS !== undefined && !onlyChanged;
       return isNew || isStanding
-        ? { targetId, limitPerS, ageMs: Math.round(nowMs - saidAtMs) }
+        ? { targetId, limitPerS, ageMs: Math.round(nowMs - observedAtMs) }
         : [];
     });
   }
@@ -178,15 +179,15 @@
 
   #put(
     targetId: string,
-    said: SaidLimit,
+    observed: ObservedLimit,
     nowMs: number,
-  ): TargetLimitChange | undefined {
+  ): RateLimitChange | undefined {
     const before = this.#byId.get(targetId);
     const beforePerS = before?.limitPerS;
-    const { limitPerS } = said;
+    const { limitPerS } = observed;
     const isSame = before !== undefined && beforePerS === limitPerS;
     const changedAtMs = isSame ? before.changedAtMs : nowMs;
-    this.#byId.set(targetId, { ...said, changedAtMs });
+    this.#byId.set(targetId, { ...observed, changedAtMs });
     this.#limitedCount += Number(limitPerS !== undefined) -
       Number(beforePerS !== undefined);
     return beforePerS === limitPerS
--- a/tests/soak.ts
+++ b/tests/soak.ts
@@ -63,7 +63,7 @@
     .option("--engines <number>", "instead of the number drawn", toCount)
     .option("--rollout", "a new version is rolled out beside the faults")
     .addOption(
-      new Option("--signals <signals...>", "what targets tell in answers")
+      new Option("--signals <signals...>", "what targets signal in answers")
         .choices(Object.values(SoakSignal)),
     )
     .parse()
--- a/tests/soak_fleet.ts
+++ b/tests/soak_fleet.ts
@@ -52,7 +52,7 @@
   prefix: "/second/",
 };
 
-/** Header by which a target says that it leaves. */
+/** Header by which a target announces that it is leaving. */
 export const LEAVING_HEADER = "Server-Leaving";
 
 /** A narrow link between callers and an instance passes so much a second. */
@@ -159,7 +159,8 @@
   mayLeave(target: SoakTarget): boolean {
     const others = this.targets.filter((other) =>
       other.pool === target.pool && other !== target &&
-      other.leavingAtMs === undefined && !(LEAVING_HEADER in other.target.tells)
+      other.leavingAtMs === undefined &&
+      !(LEAVING_HEADER in other.target.signals)
     );
     return others.length > 0 && target.leavingAtMs === undefined;
   }
--- a/tests/soak_plan.ts
+++ b/tests/soak_plan.ts
@@ -110,7 +110,7 @@
   readonly callers: readonly PlannedCaller[];
   /** A new version of the plain pool's targets, beside the faults. */
   readonly rollout?: PlannedRollout;
-  /** What targets tell of themselves, beside the faults. */
+  /** Signals of targets, beside the faults. */
   readonly signals: readonly PlannedSignal[];
   /** Bytes a second that a connection takes, for each instance. */
   readonly writeBytesPerS: readonly number[];
@@ -133,7 +133,7 @@
   readonly engines?: number;
   /** Whether a new version is rolled out meanwhile. */
   readonly rollout?: boolean;
-  /** What targets tell of themselves meanwhile. */
+  /** Kinds of signals that targets send meanwhile. */
   readonly signals?: readonly SoakSignal[];
 }
 
--- a/tests/soak_signals.ts
+++ b/tests/soak_signals.ts
@@ -1,4 +1,4 @@
-/** Targets of a seed that tell of themselves, and what must hold of them. */
+/** Targets of a seed that send signals, and checks that these are respected. */
 
 import { setTimeout as pause } from "node:timers/promises";
 import {
@@ -15,7 +15,7 @@
 import type { SoakInstance, Span } from "./soak_instance.ts";
 import { type PlannedSignal, SoakSignal } from "./soak_signals_plan.ts";
 
-/** What the platform promises a target that names a limit. */
+/** Bounds that the platform sets for a rate-limited target. */
 const SETTLED_MS = 3000;
 const TOLD_MS = 500;
 const WINDOW_MS = 4000;
@@ -25,21 +25,21 @@
 /** Time in which a target that leaves may still get requests. */
 const DRAIN_MS = 2000;
 
-/** Requests that a target may still get within a rest. */
-const MOST_IN_REST = 2;
+/** Requests that a target may still get during a back-off. */
+const MAX_IN_BACKOFF = 2;
 
 const MS_PER_S = 1000;
 
 const HEADERS: Readonly<Record<SoakSignal, string>> = {
-  [SoakSignal.Limit]: "Server-Limit",
+  [SoakSignal.RateLimit]: "Server-Limit",
   [SoakSignal.Leaving]: LEAVING_HEADER,
-  [SoakSignal.Rest]: "Retry-After",
+  [SoakSignal.Backoff]: "Retry-After",
 };
 
 const PROMISES: Readonly<Record<SoakSignal, string>> = {
-  [SoakSignal.Limit]: "a target gets no more than the limit that it names",
-  [SoakSignal.Leaving]: "a target that says that it leaves is left alone",
-  [SoakSignal.Rest]: "a target that asks for rest is left alone",
+  [SoakSignal.RateLimit]: "a rate limit of a target holds",
+  [SoakSignal.Leaving]: "a leaving target gets no new requests",
+  [SoakSignal.Backoff]: "back-off that a target asks for is kept",
 };
 
 /** A request that reached a target, and who had sent it there. */
@@ -57,26 +57,58 @@
 const CHECKS: Readonly<
   Record<SoakSignal, (account: TargetAccount) => string[]>
 > = {
-  [SoakSignal.Limit]: overrun,
+  [SoakSignal.RateLimit]: overrun,
   [SoakSignal.Leaving]: afterLeaving,
-  [SoakSignal.Rest]: withinRests,
+  [SoakSignal.Backoff]: duringBackoff,
 };
 
-/** Lets targets tell of themselves, and looks at what they get. */
+/** What a signal needs to know when it is played. */
+interface SignalScene {
+  readonly fleet: SoakFleet;
+  readonly chosen: SoakTarget;
+  readonly forMs: number;
+  /** Adds the signal to all further answers. */
+  send(): void;
+}
+
+const PLAYS: Readonly<
+  Record<SoakSignal, (scene: SignalScene) => Promise<void>>
+> = {
+  [SoakSignal.RateLimit]: async ({ send }) => {
+    await Promise.resolve(send());
+  },
+  [SoakSignal.Leaving]: async ({ fleet, chosen, forMs, send }) => {
+    if (fleet.mayLeave(chosen)) {
+      send();
+      await pause(forMs);
+      fleet.retire(chosen);
+    }
+  },
+  [SoakSignal.Backoff]: async ({ chosen: { target }, forMs, send }) => {
+    send();
+    target.conduct = TargetConduct.Reject;
+    await pause(forMs);
+    target.conduct = TargetConduct.Serve;
+    const { [HEADERS[SoakSignal.Backoff]]: _, ...others } = target.signals;
+    target.signals = others;
+  },
+};
+
+/** Lets targets send signals, and checks what they receive. */
 export class SoakSignals {
   readonly #fleet: SoakFleet;
   readonly #plan: readonly PlannedSignal[];
 
   /**
    * @param fleet The fleet.
-   * @param plan What its targets tell.
+   * @param plan Signals of its targets.
    */
   constructor(fleet: SoakFleet, plan: readonly PlannedSignal[]) {
     this.#fleet = fleet;
     this.#plan = plan;
   }
 
-  /** @returns Once all has been told, and lists are up to date. */
+  /** @returns Once all signals were sent and the list is up to date. */
   async play(): Promise<void> {
     await Promise.all(this.#plan.map((planned) => this.#playOne(planned)));
   }
@@ -106,34 +138,18 @@
   async #playOne({ signal, atMs, index, value, forMs }: PlannedSignal) {
     await pause(atMs);
     const { targets } = this.#fleet;
-    const told = targets[index % targets.length]!;
-    const { target } = told;
+    const chosen = targets[index % targets.length]!;
+    const { target } = chosen;
     const header = HEADERS[signal];
-    if (header in target.tells) {
+    if (header in target.signals) {
       return;
     }
-    const tell = () => target.tells = { ...target.tells, [header]: `${value}` };
-    switch (signal) {
-      case SoakSignal.Limit:
-        tell();
-        return;
-      case SoakSignal.Leaving:
-        if (this.#fleet.mayLeave(told)) {
-          tell();
-          await pause(forMs);
-          this.#fleet.retire(told);
-        }
-        return;
-      case SoakSignal.Rest: {
-        tell();
-        target.conduct = TargetConduct.Reject;
-        await pause(forMs);
-        target.conduct = TargetConduct.Serve;
-        const { [header]: _, ...others } = target.tells;
-        target.tells = others;
-        return;
-      }
-    }
+    await PLAYS[signal]({
+      fleet: this.#fleet,
+      chosen,
+      forMs,
+      send: () => target.signals = { ...target.signals, [header]: `${value}` },
+    });
   }
 }
 
@@ -148,14 +164,14 @@
   return { id: target.id, arrivals, harmed };
 }
 
-/** Requests from instances that the target had told its limit. */
+/** Counts requests from instances that knew the rate limit. */
 function overrun({ id, arrivals, harmed }: TargetAccount): string[] {
-  const told = toldBy(arrivals, SoakSignal.Limit);
+  const told = toldBy(arrivals, SoakSignal.RateLimit);
   if (told.length === 0) {
     return [];
   }
-  const limitPerS = Number(told[0]!.told[HEADERS[SoakSignal.Limit]]);
-  const sinceMs = Math.min(...told.map(({ toldAtMs }) => toldAtMs!)) +
+  const limitPerS = Number(told[0]!.signals[HEADERS[SoakSignal.RateLimit]]);
+  const sinceMs = Math.min(...told.map(({ answeredAtMs }) => answeredAtMs!)) +
     SETTLED_MS;
   const countedAtMs = arrivals.filter((arrival) =>
     arrival.atMs >= sinceMs && knewBefore(arrival, told, TOLD_MS)
@@ -188,30 +204,31 @@
   );
 }
 
-function withinRests({ id, arrivals, harmed }: TargetAccount): string[] {
-  // An answer that serves a request asks for nothing by the same header.
-  const turnedAway = arrivals.filter(({ ran }) => !ran);
-  return toldBy(turnedAway, SoakSignal.Rest).flatMap((asked) => {
-    const fromMs = asked.toldAtMs!;
-    const restMs = Number(asked.told[HEADERS[SoakSignal.Rest]]) * MS_PER_S;
+function duringBackoff({ id, arrivals, harmed }: TargetAccount): string[] {
+  // Retry-After on an answer that served its request is no back-off.
+  const rejected = arrivals.filter(({ ran }) => !ran);
+  return toldBy(rejected, SoakSignal.Backoff).flatMap((asked) => {
+    const fromMs = asked.answeredAtMs!;
+    const backoffMs = Number(asked.signals[HEADERS[SoakSignal.Backoff]]) *
+      MS_PER_S;
     const within = arrivals.filter((arrival) =>
-      arrival.atMs < fromMs + restMs && knewBefore(arrival, [asked], TOLD_MS)
+      arrival.atMs < fromMs + backoffMs && knewBefore(arrival, [asked], TOLD_MS)
     );
-    const isExcused = isDuringAny(harmed, fromMs, fromMs + restMs);
-    return within.length <= MOST_IN_REST || isExcused ? [] : [
-      `${id} got ${within.length} from ${asked.instance.id} in ${restMs} ms`,
+    const isExcused = isDuringAny(harmed, fromMs, fromMs + backoffMs);
+    return within.length <= MAX_IN_BACKOFF || isExcused ? [] : [
+      `${id} got ${within.length} from ${asked.instance.id} in ${backoffMs} ms`,
     ];
   });
 }
 
-/** Answers that told something, and were written out. */
+/** Answers that carried a signal and were written out. */
 function toldBy(arrivals: readonly Arrival[], signal: SoakSignal): Arrival[] {
-  return arrivals.filter(({ told, toldAtMs }) =>
-    HEADERS[signal] in told && toldAtMs !== undefined
+  return arrivals.filter(({ signals, answeredAtMs }) =>
+    HEADERS[signal] in signals && answeredAtMs !== undefined
   );
 }
 
-/** Whether its instance had been told so long before, and gone on since. */
+/** Whether its instance knew for so long and ran without interruption. */
 function knewBefore(
   { instance, atMs }: Arrival,
   told: readonly Arrival[],
@@ -220,8 +237,8 @@
   const { away, down, paused } = instance;
   const disturbed = [...away, ...down, ...paused];
   return told.some((one) =>
-    one.instance === instance && one.toldAtMs! + agoMs < atMs &&
-    !isDuringAny(disturbed, one.toldAtMs!, atMs)
+    one.instance === instance && one.answeredAtMs! + agoMs < atMs &&
+    !isDuringAny(disturbed, one.answeredAtMs!, atMs)
   );
 }
 
--- a/tests/soak_signals_plan.ts
+++ b/tests/soak_signals_plan.ts
@@ -1,44 +1,44 @@
-/** What targets tell of themselves in a seed of the soak. */
+/** Signals of targets in a seed of the soak. */
 
 import {
   type Randomness,
   seededRandomness,
 } from "@chestnuthatch/core/randomness";
 
-/** What a target tells in its answers. */
+/** What a target signals in its answers. */
 export enum SoakSignal {
-  /** So many requests a second, from some time on. */
-  Limit = "limit",
-  /** That it leaves, some time before the list says so. */
+  /** A rate limit, from some time on. */
+  RateLimit = "rate_limit",
+  /** That it is leaving, some time before the list says so. */
   Leaving = "leaving",
-  /** For some time, that it wants no requests for so long. */
-  Rest = "rest",
+  /** Back-off on each rejected request, for some time. */
+  Backoff = "backoff",
 }
 
-/** One target that tells something from some time on. */
+/** One signal of one target. */
 export interface PlannedSignal {
   readonly signal: SoakSignal;
   readonly atMs: number;
   /** Which target, counted round. */
   readonly index: number;
-  /** Requests a second of a limit; seconds of a rest. */
+  /** Requests per second of a rate limit; seconds of a back-off. */
   readonly value: number;
-  /** How long the list is behind, or requests are turned away. */
+  /** How long the list lags behind, or requests are rejected. */
   readonly forMs: number;
 }
 
 /** Added to a seed, so that the faults drawn for it stay as they are. */
 const SEED_OFFSETS: Readonly<Record<SoakSignal, number>> = {
-  [SoakSignal.Limit]: 200_000,
+  [SoakSignal.RateLimit]: 200_000,
   [SoakSignal.Leaving]: 300_000,
-  [SoakSignal.Rest]: 400_000,
+  [SoakSignal.Backoff]: 400_000,
 };
 
 const MOST_TARGETS = 3;
 const EARLY_PART = 0.2;
 const MIDDLE_PART = 0.6;
 const HIGHEST_PER_S = 12;
-const LONGEST_REST_S = 3;
+const LONGEST_BACKOFF_S = 3;
 const SHORTEST_MS = 300;
 const LONGEST_MS = 5000;
 /** Values have one decimal place. */
@@ -49,8 +49,8 @@
 const PLANS: Readonly<
   Record<SoakSignal, (between: Draw, lengthMs: number) => PlannedSignal>
 > = {
-  [SoakSignal.Limit]: (between, lengthMs) => ({
-    signal: SoakSignal.Limit,
+  [SoakSignal.RateLimit]: (between, lengthMs) => ({
+    signal: SoakSignal.RateLimit,
     atMs: between(0, EARLY_PART * lengthMs),
     index: between(0, 1000),
     value: between(0, HIGHEST_PER_S * TENTHS) / TENTHS,
@@ -63,11 +63,11 @@
     value: 1,
     forMs: between(SHORTEST_MS, LONGEST_MS),
   }),
-  [SoakSignal.Rest]: (between, lengthMs) => ({
-    signal: SoakSignal.Rest,
+  [SoakSignal.Backoff]: (between, lengthMs) => ({
+    signal: SoakSignal.Backoff,
     atMs: between(0, MIDDLE_PART * lengthMs),
     index: between(0, 1000),
-    value: between(TENTHS, LONGEST_REST_S * TENTHS + 1) / TENTHS,
+    value: between(TENTHS, LONGEST_BACKOFF_S * TENTHS + 1) / TENTHS,
     forMs: between(SHORTEST_MS, LONGEST_MS),
   }),
 };
@@ -75,8 +75,8 @@
 /**
  * @param seed The seed.
  * @param lengthMs How long it is.
- * @param signals What targets tell.
- * @returns Which targets tell it, and when.
+ * @param signals Kinds of signals.
+ * @returns Signals of some targets.
  */
 export function planSignals(
   seed: number,
--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -15,17 +15,17 @@
 /** Seeds on which answers not written out yet were cut by a stopping instance. */
 const CUT_WHILE_STOPPING = [205, 216];
 
-/** A target there got 61 requests in 4 s at a limit of 0.7 a second. */
+/** A target there got far more than its rate limit. */
 const LIMIT_SEED = 4;
 
-/** Enough for a limit to settle and for windows after that. */
-const LIMIT_OPTIONS = { lengthMs: 12_000, signals: [SoakSignal.Limit] };
+/** Enough for a limit to take effect, and for some windows after that. */
+const LIMIT_OPTIONS = { lengthMs: 12_000, signals: [SoakSignal.RateLimit] };
 
-/** Requests there went to a target that left, and to one at rest. */
-const NEEDS_SEED = 3;
-const NEEDS_OPTIONS = {
+/** Requests there went to a leaving target and to one that asked to back off. */
+const SIGNAL_SEED = 3;
+const SIGNAL_OPTIONS = {
   lengthMs: 8000,
-  signals: [SoakSignal.Leaving, SoakSignal.Rest],
+  signals: [SoakSignal.Leaving, SoakSignal.Backoff],
 };
 
 /** Enough for one of their stops. */
@@ -45,13 +45,13 @@
     playWell(seed, ONE_STOP));
 }
 
-// Guards against placements that go by slots alone where a target names a limit.
-test(`soak: seed ${LIMIT_SEED} keeps to the limits that targets name`, () =>
+// Guards against placements that ignore rate limits of targets.
+test(`soak: seed ${LIMIT_SEED} keeps to rate limits of targets`, () =>
   playWell(LIMIT_SEED, LIMIT_OPTIONS));
 
-// Guards against beliefs about targets that rest on the list and on failures alone.
-test(`soak: seed ${NEEDS_SEED} leaves targets alone that ask for it`, () =>
-  playWell(NEEDS_SEED, NEEDS_OPTIONS));
+// Guards against ignoring that targets announce to leave or ask to back off.
+test(`soak: seed ${SIGNAL_SEED} respects leaving targets and back-off`, () =>
+  playWell(SIGNAL_SEED, SIGNAL_OPTIONS));
 
 test("a plan is the same for the same seed", () => {
   assert.equal(planSoak(7, OPTIONS), planSoak(7, OPTIONS));
