--- a/packages/gateway/src/allotment_across_a_cut_test.ts
+++ b/packages/gateway/src/allotment_across_a_cut_test.ts
@@ -28,6 +28,7 @@
   type FleetNode,
   fleetNode,
 } from "./gateway_test_support.ts";
+import { PartitionedNetwork } from "./partition_test_support.ts";
 
 const WINDOW_MS = 8000;
 const TOLERANCE = { windowMs: WINDOW_MS, overage: 0.1, slack: 14_000 };
@@ -62,12 +63,11 @@
 
 /** A fleet on a manual clock, one of whose domains is cut off for a while. */
 class CutFleet {
-  readonly clock = { atMs: 0, nowMs: () => this.clock.atMs };
+  readonly #network = new PartitionedNetwork(DOMAIN_OF);
+  readonly clock = this.#network.clock;
   /** What was spent, and when it was sent to a target. */
   readonly spent: { atMs: number; cost: number }[] = [];
   readonly #nodes: ReadonlyMap<string, FleetNode>;
-  #cutDomain?: string;
-  #onTheWay: { atMs: number; deliver: () => void }[] = [];
   #asked = 0;
 
   readonly #random: Randomness;
@@ -80,17 +80,17 @@
 
   cutOffCoordinator(): void {
     const { coordinatorId } = this.#nodes.get("i1")!.desk;
-    this.#cutDomain = DOMAIN_OF[coordinatorId];
+    this.#network.cutDomain = DOMAIN_OF[coordinatorId];
   }
 
   heal(): void {
-    this.#cutDomain = undefined;
+    this.#network.cutDomain = undefined;
   }
 
   run(untilMs: number): void {
     while (this.clock.atMs < untilMs) {
       this.clock.atMs += STEP_MS;
-      this.#deliverDue();
+      this.#network.runDue();
       this.#nodes.forEach((node) => node.tick());
       if (this.clock.atMs % 500 === 0) {
         this.#perStep = Math.floor(
@@ -100,7 +100,7 @@
       for (let i = 0; i < this.#perStep; i++) {
         this.#request();
       }
-      this.#deliverDue();
+      this.#network.runDue();
     }
   }
 
@@ -125,32 +125,16 @@
       this.spent.push({ atMs: this.clock.atMs, cost: COST });
       const { targetId } = decision;
       const end = { askId, targetId, pool: "p", promptTokens: 500 };
-      this.#later(WORK_MS, () => desk.ended({ ...end, failed: false }));
+      this.#network.later(WORK_MS, () => desk.ended({ ...end, failed: false }));
     });
   }
 
-  #later(ms: number, deliver: () => void): void {
-    this.#onTheWay.push({ atMs: this.clock.atMs + ms, deliver });
-  }
-
-  #deliverDue(): void {
-    const due = this.#onTheWay.filter(({ atMs }) => atMs <= this.clock.atMs);
-    this.#onTheWay = this.#onTheWay.filter((one) => !due.includes(one));
-    due.forEach(({ deliver }) => deliver());
-  }
-
-  #isCut(fromId: string, toId: string): boolean {
-    return this.#cutDomain !== undefined &&
-      (DOMAIN_OF[fromId] === this.#cutDomain) !==
-        (DOMAIN_OF[toId] === this.#cutDomain);
-  }
-
   #send(fromId: string, toId: string, message: RoutingMessage): void {
-    if (this.#isCut(fromId, toId)) {
+    if (this.#network.isCut(fromId, toId)) {
       return;
     }
     const wayMs = message.kind === MessageKind.Beat ? WAY_MS : 0;
-    this.#later(
+    this.#network.later(
       wayMs,
       () => deliverTo(this.#nodes.get(toId)!, { message, fromId }),
     );
--- a/packages/gateway/src/rate_limits_test.ts
+++ b/packages/gateway/src/rate_limits_test.ts
@@ -16,6 +16,7 @@
   type FleetNode,
   fleetNode,
 } from "./gateway_test_support.ts";
+import { PartitionedNetwork } from "./partition_test_support.ts";
 
 const BOUNDS = {
   retryBudget: { ratio: 0.2, slack: 100, windowS: 10 },
@@ -54,7 +55,8 @@
 
 /** A fleet on a manual clock before targets that may have rate limits. */
 class RateLimitedFleet {
-  readonly clock = { atMs: 0, nowMs: () => this.clock.atMs };
+  readonly #network = new PartitionedNetwork(DOMAIN_OF);
+  readonly clock = this.#network.clock;
   readonly limitPerS = new Map<string, number>();
   readonly refused: { atMs: number; retryAfterMs: number }[] = [];
   readonly #random: Randomness;
@@ -63,8 +65,6 @@
   /** When each instance first passed on an answer with a limit, by target. */
   readonly #toldAtMs = new Map<string, Map<string, number>>();
   readonly #excused = new Set<string>();
-  #cutDomain?: string;
-  #later: { atMs: number; run: () => void }[] = [];
   #asked = 0;
 
   constructor(seed = 1) {
@@ -83,20 +83,20 @@
   }
 
   cutOff(failureDomain: string): void {
-    this.#cutDomain = failureDomain;
+    this.#network.cutDomain = failureDomain;
     IDS.filter((id) => DOMAIN_OF[id] === failureDomain)
       .forEach((id) => this.#excused.add(id));
   }
 
   heal(): void {
-    this.#cutDomain = undefined;
+    this.#network.cutDomain = undefined;
   }
 
   run(forMs: number): void {
     const untilMs = this.clock.atMs + forMs;
     while (this.clock.atMs < untilMs) {
       this.clock.atMs += STEP_MS;
-      this.#runDue();
+      this.#network.runDue();
       if (this.clock.atMs % (4 * STEP_MS) === 0) {
         this.#nodes.forEach((node) => node.tick());
       }
@@ -158,14 +158,14 @@
   ): void {
     const { askId, holderId, targetId } = of;
     const sentAtMs = this.clock.atMs;
-    this.#after(WAY_MS, () => {
+    this.#network.later(WAY_MS, () => {
       const list = this.#arrivals.get(targetId) ?? [];
       this.#arrivals.set(targetId, list);
       list.push({ atMs: this.clock.atMs, holderId });
     });
-    this.#after(WORK_MS, () => {
+    this.#network.later(WORK_MS, () => {
       const limitPerS = this.limitPerS.get(targetId);
-      this.#after(WAY_MS, () => {
+      this.#network.later(WAY_MS, () => {
         const nowMs = this.clock.atMs;
         if (limitPerS === undefined) {
           node.rateLimits.notAdvertised(targetId, { sentAtMs, nowMs });
@@ -187,27 +187,11 @@
     }
   }
 
-  #after(ms: number, run: () => void): void {
-    this.#later.push({ atMs: this.clock.atMs + ms, run });
-  }
-
-  #runDue(): void {
-    const due = this.#later.filter(({ atMs }) => atMs <= this.clock.atMs);
-    this.#later = this.#later.filter(({ atMs }) => atMs > this.clock.atMs);
-    due.forEach(({ run }) => run());
-  }
-
-  #isCut(fromId: string, toId: string): boolean {
-    return this.#cutDomain !== undefined &&
-      (DOMAIN_OF[fromId] === this.#cutDomain) !==
-        (DOMAIN_OF[toId] === this.#cutDomain);
-  }
-
   #deliver(fromId: string, toId: string, message: RoutingMessage): void {
-    if (!this.#nodes.has(fromId) || this.#isCut(fromId, toId)) {
+    if (!this.#nodes.has(fromId) || this.#network.isCut(fromId, toId)) {
       return;
     }
-    this.#after(WAY_MS, () => {
+    this.#network.later(WAY_MS, () => {
       const node = this.#nodes.get(toId);
       if (node !== undefined) {
         deliverTo(node, { message, fromId });
