Build the set of excluded targets once; one set of timers for a third test fleet

The fleet of the slow coordinator's test had the timers that two others share. Behaviour and assertions as before; its tests, those of asks, of rate limits and of the path of signals pass.

--- a/packages/gateway/src/partition_test_support.ts
+++ b/packages/gateway/src/partition_test_support.ts
@@ -8,8 +8,8 @@
   readonly #domainOf: Readonly<Record<string, string>>;
   #onTheWay: { atMs: number; run: () => void }[] = [];
 
-  /** @param domainOf Failure domains by instance. */
-  constructor(domainOf: Readonly<Record<string, string>>) {
+  /** @param domainOf Failure domains by instance; needed for partitions only. */
+  constructor(domainOf: Readonly<Record<string, string>> = {}) {
     this.#domainOf = domainOf;
   }
 
--- a/packages/gateway/src/slow_coordinator_test.ts
+++ b/packages/gateway/src/slow_coordinator_test.ts
@@ -11,6 +11,7 @@
   fleetNode,
   RUN_MS,
 } from "./gateway_test_support.ts";
+import { PartitionedNetwork } from "./partition_test_support.ts";
 
 const WINDOW_MS = 8000;
 const BOUNDS = {
@@ -29,11 +30,11 @@
 
 /** A fleet on a manual clock. Heartbeats of the slow instance are in time. */
 class Fleet {
-  readonly clock = { atMs: 0, nowMs: () => this.clock.atMs };
+  readonly #network = new PartitionedNetwork();
+  readonly clock = this.#network.clock;
   readonly refusals: string[] = [];
   slowId = "";
   readonly #nodes = new Map(IDS.map((id) => [id, this.#node(id)]));
-  #onTheWay: { atMs: number; deliver: () => void }[] = [];
   #asked = 0;
 
   get coordinatorId(): string {
@@ -44,14 +45,14 @@
   run(ms: number): void {
     for (let i = 0; i < ms; i += STEP_MS) {
       this.clock.atMs += STEP_MS;
-      this.#deliverDue();
+      this.#network.runDue();
       for (const [id, { members, keeper, desk }] of this.#nodes) {
         members.remembers(id, RUN_MS + this.clock.atMs, this.clock.atMs);
         keeper.tick();
         desk.tick();
       }
       this.#request();
-      this.#deliverDue();
+      this.#network.runDue();
     }
   }
 
@@ -67,25 +68,19 @@
       }
       const { targetId } = decision;
       const end = { askId, targetId, pool: "p", promptTokens: 500 };
-      const atMs = this.clock.atMs + WORK_MS;
-      const deliver = () => desk.ended({ ...end, failed: false });
-      this.#onTheWay.push({ atMs, deliver });
+      this.#network.later(
+        WORK_MS,
+        () => desk.ended({ ...end, failed: false }),
+      );
     });
   }
 
-  #deliverDue(): void {
-    const due = this.#onTheWay.filter(({ atMs }) => atMs <= this.clock.atMs);
-    this.#onTheWay = this.#onTheWay.filter((one) => !due.includes(one));
-    due.forEach(({ deliver }) => deliver());
-  }
-
   #send(fromId: string, toId: string, message: RoutingMessage): void {
     const isLate = fromId === this.slowId && message.kind !== MessageKind.Beat;
-    const atMs = this.clock.atMs + (isLate ? SLOW_MS : 0);
-    const deliver = () => {
-      deliverTo(this.#nodes.get(toId)!, { message, fromId });
-    };
-    this.#onTheWay.push({ atMs, deliver });
+    this.#network.later(
+      isLate ? SLOW_MS : 0,
+      () => deliverTo(this.#nodes.get(toId)!, { message, fromId }),
+    );
   }
 
   #node(instanceId: string): FleetNode {
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -92,7 +92,7 @@
   const nowMs = clock.nowMs();
   const { serving: usable } = board.rollouts
     .split(pool, board.targets.usable(pool, nowMs), nowMs);
-  const barred = [...tried, ...board.backoffs.activeIds(nowMs)];
+  const barred = new Set([...tried, ...board.backoffs.activeIds(nowMs)]);
   const excluded = new Set([
     ...barred,
     ...board.health.paused(nowMs),
@@ -100,7 +100,7 @@
       .map(({ targetId }) => targetId),
   ]);
   const isAnyLeft = usable.some(({ targetId }) => !excluded.has(targetId));
-  return [...new Set(isAnyLeft ? excluded : barred)];
+  return [...(isAnyLeft ? excluded : barred)];
 }
 
 /** Part of a back-off over which the return of callers is spread. */
@@ -119,8 +119,8 @@
 ): number | undefined {
   const nowMs = clock.nowMs();
   const usable = board.targets.usable(pool, nowMs);
-  const canAllRest = board.backoffs.activeIds(nowMs).length >= usable.length;
-  if (usable.length === 0 || !canAllRest) {
+  const activeCount = board.backoffs.activeIds(nowMs).length;
+  if (usable.length === 0 || activeCount < usable.length) {
     return undefined;
   }
   const remainingMs = usable
