Tell how current the configuration is

What could not be told apart: whether a fleet that refuses by an old version has not heard of the newer one, could not read it, or was not answered.

Each instance keeps when its version was last known to be the newest: at each answer of the store on that table, or by a heartbeat of an instance with the same version that tells its age. A version that cannot be read confirms nothing. No decision goes by any of it.

--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -36,6 +36,12 @@
 /** Time for which heartbeats tell what was learned of a target. */
 const TELL_NEWS_MS = 2500;
 
+/** How a version of the configuration became known. */
+enum ConfigurationSource {
+  Store = "store",
+  Peer = "peer",
+}
+
 /** Where news of roll-outs goes. */
 export interface RolloutNewsSink {
   ordered(order: RolloutOrder): void;
@@ -56,6 +62,8 @@
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
   readonly catalogPort: number;
+  /** @returns Time within which a confirmed configuration has to be in force. */
+  configurationApplyMs(): number;
   readonly rollouts: RolloutNewsSink;
   /**
    * Whether this instance is the one that follows the store for all, or has
@@ -83,6 +91,7 @@
   #knowsTargets = false;
   #fetchingConfiguration = false;
   #fetchingTargets = false;
+  #isConfigurationOld = false;
   #configurationAskedAtMs = -Infinity;
   #targetsAskedAtMs = -Infinity;
   /** Newest version of targets that a heartbeat told of, and since when. */
@@ -133,20 +142,68 @@
     return this.#targetNews.map(({ change }) => change);
   }
 
-  /** @param configuration A version, from the platform or a peer. */
+  /** @param configuration A version, from the platform. */
   configurationRead(configuration: FleetConfiguration): void {
-    const { board, log, metrics } = this.#parts;
+    this.#takeConfiguration(configuration, {
+      source: ConfigurationSource.Store,
+    });
+  }
+
+  /** The platform has no newer configuration than was read last. */
+  configurationConfirmed(): void {
+    const { board, clock } = this.#parts;
+    board.configurationAge.confirm(clock.nowMs());
+  }
+
+  /** Lets time pass: notes when the configuration grows old. */
+  tick(): void {
+    const { board, clock, log, metrics } = this.#parts;
+    const ageMs = board.configurationAge.ageMs(clock.nowMs());
+    if (ageMs === undefined) {
+      return;
+    }
+    metrics.configurationAge(ageMs);
+    const isOld = ageMs > this.#parts.configurationApplyMs();
+    if (isOld === this.#isConfigurationOld) {
+      return;
+    }
+    this.#isConfigurationOld = isOld;
+    const facts = {
+      version: board.routes?.configuration.version,
+      ageMs: Math.round(ageMs),
+      reachesStore: this.#reachesStore,
+      followsStore: this.followsStore(),
+    };
+    if (isOld) {
+      log.warn(
+        LogPart.Configuration,
+        "configuration may be out of date",
+        facts,
+      );
+    } else {
+      log.info(LogPart.Configuration, "configuration is current again", facts);
+    }
+  }
+
+  #takeConfiguration(
+    configuration: FleetConfiguration,
+    from: { source: ConfigurationSource; member?: string },
+  ): void {
+    const { board, clock, log, metrics } = this.#parts;
     const before = board.routes?.configuration.version ?? 0;
     if (configuration.version <= before) {
       return;
     }
     board.routes = new RouteTable(configuration);
     metrics.configurationVersion(configuration.version);
+    const ageMs = board.configurationAge.ageMs(clock.nowMs());
     log.info(LogPart.Configuration, "configuration in force", {
       version: configuration.version,
       before,
       routes: configuration.routes.length,
       workspaces: configuration.workspaces.length,
+      beforeAgeMs: ageMs && Math.round(ageMs),
+      ...from,
     });
     this.#parts.onConfiguration(configuration);
   }
@@ -259,9 +316,22 @@
    * @param where Its name there, or the field that is wrong.
    */
   unreadable(what: string, where: string): void {
+    this.#parts.metrics.unreadableRow(what);
     this.#parts.log.warn(LogPart.Platform, "unreadable row", { what, where });
   }
 
+  /**
+   * @param table Table that the call was for.
+   * @param reason Why it failed.
+   */
+  callFailed(table: string, reason: string): void {
+    this.#parts.metrics.storeCallFailed(table);
+    this.#parts.log.info(LogPart.Platform, "store call failed", {
+      table,
+      reason,
+    });
+  }
+
   /** The platform answers, again or at first. */
   reached(): void {
     if (!this.#reachesStore) {
@@ -313,6 +383,12 @@
       this.#toldAtMs = nowMs;
     }
     const version = board.routes?.configuration.version ?? 0;
+    const { configurationAgeMs } = beat;
+    if (
+      configurationAgeMs !== undefined && beat.configurationVersion === version
+    ) {
+      board.configurationAge.confirm(nowMs, configurationAgeMs);
+    }
     if (
       beat.configurationVersion > version && !this.#fetchingConfiguration &&
       nowMs - this.#configurationAskedAtMs >= CONFIGURATION_RETRY_MS
@@ -352,7 +428,11 @@
     );
     this.#fetchingConfiguration = false;
     fetched.match(
-      (configuration) => this.configurationRead(configuration),
+      (configuration) =>
+        this.#takeConfiguration(configuration, {
+          source: ConfigurationSource.Peer,
+          member: from.instanceId,
+        }),
       (reason) => this.#logFetch(from, CatalogItem.Configuration, reason),
     );
   }
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -291,12 +291,14 @@
     facts: CallFacts,
     of: { error: RoutedError; retryAfterMs?: number },
   ): void {
-    const { board, log, metrics } = this.#parts;
+    const { board, clock, log, metrics } = this.#parts;
+    const ageMs = board.configurationAge.ageMs(clock.nowMs());
     metrics.failed("none", of.error);
     log.info(LogPart.Request, "refused at the door", {
       requestId: facts.requestId,
       error: of.error,
       configurationVersion: board.routes?.configuration.version,
+      configurationAgeMs: ageMs && Math.round(ageMs),
     });
     const { requestId } = facts;
     reply.fail(of.error, { requestId, retryAfterMs: of.retryAfterMs });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 
 import { setTimeout as pause } from "node:timers/promises";
 import { Coordinator } from "@chestnuthatch/routing/coordinator";
+import { ConfigurationAge } from "@chestnuthatch/routing/configuration_age";
 import { CutDomains } from "@chestnuthatch/routing/cut_domains";
 import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
 import {
@@ -121,6 +122,7 @@
     };
     const members = new MemberView(this.#self);
     this.board = {
+      configurationAge: new ConfigurationAge(),
       targets: new TargetDirectory(),
       members,
       cutDomains: new CutDomains(members),
@@ -228,8 +230,14 @@
    * @param settings The new settings.
    */
   reload(settings: GatewaySettings): void {
-    const { bounds, exposure, graceMs } = settings;
-    this.#settings = { ...this.#settings, bounds, exposure, graceMs };
+    const { bounds, configurationApplyMs, exposure, graceMs } = settings;
+    this.#settings = {
+      ...this.#settings,
+      bounds,
+      configurationApplyMs,
+      exposure,
+      graceMs,
+    };
     this.#coordinator.setBounds(bounds);
     this.board.rollouts.setBound(exposure);
     this.#log.info(LogPart.Process, "reloaded", { graceMs });
@@ -393,6 +401,7 @@
       nowMs,
     );
     this.#loop.run("tick", () => {
+      this.#news.tick();
       this.#membership.tick();
       this.#desk.tick();
     });
@@ -461,6 +470,7 @@
       log: this.#log,
       metrics: this.#metrics,
       catalogPort: this.#settings.catalogPort,
+      configurationApplyMs: () => this.#settings.configurationApplyMs,
       rollouts: this.#rollouts,
       followsStore: () => this.#followsStore(),
       onTargets: (beliefs) => this.#upkeep.changed(beliefs),
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -86,6 +86,7 @@
     seedAddresses: [],
     cores: 1,
     graceMs: GRACE_MS,
+    configurationApplyMs: 2000,
     bounds: {
       retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
       allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -89,6 +89,20 @@
     "configuration_version",
     "Version of the configuration in force.",
   );
+  readonly #configurationAge = this.#gauge(
+    "configuration_age_ms",
+    "Time since the configuration in force was last known to be the newest.",
+  );
+  readonly #unreadableRows = this.#counter(
+    "unreadable_rows_total",
+    "Rows of the platform's store that could not be read.",
+    ["what"],
+  );
+  readonly #storeFailures = this.#counter(
+    "store_call_failures_total",
+    "Calls to the platform's store that failed.",
+    ["table"],
+  );
 
   /** @param route Name of the route of a request that was read. */
   requestRead(route: string): void {
@@ -189,6 +203,21 @@
     this.#version.set(version);
   }
 
+  /** @param ageMs Time since it was last known to be the newest. */
+  configurationAge(ageMs: number): void {
+    this.#configurationAge.set(Math.round(ageMs));
+  }
+
+  /** @param what What the row that could not be read holds. */
+  unreadableRow(what: string): void {
+    this.#unreadableRows.inc({ what });
+  }
+
+  /** @param table Table of the store that the call was for. */
+  storeCallFailed(table: string): void {
+    this.#storeFailures.inc({ table });
+  }
+
   /** @returns All metrics as text. */
   text(): Promise<string> {
     return this.#registry.metrics();
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -23,6 +23,8 @@
   readonly cores: number;
   /** Time from a stop signal until the process is killed. */
   readonly graceMs: number;
+  /** Time within which a confirmed configuration has to be in force. */
+  readonly configurationApplyMs: number;
   /** Bounds that hold for all instances together. */
   readonly bounds: FleetBounds;
   /** Requests that a version may get which turns out to be bad. */
--- a/packages/gateway/src/membership_keeper.ts
+++ b/packages/gateway/src/membership_keeper.ts
@@ -187,7 +187,9 @@
 
   #sendBeat(addresses: Iterable<string>, withOthers: boolean): void {
     const { board, clock } = this.#parts;
-    const alive = withOthers ? board.members.alive(clock.nowMs()) : [];
+    const nowMs = clock.nowMs();
+    const alive = withOthers ? board.members.alive(nowMs) : [];
+    const ageMs = board.configurationAge.ageMs(nowMs);
     const others = this.#memberTurns.next(alive, MAX_DIGEST)
       .filter(({ instanceId }) => instanceId !== board.members.selfId)
       .map(newsOf);
@@ -200,6 +202,7 @@
       from: this.#self,
       memoryMs: this.#parts.memoryMs(),
       configurationVersion: board.routes?.configuration.version ?? 0,
+      configurationAgeMs: ageMs === undefined ? undefined : Math.ceil(ageMs),
       targetsVersion: board.targets.version,
       reachesStore: this.#parts.reachesStore(),
       others,
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -89,6 +89,7 @@
   "rateLimits",
   "limitPerS",
   "announcedLeaving",
+  "configurationAgeMs",
 ];
 
 /** Version of the internet protocol that peers speak. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -104,6 +104,8 @@
 /** Where news of the platform goes. */
 export interface PlatformSink {
   configurationRead(configuration: FleetConfiguration): void;
+  /** The platform has no newer configuration than was read last. */
+  configurationConfirmed(): void;
   /** The whole list of targets as of a version. */
   targetsRead(entries: readonly TargetChange[], version: number): void;
   targetsChanged(changes: readonly TargetChange[]): void;
@@ -128,6 +130,8 @@
   rolloutsRead(record: readonly RolloutNews[], ageMs: number): void;
   /** The platform holds something that cannot be read. */
   unreadable(what: string, where: string): void;
+  /** A call for a table of the platform failed. */
+  callFailed(table: string, reason: string): void;
   /** The platform answers, again or at first. */
   reached(): void;
   /**
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -15,6 +15,7 @@
   type FleetConfiguration,
   RequestKind,
 } from "@chestnuthatch/routing/fleet_configuration";
+import { ConfigurationAge } from "@chestnuthatch/routing/configuration_age";
 import { CutDomains } from "@chestnuthatch/routing/cut_domains";
 import { MemberView } from "@chestnuthatch/routing/member_view";
 import { Rollouts } from "@chestnuthatch/routing/rollouts";
@@ -273,6 +274,7 @@
     routes: new RouteTable(configuration()),
     targets,
     members,
+    configurationAge: new ConfigurationAge(),
     cutDomains: new CutDomains(members),
     health: new TargetHealth(),
     rateLimits: new TargetRateLimits(),
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -169,6 +169,8 @@
     memoryMs: z.number(),
     /** Version of the configuration that the sender has; 0 for none. */
     configurationVersion: z.number(),
+    /** Time since the sender last knew that no newer one is confirmed. */
+    configurationAgeMs: z.number().nonnegative().optional(),
     /** Version of the newest news that it has of targets. */
     targetsVersion: z.number(),
     /** Whether the sender reaches the platform's store. */
--- a/packages/routing/src/routing_board.ts
+++ b/packages/routing/src/routing_board.ts
@@ -3,6 +3,7 @@
  * part named in its comment and only read by the others.
  */
 
+import type { ConfigurationAge } from "./configuration_age.ts";
 import type { CutDomains } from "./cut_domains.ts";
 import type { MemberView } from "./member_view.ts";
 import type { Rollouts } from "./rollouts.ts";
@@ -18,6 +19,8 @@
 export interface RoutingBoard {
   /** Written by the configuration keeper; absent until a version is known. */
   routes?: RouteTable;
+  /** Written by the configuration keeper, from the store and from peers. */
+  readonly configurationAge: ConfigurationAge;
   /** Written by the target keeper. */
   readonly targets: TargetDirectory;
   /** Written by the membership keeper. */
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -5,6 +5,7 @@
   RequestKind,
   type RoutePolicy,
 } from "./fleet_configuration.ts";
+import { ConfigurationAge } from "./configuration_age.ts";
 import { CutDomains } from "./cut_domains.ts";
 import { type MemberNews, MemberView } from "./member_view.ts";
 import { Rollouts } from "./rollouts.ts";
@@ -118,6 +119,7 @@
     routes: new RouteTable(configurationOf(over)),
     targets,
     members,
+    configurationAge: new ConfigurationAge(),
     cutDomains: new CutDomains(members),
     health: new TargetHealth(),
     rateLimits: new TargetRateLimits(),
