Show the fault: versions late once connections to the store fall silent

The soak now watches each version: a route of its own tells on every instance whether that version or a later one is in force, and one that an undisturbed instance does not know 2 s after it was confirmed breaks a promise.

--- a/tests/link_relay.ts
+++ b/tests/link_relay.ts
@@ -42,6 +42,8 @@
   /** What passes from one to the other, each part as late as the link is. */
   readonly outbound: Transform;
   readonly inbound: Transform;
+  /** Whether nothing passes ever again, with no end to be seen. */
+  isSilent: boolean;
 }
 
 const MS_PER_S = 1000;
@@ -121,9 +123,24 @@
     }
   }
 
+  /**
+   * Silences connections that are open, for good; new ones are served.
+   *
+   * @param share Part of them, the oldest first.
+   */
+  silence(share: number): void {
+    const passages = [...this.#passages].filter(({ isSilent }) => !isSilent);
+    for (
+      const passage of passages.slice(0, Math.ceil(share * passages.length))
+    ) {
+      passage.isSilent = true;
+      this.#flow(passage);
+    }
+  }
+
   /** A reset of one end is one of the other, not a plain end. */
   #reset(passage: Passage): void {
-    if (this.#state === LinkState.Open) {
+    if (this.#state === LinkState.Open && !passage.isSilent) {
       this.#passages.delete(passage);
       resetSocket(passage.near);
       resetSocket(passage.far);
@@ -199,6 +216,7 @@
       far,
       outbound: this.#delayLine(() => Infinity),
       inbound: this.#delayLine(() => this.#inboundBytesPerS),
+      isSilent: false,
     };
     passage.outbound.pipe(far);
     passage.inbound.pipe(near);
@@ -231,10 +249,10 @@
     const { near, far, outbound, inbound } = passage;
     near.unpipe(outbound);
     far.unpipe(inbound);
-    if (OUTBOUND_FLOWS.has(this.#state)) {
+    if (!passage.isSilent && OUTBOUND_FLOWS.has(this.#state)) {
       near.pipe(outbound, { end: false });
     }
-    if (INBOUND_FLOWS.has(this.#state)) {
+    if (!passage.isSilent && INBOUND_FLOWS.has(this.#state)) {
       far.pipe(inbound, { end: false });
     }
     this.#closed(passage);
@@ -261,7 +279,7 @@
   /** A link that is held hides also that one of its ends is gone. */
   #closed(passage: Passage): void {
     const { near, far } = passage;
-    const isOpen = this.#state === LinkState.Open;
+    const isOpen = this.#state === LinkState.Open && !passage.isSilent;
     if (isOpen && (near.destroyed || far.destroyed)) {
       this.#drop(passage);
     }
--- a/tests/soak.ts
+++ b/tests/soak.ts
@@ -17,6 +17,7 @@
   readonly instances?: number;
   readonly engines?: number;
   readonly rollout?: boolean;
+  readonly silences?: boolean;
   readonly signals?: readonly SoakSignal[];
 }
 
@@ -61,6 +62,7 @@
     )
     .option("--instances <number>", "instead of the number drawn", toCount)
     .option("--engines <number>", "instead of the number drawn", toCount)
+    .option("--silences", "connections to the store fall silent meanwhile")
     .option("--rollout", "a new version is rolled out beside the faults")
     .addOption(
       new Option("--signals <signals...>", "what targets signal in answers")
--- a/tests/soak_faults.ts
+++ b/tests/soak_faults.ts
@@ -6,6 +6,7 @@
 import { type SoakFleet, type SoakTarget, startAll } from "./soak_fleet.ts";
 import type { SoakInstance } from "./soak_instance.ts";
 import { type PlannedFault, SoakFault } from "./soak_plan.ts";
+import { BesideSilence, type PlannedSilence } from "./soak_silence_plan.ts";
 
 /** What a fault needs to know. */
 interface FaultScene {
@@ -97,19 +98,25 @@
     await Promise.resolve(fleet.storeRelay.reset());
   },
   [SoakFault.StoreLinkCut]: async ({ fleet, fault }) => {
-    await fleet.storeRelay.cut();
-    await pause(fault.forMs);
-    await fleet.storeRelay.heal();
+    await storeHarmed(fleet, async () => {
+      await fleet.storeRelay.cut();
+      await pause(fault.forMs);
+      await fleet.storeRelay.heal();
+    });
   },
   [SoakFault.StoreLinkSilent]: async ({ fleet, fault }) => {
-    fleet.storeRelay.freeze();
-    await pause(fault.forMs);
-    await fleet.storeRelay.heal();
+    await storeHarmed(fleet, async () => {
+      fleet.storeRelay.freeze();
+      await pause(fault.forMs);
+      await fleet.storeRelay.heal();
+    });
   },
   [SoakFault.StoreBusy]: async ({ fleet, fault }) => {
-    fleet.store.mode = StoreMode.Busy;
-    await pause(fault.forMs);
-    fleet.store.mode = StoreMode.Well;
+    await storeHarmed(fleet, async () => {
+      fleet.store.mode = StoreMode.Busy;
+      await pause(fault.forMs);
+      fleet.store.mode = StoreMode.Well;
+    });
   },
   [SoakFault.StoreForgets]: async ({ fleet }) => {
     await Promise.resolve(fleet.store.forgetHistory());
@@ -154,6 +161,49 @@
   });
 }
 
+const BESIDE: Readonly<
+  Record<
+    BesideSilence,
+    (instance: SoakInstance, forMs: number) => Promise<void>
+  >
+> = {
+  [BesideSilence.Nothing]: () => Promise.resolve(),
+  [BesideSilence.Killed]: async (instance, forMs) => {
+    await instance.kill();
+    await pause(forMs);
+    await instance.start(0);
+  },
+  [BesideSilence.Paused]: async (instance, forMs) => {
+    if (instance.runs) {
+      await instance.pause();
+      await pause(forMs);
+      instance.resume();
+    }
+  },
+};
+
+/**
+ * Silences connections to the store at their time, and writes versions.
+ *
+ * @param fleet Whom it strikes.
+ * @param silence What is planned.
+ * @returns Once it is over.
+ */
+export async function inflictSilence(
+  fleet: SoakFleet,
+  silence: PlannedSilence,
+): Promise<void> {
+  const { atMs, share, versionsAfterMs, beside, index, forMs } = silence;
+  await pause(atMs);
+  fleet.storeRelay.silence(share);
+  const versions = versionsAfterMs.map(async (afterMs) => {
+    await pause(afterMs);
+    fleet.configure();
+  });
+  const instance = fleet.instances[index % fleet.instances.length]!;
+  await Promise.all([...versions, BESIDE[beside](instance, forMs)]);
+}
+
 /** Makes the settings differ by a number, and asks to reload them. */
 function reloaded(instance: SoakInstance, retryBudgetSlack: number): void {
   instance.changeSettings({
@@ -190,6 +240,17 @@
   });
 }
 
+/** Notes the time of a fault of the store or the way there. */
+async function storeHarmed(
+  { storeHarmed }: SoakFleet,
+  play: () => Promise<void>,
+): Promise<void> {
+  const span = { fromMs: performance.now(), untilMs: Infinity };
+  storeHarmed.push(span);
+  await play();
+  span.untilMs = performance.now();
+}
+
 /** Notes the time of a fault of a target or its link. */
 async function harmed(
   { target }: FaultScene,
--- a/tests/soak_fleet.ts
+++ b/tests/soak_fleet.ts
@@ -6,7 +6,9 @@
   configurationOf,
   DESK_POOL,
   ENGINE_POOL,
+  HOST,
   LIMITS,
+  type OperatorConfiguration,
   ROUTES,
   targetRow,
 } from "@chestnuthatch/platform/standin_fleet";
@@ -79,6 +81,10 @@
     idleSinceMs: Infinity,
     timeoutShare: 1,
   };
+  /** Times at which the store, or the way there, was at fault. */
+  readonly storeHarmed: Span[] = [];
+  /** Called with each version as the store has it. */
+  onVersion: (version: number) => void = () => {};
   #storeRelay?: LinkRelay;
   #version = 0;
 
@@ -127,10 +133,12 @@
    * @param over What differs from the usual one, in the operator's words.
    * @returns The number of the version.
    */
-  configure(over: Readonly<Record<string, unknown>> = {}): number {
+  configure(over: Partial<OperatorConfiguration> = {}): number {
     this.#version++;
-    const usual = configurationOf(this.#version);
-    this.store.put("op", "config", { ...usual, ...over });
+    const content = { ...configurationOf(this.#version), ...over };
+    const routes = [...content.routes, ...markerRoutes(this.#version)];
+    this.store.put("op", "config", { ...content, routes });
+    this.onVersion(this.#version);
     return this.#version;
   }
 
@@ -273,7 +281,24 @@
   }
 }
 
-function changedContent(change: ConfigurationChange): Record<string, unknown> {
+/**
+ * Routes that tell which versions are in force: each version has its own and
+ * those of all before. They lead nowhere, and are known by not being unknown.
+ */
+function markerRoutes(version: number): Record<string, unknown>[] {
+  return Array.from({ length: version }, (_, index) => ({
+    name: `version-${index + 1}`,
+    host: HOST,
+    prefix: `/version-${index + 1}/`,
+    kind: "safe",
+    timeoutMs: 1000,
+    public: true,
+  }));
+}
+
+function changedContent(
+  change: ConfigurationChange,
+): Partial<OperatorConfiguration> {
   const { idleTimeoutMs, headerTimeoutMs, timeoutShare } = change;
   const routes = change.hasSecondRoute ? [...ROUTES, SECOND_ROUTE] : ROUTES;
   const apiKeys = change.hasSecondKey ? [CALLER_KEY, SECOND_KEY] : [CALLER_KEY];
--- a/tests/soak_plan.ts
+++ b/tests/soak_plan.ts
@@ -4,6 +4,7 @@
   type Randomness,
   seededRandomness,
 } from "@chestnuthatch/core/randomness";
+import { type PlannedSilence, planSilences } from "./soak_silence_plan.ts";
 import { type PlannedRollout, planRollout } from "./soak_rollout_plan.ts";
 import {
   type PlannedSignal,
@@ -110,6 +111,8 @@
   readonly callers: readonly PlannedCaller[];
   /** A new version of the plain pool's targets, beside the faults. */
   readonly rollout?: PlannedRollout;
+  /** Silent connections to the store, beside the faults. */
+  readonly silences: readonly PlannedSilence[];
   /** Signals of targets, beside the faults. */
   readonly signals: readonly PlannedSignal[];
   /** Bytes a second that a connection takes, for each instance. */
@@ -133,6 +136,8 @@
   readonly engines?: number;
   /** Whether a new version is rolled out meanwhile. */
   readonly rollout?: boolean;
+  /** Whether connections to the store fall silent meanwhile. */
+  readonly silences?: boolean;
   /** Kinds of signals that targets send meanwhile. */
   readonly signals?: readonly SoakSignal[];
 }
@@ -275,6 +280,7 @@
     lengthMs,
     faults,
     rollout: options.rollout === true ? planRollout(seed, lengthMs) : undefined,
+    silences: options.silences === true ? planSilences(seed, lengthMs) : [],
     signals: planSignals(seed, lengthMs, options.signals ?? []),
     callers: Array.from(
       { length: instances * draw.between(...ranges.callers) },
--- a/tests/soak_run.ts
+++ b/tests/soak_run.ts
@@ -7,12 +7,13 @@
   SoakCallers,
 } from "./soak_callers.ts";
 import { type BrokenPromise, brokenPromises } from "./soak_checks.ts";
-import { inflict } from "./soak_faults.ts";
+import { inflict, inflictSilence } from "./soak_faults.ts";
 import { SoakFleet } from "./soak_fleet.ts";
 import type { SoakInstance } from "./soak_instance.ts";
 import type { SoakPlan } from "./soak_plan.ts";
 import { SoakRollout } from "./soak_rollout.ts";
 import { SoakSignals } from "./soak_signals.ts";
+import { SoakVersions } from "./soak_versions.ts";
 import { waitFor } from "./wait_for.ts";
 
 /** What came of a seed. */
@@ -38,12 +39,15 @@
 export async function playSoak(plan: SoakPlan): Promise<SoakOutcome> {
   const fleet = new SoakFleet();
   const callers = new SoakCallers(plan.seed);
+  let versions: SoakVersions | undefined;
   try {
     await fleet.start(plan);
     const rollout = plan.rollout && new SoakRollout(fleet, plan.rollout);
     const signals = new SoakSignals(fleet, plan.signals);
+    versions = new SoakVersions(fleet);
     const faults = Promise.all([
       ...plan.faults.map((fault) => inflict(fleet, fault)),
+      ...plan.silences.map((silence) => inflictSilence(fleet, silence)),
       rollout?.play(),
       signals.play(),
     ]);
@@ -54,6 +58,7 @@
     const { targets, instances, least } = fleet;
     const broken = brokenPromises({ records, targets, instances, least });
     broken.push(...signals.broken(records));
+    broken.push(...await versions.broken());
     broken.push(...await notRecovered(fleet, callers));
     broken.push(...(rollout?.broken() ?? []));
     return {
@@ -66,6 +71,7 @@
     };
   } finally {
     callers.close();
+    versions?.close();
     await fleet.end();
   }
 }
