Hear of a configuration in time though connections to the store fell silent

Callers saw 401 and 404 on routes and keys of a confirmed version, from all instances alike, for seconds.

Cause: each instance hears of versions by a call that the store holds back, and the only proof that the call still could be answered was its own end: after 4 s on the instance that follows the store for all, after 10 to 28 s on the others. The bound is 2 s from the store's word. The next call could be given another kept connection that was as silent. So, once all open connections had fallen silent, no instance had a way to hear of a version.

--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -33,6 +33,13 @@
 /** Pause before a peer is asked for the configuration again. */
 const CONFIGURATION_RETRY_MS = 200;
 
+/**
+ * Part of the time within which a configuration has to be in force after which
+ * the platform is asked again; the rest is for noticing that it does not answer,
+ * and for telling the other instances.
+ */
+const WAIT_PART = 0.5;
+
 /** Time for which heartbeats tell what was learned of a target. */
 const TELL_NEWS_MS = 2500;
 
@@ -155,6 +162,24 @@
     board.configurationAge.confirm(clock.nowMs());
   }
 
+  /**
+   * Others are waited for only while they tell that the configuration is
+   * current: the instance that follows the store may not be answered either.
+   *
+   * @returns Longest time to wait for a change of the configuration.
+   */
+  configurationWaitMs(): number | undefined {
+    return this.followsStore() || this.#mayBeOld()
+      ? this.#parts.configurationApplyMs() * WAIT_PART
+      : undefined;
+  }
+
+  #mayBeOld(): boolean {
+    const { board, clock, configurationApplyMs } = this.#parts;
+    const ageMs = board.configurationAge.ageMs(clock.nowMs()) ?? Infinity;
+    return ageMs > configurationApplyMs();
+  }
+
   /** Lets time pass: notes when the configuration grows old. */
   tick(): void {
     const { board, clock, log, metrics } = this.#parts;
@@ -163,7 +188,7 @@
       return;
     }
     metrics.configurationAge(ageMs);
-    const isOld = ageMs > this.#parts.configurationApplyMs();
+    const isOld = this.#mayBeOld();
     if (isOld === this.#isConfigurationOld) {
       return;
     }
--- a/packages/gateway/src/fleet_news_test.ts
+++ b/packages/gateway/src/fleet_news_test.ts
@@ -25,6 +25,7 @@
 /** The news of one instance on a manual clock. */
 class NewsOnClock {
   nowMs = 0;
+  followsStore = false;
   readonly board = boardOf(["t1", "t2"]);
   readonly #lines: string[] = [];
   readonly #log: EventLog;
@@ -46,7 +47,7 @@
       metrics: new GatewayMetrics(),
       catalogPort: 1,
       configurationApplyMs: () => 2000,
-      followsStore: () => false,
+      followsStore: () => this.followsStore,
       rollouts: {
         ordered: () => {},
         withdrawn: () => {},
@@ -98,6 +99,28 @@
   assert.is(on.board.configurationAge.ageMs(on.nowMs), 300);
 });
 
+// Guards against a fleet that waits for news on connections that fell silent.
+test("whoever follows the store asks it twice within the bound", () => {
+  const on = new NewsOnClock();
+  on.news.configurationConfirmed();
+  assert.is(on.news.configurationWaitMs(), undefined);
+  on.followsStore = true;
+  assert.is(on.news.configurationWaitMs(), 1000);
+});
+
+// Guards against instances that trust one that is not answered by the store.
+test("an instance asks by itself once nobody tells it of current news", () => {
+  const on = new NewsOnClock();
+  assert.is(on.news.configurationWaitMs(), 1000);
+  on.news.configurationConfirmed();
+  on.nowMs = 2000;
+  assert.is(on.news.configurationWaitMs(), undefined);
+  on.nowMs = 2001;
+  assert.is(on.news.configurationWaitMs(), 1000);
+  on.news.heard(beatOf({ configurationVersion: 1, configurationAgeMs: 500 }));
+  assert.is(on.news.configurationWaitMs(), undefined);
+});
+
 test("the log tells when the configuration may be out of date, and no longer", () => {
   const on = new NewsOnClock();
   on.news.tick();
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -109,6 +109,11 @@
   /** The whole list of targets as of a version. */
   targetsRead(entries: readonly TargetChange[], version: number): void;
   targetsChanged(changes: readonly TargetChange[]): void;
+  /**
+   * Longest time to wait for a change of the configuration before the platform
+   * is asked again; undefined where other instances tell of changes.
+   */
+  configurationWaitMs(): number | undefined;
   /** Whether the platform's store is to be followed closely from here. */
   followsStore(): boolean;
   /** For how long other instances have had newer news of targets; 0 if none. */
