--- /dev/null
+++ b/packages/gateway/src/configuration_keeper.ts
@@ -0,0 +1,181 @@
+/**
+ * Keeps the configuration in force up to date: from the platform, and from other
+ * instances that have heard of a newer version.
+ */
+
+import { fleetConfigurationSchema } from "@chestnuthatch/routing/fleet_configuration_schema";
+import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
+import type { MemberNews } from "@chestnuthatch/routing/member_view";
+import { RouteTable } from "@chestnuthatch/routing/route_table";
+import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import { type EventLog, LogPart } from "./event_log.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { Beat } from "./membership_keeper.ts";
+import { CatalogItem, catalogOf, fetchItem } from "./peer_catalog.ts";
+import type { Clock } from "./ports.ts";
+
+/** Pause before a peer is asked for the configuration again. */
+const RETRY_MS = 200;
+
+/**
+ * Part of the time within which a configuration has to be in force after which
+ * the platform is asked again; the rest is for noticing that it does not answer,
+ * and for telling the other instances.
+ */
+const WAIT_PART = 0.5;
+
+/** How a version of the configuration became known. */
+enum ConfigurationSource {
+  Store = "store",
+  Peer = "peer",
+}
+
+/** What the keeper works with. */
+export interface ConfigurationParts {
+  readonly board: RoutingBoard;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  readonly catalogPort: number;
+  /** @returns Time within which a confirmed configuration has to be in force. */
+  configurationApplyMs(): number;
+  /** @returns Whether this instance is to follow the store closely. */
+  followsStore(): boolean;
+  /** @returns Whether the platform's store answers. */
+  reachesStore(): boolean;
+  /** Called when another version came into force. */
+  onConfiguration(configuration: FleetConfiguration): void;
+}
+
+/** Takes in versions, and knows how current the one in force is. */
+export class ConfigurationKeeper {
+  readonly #parts: ConfigurationParts;
+  #isOld = false;
+  #isFetching = false;
+  #askedAtMs = -Infinity;
+
+  /** @param parts What the keeper works with. */
+  constructor(parts: ConfigurationParts) {
+    this.#parts = parts;
+  }
+
+  /** @param configuration A version, from the platform. */
+  read(configuration: FleetConfiguration): void {
+    this.#take(configuration, { source: ConfigurationSource.Store });
+  }
+
+  /** The platform has no newer version than was read last. */
+  confirmed(): void {
+    const { board, clock } = this.#parts;
+    board.configurationAge.confirm(clock.nowMs());
+  }
+
+  /**
+   * Others are waited for only while they tell that the configuration is
+   * current: the instance that follows the store may not be answered either.
+   *
+   * @returns Longest time to wait for a change before the platform is asked
+   * again; undefined where other instances tell of changes.
+   */
+  waitMs(): number | undefined {
+    return this.#parts.followsStore() || this.#mayBeOld()
+      ? this.#parts.configurationApplyMs() * WAIT_PART
+      : undefined;
+  }
+
+  /** @param beat A heartbeat that tells which version its sender has. */
+  heard(beat: Beat): void {
+    const { board, clock } = this.#parts;
+    const nowMs = clock.nowMs();
+    const version = board.routes?.configuration.version ?? 0;
+    const { configurationVersion, configurationAgeMs } = beat;
+    if (configurationAgeMs !== undefined && configurationVersion === version) {
+      board.configurationAge.confirm(nowMs, configurationAgeMs);
+    }
+    if (
+      configurationVersion > version && !this.#isFetching &&
+      nowMs - this.#askedAtMs >= RETRY_MS
+    ) {
+      this.#askedAtMs = nowMs;
+      void this.#fetch(beat.from);
+    }
+  }
+
+  /** Lets time pass: notes when the version in force grows old. */
+  tick(): void {
+    const { board, clock, metrics } = this.#parts;
+    const ageMs = board.configurationAge.ageMs(clock.nowMs());
+    if (ageMs === undefined) {
+      return;
+    }
+    metrics.configurationAge(ageMs);
+    const isOld = this.#mayBeOld();
+    if (isOld !== this.#isOld) {
+      this.#isOld = isOld;
+      this.#logAge(ageMs);
+    }
+  }
+
+  #logAge(ageMs: number): void {
+    const { board, followsStore, log, reachesStore } = this.#parts;
+    const facts = {
+      version: board.routes?.configuration.version,
+      ageMs: Math.round(ageMs),
+      reachesStore: reachesStore(),
+      followsStore: followsStore(),
+    };
+    if (this.#isOld) {
+      const message = "configuration may be out of date";
+      log.warn(LogPart.Configuration, message, facts);
+    } else {
+      log.info(LogPart.Configuration, "configuration is current again", facts);
+    }
+  }
+
+  #mayBeOld(): boolean {
+    const { board, clock, configurationApplyMs } = this.#parts;
+    const ageMs = board.configurationAge.ageMs(clock.nowMs()) ?? Infinity;
+    return ageMs > configurationApplyMs();
+  }
+
+  async #fetch(from: MemberNews): Promise<void> {
+    const { catalogPort, log } = this.#parts;
+    const member = from.instanceId;
+    const item = CatalogItem.Configuration;
+    this.#isFetching = true;
+    const address = catalogOf(from, catalogPort);
+    const fetched = await fetchItem(address, item, fleetConfigurationSchema);
+    this.#isFetching = false;
+    fetched.match(
+      (configuration) =>
+        this.#take(configuration, { source: ConfigurationSource.Peer, member }),
+      (reason) => {
+        const facts = { member, item, reason };
+        log.warn(LogPart.Members, "peer handed nothing over", facts);
+      },
+    );
+  }
+
+  #take(
+    configuration: FleetConfiguration,
+    from: { source: ConfigurationSource; member?: string },
+  ): void {
+    const { board, clock, log, metrics } = this.#parts;
+    const before = board.routes?.configuration.version ?? 0;
+    if (configuration.version <= before) {
+      return;
+    }
+    board.routes = new RouteTable(configuration);
+    metrics.configurationVersion(configuration.version);
+    const ageMs = board.configurationAge.ageMs(clock.nowMs());
+    log.info(LogPart.Configuration, "configuration in force", {
+      version: configuration.version,
+      before,
+      routes: configuration.routes.length,
+      workspaces: configuration.workspaces.length,
+      beforeAgeMs: ageMs && Math.round(ageMs),
+      ...from,
+    });
+    this.#parts.onConfiguration(configuration);
+  }
+}
--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -3,11 +3,9 @@
  * date: from the platform, and from peers while the platform is out of reach.
  */
 
-import { fleetConfigurationSchema } from "@chestnuthatch/routing/fleet_configuration_schema";
 import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
 import type { MemberNews } from "@chestnuthatch/routing/member_view";
 import { targetChangesSchema } from "@chestnuthatch/routing/peer_messages";
-import { RouteTable } from "@chestnuthatch/routing/route_table";
 import type { RolloutNews, RolloutOrder } from "@chestnuthatch/routing/rollout";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
@@ -17,11 +15,11 @@
   type TargetChange,
 } from "@chestnuthatch/routing/target_directory";
 import type { RateLimitNews } from "@chestnuthatch/routing/target_rate_limits";
+import { ConfigurationKeeper } from "./configuration_keeper.ts";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
-import { hostPortOf } from "./host_port.ts";
 import type { Beat } from "./membership_keeper.ts";
-import { CatalogItem, fetchItem } from "./peer_catalog.ts";
+import { CatalogItem, catalogOf, fetchItem } from "./peer_catalog.ts";
 import type { Clock, PlatformSink } from "./ports.ts";
 
 /**
@@ -30,25 +28,9 @@
  */
 const TARGETS_FROM_PEER_MS = 500;
 
-/** Pause before a peer is asked for the configuration again. */
-const CONFIGURATION_RETRY_MS = 200;
-
-/**
- * Part of the time within which a configuration has to be in force after which
- * the platform is asked again; the rest is for noticing that it does not answer,
- * and for telling the other instances.
- */
-const WAIT_PART = 0.5;
-
 /** Time for which heartbeats tell what was learned of a target. */
 const TELL_NEWS_MS = 2500;
 
-/** How a version of the configuration became known. */
-enum ConfigurationSource {
-  Store = "store",
-  Peer = "peer",
-}
-
 /** Where news of roll-outs goes. */
 export interface RolloutNewsSink {
   ordered(order: RolloutOrder): void;
@@ -94,12 +76,10 @@
 /** Takes in news. */
 export class FleetNews implements PlatformSink {
   readonly #parts: NewsParts;
+  readonly #configuration: ConfigurationKeeper;
   #reachesStore = false;
   #knowsTargets = false;
-  #fetchingConfiguration = false;
   #fetchingTargets = false;
-  #isConfigurationOld = false;
-  #configurationAskedAtMs = -Infinity;
   #targetsAskedAtMs = -Infinity;
   /** Newest version of targets that a heartbeat told of, and since when. */
   #toldVersion = 0;
@@ -109,6 +89,10 @@
   /** @param parts What the keeper works with. */
   constructor(parts: NewsParts) {
     this.#parts = parts;
+    this.#configuration = new ConfigurationKeeper({
+      ...parts,
+      reachesStore: () => this.#reachesStore,
+    });
   }
 
   /** Whether the platform's store answers. */
@@ -151,86 +135,22 @@
 
   /** @param configuration A version, from the platform. */
   configurationRead(configuration: FleetConfiguration): void {
-    this.#takeConfiguration(configuration, {
-      source: ConfigurationSource.Store,
-    });
+    this.#configuration.read(configuration);
   }
 
   /** The platform has no newer configuration than was read last. */
   configurationConfirmed(): void {
-    const { board, clock } = this.#parts;
-    board.configurationAge.confirm(clock.nowMs());
+    this.#configuration.confirmed();
   }
 
-  /**
-   * Others are waited for only while they tell that the configuration is
-   * current: the instance that follows the store may not be answered either.
-   *
-   * @returns Longest time to wait for a change of the configuration.
-   */
+  /** @returns Longest time to wait for a change of the configuration. */
   configurationWaitMs(): number | undefined {
-    return this.followsStore() || this.#mayBeOld()
-      ? this.#parts.configurationApplyMs() * WAIT_PART
-      : undefined;
-  }
-
-  #mayBeOld(): boolean {
-    const { board, clock, configurationApplyMs } = this.#parts;
-    const ageMs = board.configurationAge.ageMs(clock.nowMs()) ?? Infinity;
-    return ageMs > configurationApplyMs();
+    return this.#configuration.waitMs();
   }
 
-  /** Lets time pass: notes when the configuration grows old. */
+  /** Lets time pass. */
   tick(): void {
-    const { board, clock, log, metrics } = this.#parts;
-    const ageMs = board.configurationAge.ageMs(clock.nowMs());
-    if (ageMs === undefined) {
-      return;
-    }
-    metrics.configurationAge(ageMs);
-    const isOld = this.#mayBeOld();
-    if (isOld === this.#isConfigurationOld) {
-      return;
-    }
-    this.#isConfigurationOld = isOld;
-    const facts = {
-      version: board.routes?.configuration.version,
-      ageMs: Math.round(ageMs),
-      reachesStore: this.#reachesStore,
-      followsStore: this.followsStore(),
-    };
-    if (isOld) {
-      log.warn(
-        LogPart.Configuration,
-        "configuration may be out of date",
-        facts,
-      );
-    } else {
-      log.info(LogPart.Configuration, "configuration is current again", facts);
-    }
-  }
-
-  #takeConfiguration(
-    configuration: FleetConfiguration,
-    from: { source: ConfigurationSource; member?: string },
-  ): void {
-    const { board, clock, log, metrics } = this.#parts;
-    const before = board.routes?.configuration.version ?? 0;
-    if (configuration.version <= before) {
-      return;
-    }
-    board.routes = new RouteTable(configuration);
-    metrics.configurationVersion(configuration.version);
-    const ageMs = board.configurationAge.ageMs(clock.nowMs());
-    log.info(LogPart.Configuration, "configuration in force", {
-      version: configuration.version,
-      before,
-      routes: configuration.routes.length,
-      workspaces: configuration.workspaces.length,
-      beforeAgeMs: ageMs && Math.round(ageMs),
-      ...from,
-    });
-    this.#parts.onConfiguration(configuration);
+    this.#configuration.tick();
   }
 
   /**
@@ -407,20 +327,7 @@
       this.#toldVersion = beat.targetsVersion;
       this.#toldAtMs = nowMs;
     }
-    const version = board.routes?.configuration.version ?? 0;
-    const { configurationAgeMs } = beat;
-    if (
-      configurationAgeMs !== undefined && beat.configurationVersion === version
-    ) {
-      board.configurationAge.confirm(nowMs, configurationAgeMs);
-    }
-    if (
-      beat.configurationVersion > version && !this.#fetchingConfiguration &&
-      nowMs - this.#configurationAskedAtMs >= CONFIGURATION_RETRY_MS
-    ) {
-      this.#configurationAskedAtMs = nowMs;
-      void this.#fetchConfiguration(beat.from);
-    }
+    this.#configuration.heard(beat);
     const wantsTargets = !this.#reachesStore &&
       beat.targetsVersion > board.targets.version;
     if (
@@ -444,46 +351,20 @@
     return this.#knowsTargets ? board.targets.all().map(changeOf) : undefined;
   }
 
-  async #fetchConfiguration(from: MemberNews): Promise<void> {
-    this.#fetchingConfiguration = true;
-    const fetched = await fetchItem(
-      this.#catalogOf(from),
-      CatalogItem.Configuration,
-      fleetConfigurationSchema,
-    );
-    this.#fetchingConfiguration = false;
-    fetched.match(
-      (configuration) =>
-        this.#takeConfiguration(configuration, {
-          source: ConfigurationSource.Peer,
-          member: from.instanceId,
-        }),
-      (reason) => this.#logFetch(from, CatalogItem.Configuration, reason),
-    );
-  }
-
   async #fetchTargets(from: MemberNews): Promise<void> {
+    const { catalogPort, log } = this.#parts;
+    const item = CatalogItem.Targets;
     this.#fetchingTargets = true;
-    const fetched = await fetchItem(
-      this.#catalogOf(from),
-      CatalogItem.Targets,
-      targetChangesSchema,
-    );
+    const address = catalogOf(from, catalogPort);
+    const fetched = await fetchItem(address, item, targetChangesSchema);
     this.#fetchingTargets = false;
     fetched.match((changes) => {
       this.#knowsTargets = true;
       this.targetsChanged(changes);
-    }, (reason) => this.#logFetch(from, CatalogItem.Targets, reason));
-  }
-
-  #logFetch(from: MemberNews, item: CatalogItem, reason: string): void {
-    const facts = { member: from.instanceId, item, reason };
-    this.#parts.log.warn(LogPart.Members, "peer handed nothing over", facts);
-  }
-
-  #catalogOf(member: MemberNews): string {
-    const { host } = hostPortOf(member.address);
-    return `${host}:${this.#parts.catalogPort}`;
+    }, (reason) => {
+      const facts = { member: from.instanceId, item, reason };
+      log.warn(LogPart.Members, "peer handed nothing over", facts);
+    });
   }
 
   #believed(beliefs: readonly TargetBelief[]): void {
--- a/packages/gateway/src/peer_catalog.ts
+++ b/packages/gateway/src/peer_catalog.ts
@@ -6,6 +6,7 @@
 import { Buffer } from "node:buffer";
 import { createServer, get, type Server } from "node:http";
 import { gunzipSync, gzipSync } from "node:zlib";
+import type { MemberNews } from "@chestnuthatch/routing/member_view";
 import { err, ok, type Result } from "neverthrow";
 import type * as z from "zod";
 import { hostPortOf } from "./host_port.ts";
@@ -82,6 +83,15 @@
   }
 }
 
+/**
+ * @param member A member.
+ * @param port Port of all catalogs.
+ * @returns `ip:port` of its catalog.
+ */
+export function catalogOf(member: MemberNews, port: number): string {
+  return `${hostPortOf(member.address).host}:${port}`;
+}
+
 /**
  * Fetches an item from a peer.
  *
