--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -31,6 +31,10 @@
 /** Enough for one of their stops. */
 const ONE_STOP = { lengthMs: 2000 };
 
+/** Versions of the configuration were not known in time there. */
+const LATE_VERSION_SEEDS = [3, 5];
+const SILENCE_OPTIONS = { lengthMs: 8000, silences: true };
+
 for (const seed of [1, 2]) {
   test(`soak: seed ${seed} breaks no promise`, () => playWell(seed, OPTIONS));
 }
@@ -45,6 +49,12 @@
     playWell(seed, ONE_STOP));
 }
 
+for (const seed of LATE_VERSION_SEEDS) {
+  // Guards against waiting for news on connections that have fallen silent.
+  test(`soak: seed ${seed} has versions in force though the store falls silent`, () =>
+    playWell(seed, SILENCE_OPTIONS));
+}
+
 // Guards against placements that ignore rate limits of targets.
 test(`soak: seed ${LIMIT_SEED} keeps to rate limits of targets`, () =>
   playWell(LIMIT_SEED, LIMIT_OPTIONS));
