Drop kept connections to targets once one to the store fell silent

Connections fall silent together, as when a device between forgets them. The record has calls that time out without an answer begun in the two spans in which versions were late. A request that runs once at most and is sent on a silent connection is lost: its caller gets 504 at the route's timeout, and nobody may send it again.

An instance that has a read answered on a new connection to the store, but not on a kept one, closes its unused connections to targets. A log line tells it.

--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -67,6 +67,8 @@
   onSuspects(news: readonly SuspectNews[]): void;
   /** Called with rate limits of targets that another instance reports. */
   onRateLimits(news: readonly RateLimitNews[]): void;
+  /** Called when kept connections may have fallen silent. */
+  onSilentConnection(): void;
   /** Called when what the fleet recorded of late may be gone. */
   onStoreWentBack(): void;
   /** Called when another version came into force. */
@@ -277,6 +279,12 @@
     });
   }
 
+  /** A kept connection to the platform fell silent, while a new one works. */
+  connectionFellSilent(): void {
+    this.#parts.log.info(LogPart.Platform, "connection fell silent");
+    this.#parts.onSilentConnection();
+  }
+
   /** The platform answers, again or at first. */
   reached(): void {
     if (!this.#reachesStore) {
--- a/packages/gateway/src/fleet_news_test.ts
+++ b/packages/gateway/src/fleet_news_test.ts
@@ -45,6 +45,7 @@
     onSpending: () => {},
     onSuspects: () => {},
     onRateLimits: () => {},
+    onSilentConnection: () => {},
     onStoreWentBack: () => {},
     onConfiguration: () => {},
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -478,6 +478,8 @@
       onSpending: (record, ageMs) => this.#spending.takeUpRecord(record, ageMs),
       onSuspects: (news) => this.#suspects.told(news),
       onRateLimits: (news) => this.#targetSignals.toldOfRateLimits(news),
+      // What silenced one connection may have silenced others.
+      onSilentConnection: () => this.#connections.dropAllIdle(),
       onStoreWentBack: () => {
         this.#coordinator.recordAnew();
         this.#suspects.recordAnew();
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -135,6 +135,8 @@
   rolloutsRead(record: readonly RolloutNews[], ageMs: number): void;
   /** The platform holds something that cannot be read. */
   unreadable(what: string, where: string): void;
+  /** A kept connection to the platform fell silent, while a new one works. */
+  connectionFellSilent(): void;
   /** A call for a table of the platform failed. */
   callFailed(table: string, reason: string): void;
   /** The platform answers, again or at first. */
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -82,6 +82,13 @@
     }
   }
 
+  /** Closes what is kept of all targets: it may have fallen silent. */
+  dropAllIdle(): void {
+    for (const address of this.#byAddress.keys()) {
+      this.dropIdle(address);
+    }
+  }
+
   /** @param addresses Addresses still in use; connections to others close. */
   keepOnly(addresses: ReadonlySet<string>): void {
     for (const [address, agent] of this.#byAddress) {
