Take a configuration that was rewritten under the number of a lost one

A store that comes back from an older copy may have lost the newest version, and the next one may bear its number.

A version from the store that bears the number in force but differs is taken. Versions from other instances still count by their numbers alone.

The new test fails without the change ('never came true: the version with its number is in force').

--- a/packages/gateway/src/configuration_keeper.ts
+++ b/packages/gateway/src/configuration_keeper.ts
@@ -156,13 +156,29 @@
     );
   }
 
+  /**
+   * A store that came back from an older copy has lost versions; their numbers
+   * may be given out again. Only the store can tell which was written last.
+   */
+  #isRewritten(
+    configuration: FleetConfiguration,
+    source: ConfigurationSource,
+  ): boolean {
+    const inForce = this.#parts.board.routes?.configuration;
+    return source === ConfigurationSource.Store &&
+      JSON.stringify(configuration) !== JSON.stringify(inForce);
+  }
+
   #take(
     configuration: FleetConfiguration,
     from: { source: ConfigurationSource; member?: string },
   ): void {
     const { board, clock, log, metrics } = this.#parts;
     const before = board.routes?.configuration.version ?? 0;
-    if (configuration.version <= before) {
+    const isNewer = configuration.version > before ||
+      configuration.version === before &&
+        this.#isRewritten(configuration, from.source);
+    if (!isNewer) {
       return;
     }
     board.routes = new RouteTable(configuration);
