--- a/packages/gateway/src/configuration_keeper.ts
+++ b/packages/gateway/src/configuration_keeper.ts
@@ -39,7 +39,10 @@
   readonly catalogPort: number;
   /** @returns Time within which a confirmed configuration has to be in force. */
   configurationApplyMs(): number;
-  /** @returns Whether this instance is to follow the store closely. */
+  /**
+   * @returns Whether this instance is the one that follows the store for all, or
+   * has nobody who does.
+   */
   followsStore(): boolean;
   /** @returns Whether the platform's store answers. */
   reachesStore(): boolean;
--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -15,12 +15,14 @@
   type TargetChange,
 } from "@chestnuthatch/routing/target_directory";
 import type { RateLimitNews } from "@chestnuthatch/routing/target_rate_limits";
-import { ConfigurationKeeper } from "./configuration_keeper.ts";
-import { type EventLog, LogPart } from "./event_log.ts";
-import type { GatewayMetrics } from "./gateway_metrics.ts";
+import {
+  ConfigurationKeeper,
+  type ConfigurationParts,
+} from "./configuration_keeper.ts";
+import { LogPart } from "./event_log.ts";
 import type { Beat } from "./membership_keeper.ts";
 import { CatalogItem, catalogOf, fetchItem } from "./peer_catalog.ts";
-import type { Clock, PlatformSink } from "./ports.ts";
+import type { PlatformSink } from "./ports.ts";
 
 /**
  * Time between two reads of the targets from a peer while the platform is out
@@ -45,20 +47,8 @@
 const MOST_LOGGED_AT_START = 100;
 
 /** What the keeper works with. */
-export interface NewsParts {
-  readonly board: RoutingBoard;
-  readonly clock: Clock;
-  readonly log: EventLog;
-  readonly metrics: GatewayMetrics;
-  readonly catalogPort: number;
-  /** @returns Time within which a confirmed configuration has to be in force. */
-  configurationApplyMs(): number;
+export interface NewsParts extends Omit<ConfigurationParts, "reachesStore"> {
   readonly rollouts: RolloutNewsSink;
-  /**
-   * Whether this instance is the one that follows the store for all, or has
-   * nobody who does.
-   */
-  followsStore(): boolean;
   /** Called when what is known of targets has changed. */
   onTargets(beliefs: readonly TargetBelief[]): void;
   /** Called with what the fleet recorded of workspaces' spending. */
@@ -71,8 +61,6 @@
   onSilentConnection(): void;
   /** Called when what the fleet recorded of late may be gone. */
   onStoreWentBack(): void;
-  /** Called when another version came into force. */
-  onConfiguration(configuration: FleetConfiguration): void;
 }
 
 /** Takes in news. */
--- a/tests/soak_faults.ts
+++ b/tests/soak_faults.ts
@@ -6,7 +6,7 @@
 import { type SoakFleet, type SoakTarget, startAll } from "./soak_fleet.ts";
 import type { SoakInstance } from "./soak_instance.ts";
 import { type PlannedFault, SoakFault } from "./soak_plan.ts";
-import { BesideSilence, type PlannedSilence } from "./soak_silence_plan.ts";
+import { DuringSilence, type PlannedSilence } from "./soak_silence_plan.ts";
 
 /** What a fault needs to know. */
 interface FaultScene {
@@ -161,19 +161,19 @@
   });
 }
 
-const BESIDE: Readonly<
+const DURING: Readonly<
   Record<
-    BesideSilence,
+    DuringSilence,
     (instance: SoakInstance, forMs: number) => Promise<void>
   >
 > = {
-  [BesideSilence.Nothing]: () => Promise.resolve(),
-  [BesideSilence.Killed]: async (instance, forMs) => {
+  [DuringSilence.Nothing]: () => Promise.resolve(),
+  [DuringSilence.Killed]: async (instance, forMs) => {
     await instance.kill();
     await pause(forMs);
     await instance.start(0);
   },
-  [BesideSilence.Paused]: async (instance, forMs) => {
+  [DuringSilence.Paused]: async (instance, forMs) => {
     if (instance.runs) {
       await instance.pause();
       await pause(forMs);
@@ -193,7 +193,7 @@
   fleet: SoakFleet,
   silence: PlannedSilence,
 ): Promise<void> {
-  const { atMs, share, versionsAfterMs, beside, index, forMs } = silence;
+  const { atMs, share, versionsAfterMs, during, index, forMs } = silence;
   await pause(atMs);
   fleet.storeRelay.silence(share);
   const versions = versionsAfterMs.map(async (afterMs) => {
@@ -201,7 +201,7 @@
     fleet.configure();
   });
   const instance = fleet.instances[index % fleet.instances.length]!;
-  await Promise.all([...versions, BESIDE[beside](instance, forMs)]);
+  await Promise.all([...versions, DURING[during](instance, forMs)]);
 }
 
 /** Makes the settings differ by a number, and asks to reload them. */
--- a/tests/soak_fleet.ts
+++ b/tests/soak_fleet.ts
@@ -283,7 +283,8 @@
 
 /**
  * Routes that tell which versions are in force: each version has its own and
- * those of all before. They lead nowhere, and are known by not being unknown.
+ * those of all before. They have no pool: a request for one gets 503 where its
+ * version or a later one is in force, and 404 elsewhere.
  */
 function markerRoutes(version: number): Record<string, unknown>[] {
   return Array.from({ length: version }, (_, index) => ({
--- a/tests/soak_silence_plan.ts
+++ b/tests/soak_silence_plan.ts
@@ -2,22 +2,21 @@
 
 import { seededRandomness } from "@chestnuthatch/core/randomness";
 
-/** What befalls an instance beside the silence. */
-export enum BesideSilence {
+/** What happens to an instance during the silence. */
+export enum DuringSilence {
   Nothing = "nothing",
-  /** The one that has run longest, which often follows the store for all. */
   Killed = "killed",
   Paused = "paused",
 }
 
-/** Connections that fall silent, and versions that are written after that. */
+/** A silence, and the versions of the configuration that follow on it. */
 export interface PlannedSilence {
   readonly atMs: number;
   /** Part of the connections that fall silent. */
   readonly share: number;
   /** Time from the silence to each version. */
   readonly versionsAfterMs: readonly number[];
-  readonly beside: BesideSilence;
+  readonly during: DuringSilence;
   /** Which instance, counted round. */
   readonly index: number;
   readonly forMs: number;
@@ -43,7 +42,7 @@
   const random = seededRandomness(seed + SEED_OFFSET);
   const between = (least: number, below: number) =>
     Math.floor(least + (below - least) * random.next());
-  const besides = Object.values(BesideSilence);
+  const kinds = Object.values(DuringSilence);
   const count = Math.ceil(lengthMs / MS_PER_S * SILENCES_PER_S);
   return Array.from({ length: count }, () => ({
     atMs: between(0, lengthMs),
@@ -52,7 +51,7 @@
       { length: between(1, MOST_VERSIONS + 1) },
       () => between(0, LONGEST_AFTER_MS),
     ),
-    beside: besides[between(0, besides.length)]!,
+    during: kinds[between(0, kinds.length)]!,
     index: between(0, 1000),
     forMs: between(SHORTEST_MS, LONGEST_MS),
   }));
--- a/tests/soak_versions.ts
+++ b/tests/soak_versions.ts
@@ -15,8 +15,8 @@
 const WATCH_MS = 9000;
 
 /**
- * Time between two asks, for each instance that is asked: callers, targets and
- * the store share this process, and late answers would show as late versions.
+ * Time between two asks, for each instance that is being asked: the store shares
+ * this process, and would be late itself if more were asked.
  */
 const ASK_EVERY_MS = 10;
 const ASK_TIMEOUT_MS = 1000;
@@ -24,7 +24,7 @@
 const STATUS_NOT_FOUND = 404;
 const PROMISE = "a confirmed version is in force within its bound";
 
-/** A version is written, and instances are asked for a route that it adds. */
+/** Asks every instance for the route that a version adds, until it has it. */
 export class SoakVersions {
   readonly #fleet: SoakFleet;
   readonly #agent = new Agent({ keepAlive: true });
