Soak: one draw for all plans, one note of a fault's time

The plans of silences, roll-outs and signals each drew with a copy of what soak_plan.ts has as a class; it is soak_draw.ts now, and all four use it. The times of faults of the store were noted by a copy of what notes those of targets, and instances were killed and paused during silences by copies of what the usual faults do: one function each.

--- a/tests/soak_faults.ts
+++ b/tests/soak_faults.ts
@@ -4,7 +4,7 @@
 import { StoreMode } from "@chestnuthatch/platform/standin_store";
 import { TargetConduct } from "@chestnuthatch/platform/standin_target";
 import { type SoakFleet, type SoakTarget, startAll } from "./soak_fleet.ts";
-import type { SoakInstance } from "./soak_instance.ts";
+import type { SoakInstance, Span } from "./soak_instance.ts";
 import { type PlannedFault, SoakFault } from "./soak_plan.ts";
 import { DuringSilence, type PlannedSilence } from "./soak_silence_plan.ts";
 
@@ -29,16 +29,12 @@
 const FAULTS: Readonly<
   Record<SoakFault, (scene: FaultScene) => Promise<void>>
 > = {
-  [SoakFault.InstanceKilled]: (scene) => killedFor(scene, [scene.instance]),
-  [SoakFault.AllInstancesKilled]: (scene) =>
-    killedFor(scene, scene.fleet.instances),
-  [SoakFault.InstancePaused]: async ({ instance, fault }) => {
-    if (instance.runs) {
-      await instance.pause();
-      await pause(fault.forMs);
-      instance.resume();
-    }
-  },
+  [SoakFault.InstanceKilled]: ({ instance, fault }) =>
+    killedFor([instance], fault),
+  [SoakFault.AllInstancesKilled]: ({ fleet, fault }) =>
+    killedFor(fleet.instances, fault),
+  [SoakFault.InstancePaused]: ({ instance, fault }) =>
+    pausedFor(instance, fault.forMs),
   [SoakFault.InstanceRestarted]: ({ instance, fault }) =>
     restarted(instance, fault),
   [SoakFault.InstanceReloaded]: async ({ instance, fault }) => {
@@ -98,21 +94,21 @@
     await Promise.resolve(fleet.storeRelay.reset());
   },
   [SoakFault.StoreLinkCut]: async ({ fleet, fault }) => {
-    await storeHarmed(fleet, async () => {
+    await noted(fleet.storeHarmed, async () => {
       await fleet.storeRelay.cut();
       await pause(fault.forMs);
       await fleet.storeRelay.heal();
     });
   },
   [SoakFault.StoreLinkSilent]: async ({ fleet, fault }) => {
-    await storeHarmed(fleet, async () => {
+    await noted(fleet.storeHarmed, async () => {
       fleet.storeRelay.freeze();
       await pause(fault.forMs);
       await fleet.storeRelay.heal();
     });
   },
   [SoakFault.StoreBusy]: async ({ fleet, fault }) => {
-    await storeHarmed(fleet, async () => {
+    await noted(fleet.storeHarmed, async () => {
       fleet.store.mode = StoreMode.Busy;
       await pause(fault.forMs);
       fleet.store.mode = StoreMode.Well;
@@ -168,18 +164,9 @@
   >
 > = {
   [DuringSilence.Nothing]: () => Promise.resolve(),
-  [DuringSilence.Killed]: async (instance, forMs) => {
-    await instance.kill();
-    await pause(forMs);
-    await instance.start(0);
-  },
-  [DuringSilence.Paused]: async (instance, forMs) => {
-    if (instance.runs) {
-      await instance.pause();
-      await pause(forMs);
-      instance.resume();
-    }
-  },
+  [DuringSilence.Killed]: (instance, forMs) =>
+    killedFor([instance], { forMs, clockSkewMs: 0 }),
+  [DuringSilence.Paused]: pausedFor,
 };
 
 /**
@@ -221,12 +208,23 @@
 }
 
 async function killedFor(
-  { fault }: FaultScene,
   instances: readonly SoakInstance[],
+  { forMs, clockSkewMs }: Pick<PlannedFault, "forMs" | "clockSkewMs">,
 ): Promise<void> {
   await Promise.all(instances.map((instance) => instance.kill()));
-  await pause(fault.forMs);
-  await startAll(instances, fault.clockSkewMs);
+  await pause(forMs);
+  await startAll(instances, clockSkewMs);
+}
+
+async function pausedFor(
+  instance: SoakInstance,
+  forMs: number,
+): Promise<void> {
+  if (instance.runs) {
+    await instance.pause();
+    await pause(forMs);
+    instance.resume();
+  }
 }
 
 async function harmedFor(
@@ -240,24 +238,21 @@
   });
 }
 
-/** Notes the time of a fault of the store or the way there. */
-async function storeHarmed(
-  { storeHarmed }: SoakFleet,
-  play: () => Promise<void>,
+/** Notes the time of a fault of a target or its link. */
+function harmed(
+  { target }: FaultScene,
+  play: () => Promise<void> | void,
 ): Promise<void> {
-  const span = { fromMs: performance.now(), untilMs: Infinity };
-  storeHarmed.push(span);
-  await play();
-  span.untilMs = performance.now();
+  return noted(target.harmed, play);
 }
 
-/** Notes the time of a fault of a target or its link. */
-async function harmed(
-  { target }: FaultScene,
+/** Notes the time of a fault. */
+async function noted(
+  spans: Span[],
   play: () => Promise<void> | void,
 ): Promise<void> {
   const span = { fromMs: performance.now(), untilMs: Infinity };
-  target.harmed.push(span);
+  spans.push(span);
   await play();
   span.untilMs = performance.now();
 }
--- a/tests/soak_plan.ts
+++ b/tests/soak_plan.ts
@@ -1,9 +1,6 @@
 /** What happens in one seed of the soak: the fleet, its load and its faults. */
 
-import {
-  type Randomness,
-  seededRandomness,
-} from "@chestnuthatch/core/randomness";
+import { Draw } from "./soak_draw.ts";
 import { type PlannedSilence, planSilences } from "./soak_silence_plan.ts";
 import { type PlannedRollout, planRollout } from "./soak_rollout_plan.ts";
 import {
@@ -227,27 +224,6 @@
  */
 const NARROW_BYTES_PER_S = 1_500_000;
 
-/** Draws for one plan. */
-class Draw {
-  readonly #random: Randomness;
-
-  constructor(seed: number) {
-    this.#random = seededRandomness(seed);
-  }
-
-  between(least: number, below: number): number {
-    return Math.floor(least + (below - least) * this.#random.next());
-  }
-
-  isWithin(share: number): boolean {
-    return this.#random.next() < share;
-  }
-
-  oneOf<T>(all: readonly T[]): T {
-    return all[this.between(0, all.length)]!;
-  }
-}
-
 /**
  * Plans a seed.
  *
--- a/tests/soak_rollout_plan.ts
+++ b/tests/soak_rollout_plan.ts
@@ -1,7 +1,7 @@
 /** What roll-out a seed of the soak has. */
 
-import { seededRandomness } from "@chestnuthatch/core/randomness";
 import { TargetConduct } from "@chestnuthatch/platform/standin_target";
+import { Draw } from "./soak_draw.ts";
 
 /** A roll-out of the plain pool, at its time. */
 export interface PlannedRollout {
@@ -32,13 +32,11 @@
  * @returns The seed's roll-out.
  */
 export function planRollout(seed: number, lengthMs: number): PlannedRollout {
-  const random = seededRandomness(seed + SEED_OFFSET);
-  const between = (least: number, below: number) =>
-    Math.floor(least + (below - least) * random.next());
+  const draw = new Draw(seed + SEED_OFFSET);
   return {
-    atMs: between(0, EARLY_PART * lengthMs),
-    withinMs: between(SHORTEST_MS, LONGEST_MS),
-    conduct: CONDUCTS[between(0, CONDUCTS.length)]!,
-    turnsAfterMs: random.next() < LATE_SHARE ? between(0, SHORTEST_MS) : 0,
+    atMs: draw.between(0, EARLY_PART * lengthMs),
+    withinMs: draw.between(SHORTEST_MS, LONGEST_MS),
+    conduct: draw.oneOf(CONDUCTS),
+    turnsAfterMs: draw.isWithin(LATE_SHARE) ? draw.between(0, SHORTEST_MS) : 0,
   };
 }
--- a/tests/soak_signals_plan.ts
+++ b/tests/soak_signals_plan.ts
@@ -1,9 +1,6 @@
 /** Signals of targets in a seed of the soak. */
 
-import {
-  type Randomness,
-  seededRandomness,
-} from "@chestnuthatch/core/randomness";
+import { Draw } from "./soak_draw.ts";
 
 /** What a target signals in its answers. */
 export enum SoakSignal {
@@ -44,31 +41,29 @@
 /** Values have one decimal place. */
 const TENTHS = 10;
 
-type Draw = (least: number, below: number) => number;
-
 const PLANS: Readonly<
-  Record<SoakSignal, (between: Draw, lengthMs: number) => PlannedSignal>
+  Record<SoakSignal, (draw: Draw, lengthMs: number) => PlannedSignal>
 > = {
-  [SoakSignal.RateLimit]: (between, lengthMs) => ({
+  [SoakSignal.RateLimit]: (draw, lengthMs) => ({
     signal: SoakSignal.RateLimit,
-    atMs: between(0, EARLY_PART * lengthMs),
-    index: between(0, 1000),
-    value: between(0, HIGHEST_PER_S * TENTHS) / TENTHS,
+    atMs: draw.between(0, EARLY_PART * lengthMs),
+    index: draw.between(0, 1000),
+    value: draw.between(0, HIGHEST_PER_S * TENTHS) / TENTHS,
     forMs: Infinity,
   }),
-  [SoakSignal.Leaving]: (between, lengthMs) => ({
+  [SoakSignal.Leaving]: (draw, lengthMs) => ({
     signal: SoakSignal.Leaving,
-    atMs: between(0, MIDDLE_PART * lengthMs),
-    index: between(0, 1000),
+    atMs: draw.between(0, MIDDLE_PART * lengthMs),
+    index: draw.between(0, 1000),
     value: 1,
-    forMs: between(SHORTEST_MS, LONGEST_MS),
+    forMs: draw.between(SHORTEST_MS, LONGEST_MS),
   }),
-  [SoakSignal.Backoff]: (between, lengthMs) => ({
+  [SoakSignal.Backoff]: (draw, lengthMs) => ({
     signal: SoakSignal.Backoff,
-    atMs: between(0, MIDDLE_PART * lengthMs),
-    index: between(0, 1000),
-    value: between(TENTHS, LONGEST_BACKOFF_S * TENTHS + 1) / TENTHS,
-    forMs: between(SHORTEST_MS, LONGEST_MS),
+    atMs: draw.between(0, MIDDLE_PART * lengthMs),
+    index: draw.between(0, 1000),
+    value: draw.between(TENTHS, LONGEST_BACKOFF_S * TENTHS + 1) / TENTHS,
+    forMs: draw.between(SHORTEST_MS, LONGEST_MS),
   }),
 };
 
@@ -84,15 +79,11 @@
   signals: readonly SoakSignal[],
 ): PlannedSignal[] {
   return signals.flatMap((signal) => {
-    const between = drawOf(seededRandomness(seed + SEED_OFFSETS[signal]));
-    const count = between(1, MOST_TARGETS + 1);
+    const draw = new Draw(seed + SEED_OFFSETS[signal]);
+    const count = draw.between(1, MOST_TARGETS + 1);
     return Array.from(
       { length: count },
-      () => PLANS[signal](between, lengthMs),
+      () => PLANS[signal](draw, lengthMs),
     );
   });
 }
-
-function drawOf(random: Randomness): Draw {
-  return (least, below) => Math.floor(least + (below - least) * random.next());
-}
--- a/tests/soak_silence_plan.ts
+++ b/tests/soak_silence_plan.ts
@@ -1,6 +1,6 @@
 /** When connections to the store fall silent in a seed of the soak. */
 
-import { seededRandomness } from "@chestnuthatch/core/randomness";
+import { Draw } from "./soak_draw.ts";
 
 /** What happens to an instance during the silence. */
 export enum DuringSilence {
@@ -39,20 +39,18 @@
  * @returns The seed's silences.
  */
 export function planSilences(seed: number, lengthMs: number): PlannedSilence[] {
-  const random = seededRandomness(seed + SEED_OFFSET);
-  const between = (least: number, below: number) =>
-    Math.floor(least + (below - least) * random.next());
+  const draw = new Draw(seed + SEED_OFFSET);
   const kinds = Object.values(DuringSilence);
   const count = Math.ceil(lengthMs / MS_PER_S * SILENCES_PER_S);
   return Array.from({ length: count }, () => ({
-    atMs: between(0, lengthMs),
-    share: random.next() < ALL_SHARE ? 1 : random.next(),
+    atMs: draw.between(0, lengthMs),
+    share: draw.isWithin(ALL_SHARE) ? 1 : draw.share(),
     versionsAfterMs: Array.from(
-      { length: between(1, MOST_VERSIONS + 1) },
-      () => between(0, LONGEST_AFTER_MS),
+      { length: draw.between(1, MOST_VERSIONS + 1) },
+      () => draw.between(0, LONGEST_AFTER_MS),
     ),
-    during: kinds[between(0, kinds.length)]!,
-    index: between(0, 1000),
-    forMs: between(SHORTEST_MS, LONGEST_MS),
+    during: draw.oneOf(kinds),
+    index: draw.between(0, 1000),
+    forMs: draw.between(SHORTEST_MS, LONGEST_MS),
   }));
 }
