--- a/packages/gateway/src/configuration_keeper.ts
+++ b/packages/gateway/src/configuration_keeper.ts
@@ -5,13 +5,13 @@
 
 import { fleetConfigurationSchema } from "@chestnuthatch/routing/fleet_configuration_schema";
 import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
-import type { MemberNews } from "@chestnuthatch/routing/member_view";
 import { RouteTable } from "@chestnuthatch/routing/route_table";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Beat } from "./membership_keeper.ts";
-import { CatalogItem, catalogOf, fetchItem } from "./peer_catalog.ts";
+import { CatalogItem } from "./peer_catalog.ts";
+import { PeerFetch } from "./peer_fetch.ts";
 import type { Clock } from "./ports.ts";
 
 /** Pause before a peer is asked for the configuration again. */
@@ -53,13 +53,21 @@
 /** Takes in versions, and knows how current the one in force is. */
 export class ConfigurationKeeper {
   readonly #parts: ConfigurationParts;
+  readonly #fetch: PeerFetch<FleetConfiguration>;
   #isOld = false;
-  #isFetching = false;
-  #askedAtMs = -Infinity;
 
   /** @param parts What the keeper works with. */
   constructor(parts: ConfigurationParts) {
     this.#parts = parts;
+    this.#fetch = new PeerFetch(parts, {
+      item: CatalogItem.Configuration,
+      schema: fleetConfigurationSchema,
+      everyMs: RETRY_MS,
+      onFetched: (configuration, { instanceId: member }) => {
+        const source = ConfigurationSource.Peer;
+        this.#take(configuration, { source, member });
+      },
+    });
   }
 
   /** @param configuration A version, from the platform. */
@@ -89,18 +97,13 @@
   /** @param beat A heartbeat that tells which version its sender has. */
   heard(beat: Beat): void {
     const { board, clock } = this.#parts;
-    const nowMs = clock.nowMs();
     const version = board.routes?.configuration.version ?? 0;
     const { configurationVersion, configurationAgeMs } = beat;
     if (configurationAgeMs !== undefined && configurationVersion === version) {
-      board.configurationAge.confirm(nowMs, configurationAgeMs);
+      board.configurationAge.confirm(clock.nowMs(), configurationAgeMs);
     }
-    if (
-      configurationVersion > version && !this.#isFetching &&
-      nowMs - this.#askedAtMs >= RETRY_MS
-    ) {
-      this.#askedAtMs = nowMs;
-      void this.#fetch(beat.from);
+    if (configurationVersion > version) {
+      this.#fetch.ask(beat.from);
     }
   }
 
@@ -141,24 +144,6 @@
     return ageMs > configurationApplyMs();
   }
 
-  async #fetch(from: MemberNews): Promise<void> {
-    const { catalogPort, log } = this.#parts;
-    const member = from.instanceId;
-    const item = CatalogItem.Configuration;
-    this.#isFetching = true;
-    const address = catalogOf(from, catalogPort);
-    const fetched = await fetchItem(address, item, fleetConfigurationSchema);
-    this.#isFetching = false;
-    fetched.match(
-      (configuration) =>
-        this.#take(configuration, { source: ConfigurationSource.Peer, member }),
-      (reason) => {
-        const facts = { member, item, reason };
-        log.warn(LogPart.Members, "peer handed nothing over", facts);
-      },
-    );
-  }
-
   /**
    * A store that came back from an older copy has lost versions; their numbers
    * may be given out again. Only the store can tell which was written last.
--- a/packages/gateway/src/fleet_news.ts
+++ b/packages/gateway/src/fleet_news.ts
@@ -21,7 +21,8 @@
 } from "./configuration_keeper.ts";
 import { LogPart } from "./event_log.ts";
 import type { Beat } from "./membership_keeper.ts";
-import { CatalogItem, catalogOf, fetchItem } from "./peer_catalog.ts";
+import { CatalogItem } from "./peer_catalog.ts";
+import { PeerFetch } from "./peer_fetch.ts";
 import type { PlatformSink } from "./ports.ts";
 
 /**
@@ -67,10 +68,9 @@
 export class FleetNews implements PlatformSink {
   readonly #parts: NewsParts;
   readonly #configuration: ConfigurationKeeper;
+  readonly #targetsFetch: PeerFetch<TargetChange[]>;
   #reachesStore = false;
   #knowsTargets = false;
-  #fetchingTargets = false;
-  #targetsAskedAtMs = -Infinity;
   /** Newest version of targets that a heartbeat told of, and since when. */
   #toldVersion = 0;
   #toldAtMs = 0;
@@ -83,6 +83,15 @@
       ...parts,
       reachesStore: () => this.#reachesStore,
     });
+    this.#targetsFetch = new PeerFetch(parts, {
+      item: CatalogItem.Targets,
+      schema: targetChangesSchema,
+      everyMs: TARGETS_FROM_PEER_MS,
+      onFetched: (changes) => {
+        this.#knowsTargets = true;
+        this.targetsChanged(changes);
+      },
+    });
   }
 
   /** Whether the platform's store answers. */
@@ -318,20 +327,15 @@
       this.#parts.onRateLimits(beat.rateLimits);
     }
     const { board, clock } = this.#parts;
-    const nowMs = clock.nowMs();
     if (beat.targetsVersion > this.#toldVersion) {
       this.#toldVersion = beat.targetsVersion;
-      this.#toldAtMs = nowMs;
+      this.#toldAtMs = clock.nowMs();
     }
     this.#configuration.heard(beat);
-    const wantsTargets = !this.#reachesStore &&
-      beat.targetsVersion > board.targets.version;
     if (
-      wantsTargets && !this.#fetchingTargets &&
-      nowMs - this.#targetsAskedAtMs >= TARGETS_FROM_PEER_MS
+      !this.#reachesStore && beat.targetsVersion > board.targets.version
     ) {
-      this.#targetsAskedAtMs = nowMs;
-      void this.#fetchTargets(beat.from);
+      this.#targetsFetch.ask(beat.from);
     }
   }
 
@@ -347,22 +351,6 @@
     return this.#knowsTargets ? board.targets.all().map(changeOf) : undefined;
   }
 
-  async #fetchTargets(from: MemberNews): Promise<void> {
-    const { catalogPort, log } = this.#parts;
-    const item = CatalogItem.Targets;
-    this.#fetchingTargets = true;
-    const address = catalogOf(from, catalogPort);
-    const fetched = await fetchItem(address, item, targetChangesSchema);
-    this.#fetchingTargets = false;
-    fetched.match((changes) => {
-      this.#knowsTargets = true;
-      this.targetsChanged(changes);
-    }, (reason) => {
-      const facts = { member: from.instanceId, item, reason };
-      log.warn(LogPart.Members, "peer handed nothing over", facts);
-    });
-  }
-
   #believed(beliefs: readonly TargetBelief[]): void {
     const { board, log } = this.#parts;
     for (const { targetId, news, rowVersion } of beliefs) {
