Complete only versions that are sound; forgive fewer than half of the targets

What callers saw: a version two of whose three targets failed every request was called sound, promoted and completed.

Cause: failures of up to two targets were taken for the targets' own, however few the version has. Of three targets, two could fail all requests. Of the same class: - a promoted version was completed unless it was bad, also by a coordinator that had taken over and seen none of its answers; - with no answers of the old version, up to 0.6 of failures counted as sound; - good answers of targets that had left counted for those that remain; - what a version answered long ago outweighed what it answers now.

Change: fewer than half of the targets that answered, two at most, may be at fault by themselves. More than half of the targets, not three, are enough for a bad version. A version that is not sound is bad from its 25th failure on, half of what a bad version may fail. Completion needs a sound version, and a promotion without one is taken back after three times the time.

The test `failures at a target or two` asked for sound with two of four targets failing. Callers would be left with half of their requests failing, so it asks now for the verdict on one of three, one of four and two of five, and another test that two of four are not sound.

--- a/packages/routing/src/rollout_steps.ts
+++ b/packages/routing/src/rollout_steps.ts
@@ -50,7 +50,7 @@
     return mayPromote(input) ? RolloutPhase.Promoting : RolloutPhase.Canary;
   },
   [RolloutPhase.Promoting]: (input) => {
-    if (input.verdict === Verdict.Bad) {
+    if (input.verdict === Verdict.Bad || isGivenUp(input)) {
       return RolloutPhase.RollingBack;
     }
     return mayComplete(input)
@@ -70,11 +70,16 @@
     newSlots >= MIN_CAPACITY_PART * oldSlots && agePart >= PROMOTE_PART;
 }
 
-/** All old work is done, or there is no time left to wait for it. */
+/**
+ * Old targets stop on completion, which cannot be undone: the version has to be
+ * sound still, also for a coordinator that has seen none of its earlier answers.
+ * All old work is done by then, or there is no time left to wait for it.
+ */
 function mayComplete(
-  { agePart, phaseAgeMs, oldWork, reachesStore }: StepInput,
+  { agePart, phaseAgeMs, verdict, oldWork, reachesStore }: StepInput,
 ): boolean {
-  return reachesStore && phaseAgeMs >= MIN_PROMOTION_MS &&
+  return verdict === Verdict.Sound && reachesStore &&
+    phaseAgeMs >= MIN_PROMOTION_MS &&
     (oldWork === 0 || agePart >= FINISH_PART);
 }
 
--- a/packages/routing/src/rollouts.ts
+++ b/packages/routing/src/rollouts.ts
@@ -287,7 +287,7 @@
     const { order, phase: from } = rollout;
     const targets = this.#versioned(rollout, facts.usable);
     const verdict = rollout.evidence.verdict({
-      newTargets: targets.new.length,
+      newTargetIds: targets.new.map(({ targetId }) => targetId),
       isPromoted: from === RolloutPhase.Promoting,
     });
     const { nowMs, oldWork, reachesStore } = facts;
--- a/packages/routing/src/rollouts_test.ts
+++ b/packages/routing/src/rollouts_test.ts
@@ -51,6 +51,8 @@
   reachesStore = true;
   oldWork = 0;
   targets: readonly KnownTarget[] = BOTH;
+  /** Targets that fail each request. */
+  brokenIds: readonly string[] = [];
   exposed = 0;
   total = 0;
   #turn = 0;
@@ -90,7 +92,8 @@
     this.total++;
     const isNew = target.version === "v2";
     this.exposed += Number(isNew);
-    const failed = isNew && isBad;
+    const isBroken = this.brokenIds.includes(target.targetId);
+    const failed = isBroken || (isNew && isBad);
     const slowness = failed ? undefined : 1;
     this.rollouts.answered(target, { route: "r", failed, slowness });
   }
@@ -193,6 +196,40 @@
   assert.ok(canaries <= BOUND.share * first.total + BOUND.slack);
 });
 
+// Guards against completing a version most of whose targets fail all requests.
+test("a version two of whose three targets fail is taken back", () => {
+  const pool = poolWith();
+  pool.targets = [...targetsOf("v1", 3), ...targetsOf("v2", 3)];
+  pool.brokenIds = ["v2-0", "v2-1"];
+  assert.equal(pool.run(WITHIN_MS), [
+    RolloutPhase.Canary,
+    RolloutPhase.RollingBack,
+  ]);
+});
+
+// Guards against taking a sound version back for a single broken target.
+test("a version one of whose three targets fails is completed in time", () => {
+  const pool = poolWith();
+  pool.targets = [...targetsOf("v1", 3), ...targetsOf("v2", 3)];
+  pool.brokenIds = ["v2-1"];
+  pool.run(WITHIN_MS);
+  assert.is(pool.phase, RolloutPhase.Completing);
+});
+
+// Guards against completing what the coordinator has seen no good answers of.
+test("a successor completes a promoted version once it has seen it serve", () => {
+  const pool = poolWith(orderOf({ phase: RolloutPhase.Promoting }));
+  assert.equal(pool.run(WITHIN_MS, { perStep: 0 }), []);
+  assert.equal(pool.run(2 * STEP_MS), [RolloutPhase.Completing]);
+});
+
+// Guards against a promotion without an end.
+test("a promoted version that nobody asks for is taken back after all", () => {
+  const pool = poolWith(orderOf({ phase: RolloutPhase.Promoting }));
+  const phases = pool.run(3 * WITHIN_MS, { perStep: 0 });
+  assert.equal(phases, [RolloutPhase.RollingBack]);
+});
+
 test("an order that is taken back ends the roll-out; a completed one stays", () => {
   const pool = poolWith();
   pool.run(1000);
--- a/packages/routing/src/version_evidence.ts
+++ b/packages/routing/src/version_evidence.ts
@@ -41,8 +41,8 @@
 
 /** What the verdict has to do with. */
 export interface VerdictScope {
-  /** Targets that the new version has. */
-  readonly newTargets: number;
+  /** Targets of the new version that may get requests now. */
+  readonly newTargetIds: readonly string[];
   /**
    * Whether all work goes to the new version by now: its times are those of
    * another load than the old one's were.
@@ -54,12 +54,19 @@
 const MIN_SOUND_ANSWERS = 20;
 
 /**
- * Targets whose failures may be their own. The answers of the others have to be
- * so many and as good as the old version's for the new one to be called sound.
+ * Targets whose failures may be their own, fewer than half in any case. The
+ * answers of the others have to be so many and as good as the old version's for
+ * the new one to be called sound.
  */
 const MOST_FAULTY_TARGETS = 2;
 const MIN_OTHER_ANSWERS = 10;
 
+/**
+ * Failures after which a version is bad that is not sound, however few of its
+ * targets they come from: waiting on would only fail more requests.
+ */
+const MOST_UNDECIDED_FAILURES = 25;
+
 /** Answers of the new version before it may be called bad. */
 const MIN_BAD_ANSWERS = 8;
 
@@ -69,14 +76,17 @@
 /** Part by which the rate of failures has to be higher, beyond chance. */
 const FAILURES_MARGIN = 0.1;
 
-/** Part of its targets that have to fail more often, and the least number. */
+/**
+ * Part of its targets that have to fail more often, and the least number where
+ * more than half of the version's targets are not fewer.
+ */
 const MIN_FAILING_PART = 0.5;
 const MIN_FAILING_TARGETS = 3;
 
 /** Answers of one target in a scope for it to be counted there. */
 const MIN_TARGET_ANSWERS = 3;
 
-/** Rate of failures that counts as usual where nothing is there to compare. */
+/** Rate of failures that a bad version exceeds where there is no old one's. */
 const UNKNOWN_RATE = 0.5;
 
 /** Part by which the rate of answers that are slow for their target is higher. */
@@ -185,26 +195,30 @@
 type Comparison = (
   canary: Side,
   baseline: Side,
-  newTargets: number,
+  newTargetIds: readonly string[],
 ) => string | undefined;
 
 const FAILURE_COMPARISONS: readonly Comparison[] = [
-  (canary, baseline, newTargets) =>
-    failsMore(canary.all, baseline.all, newTargets) ? "failures" : undefined,
-  (canary, baseline, newTargets) =>
-    failsMore(canary.latest(), baseline.all, newTargets)
+  (canary, baseline, { length }) =>
+    failsMore(canary.all, baseline.all, length) ? "failures" : undefined,
+  (canary, baseline, { length }) =>
+    failsMore(canary.latest(), baseline.all, length)
       ? "failures lately"
       : undefined,
-  (canary, baseline, newTargets) => {
+  (canary, baseline, { length }) => {
     const worse = [...canary.byRoute].find(([route, tally]) =>
       failsMore(
         tally,
         baseline.byRoute.get(route) ?? new ScopeTally(),
-        newTargets,
+        length,
       )
     );
     return worse && `failures on ${worse[0]}`;
   },
+  (canary, baseline, newTargetIds) =>
+    failsTooOften(canary.all, baseline.all, newTargetIds)
+      ? "failures of too many targets"
+      : undefined,
 ];
 
 const TIME_COMPARISONS: readonly Comparison[] = [
@@ -212,7 +226,7 @@
     isRateHigher(canary.stalls(), baseline.stalls(), STALLS_MARGIN)
       ? "stalls"
       : undefined,
-  (canary, baseline, newTargets) => {
+  (canary, baseline, { length: newTargets }) => {
     return isVersionSlower(canary, baseline, {
         newTargets,
         factor: SLOW_FACTOR,
@@ -229,7 +243,7 @@
 ];
 
 const PROMOTED_COMPARISONS: readonly Comparison[] = [
-  (canary, baseline, newTargets) => {
+  (canary, baseline, { length: newTargets }) => {
     const factor = PROMOTED_SLOW_FACTOR;
     return isVersionSlower(canary, baseline, { newTargets, factor })
       ? "slow under all of the load"
@@ -251,7 +265,7 @@
    * @param scope What it has to do with.
    * @returns What the answers say by now.
    */
-  verdict({ newTargets, isPromoted }: VerdictScope): VerdictFacts {
+  verdict({ newTargetIds, isPromoted }: VerdictScope): VerdictFacts {
     const canary = this.#canary;
     const baseline = this.#baseline;
     const { answers, failures } = canary.all.total;
@@ -260,9 +274,9 @@
       ...(isPromoted ? PROMOTED_COMPARISONS : TIME_COMPARISONS),
     ];
     const reason = comparisons
-      .map((compare) => compare(canary, baseline, newTargets))
+      .map((compare) => compare(canary, baseline, newTargetIds))
       .find((found) => found !== undefined);
-    const unlessBad = isSound(canary.all, baseline.all, newTargets)
+    const unlessBad = isSound(canary, baseline.all, newTargetIds)
       ? Verdict.Sound
       : Verdict.TooFew;
     return {
@@ -278,25 +292,47 @@
 
 /** Whether enough of its targets answer as well as the old version's. */
 function isSound(
+  canary: Side,
+  baseline: ScopeTally,
+  newTargetIds: readonly string[],
+): boolean {
+  const others = withoutFaultyTargets(canary.all, newTargetIds);
+  const latest = withoutFaultyTargets(canary.latest(), newTargetIds);
+  return canary.all.total.answers >= MIN_SOUND_ANSWERS &&
+    others.answers >= MIN_OTHER_ANSWERS &&
+    [others, latest].every((tally) => isAsGood(tally, baseline.total));
+}
+
+/**
+ * Whether it fails so much more often that it should not be tried any longer,
+ * though most of its targets may be sound.
+ */
+function failsTooOften(
   canary: ScopeTally,
   baseline: ScopeTally,
-  newTargets: number,
+  newTargetIds: readonly string[],
 ): boolean {
-  const byFailures = [...canary.byTarget.values()]
+  const others = withoutFaultyTargets(canary, newTargetIds);
+  return canary.total.failures >= MOST_UNDECIDED_FAILURES &&
+    isRateHigher(canary.total, baseline.total, FAILURES_MARGIN) &&
+    !isAsGood(others, baseline.total);
+}
+
+/** Answers of the version's targets, less those whose failures may be their own. */
+function withoutFaultyTargets(
+  scope: ScopeTally,
+  newTargetIds: readonly string[],
+): Tally {
+  const tallies = newTargetIds.flatMap((id) => scope.byTarget.get(id) ?? [])
     .sort((a, b) => b.failures - a.failures);
-  const mayBeFaulty = newTargets > MOST_FAULTY_TARGETS
-    ? MOST_FAULTY_TARGETS
-    : 0;
-  const others = byFailures.slice(mayBeFaulty).reduce(
-    (sum, { answers, failures }) => ({
-      answers: sum.answers + answers,
-      failures: sum.failures + failures,
-    }),
-    emptyTally(),
-  );
-  return canary.total.answers >= MIN_SOUND_ANSWERS &&
-    others.answers >= MIN_OTHER_ANSWERS &&
-    rateOf(others) <= rateOf(baseline.total) + FAILURES_MARGIN;
+  const fewerThanHalf = Math.max(0, Math.ceil(tallies.length / 2) - 1);
+  return sumOf(tallies.slice(Math.min(MOST_FAULTY_TARGETS, fewerThanHalf)));
+}
+
+/** Too few answers of the old version don't excuse failures of the new one. */
+function isAsGood({ answers, failures }: Tally, baseline: Tally): boolean {
+  const usualRate = baseline.answers < MIN_BAD_ANSWERS ? 0 : rateOf(baseline);
+  return failures <= (usualRate + FAILURES_MARGIN) * answers;
 }
 
 /** Whether the version fails more often, and not only some of its targets. */
@@ -312,7 +348,8 @@
   const counted = [...canary.byTarget.values()]
     .filter(({ answers }) => answers >= MIN_TARGET_ANSWERS);
   const failing = counted.filter((tally) => rateOf(tally) > limit);
-  return failing.length >= Math.min(newTargets, MIN_FAILING_TARGETS) &&
+  const moreThanHalf = Math.floor(newTargets / 2) + 1;
+  return failing.length >= Math.min(moreThanHalf, MIN_FAILING_TARGETS) &&
     failing.length >= MIN_FAILING_PART * counted.length;
 }
 
@@ -392,6 +429,15 @@
   return { lower: at(0.25), median: at(0.5) };
 }
 
+function sumOf(tallies: readonly Tally[]): Tally {
+  const sum = emptyTally();
+  for (const { answers, failures } of tallies) {
+    sum.answers += answers;
+    sum.failures += failures;
+  }
+  return sum;
+}
+
 function emptyTally(): Tally {
   return { answers: 0, failures: 0 };
 }
--- a/packages/routing/src/version_evidence_test.ts
+++ b/packages/routing/src/version_evidence_test.ts
@@ -35,11 +35,42 @@
   readonly baseline?: Ailment;
 }
 
+function idsOf(targets: number): string[] {
+  return Array.from({ length: targets }, (_, index) => `new-${index}`);
+}
+
+/** Answers of a version, of which all from its first targets fail. */
+function verdictWith(
+  { targets, failing, staying = targets, baselineAnswers = 100 }: {
+    targets: number;
+    failing: number;
+    /** How many of the targets have not left by the time of the verdict. */
+    staying?: number;
+    baselineAnswers?: number;
+  },
+  answersOfEach: number,
+): Verdict {
+  const evidence = new VersionEvidence();
+  for (let answer = 0; answer < baselineAnswers; answer++) {
+    const targetId = `old-${answer % targets}`;
+    evidence.add({ isCanary: false, targetId, route: "plan", failed: false });
+  }
+  for (let answer = 0; answer < answersOfEach; answer++) {
+    idsOf(targets).forEach((targetId, index) => {
+      const failed = index < failing;
+      evidence.add({ isCanary: true, targetId, route: "plan", failed });
+    });
+  }
+  const newTargetIds = idsOf(targets).slice(0, staying);
+  return evidence.verdict({ newTargetIds, isPromoted: false }).verdict;
+}
+
 /** Canary answers until the version was told bad; undefined where it was not. */
 function toldBadAfter(seed: number, trial: Trial): number | undefined {
   const random = seededRandomness(seed);
   const evidence = new VersionEvidence();
-  const scope = { newTargets: TARGETS, isPromoted: false };
+  const newTargetIds = idsOf(TARGETS);
+  const scope = { newTargetIds, isPromoted: false };
   const add = (isCanary: boolean, index: number, canaryAnswers: number) => {
     const ailment = (isCanary ? trial.canary : trial.baseline) ?? {};
     const route = ROUTES[Math.floor(random.next() * ROUTES.length)]!;
@@ -121,23 +152,66 @@
   assertBad({ canary: { slow: 1, route: "plan" } }, 120);
 });
 
-test("failures at a target or two leave the verdict to the other targets", () => {
+test("failures at fewer than half of the targets leave the verdict to the others", () => {
+  assert.is(verdictWith({ targets: 3, failing: 1 }, 12), Verdict.Sound);
+  assert.is(verdictWith({ targets: 4, failing: 1 }, 12), Verdict.Sound);
+  assert.is(verdictWith({ targets: 5, failing: 2 }, 12), Verdict.Sound);
+  assert.is(verdictWith({ targets: 40, failing: 2 }, 12), Verdict.Sound);
+});
+
+// Guards against completing a version most of whose targets fail all requests.
+test("a version of three targets is bad where two of them fail", () => {
+  assert.is(verdictWith({ targets: 3, failing: 2 }, 12), Verdict.Bad);
+  assert.is(verdictWith({ targets: 3, failing: 3 }, 12), Verdict.Bad);
+  assert.is(verdictWith({ targets: 4, failing: 3 }, 12), Verdict.Bad);
+  assert.is(verdictWith({ targets: 5, failing: 3 }, 12), Verdict.Bad);
+});
+
+// Guards against promoting a version half of whose targets fail all requests.
+test("a version is not sound where half of its targets fail", () => {
+  assert.is(verdictWith({ targets: 2, failing: 1 }, 12), Verdict.TooFew);
+  assert.is(verdictWith({ targets: 4, failing: 2 }, 12), Verdict.TooFew);
+});
+
+// Guards against trying a version on and on while the verdict stays open.
+test("a version that is not sound becomes bad with its failures", () => {
+  assert.is(verdictWith({ targets: 2, failing: 1 }, 25), Verdict.Bad);
+  assert.is(verdictWith({ targets: 4, failing: 2 }, 13), Verdict.Bad);
+  assert.is(verdictWith({ targets: 16, failing: 6 }, 5), Verdict.Bad);
+});
+
+// Guards against calling a version sound by answers of targets that have left.
+test("good answers of targets that left don't make a version sound", () => {
+  const verdict = verdictWith({ targets: 3, failing: 1, staying: 1 }, 12);
+  assert.is(verdict, Verdict.TooFew);
+});
+
+// Guards against completing a failing version after a change of coordinator.
+test("failures count where answers of the old version are missing", () => {
+  const trial = { targets: 8, failing: 3, baselineAnswers: 0 };
+  assert.is(verdictWith(trial, 6), Verdict.TooFew);
+  assert.is(verdictWith({ ...trial, failing: 0 }, 6), Verdict.Sound);
+});
+
+// Guards against calling a version sound by what it answered long ago.
+test("a version is not sound while half of its targets fail lately", () => {
   const evidence = new VersionEvidence();
-  const scope = { newTargets: 4, isPromoted: false };
-  const add = (targetId: string, failed: boolean) => {
-    for (let i = 0; i < 12; i++) {
-      const answer = { targetId, route: "plan", failed };
-      evidence.add({ ...answer, isCanary: true, slowness: 1 });
-      const old = { isCanary: false, targetId: "old", route: "plan" };
-      evidence.add({ ...old, failed: false, slowness: 1 });
+  const newTargetIds = idsOf(4);
+  const addAll = (rounds: number, isFailing: (index: number) => boolean) => {
+    for (let round = 0; round < rounds; round++) {
+      newTargetIds.forEach((targetId, index) => {
+        const failed = isFailing(index);
+        evidence.add({ isCanary: true, targetId, route: "plan", failed });
+        const old = { isCanary: false, targetId: `old-${index}` };
+        evidence.add({ ...old, route: "plan", failed: false });
+      });
     }
   };
-  add("new-1", true);
-  add("new-2", true);
-  assert.is(evidence.verdict(scope).verdict, Verdict.TooFew);
-  add("new-3", false);
-  add("new-4", false);
+  addAll(100, () => false);
+  const scope = { newTargetIds, isPromoted: true };
   assert.is(evidence.verdict(scope).verdict, Verdict.Sound);
+  addAll(8, (index) => index < 2);
+  assert.is(evidence.verdict(scope).verdict, Verdict.TooFew);
 });
 
 test("few answers say nothing", () => {
@@ -146,7 +220,8 @@
     const answer = { isCanary: true, targetId: `t${i}`, route: "plan" };
     evidence.add({ ...answer, failed: true });
   }
-  const scope = { newTargets: 5, isPromoted: false };
+  const newTargetIds = Array.from({ length: 5 }, (_, i) => `t${i}`);
+  const scope = { newTargetIds, isPromoted: false };
   assert.is(evidence.verdict(scope).verdict, Verdict.TooFew);
 });
 
--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -28,6 +28,14 @@
   signals: [SoakSignal.Leaving, SoakSignal.Backoff],
 };
 
+/** A version there failed at most of its targets, and was completed. */
+const FAILING_VERSION_SEED = 3014;
+const FAILING_VERSION_OPTIONS = {
+  ...SIGNAL_OPTIONS,
+  rollout: true,
+  silences: true,
+};
+
 /** Enough for one of their stops. */
 const ONE_STOP = { lengthMs: 2000 };
 
@@ -63,6 +71,10 @@
 test(`soak: seed ${SIGNAL_SEED} respects leaving targets and back-off`, () =>
   playWell(SIGNAL_SEED, SIGNAL_OPTIONS));
 
+// Guards against completing a version most of whose targets fail.
+test(`soak: seed ${FAILING_VERSION_SEED} completes no version that fails`, () =>
+  playWell(FAILING_VERSION_SEED, FAILING_VERSION_OPTIONS));
+
 test("a plan is the same for the same seed", () => {
   assert.equal(planSoak(7, OPTIONS), planSoak(7, OPTIONS));
   assert.not.equal(planSoak(7, OPTIONS), planSoak(8, OPTIONS));
