Soak: a pool left without a version in use refuses at once, truthfully

It is as strict now for the state that it meets: where a pool has a target that may get requests, calls are served again, as before; where it has none, each instance refuses them within 250 ms, with `Retry-After`, and none reaches a target. The plan stays as it was: operators can take the last target away.

A test shows what was asked besides: where the last old target leaves while a sound version is on trial, that version serves alone and is completed in time.

--- a/packages/routing/src/rollouts_test.ts
+++ b/packages/routing/src/rollouts_test.ts
@@ -216,6 +216,17 @@
   assert.is(pool.phase, RolloutPhase.Completing);
 });
 
+// Guards against refusing requests that a sound version on trial could serve.
+test("a sound version on trial serves alone where the old one's targets left", () => {
+  const pool = poolWith();
+  pool.run(WITHIN_MS / 4);
+  pool.targets = NEW;
+  const { serving } = pool.rollouts.split("p", pool.targets, pool.nowMs);
+  assert.equal(serving, NEW);
+  pool.run(WITHIN_MS * 3 / 4);
+  assert.is(pool.phase, RolloutPhase.Completing);
+});
+
 // Guards against completing what the coordinator has seen no good answers of.
 test("a successor completes a promoted version once it has seen it serve", () => {
   const pool = poolWith(orderOf({ phase: RolloutPhase.Promoting }));
--- a/tests/soak_fleet.ts
+++ b/tests/soak_fleet.ts
@@ -29,6 +29,8 @@
   readonly version: string;
   /** When the list said that it is leaving. */
   leavingAtMs?: number;
+  /** Whether its version must not get any more requests. */
+  isRolledBack?: boolean;
 }
 
 /** What versions of the configuration allowed so far. */
@@ -173,6 +175,18 @@
     return others.length > 0 && target.leavingAtMs === undefined;
   }
 
+  /**
+   * @param pool A pool.
+   * @returns Whether it has a target that may get requests.
+   */
+  hasUsable(pool: string): boolean {
+    return this.targets.some((target) =>
+      target.pool === pool && target.leavingAtMs === undefined &&
+      !(LEAVING_HEADER in target.target.signals) &&
+      target.isRolledBack !== true
+    );
+  }
+
   /** @returns Once every process and stand-in has ended. */
   async end(): Promise<void> {
     await Promise.all(this.instances.map((instance) => instance.end()));
--- a/tests/soak_rollout.ts
+++ b/tests/soak_rollout.ts
@@ -101,6 +101,7 @@
   #entered(state: string): void {
     if (state === ROLLED_BACK) {
       this.#endedAtMs = performance.now();
+      this.#targets.forEach((target) => target.isRolledBack = true);
     }
     if (state === COMPLETED) {
       this.#fleet.stopOthers(DESK_POOL, this.#targets);
--- a/tests/soak_signals.ts
+++ b/tests/soak_signals.ts
@@ -84,6 +84,8 @@
       fleet.retire(chosen);
     }
   },
+  // It serves well afterwards, also where it is of a failing version: the other
+  // targets of that version are then to be judged without it.
   [SoakSignal.Backoff]: async ({ chosen: { target }, forMs, send }) => {
     send();
     target.conduct = TargetConduct.Reject;
