Soak: the store runs in a process of its own; late versions name the loop's delay

Hypotheses: the instances hear late (the product), or the store answers late, as it shares the soak's process with all callers, relays and targets. The logs have calls to the store unanswered for 1 s on new connections, on all instances at once, and the delay of the soak's own loop, now printed beside each late version, was 211 to 385 ms a turn: accepting, connecting on, reading and answering take a turn each.

The store and the link to it are a process now. The check, its bound and the plan stay as they were; a version counts from when the soak hands it to the store, which is a little earlier than before.

--- a/tests/soak_faults.ts
+++ b/tests/soak_faults.ts
@@ -1,7 +1,6 @@
 /** How each fault of the soak begins and ends. */
 
 import { setTimeout as pause } from "node:timers/promises";
-import { StoreMode } from "@chestnuthatch/platform/standin_store";
 import { TargetConduct } from "@chestnuthatch/platform/standin_target";
 import { type SoakFleet, type SoakTarget, startAll } from "./soak_fleet.ts";
 import type { SoakInstance, Span } from "./soak_instance.ts";
@@ -91,31 +90,31 @@
     await Promise.resolve(fleet.retire(target));
   },
   [SoakFault.StoreLinkReset]: async ({ fleet }) => {
-    await Promise.resolve(fleet.storeRelay.reset());
+    await fleet.store.resetLink();
   },
   [SoakFault.StoreLinkCut]: async ({ fleet, fault }) => {
     await noted(fleet.storeHarmed, async () => {
-      await fleet.storeRelay.cut();
+      await fleet.store.cutLink();
       await pause(fault.forMs);
-      await fleet.storeRelay.heal();
+      await fleet.store.healLink();
     });
   },
   [SoakFault.StoreLinkSilent]: async ({ fleet, fault }) => {
     await noted(fleet.storeHarmed, async () => {
-      fleet.storeRelay.freeze();
+      await fleet.store.freezeLink();
       await pause(fault.forMs);
-      await fleet.storeRelay.heal();
+      await fleet.store.healLink();
     });
   },
   [SoakFault.StoreBusy]: async ({ fleet, fault }) => {
     await noted(fleet.storeHarmed, async () => {
-      fleet.store.mode = StoreMode.Busy;
+      await fleet.store.rejectCalls();
       await pause(fault.forMs);
-      fleet.store.mode = StoreMode.Well;
+      await fleet.store.serveCalls();
     });
   },
   [SoakFault.StoreForgets]: async ({ fleet }) => {
-    await Promise.resolve(fleet.store.forgetHistory());
+    await fleet.store.forgetHistory();
   },
   [SoakFault.ConfigurationChanged]: async ({ fleet, fault }) => {
     await Promise.resolve(fleet.change(fault.change));
@@ -182,7 +181,7 @@
 ): Promise<void> {
   const { atMs, share, versionsAfterMs, during, index, forMs } = silence;
   await pause(atMs);
-  fleet.storeRelay.silence(share);
+  await fleet.store.silenceLink(share);
   const versions = versionsAfterMs.map(async (afterMs) => {
     await pause(afterMs);
     fleet.configure();
--- a/tests/soak_fleet.ts
+++ b/tests/soak_fleet.ts
@@ -12,11 +12,11 @@
   ROUTES,
   targetRow,
 } from "@chestnuthatch/platform/standin_fleet";
-import { StandinStore } from "@chestnuthatch/platform/standin_store";
 import { StandinTarget } from "@chestnuthatch/platform/standin_target";
 import { LinkRelay } from "./link_relay.ts";
 import { SoakInstance, type Span } from "./soak_instance.ts";
 import type { ConfigurationChange, SoakPlan } from "./soak_plan.ts";
+import { SoakStore } from "./soak_store.ts";
 import { waitFor } from "./wait_for.ts";
 
 /** A target behind its relay. */
@@ -73,7 +73,6 @@
 
 /** Starts all parts, and ends them. */
 export class SoakFleet {
-  readonly store = new StandinStore();
   readonly targets: SoakTarget[] = [];
   readonly instances: SoakInstance[] = [];
   /** Narrow links to the instances, in their order. */
@@ -85,14 +84,14 @@
   };
   /** Times at which the store, or the way there, was at fault. */
   readonly storeHarmed: Span[] = [];
-  /** Called with each version as the store has it. */
+  /** Called with each version, before the store has it. */
   onVersion: (version: number) => void = () => {};
-  #storeRelay?: LinkRelay;
+  #store?: SoakStore;
   #version = 0;
 
-  /** The link between the instances and the store. */
-  get storeRelay(): LinkRelay {
-    return this.#storeRelay!;
+  /** The platform's store. */
+  get store(): SoakStore {
+    return this.#store!;
   }
 
   /**
@@ -100,15 +99,14 @@
    * @returns Once all instances are ready.
    */
   async start(size: FleetSize): Promise<void> {
-    await this.store.open("127.0.0.1");
-    this.#storeRelay = await LinkRelay.start(this.store.address);
+    this.#store = await SoakStore.start();
     for (let index = 0; index < size.engines + size.desks; index++) {
       const pool = index < size.engines ? ENGINE_POOL : DESK_POOL;
       await this.#addTarget(`target-${index}`, pool);
     }
     this.configure();
     const ports = await freePorts(PORTS);
-    const storeAddress = this.storeRelay.address;
+    const storeAddress = this.store.address;
     for (let index = 0; index < size.instances; index++) {
       const writeBytesPerS = size.writeBytesPerS?.[index] ?? Infinity;
       const options = { index, ports, storeAddress, writeBytesPerS };
@@ -139,7 +137,7 @@
     this.#version++;
     const content = { ...configurationOf(this.#version), ...over };
     const routes = [...content.routes, ...markerRoutes(this.#version)];
-    this.store.put("op", "config", { ...content, routes });
+    void this.store.put("op", "config", { ...content, routes });
     this.onVersion(this.#version);
     return this.#version;
   }
@@ -195,8 +193,7 @@
       await relay.stop();
       target.close();
     }
-    await this.#storeRelay?.stop();
-    this.store.close();
+    await this.#store?.end();
   }
 
   /**
@@ -229,7 +226,7 @@
         const fromMs = performance.now();
         stopped.harmed.push({ fromMs, untilMs: Infinity });
         stopped.leavingAtMs ??= fromMs;
-        this.store.put("servers", stopped.target.id);
+        void this.store.put("servers", stopped.target.id);
         stopped.target.close();
       }
     }
@@ -261,7 +258,7 @@
   #list(listed: SoakTarget): void {
     const { target, pool, relay, leavingAtMs, version } = listed;
     const index = this.targets.indexOf(listed);
-    this.store.put(
+    void this.store.put(
       "servers",
       target.id,
       targetRow({
--- a/tests/soak_rollout.ts
+++ b/tests/soak_rollout.ts
@@ -48,11 +48,12 @@
     this.#orderedAtMs = performance.now();
     const order = { service: DESK_POOL, to: VERSION };
     const stepS = withinMs / MS_PER_S;
-    this.#fleet.store.put("op", `rollout/${DESK_POOL}`, { ...order, stepS });
+    const key = `rollout/${DESK_POOL}`;
+    await this.#fleet.store.put("op", key, { ...order, stepS });
     this.#targets = await this.#fleet.startVersion(DESK_POOL, VERSION);
     const turn = pause(turnsAfterMs).then(() => this.#turnInto(conduct));
     while (performance.now() - this.#orderedAtMs < withinMs + HEARD_MS) {
-      this.#look();
+      await this.#look();
       await pause(LOOK_MS);
     }
     await turn;
@@ -85,8 +86,9 @@
     }
   }
 
-  #look(): void {
-    const row = this.#fleet.store.contentOf("status", `rollout/${DESK_POOL}`);
+  async #look(): Promise<void> {
+    const key = `rollout/${DESK_POOL}`;
+    const row = await this.#fleet.store.contentOf("status", key);
     const { state } = (row ?? {}) as { state?: string };
     if (state !== undefined && state !== this.#states.at(-1)) {
       this.#states.push(state);
--- /dev/null
+++ b/tests/soak_store_main.ts
@@ -0,0 +1,66 @@
+/** The store of a soak, and the link to it, in a process of their own. */
+
+import process from "node:process";
+import { StandinStore } from "@chestnuthatch/platform/standin_store";
+import { LinkRelay } from "./link_relay.ts";
+import {
+  type StoreCommand,
+  type StoreCommandArguments,
+  StoreCommandKind,
+  type StoreReply,
+} from "./soak_store_commands.ts";
+
+/** What commands act on. */
+interface Scene {
+  readonly store: StandinStore;
+  readonly link: LinkRelay;
+}
+
+type Handlers = {
+  readonly [K in StoreCommandKind]: (
+    scene: Scene,
+    options: StoreCommandArguments[K],
+  ) => unknown;
+};
+
+const HANDLERS: Handlers = {
+  [StoreCommandKind.Put]: ({ store }, { table, key, content }) =>
+    store.put(table, key, content),
+  [StoreCommandKind.ContentOf]: ({ store }, { table, key }) =>
+    store.contentOf(table, key),
+  [StoreCommandKind.SetMode]: ({ store }, { mode }) => {
+    store.mode = mode;
+  },
+  [StoreCommandKind.ForgetHistory]: ({ store }) => store.forgetHistory(),
+  [StoreCommandKind.ResetLink]: ({ link }) => link.reset(),
+  [StoreCommandKind.CutLink]: ({ link }) => link.cut(),
+  [StoreCommandKind.FreezeLink]: ({ link }) => link.freeze(),
+  [StoreCommandKind.HealLink]: ({ link }) => link.heal(),
+  [StoreCommandKind.SilenceLink]: ({ link }, { share }) => link.silence(share),
+};
+
+async function main(): Promise<void> {
+  const store = new StandinStore();
+  await store.open("127.0.0.1");
+  const link = await LinkRelay.start(store.address);
+  let last = Promise.resolve();
+  process.on("message", (command: StoreCommand) => {
+    last = last.then(() => carryOut({ store, link }, command));
+  });
+  process.on("disconnect", () => process.exit());
+  reply({ address: link.address });
+}
+
+async function carryOut(
+  scene: Scene,
+  { id, kind, with: options }: StoreCommand,
+): Promise<void> {
+  const handler = HANDLERS[kind] as (scene: Scene, options: unknown) => unknown;
+  reply({ id, result: await handler(scene, options) });
+}
+
+function reply(message: StoreReply): void {
+  process.send?.(message);
+}
+
+await main();
--- a/tests/soak_versions.ts
+++ b/tests/soak_versions.ts
@@ -3,6 +3,7 @@
 import { Agent, get } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
 import { HOST } from "@chestnuthatch/platform/standin_fleet";
+import { LoopDelay } from "./loop_delay.ts";
 import type { BrokenPromise } from "./soak_checks.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 import type { SoakInstance, Span } from "./soak_instance.ts";
@@ -28,6 +29,7 @@
 export class SoakVersions {
   readonly #fleet: SoakFleet;
   readonly #agent = new Agent({ keepAlive: true });
+  readonly #loopDelay = new LoopDelay();
   readonly #broken: BrokenPromise[] = [];
   readonly #watches: Promise<unknown>[] = [];
   /** Instances that are asked for a version now, counted for each version. */
@@ -58,6 +60,7 @@
   /** Ends all watches. */
   close(): void {
     this.#isOver = true;
+    this.#loopDelay.close();
     this.#agent.destroy();
   }
 
@@ -76,9 +79,10 @@
       const lateMs = sentAtMs - confirmedAtMs;
       const isLate = status !== undefined && lateMs > APPLY_MS;
       if (isLate && !this.#isDisturbed(instance, sentAtMs)) {
+        const loopMs = this.#loopDelay.worstSinceMs(confirmedAtMs);
         const detail =
-          `version ${version} not known ${Math.round(lateMs)} ms ` +
-          "after it was confirmed";
+          `version ${version} not known ${Math.round(lateMs)} ms after ` +
+          `it was confirmed; this process's loop was up to ${loopMs} ms late`;
         const instanceId = instance.id;
         this.#broken.push({
           promise: PROMISE,
