Refuse slow readers while stopping whose answers would outlast the process

Cause: whether a request is taken while stopping depended on the time since the signal alone. The traces: sent 1.0 and 1.5 s after the signal, within the time in which requests are taken; 3.0 and 3.5 s later 600 KB still waited for a caller that reads at 0.6 MB a second. A third of the grace time leaves 2.8 s, which is no bound on how long a caller reads.

Change: a connection knows the longest time that an answer on it took, of those that had to wait for its caller. While the instance stops, a request on it is refused at once, to be sent elsewhere, if 1.5 times that is more than what is left until requests are broken off. Callers that read at once aren't affected.

Evidence: the new test lets an answer wait for 7 s of 10 s of grace; on the code before, the next request is passed on (waited in vain for the refusal).

The first request of a connection may still be one that its caller reads too slowly: nothing is known of it then.

--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -2,6 +2,7 @@
 
 import type { Socket } from "node:net";
 import type { OwedAnswer } from "./owed_answer.ts";
+import type { Clock } from "./ports.ts";
 
 /** What ended a connection. The first cause seen counts. */
 export enum ConnectionEnd {
@@ -49,13 +50,19 @@
   #requestsRead = 0;
   /** Bytes that had been read when its last answer was written out. */
   #idleAtBytes?: number;
+  readonly #clock: Clock;
+  #slowestAnswerMs = 0;
 
   /**
    * @param socket The connection.
-   * @param onClosed Called once it has closed.
+   * @param parts The local time, and what is called once it has closed.
    */
-  constructor(socket: Socket, onClosed: () => void) {
+  constructor(
+    socket: Socket,
+    { clock, onClosed }: { clock: Clock; onClosed: () => void },
+  ) {
     this.#socket = socket;
+    this.#clock = clock;
     // Ahead of the server's own listeners, which close the connection.
     socket.prependListener("end", () => this.endsBy(ConnectionEnd.CallerLeft));
     socket.prependListener(
@@ -76,6 +83,14 @@
     return this.#reason;
   }
 
+  /**
+   * Longest time from a request to the last byte of its answer, of answers that
+   * had to wait for the caller to read; 0 if none had to.
+   */
+  get slowestAnswerMs(): number {
+    return this.#slowestAnswerMs;
+  }
+
   /** Requests that were read on it. */
   get requestsRead(): number {
     return this.#requestsRead;
@@ -194,10 +209,18 @@
   #finished(answer: OwedAnswer): void {
     if (!this.#socket.destroyed && this.#socket.errored === null) {
       this.look();
+      this.#noteSlow(answer);
       this.#written(answer);
     }
   }
 
+  #noteSlow(answer: OwedAnswer): void {
+    if (this.#owed.has(answer)) {
+      const tookMs = this.#clock.nowMs() - answer.facts.arrivedAtMs;
+      this.#slowestAnswerMs = Math.max(this.#slowestAnswerMs, tookMs);
+    }
+  }
+
   #written(answer: OwedAnswer): void {
     this.#owed.delete(answer);
     this.#idleAtBytes = this.#socket.bytesRead;
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -48,7 +48,10 @@
 
   /** @param socket A connection that a caller has made. */
   add(socket: Socket): void {
-    const connection = new CallerConnection(socket, () => this.#ended(socket));
+    const connection = new CallerConnection(socket, {
+      clock: this.#parts.clock,
+      onClosed: () => this.#ended(socket),
+    });
     this.#open.set(socket, connection);
   }
 
@@ -61,6 +64,15 @@
     return this.#open.get(socket)?.isClosing ?? true;
   }
 
+  /**
+   * @param socket A caller's connection.
+   * @returns Longest time that an answer to its caller took, of those that had
+   * to wait for the caller to read; 0 if none had to.
+   */
+  slowestAnswerMs(socket: Socket): number {
+    return this.#open.get(socket)?.slowestAnswerMs ?? 0;
+  }
+
   /**
    * @param answer An answer that is owed.
    * @returns Whether its request is the first on its connection.
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -64,6 +64,9 @@
 /** When to come back to another instance than one that is leaving. */
 const LEAVING_RETRY_MS = 50;
 
+/** Answers to the same caller differ in size by this factor. */
+const SLOW_ANSWER_FACTOR = 1.5;
+
 /** What the configuration says of a request. */
 type Admission =
   | { readonly error: RoutedError; readonly retryAfterMs?: number }
@@ -82,6 +85,8 @@
   readonly #open = new Set<RoutedRequest>();
   #limits = STARTING_LIMITS;
   #stage = ClosingStage.Open;
+  /** Time until requests in progress are broken off, while stopping. */
+  #closingLeftMs = () => Infinity;
   /** Requests whose bodies are being read. */
   #reading = 0;
 
@@ -141,9 +146,14 @@
     this.#server.headersTimeout = limits.headerTimeoutMs;
   }
 
-  /** From now on, answers tell callers to close their connections. */
-  announceClosing(): void {
+  /**
+   * From now on, answers tell callers to close their connections.
+   *
+   * @param leftMs Tells the time until requests in progress are broken off.
+   */
+  announceClosing(leftMs: () => number): void {
     this.#stage = ClosingStage.Announcing;
+    this.#closingLeftMs = leftMs;
   }
 
   /** From now on, requests are refused and idle connections are closed. */
@@ -253,8 +263,15 @@
     }
   }
 
+  /** Whether its caller reads so slowly that the process would end before. */
+  #mayOutlastProcess({ socket }: IncomingMessage): boolean {
+    const slowestMs = this.#connections.slowestAnswerMs(socket);
+    return SLOW_ANSWER_FACTOR * slowestMs > this.#closingLeftMs();
+  }
+
   #admit(request: IncomingMessage, facts: CallFacts): Admission {
-    if (this.#stage === ClosingStage.Refusing) {
+    const isRefusing = this.#stage === ClosingStage.Refusing;
+    if (isRefusing || this.#mayOutlastProcess(request)) {
       const retryAfterMs = LEAVING_RETRY_MS;
       return { error: RoutedError.Leaving, retryAfterMs };
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -315,12 +315,12 @@
       log: this.#log,
       graceMs: () => this.#settings.graceMs,
       pause: (forMs) => pause(forMs),
-    }, this.#lateNowMs()).run();
+    }, this.lateMs).run();
     this.#close();
   }
 
   /** By how much this process is late, its next tick included. */
-  #lateNowMs(): number {
+  get lateMs(): number {
     return Math.max(0, this.#lateMs, this.#clock.nowMs() - this.#tickDueMs);
   }
 
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -140,7 +140,12 @@
 
   /** Lets the time of the whole grace period pass. */
   passGrace(): void {
-    this.#aheadMs += GRACE_MS;
+    this.pass(GRACE_MS);
+  }
+
+  /** Lets time pass. */
+  pass(ms: number): void {
+    this.#aheadMs += ms;
   }
 
   close(): void {
@@ -239,6 +244,32 @@
   });
 });
 
+// Guards against taking requests while stopping whose callers read so slowly that
+// the grace time is over before their answers are written out.
+testOn(
+  "a stopping instance refuses a caller that is slow to read",
+  async (harness) => {
+    const slow = await harness.handOverLarge();
+    harness.pass(0.7 * GRACE_MS);
+    // A stop signal would count as that late.
+    await until(() => harness.gateway.lateMs < GRACE_MS / 10);
+    slow.resume();
+    harness.targetAnswers = (response) => response.end("small");
+    slow.write(requestOf("before"));
+    await harness.line("answered", "before");
+    const runs = harness.runs;
+    const stopped = harness.gateway.stop();
+    slow.write(requestOf("slow"));
+    harness.request(["quick"]);
+    const { error } = await harness.line("refused at the door", "slow");
+    assert.is(error, "leaving");
+    await harness.line("answered", "quick");
+    assert.is(harness.runs, runs + 1);
+    harness.passGrace();
+    await stopped;
+  },
+);
+
 testOn("an error while stopping is told", async (harness) => {
   harness.clockFails = true;
   const stopped = harness.gateway.stop();
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -49,8 +49,12 @@
   /** Requests in progress. */
   readonly openCount: number;
   readonly connections: OpenConnections;
-  /** From now on, answers tell callers to close their connections. */
-  announceClosing(): void;
+  /**
+   * From now on, answers tell callers to close their connections.
+   *
+   * @param leftMs Tells the time until requests in progress are broken off.
+   */
+  announceClosing(leftMs: () => number): void;
   /** From now on, requests are refused and idle connections are closed. */
   refuseRequests(): void;
   /** Ends requests in progress; their callers are told so. */
@@ -95,7 +99,7 @@
    */
   async run(): Promise<void> {
     const { front, log } = this.#parts;
-    front.announceClosing();
+    front.announceClosing(() => this.#leftMs - BREAK_OFF_MARGIN_MS);
     log.info(LogPart.Process, "stopping", {
       openRequests: front.openCount,
       ...front.connections,
@@ -149,8 +153,13 @@
     return this.#parts.clock.nowMs() - this.#beganAtMs;
   }
 
+  /** Time until the kill. */
+  get #leftMs(): number {
+    return this.#parts.graceMs() - this.#spentMs;
+  }
+
   /** Whether the kill is at most so far away. */
   #isWithin(marginMs: number): boolean {
-    return this.#spentMs >= this.#parts.graceMs() - marginMs;
+    return this.#leftMs <= marginMs;
   }
 }
