--- a/packages/routing/src/version_evidence.ts
+++ b/packages/routing/src/version_evidence.ts
@@ -77,8 +77,8 @@
 const FAILURES_MARGIN = 0.1;
 
 /**
- * Part of its targets that have to fail more often, and the least number where
- * more than half of the version's targets are not fewer.
+ * Part of its targets that have to fail more often, and the least number. In
+ * small pools it is enough if more than half of them do.
  */
 const MIN_FAILING_PART = 0.5;
 const MIN_FAILING_TARGETS = 3;
@@ -86,7 +86,7 @@
 /** Answers of one target in a scope for it to be counted there. */
 const MIN_TARGET_ANSWERS = 3;
 
-/** Rate of failures that a bad version exceeds where there is no old one's. */
+/** Usual rate of failures where the old version has given no answers. */
 const UNKNOWN_RATE = 0.5;
 
 /** Part by which the rate of answers that are slow for their target is higher. */
