--- a/packages/routing/src/rollouts.ts
+++ b/packages/routing/src/rollouts.ts
@@ -19,11 +19,8 @@
 } from "./rollout.ts";
 import { nextPhase, PROMOTE_PART } from "./rollout_steps.ts";
 import { type RolloutTargets, splitIn } from "./rollout_targets.ts";
-import {
-  type VerdictFacts,
-  type VersionAnswer,
-  VersionEvidence,
-} from "./version_evidence.ts";
+import type { VersionAnswer } from "./version_answers.ts";
+import { type VerdictFacts, VersionEvidence } from "./version_evidence.ts";
 
 /** How much of a pool's requests a version may get that turns out to be bad. */
 export interface ExposureBound {
--- a/packages/routing/src/version_evidence.ts
+++ b/packages/routing/src/version_evidence.ts
@@ -7,19 +7,21 @@
  * answers, or give them several times slower, on all routes or on one.
  */
 
-/** One answer, or the lack of one. */
-export interface VersionAnswer {
-  readonly isCanary: boolean;
-  readonly targetId: string;
-  readonly route: string;
-  /** The target answered with a failure, or its answer broke off or is wrong. */
-  readonly failed: boolean;
-  /**
-   * Time that it took, in parts of what is usual for its size; absent where
-   * nothing came, or the target had not warmed up.
-   */
-  readonly slowness?: number;
-}
+import {
+  isRateHigher,
+  MIN_BAD_ANSWERS,
+  rateOf,
+  sumOf,
+  type Tally,
+} from "./failure_rates.ts";
+import {
+  MIN_ROUTE_TIMES,
+  type Quartiles,
+  quartilesOf,
+  ScopeTally,
+  type VersionAnswer,
+  VersionAnswers,
+} from "./version_answers.ts";
 
 /** What the answers say of the new version. */
 export enum Verdict {
@@ -67,12 +69,6 @@
  */
 const MOST_UNDECIDED_FAILURES = 25;
 
-/** Answers of the new version before it may be called bad. */
-const MIN_BAD_ANSWERS = 8;
-
-/** Standard deviations by which rates have to differ; looked at many times. */
-const DEVIATIONS = 3;
-
 /** Part by which the rate of failures has to be higher, beyond chance. */
 const FAILURES_MARGIN = 0.1;
 
@@ -86,15 +82,9 @@
 /** Answers of one target in a scope for it to be counted there. */
 const MIN_TARGET_ANSWERS = 3;
 
-/** Usual rate of failures where the old version has given no answers. */
-const UNKNOWN_RATE = 0.5;
-
 /** Part by which the rate of answers that are slow for their target is higher. */
 const STALLS_MARGIN = 0.12;
 
-/** An answer is a stall beyond so many times the lower quartile of its target. */
-const STALL_FACTOR = 2.5;
-
 /** The new version is slow where its quartiles are so many times the old one's. */
 const SLOW_FACTOR = 2.2;
 
@@ -104,97 +94,10 @@
 /** Targets whose times have to show it, if there are as many. */
 const MIN_SLOW_TARGETS = 8;
 
-/** Answers of a target, or of a route, from which quartiles are taken. */
-const MIN_TARGET_TIMES = 4;
-const MIN_ROUTE_TIMES = 15;
-
-/**
- * Latest answers of the new version that are looked at by themselves: it may
- * turn bad late, after many good answers.
- */
-const LATEST_ANSWERS = 40;
-
-/** Latest times that are kept of a target, and of a route. */
-const KEPT_TIMES = 60;
-
-/** Answers, counted. */
-interface Tally {
-  answers: number;
-  failures: number;
-}
-
-interface Quartiles {
-  readonly lower: number;
-  readonly median: number;
-}
-
-/** Answers of one version on one route or on all. */
-class ScopeTally {
-  readonly total = emptyTally();
-  readonly byTarget = new Map<string, Tally>();
-
-  add(targetId: string, failed: boolean): void {
-    count(this.total, failed);
-    count(entryOf(this.byTarget, targetId, emptyTally), failed);
-  }
-}
-
-/** Answers of one version. */
-class Side {
-  readonly all = new ScopeTally();
-  readonly byRoute = new Map<string, ScopeTally>();
-  readonly timesByTarget = new Map<string, number[]>();
-  readonly timesByRoute = new Map<string, number[]>();
-  readonly #latest: VersionAnswer[] = [];
-
-  add(answer: VersionAnswer): void {
-    const { targetId, route, failed, slowness } = answer;
-    keep(this.#latest, answer, LATEST_ANSWERS);
-    this.all.add(targetId, failed);
-    entryOf(this.byRoute, route, () => new ScopeTally()).add(targetId, failed);
-    if (slowness !== undefined) {
-      const ofTarget = entryOf(this.timesByTarget, targetId, emptyTimes);
-      keep(ofTarget, slowness, KEPT_TIMES);
-      const ofRoute = entryOf(this.timesByRoute, route, emptyTimes);
-      keep(ofRoute, slowness, KEPT_TIMES);
-    }
-  }
-
-  /** The latest answers alone. */
-  latest(): ScopeTally {
-    const tally = new ScopeTally();
-    this.#latest.forEach(({ targetId, failed }) => tally.add(targetId, failed));
-    return tally;
-  }
-
-  /** Quartiles of each target that answered often enough. */
-  quartiles(): Quartiles[] {
-    return [...this.timesByTarget.values()]
-      .filter(({ length }) => length >= MIN_TARGET_TIMES).map(quartilesOf);
-  }
-
-  /** Answers that were slow for their target. */
-  stalls(): Tally {
-    const tally = emptyTally();
-    for (const times of this.timesByTarget.values()) {
-      if (times.length >= MIN_TARGET_TIMES) {
-        const limit = STALL_FACTOR * quartilesOf(times).lower;
-        times.forEach((time) => count(tally, time > limit));
-      }
-    }
-    return tally;
-  }
-
-  timesOfOthers(route: string): number[] {
-    return [...this.timesByRoute].filter(([name]) => name !== route)
-      .flatMap(([, times]) => times);
-  }
-}
-
 /** Tells by what the new version is worse, if it is. */
 type Comparison = (
-  canary: Side,
-  baseline: Side,
+  canary: VersionAnswers,
+  baseline: VersionAnswers,
   newTargetIds: readonly string[],
 ) => string | undefined;
 
@@ -253,8 +156,8 @@
 
 /** Answers of both versions of one pool. */
 export class VersionEvidence {
-  readonly #canary = new Side();
-  readonly #baseline = new Side();
+  readonly #canary = new VersionAnswers();
+  readonly #baseline = new VersionAnswers();
 
   /** @param answer An answer of either version. */
   add(answer: VersionAnswer): void {
@@ -292,7 +195,7 @@
 
 /** Whether enough of its targets answer as well as the old version's. */
 function isSound(
-  canary: Side,
+  canary: VersionAnswers,
   baseline: ScopeTally,
   newTargetIds: readonly string[],
 ): boolean {
@@ -353,42 +256,13 @@
     failing.length >= MIN_FAILING_PART * counted.length;
 }
 
-function isRateHigher(
-  tally: Tally,
-  baseline: Tally,
-  margin: number,
-): boolean {
-  const [least] = wilsonBounds(tally);
-  const [, most] = wilsonBounds(baseline);
-  return tally.answers >= MIN_BAD_ANSWERS && least > most + margin;
-}
-
-function rateOf({ answers, failures }: Tally): number {
-  return answers === 0 ? UNKNOWN_RATE : failures / answers;
-}
-
-/** Wilson's interval for a rate, which holds for few answers, too. */
-function wilsonBounds(tally: Tally): [number, number] {
-  if (tally.answers === 0) {
-    return [UNKNOWN_RATE, UNKNOWN_RATE];
-  }
-  const n = tally.answers;
-  const rate = rateOf(tally);
-  const squared = DEVIATIONS * DEVIATIONS;
-  const scale = 1 + squared / n;
-  const center = (rate + squared / (2 * n)) / scale;
-  const variance = rate * (1 - rate) / n + squared / (4 * n * n);
-  const spread = DEVIATIONS * Math.sqrt(variance) / scale;
-  return [center - spread, center + spread];
-}
-
 /**
  * Targets of one pool differ in speed: both the quick part and the middle of the
  * new version's have to be slower than the old one's.
  */
 function isVersionSlower(
-  canary: Side,
-  baseline: Side,
+  canary: VersionAnswers,
+  baseline: VersionAnswers,
   of: { newTargets: number; factor: number },
 ): boolean {
   const own = canary.quartiles().map(({ median }) => median);
@@ -408,7 +282,11 @@
 }
 
 /** What the other routes show as well is a matter of which targets answered. */
-function isRouteSlower(route: string, canary: Side, baseline: Side): boolean {
+function isRouteSlower(
+  route: string,
+  canary: VersionAnswers,
+  baseline: VersionAnswers,
+): boolean {
   const own = canary.timesByRoute.get(route) ?? [];
   const usual = baseline.timesByRoute.get(route) ?? [];
   const others = canary.timesOfOthers(route);
@@ -422,47 +300,3 @@
   const factor = SLOW_FACTOR * Math.max(1, otherRatio);
   return areSlower(quartilesOf(own), quartilesOf(usual), factor);
 }
-
-function quartilesOf(figures: readonly number[]): Quartiles {
-  const sorted = [...figures].sort((a, b) => a - b);
-  const at = (part: number) => sorted[Math.floor(part * (sorted.length - 1))]!;
-  return { lower: at(0.25), median: at(0.5) };
-}
-
-function sumOf(tallies: readonly Tally[]): Tally {
-  const sum = emptyTally();
-  for (const { answers, failures } of tallies) {
-    sum.answers += answers;
-    sum.failures += failures;
-  }
-  return sum;
-}
-
-function emptyTally(): Tally {
-  return { answers: 0, failures: 0 };
-}
-
-function emptyTimes(): number[] {
-  return [];
-}
-
-function count(tally: Tally, failed: boolean): void {
-  tally.answers++;
-  tally.failures += Number(failed);
-}
-
-function keep<T>(latest: T[], one: T, most: number): void {
-  latest.push(one);
-  if (latest.length > most) {
-    latest.shift();
-  }
-}
-
-function entryOf<T>(map: Map<string, T>, key: string, make: () => T): T {
-  let entry = map.get(key);
-  if (entry === undefined) {
-    entry = make();
-    map.set(key, entry);
-  }
-  return entry;
-}
