Break begun answers off with the end of the process, not half a second before

What callers saw: answers to slow readers broke off 0.5 s before the kill of a stopping instance, with 0.1 to 0.3 MB of 2.4 MB left.

Cause: the 0.5 s are for refusals and errors to reach callers. One that has got a part of its answer can be sent neither, and was cut all the same.

Change: requests without a part of an answer are ended 0.5 s before the kill; begun answers go on until 0.2 s before it, when the process ends. `stopped` tells both numbers.

The new test of the gateway fails on the code before (two requests cut, none ended). The test of the order of a stop names the new step; its other checks are as they were.

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -85,7 +85,7 @@
   readonly #open = new Set<RoutedRequest>();
   #limits = STARTING_LIMITS;
   #stage = ClosingStage.Open;
-  /** Time until requests in progress are broken off, while stopping. */
+  /** Time until answers are broken off, while stopping. */
   #closingLeftMs = () => Infinity;
   /** Requests whose bodies are being read. */
   #reading = 0;
@@ -149,7 +149,7 @@
   /**
    * From now on, answers tell callers to close their connections.
    *
-   * @param leftMs Tells the time until requests in progress are broken off.
+   * @param leftMs Tells the time until answers are broken off.
    */
   announceClosing(leftMs: () => number): void {
     this.#stage = ClosingStage.Announcing;
@@ -162,15 +162,23 @@
     this.#connections.closeIdle();
   }
 
+  /** Ends requests whose answers have not begun; their callers are told so. */
+  abortRequests(): void {
+    this.#abort([...this.#open].filter(({ hasBegun }) => !hasBegun));
+  }
+
+  /** Breaks off answers that have begun. */
+  breakOffAnswers(): void {
+    this.#abort([...this.#open]);
+  }
+
   /**
-   * Ends requests in progress; their callers are told so. Those that wait for a
-   * place go first: they would get the places that the others leave, and be sent
-   * to targets only to be broken off there.
+   * Those that wait for a place go first: they would get the places that the
+   * others leave, and be sent to targets only to be broken off there.
    */
-  abortRequests(): void {
-    const open = [...this.#open];
-    const waiting = open.filter(({ runs }) => runs === 0);
-    for (const request of [...waiting, ...open]) {
+  #abort(requests: readonly RoutedRequest[]): void {
+    const waiting = requests.filter(({ runs }) => runs === 0);
+    for (const request of [...waiting, ...requests]) {
       request.abort();
     }
   }
@@ -178,7 +186,7 @@
   /** Ends all connections, whatever is owed on them. */
   close(): void {
     this.#connections.closing(ConnectionEnd.ProcessEnd, () => {
-      this.abortRequests();
+      this.breakOffAnswers();
       this.#server.close();
     });
     this.#connections.endAll(ConnectionEnd.ProcessEnd);
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -54,7 +54,15 @@
   readonly #platform: PlatformPort = {
     start: (_self, sink) => {
       sink.configurationRead(configurationOf({
-        routes: [routeOf({ kind: RequestKind.Repeatable, isPublic: true })],
+        routes: [
+          routeOf({ kind: RequestKind.Repeatable, isPublic: true }),
+          routeOf({
+            name: "stream",
+            kind: RequestKind.Stream,
+            prefix: "/stream/",
+            isPublic: true,
+          }),
+        ],
       }));
       const { port } = this.#target.address() as AddressInfo;
       const entry = {
@@ -111,12 +119,12 @@
   }
 
   /** Sends requests on one connection, from a caller that reads nothing. */
-  request(requestIds: readonly string[]): Socket {
+  request(requestIds: readonly string[], path = "/r/"): Socket {
     const port = Number(this.gateway.callerAddress.split(":")[1]);
     const caller = connect(port, HOST);
     caller.on("error", () => {});
     this.#callers.push(caller);
-    caller.write(requestIds.map(requestOf).join(""));
+    caller.write(requestIds.map((id) => requestOf(id, path)).join(""));
     return caller;
   }
 
@@ -168,8 +176,8 @@
   }
 }
 
-function requestOf(requestId: string): string {
-  return `GET /r/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ${requestId}\r\n\r\n`;
+function requestOf(requestId: string, path = "/r/"): string {
+  return `GET ${path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ${requestId}\r\n\r\n`;
 }
 
 async function until(holds: () => boolean): Promise<void> {
@@ -270,6 +278,27 @@
   },
 );
 
+// Guards against breaking off a begun answer with those that have not begun.
+testOn("a begun answer outlasts requests that have none", async (harness) => {
+  harness.targetAnswers = (response) => {
+    if (harness.runs === 1) {
+      response.write("id: 1\ndata: a part\n\n");
+    }
+  };
+  const caller = harness.request(["begun"], "/stream/");
+  await once(caller, "data");
+  harness.request(["pending"]);
+  await until(() => harness.runs === 2);
+  const stopped = harness.gateway.stop();
+  harness.pass(GRACE_MS - 400);
+  await stopped;
+  const { abortedRequests, cutRequests } = await harness.line("stopped");
+  assert.equal({ abortedRequests, cutRequests }, {
+    abortedRequests: 1,
+    cutRequests: 1,
+  });
+});
+
 testOn("an error while stopping is told", async (harness) => {
   harness.clockFails = true;
   const stopped = harness.gateway.stop();
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -24,14 +24,16 @@
 const TAKING_SHARE = 1 / 3;
 
 /**
- * Time before the kill at which whatever still runs is broken off: ten looks, as
- * a slow instance may be late for some.
+ * Time before the kill at which requests are ended whose callers have got no part
+ * of an answer: ten looks, as a slow instance may be late for some. What is left
+ * lets refusals and errors reach these callers.
  */
-const BREAK_OFF_MARGIN_MS = 500;
+const ABORT_MARGIN_MS = 500;
 
 /**
- * Time before the kill at which the process ends even if bytes still wait. The
- * time between lets refusals and errors of what was broken off reach callers.
+ * Time before the kill at which begun answers are broken off, and the process
+ * ends even if bytes still wait. An answer broken off is lost, so that it gets as
+ * long as there is.
  */
 const END_MARGIN_MS = 200;
 
@@ -52,13 +54,15 @@
   /**
    * From now on, answers tell callers to close their connections.
    *
-   * @param leftMs Tells the time until requests in progress are broken off.
+   * @param leftMs Tells the time until answers are broken off.
    */
   announceClosing(leftMs: () => number): void;
   /** From now on, requests are refused and idle connections are closed. */
   refuseRequests(): void;
-  /** Ends requests in progress; their callers are told so. */
+  /** Ends requests whose answers have not begun; their callers are told so. */
   abortRequests(): void;
+  /** Breaks off answers that have begun. */
+  breakOffAnswers(): void;
 }
 
 /** What is stopped, and how long it may take. */
@@ -99,17 +103,23 @@
    */
   async run(): Promise<void> {
     const { front, log } = this.#parts;
-    front.announceClosing(() => this.#leftMs - BREAK_OFF_MARGIN_MS);
+    front.announceClosing(() => this.#leftMs - END_MARGIN_MS);
     log.info(LogPart.Process, "stopping", {
       openRequests: front.openCount,
       ...front.connections,
       graceMs: this.#parts.graceMs(),
     });
     await this.#finishRequests();
-    const cutRequests = front.openCount;
+    const openRequests = front.openCount;
     front.abortRequests();
+    const abortedRequests = openRequests - front.openCount;
     await this.#writeOut();
+    const cutRequests = front.openCount;
+    if (cutRequests > 0) {
+      front.breakOffAnswers();
+    }
     log.info(LogPart.Process, "stopped", {
+      abortedRequests,
       cutRequests,
       ...front.connections,
       tookMs: Math.round(this.#spentMs),
@@ -118,7 +128,7 @@
 
   async #finishRequests(): Promise<void> {
     const { clock, front } = this.#parts;
-    while (!this.#isWithin(BREAK_OFF_MARGIN_MS)) {
+    while (!this.#isWithin(ABORT_MARGIN_MS)) {
       const toldMs = clock.nowMs() - this.#handledAtMs;
       if (this.#isIdle && toldMs >= LEAST_STOPPING_MS) {
         return;
--- a/packages/gateway/src/graceful_stop_limits_test.ts
+++ b/packages/gateway/src/graceful_stop_limits_test.ts
@@ -27,6 +27,7 @@
       announceClosing: note("announced"),
       refuseRequests: note("refused"),
       abortRequests: note("aborted"),
+      breakOffAnswers: note("broken off"),
     },
     clock,
     log: new EventLog(clock, "i1", NOWHERE),
@@ -41,7 +42,12 @@
 
 test("requests are refused before others are broken off, however short the time", async () => {
   const { seen } = await stop(() => 2500);
-  assert.equal([...seen.keys()], ["announced", "refused", "aborted"]);
+  assert.equal([...seen.keys()], [
+    "announced",
+    "refused",
+    "aborted",
+    "broken off",
+  ]);
 });
 
 test("a grace time shortened meanwhile leaves time to write errors out", async () => {
--- a/packages/gateway/src/graceful_stop_test.ts
+++ b/packages/gateway/src/graceful_stop_test.ts
@@ -14,6 +14,8 @@
   /** When the last request ends, and when its answer is written out. */
   doneAtMs = 0;
   writtenAtMs = 0;
+  /** Whether the caller of the last request has got a part of its answer. */
+  hasBegun = false;
 
   get openCount(): number {
     return this.atMs < this.doneAtMs ? 1 : 0;
@@ -34,6 +36,13 @@
 
   abortRequests(): void {
     this.#note("aborted");
+    if (!this.hasBegun) {
+      this.doneAtMs = Math.min(this.doneAtMs, this.atMs);
+    }
+  }
+
+  breakOffAnswers(): void {
+    this.#note("broken off");
     this.doneAtMs = Math.min(this.doneAtMs, this.atMs);
   }
 
@@ -88,6 +97,31 @@
   assert.ok(endedAtMs >= 7650 && endedAtMs < GRACE_MS, String(endedAtMs));
 });
 
+// Guards against breaking off answers to slow callers while there is still time.
+test("an answer that has begun gets the time until the process ends", async () => {
+  const scene = new Scene();
+  scene.hasBegun = true;
+  scene.doneAtMs = 7790;
+  scene.writtenAtMs = 7790;
+  const endedAtMs = await scene.stop();
+  assert.ok(endedAtMs >= 7790 && endedAtMs < GRACE_MS, String(endedAtMs));
+  assert.equal(scene.seen.map(([what]) => what), [
+    "announced",
+    "refused",
+    "aborted",
+  ]);
+});
+
+test("an answer that never ends is broken off before the kill", async () => {
+  const scene = new Scene();
+  scene.hasBegun = true;
+  scene.doneAtMs = Infinity;
+  scene.writtenAtMs = Infinity;
+  const endedAtMs = await scene.stop();
+  assert.equal(scene.seen.at(-1), ["broken off", endedAtMs]);
+  assert.ok(endedAtMs >= 7800 && endedAtMs < GRACE_MS, String(endedAtMs));
+});
+
 test("with little grace time, requests are refused in time to finish", async () => {
   const scene = new Scene();
   scene.graceMs = 3000;
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -103,6 +103,11 @@
     this.#ask(AskCause.First);
   }
 
+  /** Whether its caller has got a part of an answer. */
+  get hasBegun(): boolean {
+    return this.#reply.begun;
+  }
+
   /** The caller has closed its connection: what may be stopped is stopped. */
   callerLeft(): void {
     if (this.#answered) {
