--- a/tests/soak_rollout.ts
+++ b/tests/soak_rollout.ts
@@ -17,6 +17,8 @@
 /** The operators' bound on requests that a bad version may get, beside a slack. */
 const EXPOSURE_SHARE = 0.1;
 
+/** Key of the order, and of its status. */
+const ROLLOUT_KEY = `rollout/${DESK_POOL}`;
 const VERSION = "v2";
 const ROLLED_BACK = "rolled_back";
 const COMPLETED = "completed";
@@ -31,9 +33,9 @@
   #orderedAtMs = 0;
   #endedAtMs = Infinity;
   #atHeard = 0;
-  /** Requests that the version had got at the last look. */
-  #looked = 0;
-  #whileBad = 0;
+  /** Requests that the version had got at the last look, and while it was bad. */
+  #exposedAtLook = 0;
+  #exposedWhileBad = 0;
 
   /**
    * @param fleet The fleet.
@@ -51,8 +53,7 @@
     this.#orderedAtMs = performance.now();
     const order = { service: DESK_POOL, to: VERSION };
     const stepS = withinMs / MS_PER_S;
-    const key = `rollout/${DESK_POOL}`;
-    await this.#fleet.store.put("op", key, { ...order, stepS });
+    await this.#fleet.store.put("op", ROLLOUT_KEY, { ...order, stepS });
     this.#targets = await this.#fleet.startVersion(DESK_POOL, VERSION);
     const turn = pause(turnsAfterMs).then(() => this.#turnInto(conduct));
     while (performance.now() - this.#orderedAtMs < withinMs + HEARD_MS) {
@@ -90,8 +91,7 @@
   }
 
   async #look(): Promise<void> {
-    const key = `rollout/${DESK_POOL}`;
-    const row = await this.#fleet.store.contentOf("status", key);
+    const row = await this.#fleet.store.contentOf("status", ROLLOUT_KEY);
     const { state } = (row ?? {}) as { state?: string };
     if (state !== undefined && state !== this.#states.at(-1)) {
       this.#states.push(state);
@@ -114,9 +114,9 @@
       target.conduct !== TargetConduct.Serve
     );
     if (2 * failing.length >= staying.length) {
-      this.#whileBad += exposed - this.#looked;
+      this.#exposedWhileBad += exposed - this.#exposedAtLook;
     }
-    this.#looked = exposed;
+    this.#exposedAtLook = exposed;
   }
 
   /** Once it is completed, the old targets stop at once, as on the platform. */
@@ -147,8 +147,8 @@
     const allowed = EXPOSURE_SHARE * total + EXPOSURE_SLACK;
     const isAtOnce = this.#plan.turnsAfterMs === 0;
     this.#countWhileBad();
-    return isAtOnce && this.#whileBad > allowed
-      ? [`${this.#whileBad} of ${total} at the bad version`]
+    return isAtOnce && this.#exposedWhileBad > allowed
+      ? [`${this.#exposedWhileBad} of ${total} at the bad version`]
       : [];
   }
 
--- a/tests/soak_signals.ts
+++ b/tests/soak_signals.ts
@@ -84,8 +84,8 @@
       fleet.retire(chosen);
     }
   },
-  // It serves well afterwards, also where it is of a failing version: the other
-  // targets of that version are then to be judged without it.
+  // It serves well afterwards even if its version fails, so that verdicts meet
+  // failing versions with a sound target.
   [SoakSignal.Backoff]: async ({ chosen: { target }, forMs, send }) => {
     send();
     target.conduct = TargetConduct.Reject;
--- a/tests/soak_store.ts
+++ b/tests/soak_store.ts
@@ -12,12 +12,18 @@
 const MAIN = new URL("./soak_store_main.js", import.meta.url);
 const NOTHING = {};
 
+/** Settles a command that was sent. */
+interface SentCommand {
+  resolve(result: unknown): void;
+  reject(error: Error): void;
+}
+
 /** Controls the store and the link between it and the instances. */
 export class SoakStore {
   /** `ip:port` of the link, for the instances. */
   readonly address: string;
   readonly #process: ChildProcess;
-  readonly #waiting = new Map<number, (result: unknown) => void>();
+  readonly #sent = new Map<number, SentCommand>();
   #lastId = 0;
 
   private constructor(child: ChildProcess, address: string) {
@@ -25,10 +31,14 @@
     this.address = address;
     child.on("message", (reply: StoreReply) => {
       if ("id" in reply) {
-        this.#waiting.get(reply.id)?.(reply.result);
-        this.#waiting.delete(reply.id);
+        this.#sent.get(reply.id)?.resolve(reply.result);
+        this.#sent.delete(reply.id);
       }
     });
+    child.on("exit", (code) => {
+      const error = new Error(`the store's process ended with code ${code}`);
+      this.#sent.forEach(({ reject }) => reject(error));
+    });
   }
 
   /** @returns The store, once it serves. */
@@ -103,9 +113,11 @@
 
   /** @returns Once its process has ended. */
   async end(): Promise<void> {
-    const ended = once(this.#process, "exit");
-    this.#process.disconnect();
-    await ended;
+    if (this.#process.exitCode === null) {
+      const ended = once(this.#process, "exit");
+      this.#process.disconnect();
+      await ended;
+    }
   }
 
   #tell<K extends StoreCommandKind>(
@@ -113,8 +125,13 @@
     options: StoreCommandArguments[K],
   ): Promise<unknown> {
     const id = ++this.#lastId;
-    const result = new Promise((resolve) => this.#waiting.set(id, resolve));
-    this.#process.send({ id, kind, with: options });
-    return result;
+    return new Promise((resolve, reject) => {
+      this.#sent.set(id, { resolve, reject });
+      this.#process.send({ id, kind, with: options }, (error) => {
+        if (error !== null) {
+          reject(error);
+        }
+      });
+    });
   }
 }
