Test of the retry budget across takeovers, known red

What callers' targets see: when one coordinator after the other is killed, repeats pile up beyond what the operators allow.

--- /dev/null
+++ b/packages/gateway/src/retry_budget_takeover_test.ts
@@ -0,0 +1,152 @@
+/**
+ * Every target fails what it is sent, so that all requests are repeated, while
+ * one coordinator after the other is killed.
+ *
+ * Guards against a retry budget per coordinator: each successor started with an
+ * unused budget, so the fleet sent several times the repeats that the operators
+ * allow within a window.
+ */
+
+import {
+  MessageKind,
+  type RoutingMessage,
+} from "@chestnuthatch/routing/peer_messages";
+import { askOf } from "@chestnuthatch/routing/routing_test_support";
+import { AskCause } from "@chestnuthatch/routing/work_ask";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  deliverTo,
+  type FleetNode,
+  fleetNode,
+} from "./gateway_test_support.ts";
+import { PartitionedNetwork } from "./partition_test_support.ts";
+
+const WINDOW_MS = 10_000;
+const RETRY_BUDGET = { ratio: 0.2, slack: 40, windowS: WINDOW_MS / 1000 };
+const BOUNDS = {
+  retryBudget: RETRY_BUDGET,
+  allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
+};
+const ALLOTMENT = { perS: 1e9, burst: 1e9, inTokens: true, plainTokens: 1 };
+const IDS = ["i1", "i2", "i3", "i4", "i5", "i6", "i7", "i8"];
+const TARGET_IDS = Array.from({ length: 50 }, (_, index) => `t${index}`);
+const STEP_MS = 20;
+const LATENCY_MS = 4;
+const WORK_MS = 40;
+const REQUEST_INTERVAL_MS = 40;
+const WARM_UP_MS = 12_000;
+const KILLS = 6;
+const KILL_INTERVALS_MS = [1300, 1500, 1900];
+
+/** Sends of requests, in the order of time. */
+interface Send {
+  readonly atMs: number;
+  readonly isRepeat: boolean;
+}
+
+/** A fleet on a manual clock whose coordinators are killed. */
+class FailingFleet {
+  readonly #network = new PartitionedNetwork();
+  readonly clock = this.#network.clock;
+  readonly sends: Send[] = [];
+  readonly #nodes: Map<string, FleetNode>;
+  #askCount = 0;
+
+  constructor() {
+    this.#nodes = new Map(IDS.map((id) => [id, this.#node(id)]));
+  }
+
+  killCoordinator(): void {
+    const [node] = this.#nodes.values();
+    this.#nodes.delete(node!.placementClient.coordinatorId);
+  }
+
+  run(forMs: number): void {
+    const untilMs = this.clock.atMs + forMs;
+    while (this.clock.atMs < untilMs) {
+      this.clock.atMs += STEP_MS;
+      this.#network.runDue();
+      this.#nodes.forEach((node) => node.tick());
+      if (this.clock.atMs % REQUEST_INTERVAL_MS === 0) {
+        const holderIds = [...this.#nodes.keys()];
+        const holderId = holderIds[this.#askCount % holderIds.length]!;
+        this.#ask(holderId, AskCause.First);
+      }
+      this.#network.runDue();
+    }
+  }
+
+  /** Largest excess of repeats over the bound within any window. */
+  maxExcess(): number {
+    const excesses = this.sends.map(({ atMs }) => {
+      const inWindow = this.sends.filter((send) =>
+        send.atMs >= atMs && send.atMs < atMs + WINDOW_MS
+      );
+      const repeats = inWindow.filter(({ isRepeat }) => isRepeat).length;
+      const firstSends = inWindow.length - repeats;
+      return repeats - RETRY_BUDGET.ratio * firstSends - RETRY_BUDGET.slack;
+    });
+    return Math.max(...excesses);
+  }
+
+  #ask(holderId: string, cause: AskCause): void {
+    const client = this.#nodes.get(holderId)?.placementClient;
+    const askId = `a${this.#askCount++}`;
+    client?.ask(askOf(askId, { holderId, cause }), (decision) => {
+      if ("refusal" in decision) {
+        return;
+      }
+      const isRepeat = cause === AskCause.Repeat;
+      this.sends.push({ atMs: this.clock.atMs, isRepeat });
+      const { targetId } = decision;
+      this.#network.schedule(WORK_MS, () => {
+        const end = { askId, targetId, pool: "p", promptTokens: 500 };
+        client.reportEnd({ ...end, failed: true });
+        if (!isRepeat) {
+          this.#ask(holderId, AskCause.Repeat);
+        }
+      });
+    });
+  }
+
+  #send(fromId: string, toId: string, message: RoutingMessage): void {
+    const latencyMs = message.kind === MessageKind.Heartbeat ? LATENCY_MS : 0;
+    this.#network.schedule(latencyMs, () => {
+      const receiver = this.#nodes.get(toId);
+      if (receiver !== undefined && this.#nodes.has(fromId)) {
+        deliverTo(receiver, { message, fromId });
+      }
+    });
+  }
+
+  #node(instanceId: string): FleetNode {
+    return fleetNode(instanceId, {
+      clock: this.clock,
+      bounds: BOUNDS,
+      allotment: ALLOTMENT,
+      targetIds: TARGET_IDS,
+      seedIds: IDS,
+      send: (fromId, toId, message) => this.#send(fromId, toId, message),
+    });
+  }
+}
+
+test("killing one coordinator after the other does not raise the number of repeats", () => {
+  const excesses = KILL_INTERVALS_MS.map((killIntervalMs) => {
+    const fleet = new FailingFleet();
+    fleet.run(WARM_UP_MS);
+    for (let kill = 0; kill < KILLS; kill++) {
+      fleet.killCoordinator();
+      fleet.run(killIntervalMs);
+    }
+    fleet.run(WINDOW_MS);
+    return fleet.maxExcess();
+  });
+  assert.ok(
+    excesses.every((excess) => excess <= 0),
+    `${excesses.join(", ")} repeats more than the bound`,
+  );
+});
+
+test.run();
