Retry budget: successors continue from what the coordinator before them granted

What the targets saw: repeats beyond the budget of the fleet, while coordinators were killed or restarted one after the other.

Cause: each coordinator counts first sends and repeats for itself. A successor began with an unused slack, so K coordinators within a window granted it K times; so did instances that had all just started.

Change: heartbeats of the coordinator carry the sends that count towards retry budgets, by pool and second, as they carry the spending of workspaces. A successor imports them, first sends included, and so does an instance that acts in place of a silent coordinator, by its share. Each second counts the higher one of what is known and what is imported, so handing back and forth counts once. While the fleet remembers less than a window, the slack grows with that time.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,6 +36,7 @@
 import { SnapshotServer } from "./snapshot_server.ts";
 import { PeerSocket } from "./peer_socket.ts";
 import { PlacementClient } from "./placement_client.ts";
+import { RetryBudgetHandover } from "./retry_budget_handover.ts";
 import { RolloutController } from "./rollout_controller.ts";
 import type { CallProtocol, Clock, PlatformPort } from "./ports.ts";
 import { SpendingRecorder } from "./spending_recorder.ts";
@@ -82,6 +83,7 @@
   readonly #heartbeatExchange: HeartbeatExchange;
   readonly #fleetState: FleetStateSync;
   readonly #spending: SpendingRecorder;
+  readonly #retryBudgets: RetryBudgetHandover;
   readonly #suspects: SuspectRecorder;
   readonly #rollouts: RolloutController;
   readonly #targetSignals: TargetSignalHandler;
@@ -145,7 +147,15 @@
       startedAtMs: this.#startedAtMs,
       spendingWindowMs: settings.bounds.allotmentTolerance.windowMs,
       onWaiting: () => this.#scheduleTick(BUSY_TICK_MS),
-      onTakeover: (share) => this.#spending.becameActingCoordinator(share),
+      onTakeover: (share) => {
+        this.#spending.becameActingCoordinator(share);
+        this.#retryBudgets.takeOver(share);
+      },
+    });
+    this.#retryBudgets = new RetryBudgetHandover({
+      board: this.board,
+      coordinator: this.#coordinator,
+      clock: this.#clock,
     });
     this.#spending = new SpendingRecorder({
       board: this.board,
@@ -371,6 +381,9 @@
       if (isCoordinator && message.spending !== undefined) {
         this.#spending.spendingReceived(message.spending);
       }
+      if (isCoordinator && message.retries !== undefined) {
+        this.#retryBudgets.historiesReceived(message.retries);
+      }
       this.#fleetState.heartbeatReceived(message);
       return;
     }
@@ -451,6 +464,7 @@
       this.#wasCoordinator = isCoordinator;
       if (isCoordinator) {
         this.#spending.becameCoordinator();
+        this.#retryBudgets.becameCoordinator();
         this.#rollouts.becameCoordinator();
       }
       this.#log.info(LogPart.Placement, "coordinator changed", {
@@ -535,6 +549,10 @@
             roundedUp,
           )
           : [],
+      retries: () =>
+        this.#wasCoordinator
+          ? this.#coordinator.retryHistories(this.#clock.nowMs())
+          : [],
       suspects: () =>
         this.#wasCoordinator
           ? this.board.suspects.updatesToSend(this.#clock.nowMs())
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -18,6 +18,7 @@
 import { HeartbeatExchange } from "./heartbeat_exchange.ts";
 import { PlacementClient } from "./placement_client.ts";
 import { type Clock, type PlatformPort, StatusWriteOutcome } from "./ports.ts";
+import { RetryBudgetHandover } from "./retry_budget_handover.ts";
 import { SpendingRecorder } from "./spending_recorder.ts";
 
 /** Uptime of all instances at time 0 of the test's clock, in milliseconds. */
@@ -30,6 +31,7 @@
   readonly heartbeatExchange: HeartbeatExchange;
   readonly placementClient: PlacementClient;
   readonly spending: SpendingRecorder;
+  readonly retryBudgets: RetryBudgetHandover;
   /** Runs the timeouts of all components at the clock's present time. */
   tick(): void;
   /** @returns The time of the test's clock. */
@@ -90,8 +92,12 @@
     send: (member, message) => send(instanceId, member.instanceId, message),
     startedAtMs: -UPTIME_MS,
     spendingWindowMs: bounds.allotmentTolerance.windowMs,
-    onTakeover: (share) => spending.becameActingCoordinator(share),
+    onTakeover: (share) => {
+      spending.becameActingCoordinator(share);
+      retryBudgets.takeOver(share);
+    },
   });
+  const retryBudgets = new RetryBudgetHandover({ board, coordinator, clock });
   const heartbeatExchange = new HeartbeatExchange({
     board,
     clock,
@@ -109,6 +115,10 @@
       placementClient.coordinatorId === instanceId
         ? coordinator.spendingNearBound(clock.nowMs())
         : [],
+    retries: () =>
+      placementClient.coordinatorId === instanceId
+        ? coordinator.retryHistories(clock.nowMs())
+        : [],
     suspects: () => [],
     rollouts: () => [],
     rateLimits: (of) => board.rateLimits.updatesToSend(clock.nowMs(), of),
@@ -126,6 +136,7 @@
     const isCoordinator = placementClient.coordinatorId === instanceId;
     if (isCoordinator && !wasCoordinator) {
       spending.becameCoordinator();
+      retryBudgets.becameCoordinator();
     }
     wasCoordinator = isCoordinator;
   };
@@ -137,6 +148,7 @@
     heartbeatExchange,
     placementClient,
     spending,
+    retryBudgets,
     tick,
     nowMs,
   };
@@ -159,19 +171,21 @@
  * @param of The message, and the sender's instance id.
  */
 export function deliverTo(
-  { heartbeatExchange, placementClient, spending, rateLimits, nowMs }:
-    FleetNode,
+  node: FleetNode,
   { message, fromId }: { message: RoutingMessage; fromId: string },
 ): void {
-  if (message.kind === MessageKind.Heartbeat) {
-    heartbeatExchange.heartbeatReceived(message);
-    rateLimits.merge(message.rateLimits ?? [], nowMs());
-    if (
-      fromId === placementClient.coordinatorId && message.spending !== undefined
-    ) {
-      spending.spendingReceived(message.spending);
-    }
-  } else {
+  const { placementClient } = node;
+  if (message.kind !== MessageKind.Heartbeat) {
     placementClient.handleMessage(message, fromId);
+    return;
+  }
+  node.heartbeatExchange.heartbeatReceived(message);
+  node.rateLimits.merge(message.rateLimits ?? [], node.nowMs());
+  const isCoordinator = fromId === placementClient.coordinatorId;
+  if (isCoordinator && message.spending !== undefined) {
+    node.spending.spendingReceived(message.spending);
+  }
+  if (isCoordinator && message.retries !== undefined) {
+    node.retryBudgets.historiesReceived(message.retries);
   }
 }
--- a/packages/gateway/src/heartbeat_exchange.ts
+++ b/packages/gateway/src/heartbeat_exchange.ts
@@ -9,6 +9,7 @@
   type MemberInfo,
   type MemberRecord,
 } from "@chestnuthatch/routing/member_view";
+import type { RetryHistory } from "@chestnuthatch/routing/retry_budget";
 import type { RolloutUpdate } from "@chestnuthatch/routing/rollout";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { SuspectUpdate } from "@chestnuthatch/routing/suspect_requests";
@@ -75,6 +76,11 @@
    * instance is the coordinator.
    */
   spending(): readonly SpendingHistory[];
+  /**
+   * @returns Sends that count towards retry budgets; none unless this instance
+   * is the coordinator.
+   */
+  retries(): readonly RetryHistory[];
   /**
    * @returns Suspect requests, under which targets ended; none unless this
    * instance is the coordinator.
@@ -242,6 +248,7 @@
       .filter(({ instanceId }) => instanceId !== board.members.selfId)
       .map(memberInfoOf);
     const includesAll = this.#includesAll(isDigest);
+    const retries = includesAll ? this.#parts.retries() : [];
     const suspects = includesAll ? this.#parts.suspects() : [];
     const rollouts = this.#parts.rollouts();
     const rateLimits = this.#rateLimitsToSend(includesAll);
@@ -255,6 +262,7 @@
       reachesStore: this.#parts.reachesStore(),
       others,
       spending: includesAll ? this.#parts.spending() : undefined,
+      ...(retries.length > 0 ? { retries } : undefined),
       ...(suspects.length > 0 ? { suspects } : undefined),
       ...(rollouts.length > 0 ? { rollouts } : undefined),
       ...(rateLimits.length > 0 ? { rateLimits } : undefined),
--- a/packages/gateway/src/heartbeat_exchange_test.ts
+++ b/packages/gateway/src/heartbeat_exchange_test.ts
@@ -66,6 +66,7 @@
     memoryMs: () => 0,
     reachesStore: () => true,
     spending: () => [],
+    retries: () => [],
     suspects: () => [],
     rollouts: () => [],
     rateLimits: (of) => board.rateLimits.updatesToSend(nowMs, of),
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -7,7 +7,11 @@
 
 import { RateLimiter } from "./rate_limiter.ts";
 import { PoolScheduler, quarantineRefusal } from "./pool_scheduler.ts";
-import { RetryBudget, type RetryBudgetBound } from "./retry_budget.ts";
+import {
+  RetryBudget,
+  type RetryBudgetBound,
+  type RetryHistory,
+} from "./retry_budget.ts";
 import {
   AllotmentLedger,
   type AllotmentTolerance,
@@ -314,6 +318,29 @@
     this.#allotmentLedger.invalidateRecord();
   }
 
+  /**
+   * Returns the use of the retry budgets, for the next coordinator.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns Sends of each pool within the window.
+   */
+  retryHistories(nowMs: number): RetryHistory[] {
+    return [...this.#budgets]
+      .map(([pool, budget]) => budget.history(pool, nowMs));
+  }
+
+  /**
+   * Imports the use of the retry budgets that another coordinator granted.
+   *
+   * @param histories Sends of pools by age.
+   * @param nowMs Local time in milliseconds that the ages count from.
+   */
+  importRetries(histories: readonly RetryHistory[], nowMs: number): void {
+    for (const history of histories) {
+      this.#budget(history.pool).importHistory(history, nowMs);
+    }
+  }
+
   /**
    * Replaces the fleet's limits.
    *
@@ -432,7 +459,7 @@
     const budget = this.#budget(ask.pool);
     if (
       ask.cause === AskCause.Repeat &&
-      !budget.tryConsume(scope.share, scope.nowMs)
+      !budget.tryConsume(scope)
     ) {
       const refusal = {
         askId,
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -152,6 +152,13 @@
   bySecond: z.array(z.number()).readonly(),
 });
 
+/** Validates the use of a pool's retry budget that another instance sends. */
+const retryHistorySchema = z.object({
+  pool: z.string(),
+  firstSends: z.array(z.number()).readonly(),
+  repeats: z.array(z.number()).readonly(),
+});
+
 const decision = z.union([
   z.object({
     askId: z.string(),
@@ -194,6 +201,11 @@
      * allotments. Absent if this heartbeat carries none.
      */
     spending: z.array(spendingHistorySchema).readonly().optional(),
+    /**
+     * From the coordinator: sends that count towards retry budgets. Absent if
+     * this heartbeat carries none.
+     */
+    retries: z.array(retryHistorySchema).readonly().optional(),
     /** From the coordinator: requests under which targets ended, if any. */
     suspects: z.array(suspectUpdateSchema).readonly().optional(),
     /** Roll-outs that are in progress or ended recently, if any. */
--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -21,12 +21,56 @@
   readonly windowS: number;
 }
 
+/** Sends of a pool within the window by age, for another coordinator. */
+export interface RetryHistory {
+  readonly pool: string;
+  /** First sends by whole seconds of age, the latest second first. */
+  readonly firstSends: readonly number[];
+  /** Repeats by whole seconds of age, the latest second first. */
+  readonly repeats: readonly number[];
+}
+
+/** Part of the fleet that a coordinator hands out repeats for. */
+export interface RetryScope {
+  /** Share (0 to 1) of the fleet's slack that may be handed out. */
+  readonly share: number;
+  /** Time for which the fleet's repeats are known, in milliseconds. */
+  readonly memoryMs: number;
+  readonly nowMs: number;
+}
+
+/**
+ * Converts a history to what an instance takes over at a later time.
+ *
+ * @param history Sends of a pool at an earlier time.
+ * @param of Time since then in milliseconds, and the share (0 to 1) of the
+ * fleet that is taken over.
+ * @returns The share of these sends by their age now.
+ */
+export function takenOverHistory(
+  { pool, firstSends, repeats }: RetryHistory,
+  { ageMs, share }: { ageMs: number; share: number },
+): RetryHistory {
+  const elapsedSeconds = Math.floor(ageMs / MS_PER_S);
+  const takeOver = (bySecond: readonly number[]) => [
+    ...new Array<number>(elapsedSeconds).fill(0),
+    ...bySecond.map((count) => count * share),
+  ];
+  return {
+    pool,
+    firstSends: takeOver(firstSends),
+    repeats: takeOver(repeats),
+  };
+}
+
 interface Slice {
   readonly beganAtMs: number;
   firstSends: number;
   repeats: number;
 }
 
+type SendCount = "firstSends" | "repeats";
+
 /** Counts the first sends and repeats of a pool over a sliding window. */
 export class RetryBudget {
   #bound: RetryBudgetBound;
@@ -56,34 +100,87 @@
   }
 
   /**
-   * Consumes one repeat of the budget, if any is left.
+   * Consumes one repeat of the budget, if any is left. While the fleet's
+   * repeats are known for less than a window, as after the loss of all
+   * instances, the slack grows from zero with that time.
    *
-   * @param share Share (0 to 1) of the fleet's slack that this instance may
-   * use.
-   * @param nowMs Current local time in milliseconds.
+   * @param scope Part of the fleet that repeats are handed out for.
    * @returns Whether the repeat may be sent.
    */
-  tryConsume(share: number, nowMs: number): boolean {
+  tryConsume({ share, memoryMs, nowMs }: RetryScope): boolean {
     const slice = this.#slice(nowMs);
-    let first = 0;
-    let repeats = 0;
-    for (const { firstSends: f, repeats: r } of this.#slices) {
-      first += f;
-      repeats += r;
-    }
-    const bound = this.#bound.ratio * first + this.#bound.slack * share;
-    if (repeats + 1 > bound * USED_BOUND_SHARE) {
+    const { ratio, slack } = this.#bound;
+    const knownShare = Math.min(1, memoryMs / this.#windowMs);
+    const bound = ratio * sumOf(this.#slices, "firstSends") +
+      slack * share * knownShare;
+    if (sumOf(this.#slices, "repeats") + 1 > bound * USED_BOUND_SHARE) {
       return false;
     }
     slice.repeats++;
     return true;
   }
 
-  #slice(nowMs: number): Slice {
-    const oldest = nowMs - this.#bound.windowS * MS_PER_S;
-    while (this.#slices.length > 0 && this.#slices[0]!.beganAtMs < oldest) {
+  /**
+   * Returns the sends within the window.
+   *
+   * @param pool Name of the pool that this budget belongs to.
+   * @param nowMs Current local time in milliseconds.
+   * @returns The sends by age.
+   */
+  history(pool: string, nowMs: number): RetryHistory {
+    this.#expire(nowMs);
+    return {
+      pool,
+      firstSends: this.#bySecond("firstSends", nowMs),
+      repeats: this.#bySecond("repeats", nowMs),
+    };
+  }
+
+  /**
+   * Adds sends that other coordinators granted. Those that are known here count
+   * once: each second gets the higher one of both counts.
+   *
+   * @param history Sends by age.
+   * @param nowMs Local time in milliseconds that the ages count from.
+   */
+  importHistory(history: RetryHistory, nowMs: number): void {
+    const known = this.history(history.pool, nowMs);
+    const addedSlices = history.repeats.map((repeats, age) => ({
+      // The end of the second, so that its sends don't expire too early.
+      beganAtMs: nowMs - age * MS_PER_S,
+      repeats: Math.max(0, repeats - (known.repeats[age] ?? 0)),
+      firstSends: Math.max(
+        0,
+        (history.firstSends[age] ?? 0) - (known.firstSends[age] ?? 0),
+      ),
+    }));
+    this.#slices.push(...addedSlices);
+    this.#slices.sort((a, b) => a.beganAtMs - b.beganAtMs);
+    this.#expire(nowMs);
+  }
+
+  get #windowMs(): number {
+    return this.#bound.windowS * MS_PER_S;
+  }
+
+  #bySecond(count: SendCount, nowMs: number): number[] {
+    const bySecond = new Array<number>(Math.ceil(this.#bound.windowS)).fill(0);
+    for (const slice of this.#slices) {
+      const age = Math.floor((nowMs - slice.beganAtMs) / MS_PER_S);
+      bySecond[Math.min(age, bySecond.length - 1)]! += slice[count];
+    }
+    return bySecond;
+  }
+
+  #expire(nowMs: number): void {
+    const oldestMs = nowMs - this.#windowMs;
+    while (this.#slices.length > 0 && this.#slices[0]!.beganAtMs < oldestMs) {
       this.#slices.shift();
     }
+  }
+
+  #slice(nowMs: number): Slice {
+    this.#expire(nowMs);
     let newest = this.#slices.at(-1);
     if (newest === undefined || nowMs - newest.beganAtMs >= SLICE_MS) {
       newest = { beganAtMs: nowMs, firstSends: 0, repeats: 0 };
@@ -92,3 +189,7 @@
     return newest;
   }
 }
+
+function sumOf(slices: readonly Slice[], count: SendCount): number {
+  return slices.reduce((sum, slice) => sum + slice[count], 0);
+}
