Logs: reads of the store that were sent again; metrics of the configuration first

'store read repeated' has the path, the attempts, the time and whether it was answered, at most one line a read.

--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -26,7 +26,7 @@
 import type { Heartbeat } from "./heartbeat_exchange.ts";
 import { SnapshotKind } from "./snapshot_server.ts";
 import { PeerFetch } from "./peer_fetch.ts";
-import type { PlatformSink } from "./ports.ts";
+import type { PlatformSink, RepeatedStoreRead } from "./ports.ts";
 
 /**
  * Minimum time between two reads of the targets from a peer while the
@@ -316,6 +316,14 @@
     });
   }
 
+  /** @param read A read of the platform's store that was sent again. */
+  storeReadRepeated(read: RepeatedStoreRead): void {
+    this.#parts.log.info(LogPart.Platform, "store read repeated", {
+      ...read,
+      tookMs: Math.round(read.tookMs),
+    });
+  }
+
   /**
    * A keep-alive connection to the platform stopped receiving data while a new
    * one works.
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -21,6 +21,16 @@
 /** All metrics of one instance; each method records an event or a value. */
 export class GatewayMetrics {
   readonly #registry = new Registry();
+  // First, as monitoring may cut the output off after some lines, and the
+  // counters by route are many.
+  readonly #configurationVersion = this.#gauge(
+    "configuration_version",
+    "Version of the configuration in force.",
+  );
+  readonly #configurationAgeMs = this.#gauge(
+    "configuration_age_ms",
+    "Time since the configuration in force was last known to be the newest.",
+  );
   readonly #requests = this.#counter("requests_total", "Requests read.", [
     "route",
   ]);
@@ -88,14 +98,6 @@
     "open_requests",
     "Requests in progress.",
   );
-  readonly #configurationVersion = this.#gauge(
-    "configuration_version",
-    "Version of the configuration in force.",
-  );
-  readonly #configurationAgeMs = this.#gauge(
-    "configuration_age_ms",
-    "Time since the configuration in force was last known to be the newest.",
-  );
   readonly #unreadableRows = this.#counter(
     "unreadable_rows_total",
     "Rows of the platform's store that could not be read.",
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -114,6 +114,17 @@
   readAnswer(status: number, headers: IncomingHttpHeaders): AnswerMetadata;
 }
 
+/** A read of the platform's store that was sent more than once. */
+export interface RepeatedStoreRead {
+  readonly path: string;
+  /** Number of requests that were sent. */
+  readonly attempts: number;
+  readonly tookMs: number;
+  /** Long-poll wait that was requested of the store; 0 for none. */
+  readonly waitMs: number;
+  readonly isAnswered: boolean;
+}
+
 /**
  * Receives what the platform port reads from the platform's store, and answers
  * how closely the port should follow the store.
@@ -163,6 +174,8 @@
    * one works.
    */
   connectionStalled(): void;
+  /** A read of the platform's store was sent more than once. */
+  storeReadRepeated(read: RepeatedStoreRead): void;
   /** A call to a table of the platform's store failed. */
   storeCallFailed(table: string, reason: string): void;
   /** The platform's store answers, for the first time or again. */
