Retry budget: a restarted coordinator does not erase what others reported

Its instances restart in series: one that has just started reports no repeats when it becomes coordinator, and that report replaced the one of the coordinator before it; and the fleet's memory, by which the slack grew, is that of the oldest instance, not of the one that decides.

Change: the last report of each coordinator is kept; a successor imports all of them. The slack grows with the uptime of the instance that decides. First sends that two instances count in different seconds count once, as they raise the bound; repeats may count twice.

Tests: of the handover (a report with fewer repeats), of the slack by uptime, of first sends reported in two seconds, and of fleets of which 5, 7 and 8 of 8 instances restart six times.

--- a/packages/gateway/src/coordinator_selector.ts
+++ b/packages/gateway/src/coordinator_selector.ts
@@ -3,7 +3,7 @@
  * share of the fleet's allotments that the instance may hand out itself.
  */
 
-import type { LedgerScope } from "@chestnuthatch/routing/allotment_ledger";
+import type { PlacementScope } from "@chestnuthatch/routing/coordinator";
 import {
   MEMBER_TIMEOUT_MS,
   type MemberRecord,
@@ -76,14 +76,19 @@
    * Limits what this instance may hand out when it assigns targets.
    *
    * @param nowMs The local time.
-   * @returns The share of the fleet's allotments, and the time over which the
-   * fleet's spending is known.
+   * @returns The share of the fleet's allotments, the time over which the
+   * fleet's spending is known, and the uptime of this instance.
    */
-  scope(nowMs: number): LedgerScope {
+  scope(nowMs: number): PlacementScope {
     const { share, spendingKnownSinceMs } = this.#selectionAt(
       nowMs,
     );
-    return { share, memoryMs: nowMs - spendingKnownSinceMs, nowMs };
+    return {
+      share,
+      memoryMs: nowMs - spendingKnownSinceMs,
+      uptimeMs: nowMs - this.#startedAtMs,
+      nowMs,
+    };
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -382,7 +382,8 @@
         this.#spending.spendingReceived(message.spending);
       }
       if (isCoordinator && message.retries !== undefined) {
-        this.#retryBudgets.historiesReceived(message.retries);
+        const { instanceId } = message.from;
+        this.#retryBudgets.reportReceived(instanceId, message.retries);
       }
       this.#fleetState.heartbeatReceived(message);
       return;
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -47,6 +47,8 @@
   readonly targetIds: readonly string[];
   /** Instances that each instance sends its first heartbeats to. */
   readonly seedIds: readonly string[];
+  /** Time of the test's clock at which the instance started. */
+  readonly startedAtMs?: number;
   /** @returns An instance's failure domain; `a` for all if absent. */
   domainOf?(instanceId: string): string;
   /** Delivers a message from one instance to another. */
@@ -65,8 +67,10 @@
   options: FleetOptions,
 ): FleetNode {
   const { clock, bounds, allotment, targetIds, seedIds, send } = options;
+  const { startedAtMs = -UPTIME_MS } = options;
   const failureDomain = options.domainOf?.(instanceId) ?? "a";
-  const self = memberOf(instanceId, { failureDomain });
+  const incarnation = startedAtMs + UPTIME_MS + 1;
+  const self = memberOf(instanceId, { failureDomain, incarnation });
   const members = new MemberView(self);
   const workspaces = [{ name: "w", keys: [], allotment }];
   const board = {
@@ -90,7 +94,7 @@
     clock,
     log,
     send: (member, message) => send(instanceId, member.instanceId, message),
-    startedAtMs: -UPTIME_MS,
+    startedAtMs,
     spendingWindowMs: bounds.allotmentTolerance.windowMs,
     onTakeover: (share) => {
       spending.becameActingCoordinator(share);
@@ -109,7 +113,7 @@
       }
     },
     coordinatorId: () => placementClient.coordinatorId,
-    memoryMs: () => UPTIME_MS + clock.nowMs(),
+    memoryMs: () => clock.nowMs() - startedAtMs,
     reachesStore: () => true,
     spending: () =>
       placementClient.coordinatorId === instanceId
@@ -128,7 +132,7 @@
   const tick = () => {
     members.memoryReported(
       instanceId,
-      UPTIME_MS + clock.nowMs(),
+      clock.nowMs() - startedAtMs,
       clock.nowMs(),
     );
     heartbeatExchange.tick();
@@ -186,6 +190,6 @@
     node.spending.spendingReceived(message.spending);
   }
   if (isCoordinator && message.retries !== undefined) {
-    node.retryBudgets.historiesReceived(message.retries);
+    node.retryBudgets.reportReceived(fromId, message.retries);
   }
 }
--- a/packages/gateway/src/placement_service.ts
+++ b/packages/gateway/src/placement_service.ts
@@ -3,8 +3,10 @@
  * `Coordinator`, and sends its decisions to them.
  */
 
-import type { LedgerScope } from "@chestnuthatch/routing/allotment_ledger";
-import type { Coordinator } from "@chestnuthatch/routing/coordinator";
+import type {
+  Coordinator,
+  PlacementScope,
+} from "@chestnuthatch/routing/coordinator";
 import {
   MessageKind,
   type RoutingMessage,
@@ -26,7 +28,7 @@
   /**
    * @returns The part of the fleet's allotments that may be handed out here.
    */
-  scope(): LedgerScope;
+  scope(): PlacementScope;
   /** Sends a message to another holder. */
   send(holderId: string, message: RoutingMessage): void;
   /** Applies a decision on an ask of this instance as holder. */
--- a/packages/gateway/src/retry_budget_handover.ts
+++ b/packages/gateway/src/retry_budget_handover.ts
@@ -11,6 +11,9 @@
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { Clock } from "./ports.ts";
 
+/** Time after which a report is dropped; longer than any window of budgets. */
+const REPORT_LIFETIME_MS = 60_000;
+
 /** Dependencies of {@link RetryBudgetHandover}. */
 export interface RetryBudgetHandoverParts {
   readonly board: RoutingBoard;
@@ -18,21 +21,38 @@
   readonly clock: Clock;
 }
 
-/** Keeps what the coordinator last told about the use of the retry budgets. */
+/** What a coordinator last reported, and when that was received. */
+interface RetryReport {
+  readonly histories: readonly RetryHistory[];
+  readonly receivedAtMs: number;
+}
+
+/** Keeps the last report of each coordinator about the sends that it granted. */
 export class RetryBudgetHandover {
   readonly #parts: RetryBudgetHandoverParts;
-  #received: readonly RetryHistory[] = [];
-  #receivedAtMs = 0;
+  /**
+   * By coordinator: one that has just started may know of fewer sends than
+   * those before it have reported.
+   */
+  readonly #reports = new Map<string, RetryReport>();
 
   /** @param parts Dependencies. */
   constructor(parts: RetryBudgetHandoverParts) {
     this.#parts = parts;
   }
 
-  /** @param histories Sends by pool from a heartbeat of the coordinator. */
-  historiesReceived(histories: readonly RetryHistory[]): void {
-    this.#received = histories;
-    this.#receivedAtMs = this.#parts.clock.nowMs();
+  /**
+   * Records the report in a coordinator's heartbeat.
+   *
+   * @param coordinatorId Instance id of the coordinator.
+   * @param histories Sends by pool.
+   */
+  reportReceived(
+    coordinatorId: string,
+    histories: readonly RetryHistory[],
+  ): void {
+    const receivedAtMs = this.#parts.clock.nowMs();
+    this.#reports.set(coordinatorId, { histories, receivedAtMs });
   }
 
   /** This instance became the coordinator of all members that it reaches. */
@@ -42,8 +62,7 @@
   }
 
   /**
-   * Counts a share of the sends that the previous coordinator granted as sends
-   * that this instance granted.
+   * Counts a share of the reported sends as sends that this instance granted.
    *
    * @param share Share (0 to 1) of the fleet's budgets that this instance may
    * hand out.
@@ -51,9 +70,16 @@
   takeOver(share: number): void {
     const { coordinator, clock } = this.#parts;
     const nowMs = clock.nowMs();
-    const ageMs = nowMs - this.#receivedAtMs;
-    const histories = this.#received
-      .map((history) => takenOverHistory(history, { ageMs, share }));
-    coordinator.importRetries(histories, nowMs);
+    for (const [coordinatorId, report] of this.#reports) {
+      const { histories, receivedAtMs } = report;
+      const ageMs = nowMs - receivedAtMs;
+      if (ageMs > REPORT_LIFETIME_MS) {
+        this.#reports.delete(coordinatorId);
+        continue;
+      }
+      const takenOver = histories
+        .map((history) => takenOverHistory(history, { ageMs, share }));
+      coordinator.importRetries(takenOver, nowMs);
+    }
   }
 }
--- a/packages/gateway/src/retry_budget_takeover_test.ts
+++ b/packages/gateway/src/retry_budget_takeover_test.ts
@@ -37,6 +37,9 @@
 const REQUEST_INTERVAL_MS = 40;
 const WARM_UP_MS = 12_000;
 const KILLS = 6;
+const RESTARTS = 6;
+const RESTART_MS = 500;
+const RESTART_INTERVAL_MS = 1600;
 const KILL_INTERVALS_MS = [1300, 1500, 1900];
 
 /** Sends of requests, in the order of time. */
@@ -62,6 +65,18 @@
     this.#nodes.delete(node!.placementClient.coordinatorId);
   }
 
+  /** Restarts the coordinator and the first others, which forget everything. */
+  restart(count: number): void {
+    const [node] = this.#nodes.values();
+    const { coordinatorId } = node!.placementClient;
+    const otherIds = IDS.filter((id) => id !== coordinatorId);
+    const restartedIds = [coordinatorId, ...otherIds].slice(0, count);
+    restartedIds.forEach((id) => this.#nodes.delete(id));
+    this.#network.schedule(RESTART_MS, () => {
+      restartedIds.forEach((id) => this.#nodes.set(id, this.#node(id)));
+    });
+  }
+
   run(forMs: number): void {
     const untilMs = this.clock.atMs + forMs;
     while (this.clock.atMs < untilMs) {
@@ -127,6 +142,7 @@
       allotment: ALLOTMENT,
       targetIds: TARGET_IDS,
       seedIds: IDS,
+      startedAtMs: this.clock.atMs === 0 ? undefined : this.clock.atMs,
       send: (fromId, toId, message) => this.#send(fromId, toId, message),
     });
   }
@@ -149,4 +165,23 @@
   );
 });
 
+// Guards against a restarted instance that knows of no repeats, and whose
+// heartbeats make the others forget those that they know of.
+test("restarts of most instances do not raise the number of repeats", () => {
+  const excesses = [5, 7, 8].map((count) => {
+    const fleet = new FailingFleet();
+    fleet.run(WARM_UP_MS);
+    for (let restart = 0; restart < RESTARTS; restart++) {
+      fleet.restart(count);
+      fleet.run(RESTART_INTERVAL_MS);
+    }
+    fleet.run(WINDOW_MS);
+    return fleet.maxExcess();
+  });
+  assert.ok(
+    excesses.every((excess) => excess <= 0),
+    `${excesses.join(", ")} repeats more than the bound`,
+  );
+});
+
 test.run();
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -203,7 +203,12 @@
       cause: AskCause.First,
     };
     this.#waitingByAskId.set(ask.askId, ask);
-    const scope = { share: 1, memoryMs: 60_000, nowMs: this.#queue.nowMs };
+    const scope = {
+      share: 1,
+      memoryMs: 60_000,
+      uptimeMs: 60_000,
+      nowMs: this.#queue.nowMs,
+    };
     this.#runTimed(() => this.#coordinator.ask(ask, scope));
   }
 
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -72,6 +72,12 @@
   readonly charge?: Charge;
 }
 
+/** What an instance may hand out as coordinator, and its uptime. */
+export interface PlacementScope extends LedgerScope {
+  /** Time since this instance started, in milliseconds. */
+  readonly uptimeMs: number;
+}
+
 /** Result of admission control: a refusal, or the charge that was made. */
 type AdmissionResult = { readonly refusal: AskDecision } | {
   readonly charge?: Charge;
@@ -118,7 +124,7 @@
    * @returns Decisions on this ask and on others; none for this one while it is
    * queued.
    */
-  ask(ask: WorkAsk, scope: LedgerScope): AskDecision[] {
+  ask(ask: WorkAsk, scope: PlacementScope): AskDecision[] {
     const scheduler = this.#poolScheduler(ask.pool);
     this.#limiter.share = scope.share;
     this.#lastContactAtMs.set(ask.holderId, scope.nowMs);
@@ -449,7 +455,7 @@
     }
   }
 
-  #admit(ask: WorkAsk, scope: LedgerScope): AdmissionResult {
+  #admit(ask: WorkAsk, scope: PlacementScope): AdmissionResult {
     const { askId, holderId, fingerprint } = ask;
     const { suspects } = this.#board;
     const heldForMs = suspects.quarantineLeftMs(fingerprint, scope.nowMs);
--- a/packages/routing/src/coordinator_test.ts
+++ b/packages/routing/src/coordinator_test.ts
@@ -18,7 +18,7 @@
 }
 
 function scope(nowMs: number) {
-  return { share: 1, memoryMs: Infinity, nowMs };
+  return { share: 1, memoryMs: Infinity, uptimeMs: Infinity, nowMs };
 }
 
 function endOf(askId: string, targetId: string): WorkEnd {
--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -34,8 +34,8 @@
 export interface RetryScope {
   /** Share (0 to 1) of the fleet's slack that may be handed out. */
   readonly share: number;
-  /** Time for which the fleet's repeats are known, in milliseconds. */
-  readonly memoryMs: number;
+  /** Time since this instance started, in milliseconds. */
+  readonly uptimeMs: number;
   readonly nowMs: number;
 }
 
@@ -100,17 +100,17 @@
   }
 
   /**
-   * Consumes one repeat of the budget, if any is left. While the fleet's
-   * repeats are known for less than a window, as after the loss of all
-   * instances, the slack grows from zero with that time.
+   * Consumes one repeat of the budget, if any is left. An instance that started
+   * within the window may not know of all repeats, so its slack grows from zero
+   * until it has run for a window.
    *
    * @param scope Part of the fleet that repeats are handed out for.
    * @returns Whether the repeat may be sent.
    */
-  tryConsume({ share, memoryMs, nowMs }: RetryScope): boolean {
+  tryConsume({ share, uptimeMs, nowMs }: RetryScope): boolean {
     const slice = this.#slice(nowMs);
     const { ratio, slack } = this.#bound;
-    const knownShare = Math.min(1, memoryMs / this.#windowMs);
+    const knownShare = Math.min(1, uptimeMs / this.#windowMs);
     const bound = ratio * sumOf(this.#slices, "firstSends") +
       slack * share * knownShare;
     if (sumOf(this.#slices, "repeats") + 1 > bound * USED_BOUND_SHARE) {
@@ -137,24 +137,23 @@
   }
 
   /**
-   * Adds sends that other coordinators granted. Those that are known here count
-   * once: each second gets the higher one of both counts.
+   * Adds sends that other coordinators granted, unless they are known here.
+   * What the two count in different seconds may be the same sends: such repeats
+   * count twice, and such first sends once, so that the budget is not exceeded.
    *
    * @param history Sends by age.
    * @param nowMs Local time in milliseconds that the ages count from.
    */
   importHistory(history: RetryHistory, nowMs: number): void {
     const known = this.history(history.pool, nowMs);
-    const addedSlices = history.repeats.map((repeats, age) => ({
+    const firstSends = missingInTotal(history.firstSends, known.firstSends);
+    const added = history.repeats.map((repeats, age) => ({
       // The end of the second, so that its sends don't expire too early.
       beganAtMs: nowMs - age * MS_PER_S,
       repeats: Math.max(0, repeats - (known.repeats[age] ?? 0)),
-      firstSends: Math.max(
-        0,
-        (history.firstSends[age] ?? 0) - (known.firstSends[age] ?? 0),
-      ),
+      firstSends: firstSends[age] ?? 0,
     }));
-    this.#slices.push(...addedSlices);
+    this.#slices.push(...added);
     this.#slices.sort((a, b) => a.beganAtMs - b.beganAtMs);
     this.#expire(nowMs);
   }
@@ -190,6 +189,25 @@
   }
 }
 
+/**
+ * Counts by age that are missing in the known ones, where a known count one
+ * second older may be the same.
+ */
+function missingInTotal(
+  counts: readonly number[],
+  known: readonly number[],
+): number[] {
+  let missing = 0;
+  let knownTotal = known[0] ?? 0;
+  return counts.map((count, age) => {
+    knownTotal += known[age + 1] ?? 0;
+    missing += count;
+    const added = Math.max(0, missing - knownTotal);
+    missing -= added;
+    return added;
+  });
+}
+
 function sumOf(slices: readonly Slice[], count: SendCount): number {
   return slices.reduce((sum, slice) => sum + slice[count], 0);
 }
--- a/packages/routing/src/retry_budget_test.ts
+++ b/packages/routing/src/retry_budget_test.ts
@@ -7,10 +7,10 @@
 /** Consumes repeats until none is left, and returns their number. */
 function consumeAll(
   budget: RetryBudget,
-  scope: { share?: number; memoryMs?: number; nowMs: number },
+  scope: { share?: number; uptimeMs?: number; nowMs: number },
 ): number {
   let consumed = 0;
-  while (budget.tryConsume({ share: 1, memoryMs: Infinity, ...scope })) {
+  while (budget.tryConsume({ share: 1, uptimeMs: Infinity, ...scope })) {
     consumed++;
   }
   return consumed;
@@ -18,9 +18,9 @@
 
 // Guards against a whole slack for each restart of all instances, of which none
 // knows what was repeated before.
-test("the slack grows with the time for which the fleet knows its repeats", () => {
-  const consumed = [0, 2500, 5000, 10_000, 60_000].map((memoryMs) =>
-    consumeAll(new RetryBudget(BOUND), { memoryMs, nowMs: 0 })
+test("the slack grows with the uptime until a window has passed", () => {
+  const consumed = [0, 2500, 5000, 10_000, 60_000].map((uptimeMs) =>
+    consumeAll(new RetryBudget(BOUND), { uptimeMs, nowMs: 0 })
   );
   assert.equal(consumed, [0, 15, 30, 60, 60]);
 });
@@ -52,6 +52,21 @@
   assert.is(consumeAll(budget, { nowMs: 0 }), 30);
 });
 
+// Guards against first sends that count again each time when they are reported,
+// which would raise the bound.
+test("first sends that are reported for the next second count once", () => {
+  const budget = new RetryBudget(BOUND);
+  for (let sends = 0; sends < 500; sends++) {
+    budget.recordFirst(900);
+  }
+  for (let nowMs = 1000; nowMs < 3000; nowMs += 250) {
+    const firstSends = nowMs < 2000 ? [500, 0, 0] : [0, 500, 0];
+    const history = { pool: "p", firstSends, repeats: [0, 0, 0] };
+    budget.importHistory(history, nowMs);
+  }
+  assert.is(consumeAll(budget, { nowMs: 3000 }), 120);
+});
+
 test("a share of a history is taken over by its age now", () => {
   const history = { pool: "p", firstSends: [10, 0], repeats: [4, 2] };
   assert.equal(takenOverHistory(history, { ageMs: 1900, share: 0.5 }), {
--- a/packages/routing/src/suspect_requests_test.ts
+++ b/packages/routing/src/suspect_requests_test.ts
@@ -14,7 +14,7 @@
 };
 
 function scope(nowMs: number) {
-  return { share: 1, memoryMs: Infinity, nowMs };
+  return { share: 1, memoryMs: Infinity, uptimeMs: Infinity, nowMs };
 }
 
 /** A request that ended two targets. */
