--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -12,6 +12,12 @@
  */
 const USED_BOUND_SHARE = 0.6;
 
+/**
+ * Share of the slack that an instance may hand out at its start. The rest of the
+ * bound covers several such starts within a window.
+ */
+const INITIAL_SLACK_SHARE = 0.1;
+
 /** Bound on repeats in a sliding window, as the users set it. */
 export interface RetryBudgetBound {
   /** Permitted repeats per first send. */
@@ -101,8 +107,8 @@
 
   /**
    * Consumes one repeat of the budget, if any is left. An instance that started
-   * within the window may not know of all repeats, so its slack grows from zero
-   * until it has run for a window.
+   * within the window may not know of all repeats, so its slack grows until it
+   * has run for a window.
    *
    * @param scope Part of the fleet that repeats are handed out for.
    * @returns Whether the repeat may be sent.
@@ -110,7 +116,10 @@
   tryConsume({ share, uptimeMs, nowMs }: RetryScope): boolean {
     const slice = this.#slice(nowMs);
     const { ratio, slack } = this.#bound;
-    const knownShare = Math.min(1, uptimeMs / this.#windowMs);
+    const knownShare = Math.min(
+      1,
+      Math.max(INITIAL_SLACK_SHARE, uptimeMs / this.#windowMs),
+    );
     const bound = ratio * sumOf(this.#slices, "firstSends") +
       slack * share * knownShare;
     if (sumOf(this.#slices, "repeats") + 1 > bound * USED_BOUND_SHARE) {
