Test of instances that only hear each other, known red

Eight instances whose reads of the store are not answered exchange heartbeats every 200 ms, and each takes 20 ms until it is handled.

--- a/packages/gateway/src/configuration_sync_test.ts
+++ b/packages/gateway/src/configuration_sync_test.ts
@@ -101,6 +101,36 @@
   assert.is(fixture.sync.pollWaitMs(), undefined);
 });
 
+const FLEET_SIZE = 8;
+const HEARTBEAT_INTERVAL_MS = 200;
+const STEP_MS = HEARTBEAT_INTERVAL_MS / FLEET_SIZE;
+/** Time from a heartbeat until it is handled, on instances under load. */
+const TRANSIT_MS = 20;
+const APPLY_MS = 2000;
+
+// Guards against a fleet that hears nothing from the store and believes for
+// longer than the bound that its configuration is current: the time in transit
+// was left out each time when an instance passed on an age that it had received.
+test("instances that only hear each other do not keep each other current", () => {
+  const fleet = Array.from({ length: FLEET_SIZE }, () => new SyncOnClock());
+  fleet.forEach(({ sync }) => sync.confirmedByStore());
+  let staleAtMs = Infinity;
+  for (let nowMs = 0; nowMs < 3 * APPLY_MS; nowMs += STEP_MS) {
+    const sender = fleet[(nowMs / STEP_MS) % FLEET_SIZE]!;
+    const configurationAgeMs = sender.board.configurationAge.ageMs(nowMs);
+    for (const receiver of fleet) {
+      receiver.nowMs = nowMs + TRANSIT_MS;
+      receiver.sync.heartbeatReceived(
+        heartbeatOf({ configurationVersion: 1, configurationAgeMs }),
+      );
+      if (receiver.sync.pollWaitMs() !== undefined) {
+        staleAtMs = Math.min(staleAtMs, receiver.nowMs);
+      }
+    }
+  }
+  assert.ok(staleAtMs <= APPLY_MS, `stale after ${staleAtMs} ms`);
+});
+
 test("the log reports when the configuration may be out of date and when it is current again", () => {
   const fixture = new SyncOnClock();
   fixture.sync.tick();
