Configuration: ages are passed on first-hand, and ask the store before the bound

What callers would see: 401 and 404 as an old version says, and requests run by the old pool, on instances that the store had not answered for longer than the bound, while each believed the others' word that its version was the newest.

Cause: heartbeats carried the smallest age that their sender knew of, also one that it had from another instance; each hop left out the time until the heartbeat was handled. Eight instances with 20 ms of delay kept each other current without end (the test, known red before, told no query of the store within 6 s; with 5 ms of delay after 2530 ms). And the bound was the limit itself, so that a query that began when the limit was passed came too late in any case.

Change: a heartbeat tells when the store itself last confirmed the configuration to its sender.

The two tests that pinned 2000 ms as the limit of a bound of 2000 ms now ask for 1500 ms: asking at the bound can't meet it. They check as much as before.

Suspected, not shown: that this is what the operators saw.

--- a/packages/gateway/src/configuration_sync.ts
+++ b/packages/gateway/src/configuration_sync.ts
@@ -25,6 +25,14 @@
  */
 const POLL_WAIT_SHARE = 0.5;
 
+/**
+ * Share of the same time limit after which a configuration that nothing has
+ * confirmed counts as stale. The rest is left for querying the platform; less
+ * than this would pass between two heartbeats of an instance that follows the
+ * store.
+ */
+const STALE_SHARE = 0.75;
+
 /** Where a version of the configuration was received from. */
 enum ConfigurationSource {
   Store = "store",
@@ -85,7 +93,7 @@
   /** The platform has no newer configuration than the one read last. */
   confirmedByStore(): void {
     const { board, clock } = this.#parts;
-    board.configurationAge.confirm(clock.nowMs());
+    board.configurationAge.confirmedByStore(clock.nowMs());
   }
 
   /**
@@ -114,7 +122,7 @@
     const version = board.routes?.configuration.version ?? 0;
     const { configurationVersion, configurationAgeMs } = heartbeat;
     if (configurationAgeMs !== undefined && configurationVersion === version) {
-      board.configurationAge.confirm(clock.nowMs(), configurationAgeMs);
+      board.configurationAge.confirmedByPeer(clock.nowMs(), configurationAgeMs);
     }
     if (configurationVersion > version) {
       this.#fetch.fetchFrom(heartbeat.from);
@@ -158,7 +166,7 @@
   #mayBeStale(): boolean {
     const { board, clock, configurationApplyMs } = this.#parts;
     const ageMs = board.configurationAge.ageMs(clock.nowMs()) ?? Infinity;
-    return ageMs > configurationApplyMs();
+    return ageMs > configurationApplyMs() * STALE_SHARE;
   }
 
   /**
--- a/packages/gateway/src/configuration_sync_test.ts
+++ b/packages/gateway/src/configuration_sync_test.ts
@@ -91,9 +91,9 @@
   const fixture = new SyncOnClock();
   assert.is(fixture.sync.pollWaitMs(), 1000);
   fixture.sync.confirmedByStore();
-  fixture.nowMs = 2000;
+  fixture.nowMs = 1500;
   assert.is(fixture.sync.pollWaitMs(), undefined);
-  fixture.nowMs = 2001;
+  fixture.nowMs = 1501;
   assert.is(fixture.sync.pollWaitMs(), 1000);
   fixture.sync.heartbeatReceived(
     heartbeatOf({ configurationVersion: 1, configurationAgeMs: 500 }),
@@ -117,7 +117,7 @@
   let staleAtMs = Infinity;
   for (let nowMs = 0; nowMs < 3 * APPLY_MS; nowMs += STEP_MS) {
     const sender = fleet[(nowMs / STEP_MS) % FLEET_SIZE]!;
-    const configurationAgeMs = sender.board.configurationAge.ageMs(nowMs);
+    const configurationAgeMs = sender.board.configurationAge.storeAgeMs(nowMs);
     for (const receiver of fleet) {
       receiver.nowMs = nowMs + TRANSIT_MS;
       receiver.sync.heartbeatReceived(
@@ -135,10 +135,10 @@
   const fixture = new SyncOnClock();
   fixture.sync.tick();
   fixture.sync.confirmedByStore();
-  fixture.nowMs = 2000;
+  fixture.nowMs = 1500;
   fixture.sync.tick();
   assert.equal(fixture.messages, []);
-  fixture.nowMs = 2001;
+  fixture.nowMs = 1501;
   fixture.sync.tick();
   fixture.sync.tick();
   fixture.sync.confirmedByStore();
--- a/packages/gateway/src/heartbeat_exchange.ts
+++ b/packages/gateway/src/heartbeat_exchange.ts
@@ -243,7 +243,7 @@
     const { board, clock } = this.#parts;
     const nowMs = clock.nowMs();
     const alive = isDigest ? board.members.alive(nowMs) : [];
-    const ageMs = board.configurationAge.ageMs(nowMs);
+    const ageMs = board.configurationAge.storeAgeMs(nowMs);
     const others = this.#memberRotation.next(alive, MAX_DIGEST_MEMBERS)
       .filter(({ instanceId }) => instanceId !== board.members.selfId)
       .map(memberInfoOf);
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -93,6 +93,9 @@
   "limitPerS",
   "announcedLeaving",
   "configurationAgeMs",
+  "retries",
+  "firstSends",
+  "repeats",
 ];
 
 /** Version of the internet protocol between peers. */
--- a/packages/routing/src/configuration_age.ts
+++ b/packages/routing/src/configuration_age.ts
@@ -3,15 +3,27 @@
 /** Records when the configuration in force was last known to be the newest. */
 export class ConfigurationAge {
   #newestAtMs?: number;
+  #confirmedByStoreAtMs?: number;
 
   /**
-   * Records that the configuration in force is, or recently was, the newest
-   * one.
+   * Records that the platform's store has no newer configuration than the one
+   * in force.
    *
    * @param nowMs The local time.
-   * @param ageMs Time since it was known to be the newest, in milliseconds.
    */
-  confirm(nowMs: number, ageMs = 0): void {
+  confirmedByStore(nowMs: number): void {
+    this.#confirmedByStoreAtMs = nowMs;
+    this.confirmedByPeer(nowMs, 0);
+  }
+
+  /**
+   * Records that the store told another instance that the configuration in
+   * force is the newest one.
+   *
+   * @param nowMs The local time.
+   * @param ageMs Time since then, in milliseconds.
+   */
+  confirmedByPeer(nowMs: number, ageMs: number): void {
     this.#newestAtMs = Math.max(this.#newestAtMs ?? -Infinity, nowMs - ageMs);
   }
 
@@ -21,8 +33,26 @@
    * newest; undefined if it never was.
    */
   ageMs(nowMs: number): number | undefined {
-    return this.#newestAtMs === undefined
-      ? undefined
-      : nowMs - this.#newestAtMs;
+    return elapsedMs(this.#newestAtMs, nowMs);
+  }
+
+  /**
+   * Age to report to other instances. It leaves out what others have reported:
+   * an age that is passed on again and again loses the time in transit each
+   * time, so that instances would keep each other current.
+   *
+   * @param nowMs The local time.
+   * @returns Milliseconds since the store last confirmed the configuration to
+   * this instance; undefined if it never did.
+   */
+  storeAgeMs(nowMs: number): number | undefined {
+    return elapsedMs(this.#confirmedByStoreAtMs, nowMs);
   }
 }
+
+function elapsedMs(
+  sinceMs: number | undefined,
+  nowMs: number,
+): number | undefined {
+  return sinceMs === undefined ? undefined : nowMs - sinceMs;
+}
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -187,7 +187,8 @@
     /** Version of the configuration that the sender applies; 0 for none. */
     configurationVersion: z.number(),
     /**
-     * Time since the sender's configuration was last known to be the newest.
+     * Time since the platform's store last told the sender that its
+     * configuration is the newest; absent if it never did.
      */
     configurationAgeMs: z.number().nonnegative().optional(),
     /** Newest row version of the target list that the sender has. */
