Callers: a connection opened ahead of its first request is idle, not late

What callers saw: a connection that was opened and not used within the limit on headers (3 s) was closed with status 408; a request sent at that moment found it closed. Callers may keep an unused connection for the idle limit (15 s).

Cause: Node.js counts the time for headers from the start of a connection until its first request begins.

Change: such a connection gets the idle limit, until its first request is read. The harness of the connection tests now passes unreadable requests on, as the server does.

--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -40,6 +40,15 @@
 /** Prefix of the error codes of the HTTP parser in Node.js. */
 const PARSER_CODE_PREFIX = "HPE_";
 
+/** Options of {@link CallerConnection}. */
+export interface CallerConnectionOptions {
+  readonly clock: Clock;
+  /** @returns Longest time that a connection may be idle, in milliseconds. */
+  idleTimeoutMs(): number;
+  /** Called when the connection has closed. */
+  onClosed(): void;
+}
+
 /** Tracks one connection's unfinished answers and the cause of its end. */
 export class CallerConnection {
   readonly #socket: Socket;
@@ -51,18 +60,20 @@
   /** Bytes received by the time the last answer was written out. */
   #bytesReadWhenIdle?: number;
   readonly #clock: Clock;
+  readonly #idleTimeoutMs: () => number;
   #slowestAnswerMs = 0;
 
   /**
    * @param socket The connection.
-   * @param parts The clock, and a callback for when the connection has closed.
+   * @param options The clock, the current limits, and a callback.
    */
   constructor(
     socket: Socket,
-    { clock, onClosed }: { clock: Clock; onClosed: () => void },
+    { clock, idleTimeoutMs, onClosed }: CallerConnectionOptions,
   ) {
     this.#socket = socket;
     this.#clock = clock;
+    this.#idleTimeoutMs = idleTimeoutMs;
     // Prepended to the server's own listeners, which close the connection.
     socket.prependListener(
       "end",
@@ -73,7 +84,7 @@
       () => this.recordEnd(ConnectionEnd.IdleTime),
     );
     socket.prependListener("error", (error) => this.#onError(error));
-    socket.on("close", onClosed);
+    socket.on("close", () => onClosed());
   }
 
   /** Cause of the connection's end, `Unknown` if none was observed. */
@@ -148,6 +159,11 @@
    * @param error The error reported by Node.js.
    */
   handleUnreadable(error: NodeJS.ErrnoException): void {
+    if (error.code === HEADERS_TIMEOUT_CODE && this.#socket.bytesRead === 0) {
+      // Node.js counts from the connection's start, but no request has begun.
+      this.#socket.setTimeout(this.#idleTimeoutMs());
+      return;
+    }
     this.#onError(error);
     const unfinished = this.unfinishedAnswers.filter(({ response }) =>
       response.req.complete
@@ -184,6 +200,10 @@
    * @param answer The answer to a request that was just read.
    */
   trackAnswer(answer: UnfinishedAnswer): void {
+    if (this.#requestsRead === 0) {
+      // An idle timeout from before the first request must not end its answer.
+      this.#socket.setTimeout(0);
+    }
     this.#requestsRead++;
     this.#unfinishedAnswers.add(answer);
     answer.response.on("prefinish", () => this.#onPrefinish(answer));
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -15,6 +15,8 @@
   readonly metrics: GatewayMetrics;
   /** @returns The current stage of the instance's shutdown. */
   stage(): ShutdownStage;
+  /** @returns Longest time that a connection may be idle, in milliseconds. */
+  idleTimeoutMs(): number;
 }
 
 /** Counts of open connections and unfinished answers at one time. */
@@ -63,6 +65,7 @@
   add(socket: Socket): void {
     const connection = new CallerConnection(socket, {
       clock: this.#parts.clock,
+      idleTimeoutMs: () => this.#parts.idleTimeoutMs(),
       onClosed: () => this.#onEnded(socket),
     });
     this.#open.set(socket, connection);
--- a/packages/gateway/src/caller_connections_test.ts
+++ b/packages/gateway/src/caller_connections_test.ts
@@ -55,12 +55,15 @@
     log: this.#log,
     metrics: this.#metrics,
     stage: () => ShutdownStage.Refusing,
+    idleTimeoutMs: () => this.#idleTimeMs,
   });
+  readonly #idleTimeMs: number;
   readonly server: Server;
   /** The answer to the latest request. */
   latest?: UnfinishedAnswer;
 
   constructor({ idleTimeMs = NEVER_MS, headersTimeMs = NEVER_MS }: Limits) {
+    this.#idleTimeMs = idleTimeMs;
     this.server = createServer({
       keepAliveTimeout: idleTimeMs,
       headersTimeout: headersTimeMs,
@@ -71,6 +74,9 @@
       this.accepted.push(socket);
       this.connections.add(socket);
     });
+    this.server.on("clientError", (error, socket) => {
+      this.connections.handleUnreadable(socket as Socket, error);
+    });
   }
 
   /** Connects a caller that reads nothing yet. */
@@ -398,6 +404,17 @@
   assert.equal(await harness.counters(), [ended("headers_time")]);
 }, { headersTimeMs: POLL_MS });
 
+testOn(
+  "a connection without a request ends with its idle time",
+  async (harness) => {
+    const caller = await harness.call("");
+    caller.resume();
+    await once(caller, "close");
+    assert.equal(await harness.counters(), [ended("idle_time")]);
+  },
+  { headersTimeMs: POLL_MS, idleTimeMs: POLL_MS },
+);
+
 testOn("an invalid request is counted", async (harness) => {
   const caller = await harness.call("no request\r\n\r\n");
   caller.resume();
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -103,7 +103,13 @@
     }, (request, response) => this.#onRequest(request, response));
     const { clock, log, metrics } = parts;
     const stage = () => this.#stage;
-    this.#connections = new CallerConnections({ clock, log, metrics, stage });
+    this.#connections = new CallerConnections({
+      clock,
+      log,
+      metrics,
+      stage,
+      idleTimeoutMs: () => this.#limits.idleTimeoutMs,
+    });
     this.#server.on("connection", (socket) => this.#connections.add(socket));
     this.#server.on("clientError", (error, socket) => {
       this.#connections.handleUnreadable(socket as Socket, error);
