Roll-outs: a few answers of the old version no longer excuse a failing one

What callers saw: a version that failed 102 of 102 answers over 7.5 s before it was rolled back, as the coordinator held two good answers of the old version.

Cause: the bound of the old version's failure rate is that of its confidence interval. Without any answer 0.5 is assumed; the interval of one good answer reaches 0.9, of two 0.82. So one good answer did away with every verdict on a version that fails everything, and more knowledge made the verdict worse.

Evidence, before: the new test tells 'never' for one or two good answers of the old version, 52, 35 and 26 answers for three, four and five, whatever the number of new targets (1 to 8).

Change: the bound is at most the rate by the answers and by eight assumed ones, half of which fail. Only good answers count towards the least numbers for 'sound'; the targets that are left out are those that exceed the tolerated rate most; missing answers of the old version count as good. The three tests pass.

--- a/packages/routing/src/failure_rates.ts
+++ b/packages/routing/src/failure_rates.ts
@@ -20,6 +20,18 @@
 /** Failure rate that is assumed of a version without answers. */
 const DEFAULT_FAILURE_RATE = 0.5;
 
+/**
+ * Number of answers that the assumed rate weighs. The interval of fewer answers
+ * allows almost any rate, and would excuse more than no answers do.
+ */
+const DEFAULT_RATE_WEIGHT = 8;
+
+/**
+ * Weight of a failure against that of a good answer. A version that failed as
+ * often as another one by few answers may fail somewhat more often.
+ */
+const FAILURE_WEIGHT = 1.5;
+
 /** @returns A tally without answers. */
 export function emptyTally(): Tally {
   return { answers: 0, failures: 0 };
@@ -36,21 +48,6 @@
   tally.failures += Number(failed);
 }
 
-/**
- * Adds up tallies.
- *
- * @param tallies Tallies of different answers.
- * @returns The sum of the tallies.
- */
-export function sumOf(tallies: readonly Tally[]): Tally {
-  const sum = emptyTally();
-  for (const { answers, failures } of tallies) {
-    sum.answers += answers;
-    sum.failures += failures;
-  }
-  return sum;
-}
-
 /**
  * Tests whether a failure rate is significantly higher than another one, by the
  * bounds of their confidence intervals.
@@ -67,7 +64,7 @@
   margin: number,
 ): boolean {
   const [lower] = wilsonBounds(tally);
-  const [, upper] = wilsonBounds(baseline);
+  const upper = Math.min(wilsonBounds(baseline)[1], assumedRateOf(baseline));
   return tally.answers >= MIN_BAD_ANSWERS && lower > upper + margin;
 }
 
@@ -82,6 +79,17 @@
   return answers === 0 ? DEFAULT_FAILURE_RATE : failures / answers;
 }
 
+/**
+ * Highest failure rate to assume by the answers and the rate that is assumed
+ * without any. A good answer never raises it.
+ */
+function assumedRateOf({ answers, failures }: Tally): number {
+  const assumedFailures = DEFAULT_FAILURE_RATE * DEFAULT_RATE_WEIGHT;
+  const rate = (FAILURE_WEIGHT * failures + assumedFailures) /
+    (answers + DEFAULT_RATE_WEIGHT);
+  return Math.max(DEFAULT_FAILURE_RATE, rate);
+}
+
 /** Wilson score interval of a rate, which is also valid for few answers. */
 function wilsonBounds(tally: Tally): [number, number] {
   if (tally.answers === 0) {
--- a/packages/routing/src/version_evidence.ts
+++ b/packages/routing/src/version_evidence.ts
@@ -11,7 +11,6 @@
   isRateHigher,
   MIN_BAD_ANSWERS,
   rateOf,
-  sumOf,
   type Tally,
 } from "./failure_rates.ts";
 import {
@@ -56,7 +55,8 @@
 }
 
 /**
- * Least number of answers of the new version for the verdict that it is sound.
+ * Least number of good answers of the new version for the verdict that it is
+ * sound.
  */
 const MIN_SOUND_ANSWERS = 20;
 
@@ -67,8 +67,8 @@
 const MAX_FAULTY_TARGETS = 2;
 
 /**
- * Least number of answers of the targets that are not left out. They have to be
- * as good as the old version's for the new one to be sound.
+ * Least number of good answers of the new version for the verdict that it is
+ * sound, without those of the targets that answered well most often.
  */
 const MIN_OTHER_ANSWERS = 10;
 
@@ -222,17 +222,24 @@
 
 /**
  * Whether enough targets of the new version answer as well as the old one's.
+ * Only good answers count towards the least numbers, so that a failure never
+ * makes a version sound.
  */
 function isSound(
   canary: VersionAnswers,
   baseline: ScopeTally,
   newTargetIds: readonly string[],
 ): boolean {
-  const others = withoutFaultyTargets(canary.all, newTargetIds);
-  const latest = withoutFaultyTargets(canary.latest(), newTargetIds);
-  return canary.all.total.answers >= MIN_SOUND_ANSWERS &&
-    others.answers >= MIN_OTHER_ANSWERS &&
-    [others, latest].every((tally) => isAsGood(tally, baseline.total));
+  const goodAnswers = targetTallies(canary.all, newTargetIds)
+    .map(({ answers, failures }) => answers - failures)
+    .sort((a, b) => b - a);
+  const ofOthers = goodAnswers.slice(maxFaultyTargets(newTargetIds));
+  const { answers, failures } = canary.all.total;
+  return answers - failures >= MIN_SOUND_ANSWERS &&
+    total(ofOthers) >= MIN_OTHER_ANSWERS &&
+    [canary.all, canary.latest()].every((scope) =>
+      isAsGood(scope, baseline.total, newTargetIds)
+    );
 }
 
 /**
@@ -244,30 +251,46 @@
   baseline: ScopeTally,
   newTargetIds: readonly string[],
 ): boolean {
-  const others = withoutFaultyTargets(canary, newTargetIds);
   return canary.total.failures >= MAX_UNDECIDED_FAILURES &&
     isRateHigher(canary.total, baseline.total, FAILURE_RATE_MARGIN) &&
-    !isAsGood(others, baseline.total);
+    !isAsGood(canary, baseline.total, newTargetIds);
 }
 
 /**
- * Answers of the version's targets, without the targets that have most failures
- * and may be faulty themselves.
+ * Whether the new version's targets fail as seldom as the old one's, without
+ * those that fail most in excess of them and may be faulty themselves. Of the
+ * old version, answers that are missing count as good.
  */
-function withoutFaultyTargets(
+function isAsGood(
+  scope: ScopeTally,
+  baseline: Tally,
+  newTargetIds: readonly string[],
+): boolean {
+  const usualRate = baseline.failures /
+    Math.max(baseline.answers, MIN_BAD_ANSWERS);
+  const excesses = targetTallies(scope, newTargetIds)
+    .map(({ answers, failures }) =>
+      failures - (usualRate + FAILURE_RATE_MARGIN) * answers
+    )
+    .sort((a, b) => b - a);
+  return total(excesses.slice(maxFaultyTargets(newTargetIds))) <= 0;
+}
+
+function targetTallies(
   scope: ScopeTally,
   newTargetIds: readonly string[],
-): Tally {
-  const tallies = newTargetIds.flatMap((id) => scope.byTarget.get(id) ?? [])
-    .sort((a, b) => b.failures - a.failures);
-  const fewerThanHalf = Math.max(0, Math.ceil(tallies.length / 2) - 1);
-  return sumOf(tallies.slice(Math.min(MAX_FAULTY_TARGETS, fewerThanHalf)));
+): Tally[] {
+  return newTargetIds.flatMap((id) => scope.byTarget.get(id) ?? []);
+}
+
+/** Number of targets that may be faulty themselves, fewer than half. */
+function maxFaultyTargets({ length }: readonly string[]): number {
+  const fewerThanHalf = Math.max(0, Math.ceil(length / 2) - 1);
+  return Math.min(MAX_FAULTY_TARGETS, fewerThanHalf);
 }
 
-/** With too few answers of the old version, its failure rate is taken as 0. */
-function isAsGood({ answers, failures }: Tally, baseline: Tally): boolean {
-  const usualRate = baseline.answers < MIN_BAD_ANSWERS ? 0 : rateOf(baseline);
-  return failures <= (usualRate + FAILURE_RATE_MARGIN) * answers;
+function total(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0);
 }
 
 /** Whether the version fails more often, and not just a few of its targets. */
--- a/packages/routing/src/version_evidence_test.ts
+++ b/packages/routing/src/version_evidence_test.ts
@@ -1,8 +1,10 @@
 /** Verdicts on sound and bad versions, by seeded series of random answers. */
 
 import { seededRandomSource } from "@chestnuthatch/core/random_source";
+import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { VersionAnswer } from "./version_answers.ts";
 import { Verdict, VersionEvidence } from "./version_evidence.ts";
 
 const SEEDS = 20;
@@ -232,4 +234,116 @@
   assert.is(evidence.verdict(scope).verdict, Verdict.TooFew);
 });
 
+/**
+ * Number of answers until a version that fails all of them is bad; undefined if
+ * it is not within a limit.
+ */
+function failuresUntilBad(
+  of: { newTargets: number; baselineAnswers: number },
+): number | undefined {
+  const evidence = new VersionEvidence();
+  const newTargetIds = idsOf(of.newTargets);
+  for (let answer = 0; answer < of.baselineAnswers; answer++) {
+    evidence.add({
+      isCanary: false,
+      targetId: "old-0",
+      route: "plan",
+      failed: false,
+    });
+  }
+  for (let answer = 0; answer < 4 * MAX_FAILURES_UNTIL_BAD; answer++) {
+    const targetId = newTargetIds[answer % newTargetIds.length]!;
+    evidence.add({ isCanary: true, targetId, route: "plan", failed: true });
+    const { verdict } = evidence.verdict({ newTargetIds, isPromoted: false });
+    if (verdict === Verdict.Bad) {
+      return answer + 1;
+    }
+  }
+  return undefined;
+}
+
+const MAX_FAILURES_UNTIL_BAD = 25;
+
+// Guards against a version that is never bad, as the old one has answered just
+// once: a confidence interval of one answer allows any rate.
+test("a version that fails everything is bad after 25 answers, whatever is known of the old one", () => {
+  const late: string[] = [];
+  for (let baselineAnswers = 0; baselineAnswers <= 30; baselineAnswers++) {
+    for (let newTargets = 1; newTargets <= 8; newTargets++) {
+      const after = failuresUntilBad({ newTargets, baselineAnswers });
+      if (after === undefined || after > MAX_FAILURES_UNTIL_BAD) {
+        late.push(`${baselineAnswers}/${newTargets}: ${after}`);
+      }
+    }
+  }
+  assert.equal(late, []);
+});
+
+/** Random answers of one version, by the number of failures in ten. */
+function answersOf(
+  of: { isCanary: boolean; failuresInTen: number; maxLength: number },
+): fc.Arbitrary<VersionAnswer[]> {
+  const { isCanary, failuresInTen, maxLength } = of;
+  const name = isCanary ? "new" : "old";
+  const answer = fc.record({
+    isCanary: fc.constant(isCanary),
+    targetId: fc.integer({ min: 0, max: 3 }).map((index) => `${name}-${index}`),
+    route: fc.constantFrom("plan", "note"),
+    failed: fc.integer({ min: 1, max: 10 }).map((n) => n <= failuresInTen),
+  });
+  return fc.array(answer, { minLength: maxLength / 4, maxLength });
+}
+
+function verdictOf(answers: readonly VersionAnswer[]): Verdict {
+  const evidence = new VersionEvidence();
+  answers.forEach((answer) => evidence.add(answer));
+  return evidence.verdict({ newTargetIds: idsOf(4), isPromoted: false })
+    .verdict;
+}
+
+// Guards against a verdict that gets worse with more knowledge.
+test("a good answer of the old version never delays the verdict that the new one is bad", () => {
+  fc.assert(
+    fc.property(
+      answersOf({ isCanary: true, failuresInTen: 8, maxLength: 60 }),
+      answersOf({ isCanary: false, failuresInTen: 4, maxLength: 16 }),
+      fc.constantFrom("plan", "note"),
+      (canary, baseline, route) => {
+        const before = verdictOf([...canary, ...baseline]);
+        const good = {
+          isCanary: false,
+          targetId: "old-0",
+          route,
+          failed: false,
+        };
+        const after = verdictOf([...canary, ...baseline, good]);
+        return before !== Verdict.Bad || after === Verdict.Bad;
+      },
+    ),
+    { seed: 45, numRuns: 4000 },
+  );
+});
+
+test("a failure of the new version never hastens the verdict that it is sound", () => {
+  fc.assert(
+    fc.property(
+      answersOf({ isCanary: true, failuresInTen: 1, maxLength: 60 }),
+      answersOf({ isCanary: false, failuresInTen: 2, maxLength: 16 }),
+      fc.integer({ min: 0, max: 3 }),
+      (canary, baseline, index) => {
+        const before = verdictOf([...canary, ...baseline]);
+        const failure = {
+          isCanary: true,
+          targetId: `new-${index}`,
+          route: "plan",
+          failed: true,
+        };
+        const after = verdictOf([...canary, ...baseline, failure]);
+        return before === Verdict.Sound || after !== Verdict.Sound;
+      },
+    ),
+    { seed: 45, numRuns: 4000 },
+  );
+});
+
 test.run();
