Roll-outs: failures of the only targets that have answered count

Which targets may be faulty themselves is again taken from those that have answered, where it is asked whether the version fails too often.

--- a/packages/routing/src/version_evidence.ts
+++ b/packages/routing/src/version_evidence.ts
@@ -230,15 +230,16 @@
   baseline: ScopeTally,
   newTargetIds: readonly string[],
 ): boolean {
-  const goodAnswers = targetTallies(canary.all, newTargetIds)
+  const maxFaulty = maxFaultyTargets(newTargetIds.length);
+  const goodAnswers = talliesOf(newTargetIds, canary.all)
     .map(({ answers, failures }) => answers - failures)
     .sort((a, b) => b - a);
-  const ofOthers = goodAnswers.slice(maxFaultyTargets(newTargetIds));
+  const ofOthers = goodAnswers.slice(maxFaulty);
   const { answers, failures } = canary.all.total;
   return answers - failures >= MIN_SOUND_ANSWERS &&
     total(ofOthers) >= MIN_OTHER_ANSWERS &&
     [canary.all, canary.latest()].every((scope) =>
-      isAsGood(scope, baseline.total, newTargetIds)
+      isAsGood(talliesOf(newTargetIds, scope), baseline.total, maxFaulty)
     );
 }
 
@@ -251,41 +252,44 @@
   baseline: ScopeTally,
   newTargetIds: readonly string[],
 ): boolean {
+  const tallies = talliesOf(newTargetIds, canary);
+  const maxFaulty = maxFaultyTargets(tallies.length);
   return canary.total.failures >= MAX_UNDECIDED_FAILURES &&
     isRateHigher(canary.total, baseline.total, FAILURE_RATE_MARGIN) &&
-    !isAsGood(canary, baseline.total, newTargetIds);
+    !isAsGood(tallies, baseline.total, maxFaulty);
 }
 
 /**
- * Whether the new version's targets fail as seldom as the old one's, without
- * those that fail most in excess of them and may be faulty themselves. Of the
- * old version, answers that are missing count as good.
+ * Whether targets of the new version fail as seldom as the old one's, without
+ * some that fail most in excess of that and may be faulty themselves. Of the old
+ * version, answers that are missing count as good.
  */
 function isAsGood(
-  scope: ScopeTally,
+  tallies: readonly Tally[],
   baseline: Tally,
-  newTargetIds: readonly string[],
+  maxFaulty: number,
 ): boolean {
   const usualRate = baseline.failures /
     Math.max(baseline.answers, MIN_BAD_ANSWERS);
-  const excesses = targetTallies(scope, newTargetIds)
+  const excesses = tallies
     .map(({ answers, failures }) =>
       failures - (usualRate + FAILURE_RATE_MARGIN) * answers
     )
     .sort((a, b) => b - a);
-  return total(excesses.slice(maxFaultyTargets(newTargetIds))) <= 0;
+  return total(excesses.slice(maxFaulty)) <= 0;
 }
 
-function targetTallies(
+/** Tallies of those of the targets that have answered. */
+function talliesOf(
+  targetIds: readonly string[],
   scope: ScopeTally,
-  newTargetIds: readonly string[],
 ): Tally[] {
-  return newTargetIds.flatMap((id) => scope.byTarget.get(id) ?? []);
+  return targetIds.flatMap((id) => scope.byTarget.get(id) ?? []);
 }
 
 /** Number of targets that may be faulty themselves, fewer than half. */
-function maxFaultyTargets({ length }: readonly string[]): number {
-  const fewerThanHalf = Math.max(0, Math.ceil(length / 2) - 1);
+function maxFaultyTargets(targets: number): number {
+  const fewerThanHalf = Math.max(0, Math.ceil(targets / 2) - 1);
   return Math.min(MAX_FAULTY_TARGETS, fewerThanHalf);
 }
 
--- a/packages/routing/src/version_evidence_test.ts
+++ b/packages/routing/src/version_evidence_test.ts
@@ -264,6 +264,18 @@
 
 const MAX_FAILURES_UNTIL_BAD = 25;
 
+// Guards against failures that are put down to single targets, as most of the
+// others have not answered yet.
+test("a version of which two of sixteen targets fail everything, and no other answers, is bad", () => {
+  const evidence = new VersionEvidence();
+  for (let answer = 0; answer < MAX_FAILURES_UNTIL_BAD; answer++) {
+    const targetId = `new-${answer % 2}`;
+    evidence.add({ isCanary: true, targetId, route: "plan", failed: true });
+  }
+  const scope = { newTargetIds: idsOf(16), isPromoted: false };
+  assert.is(evidence.verdict(scope).verdict, Verdict.Bad);
+});
+
 // Guards against a version that is never bad, as the old one has answered just
 // once: a confidence interval of one answer allows any rate.
 test("a version that fails everything is bad after 25 answers, whatever is known of the old one", () => {
