Suspects: record all ended targets soon after the last one

What callers would see: a request that ended three targets ends as many again, once all instances were lost right after that.

Cause: the record of suspects was written at most twice a second. Copies of a request end targets within 0.1 s of each other; of three, the record held two for up to 0.5 s, and a fleet that restarts within that time restored these two.

Evidence: the test failed before, with p1 and p2 recorded of p1, p2 and p3.

--- a/packages/gateway/src/suspect_recorder.ts
+++ b/packages/gateway/src/suspect_recorder.ts
@@ -10,8 +10,11 @@
 import type { Clock, PlatformPort } from "./ports.ts";
 import { StoreRecorder } from "./store_recorder.ts";
 
-/** Minimum time between two records: targets end some seconds apart. */
-const MIN_RECORD_INTERVAL_MS = 500;
+/**
+ * Minimum time between two records. Copies of one request end targets within
+ * 0.1 s of each other, and all instances may be lost right after that.
+ */
+const MIN_RECORD_INTERVAL_MS = 50;
 
 /** Delay before a failed write of the record is retried. */
 const RECORD_RETRY_MS = 1000;
--- /dev/null
+++ b/packages/gateway/src/suspect_recorder_test.ts
@@ -0,0 +1,54 @@
+import { Writable } from "node:stream";
+import { boardOf } from "@chestnuthatch/routing/routing_test_support";
+import type { SuspectUpdate } from "@chestnuthatch/routing/suspect_requests";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { EventLog } from "./event_log.ts";
+import { type PlatformPort, StatusWriteOutcome } from "./ports.ts";
+import { SuspectRecorder } from "./suspect_recorder.ts";
+
+const TICK_MS = 20;
+
+/** Time between the ends of two targets that run the same request in turn. */
+const ENDED_EVERY_MS = 60;
+
+/** Time after the last of them until all instances are killed. */
+const KILLED_AFTER_MS = 100;
+
+// Guards against a request that ends as many targets again once all instances
+// were killed: the record that they restore held the first ended target only.
+test("all targets that a request ended are recorded soon after the last one", async () => {
+  const board = boardOf([]);
+  const clock = { atMs: 0, nowMs: () => clock.atMs };
+  const recorded: (readonly SuspectUpdate[])[] = [];
+  const platform: PlatformPort = {
+    start: () => {},
+    recordSpending: () => Promise.resolve(true),
+    recordSuspects: (record) => {
+      recorded.push(record);
+      return Promise.resolve(true);
+    },
+    writeRolloutStatus: ({ rowVersion }) =>
+      Promise.resolve({ outcome: StatusWriteOutcome.Unknown, rowVersion }),
+    stop: () => {},
+  };
+  const discard = new Writable({ write: (_chunk, _code, done) => done() });
+  const log = new EventLog(clock, "i1", discard);
+  const recorder = new SuspectRecorder({ board, platform, clock, log });
+  const processes = ["p1", "p2", "p3"];
+  const endsMs = processes.map((_, index) => index * ENDED_EVERY_MS);
+  while (clock.atMs <= endsMs.at(-1)! + KILLED_AFTER_MS) {
+    const process = processes[endsMs.indexOf(clock.atMs)];
+    if (process !== undefined) {
+      const ended = { fingerprint: "f", process, inTrial: false };
+      board.suspects.targetEnded(ended, clock.atMs);
+    }
+    recorder.record();
+    await Promise.resolve();
+    await Promise.resolve();
+    clock.atMs += TICK_MS;
+  }
+  assert.equal(recorded.at(-1)?.map(({ ended }) => ended), [processes]);
+});
+
+test.run();
