--- a/packages/gateway/src/retry_budget_takeover_test.ts
+++ b/packages/gateway/src/retry_budget_takeover_test.ts
@@ -29,7 +29,17 @@
   allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
 };
 const ALLOTMENT = { perS: 1e9, burst: 1e9, inTokens: true, plainTokens: 1 };
-const IDS = ["i1", "i2", "i3", "i4", "i5", "i6", "i7", "i8"];
+const DOMAIN_OF: Readonly<Record<string, string>> = {
+  i1: "a",
+  i2: "b",
+  i3: "c",
+  i4: "a",
+  i5: "b",
+  i6: "c",
+  i7: "a",
+  i8: "b",
+};
+const IDS = Object.keys(DOMAIN_OF);
 const TARGET_IDS = Array.from({ length: 50 }, (_, index) => `t${index}`);
 const STEP_MS = 20;
 const LATENCY_MS = 4;
@@ -38,6 +48,9 @@
 const WARM_UP_MS = 12_000;
 const KILLS = 6;
 const RESTARTS = 6;
+const CUTS = 4;
+const CUT_MS = 2000;
+const HEALED_MS = 800;
 const RESTARTED_INSTANCES = [5, 7, 8];
 const RESTART_MS = 500;
 const RESTART_INTERVAL_MS = 1600;
@@ -51,7 +64,7 @@
 
 /** A fleet on a manual clock whose coordinators are killed. */
 class FailingFleet {
-  readonly #network = new PartitionedNetwork();
+  readonly #network = new PartitionedNetwork(DOMAIN_OF);
   readonly clock = this.#network.clock;
   readonly sends: Send[] = [];
   readonly #nodes: Map<string, FleetNode>;
@@ -66,6 +79,11 @@
     this.#nodes.delete(node!.placementClient.coordinatorId);
   }
 
+  /** Cuts a failure domain off, or heals the partition if none is given. */
+  isolate(domain?: string): void {
+    this.#network.isolatedDomain = domain;
+  }
+
   /** Restarts the coordinator and the first others, which forget everything. */
   restart(count: number): void {
     const [node] = this.#nodes.values();
@@ -127,6 +145,9 @@
   }
 
   #send(fromId: string, toId: string, message: RoutingMessage): void {
+    if (this.#network.isPartitioned(fromId, toId)) {
+      return;
+    }
     const latencyMs = message.kind === MessageKind.Heartbeat ? LATENCY_MS : 0;
     this.#network.schedule(latencyMs, () => {
       const receiver = this.#nodes.get(toId);
@@ -143,6 +164,7 @@
       allotment: ALLOTMENT,
       targetIds: TARGET_IDS,
       seedIds: IDS,
+      domainOf: (id) => DOMAIN_OF[id]!,
       startedAtMs: this.clock.atMs === 0 ? undefined : this.clock.atMs,
       send: (fromId, toId, message) => this.#send(fromId, toId, message),
     });
@@ -193,4 +215,17 @@
   assertWithinBound(excesses);
 });
 
+// Guards against a coordinator that stays one when a partition heals, and does
+// not learn what the coordinator of the other side has granted.
+test("partitions in series do not raise the number of repeats", () => {
+  const excesses = ["a", "b", "c"].map((domain) =>
+    maxExcessAfter((fleet) => {
+      fleet.isolate(domain);
+      fleet.run(CUT_MS);
+      fleet.isolate();
+    }, { times: CUTS, intervalMs: HEALED_MS })
+  );
+  assertWithinBound(excesses);
+});
+
 test.run();
