Tests of takeovers: share the table of domains and the platform that stores nothing

The domains of eight instances stood in two tests, and the test of the suspects' record wrote the platform port out again beside NO_OP_PLATFORM.

--- a/packages/gateway/src/allotment_in_partition_test.ts
+++ b/packages/gateway/src/allotment_in_partition_test.ts
@@ -26,7 +26,7 @@
   type FleetNode,
   fleetNode,
 } from "./gateway_test_support.ts";
-import { PartitionedNetwork } from "./partition_test_support.ts";
+import { DOMAIN_OF, PartitionedNetwork } from "./partition_test_support.ts";
 
 const WINDOW_MS = 8000;
 const TOLERANCE = { windowMs: WINDOW_MS, overage: 0.1, slack: 14_000 };
@@ -38,16 +38,6 @@
 /** The most that the operators allow within a window. */
 const ALLOWED = (ALLOTMENT.perS * WINDOW_MS / 1000 + ALLOTMENT.burst) *
     (1 + TOLERANCE.overage) + TOLERANCE.slack;
-const DOMAIN_OF: Readonly<Record<string, string>> = {
-  i1: "a",
-  i2: "b",
-  i3: "c",
-  i4: "a",
-  i5: "b",
-  i6: "c",
-  i7: "a",
-  i8: "b",
-};
 const IDS = Object.keys(DOMAIN_OF);
 const TARGET_IDS = Array.from({ length: 200 }, (_, index) => `t${index}`);
 const STEP_MS = 20;
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -159,7 +159,7 @@
 }
 
 /** A platform that stores nothing. */
-const NO_OP_PLATFORM: PlatformPort = {
+export const NO_OP_PLATFORM: PlatformPort = {
   start: () => {},
   recordSpending: () => Promise.resolve(false),
   recordSuspects: () => Promise.resolve(false),
--- a/packages/gateway/src/partition_test_support.ts
+++ b/packages/gateway/src/partition_test_support.ts
@@ -1,5 +1,17 @@
 /** Simulated network of a fleet in tests: a manual clock and partitions. */
 
+/** Failure domains of a fleet of eight instances, by instance id. */
+export const DOMAIN_OF: Readonly<Record<string, string>> = {
+  i1: "a",
+  i2: "b",
+  i3: "c",
+  i4: "a",
+  i5: "b",
+  i6: "c",
+  i7: "a",
+  i8: "b",
+};
+
 /**
  * Runs scheduled functions by a manual clock, and determines which instances a
  * network partition separates.
--- a/packages/gateway/src/retry_budget_takeover_test.ts
+++ b/packages/gateway/src/retry_budget_takeover_test.ts
@@ -1,6 +1,6 @@
 /**
  * Every target fails what it is sent, so that all requests are repeated, while
- * one coordinator after the other is killed.
+ * coordinators are killed, instances restart, or partitions follow each other.
  *
  * Guards against a retry budget per coordinator: each successor started with an
  * unused budget, so the fleet sent several times the repeats that the operators
@@ -20,7 +20,7 @@
   type FleetNode,
   fleetNode,
 } from "./gateway_test_support.ts";
-import { PartitionedNetwork } from "./partition_test_support.ts";
+import { DOMAIN_OF, PartitionedNetwork } from "./partition_test_support.ts";
 
 const WINDOW_MS = 10_000;
 const RETRY_BUDGET = { ratio: 0.2, slack: 40, windowS: WINDOW_MS / 1000 };
@@ -29,16 +29,6 @@
   allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
 };
 const ALLOTMENT = { perS: 1e9, burst: 1e9, inTokens: true, plainTokens: 1 };
-const DOMAIN_OF: Readonly<Record<string, string>> = {
-  i1: "a",
-  i2: "b",
-  i3: "c",
-  i4: "a",
-  i5: "b",
-  i6: "c",
-  i7: "a",
-  i8: "b",
-};
 const IDS = Object.keys(DOMAIN_OF);
 const TARGET_IDS = Array.from({ length: 50 }, (_, index) => `t${index}`);
 const STEP_MS = 20;
--- a/packages/gateway/src/suspect_recorder_test.ts
+++ b/packages/gateway/src/suspect_recorder_test.ts
@@ -4,7 +4,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { EventLog } from "./event_log.ts";
-import { type PlatformPort, StatusWriteOutcome } from "./ports.ts";
+import { NO_OP_PLATFORM } from "./gateway_test_support.ts";
+import type { PlatformPort } from "./ports.ts";
 import { SuspectRecorder } from "./suspect_recorder.ts";
 
 const TICK_MS = 20;
@@ -16,21 +17,17 @@
 const KILLED_AFTER_MS = 100;
 
 // Guards against a request that ends as many targets again once all instances
-// were killed: the record that they restore held the first ended target only.
+// were killed: the record that they restore lacked the last ended target.
 test("all targets that a request ended are recorded soon after the last one", async () => {
   const board = boardOf([]);
   const clock = { atMs: 0, nowMs: () => clock.atMs };
   const recorded: (readonly SuspectUpdate[])[] = [];
   const platform: PlatformPort = {
-    start: () => {},
-    recordSpending: () => Promise.resolve(true),
+    ...NO_OP_PLATFORM,
     recordSuspects: (record) => {
       recorded.push(record);
       return Promise.resolve(true);
     },
-    writeRolloutStatus: ({ rowVersion }) =>
-      Promise.resolve({ outcome: StatusWriteOutcome.Unknown, rowVersion }),
-    stop: () => {},
   };
   const discard = new Writable({ write: (_chunk, _code, done) => done() });
   const log = new EventLog(clock, "i1", discard);
