--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 /** Composition root of one entry instance, which routes requests to targets. */
 
+import { connect } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { Coordinator } from "@chestnuthatch/routing/coordinator";
 import { ConfigurationAge } from "@chestnuthatch/routing/configuration_age";
@@ -38,7 +39,12 @@
 import { PlacementClient } from "./placement_client.ts";
 import { RetryBudgetHandover } from "./retry_budget_handover.ts";
 import { RolloutController } from "./rollout_controller.ts";
-import type { CallProtocol, Clock, PlatformPort } from "./ports.ts";
+import type {
+  CallProtocol,
+  Clock,
+  ConnectToTarget,
+  PlatformPort,
+} from "./ports.ts";
 import { SpendingRecorder } from "./spending_recorder.ts";
 import { StatusServer } from "./status_server.ts";
 import { SuspectRecorder } from "./suspect_recorder.ts";
@@ -55,12 +61,14 @@
 /** Minimum delay of a tick that counts as a stall of the process. */
 const MIN_STALL_MS = 400;
 
-/** Ports of a gateway: the calls' protocol, the platform, and the log. */
+/** Ports of a gateway: the calls' protocol, the platform, and the network. */
 export interface GatewayOptions {
   readonly protocol: CallProtocol;
   readonly platform: PlatformPort;
   readonly logOutput?: NodeJS.WritableStream;
   readonly clock?: Clock;
+  /** Opens connections to targets; over TCP if absent. */
+  readonly connectToTarget?: ConnectToTarget;
 }
 
 const MONOTONIC_CLOCK: Clock = { nowMs: () => performance.now() };
@@ -77,7 +85,8 @@
   readonly #self: MemberInfo;
   readonly #socket: PeerSocket;
   readonly #snapshotServer: SnapshotServer;
-  readonly #connections = new TargetConnections();
+  readonly #connectToTarget: ConnectToTarget;
+  readonly #connections: TargetConnections;
   readonly #coordinator: Coordinator;
   readonly #placementClient: PlacementClient;
   readonly #heartbeatExchange: HeartbeatExchange;
@@ -112,6 +121,8 @@
     this.#platform = options.platform;
     this.#clock = options.clock ?? MONOTONIC_CLOCK;
     this.#startedAtMs = this.#clock.nowMs();
+    this.#connectToTarget = options.connectToTarget ?? connect;
+    this.#connections = new TargetConnections(this.#connectToTarget);
     const { instanceId, failureDomain, peerAddress } = settings;
     this.#log = new EventLog(this.#clock, instanceId, options.logOutput);
     this.#self = {
@@ -492,7 +503,7 @@
       metrics: this.#metrics,
       placementClient: this.#placementClient,
       protocol,
-      probes: new TargetProbes(),
+      probes: new TargetProbes(this.#connectToTarget),
       targetSignals: this.#targetSignals,
       onPlacedAtLeavingTarget: (targetId) =>
         this.#fleetState.targetLeaving(targetId),
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -4,6 +4,7 @@
  */
 
 import type { IncomingHttpHeaders } from "node:http";
+import type { NetConnectOpts, Socket } from "node:net";
 import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
 import type {
   RolloutOrder,
@@ -21,6 +22,14 @@
   nowMs(): number;
 }
 
+/**
+ * Opens a TCP connection to a target.
+ *
+ * @param options Address, and options of the socket.
+ * @returns The socket, which is still connecting.
+ */
+export type ConnectToTarget = (options: NetConnectOpts) => Socket;
+
 /** Metadata of a call, parsed from the headers of the caller's request. */
 export interface CallMetadata {
   /** Unique for each attempt of a caller. */
--- a/packages/gateway/src/target_connections.ts
+++ b/packages/gateway/src/target_connections.ts
@@ -3,6 +3,7 @@
 import { Agent } from "node:http";
 import type { Duplex } from "node:stream";
 import type { Socket } from "node:net";
+import type { ConnectToTarget } from "./ports.ts";
 
 /**
  * Longest time that an idle connection is kept. Targets close idle connections
@@ -41,8 +42,14 @@
 
 /** Holds one agent for each target's address. */
 export class TargetConnections {
+  readonly #connect: ConnectToTarget;
   readonly #byAddress = new Map<string, Agent>();
 
+  /** @param connect Opens a connection to a target. */
+  constructor(connect: ConnectToTarget) {
+    this.#connect = connect;
+  }
+
   /**
    * Returns the agent of a target, and creates it if there is none.
    *
@@ -69,6 +76,7 @@
         timeout: MAX_IDLE_MS,
         maxFreeSockets,
       });
+      agent.createConnection = this.#connect;
       this.#byAddress.set(address, agent);
     }
     agent.maxFreeSockets = maxFreeSockets;
