Targets: requests to a target that only other instances reach are relayed

Cause: an instance had one way to a target, its own connection, and took its own failure to connect for the state of the target.

Now an instance that cannot connect to a target asks up to four others, near and far, whether they can. If one can, that one relays the request: the holder sends it the HTTP request for the target, once, and gets back the target's answer. The holder keeps all decisions. Nothing is sent to the relay once a byte may have reached the target, and a relay that could not connect says so, so that at most one target gets the request. A connection that takes 40 ms starts the query, so that a target that is down costs no more time than before; an overdue answer starts a check of the connection, for requests that must not be repeated too. A refused connection after a lost answer counts as the end of the target's process only if other instances are refused as well.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 /** Composition root of one entry instance, which routes requests to targets. */
 
+import { Agent } from "node:http";
 import { connect } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { Coordinator } from "@chestnuthatch/routing/coordinator";
@@ -14,6 +15,7 @@
   MessageKind,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
+import { RelayedTargets } from "@chestnuthatch/routing/relayed_targets";
 import { Rollouts } from "@chestnuthatch/routing/rollouts";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import { roundedUp } from "@chestnuthatch/routing/spending_log";
@@ -37,6 +39,7 @@
 import { SnapshotServer } from "./snapshot_server.ts";
 import { PeerSocket } from "./peer_socket.ts";
 import { PlacementClient } from "./placement_client.ts";
+import { RelayServer } from "./relay_server.ts";
 import { RetryBudgetHandover } from "./retry_budget_handover.ts";
 import { RolloutController } from "./rollout_controller.ts";
 import type {
@@ -51,6 +54,7 @@
 import { TargetConnections } from "./target_connections.ts";
 import { TargetProbes } from "./target_probes.ts";
 import { TargetCleanup } from "./target_cleanup.ts";
+import { TargetReachability } from "./target_reachability.ts";
 
 /** Time between two ticks, which run all timeouts, while requests wait. */
 const BUSY_TICK_MS = 20;
@@ -85,6 +89,10 @@
   readonly #self: MemberInfo;
   readonly #socket: PeerSocket;
   readonly #snapshotServer: SnapshotServer;
+  readonly #relayServer: RelayServer;
+  /** Without kept connections, which may have ended with the relay. */
+  readonly #relayAgent = new Agent();
+  readonly #reachability: TargetReachability;
   readonly #connectToTarget: ConnectToTarget;
   readonly #connections: TargetConnections;
   readonly #coordinator: Coordinator;
@@ -141,6 +149,7 @@
       members,
       unreachableDomains: new UnreachableDomains(members),
       health: new TargetHealth(),
+      relayedTargets: new RelayedTargets(),
       rateLimits: new TargetRateLimits(),
       latencyModels: new LatencyModels(),
       backoffs: new TargetBackoffs(),
@@ -207,6 +216,24 @@
     this.#snapshotServer = new SnapshotServer((kind) =>
       this.#fleetState.snapshotOf(kind)
     );
+    this.#relayServer = new RelayServer({
+      board: this.board,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      isLeaving: () => this.#isLeaving,
+      agentFor: (pool, address) => this.#agentFor(pool, address),
+    });
+    this.#reachability = new TargetReachability({
+      board: this.board,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      probes: new TargetProbes(this.#connectToTarget),
+      connections: this.#connections,
+      failureDomain,
+      send: (member, message) => this.#socket.send(member.address, message),
+    });
     this.#heartbeatExchange = this.#createHeartbeatExchange();
     this.#front = new FrontServer(this.#createParts(options.protocol));
     this.#eventLoopMonitor = new EventLoopMonitor({
@@ -318,6 +345,7 @@
       );
     });
     await this.#snapshotServer.open(`${host}:${settings.snapshotPort}`);
+    await this.#relayServer.open(`${host}:${settings.relayPort}`);
     await this.#status.open(settings.statusAddress, settings.metricsAddress);
     await this.#front.open(settings.callerAddress);
     this.#platform.start(this.#self, this.#fleetState);
@@ -347,6 +375,7 @@
     this.#heartbeatExchange.announceLeaving();
     await new GracefulStop({
       front: this.#front,
+      relay: this.#relayServer,
       clock: this.#clock,
       log: this.#log,
       graceMs: () => this.#settings.graceMs,
@@ -379,6 +408,8 @@
     this.#platform.stop();
     this.#status.close();
     this.#snapshotServer.close();
+    this.#relayServer.close();
+    this.#relayAgent.destroy();
     this.#connections.close();
     this.#socket.close();
     this.#log.flush();
@@ -399,10 +430,21 @@
       this.#fleetState.heartbeatReceived(message);
       return;
     }
-    this.#placementClient.handleMessage(
-      message,
-      this.board.members.idAt(fromAddress),
-    );
+    const fromId = this.board.members.idAt(fromAddress);
+    if (message.kind === MessageKind.ReachQuery) {
+      const member = this.board.members.get(fromId ?? "");
+      if (member !== undefined) {
+        void this.#reachability.answerQuery(message.targetId, member);
+      }
+      return;
+    }
+    if (message.kind === MessageKind.ReachReply) {
+      const { targetId, isReached } = message;
+      const reply = { memberId: fromId ?? "", isReached };
+      this.#reachability.replyReceived(targetId, reply);
+      return;
+    }
+    this.#placementClient.handleMessage(message, fromId);
   }
 
   /** Schedules the next tick within a time, unless the gateway is closed. */
@@ -503,21 +545,26 @@
       metrics: this.#metrics,
       placementClient: this.#placementClient,
       protocol,
-      probes: new TargetProbes(this.#connectToTarget),
+      reachability: this.#reachability,
       targetSignals: this.#targetSignals,
       onPlacedAtLeavingTarget: (targetId) =>
         this.#fleetState.targetLeaving(targetId),
       failureDomain,
       lateMs: () => this.#lateMs,
       nextAskId: () => `${prefix}.${(this.#askCounter++).toString(36)}`,
-      agentFor: (pool, address) =>
-        this.#connections.agent(address, {
-          maxConnections: this.board.routes?.pool(pool)?.maxConnections ?? 1,
-          instances: this.board.members.alive(this.#clock.nowMs()).length,
-        }),
+      agentFor: (pool, address) => this.#agentFor(pool, address),
+      relayAgent: this.#relayAgent,
+      relayPort: this.#settings.relayPort,
     };
   }
 
+  #agentFor(pool: string, address: string): Agent {
+    return this.#connections.agent(address, {
+      maxConnections: this.board.routes?.pool(pool)?.maxConnections ?? 1,
+      instances: this.board.members.alive(this.#clock.nowMs()).length,
+    });
+  }
+
   #createFleetState(): FleetStateSync {
     return new FleetStateSync({
       board: this.board,
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -95,6 +95,7 @@
     metricsAddress: ANY_PORT,
     peerAddress: ANY_PORT,
     snapshotPort: 0,
+    relayPort: 0,
     seedAddresses: [],
     cores: 1,
     graceMs: GRACE_MS,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -31,6 +31,10 @@
     "configuration_age_ms",
     "Time since the configuration in force was last known to be the newest.",
   );
+  readonly #relayedTargets = this.#gauge(
+    "relayed_targets",
+    "Targets that are reached through other instances only.",
+  );
   readonly #requests = this.#counter("requests_total", "Requests read.", [
     "route",
   ]);
@@ -49,6 +53,11 @@
     "Sends to targets, by how they ended.",
     ["pool", "end"],
   );
+  readonly #relayedRequests = this.#counter(
+    "relayed_requests_total",
+    "Requests of other instances to relay to targets.",
+    ["outcome"],
+  );
   readonly #peerMessages = this.#counter(
     "peer_messages_total",
     "Messages from other instances.",
@@ -230,6 +239,20 @@
     this.#timerDelayMs.observe(delayMs);
   }
 
+  /** @param count Number of targets that are reached through others only. */
+  relayedTargets(count: number): void {
+    this.#relayedTargets.set(count);
+  }
+
+  /**
+   * Counts a request that another instance sent here to be relayed.
+   *
+   * @param outcome Whether it was relayed or refused.
+   */
+  relayedRequest(outcome: string): void {
+    this.#relayedRequests.inc({ outcome });
+  }
+
   /** @param count Number of requests in progress now. */
   openRequests(count: number): void {
     this.#openRequests.set(count);
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -7,7 +7,7 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { PlacementClient } from "./placement_client.ts";
 import type { CallProtocol, Clock } from "./ports.ts";
-import type { TargetProbes } from "./target_probes.ts";
+import type { TargetReachability } from "./target_reachability.ts";
 
 /** Collaborators of a request, the same for all requests of a gateway. */
 export interface GatewayParts {
@@ -17,7 +17,7 @@
   readonly metrics: GatewayMetrics;
   readonly placementClient: PlacementClient;
   readonly protocol: CallProtocol;
-  readonly probes: TargetProbes;
+  readonly reachability: TargetReachability;
   readonly targetSignals: TargetSignalHandler;
   /** Failure domain of this instance. */
   readonly failureDomain: string;
@@ -39,4 +39,8 @@
    * @returns The agent that keeps the connections.
    */
   agentFor(pool: string, address: string): Agent;
+  /** Opens a connection for each request that another instance relays. */
+  readonly relayAgent: Agent;
+  /** Port of the relay servers, the same on all instances. */
+  readonly relayPort: number;
 }
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -17,6 +17,8 @@
   readonly peerAddress: string;
   /** TCP port of the server of snapshots, which exceed a datagram. */
   readonly snapshotPort: number;
+  /** TCP port of the server that relays requests of other instances. */
+  readonly relayPort: number;
   /** Peer addresses of instances that heartbeats are sent to first. */
   readonly seedAddresses: readonly string[];
   /** Processor cores that the instance may use; may be a fraction. */
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -70,6 +70,8 @@
 /** Collaborators of a `GracefulStop`, and its grace period. */
 export interface GracefulStopParts {
   readonly front: StoppingServer;
+  /** Server of requests that other instances have relayed through this one. */
+  readonly relay: { readonly openCount: number };
   readonly clock: Clock;
   readonly log: EventLog;
   /** @returns Time in milliseconds from the stop signal to a forced kill. */
@@ -159,8 +161,9 @@
 
   /** Whether no request is in progress and every answer is written out. */
   get #isIdle(): boolean {
-    const { connections, openCount } = this.#parts.front;
-    return openCount === 0 && connections.owedAnswers === 0;
+    const { front: { connections, openCount }, relay } = this.#parts;
+    return openCount === 0 && connections.owedAnswers === 0 &&
+      relay.openCount === 0;
   }
 
   get #refuseAfterMs(): number {
--- a/packages/gateway/src/graceful_stop_limits_test.ts
+++ b/packages/gateway/src/graceful_stop_limits_test.ts
@@ -29,6 +29,7 @@
       abortRequests: record("aborted"),
       abortAnswers: record("broken off"),
     },
+    relay: { openCount: 0 },
     clock,
     log: new EventLog(clock, "i1", DISCARD),
     graceMs: () => graceMs(atMs),
--- a/packages/gateway/src/graceful_stop_test.ts
+++ b/packages/gateway/src/graceful_stop_test.ts
@@ -51,6 +51,7 @@
     const nowhere = new Writable({ write: (_chunk, _code, done) => done() });
     await new GracefulStop({
       front: this,
+      relay: { openCount: 0 },
       clock,
       log: new EventLog(clock, "i1", nowhere),
       graceMs: () => this.graceMs,
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -96,6 +96,7 @@
   "retries",
   "firstSends",
   "repeats",
+  "isReached",
 ];
 
 /** Version of the internet protocol between peers. */
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -9,6 +9,7 @@
 import { RequestKind } from "@chestnuthatch/routing/fleet_configuration";
 import {
   AttemptEnd,
+  mayRunAgain,
   NextStep,
   nextStep,
 } from "@chestnuthatch/routing/next_step";
@@ -89,7 +90,7 @@
     this.#silenceTimer = new SilenceTimer(
       options.call,
       parts.board.latencyModels,
-      (silentMs) => this.#askForOtherTarget(silentMs),
+      (silentMs) => this.#onSilent(silentMs),
     );
   }
 
@@ -264,6 +265,7 @@
     this.#askId = undefined;
     this.#attempt = attempt;
     this.#runCount++;
+    attempt.send();
     this.#log("sent", {
       targetId: target.targetId,
       targetVersion: target.rowVersion,
@@ -277,8 +279,8 @@
       deadlineLeftMs: Math.floor(deadlineAtMs(call) - attempt.sentAtMs),
       configurationVersion: call.configurationVersion,
       isTrial: isTrial || undefined,
+      relayId: attempt.relayId,
     });
-    attempt.send();
     this.#restartSilenceTimer();
   }
 
@@ -490,11 +492,19 @@
       return;
     }
     const longestSeenGapMs = this.#progress.longestGapMs;
-    this.#silenceTimer.start({
-      attempt,
-      runs: this.#runCount,
-      longestSeenGapMs,
-    });
+    this.#silenceTimer.start({ attempt, longestSeenGapMs });
+  }
+
+  /** Handles a target that has sent nothing for longer than expected. */
+  #onSilent(silentMs: number): void {
+    const attempt = this.#attempt;
+    if (attempt !== undefined && attempt.relayId === undefined) {
+      this.#parts.reachability.answerOverdue(attempt.options.target);
+    }
+    const { kind, maxAttempts } = this.#call.route;
+    if (mayRunAgain(kind) && this.#runCount < maxAttempts) {
+      this.#askForOtherTarget(silentMs);
+    }
   }
 
   /**
--- a/packages/gateway/src/silence_timer.ts
+++ b/packages/gateway/src/silence_timer.ts
@@ -1,6 +1,5 @@
-/** Timeout for a target that stops sending while its request may be retried. */
+/** Timeout for a target that stops sending. */
 
-import { mayRunAgain } from "@chestnuthatch/routing/next_step";
 import type { LatencyModels } from "@chestnuthatch/routing/latency_models";
 import type { RoutedCall } from "./routed_call.ts";
 import { firstEventLimitMs, gapLimitMs } from "./silence_limits.ts";
@@ -9,8 +8,6 @@
 /** An attempt whose next event or answer is awaited. */
 export interface TimedAttempt {
   readonly attempt: TargetAttempt;
-  /** Number of targets that may have run the request. */
-  readonly runs: number;
   /** Longest gap between two events sent to the caller so far, in ms. */
   readonly longestSeenGapMs: number;
 }
@@ -38,22 +35,19 @@
   }
 
   /**
-   * Restarts the timer, unless the request may not be retried.
+   * Restarts the timer.
    *
    * @param timed An attempt that was just sent or received an event.
    */
   start(timed: TimedAttempt): void {
     this.stop();
-    const { kind, maxAttempts } = this.#call.route;
-    if (mayRunAgain(kind) && timed.runs < maxAttempts) {
-      const limitMs = this.#limitMs(timed);
-      const timer = setTimeout(() => {
-        // Timers run before pending input: if this process was late, an event
-        // may have arrived already, which restarts the timer.
-        setImmediate(() => this.#isOver(timer) && this.#onSilent(limitMs));
-      }, limitMs);
-      this.#timer = timer;
-    }
+    const limitMs = this.#limitMs(timed);
+    const timer = setTimeout(() => {
+      // Timers run before pending input: if this process was late, an event may
+      // have arrived already, which restarts the timer.
+      setImmediate(() => this.#isOver(timer) && this.#onSilent(limitMs));
+    }, limitMs);
+    this.#timer = timer;
   }
 
   /** Stops the timer. */
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -5,10 +5,13 @@
 import { RequestKind } from "@chestnuthatch/routing/fleet_configuration";
 import { AttemptEnd } from "@chestnuthatch/routing/next_step";
 import { NOT_RUN_STATUS_CODES } from "@chestnuthatch/routing/routed_error";
+import type { MemberRecord } from "@chestnuthatch/routing/member_view";
 import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
 import type { WorkEnd } from "@chestnuthatch/routing/work_ask";
 import { EventSplitter, type StreamedEvent } from "./event_splitter.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
+import { hostPortOf } from "./host_port.ts";
+import { relayFailureOf, relayHeaders } from "./relay_server.ts";
 import { deadlineAtMs, type RoutedCall } from "./routed_call.ts";
 import { type ExchangeFailure, TargetExchange } from "./target_exchange.ts";
 
@@ -47,6 +50,9 @@
 const MIN_SERVER_ERROR_STATUS = 500;
 const STATUS_OK = 200;
 
+/** Relays that are tried in one attempt, after which it has not been sent. */
+const MAX_RELAYS = 2;
+
 const IS_STREAM_KIND: Readonly<Record<RequestKind, boolean>> = {
   [RequestKind.Repeatable]: false,
   [RequestKind.AtMostOnce]: false,
@@ -79,6 +85,9 @@
   readonly #body: Buffer[] = [];
   #bodyBytes = 0;
   #exchange?: TargetExchange;
+  /** Instance that relays the request; absent on a connection of its own. */
+  #relay?: MemberRecord;
+  #relayCount = 0;
   #answer?: IncomingMessage;
   #firstDataAtMs?: number;
   #lastEventAtMs = 0;
@@ -116,29 +125,57 @@
 
   /** Sends the request. */
   send(): void {
-    const { call, target, resumeAfter } = this.options;
-    const headers = this.#parts.protocol.forwardHeaders(call.rawHeaders, {
-      targetId: target.targetId,
-      deadlineLeftMs: Math.floor(deadlineAtMs(call) - this.sentAtMs),
-      workspace: call.workspace?.name,
-      resumeAfter,
-    });
-    if (call.body !== undefined) {
-      headers.push("Content-Length", String(call.body.length));
-    }
-    this.#exchange = new TargetExchange({
-      agent: this.#parts.agentFor(call.pool, target.address),
-      address: target.address,
+    const { reachability } = this.#parts;
+    this.#exchangeThrough(reachability.relayFor(this.options.target));
+  }
+
+  /** Id of the instance that relays the request; absent if none does. */
+  get relayId(): string | undefined {
+    return this.#relay?.instanceId;
+  }
+
+  /** Sends the request to the target, or to an instance that relays it. */
+  #exchangeThrough(relay: MemberRecord | undefined): void {
+    this.#relay = relay;
+    const { call, target } = this.options;
+    const headers = this.#headers();
+    const isRelayed = relay !== undefined;
+    this.#relayCount += isRelayed ? 1 : 0;
+    const exchange: TargetExchange = new TargetExchange({
+      agent: isRelayed
+        ? this.#parts.relayAgent
+        : this.#parts.agentFor(call.pool, target.address),
+      address: isRelayed
+        ? `${hostPortOf(relay.address).host}:${this.#parts.relayPort}`
+        : target.address,
       method: call.method,
       path: call.path,
-      headers,
+      headers: isRelayed ? relayHeaders(headers, target.targetId) : headers,
       body: call.body,
     }, {
+      connectDelayed: () => void this.#onConnectDelayed(exchange),
       head: (answer) => this.#onHead(answer),
       data: (chunk) => this.#onData(chunk),
       ended: () => this.#onAnswerEnded(),
       failed: (failure) => this.#onExchangeFailed(failure),
     });
+    this.#exchange = exchange;
+  }
+
+  #headers(): string[] {
+    const { call, target, resumeAfter } = this.options;
+    const headers = this.#parts.protocol.forwardHeaders(call.rawHeaders, {
+      targetId: target.targetId,
+      deadlineLeftMs: Math.floor(
+        deadlineAtMs(call) - this.#parts.clock.nowMs(),
+      ),
+      workspace: call.workspace?.name,
+      resumeAfter,
+    });
+    if (call.body !== undefined) {
+      headers.push("Content-Length", String(call.body.length));
+    }
+    return headers;
   }
 
   /** Aborts the attempt; the sink is not called any more. */
@@ -180,6 +217,15 @@
   }
 
   #onHead(answer: IncomingMessage): void {
+    const failure = this.#relay && relayFailureOf(answer.headers);
+    if (failure !== undefined) {
+      this.#exchange!.cancel();
+      this.#onExchangeFailed(failure);
+      return;
+    }
+    if (this.#relay === undefined) {
+      this.#parts.reachability.answered(this.options.target.targetId);
+    }
     this.#answer = answer;
     const status = answer.statusCode!;
     const facts = this.#parts.protocol.readAnswer(status, answer.headers);
@@ -267,7 +313,40 @@
     if (isSent) {
       void this.#onAnswerLost(reason);
     } else {
+      void this.#onNotSent(reason);
+    }
+  }
+
+  /** Uses a relay if one is found while the connection is not established. */
+  async #onConnectDelayed(exchange: TargetExchange): Promise<void> {
+    if (this.#relay !== undefined) {
+      return;
+    }
+    const { reachability } = this.#parts;
+    const relay = await reachability.findRelay(this.options.target);
+    const isPending = !this.#isDone && this.#exchange === exchange &&
+      !exchange.isSent;
+    if (relay !== undefined && isPending) {
+      exchange.cancel();
+      this.#exchangeThrough(relay);
+    }
+  }
+
+  /** Continues through a relay if one is found, as nothing was sent so far. */
+  async #onNotSent(reason: string): Promise<void> {
+    const { reachability } = this.#parts;
+    const { target } = this.options;
+    this.#exchange = undefined;
+    if (this.#relay !== undefined) {
+      reachability.relayFailed(target, this.#relay.instanceId);
+    }
+    const relay = this.#relayCount < MAX_RELAYS
+      ? await reachability.findRelay(target)
+      : undefined;
+    if (relay === undefined) {
       this.#end(AttemptEnd.NotSent, reason);
+    } else if (!this.#isDone) {
+      this.#exchangeThrough(relay);
     }
   }
 
@@ -276,8 +355,8 @@
    * another target, which might end as well.
    */
   async #onAnswerLost(reason: string): Promise<void> {
-    const { probes } = this.#parts;
-    const hasEnded = await probes.hasEnded(this.options.target.address);
+    const { reachability } = this.#parts;
+    const hasEnded = await reachability.hasEnded(this.options.target);
     this.#end(hasEnded ? AttemptEnd.TargetEnded : AttemptEnd.Lost, reason);
   }
 
--- a/packages/gateway/src/target_cleanup.ts
+++ b/packages/gateway/src/target_cleanup.ts
@@ -32,8 +32,8 @@
    * @param changes Changed targets, each with the kind of change.
    */
   applyChanges(changes: readonly TargetEvent[]): void {
-    const { board: { targets, latencyModels, rateLimits }, clock } =
-      this.#parts;
+    const { board, clock } = this.#parts;
+    const { targets, latencyModels, rateLimits, relayedTargets } = board;
     const nowMs = clock.nowMs();
     for (const { targetId, kind } of changes) {
       if (kind === TargetEventKind.Restarted) {
@@ -45,6 +45,7 @@
     const targetIds = new Set(all.map(({ targetId }) => targetId));
     latencyModels.keepOnly(targetIds);
     rateLimits.keepOnly(targetIds);
+    relayedTargets.keepOnly(targetIds);
     const usable = all.filter((target) => targets.isUsable(target, nowMs));
     const addresses = new Set(usable.map(({ address }) => address));
     this.#parts.connections.keepOnly(addresses);
--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -24,6 +24,8 @@
 
 /** Receives the answer. Nothing follows on `ended` or `failed`. */
 export interface ExchangeSink {
+  /** The connection takes longer than usual; it may still succeed. */
+  connectDelayed(): void;
   /** Status and headers were received. */
   head(answer: IncomingMessage): void;
   /** Bytes of the body were received. */
@@ -49,6 +51,12 @@
  */
 const CONNECT_TIMEOUT_MS = 120;
 
+/**
+ * Time after which a connection takes longer than usual. Another way to the
+ * target can be found in the rest of the timeout.
+ */
+const CONNECT_DELAY_MS = 40;
+
 /** Reason of an exchange whose connection timed out. */
 export const CONNECT_TIMEOUT_REASON = "connect timeout";
 
@@ -64,6 +72,7 @@
   /** Whether the check for a reset at the connection's end is in progress. */
   #isProbingReset = false;
   #connectTimer?: NodeJS.Timeout;
+  #delayTimer?: NodeJS.Timeout;
 
   /**
    * Sends a request.
@@ -95,10 +104,15 @@
     this.#request.end(options.body);
   }
 
+  /** Whether a byte of the request may have reached the target. */
+  get isSent(): boolean {
+    return this.#isSent;
+  }
+
   /** Aborts the exchange; the sink is not called any more. */
   cancel(): void {
     this.#isDone = true;
-    clearTimeout(this.#connectTimer);
+    this.#stopConnectTimers();
     this.#request.destroy();
   }
 
@@ -123,12 +137,26 @@
       // its event is handled first.
       setImmediate(() => this.#onConnectTimeout(socket));
     }, CONNECT_TIMEOUT_MS);
+    this.#delayTimer = setTimeout(() => {
+      setImmediate(() => this.#onConnectDelayed(socket));
+    }, CONNECT_DELAY_MS);
     socket.once("connect", () => {
       this.#isSent = true;
-      clearTimeout(this.#connectTimer);
+      this.#stopConnectTimers();
     });
   }
 
+  #stopConnectTimers(): void {
+    clearTimeout(this.#connectTimer);
+    clearTimeout(this.#delayTimer);
+  }
+
+  #onConnectDelayed(socket: Socket): void {
+    if (socket.connecting && !this.#isDone) {
+      this.#sink.connectDelayed();
+    }
+  }
+
   #onConnectTimeout(socket: Socket): void {
     if (socket.connecting) {
       this.#fail(CONNECT_TIMEOUT_REASON);
@@ -191,7 +219,7 @@
       return;
     }
     this.#isDone = true;
-    clearTimeout(this.#connectTimer);
+    this.#stopConnectTimers();
     this.#sink.failed({ isSent: this.#isSent, reason });
   }
 }
--- a/packages/gateway/src/target_probes.ts
+++ b/packages/gateway/src/target_probes.ts
@@ -1,4 +1,4 @@
-/** Checks, after a lost answer, whether a target's process has ended. */
+/** Checks whether this instance can connect to a target. */
 
 import { hostPortOf } from "./host_port.ts";
 import type { ConnectToTarget } from "./ports.ts";
@@ -12,10 +12,19 @@
 /** Error code of a connection to a port on which no process listens. */
 const CONNECTION_REFUSED_CODE = "ECONNREFUSED";
 
+/** Result of a probe. */
+export enum ProbeResult {
+  Connected = "connected",
+  /** The target's host refused the connection. */
+  Refused = "refused",
+  /** The host did not answer in time, or the connection failed otherwise. */
+  Failed = "failed",
+}
+
 /** Probes in flight; requests that lost answers at one target share a probe. */
 export class TargetProbes {
   readonly #connect: ConnectToTarget;
-  readonly #inFlight = new Map<string, Promise<boolean>>();
+  readonly #inFlight = new Map<string, Promise<ProbeResult>>();
 
   /** @param connect Opens a connection to a target. */
   constructor(connect: ConnectToTarget) {
@@ -26,31 +35,37 @@
    * Probes a target by a connection to it.
    *
    * @param address `ip:port` of the target.
-   * @returns Whether its host refused the connection; false also if the host
-   * did not answer in time.
+   * @returns Whether it can be connected to, or why not.
    */
-  hasEnded(address: string): Promise<boolean> {
+  probe(address: string): Promise<ProbeResult> {
     let probe = this.#inFlight.get(address);
     if (probe === undefined) {
-      probe = this.#isRefused(address);
+      probe = this.#open(address);
       this.#inFlight.set(address, probe);
       void probe.then(() => this.#inFlight.delete(address));
     }
     return probe;
   }
 
-  #isRefused(address: string): Promise<boolean> {
+  #open(address: string): Promise<ProbeResult> {
     const { host, port } = hostPortOf(address);
     return new Promise((resolve) => {
-      const socket = this.#connect({ host, port, timeout: PROBE_TIMEOUT_MS });
-      const answer = (refused: boolean) => {
+      const socket = this.#connect({ host, port });
+      const end = (result: ProbeResult) => {
+        clearTimeout(timer);
         socket.destroy();
-        resolve(refused);
+        resolve(result);
       };
-      socket.on("connect", () => answer(false));
-      socket.on("timeout", () => answer(false));
+      // If this process was late, the connection may be established already;
+      // its event is handled first.
+      const timer = setTimeout(
+        () => setImmediate(() => end(ProbeResult.Failed)),
+        PROBE_TIMEOUT_MS,
+      );
+      socket.on("connect", () => end(ProbeResult.Connected));
       socket.on("error", (error: NodeJS.ErrnoException) => {
-        answer(error.code === CONNECTION_REFUSED_CODE);
+        const isRefused = error.code === CONNECTION_REFUSED_CODE;
+        end(isRefused ? ProbeResult.Refused : ProbeResult.Failed);
       });
     });
   }
--- /dev/null
+++ b/packages/gateway/src/target_reachability.ts
@@ -0,0 +1,344 @@
+/**
+ * Tells a target that is down from one that only this instance cannot connect
+ * to. In the second case it finds instances that relay requests to the target.
+ *
+ * Each instance answers for its own connections only, and a relay never passes
+ * a request on to another relay.
+ */
+
+import type { MemberRecord } from "@chestnuthatch/routing/member_view";
+import {
+  MessageKind,
+  type RoutingMessage,
+} from "@chestnuthatch/routing/peer_messages";
+import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
+import { type EventLog, LogPart } from "./event_log.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { Clock } from "./ports.ts";
+import { Rotation } from "./rotation.ts";
+import type { TargetConnections } from "./target_connections.ts";
+import { ProbeResult, type TargetProbes } from "./target_probes.ts";
+
+/**
+ * Members that are asked of each kind: of the own failure domain, to which the
+ * way is short, and of others, as a fault may affect a whole domain.
+ */
+const ASKED_NEAR = 2;
+const ASKED_FAR = 2;
+
+/** Time for which the replies to a query are awaited. */
+const QUERY_TIMEOUT_MS = 90;
+
+/** Time for which the result of a query holds, so that requests share it. */
+const RESULT_TTL_MS = 400;
+
+/**
+ * Time after an answer of a target for which a missing other one does not raise
+ * suspicion of the connection, and shortest time between two suspicions.
+ */
+const SUSPICION_INTERVAL_MS = 500;
+
+/** Dependencies of {@link TargetReachability}. */
+export interface ReachabilityParts {
+  readonly board: RoutingBoard;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  readonly probes: TargetProbes;
+  readonly connections: TargetConnections;
+  /** Failure domain of this instance. */
+  readonly failureDomain: string;
+  send(member: MemberRecord, message: RoutingMessage): void;
+}
+
+/** A query to other instances, which of them can connect to a target. */
+interface Query {
+  /** Members whose reply is outstanding. */
+  readonly awaitedIds: Set<string>;
+  /** Members that can connect to the target, in the order of their replies. */
+  readonly relayIds: string[];
+  /** Fulfilled with the first positive reply, or when none can follow. */
+  readonly firstRelay: Promise<MemberRecord | undefined>;
+  settle(relay: MemberRecord | undefined): void;
+  settledAtMs?: number;
+}
+
+/** Finds relays to targets, and answers the queries of other instances. */
+export class TargetReachability {
+  readonly #parts: ReachabilityParts;
+  readonly #queries = new Map<string, Query>();
+  readonly #suspectedAtMs = new Map<string, number>();
+  readonly #answeredAtMs = new Map<string, number>();
+  readonly #nearRotation = new Rotation();
+  readonly #farRotation = new Rotation();
+
+  /** @param parts Dependencies. */
+  constructor(parts: ReachabilityParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Selects the way of a request to a target.
+   *
+   * @param target The target.
+   * @returns The instance that relays the request; undefined to connect to the
+   * target.
+   */
+  relayFor(target: KnownTarget): MemberRecord | undefined {
+    const { relayedTargets } = this.#parts.board;
+    const { targetId } = target;
+    if (relayedTargets.takeDueCheck(targetId, this.#nowMs())) {
+      void this.#checkRelayed(target);
+    }
+    const relayId = relayedTargets.nextRelayId(targetId);
+    if (relayId === undefined) {
+      return undefined;
+    }
+    const relay = this.#aliveMember(relayId);
+    if (relay === undefined) {
+      relayedTargets.removeRelay(targetId, relayId);
+      return this.relayFor(target);
+    }
+    return relay;
+  }
+
+  /**
+   * Finds an instance that can connect to a target, as the connection from here
+   * has failed or takes long.
+   *
+   * @param target The target.
+   * @returns The first one found; undefined if none of those asked can.
+   */
+  async findRelay(target: KnownTarget): Promise<MemberRecord | undefined> {
+    const relay = await this.#query(target);
+    if (relay !== undefined) {
+      void this.#confirm(target);
+    }
+    return relay;
+  }
+
+  /**
+   * Records that a target answered on a connection from this instance.
+   *
+   * @param targetId Id of the target.
+   */
+  answered(targetId: string): void {
+    this.#answeredAtMs.set(targetId, this.#nowMs());
+  }
+
+  /**
+   * Checks the connection to a target whose answer is overdue, unless it has
+   * answered other requests meanwhile.
+   *
+   * @param target The target.
+   */
+  answerOverdue(target: KnownTarget): void {
+    const { targetId } = target;
+    const answeredAtMs = this.#answeredAtMs.get(targetId) ?? -Infinity;
+    if (this.#nowMs() - answeredAtMs >= SUSPICION_INTERVAL_MS) {
+      void this.#confirm(target);
+    }
+  }
+
+  /**
+   * Checks whether the process of a target has ended, after it left a request
+   * without an answer.
+   *
+   * @param target The target.
+   * @returns Whether its host refuses connections, those of other instances
+   * included.
+   */
+  async hasEnded(target: KnownTarget): Promise<boolean> {
+    const { probes } = this.#parts;
+    if (await probes.probe(target.address) !== ProbeResult.Refused) {
+      return false;
+    }
+    // An earlier reply may be of the time before the process ended.
+    this.#queries.delete(target.targetId);
+    return await this.findRelay(target) === undefined;
+  }
+
+  /**
+   * Records that an instance failed to relay a request to a target.
+   *
+   * @param target The target.
+   * @param relayId Id of the instance.
+   */
+  relayFailed({ targetId }: KnownTarget, relayId: string): void {
+    this.#parts.board.relayedTargets.removeRelay(targetId, relayId);
+    const query = this.#queries.get(targetId);
+    if (query?.relayIds.includes(relayId)) {
+      this.#queries.delete(targetId);
+    }
+  }
+
+  /**
+   * Answers another instance whether this one can connect to a target.
+   *
+   * @param targetId Id of the target.
+   * @param member The asking instance.
+   */
+  async answerQuery(targetId: string, member: MemberRecord): Promise<void> {
+    const { board, probes, send } = this.#parts;
+    const target = board.targets.get(targetId);
+    const isUsable = target !== undefined &&
+      board.targets.isUsable(target, this.#nowMs()) &&
+      !board.relayedTargets.has(targetId);
+    const isReached = isUsable &&
+      await probes.probe(target.address) === ProbeResult.Connected;
+    send(member, { kind: MessageKind.ReachReply, targetId, isReached });
+  }
+
+  /**
+   * Handles the reply of another instance to a query.
+   *
+   * @param targetId Id of the target.
+   * @param of The replying instance, and whether it can connect to the target.
+   */
+  replyReceived(
+    targetId: string,
+    { memberId, isReached }: { memberId: string; isReached: boolean },
+  ): void {
+    const query = this.#queries.get(targetId);
+    if (query === undefined || !query.awaitedIds.delete(memberId)) {
+      return;
+    }
+    if (isReached) {
+      query.relayIds.push(memberId);
+      query.settle(this.#aliveMember(memberId));
+    } else if (query.awaitedIds.size === 0) {
+      query.settle(undefined);
+    }
+  }
+
+  /** Relays the requests to a target if only other instances can connect. */
+  async #confirm(target: KnownTarget): Promise<void> {
+    const { targetId, address } = target;
+    const nowMs = this.#nowMs();
+    const suspectedAtMs = this.#suspectedAtMs.get(targetId) ?? -Infinity;
+    if (nowMs - suspectedAtMs < SUSPICION_INTERVAL_MS) {
+      return;
+    }
+    this.#suspectedAtMs.set(targetId, nowMs);
+    const result = await this.#parts.probes.probe(address);
+    if (result === ProbeResult.Connected) {
+      return;
+    }
+    await this.#query(target);
+    const relayIds = this.#queries.get(targetId)?.relayIds ?? [];
+    if (relayIds.length > 0) {
+      this.#startRelaying(target, { relayIds, result });
+    }
+  }
+
+  #startRelaying(
+    { targetId, address }: KnownTarget,
+    of: { relayIds: readonly string[]; result: ProbeResult },
+  ): void {
+    const { board, connections, log, metrics } = this.#parts;
+    const { relayedTargets } = board;
+    const wasAnyRelayed = relayedTargets.size > 0;
+    const relayIds = this.#nearestOf(of.relayIds);
+    if (!relayedTargets.add(targetId, relayIds, this.#nowMs())) {
+      return;
+    }
+    if (wasAnyRelayed) {
+      connections.closeIdle(address);
+    } else {
+      // The same fault may affect the connections to other targets.
+      connections.closeAllIdle();
+    }
+    metrics.relayedTargets(relayedTargets.size);
+    log.warn(LogPart.Targets, "target reached through other instances only", {
+      targetId,
+      probe: of.result,
+      relayIds,
+      relayedTargets: relayedTargets.size,
+    });
+  }
+
+  /** Ends relaying if this instance can connect to the target again. */
+  async #checkRelayed({ targetId, address }: KnownTarget): Promise<void> {
+    const { board, log, metrics, probes } = this.#parts;
+    const { relayedTargets } = board;
+    const result = await probes.probe(address);
+    if (result === ProbeResult.Connected && relayedTargets.has(targetId)) {
+      relayedTargets.remove(targetId);
+      metrics.relayedTargets(relayedTargets.size);
+      log.info(LogPart.Targets, "target reached again", {
+        targetId,
+        relayedTargets: relayedTargets.size,
+      });
+    }
+  }
+
+  /** Asks other instances, unless a recent query has asked them already. */
+  #query({ targetId }: KnownTarget): Promise<MemberRecord | undefined> {
+    const nowMs = this.#nowMs();
+    const known = this.#queries.get(targetId);
+    const isCurrent = known !== undefined &&
+      nowMs - (known.settledAtMs ?? nowMs) < RESULT_TTL_MS;
+    return isCurrent ? known.firstRelay : this.#ask(targetId);
+  }
+
+  #ask(targetId: string): Promise<MemberRecord | undefined> {
+    const asked = this.#membersToAsk();
+    let settle = (_relay: MemberRecord | undefined) => {};
+    const firstRelay = new Promise<MemberRecord | undefined>((resolve) => {
+      settle = resolve;
+    });
+    const timer = setTimeout(() => query.settle(undefined), QUERY_TIMEOUT_MS);
+    const query: Query = {
+      awaitedIds: new Set(asked.map(({ instanceId }) => instanceId)),
+      relayIds: [],
+      firstRelay,
+      settle: (relay) => {
+        clearTimeout(timer);
+        query.settledAtMs ??= this.#nowMs();
+        settle(relay);
+      },
+    };
+    this.#queries.set(targetId, query);
+    for (const member of asked) {
+      this.#parts.send(member, { kind: MessageKind.ReachQuery, targetId });
+    }
+    if (asked.length === 0) {
+      query.settle(undefined);
+    }
+    return firstRelay;
+  }
+
+  #membersToAsk(): MemberRecord[] {
+    const { board: { members }, failureDomain } = this.#parts;
+    const others = members.alive(this.#nowMs()).filter((member) =>
+      member.instanceId !== members.selfId && !member.leaving
+    );
+    const isNear = (member: MemberRecord) =>
+      member.failureDomain === failureDomain;
+    const near = others.filter(isNear);
+    const far = others.filter((member) => !isNear(member));
+    return [
+      ...this.#nearRotation.next(near, ASKED_NEAR),
+      ...this.#farRotation.next(far, ASKED_FAR),
+    ];
+  }
+
+  /** Relays of the own failure domain; all of them if it has none. */
+  #nearestOf(relayIds: readonly string[]): readonly string[] {
+    const { board: { members }, failureDomain } = this.#parts;
+    const near = relayIds.filter((relayId) =>
+      members.get(relayId)?.failureDomain === failureDomain
+    );
+    return near.length > 0 ? near : relayIds;
+  }
+
+  #aliveMember(instanceId: string): MemberRecord | undefined {
+    return this.#parts.board.members.alive(this.#nowMs())
+      .find((member) => member.instanceId === instanceId && !member.leaving);
+  }
+
+  #nowMs(): number {
+    return this.#parts.clock.nowMs();
+  }
+}
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -18,6 +18,7 @@
 import { UnreachableDomains } from "@chestnuthatch/routing/unreachable_domains";
 import { MemberView } from "@chestnuthatch/routing/member_view";
 import { Rollouts } from "@chestnuthatch/routing/rollouts";
+import { RelayedTargets } from "@chestnuthatch/routing/relayed_targets";
 import { RouteTable } from "@chestnuthatch/routing/route_table";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
@@ -294,6 +295,7 @@
     configurationAge: new ConfigurationAge(),
     unreachableDomains: new UnreachableDomains(members),
     health: new TargetHealth(),
+    relayedTargets: new RelayedTargets(),
     rateLimits: new TargetRateLimits(),
     latencyModels: new LatencyModels(),
     backoffs: new TargetBackoffs(),
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -32,6 +32,10 @@
   Unknown = "unknown",
   /** The sender asked the receiver for placements and got no answer in time. */
   PassedOver = "passed_over",
+  /** The sender asks whether the receiver can connect to a target. */
+  ReachQuery = "reach_query",
+  /** Answer to `ReachQuery`. */
+  ReachReply = "reach_reply",
 }
 
 const member = z.object({
@@ -228,6 +232,12 @@
     askIds: z.array(z.string()).readonly(),
   }),
   z.object({ kind: z.literal(MessageKind.PassedOver) }),
+  z.object({ kind: z.literal(MessageKind.ReachQuery), targetId: z.string() }),
+  z.object({
+    kind: z.literal(MessageKind.ReachReply),
+    targetId: z.string(),
+    isReached: z.boolean(),
+  }),
 ]);
 
 /** A message between two instances of the fleet. */
--- a/packages/routing/src/routing_board.ts
+++ b/packages/routing/src/routing_board.ts
@@ -8,6 +8,7 @@
 import type { UnreachableDomains } from "./unreachable_domains.ts";
 import type { MemberView } from "./member_view.ts";
 import type { Rollouts } from "./rollouts.ts";
+import type { RelayedTargets } from "./relayed_targets.ts";
 import type { RouteTable } from "./route_table.ts";
 import type { SuspectRequests } from "./suspect_requests.ts";
 import type { TargetDirectory } from "./target_directory.ts";
@@ -42,6 +43,11 @@
    * from targets that did not respond at all.
    */
   readonly unreachableDomains: UnreachableDomains;
+  /**
+   * Targets that this instance reaches through other instances only. Written by
+   * the `TargetReachability`, from probes of its own and of other instances.
+   */
+  readonly relayedTargets: RelayedTargets;
   /**
    * Rate limits that targets advertise. Written by the `TargetSignalHandler`,
    * from answers of targets and from peers.
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -9,6 +9,7 @@
 import { UnreachableDomains } from "./unreachable_domains.ts";
 import { type MemberInfo, MemberView } from "./member_view.ts";
 import { Rollouts } from "./rollouts.ts";
+import { RelayedTargets } from "./relayed_targets.ts";
 import { RouteTable } from "./route_table.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import { SuspectRequests } from "./suspect_requests.ts";
@@ -131,6 +132,7 @@
     configurationAge: new ConfigurationAge(),
     unreachableDomains: new UnreachableDomains(members),
     health: new TargetHealth(),
+    relayedTargets: new RelayedTargets(),
     rateLimits: new TargetRateLimits(),
     latencyModels: new LatencyModels(),
     backoffs: new TargetBackoffs(),
--- a/tests/soak_instance.ts
+++ b/tests/soak_instance.ts
@@ -12,7 +12,7 @@
 export interface SoakInstanceOptions {
   /** Number of the instance, which sets its id and failure domain. */
   readonly index: number;
-  /** Ports for callers, status, peers and metrics, in this order. */
+  /** Ports for callers, status, metrics and peers, in this order. */
   readonly ports: readonly number[];
   /** `ip:port` of the store. */
   readonly storeAddress: string;
@@ -127,14 +127,14 @@
 
   #defaultSettings(): Readonly<Record<string, string>> {
     const { index, ports, storeAddress } = this.#options;
-    const peer = ports[2]!;
+    const peer = ports[3]!;
     return {
       nodeName: this.id,
       zone: DOMAINS[index % DOMAINS.length]!,
       ip: this.#ip,
       "listen.front": this.callerAddress,
       "listen.ready": this.#statusAddress,
-      internalPortRange: `${peer},${peer + 1}`,
+      internalPortRange: `${peer},${peer + 2}`,
       seeds: "",
       "platform.address": storeAddress,
       "bounds.graceS": String(GRACE_S),
@@ -165,7 +165,7 @@
     const skew = `data:text/javascript,` +
       `const now=Date.now;Date.now=()=>now()+(${clockSkewMs})`;
     const { server } = await ServerProcess.start(PLATFORM_MAIN, {
-      args: ["--metrics-port", String(this.#options.ports[3])],
+      args: ["--metrics-port", String(this.#options.ports[2])],
       nodeArgs: [`--import=${skew}`, `--import=${INSTANCE_PROBE.href}`],
       env: {
         [SETTINGS_VARIABLE]: this.#settingsPath,
