Targets: answers lost at once on a broken path no longer end a process

Several requests that lost their answers at once each discarded the query of the one before, whose replies were then missed: it counted the target's process as ended, and the requests became suspects.

--- a/packages/gateway/src/target_reachability.ts
+++ b/packages/gateway/src/target_reachability.ts
@@ -44,9 +44,9 @@
   readonly board: RoutingBoard;
   readonly clock: Clock;
   readonly log: EventLog;
-  readonly metrics: GatewayMetrics;
-  readonly probes: TargetProbes;
-  readonly connections: TargetConnections;
+  readonly metrics: Pick<GatewayMetrics, "relayedTargets">;
+  readonly probes: Pick<TargetProbes, "probe">;
+  readonly connections: Pick<TargetConnections, "closeAllIdle" | "closeIdle">;
   /** Failure domain of this instance. */
   readonly failureDomain: string;
   send(member: MemberRecord, message: RoutingMessage): void;
@@ -154,8 +154,10 @@
     if (await probes.probe(target.address) !== ProbeResult.Refused) {
       return false;
     }
-    // An earlier reply may be of the time before the process ended.
-    this.#queries.delete(target.targetId);
+    // A reply that has arrived may be of the time before the process ended.
+    if (this.#queries.get(target.targetId)?.settledAtMs !== undefined) {
+      this.#queries.delete(target.targetId);
+    }
     return await this.findRelay(target) === undefined;
   }
 
