Targets: requests that fragile targets may have to reject are limited

Targets may announce (Server-Brittle) that they fail if they reject more than N requests in a second. A coordinator whose accounting lacked the work at a full target gave it the next queued request as soon as the last one was rejected.

Now the end of work tells the coordinator the announced number and whether the request was rejected.

--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -94,6 +94,7 @@
     const workEnd = {
       ...attempt.workEnd(true),
       ...(FAILED_ANSWER_ENDS.has(end) ? { answerFailed: true } : undefined),
+      ...(end === AttemptEnd.Rejected ? { isRejected: true } : undefined),
     };
     if (end === AttemptEnd.TargetEnded) {
       const endedTarget = endedTargetOf(attempt);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -168,6 +168,7 @@
       spendingWindowMs: settings.bounds.allotmentTolerance.windowMs,
       onWaiting: () => this.#scheduleTick(BUSY_TICK_MS),
       onTakeover: (share) => {
+        this.#coordinator.accountingBegan(this.#clock.nowMs());
         this.#spending.becameActingCoordinator(share);
         this.#retryBudgets.takeOver(share);
       },
@@ -517,6 +518,7 @@
     if (isCoordinator !== this.#wasCoordinator) {
       this.#wasCoordinator = isCoordinator;
       if (isCoordinator) {
+        this.#coordinator.accountingBegan(this.#clock.nowMs());
         this.#spending.becameCoordinator();
         this.#retryBudgets.becameCoordinator();
         this.#rollouts.becameCoordinator();
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -97,6 +97,8 @@
   "firstSends",
   "repeats",
   "isReached",
+  "maxRejectionsPerS",
+  "isRejected",
 ];
 
 /** Version of the internet protocol between peers. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -64,6 +64,8 @@
 export interface TargetSignals {
   /** Requests per second that the target accepts from the whole fleet. */
   readonly limitPerS?: number;
+  /** Rejections per second that the target withstands without failing. */
+  readonly maxRejectionsPerS?: number;
   /** Whether the answer carried a rate limit, valid or malformed. */
   readonly hasLimit: boolean;
   /** Whether the target is leaving. */
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -89,6 +89,8 @@
   #relay?: MemberRecord;
   #relayCount = 0;
   #answer?: IncomingMessage;
+  /** As the target announced in its answer. */
+  #maxRejectionsPerS?: number;
   #firstDataAtMs?: number;
   #lastEventAtMs = 0;
   #isDone = false;
@@ -213,6 +215,7 @@
         ? (this.#lastEventAtMs - this.#firstDataAtMs!) / (eventCount - 1)
         : undefined,
       failed,
+      maxRejectionsPerS: this.#maxRejectionsPerS,
     };
   }
 
@@ -230,6 +233,7 @@
     const status = answer.statusCode!;
     const facts = this.#parts.protocol.readAnswer(status, answer.headers);
     if (!facts.wrongTarget) {
+      this.#maxRejectionsPerS = facts.signals.maxRejectionsPerS;
       const { target } = this.options;
       const origin = { target, sentAtMs: this.sentAtMs };
       this.#parts.targetSignals.answerReceived(origin, facts.signals);
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -6,6 +6,7 @@
  */
 
 import { RateLimiter } from "./rate_limiter.ts";
+import { RejectionLimiter } from "./rejection_limiter.ts";
 import { PoolScheduler, quarantineRefusal } from "./pool_scheduler.ts";
 import {
   RetryBudget,
@@ -95,6 +96,7 @@
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #allotmentLedger: AllotmentLedger;
   readonly #limiter: RateLimiter;
+  readonly #rejections = new RejectionLimiter();
   #bounds: FleetBounds;
   readonly #openAsks = new Map<string, OpenAsk>();
   readonly #refusedCallers = new RefusedCallers();
@@ -174,6 +176,7 @@
    */
   ended(end: WorkEnd, nowMs: number): AskDecision[] {
     this.#updateSuspects(end, nowMs);
+    this.#rejections.recordEnd(end, nowMs);
     const scheduler = this.#poolScheduler(end.pool);
     const { work, decisions } = scheduler.release(end.askId, nowMs);
     const isStream = this.#board.routes?.pool(end.pool)?.engine !== undefined;
@@ -284,6 +287,16 @@
     return decisions;
   }
 
+  /**
+   * Records that this instance began to assign requests, so that its accounting
+   * may lack work that others have placed.
+   *
+   * @param nowMs Current local time in milliseconds.
+   */
+  accountingBegan(nowMs: number): void {
+    this.#rejections.accountingBegan(nowMs);
+  }
+
   /**
    * Returns the spending record to write to the platform's store.
    *
@@ -576,6 +589,7 @@
       scheduler = new PoolScheduler(name, {
         board: this.#board,
         limiter: this.#limiter,
+        rejections: this.#rejections,
       });
       this.#schedulers.set(name, scheduler);
     }
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -121,6 +121,8 @@
   eventGapMs: z.number().optional(),
   failed: z.boolean(),
   answerFailed: z.boolean().optional(),
+  maxRejectionsPerS: z.number().nonnegative().optional(),
+  isRejected: z.boolean().optional(),
   endedTarget: z.object({
     fingerprint: z.string(),
     process: z.string(),
--- a/packages/routing/src/placed_work_index.ts
+++ b/packages/routing/src/placed_work_index.ts
@@ -89,6 +89,15 @@
       .filter((work) => work.targetId === targetId);
   }
 
+  /**
+   * @param targetId Id of a target.
+   * @returns Number of its requests that it has not begun to answer.
+   */
+  unconfirmedCount(targetId: string): number {
+    return this.workOfTarget(targetId).filter(({ firstSeen }) => !firstSeen)
+      .length;
+  }
+
   /**
    * @param fingerprint Fingerprint of a request.
    * @returns Whether that request runs on trial now.
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -9,6 +9,7 @@
  */
 
 import type { RateLimiter } from "./rate_limiter.ts";
+import type { RejectionLimiter } from "./rejection_limiter.ts";
 import { type PlacedWork, PlacedWorkIndex } from "./placed_work_index.ts";
 import { TargetSelector, type TargetSnapshot } from "./target_selector.ts";
 import type { OrderContext, WaitingWork } from "./queue_order.ts";
@@ -88,17 +89,26 @@
 
   /**
    * @param pool The pool's name.
-   * @param parts Shared routing state of the instance, and the limiter of the
-   * rates of placements at targets.
+   * @param parts Shared routing state of the instance, and the limiters of the
+   * rates of placements at targets and of their rejections.
    */
   constructor(
     pool: string,
-    { board, limiter }: { board: RoutingBoard; limiter: RateLimiter },
+    { board, limiter, rejections }: {
+      board: RoutingBoard;
+      limiter: RateLimiter;
+      rejections: RejectionLimiter;
+    },
   ) {
     this.#board = board;
     this.#limiter = limiter;
     const placed = this.#placed;
-    this.#selector = new TargetSelector(pool, { board, placed, limiter });
+    this.#selector = new TargetSelector(pool, {
+      board,
+      placed,
+      limiter,
+      rejections,
+    });
   }
 
   /** Number of queued requests. */
--- a/packages/routing/src/target_selector.ts
+++ b/packages/routing/src/target_selector.ts
@@ -3,6 +3,7 @@
 import { CandidateIndex, hasFreeSlot } from "./candidate_index.ts";
 import type { PoolPolicy } from "./fleet_configuration.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
+import type { RejectionLimiter } from "./rejection_limiter.ts";
 import type { PlacedWorkIndex } from "./placed_work_index.ts";
 import { onTimeDeadlineMs, type WaitingWork } from "./queue_order.ts";
 import type { RoutingBoard } from "./routing_board.ts";
@@ -33,6 +34,7 @@
   readonly board: RoutingBoard;
   readonly placed: PlacedWorkIndex;
   readonly limiter: RateLimiter;
+  readonly rejections: RejectionLimiter;
 }
 
 /** Selects targets of one pool. */
@@ -41,6 +43,7 @@
   readonly #board: RoutingBoard;
   readonly #placed: PlacedWorkIndex;
   readonly #limiter: RateLimiter;
+  readonly #rejections: RejectionLimiter;
   #targets?: CandidateIndex;
   /** Targets that the index was built from. */
   #serving: readonly KnownTarget[] = [];
@@ -55,6 +58,7 @@
     this.#board = parts.board;
     this.#placed = parts.placed;
     this.#limiter = parts.limiter;
+    this.#rejections = parts.rejections;
   }
 
   /**
@@ -144,16 +148,24 @@
       : choice;
   }
 
-  /** Leaves out targets whose rate limits are exhausted. */
+  /** Leaves out targets that must not be given another request now. */
   #withinLimits(
     candidates: readonly Candidate[],
     nowMs: number,
   ): readonly Candidate[] {
-    return this.#board.rateLimits.hasLimits
+    const withinRates = this.#board.rateLimits.hasLimits
       ? candidates.filter(({ target }) =>
         this.#limiter.allows(target.targetId, nowMs)
       )
       : candidates;
+    return this.#rejections.hasLimits
+      ? withinRates.filter(({ target: { targetId } }) =>
+        this.#rejections.allows(targetId, {
+          outstanding: () => this.#placed.unconfirmedCount(targetId),
+          nowMs,
+        })
+      )
+      : withinRates;
   }
 
   /**
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -121,6 +121,13 @@
    * not merely unreachable; absent otherwise.
    */
   readonly answerFailed?: boolean;
+  /**
+   * Rejections per second that the target withstands, as it announced in its
+   * answer; absent if it did not.
+   */
+  readonly maxRejectionsPerS?: number;
+  /** Set if the target rejected it without running it; absent otherwise. */
+  readonly isRejected?: boolean;
   /** The target's process, if it ended before the answer. */
   readonly endedTarget?: EndedTarget;
   /** Fingerprint of a suspect request that a target answered. */
