Targets: queries for relays are bounded, and a busy or leaving relay declines

Under overload, connections and answers of many targets are slow at once. Each instance now sends at most 20 queries and makes at most 2 checks of overdue answers a second, whatever its load; beyond that a relay of another target is tried. An instance that is shutting down or relays 128 requests answers queries with no.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -233,6 +233,7 @@
       probes: new TargetProbes(this.#connectToTarget),
       connections: this.#connections,
       failureDomain,
+      acceptsRelays: () => this.#relayServer.isAccepting,
       send: (member, message) => this.#socket.send(member.address, message),
     });
     this.#heartbeatExchange = this.#createHeartbeatExchange();
--- a/packages/gateway/src/relay_server.ts
+++ b/packages/gateway/src/relay_server.ts
@@ -81,6 +81,11 @@
     return this.#openCount;
   }
 
+  /** Whether this instance relays another request now. */
+  get isAccepting(): boolean {
+    return !this.#parts.isLeaving() && this.#openCount < MAX_RELAYED_REQUESTS;
+  }
+
   /**
    * Starts to serve.
    *
@@ -153,10 +158,9 @@
   }
 
   #usableTarget(targetId: string): KnownTarget | undefined {
-    const { board, clock, isLeaving } = this.#parts;
+    const { board, clock } = this.#parts;
     const target = board.targets.get(targetId);
-    const isAccepted = target !== undefined && !isLeaving() &&
-      this.#openCount <= MAX_RELAYED_REQUESTS &&
+    const isAccepted = target !== undefined && this.isAccepting &&
       board.targets.isUsable(target, clock.nowMs());
     return isAccepted ? target : undefined;
   }
--- a/packages/gateway/src/target_reachability.ts
+++ b/packages/gateway/src/target_reachability.ts
@@ -39,6 +39,15 @@
  */
 const SUSPICION_INTERVAL_MS = 500;
 
+/**
+ * Queries that an instance sends within a second, and checks because of overdue
+ * answers. Under overload, connections and answers of many targets are slow at
+ * once; their number must not grow with the load.
+ */
+const MAX_QUERIES_PER_S = 20;
+const MAX_OVERDUE_CHECKS_PER_S = 2;
+const MS_PER_S = 1000;
+
 /** Dependencies of {@link TargetReachability}. */
 export interface ReachabilityParts {
   readonly board: RoutingBoard;
@@ -49,6 +58,8 @@
   readonly connections: Pick<TargetConnections, "closeAllIdle" | "closeIdle">;
   /** Failure domain of this instance. */
   readonly failureDomain: string;
+  /** Whether this instance relays requests of other instances now. */
+  acceptsRelays(): boolean;
   send(member: MemberRecord, message: RoutingMessage): void;
 }
 
@@ -70,6 +81,8 @@
   readonly #queries = new Map<string, Query>();
   readonly #suspectedAtMs = new Map<string, number>();
   readonly #answeredAtMs = new Map<string, number>();
+  readonly #queryRate = new RateBound(MAX_QUERIES_PER_S);
+  readonly #overdueRate = new RateBound(MAX_OVERDUE_CHECKS_PER_S);
   readonly #nearRotation = new Rotation();
   readonly #farRotation = new Rotation();
 
@@ -136,7 +149,9 @@
   answerOverdue(target: KnownTarget): void {
     const { targetId } = target;
     const answeredAtMs = this.#answeredAtMs.get(targetId) ?? -Infinity;
-    if (this.#nowMs() - answeredAtMs >= SUSPICION_INTERVAL_MS) {
+    const nowMs = this.#nowMs();
+    const isSilent = nowMs - answeredAtMs >= SUSPICION_INTERVAL_MS;
+    if (isSilent && this.#overdueRate.take(nowMs)) {
       void this.#confirm(target);
     }
   }
@@ -184,7 +199,7 @@
   async answerQuery(targetId: string, member: MemberRecord): Promise<void> {
     const { board, probes, send } = this.#parts;
     const target = board.targets.get(targetId);
-    const isUsable = target !== undefined &&
+    const isUsable = target !== undefined && this.#parts.acceptsRelays() &&
       board.targets.isUsable(target, this.#nowMs()) &&
       !board.relayedTargets.has(targetId);
     const isReached = isUsable &&
@@ -227,9 +242,10 @@
     if (result === ProbeResult.Connected) {
       return;
     }
-    await this.#query(target);
-    const relayIds = this.#queries.get(targetId)?.relayIds ?? [];
-    if (relayIds.length > 0) {
+    const relay = await this.#query(target);
+    if (relay !== undefined) {
+      const known = this.#queries.get(targetId)?.relayIds ?? [];
+      const relayIds = known.length > 0 ? known : [relay.instanceId];
       this.#startRelaying(target, { relayIds, result });
     }
   }
@@ -281,7 +297,18 @@
     const known = this.#queries.get(targetId);
     const isCurrent = known !== undefined &&
       nowMs - (known.settledAtMs ?? nowMs) < RESULT_TTL_MS;
-    return isCurrent ? known.firstRelay : this.#ask(targetId);
+    if (isCurrent) {
+      return known.firstRelay;
+    }
+    return this.#queryRate.take(nowMs)
+      ? this.#ask(targetId)
+      : Promise.resolve(this.#relayOfAnyTarget());
+  }
+
+  /** A relay of another target: the same fault may affect this one. */
+  #relayOfAnyTarget(): MemberRecord | undefined {
+    const relayId = this.#parts.board.relayedTargets.anyRelayId();
+    return relayId === undefined ? undefined : this.#aliveMember(relayId);
   }
 
   #ask(targetId: string): Promise<MemberRecord | undefined> {
@@ -344,3 +371,24 @@
     return this.#parts.clock.nowMs();
   }
 }
+
+/** Bounds how often something is done within a second. */
+class RateBound {
+  readonly #maxPerS: number;
+  #windowStartMs = -Infinity;
+  #taken = 0;
+
+  constructor(maxPerS: number) {
+    this.#maxPerS = maxPerS;
+  }
+
+  /** Returns whether it may be done once more now. */
+  take(nowMs: number): boolean {
+    if (nowMs - this.#windowStartMs >= MS_PER_S) {
+      this.#windowStartMs = nowMs;
+      this.#taken = 0;
+    }
+    this.#taken++;
+    return this.#taken <= this.#maxPerS;
+  }
+}
--- a/packages/gateway/src/target_reachability_test.ts
+++ b/packages/gateway/src/target_reachability_test.ts
@@ -39,6 +39,7 @@
         closeIdle: () => {},
       },
       failureDomain: "a",
+      acceptsRelays: () => true,
       send: ({ instanceId }, message) => this.#recordQuery(instanceId, message),
     });
   }
--- a/packages/routing/src/relayed_targets.ts
+++ b/packages/routing/src/relayed_targets.ts
@@ -52,6 +52,12 @@
     return target?.relayIds[target.next++ % target.relayIds.length];
   }
 
+  /** @returns Id of a relay of any target; undefined if none is relayed. */
+  anyRelayId(): string | undefined {
+    const [targetId] = this.#byId.keys();
+    return targetId === undefined ? undefined : this.nextRelayId(targetId);
+  }
+
   /**
    * Removes an instance that failed to relay. Without another one, the target
    * is not relayed any more.
