--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -200,12 +200,6 @@
       metrics: this.#metrics,
       reachesStore: () => this.#fleetState.reachesStore,
     });
-    this.#targetCleanup = new TargetCleanup({
-      board: this.board,
-      clock: this.#clock,
-      coordinator: this.#coordinator,
-      connections: this.#connections,
-    });
     this.#targetSignals = new TargetSignalHandler({
       board: this.board,
       clock: this.#clock,
@@ -236,6 +230,13 @@
       acceptsRelays: () => this.#relayServer.isAccepting,
       send: (member, message) => this.#socket.send(member.address, message),
     });
+    this.#targetCleanup = new TargetCleanup({
+      board: this.board,
+      clock: this.#clock,
+      coordinator: this.#coordinator,
+      connections: this.#connections,
+      reachability: this.#reachability,
+    });
     this.#heartbeatExchange = this.#createHeartbeatExchange();
     this.#front = new FrontServer(this.#createParts(options.protocol));
     this.#eventLoopMonitor = new EventLoopMonitor({
--- a/packages/gateway/src/target_cleanup.ts
+++ b/packages/gateway/src/target_cleanup.ts
@@ -8,6 +8,7 @@
 } from "@chestnuthatch/routing/target_directory";
 import type { Clock } from "./ports.ts";
 import type { TargetConnections } from "./target_connections.ts";
+import type { TargetReachability } from "./target_reachability.ts";
 
 /** Parts of the instance that the cleanup uses. */
 export interface TargetCleanupParts {
@@ -15,6 +16,7 @@
   readonly clock: Clock;
   readonly coordinator: Coordinator;
   readonly connections: TargetConnections;
+  readonly reachability: TargetReachability;
 }
 
 /** Discards state about removed targets, and resets that of restarted ones. */
@@ -46,6 +48,7 @@
     latencyModels.keepOnly(targetIds);
     rateLimits.keepOnly(targetIds);
     relayedTargets.keepOnly(targetIds);
+    this.#parts.reachability.keepOnly(targetIds);
     const usable = all.filter((target) => targets.isUsable(target, nowMs));
     const addresses = new Set(usable.map(({ address }) => address));
     this.#parts.connections.keepOnly(addresses);
--- a/packages/gateway/src/target_reachability.ts
+++ b/packages/gateway/src/target_reachability.ts
@@ -190,6 +190,23 @@
     }
   }
 
+  /**
+   * Discards the state of targets that are no longer known.
+   *
+   * @param targetIds Ids of the known targets.
+   */
+  keepOnly(targetIds: ReadonlySet<string>): void {
+    for (
+      const byId of [this.#queries, this.#suspectedAtMs, this.#answeredAtMs]
+    ) {
+      for (const targetId of byId.keys()) {
+        if (!targetIds.has(targetId)) {
+          byId.delete(targetId);
+        }
+      }
+    }
+  }
+
   /**
    * Answers another instance whether this one can connect to a target.
    *
