Callers: a delay of the event loop counts for 250 ms, not for one tick

Cause: whether callers may have left was judged by the delay of the latest tick. If a request that arrived during a delay is read only after the next, punctual tick, it was started before the end of its connection was seen.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -65,6 +65,12 @@
 /** Minimum delay of a tick that counts as a stall of the process. */
 const MIN_STALL_MS = 400;
 
+/**
+ * Time for which a delay of the event loop counts as recent: what arrived
+ * during the delay may be read only after the next tick.
+ */
+const RECENT_DELAY_MS = 250;
+
 /** Ports of a gateway: the calls' protocol, the platform, and the network. */
 export interface GatewayOptions {
   readonly protocol: CallProtocol;
@@ -116,6 +122,8 @@
   #tickDueMs = 0;
   /** Delay of the latest tick. */
   #lateMs = 0;
+  /** Longest recent delay of a tick, and the local time until it is recent. */
+  #recentDelay = { lateMs: 0, untilMs: -Infinity };
   #wasCoordinator = false;
   #stopping?: Promise<void>;
 
@@ -480,6 +488,11 @@
   #tick(): void {
     const nowMs = this.#clock.nowMs();
     this.#lateMs = nowMs - this.#tickDueMs;
+    const isLongest = this.#lateMs >= this.#recentDelay.lateMs;
+    if (isLongest || nowMs >= this.#recentDelay.untilMs) {
+      const untilMs = nowMs + RECENT_DELAY_MS;
+      this.#recentDelay = { lateMs: this.#lateMs, untilMs };
+    }
     this.#eventLoopMonitor.recordTimer(this.#lateMs);
     this.board.members.isLoaded = this.#eventLoopMonitor.isLoaded;
     if (this.#lateMs > MIN_STALL_MS) {
@@ -554,7 +567,7 @@
       onPlacedAtLeavingTarget: (targetId) =>
         this.#fleetState.targetLeaving(targetId),
       failureDomain,
-      lateMs: () => this.#lateMs,
+      lateMs: () => this.#recentDelay.lateMs,
       nextAskId: () => `${prefix}.${(this.#askCounter++).toString(36)}`,
       agentFor: (pool, address) => this.#agentFor(pool, address),
       relayAgent: this.#relayAgent,
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -290,6 +290,25 @@
   },
 );
 
+// Guards against forwarding a request whose caller has disconnected, if the
+// request is read only after the first punctual tick that follows a delay.
+testOn(
+  "a request read soon after a delay is not forwarded if its caller left",
+  async (harness) => {
+    harness.targetAnswers = (response) => response.end("ok");
+    const caller = harness.request(["stays"]);
+    await harness.line("answered", "stays");
+    harness.advance(100);
+    await until(() => harness.gateway.lateMs >= 90);
+    await until(() => harness.gateway.lateMs < 10);
+    caller.write(requestOf("leaves"));
+    caller.destroy();
+    harness.request(["later"]);
+    await harness.line("answered", "later");
+    assert.is(harness.runs, 2);
+  },
+);
+
 // Guards against aborting begun answers together with pending requests.
 testOn("a begun answer is aborted after pending requests", async (harness) => {
   harness.targetAnswers = (response) => {
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -21,7 +21,7 @@
   readonly targetSignals: TargetSignalHandler;
   /** Failure domain of this instance. */
   readonly failureDomain: string;
-  /** @returns Delay of the latest tick in milliseconds. */
+  /** @returns Longest recent delay of the event loop in milliseconds. */
   lateMs(): number;
   /**
    * Called when the coordinator assigned a request to a leaving target.
