--- a/packages/gateway/src/target_reachability.ts
+++ b/packages/gateway/src/target_reachability.ts
@@ -7,32 +7,15 @@
  */
 
 import type { MemberRecord } from "@chestnuthatch/routing/member_view";
-import {
-  MessageKind,
-  type RoutingMessage,
-} from "@chestnuthatch/routing/peer_messages";
-import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import { MessageKind } from "@chestnuthatch/routing/peer_messages";
 import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
-import type { Clock } from "./ports.ts";
-import { Rotation } from "./rotation.ts";
+import { RateBound } from "./rate_bound.ts";
+import { RelayQueries, type RelayQueryParts } from "./relay_queries.ts";
 import type { TargetConnections } from "./target_connections.ts";
 import { ProbeResult, type TargetProbes } from "./target_probes.ts";
 
-/**
- * Members that are asked of each kind: of the own failure domain, to which the
- * way is short, and of others, as a fault may affect a whole domain.
- */
-const ASKED_NEAR = 2;
-const ASKED_FAR = 2;
-
-/** Time for which the replies to a query are awaited. */
-const QUERY_TIMEOUT_MS = 90;
-
-/** Time for which the result of a query holds, so that requests share it. */
-const RESULT_TTL_MS = 400;
-
 /**
  * Time after an answer of a target for which a missing other one does not raise
  * suspicion of the connection, and shortest time between two suspicions.
@@ -40,55 +23,34 @@
 const SUSPICION_INTERVAL_MS = 500;
 
 /**
- * Queries that an instance sends within a second, and checks because of overdue
- * answers. Under overload, connections and answers of many targets are slow at
- * once; their number must not grow with the load.
+ * Checks within a second because of overdue answers. Under overload, answers of
+ * many targets are overdue at once; the number of checks must not grow with the
+ * load.
  */
-const MAX_QUERIES_PER_S = 20;
 const MAX_OVERDUE_CHECKS_PER_S = 2;
-const MS_PER_S = 1000;
 
 /** Dependencies of {@link TargetReachability}. */
-export interface ReachabilityParts {
-  readonly board: RoutingBoard;
-  readonly clock: Clock;
+export interface ReachabilityParts extends RelayQueryParts {
   readonly log: EventLog;
   readonly metrics: Pick<GatewayMetrics, "relayedTargets">;
   readonly probes: Pick<TargetProbes, "probe">;
   readonly connections: Pick<TargetConnections, "closeAllIdle" | "closeIdle">;
-  /** Failure domain of this instance. */
-  readonly failureDomain: string;
   /** Whether this instance relays requests of other instances now. */
   acceptsRelays(): boolean;
-  send(member: MemberRecord, message: RoutingMessage): void;
-}
-
-/** A query to other instances, which of them can connect to a target. */
-interface Query {
-  /** Members whose reply is outstanding. */
-  readonly awaitedIds: Set<string>;
-  /** Members that can connect to the target, in the order of their replies. */
-  readonly relayIds: string[];
-  /** Fulfilled with the first positive reply, or when none can follow. */
-  readonly firstRelay: Promise<MemberRecord | undefined>;
-  settle(relay: MemberRecord | undefined): void;
-  settledAtMs?: number;
 }
 
 /** Finds relays to targets, and answers the queries of other instances. */
 export class TargetReachability {
   readonly #parts: ReachabilityParts;
-  readonly #queries = new Map<string, Query>();
+  readonly #queries: RelayQueries;
   readonly #suspectedAtMs = new Map<string, number>();
   readonly #answeredAtMs = new Map<string, number>();
-  readonly #queryRate = new RateBound(MAX_QUERIES_PER_S);
   readonly #overdueRate = new RateBound(MAX_OVERDUE_CHECKS_PER_S);
-  readonly #nearRotation = new Rotation();
-  readonly #farRotation = new Rotation();
 
   /** @param parts Dependencies. */
   constructor(parts: ReachabilityParts) {
     this.#parts = parts;
+    this.#queries = new RelayQueries(parts);
   }
 
   /**
@@ -124,7 +86,7 @@
    * @returns The first one found; undefined if none of those asked can.
    */
   async findRelay(target: KnownTarget): Promise<MemberRecord | undefined> {
-    const relay = await this.#query(target);
+    const relay = await this.#queries.firstRelay(target.targetId);
     if (relay !== undefined) {
       void this.#confirm(target);
     }
@@ -170,9 +132,7 @@
       return false;
     }
     // A reply that has arrived may be of the time before the process ended.
-    if (this.#queries.get(target.targetId)?.settledAtMs !== undefined) {
-      this.#queries.delete(target.targetId);
-    }
+    this.#queries.discardResult(target.targetId);
     return await this.findRelay(target) === undefined;
   }
 
@@ -183,10 +143,11 @@
    * @param relayId Id of the instance.
    */
   relayFailed({ targetId }: KnownTarget, relayId: string): void {
-    this.#parts.board.relayedTargets.removeRelay(targetId, relayId);
-    const query = this.#queries.get(targetId);
-    if (query?.relayIds.includes(relayId)) {
-      this.#queries.delete(targetId);
+    const { board: { relayedTargets }, metrics } = this.#parts;
+    relayedTargets.removeRelay(targetId, relayId);
+    metrics.relayedTargets(relayedTargets.size);
+    if (this.#queries.relayIds(targetId).includes(relayId)) {
+      this.#queries.discardResult(targetId);
     }
   }
 
@@ -196,9 +157,8 @@
    * @param targetIds Ids of the known targets.
    */
   keepOnly(targetIds: ReadonlySet<string>): void {
-    for (
-      const byId of [this.#queries, this.#suspectedAtMs, this.#answeredAtMs]
-    ) {
+    this.#queries.keepOnly(targetIds);
+    for (const byId of [this.#suspectedAtMs, this.#answeredAtMs]) {
       for (const targetId of byId.keys()) {
         if (!targetIds.has(targetId)) {
           byId.delete(targetId);
@@ -228,22 +188,14 @@
    * Handles the reply of another instance to a query.
    *
    * @param targetId Id of the target.
-   * @param of The replying instance, and whether it can connect to the target.
+   * @param reply The replying instance, and whether it can connect to the
+   * target.
    */
   replyReceived(
     targetId: string,
-    { memberId, isReached }: { memberId: string; isReached: boolean },
+    reply: { memberId: string; isReached: boolean },
   ): void {
-    const query = this.#queries.get(targetId);
-    if (query === undefined || !query.awaitedIds.delete(memberId)) {
-      return;
-    }
-    if (isReached) {
-      query.relayIds.push(memberId);
-      query.settle(this.#aliveMember(memberId));
-    } else if (query.awaitedIds.size === 0) {
-      query.settle(undefined);
-    }
+    this.#queries.replyReceived(targetId, reply);
   }
 
   /** Relays the requests to a target if only other instances can connect. */
@@ -259,9 +211,9 @@
     if (result === ProbeResult.Connected) {
       return;
     }
-    const relay = await this.#query(target);
+    const relay = await this.#queries.firstRelay(targetId);
     if (relay !== undefined) {
-      const known = this.#queries.get(targetId)?.relayIds ?? [];
+      const known = this.#queries.relayIds(targetId);
       const relayIds = known.length > 0 ? known : [relay.instanceId];
       this.#startRelaying(target, { relayIds, result });
     }
@@ -308,68 +260,6 @@
     }
   }
 
-  /** Asks other instances, unless a recent query has asked them already. */
-  #query({ targetId }: KnownTarget): Promise<MemberRecord | undefined> {
-    const nowMs = this.#nowMs();
-    const known = this.#queries.get(targetId);
-    const isCurrent = known !== undefined &&
-      nowMs - (known.settledAtMs ?? nowMs) < RESULT_TTL_MS;
-    if (isCurrent) {
-      return known.firstRelay;
-    }
-    return this.#queryRate.take(nowMs)
-      ? this.#ask(targetId)
-      : Promise.resolve(this.#relayOfAnyTarget());
-  }
-
-  /** A relay of another target: the same fault may affect this one. */
-  #relayOfAnyTarget(): MemberRecord | undefined {
-    const relayId = this.#parts.board.relayedTargets.anyRelayId();
-    return relayId === undefined ? undefined : this.#aliveMember(relayId);
-  }
-
-  #ask(targetId: string): Promise<MemberRecord | undefined> {
-    const asked = this.#membersToAsk();
-    let settle = (_relay: MemberRecord | undefined) => {};
-    const firstRelay = new Promise<MemberRecord | undefined>((resolve) => {
-      settle = resolve;
-    });
-    const timer = setTimeout(() => query.settle(undefined), QUERY_TIMEOUT_MS);
-    const query: Query = {
-      awaitedIds: new Set(asked.map(({ instanceId }) => instanceId)),
-      relayIds: [],
-      firstRelay,
-      settle: (relay) => {
-        clearTimeout(timer);
-        query.settledAtMs ??= this.#nowMs();
-        settle(relay);
-      },
-    };
-    this.#queries.set(targetId, query);
-    for (const member of asked) {
-      this.#parts.send(member, { kind: MessageKind.ReachQuery, targetId });
-    }
-    if (asked.length === 0) {
-      query.settle(undefined);
-    }
-    return firstRelay;
-  }
-
-  #membersToAsk(): MemberRecord[] {
-    const { board: { members }, failureDomain } = this.#parts;
-    const others = members.alive(this.#nowMs()).filter((member) =>
-      member.instanceId !== members.selfId && !member.leaving
-    );
-    const isNear = (member: MemberRecord) =>
-      member.failureDomain === failureDomain;
-    const near = others.filter(isNear);
-    const far = others.filter((member) => !isNear(member));
-    return [
-      ...this.#nearRotation.next(near, ASKED_NEAR),
-      ...this.#farRotation.next(far, ASKED_FAR),
-    ];
-  }
-
   /** Relays of the own failure domain; all of them if it has none. */
   #nearestOf(relayIds: readonly string[]): readonly string[] {
     const { board: { members }, failureDomain } = this.#parts;
@@ -388,24 +278,3 @@
     return this.#parts.clock.nowMs();
   }
 }
-
-/** Bounds how often something is done within a second. */
-class RateBound {
-  readonly #maxPerS: number;
-  #windowStartMs = -Infinity;
-  #taken = 0;
-
-  constructor(maxPerS: number) {
-    this.#maxPerS = maxPerS;
-  }
-
-  /** Returns whether it may be done once more now. */
-  take(nowMs: number): boolean {
-    if (nowMs - this.#windowStartMs >= MS_PER_S) {
-      this.#windowStartMs = nowMs;
-      this.#taken = 0;
-    }
-    this.#taken++;
-    return this.#taken <= this.#maxPerS;
-  }
-}
