Wording of the change after a newcomer's reading

Comments, and one constant and field of the reachability checks, which had the names of suspicions beside those of suspect requests. No change of behavior.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -96,7 +96,7 @@
   readonly #socket: PeerSocket;
   readonly #snapshotServer: SnapshotServer;
   readonly #relayServer: RelayServer;
-  /** Without kept connections, which may have ended with the relay. */
+  /** Opens a connection for each request: a kept one might be stale. */
   readonly #relayAgent = new Agent();
   readonly #reachability: TargetReachability;
   readonly #connectToTarget: ConnectToTarget;
--- a/packages/gateway/src/relay_server.ts
+++ b/packages/gateway/src/relay_server.ts
@@ -1,9 +1,9 @@
 /**
  * Relays requests of other instances to targets that they cannot connect to.
  *
- * A relayed request is the holder's HTTP request to the target with one header
- * more, and its answer is that of the target. The holder keeps all decisions on
- * the request; it is never sent to a second target here.
+ * The holder sends its HTTP request for the target with one more header, and
+ * gets the target's answer. All decisions on the request stay with the holder:
+ * the relay sends it to that target once, and never to another one.
  */
 
 import type { Buffer } from "node:buffer";
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -89,7 +89,7 @@
   #relay?: MemberRecord;
   #relayCount = 0;
   #answer?: IncomingMessage;
-  /** As the target announced in its answer. */
+  /** Rejections per second that the target withstands, from its answer. */
   #maxRejectionsPerS?: number;
   #firstDataAtMs?: number;
   #lastEventAtMs = 0;
@@ -321,7 +321,9 @@
     }
   }
 
-  /** Uses a relay if one is found while the connection is not established. */
+  /**
+   * Switches to a relay if one is found before the connection is established.
+   */
   async #onConnectDelayed(exchange: TargetExchange): Promise<void> {
     if (this.#relay !== undefined) {
       return;
@@ -336,7 +338,7 @@
     }
   }
 
-  /** Continues through a relay if one is found, as nothing was sent so far. */
+  /** Sends the request through a relay if one is found; else the attempt ends. */
   async #onNotSent(reason: string): Promise<void> {
     const { reachability } = this.#parts;
     const { target } = this.options;
--- a/packages/gateway/src/target_reachability.ts
+++ b/packages/gateway/src/target_reachability.ts
@@ -1,6 +1,6 @@
 /**
- * Tells a target that is down from one that only this instance cannot connect
- * to. In the second case it finds instances that relay requests to the target.
+ * Distinguishes a target that is down from one that only this instance cannot
+ * connect to, and finds instances that relay requests to the latter.
  *
  * Each instance answers for its own connections only, and a relay never passes
  * a request on to another relay.
@@ -17,10 +17,10 @@
 import { ProbeResult, type TargetProbes } from "./target_probes.ts";
 
 /**
- * Time after an answer of a target for which a missing other one does not raise
- * suspicion of the connection, and shortest time between two suspicions.
+ * Time after an answer of a target for which another, overdue answer does not
+ * cause a check, and shortest time between two checks of a target.
  */
-const SUSPICION_INTERVAL_MS = 500;
+const CHECK_INTERVAL_MS = 500;
 
 /**
  * Checks within a second because of overdue answers. Under overload, answers of
@@ -43,7 +43,7 @@
 export class TargetReachability {
   readonly #parts: ReachabilityParts;
   readonly #queries: RelayQueries;
-  readonly #suspectedAtMs = new Map<string, number>();
+  readonly #checkedAtMs = new Map<string, number>();
   readonly #answeredAtMs = new Map<string, number>();
   readonly #overdueRate = new RateBound(MAX_OVERDUE_CHECKS_PER_S);
 
@@ -112,7 +112,7 @@
     const { targetId } = target;
     const answeredAtMs = this.#answeredAtMs.get(targetId) ?? -Infinity;
     const nowMs = this.#nowMs();
-    const isSilent = nowMs - answeredAtMs >= SUSPICION_INTERVAL_MS;
+    const isSilent = nowMs - answeredAtMs >= CHECK_INTERVAL_MS;
     if (isSilent && this.#overdueRate.take(nowMs)) {
       void this.#confirm(target);
     }
@@ -158,7 +158,7 @@
    */
   keepOnly(targetIds: ReadonlySet<string>): void {
     this.#queries.keepOnly(targetIds);
-    for (const byId of [this.#suspectedAtMs, this.#answeredAtMs]) {
+    for (const byId of [this.#checkedAtMs, this.#answeredAtMs]) {
       for (const targetId of byId.keys()) {
         if (!targetIds.has(targetId)) {
           byId.delete(targetId);
@@ -202,11 +202,11 @@
   async #confirm(target: KnownTarget): Promise<void> {
     const { targetId, address } = target;
     const nowMs = this.#nowMs();
-    const suspectedAtMs = this.#suspectedAtMs.get(targetId) ?? -Infinity;
-    if (nowMs - suspectedAtMs < SUSPICION_INTERVAL_MS) {
+    const checkedAtMs = this.#checkedAtMs.get(targetId) ?? -Infinity;
+    if (nowMs - checkedAtMs < CHECK_INTERVAL_MS) {
       return;
     }
-    this.#suspectedAtMs.set(targetId, nowMs);
+    this.#checkedAtMs.set(targetId, nowMs);
     const result = await this.#parts.probes.probe(address);
     if (result === ProbeResult.Connected) {
       return;
--- a/packages/routing/src/rejection_limiter.ts
+++ b/packages/routing/src/rejection_limiter.ts
@@ -57,7 +57,7 @@
   }
 
   /**
-   * Records what the end of work tells of its target's limit.
+   * Records the number that a target announced, and whether it rejected work.
    *
    * @param end Outcome of the work.
    * @param nowMs Current local time in milliseconds.
