--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -125,6 +125,7 @@
   readonly #log: EventLog;
   readonly #metrics: GatewayMetrics;
   readonly #socket: Socket;
+  #isClosed = false;
 
   /**
    * @param log Receives failures.
@@ -190,12 +191,15 @@
 
   /**
    * Sends a message to several receivers, without a guarantee of delivery to
-   * any of them.
+   * any of them. A closed socket sends nothing.
    *
    * @param addresses `ip:port` of the receivers.
    * @param message The message.
    */
   sendAll(addresses: Iterable<string>, message: RoutingMessage): void {
+    if (this.#isClosed) {
+      return;
+    }
     const bytes = encoder.encode(message);
     for (const address of addresses) {
       const { host, port } = hostPortOf(address);
@@ -220,6 +224,7 @@
 
   /** Closes the socket. */
   close(): void {
+    this.#isClosed = true;
     this.#socket.close();
   }
 
--- a/packages/gateway/src/target_reachability_test.ts
+++ b/packages/gateway/src/target_reachability_test.ts
@@ -9,6 +9,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { EventLog } from "./event_log.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+import { PeerSocket } from "./peer_socket.ts";
 import { ProbeResult } from "./target_probes.ts";
 import { TargetReachability } from "./target_reachability.ts";
 
@@ -21,6 +23,7 @@
   peerReaches = true;
   closedAllIdle = 0;
   nowMs = 1000;
+  send = (_address: string, _message: RoutingMessage) => {};
   readonly #queries: { targetId: string; memberId: string }[] = [];
   readonly reachability: TargetReachability;
 
@@ -40,7 +43,10 @@
       },
       failureDomain: "a",
       acceptsRelays: () => true,
-      send: ({ instanceId }, message) => this.#recordQuery(instanceId, message),
+      send: ({ instanceId, address }, message) => {
+        this.#recordQuery(instanceId, message);
+        this.send(address, message);
+      },
     });
   }
 
@@ -134,6 +140,26 @@
   assert.is(harness.reachability.relayFor(harness.target), undefined);
 });
 
+// Guards against an error that ends the process when an instance closes its
+// socket while it probes a target for another instance.
+test("a query that is answered after the socket has closed sends nothing", async () => {
+  const harness = new Harness();
+  const discard = new Writable({ write: (_chunk, _code, done) => done() });
+  const log = new EventLog({ nowMs: () => 0 }, "i1", discard);
+  const socket = new PeerSocket(log, new GatewayMetrics());
+  await socket.open("127.0.0.1:0", () => {});
+  harness.send = (address, message) => socket.send(address, message);
+  const answered = harness.reachability.answerQuery(
+    TARGET_ID,
+    {
+      ...memberOf("i2", { address: "127.0.0.1:1" }),
+      lastHeartbeatAtMs: 0,
+    },
+  );
+  socket.close();
+  await answered;
+});
+
 test("a relay that left is not used", async () => {
   const harness = new Harness();
   void harness.reachability.findRelay(harness.target);
