Members: one lookup of an available member, for relays and queries

Found when reading the change once more: both classes of the reachability looked a member up by filtering all that are alive, once for each relayed request. The member view answers it by id now. No change of behavior; tests unchanged.

--- a/packages/gateway/src/relay_queries.ts
+++ b/packages/gateway/src/relay_queries.ts
@@ -109,7 +109,7 @@
     }
     if (isReached) {
       query.relayIds.push(memberId);
-      query.settle(this.#aliveMember(memberId));
+      query.settle(this.#availableMember(memberId));
     } else if (query.awaitedIds.size === 0) {
       query.settle(undefined);
     }
@@ -143,7 +143,7 @@
   /** A relay of another target: the same fault may affect this one. */
   #relayOfAnyTarget(): MemberRecord | undefined {
     const relayId = this.#parts.board.relayedTargets.anyRelayId();
-    return relayId === undefined ? undefined : this.#aliveMember(relayId);
+    return relayId === undefined ? undefined : this.#availableMember(relayId);
   }
 
   #ask(targetId: string): Promise<MemberRecord | undefined> {
@@ -188,10 +188,8 @@
     ];
   }
 
-  #aliveMember(instanceId: string): MemberRecord | undefined {
-    const { board: { members } } = this.#parts;
-    return members.alive(this.#nowMs())
-      .find((member) => member.instanceId === instanceId && !member.leaving);
+  #availableMember(instanceId: string): MemberRecord | undefined {
+    return this.#parts.board.members.available(instanceId, this.#nowMs());
   }
 
   #nowMs(): number {
--- a/packages/gateway/src/target_reachability.ts
+++ b/packages/gateway/src/target_reachability.ts
@@ -61,7 +61,7 @@
    * target.
    */
   relayFor(target: KnownTarget): MemberRecord | undefined {
-    const { relayedTargets } = this.#parts.board;
+    const { members, relayedTargets } = this.#parts.board;
     const { targetId } = target;
     if (relayedTargets.takeDueCheck(targetId, this.#nowMs())) {
       void this.#checkRelayed(target);
@@ -70,7 +70,7 @@
     if (relayId === undefined) {
       return undefined;
     }
-    const relay = this.#aliveMember(relayId);
+    const relay = members.available(relayId, this.#nowMs());
     if (relay === undefined) {
       relayedTargets.removeRelay(targetId, relayId);
       return this.relayFor(target);
@@ -269,11 +269,6 @@
     return near.length > 0 ? near : relayIds;
   }
 
-  #aliveMember(instanceId: string): MemberRecord | undefined {
-    return this.#parts.board.members.alive(this.#nowMs())
-      .find((member) => member.instanceId === instanceId && !member.leaving);
-  }
-
   #nowMs(): number {
     return this.#parts.clock.nowMs();
   }
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -207,6 +207,18 @@
     return this.#byId.get(instanceId);
   }
 
+  /**
+   * @param instanceId Id of a member.
+   * @param nowMs The local time.
+   * @returns The member; undefined unless it is alive and not leaving.
+   */
+  available(instanceId: string, nowMs: number): MemberRecord | undefined {
+    const member = this.#byId.get(instanceId);
+    const isAvailable = member !== undefined && !member.leaving &&
+      this.#isAlive(member, nowMs);
+    return isAvailable ? member : undefined;
+  }
+
   /**
    * @param address `ip:port` of a peer socket.
    * @returns Id of the member that last had this address, if there is one.
