Log: tell answers that only the end of their connection delimits

A whole answer and one that was broken off had the same line, and none told how the target's answer was delimited. 'answered' has 'unframed' now if it had neither a length nor chunks.

--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -35,6 +35,7 @@
 import { StandbyAttempt } from "./standby_attempt.ts";
 import { StreamProgress } from "./stream_progress.ts";
 import { TargetAttempt } from "./target_attempt.ts";
+import { isDelimitedByClose } from "./target_exchange.ts";
 import { poolBackoffMs, workAskOf } from "./work_ask_of.ts";
 
 /** A request to run and where its answer goes. */
@@ -354,6 +355,7 @@
     this.#log("answered", {
       targetId: attempt.options.target.targetId,
       status,
+      unframed: isDelimitedByClose(attempt.answer) || undefined,
       events: attempt.eventCount,
       firstMs: attempt.firstMs,
       longestGapMs: Math.round(this.#progress.longestGapMs),
--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -224,8 +224,14 @@
   }
 }
 
-/** Whether the end of the connection is what delimits the answer's body. */
-function isDelimitedByClose({ headers }: IncomingMessage): boolean {
+/**
+ * Checks whether an answer has neither a length nor chunks, so that the end of
+ * the connection is what delimits its body.
+ *
+ * @param answer Status and headers of the answer.
+ * @returns Whether the answer is delimited by the end of its connection.
+ */
+export function isDelimitedByClose({ headers }: IncomingMessage): boolean {
   return headers["content-length"] === undefined &&
     headers["transfer-encoding"] === undefined;
 }
