Targets: a stream that ends inside an event has been broken off

Cause: the end of the target's answer was taken for the end of the stream. An answer without a length and chunks ends with its connection, and a target that breaks it off may close that in the usual way; one with chunks may send its last chunk. The bytes of the event that had begun were forwarded at that moment, and the caller's answer was ended.

Change: a stream whose answer ends inside an event, or that is new and ends without any event, is handled as an answer that was lost: it is resumed at another target where its route allows it, charged to the retry budget, counted as a failure of the target, and else broken off for its caller. Bytes of an incomplete event are never forwarded. Empty lines after the last event are.

--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -17,11 +17,21 @@
 export class EventSplitter {
   #remainder: Buffer = Buffer.alloc(0);
 
-  /** Bytes of an event that is not complete yet. */
+  /** Bytes after the last complete event. */
   get remainder(): Buffer {
     return this.#remainder;
   }
 
+  /**
+   * Whether an event has begun that is not complete yet. Empty lines between
+   * events belong to none.
+   */
+  get isInsideEvent(): boolean {
+    return this.#remainder.some((byte) =>
+      byte !== LINE_FEED && byte !== CARRIAGE_RETURN
+    );
+  }
+
   /**
    * Adds bytes to the buffer and takes complete events from it.
    *
--- a/packages/gateway/src/event_splitter_test.ts
+++ b/packages/gateway/src/event_splitter_test.ts
@@ -29,4 +29,32 @@
   assert.is(splitter.remainder.toString(), "id: 4\nda");
 });
 
+test("a stream is inside an event until the event's empty line", () => {
+  const insideAfter = (text: string): boolean => {
+    const splitter = new EventSplitter();
+    splitter.push(Buffer.from(text));
+    return splitter.isInsideEvent;
+  };
+  assert.equal(
+    {
+      start: insideAfter(""),
+      half: insideAfter("id: 1\nda"),
+      "all but the empty line": insideAfter("id: 1\ndata: a\n"),
+      whole: insideAfter("id: 1\ndata: a\n\n"),
+      "whole, with CRLF": insideAfter("id: 1\r\ndata: a\r\n\r\n"),
+      "more empty lines": insideAfter("id: 1\ndata: a\n\n\r\n\n"),
+      "next event": insideAfter("id: 1\ndata: a\n\n\ni"),
+    },
+    {
+      start: false,
+      half: true,
+      "all but the empty line": true,
+      whole: false,
+      "whole, with CRLF": false,
+      "more empty lines": false,
+      "next event": true,
+    },
+  );
+});
+
 test.run();
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -35,7 +35,7 @@
 export interface AttemptSink {
   /** The next complete event of the stream. */
   event(bytes: Buffer): void;
-  /** The stream is complete; `rest` holds the bytes after its last event. */
+  /** The stream is complete; `rest` holds empty lines after its last event. */
   streamEnded(rest: Buffer): void;
   /** The target gave a complete answer that may be forwarded. */
   answered(): void;
@@ -298,8 +298,7 @@
   #onAnswerEnded(): void {
     const status = this.#answer!.statusCode!;
     if (this.#isEventStream()) {
-      this.#isDone = true;
-      this.#sink.streamEnded(this.#splitter.remainder);
+      this.#onStreamEnded();
     } else if (NOT_RUN_STATUS_CODES.has(status)) {
       // Callers take this status as a promise that the request did not run, but
       // the target's headers did not confirm it.
@@ -313,6 +312,22 @@
     }
   }
 
+  /**
+   * Ends the stream if it is complete. The end of the answer does not show that:
+   * a target may end it regularly although it broke the stream off.
+   */
+  #onStreamEnded(): void {
+    const isNew = this.options.resumeAfter === undefined;
+    if (this.#splitter.isInsideEvent) {
+      void this.#onAnswerLost("stream ended inside an event");
+    } else if (isNew && this.eventCount === 0) {
+      void this.#onAnswerLost("stream ended without events");
+    } else {
+      this.#isDone = true;
+      this.#sink.streamEnded(this.#splitter.remainder);
+    }
+  }
+
   #onExchangeFailed({ isSent, reason }: ExchangeFailure): void {
     if (isSent) {
       void this.#onAnswerLost(reason);
