Targets: a resumed stream without framing and events is not complete

The same cause elsewhere: a stream that is resumed may have no events left, and then only the framing of the answer shows that it is complete. Without a length and chunks it may have been broken off before its next event just as well.

Change: such an answer counts as lost. A relay tells the holder that the target's answer was delimited by the end of its connection, in a hop-by-hop header, since the holder sees the relay's framing only.

--- a/packages/gateway/src/relay_server.ts
+++ b/packages/gateway/src/relay_server.ts
@@ -23,7 +23,11 @@
 import type { Clock } from "./ports.ts";
 import { RequestBodyReader } from "./request_body_reader.ts";
 import { listen } from "./snapshot_server.ts";
-import { type ExchangeFailure, TargetExchange } from "./target_exchange.ts";
+import {
+  type ExchangeFailure,
+  isDelimitedByClose,
+  TargetExchange,
+} from "./target_exchange.ts";
 
 /** Request header with the id of the target that the request is relayed to. */
 const TARGET_HEADER = "Chestnuthatch-Relay-Target";
@@ -34,6 +38,12 @@
 /** Answer header that is set to 1 if the target cannot have got the request. */
 const NOT_SENT_HEADER = "Chestnuthatch-Relay-Not-Sent";
 
+/**
+ * Answer header that is set to 1 if the target's answer was delimited by the
+ * end of its connection. It is a hop-by-hop header.
+ */
+const UNFRAMED_HEADER = "Chestnuthatch-Relay-Unframed";
+
 /** Relayed requests in progress that one instance accepts. */
 const MAX_RELAYED_REQUESTS = 128;
 
@@ -196,6 +206,18 @@
   };
 }
 
+/**
+ * Checks whether a target's answer was delimited by the end of its connection,
+ * whether it was relayed or not.
+ *
+ * @param answer Status and headers of the answer.
+ * @returns Whether the target gave its answer neither a length nor chunks.
+ */
+export function isUnframed(answer: IncomingMessage): boolean {
+  return isDelimitedByClose(answer) ||
+    answer.headers[UNFRAMED_HEADER.toLowerCase()] !== undefined;
+}
+
 /**
  * Separates the target's id from the headers for the target. A header of the
  * same name that the caller has sent stands before that of the holder.
@@ -219,6 +241,9 @@
   if (length !== undefined) {
     headers.push("Content-Length", length);
   }
+  if (isDelimitedByClose(answer)) {
+    headers.push(UNFRAMED_HEADER, "1", "Connection", UNFRAMED_HEADER);
+  }
   const { statusCode, statusMessage = NO_STATUS_MESSAGE } = answer;
   response.writeHead(statusCode!, statusMessage, headers);
   response.flushHeaders();
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -30,12 +30,12 @@
 } from "./retry_after.ts";
 import { type LogFacts, LogPart } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
+import { isUnframed } from "./relay_server.ts";
 import { deadlineAtMs, type RoutedCall } from "./routed_call.ts";
 import { SilenceTimer } from "./silence_timer.ts";
 import { StandbyAttempt } from "./standby_attempt.ts";
 import { StreamProgress } from "./stream_progress.ts";
 import { TargetAttempt } from "./target_attempt.ts";
-import { isDelimitedByClose } from "./target_exchange.ts";
 import { poolBackoffMs, workAskOf } from "./work_ask_of.ts";
 
 /** A request to run and where its answer goes. */
@@ -355,7 +355,7 @@
     this.#log("answered", {
       targetId: attempt.options.target.targetId,
       status,
-      unframed: isDelimitedByClose(attempt.answer) || undefined,
+      unframed: isUnframed(attempt.answer) || undefined,
       events: attempt.eventCount,
       firstMs: attempt.firstMs,
       longestGapMs: Math.round(this.#progress.longestGapMs),
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -11,7 +11,7 @@
 import { EventSplitter, type StreamedEvent } from "./event_splitter.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { hostPortOf } from "./host_port.ts";
-import { relayFailureOf, relayHeaders } from "./relay_server.ts";
+import { isUnframed, relayFailureOf, relayHeaders } from "./relay_server.ts";
 import { deadlineAtMs, type RoutedCall } from "./routed_call.ts";
 import { type ExchangeFailure, TargetExchange } from "./target_exchange.ts";
 
@@ -314,13 +314,15 @@
 
   /**
    * Ends the stream if it is complete. The end of the answer does not show that:
-   * a target may end it regularly although it broke the stream off.
+   * a target may end it regularly although it broke the stream off. Only a
+   * resumed stream may have no events left, if its framing shows its end.
    */
   #onStreamEnded(): void {
     const isNew = this.options.resumeAfter === undefined;
+    const needsEvents = isNew || isUnframed(this.answer);
     if (this.#splitter.isInsideEvent) {
       void this.#onAnswerLost("stream ended inside an event");
-    } else if (isNew && this.eventCount === 0) {
+    } else if (needsEvents && this.eventCount === 0) {
       void this.#onAnswerLost("stream ended without events");
     } else {
       this.#isDone = true;
