Callers in HTTP/1.0: a broken stream is reset, and none has chunks

The same cause seen from the other side: HTTP/1.0 has no chunks, so a caller of that version takes the end of the connection for the end of the answer. It got chunks in its answer, and a regular close when a stream was broken off.

Change: its streams are delimited by the end of the connection, and a broken one by a reset. Callers in HTTP/1.1 get chunks as before.

--- a/packages/gateway/src/caller_reply.ts
+++ b/packages/gateway/src/caller_reply.ts
@@ -13,6 +13,7 @@
 /** Status codes of answers without a body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const RETRY_AFTER_DECIMALS = 3;
+const HTTP_1_0 = "1.0";
 
 /**
  * Timeout for reading the rest of a refused request: twice the time of 4 MB
@@ -87,7 +88,9 @@
    */
   beginStream(answer: IncomingMessage): void {
     const headers = this.#headers(answer.rawHeaders);
-    headers.push("Transfer-Encoding", "chunked");
+    if (this.#understandsChunks()) {
+      headers.push("Transfer-Encoding", "chunked");
+    }
     this.#response.writeHead(
       answer.statusCode!,
       reasonPhraseOf(answer),
@@ -116,6 +119,10 @@
   abort(): void {
     this.#hasBegun = true;
     this.#options.beforeAbort();
+    if (!this.#understandsChunks()) {
+      // A regular close would complete an answer that has no other end.
+      this.#response.socket?.resetAndDestroy();
+    }
     this.#response.destroy();
   }
 
@@ -161,6 +168,11 @@
     req.once("close", () => clearTimeout(timer));
   }
 
+  /** Whether the caller understands chunks, which HTTP/1.0 does not have. */
+  #understandsChunks(): boolean {
+    return this.#response.req.httpVersion !== HTTP_1_0;
+  }
+
   #headers(rawHeaders: readonly string[]): string[] {
     return [...endToEndHeaders(rawHeaders), ...this.#closeHeader()];
   }
