Soak: targets that end streams early, or without framing

Targets end streams inside an event, before its empty line or without an event, and answer without a length and without chunks, also soundly. A cut link to such a target resets its connections: a regular close after an event would be the end of an answer without framing.

--- a/tests/link_relay.ts
+++ b/tests/link_relay.ts
@@ -75,6 +75,8 @@
   #state = LinkState.Open;
   #delayMs = 0;
   #inboundBytesPerS = Infinity;
+  /** Whether a cut resets connections; else it closes them. */
+  resetsOnCut = false;
 
   private constructor(upstream?: string) {
     this.#upstream = upstream;
@@ -109,6 +111,9 @@
 
   /** Closes every connection and refuses new ones, until `heal`. */
   async cut(): Promise<void> {
+    if (this.resetsOnCut) {
+      this.reset();
+    }
     this.#state = LinkState.Cut;
     await this.#close();
   }
--- a/tests/soak.ts
+++ b/tests/soak.ts
@@ -21,6 +21,7 @@
   readonly engines?: number;
   readonly rollout?: boolean;
   readonly silences?: boolean;
+  readonly streamEnds?: boolean;
   readonly signals?: readonly SoakSignal[];
 }
 
@@ -66,6 +67,7 @@
     .option("--instances <number>", "instead of the number drawn", toCount)
     .option("--engines <number>", "instead of the number drawn", toCount)
     .option("--silences", "connections to the store fall silent meanwhile")
+    .option("--stream-ends", "targets end streams early or without framing")
     .option("--rollout", "a new version is rolled out beside the faults")
     .addOption(
       new Option("--signals <signals...>", "what targets signal in answers")
--- a/tests/soak_faults.ts
+++ b/tests/soak_faults.ts
@@ -1,10 +1,12 @@
 /** Injects the faults of the soak and ends them. */
 
 import { setTimeout as pause } from "node:timers/promises";
+import { ENGINE_POOL } from "@chestnuthatch/platform/standin_fleet";
 import { TargetBehavior } from "@chestnuthatch/platform/standin_target";
 import { type SoakFleet, type SoakTarget, startAll } from "./soak_fleet.ts";
 import type { SoakInstance, TimeSpan } from "./soak_instance.ts";
 import { type PlannedFault, SoakFault } from "./soak_plan.ts";
+import type { PlannedStreamEnd } from "./soak_stream_end_plan.ts";
 import {
   InstanceDisturbance,
   type PlannedSilence,
@@ -200,6 +202,33 @@
   ]);
 }
 
+/**
+ * Makes a target of the pool of engines end its streams in another way for a
+ * time.
+ *
+ * @param fleet Fleet to disturb.
+ * @param planned The target, the way and the time.
+ * @returns Settles once the target ends streams as before.
+ */
+export async function injectStreamEnd(
+  fleet: SoakFleet,
+  { atMs, forMs, index, behavior, isUnframed }: PlannedStreamEnd,
+): Promise<void> {
+  const engines = fleet.targets.filter(({ pool }) => pool === ENGINE_POOL);
+  const { target, relay, faultSpans } = engines[index % engines.length]!;
+  await pause(atMs);
+  // A regular close of a cut link would complete an answer without framing.
+  relay.resetsOnCut = true;
+  await recordSpan(faultSpans, async () => {
+    Object.assign(target, { behavior, isUnframed });
+    await pause(forMs);
+    Object.assign(target, {
+      behavior: TargetBehavior.Serve,
+      isUnframed: false,
+    });
+  });
+}
+
 /**
  * Changes one number in the settings, and signals the process to reload them.
  */
--- a/tests/soak_plan.ts
+++ b/tests/soak_plan.ts
@@ -2,6 +2,10 @@
 
 import { Draw } from "./soak_draw.ts";
 import { type PlannedSilence, planSilences } from "./soak_silence_plan.ts";
+import {
+  type PlannedStreamEnd,
+  planStreamEnds,
+} from "./soak_stream_end_plan.ts";
 import { type PlannedRollout, planRollout } from "./soak_rollout_plan.ts";
 import {
   type PlannedSignal,
@@ -110,6 +114,8 @@
   readonly rollout?: PlannedRollout;
   /** Silent connections to the store, beside the faults. */
   readonly silences: readonly PlannedSilence[];
+  /** Ways in which targets end their streams, beside the faults. */
+  readonly streamEnds: readonly PlannedStreamEnd[];
   /** Signals that targets send in answers, beside the faults. */
   readonly signals: readonly PlannedSignal[];
   /** Rate at which a caller connection accepts answers, for each instance. */
@@ -135,6 +141,8 @@
   readonly rollout?: boolean;
   /** Whether connections to the store fall silent. */
   readonly silences?: boolean;
+  /** Whether targets end streams early, or without framing. */
+  readonly streamEnds?: boolean;
   /** Kinds of signals that targets send. */
   readonly signals?: readonly SoakSignal[];
 }
@@ -261,6 +269,9 @@
     faults,
     rollout: options.rollout === true ? planRollout(seed, lengthMs) : undefined,
     silences: options.silences === true ? planSilences(seed, lengthMs) : [],
+    streamEnds: options.streamEnds === true
+      ? planStreamEnds(seed, lengthMs)
+      : [],
     signals: planSignals(seed, lengthMs, options.signals ?? []),
     callers: Array.from(
       { length: instances * draw.between(...ranges.callers) },
--- a/tests/soak_run.ts
+++ b/tests/soak_run.ts
@@ -2,7 +2,7 @@
 
 import { type CallRecord, SoakCallers } from "./soak_callers.ts";
 import { type BrokenPromise, findBrokenPromises } from "./soak_checks.ts";
-import { injectFault, injectSilence } from "./soak_faults.ts";
+import { injectFault, injectSilence, injectStreamEnd } from "./soak_faults.ts";
 import { SoakFleet } from "./soak_fleet.ts";
 import type { SoakPlan } from "./soak_plan.ts";
 import { findUnrecovered, isServed } from "./soak_recovery.ts";
@@ -40,6 +40,7 @@
     const faults = Promise.all([
       ...plan.faults.map((fault) => injectFault(fleet, fault)),
       ...plan.silences.map((silence) => injectSilence(fleet, silence)),
+      ...plan.streamEnds.map((end) => injectStreamEnd(fleet, end)),
       rollout?.run(),
       signals.run(),
     ]);
--- /dev/null
+++ b/tests/soak_stream_end_plan.ts
@@ -0,0 +1,53 @@
+/** Plans targets that end streams early, or without framing, in a seed. */
+
+import { TargetBehavior } from "@chestnuthatch/platform/standin_target";
+import { Draw } from "./soak_draw.ts";
+
+/** A time in which a target of the pool of engines ends streams its own way. */
+export interface PlannedStreamEnd {
+  readonly atMs: number;
+  readonly forMs: number;
+  /** Selects the target, modulo their number. */
+  readonly index: number;
+  /** Way in which streams end; `Serve` if they end well. */
+  readonly behavior: TargetBehavior;
+  /** Whether answers have neither a length nor chunks. */
+  readonly isUnframed: boolean;
+}
+
+/** Added to a seed, so that this plan does not change the faults drawn for it. */
+const SEED_OFFSET = 600_000;
+const ENDS_PER_S = 1;
+const MS_PER_S = 1000;
+const MIN_DURATION_MS = 300;
+const MAX_DURATION_MS = 3000;
+const UNFRAMED_SHARE = 0.7;
+
+const BEHAVIORS = [
+  TargetBehavior.Serve,
+  TargetBehavior.EndInsideEvent,
+  TargetBehavior.EndBeforeEmptyLine,
+  TargetBehavior.EndWithoutEvents,
+];
+
+/**
+ * Plans ways in which targets end their streams.
+ *
+ * @param seed The seed.
+ * @param lengthMs Duration of the seed's load in milliseconds.
+ * @returns The times, which are the same for the same seed and duration.
+ */
+export function planStreamEnds(
+  seed: number,
+  lengthMs: number,
+): PlannedStreamEnd[] {
+  const draw = new Draw(seed + SEED_OFFSET);
+  const count = Math.ceil(lengthMs / MS_PER_S * ENDS_PER_S);
+  return Array.from({ length: count }, () => ({
+    atMs: draw.between(0, lengthMs),
+    forMs: draw.between(MIN_DURATION_MS, MAX_DURATION_MS),
+    index: draw.between(0, 1000),
+    behavior: draw.oneOf(BEHAVIORS),
+    isUnframed: draw.withProbability(UNFRAMED_SHARE),
+  }));
+}
--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -15,6 +15,9 @@
 /** Seeds that cover a stopping instance with answers not yet written out. */
 const STOPPING_SEEDS = [205, 216];
 
+/** Seeds that cover streams that targets end early or without framing. */
+const STREAM_END_SEEDS = [1, 2];
+
 /** Seed that covers a target with a rate limit. */
 const LIMIT_SEED = 4;
 
@@ -65,6 +68,12 @@
     expectNoBrokenPromise(seed, SILENCE_OPTIONS));
 }
 
+for (const seed of STREAM_END_SEEDS) {
+  // Guards against framing streams as complete that targets broke off.
+  test(`soak: seed ${seed} delivers no broken stream as whole`, () =>
+    expectNoBrokenPromise(seed, { ...OPTIONS, streamEnds: true }));
+}
+
 // Guards against placements that ignore rate limits, so that a target gets far
 // more requests than its limit.
 test(`soak: seed ${LIMIT_SEED} keeps to rate limits of targets`, () =>
