Log: software version of targets, and the stream that a caller takes up

'sent' named the version of the target's row only, so that the version which a stream began and went on at had to be looked up elsewhere, and nothing told that a request takes up the stream of an earlier one. 'sent' has softwareVersion and resumes now, 'target added' has version.

--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -418,6 +418,7 @@
         targetId,
         incarnation: target.incarnation,
         rowVersion,
+        version: target.version,
         pool: target.pool,
         address: target.address,
         targetDomain: target.failureDomain,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -47,6 +47,11 @@
   readonly prompt?: string;
   /** Last event of a stream that the caller has already received. */
   readonly resumeAfter?: number;
+  /**
+   * Request id of the caller's attempt that brought the first event of the
+   * stream that this call takes up; absent where the headers carry none.
+   */
+  readonly resumes?: string;
 }
 
 /** Metadata that the gateway adds to a call when it forwards it to a target. */
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -270,10 +270,12 @@
     this.#log("sent", {
       targetId: target.targetId,
       targetVersion: target.rowVersion,
+      softwareVersion: target.version,
       route: call.route.name,
       pool: call.pool,
       attempt: this.#runCount,
       resumeAfter: this.#progress.lastEventId,
+      resumes: call.facts.resumes,
       cameBackMs: Math.round(cameBackMs),
       waitedMs: Math.round(attempt.sentAtMs - call.arrivedAtMs),
       expectedMs: Math.round(expectedMs),
