Streams: a broken stream goes on at the version that began it

Cause: a holder that resumes a stream asks for any target of the pool. The software version was no criterion of placement.

Change: once a stream has brought an event, its asks name the version of that target. The coordinator places them at usable targets of this version only, also while a roll-out gives it no other requests, unless it was rolled back. Health of targets is ignored where it would exclude all of the version. Without such a target the ask is refused at once (no_target_of_version), and the holder breaks the answer off, so that its caller can take the stream up. The holder checks the version of the assigned target again before it sends.

Weighed: listing the targets of other versions as excluded in the ask, which grows with the pool; letting the stream go on anywhere where its version is gone, which mixes versions.

--- a/packages/gateway/src/retry_after.ts
+++ b/packages/gateway/src/retry_after.ts
@@ -15,6 +15,7 @@
   [AskRefusal.Overload]: RoutedError.Overload,
   [AskRefusal.Allotment]: RoutedError.Allotment,
   [AskRefusal.NoTarget]: RoutedError.NoTarget,
+  [AskRefusal.NoTargetOfVersion]: RoutedError.VersionGone,
   [AskRefusal.RetryBudget]: RoutedError.NoTarget,
   [AskRefusal.Quarantined]: RoutedError.Quarantined,
 };
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -63,6 +63,8 @@
   #isCharged = false;
   readonly #recorder: AttemptRecorder;
   readonly #progress: StreamProgress;
+  /** Software version that began the stream; absent before its first event. */
+  #streamVersion?: string;
   readonly #silenceTimer: SilenceTimer;
   /** Attempt at a silent target, until another target begins to answer. */
   readonly #standby = new StandbyAttempt((attempt) =>
@@ -162,6 +164,7 @@
       isCharged: this.#isCharged,
       triedTargetIds: this.#triedTargetIds,
       lastEventAtMs: this.#progress.lastEventAtMs,
+      version: this.#streamVersion,
     });
     this.#askId = ask.askId;
     this.#askedAtMs = this.#nowMs();
@@ -194,7 +197,7 @@
       return;
     }
     const target = targets.get(decision.targetId);
-    const isUsable = target !== undefined &&
+    const isUsable = target !== undefined && this.#mayGoOnAt(target) &&
       targets.isUsable(target, nowMs) && rollouts.mayServe(target) &&
       backoffs.remainingMs(target.targetId, nowMs) === 0;
     if (!isUsable) {
@@ -209,6 +212,11 @@
     this.#send(target, decision);
   }
 
+  /** What targets of two versions write does not fit into one stream. */
+  #mayGoOnAt({ version }: KnownTarget): boolean {
+    return this.#streamVersion === undefined || this.#streamVersion === version;
+  }
+
   /** Fails the request if a step throws, so that it is answered in any case. */
   #runOrFail(step: () => void): void {
     try {
@@ -303,6 +311,7 @@
 
   #forwardEvent(attempt: TargetAttempt, bytes: Buffer): void {
     this.#selectAttempt(attempt);
+    this.#streamVersion ??= attempt.options.target.version;
     this.#progress.recordEvent(attempt.lastEventId, this.#nowMs());
     this.#withdrawOtherAsk(attempt);
     this.#write(attempt, bytes);
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -30,6 +30,8 @@
    * absent before the first.
    */
   readonly lastEventAtMs?: number;
+  /** Version that began the stream; absent if any may run the request. */
+  readonly version?: string;
 }
 
 /**
@@ -70,8 +72,9 @@
     patienceLeftMs: patienceMs - ANSWER_OBJECTIVE_SHARE * route.objectiveMs,
     deadlineLeftMs: leftMs,
     failureDomain: parts.failureDomain,
-    excluded: excludedTargetIds(parts, call, facts.triedTargetIds),
+    excluded: excludedTargetIds(parts, call, facts),
     cause: facts.cause,
+    ...(facts.version === undefined ? undefined : { version: facts.version }),
     ...(fingerprint === undefined ? undefined : { fingerprint }),
     ...(parts.board.rollouts.isInProgress(call.pool)
       ? { route: route.name }
@@ -97,11 +100,13 @@
 function excludedTargetIds(
   { board, clock }: GatewayParts,
   { pool }: RoutedCall,
-  triedTargetIds: ReadonlySet<string>,
+  { triedTargetIds, version }: AskFacts,
 ): string[] {
   const nowMs = clock.nowMs();
-  const { serving: usable } = board.rollouts
-    .split(pool, board.targets.usable(pool, nowMs), nowMs);
+  const poolTargets = board.targets.usable(pool, nowMs);
+  const usable = version === undefined
+    ? board.rollouts.split(pool, poolTargets, nowMs).serving
+    : poolTargets.filter((target) => target.version === version);
   const mandatory = new Set([
     ...triedTargetIds,
     ...board.backoffs.activeIds(nowMs),
--- a/packages/gateway/src/work_ask_of_test.ts
+++ b/packages/gateway/src/work_ask_of_test.ts
@@ -87,6 +87,19 @@
   assert.equal(workAskOf(parts, CALL, FACTS).excluded, ["t1"]);
 });
 
+test("health is ignored where it would exclude all targets of a version", () => {
+  const parts = partsOf();
+  const { targets, health } = parts.board;
+  const entry = { ...targets.get("t1")!, targetId: "t2", version: "v2" };
+  targets.apply([{ targetId: "t2", rowVersion: 9, entry }], 0);
+  health.failed("t1", true, 0);
+  const excludedFor = (version?: string) =>
+    workAskOf(parts, CALL, { ...FACTS, version }).excluded;
+  assert.equal(excludedFor(undefined), ["t1"]);
+  assert.equal(excludedFor("v2"), ["t1"]);
+  assert.equal(excludedFor("v1"), []);
+});
+
 test("with all targets in backoff, callers retry after the shortest one", () => {
   const parts = { ...partsOf(), board: boardOf(["t1", "t2"]) };
   const { backoffs } = parts.board;
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -109,6 +109,7 @@
   excluded: z.array(z.string()).readonly(),
   cause: z.enum(AskCause),
   fingerprint: z.string().optional(),
+  version: z.string().optional(),
   route: z.string().optional(),
 });
 
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -405,6 +405,9 @@
 
   #decide(waiting: WaitingWork, pass: SchedulingPass): AskDecision | undefined {
     const { ask } = waiting;
+    if (ask.version !== undefined) {
+      return this.#decideAtVersion(waiting, pass);
+    }
     const { askId, holderId, excluded } = ask;
     const { targets } = pass;
     const excludedTargets = excluded.flatMap((targetId) =>
@@ -435,19 +438,51 @@
         ? undefined
         : this.#placeAt(waiting, choice, pass);
     }
-    return this.#refuseIfTooLate(waiting, pass, excludedTargets);
+    const slots = this.#usableSlots(pass) - this.#slotsOfAll(excludedTargets);
+    return this.#refuseIfTooLate(waiting, {
+      slots: Math.max(MIN_SLOTS, slots),
+      ahead: pass.ahead,
+      nowMs: pass.nowMs,
+    });
+  }
+
+  /** Decides a request that only targets of one version may run. */
+  #decideAtVersion(
+    waiting: WaitingWork,
+    pass: SchedulingPass,
+  ): AskDecision | undefined {
+    const { ask } = waiting;
+    const { nowMs } = pass;
+    const candidates = this.#selector.ofVersion(ask, nowMs);
+    if (candidates.length === 0) {
+      const { askId, holderId, excluded } = ask;
+      return {
+        askId,
+        holderId,
+        refusal: AskRefusal.NoTargetOfVersion,
+        retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
+        figures: { usable: pass.targets.size, excluded: excluded.length },
+      };
+    }
+    const { suspects } = this.#board;
+    const heldForMs = suspects.quarantineLeftMs(ask.fingerprint, nowMs);
+    if (heldForMs > 0) {
+      return quarantineRefusal(ask, heldForMs);
+    }
+    const choice = this.#selector.chooseAmong(ask, candidates, nowMs);
+    if (choice !== undefined) {
+      return this.#placeAt(waiting, choice, pass);
+    }
+    const slots = Math.max(MIN_SLOTS, this.#slotsOfAll(candidates));
+    // Requests ahead can go to targets of other versions.
+    return this.#refuseIfTooLate(waiting, { slots, ahead: 0, nowMs });
   }
 
   /** Refuses a request whose predicted wait exceeds its caller's patience. */
   #refuseIfTooLate(
     { ask, waitingSinceMs }: WaitingWork,
-    pass: SchedulingPass,
-    excludedTargets: readonly Candidate[],
+    { slots, ahead, nowMs }: { slots: number; ahead: number; nowMs: number },
   ): AskDecision | undefined {
-    const { nowMs, ahead } = pass;
-    const excludedSlots = excludedTargets
-      .reduce((sum, { target }) => sum + this.#slotsOf(target), 0);
-    const slots = Math.max(MIN_SLOTS, this.#usableSlots(pass) - excludedSlots);
     const slotsAbove = this.#load.slotsAbove(ask.rank, nowMs);
     const available = Math.max(slots - slotsAbove, STARVED_TIME_SHARE * slots);
     const waitMs = (ahead + 1) * this.#holdMs / available;
@@ -482,6 +517,11 @@
     return pass.usableSlots;
   }
 
+  #slotsOfAll(candidates: readonly Candidate[]): number {
+    return candidates
+      .reduce((sum, { target }) => sum + this.#slotsOf(target), 0);
+  }
+
   #slotsOf(target: KnownTarget): number {
     return this.#limiter.usableSlots(target, this.#holdMs);
   }
--- a/packages/routing/src/routed_error.ts
+++ b/packages/routing/src/routed_error.ts
@@ -16,6 +16,8 @@
   Overload = "overload",
   /** No target can be reached, or none may be given the request. */
   NoTarget = "no_target",
+  /** No target of the software version that began the stream is available. */
+  VersionGone = "version_gone",
   /** Targets' processes ended while they ran the request. */
   Quarantined = "quarantined",
   /** The deadline passed before a target received the request. */
@@ -100,6 +102,12 @@
     ran: RanState.NotRun,
     text: "No target can take the request now.",
   },
+  [RoutedError.VersionGone]: {
+    status: 503,
+    ran: RanState.NotRun,
+    text: "The stream cannot go on now: no target of the version that began " +
+      "it is available. Try again, or begin the stream anew.",
+  },
   [RoutedError.Quarantined]: {
     status: 503,
     ran: RanState.NotRun,
--- a/packages/routing/src/target_selector.ts
+++ b/packages/routing/src/target_selector.ts
@@ -139,7 +139,7 @@
     const chooseAmong = (free: readonly Candidate[]) =>
       chooseTarget(ask, this.#withinLimits(free, nowMs));
     if (this.#board.suspects.isSuspect(ask.fingerprint)) {
-      return chooseAmong(this.#freeForTrial(ask, targets));
+      return chooseAmong(this.#forTrial(ask, targets.allFree()));
     }
     const sampled = targets.sampleFree(ask.failureDomain);
     const choice = chooseAmong(sampled);
@@ -148,6 +148,43 @@
       : choice;
   }
 
+  /**
+   * Finds the targets of the version that began a stream. They may go on with
+   * it whatever share of the pool's requests a roll-out gives them.
+   *
+   * @param ask The request, which names a version.
+   * @param nowMs Current local time in milliseconds.
+   * @returns Usable targets that the request is not excluded from.
+   */
+  ofVersion({ version, excluded }: WorkAsk, nowMs: number): Candidate[] {
+    const { targets, rollouts } = this.#board;
+    return targets.usable(this.#pool, nowMs).filter((target) =>
+      target.version === version && rollouts.mayServe(target) &&
+      !excluded.includes(target.targetId)
+    ).map((target) => this.#candidate(target));
+  }
+
+  /**
+   * Chooses among some targets for a request.
+   *
+   * @param ask The request.
+   * @param candidates Targets that may be given the request.
+   * @param nowMs Current local time in milliseconds.
+   * @returns The target expected to complete it first; undefined where none can
+   * take it now.
+   */
+  chooseAmong(
+    ask: WorkAsk,
+    candidates: readonly Candidate[],
+    nowMs: number,
+  ): Choice | undefined {
+    const free = candidates.filter(hasFreeSlot);
+    const allowed = this.#board.suspects.isSuspect(ask.fingerprint)
+      ? this.#forTrial(ask, free)
+      : free;
+    return chooseTarget(ask, this.#withinLimits(allowed, nowMs));
+  }
+
   /** Leaves out targets that must not be given another request now. */
   #withinLimits(
     candidates: readonly Candidate[],
@@ -169,19 +206,17 @@
   }
 
   /**
-   * Free targets for a request on trial. A suspect request runs at one target
+   * Leaves out targets that must not run a request on trial. A suspect request runs at one target
    * at a time and never beside another suspect, so that the end of the target's
    * process can be attributed to one request.
    */
-  #freeForTrial(
+  #forTrial(
     { fingerprint }: WorkAsk,
-    targets: CandidateIndex,
+    free: readonly Candidate[],
   ): readonly Candidate[] {
     return this.#placed.isOnTrial(fingerprint!)
       ? []
-      : targets.allFree().filter(({ target }) =>
-        !this.#placed.hasTrialAt(target.targetId)
-      );
+      : free.filter(({ target }) => !this.#placed.hasTrialAt(target.targetId));
   }
 
   /**
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -53,6 +53,11 @@
    * while no request is suspected of ending targets.
    */
   readonly fingerprint?: string;
+  /**
+   * Software version that began the stream and has to go on with it; absent if
+   * targets of any version may run the request.
+   */
+  readonly version?: string;
   /** Route name; absent unless versions of the pool's targets are compared. */
   readonly route?: string;
 }
@@ -65,6 +70,8 @@
   Allotment = "allotment",
   /** No usable target may be given it. */
   NoTarget = "no_target",
+  /** No usable target runs the software version that began its stream. */
+  NoTargetOfVersion = "no_target_of_version",
   /** The fleet's retry budget is exhausted. */
   RetryBudget = "retry_budget",
   /** It is quarantined, as targets' processes ended while they ran it. */
