Streams: a stream that its caller takes up goes on at its version

Cause: no instance read which stream a request takes up, and none but the one that had begun it could have told the version.

Change: each holder records at which pool and version its streams began. While targets of several versions serve a pool, or did within the time in which a caller can return, the coordinator records it too, at the first event, which is reported to it anyway; the holders' reports repeat it. An ask that takes a stream up names the stream, and the coordinator places it at the version that began it. A coordinator that has just begun holds such an ask for up to 400 ms, until the others have reported. If a coordinator is silent, the ask goes to the next one instead of being placed by its holder.

Weighed: a query to all instances for each return, which costs messages with the size of the fleet after a loss; telling a few witnesses of each stream; choosing the version by a hash of the id, which binds placement and fails where the set of versions changes.

Costs while one version serves: one number in an ask, one entry in a map. It is evicted when the caller can't return any more, three seconds after a completed stream, or as the oldest of 100,000.

Streams whose coordinator was killed beside it are refused for now.

--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -6,7 +6,7 @@
 import type { GatewayParts } from "./gateway_parts.ts";
 import { fingerprintIfNeeded, fingerprintOf } from "./request_fingerprint.ts";
 import type { RoutedCall } from "./routed_call.ts";
-import type { TargetAttempt } from "./target_attempt.ts";
+import { isStream, type TargetAttempt } from "./target_attempt.ts";
 import { CONNECT_TIMEOUT_REASON } from "./target_exchange.ts";
 
 /** Ends that show that the target cannot be reached for now. */
@@ -50,7 +50,12 @@
     const { board, placementClient, metrics } = this.#parts;
     const { call, target } = attempt.options;
     board.health.served(target.targetId);
-    const end = attempt.workEnd(false);
+    const end = {
+      ...attempt.workEnd(false),
+      ...(isStream(call.route.kind)
+        ? { isStreamCompleted: true as const }
+        : undefined),
+    };
     const clearedFingerprint = this.#suspectFingerprintOf(call);
     placementClient.reportEnd(
       clearedFingerprint === undefined ? end : { ...end, clearedFingerprint },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import { Rollouts } from "@chestnuthatch/routing/rollouts";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import { roundedUp } from "@chestnuthatch/routing/spending_log";
+import { StreamOrigins } from "@chestnuthatch/routing/stream_origins";
 import { SuspectRequests } from "@chestnuthatch/routing/suspect_requests";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
@@ -161,6 +162,7 @@
       rateLimits: new TargetRateLimits(),
       latencyModels: new LatencyModels(),
       backoffs: new TargetBackoffs(),
+      streamOrigins: new StreamOrigins(),
       suspects: new SuspectRequests(),
       rollouts: new Rollouts(settings.exposure),
     };
--- a/packages/gateway/src/holder_reporter.ts
+++ b/packages/gateway/src/holder_reporter.ts
@@ -1,6 +1,10 @@
 /** The periodic reports of a holder to its coordinator. */
 
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import {
+  returnWindowMs,
+  type StreamOriginGroup,
+} from "@chestnuthatch/routing/stream_origins";
 import { SpendingLog } from "@chestnuthatch/routing/spending_log";
 import type { HolderReport, WorkAsk } from "@chestnuthatch/routing/work_ask";
 import type { OpenAsks } from "./open_asks.ts";
@@ -15,6 +19,9 @@
  */
 const WAITING_REPORT_INTERVAL_MS = 250;
 
+/** Streams in one report, which is a datagram; each takes nine bytes. */
+const MAX_REPORTED_STREAMS = 1000;
+
 /** Collaborators and settings of a `HolderReporter`. */
 export interface HolderReporterParts {
   readonly board: RoutingBoard;
@@ -77,6 +84,7 @@
 
   #createReport(isFirst: boolean, nowMs: number): HolderReport {
     const { board: { members, suspects }, openAsks } = this.#parts;
+    const streams = this.#streamsToReport(nowMs);
     const suspectsToReport = isFirst
       ? suspects.updatesToSend(nowMs)
       : suspects.recentUpdates(nowMs);
@@ -90,6 +98,24 @@
       ...(suspectsToReport.length > 0
         ? { suspects: suspectsToReport }
         : undefined),
+      ...(streams.length > 0 ? { streams } : undefined),
     };
   }
+
+  /** Streams of the pools whose targets have several versions. */
+  #streamsToReport(nowMs: number): StreamOriginGroup[] {
+    const { routes, targets, streamOrigins } = this.#parts.board;
+    const windowMs = returnWindowMs(routes);
+    const pools = (routes?.configuration.pools ?? [])
+      .map(({ name }) => name)
+      .filter((pool) =>
+        targets.versionsWithin(pool, { windowMs, nowMs }).length > 1
+      );
+    return pools.length === 0 ? [] : streamOrigins.groups({
+      pools: new Set(pools),
+      nowMs,
+      onlyOwn: true,
+      maxStreams: MAX_REPORTED_STREAMS,
+    });
+  }
 }
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -99,6 +99,12 @@
   "isReached",
   "maxRejectionsPerS",
   "isRejected",
+  "streamKey",
+  "takesUp",
+  "avoided",
+  "isStreamCompleted",
+  "streams",
+  "keys",
 ];
 
 /** Version of the internet protocol between peers. */
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -343,7 +343,9 @@
     if (responsiveness === Responsiveness.Failed) {
       this.#skipCoordinator(coordinatorId, nowMs);
       this.#sendDrop(coordinatorId, openAsk.ask.askId);
-      this.#sendTo(this.#self(), openAsk);
+      // Only another coordinator may know a stream that began elsewhere.
+      const next = openAsk.ask.takesUp ? this.#coordinator() : this.#self();
+      this.#sendTo(next, openAsk);
       return;
     }
     if (responsiveness === Responsiveness.Late) {
--- a/packages/gateway/src/placement_service.ts
+++ b/packages/gateway/src/placement_service.ts
@@ -79,7 +79,7 @@
    * @param askId Id of the ask that got the placement.
    */
   handleFirstSeen(askId: string): void {
-    this.#parts.coordinator.firstSeen(askId);
+    this.#parts.coordinator.firstSeen(askId, this.#nowMs());
   }
 
   /**
--- a/packages/gateway/src/retry_after.ts
+++ b/packages/gateway/src/retry_after.ts
@@ -16,6 +16,7 @@
   [AskRefusal.Allotment]: RoutedError.Allotment,
   [AskRefusal.NoTarget]: RoutedError.NoTarget,
   [AskRefusal.NoTargetOfVersion]: RoutedError.VersionGone,
+  [AskRefusal.UnknownStream]: RoutedError.UnknownStream,
   [AskRefusal.RetryBudget]: RoutedError.NoTarget,
   [AskRefusal.Quarantined]: RoutedError.Quarantined,
 };
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -35,6 +35,7 @@
 import { SilenceTimer } from "./silence_timer.ts";
 import { StandbyAttempt } from "./standby_attempt.ts";
 import { StreamProgress } from "./stream_progress.ts";
+import { StreamVersion } from "./stream_version.ts";
 import { TargetAttempt } from "./target_attempt.ts";
 import { poolBackoffMs, workAskOf } from "./work_ask_of.ts";
 
@@ -63,8 +64,7 @@
   #isCharged = false;
   readonly #recorder: AttemptRecorder;
   readonly #progress: StreamProgress;
-  /** Software version that began the stream; absent before its first event. */
-  #streamVersion?: string;
+  readonly #streamVersion: StreamVersion;
   readonly #silenceTimer: SilenceTimer;
   /** Attempt at a silent target, until another target begins to answer. */
   readonly #standby = new StandbyAttempt((attempt) =>
@@ -90,6 +90,7 @@
       (message, facts) => this.#log(message, facts),
     );
     this.#progress = new StreamProgress(options.call.facts.resumeAfter);
+    this.#streamVersion = new StreamVersion(parts, options.call);
     this.#silenceTimer = new SilenceTimer(
       options.call,
       parts.board.latencyModels,
@@ -109,7 +110,11 @@
       // Handles an answer that has already arrived before the timeout.
       setImmediate(() => this.#onDeadline());
     }, leftMs);
-    this.#ask(AskCause.First);
+    if (this.#streamVersion.isOfOtherPool) {
+      this.#fail(RoutedError.VersionGone, DEFAULT_RETRY_AFTER_MS);
+    } else {
+      this.#ask(AskCause.First);
+    }
   }
 
   /** Whether a part of the answer was sent to the caller. */
@@ -164,7 +169,7 @@
       isCharged: this.#isCharged,
       triedTargetIds: this.#triedTargetIds,
       lastEventAtMs: this.#progress.lastEventAtMs,
-      version: this.#streamVersion,
+      stream: this.#streamVersion.askFields,
     });
     this.#askId = ask.askId;
     this.#askedAtMs = this.#nowMs();
@@ -197,7 +202,8 @@
       return;
     }
     const target = targets.get(decision.targetId);
-    const isUsable = target !== undefined && this.#mayGoOnAt(target) &&
+    const isUsable = target !== undefined &&
+      this.#streamVersion.mayGoOnAt(target) &&
       targets.isUsable(target, nowMs) && rollouts.mayServe(target) &&
       backoffs.remainingMs(target.targetId, nowMs) === 0;
     if (!isUsable) {
@@ -212,11 +218,6 @@
     this.#send(target, decision);
   }
 
-  /** What targets of two versions write does not fit into one stream. */
-  #mayGoOnAt({ version }: KnownTarget): boolean {
-    return this.#streamVersion === undefined || this.#streamVersion === version;
-  }
-
   /** Fails the request if a step throws, so that it is answered in any case. */
   #runOrFail(step: () => void): void {
     try {
@@ -273,6 +274,7 @@
     });
     this.#askId = undefined;
     this.#attempt = attempt;
+    this.#streamVersion.sentTo(target);
     this.#runCount++;
     attempt.send();
     this.#log("sent", {
@@ -311,7 +313,7 @@
 
   #forwardEvent(attempt: TargetAttempt, bytes: Buffer): void {
     this.#selectAttempt(attempt);
-    this.#streamVersion ??= attempt.options.target.version;
+    this.#streamVersion.began(attempt.options.target);
     this.#progress.recordEvent(attempt.lastEventId, this.#nowMs());
     this.#withdrawOtherAsk(attempt);
     this.#write(attempt, bytes);
@@ -336,6 +338,7 @@
     this.#selectAttempt(attempt);
     this.#write(attempt, rest);
     this.#reply.endStream();
+    this.#streamVersion.completed();
     this.#recordServed(attempt);
   }
 
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -10,6 +10,7 @@
   type RoutedCall,
   streamPatienceMs,
 } from "./routed_call.ts";
+import type { StreamAskFields } from "./stream_version.ts";
 import { isStream } from "./target_attempt.ts";
 
 /**
@@ -30,8 +31,8 @@
    * absent before the first.
    */
   readonly lastEventAtMs?: number;
-  /** Version that began the stream; absent if any may run the request. */
-  readonly version?: string;
+  /** Targets at which the stream may go on. */
+  readonly stream: StreamAskFields;
 }
 
 /**
@@ -72,9 +73,9 @@
     patienceLeftMs: patienceMs - ANSWER_OBJECTIVE_SHARE * route.objectiveMs,
     deadlineLeftMs: leftMs,
     failureDomain: parts.failureDomain,
-    excluded: excludedTargetIds(parts, call, facts),
+    ...excludedTargets(parts, call, facts),
     cause: facts.cause,
-    ...(facts.version === undefined ? undefined : { version: facts.version }),
+    ...facts.stream,
     ...(fingerprint === undefined ? undefined : { fingerprint }),
     ...(parts.board.rollouts.isInProgress(call.pool)
       ? { route: route.name }
@@ -94,14 +95,15 @@
 
 /**
  * Lists the targets that the request must not go to. Health and unreachable
- * failure domains are ignored if they would exclude every target; a backoff
- * that a target requested always applies.
+ * failure domains are ignored if they would exclude every target, which only
+ * the coordinator can tell if it has to find the version of the stream. A
+ * backoff that a target requested always applies.
  */
-function excludedTargetIds(
+function excludedTargets(
   { board, clock }: GatewayParts,
   { pool }: RoutedCall,
-  { triedTargetIds, version }: AskFacts,
-): string[] {
+  { triedTargetIds, stream: { version, takesUp } }: AskFacts,
+): Pick<WorkAsk, "excluded" | "avoided"> {
   const nowMs = clock.nowMs();
   const poolTargets = board.targets.usable(pool, nowMs);
   const usable = version === undefined
@@ -117,8 +119,12 @@
     ...board.unreachableDomains.unreachableTargets(usable, nowMs)
       .map(({ targetId }) => targetId),
   ]);
+  if (takesUp) {
+    const avoided = [...excluded].filter((id) => !mandatory.has(id));
+    return { excluded: [...mandatory], avoided };
+  }
   const isAnyEligible = usable.some(({ targetId }) => !excluded.has(targetId));
-  return [...(isAnyEligible ? excluded : mandatory)];
+  return { excluded: [...(isAnyEligible ? excluded : mandatory)] };
 }
 
 /** Share of a backoff over which the retries of callers are spread. */
--- a/packages/gateway/src/work_ask_of_test.ts
+++ b/packages/gateway/src/work_ask_of_test.ts
@@ -26,6 +26,7 @@
   cause: AskCause.First,
   isCharged: false,
   triedTargetIds: new Set<string>(),
+  stream: {},
 };
 
 /** The parts of an instance that an ask is built from. */
@@ -94,7 +95,7 @@
   targets.apply([{ targetId: "t2", rowVersion: 9, entry }], 0);
   health.failed("t1", true, 0);
   const excludedFor = (version?: string) =>
-    workAskOf(parts, CALL, { ...FACTS, version }).excluded;
+    workAskOf(parts, CALL, { ...FACTS, stream: { version } }).excluded;
   assert.equal(excludedFor(undefined), ["t1"]);
   assert.equal(excludedFor("v2"), ["t1"]);
   assert.equal(excludedFor("v1"), []);
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -21,6 +21,7 @@
 import { RelayedTargets } from "@chestnuthatch/routing/relayed_targets";
 import { RouteTable } from "@chestnuthatch/routing/route_table";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import { StreamOrigins } from "@chestnuthatch/routing/stream_origins";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
 import { SuspectRequests } from "@chestnuthatch/routing/suspect_requests";
@@ -237,7 +238,7 @@
     this.#runningByAskId.set(askId, { ...work, holderId, firstSeen: false });
     this.#queue.after(FIRST_EVENT_DELAY_MS, () => {
       this.#runTimed(() => {
-        this.#coordinator.firstSeen(askId);
+        this.#coordinator.firstSeen(askId, this.#queue.nowMs);
         return [];
       });
     });
@@ -299,6 +300,7 @@
     rateLimits: new TargetRateLimits(),
     latencyModels: new LatencyModels(),
     backoffs: new TargetBackoffs(),
+    streamOrigins: new StreamOrigins(),
     suspects: new SuspectRequests(),
     rollouts: new Rollouts({ share: 0.1, slack: 50 }),
   };
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -31,7 +31,10 @@
   type WorkAsk,
   type WorkEnd,
 } from "./work_ask.ts";
+import type { PlacedWork } from "./placed_work_index.ts";
 import { routeRankOf } from "./ranks.ts";
+import { returnWindowMs, type StreamOriginGroup } from "./stream_origins.ts";
+import { TakenUpStreams } from "./taken_up_streams.ts";
 import { RefusedCallers } from "./refused_callers.ts";
 import {
   baselineFirstEventMs,
@@ -104,6 +107,9 @@
   /** Local time at which each holder last reported its spending. */
   readonly #spendingReportedAtMs = new Map<string, number>();
   readonly #spending = new ReportedSpending();
+  readonly #takenUpStreams: TakenUpStreams;
+  /** Scope of the last ask, for asks that wait for the origin of a stream. */
+  #scope?: PlacementScope;
 
   /**
    * @param board Shared routing state of the instance.
@@ -114,6 +120,7 @@
     this.#bounds = bounds;
     this.#allotmentLedger = new AllotmentLedger(bounds.allotmentTolerance);
     this.#limiter = new RateLimiter(board.rateLimits);
+    this.#takenUpStreams = new TakenUpStreams(board);
   }
 
   /**
@@ -127,9 +134,14 @@
    * queued.
    */
   ask(ask: WorkAsk, scope: PlacementScope): AskDecision[] {
+    this.#lastContactAtMs.set(ask.holderId, scope.nowMs);
+    return this.#ask(ask, scope);
+  }
+
+  #ask(ask: WorkAsk, scope: PlacementScope): AskDecision[] {
     const scheduler = this.#poolScheduler(ask.pool);
+    this.#scope = scope;
     this.#limiter.share = scope.share;
-    this.#lastContactAtMs.set(ask.holderId, scope.nowMs);
     const decision = scheduler.decisionFor(ask.askId);
     if (decision !== undefined) {
       return [decision];
@@ -137,6 +149,18 @@
     if (scheduler.isWaiting(ask.askId)) {
       return [];
     }
+    const resolved = this.#takenUpStreams.resolve(ask, scope.nowMs);
+    if (resolved === undefined) {
+      return [];
+    }
+    return "refusal" in resolved || "targetId" in resolved
+      ? [resolved]
+      : this.#place(resolved, scope);
+  }
+
+  /** Admits an ask, and places or queues it. */
+  #place(ask: WorkAsk, scope: PlacementScope): AskDecision[] {
+    const scheduler = this.#poolScheduler(ask.pool);
     const { askId, callHash } = ask;
     const { nowMs } = scope;
     const firstAttemptAtMs = this.#refusedCallers.firstAttemptAtMs(
@@ -162,9 +186,29 @@
    * Records that the first event of a stream was received.
    *
    * @param askId Id of the ask that the stream was placed by.
+   * @param nowMs Current local time in milliseconds.
    */
-  firstSeen(askId: string): void {
-    this.#schedulerOf(askId)?.firstSeen(askId);
+  firstSeen(askId: string, nowMs: number): void {
+    const work = this.#schedulerOf(askId)?.firstSeen(askId);
+    if (work !== undefined) {
+      this.#recordOrigin(work, this.#openAsks.get(askId)!.pool, nowMs);
+    }
+  }
+
+  /** While targets of one version serve, streams need no record. */
+  #recordOrigin(
+    { streamKey, version }: PlacedWork,
+    pool: string,
+    nowMs: number,
+  ): void {
+    const { routes, targets, streamOrigins } = this.#board;
+    const windowMs = returnWindowMs(routes);
+    const versions = targets.versionsWithin(pool, { windowMs, nowMs });
+    if (
+      streamKey !== undefined && version !== undefined && versions.length > 1
+    ) {
+      streamOrigins.record(streamKey, { pool, version }, { nowMs, windowMs });
+    }
   }
 
   /**
@@ -179,6 +223,9 @@
     this.#rejections.recordEnd(end, nowMs);
     const scheduler = this.#poolScheduler(end.pool);
     const { work, decisions } = scheduler.release(end.askId, nowMs);
+    if (work?.streamKey !== undefined && end.isStreamCompleted === true) {
+      this.#board.streamOrigins.completed(work.streamKey, nowMs);
+    }
     const isStream = this.#board.routes?.pool(end.pool)?.engine !== undefined;
     const tokensAhead = work?.tokensAhead ?? 0;
     this.#recordVersionAnswer(end, {
@@ -204,6 +251,7 @@
    * @returns Decisions on queued asks.
    */
   dropped(askId: string, nowMs: number): AskDecision[] {
+    this.#takenUpStreams.drop(askId);
     const scheduler = this.#schedulerOf(askId);
     if (scheduler === undefined) {
       return [];
@@ -231,6 +279,7 @@
     this.#spendingReportedAtMs.set(report.holderId, nowMs);
     this.#spending.put(report.holderId, report.spent);
     this.#board.suspects.merge(report.suspects ?? [], nowMs);
+    this.importStreams(report.streams ?? [], nowMs);
     // These totals include charges made by other coordinators.
     this.#allotmentLedger.setReportedTotals(this.#spending.totals(), nowMs);
     for (const running of report.running) {
@@ -273,7 +322,7 @@
   tick(nowMs: number): AskDecision[] {
     this.#board.suspects.evictExpired(nowMs);
     this.#limiter.evictUnlimited();
-    const decisions: AskDecision[] = [];
+    const decisions = this.#resolveWaiting(nowMs);
     for (const [holderId, contactAtMs] of this.#lastContactAtMs) {
       if (nowMs - contactAtMs > HOLDER_TIMEOUT_MS) {
         this.#lastContactAtMs.delete(holderId);
@@ -295,6 +344,26 @@
    */
   accountingBegan(nowMs: number): void {
     this.#rejections.accountingBegan(nowMs);
+    this.#takenUpStreams.accountingBegan(nowMs);
+  }
+
+  /**
+   * Imports streams that began at another instance, or that the fleet recorded.
+   *
+   * @param groups The streams by origin.
+   * @param nowMs Current local time in milliseconds.
+   */
+  importStreams(groups: readonly StreamOriginGroup[], nowMs: number): void {
+    const { routes, targets, streamOrigins } = this.#board;
+    streamOrigins.merge(groups, { nowMs, windowMs: returnWindowMs(routes) });
+    for (const { pool, version } of groups) {
+      targets.recordVersion(pool, version, nowMs);
+    }
+  }
+
+  #resolveWaiting(nowMs: number): AskDecision[] {
+    return this.#takenUpStreams.waiting
+      .flatMap((ask) => this.#ask(ask, { ...this.#scope!, nowMs }));
   }
 
   /**
@@ -400,15 +469,18 @@
    */
   clearAsks(): void {
     this.#schedulers.clear();
+    this.#takenUpStreams.clear();
     this.#openAsks.clear();
     this.#lastContactAtMs.clear();
   }
 
   /** @returns Numbers of queued and of placed requests, by pool. */
   load(): { pool: string; waiting: number; placed: number }[] {
+    const takingUp = this.#takenUpStreams.waiting;
     return [...this.#schedulers].map(([pool, scheduler]) => ({
       pool,
-      waiting: scheduler.waitingCount,
+      waiting: scheduler.waitingCount +
+        takingUp.filter((ask) => ask.pool === pool).length,
       placed: scheduler.placedCount,
     }));
   }
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -92,6 +92,13 @@
   ageMs: z.number(),
 });
 
+/** Validates streams of one origin, from another instance or the store. */
+export const streamOriginGroupSchema = z.object({
+  pool: z.string(),
+  version: z.string(),
+  keys: z.array(z.number()).readonly(),
+});
+
 const ask = z.object({
   askId: z.string(),
   holderId: z.string(),
@@ -109,6 +116,9 @@
   excluded: z.array(z.string()).readonly(),
   cause: z.enum(AskCause),
   fingerprint: z.string().optional(),
+  streamKey: z.number().optional(),
+  takesUp: z.literal(true).optional(),
+  avoided: z.array(z.string()).readonly().optional(),
   version: z.string().optional(),
   route: z.string().optional(),
 });
@@ -124,6 +134,7 @@
   answerFailed: z.boolean().optional(),
   maxRejectionsPerS: z.number().nonnegative().optional(),
   isRejected: z.boolean().optional(),
+  isStreamCompleted: z.literal(true).optional(),
   endedTarget: z.object({
     fingerprint: z.string(),
     process: z.string(),
@@ -150,6 +161,7 @@
   spent: z.array(z.object({ workspace: z.string(), spent: z.number() }))
     .readonly(),
   suspects: z.array(suspectUpdateSchema).readonly().optional(),
+  streams: z.array(streamOriginGroupSchema).readonly().optional(),
 });
 
 /** Validates the spending of a workspace that another instance sends. */
--- a/packages/routing/src/placed_work_index.ts
+++ b/packages/routing/src/placed_work_index.ts
@@ -30,6 +30,10 @@
    * absent for all others.
    */
   readonly trialOf?: string;
+  /** Key of the stream that it begins or goes on with; absent for no stream. */
+  readonly streamKey?: number;
+  /** Software version of the target; absent if it is not known. */
+  readonly version?: string;
   /** Route name, while versions of the pool's targets are compared. */
   readonly route?: string;
 }
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -180,9 +180,11 @@
    * received.
    *
    * @param askId Id of the ask that the stream was placed by.
+   * @returns The placed work; undefined if there is none.
    */
-  firstSeen(askId: string): void {
+  firstSeen(askId: string): PlacedWork | undefined {
     this.#placed.firstSeen(askId);
+    return this.#placed.get(askId);
   }
 
   /**
@@ -549,6 +551,8 @@
       trialOf: this.#board.suspects.isSuspect(ask.fingerprint)
         ? ask.fingerprint
         : undefined,
+      streamKey: ask.streamKey,
+      version: choice.target.version,
       route: ask.route,
     };
     this.#placed.put(work);
--- a/packages/routing/src/recent_refusals.ts
+++ b/packages/routing/src/recent_refusals.ts
@@ -75,7 +75,8 @@
   record(ask: WorkAsk, refusal: Refusal, nowMs: number): void {
     const ttlMs = TTL_MS[refusal.refusal]?.(refusal) ?? 0;
     // Asks that any target may serve are not refused because of one version.
-    if (ttlMs > 0 && ask.version === undefined) {
+    const isOfOneVersion = ask.version !== undefined || ask.takesUp === true;
+    if (ttlMs > 0 && !isOfOneVersion) {
       const expiresAtMs = nowMs + ttlMs;
       this.#entries.push({ ask, refusal, recordedAtMs: nowMs, expiresAtMs });
       this.#entries = this.#entries.slice(-MAX_ENTRIES);
--- a/packages/routing/src/route_table.ts
+++ b/packages/routing/src/route_table.ts
@@ -16,6 +16,7 @@
   readonly #workspaceByKey = new Map<string, WorkspacePolicy>();
   readonly #workspaceByName = new Map<string, WorkspacePolicy>();
   readonly #poolByName = new Map<string, PoolPolicy>();
+  readonly #longestTimeoutMs: number;
 
   /** @param configuration Version of the configuration to index. */
   constructor(configuration: FleetConfiguration) {
@@ -37,6 +38,15 @@
     for (const pool of configuration.pools) {
       this.#poolByName.set(pool.name, pool);
     }
+    this.#longestTimeoutMs = Math.max(
+      0,
+      ...configuration.routes.map(({ timeoutMs }) => timeoutMs),
+    );
+  }
+
+  /** Longest timeout of all routes, in milliseconds; 0 without routes. */
+  get longestTimeoutMs(): number {
+    return this.#longestTimeoutMs;
   }
 
   /** Whether callers must present a key on routes that are not public. */
@@ -85,7 +95,7 @@
    * hash of the request id, so it is stable under unchanged weights.
    *
    * @param route Route of the request.
-   * @param requestId Id of the request.
+   * @param requestId Id of the request, or of the one whose stream it takes up.
    * @returns Name of a pool; undefined where no share has any weight.
    */
   pickPool(route: RoutePolicy, requestId: string): string | undefined {
--- a/packages/routing/src/routed_error.ts
+++ b/packages/routing/src/routed_error.ts
@@ -18,6 +18,8 @@
   NoTarget = "no_target",
   /** No target of the software version that began the stream is available. */
   VersionGone = "version_gone",
+  /** It is not known which software version began the stream. */
+  UnknownStream = "unknown_stream",
   /** Targets' processes ended while they ran the request. */
   Quarantined = "quarantined",
   /** The deadline passed before a target received the request. */
@@ -108,6 +110,12 @@
     text: "The stream cannot go on now: no target of the version that began " +
       "it is available. Try again, or begin the stream anew.",
   },
+  [RoutedError.UnknownStream]: {
+    status: 503,
+    ran: RanState.NotRun,
+    text: "The stream cannot go on now: it is not known which version began " +
+      "it. Try again, or begin the stream anew.",
+  },
   [RoutedError.Quarantined]: {
     status: 503,
     ran: RanState.NotRun,
--- a/packages/routing/src/routing_board.ts
+++ b/packages/routing/src/routing_board.ts
@@ -10,6 +10,7 @@
 import type { Rollouts } from "./rollouts.ts";
 import type { RelayedTargets } from "./relayed_targets.ts";
 import type { RouteTable } from "./route_table.ts";
+import type { StreamOrigins } from "./stream_origins.ts";
 import type { SuspectRequests } from "./suspect_requests.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 import type { TargetHealth } from "./target_health.ts";
@@ -68,6 +69,11 @@
    * coordinator from answers.
    */
   readonly rollouts: Rollouts;
+  /**
+   * Pools and versions at which streams began. Written by holders, from their
+   * own requests, and by the coordinator, from those of all holders.
+   */
+  readonly streamOrigins: StreamOrigins;
   /**
    * Requests suspected of ending targets. Written by the coordinator and by
    * holders, from targets whose processes ended.
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -12,6 +12,7 @@
 import { RelayedTargets } from "./relayed_targets.ts";
 import { RouteTable } from "./route_table.ts";
 import type { RoutingBoard } from "./routing_board.ts";
+import { StreamOrigins } from "./stream_origins.ts";
 import { SuspectRequests } from "./suspect_requests.ts";
 import { TargetDirectory } from "./target_directory.ts";
 import { TargetHealth } from "./target_health.ts";
@@ -136,6 +137,7 @@
     rateLimits: new TargetRateLimits(),
     latencyModels: new LatencyModels(),
     backoffs: new TargetBackoffs(),
+    streamOrigins: new StreamOrigins(),
     suspects: new SuspectRequests(),
     rollouts: new Rollouts({ share: 0.1, slack: 50 }),
   };
--- /dev/null
+++ b/packages/routing/src/stream_origins_test.ts
@@ -0,0 +1,86 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { streamKeyOf, StreamOrigins } from "./stream_origins.ts";
+
+const V1 = { pool: "p", version: "v1" };
+const V2 = { pool: "p", version: "v2" };
+const OTHER = { pool: "q", version: "v1" };
+const POOLS = new Set(["p"]);
+
+function groupsOf(
+  origins: StreamOrigins,
+  of: { nowMs: number; onlyOwn?: boolean; maxStreams?: number },
+): Record<string, readonly number[]> {
+  const groups = origins.groups({
+    pools: POOLS,
+    onlyOwn: false,
+    maxStreams: Infinity,
+    ...of,
+  });
+  return Object.fromEntries(
+    groups.map(({ pool, version, keys }) => [`${pool} ${version}`, keys]),
+  );
+}
+
+test("a stream is known while its caller may return", () => {
+  const origins = new StreamOrigins();
+  origins.record(1, V1, { nowMs: 0, windowMs: 10_000 });
+  origins.record(2, V2, { nowMs: 0, windowMs: 10_000 });
+  origins.record(2, V2, { nowMs: 8000, windowMs: 10_000 });
+  origins.record(3, V1, { nowMs: 8000, windowMs: 10_000 });
+  origins.completed(3, 8500);
+  const knownAt = (nowMs: number) =>
+    [1, 2, 3].filter((key) => origins.get(key, nowMs) !== undefined);
+  assert.equal([9999, 10_000, 11_499, 11_500, 18_000].map(knownAt), [
+    [1, 2, 3],
+    [2, 3],
+    [2, 3],
+    [2],
+    [],
+  ]);
+  assert.equal(origins.get(2, 9000), V2);
+});
+
+test("streams are listed by origin, the newest ones where they are too many", () => {
+  const origins = new StreamOrigins();
+  const at = { nowMs: 0, windowMs: 10_000 };
+  origins.record(1, V1, { ...at, isOwn: true });
+  origins.record(2, V2, at);
+  origins.record(3, OTHER, { ...at, isOwn: true });
+  origins.merge([{ ...V1, keys: [4, 5] }], at);
+  // The coordinator of the same instance records it again.
+  origins.record(1, V1, at);
+  assert.equal(groupsOf(origins, { nowMs: 1 }), {
+    "p v2": [2],
+    "p v1": [4, 5, 1],
+  });
+  assert.equal(groupsOf(origins, { nowMs: 1, onlyOwn: true }), { "p v1": [1] });
+  assert.equal(groupsOf(origins, { nowMs: 1, maxStreams: 2 }), {
+    "p v1": [5, 1],
+  });
+  assert.equal(groupsOf(origins, { nowMs: 10_000 }), {});
+});
+
+test("the number of streams is bounded, and expired ones are evicted", () => {
+  const origins = new StreamOrigins();
+  for (let key = 0; key < 100_005; key++) {
+    origins.record(key, V1, { nowMs: 0, windowMs: 10_000 });
+  }
+  assert.is(origins.size, 100_000);
+  assert.is(origins.get(4, 1), undefined);
+  assert.equal(origins.get(5, 1), V1);
+  origins.record(7, V1, { nowMs: 20_000, windowMs: 10_000 });
+  assert.is(origins.size, 1);
+});
+
+// Guards against a caller that names the stream of another workspace.
+test("keys tell streams and workspaces apart", () => {
+  const keys = ["w", "v", ""].flatMap((workspace) =>
+    Array.from({ length: 20_000 }, (_, id) => streamKeyOf(workspace, `r${id}`))
+  );
+  assert.is(new Set(keys).size, keys.length);
+  assert.ok(keys.every((key) => Number.isSafeInteger(key) && key >= 0));
+  assert.is(streamKeyOf("w", "r1"), streamKeyOf("w", "r1"));
+});
+
+test.run();
--- /dev/null
+++ b/packages/routing/src/taken_up_streams_test.ts
@@ -0,0 +1,156 @@
+/** Tests of streams that callers take up, at the coordinator. */
+
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { Coordinator } from "./coordinator.ts";
+import type { RoutingBoard } from "./routing_board.ts";
+import { askOf, boardOf } from "./routing_test_support.ts";
+import { type AskDecision, AskRefusal, type WorkAsk } from "./work_ask.ts";
+
+const BOUNDS = {
+  retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
+  allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
+};
+
+/** Longer than asks wait for the origin of their stream. */
+const SETTLED_MS = 1000;
+
+/** Time for which a caller may return, with the default route's timeout. */
+const WINDOW_MS = 30_000;
+
+function resultOf([decision]: readonly AskDecision[]): string {
+  if (decision === undefined) {
+    return "waits";
+  }
+  return "targetId" in decision ? decision.targetId : decision.refusal;
+}
+
+/** A coordinator of a pool with one target of each of two versions. */
+class TwoVersions {
+  readonly board: RoutingBoard = boardOf(["t1", "t2"]);
+  readonly coordinator = new Coordinator(this.board, BOUNDS);
+  #askCount = 0;
+
+  constructor() {
+    this.listVersion("t2", "v2", 0);
+  }
+
+  listVersion(targetId: string, version: string, nowMs: number): void {
+    const entry = { ...this.board.targets.get(targetId)!, version };
+    this.board.targets.apply([{ targetId, rowVersion: 100, entry }], nowMs);
+  }
+
+  takeUp(streamKey: number | undefined, of: Partial<WorkAsk>, nowMs: number) {
+    this.#askCount++;
+    const ask = askOf(`a${this.#askCount}`, {
+      streamKey,
+      takesUp: true,
+      ...of,
+    });
+    const scope = { share: 1, memoryMs: 1e9, uptimeMs: 1e9, nowMs };
+    return resultOf(this.coordinator.ask(ask, scope));
+  }
+}
+
+test("a stream that is taken up goes on at the version that began it", () => {
+  const { coordinator, board } = new TwoVersions();
+  const scope = { share: 1, memoryMs: 1e9, uptimeMs: 1e9, nowMs: 0 };
+  const began = [1, 2, 3].map((streamKey) => {
+    const askId = `begins-${streamKey}`;
+    const decisions = coordinator.ask(askOf(askId, { streamKey }), scope);
+    coordinator.firstSeen(askId, 10);
+    return resultOf(decisions);
+  });
+  began.forEach((targetId, index) => {
+    const end = { targetId, pool: "p", promptTokens: 500, failed: true };
+    coordinator.ended({ askId: `begins-${index + 1}`, ...end }, 20);
+  });
+  const resumed = [1, 2, 3].map((streamKey) => {
+    const ask = askOf(`a${streamKey}`, { streamKey, takesUp: true });
+    return resultOf(coordinator.ask(ask, { ...scope, nowMs: SETTLED_MS }));
+  });
+  const versionOf = (targetId: string) => board.targets.get(targetId)?.version;
+  assert.equal(resumed.map(versionOf), began.map(versionOf));
+  assert.equal([...new Set(began)].sort(), ["t1", "t2"]);
+});
+
+// Guards against going on anywhere where the version is not known.
+test("an unknown stream is refused while several versions may have begun it", () => {
+  const fleet = new TwoVersions();
+  assert.is(fleet.takeUp(9, {}, SETTLED_MS), AskRefusal.UnknownStream);
+  assert.is(fleet.takeUp(undefined, {}, SETTLED_MS), AskRefusal.UnknownStream);
+  fleet.board.targets.apply([{ targetId: "t2", rowVersion: 101 }], SETTLED_MS);
+  const leftMs = SETTLED_MS + WINDOW_MS;
+  assert.is(fleet.takeUp(9, {}, leftMs - 1), AskRefusal.UnknownStream);
+  assert.is(fleet.takeUp(9, {}, leftMs), "t1");
+});
+
+// Guards against refusing callers on days with one version.
+test("an unknown stream goes on while only one version may have begun it", () => {
+  const single = new Coordinator(boardOf(["t1"]), BOUNDS);
+  const scope = { share: 1, memoryMs: 1e9, uptimeMs: 1e9, nowMs: 0 };
+  const ask = askOf("a1", { streamKey: 9, takesUp: true });
+  assert.is(resultOf(single.ask(ask, scope)), "t1");
+});
+
+// Guards against refusals by a coordinator that has just begun to coordinate.
+test("a new coordinator waits for the reports of other holders", () => {
+  const fleet = new TwoVersions();
+  const { coordinator } = fleet;
+  coordinator.accountingBegan(0);
+  assert.is(fleet.takeUp(5, {}, 10), "waits");
+  assert.is(fleet.takeUp(6, {}, 10), "waits");
+  assert.equal(coordinator.load(), [{ pool: "p", waiting: 2, placed: 0 }]);
+  const report = { holderId: "i2", running: [], waiting: [], spent: [] };
+  const streams = [{ pool: "p", version: "v2", keys: [5] }];
+  coordinator.report({ ...report, streams }, 100);
+  assert.equal(coordinator.tick(120).map((each) => resultOf([each])), ["t2"]);
+  assert.equal(coordinator.tick(399), []);
+  assert.equal(coordinator.tick(400).map((each) => resultOf([each])), [
+    AskRefusal.UnknownStream,
+  ]);
+  assert.equal(coordinator.load(), [{ pool: "p", waiting: 0, placed: 1 }]);
+});
+
+// Guards against forgetting a version whose targets are all gone.
+test("a version that another holder reports may have begun a stream", () => {
+  const board = boardOf(["t1"]);
+  const coordinator = new Coordinator(board, BOUNDS);
+  const streams = [{ pool: "p", version: "v0", keys: [] }];
+  coordinator.report(
+    { holderId: "i2", running: [], waiting: [], spent: [], streams },
+    0,
+  );
+  const scope = { share: 1, memoryMs: 1e9, uptimeMs: 1e9, nowMs: SETTLED_MS };
+  const ask = askOf("a1", { streamKey: 9, takesUp: true });
+  assert.is(
+    resultOf(coordinator.ask(ask, scope)),
+    AskRefusal.UnknownStream,
+  );
+});
+
+test("targets to avoid get a stream only where its version has no others", () => {
+  const fleet = new TwoVersions();
+  const at = { nowMs: 0, windowMs: WINDOW_MS };
+  fleet.board.streamOrigins.merge(
+    [{ pool: "p", version: "v2", keys: [1] }],
+    at,
+  );
+  const entry = { ...fleet.board.targets.get("t2")!, targetId: "t3" };
+  assert.is(fleet.takeUp(1, { avoided: ["t2"] }, SETTLED_MS), "t2");
+  const change = { targetId: "t3", rowVersion: 102, entry };
+  fleet.board.targets.apply([change], SETTLED_MS);
+  assert.is(fleet.takeUp(1, { avoided: ["t2"] }, SETTLED_MS), "t3");
+});
+
+test("a stream of another pool does not go on", () => {
+  const fleet = new TwoVersions();
+  const at = { nowMs: 0, windowMs: WINDOW_MS };
+  fleet.board.streamOrigins.merge(
+    [{ pool: "q", version: "v1", keys: [1] }],
+    at,
+  );
+  assert.is(fleet.takeUp(1, {}, SETTLED_MS), AskRefusal.NoTargetOfVersion);
+});
+
+test.run();
--- a/packages/routing/src/target_directory.ts
+++ b/packages/routing/src/target_directory.ts
@@ -82,6 +82,10 @@
 export class TargetDirectory {
   readonly #byId = new Map<string, KnownTarget>();
   readonly #usable = new Map<string, UsableTargets>();
+  /** Versions of each pool's listed targets; rebuilt after any change. */
+  readonly #listedVersions = new Map<string, ReadonlySet<string>>();
+  /** When versions that may be listed no longer were last, by pool. */
+  readonly #formerVersions = new Map<string, Map<string, number>>();
   /** Newest row version of any change that was applied. */
   version = 0;
   /** When the list last became available after an outage. */
@@ -206,6 +210,52 @@
     return targets;
   }
 
+  /**
+   * Finds the software versions that a pool's targets have, or had recently.
+   *
+   * @param pool Name of a pool.
+   * @param of The local time, and the time for which a version counts that no
+   * listed target has any more.
+   * @returns The versions.
+   */
+  versionsWithin(
+    pool: string,
+    { windowMs, nowMs }: { windowMs: number; nowMs: number },
+  ): string[] {
+    const former = [...this.#formerVersions.get(pool) ?? []]
+      .filter(([, atMs]) => nowMs - atMs < windowMs)
+      .map(([version]) => version);
+    const listed = this.#versionsListed(pool);
+    return former.length === 0
+      ? [...listed]
+      : [...new Set([...listed, ...former])];
+  }
+
+  /**
+   * Records that a pool has or had targets of a version, which may not be
+   * listed any more.
+   *
+   * @param pool Name of a pool.
+   * @param version The version.
+   * @param nowMs The local time.
+   */
+  recordVersion(pool: string, version: string, nowMs: number): void {
+    const versions = this.#formerVersions.get(pool) ?? new Map();
+    this.#formerVersions.set(pool, versions.set(version, nowMs));
+  }
+
+  #versionsListed(pool: string): ReadonlySet<string> {
+    let versions = this.#listedVersions.get(pool);
+    if (versions === undefined) {
+      const listed = [...this.#byId.values()].filter((target) =>
+        target.pool === pool && target.removedAtMs === undefined
+      );
+      versions = new Set(listed.map(({ version }) => version));
+      this.#listedVersions.set(pool, versions);
+    }
+    return versions;
+  }
+
   /** @returns Every known target, including those that were removed. */
   all(): KnownTarget[] {
     return [...this.#byId.values()];
@@ -261,6 +311,9 @@
     const announcedLeaving = entry.announcedLeaving ?? before?.announcedLeaving;
     const warmAtMs = nowMs + (entry.coldMs ?? 0);
     const next = { ...entry, leaving, announcedLeaving, rowVersion, warmAtMs };
+    if (known !== undefined && known.version !== entry.version) {
+      this.recordVersion(known.pool, known.version, nowMs);
+    }
     this.#put(next);
     const kind = eventKindOf(known, next);
     return kind === undefined ? [] : [{ targetId, kind, rowVersion }];
@@ -269,6 +322,7 @@
   #put(target: KnownTarget): void {
     this.#byId.set(target.targetId, target);
     this.#usable.clear();
+    this.#listedVersions.clear();
   }
 
   #remove(
@@ -285,6 +339,7 @@
       return [];
     }
     const usableUntilMs = this.#availableSinceMs + MISSING_ROW_GRACE_MS;
+    this.recordVersion(known.pool, known.version, nowMs);
     this.#put({
       ...known,
       rowVersion,
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -4,6 +4,7 @@
  */
 
 import type { WorkspaceSpending } from "./spending_log.ts";
+import type { StreamOriginGroup } from "./stream_origins.ts";
 import type { EndedTarget, SuspectUpdate } from "./suspect_requests.ts";
 
 /** Why a holder asks for the placement of a request. */
@@ -53,6 +54,18 @@
    * while no request is suspected of ending targets.
    */
   readonly fingerprint?: string;
+  /** Key of the stream that it begins or goes on with; absent for no stream. */
+  readonly streamKey?: number;
+  /**
+   * Set if its caller takes up a stream whose version the holder does not know;
+   * absent otherwise.
+   */
+  readonly takesUp?: true;
+  /**
+   * For such an ask, ids of targets that may be given the request only if the
+   * version has no others; absent for all others.
+   */
+  readonly avoided?: readonly string[];
   /**
    * Software version that began the stream and has to go on with it; absent if
    * targets of any version may run the request.
@@ -74,6 +87,8 @@
   NoTargetOfVersion = "no_target_of_version",
   /** The fleet's retry budget is exhausted. */
   RetryBudget = "retry_budget",
+  /** It is not known which software version began its stream. */
+  UnknownStream = "unknown_stream",
   /** It is quarantined, as targets' processes ended while they ran it. */
   Quarantined = "quarantined",
 }
@@ -135,6 +150,8 @@
   readonly maxRejectionsPerS?: number;
   /** Set if the target rejected it without running it; absent otherwise. */
   readonly isRejected?: boolean;
+  /** Set if a stream was completed; absent otherwise. */
+  readonly isStreamCompleted?: true;
   /** The target's process, if it ended before the answer. */
   readonly endedTarget?: EndedTarget;
   /** Fingerprint of a suspect request that a target answered. */
@@ -171,4 +188,9 @@
    * absent where there are none.
    */
   readonly suspects?: readonly SuspectUpdate[];
+  /**
+   * Streams that began at this holder, of pools with targets of several
+   * versions; absent where there are none.
+   */
+  readonly streams?: readonly StreamOriginGroup[];
 }
