Streams: a stream that is taken up keeps to its pool on a split route

Found while looking for the cause elsewhere: a route may split its requests among pools by a hash of the request id, and each attempt of a caller has a new id. A stream that its caller took up went on in another pool, that is at another service. The hash is taken of the id that began the stream now.

Evidence: the test failed before, as targets of the wrong pool ran the requests (and none, where the version of that pool did not match).

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -337,7 +337,7 @@
     if (needsKey && workspace === undefined) {
       return { error: RoutedError.UnknownKey };
     }
-    const pool = table.pickPool(route, facts.requestId);
+    const pool = table.pickPool(route, poolHashTextOf(facts));
     return pool === undefined
       ? {
         error: RoutedError.NoTarget,
@@ -388,6 +388,11 @@
   }
 }
 
+/** A stream that is taken up keeps to the pool that began it. */
+function poolHashTextOf({ requestId, resumeAfter, resumes }: CallMetadata) {
+  return resumeAfter === undefined ? requestId : resumes ?? requestId;
+}
+
 function headerBytesOf({ rawHeaders }: IncomingMessage): number {
   return rawHeaders.reduce((sum, part) => sum + part.length, 0) +
     rawHeaders.length / 2 * HEADER_LINE_OVERHEAD_BYTES;
