Streams: the versions that began them outlast coordinators and fleets

Cause: what began where was known to the coordinator and to the instance that began it only.

Change: while targets of several versions serve, the coordinator records the open streams by version in the platform's store, at most four times a second and only when streams have begun since. A new coordinator reads that record before it writes its own, and an instance that is asked out of turn reads it when it is asked for a stream that it does not know; such asks wait for up to 400 ms. A fleet that has lost all its instances finds the record with the others at its start. The record names versions without streams, too, so that a version whose targets are gone is not forgotten. It holds the newest 2,500 streams.

--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -12,6 +12,7 @@
 } from "@chestnuthatch/routing/rollout";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
+import type { StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
 import type { SuspectUpdate } from "@chestnuthatch/routing/suspect_requests";
 import {
   type TargetEvent,
@@ -67,6 +68,8 @@
   onSpendingRead(record: readonly SpendingHistory[], ageMs: number): void;
   /** Called with suspect requests from the store or another instance. */
   onSuspectsReceived(updates: readonly SuspectUpdate[]): void;
+  /** Called with the fleet's last record of the origins of streams. */
+  onStreamsRead(record: readonly StreamOriginGroup[], ageMs: number): void;
   /** Called with rate limits of targets that another instance reports. */
   onRateLimitsReceived(updates: readonly RateLimitUpdate[]): void;
   /** Called when keep-alive connections may be stalled. */
@@ -254,6 +257,16 @@
     this.#parts.onSpendingRead(record, ageMs);
   }
 
+  /**
+   * Passes on the fleet's last record of the origins of streams.
+   *
+   * @param record Streams by origin.
+   * @param ageMs Age of the record.
+   */
+  streamsRead(record: readonly StreamOriginGroup[], ageMs: number): void {
+    this.#parts.onStreamsRead(record, ageMs);
+  }
+
   /**
    * Passes on the fleet's last record of suspect requests.
    *
--- a/packages/gateway/src/fleet_state_sync_test.ts
+++ b/packages/gateway/src/fleet_state_sync_test.ts
@@ -44,6 +44,7 @@
     onTargetsChanged: () => {},
     onSpendingRead: () => {},
     onSuspectsReceived: () => {},
+    onStreamsRead: () => {},
     onRateLimitsReceived: () => {},
     onConnectionStalled: () => {},
     onStoreRestored: () => {},
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -51,6 +51,7 @@
 } from "./ports.ts";
 import { SpendingRecorder } from "./spending_recorder.ts";
 import { StatusServer } from "./status_server.ts";
+import { StreamRecorder } from "./stream_recorder.ts";
 import { SuspectRecorder } from "./suspect_recorder.ts";
 import { TargetConnections } from "./target_connections.ts";
 import { TargetProbes } from "./target_probes.ts";
@@ -109,6 +110,7 @@
   readonly #spending: SpendingRecorder;
   readonly #retryBudgets: RetryBudgetHandover;
   readonly #suspects: SuspectRecorder;
+  readonly #streams: StreamRecorder;
   readonly #rollouts: RolloutController;
   readonly #targetSignals: TargetSignalHandler;
   readonly #targetCleanup: TargetCleanup;
@@ -201,6 +203,13 @@
       clock: this.#clock,
       log: this.#log,
     });
+    this.#streams = new StreamRecorder({
+      board: this.board,
+      coordinator: this.#coordinator,
+      platform: this.#platform,
+      clock: this.#clock,
+      log: this.#log,
+    });
     this.#rollouts = new RolloutController({
       board: this.board,
       coordinator: this.#coordinator,
@@ -515,6 +524,7 @@
       this.#heartbeatExchange.tick();
       this.#placementClient.tick();
     });
+    this.#streams.tick();
     this.#updateCoordinatorRole();
   }
 
@@ -534,10 +544,11 @@
       this.#placementClient.coordinatorId === this.#self.instanceId;
     if (isCoordinator !== this.#wasCoordinator) {
       this.#wasCoordinator = isCoordinator;
+      this.#coordinator.setRole(isCoordinator, this.#clock.nowMs());
       if (isCoordinator) {
-        this.#coordinator.accountingBegan(this.#clock.nowMs());
         this.#spending.becameCoordinator();
         this.#retryBudgets.becameCoordinator();
+        this.#streams.becameCoordinator();
         this.#rollouts.becameCoordinator();
       }
       this.#log.info(LogPart.Placement, "coordinator changed", {
@@ -548,6 +559,7 @@
     if (isCoordinator) {
       void this.#spending.record();
       this.#suspects.record();
+      this.#streams.record();
       this.#rollouts.tick(
         this.board.members.reachableShare(this.#clock.nowMs()),
       );
@@ -600,6 +612,7 @@
       onSpendingRead: (record, ageMs) =>
         this.#spending.restoreRecord(record, ageMs),
       onSuspectsReceived: (updates) => this.#suspects.suspectsReceived(updates),
+      onStreamsRead: (record, ageMs) => this.#streams.restore(record, ageMs),
       onRateLimitsReceived: (updates) =>
         this.#targetSignals.rateLimitsReceived(updates),
       // The cause of one silent connection may affect others.
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -83,6 +83,8 @@
     },
     recordSpending: () => Promise.resolve(true),
     recordSuspects: () => Promise.resolve(true),
+    recordStreams: () => Promise.resolve(true),
+    readStreams: () => {},
     writeRolloutStatus: ({ rowVersion }) =>
       Promise.resolve({ outcome: StatusWriteOutcome.Unknown, rowVersion }),
     stop: () => {},
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -163,6 +163,8 @@
   start: () => {},
   recordSpending: () => Promise.resolve(false),
   recordSuspects: () => Promise.resolve(false),
+  recordStreams: () => Promise.resolve(false),
+  readStreams: () => {},
   writeRolloutStatus: ({ rowVersion }) =>
     Promise.resolve({ outcome: StatusWriteOutcome.Unknown, rowVersion }),
   stop: () => {},
--- a/packages/gateway/src/holder_reporter.ts
+++ b/packages/gateway/src/holder_reporter.ts
@@ -115,6 +115,7 @@
       pools: new Set(pools),
       nowMs,
       onlyOwn: true,
+      onlyOpen: false,
       maxStreams: MAX_REPORTED_STREAMS,
     });
   }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -13,6 +13,7 @@
 } from "@chestnuthatch/routing/rollout";
 import type { MemberInfo } from "@chestnuthatch/routing/member_view";
 import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
+import type { StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
 import type { SuspectUpdate } from "@chestnuthatch/routing/suspect_requests";
 import type { TargetRowChange } from "@chestnuthatch/routing/target_directory";
 
@@ -175,6 +176,8 @@
   spendingRead(record: readonly SpendingHistory[], ageMs: number): void;
   /** The fleet's last record of suspect requests was read. */
   suspectsRead(record: readonly SuspectUpdate[], ageMs: number): void;
+  /** The fleet's last record of the origins of streams was read. */
+  streamsRead(record: readonly StreamOriginGroup[], ageMs: number): void;
   /** The operators ordered a roll-out. */
   rolloutOrdered(order: RolloutOrder): void;
   /** The operators withdrew the roll-out order for a pool. */
@@ -262,6 +265,16 @@
    * @returns Whether the platform stored the record.
    */
   recordSuspects(record: readonly SuspectUpdate[]): Promise<boolean>;
+  /**
+   * Records the pools and versions at which streams began, from which a new
+   * coordinator or a fleet that lost all its instances continues.
+   *
+   * @param record Streams by origin.
+   * @returns Whether the platform stored the record.
+   */
+  recordStreams(record: readonly StreamOriginGroup[]): Promise<boolean>;
+  /** Reads the last record of streams, and passes it to the sink. */
+  readStreams(): void;
   /**
    * Writes the status of a roll-out for the operators, unless its row has
    * changed.
--- a/packages/gateway/src/retry_after.ts
+++ b/packages/gateway/src/retry_after.ts
@@ -21,6 +21,14 @@
   [AskRefusal.Quarantined]: RoutedError.Quarantined,
 };
 
+/**
+ * Refusals whose cause ends at a time of its own. The version of a stream may
+ * be known as soon as other instances have reported it.
+ */
+const ENDS_WITHOUT_SURGE: ReadonlySet<AskRefusal> = new Set([
+  AskRefusal.UnknownStream,
+]);
+
 /**
  * Computes the time after which a refused caller is to retry.
  *
@@ -29,15 +37,21 @@
  * they follow, a third of the time until their deadline.
  *
  * @param call The refused request.
- * @param retryAfterMs Time until the coordinator expects a free slot, in ms.
- * @param nowMs The local time, in milliseconds.
+ * @param of The coordinator's reason, the time in ms until it expects that the
+ * request can be placed, and the local time in ms.
  * @returns A duration in milliseconds.
  */
 export function retryAfterMsOf(
   call: RoutedCall,
-  retryAfterMs: number,
-  nowMs: number,
+  { refusal, retryAfterMs, nowMs }: {
+    refusal: AskRefusal;
+    retryAfterMs: number;
+    nowMs: number;
+  },
 ): number {
+  if (ENDS_WITHOUT_SURGE.has(refusal)) {
+    return retryAfterMs;
+  }
   const leftMs = deadlineAtMs(call) - nowMs;
   return Math.max(retryAfterMs, RETRY_AFTER_SHARE * leftMs);
 }
--- a/packages/gateway/src/rollout_controller_test.ts
+++ b/packages/gateway/src/rollout_controller_test.ts
@@ -70,6 +70,8 @@
         start: () => {},
         recordSpending: () => Promise.resolve(true),
         recordSuspects: () => Promise.resolve(true),
+        recordStreams: () => Promise.resolve(true),
+        readStreams: () => {},
         writeRolloutStatus: (status) => {
           this.record = status.record;
           return Promise.resolve(this.answer(status));
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -249,7 +249,12 @@
       this.#log("no target for a retry", { refusal });
       this.#fail(RoutedError.AnswerLost);
     } else {
-      const waitMs = retryAfterMsOf(this.#call, retryAfterMs, this.#nowMs());
+      const nowMs = this.#nowMs();
+      const waitMs = retryAfterMsOf(this.#call, {
+        refusal,
+        retryAfterMs,
+        nowMs,
+      });
       this.#fail(REFUSAL_ERRORS[refusal], waitMs);
     }
   }
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -347,6 +347,24 @@
     this.#takenUpStreams.accountingBegan(nowMs);
   }
 
+  /**
+   * Records whether this instance is the coordinator, to which holders report.
+   *
+   * @param isCoordinator Whether it is from now on.
+   * @param nowMs Current local time in milliseconds.
+   */
+  setRole(isCoordinator: boolean, nowMs: number): void {
+    this.#takenUpStreams.setRole(isCoordinator);
+    if (isCoordinator) {
+      this.accountingBegan(nowMs);
+    }
+  }
+
+  /** Whether asks wait for the origin of the stream that they take up. */
+  get awaitsStreams(): boolean {
+    return this.#takenUpStreams.waiting.length > 0;
+  }
+
   /**
    * Imports streams that began at another instance, or that the fleet recorded.
    *
--- a/packages/routing/src/stream_origins.ts
+++ b/packages/routing/src/stream_origins.ts
@@ -49,6 +49,7 @@
   readonly origin: StreamOrigin;
   /** Whether it began at this instance. */
   readonly isOwn: boolean;
+  readonly isCompleted: boolean;
   readonly expiresAtMs: number;
 }
 
@@ -67,6 +68,8 @@
   readonly nowMs: number;
   /** Whether streams that began at other instances are left out. */
   readonly onlyOwn: boolean;
+  /** Whether streams that were completed are left out. */
+  readonly onlyOpen: boolean;
   /** Largest number of streams; those that were recorded first are left out. */
   readonly maxStreams: number;
 }
@@ -106,7 +109,7 @@
     return this.#byKey.size;
   }
 
-  /** Increases when a stream is recorded or completed. */
+  /** Increases when a stream is recorded. */
   get revision(): number {
     return this.#revision;
   }
@@ -125,7 +128,12 @@
       this.#byKey.get(key)?.isOwn === true;
     this.#evictExpired(nowMs);
     this.#byKey.delete(key);
-    this.#byKey.set(key, { origin, isOwn, expiresAtMs: nowMs + windowMs });
+    this.#byKey.set(key, {
+      origin,
+      isOwn,
+      isCompleted: false,
+      expiresAtMs: nowMs + windowMs,
+    });
     this.#revision++;
     if (this.#byKey.size > MAX_STREAMS) {
       const [oldest] = this.#byKey.keys();
@@ -143,8 +151,7 @@
     const stream = this.#byKey.get(key);
     if (stream !== undefined) {
       const expiresAtMs = nowMs + COMPLETED_RETENTION_MS;
-      this.#byKey.set(key, { ...stream, expiresAtMs });
-      this.#revision++;
+      this.#byKey.set(key, { ...stream, isCompleted: true, expiresAtMs });
     }
   }
 
@@ -166,11 +173,11 @@
    * @returns The streams by origin.
    */
   groups(
-    { pools, nowMs, onlyOwn, maxStreams }: GroupOptions,
+    { pools, nowMs, onlyOwn, onlyOpen, maxStreams }: GroupOptions,
   ): StreamOriginGroup[] {
     const listed = [...this.#byKey].filter(([, stream]) =>
       pools.has(stream.origin.pool) && nowMs < stream.expiresAtMs &&
-      (stream.isOwn || !onlyOwn)
+      (stream.isOwn || !onlyOwn) && !(stream.isCompleted && onlyOpen)
     );
     const groups = new Map<string, StreamOrigin & { keys: number[] }>();
     for (const [key, { origin }] of listed.slice(-maxStreams)) {
--- a/packages/routing/src/stream_origins_test.ts
+++ b/packages/routing/src/stream_origins_test.ts
@@ -1,6 +1,10 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { streamKeyOf, StreamOrigins } from "./stream_origins.ts";
+import {
+  type GroupOptions,
+  streamKeyOf,
+  StreamOrigins,
+} from "./stream_origins.ts";
 
 const V1 = { pool: "p", version: "v1" };
 const V2 = { pool: "p", version: "v2" };
@@ -9,11 +13,12 @@
 
 function groupsOf(
   origins: StreamOrigins,
-  of: { nowMs: number; onlyOwn?: boolean; maxStreams?: number },
+  of: Partial<GroupOptions> & { nowMs: number },
 ): Record<string, readonly number[]> {
   const groups = origins.groups({
     pools: POOLS,
     onlyOwn: false,
+    onlyOpen: false,
     maxStreams: Infinity,
     ...of,
   });
@@ -58,6 +63,11 @@
   assert.equal(groupsOf(origins, { nowMs: 1, maxStreams: 2 }), {
     "p v1": [5, 1],
   });
+  origins.completed(5, 1);
+  assert.equal(groupsOf(origins, { nowMs: 2, onlyOpen: true }), {
+    "p v2": [2],
+    "p v1": [4, 1],
+  });
   assert.equal(groupsOf(origins, { nowMs: 10_000 }), {});
 });
 
--- a/packages/routing/src/taken_up_streams.ts
+++ b/packages/routing/src/taken_up_streams.ts
@@ -14,6 +14,13 @@
  */
 const SETTLING_MS = 400;
 
+/**
+ * Time after which an instance that is asked although it is not the coordinator
+ * lets asks wait again. Others may have noticed before it that the coordinator
+ * has failed.
+ */
+const KNOWLEDGE_LIFETIME_MS = 2000;
+
 /** Retry time of streams whose version is not known; it may be known by then. */
 const UNKNOWN_RETRY_AFTER_MS = 1000;
 
@@ -25,6 +32,7 @@
   readonly #board: RoutingBoard;
   /** Asks that wait for the origin of their stream, by ask id. */
   readonly #waiting = new Map<string, WorkAsk>();
+  #isCoordinator = false;
   #settledAtMs = -Infinity;
 
   /** @param board Shared routing state of the instance. */
@@ -47,6 +55,18 @@
     this.#settledAtMs = nowMs + SETTLING_MS;
   }
 
+  /**
+   * Records whether holders report to this instance.
+   *
+   * @param isCoordinator Whether it is the coordinator from now on.
+   */
+  setRole(isCoordinator: boolean): void {
+    this.#isCoordinator = isCoordinator;
+    if (!isCoordinator) {
+      this.#settledAtMs = -Infinity;
+    }
+  }
+
   /**
    * Adds the version to an ask that takes a stream up.
    *
@@ -59,6 +79,11 @@
       return ask;
     }
     const origin = this.#originOf(ask, nowMs);
+    const isOutdated = !this.#isCoordinator &&
+      nowMs - this.#settledAtMs >= KNOWLEDGE_LIFETIME_MS;
+    if (origin === undefined && isOutdated) {
+      this.#settledAtMs = nowMs + SETTLING_MS;
+    }
     if (origin === undefined && nowMs < this.#settledAtMs) {
       this.#waiting.set(ask.askId, ask);
       return undefined;
--- a/packages/routing/src/taken_up_streams_test.ts
+++ b/packages/routing/src/taken_up_streams_test.ts
@@ -33,6 +33,7 @@
 
   constructor() {
     this.listVersion("t2", "v2", 0);
+    this.coordinator.setRole(true, 0);
   }
 
   listVersion(targetId: string, version: string, nowMs: number): void {
@@ -97,7 +98,6 @@
 test("a new coordinator waits for the reports of other holders", () => {
   const fleet = new TwoVersions();
   const { coordinator } = fleet;
-  coordinator.accountingBegan(0);
   assert.is(fleet.takeUp(5, {}, 10), "waits");
   assert.is(fleet.takeUp(6, {}, 10), "waits");
   assert.equal(coordinator.load(), [{ pool: "p", waiting: 2, placed: 0 }]);
@@ -112,10 +112,25 @@
   assert.equal(coordinator.load(), [{ pool: "p", waiting: 0, placed: 1 }]);
 });
 
+// Guards against refusals by an instance that the others ask before it has
+// noticed itself that the coordinator has failed.
+test("an instance that is asked out of turn waits for reports, too", () => {
+  const fleet = new TwoVersions();
+  const { coordinator } = fleet;
+  coordinator.setRole(false, 0);
+  assert.is(fleet.takeUp(5, {}, 500), "waits");
+  assert.ok(coordinator.awaitsStreams);
+  assert.equal(coordinator.tick(899), []);
+  assert.is(coordinator.tick(900).length, 1);
+  assert.is(fleet.takeUp(6, {}, 1000), AskRefusal.UnknownStream);
+  assert.is(fleet.takeUp(7, {}, 4000), "waits");
+});
+
 // Guards against forgetting a version whose targets are all gone.
 test("a version that another holder reports may have begun a stream", () => {
   const board = boardOf(["t1"]);
   const coordinator = new Coordinator(board, BOUNDS);
+  coordinator.setRole(true, 0);
   const streams = [{ pool: "p", version: "v0", keys: [] }];
   coordinator.report(
     { holderId: "i2", running: [], waiting: [], spent: [], streams },
