Streams: refused by version before they draw on the retry budget

A repeat for which no target of its version is left took one send of the fleet's retry budget, although nothing was sent. It is refused before admission now.

--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -153,9 +153,11 @@
     if (resolved === undefined) {
       return [];
     }
-    return "refusal" in resolved || "targetId" in resolved
-      ? [resolved]
-      : this.#place(resolved, scope);
+    if ("refusal" in resolved || "targetId" in resolved) {
+      return [resolved];
+    }
+    const refusal = scheduler.refusalByVersion(resolved, scope.nowMs);
+    return refusal === undefined ? this.#place(resolved, scope) : [refusal];
   }
 
   /** Admits an ask, and places or queues it. */
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -175,6 +175,20 @@
     return this.#processQueue(nowMs);
   }
 
+  /**
+   * Refuses an ask for a version that no usable target has, before it draws on
+   * the retry budget or an allotment.
+   *
+   * @param ask The ask.
+   * @param nowMs Current local time in milliseconds.
+   * @returns The refusal; undefined if a target may run it.
+   */
+  refusalByVersion(ask: WorkAsk, nowMs: number): AskDecision | undefined {
+    const mayRun = ask.version === undefined ||
+      this.#selector.ofVersion(ask, nowMs).length > 0;
+    return mayRun ? undefined : versionRefusal(ask);
+  }
+
   /**
    * Records that the prompt of a stream was processed, as its first event was
    * received.
@@ -457,14 +471,7 @@
     const { nowMs } = pass;
     const candidates = this.#selector.ofVersion(ask, nowMs);
     if (candidates.length === 0) {
-      const { askId, holderId, excluded } = ask;
-      return {
-        askId,
-        holderId,
-        refusal: AskRefusal.NoTargetOfVersion,
-        retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
-        figures: { usable: pass.targets.size, excluded: excluded.length },
-      };
+      return versionRefusal(ask);
     }
     const { suspects } = this.#board;
     const heldForMs = suspects.quarantineLeftMs(ask.fingerprint, nowMs);
@@ -568,6 +575,16 @@
   return trialOf === undefined ? decision : { ...decision, isTrial: true };
 }
 
+function versionRefusal({ askId, holderId, excluded }: WorkAsk): AskDecision {
+  return {
+    askId,
+    holderId,
+    refusal: AskRefusal.NoTargetOfVersion,
+    retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
+    figures: { excluded: excluded.length },
+  };
+}
+
 /**
  * Builds the refusal of a quarantined request.
  *
--- a/packages/routing/src/version_placement_test.ts
+++ b/packages/routing/src/version_placement_test.ts
@@ -6,7 +6,7 @@
 import { RolloutPhase } from "./rollout.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import { askOf, boardOf } from "./routing_test_support.ts";
-import { type AskDecision, AskRefusal } from "./work_ask.ts";
+import { AskCause, type AskDecision, AskRefusal } from "./work_ask.ts";
 
 const BOUNDS = {
   retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
@@ -49,6 +49,19 @@
   assert.is(resultOf(next), "a1");
 });
 
+// Guards against repeats that draw on the retry budget although none is sent.
+test("a stream without a target of its version takes nothing of the budget", () => {
+  const board = boardWith({ a1: "v1", b1: "v2" });
+  const coordinator = new Coordinator(board, BOUNDS);
+  const repeat = (askId: string, version: string) =>
+    resultOf(
+      coordinator.ask(askOf(askId, { version, cause: AskCause.Repeat }), SCOPE),
+    );
+  const refused = Array.from({ length: 20 }, (_, n) => repeat(`r${n}`, "v3"));
+  assert.equal([...new Set(refused)], [AskRefusal.NoTargetOfVersion]);
+  assert.is(repeat("q1", "v1"), "a1");
+});
+
 test("a queued stream is refused once its version has left", () => {
   const board = boardWith({ a1: "v1", b1: "v2" });
   const coordinator = new Coordinator(board, BOUNDS);
