--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -343,9 +343,9 @@
     if (responsiveness === Responsiveness.Failed) {
       this.#skipCoordinator(coordinatorId, nowMs);
       this.#sendDrop(coordinatorId, openAsk.ask.askId);
-      // Only another coordinator may know a stream that began elsewhere.
-      const next = openAsk.ask.takesUp ? this.#coordinator() : this.#self();
-      this.#sendTo(next, openAsk);
+      const isKnown = this.#parts.coordinator
+        .knowsVersionOf(openAsk.ask, nowMs);
+      this.#sendTo(isKnown ? this.#self() : this.#coordinator(), openAsk);
       return;
     }
     if (responsiveness === Responsiveness.Late) {
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -362,6 +362,18 @@
     }
   }
 
+  /**
+   * Checks whether this instance can place an ask, as far as the version of its
+   * stream matters.
+   *
+   * @param ask The ask.
+   * @param nowMs Current local time in milliseconds.
+   * @returns False if it takes up a stream whose version is not known here.
+   */
+  knowsVersionOf(ask: WorkAsk, nowMs: number): boolean {
+    return this.#takenUpStreams.knowsVersionOf(ask, nowMs);
+  }
+
   /** Whether asks wait for the origin of the stream that they take up. */
   get awaitsStreams(): boolean {
     return this.#takenUpStreams.waiting.length > 0;
--- a/packages/routing/src/taken_up_streams.ts
+++ b/packages/routing/src/taken_up_streams.ts
@@ -67,6 +67,16 @@
     }
   }
 
+  /**
+   * @param ask Any ask.
+   * @param nowMs The local time.
+   * @returns False if it takes up a stream whose version is not known.
+   */
+  knowsVersionOf(ask: WorkAsk, nowMs: number): boolean {
+    return ask.takesUp !== true || ask.version !== undefined ||
+      this.#originOf(ask, nowMs) !== undefined;
+  }
+
   /**
    * Adds the version to an ask that takes a stream up.
    *
