Stand-ins: streams in a module of their own

How a stream is sent, and how behaviors interrupt it, is in standin_stream.ts, with one table from behavior to interruption; the enum is in target_behavior.ts.

--- a/tests/process_kept_connections_test.ts
+++ b/tests/process_kept_connections_test.ts
@@ -22,7 +22,7 @@
   StandinConnection,
 } from "@chestnuthatch/platform/standin_connection";
 import { defaultConfiguration } from "@chestnuthatch/platform/standin_fleet";
-import { TargetBehavior } from "@chestnuthatch/platform/standin_target";
+import { TargetBehavior } from "@chestnuthatch/platform/target_behavior";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { SoakFleet } from "./soak_fleet.ts";
--- a/tests/soak_callers.ts
+++ b/tests/soak_callers.ts
@@ -11,7 +11,7 @@
   sendCall,
 } from "@chestnuthatch/platform/standin_caller";
 import { CALLER_KEY } from "@chestnuthatch/platform/standin_fleet";
-import { ANSWER_BYTES_HEADER } from "@chestnuthatch/platform/standin_target";
+import { ANSWER_BYTES_HEADER } from "@chestnuthatch/platform/standin_stream";
 import { SECOND_KEY, SECOND_ROUTE, type SoakFleet } from "./soak_fleet.ts";
 import type { SoakInstance } from "./soak_instance.ts";
 import {
--- a/tests/soak_faults.ts
+++ b/tests/soak_faults.ts
@@ -2,7 +2,7 @@
 
 import { setTimeout as pause } from "node:timers/promises";
 import { ENGINE_POOL } from "@chestnuthatch/platform/standin_fleet";
-import { TargetBehavior } from "@chestnuthatch/platform/standin_target";
+import { TargetBehavior } from "@chestnuthatch/platform/target_behavior";
 import { type SoakFleet, type SoakTarget, startAll } from "./soak_fleet.ts";
 import type { SoakInstance, TimeSpan } from "./soak_instance.ts";
 import { type PlannedFault, SoakFault } from "./soak_plan.ts";
--- a/tests/soak_plan.ts
+++ b/tests/soak_plan.ts
@@ -13,7 +13,7 @@
   planSignals,
   type SoakSignal,
 } from "./soak_signals_plan.ts";
-import { TargetBehavior } from "@chestnuthatch/platform/standin_target";
+import { TargetBehavior } from "@chestnuthatch/platform/target_behavior";
 
 /** Kinds of faults. */
 export enum SoakFault {
--- a/tests/soak_rollout.ts
+++ b/tests/soak_rollout.ts
@@ -2,7 +2,7 @@
 
 import { setTimeout as pause } from "node:timers/promises";
 import { DESK_POOL } from "@chestnuthatch/platform/standin_fleet";
-import { TargetBehavior } from "@chestnuthatch/platform/standin_target";
+import { TargetBehavior } from "@chestnuthatch/platform/target_behavior";
 import type { BrokenPromise } from "./soak_checks.ts";
 import { isStaying, type SoakFleet, type SoakTarget } from "./soak_fleet.ts";
 import { EXPOSURE_SLACK } from "./soak_instance.ts";
--- a/tests/soak_rollout_plan.ts
+++ b/tests/soak_rollout_plan.ts
@@ -1,6 +1,6 @@
 /** Plans the roll-out of a seed of the soak. */
 
-import { TargetBehavior } from "@chestnuthatch/platform/standin_target";
+import { TargetBehavior } from "@chestnuthatch/platform/target_behavior";
 import { Draw } from "./soak_draw.ts";
 
 /** A roll-out of a new version of the plain pool. */
--- a/tests/soak_signals.ts
+++ b/tests/soak_signals.ts
@@ -1,10 +1,8 @@
 /** Makes targets send signals, and checks that instances respect them. */
 
 import { setTimeout as pause } from "node:timers/promises";
-import {
-  type ReceivedRequest,
-  TargetBehavior,
-} from "@chestnuthatch/platform/standin_target";
+import type { ReceivedRequest } from "@chestnuthatch/platform/standin_target";
+import { TargetBehavior } from "@chestnuthatch/platform/target_behavior";
 import type { CallRecord } from "./soak_callers.ts";
 import type { BrokenPromise } from "./soak_checks.ts";
 import {
--- a/tests/soak_stream_end_plan.ts
+++ b/tests/soak_stream_end_plan.ts
@@ -1,6 +1,6 @@
 /** Plans targets that end streams early, or without framing, in a seed. */
 
-import { TargetBehavior } from "@chestnuthatch/platform/standin_target";
+import { TargetBehavior } from "@chestnuthatch/platform/target_behavior";
 import { Draw } from "./soak_draw.ts";
 
 /** A time in which a target of the pool of engines ends streams its own way. */
