Allotments: a refund counts from the time of its charge

Cause: a charge was recorded when it was made, its refund when it was made. Once the charge had left the sliding window, the refund still reduced the sum, by as much as was refunded, for as long as it came later.

Change: a refund is taken from the slice of time of its charge.

--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -82,6 +82,8 @@
 export interface Charge {
   readonly workspace: string;
   readonly cost: number;
+  /** Local time of the charge. */
+  readonly chargedAtMs: number;
 }
 
 /** Result of an attempt to charge a request. */
@@ -179,10 +181,9 @@
    * Refunds a charge whose request never ran.
    *
    * @param charge Cost units and the workspace that they were charged to.
-   * @param nowMs Current local time in milliseconds.
    */
-  refund({ workspace, cost }: Charge, nowMs: number): void {
-    this.#ownSpending.record(workspace, -cost, nowMs);
+  refund({ workspace, cost, chargedAtMs }: Charge): void {
+    this.#ownSpending.takeBack(workspace, cost, chargedAtMs);
   }
 
   /**
--- a/packages/routing/src/allotment_ledger_test.ts
+++ b/packages/routing/src/allotment_ledger_test.ts
@@ -221,10 +221,21 @@
   assert.is(ledger.charge("w", ALLOTMENT, of).allowed, false);
 });
 
+// Guards against spending more than the bound after refunds: taken from the
+// time of the refund, they outlast the charges that they belong to.
+test("a refund leaves the window together with its charge", () => {
+  const ledger = new AllotmentLedger(TOLERANCE);
+  const spent = spendAll(ledger, scope(0));
+  ledger.refund({ workspace: "w", cost: spent, chargedAtMs: 0 });
+  assert.is(spendAll(ledger, scope(5000)), WHOLE_BOUND);
+  assert.is(spendAll(ledger, scope(8300)), 0);
+  assert.is(spendAll(ledger, scope(13_300)), WHOLE_BOUND);
+});
+
 test("a refund can be spent again", () => {
   const ledger = new AllotmentLedger(TOLERANCE);
   spendAll(ledger, scope(0));
-  ledger.refund({ workspace: "w", cost: 500 }, 100);
+  ledger.refund({ workspace: "w", cost: 500, chargedAtMs: 0 });
   assert.is(spendAll(ledger, scope(100)), 500);
 });
 
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -258,7 +258,7 @@
     if (scheduler === undefined) {
       return [];
     }
-    this.#refund(askId, nowMs);
+    this.#refund(askId);
     const { decisions } = scheduler.release(askId, nowMs);
     this.#removeAsk(askId);
     return this.#applyRefusals(decisions, nowMs);
@@ -609,7 +609,7 @@
     const result = this.#allotmentLedger
       .charge(workspace, allotment, { cost, rank, scope });
     if (result.allowed) {
-      return { charge: { workspace, cost } };
+      return { charge: { workspace, cost, chargedAtMs: scope.nowMs } };
     }
     const { retryAfterMs, spent, bound } = result;
     const refusal = {
@@ -640,7 +640,7 @@
       const { askId } = decision;
       if ("refusal" in decision) {
         this.#recordRefused(askId, nowMs);
-        this.#refund(askId, nowMs);
+        this.#refund(askId);
         this.#removeAsk(askId);
       }
     }
@@ -671,10 +671,10 @@
     }
   }
 
-  #refund(askId: string, nowMs: number): void {
+  #refund(askId: string): void {
     const charge = this.#openAsks.get(askId)?.charge;
     if (charge !== undefined) {
-      this.#allotmentLedger.refund(charge, nowMs);
+      this.#allotmentLedger.refund(charge);
     }
   }
 
--- a/packages/routing/src/spending_log.ts
+++ b/packages/routing/src/spending_log.ts
@@ -96,7 +96,7 @@
    * Records spending.
    *
    * @param workspace Name of the workspace.
-   * @param cost Cost units; negative for a refund.
+   * @param cost Cost units.
    * @param nowMs Current local time in milliseconds.
    */
   record(workspace: string, cost: number, nowMs: number): void {
@@ -110,6 +110,23 @@
     }
   }
 
+  /**
+   * Takes spending back that was recorded before, from the time at which it was
+   * recorded. Taken from a later time, it would still reduce the sum of the
+   * window when the spending itself has left it.
+   *
+   * @param workspace Name of the workspace.
+   * @param cost Cost units.
+   * @param recordedAtMs Local time in milliseconds at which it was recorded.
+   */
+  takeBack(workspace: string, cost: number, recordedAtMs: number): void {
+    const slice = this.#byWorkspace.get(workspace)
+      ?.findLast(({ beganAtMs }) => beganAtMs <= recordedAtMs);
+    if (slice !== undefined) {
+      slice.spent -= cost;
+    }
+  }
+
   /**
    * @param workspace Name of a workspace.
    * @param nowMs Current local time in milliseconds.
