Allotments: queued requests do not hide what was charged elsewhere

Cause: a coordinator takes what was charged elsewhere from the holders' reports, less what it charged itself. Holders report requests that were placed; its own charges contain those that still wait in its queue, too.

Change: the ledger subtracts the charges of placed requests only, by the time of their placement, as holders count them. An imported account counts for both, as before.

Evidence: the test failed before; a request was placed beyond a bound of which all was charged: 300 elsewhere, 200 placed, 500 queued. In the test of reports of own charges, the charge is followed by its placement now, as in the coordinator.

--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -105,6 +105,11 @@
 export class AllotmentLedger {
   #tolerance: AllotmentTolerance;
   readonly #ownSpending: SpendingLog;
+  /**
+   * The part of it whose requests were placed, by the time of the placement.
+   * Holders report spending once it is placed, but not queued requests.
+   */
+  readonly #ownPlaced: SpendingLog;
   /**
    * Cost units charged elsewhere, as derived from the holders' last reports.
    */
@@ -130,6 +135,7 @@
   constructor(tolerance: AllotmentTolerance) {
     this.#tolerance = tolerance;
     this.#ownSpending = new SpendingLog(tolerance.windowMs);
+    this.#ownPlaced = new SpendingLog(tolerance.windowMs);
   }
 
   /**
@@ -177,6 +183,17 @@
     return { allowed: true, retryAfterMs: 0, spent, bound };
   }
 
+  /**
+   * Records that the request of a charge was placed, so that its holder's
+   * reports contain it from now on.
+   *
+   * @param charge Cost units and the workspace that they were charged to.
+   * @param nowMs Current local time in milliseconds.
+   */
+  placed({ workspace, cost }: Charge, nowMs: number): void {
+    this.#ownPlaced.record(workspace, cost, nowMs);
+  }
+
   /**
    * Refunds a charge whose request never ran.
    *
@@ -212,12 +229,12 @@
       ? nowMs - MAX_REPORT_AGE_MS
       : nowMs;
     for (const { workspace, spent } of totals) {
-      const own = this.#ownSpending.spentUntil(
+      const ownPlaced = this.#ownPlaced.spentUntil(
         workspace,
         reportedUntilMs,
         nowMs,
       );
-      this.#spentElsewhere.set(workspace, Math.max(0, spent - own));
+      this.#spentElsewhere.set(workspace, Math.max(0, spent - ownPlaced));
     }
   }
 
@@ -309,13 +326,9 @@
   importHistories(histories: readonly SpendingHistory[], atMs: number): void {
     this.markIncomplete(atMs);
     for (const history of histories) {
-      const own = this.#ownSpending.history(history.workspace, atMs);
       this.#imported.add(history.workspace);
-      if (own.spent < history.spent) {
-        // The other ledger may not know of the latest charges made here.
-        const lastSecond = own.bySecond[0] ?? 0;
-        this.#ownSpending.setHistory(withRecentCost(history, lastSecond), atMs);
-      }
+      importInto(this.#ownSpending, history, atMs);
+      importInto(this.#ownPlaced, history, atMs);
     }
   }
 
@@ -340,3 +353,16 @@
     return windowBound * usableShare * scope.share;
   }
 }
+
+function importInto(
+  log: SpendingLog,
+  history: SpendingHistory,
+  atMs: number,
+): void {
+  const own = log.history(history.workspace, atMs);
+  if (own.spent < history.spent) {
+    // The other ledger may not know of the latest charges made here.
+    const lastSecond = own.bySecond[0] ?? 0;
+    log.setHistory(withRecentCost(history, lastSecond), atMs);
+  }
+}
--- a/packages/routing/src/allotment_ledger_test.ts
+++ b/packages/routing/src/allotment_ledger_test.ts
@@ -80,6 +80,7 @@
 test("reports of charges that the ledger made itself change nothing", () => {
   const ledger = new AllotmentLedger(TOLERANCE);
   ledger.charge("w", ALLOTMENT, { cost: 4000, rank: 0, scope: scope(0) });
+  ledger.placed({ workspace: "w", cost: 4000, chargedAtMs: 0 }, 20);
   ledger.setReportedTotals([{ workspace: "w", spent: 3900 }], 500);
   assert.is(spendAll(ledger, scope(500)), WHOLE_BOUND - 4000);
 });
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -178,7 +178,7 @@
     const { charge } = admission;
     this.#openAsks.set(askId, { pool, callHash, firstAttemptAtMs, charge });
     const cameBackMs = nowMs - firstAttemptAtMs;
-    return this.#applyRefusals(
+    return this.#applyDecisions(
       scheduler.add(ask, { cameBackMs, nowMs }),
       nowMs,
     );
@@ -241,7 +241,7 @@
       scheduler.recordFirstEvent(end.promptTokens, end.firstMs);
     }
     this.#removeAsk(end.askId);
-    return this.#applyRefusals(decisions, nowMs);
+    return this.#applyDecisions(decisions, nowMs);
   }
 
   /**
@@ -261,7 +261,7 @@
     this.#refund(askId);
     const { decisions } = scheduler.release(askId, nowMs);
     this.#removeAsk(askId);
-    return this.#applyRefusals(decisions, nowMs);
+    return this.#applyDecisions(decisions, nowMs);
   }
 
   /**
@@ -333,7 +333,7 @@
       }
     }
     for (const scheduler of this.#schedulers.values()) {
-      decisions.push(...this.#applyRefusals(scheduler.tick(nowMs), nowMs));
+      decisions.push(...this.#applyDecisions(scheduler.tick(nowMs), nowMs));
     }
     return decisions;
   }
@@ -635,13 +635,15 @@
     }
   }
 
-  #applyRefusals(decisions: AskDecision[], nowMs: number): AskDecision[] {
+  #applyDecisions(decisions: AskDecision[], nowMs: number): AskDecision[] {
     for (const decision of decisions) {
       const { askId } = decision;
       if ("refusal" in decision) {
         this.#recordRefused(askId, nowMs);
         this.#refund(askId);
         this.#removeAsk(askId);
+      } else {
+        this.#recordPlaced(askId, nowMs);
       }
     }
     return decisions;
@@ -661,7 +663,7 @@
         }
       }
     }
-    return this.#applyRefusals(decisions, nowMs);
+    return this.#applyDecisions(decisions, nowMs);
   }
 
   #recordRefused(askId: string, nowMs: number): void {
@@ -671,6 +673,13 @@
     }
   }
 
+  #recordPlaced(askId: string, nowMs: number): void {
+    const charge = this.#openAsks.get(askId)?.charge;
+    if (charge !== undefined) {
+      this.#allotmentLedger.placed(charge, nowMs);
+    }
+  }
+
   #refund(askId: string): void {
     const charge = this.#openAsks.get(askId)?.charge;
     if (charge !== undefined) {
--- a/packages/routing/src/coordinator_test.ts
+++ b/packages/routing/src/coordinator_test.ts
@@ -290,6 +290,47 @@
   assert.equal(summariesOf(coordinator.ask(third, scope(70))), ["a3 -> t1"]);
 });
 
+// Guards against spending more than the bound after a partition: charges of
+// queued requests were taken for spending that holders report, and hid as much
+// of what was charged on the other side.
+test("queued requests do not hide what was charged elsewhere", () => {
+  const workspaces = [{
+    name: "w",
+    keys: [],
+    allotment: { perS: 100, burst: 200, inTokens: true, plainTokens: 1 },
+  }];
+  const coordinator = coordinatorOf(["t1"], { workspaces });
+  const reportAt = (nowMs: number, placedIds: string[]) => {
+    const work = { pool: "p", targetId: "t1", rank: 0, firstSeen: false };
+    const tokens = { promptTokens: 500, outputTokens: 100 };
+    coordinator.report({
+      holderId: "i1",
+      running: placedIds.map((askId) => ({ askId, ...work, ...tokens })),
+      waiting: ["q2", "q3", "q4"],
+      spent: [{ workspace: "w", spent: 100 * placedIds.length }],
+    }, nowMs);
+    const spent = [{ workspace: "w", spent: 300 }];
+    coordinator.report(
+      { holderId: "i2", running: [], waiting: [], spent },
+      nowMs,
+    );
+  };
+  const ask = (askId: string, nowMs: number) => {
+    const work = askOf(askId, { cost: 100, patienceLeftMs: 60_000 });
+    return summariesOf(coordinator.ask(work, scope(nowMs)));
+  };
+  reportAt(0, []);
+  assert.equal(["q0", "q1"].flatMap((id) => ask(id, 10)), [
+    "q0 -> t1",
+    "q1 -> t1",
+  ]);
+  assert.equal(["q2", "q3", "q4"].flatMap((id) => ask(id, 20)), []);
+  reportAt(900, ["q0", "q1"]);
+  // 300 elsewhere, 200 placed and 300 queued of a bound of 1000.
+  assert.equal(["q5", "q6"].flatMap((id) => ask(id, 910)), []);
+  assert.equal(ask("q7", 920), ["q7: allotment"]);
+});
+
 test("a lost decision is sent to its holder again, one still in transit is not", () => {
   const coordinator = coordinatorOf(["t1"]);
   const [placed] = coordinator.ask(askOf("a1"), scope(0));
