Targets: versions that are gone are forgotten after an hour

The list of a pool's former versions grew with each version for the life of the process. Tests of the versions that count, also across a restart under the same id.

--- a/packages/routing/src/target_directory.ts
+++ b/packages/routing/src/target_directory.ts
@@ -71,6 +71,9 @@
 /** Time for which a removed target is kept, so that older rows are ignored. */
 const REMOVED_RETENTION_MS = 60_000;
 
+/** Time for which a version is kept that no listed target has any more. */
+const FORMER_VERSION_RETENTION_MS = 3_600_000;
+
 /** Cached targets of a pool that may get new work. */
 interface UsableTargets {
   readonly targets: readonly KnownTarget[];
@@ -242,6 +245,11 @@
   recordVersion(pool: string, version: string, nowMs: number): void {
     const versions = this.#formerVersions.get(pool) ?? new Map();
     this.#formerVersions.set(pool, versions.set(version, nowMs));
+    for (const [former, atMs] of versions) {
+      if (nowMs - atMs > FORMER_VERSION_RETENTION_MS) {
+        versions.delete(former);
+      }
+    }
   }
 
   #versionsListed(pool: string): ReadonlySet<string> {
--- a/packages/routing/src/target_directory_test.ts
+++ b/packages/routing/src/target_directory_test.ts
@@ -13,10 +13,11 @@
     announcedLeaving?: boolean;
     targetId?: string;
     incarnation?: number;
+    version?: string;
   } = {},
 ): TargetRowChange {
   const { leaving = false, targetId = "t1", incarnation = 0 } = over;
-  const { announcedLeaving } = over;
+  const { announcedLeaving, version = "v1" } = over;
   return {
     targetId,
     rowVersion,
@@ -29,7 +30,7 @@
       slots: 4,
       leaving,
       announcedLeaving,
-      version: "v1",
+      version,
     },
   };
 }
@@ -189,4 +190,33 @@
   assert.equal(restarted.apply(reported, 20), []);
 });
 
+test("versions count while they are listed, and for a time after that", () => {
+  const targets = directory();
+  const versionsAt = (nowMs: number) =>
+    targets.versionsWithin("p", { windowMs: 10_000, nowMs }).sort();
+  targets.apply(
+    [row(1), row(2, { targetId: "t2", version: "v2", leaving: true })],
+    0,
+  );
+  assert.equal(versionsAt(50_000), ["v1", "v2"]);
+  targets.apply([{ targetId: "t2", rowVersion: 3 }], 60_000);
+  assert.equal(versionsAt(69_999), ["v1", "v2"]);
+  assert.equal(versionsAt(70_000), ["v1"]);
+  targets.recordVersion("p", "v0", 80_000);
+  assert.equal(versionsAt(89_999), ["v0", "v1"]);
+  assert.equal(versionsAt(90_000), ["v1"]);
+});
+
+// Guards against forgetting the version of a process that restarted under its
+// id with another one.
+test("the version before a restart counts for a time", () => {
+  const targets = directory();
+  targets.apply([row(1, { incarnation: 1 })], 0);
+  targets.apply([row(2, { incarnation: 2, version: "v2" })], 1000);
+  const at = (nowMs: number) =>
+    targets.versionsWithin("p", { windowMs: 10_000, nowMs });
+  assert.equal(at(10_999), ["v2", "v1"]);
+  assert.equal(at(11_000), ["v2"]);
+});
+
 test.run();
