Soak: repeats are counted against the retry budget

For each pool, the arrivals beyond the first of each request in any ten seconds are compared with the ratio of its requests and the largest slack that a reload may have set.

--- a/tests/soak_instance.ts
+++ b/tests/soak_instance.ts
@@ -69,7 +69,10 @@
 /** Default time from the shutdown signal until a running process is killed. */
 export const GRACE_MS = GRACE_S * MS_PER_S;
 const POLL_MS = 20;
-const RETRY_BUDGET_SLACK = 100;
+
+/** Repeats that the retry budget allows in addition to its ratio. */
+export const RETRY_BUDGET_SLACK = 100;
+
 const MAX_LOG_LINES = 20_000;
 
 /**
--- a/tests/soak_run.ts
+++ b/tests/soak_run.ts
@@ -6,6 +6,7 @@
 import { SoakFleet } from "./soak_fleet.ts";
 import type { SoakPlan } from "./soak_plan.ts";
 import { findUnrecovered, isServed } from "./soak_recovery.ts";
+import { findExcessRepeats } from "./soak_repeats.ts";
 import { SoakRollout } from "./soak_rollout.ts";
 import { SoakSignals } from "./soak_signals.ts";
 import { addVersion, countTakenUp, findMixedStreams } from "./soak_streams.ts";
@@ -62,6 +63,7 @@
     });
     broken.push(...signals.findBroken(records));
     broken.push(...findMixedStreams(records));
+    broken.push(...findExcessRepeats(plan, { records, targets }));
     broken.push(...await versions.findLateVersions());
     broken.push(...await findUnrecovered(fleet, callers));
     broken.push(...(rollout?.findBroken() ?? []));
