Streams: repeated reports keep no stream longer

Found when reading the change: a report that repeats a stream renewed the time for which it is kept, and opened completed ones again. A coordinator reports to itself, so that its own streams were kept until 100,000 had begun, and a pool counted as one of several versions for as long.

Change: streams that are known are left as they are by reports and records, and completed ones are in neither. A record that may be lost with a restored store is written again, as the other records are.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -620,6 +620,7 @@
       onStoreRestored: () => {
         this.#coordinator.invalidateRecord();
         this.#suspects.invalidateRecord();
+        this.#streams.invalidateRecord();
       },
     });
   }
--- a/packages/gateway/src/holder_reporter.ts
+++ b/packages/gateway/src/holder_reporter.ts
@@ -115,7 +115,6 @@
       pools: new Set(pools),
       nowMs,
       onlyOwn: true,
-      onlyOpen: false,
       maxStreams: MAX_REPORTED_STREAMS,
     });
   }
--- a/packages/gateway/src/stream_recorder.ts
+++ b/packages/gateway/src/stream_recorder.ts
@@ -76,6 +76,11 @@
     }
   }
 
+  /** Lets the streams be recorded again, since the record may be lost. */
+  invalidateRecord(): void {
+    this.#recordedRevision = NOT_RECORDED;
+  }
+
   /** Reads the record if a stream that is taken up is not known. */
   tick(): void {
     const { coordinator, clock } = this.#parts;
@@ -125,7 +130,6 @@
       pools: new Set(pools.map(({ pool }) => pool)),
       nowMs: clock.nowMs(),
       onlyOwn: false,
-      onlyOpen: true,
       maxStreams: MAX_RECORDED_STREAMS,
     });
     // A version without streams may still have begun one that is not known.
--- a/packages/gateway/src/stream_recorder_test.ts
+++ b/packages/gateway/src/stream_recorder_test.ts
@@ -98,6 +98,16 @@
   assert.equal(fixture.written[1], fixture.written[0]);
 });
 
+test("a record that may be lost is written again", async () => {
+  const fixture = new Fixture();
+  fixture.listSecondVersion();
+  fixture.begin(1);
+  await fixture.recordAt(RECORD_DUE_MS);
+  fixture.recorder.invalidateRecord();
+  await fixture.recordAt(RECORD_DUE_MS + 300);
+  assert.is(fixture.written.length, 2);
+});
+
 test("a record is restored unless no caller can return any more", () => {
   const fixture = new Fixture();
   const record = [{ pool: "p", version: "v1", keys: [1] }];
--- a/packages/routing/src/stream_origins.ts
+++ b/packages/routing/src/stream_origins.ts
@@ -68,8 +68,6 @@
   readonly nowMs: number;
   /** Whether streams that began at other instances are left out. */
   readonly onlyOwn: boolean;
-  /** Whether streams that were completed are left out. */
-  readonly onlyOpen: boolean;
   /** Largest number of streams; those that were recorded first are left out. */
   readonly maxStreams: number;
 }
@@ -167,17 +165,17 @@
   }
 
   /**
-   * Lists the streams of some pools, for other instances.
+   * Lists the open streams of some pools, for other instances.
    *
    * @param options Which streams are listed.
-   * @returns The streams by origin.
+   * @returns The streams by origin, without those that were completed.
    */
   groups(
-    { pools, nowMs, onlyOwn, onlyOpen, maxStreams }: GroupOptions,
+    { pools, nowMs, onlyOwn, maxStreams }: GroupOptions,
   ): StreamOriginGroup[] {
     const listed = [...this.#byKey].filter(([, stream]) =>
       pools.has(stream.origin.pool) && nowMs < stream.expiresAtMs &&
-      (stream.isOwn || !onlyOwn) && !(stream.isCompleted && onlyOpen)
+      (stream.isOwn || !onlyOwn) && !stream.isCompleted
     );
     const groups = new Map<string, StreamOrigin & { keys: number[] }>();
     for (const [key, { origin }] of listed.slice(-maxStreams)) {
@@ -190,7 +188,9 @@
   }
 
   /**
-   * Records streams of another instance, or of the fleet's record.
+   * Records streams of another instance, or of the fleet's record. Those that
+   * are known are left as they are: a report repeats them, which does not mean
+   * that they have gone on.
    *
    * @param groups The streams by origin.
    * @param options The local time, and the time for which callers may return.
@@ -198,7 +198,8 @@
   merge(groups: readonly StreamOriginGroup[], options: RecordOptions): void {
     for (const { pool, version, keys } of groups) {
       const origin = { pool, version };
-      keys.forEach((key) => this.record(key, origin, options));
+      keys.filter((key) => !this.#byKey.has(key))
+        .forEach((key) => this.record(key, origin, options));
     }
   }
 
--- a/packages/routing/src/stream_origins_test.ts
+++ b/packages/routing/src/stream_origins_test.ts
@@ -18,7 +18,6 @@
   const groups = origins.groups({
     pools: POOLS,
     onlyOwn: false,
-    onlyOpen: false,
     maxStreams: Infinity,
     ...of,
   });
@@ -64,13 +63,28 @@
     "p v1": [5, 1],
   });
   origins.completed(5, 1);
-  assert.equal(groupsOf(origins, { nowMs: 2, onlyOpen: true }), {
+  assert.equal(groupsOf(origins, { nowMs: 2 }), {
     "p v2": [2],
     "p v1": [4, 1],
   });
   assert.equal(groupsOf(origins, { nowMs: 10_000 }), {});
 });
 
+// Guards against streams that are kept for ever: a coordinator is a holder too,
+// and its reports to itself list its own streams again and again.
+test("a repeated report keeps no stream longer, and opens none again", () => {
+  const origins = new StreamOrigins();
+  const report = [{ ...V1, keys: [1, 2] }];
+  for (let nowMs = 0; nowMs < 10_000; nowMs += 500) {
+    origins.merge(report, { nowMs, windowMs: 10_000 });
+    if (nowMs === 1000) {
+      origins.completed(2, nowMs);
+    }
+  }
+  assert.equal(groupsOf(origins, { nowMs: 9999 }), { "p v1": [1] });
+  assert.is(origins.get(1, 10_000), undefined);
+});
+
 test("the number of streams is bounded, and expired ones are evicted", () => {
   const origins = new StreamOrigins();
   for (let key = 0; key < 100_005; key++) {
