Streams: the coordinator's heartbeats tell all instances where streams began

Callers got unknown_stream for every stream of a coordinator that was lost while the platform's store did not answer: the origins of streams that it held itself were known to no other instance.

Cause: what a stream is bound to was kept by one process and by the store, with nothing between them.

Change: a heartbeat of the coordinator lists the streams of the last three heartbeats (in a fleet of more than 13, of the last three digests), while targets of several versions serve. The others keep them as they keep those of their own, so that a take-up is known where it arrives, too. The pools that have several versions are found in one place now (mixed_pools.ts).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -449,6 +449,9 @@
         const { instanceId } = message.from;
         this.#retryBudgets.reportReceived(instanceId, message.retries);
       }
+      if (message.streams !== undefined) {
+        this.#coordinator.importStreams(message.streams, this.#clock.nowMs());
+      }
       this.#fleetState.heartbeatReceived(message);
       return;
     }
@@ -649,6 +652,8 @@
         this.#wasCoordinator
           ? this.board.suspects.updatesToSend(this.#clock.nowMs())
           : [],
+      streams: (withinMs) =>
+        this.#wasCoordinator ? this.#streams.recent(withinMs) : [],
       rollouts: () => this.board.rollouts.updatesToSend(this.#clock.nowMs()),
       rateLimits: (of) =>
         this.board.rateLimits.updatesToSend(this.#clock.nowMs(), of),
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -124,6 +124,7 @@
         ? coordinator.retryHistories(clock.nowMs())
         : [],
     suspects: () => [],
+    streams: () => [],
     rollouts: () => [],
     rateLimits: (of) => board.rateLimits.updatesToSend(clock.nowMs(), of),
     targetChanges: () => [],
--- a/packages/gateway/src/heartbeat_exchange.ts
+++ b/packages/gateway/src/heartbeat_exchange.ts
@@ -12,6 +12,7 @@
 import type { RetryHistory } from "@chestnuthatch/routing/retry_budget";
 import type { RolloutUpdate } from "@chestnuthatch/routing/rollout";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import type { StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
 import type { SuspectUpdate } from "@chestnuthatch/routing/suspect_requests";
 import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
 import type { RateLimitUpdate } from "@chestnuthatch/routing/target_rate_limits";
@@ -41,6 +42,9 @@
  */
 const MAX_TARGET_CHANGES = 24;
 
+/** Heartbeats that carry a new stream, as some may be lost. */
+const STREAM_REPEATS = 3;
+
 /** Rate limits that one heartbeat carries; more are sent in rotation. */
 const MAX_RATE_LIMITS = 24;
 
@@ -86,6 +90,12 @@
    * instance is the coordinator.
    */
   suspects(): readonly SuspectUpdate[];
+  /**
+   * @param withinMs Time from now within which the streams were recorded.
+   * @returns Streams of pools with several software versions, by origin; none
+   * unless this instance is the coordinator.
+   */
+  streams(withinMs: number): readonly StreamOriginGroup[];
   /** @returns Roll-outs that are in progress or ended recently. */
   rollouts(): readonly RolloutUpdate[];
   /** @returns Rate limits of targets, including recently lifted ones. */
@@ -250,6 +260,7 @@
     const includesAll = this.#includesAll(isDigest);
     const retries = includesAll ? this.#parts.retries() : [];
     const suspects = includesAll ? this.#parts.suspects() : [];
+    const streams = includesAll ? this.#recentStreams() : [];
     const rollouts = this.#parts.rollouts();
     const rateLimits = this.#rateLimitsToSend(includesAll);
     this.#parts.send(addresses, {
@@ -264,6 +275,7 @@
       spending: includesAll ? this.#parts.spending() : undefined,
       ...(retries.length > 0 ? { retries } : undefined),
       ...(suspects.length > 0 ? { suspects } : undefined),
+      ...(streams.length > 0 ? { streams } : undefined),
       ...(rollouts.length > 0 ? { rollouts } : undefined),
       ...(rateLimits.length > 0 ? { rateLimits } : undefined),
       targetNews: this.#targetChangesToSend(includesAll),
@@ -271,15 +283,22 @@
   }
 
   /**
-   * Whether a heartbeat carries spending, suspect requests and new targets. In
-   * a large fleet only digests do, one heartbeat in five: the spending by
-   * second of sixteen workspaces in each heartbeat would take a fifth of the
-   * bandwidth of a small instance.
+   * Whether a heartbeat carries spending, suspect requests, streams and new
+   * targets. In a large fleet only digests do, one heartbeat in five: the
+   * spending by second of sixteen workspaces in each heartbeat would take a
+   * fifth of the bandwidth of a small instance.
    */
   #includesAll(isDigest: boolean): boolean {
     return isDigest || this.#parts.board.members.isFullMesh;
   }
 
+  #recentStreams(): readonly StreamOriginGroup[] {
+    const intervalMs = this.#parts.board.members.isFullMesh
+      ? HEARTBEAT_INTERVAL_MS
+      : HEARTBEATS_PER_DIGEST * HEARTBEAT_INTERVAL_MS;
+    return this.#parts.streams(STREAM_REPEATS * intervalMs);
+  }
+
   #rateLimitsToSend(includesAll: boolean): RateLimitUpdate[] {
     const limits = this.#parts.rateLimits({ onlyChanged: !includesAll });
     return this.#rateLimitRotation.next(limits, MAX_RATE_LIMITS);
--- a/packages/gateway/src/heartbeat_exchange_test.ts
+++ b/packages/gateway/src/heartbeat_exchange_test.ts
@@ -68,6 +68,7 @@
     spending: () => [],
     retries: () => [],
     suspects: () => [],
+    streams: (withinMs) => [{ pool: "p", version: "v1", keys: [withinMs] }],
     rollouts: () => [],
     rateLimits: (of) => board.rateLimits.updatesToSend(nowMs, of),
     targetChanges: () => changes,
@@ -145,6 +146,16 @@
   assert.is(countWithSpending(63), 4);
 });
 
+// Guards against streams that are lost with one datagram.
+test("each recent stream is in several heartbeats", () => {
+  const keysOf = (others: number) =>
+    heartbeatsOf([], { count: 20, others }).flatMap(({ streams = [] }) =>
+      streams.flatMap(({ keys }) => keys)
+    );
+  assert.equal(keysOf(7), Array(20).fill(3 * HEARTBEAT_INTERVAL_MS));
+  assert.equal(keysOf(63), Array(4).fill(3 * 5 * HEARTBEAT_INTERVAL_MS));
+});
+
 // Guards against heartbeats of a large fleet that carry the same limits each
 // time because two rotations advance in step.
 test("a large fleet receives every rate limit within three seconds", () => {
--- a/packages/gateway/src/holder_reporter.ts
+++ b/packages/gateway/src/holder_reporter.ts
@@ -1,10 +1,8 @@
 /** The periodic reports of a holder to its coordinator. */
 
+import { mixedPools } from "@chestnuthatch/routing/mixed_pools";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
-import {
-  returnWindowMs,
-  type StreamOriginGroup,
-} from "@chestnuthatch/routing/stream_origins";
+import { type StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
 import { SpendingLog } from "@chestnuthatch/routing/spending_log";
 import type { HolderReport, WorkAsk } from "@chestnuthatch/routing/work_ask";
 import type { OpenAsks } from "./open_asks.ts";
@@ -104,14 +102,9 @@
 
   /** Streams of the pools whose targets have several versions. */
   #streamsToReport(nowMs: number): StreamOriginGroup[] {
-    const { routes, targets, streamOrigins } = this.#parts.board;
-    const windowMs = returnWindowMs(routes);
-    const pools = (routes?.configuration.pools ?? [])
-      .map(({ name }) => name)
-      .filter((pool) =>
-        targets.versionsWithin(pool, { windowMs, nowMs }).length > 1
-      );
-    return pools.length === 0 ? [] : streamOrigins.groups({
+    const { board } = this.#parts;
+    const pools = mixedPools(board, nowMs).map(({ pool }) => pool);
+    return pools.length === 0 ? [] : board.streamOrigins.groups({
       pools: new Set(pools),
       nowMs,
       onlyOwn: true,
--- a/packages/gateway/src/stream_recorder.ts
+++ b/packages/gateway/src/stream_recorder.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
+import { type MixedPool, mixedPools } from "@chestnuthatch/routing/mixed_pools";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import {
   returnWindowMs,
@@ -33,6 +34,9 @@
 /** Streams in the record, a row of at most 64 KB in the platform's store. */
 const MAX_RECORDED_STREAMS = 2500;
 
+/** Streams in a heartbeat: 4.5 KB, so that it fits into a datagram. */
+const MAX_RECENT_STREAMS = 500;
+
 /** Recorded revision while there is no valid record. */
 const NOT_RECORDED = -1;
 
@@ -71,7 +75,7 @@
   becameCoordinator(): void {
     this.#recorder.pauseFor(FIRST_RECORD_DELAY_MS);
     this.#recordedRevision = NOT_RECORDED;
-    if (this.#poolsOfSeveralVersions().length > 0) {
+    if (this.#mixedPools().length > 0) {
       this.#read();
     }
   }
@@ -120,7 +124,7 @@
 
   #nextRecord(): StreamOriginGroup[] | undefined {
     const { board: { streamOrigins }, clock } = this.#parts;
-    const pools = this.#poolsOfSeveralVersions();
+    const pools = this.#mixedPools();
     const { revision } = streamOrigins;
     if (pools.length === 0 || revision === this.#recordedRevision) {
       return undefined;
@@ -141,15 +145,26 @@
     return [...groups, ...others];
   }
 
-  #poolsOfSeveralVersions(): { pool: string; versions: string[] }[] {
-    const { board: { routes, targets }, clock } = this.#parts;
-    const of = { windowMs: returnWindowMs(routes), nowMs: clock.nowMs() };
-    return (routes?.configuration.pools ?? [])
-      .map(({ name }) => ({
-        pool: name,
-        versions: targets.versionsWithin(name, of),
-      }))
-      .filter(({ versions }) => versions.length > 1);
+  /**
+   * Lists streams that began recently, for the heartbeats of the coordinator.
+   *
+   * @param withinMs Time from now within which they were recorded.
+   * @returns The streams by origin.
+   */
+  recent(withinMs: number): StreamOriginGroup[] {
+    const pools = this.#mixedPools();
+    const { board: { streamOrigins }, clock } = this.#parts;
+    return pools.length === 0 ? [] : streamOrigins.groups({
+      pools: new Set(pools.map(({ pool }) => pool)),
+      nowMs: clock.nowMs(),
+      onlyOwn: false,
+      maxStreams: MAX_RECENT_STREAMS,
+      withinMs,
+    });
+  }
+
+  #mixedPools(): MixedPool[] {
+    return mixedPools(this.#parts.board, this.#parts.clock.nowMs());
   }
 
   #recordFailed(): void {
--- a/packages/gateway/src/stream_recorder_test.ts
+++ b/packages/gateway/src/stream_recorder_test.ts
@@ -64,6 +64,19 @@
   assert.is(fixture.readCount, 0);
 });
 
+test("recent streams are listed while targets of several versions serve", () => {
+  const fixture = new Fixture();
+  fixture.begin(1);
+  assert.equal(fixture.recorder.recent(1000), []);
+  fixture.listSecondVersion();
+  fixture.nowMs = 800;
+  fixture.begin(2);
+  fixture.nowMs = 1000;
+  assert.equal(fixture.recorder.recent(1000), [
+    { pool: "p", version: "v1", keys: [2] },
+  ]);
+});
+
 test("streams are recorded when they change, with versions that have none", async () => {
   const fixture = new Fixture();
   fixture.listSecondVersion();
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -228,6 +228,8 @@
     retries: z.array(retryHistorySchema).readonly().optional(),
     /** From the coordinator: requests under which targets ended, if any. */
     suspects: z.array(suspectUpdateSchema).readonly().optional(),
+    /** From the coordinator: streams that began recently, if any. */
+    streams: z.array(streamOriginGroupSchema).readonly().optional(),
     /** Roll-outs that are in progress or ended recently, if any. */
     rollouts: z.array(rolloutUpdateSchema).readonly().optional(),
     /** Rate limits of targets, and recently lifted limits, if any. */
--- a/packages/routing/src/stream_origins.ts
+++ b/packages/routing/src/stream_origins.ts
@@ -50,6 +50,7 @@
   /** Whether it began at this instance. */
   readonly isOwn: boolean;
   readonly isCompleted: boolean;
+  readonly recordedAtMs: number;
   readonly expiresAtMs: number;
 }
 
@@ -70,6 +71,8 @@
   readonly onlyOwn: boolean;
   /** Largest number of streams; those that were recorded first are left out. */
   readonly maxStreams: number;
+  /** Time from now within which they were recorded; all if absent. */
+  readonly withinMs?: number;
 }
 
 /**
@@ -130,6 +133,7 @@
       origin,
       isOwn,
       isCompleted: false,
+      recordedAtMs: nowMs,
       expiresAtMs: nowMs + windowMs,
     });
     this.#revision++;
@@ -171,11 +175,12 @@
    * @returns The streams by origin, without those that were completed.
    */
   groups(
-    { pools, nowMs, onlyOwn, maxStreams }: GroupOptions,
+    { pools, nowMs, onlyOwn, maxStreams, withinMs = Infinity }: GroupOptions,
   ): StreamOriginGroup[] {
     const listed = [...this.#byKey].filter(([, stream]) =>
       pools.has(stream.origin.pool) && nowMs < stream.expiresAtMs &&
-      (stream.isOwn || !onlyOwn) && !stream.isCompleted
+      (stream.isOwn || !onlyOwn) && !stream.isCompleted &&
+      nowMs - stream.recordedAtMs < withinMs
     );
     const groups = new Map<string, StreamOrigin & { keys: number[] }>();
     for (const [key, { origin }] of listed.slice(-maxStreams)) {
--- a/packages/routing/src/stream_origins_test.ts
+++ b/packages/routing/src/stream_origins_test.ts
@@ -70,6 +70,21 @@
   assert.equal(groupsOf(origins, { nowMs: 10_000 }), {});
 });
 
+test("streams that were recorded recently are listed, renewed ones too", () => {
+  const origins = new StreamOrigins();
+  origins.record(1, V1, { nowMs: 0, windowMs: 10_000 });
+  origins.record(2, V1, { nowMs: 0, windowMs: 10_000 });
+  origins.record(3, V2, { nowMs: 500, windowMs: 10_000 });
+  origins.record(1, V1, { nowMs: 600, windowMs: 10_000 });
+  origins.completed(3, 650);
+  origins.record(4, V2, { nowMs: 700, windowMs: 10_000 });
+  assert.equal(groupsOf(origins, { nowMs: 1000, withinMs: 501 }), {
+    "p v1": [1],
+    "p v2": [4],
+  });
+  assert.equal(groupsOf(origins, { nowMs: 1200, withinMs: 500 }), {});
+});
+
 // Guards against streams that are kept for ever: a coordinator is a holder too,
 // and its reports to itself list its own streams again and again.
 test("a repeated report keeps no stream longer, and opens none again", () => {
