Soak: instances as separate processes are cut off from all targets

A stream that breaks off is excused where its instance was cut off before, and an instance was during the call: it may have been relayed by that one. Other ends are checked as before.

--- a/tests/instance_probe.ts
+++ b/tests/instance_probe.ts
@@ -15,7 +15,7 @@
 import type { IncomingMessage } from "node:http";
 import { Socket } from "node:net";
 import process from "node:process";
-import { WRITE_RATE_VARIABLE } from "./write_rate.ts";
+import { WRITE_RATE_VARIABLE } from "./probe_variables.ts";
 
 /** Callback of a write. */
 type Done = (error?: Error | null) => void;
--- a/tests/path_soak_run.ts
+++ b/tests/path_soak_run.ts
@@ -18,7 +18,8 @@
 } from "@chestnuthatch/platform/standin_fleet";
 import { LinkMode } from "@chestnuthatch/platform/standin_link";
 import type { StandinTarget } from "@chestnuthatch/platform/standin_target";
-import type { PathPlan, PlannedCut } from "./path_soak_plan.ts";
+import type { PathPlan } from "./path_soak_plan.ts";
+import type { PlannedCut } from "./soak_cut_plan.ts";
 
 /** A request that was sent, and its answer. */
 interface SentRequest {
--- a/tests/soak.ts
+++ b/tests/soak.ts
@@ -23,6 +23,7 @@
   readonly silences?: boolean;
   readonly streamEnds?: boolean;
   readonly versions?: boolean;
+  readonly cuts?: boolean;
   readonly signals?: readonly SoakSignal[];
 }
 
@@ -71,6 +72,7 @@
     .option("--silences", "connections to the store fall silent meanwhile")
     .option("--versions", "versions of the engines serve side by side")
     .option("--stream-ends", "targets end streams early or without framing")
+    .option("--cuts", "instances lose their paths to all targets meanwhile")
     .option("--rollout", "a new version is rolled out beside the faults")
     .addOption(
       new Option("--signals <signals...>", "what targets signal in answers")
--- a/tests/soak_answer_ends.ts
+++ b/tests/soak_answer_ends.ts
@@ -38,6 +38,7 @@
 /** Reports ends of answers that no fault or planned stop excuses. */
 export class AnswerEndChecker {
   readonly #minimums: ConfiguredMinimums;
+  readonly #cutSpans: readonly TimeSpan[];
   readonly #targetsById = new Map<string, SoakTarget[]>();
   /** Ids of requests whose answers were cut off while a target sent them. */
   readonly #cutOffIds = new Set<string>();
@@ -47,6 +48,7 @@
   /** @param evidence Records of targets and instances. */
   constructor({ targets, instances, minimums }: AnswerEndEvidence) {
     this.#minimums = minimums;
+    this.#cutSpans = instances.flatMap(({ cutSpans }) => cutSpans);
     for (const target of targets) {
       for (const { requestId, isCutOff } of target.target.receivedRequests) {
         const others = this.#targetsById.get(requestId) ?? [];
@@ -129,12 +131,23 @@
     return kind.events > 0 && (
       endedAtMs - startedAtMs >= limitMs || wasPausedDuringGrace(record) ||
       (this.#cutOffIds.has(requestId) && exceededGrace(record)) ||
+      this.#wasCutOff(record) ||
       this.#targetsOf(requestId).some(({ faultSpans }) =>
         faultSpans.some((span) => overlaps(record, span))
       )
     );
   }
 
+  /**
+   * Whether the instance or one that it relayed the request through was cut off
+   * from the target. An instance relays only after it was cut off.
+   */
+  #wasCutOff(record: CallRecord): boolean {
+    return record.instance.cutSpans.some(({ fromMs }) =>
+      fromMs <= record.endedAtMs
+    ) && this.#cutSpans.some((span) => overlaps(record, span));
+  }
+
   #targetsOf(requestId: string): readonly SoakTarget[] {
     return this.#targetsById.get(requestId) ?? [];
   }
--- a/tests/soak_answer_ends_test.ts
+++ b/tests/soak_answer_ends_test.ts
@@ -18,6 +18,7 @@
   readonly reused?: boolean;
   readonly unavailableSpans?: readonly TimeSpan[];
   readonly pausedSpans?: readonly TimeSpan[];
+  readonly cutSpans?: readonly TimeSpan[];
   readonly downSpans?: readonly TimeSpan[];
   readonly killedAtMs?: readonly number[];
   readonly logLines?: readonly string[];
@@ -61,6 +62,10 @@
     record: { kind: STREAM },
     isCutOff: true,
   },
+  "a stream that broke off before its instance was cut off": {
+    record: { kind: STREAM },
+    cutSpans: [{ fromMs: 4001, untilMs: 5000 }],
+  },
   "an answer that broke off before its instance was killed": {
     killedAtMs: [4001],
   },
@@ -73,6 +78,10 @@
     record: { kind: STREAM },
     faultSpans: [{ fromMs: 3500, untilMs: 3600 }],
   },
+  "a stream's instance was cut off from its target": {
+    record: { kind: STREAM },
+    cutSpans: [{ fromMs: 3600, untilMs: 3700 }],
+  },
   "a stream reached its deadline": {
     record: { kind: STREAM, startedAtMs: 0 },
   },
@@ -123,6 +132,7 @@
     id: "entry-0",
     unavailableSpans: of.unavailableSpans ?? [STOPPING],
     pausedSpans: of.pausedSpans ?? [],
+    cutSpans: of.cutSpans ?? [],
     downSpans: of.downSpans ?? [],
     killedAtMs: of.killedAtMs ?? [],
     logLines: of.logLines ?? [],
--- a/tests/soak_faults.ts
+++ b/tests/soak_faults.ts
@@ -2,10 +2,12 @@
 
 import { setTimeout as pause } from "node:timers/promises";
 import { ENGINE_POOL } from "@chestnuthatch/platform/standin_fleet";
+import { LinkMode } from "@chestnuthatch/platform/standin_link";
 import { TargetBehavior } from "@chestnuthatch/platform/target_behavior";
 import { type SoakFleet, type SoakTarget, startAll } from "./soak_fleet.ts";
 import type { SoakInstance, TimeSpan } from "./soak_instance.ts";
 import { type PlannedFault, SoakFault } from "./soak_plan.ts";
+import type { PlannedCut } from "./soak_cut_plan.ts";
 import type { PlannedStreamEnd } from "./soak_stream_end_plan.ts";
 import {
   InstanceDisturbance,
@@ -229,6 +231,25 @@
   });
 }
 
+/**
+ * Cuts instances off from all targets for a time. Where cuts overlap, the end
+ * of the first one ends both.
+ *
+ * @param fleet Fleet to disturb.
+ * @param cut The instances, the way and the time.
+ * @returns Settles once the instances reach the targets again.
+ */
+export async function injectCut(
+  fleet: SoakFleet,
+  { atMs, forMs, mode, instances }: PlannedCut,
+): Promise<void> {
+  const cutOff = instances.map((index) => fleet.instances[index]!);
+  await pause(atMs);
+  cutOff.forEach((instance) => instance.setLinkMode(mode));
+  await pause(forMs);
+  cutOff.forEach((instance) => instance.setLinkMode(LinkMode.Open));
+}
+
 /**
  * Changes one number in the settings, and signals the process to reload them.
  */
--- a/tests/soak_plan.ts
+++ b/tests/soak_plan.ts
@@ -1,5 +1,6 @@
 /** The plan of one seed of the soak: its fleet, load and faults. */
 
+import { planCuts, type PlannedCut } from "./soak_cut_plan.ts";
 import { Draw } from "./soak_draw.ts";
 import { type PlannedSilence, planSilences } from "./soak_silence_plan.ts";
 import {
@@ -122,6 +123,8 @@
   readonly versions: readonly PlannedVersion[];
   /** Ways in which targets end their streams, beside the faults. */
   readonly streamEnds: readonly PlannedStreamEnd[];
+  /** Instances that are cut off from all targets, beside the faults. */
+  readonly cuts: readonly PlannedCut[];
   /** Signals that targets send in answers, beside the faults. */
   readonly signals: readonly PlannedSignal[];
   /** Rate at which a caller connection accepts answers, for each instance. */
@@ -151,6 +154,8 @@
   readonly versions?: boolean;
   /** Whether targets end streams early, or without framing. */
   readonly streamEnds?: boolean;
+  /** Whether instances are cut off from all targets. */
+  readonly cuts?: boolean;
   /** Kinds of signals that targets send. */
   readonly signals?: readonly SoakSignal[];
 }
@@ -281,6 +286,7 @@
     streamEnds: options.streamEnds === true
       ? planStreamEnds(seed, lengthMs)
       : [],
+    cuts: options.cuts === true ? planCuts(seed, { lengthMs, instances }) : [],
     signals: planSignals(seed, lengthMs, options.signals ?? []),
     callers: Array.from(
       { length: instances * draw.between(...ranges.callers) },
--- a/tests/soak_run.ts
+++ b/tests/soak_run.ts
@@ -2,7 +2,12 @@
 
 import { type CallRecord, SoakCallers } from "./soak_callers.ts";
 import { type BrokenPromise, findBrokenPromises } from "./soak_checks.ts";
-import { injectFault, injectSilence, injectStreamEnd } from "./soak_faults.ts";
+import {
+  injectCut,
+  injectFault,
+  injectSilence,
+  injectStreamEnd,
+} from "./soak_faults.ts";
 import { SoakFleet } from "./soak_fleet.ts";
 import type { SoakPlan } from "./soak_plan.ts";
 import { findUnrecovered, isServed } from "./soak_recovery.ts";
@@ -47,6 +52,7 @@
       ...plan.silences.map((silence) => injectSilence(fleet, silence)),
       ...plan.versions.map((version) => addVersion(fleet, version)),
       ...plan.streamEnds.map((end) => injectStreamEnd(fleet, end)),
+      ...plan.cuts.map((cut) => injectCut(fleet, cut)),
       rollout?.run(),
       signals.run(),
     ]);
--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -21,6 +21,9 @@
 /** Seeds in which callers take up streams of several versions. */
 const VERSION_SEEDS = [1, 2];
 
+/** Seeds in which instances are cut off from all targets. */
+const CUT_SEEDS = [1, 2];
+
 /** Seed that covers a target with a rate limit. */
 const LIMIT_SEED = 4;
 
@@ -83,6 +86,13 @@
     expectNoBrokenPromise(seed, { ...OPTIONS, versions: true }));
 }
 
+for (const seed of CUT_SEEDS) {
+  // Guards against requests that run twice, or get no end, as other instances
+  // relay them.
+  test(`soak: seed ${seed} keeps its promises where instances are cut off`, () =>
+    expectNoBrokenPromise(seed, { ...OPTIONS, cuts: true }));
+}
+
 // Guards against placements that ignore rate limits, so that a target gets far
 // more requests than its limit.
 test(`soak: seed ${LIMIT_SEED} keeps to rate limits of targets`, () =>
