Log: parts of the prompt and events of requests whose target ended

'target process ended during request' names the parts of the request's prompt and how many events the target had sent.

--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -104,7 +104,7 @@
     if (end === AttemptEnd.TargetEnded) {
       const endedTarget = endedTargetOf(attempt);
       placementClient.reportEnd({ ...workEnd, endedTarget });
-      this.#logTargetEnded(endedTarget);
+      this.#logTargetEnded(attempt, endedTarget);
     } else {
       placementClient.reportEnd(workEnd);
     }
@@ -120,10 +120,15 @@
   }
 
   /** Logs the state of the suspect, which decides whether it may run again. */
-  #logTargetEnded({ fingerprint, process, inTrial }: EndedTarget): void {
+  #logTargetEnded(
+    { options: { call }, eventCount }: TargetAttempt,
+    { fingerprint, process, inTrial }: EndedTarget,
+  ): void {
     const { board: { suspects }, clock } = this.#parts;
     this.#log("target process ended during request", {
       fingerprint,
+      promptParts: call.facts.promptParts,
+      events: eventCount,
       process,
       inTrial,
       endedCount: suspects.endedCount(fingerprint),
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -29,7 +29,10 @@
 const POLL_MS = 10;
 
 const PROTOCOL: CallProtocol = {
-  readCall: (headers) => ({ requestId: String(headers["x-request-id"]) }),
+  readCall: (headers) => ({
+    requestId: String(headers["x-request-id"]),
+    promptParts: [],
+  }),
   forwardHeaders: (rawHeaders) => [...rawHeaders],
   readAnswer: () => ({
     notRun: false,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -46,6 +46,11 @@
    * where the headers do not identify the prompt.
    */
   readonly prompt?: string;
+  /**
+   * Ids of the parts of the prompt in their order; empty where the headers list
+   * none. Prompts share parts, except the last one.
+   */
+  readonly promptParts: readonly string[];
   /** Last event of a stream that the caller has already received. */
   readonly resumeAfter?: number;
   /**
--- a/packages/gateway/src/work_ask_of_test.ts
+++ b/packages/gateway/src/work_ask_of_test.ts
@@ -11,7 +11,7 @@
 import { poolBackoffMs, workAskOf } from "./work_ask_of.ts";
 
 const CALL: RoutedCall = {
-  facts: { requestId: "q1", key: "k1" },
+  facts: { requestId: "q1", key: "k1", promptParts: [] },
   route: routeOf(),
   workspace: { name: "w", rank: 0, keys: ["k1", "k2"] },
   pool: "p",
@@ -52,7 +52,10 @@
 });
 
 test("a caller's attempts share a fingerprint, similar requests do not", () => {
-  const again = { ...CALL, facts: { requestId: "q2", key: "k2" } };
+  const again = {
+    ...CALL,
+    facts: { ...CALL.facts, requestId: "q2", key: "k2" },
+  };
   assert.is(fingerprintOf(again), fingerprintOf(CALL));
   const others: RoutedCall[] = [
     { ...CALL, body: Buffer.from("b body") },
@@ -108,7 +111,7 @@
   assert.is(poolBackoffMs(parts, CALL), undefined);
   backoffs.requested("t2", 2000, 0);
   const waitsMs = ["q1", "q2", "q3", "q4"].map((requestId) =>
-    poolBackoffMs(parts, { ...CALL, facts: { requestId } })!
+    poolBackoffMs(parts, { ...CALL, facts: { ...CALL.facts, requestId } })!
   );
   assert.ok(waitsMs.every((ms) => ms >= 2000 && ms < 2500), waitsMs.join());
   assert.is(new Set(waitsMs).size, 4);
