Targets: crashes are attributed to parts of prompts, not only to whole requests

Cause: a crash was remembered by a hash of the whole request only, so that 40 crashes were spread over as many records. Streams that had gone on elsewhere filled these records, too (20 of 29 fingerprints of two crashes or more).

Now a crash implicates the fingerprints of the requests on the target and the parts of the prompts that it had not answered yet. A suspect is tried at one target at a time, as before; after a failed trial only requests like the one that failed are quarantined. Cleared suspects are told to other instances, and a repeated report of an end no longer revives them.

--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -1,10 +1,20 @@
 /** Records the ends of a request's attempts at targets. */
 
 import { AttemptEnd } from "@chestnuthatch/routing/next_step";
-import type { EndedTarget } from "@chestnuthatch/routing/suspect_requests";
+import type {
+  EndedTarget,
+  ImplicatedPart,
+} from "@chestnuthatch/routing/crash_suspects";
+import type { WorkEnd } from "@chestnuthatch/routing/work_ask";
+import {
+  crashKeysIfNeeded,
+  crashKeysOf,
+  fingerprintOf,
+  partKeyOf,
+  sharedPartsOf,
+} from "./crash_keys.ts";
 import type { LogFacts } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
-import { fingerprintIfNeeded, fingerprintOf } from "./request_fingerprint.ts";
 import type { RoutedCall } from "./routed_call.ts";
 import { isStream, type TargetAttempt } from "./target_attempt.ts";
 import { CONNECT_TIMEOUT_REASON } from "./target_exchange.ts";
@@ -21,6 +31,9 @@
   AttemptEnd.Lost,
 ]);
 
+/** Targets answer with status codes from this one without running a request. */
+const MIN_REJECTION_STATUS = 300;
+
 /** Writes a log line about the request. */
 export type RequestLog = (message: string, facts: LogFacts) => void;
 
@@ -47,26 +60,30 @@
    * @param attempt An attempt whose answer was forwarded to the caller.
    */
   recordServed(attempt: TargetAttempt): void {
-    const { board, placementClient, metrics } = this.#parts;
+    const { answeredParts, board, clock, placementClient, metrics } =
+      this.#parts;
     const { call, target } = attempt.options;
     board.health.served(target.targetId);
-    const end = {
+    const hasRun = attempt.answer.statusCode! < MIN_REJECTION_STATUS;
+    if (hasRun) {
+      answeredParts.record(call, clock.nowMs());
+    }
+    placementClient.reportEnd({
       ...attempt.workEnd(false),
       ...(isStream(call.route.kind)
         ? { isStreamCompleted: true as const }
         : undefined),
-    };
-    const clearedFingerprint = this.#suspectFingerprintOf(call);
-    placementClient.reportEnd(
-      clearedFingerprint === undefined ? end : { ...end, clearedFingerprint },
-    );
+      ...(hasRun ? this.#clearedKeysOf(call) : undefined),
+    });
     metrics.attemptEnded(call.pool, "served");
   }
 
-  #suspectFingerprintOf(call: RoutedCall): string | undefined {
-    const { suspects } = this.#parts.board;
-    const fingerprint = fingerprintIfNeeded(call, suspects);
-    return suspects.isSuspect(fingerprint) ? fingerprint : undefined;
+  #clearedKeysOf(call: RoutedCall): Partial<WorkEnd> | undefined {
+    const { board: { suspects }, clock } = this.#parts;
+    const keys = crashKeysIfNeeded(call, suspects, clock.nowMs());
+    return suspects.isSuspect(keys)
+      ? { clearedFingerprint: keys.fingerprint, clearedParts: keys.promptParts }
+      : undefined;
   }
 
   /**
@@ -88,9 +105,18 @@
    * @param reason Cause of its end, for the log.
    */
   recordFailed(attempt: TargetAttempt, end: AttemptEnd, reason: string): void {
-    const { board: { health }, clock, placementClient, metrics } = this.#parts;
+    const {
+      answeredParts,
+      board: { health },
+      clock,
+      placementClient,
+      metrics,
+    } = this.#parts;
     const { call, target: { targetId } } = attempt.options;
     const nowMs = clock.nowMs();
+    if (attempt.hasSurvived) {
+      answeredParts.record(call, nowMs);
+    }
     attempt.cancel();
     health.failed(targetId, UNREACHABLE_ENDS.has(end), nowMs);
     if (reason === CONNECT_TIMEOUT_REASON) {
@@ -102,7 +128,7 @@
       ...(end === AttemptEnd.Rejected ? { isRejected: true } : undefined),
     };
     if (end === AttemptEnd.TargetEnded) {
-      const endedTarget = endedTargetOf(attempt);
+      const endedTarget = this.#endedTargetOf(attempt);
       placementClient.reportEnd({ ...workEnd, endedTarget });
       this.#logTargetEnded(attempt, endedTarget);
     } else {
@@ -119,6 +145,27 @@
     });
   }
 
+  #endedTargetOf(attempt: TargetAttempt): EndedTarget {
+    const { call, target, isTrial } = attempt.options;
+    return {
+      fingerprint: fingerprintOf(call),
+      ...(attempt.hasSurvived
+        ? undefined
+        : { promptParts: this.#implicatedPartsOf(call) }),
+      process: `${target.targetId} ${target.incarnation}`,
+      inTrial: isTrial,
+    };
+  }
+
+  #implicatedPartsOf(call: RoutedCall): ImplicatedPart[] {
+    const { answeredParts, clock } = this.#parts;
+    const nowMs = clock.nowMs();
+    return sharedPartsOf(call).map((part) => ({
+      part: partKeyOf(call.pool, part),
+      servedAgeMs: answeredParts.ageMs(call.pool, part, nowMs),
+    }));
+  }
+
   /** Logs the state of the suspect, which decides whether it may run again. */
   #logTargetEnded(
     { options: { call }, eventCount }: TargetAttempt,
@@ -133,7 +180,7 @@
       inTrial,
       endedCount: suspects.endedCount(fingerprint),
       heldForMs: Math.round(
-        suspects.quarantineLeftMs(fingerprint, clock.nowMs()),
+        suspects.quarantineLeftMs(crashKeysOf(call), clock.nowMs()),
       ),
     });
   }
@@ -154,12 +201,3 @@
     }
   }
 }
-
-function endedTargetOf({ options }: TargetAttempt): EndedTarget {
-  const { call, target, isTrial } = options;
-  return {
-    fingerprint: fingerprintOf(call),
-    process: `${target.targetId} ${target.incarnation}`,
-    inTrial: isTrial,
-  };
-}
--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -13,7 +13,7 @@
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
 import type { StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
-import type { SuspectUpdate } from "@chestnuthatch/routing/suspect_requests";
+import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
 import {
   type TargetEvent,
   type TargetRowChange,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,12 +20,13 @@
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import { roundedUp } from "@chestnuthatch/routing/spending_log";
 import { StreamOrigins } from "@chestnuthatch/routing/stream_origins";
-import { SuspectRequests } from "@chestnuthatch/routing/suspect_requests";
+import { CrashSuspects } from "@chestnuthatch/routing/crash_suspects";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
 import { TargetRateLimits } from "@chestnuthatch/routing/target_rate_limits";
 import { LatencyModels } from "@chestnuthatch/routing/latency_models";
 import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
+import { AnsweredParts } from "./answered_parts.ts";
 import { TargetSignalHandler } from "./target_signal_handler.ts";
 import { EventLog, type LogFacts, LogPart } from "./event_log.ts";
 import { FleetStateSync } from "./fleet_state_sync.ts";
@@ -165,7 +166,7 @@
       latencyModels: new LatencyModels(),
       backoffs: new TargetBackoffs(),
       streamOrigins: new StreamOrigins(),
-      suspects: new SuspectRequests(),
+      suspects: new CrashSuspects(),
       rollouts: new Rollouts(settings.exposure),
     };
     this.#socket = new PeerSocket(this.#log, this.#metrics);
@@ -574,6 +575,7 @@
     const prefix = `${instanceId}.${this.#self.incarnation.toString(36)}`;
     return {
       board: this.board,
+      answeredParts: new AnsweredParts(),
       clock: this.#clock,
       log: this.#log,
       metrics: this.#metrics,
--- a/packages/gateway/src/heartbeat_exchange.ts
+++ b/packages/gateway/src/heartbeat_exchange.ts
@@ -13,7 +13,7 @@
 import type { RolloutUpdate } from "@chestnuthatch/routing/rollout";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
-import type { SuspectUpdate } from "@chestnuthatch/routing/suspect_requests";
+import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
 import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
 import type { RateLimitUpdate } from "@chestnuthatch/routing/target_rate_limits";
 import type { TargetRowChange } from "@chestnuthatch/routing/target_directory";
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -105,6 +105,11 @@
   "isStreamCompleted",
   "streams",
   "keys",
+  "promptParts",
+  "part",
+  "servedAgeMs",
+  "clearedParts",
+  "trialParts",
 ];
 
 /** Version of the internet protocol between peers. */
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -561,7 +561,7 @@
   ask: WorkAsk,
   { targetId, isTrial }: PlaceDecision,
 ): RunningWork {
-  const { askId, pool, rank, promptTokens, outputTokens, fingerprint } = ask;
+  const { askId, pool, rank, promptTokens, outputTokens } = ask;
   return {
     askId,
     pool,
@@ -570,6 +570,8 @@
     promptTokens,
     outputTokens,
     firstSeen: false,
-    ...(isTrial ? { trialOf: fingerprint } : undefined),
+    ...(isTrial
+      ? { trialOf: ask.fingerprint, trialParts: ask.promptParts }
+      : undefined),
   };
 }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -14,7 +14,7 @@
 import type { MemberInfo } from "@chestnuthatch/routing/member_view";
 import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
 import type { StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
-import type { SuspectUpdate } from "@chestnuthatch/routing/suspect_requests";
+import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
 import type { TargetRowChange } from "@chestnuthatch/routing/target_directory";
 
 /** Monotonic clock of the instance. */
--- a/packages/gateway/src/suspect_recorder.ts
+++ b/packages/gateway/src/suspect_recorder.ts
@@ -5,7 +5,7 @@
  */
 
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
-import type { SuspectUpdate } from "@chestnuthatch/routing/suspect_requests";
+import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock, PlatformPort } from "./ports.ts";
 import { StoreRecorder } from "./store_recorder.ts";
--- a/packages/gateway/src/suspect_recorder_test.ts
+++ b/packages/gateway/src/suspect_recorder_test.ts
@@ -1,6 +1,6 @@
 import { Writable } from "node:stream";
 import { boardOf } from "@chestnuthatch/routing/routing_test_support";
-import type { SuspectUpdate } from "@chestnuthatch/routing/suspect_requests";
+import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { EventLog } from "./event_log.ts";
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -7,6 +7,7 @@
 import { NOT_RUN_STATUS_CODES } from "@chestnuthatch/routing/routed_error";
 import type { MemberRecord } from "@chestnuthatch/routing/member_view";
 import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
+import { SURVIVAL_MS } from "@chestnuthatch/routing/trials";
 import type { WorkEnd } from "@chestnuthatch/routing/work_ask";
 import { EventSplitter, type StreamedEvent } from "./event_splitter.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
@@ -125,6 +126,12 @@
       : Math.round(this.#firstDataAtMs - this.sentAtMs);
   }
 
+  /** Whether the target went on for some time after it began to answer. */
+  get hasSurvived(): boolean {
+    const begunAtMs = this.#firstDataAtMs ?? Infinity;
+    return this.#parts.clock.nowMs() - begunAtMs >= SURVIVAL_MS;
+  }
+
   /** Sends the request. */
   send(): void {
     const { reachability } = this.#parts;
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -3,8 +3,8 @@
 import { hash32 } from "@chestnuthatch/core/text_hash";
 import { rankOf } from "@chestnuthatch/routing/ranks";
 import type { AskCause, WorkAsk } from "@chestnuthatch/routing/work_ask";
+import { crashKeysIfNeeded } from "./crash_keys.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
-import { fingerprintIfNeeded } from "./request_fingerprint.ts";
 import {
   deadlineAtMs,
   type RoutedCall,
@@ -58,7 +58,6 @@
   const patienceMs = isStream(route.kind)
     ? Math.min(leftMs, streamPatienceMs(route) - silentMs)
     : leftMs;
-  const fingerprint = fingerprintIfNeeded(call, parts.board.suspects);
   return {
     askId: parts.nextAskId(),
     holderId: parts.board.members.selfId,
@@ -76,7 +75,7 @@
     ...excludedTargets(parts, call, facts),
     cause: facts.cause,
     ...facts.stream,
-    ...(fingerprint === undefined ? undefined : { fingerprint }),
+    ...crashKeysIfNeeded(call, parts.board.suspects, nowMs),
     ...(parts.board.rollouts.isInProgress(call.pool)
       ? { route: route.name }
       : undefined),
--- a/packages/gateway/src/work_ask_of_test.ts
+++ b/packages/gateway/src/work_ask_of_test.ts
@@ -5,8 +5,8 @@
 import { AskCause } from "@chestnuthatch/routing/work_ask";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { fingerprintOf } from "./crash_keys.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
-import { fingerprintOf } from "./request_fingerprint.ts";
 import { type RoutedCall, streamPatienceMs } from "./routed_call.ts";
 import { poolBackoffMs, workAskOf } from "./work_ask_of.ts";
 
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -24,7 +24,7 @@
 import { StreamOrigins } from "@chestnuthatch/routing/stream_origins";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
-import { SuspectRequests } from "@chestnuthatch/routing/suspect_requests";
+import { CrashSuspects } from "@chestnuthatch/routing/crash_suspects";
 import { TargetRateLimits } from "@chestnuthatch/routing/target_rate_limits";
 import { LatencyModels } from "@chestnuthatch/routing/latency_models";
 import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
@@ -301,7 +301,7 @@
     latencyModels: new LatencyModels(),
     backoffs: new TargetBackoffs(),
     streamOrigins: new StreamOrigins(),
-    suspects: new SuspectRequests(),
+    suspects: new CrashSuspects(),
     rollouts: new Rollouts({ share: 0.1, slack: 50 }),
   };
 }
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -191,7 +191,7 @@
    * @param nowMs Current local time in milliseconds.
    */
   firstSeen(askId: string, nowMs: number): void {
-    const work = this.#schedulerOf(askId)?.firstSeen(askId);
+    const work = this.#schedulerOf(askId)?.firstSeen(askId, nowMs);
     if (work !== undefined) {
       this.#recordOrigin(work, this.#openAsks.get(askId)!.pool, nowMs);
     }
@@ -333,6 +333,8 @@
       }
     }
     for (const scheduler of this.#schedulers.values()) {
+      scheduler.survivors(nowMs)
+        .forEach((keys) => this.#board.suspects.served(keys, nowMs));
       decisions.push(...this.#applyDecisions(scheduler.tick(nowMs), nowMs));
     }
     return decisions;
@@ -560,7 +562,7 @@
   }
 
   #updateSuspects(
-    { endedTarget, clearedFingerprint }: WorkEnd,
+    { endedTarget, clearedFingerprint, clearedParts }: WorkEnd,
     nowMs: number,
   ): void {
     const { suspects } = this.#board;
@@ -568,14 +570,17 @@
       suspects.targetEnded(endedTarget, nowMs);
     }
     if (clearedFingerprint !== undefined) {
-      suspects.served(clearedFingerprint);
+      suspects.served(
+        { fingerprint: clearedFingerprint, promptParts: clearedParts },
+        nowMs,
+      );
     }
   }
 
   #admit(ask: WorkAsk, scope: PlacementScope): AdmissionResult {
-    const { askId, holderId, fingerprint } = ask;
+    const { askId, holderId } = ask;
     const { suspects } = this.#board;
-    const heldForMs = suspects.quarantineLeftMs(fingerprint, scope.nowMs);
+    const heldForMs = suspects.quarantineLeftMs(ask, scope.nowMs);
     if (heldForMs > 0) {
       return { refusal: quarantineRefusal(ask, heldForMs) };
     }
--- a/packages/routing/src/suspect_requests_test.ts
+++ b/packages/routing/src/crash_suspects_test.ts
@@ -4,7 +4,8 @@
 import * as assert from "uvu/assert";
 import { Coordinator } from "./coordinator.ts";
 import { askOf, boardOf } from "./routing_test_support.ts";
-import { SuspectRequests } from "./suspect_requests.ts";
+import { CrashSuspects } from "./crash_suspects.ts";
+import { SURVIVAL_MS } from "./trials.ts";
 import type { AskDecision, WorkEnd } from "./work_ask.ts";
 
 const MINUTE_MS = 60_000;
@@ -18,8 +19,8 @@
 }
 
 /** A request that ended two targets. */
-function suspectsOf(fingerprint: string): SuspectRequests {
-  const suspects = new SuspectRequests();
+function suspectsOf(fingerprint: string): CrashSuspects {
+  const suspects = new CrashSuspects();
   for (const process of ["t1", "t2"]) {
     suspects.targetEnded({ fingerprint, process, inTrial: false }, 0);
   }
@@ -52,7 +53,7 @@
 }
 
 test("two ended targets make a suspect, which is not quarantined yet", () => {
-  const suspects = new SuspectRequests();
+  const suspects = new CrashSuspects();
   const end = { fingerprint: "f", inTrial: false };
   suspects.targetEnded({ ...end, process: "t1" }, 0);
   assert.not.ok(
@@ -61,9 +62,9 @@
   );
   assert.equal(suspects.updatesToSend(0), []);
   suspects.targetEnded({ ...end, process: "t2" }, 10);
-  assert.ok(suspects.isSuspect("f"));
+  assert.ok(suspects.isSuspect({ fingerprint: "f" }));
   assert.ok(suspects.hasSuspects);
-  assert.is(suspects.quarantineLeftMs("f", 10), 0);
+  assert.is(suspects.quarantineLeftMs({ fingerprint: "f" }, 10), 0);
 });
 
 test("each failed trial quarantines a request, for a longer time", () => {
@@ -71,11 +72,17 @@
   const quarantineMinutes = [1, 2, 3, 4].map((trial) => {
     const process = `trial-${trial}`;
     suspects.targetEnded({ fingerprint: "f", process, inTrial: true }, 0);
-    return suspects.quarantineLeftMs("f", 0) / MINUTE_MS;
+    return suspects.quarantineLeftMs({ fingerprint: "f" }, 0) / MINUTE_MS;
   });
   assert.equal(quarantineMinutes, [2, 20, 24 * 60, 24 * 60]);
-  assert.is(suspects.quarantineLeftMs("f", 25 * 60 * MINUTE_MS), 0);
-  assert.ok(suspects.isSuspect("f"), "the next run is a trial again");
+  assert.is(
+    suspects.quarantineLeftMs({ fingerprint: "f" }, 25 * 60 * MINUTE_MS),
+    0,
+  );
+  assert.ok(
+    suspects.isSuspect({ fingerprint: "f" }),
+    "the next run is a trial again",
+  );
 });
 
 test("instances converge whatever the order of the updates", () => {
@@ -86,7 +93,7 @@
   ].map((each) => ({ fingerprint: "f", ...each }));
   const merged = [updates, updates.toReversed(), [...updates, ...updates]].map(
     (order) => {
-      const suspects = new SuspectRequests();
+      const suspects = new CrashSuspects();
       order.forEach((each) => suspects.merge([each], 100));
       const [one] = suspects.updatesToSend(100);
       return { ...one, ended: one!.ended.toSorted() };
@@ -173,7 +180,7 @@
   const suspects = suspectsOf("f");
   suspects.targetEnded({ fingerprint: "f", process: "t3", inTrial: true }, 0);
   for (let other = 0; other < 40; other++) {
-    for (const process of ["t1", "t2"]) {
+    for (const process of [`a${other}`, `b${other}`]) {
       const fingerprint = `bystander-${other}`;
       suspects.targetEnded(
         { fingerprint, process, inTrial: false },
@@ -194,4 +201,96 @@
   assert.not.ok(suspects.hasSuspects);
 });
 
+/** Requests whose prompts share a part, beside sound ones with other parts. */
+const BAD = { promptParts: ["shared", "bad"] };
+
+/** A coordinator that knows of two crashes under requests like `BAD`. */
+function coordinatorAfterCrashes(targetIds: readonly string[]): Coordinator {
+  const board = boardOf(targetIds);
+  for (const [index, process] of ["t1 1", "t2 1"].entries()) {
+    board.suspects.targetEnded({
+      fingerprint: `f${index}`,
+      promptParts: [{ part: "shared", servedAgeMs: 5 }, { part: "bad" }],
+      process,
+      inTrial: false,
+    }, 100 * index);
+  }
+  return new Coordinator(board, BOUNDS);
+}
+
+// Guards against targets that crash one after another under requests that have
+// only a part of their prompts in common.
+test("requests that share a part under which two targets ended are tried one at a time", () => {
+  const coordinator = coordinatorAfterCrashes(["t3", "t4"]);
+  const first = askOf("a1", { fingerprint: "f8", ...BAD });
+  assert.ok(targetOf(coordinator.ask(first, scope(200))));
+  const second = askOf("a2", { fingerprint: "f9", ...BAD });
+  assert.equal(coordinator.ask(second, scope(201)), []);
+  const endedTarget = {
+    fingerprint: "f8",
+    promptParts: [{ part: "shared", servedAgeMs: 5 }, { part: "bad" }],
+    process: "t3 1",
+    inTrial: true,
+  };
+  const end = endOf("a1", { failed: true, endedTarget });
+  const refused = refusalOf(coordinator.ended(end, 300));
+  assert.match(JSON.stringify(refused), /"refusal":"quarantined"/);
+});
+
+// Guards against refusing or delaying sound requests that share other parts
+// with those that crash targets.
+test("requests that share only other parts are placed at once", () => {
+  const coordinator = coordinatorAfterCrashes(["t3"]);
+  const sound = { promptParts: ["shared", "session"] };
+  const decisions = coordinator
+    .ask(askOf("a1", { fingerprint: "f8", ...sound }), scope(200));
+  assert.ok(targetOf(decisions));
+  assert.not.match(JSON.stringify(decisions), "isTrial");
+});
+
+// Guards against delaying requests with a sound part until a long stream on
+// trial has ended.
+test("a trial ends when its target has gone on for some time after the first event", () => {
+  const coordinator = coordinatorAfterCrashes(["t3", "t4"]);
+  coordinator.ask(askOf("a1", { fingerprint: "f8", ...BAD }), scope(200));
+  coordinator.ask(askOf("a2", { fingerprint: "f9", ...BAD }), scope(201));
+  coordinator.firstSeen("a1", 300);
+  assert.equal(coordinator.tick(310), []);
+  const placed = coordinator.tick(300 + SURVIVAL_MS);
+  assert.equal(placed.map(({ askId }) => askId), ["a2"]);
+});
+
+// Guards against suspects that come back with the repeated message of a holder
+// after an answer has cleared them.
+test("a repeated report of an end before the last answer suspects no key", () => {
+  const suspects = suspectsOf("f");
+  const repeated = suspects.updatesToSend(10);
+  suspects.served({ fingerprint: "f" }, 50);
+  suspects.merge(repeated.map((each) => ({ ...each, ageMs: 100 })), 100);
+  assert.not.ok(suspects.hasSuspects);
+});
+
+// Guards against instances that keep a cleared suspect and restore it when they
+// become the coordinator.
+test("other instances learn of cleared suspects", () => {
+  const suspects = suspectsOf("f");
+  const other = new CrashSuspects();
+  other.merge(suspects.updatesToSend(10), 10);
+  assert.ok(other.isSuspect({ fingerprint: "f" }));
+  suspects.served({ fingerprint: "f" }, 50);
+  other.merge(suspects.updatesToSend(60), 60);
+  assert.not.ok(other.hasSuspects);
+});
+
+// Guards against writes to the store after each crash of a target.
+test("crashes without a common key are not recorded", () => {
+  const suspects = new CrashSuspects();
+  const { version } = suspects;
+  for (const process of ["t1", "t2"]) {
+    const fingerprint = `of ${process}`;
+    suspects.targetEnded({ fingerprint, process, inTrial: false }, 0);
+  }
+  assert.is(suspects.version, version);
+});
+
 test.run();
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -74,6 +74,7 @@
   ended: z.array(z.string()).readonly(),
   endedInTrial: z.array(z.string()).readonly(),
   ageMs: z.number(),
+  servedAgeMs: z.number().optional(),
 });
 
 /** Validates a `RolloutUpdate` from another instance or from the store. */
@@ -116,6 +117,7 @@
   excluded: z.array(z.string()).readonly(),
   cause: z.enum(AskCause),
   fingerprint: z.string().optional(),
+  promptParts: z.array(z.string()).readonly().optional(),
   streamKey: z.number().optional(),
   takesUp: z.literal(true).optional(),
   avoided: z.array(z.string()).readonly().optional(),
@@ -137,10 +139,15 @@
   isStreamCompleted: z.literal(true).optional(),
   endedTarget: z.object({
     fingerprint: z.string(),
+    promptParts: z.array(z.object({
+      part: z.string(),
+      servedAgeMs: z.number().optional(),
+    })).readonly().optional(),
     process: z.string(),
     inTrial: z.boolean(),
   }).optional(),
   clearedFingerprint: z.string().optional(),
+  clearedParts: z.array(z.string()).readonly().optional(),
 });
 
 const running = z.object({
@@ -152,6 +159,7 @@
   outputTokens: z.number(),
   firstSeen: z.boolean(),
   trialOf: z.string().optional(),
+  trialParts: z.array(z.string()).readonly().optional(),
 });
 
 const report = z.object({
@@ -226,7 +234,7 @@
      * this heartbeat carries none.
      */
     retries: z.array(retryHistorySchema).readonly().optional(),
-    /** From the coordinator: requests under which targets ended, if any. */
+    /** From the coordinator: keys that explain ended targets, if any. */
     suspects: z.array(suspectUpdateSchema).readonly().optional(),
     /** From the coordinator: streams that began recently, if any. */
     streams: z.array(streamOriginGroupSchema).readonly().optional(),
--- a/packages/routing/src/placed_work_index.ts
+++ b/packages/routing/src/placed_work_index.ts
@@ -3,6 +3,7 @@
  * target.
  */
 
+import type { CrashKeys } from "./crash_suspects.ts";
 import { IDLE_USE, type TargetUse } from "./target_choice.ts";
 
 /** One piece of work placed at a target. */
@@ -25,11 +26,13 @@
   readonly cameBackMs: number;
   /** Whether its first event was received, so that its prompt is processed. */
   readonly firstSeen: boolean;
+  /** Local time of its first event, in milliseconds; absent before. */
+  readonly firstSeenAtMs?: number;
   /**
-   * Fingerprint of a request under suspicion that runs isolated, on trial;
-   * absent for all others.
+   * Keys of a request under suspicion that runs isolated, on trial; absent for
+   * all others.
    */
-  readonly trialOf?: string;
+  readonly trialOf?: CrashKeys;
   /** Key of the stream that it begins or goes on with; absent for no stream. */
   readonly streamKey?: number;
   /** Software version of the target; absent if it is not known. */
@@ -102,22 +105,9 @@
       .length;
   }
 
-  /**
-   * @param fingerprint Fingerprint of a request.
-   * @returns Whether that request runs on trial now.
-   */
-  isOnTrial(fingerprint: string): boolean {
-    return [...this.#trials.values()]
-      .some(({ trialOf }) => trialOf === fingerprint);
-  }
-
-  /**
-   * @param targetId Id of a target.
-   * @returns Whether any request runs on trial there.
-   */
-  hasTrialAt(targetId: string): boolean {
-    return [...this.#trials.values()]
-      .some((work) => work.targetId === targetId);
+  /** Work that runs on trial. */
+  get trials(): PlacedWork[] {
+    return [...this.#trials.values()];
   }
 
   /**
@@ -141,11 +131,12 @@
    * queued at the target.
    *
    * @param askId Id of the work's ask.
+   * @param nowMs Current local time in milliseconds.
    */
-  firstSeen(askId: string): void {
+  firstSeen(askId: string, nowMs: number): void {
     const work = this.#byAsk.get(askId);
     if (work !== undefined && !work.firstSeen) {
-      this.put({ ...work, firstSeen: true });
+      this.put({ ...work, firstSeen: true, firstSeenAtMs: nowMs });
     }
   }
 
--- a/packages/routing/src/placed_work_index_test.ts
+++ b/packages/routing/src/placed_work_index_test.ts
@@ -29,8 +29,8 @@
     tokensAhead: 150,
     kvTokens: 190,
   });
-  index.firstSeen("a");
-  index.firstSeen("a");
+  index.firstSeen("a", 10);
+  index.firstSeen("a", 10);
   assert.is(index.use("t1").tokensAhead, 50);
   index.remove("a");
   index.remove("b");
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -8,6 +8,7 @@
  * is refused as soon as that can be predicted.
  */
 
+import type { CrashKeys } from "./crash_suspects.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { RejectionLimiter } from "./rejection_limiter.ts";
 import { type PlacedWork, PlacedWorkIndex } from "./placed_work_index.ts";
@@ -18,6 +19,7 @@
 import type { RoutingBoard } from "./routing_board.ts";
 import type { Candidate, Choice } from "./target_choice.ts";
 import type { KnownTarget } from "./target_directory.ts";
+import { Trials } from "./trials.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
 import {
   type AskDecision,
@@ -79,6 +81,7 @@
   readonly #placed = new PlacedWorkIndex((targetId, use) =>
     this.#selector.updateUse(targetId, use)
   );
+  readonly #trials: Trials;
   readonly #selector: TargetSelector;
   readonly #waiting = new WaitingQueue();
   readonly #shares = new RankShares();
@@ -103,9 +106,11 @@
     this.#board = board;
     this.#limiter = limiter;
     const placed = this.#placed;
+    this.#trials = new Trials(board.suspects, placed);
     this.#selector = new TargetSelector(pool, {
       board,
       placed,
+      trials: this.#trials,
       limiter,
       rejections,
     });
@@ -194,13 +199,24 @@
    * received.
    *
    * @param askId Id of the ask that the stream was placed by.
+   * @param nowMs Current local time in milliseconds.
    * @returns The placed work; undefined if there is none.
    */
-  firstSeen(askId: string): PlacedWork | undefined {
-    this.#placed.firstSeen(askId);
+  firstSeen(askId: string, nowMs: number): PlacedWork | undefined {
+    this.#placed.firstSeen(askId, nowMs);
     return this.#placed.get(askId);
   }
 
+  /**
+   * Lists requests on trial that did not crash their targets.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns Keys of the requests.
+   */
+  survivors(nowMs: number): CrashKeys[] {
+    return this.#trials.survivors(nowMs);
+  }
+
   /**
    * Updates the prediction of start times from an observed latency.
    *
@@ -250,10 +266,11 @@
       outputTokens,
       firstSeen,
       trialOf,
+      trialParts,
     } = running;
     if (this.#placed.get(askId) !== undefined) {
       if (firstSeen) {
-        this.firstSeen(askId);
+        this.firstSeen(askId, nowMs);
       }
       return;
     }
@@ -270,7 +287,10 @@
       expectedMs: 0,
       cameBackMs: 0,
       firstSeen,
-      trialOf,
+      firstSeenAtMs: firstSeen ? nowMs : undefined,
+      trialOf: trialOf === undefined
+        ? undefined
+        : { fingerprint: trialOf, promptParts: trialParts },
     });
   }
 
@@ -439,7 +459,7 @@
       };
     }
     const { suspects } = this.#board;
-    const heldForMs = suspects.quarantineLeftMs(ask.fingerprint, pass.nowMs);
+    const heldForMs = suspects.quarantineLeftMs(ask, pass.nowMs);
     if (heldForMs > 0) {
       return quarantineRefusal(ask, heldForMs);
     }
@@ -474,7 +494,7 @@
       return versionRefusal(ask);
     }
     const { suspects } = this.#board;
-    const heldForMs = suspects.quarantineLeftMs(ask.fingerprint, nowMs);
+    const heldForMs = suspects.quarantineLeftMs(ask, nowMs);
     if (heldForMs > 0) {
       return quarantineRefusal(ask, heldForMs);
     }
@@ -555,8 +575,8 @@
       expectedMs: choice.firstMs,
       cameBackMs,
       firstSeen: false,
-      trialOf: this.#board.suspects.isSuspect(ask.fingerprint)
-        ? ask.fingerprint
+      trialOf: this.#board.suspects.isSuspect(ask)
+        ? { fingerprint: ask.fingerprint, promptParts: ask.promptParts }
         : undefined,
       streamKey: ask.streamKey,
       version: choice.target.version,
--- a/packages/routing/src/routing_board.ts
+++ b/packages/routing/src/routing_board.ts
@@ -5,13 +5,13 @@
  */
 
 import type { ConfigurationAge } from "./configuration_age.ts";
+import type { CrashSuspects } from "./crash_suspects.ts";
 import type { UnreachableDomains } from "./unreachable_domains.ts";
 import type { MemberView } from "./member_view.ts";
 import type { Rollouts } from "./rollouts.ts";
 import type { RelayedTargets } from "./relayed_targets.ts";
 import type { RouteTable } from "./route_table.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
-import type { SuspectRequests } from "./suspect_requests.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 import type { TargetHealth } from "./target_health.ts";
 import type { TargetRateLimits } from "./target_rate_limits.ts";
@@ -75,8 +75,8 @@
    */
   readonly streamOrigins: StreamOrigins;
   /**
-   * Requests suspected of ending targets. Written by the coordinator and by
-   * holders, from targets whose processes ended.
+   * Requests and parts of prompts suspected of crashing targets. Written by the
+   * coordinator and by holders, from targets whose processes ended.
    */
-  readonly suspects: SuspectRequests;
+  readonly suspects: CrashSuspects;
 }
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -13,7 +13,7 @@
 import { RouteTable } from "./route_table.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import { StreamOrigins } from "./stream_origins.ts";
-import { SuspectRequests } from "./suspect_requests.ts";
+import { CrashSuspects } from "./crash_suspects.ts";
 import { TargetDirectory } from "./target_directory.ts";
 import { TargetHealth } from "./target_health.ts";
 import { TargetRateLimits } from "./target_rate_limits.ts";
@@ -138,7 +138,7 @@
     latencyModels: new LatencyModels(),
     backoffs: new TargetBackoffs(),
     streamOrigins: new StreamOrigins(),
-    suspects: new SuspectRequests(),
+    suspects: new CrashSuspects(),
     rollouts: new Rollouts({ share: 0.1, slack: 50 }),
   };
 }
--- a/packages/routing/src/target_selector.ts
+++ b/packages/routing/src/target_selector.ts
@@ -15,6 +15,7 @@
   type TargetUse,
 } from "./target_choice.ts";
 import type { KnownTarget } from "./target_directory.ts";
+import type { Trials } from "./trials.ts";
 import { AskCause, type WorkAsk } from "./work_ask.ts";
 
 /** The pool's usable targets at one moment. */
@@ -33,6 +34,7 @@
 export interface TargetSelectorParts {
   readonly board: RoutingBoard;
   readonly placed: PlacedWorkIndex;
+  readonly trials: Trials;
   readonly limiter: RateLimiter;
   readonly rejections: RejectionLimiter;
 }
@@ -42,6 +44,7 @@
   readonly #pool: string;
   readonly #board: RoutingBoard;
   readonly #placed: PlacedWorkIndex;
+  readonly #trials: Trials;
   readonly #limiter: RateLimiter;
   readonly #rejections: RejectionLimiter;
   #targets?: CandidateIndex;
@@ -57,6 +60,7 @@
     this.#pool = pool;
     this.#board = parts.board;
     this.#placed = parts.placed;
+    this.#trials = parts.trials;
     this.#limiter = parts.limiter;
     this.#rejections = parts.rejections;
   }
@@ -120,7 +124,7 @@
     { canary }: TargetSnapshot,
   ): Choice | undefined {
     const mayTry = ask.cause !== AskCause.Repeat &&
-      !this.#board.suspects.isSuspect(ask.fingerprint);
+      !this.#board.suspects.isSuspect(ask);
     return canary.length > 0 && mayTry ? chooseTarget(ask, canary) : undefined;
   }
 
@@ -136,15 +140,13 @@
     if (!targets.hasFree) {
       return undefined;
     }
-    const chooseAmong = (free: readonly Candidate[]) =>
-      chooseTarget(ask, this.#withinLimits(free, nowMs));
-    if (this.#board.suspects.isSuspect(ask.fingerprint)) {
-      return chooseAmong(this.#forTrial(ask, targets.allFree()));
+    if (this.#board.suspects.isSuspect(ask)) {
+      return this.#chooseFree(ask, targets.allFree(), nowMs);
     }
     const sampled = targets.sampleFree(ask.failureDomain);
-    const choice = chooseAmong(sampled);
+    const choice = this.#chooseFree(ask, sampled, nowMs);
     return choice === undefined && sampled.length < targets.freeCount
-      ? chooseAmong(targets.allFree())
+      ? this.#chooseFree(ask, targets.allFree(), nowMs)
       : choice;
   }
 
@@ -178,10 +180,17 @@
     candidates: readonly Candidate[],
     nowMs: number,
   ): Choice | undefined {
-    const free = candidates.filter(hasFreeSlot);
-    const allowed = this.#board.suspects.isSuspect(ask.fingerprint)
-      ? this.#forTrial(ask, free)
-      : free;
+    return this.#chooseFree(ask, candidates.filter(hasFreeSlot), nowMs);
+  }
+
+  #chooseFree(
+    ask: WorkAsk,
+    free: readonly Candidate[],
+    nowMs: number,
+  ): Choice | undefined {
+    const allowed = this.#board.suspects.isSuspect(ask)
+      ? this.#trials.targetsForTrial(ask, free, nowMs)
+      : this.#trials.targetsBesideTrials(free, nowMs);
     return chooseTarget(ask, this.#withinLimits(allowed, nowMs));
   }
 
@@ -205,20 +214,6 @@
       : withinRates;
   }
 
-  /**
-   * Leaves out targets that must not run a request on trial. A suspect request runs at one target
-   * at a time and never beside another suspect, so that the end of the target's
-   * process can be attributed to one request.
-   */
-  #forTrial(
-    { fingerprint }: WorkAsk,
-    free: readonly Candidate[],
-  ): readonly Candidate[] {
-    return this.#placed.isOnTrial(fingerprint!)
-      ? []
-      : free.filter(({ target }) => !this.#placed.hasTrialAt(target.targetId));
-  }
-
   /**
    * Decides whether a request should stay queued for a faster target.
    *
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -5,7 +5,7 @@
 
 import type { WorkspaceSpending } from "./spending_log.ts";
 import type { StreamOriginGroup } from "./stream_origins.ts";
-import type { EndedTarget, SuspectUpdate } from "./suspect_requests.ts";
+import type { EndedTarget, SuspectUpdate } from "./crash_suspects.ts";
 
 /** Why a holder asks for the placement of a request. */
 export enum AskCause {
@@ -51,9 +51,14 @@
   readonly cause: AskCause;
   /**
    * Fingerprint that all attempts at the request share on all instances; absent
-   * while no request is suspected of ending targets.
+   * while no target has ended recently.
    */
   readonly fingerprint?: string;
+  /**
+   * Hashes of the parts of the prompt that other requests may share; absent if
+   * there are none, and while no target has ended recently.
+   */
+  readonly promptParts?: readonly string[];
   /** Key of the stream that it begins or goes on with; absent for no stream. */
   readonly streamKey?: number;
   /**
@@ -156,6 +161,8 @@
   readonly endedTarget?: EndedTarget;
   /** Fingerprint of a suspect request that a target answered. */
   readonly clearedFingerprint?: string;
+  /** Hashes of the parts of its prompt. */
+  readonly clearedParts?: readonly string[];
 }
 
 /**
@@ -174,6 +181,8 @@
    * all others.
    */
   readonly trialOf?: string;
+  /** Hashes of the parts of its prompt. */
+  readonly trialParts?: readonly string[];
 }
 
 /** Periodic report of a holder's open asks and of the spending through it. */
@@ -184,8 +193,8 @@
   /** Spending of workspaces through this holder within the window. */
   readonly spent: readonly WorkspaceSpending[];
   /**
-   * Requests suspected of ending targets that the coordinator may not know of;
-   * absent where there are none.
+   * Keys under which targets ended that the coordinator may not know of; absent
+   * where there are none.
    */
   readonly suspects?: readonly SuspectUpdate[];
   /**
--- a/tests/crashing_parts_run.ts
+++ b/tests/crashing_parts_run.ts
@@ -159,12 +159,13 @@
   readonly #draw: Draw;
   readonly #sound: SoundRequest[] = [];
   readonly #crashesAtMs = new Map<string, number[]>();
-  readonly #timers = new Set<NodeJS.Timeout>();
+  /** Restarts of engines that have exited. */
+  readonly #restarts = new Map<StandinTarget, NodeJS.Timeout>();
   /** Session part that each sound caller uses at present. */
   readonly #sessions: string[] = [];
   #startedAtMs = 0;
   #calls = 0;
-  #restarts = 0;
+  #restartCount = 0;
   #isOver = false;
 
   constructor(plan: CrashingPartsPlan) {
@@ -207,7 +208,7 @@
 
   close(): void {
     this.#isOver = true;
-    this.#timers.forEach((timer) => clearTimeout(timer));
+    this.#restarts.forEach((timer) => clearTimeout(timer));
     this.#fleet.close();
   }
 
@@ -260,15 +261,16 @@
   }
 
   #restartLater(engine: StandinTarget): void {
-    const timer = setTimeout(async () => {
-      this.#timers.delete(timer);
+    const restart = async () => {
+      this.#restarts.delete(engine);
       const before = engine.id;
-      const id = `${before.split(".")[0]}.${++this.#restarts}`;
+      const id = `${before.split(".")[0]}.${++this.#restartCount}`;
       await engine.restart(id);
       this.#fleet.store.put("servers", before);
       this.#fleet.listTarget(engine);
-    }, this.#plan.restartDelayMs);
-    this.#timers.add(timer);
+    };
+    const timer = setTimeout(() => void restart(), this.#plan.restartDelayMs);
+    this.#restarts.set(engine, timer);
   }
 
   async #injectFault(
@@ -281,8 +283,10 @@
       gateways[index % gateways.length]!.kill();
     } else {
       const engine = engines[index % engines.length]!;
-      engine.close();
-      this.#restartLater(engine);
+      if (!this.#restarts.has(engine)) {
+        engine.close();
+        this.#restartLater(engine);
+      }
     }
   }
 
