Targets: crashes implicate requests that their callers abandoned

A target may go on with a request whose caller has left, and crash under it. Nobody waits for its answer then, so that the crash named sound requests only, and the part that caused it was never suspected.

The coordinator remembers for a second what left a target before an answer began, and implicates it if the target's end is reported. The new test fails without that (the request is placed without a trial).

Prompts of any number of parts are examined, those without an answer first; of one with more than 32 parts, the last were left out before.

--- a/packages/gateway/src/answered_parts.ts
+++ b/packages/gateway/src/answered_parts.ts
@@ -4,12 +4,14 @@
  * some of them.
  */
 
-import { sharedPartsOf } from "./crash_keys.ts";
-import type { RoutedCall } from "./routed_call.ts";
+import { type RoutedCall, sharedPartsOf } from "./routed_call.ts";
 
 /** Largest number of parts; the one that was answered first is evicted. */
 const MAX_PARTS = 2048;
 
+/** Parts of one request that are examined after a crash. */
+const MAX_EXAMINED_PARTS = 32;
+
 /** Time after which an answer no longer counts in favor of a part. */
 const RETENTION_MS = 600_000;
 
@@ -38,6 +40,22 @@
     }
   }
 
+  /**
+   * Lists the shared parts of a request that may have crashed a target.
+   *
+   * @param call The request.
+   * @returns Ids of parts, those without an answer first; the parts that were
+   * answered last are left out if there are too many.
+   */
+  leastAnswered(call: RoutedCall): string[] {
+    const parts = sharedPartsOf(call);
+    return parts.length <= MAX_EXAMINED_PARTS ? parts : parts
+      .map((part) => ({ part, atMs: this.#lastAnsweredAtMs(call.pool, part) }))
+      .sort((a, b) => a.atMs - b.atMs || 0)
+      .slice(0, MAX_EXAMINED_PARTS)
+      .map(({ part }) => part);
+  }
+
   /**
    * @param pool Name of a pool.
    * @param part Id of a part of prompts.
@@ -46,10 +64,13 @@
    * with the part; undefined if none did lately.
    */
   ageMs(pool: string, part: string, nowMs: number): number | undefined {
-    const answeredAtMs = this.#answeredAtMs.get(keyOf(pool, part)) ?? -Infinity;
-    const ageMs = nowMs - answeredAtMs;
+    const ageMs = nowMs - this.#lastAnsweredAtMs(pool, part);
     return ageMs <= RETENTION_MS ? ageMs : undefined;
   }
+
+  #lastAnsweredAtMs(pool: string, part: string): number {
+    return this.#answeredAtMs.get(keyOf(pool, part)) ?? -Infinity;
+  }
 }
 
 function keyOf(pool: string, part: string): string {
--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -11,7 +11,6 @@
   crashKeysOf,
   fingerprintOf,
   partKeyOf,
-  sharedPartsOf,
 } from "./crash_keys.ts";
 import type { LogFacts } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
@@ -79,8 +78,8 @@
   }
 
   #clearedKeysOf(call: RoutedCall): Partial<WorkEnd> | undefined {
-    const { board: { suspects }, clock } = this.#parts;
-    const keys = crashKeysIfNeeded(call, suspects, clock.nowMs());
+    const { board: { suspects } } = this.#parts;
+    const keys = crashKeysIfNeeded(this.#parts, call);
     return suspects.isSuspect(keys)
       ? { clearedFingerprint: keys.fingerprint, clearedParts: keys.promptParts }
       : undefined;
@@ -160,7 +159,7 @@
   #implicatedPartsOf(call: RoutedCall): ImplicatedPart[] {
     const { answeredParts, clock } = this.#parts;
     const nowMs = clock.nowMs();
-    return sharedPartsOf(call).map((part) => ({
+    return answeredParts.leastAnswered(call).map((part) => ({
       part: partKeyOf(call.pool, part),
       servedAgeMs: answeredParts.ageMs(call.pool, part, nowMs),
     }));
@@ -171,7 +170,8 @@
     { options: { call }, eventCount }: TargetAttempt,
     { fingerprint, process, inTrial }: EndedTarget,
   ): void {
-    const { board: { suspects }, clock } = this.#parts;
+    const { answeredParts, board: { suspects }, clock } = this.#parts;
+    const keys = crashKeysOf(call, answeredParts);
     this.#log("target process ended during request", {
       fingerprint,
       promptParts: call.facts.promptParts,
@@ -179,9 +179,7 @@
       process,
       inTrial,
       endedCount: suspects.endedCount(fingerprint),
-      heldForMs: Math.round(
-        suspects.quarantineLeftMs(crashKeysOf(call), clock.nowMs()),
-      ),
+      heldForMs: Math.round(suspects.quarantineLeftMs(keys, clock.nowMs())),
     });
   }
 
--- a/packages/gateway/src/crash_keys.ts
+++ b/packages/gateway/src/crash_keys.ts
@@ -11,12 +11,18 @@
   CrashKeys,
   CrashSuspects,
 } from "@chestnuthatch/routing/crash_suspects";
+import type { AnsweredParts } from "./answered_parts.ts";
+import type { Clock } from "./ports.ts";
 import type { RoutedCall } from "./routed_call.ts";
 
-const NO_BODY = Buffer.alloc(0);
+/** Collaborators that decide which keys of a request are needed. */
+export interface CrashKeyParts {
+  readonly board: { readonly suspects: CrashSuspects };
+  readonly answeredParts: AnsweredParts;
+  readonly clock: Clock;
+}
 
-/** Parts of a prompt that are examined, from its first one. */
-const MAX_SHARED_PARTS = 32;
+const NO_BODY = Buffer.alloc(0);
 
 /**
  * Computes a request's fingerprint. The whole body is hashed, so it is computed
@@ -31,16 +37,6 @@
   return hash64Hex(Buffer.concat([Buffer.from(head), body]));
 }
 
-/**
- * Lists the parts of a request's prompt that other requests may share.
- *
- * @param call A request.
- * @returns Ids of the parts; all but the last one, which is its own.
- */
-export function sharedPartsOf({ facts: { promptParts } }: RoutedCall) {
-  return [...new Set(promptParts.slice(0, -1).slice(0, MAX_SHARED_PARTS))];
-}
-
 /**
  * Computes the key of a part of prompts. Targets of another pool may run other
  * software, so that the same part has another key there.
@@ -57,10 +53,14 @@
  * Computes all keys of a request.
  *
  * @param call A request.
+ * @param answeredParts Parts that targets have answered.
  * @returns Its keys.
  */
-export function crashKeysOf(call: RoutedCall): CrashKeys {
-  const parts = sharedPartsOf(call);
+export function crashKeysOf(
+  call: RoutedCall,
+  answeredParts: AnsweredParts,
+): CrashKeys {
+  const parts = answeredParts.leastAnswered(call);
   return {
     fingerprint: fingerprintOf(call),
     ...(parts.length > 0
@@ -72,15 +72,16 @@
 /**
  * Computes the keys of a request while crashes have to be attributed.
  *
+ * @param parts Keys under which targets ended, parts that targets have
+ * answered, and the local time.
  * @param call A request.
- * @param suspects Keys under which target processes ended.
- * @param nowMs The local time.
  * @returns The keys; none while no target has ended recently.
  */
 export function crashKeysIfNeeded(
+  { board: { suspects }, answeredParts, clock }: CrashKeyParts,
   call: RoutedCall,
-  suspects: CrashSuspects,
-  nowMs: number,
 ): CrashKeys {
-  return suspects.needsKeys(nowMs) ? crashKeysOf(call) : {};
+  return suspects.needsKeys(clock.nowMs())
+    ? crashKeysOf(call, answeredParts)
+    : {};
 }
--- a/packages/gateway/src/routed_call.ts
+++ b/packages/gateway/src/routed_call.ts
@@ -38,6 +38,16 @@
   return arrivedAtMs + timeoutMs;
 }
 
+/**
+ * Lists the parts of a request's prompt that other requests may share.
+ *
+ * @param call A request.
+ * @returns Ids of the parts; all but the last one, which is its own.
+ */
+export function sharedPartsOf({ facts }: RoutedCall): string[] {
+  return [...new Set(facts.promptParts.slice(0, -1))];
+}
+
 /**
  * Callers disconnect from a stream that has not begun after the longest of
  * these: a fixed time, a multiple of the route's objective, and a multiple of
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -75,7 +75,7 @@
     ...excludedTargets(parts, call, facts),
     cause: facts.cause,
     ...facts.stream,
-    ...crashKeysIfNeeded(call, parts.board.suspects, nowMs),
+    ...crashKeysIfNeeded(parts, call),
     ...(parts.board.rollouts.isInProgress(call.pool)
       ? { route: route.name }
       : undefined),
--- a/packages/gateway/src/work_ask_of_test.ts
+++ b/packages/gateway/src/work_ask_of_test.ts
@@ -5,6 +5,7 @@
 import { AskCause } from "@chestnuthatch/routing/work_ask";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { AnsweredParts } from "./answered_parts.ts";
 import { fingerprintOf } from "./crash_keys.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { type RoutedCall, streamPatienceMs } from "./routed_call.ts";
@@ -33,6 +34,7 @@
 function partsOf(): GatewayParts {
   const parts = {
     board: boardOf(["t1"]),
+    answeredParts: new AnsweredParts(),
     clock: { nowMs: () => 0 },
     failureDomain: "a",
     nextAskId: () => "a1",
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -5,6 +5,7 @@
  * reports rebuild it.
  */
 
+import { AbandonedWork } from "./abandoned_work.ts";
 import { RateLimiter } from "./rate_limiter.ts";
 import { RejectionLimiter } from "./rejection_limiter.ts";
 import { PoolScheduler, quarantineRefusal } from "./pool_scheduler.ts";
@@ -108,6 +109,7 @@
   readonly #spendingReportedAtMs = new Map<string, number>();
   readonly #spending = new ReportedSpending();
   readonly #takenUpStreams: TakenUpStreams;
+  readonly #abandoned = new AbandonedWork();
   /** Scope of the last ask, for asks that wait for the origin of a stream. */
   #scope?: PlacementScope;
 
@@ -225,6 +227,7 @@
     this.#rejections.recordEnd(end, nowMs);
     const scheduler = this.#poolScheduler(end.pool);
     const { work, decisions } = scheduler.release(end.askId, nowMs);
+    this.#recordAbandoned(end, work, nowMs);
     if (work?.streamKey !== undefined && end.isStreamCompleted === true) {
       this.#board.streamOrigins.completed(work.streamKey, nowMs);
     }
@@ -562,12 +565,20 @@
   }
 
   #updateSuspects(
-    { endedTarget, clearedFingerprint, clearedParts }: WorkEnd,
+    { targetId, endedTarget, clearedFingerprint, clearedParts }: WorkEnd,
     nowMs: number,
   ): void {
     const { suspects } = this.#board;
     if (endedTarget !== undefined) {
       suspects.targetEnded(endedTarget, nowMs);
+      for (const { keys, inTrial } of this.#abandoned.at(targetId, nowMs)) {
+        suspects.targetEnded({
+          fingerprint: keys.fingerprint!,
+          promptParts: keys.promptParts?.map((part) => ({ part })),
+          process: endedTarget.process,
+          inTrial,
+        }, nowMs);
+      }
     }
     if (clearedFingerprint !== undefined) {
       suspects.served(
@@ -577,6 +588,17 @@
     }
   }
 
+  #recordAbandoned(
+    { failed, firstMs, targetId }: WorkEnd,
+    work: PlacedWork | undefined,
+    nowMs: number,
+  ): void {
+    if (work?.crashKeys !== undefined && !failed && firstMs === undefined) {
+      const { crashKeys: keys, isTrial: inTrial = false } = work;
+      this.#abandoned.record({ targetId, keys, inTrial, atMs: nowMs });
+    }
+  }
+
   #admit(ask: WorkAsk, scope: PlacementScope): AdmissionResult {
     const { askId, holderId } = ask;
     const { suspects } = this.#board;
--- a/packages/routing/src/crash_suspects_test.ts
+++ b/packages/routing/src/crash_suspects_test.ts
@@ -6,7 +6,7 @@
 import { askOf, boardOf } from "./routing_test_support.ts";
 import { CrashSuspects } from "./crash_suspects.ts";
 import { SURVIVAL_MS } from "./trials.ts";
-import type { AskDecision, WorkEnd } from "./work_ask.ts";
+import type { AskDecision, WorkAsk, WorkEnd } from "./work_ask.ts";
 
 const MINUTE_MS = 60_000;
 const BOUNDS = {
@@ -260,6 +260,31 @@
   assert.equal(placed.map(({ askId }) => askId), ["a2"]);
 });
 
+// Guards against requests whose callers leave before a target that goes on with
+// them crashes: nobody waits for their answers, so nobody tells of the crash.
+test("requests that their callers abandoned shortly before a crash are implicated", () => {
+  const coordinator = new Coordinator(boardOf(["t3", "t4"]), BOUNDS);
+  for (const [turn, targetId] of ["t3", "t4"].entries()) {
+    const excluded = targetId === "t4" ? ["t3"] : ["t4"];
+    const place = (askId: string, over: Partial<WorkAsk>) =>
+      coordinator.ask(askOf(askId, { excluded, ...over }), scope(100 * turn));
+    const keys = { fingerprint: `f${turn}`, promptParts: ["bad"] };
+    place(`left-${turn}`, keys);
+    place(`lost-${turn}`, { fingerprint: `g${turn}` });
+    coordinator.ended(endOf(`left-${turn}`, { targetId }), 100 * turn + 50);
+    const endedTarget = {
+      fingerprint: `g${turn}`,
+      process: `${targetId} 1`,
+      inTrial: false,
+    };
+    const end = endOf(`lost-${turn}`, { targetId, failed: true, endedTarget });
+    coordinator.ended(end, 100 * turn + 60);
+  }
+  const again = askOf("a1", { fingerprint: "f9", promptParts: ["bad"] });
+  const decisions = coordinator.ask(again, scope(200));
+  assert.match(JSON.stringify(decisions), '"isTrial":true');
+});
+
 // Guards against suspects that come back with the repeated message of a holder
 // after an answer has cleared them.
 test("a repeated report of an end before the last answer suspects no key", () => {
--- a/packages/routing/src/placed_work_index.ts
+++ b/packages/routing/src/placed_work_index.ts
@@ -28,11 +28,10 @@
   readonly firstSeen: boolean;
   /** Local time of its first event, in milliseconds; absent before. */
   readonly firstSeenAtMs?: number;
-  /**
-   * Keys of a request under suspicion that runs isolated, on trial; absent for
-   * all others.
-   */
-  readonly trialOf?: CrashKeys;
+  /** Keys of the request; absent while no target has ended recently. */
+  readonly crashKeys?: CrashKeys;
+  /** Set if the request is suspect, and runs isolated, on trial. */
+  readonly isTrial?: true;
   /** Key of the stream that it begins or goes on with; absent for no stream. */
   readonly streamKey?: number;
   /** Software version of the target; absent if it is not known. */
@@ -118,7 +117,7 @@
   put(work: PlacedWork): void {
     this.remove(work.askId);
     this.#byAsk.set(work.askId, work);
-    if (work.trialOf !== undefined) {
+    if (work.isTrial) {
       this.#trials.set(work.askId, work);
     }
     const askIds = this.#askIdsByHolder.get(work.holderId) ?? new Set();
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -288,9 +288,10 @@
       cameBackMs: 0,
       firstSeen,
       firstSeenAtMs: firstSeen ? nowMs : undefined,
-      trialOf: trialOf === undefined
-        ? undefined
-        : { fingerprint: trialOf, promptParts: trialParts },
+      ...(trialOf === undefined ? undefined : {
+        crashKeys: { fingerprint: trialOf, promptParts: trialParts },
+        isTrial: true as const,
+      }),
     });
   }
 
@@ -575,9 +576,12 @@
       expectedMs: choice.firstMs,
       cameBackMs,
       firstSeen: false,
-      trialOf: this.#board.suspects.isSuspect(ask)
-        ? { fingerprint: ask.fingerprint, promptParts: ask.promptParts }
-        : undefined,
+      crashKeys: ask.fingerprint === undefined
+        ? undefined
+        : { fingerprint: ask.fingerprint, promptParts: ask.promptParts },
+      ...(this.#board.suspects.isSuspect(ask)
+        ? { isTrial: true as const }
+        : undefined),
       streamKey: ask.streamKey,
       version: choice.target.version,
       route: ask.route,
@@ -590,9 +594,9 @@
 }
 
 function decisionOf(work: PlacedWork): AskDecision {
-  const { askId, holderId, targetId, expectedMs, cameBackMs, trialOf } = work;
+  const { askId, holderId, targetId, expectedMs, cameBackMs, isTrial } = work;
   const decision = { askId, holderId, targetId, expectedMs, cameBackMs };
-  return trialOf === undefined ? decision : { ...decision, isTrial: true };
+  return isTrial ? { ...decision, isTrial } : decision;
 }
 
 function versionRefusal({ askId, holderId, excluded }: WorkAsk): AskDecision {
--- a/packages/routing/src/trials.ts
+++ b/packages/routing/src/trials.ts
@@ -49,8 +49,10 @@
   ): readonly Candidate[] {
     const pending = this.#pending(nowMs);
     const suspectKeys = new Set(this.#suspects.suspectKeysOf(keys));
-    const isTried = pending.some(({ trialOf }) =>
-      this.#suspects.suspectKeysOf(trialOf).some((key) => suspectKeys.has(key))
+    const isTried = pending.some(({ crashKeys }) =>
+      this.#suspects.suspectKeysOf(crashKeys).some((key) =>
+        suspectKeys.has(key)
+      )
     );
     if (isTried) {
       return [];
@@ -89,7 +91,7 @@
       .filter(({ firstSeenAtMs = Infinity }) =>
         nowMs - firstSeenAtMs >= SURVIVAL_MS
       )
-      .map(({ trialOf }) => trialOf!)
+      .map(({ crashKeys }) => crashKeys!)
       .filter((keys) => this.#suspects.isSuspect(keys));
   }
 
