Soak of ended targets: requests that share only a part of their prompts

Half of the seeds of npm run soak:ended have requests that share a part of their prompts, no two alike, beside others that share the first part. Instances are processes that are killed, paused and lost at once, and the store comes back from an older copy.

--- a/tests/ended_targets_plan.ts
+++ b/tests/ended_targets_plan.ts
@@ -1,4 +1,7 @@
-/** Plans runs in which one request ends every target that runs it. */
+/**
+ * Plans runs in which one request, or one part of prompts, ends every target
+ * that runs it.
+ */
 
 import { seededRandomSource } from "@chestnuthatch/core/random_source";
 
@@ -19,6 +22,14 @@
   StoreRestored = "store_went_back",
 }
 
+/** What the requests that end targets have in common. */
+export enum EndingCause {
+  /** They are copies of one request. */
+  WholeRequest = "whole_request",
+  /** Only a part of their prompts is the same. */
+  PromptPart = "prompt_part",
+}
+
 /** Fleet, callers and disturbances of a run. */
 export interface EndedTargetsPlan {
   readonly seed: number;
@@ -32,6 +43,7 @@
   readonly concurrency: number;
   /** Time until an ended target is started again. */
   readonly restartDelayMs: number;
+  readonly cause: EndingCause;
 }
 
 const INSTANCES = { min: 3, max: 6 };
@@ -40,6 +52,7 @@
 const TURN_COUNT = 12;
 const CONCURRENCY = { min: 1, max: 3 };
 const RESTART_DELAY_MS = { min: 100, max: 2100 };
+const CAUSES = { min: 0, max: 1 };
 
 const DISTURBANCES: readonly Disturbance[] = [
   Disturbance.None,
@@ -73,5 +86,6 @@
     ),
     concurrency: between(CONCURRENCY),
     restartDelayMs: between(RESTART_DELAY_MS),
+    cause: [EndingCause.WholeRequest, EndingCause.PromptPart][between(CAUSES)]!,
   };
 }
--- a/tests/ended_targets_run.ts
+++ b/tests/ended_targets_run.ts
@@ -1,6 +1,6 @@
 /**
- * Runs a fleet in which one request ends every target that starts to run it.
- * Instances are separate processes, and ended targets start again with new ids.
+ * Runs a fleet in which one request, or one part of prompts, ends every target
+ * that starts to run it. Instances are separate processes, and ended targets start again with new ids.
  * The request is sent again through all instances, beside other requests, while
  * instances are killed, paused and started.
  */
@@ -25,8 +25,15 @@
   StandinStore,
   type StoreSnapshot,
 } from "@chestnuthatch/platform/standin_store";
-import { StandinTarget } from "@chestnuthatch/platform/standin_target";
-import { Disturbance, type EndedTargetsPlan } from "./ended_targets_plan.ts";
+import {
+  type ReceivedRequest,
+  StandinTarget,
+} from "@chestnuthatch/platform/standin_target";
+import {
+  Disturbance,
+  type EndedTargetsPlan,
+  EndingCause,
+} from "./ended_targets_plan.ts";
 import { startAll } from "./soak_fleet.ts";
 import { SoakInstance } from "./soak_instance.ts";
 import { waitFor } from "./wait_for.ts";
@@ -46,7 +53,19 @@
 const PATH = "/plan/of-a-field";
 /** Body of the request, by which it differs from the other requests. */
 const ENDING_BODY = "ends what runs it";
+/** Part of prompts that ends targets unless it is the last part. */
+const ENDING_PART = "ending";
+const SHARED_PART = "shared";
 const TOKENS = { "X-Token-Counts": "60,20" };
+
+/** Whether a request ends the targets that run it, by cause. */
+const ENDS_TARGET: Readonly<
+  Record<EndingCause, (request: ReceivedRequest) => boolean>
+> = {
+  [EndingCause.WholeRequest]: ({ body }) => body === ENDING_BODY,
+  [EndingCause.PromptPart]: ({ headers }) =>
+    String(headers["x-prompt-prefix"]).includes(`${ENDING_PART}:60,`),
+};
 const SERVICE_TIME_MS = 5;
 const SLOTS = 4;
 const PORT_COUNT = 4;
@@ -166,7 +185,7 @@
         serviceTimeMs: SERVICE_TIME_MS,
       });
       await engine.open("127.0.0.1");
-      engine.shouldExitOn = ({ body }) => body === ENDING_BODY;
+      engine.shouldExitOn = ENDS_TARGET[this.#plan.cause];
       engine.onExit = () => this.#onEngineExit(engine, index);
       this.#engines.push(engine);
       this.#writeTargetRow(engine, index);
@@ -267,7 +286,13 @@
   }
 
   async #sendEndingRequest(instance: SoakInstance): Promise<void> {
-    this.#answers.push(await this.#call(instance, PATH, ENDING_BODY));
+    const { body, parts } = this.#plan.cause === EndingCause.WholeRequest
+      ? { body: ENDING_BODY, parts: [SHARED_PART] }
+      : {
+        body: `ending ${this.#answers.length} of ${this.#calls}`,
+        parts: [SHARED_PART, ENDING_PART],
+      };
+    this.#answers.push(await this.#call(instance, body, parts));
   }
 
   /** Sends requests that differ from the ending one only in their bodies. */
@@ -279,22 +304,25 @@
         continue;
       }
       const body = `request ${count} of caller ${caller}`;
-      this.#otherAnswers.push(await this.#call(instance, PATH, body));
+      const parts = [SHARED_PART, `session of ${caller}`];
+      this.#otherAnswers.push(await this.#call(instance, body, parts));
     }
   }
 
+  /** Sends a request whose prompt has a last part of its own. */
   #call(
     instance: SoakInstance,
-    path: string,
     body: string,
+    parts: readonly string[],
   ): Promise<CallResult> {
+    const entries = [...parts, `own ${body}`].map((part) => `${part}:60`);
     return sendCall({
       address: instance.callerAddress,
-      path,
+      path: PATH,
       requestId: `request-${this.#calls++}`,
       key: CALLER_KEY,
       body,
-      headers: TOKENS,
+      headers: { ...TOKENS, "X-Prompt-Prefix": entries.join() },
     });
   }
 
@@ -307,7 +335,7 @@
     const ids = () => this.#engines.map(({ id }) => id).join();
     const before = ids();
     await waitFor("a request to be served", async () => {
-      const { status } = await this.#call(instance, PATH, "a probe");
+      const { status } = await this.#call(instance, "a probe", [SHARED_PART]);
       return status === STATUS_OK && before === ids();
     });
   }
--- a/tests/ended_targets_soak.ts
+++ b/tests/ended_targets_soak.ts
@@ -22,7 +22,7 @@
     const faults = findOutcomeFaults(outcome);
     failed += Math.min(1, faults.length);
     process.stdout.write(
-      `seed ${seed}: ${plan.concurrency} at once, ${plan.instances} instances, ` +
+      `seed ${seed}: ${plan.cause}, ${plan.concurrency} at once, ${plan.instances} instances, ` +
         `${plan.engines} engines, ended ${outcome.endedByTurn.join(" ")}; ` +
         `others ${statusCounts(outcome)}; ${faults.join("; ") || "well"}\n`,
     );
--- a/tests/process_ended_targets_test.ts
+++ b/tests/process_ended_targets_test.ts
@@ -10,7 +10,11 @@
 
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { Disturbance, type EndedTargetsPlan } from "./ended_targets_plan.ts";
+import {
+  Disturbance,
+  type EndedTargetsPlan,
+  EndingCause,
+} from "./ended_targets_plan.ts";
 import { findOutcomeFaults, runEndedTargets } from "./ended_targets_run.ts";
 
 const { None, OneKilled, AllKilled, OnePaused, StoreRestored } = Disturbance;
@@ -26,6 +30,7 @@
   disturbances: [None, None, None, OneKilled, None, OnePaused, None, AllKilled],
   concurrency: 1,
   restartDelayMs: 200,
+  cause: EndingCause.WholeRequest,
 };
 
 test("a request under which three targets ended is hardly sent again", async () => {
@@ -49,4 +54,11 @@
   assert.equal(findOutcomeFaults(await runEndedTargets(plan)), []);
 });
 
+// Guards against requests with only a part in common that end targets again once
+// instances were killed, and against holding back what shares the other parts.
+test("a part of prompts under which three targets ended is hardly sent again", async () => {
+  const plan = { ...PLAN, seed: 3, cause: EndingCause.PromptPart };
+  assert.equal(findOutcomeFaults(await runEndedTargets(plan)), []);
+});
+
 test.run();
