Start: an instance that reaches the store is ready once it knows the records

After the loss of all instances, the first requests could be placed before the new instances had read what the fleet had recorded: suspects, spending, origins of streams. At a load of 30 the record of suspects arrived 65 to 100 ms after configuration and targets, with which an instance was ready.

An instance that the store has answered now waits for the records, for a second at most. One that knows all from others does not.

--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -55,6 +55,12 @@
   storeRestored(): void;
 }
 
+/**
+ * Time after the first answer of the store for which an instance waits for the
+ * records of the fleet; the store may answer only some of its calls.
+ */
+const MAX_RECORDS_WAIT_MS = 1000;
+
 /** Longest initial list of targets that is logged target by target. */
 const MAX_LOGGED_AT_START = 100;
 
@@ -87,7 +93,10 @@
   readonly #configuration: ConfigurationSync;
   readonly #targetsFetch: PeerFetch<TargetRowChange[]>;
   #reachesStore = false;
+  /** Local time at which the store answered first; absent before. */
+  #firstReachedAtMs?: number;
   #hasTargets = false;
+  #hasRecords = false;
   /** Newest version of targets that a heartbeat reported, and since when. */
   #peerTargetsVersion = 0;
   #peerTargetsVersionAtMs = 0;
@@ -117,11 +126,18 @@
   }
 
   /**
-   * Whether a configuration and targets are known, so that requests can be
-   * served.
+   * Whether a configuration and targets are known, and what the fleet recorded
+   * if the store is reachable, so that requests can be served.
    */
   get isComplete(): boolean {
-    return this.#parts.board.routes !== undefined && this.#hasTargets;
+    return this.#parts.board.routes !== undefined && this.#hasTargets &&
+      !this.#awaitsRecords();
+  }
+
+  #awaitsRecords(): boolean {
+    const sinceMs = this.#parts.clock.nowMs() -
+      (this.#firstReachedAtMs ?? -Infinity);
+    return !this.#hasRecords && sinceMs < MAX_RECORDS_WAIT_MS;
   }
 
   /**
@@ -279,6 +295,11 @@
     );
   }
 
+  /** The fleet's records were read and passed on. */
+  recordsRead(): void {
+    this.#hasRecords = true;
+  }
+
   /** @param order Roll-out that the operators ordered. */
   rolloutOrdered(order: RolloutOrder): void {
     this.#parts.rollouts.ordered(order);
@@ -348,6 +369,7 @@
 
   /** The platform's store answers, for the first time or again. */
   storeReached(): void {
+    this.#firstReachedAtMs ??= this.#parts.clock.nowMs();
     if (!this.#reachesStore) {
       this.#parts.log.info(LogPart.Platform, "store reached");
       this.#parts.board.targets.listAvailable(this.#parts.clock.nowMs());
--- a/packages/gateway/src/fleet_state_sync_test.ts
+++ b/packages/gateway/src/fleet_state_sync_test.ts
@@ -1,4 +1,5 @@
 import { Writable } from "node:stream";
+import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
 import { MessageKind } from "@chestnuthatch/routing/peer_messages";
 import { boardOf, memberOf } from "@chestnuthatch/routing/routing_test_support";
 import { test } from "uvu";
@@ -7,6 +8,7 @@
 import { FleetStateSync } from "./fleet_state_sync.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Heartbeat } from "./heartbeat_exchange.ts";
+import type { Clock } from "./ports.ts";
 
 function heartbeatOf(targetsVersion: number): Heartbeat {
   return {
@@ -21,11 +23,12 @@
   };
 }
 
-test("an instance measures for how long others have had a newer list of targets", () => {
-  let nowMs = 0;
-  const clock = { nowMs: () => nowMs };
+/** Suspects that the last created sync has received. */
+let received: readonly SuspectUpdate[] = [];
+
+function syncOf(clock: Clock): FleetStateSync {
   const discarded = new Writable({ write: (_chunk, _code, done) => done() });
-  const sync = new FleetStateSync({
+  return new FleetStateSync({
     board: boardOf(["t1", "t2"]),
     clock,
     log: new EventLog(clock, "i1", discarded),
@@ -43,13 +46,18 @@
     },
     onTargetsChanged: () => {},
     onSpendingRead: () => {},
-    onSuspectsReceived: () => {},
+    onSuspectsReceived: (updates) => received = updates,
     onStreamsRead: () => {},
     onRateLimitsReceived: () => {},
     onConnectionStalled: () => {},
     onStoreRestored: () => {},
     onConfigurationChanged: () => {},
   });
+}
+
+test("an instance measures for how long others have had a newer list of targets", () => {
+  let nowMs = 0;
+  const sync = syncOf({ nowMs: () => nowMs });
   sync.storeReached();
   sync.heartbeatReceived(heartbeatOf(2));
   assert.is(sync.targetsLagMs(), 0);
@@ -62,4 +70,28 @@
   assert.is(sync.targetsLagMs(), 0);
 });
 
+// Guards against serving before the records of a fleet that lost all instances
+// are known: requests that had crashed targets crashed them again.
+test("an instance that reaches the store is complete once it knows the fleet's records", () => {
+  const sync = syncOf({ nowMs: () => 0 });
+  sync.targetsRead([], 1);
+  assert.ok(sync.isComplete, "others told it what it knows");
+  sync.storeReached();
+  assert.not.ok(sync.isComplete);
+  sync.recordsRead();
+  assert.ok(sync.isComplete);
+});
+
+test("records that cannot be read delay an instance for a limited time", () => {
+  let nowMs = 0;
+  const sync = syncOf({ nowMs: () => nowMs });
+  sync.storeReached();
+  sync.targetsRead([], 1);
+  nowMs = 900;
+  sync.storeReached();
+  assert.not.ok(sync.isComplete);
+  nowMs = 1000;
+  assert.ok(sync.isComplete);
+});
+
 test.run();
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -183,6 +183,8 @@
   suspectsRead(record: readonly SuspectUpdate[], ageMs: number): void;
   /** The fleet's last record of the origins of streams was read. */
   streamsRead(record: readonly StreamOriginGroup[], ageMs: number): void;
+  /** All records of the fleet were read, and passed on if there were any. */
+  recordsRead(): void;
   /** The operators ordered a roll-out. */
   rolloutOrdered(order: RolloutOrder): void;
   /** The operators withdrew the roll-out order for a pool. */
