Suspects: times of answers in the fleet's record get its age, too

A part that was answered before its crashes looked as if it had been answered after them once the record was read, so that it was cleared. The new test fails without the change ([105, 8] in place of [105, 108]).

--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -290,9 +290,13 @@
    * @param ageMs Age of the record, which is added to the age of each entry.
    */
   suspectsRead(record: readonly SuspectUpdate[], ageMs: number): void {
-    this.#parts.onSuspectsReceived(
-      record.map((each) => ({ ...each, ageMs: each.ageMs + ageMs })),
-    );
+    this.#parts.onSuspectsReceived(record.map((each) => ({
+      ...each,
+      ageMs: each.ageMs + ageMs,
+      ...(each.servedAgeMs === undefined
+        ? undefined
+        : { servedAgeMs: each.servedAgeMs + ageMs }),
+    })));
   }
 
   /** The fleet's records were read and passed on. */
--- a/packages/gateway/src/fleet_state_sync_test.ts
+++ b/packages/gateway/src/fleet_state_sync_test.ts
@@ -94,4 +94,17 @@
   assert.ok(sync.isComplete);
 });
 
+test("the age of the record is added to all times of suspects in it", () => {
+  const sync = syncOf({ nowMs: () => 0 });
+  const update = { fingerprint: "f", ended: ["t1"], endedInTrial: [] };
+  sync.suspectsRead([
+    { ...update, ageMs: 5 },
+    { ...update, ageMs: 5, servedAgeMs: 8 },
+  ], 100);
+  assert.equal(
+    received.map(({ ageMs, servedAgeMs }) => [ageMs, servedAgeMs]),
+    [[105, undefined], [105, 108]],
+  );
+});
+
 test.run();
