Docs: requests that crash targets; log and refusal name what is known

endedCount is that of the key with the most ended targets: the fingerprint of a request is new each time where only a part of prompts is the cause. The refusal no longer says that targets ran the very request, which may never have run.

--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -178,7 +178,7 @@
       events: eventCount,
       process,
       inTrial,
-      endedCount: suspects.endedCount(fingerprint),
+      endedCount: suspects.endedCount(keys),
       heldForMs: Math.round(suspects.quarantineLeftMs(keys, clock.nowMs())),
     });
   }
--- a/packages/routing/src/crash_suspects.ts
+++ b/packages/routing/src/crash_suspects.ts
@@ -260,11 +260,15 @@
   }
 
   /**
-   * @param key A request's fingerprint, or the hash of a part of prompts.
-   * @returns Number of targets that ended under the key since its last answer.
+   * @param keys Keys of a request.
+   * @returns Number of targets that ended under one of the keys since its last
+   * answer; that of the key with the most.
    */
-  endedCount(key: string): number {
-    return this.#records.get(key)?.ended.size ?? 0;
+  endedCount(keys: CrashKeys): number {
+    return Math.max(
+      0,
+      ...listKeys(keys).map((key) => this.#records.get(key)?.ended.size ?? 0),
+    );
   }
 
   /**
--- a/packages/routing/src/routed_error.ts
+++ b/packages/routing/src/routed_error.ts
@@ -119,7 +119,8 @@
   [RoutedError.Quarantined]: {
     status: 503,
     ran: RanState.NotRun,
-    text: "Targets ended while they ran this request; it is held back.",
+    text:
+      "Targets ended while they ran requests like this one; it is held back.",
   },
   [RoutedError.TimeoutNotRun]: {
     status: 503,
