Soak of ended targets: a store that answers late to reads of records

A fleet that lost all its instances ends targets again with its first requests if these are placed before the records are read: with reads of records that take 500 ms, two copies at once ended two targets again. Without the wait for the records (MAX_RECORDS_WAIT_MS = 0) the new test fails like that, with it no target ends after the first turn.

--- a/tests/ended_targets_plan.ts
+++ b/tests/ended_targets_plan.ts
@@ -44,6 +44,8 @@
   /** Time until an ended target is started again. */
   readonly restartDelayMs: number;
   readonly cause: EndingCause;
+  /** Delay of the store's answers to reads of records; 0 if absent. */
+  readonly recordsDelayMs?: number;
 }
 
 const INSTANCES = { min: 3, max: 6 };
--- a/tests/ended_targets_run.ts
+++ b/tests/ended_targets_run.ts
@@ -56,6 +56,8 @@
 /** Part of prompts that ends targets unless it is the last part. */
 const ENDING_PART = "ending";
 const SHARED_PART = "shared";
+/** Table of the store in which a fleet records what it knows. */
+const RECORD_TABLE = "records";
 const TOKENS = { "X-Token-Counts": "60,20" };
 
 /** Whether a request ends the targets that run it, by cause. */
@@ -179,6 +181,8 @@
 
   async #start(): Promise<void> {
     await this.#store.open("127.0.0.1");
+    const { recordsDelayMs = 0 } = this.#plan;
+    this.#store.readDelaysMs.set(RECORD_TABLE, recordsDelayMs);
     for (let index = 0; index < this.#plan.engines; index++) {
       const engine = new StandinTarget({
         id: `e${index}`,
--- a/tests/process_ended_targets_test.ts
+++ b/tests/process_ended_targets_test.ts
@@ -54,6 +54,15 @@
   assert.equal(findOutcomeFaults(await runEndedTargets(plan)), []);
 });
 
+// Guards against instances that place requests before they have read what the
+// fleet had recorded when all its instances were killed.
+test("a fleet that lost all instances knows what ended targets from its first request", async () => {
+  const disturbances = [None, AllKilled, AllKilled];
+  const plan = { ...PLAN, seed: 4, disturbances, recordsDelayMs: 500 };
+  const { endedByTurn } = await runEndedTargets({ ...plan, concurrency: 2 });
+  assert.equal(endedByTurn.slice(1), [0, 0]);
+});
+
 // Guards against requests with only a part in common that end targets again once
 // instances were killed, and against holding back what shares the other parts.
 test("a part of prompts under which three targets ended is hardly sent again", async () => {
