Targets: keys of served requests are computed only while there are suspects

A crash with nothing in common with others made each served request hash its body once more for ten seconds, to find out that no key is suspect. No decision changes.

--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -6,12 +6,7 @@
   ImplicatedPart,
 } from "@chestnuthatch/routing/crash_suspects";
 import type { WorkEnd } from "@chestnuthatch/routing/work_ask";
-import {
-  crashKeysIfNeeded,
-  crashKeysOf,
-  fingerprintOf,
-  partKeyOf,
-} from "./crash_keys.ts";
+import { crashKeysOf, fingerprintOf, partKeyOf } from "./crash_keys.ts";
 import type { LogFacts } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import type { RoutedCall } from "./routed_call.ts";
@@ -78,8 +73,11 @@
   }
 
   #clearedKeysOf(call: RoutedCall): Partial<WorkEnd> | undefined {
-    const { board: { suspects } } = this.#parts;
-    const keys = crashKeysIfNeeded(this.#parts, call);
+    const { answeredParts, board: { suspects } } = this.#parts;
+    if (!suspects.hasSuspects) {
+      return undefined;
+    }
+    const keys = crashKeysOf(call, answeredParts);
     return suspects.isSuspect(keys)
       ? { clearedFingerprint: keys.fingerprint, clearedParts: keys.promptParts }
       : undefined;
