Targets: a part that crashed many targets explains all of their ends

Twelve ended targets were kept for a key. After more crashes, parts beside the harmful one had ends that it no longer explained, and became suspects (new test: two sessions suspected after 40 crashes). 64 are kept now, 12 are sent.

--- a/packages/routing/src/crash_causes.ts
+++ b/packages/routing/src/crash_causes.ts
@@ -65,15 +65,17 @@
   const causes = new Map<string, CrashCause>();
   const explained = new Set<string>();
   for (const group of groupsByLikelihood(records)) {
-    const found = group.filter((record) =>
-      unexplainedOf(record, explained).length >= minEnded(record)
-    );
-    for (const record of found) {
-      const unexplained = unexplainedOf(record, explained);
+    const found = group
+      .map((record) => ({
+        record,
+        unexplained: unexplainedOf(record, explained),
+      }))
+      .filter(({ record, unexplained }) =>
+        unexplained.length >= minEnded(record)
+      );
+    for (const { record, unexplained } of found) {
       causes.set(record.key, causeOf(record, { unexplained, records }));
-    }
-    for (const { ended } of found) {
-      [...ended.keys()].forEach((process) => explained.add(process));
+      [...record.ended.keys()].forEach((process) => explained.add(process));
     }
   }
   return causes;
@@ -117,9 +119,11 @@
 ): CrashCause {
   const { key, ended } = record;
   const trials = unexplained.filter((process) => ended.get(process)!.inTrial);
+  const minShared = MIN_REQUIRED_KEY_SHARE * ended.size;
   const required = records.filter((other) =>
+    other.ended.size >= minShared &&
     trials.every((process) => other.ended.has(process)) &&
-    sharedCount(other, record) >= MIN_REQUIRED_KEY_SHARE * ended.size
+    sharedCount(other, record) >= minShared
   );
   return {
     key,
--- a/packages/routing/src/crash_suspects.ts
+++ b/packages/routing/src/crash_suspects.ts
@@ -112,8 +112,14 @@
  */
 const MAX_KEYS = 1024;
 
-/** Ended targets that are kept for a key; the oldest are dropped. */
-const MAX_ENDED_TARGETS = 12;
+/**
+ * Ended targets that are kept for a key; the oldest are dropped. A cause has to
+ * keep more of them than the keys beside it, or it no longer explains theirs.
+ */
+const MAX_ENDED_TARGETS = 64;
+
+/** Ended targets of a key in a message, the newest. */
+const MAX_ENDED_SENT = 12;
 
 /** Largest number of keys in a message, as a heartbeat is one datagram. */
 const MAX_UPDATES_SENT = 12;
@@ -428,7 +434,7 @@
 
 function updateOf(record: KeyRecord, nowMs: number): SuspectUpdate {
   const { key, ended, lastEndedAtMs, servedAtMs } = record;
-  const processes = [...ended.keys()];
+  const processes = [...ended.keys()].slice(-MAX_ENDED_SENT);
   return {
     fingerprint: key,
     ended: processes,
--- a/packages/routing/src/crash_suspects_test.ts
+++ b/packages/routing/src/crash_suspects_test.ts
@@ -307,6 +307,22 @@
   assert.not.ok(other.hasSuspects);
 });
 
+// Guards against suspecting the parts beside the one that crashes targets once
+// it has crashed so many that the first ones are forgotten.
+test("many crashes of one part implicate no other part", () => {
+  const suspects = new CrashSuspects();
+  for (let crash = 0; crash < 40; crash++) {
+    suspects.targetEnded({
+      fingerprint: `f${crash}`,
+      promptParts: [{ part: "bad" }, { part: `session-${crash % 4}` }],
+      process: `p${crash}`,
+      inTrial: false,
+    }, 100 * crash);
+  }
+  const keys = { promptParts: ["bad", "session-0", "session-1"] };
+  assert.equal(suspects.suspectKeysOf(keys), ["bad"]);
+});
+
 // Guards against writes to the store after each crash of a target.
 test("crashes without a common key are not recorded", () => {
   const suspects = new CrashSuspects();
