Routing: order a rank's queue by the shares of its workspaces

One workspace that sends many times its usual amount within its allotment took the capacity of the others of its rank.

--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -37,6 +37,7 @@
 import { returnWindowMs, type StreamOriginGroup } from "./stream_origins.ts";
 import { TakenUpStreams } from "./taken_up_streams.ts";
 import { RefusedCallers } from "./refused_callers.ts";
+import type { OverShare } from "./workspace_shares.ts";
 import {
   baselineFirstEventMs,
   INITIAL_CALL_MS,
@@ -522,6 +523,18 @@
     }));
   }
 
+  /**
+   * Lists the workspaces that were over their shares within the last second.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns One entry for each pool, workspace and rank.
+   */
+  overShares(nowMs: number): (OverShare & { pool: string })[] {
+    return [...this.#schedulers].flatMap(([pool, scheduler]) =>
+      scheduler.overShares(nowMs).map((share) => ({ ...share, pool }))
+    );
+  }
+
   /**
    * Counts the requests that run at some of a pool's targets.
    *
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -21,6 +21,11 @@
 import type { KnownTarget } from "./target_directory.ts";
 import { Trials } from "./trials.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
+import {
+  NONE_OVER_SHARE,
+  type OverShare,
+  WorkspaceShares,
+} from "./workspace_shares.ts";
 import {
   type AskDecision,
   AskRefusal,
@@ -83,7 +88,10 @@
   );
   readonly #trials: Trials;
   readonly #selector: TargetSelector;
-  readonly #waiting = new WaitingQueue();
+  readonly #workspaceShares: WorkspaceShares;
+  readonly #waiting = new WaitingQueue((ask, change) =>
+    this.#workspaceShares.queueChanged(ask, change)
+  );
   readonly #shares = new RankShares();
   readonly #load = new RankLoad();
   #holdMs = INITIAL_HOLD_MS;
@@ -105,6 +113,9 @@
   ) {
     this.#board = board;
     this.#limiter = limiter;
+    this.#workspaceShares = new WorkspaceShares((workspace) =>
+      board.routes?.workspace(workspace)?.allotment
+    );
     const placed = this.#placed;
     this.#trials = new Trials(board.suspects, placed);
     this.#selector = new TargetSelector(pool, {
@@ -336,6 +347,16 @@
     ];
   }
 
+  /**
+   * Lists the workspaces that were over their shares within the last second.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns One entry for each workspace and rank.
+   */
+  overShares(nowMs: number): OverShare[] {
+    return this.#workspaceShares.recentlyOver(nowMs);
+  }
+
   /**
    * Processes the queue again, as time has passed or targets have changed.
    *
@@ -409,7 +430,11 @@
   }
 
   #orderContext(nowMs: number): OrderContext {
-    return { promoted: this.#promoted(nowMs), nowMs };
+    // With few instances, requests are ordered without regard to workspaces.
+    const overShare = this.#board.members.isFullMesh
+      ? NONE_OVER_SHARE
+      : this.#workspaceShares.findOver(nowMs);
+    return { promoted: this.#promoted(nowMs), overShare, nowMs };
   }
 
   #beginPass(nowMs: number): SchedulingPass {
@@ -587,6 +612,7 @@
       route: ask.route,
     };
     this.#placed.put(work);
+    this.#workspaceShares.recordPlaced(ask, choice.slotMs, pass.nowMs);
     this.#limiter.consume(targetId, pass.nowMs);
     this.#board.rollouts.placed(choice.target);
     return decisionOf(work);
--- a/packages/routing/src/queue_order.ts
+++ b/packages/routing/src/queue_order.ts
@@ -7,6 +7,7 @@
   IDLE_USE,
 } from "./target_choice.ts";
 import type { WorkAsk } from "./work_ask.ts";
+import type { OverShareNames } from "./workspace_shares.ts";
 
 /**
  * A deadline counts as short if the time left to it is below the caller's
@@ -46,18 +47,22 @@
 export interface OrderContext {
   /** Ranks that are served first at this moment. */
   readonly promoted: ReadonlySet<number>;
+  /** Workspaces whose requests go after those of others, by rank. */
+  readonly overShare: OverShareNames;
   readonly nowMs: number;
 }
 
 /**
  * Sorts a queue: promoted ranks first, then by rank. Within a rank, requests
- * that can still meet their objective go before those that cannot, and each of
- * the two groups is sorted by latest start time. Large requests need more time
+ * that can still meet their objective go before those that cannot. In each of
+ * the two groups, workspaces within their shares go before those over them, and
+ * then requests are sorted by latest start time. Large requests need more time
  * before their deadline: ordered by age alone, the largest tenth of requests
  * with short deadlines was served half as often.
  *
  * @param waiting The queued requests.
- * @param context Promoted ranks and the current local time.
+ * @param context Promoted ranks, workspaces over their shares, and the current
+ * local time.
  * @returns The requests, the next one first.
  */
 export function inOrder(
@@ -71,7 +76,8 @@
  * Finds the first request in the order of {@link inOrder} in linear time.
  *
  * @param waiting The queued requests.
- * @param context Promoted ranks and the current local time.
+ * @param context Promoted ranks, workspaces over their shares, and the current
+ * local time.
  * @returns The next request; undefined for an empty queue.
  */
 export function firstInOrder(
@@ -92,11 +98,14 @@
   b: KeyedWork,
   context: OrderContext,
 ): number {
-  const { promoted, nowMs } = context;
+  const { promoted, overShare, nowMs } = context;
   const rankOf = ({ rank }: WorkAsk) => promoted.has(rank) ? -1 : rank;
+  const isOver = ({ rank, workspace }: WorkAsk) =>
+    overShare.get(rank)?.has(workspace) ?? false;
   const isLate = ({ key }: KeyedWork) => nowMs > key.latestOnTimeStartMs;
   return rankOf(a.work.ask) - rankOf(b.work.ask) ||
     Number(isLate(a)) - Number(isLate(b)) ||
+    Number(isOver(a.work.ask)) - Number(isOver(b.work.ask)) ||
     a.key.latestStartMs - b.key.latestStartMs;
 }
 
--- a/packages/routing/src/target_choice.ts
+++ b/packages/routing/src/target_choice.ts
@@ -48,6 +48,8 @@
   readonly target: KnownTarget;
   /** Predicted time to the first event, or to the answer of a plain call. */
   readonly firstMs: number;
+  /** Predicted time for which the request occupies a slot. */
+  readonly slotMs: number;
 }
 
 /**
@@ -81,12 +83,13 @@
       continue;
     }
     const firstMs = firstMsAt(candidate, ask, candidate.use);
-    const doneMs = firstMs + generationMsAt(candidate, ask) +
+    const slotMs = firstMs + generationMsAt(candidate, ask);
+    const doneMs = slotMs +
       (candidate.target.failureDomain === ask.failureDomain
         ? 0
         : CROSS_DOMAIN_PENALTY_MS);
     if (doneMs < bestMs) {
-      best = { target: candidate.target, firstMs };
+      best = { target: candidate.target, firstMs, slotMs };
       bestMs = doneMs;
     }
   }
--- a/packages/routing/src/waiting_queue.ts
+++ b/packages/routing/src/waiting_queue.ts
@@ -12,6 +12,7 @@
   type WaitingWork,
 } from "./queue_order.ts";
 import { type Candidate, firstMsAt, IDLE_USE } from "./target_choice.ts";
+import type { WorkAsk } from "./work_ask.ts";
 
 /**
  * Length above which a queue is reordered only at intervals, as the cost of a
@@ -28,10 +29,19 @@
 export class WaitingQueue {
   readonly #byAsk = new Map<string, KeyedWork>();
   readonly #margin = new PredictionMargin();
+  readonly #onChange: (ask: WorkAsk, change: 1 | -1) => void;
   #reorderedAtMs = -Infinity;
   /** Idle target with the pool's mean latency model at the last reorder. */
   #typical?: Candidate;
 
+  /**
+   * @param onChange Called when an ask entered the queue, with 1, or left it,
+   * with -1.
+   */
+  constructor(onChange: (ask: WorkAsk, change: 1 | -1) => void = () => {}) {
+    this.#onChange = onChange;
+  }
+
   /** Number of queued requests. */
   get size(): number {
     return this.#byAsk.size;
@@ -51,7 +61,12 @@
    * @param work The request.
    */
   add(work: WaitingWork): void {
-    this.#byAsk.set(work.ask.askId, this.#keyed(work));
+    const { ask } = work;
+    const isNew = !this.#byAsk.has(ask.askId);
+    this.#byAsk.set(ask.askId, this.#keyed(work));
+    if (isNew) {
+      this.#onChange(ask, 1);
+    }
   }
 
   /**
@@ -60,7 +75,11 @@
    * @param askId Id of its ask.
    */
   remove(askId: string): void {
-    this.#byAsk.delete(askId);
+    const keyed = this.#byAsk.get(askId);
+    if (keyed !== undefined) {
+      this.#byAsk.delete(askId);
+      this.#onChange(keyed.work.ask, -1);
+    }
   }
 
   /**
@@ -97,7 +116,8 @@
    *
    * @param typical Idle target with the pool's mean latency model; absent where
    * the pool has no targets.
-   * @param context Promoted ranks and the current local time.
+   * @param context Promoted ranks, workspaces over their shares, and the current
+   * local time.
    * @returns All requests, the next one first.
    */
   reorder(
@@ -115,7 +135,8 @@
   /**
    * Finds the next request by the sort keys of the last reorder.
    *
-   * @param context Promoted ranks and the current local time.
+   * @param context Promoted ranks, workspaces over their shares, and the current
+   * local time.
    * @param skipped Ids of asks to leave out.
    * @returns The next request; undefined where there is none.
    */
