--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -58,6 +58,7 @@
 import { TargetProbes } from "./target_probes.ts";
 import { TargetCleanup } from "./target_cleanup.ts";
 import { TargetReachability } from "./target_reachability.ts";
+import { WorkspaceShareMonitor } from "./workspace_share_monitor.ts";
 
 /** Time between two ticks, which run all timeouts, while requests wait. */
 const BUSY_TICK_MS = 20;
@@ -118,6 +119,7 @@
   readonly #front: FrontServer;
   readonly #status: StatusServer;
   readonly #eventLoopMonitor: EventLoopMonitor;
+  readonly #workspaceShares: WorkspaceShareMonitor;
   #askCounter = 0;
   #isLeaving = false;
   #isClosed = false;
@@ -266,6 +268,12 @@
       busyMs: () => performance.eventLoopUtilization().active,
       loadFacts: () => this.#loadFacts(),
     });
+    this.#workspaceShares = new WorkspaceShareMonitor({
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      overShares: (nowMs) => this.#coordinator.overShares(nowMs),
+    });
     this.#status = new StatusServer({
       metrics: this.#metrics,
       isReady: () => this.isReady,
@@ -529,6 +537,7 @@
       this.#placementClient.tick();
     });
     this.#streams.tick();
+    this.#workspaceShares.tick();
     this.#updateCoordinatorRole();
   }
 
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -35,6 +35,15 @@
     "relayed_targets",
     "Targets that are reached through other instances only.",
   );
+  readonly #workspacesOverShare = this.#gauge(
+    "workspaces_over_share",
+    "Workspaces whose requests go behind those of others, by pool and rank.",
+  );
+  readonly #overShareBegins = this.#counter(
+    "over_share_begins_total",
+    "Times that a workspace came to be over its share of a pool.",
+    ["pool"],
+  );
   readonly #requests = this.#counter("requests_total", "Requests read.", [
     "route",
   ]);
@@ -244,6 +253,23 @@
     this.#relayedTargets.set(count);
   }
 
+  /**
+   * @param count Number of workspaces over their shares, counted once for each
+   * pool and rank.
+   */
+  workspacesOverShare(count: number): void {
+    this.#workspacesOverShare.set(count);
+  }
+
+  /**
+   * Counts a workspace that came to be over its share.
+   *
+   * @param pool Name of the pool.
+   */
+  overShareBegan(pool: string): void {
+    this.#overShareBegins.inc({ pool });
+  }
+
   /**
    * Counts a request that another instance sent here to be relayed.
    *
