Routing: forecasts of waits by which holders refuse asks

Under sustained overload, most asks are refused, and each refusal takes processor time at the one coordinator. The coordinator predicts the least wait of new asks by pool and rank; a holder refuses by it what the coordinator would refuse. Holders report the refusals, so that offered load, served shares and returning callers stay known.

--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -6,6 +6,7 @@
  */
 
 import { AbandonedWork } from "./abandoned_work.ts";
+import { type AdmissionForecast, longestWaits } from "./admission_forecast.ts";
 import { RateLimiter } from "./rate_limiter.ts";
 import { RejectionLimiter } from "./rejection_limiter.ts";
 import { PoolScheduler, quarantineRefusal } from "./pool_scheduler.ts";
@@ -28,6 +29,7 @@
   type AskDecision,
   AskRefusal,
   type HolderReport,
+  type RefusedByHolder,
   type RunningWork,
   type WorkAsk,
   type WorkEnd,
@@ -285,6 +287,7 @@
     this.#spending.put(report.holderId, report.spent);
     this.#board.suspects.merge(report.suspects ?? [], nowMs);
     this.importStreams(report.streams ?? [], nowMs);
+    this.#recordRefusedByHolder(report.refused ?? [], nowMs);
     // These totals include charges made by other coordinators.
     this.#allotmentLedger.setReportedTotals(this.#spending.totals(), nowMs);
     for (const running of report.running) {
@@ -298,6 +301,35 @@
     return this.#releaseUnlisted(report.holderId, open, nowMs);
   }
 
+  /** Retry budgets and allotments are not charged, as nothing is placed. */
+  #recordRefusedByHolder(
+    refused: readonly RefusedByHolder[],
+    nowMs: number,
+  ): void {
+    for (const { pool, rank, count, callHashes } of refused) {
+      this.#poolScheduler(pool).recordRefusedByHolder(rank, count, nowMs);
+      for (const callHash of callHashes) {
+        const firstAttemptAtMs = this.#refusedCallers
+          .firstAttemptAtMs(callHash, nowMs);
+        this.#refusedCallers.record(callHash, firstAttemptAtMs, nowMs);
+      }
+    }
+  }
+
+  /**
+   * Predicts the waits for which this coordinator refuses new asks, for holders
+   * to refuse them without asking.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns Forecasts by pool and rank, the longest waits first.
+   */
+  admissionForecasts(nowMs: number): AdmissionForecast[] {
+    const schedulers = [...this.#schedulers.values()];
+    return longestWaits(
+      schedulers.flatMap((scheduler) => scheduler.admissionForecasts(nowMs)),
+    );
+  }
+
   /**
    * Looks up asks for which a holder has received no decision.
    *
--- a/packages/routing/src/coordinator_test.ts
+++ b/packages/routing/src/coordinator_test.ts
@@ -380,4 +380,25 @@
   assert.equal(refusedAt(1), []);
 });
 
+// Guards against a coordinator that takes load for less, and callers for new
+// ones, because holders refused them.
+test("refusals by holders count as those of the coordinator", () => {
+  const coordinator = coordinatorOf(["t1"]);
+  const none = { holderId: "i2", running: [], waiting: [], spent: [] };
+  const refused = [{ pool: "p", rank: 0, count: 40, callHashes: [7] }];
+  coordinator.ask(askOf("a1"), scope(0));
+  coordinator.ask(askOf("a2"), scope(0));
+  const low = { rank: 1, patienceLeftMs: 1000 };
+  assert.equal(coordinator.ask(askOf("before", low), scope(0)), []);
+  coordinator.report({ ...none, refused }, 100);
+  assert.equal(
+    summariesOf(coordinator.ask(askOf("after", low), scope(100))),
+    ["before: overload", "after: overload"],
+  );
+  coordinator.ended(endOf("a1", "t1"), 300);
+  const [again] = coordinator.ask(askOf("a3", { callHash: 7 }), scope(600));
+  assert.ok(again !== undefined && "targetId" in again);
+  assert.is(again.cameBackMs, 500);
+});
+
 test.run();
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -5,8 +5,18 @@
  */
 
 import * as z from "zod";
+import {
+  MAX_ADMISSION_FORECASTS,
+  MAX_FORECAST_WAIT_MS,
+} from "./admission_forecast.ts";
 import { RolloutPhase } from "./rollout.ts";
-import { AskCause, AskRefusal } from "./work_ask.ts";
+import {
+  AskCause,
+  AskRefusal,
+  MAX_REPORTED_CALL_HASHES,
+  MAX_REPORTED_REFUSAL_COUNT,
+  MAX_REPORTED_REFUSALS,
+} from "./work_ask.ts";
 
 /** Kinds of messages between instances. */
 export enum MessageKind {
@@ -162,6 +172,13 @@
   trialParts: z.array(z.string()).readonly().optional(),
 });
 
+const refusedByHolder = z.object({
+  pool: z.string(),
+  rank: z.number().nonnegative(),
+  count: z.number().int().positive().max(MAX_REPORTED_REFUSAL_COUNT),
+  callHashes: z.array(z.number()).max(MAX_REPORTED_CALL_HASHES).readonly(),
+});
+
 const report = z.object({
   holderId: z.string(),
   running: z.array(running).readonly(),
@@ -170,6 +187,14 @@
     .readonly(),
   suspects: z.array(suspectUpdateSchema).readonly().optional(),
   streams: z.array(streamOriginGroupSchema).readonly().optional(),
+  refused: z.array(refusedByHolder).max(MAX_REPORTED_REFUSALS).readonly()
+    .optional(),
+});
+
+const admissionForecast = z.object({
+  pool: z.string(),
+  rank: z.number().nonnegative(),
+  waitMs: z.number().nonnegative().max(MAX_FORECAST_WAIT_MS),
 });
 
 /** Validates the spending of a workspace that another instance sends. */
@@ -242,6 +267,12 @@
     rollouts: z.array(rolloutUpdateSchema).readonly().optional(),
     /** Rate limits of targets, and recently lifted limits, if any. */
     rateLimits: z.array(rateLimitUpdate).readonly().optional(),
+    /**
+     * From the coordinator of a large fleet: waits for which holders refuse
+     * asks. Absent if there are none.
+     */
+    admission: z.array(admissionForecast).max(MAX_ADMISSION_FORECASTS)
+      .readonly().optional(),
     /** Recent changes of the target list. */
     targetNews: targetChangesSchema,
   }),
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -8,14 +8,16 @@
  * is refused as soon as that can be predicted.
  */
 
+import { type AdmissionForecast, forecastsOf } from "./admission_forecast.ts";
 import type { CrashKeys } from "./crash_suspects.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { RejectionLimiter } from "./rejection_limiter.ts";
 import { type PlacedWork, PlacedWorkIndex } from "./placed_work_index.ts";
 import { TargetSelector, type TargetSnapshot } from "./target_selector.ts";
-import type { OrderContext, WaitingWork } from "./queue_order.ts";
+import type { KeyedWork, OrderContext, WaitingWork } from "./queue_order.ts";
 import { RankLoad } from "./rank_load.ts";
 import { RankShares } from "./rank_shares.ts";
+import { RecentAsks } from "./recent_asks.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import type { Candidate, Choice } from "./target_choice.ts";
 import type { KnownTarget } from "./target_directory.ts";
@@ -86,6 +88,8 @@
   readonly #waiting = new WaitingQueue();
   readonly #shares = new RankShares();
   readonly #load = new RankLoad();
+  readonly #recentAsks = new RecentAsks();
+  readonly #pool: string;
   #holdMs = INITIAL_HOLD_MS;
   /** Time at targets that starved ranks may still get ahead of their turn. */
   #starvedCreditMs = 0;
@@ -103,6 +107,7 @@
       rejections: RejectionLimiter;
     },
   ) {
+    this.#pool = pool;
     this.#board = board;
     this.#limiter = limiter;
     const placed = this.#placed;
@@ -176,10 +181,65 @@
   ): AskDecision[] {
     const work = { ask, cameBackMs, waitingSinceMs: nowMs };
     this.#load.record(ask.rank, this.#workMs(ask.rank), nowMs);
-    this.#waiting.add(work);
+    const { key } = this.#waiting.add(work);
+    const { rank, patienceLeftMs } = ask;
+    const deadlineLeadMs = nowMs + patienceLeftMs - key.latestStartMs;
+    this.#recentAsks.record({ rank, patienceLeftMs, deadlineLeadMs }, nowMs);
     return this.#processQueue(nowMs);
   }
 
+  /**
+   * Records asks that a holder refused by the forecasts of this scheduler, as
+   * if it had refused them itself.
+   *
+   * @param rank Rank of the asks.
+   * @param count Number of the asks.
+   * @param nowMs Current local time in milliseconds.
+   */
+  recordRefusedByHolder(rank: number, count: number, nowMs: number): void {
+    this.#load.record(rank, count * this.#workMs(rank), nowMs);
+    this.#shares.recordRefusals(rank, count, nowMs);
+    this.#recentAsks.recordRefusedByHolder(rank, nowMs);
+  }
+
+  /**
+   * Predicts the waits for which new asks are refused.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns Forecasts of ranks in which recent asks would be refused; none
+   * while a target is free.
+   */
+  admissionForecasts(nowMs: number): AdmissionForecast[] {
+    const pass = this.#beginPass(nowMs);
+    const { targets, canary } = pass;
+    if (targets.size === 0 || targets.hasFree || canary.length > 0) {
+      return [];
+    }
+    const context = this.#orderContext(nowMs);
+    const slots = Math.max(MIN_SLOTS, this.#usableSlots(pass));
+    return forecastsOf(this.#pool, {
+      kept: this.#keptWork(pass, context),
+      startIntervalMs: (rank) =>
+        this.#holdMs / this.#availableSlots(rank, slots, nowMs),
+      recentAsks: this.#recentAsks,
+      context,
+    });
+  }
+
+  /**
+   * Finds queued work that a full pass would not refuse, while no target is
+   * free. Work that only one version may run is left out: it may be placed at
+   * targets that serve nothing else.
+   */
+  #keptWork(pass: SchedulingPass, context: OrderContext): KeyedWork[] {
+    return this.#waiting.inOrder(context).filter(({ work }) => {
+      const isKept = work.ask.version === undefined &&
+        this.#decide(work, pass) === undefined;
+      pass.ahead += Number(isKept);
+      return isKept;
+    });
+  }
+
   /**
    * Refuses an ask for a version that no usable target has, before it draws on
    * the retry budget or an allotment.
@@ -513,8 +573,7 @@
     { ask, waitingSinceMs }: WaitingWork,
     { slots, ahead, nowMs }: { slots: number; ahead: number; nowMs: number },
   ): AskDecision | undefined {
-    const slotsAbove = this.#load.slotsAbove(ask.rank, nowMs);
-    const available = Math.max(slots - slotsAbove, STARVED_TIME_SHARE * slots);
+    const available = this.#availableSlots(ask.rank, slots, nowMs);
     const waitMs = (ahead + 1) * this.#holdMs / available;
     const leftMs = ask.patienceLeftMs - (nowMs - waitingSinceMs);
     if (waitMs <= leftMs) {
@@ -536,6 +595,12 @@
     };
   }
 
+  /** Slots that higher ranks leave to a rank. */
+  #availableSlots(rank: number, slots: number, nowMs: number): number {
+    const slotsAbove = this.#load.slotsAbove(rank, nowMs);
+    return Math.max(slots - slotsAbove, STARVED_TIME_SHARE * slots);
+  }
+
   /** Slots of the pool without those that rate limits keep idle. */
   #usableSlots(pass: SchedulingPass): number {
     pass.usableSlots ??= this.#board.rateLimits.limitedIds()
--- a/packages/routing/src/queue_order.ts
+++ b/packages/routing/src/queue_order.ts
@@ -87,7 +87,16 @@
   return next;
 }
 
-function compareWork(
+/**
+ * Compares two queued requests by the order of {@link inOrder}.
+ *
+ * @param a One request.
+ * @param b Another request.
+ * @param context Promoted ranks and the current local time.
+ * @returns Below 0 if the first is placed before the second, above 0 if after
+ * it.
+ */
+export function compareWork(
   a: KeyedWork,
   b: KeyedWork,
   context: OrderContext,
--- a/packages/routing/src/rank_load.ts
+++ b/packages/routing/src/rank_load.ts
@@ -28,10 +28,10 @@
   readonly #byRank = new Map<number, Load>();
 
   /**
-   * Records the arrival of a request.
+   * Records the arrival of requests of one rank.
    *
-   * @param rank Rank of the request; 0 is the highest.
-   * @param workMs Time that its work occupies a slot.
+   * @param rank Rank of the requests; 0 is the highest.
+   * @param workMs Time that their work occupies a slot, in total.
    * @param nowMs Current local time in milliseconds.
    */
   record(rank: number, workMs: number, nowMs: number): void {
--- a/packages/routing/src/rank_shares.ts
+++ b/packages/routing/src/rank_shares.ts
@@ -65,6 +65,17 @@
     }
   }
 
+  /**
+   * Records requests that holders refused by themselves.
+   *
+   * @param rank Rank of the requests.
+   * @param count Number of the requests.
+   * @param nowMs Current local time in milliseconds.
+   */
+  recordRefusals(rank: number, count: number, nowMs: number): void {
+    this.#decayed(rank, nowMs).refused += count;
+  }
+
   /**
    * Records the duration of work at its target.
    *
--- a/packages/routing/src/waiting_queue.ts
+++ b/packages/routing/src/waiting_queue.ts
@@ -49,9 +49,22 @@
    * Adds a request, or recomputes the sort key of a queued one.
    *
    * @param work The request.
+   * @returns The request with its sort key.
    */
-  add(work: WaitingWork): void {
-    this.#byAsk.set(work.ask.askId, this.#keyed(work));
+  add(work: WaitingWork): KeyedWork {
+    const keyed = this.#keyed(work);
+    this.#byAsk.set(work.ask.askId, keyed);
+    return keyed;
+  }
+
+  /**
+   * Returns the whole queue in the order of the sort keys of the last reorder.
+   *
+   * @param context Promoted ranks and the current local time.
+   * @returns All requests with their sort keys, the next one first.
+   */
+  inOrder(context: OrderContext): KeyedWork[] {
+    return inOrder(this.#byAsk.values(), context);
   }
 
   /**
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -185,6 +185,24 @@
   readonly trialParts?: readonly string[];
 }
 
+/** Upper bound of the entries of `HolderReport.refused`. */
+export const MAX_REPORTED_REFUSALS = 32;
+
+/** Upper bound of the hashes of all entries of `HolderReport.refused`. */
+export const MAX_REPORTED_CALL_HASHES = 64;
+
+/** Upper bound of the count of an entry of `HolderReport.refused`. */
+export const MAX_REPORTED_REFUSAL_COUNT = 10_000;
+
+/** Asks of one pool and rank that a holder refused by announced waits. */
+export interface RefusedByHolder {
+  readonly pool: string;
+  readonly rank: number;
+  readonly count: number;
+  /** Hashes of some of them, see `WorkAsk.callHash`; none of them is 0. */
+  readonly callHashes: readonly number[];
+}
+
 /** Periodic report of a holder's open asks and of the spending through it. */
 export interface HolderReport {
   readonly holderId: string;
@@ -202,4 +220,6 @@
    * versions; absent where there are none.
    */
   readonly streams?: readonly StreamOriginGroup[];
+  /** Refusals since the last report; absent where there are none. */
+  readonly refused?: readonly RefusedByHolder[];
 }
