Gateway: announce waits in heartbeats, and refuse asks at the holder

In fleets without a full mesh of heartbeats, each heartbeat of the coordinator carries its forecasts. Holders refuse by them and report the refusals every 250 ms, before refused callers come back. holder_refusals_total counts them.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -180,6 +180,7 @@
       startedAtMs: this.#startedAtMs,
       spendingWindowMs: settings.bounds.allotmentTolerance.windowMs,
       onWaiting: () => this.#scheduleTick(BUSY_TICK_MS),
+      onRefusedByHolder: (pool) => this.#metrics.askRefusedByHolder(pool),
       onTakeover: (share) => {
         this.#coordinator.accountingBegan(this.#clock.nowMs());
         this.#spending.becameActingCoordinator(share);
@@ -443,6 +444,10 @@
       this.#heartbeatExchange.heartbeatReceived(message);
       const isCoordinator =
         message.from.instanceId === this.#placementClient.coordinatorId;
+      if (isCoordinator) {
+        const { from, admission = [] } = message;
+        this.#placementClient.waitsAnnounced(from.instanceId, admission);
+      }
       if (isCoordinator && message.spending !== undefined) {
         this.#spending.spendingReceived(message.spending);
       }
@@ -654,6 +659,10 @@
         this.#wasCoordinator
           ? this.board.suspects.updatesToSend(this.#clock.nowMs())
           : [],
+      admission: () =>
+        this.#wasCoordinator
+          ? this.#coordinator.admissionForecasts(this.#clock.nowMs())
+          : [],
       streams: (withinMs) =>
         this.#wasCoordinator ? this.#streams.recent(withinMs) : [],
       rollouts: () => this.board.rollouts.updatesToSend(this.#clock.nowMs()),
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -53,6 +53,11 @@
     "Sends to targets, by how they ended.",
     ["pool", "end"],
   );
+  readonly #holderRefusals = this.#counter(
+    "holder_refusals_total",
+    "Asks that this instance refused by the coordinator's announced waits.",
+    ["pool"],
+  );
   readonly #relayedRequests = this.#counter(
     "relayed_requests_total",
     "Requests of other instances to relay to targets.",
@@ -157,6 +162,16 @@
     this.#attempts.inc({ pool, end });
   }
 
+  /**
+   * Counts an ask that this instance refused by the coordinator's announced
+   * waits.
+   *
+   * @param pool Name of the pool.
+   */
+  askRefusedByHolder(pool: string): void {
+    this.#holderRefusals.inc({ pool });
+  }
+
   /** Counts a return of the platform's store from an older copy. */
   storeRestored(): void {
     this.#storeRestores.inc();
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -124,6 +124,10 @@
         ? coordinator.retryHistories(clock.nowMs())
         : [],
     suspects: () => [],
+    admission: () =>
+      placementClient.coordinatorId === instanceId
+        ? coordinator.admissionForecasts(clock.nowMs())
+        : [],
     streams: () => [],
     rollouts: () => [],
     rateLimits: (of) => board.rateLimits.updatesToSend(clock.nowMs(), of),
@@ -189,6 +193,9 @@
   node.heartbeatExchange.heartbeatReceived(message);
   node.rateLimits.merge(message.rateLimits ?? [], node.nowMs());
   const isCoordinator = fromId === placementClient.coordinatorId;
+  if (isCoordinator) {
+    placementClient.waitsAnnounced(fromId, message.admission ?? []);
+  }
   if (isCoordinator && message.spending !== undefined) {
     node.spending.spendingReceived(message.spending);
   }
--- a/packages/gateway/src/heartbeat_exchange.ts
+++ b/packages/gateway/src/heartbeat_exchange.ts
@@ -1,5 +1,6 @@
 /** Sends heartbeats to the other instances, and applies those received. */
 
+import type { AdmissionForecast } from "@chestnuthatch/routing/admission_forecast";
 import {
   MessageKind,
   type RoutingMessage,
@@ -96,6 +97,11 @@
    * unless this instance is the coordinator.
    */
   streams(withinMs: number): readonly StreamOriginGroup[];
+  /**
+   * @returns Waits for which holders refuse asks; none unless this instance is
+   * the coordinator. Not called in a fleet with a full mesh of heartbeats.
+   */
+  admission?(): readonly AdmissionForecast[];
   /** @returns Roll-outs that are in progress or ended recently. */
   rollouts(): readonly RolloutUpdate[];
   /** @returns Rate limits of targets, including recently lifted ones. */
@@ -261,6 +267,9 @@
     const retries = includesAll ? this.#parts.retries() : [];
     const suspects = includesAll ? this.#parts.suspects() : [];
     const streams = includesAll ? this.#recentStreams() : [];
+    const admission = board.members.isFullMesh
+      ? []
+      : this.#parts.admission?.() ?? [];
     const rollouts = this.#parts.rollouts();
     const rateLimits = this.#rateLimitsToSend(includesAll);
     this.#parts.send(addresses, {
@@ -276,6 +285,7 @@
       ...(retries.length > 0 ? { retries } : undefined),
       ...(suspects.length > 0 ? { suspects } : undefined),
       ...(streams.length > 0 ? { streams } : undefined),
+      ...(admission.length > 0 ? { admission } : undefined),
       ...(rollouts.length > 0 ? { rollouts } : undefined),
       ...(rateLimits.length > 0 ? { rateLimits } : undefined),
       targetNews: this.#targetChangesToSend(includesAll),
--- a/packages/gateway/src/heartbeat_exchange_test.ts
+++ b/packages/gateway/src/heartbeat_exchange_test.ts
@@ -68,6 +68,7 @@
     spending: () => [],
     retries: () => [],
     suspects: () => [],
+    admission: () => [{ pool: "p", rank: 0, waitMs: 900 }],
     streams: (withinMs) => [{ pool: "p", version: "v1", keys: [withinMs] }],
     rollouts: () => [],
     rateLimits: (of) => board.rateLimits.updatesToSend(nowMs, of),
@@ -146,6 +147,14 @@
   assert.is(countWithSpending(63), 4);
 });
 
+test("every heartbeat carries announced waits in a large fleet, none in a full mesh", () => {
+  const countWithWaits = (others: number) =>
+    heartbeatsOf([], { count: 20, others })
+      .filter(({ admission }) => admission !== undefined).length;
+  assert.is(countWithWaits(12), 0);
+  assert.is(countWithWaits(63), 20);
+});
+
 // Guards against streams that are lost with one datagram.
 test("each recent stream is in several heartbeats", () => {
   const keysOf = (others: number) =>
--- a/packages/gateway/src/holder_reporter.ts
+++ b/packages/gateway/src/holder_reporter.ts
@@ -5,9 +5,10 @@
 import { type StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
 import { SpendingLog } from "@chestnuthatch/routing/spending_log";
 import type { HolderReport, WorkAsk } from "@chestnuthatch/routing/work_ask";
+import { HolderRefusals } from "./holder_refusals.ts";
 import type { OpenAsks } from "./open_asks.ts";
 
-/** Time between two reports while no ask waits for a placement. */
+/** Time between two reports while there is nothing urgent to report. */
 const REPORT_INTERVAL_MS = 500;
 
 /**
@@ -17,6 +18,12 @@
  */
 const WAITING_REPORT_INTERVAL_MS = 250;
 
+/**
+ * Time between two reports while this holder refuses asks. Refused callers come
+ * back after 500 ms at the earliest, when the coordinator has to know them.
+ */
+const REFUSING_REPORT_INTERVAL_MS = 250;
+
 /** Streams in one report, which is a datagram; each takes nine bytes. */
 const MAX_REPORTED_STREAMS = 1000;
 
@@ -39,6 +46,7 @@
 export class HolderReporter {
   readonly #parts: HolderReporterParts;
   readonly #spending: SpendingLog;
+  readonly #refusals = new HolderRefusals();
   #reportedAtMs = -Infinity;
   #reportedToId = "";
 
@@ -48,6 +56,15 @@
     this.#spending = new SpendingLog(parts.spendingWindowMs);
   }
 
+  /**
+   * Counts an ask that this holder refused, for the next report.
+   *
+   * @param ask The ask.
+   */
+  recordRefusal(ask: WorkAsk): void {
+    this.#refusals.record(ask);
+  }
+
   /**
    * Charges the cost of an ask that got a placement to its workspace.
    *
@@ -71,6 +88,8 @@
     const isFirst = coordinatorId !== this.#reportedToId;
     const intervalMs = this.#parts.openAsks.waiting().length > 0
       ? WAITING_REPORT_INTERVAL_MS
+      : this.#refusals.isPending
+      ? REFUSING_REPORT_INTERVAL_MS
       : REPORT_INTERVAL_MS;
     if (!isFirst && nowMs - this.#reportedAtMs < intervalMs) {
       return undefined;
@@ -83,6 +102,7 @@
   #createReport(isFirst: boolean, nowMs: number): HolderReport {
     const { board: { members, suspects }, openAsks } = this.#parts;
     const streams = this.#streamsToReport(nowMs);
+    const refused = this.#refusals.take();
     const suspectsToReport = isFirst
       ? suspects.updatesToSend(nowMs)
       : suspects.recentUpdates(nowMs);
@@ -97,6 +117,7 @@
         ? { suspects: suspectsToReport }
         : undefined),
       ...(streams.length > 0 ? { streams } : undefined),
+      ...(refused.length > 0 ? { refused } : undefined),
     };
   }
 
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -110,6 +110,11 @@
   "servedAgeMs",
   "clearedParts",
   "trialParts",
+  "admission",
+  "waitMs",
+  "refused",
+  "count",
+  "callHashes",
 ];
 
 /** Version of the internet protocol between peers. */
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -5,6 +5,8 @@
  * assigns targets by itself while the coordinator does not respond.
  */
 
+import type { AdmissionForecast } from "@chestnuthatch/routing/admission_forecast";
+import { AnnouncedWaits } from "@chestnuthatch/routing/announced_waits";
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
 import type { MemberRecord } from "@chestnuthatch/routing/member_view";
 import {
@@ -12,7 +14,10 @@
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
-import { RecentRefusals } from "@chestnuthatch/routing/recent_refusals";
+import {
+  RecentRefusals,
+  type Refusal,
+} from "@chestnuthatch/routing/recent_refusals";
 import {
   type AskDecision,
   AskRefusal,
@@ -79,6 +84,13 @@
   readonly spendingWindowMs: number;
   /** Called when an ask begins to wait, to schedule the next tick sooner. */
   onWaiting?(): void;
+  /**
+   * Called when this instance refuses an ask by the coordinator's announced
+   * waits.
+   *
+   * @param pool Name of the pool.
+   */
+  onRefusedByHolder?(pool: string): void;
   /**
    * Called before this instance assigns targets in place of a coordinator that
    * does not respond.
@@ -101,6 +113,7 @@
   readonly #reporter: HolderReporter;
   readonly #failureDetector: CoordinatorFailureDetector;
   readonly #refusals = new RecentRefusals();
+  readonly #announcedWaits = new AnnouncedWaits();
   #lateNoticeSentAtMs = -Infinity;
 
   /** @param parts Collaborators, settings and callbacks. */
@@ -151,7 +164,8 @@
    */
   ask(ask: WorkAsk, onDecision: (decision: AskDecision) => void): void {
     const nowMs = this.#nowMs();
-    const refusal = this.#refusals.refusalFor(ask, nowMs);
+    const refusal = this.#refusals.refusalFor(ask, nowMs) ??
+      this.#refuseByAnnouncedWaits(ask, nowMs);
     if (refusal !== undefined) {
       onDecision(refusal);
       return;
@@ -175,6 +189,33 @@
     }
   }
 
+  /**
+   * Records the waits that the coordinator announced.
+   *
+   * @param coordinatorId Instance id of the coordinator.
+   * @param forecasts All waits that it announced.
+   */
+  waitsAnnounced(
+    coordinatorId: string,
+    forecasts: readonly AdmissionForecast[],
+  ): void {
+    this.#announcedWaits.record(coordinatorId, forecasts, this.#nowMs());
+  }
+
+  #refuseByAnnouncedWaits(ask: WorkAsk, nowMs: number): Refusal | undefined {
+    if (this.#parts.board.members.isFullMesh) {
+      return undefined;
+    }
+    const { coordinatorId } = this;
+    const refusal = this.#announcedWaits
+      .refusalFor(ask, { coordinatorId, nowMs });
+    if (refusal !== undefined) {
+      this.#reporter.recordRefusal(ask);
+      this.#parts.onRefusedByHolder?.(ask.pool);
+    }
+    return refusal;
+  }
+
   /** Estimates how long an ask stays unsent, from the asks sent before it. */
   #unsentWaitMs(openAsk: OpenAsk): number {
     return this.#openAsks.unsentCountUpTo(openAsk) *
--- a/packages/gateway/src/placement_client_test.ts
+++ b/packages/gateway/src/placement_client_test.ts
@@ -28,12 +28,12 @@
 }
 
 /** A client whose coordinator is another instance, and what it sends. */
-function clientOfRemoteCoordinator() {
+function clientOfRemoteCoordinator(memberCount = 5) {
   const board = boardOf(["t1", "t2"]);
   const clock = { atMs: 0, nowMs: () => clock.atMs };
   const sent: { to: string; message: RoutingMessage }[] = [];
   // They have run longer than this instance, so one of them coordinates.
-  for (let i = 2; i < 6; i++) {
+  for (let i = 2; i <= memberCount; i++) {
     board.members.memoryReported(`i${i}`, 60_000, 0);
     board.members.heartbeatReceived(memberOf(`i${i}`), 0);
   }
@@ -182,4 +182,29 @@
   assert.equal(last.spent, [{ workspace: "w", spent: 700 }]);
 });
 
+// Guards against refusals that the coordinator does not learn of, and against
+// changed decisions in small fleets.
+test("announced waits refuse asks in a large fleet, which are reported", () => {
+  const admission = [{ pool: "p", rank: 0, waitMs: 9000 }];
+  for (const memberCount of [13, 14]) {
+    const { client, coordinatorId, sent, decisions, advance, ask } =
+      clientOfRemoteCoordinator(memberCount);
+    advance(20);
+    client.waitsAnnounced(coordinatorId, admission);
+    ask("a1");
+    const refused = sent.flatMap(({ message }) =>
+      message.kind === MessageKind.Report ? message.report.refused ?? [] : []
+    );
+    assert.equal(refused, []);
+    const isLarge = memberCount === 14;
+    assert.is(decisions.length, Number(isLarge));
+    advance(260);
+    const reported = sent.flatMap(({ message }) =>
+      message.kind === MessageKind.Report ? message.report.refused ?? [] : []
+    );
+    const expected = { pool: "p", rank: 0, count: 1, callHashes: [] };
+    assert.equal(reported, isLarge ? [expected] : []);
+  }
+});
+
 test.run();
