--- a/packages/routing/src/waiting_queue.ts
+++ b/packages/routing/src/waiting_queue.ts
@@ -59,14 +59,28 @@
    * Adds a request, or recomputes the sort key of a queued one.
    *
    * @param work The request.
+   * @returns The request with its sort key.
    */
-  add(work: WaitingWork): void {
+  add(work: WaitingWork): KeyedWork {
     const { ask } = work;
     const isNew = !this.#byAsk.has(ask.askId);
-    this.#byAsk.set(ask.askId, this.#keyed(work));
+    const keyed = this.#keyed(work);
+    this.#byAsk.set(ask.askId, keyed);
     if (isNew) {
       this.#onChange(ask, 1);
     }
+    return keyed;
+  }
+
+  /**
+   * Returns the whole queue in the order of the sort keys of the last reorder.
+   *
+   * @param context Promoted ranks, workspaces over their shares, and the current
+   * local time.
+   * @returns All requests with their sort keys, the next one first.
+   */
+  inOrder(context: OrderContext): KeyedWork[] {
+    return inOrder(this.#byAsk.values(), context);
   }
 
   /**
