Routing: predictions use the slowdown that targets report

Targets that share machines go through slow periods of some hundred milliseconds, in which work takes a multiple of its usual time. The latency models average over them and notice each one when it is over.

The coordinator keeps the newest report of each target for one second, with a weight that decays over 300 ms, and multiplies predictions of first events, gaps and calls by it. Learned times are divided by it, up to the expected time, so that a forged or old report teaches no speed that was not observed. A target where unknown requests wait gets no work for 300 ms while others are free.

--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -24,6 +24,7 @@
 import { StreamOrigins } from "@chestnuthatch/routing/stream_origins";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
+import { TargetLoads } from "@chestnuthatch/routing/target_loads";
 import { CrashSuspects } from "@chestnuthatch/routing/crash_suspects";
 import { TargetRateLimits } from "@chestnuthatch/routing/target_rate_limits";
 import { LatencyModels } from "@chestnuthatch/routing/latency_models";
@@ -299,6 +300,7 @@
     relayedTargets: new RelayedTargets(),
     rateLimits: new TargetRateLimits(),
     latencyModels: new LatencyModels(),
+    targetLoads: new TargetLoads(),
     backoffs: new TargetBackoffs(),
     streamOrigins: new StreamOrigins(),
     suspects: new CrashSuspects(),
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -22,6 +22,8 @@
 } from "./allotment_ledger.ts";
 import { ReportedSpending } from "./reported_spending.ts";
 import type { SpendingHistory } from "./spending_log.ts";
+import { recordLoad } from "./load_recording.ts";
+import type { LoadReport } from "./load_report.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import {
   AskCause,
@@ -191,9 +193,16 @@
    *
    * @param askId Id of the ask that the stream was placed by.
    * @param nowMs Current local time in milliseconds.
+   * @param of Load that the target reported with the answer, if it did.
    */
-  firstSeen(askId: string, nowMs: number): void {
-    const work = this.#schedulerOf(askId)?.firstSeen(askId, nowMs);
+  firstSeen(
+    askId: string,
+    nowMs: number,
+    { load }: { load?: LoadReport } = {},
+  ): void {
+    const scheduler = this.#schedulerOf(askId);
+    recordLoad(this.#board, scheduler, { askId, load, nowMs });
+    const work = scheduler?.firstSeen(askId, nowMs);
     if (work !== undefined) {
       this.#recordOrigin(work, this.#openAsks.get(askId)!.pool, nowMs);
     }
@@ -226,6 +235,8 @@
     this.#updateSuspects(end, nowMs);
     this.#rejections.recordEnd(end, nowMs);
     const scheduler = this.#poolScheduler(end.pool);
+    const { askId, load } = end;
+    recordLoad(this.#board, scheduler, { askId, load, nowMs });
     const { work, decisions } = scheduler.release(end.askId, nowMs);
     this.#recordAbandoned(end, work, nowMs);
     if (work?.streamKey !== undefined && end.isStreamCompleted === true) {
@@ -326,6 +337,7 @@
    */
   tick(nowMs: number): AskDecision[] {
     this.#board.suspects.evictExpired(nowMs);
+    this.#board.targetLoads.evictExpired(nowMs);
     this.#limiter.evictUnlimited();
     const decisions = this.#resolveWaiting(nowMs);
     for (const [holderId, contactAtMs] of this.#lastContactAtMs) {
--- a/packages/routing/src/latency_models.ts
+++ b/packages/routing/src/latency_models.ts
@@ -1,6 +1,13 @@
 /** Latency models of all targets. */
 
 import { LatencyModel } from "./latency_model.ts";
+import {
+  invalidFieldOf,
+  type LoadReport,
+  meanRatioSince,
+  usedRatio,
+  usualDurationMs,
+} from "./load_report.ts";
 import type { WorkEnd } from "./work_ask.ts";
 
 /** Latency models by target id. */
@@ -23,7 +30,9 @@
   }
 
   /**
-   * Updates the latency model of a target from work that ended.
+   * Updates the latency model of a target from work that ended. Times are
+   * divided by the slowdown that the target reported with the answer, so that
+   * the model describes the target and not the moment.
    *
    * @param end Outcome of the work.
    * @param of Whether it was a stream, and the prompt tokens that the target
@@ -37,13 +46,25 @@
     if (end.failed || end.firstMs === undefined) {
       return;
     }
+    const { first, gaps } = slowdownsOf(end.load);
     if (!of.isStream) {
-      model.recordCall(end.firstMs);
+      model.recordCall(
+        usualDurationMs(end.firstMs, model.callMs, { ratio: first }),
+      );
       return;
     }
-    model.recordFirstEvent(end.promptTokens, of.tokensAhead, end.firstMs);
+    const { promptTokens } = end;
+    const { tokensAhead } = of;
+    const expectedMs = model.firstEventMs(promptTokens, tokensAhead);
+    model.recordFirstEvent(
+      promptTokens,
+      tokensAhead,
+      usualDurationMs(end.firstMs, expectedMs, { ratio: first }),
+    );
     if (end.eventGapMs !== undefined) {
-      model.recordEventGap(end.eventGapMs);
+      model.recordEventGap(
+        usualDurationMs(end.eventGapMs, model.eventGapMs, { ratio: gaps }),
+      );
     }
   }
 
@@ -60,3 +81,18 @@
     }
   }
 }
+
+/**
+ * Slowdowns of the first event or the call, and of the events after it. A
+ * report describes the moment of the first event, and a stream may go on for
+ * much longer than a slow period.
+ */
+function slowdownsOf(
+  load: LoadReport | undefined,
+): { first: number; gaps: number } {
+  if (load === undefined || invalidFieldOf(load) !== undefined) {
+    return { first: 1, gaps: 1 };
+  }
+  const first = usedRatio(load.slowdownRatio);
+  return { first, gaps: meanRatioSince(first, load.ageMs) };
+}
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -125,6 +125,14 @@
   route: z.string().optional(),
 });
 
+/** Its numbers are checked where they are used, so that the rest is not lost. */
+const loadReport = z.object({
+  running: z.number(),
+  waiting: z.number(),
+  slowdownRatio: z.number(),
+  ageMs: z.number(),
+});
+
 const end = z.object({
   askId: z.string(),
   targetId: z.string(),
@@ -148,6 +156,7 @@
   }).optional(),
   clearedFingerprint: z.string().optional(),
   clearedParts: z.array(z.string()).readonly().optional(),
+  load: loadReport.optional(),
 });
 
 const running = z.object({
@@ -248,7 +257,12 @@
   z.object({ kind: z.literal(MessageKind.Ask), ask }),
   z.object({ kind: z.literal(MessageKind.Queued), askId: z.string() }),
   z.object({ kind: z.literal(MessageKind.Decision), decision }),
-  z.object({ kind: z.literal(MessageKind.FirstSeen), askId: z.string() }),
+  z.object({
+    kind: z.literal(MessageKind.FirstSeen),
+    askId: z.string(),
+    /** Load that the target reported with the answer; absent if none. */
+    load: loadReport.optional(),
+  }),
   z.object({ kind: z.literal(MessageKind.End), end }),
   z.object({ kind: z.literal(MessageKind.Drop), askId: z.string() }),
   z.object({ kind: z.literal(MessageKind.Report), report }),
--- a/packages/routing/src/routing_board.ts
+++ b/packages/routing/src/routing_board.ts
@@ -14,6 +14,7 @@
 import type { StreamOrigins } from "./stream_origins.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 import type { TargetHealth } from "./target_health.ts";
+import type { TargetLoads } from "./target_loads.ts";
 import type { TargetRateLimits } from "./target_rate_limits.ts";
 import type { LatencyModels } from "./latency_models.ts";
 import type { TargetBackoffs } from "./target_backoffs.ts";
@@ -64,6 +65,11 @@
    * work.
    */
   readonly latencyModels: LatencyModels;
+  /**
+   * Newest load that each target reported. Written by the coordinator, from
+   * answers of targets to the work that it placed.
+   */
+  readonly targetLoads: TargetLoads;
   /**
    * Roll-outs of new versions. Written by the `RolloutController`, and by the
    * coordinator from answers.
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -16,6 +16,7 @@
 import { CrashSuspects } from "./crash_suspects.ts";
 import { TargetDirectory } from "./target_directory.ts";
 import { TargetHealth } from "./target_health.ts";
+import { TargetLoads } from "./target_loads.ts";
 import { TargetRateLimits } from "./target_rate_limits.ts";
 import { LatencyModels } from "./latency_models.ts";
 import { TargetBackoffs } from "./target_backoffs.ts";
@@ -136,6 +137,7 @@
     relayedTargets: new RelayedTargets(),
     rateLimits: new TargetRateLimits(),
     latencyModels: new LatencyModels(),
+    targetLoads: new TargetLoads(),
     backoffs: new TargetBackoffs(),
     streamOrigins: new StreamOrigins(),
     suspects: new CrashSuspects(),
--- a/packages/routing/src/target_choice.ts
+++ b/packages/routing/src/target_choice.ts
@@ -2,6 +2,7 @@
 
 import type { KnownTarget } from "./target_directory.ts";
 import { LatencyModel } from "./latency_model.ts";
+import type { SlowdownLookup } from "./target_loads.ts";
 import type { WorkAsk } from "./work_ask.ts";
 
 /**
@@ -67,12 +68,14 @@
  *
  * @param ask The request.
  * @param candidates Targets of its pool.
+ * @param of Slowdowns of the targets now; absent while none is reported.
  * @returns The target expected to complete it first; undefined where none can
  * hold it now.
  */
 export function chooseTarget(
   ask: WorkAsk,
   candidates: readonly Candidate[],
+  { slowdownOf }: { slowdownOf?: SlowdownLookup } = {},
 ): Choice | undefined {
   let best: Choice | undefined;
   let bestMs = Infinity;
@@ -80,8 +83,9 @@
     if (!canHold(candidate, ask)) {
       continue;
     }
-    const firstMs = firstMsAt(candidate, ask, candidate.use);
-    const doneMs = firstMs + generationMsAt(candidate, ask) +
+    const ratio = slowdownOf?.(candidate.target.targetId) ?? 1;
+    const firstMs = ratio * firstMsAt(candidate, ask, candidate.use);
+    const doneMs = firstMs + ratio * generationMsAt(candidate, ask) +
       (candidate.target.failureDomain === ask.failureDomain
         ? 0
         : CROSS_DOMAIN_PENALTY_MS);
@@ -102,24 +106,31 @@
  *
  * @param ask The request.
  * @param best The best choice with a free slot.
- * @param of All targets that may be given it, and the time in milliseconds
- * within which its first event meets the objective.
+ * @param of All targets that may be given it, the time in milliseconds within
+ * which its first event meets the objective, and the slowdowns of the targets
+ * now, if any are reported.
  * @returns Whether it should wait.
  */
 export function isWorthWaiting(
   ask: WorkAsk,
   best: Choice,
-  of: { candidates: () => readonly Candidate[]; leftMs: number },
+  of: {
+    candidates: () => readonly Candidate[];
+    leftMs: number;
+    slowdownOf?: SlowdownLookup;
+  },
 ): boolean {
   const onTimeMs = of.leftMs / FIRST_EVENT_MARGIN_RATIO;
   if (best.firstMs <= onTimeMs) {
     return false;
   }
   const maxMs = Math.min(onTimeMs, FASTER_RATIO * best.firstMs);
-  return of.candidates().some((candidate) =>
-    !ask.excluded.includes(candidate.target.targetId) &&
-    firstMsAt(candidate, ask, candidate.use) <= maxMs
-  );
+  return of.candidates().some((candidate) => {
+    const { targetId } = candidate.target;
+    const ratio = of.slowdownOf?.(targetId) ?? 1;
+    return !ask.excluded.includes(targetId) &&
+      ratio * firstMsAt(candidate, ask, candidate.use) <= maxMs;
+  });
 }
 
 /**
@@ -152,7 +163,7 @@
 }
 
 /**
- * Predicts the latency of a request at a target.
+ * Predicts the latency of a request at a target at its usual speed.
  *
  * @param candidate The target.
  * @param ask The request.
@@ -174,7 +185,8 @@
 }
 
 /**
- * Predicts how long a stream takes after its first event.
+ * Predicts how long a stream takes after its first event at the target's usual
+ * speed.
  *
  * @param candidate The target.
  * @param ask The request.
--- a/packages/routing/src/target_selector.ts
+++ b/packages/routing/src/target_selector.ts
@@ -121,11 +121,15 @@
    */
   chooseCanary(
     ask: WorkAsk,
-    { canary }: TargetSnapshot,
+    { canary, targets, nowMs }: TargetSnapshot,
   ): Choice | undefined {
     const mayTry = ask.cause !== AskCause.Repeat &&
       !this.#board.suspects.isSuspect(ask);
-    return canary.length > 0 && mayTry ? chooseTarget(ask, canary) : undefined;
+    const isHeld = targets.hasFree &&
+      this.#withoutHeld(canary, nowMs).length === 0;
+    return canary.length > 0 && mayTry && !isHeld
+      ? this.#chooseFastest(ask, canary, nowMs)
+      : undefined;
   }
 
   /**
@@ -191,7 +195,34 @@
     const allowed = this.#board.suspects.isSuspect(ask)
       ? this.#trials.targetsForTrial(ask, free, nowMs)
       : this.#trials.targetsBesideTrials(free, nowMs);
-    return chooseTarget(ask, this.#withinLimits(allowed, nowMs));
+    return this.#chooseFastest(ask, this.#withinLimits(allowed, nowMs), nowMs);
+  }
+
+  /** Chooses a target that is held back only if no other one is free. */
+  #chooseFastest(
+    ask: WorkAsk,
+    free: readonly Candidate[],
+    nowMs: number,
+  ): Choice | undefined {
+    const slowdownOf = this.#board.targetLoads.slowdownsAt(nowMs);
+    const preferred = this.#withoutHeld(free, nowMs);
+    const choice = chooseTarget(ask, preferred, { slowdownOf });
+    return choice === undefined && preferred.length < free.length
+      ? chooseTarget(ask, free, { slowdownOf })
+      : choice;
+  }
+
+  /** Leaves out targets at which requests of unknown origin wait. */
+  #withoutHeld(
+    candidates: readonly Candidate[],
+    nowMs: number,
+  ): readonly Candidate[] {
+    const { targetLoads } = this.#board;
+    return targetLoads.hasHeld
+      ? candidates.filter(({ target }) =>
+        !targetLoads.isHeld(target.targetId, nowMs)
+      )
+      : candidates;
   }
 
   /** Leaves out targets that must not be given another request now. */
@@ -230,8 +261,10 @@
   ): boolean {
     const leftMs = onTimeDeadlineMs(waiting) - nowMs;
     return isWorthWaiting(waiting.ask, choice, {
-      candidates: () => this.#withinLimits(targets.all(), nowMs),
+      candidates: () =>
+        this.#withoutHeld(this.#withinLimits(targets.all(), nowMs), nowMs),
       leftMs,
+      slowdownOf: this.#board.targetLoads.slowdownsAt(nowMs),
     });
   }
 
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -6,6 +6,7 @@
 import type { WorkspaceSpending } from "./spending_log.ts";
 import type { StreamOriginGroup } from "./stream_origins.ts";
 import type { EndedTarget, SuspectUpdate } from "./crash_suspects.ts";
+import type { LoadReport } from "./load_report.ts";
 
 /** Why a holder asks for the placement of a request. */
 export enum AskCause {
@@ -163,6 +164,8 @@
   readonly clearedFingerprint?: string;
   /** Hashes of the parts of its prompt. */
   readonly clearedParts?: readonly string[];
+  /** Load that the target reported with its answer; absent if none. */
+  readonly load?: LoadReport;
 }
 
 /**
