Gateway: pass the load that targets report to the coordinator

X-Server-Load with a fourth value states the slowdown of the moment. It is parsed with the other headers, travels with first events and ends, and carries its age, as instances' clocks differ. Malformed values are logged like those of other headers; a counter of reports, a gauge of slow targets and lines on slow periods show operators that it works.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import { CrashSuspects } from "@chestnuthatch/routing/crash_suspects";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
+import { TargetLoads } from "@chestnuthatch/routing/target_loads";
 import { TargetRateLimits } from "@chestnuthatch/routing/target_rate_limits";
 import { LatencyModels } from "@chestnuthatch/routing/latency_models";
 import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
@@ -57,6 +58,7 @@
 import { TargetConnections } from "./target_connections.ts";
 import { TargetProbes } from "./target_probes.ts";
 import { TargetCleanup } from "./target_cleanup.ts";
+import { TargetLoadMonitor } from "./target_load_monitor.ts";
 import { TargetReachability } from "./target_reachability.ts";
 
 /** Time between two ticks, which run all timeouts, while requests wait. */
@@ -115,6 +117,7 @@
   readonly #rollouts: RolloutController;
   readonly #targetSignals: TargetSignalHandler;
   readonly #targetCleanup: TargetCleanup;
+  readonly #loadMonitor: TargetLoadMonitor;
   readonly #front: FrontServer;
   readonly #status: StatusServer;
   readonly #eventLoopMonitor: EventLoopMonitor;
@@ -155,6 +158,11 @@
       cores: settings.cores,
     };
     const members = new MemberView(this.#self);
+    this.#loadMonitor = new TargetLoadMonitor({
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+    });
     this.board = {
       configurationAge: new ConfigurationAge(),
       targets: new TargetDirectory(),
@@ -164,6 +172,9 @@
       relayedTargets: new RelayedTargets(),
       rateLimits: new TargetRateLimits(),
       latencyModels: new LatencyModels(),
+      targetLoads: new TargetLoads((report) =>
+        this.#loadMonitor.reported(report)
+      ),
       backoffs: new TargetBackoffs(),
       streamOrigins: new StreamOrigins(),
       suspects: new CrashSuspects(),
@@ -528,6 +539,7 @@
       this.#heartbeatExchange.tick();
       this.#placementClient.tick();
     });
+    this.#loadMonitor.update(this.board.targetLoads);
     this.#streams.tick();
     this.#updateCoordinatorRole();
   }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -103,6 +103,15 @@
     "Changes of belief about targets that answers brought.",
     ["signal", "source"],
   );
+  readonly #targetLoadReports = this.#counter(
+    "target_load_reports_total",
+    "Reports of targets on their load, by what became of them.",
+    ["result"],
+  );
+  readonly #slowTargets = this.#gauge(
+    "slow_targets",
+    "Targets that report a slow period, as the coordinator knows them.",
+  );
   readonly #openRequests = this.#gauge(
     "open_requests",
     "Requests in progress.",
@@ -182,6 +191,20 @@
     this.#targetSignals.inc({ signal, source });
   }
 
+  /**
+   * Counts a target's report on its load that reached this coordinator.
+   *
+   * @param result What became of the report.
+   */
+  targetLoadReport(result: string): void {
+    this.#targetLoadReports.inc({ result });
+  }
+
+  /** @param count Number of targets that are in a slow period now. */
+  slowTargets(count: number): void {
+    this.#slowTargets.set(count);
+  }
+
   /**
    * Counts a message from another instance.
    *
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -11,6 +11,7 @@
   MessageKind,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
+import type { LoadReport } from "@chestnuthatch/routing/load_report";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import { RecentRefusals } from "@chestnuthatch/routing/recent_refusals";
 import {
@@ -210,17 +211,19 @@
    * Reports to the coordinator that a target sent the first event of an answer.
    *
    * @param askId Id of the ask that got the placement.
+   * @param of Load that the target reported with the answer, if it did.
    */
-  reportFirstEvent(askId: string): void {
+  reportFirstEvent(askId: string, of: { load?: LoadReport } = {}): void {
     const openAsk = this.#openAsks.get(askId);
     if (openAsk?.running === undefined) {
       return;
     }
     openAsk.running = { ...openAsk.running, firstSeen: true };
     if (this.#isSelf(openAsk.coordinatorId)) {
-      this.#service.handleFirstSeen(askId);
+      this.#service.handleFirstSeen(askId, of);
     } else {
-      this.#send(openAsk.coordinatorId, { kind: MessageKind.FirstSeen, askId });
+      const kind = MessageKind.FirstSeen;
+      this.#send(openAsk.coordinatorId, { kind, askId, ...of });
     }
   }
 
@@ -258,7 +261,7 @@
         this.#service.handleAsk(message.ask);
         return;
       case MessageKind.FirstSeen:
-        this.#service.handleFirstSeen(message.askId);
+        this.#service.handleFirstSeen(message.askId, message);
         return;
       case MessageKind.End:
         this.#service.handleEnd(message.end);
--- a/packages/gateway/src/placement_client_test.ts
+++ b/packages/gateway/src/placement_client_test.ts
@@ -11,7 +11,7 @@
   boardOf,
   memberOf,
 } from "@chestnuthatch/routing/routing_test_support";
-import type { AskDecision } from "@chestnuthatch/routing/work_ask";
+import type { AskDecision, WorkEnd } from "@chestnuthatch/routing/work_ask";
 import { EventLog } from "./event_log.ts";
 import { PlacementClient } from "./placement_client.ts";
 
@@ -58,7 +58,17 @@
   };
   const ask = (askId: string) =>
     client.ask(askOf(askId), (decision) => decisions.push(decision));
-  return { client, coordinatorId, sent, decisions, kindsSentTo, advance, ask };
+  return {
+    client,
+    board,
+    clock,
+    coordinatorId,
+    sent,
+    decisions,
+    kindsSentTo,
+    advance,
+    ask,
+  };
 }
 
 function decisionMessage(askId: string, targetId = "t1"): RoutingMessage {
@@ -169,6 +179,48 @@
   }]);
 });
 
+// Guards against a load that is lost on its way to the coordinator.
+test("a target's load is passed on with the first event and the end", () => {
+  const { client, coordinatorId, sent, ask } = clientOfRemoteCoordinator();
+  const load = { running: 1, waiting: 0, slowdownRatio: 2.5, ageMs: 3 };
+  ask("a1");
+  client.handleMessage(decisionMessage("a1"), coordinatorId);
+  client.reportFirstEvent("a1", { load });
+  client.reportEnd({ ...endOf("a1"), load });
+  assert.equal(sent.slice(-2).map(({ message }) => message), [
+    { kind: MessageKind.FirstSeen, askId: "a1", load },
+    { kind: MessageKind.End, end: { ...endOf("a1"), load } },
+  ]);
+});
+
+function endOf(askId: string): WorkEnd {
+  return { askId, targetId: "t1", pool: "p", promptTokens: 500, failed: false };
+}
+
+// Guards against a first event without load whose message is new to old builds.
+test("a first event without load is reported as before", () => {
+  const { client, coordinatorId, sent, ask } = clientOfRemoteCoordinator();
+  ask("a1");
+  client.handleMessage(decisionMessage("a1"), coordinatorId);
+  client.reportFirstEvent("a1");
+  const message = { kind: MessageKind.FirstSeen, askId: "a1" };
+  assert.equal(sent.at(-1), { to: coordinatorId, message });
+});
+
+test("a holder's reports of load are recorded here with their age", () => {
+  const { client, board, clock } = clientOfRemoteCoordinator();
+  const load = { running: 1, waiting: 0, slowdownRatio: 4, ageMs: 300 };
+  clock.atMs = 1000;
+  const ask = askOf("a1", { holderId: "i2" });
+  client.handleMessage({ kind: MessageKind.Ask, ask }, "i2");
+  client.handleMessage(
+    { kind: MessageKind.FirstSeen, askId: "a1", load },
+    "i2",
+  );
+  const ratio = board.targetLoads.slowdownsAt(1000)?.("t1");
+  assert.is(ratio, 1 + 3 * Math.exp(-1));
+});
+
 test("running work and spending are reported to the coordinator", () => {
   const { client, coordinatorId, sent, advance } = clientOfRemoteCoordinator();
   client.ask(askOf("a1", { cost: 700 }), () => {});
--- a/packages/gateway/src/placement_service.ts
+++ b/packages/gateway/src/placement_service.ts
@@ -7,6 +7,7 @@
   Coordinator,
   PlacementScope,
 } from "@chestnuthatch/routing/coordinator";
+import type { LoadReport } from "@chestnuthatch/routing/load_report";
 import {
   MessageKind,
   type RoutingMessage,
@@ -77,9 +78,10 @@
    * Records that a target sent the first event of an answer.
    *
    * @param askId Id of the ask that got the placement.
+   * @param of Load that the target reported with the answer, if it did.
    */
-  handleFirstSeen(askId: string): void {
-    this.#parts.coordinator.firstSeen(askId, this.#nowMs());
+  handleFirstSeen(askId: string, of: { load?: LoadReport }): void {
+    this.#parts.coordinator.firstSeen(askId, this.#nowMs(), of);
   }
 
   /**
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -92,6 +92,18 @@
   readonly value: string;
 }
 
+/** Load of a target at the moment of an answer, as it reports it itself. */
+export interface TargetLoad {
+  /** Number of requests that run. */
+  readonly running: number;
+  /** Number of requests that wait. */
+  readonly waiting: number;
+  /** Number of requests that can run at once. */
+  readonly slots: number;
+  /** Time that work takes at this moment, relative to the usual time. */
+  readonly slowdownRatio: number;
+}
+
 /** Metadata of a target's answer, parsed from its status and headers. */
 export interface AnswerMetadata {
   /** Whether the target states that it did not run the call. */
@@ -103,6 +115,8 @@
   /** Request id of the answered call; absent where the headers carry none. */
   readonly requestId?: string;
   readonly signals: TargetSignals;
+  /** Absent unless the target reports its load with its slowdown. */
+  readonly load?: TargetLoad;
 }
 
 /** Wire format of calls: parses and writes their HTTP headers. */
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -9,6 +9,8 @@
 import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
 import { SURVIVAL_MS } from "@chestnuthatch/routing/trials";
 import type { WorkEnd } from "@chestnuthatch/routing/work_ask";
+import type { LoadReport } from "@chestnuthatch/routing/load_report";
+import { AnswerLoad } from "./answer_load.ts";
 import { EventSplitter, type StreamedEvent } from "./event_splitter.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { hostPortOf } from "./host_port.ts";
@@ -92,6 +94,7 @@
   #answer?: IncomingMessage;
   /** Rejections per second that the target withstands, from its answer. */
   #maxRejectionsPerS?: number;
+  #load?: AnswerLoad;
   #firstDataAtMs?: number;
   #lastEventAtMs = 0;
   #isDone = false;
@@ -223,9 +226,15 @@
         : undefined,
       failed,
       maxRejectionsPerS: this.#maxRejectionsPerS,
+      ...this.#loadFact(),
     };
   }
 
+  #loadFact(): { load?: LoadReport } {
+    const load = this.#load?.reportAt(this.#parts.clock.nowMs());
+    return load === undefined ? {} : { load };
+  }
+
   #onHead(answer: IncomingMessage): void {
     const failure = this.#relay && relayFailureOf(answer.headers);
     if (failure !== undefined) {
@@ -244,6 +253,8 @@
       const { target } = this.options;
       const origin = { target, sentAtMs: this.sentAtMs };
       this.#parts.targetSignals.answerReceived(origin, facts.signals);
+      this.#load = facts.load &&
+        new AnswerLoad(facts.load, this.#parts.clock.nowMs());
     }
     const { requestId } = this.options.call.facts;
     if (facts.requestId !== undefined && facts.requestId !== requestId) {
@@ -297,7 +308,8 @@
     this.#lastEventAtMs = nowMs;
     if (this.#firstDataAtMs === undefined) {
       this.#firstDataAtMs = nowMs;
-      this.#parts.placementClient.reportFirstEvent(this.options.askId);
+      const { askId } = this.options;
+      this.#parts.placementClient.reportFirstEvent(askId, this.#loadFact());
     }
     this.#sink.event(bytes);
   }
--- a/packages/gateway/src/target_cleanup.ts
+++ b/packages/gateway/src/target_cleanup.ts
@@ -35,7 +35,13 @@
    */
   applyChanges(changes: readonly TargetEvent[]): void {
     const { board, clock } = this.#parts;
-    const { targets, latencyModels, rateLimits, relayedTargets } = board;
+    const {
+      targets,
+      latencyModels,
+      rateLimits,
+      relayedTargets,
+      targetLoads,
+    } = board;
     const nowMs = clock.nowMs();
     for (const { targetId, kind } of changes) {
       if (kind === TargetEventKind.Restarted) {
@@ -48,6 +54,7 @@
     latencyModels.keepOnly(targetIds);
     rateLimits.keepOnly(targetIds);
     relayedTargets.keepOnly(targetIds);
+    targetLoads.keepOnly(targetIds);
     this.#parts.reachability.keepOnly(targetIds);
     const usable = all.filter((target) => targets.isUsable(target, nowMs));
     const addresses = new Set(usable.map(({ address }) => address));
@@ -63,6 +70,7 @@
     board.health.restarted(targetId);
     board.backoffs.restarted(targetId);
     board.rateLimits.restarted(targetId, nowMs);
+    board.targetLoads.restarted(targetId, nowMs);
     coordinator.targetRestarted(targetId);
     connections.closeIdle(board.targets.get(targetId)!.address);
   }
--- a/packages/routing/src/target_loads.ts
+++ b/packages/routing/src/target_loads.ts
@@ -40,6 +40,8 @@
   readonly result: LoadReportResult;
   /** Name of the field that is out of range; absent if none is. */
   readonly field?: keyof LoadReport;
+  /** Value of that field. */
+  readonly value?: number;
 }
 
 /**
@@ -85,7 +87,7 @@
     const field = invalidFieldOf(report);
     if (field !== undefined) {
       const result = LoadReportResult.Invalid;
-      this.#onReport({ targetId, result, field });
+      this.#onReport({ targetId, result, field, value: report[field] });
       return;
     }
     const atMs = of.nowMs - report.ageMs;
--- a/packages/routing/src/target_loads_placement_test.ts
+++ b/packages/routing/src/target_loads_placement_test.ts
@@ -137,17 +137,28 @@
 // Guards against a slowdown that is kept with the cached candidates, which are
 // not renewed while the use of their targets stays the same.
 test("a reported slowdown affects placements for one second, and none after", () => {
-  const { coordinator, place } = placerOf(["t1", "t2"]);
+  const { board, coordinator, place } = placerOf(["t1", "t2"]);
   const { askId, targetId } = place(0);
   assert.is(targetId, "t1");
   const load = loadOf({ slowdownRatio: 100 });
   coordinator.firstSeen(askId, 10, { load });
   const placedAt = (nowMs: number) => {
-    const placed = place(nowMs);
+    // Without output, the prediction is that of the first event alone.
+    const placed = place(nowMs, { outputTokens: 0 });
     coordinator.dropped(placed.askId, nowMs);
     return placed.targetId;
   };
   assert.equal([10, 900, 1010, 1011].map(placedAt), ["t2", "t2", "t2", "t1"]);
+  const load8 = loadOf({ slowdownRatio: 8 });
+  coordinator.dropped(askId, 2000);
+  const again = place(2000, { excluded: ["t2"] });
+  coordinator.firstSeen(again.askId, 2000, { load: load8 });
+  // A faster first event does not outweigh that generation is slow.
+  for (let i = 0; i < 4; i++) {
+    board.latencyModels.of("t2").recordFirstEvent(500, 0, 2000);
+  }
+  const long = { outputTokens: 2000, objectiveLeftMs: 5000 };
+  assert.is(place(2000, long).targetId, "t2");
 });
 
 // Guards against equal shares for equal targets while one of them is slow.
