--- a/packages/gateway/src/placement_client_test.ts
+++ b/packages/gateway/src/placement_client_test.ts
@@ -4,6 +4,7 @@
 import { Coordinator } from "@chestnuthatch/routing/coordinator";
 import {
   MessageKind,
+  peerMessageSchema,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
 import {
@@ -191,6 +192,9 @@
     { kind: MessageKind.FirstSeen, askId: "a1", load },
     { kind: MessageKind.End, end: { ...endOf("a1"), load } },
   ]);
+  for (const { message } of sent.slice(-2)) {
+    assert.equal(peerMessageSchema.parse(message), message);
+  }
 });
 
 function endOf(askId: string): WorkEnd {
--- a/packages/routing/src/target_loads_placement_test.ts
+++ b/packages/routing/src/target_loads_placement_test.ts
@@ -118,6 +118,17 @@
   return { running: 1, waiting: 0, slowdownRatio: 1, ageMs: 0, ...over };
 }
 
+function endOf(askId: string, over: Partial<WorkEnd>): WorkEnd {
+  return {
+    askId,
+    targetId: "t1",
+    pool: "p",
+    promptTokens: 500,
+    failed: false,
+    ...over,
+  };
+}
+
 /** A coordinator, and a function that asks and returns the chosen target. */
 function placerOf(targetIds: readonly string[]) {
   const board = boardOf(targetIds);
@@ -174,15 +185,11 @@
     counts.set(targetId!, (counts.get(targetId!) ?? 0) + 1);
     running.push({
       atMs: nowMs + 60 * slowdownRatio,
-      end: {
-        askId,
+      end: endOf(askId, {
         targetId: targetId!,
-        pool: "p",
-        promptTokens: 500,
         firstMs: 51 * slowdownRatio,
-        failed: false,
         load,
-      },
+      }),
     });
     for (const { end } of running.filter(({ atMs }) => atMs === nowMs)) {
       coordinator.ended(end, nowMs);
@@ -227,6 +234,31 @@
   assert.is(after.place(300).targetId, "t1");
 });
 
+// Guards against a report of a process that has ended, and whose work was
+// dropped, that is taken for one of the target's new process.
+test("a report for work of an earlier process is ignored", () => {
+  const { board, coordinator, place } = placerOf(["t1"]);
+  const { askId } = place(0);
+  coordinator.targetRestarted("t1");
+  const load = loadOf({ slowdownRatio: 8 });
+  coordinator.firstSeen(askId, 10, { load });
+  coordinator.ended(endOf(askId, { load }), 20);
+  assert.is(board.targetLoads.slowdownsAt(20), undefined);
+});
+
+// Guards against a forged report that has taught a wrong speed when it expires.
+test("a forged report changes no prediction after a second", () => {
+  for (const slowdownRatio of [0.1, 1, 100]) {
+    const { board, coordinator, place } = placerOf(["t1", "t2"]);
+    const model = board.latencyModels.of("t1");
+    const firstMs = model.firstEventMs(500, 0);
+    const load = loadOf({ slowdownRatio });
+    coordinator.ended(endOf(place(0).askId, { firstMs, load }), 60);
+    assert.is(model.firstEventMs(500, 0), firstMs);
+    assert.is(place(1061).targetId, "t1");
+  }
+});
+
 /** Feeds ten answers of each speed, of which some fall into slow periods. */
 function learn(board: RoutingBoard, isStream: boolean): void {
   const below = generatorOf(3);
@@ -234,17 +266,10 @@
     for (let i = 0; i < 10; i++) {
       const slowdownRatio = below(100) < 15 ? 2.5 : 1;
       const firstMs = speed * slowdownRatio * 51;
-      const end = { targetId, firstMs, eventGapMs: firstMs / 2 };
+      const eventGapMs = firstMs / 2;
       const load = loadOf({ slowdownRatio });
-      const of = { isStream, tokensAhead: 0 };
-      board.latencyModels.recordEnd({
-        ...end,
-        askId: "a",
-        pool: "p",
-        promptTokens: 500,
-        failed: false,
-        load,
-      }, of);
+      const end = endOf("a", { targetId, firstMs, eventGapMs, load });
+      board.latencyModels.recordEnd(end, { isStream, tokensAhead: 0 });
     }
   }
 }
