Routing: pause targets that several holders could not use

A crashed target always has a free slot, as attempts there fail at once, and attracts requests from the queue until every holder's own circuit breaker has opened. Holders report attempts that never reached a target, and placements that they return because the target has left.

--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -123,6 +123,9 @@
       ...attempt.workEnd(true),
       ...(FAILED_ANSWER_ENDS.has(end) ? { answerFailed: true } : undefined),
       ...(end === AttemptEnd.Rejected ? { isRejected: true } : undefined),
+      ...(end === AttemptEnd.NotSent
+        ? { unreachable: true as const }
+        : undefined),
     };
     if (end === AttemptEnd.TargetEnded) {
       const endedTarget = this.#endedTargetOf(attempt);
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -196,12 +196,14 @@
    * Withdraws an ask whose caller no longer waits for a placement.
    *
    * @param askId The ask's id; unknown ids are ignored.
+   * @param unusableTargetId Target of its placement, if that is known here as
+   * removed or leaving; else absent.
    */
-  drop(askId: string): void {
+  drop(askId: string, unusableTargetId?: string): void {
     const openAsk = this.#openAsks.get(askId);
     if (openAsk !== undefined) {
       this.#openAsks.remove(askId);
-      this.#sendDrop(openAsk.coordinatorId, askId);
+      this.#sendDrop(openAsk.coordinatorId, askId, unusableTargetId);
       this.#sendUnsent();
     }
   }
@@ -264,7 +266,7 @@
         this.#service.handleEnd(message.end);
         return;
       case MessageKind.Drop:
-        this.#service.handleDrop(message.askId);
+        this.#service.handleDrop(message.askId, message.unusableTargetId);
         return;
       case MessageKind.Report:
         this.#service.handleReport(message.report);
@@ -496,14 +498,22 @@
     }
   }
 
-  #sendDrop(coordinatorId: string, askId: string): void {
+  #sendDrop(
+    coordinatorId: string,
+    askId: string,
+    unusableTargetId?: string,
+  ): void {
     if (coordinatorId === NO_COORDINATOR) {
       return;
     }
     if (this.#isSelf(coordinatorId)) {
-      this.#service.handleDrop(askId);
+      this.#service.handleDrop(askId, unusableTargetId);
     } else {
-      this.#send(coordinatorId, { kind: MessageKind.Drop, askId });
+      this.#send(coordinatorId, {
+        kind: MessageKind.Drop,
+        askId,
+        ...(unusableTargetId === undefined ? undefined : { unusableTargetId }),
+      });
     }
   }
 
--- a/packages/gateway/src/placement_service.ts
+++ b/packages/gateway/src/placement_service.ts
@@ -95,8 +95,16 @@
    * Removes an ask, and frees its placement if it has one.
    *
    * @param askId Id of the ask that its holder withdrew.
+   * @param unusableTargetId Target of its placement, if the holder knows it as
+   * removed or leaving; else absent.
    */
-  handleDrop(askId: string): void {
+  handleDrop(askId: string, unusableTargetId?: string): void {
+    if (unusableTargetId !== undefined) {
+      this.#parts.coordinator.placementReturned(askId, {
+        targetId: unusableTargetId,
+        nowMs: this.#nowMs(),
+      });
+    }
     this.#deliver(this.#parts.coordinator.dropped(askId, this.#nowMs()));
   }
 
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -231,11 +231,15 @@
   /** Returns a placement at a target that cannot be used now. */
   #returnPlacement(targetId: string): void {
     this.#log("assigned target not usable", { targetId });
-    if (this.#parts.board.targets.get(targetId)?.leaving) {
+    const { targets } = this.#parts.board;
+    const target = targets.get(targetId);
+    const hasLeft = target !== undefined &&
+      !targets.isUsable(target, this.#nowMs());
+    if (target?.leaving) {
       this.#parts.onPlacedAtLeavingTarget(targetId);
     }
     this.#triedTargetIds.add(targetId);
-    this.#dropAsk();
+    this.#dropAsk(hasLeft ? targetId : undefined);
     if (this.#attempt === undefined) {
       this.#rejectionCount++;
       this.#takeNextStep(AttemptEnd.NotSent);
@@ -498,9 +502,13 @@
     this.#finish();
   }
 
-  #dropAsk(): void {
+  /**
+   * Withdraws the open ask, if any; if it was placed at a target that has left,
+   * with the id of that target.
+   */
+  #dropAsk(unusableTargetId?: string): void {
     if (this.#askId !== undefined) {
-      this.#parts.placementClient.drop(this.#askId);
+      this.#parts.placementClient.drop(this.#askId, unusableTargetId);
       this.#askId = undefined;
     }
   }
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -37,6 +37,7 @@
 import { returnWindowMs, type StreamOriginGroup } from "./stream_origins.ts";
 import { TakenUpStreams } from "./taken_up_streams.ts";
 import { RefusedCallers } from "./refused_callers.ts";
+import { type PausedTarget, UnusableTargets } from "./unusable_targets.ts";
 import type { OverShare } from "./workspace_shares.ts";
 import {
   baselineFirstEventMs,
@@ -111,6 +112,7 @@
   readonly #spending = new ReportedSpending();
   readonly #takenUpStreams: TakenUpStreams;
   readonly #abandoned = new AbandonedWork();
+  readonly #unusable: UnusableTargets;
   /** Scope of the last ask, for asks that wait for the origin of a stream. */
   #scope?: PlacementScope;
 
@@ -124,6 +126,7 @@
     this.#allotmentLedger = new AllotmentLedger(bounds.allotmentTolerance);
     this.#limiter = new RateLimiter(board.rateLimits);
     this.#takenUpStreams = new TakenUpStreams(board);
+    this.#unusable = new UnusableTargets(board.members);
   }
 
   /**
@@ -138,6 +141,7 @@
    */
   ask(ask: WorkAsk, scope: PlacementScope): AskDecision[] {
     this.#lastContactAtMs.set(ask.holderId, scope.nowMs);
+    this.#unusable.asked(ask.holderId, scope.nowMs);
     return this.#ask(ask, scope);
   }
 
@@ -196,6 +200,7 @@
   firstSeen(askId: string, nowMs: number): void {
     const work = this.#schedulerOf(askId)?.firstSeen(askId, nowMs);
     if (work !== undefined) {
+      this.#unusable.reached(work);
       this.#recordOrigin(work, this.#openAsks.get(askId)!.pool, nowMs);
     }
   }
@@ -227,6 +232,8 @@
     this.#updateSuspects(end, nowMs);
     this.#rejections.recordEnd(end, nowMs);
     const scheduler = this.#poolScheduler(end.pool);
+    // The slot is given to the next request at once, unless this pauses it.
+    this.#unusable.ended(end, { work: scheduler.workOf(end.askId), nowMs });
     const { work, decisions } = scheduler.release(end.askId, nowMs);
     this.#recordAbandoned(end, work, nowMs);
     if (work?.streamKey !== undefined && end.isStreamCompleted === true) {
@@ -248,6 +255,23 @@
     return this.#applyDecisions(decisions, nowMs);
   }
 
+  /**
+   * Records that a holder returns a placement, as it knows the target as
+   * removed or leaving. The withdrawal of the ask follows.
+   *
+   * @param askId Id of the ask.
+   * @param of Id of the target, and the current local time in milliseconds.
+   */
+  placementReturned(
+    askId: string,
+    { targetId, nowMs }: { targetId: string; nowMs: number },
+  ): void {
+    const work = this.#schedulerOf(askId)?.workOf(askId);
+    if (work?.targetId === targetId) {
+      this.#unusable.returned(work, nowMs);
+    }
+  }
+
   /**
    * Withdraws an ask whose caller has left or that was placed elsewhere, and
    * refunds its charge.
@@ -328,6 +352,7 @@
   tick(nowMs: number): AskDecision[] {
     this.#board.suspects.evictExpired(nowMs);
     this.#limiter.evictUnlimited();
+    this.#unusable.evictExpired(this.#board.targets, nowMs);
     const decisions = this.#resolveWaiting(nowMs);
     for (const [holderId, contactAtMs] of this.#lastContactAtMs) {
       if (nowMs - contactAtMs > HOLDER_TIMEOUT_MS) {
@@ -486,6 +511,7 @@
    * @param targetId Target whose process started again under the same id.
    */
   targetRestarted(targetId: string): void {
+    this.#unusable.restarted(targetId);
     for (const scheduler of this.#schedulers.values()) {
       scheduler.targetRestarted(targetId);
     }
@@ -535,6 +561,11 @@
     );
   }
 
+  /** @returns Targets that get no requests, as holders could not use them. */
+  pausedTargets(): PausedTarget[] {
+    return this.#unusable.paused();
+  }
+
   /**
    * Counts the requests that run at some of a pool's targets.
    *
@@ -743,6 +774,7 @@
         board: this.#board,
         limiter: this.#limiter,
         rejections: this.#rejections,
+        unusable: this.#unusable,
       });
       this.#schedulers.set(name, scheduler);
     }
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -134,6 +134,7 @@
   eventGapMs: z.number().optional(),
   failed: z.boolean(),
   answerFailed: z.boolean().optional(),
+  unreachable: z.literal(true).optional(),
   maxRejectionsPerS: z.number().nonnegative().optional(),
   isRejected: z.boolean().optional(),
   isStreamCompleted: z.literal(true).optional(),
@@ -250,7 +251,12 @@
   z.object({ kind: z.literal(MessageKind.Decision), decision }),
   z.object({ kind: z.literal(MessageKind.FirstSeen), askId: z.string() }),
   z.object({ kind: z.literal(MessageKind.End), end }),
-  z.object({ kind: z.literal(MessageKind.Drop), askId: z.string() }),
+  z.object({
+    kind: z.literal(MessageKind.Drop),
+    askId: z.string(),
+    /** Target of its placement, if the holder knows it as gone or leaving. */
+    unusableTargetId: z.string().optional(),
+  }),
   z.object({ kind: z.literal(MessageKind.Report), report }),
   z.object({
     kind: z.literal(MessageKind.Unknown),
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -20,6 +20,7 @@
 import type { Candidate, Choice } from "./target_choice.ts";
 import type { KnownTarget } from "./target_directory.ts";
 import { Trials } from "./trials.ts";
+import type { UnusableTargets } from "./unusable_targets.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
 import {
   NONE_OVER_SHARE,
@@ -77,12 +78,15 @@
   ahead: number;
   /** Slots that rate limits leave usable; absent until a wait is estimated. */
   usableSlots?: number;
+  /** Slots of paused targets by failure domain; absent like `usableSlots`. */
+  pausedSlots?: Map<string, number>;
 }
 
 /** Placed work and queue of one pool. */
 export class PoolScheduler {
   readonly #board: RoutingBoard;
   readonly #limiter: RateLimiter;
+  readonly #unusable: UnusableTargets;
   readonly #placed = new PlacedWorkIndex((targetId, use) =>
     this.#selector.updateUse(targetId, use)
   );
@@ -100,19 +104,22 @@
 
   /**
    * @param pool The pool's name.
-   * @param parts Shared routing state of the instance, and the limiters of the
-   * rates of placements at targets and of their rejections.
+   * @param parts Shared routing state of the instance, the limiters of the
+   * rates of placements at targets and of their rejections, and the targets
+   * that holders could not use.
    */
   constructor(
     pool: string,
-    { board, limiter, rejections }: {
+    { board, limiter, rejections, unusable }: {
       board: RoutingBoard;
       limiter: RateLimiter;
       rejections: RejectionLimiter;
+      unusable: UnusableTargets;
     },
   ) {
     this.#board = board;
     this.#limiter = limiter;
+    this.#unusable = unusable;
     this.#workspaceShares = new WorkspaceShares((workspace) =>
       board.routes?.workspace(workspace)?.allotment
     );
@@ -124,6 +131,7 @@
       trials: this.#trials,
       limiter,
       rejections,
+      unusable,
     });
   }
 
@@ -148,6 +156,16 @@
     return work && decisionOf(work);
   }
 
+  /**
+   * Returns the work that an ask was placed for.
+   *
+   * @param askId Id of the ask.
+   * @returns The placed work; undefined if it is not placed.
+   */
+  workOf(askId: string): PlacedWork | undefined {
+    return this.#placed.get(askId);
+  }
+
   /**
    * Returns the placement of an ask if its holder should have received it by
    * now.
@@ -500,7 +518,7 @@
         ? undefined
         : this.#placeAt(waiting, choice, pass);
     }
-    const slots = this.#usableSlots(pass) - this.#slotsOfAll(excludedTargets);
+    const slots = this.#slotsFor(ask, excludedTargets, pass);
     return this.#refuseIfTooLate(waiting, {
       slots: Math.max(MIN_SLOTS, slots),
       ahead: pass.ahead,
@@ -561,6 +579,26 @@
     };
   }
 
+  /** Slots without those of targets that an ask is excluded or paused from. */
+  #slotsFor(
+    ask: WorkAsk,
+    excluded: readonly Candidate[],
+    pass: SchedulingPass,
+  ): number {
+    const paused = this.#selector.pausedFor(ask, pass);
+    const slots = this.#usableSlots(pass);
+    if (paused === undefined) {
+      return slots - this.#slotsOfAll(excluded);
+    }
+    pass.pausedSlots ??= new Map();
+    const pausedSlots = pass.pausedSlots.get(ask.failureDomain) ??
+      this.#slotsOfAll([...paused].flatMap((id) => pass.targets.get(id) ?? []));
+    pass.pausedSlots.set(ask.failureDomain, pausedSlots);
+    const others = excluded
+      .filter(({ target: { targetId } }) => !paused.has(targetId));
+    return slots - pausedSlots - this.#slotsOfAll(others);
+  }
+
   /** Slots of the pool without those that rate limits keep idle. */
   #usableSlots(pass: SchedulingPass): number {
     pass.usableSlots ??= this.#board.rateLimits.limitedIds()
@@ -614,6 +652,7 @@
     this.#placed.put(work);
     this.#workspaceShares.recordPlaced(ask, choice.slotMs, pass.nowMs);
     this.#limiter.consume(targetId, pass.nowMs);
+    this.#unusable.placed(targetId, ask.failureDomain, pass.nowMs);
     this.#board.rollouts.placed(choice.target);
     return decisionOf(work);
   }
--- a/packages/routing/src/target_selector.ts
+++ b/packages/routing/src/target_selector.ts
@@ -16,6 +16,7 @@
 } from "./target_choice.ts";
 import type { KnownTarget } from "./target_directory.ts";
 import type { Trials } from "./trials.ts";
+import type { UnusableTargets } from "./unusable_targets.ts";
 import { AskCause, type WorkAsk } from "./work_ask.ts";
 
 /** The pool's usable targets at one moment. */
@@ -37,6 +38,7 @@
   readonly trials: Trials;
   readonly limiter: RateLimiter;
   readonly rejections: RejectionLimiter;
+  readonly unusable: UnusableTargets;
 }
 
 /** Selects targets of one pool. */
@@ -47,6 +49,7 @@
   readonly #trials: Trials;
   readonly #limiter: RateLimiter;
   readonly #rejections: RejectionLimiter;
+  readonly #unusable: UnusableTargets;
   #targets?: CandidateIndex;
   /** Targets that the index was built from. */
   #serving: readonly KnownTarget[] = [];
@@ -63,6 +66,7 @@
     this.#trials = parts.trials;
     this.#limiter = parts.limiter;
     this.#rejections = parts.rejections;
+    this.#unusable = parts.unusable;
   }
 
   /**
@@ -136,34 +140,70 @@
    * @returns The target expected to complete it first; undefined where none can
    * take it now.
    */
-  choose(ask: WorkAsk, { targets, nowMs }: TargetSnapshot): Choice | undefined {
+  choose(ask: WorkAsk, snapshot: TargetSnapshot): Choice | undefined {
+    const { targets, nowMs } = snapshot;
     if (!targets.hasFree) {
       return undefined;
     }
+    const paused = this.pausedFor(ask, snapshot);
+    const chooseFrom = (free: readonly Candidate[]) =>
+      this.#chooseFree(ask, withoutPaused(free, paused), nowMs);
     if (this.#board.suspects.isSuspect(ask)) {
-      return this.#chooseFree(ask, targets.allFree(), nowMs);
+      return chooseFrom(targets.allFree());
     }
     const sampled = targets.sampleFree(ask.failureDomain);
-    const choice = this.#chooseFree(ask, sampled, nowMs);
+    const choice = chooseFrom(sampled);
     return choice === undefined && sampled.length < targets.freeCount
-      ? this.#chooseFree(ask, targets.allFree(), nowMs)
+      ? chooseFrom(targets.allFree())
       : choice;
   }
 
+  /**
+   * Finds the targets that are to get no requests of the asking holder's
+   * failure domain, as holders could not use them.
+   *
+   * @param ask The request.
+   * @param snapshot The pool's usable targets.
+   * @returns Ids of the targets, of all pools; undefined if there are none, or
+   * if they are all that the request is not excluded from.
+   */
+  pausedFor(
+    { failureDomain, excluded }: WorkAsk,
+    { targets, nowMs }: TargetSnapshot,
+  ): ReadonlySet<string> | undefined {
+    const paused = this.#unusable.pausedFor(failureDomain, nowMs);
+    if (
+      paused === undefined || paused.size + excluded.length < targets.size
+    ) {
+      return paused;
+    }
+    const isAnyLeft = targets.all().some(({ target: { targetId } }) =>
+      !paused.has(targetId) && !excluded.includes(targetId)
+    );
+    return isAnyLeft ? paused : undefined;
+  }
+
   /**
    * Finds the targets of the version that began a stream. They may go on with
    * it whatever share of the pool's requests a roll-out gives them.
    *
    * @param ask The request, which names a version.
    * @param nowMs Current local time in milliseconds.
-   * @returns Usable targets that the request is not excluded from.
+   * @returns Usable targets that the request is not excluded from; those that
+   * are not paused if there are any.
    */
-  ofVersion({ version, excluded }: WorkAsk, nowMs: number): Candidate[] {
+  ofVersion(
+    { version, excluded, failureDomain }: WorkAsk,
+    nowMs: number,
+  ): readonly Candidate[] {
     const { targets, rollouts } = this.#board;
-    return targets.usable(this.#pool, nowMs).filter((target) =>
+    const candidates = targets.usable(this.#pool, nowMs).filter((target) =>
       target.version === version && rollouts.mayServe(target) &&
       !excluded.includes(target.targetId)
     ).map((target) => this.#candidate(target));
+    const paused = this.#unusable.pausedFor(failureDomain, nowMs);
+    const others = withoutPaused(candidates, paused);
+    return others.length > 0 ? others : candidates;
   }
 
   /**
@@ -226,11 +266,16 @@
   isWorthWaiting(
     waiting: WaitingWork,
     choice: Choice,
-    { targets, nowMs }: TargetSnapshot,
+    snapshot: TargetSnapshot,
   ): boolean {
+    const { targets, nowMs } = snapshot;
     const leftMs = onTimeDeadlineMs(waiting) - nowMs;
     return isWorthWaiting(waiting.ask, choice, {
-      candidates: () => this.#withinLimits(targets.all(), nowMs),
+      candidates: () =>
+        withoutPaused(
+          this.#withinLimits(targets.all(), nowMs),
+          this.pausedFor(waiting.ask, snapshot),
+        ),
       leftMs,
     });
   }
@@ -249,3 +294,12 @@
     return this.#board.routes?.pool(this.#pool);
   }
 }
+
+function withoutPaused(
+  candidates: readonly Candidate[],
+  paused: ReadonlySet<string> | undefined,
+): readonly Candidate[] {
+  return paused === undefined
+    ? candidates
+    : candidates.filter(({ target }) => !paused.has(target.targetId));
+}
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -148,6 +148,8 @@
    * not merely unreachable; absent otherwise.
    */
   readonly answerFailed?: boolean;
+  /** Set if the attempt never reached the target; absent otherwise. */
+  readonly unreachable?: true;
   /**
    * Rejections per second that the target withstands, as it announced in its
    * answer; absent if it did not.
