Gateway: report paused targets

Operators could not see which targets the coordinator keeps from requests. A gauge counts them, and two log lines tell when a target is paused and when it is used again.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -39,6 +39,7 @@
 import { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { HeartbeatExchange } from "./heartbeat_exchange.ts";
 import { SnapshotServer } from "./snapshot_server.ts";
+import { PausedTargetMonitor } from "./paused_target_monitor.ts";
 import { PeerSocket } from "./peer_socket.ts";
 import { PlacementClient } from "./placement_client.ts";
 import { RelayServer } from "./relay_server.ts";
@@ -120,6 +121,7 @@
   readonly #status: StatusServer;
   readonly #eventLoopMonitor: EventLoopMonitor;
   readonly #workspaceShares: WorkspaceShareMonitor;
+  readonly #pausedTargets: PausedTargetMonitor;
   #askCounter = 0;
   #isLeaving = false;
   #isClosed = false;
@@ -274,6 +276,13 @@
       metrics: this.#metrics,
       overShares: (nowMs) => this.#coordinator.overShares(nowMs),
     });
+    this.#pausedTargets = new PausedTargetMonitor({
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      targets: this.board.targets,
+      pausedTargets: () => this.#coordinator.pausedTargets(),
+    });
     this.#status = new StatusServer({
       metrics: this.#metrics,
       isReady: () => this.isReady,
@@ -538,6 +547,7 @@
     });
     this.#streams.tick();
     this.#workspaceShares.tick();
+    this.#pausedTargets.tick();
     this.#updateCoordinatorRole();
   }
 
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -35,6 +35,10 @@
     "relayed_targets",
     "Targets that are reached through other instances only.",
   );
+  readonly #pausedTargets = this.#gauge(
+    "paused_targets",
+    "Targets that get no requests, as holders could not use them.",
+  );
   readonly #workspacesOverShare = this.#gauge(
     "workspaces_over_share",
     "Workspaces whose requests go behind those of others, by pool and rank.",
@@ -109,7 +113,7 @@
   );
   readonly #targetSignals = this.#counter(
     "target_signals_total",
-    "Changes of belief about targets that answers brought.",
+    "Changes of belief about targets that attempts brought.",
     ["signal", "source"],
   );
   readonly #openRequests = this.#gauge(
@@ -253,6 +257,11 @@
     this.#relayedTargets.set(count);
   }
 
+  /** @param count Number of targets paused for any failure domain. */
+  pausedTargets(count: number): void {
+    this.#pausedTargets.set(count);
+  }
+
   /**
    * @param count Number of workspaces over their shares, counted once for each
    * pool and rank.
