Routing: skip the queue while only paused targets are free

A paused target keeps its free slots, so every event searched the queue for a request that could use them. In the test's simulation of a crash, the coordinator took 336 to 454 ms of processor time a second instead of about 20; with the check it takes 56 to 119 ms.

--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -415,13 +415,15 @@
   /** Fills free slots in the order of the last full pass. */
   #fillSlots(nowMs: number): AskDecision[] {
     const pass = this.#beginPass(nowMs);
-    if (!pass.targets.hasFree) {
+    if (!this.#selector.hasFree(pass)) {
       return [];
     }
     const context = this.#orderContext(nowMs);
     const skipped = new Set<string>();
     const decisions: AskDecision[] = [];
-    while (pass.targets.hasFree && skipped.size < MAX_SKIPPED_REQUESTS) {
+    while (
+      this.#selector.hasFree(pass) && skipped.size < MAX_SKIPPED_REQUESTS
+    ) {
       const next = this.#waiting.next(context, skipped);
       if (next === undefined) {
         break;
--- a/packages/routing/src/target_selector.ts
+++ b/packages/routing/src/target_selector.ts
@@ -29,6 +29,8 @@
    * a canary request.
    */
   canary: readonly Candidate[];
+  /** Sets of paused targets beside which no target has a free slot any more. */
+  exhausted?: Set<ReadonlySet<string>>;
 }
 
 /** State that a target selector reads. */
@@ -146,6 +148,9 @@
       return undefined;
     }
     const paused = this.pausedFor(ask, snapshot);
+    if (paused !== undefined && isExhausted(paused, snapshot)) {
+      return undefined;
+    }
     const chooseFrom = (free: readonly Candidate[]) =>
       this.#chooseFree(ask, withoutPaused(free, paused), nowMs);
     if (this.#board.suspects.isSuspect(ask)) {
@@ -158,6 +163,17 @@
       : choice;
   }
 
+  /**
+   * Checks whether any target can be given a request now.
+   *
+   * @param snapshot The pool's usable targets.
+   * @returns Whether a target has a free slot that is not paused for all.
+   */
+  hasFree({ targets, nowMs }: TargetSnapshot): boolean {
+    return targets.hasFree &&
+      hasFreeBeside(this.#unusable.pausedForAll(nowMs), targets);
+  }
+
   /**
    * Finds the targets that are to get no requests of the asking holder's
    * failure domain, as holders could not use them.
@@ -295,6 +311,33 @@
   }
 }
 
+function hasFreeBeside(
+  paused: Iterable<string>,
+  targets: CandidateIndex,
+): boolean {
+  let pausedCount = 0;
+  for (const targetId of paused) {
+    const candidate = targets.get(targetId);
+    pausedCount += Number(candidate !== undefined && hasFreeSlot(candidate));
+  }
+  return targets.freeCount > pausedCount;
+}
+
+/** Checks that once a pass, in which free slots only become fewer. */
+function isExhausted(
+  paused: ReadonlySet<string>,
+  snapshot: TargetSnapshot,
+): boolean {
+  snapshot.exhausted ??= new Set();
+  if (!snapshot.exhausted.has(paused)) {
+    if (hasFreeBeside(paused, snapshot.targets)) {
+      return false;
+    }
+    snapshot.exhausted.add(paused);
+  }
+  return true;
+}
+
 function withoutPaused(
   candidates: readonly Candidate[],
   paused: ReadonlySet<string> | undefined,
--- a/packages/routing/src/unusable_targets.ts
+++ b/packages/routing/src/unusable_targets.ts
@@ -35,6 +35,8 @@
  */
 const LAPSED_RETENTION_MS = 2000;
 
+const NONE: readonly string[] = [];
+
 /** Work at a target, and the holder that it was placed for. */
 export interface TargetWork {
   readonly targetId: string;
@@ -82,6 +84,8 @@
   readonly #members: MemberView;
   readonly #byDomain = new Map<string, DomainTargets>();
   readonly #asking: AskingHolders;
+  /** Failure domains of all members when a pause last began. */
+  #domains: ReadonlySet<string> = new Set();
 
   /** @param members Members of the fleet, with their failure domains. */
   constructor(members: MemberView) {
@@ -171,6 +175,7 @@
       target.untilMs = nowMs + target.pauseMs;
       target.isProbed = false;
       domain.validUntilMs = -Infinity;
+      this.#domains = this.#domainsOfMembers();
     }
     return target;
   }
@@ -254,6 +259,22 @@
     return domain.pausedIds.size > 0 ? domain.pausedIds : undefined;
   }
 
+  /**
+   * Finds the targets that are to get no requests at all.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns Ids of the targets, of all pools.
+   */
+  pausedForAll(nowMs: number): readonly string[] {
+    if (this.#byDomain.size < Math.max(1, this.#domains.size)) {
+      return NONE;
+    }
+    const [first, ...others] = [...this.#domains]
+      .map((domain) => this.pausedFor(domain, nowMs));
+    return [...first ?? NONE]
+      .filter((id) => others.every((paused) => paused?.has(id)));
+  }
+
   /** @returns All paused targets, including those that a request probes now. */
   paused(): PausedTarget[] {
     return [...this.#byDomain].flatMap(([failureDomain, { byId }]) =>
