--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,7 @@
 import { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { HeartbeatExchange } from "./heartbeat_exchange.ts";
 import { SnapshotServer } from "./snapshot_server.ts";
+import { PausedTargetMonitor } from "./paused_target_monitor.ts";
 import { PeerSocket } from "./peer_socket.ts";
 import { PlacementClient } from "./placement_client.ts";
 import { RelayServer } from "./relay_server.ts";
@@ -123,6 +124,7 @@
   readonly #status: StatusServer;
   readonly #eventLoopMonitor: EventLoopMonitor;
   readonly #workspaceShares: WorkspaceShareMonitor;
+  readonly #pausedTargets: PausedTargetMonitor;
   #askCounter = 0;
   #isLeaving = false;
   #isClosed = false;
@@ -286,6 +288,13 @@
       metrics: this.#metrics,
       overShares: (nowMs) => this.#coordinator.overShares(nowMs),
     });
+    this.#pausedTargets = new PausedTargetMonitor({
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      targets: this.board.targets,
+      pausedTargets: () => this.#coordinator.pausedTargets(),
+    });
     this.#status = new StatusServer({
       metrics: this.#metrics,
       isReady: () => this.isReady,
@@ -555,6 +564,7 @@
     this.#loadMonitor.update(this.board.targetLoads);
     this.#streams.tick();
     this.#workspaceShares.tick();
+    this.#pausedTargets.tick();
     this.#updateCoordinatorRole();
   }
 
--- a/packages/gateway/src/placement_client_test.ts
+++ b/packages/gateway/src/placement_client_test.ts
@@ -39,9 +39,10 @@
     board.members.heartbeatReceived(memberOf(`i${i}`), 0);
   }
   const coordinatorId = board.members.coordinator(0, NO_IDS).instanceId;
+  const coordinator = new Coordinator(board, BOUNDS);
   const client = new PlacementClient({
     board,
-    coordinator: new Coordinator(board, BOUNDS),
+    coordinator,
     clock,
     log: new EventLog(clock, "i1", new Discard()),
     send: ({ instanceId }, message) => sent.push({ to: instanceId, message }),
@@ -63,6 +64,7 @@
     client,
     board,
     clock,
+    coordinator,
     coordinatorId,
     sent,
     decisions,
@@ -216,6 +218,25 @@
   assert.is(ratio, 1 + 3 * Math.exp(-1));
 });
 
+// Guards against a coordinator that places at a target which holders know as
+// removed.
+test("a returned placement names the target that has left, which two of them pause", () => {
+  const { client, coordinator, coordinatorId, sent, ask } =
+    clientOfRemoteCoordinator(20);
+  ask("a1");
+  client.handleMessage(decisionMessage("a1"), coordinatorId);
+  client.drop("a1", "t1");
+  const drop = { kind: MessageKind.Drop, unusableTargetId: "t1" } as const;
+  assert.equal(sent.at(-1)!.message, { ...drop, askId: "a1" });
+  for (const holderId of ["i2", "i3"]) {
+    const of = { holderId, excluded: ["t2"] };
+    const asked = { kind: MessageKind.Ask, ask: askOf(holderId, of) } as const;
+    client.handleMessage(asked, holderId);
+    client.handleMessage({ ...drop, askId: holderId }, holderId);
+  }
+  assert.equal(coordinator.pausedTargets().map((p) => p.targetId), ["t1"]);
+});
+
 test("running work and spending are reported to the coordinator", () => {
   const { client, coordinatorId, sent, advance } = clientOfRemoteCoordinator();
   client.ask(askOf("a1", { cost: 700 }), () => {});
