--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -123,7 +123,7 @@
       ...attempt.workEnd(true),
       ...(FAILED_ANSWER_ENDS.has(end) ? { answerFailed: true } : undefined),
       ...(end === AttemptEnd.Rejected ? { isRejected: true } : undefined),
-      ...(end === AttemptEnd.NotSent
+      ...(attempt.isUnanswered && end !== AttemptEnd.TargetEnded
         ? { unreachable: true as const }
         : undefined),
     };
--- a/packages/gateway/src/coordinator_selector.ts
+++ b/packages/gateway/src/coordinator_selector.ts
@@ -20,6 +20,12 @@
  */
 const SELECTION_TTL_MS = 60;
 
+/**
+ * Age of a holder's last report up to which it counts as asking this instance:
+ * two intervals between reports, so that one may be lost.
+ */
+const MAX_REPORT_AGE_MS = 1000;
+
 const NO_SKIPPED_IDS: ReadonlySet<string> = new Set();
 
 /** The cached result of one evaluation of the members. */
@@ -151,11 +157,26 @@
     if (agreed.instanceId !== this.#members.selfId) {
       this.#agreedSinceMs = undefined;
       const alive = this.#members.alive(nowMs).length;
-      return this.#members.reachableShare(nowMs) / alive;
+      const ownShare = this.#members.reachableShare(nowMs) / alive;
+      return Math.max(ownShare, this.#delegatedShare(nowMs));
     }
     this.#agreedSinceMs ??= nowMs;
     return nowMs - this.#agreedSinceMs < MEMBER_TIMEOUT_MS
       ? this.#members.reachableShare(nowMs)
       : this.#members.directlyReachableShare(nowMs, this.#spendingReportedAtMs);
   }
+
+  /**
+   * Share of the holders that ask this instance in place of a coordinator that
+   * does not respond. Each reports to the one instance that it asks, so shares
+   * of several such instances add up to that of the whole fleet. Without it,
+   * the instance would have the allotments of one member for the requests of
+   * all until the members agree on the next coordinator.
+   */
+  #delegatedShare(nowMs: number): number {
+    return this.#members.isFullMesh
+      ? 0
+      : this.#members.shareReporting(nowMs, (instanceId) =>
+        nowMs - this.#spendingReportedAtMs(instanceId) < MAX_REPORT_AGE_MS);
+  }
 }
--- a/packages/gateway/src/loaded_coordinator_test.ts
+++ b/packages/gateway/src/loaded_coordinator_test.ts
@@ -27,6 +27,8 @@
 const MESSAGES_PER_STEP = 3;
 const WORK_MS = 150;
 const COST = 100;
+/** Cost at which 120 requests a second spend half of the allotment. */
+const HALF_ALLOTMENT_COST = 400;
 /** Far more than the fleet spends; the share of one instance is 1/16 of it. */
 const ALLOTMENT = { perS: 1e5, burst: 0, inTokens: true, plainTokens: 1 };
 
@@ -44,7 +46,8 @@
   #ends: { atMs: number; end: () => void }[] = [];
   readonly #nodes = new Map<string, Node>();
 
-  constructor() {
+  /** @param cost Cost of each request. */
+  constructor(readonly cost = COST) {
     for (let index = 1; index <= INSTANCES; index++) {
       this.#nodes.set(`i${index}`, this.#node(`i${index}`));
     }
@@ -95,20 +98,23 @@
     const holderId = ids[this.#askCount % ids.length]!;
     const askId = `a${this.#askCount++}`;
     const { placementClient } = this.#nodes.get(holderId)!;
-    placementClient.ask(askOf(askId, { holderId, cost: COST }), (decision) => {
-      if ("refusal" in decision) {
-        this.refusals.push(decision.refusal);
-        return;
-      }
-      this.placed++;
-      const { targetId } = decision;
-      const end = { askId, targetId, pool: "p", promptTokens: 500 };
-      const atMs = this.clock.atMs + WORK_MS;
-      this.#ends.push({
-        atMs,
-        end: () => placementClient.reportEnd({ ...end, failed: false }),
-      });
-    });
+    placementClient.ask(
+      askOf(askId, { holderId, cost: this.cost }),
+      (decision) => {
+        if ("refusal" in decision) {
+          this.refusals.push(decision.refusal);
+          return;
+        }
+        this.placed++;
+        const { targetId } = decision;
+        const end = { askId, targetId, pool: "p", promptTokens: 500 };
+        const atMs = this.clock.atMs + WORK_MS;
+        this.#ends.push({
+          atMs,
+          end: () => placementClient.reportEnd({ ...end, failed: false }),
+        });
+      },
+    );
   }
 
   #send(fromId: string, toId: string, message: RoutingMessage): void {
@@ -130,8 +136,8 @@
   }
 }
 
-function fleetAtRest(): BusyFleet {
-  const fleet = new BusyFleet();
+function fleetAtRest(cost = COST): BusyFleet {
+  const fleet = new BusyFleet(cost);
   fleet.run(6000, 20);
   return fleet;
 }
@@ -170,4 +176,15 @@
   assert.ok(fleet.placed - before >= 110, String(fleet.placed - before));
 });
 
+// Guards against an instance that places the whole fleet's requests after the
+// loss of the coordinator, from the allotments of one member.
+test("requests within their allotment are not refused after the coordinator's loss", () => {
+  const fleet = fleetAtRest(HALF_ALLOTMENT_COST);
+  fleet.run(2000, 120);
+  fleet.kill(fleet.coordinatorId);
+  fleet.run(2000, 120);
+  const refused = fleet.refusals.filter((one) => one === ALLOTMENT_REFUSAL);
+  assert.equal(refused, []);
+});
+
 test.run();
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -95,6 +95,7 @@
   /** Rejections per second that the target withstands, from its answer. */
   #maxRejectionsPerS?: number;
   #load?: AnswerLoad;
+  #isWrongTarget = false;
   #firstDataAtMs?: number;
   #lastEventAtMs = 0;
   #isDone = false;
@@ -117,6 +118,14 @@
     return this.#answer!;
   }
 
+  /**
+   * Whether the target's process answered nothing: there is no answer, or one
+   * of another target that now listens at the address.
+   */
+  get isUnanswered(): boolean {
+    return this.#answer === undefined || this.#isWrongTarget;
+  }
+
   /** The body received so far of an answer that is not a stream. */
   get body(): Buffer {
     return Buffer.concat(this.#body);
@@ -248,6 +257,7 @@
     this.#answer = answer;
     const status = answer.statusCode!;
     const facts = this.#parts.protocol.readAnswer(status, answer.headers);
+    this.#isWrongTarget = facts.wrongTarget;
     if (!facts.wrongTarget) {
       this.#maxRejectionsPerS = facts.signals.maxRejectionsPerS;
       const { target } = this.options;
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -343,6 +343,21 @@
     return direct.length / this.#fleetSize(nowMs);
   }
 
+  /**
+   * Returns the share of the fleet that reports to this instance.
+   *
+   * @param nowMs The local time.
+   * @param isReporting Whether a member reports its spending to this instance.
+   * @returns From 0 to 1.
+   */
+  shareReporting(
+    nowMs: number,
+    isReporting: (instanceId: string) => boolean,
+  ): number {
+    const reporting = [...this.#byId.keys()].filter(isReporting).length;
+    return Math.min(1, reporting / this.#fleetSize(nowMs));
+  }
+
   /** When a member's process sent a heartbeat again; -Infinity if none did. */
   #recoveredAtMsOf(instanceId: string): number {
     return this.#recoveredAtMs.get(instanceId) ?? -Infinity;
--- a/packages/routing/src/unusable_targets_test.ts
+++ b/packages/routing/src/unusable_targets_test.ts
@@ -186,6 +186,22 @@
   }
 });
 
+// Guards against a target's address that another one took over: its rejections
+// are no answers of the target.
+test("rejections by another target at the address count as failures", () => {
+  const { unusable, isPaused } = unusableIn();
+  const end = { askId: "a", targetId: "t0", pool: "p", promptTokens: 500 };
+  const rejected = { ...end, failed: true, isRejected: true };
+  for (const holderId of ["h0", "h3"]) {
+    const of = { work: { ...OF_HOLDER, holderId }, nowMs: 0 };
+    unusable.ended({ ...rejected, unreachable: true }, of);
+  }
+  assert.ok(isPaused(1));
+  const work = { ...OF_HOLDER, holderId: "h6" };
+  unusable.ended(rejected, { work, nowMs: 2 });
+  assert.not(isPaused(3));
+});
+
 // Guards against stale state, and against pauses in a fleet with a full mesh.
 test("pauses end with the target's process, its row, and time", () => {
   for (const endedBy of ["process", "row", "time", "full mesh"]) {
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -149,7 +149,10 @@
    * not merely unreachable; absent otherwise.
    */
   readonly answerFailed?: boolean;
-  /** Set if the attempt never reached the target; absent otherwise. */
+  /**
+   * Set if the target's process answered nothing: it was not reached, closed
+   * the connection, or another target listens at its address; absent otherwise.
+   */
   readonly unreachable?: true;
   /**
    * Rejections per second that the target withstands, as it announced in its
