Routing: typical target of a saturated pool

The mean latency model over targets of speeds 0.55, 1 and 2.8 lets large prompts count as late although most slots that become free, those of the fast targets, would still serve them in time. The typical target can now be averaged over the slots that become free; the mean over targets stays the default.

--- a/packages/routing/src/candidate_index.ts
+++ b/packages/routing/src/candidate_index.ts
@@ -72,6 +72,7 @@
   #freeCount = 0;
   #typical?: Candidate;
   #typicalAtMs = -Infinity;
+  #isTypicalSaturated = false;
 
   /** @param candidates All targets that serve the pool. */
   constructor(candidates: readonly Candidate[]) {
@@ -165,14 +166,17 @@
    * cached for a large pool.
    *
    * @param nowMs Current local time in milliseconds.
+   * @param isSaturated Whether to average over the slots that become free.
    * @returns An idle candidate with the mean latency model of all targets;
    * undefined where there are none.
    */
-  typical(nowMs: number): Candidate | undefined {
+  typical(nowMs: number, isSaturated = false): Candidate | undefined {
     const isStale = this.size <= MAX_COMPARED_TARGETS ||
+      isSaturated !== this.#isTypicalSaturated ||
       nowMs - this.#typicalAtMs >= MAX_TYPICAL_AGE_MS;
     if (isStale) {
-      this.#typical = typicalOf(this.all());
+      this.#typical = typicalOf(this.all(), isSaturated);
+      this.#isTypicalSaturated = isSaturated;
       this.#typicalAtMs = nowMs;
     }
     return this.#typical;
--- a/packages/routing/src/latency_model.ts
+++ b/packages/routing/src/latency_model.ts
@@ -39,13 +39,17 @@
    * Averages the models of several targets.
    *
    * @param models Models of at least one target.
+   * @param average Mean of their estimates; the arithmetic one by default.
    * @returns A model whose predictions are the means of theirs.
    */
-  static mean(models: readonly LatencyModel[]): LatencyModel {
+  static mean(
+    models: readonly LatencyModel[],
+    average: (values: readonly number[]) => number = meanOf,
+  ): LatencyModel {
     const mean = new LatencyModel();
-    mean.#slownessRatio = meanOf(models.map((model) => model.#slownessRatio));
-    mean.#eventGapMs = meanOf(models.map((model) => model.#eventGapMs));
-    mean.#callMs = meanOf(models.map((model) => model.#callMs));
+    mean.#slownessRatio = average(models.map((model) => model.#slownessRatio));
+    mean.#eventGapMs = average(models.map((model) => model.#eventGapMs));
+    mean.#callMs = average(models.map((model) => model.#callMs));
     return mean;
   }
 
@@ -133,3 +137,14 @@
 function meanOf(values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
+
+/**
+ * Averages durations at targets over the slots that become free. Where all
+ * slots are in use, they become free at a rate inverse to the duration.
+ *
+ * @param durations Duration at each target.
+ * @returns Their harmonic mean.
+ */
+export function meanOverFreedSlots(durations: readonly number[]): number {
+  return 1 / meanOf(durations.map((duration) => 1 / duration));
+}
--- a/packages/routing/src/target_choice.ts
+++ b/packages/routing/src/target_choice.ts
@@ -1,7 +1,7 @@
 /** Chooses the target that is expected to complete a request first. */
 
 import type { KnownTarget } from "./target_directory.ts";
-import { LatencyModel } from "./latency_model.ts";
+import { LatencyModel, meanOverFreedSlots } from "./latency_model.ts";
 import type { WorkAsk } from "./work_ask.ts";
 
 /**
@@ -126,11 +126,16 @@
  * Builds a candidate that stands for the average of a pool in predictions.
  *
  * @param candidates Targets of one pool.
+ * @param isSaturated Whether to average over the slots that become free instead
+ * of over the targets. With the mean over targets of unequal speeds, large
+ * prompts count as late while most of the slots that become free could still
+ * serve them in time.
  * @returns An idle candidate with their mean latency model; undefined where
  * there are none.
  */
 export function typicalOf(
   candidates: readonly Candidate[],
+  isSaturated = false,
 ): Candidate | undefined {
   const [first] = candidates;
   return first && {
@@ -138,6 +143,7 @@
     use: IDLE_USE,
     latencyModel: LatencyModel.mean(
       candidates.map(({ latencyModel }) => latencyModel),
+      isSaturated ? meanOverFreedSlots : undefined,
     ),
   };
 }
