Routing: serve a standing backlog newest first

With more on-time work of a rank than its capacity, each request started just before it would be late, and small prediction errors made it late. Ranks with a standing backlog are detected per pool, and their on-time requests are ordered by first attempt, newest first, in fleets without a full mesh of heartbeats.

--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -6,6 +6,7 @@
  */
 
 import { AbandonedWork } from "./abandoned_work.ts";
+import type { StandingBacklog } from "./backlog.ts";
 import { RateLimiter } from "./rate_limiter.ts";
 import { RejectionLimiter } from "./rejection_limiter.ts";
 import { PoolScheduler, quarantineRefusal } from "./pool_scheduler.ts";
@@ -522,6 +523,18 @@
     }));
   }
 
+  /**
+   * Lists the standing backlogs of all pools.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns One for each pool and rank that has one.
+   */
+  standingBacklogs(nowMs: number): (StandingBacklog & { pool: string })[] {
+    return [...this.#schedulers].flatMap(([pool, scheduler]) =>
+      scheduler.standingBacklogs(nowMs).map((backlog) => ({ pool, ...backlog }))
+    );
+  }
+
   /**
    * Counts the requests that run at some of a pool's targets.
    *
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -8,6 +8,7 @@
  * is refused as soon as that can be predicted.
  */
 
+import { Backlog, type StandingBacklog } from "./backlog.ts";
 import type { CrashKeys } from "./crash_suspects.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { RejectionLimiter } from "./rejection_limiter.ts";
@@ -86,6 +87,7 @@
   readonly #waiting = new WaitingQueue();
   readonly #shares = new RankShares();
   readonly #load = new RankLoad();
+  readonly #backlog = new Backlog();
   #holdMs = INITIAL_HOLD_MS;
   /** Time at targets that starved ranks may still get ahead of their turn. */
   #starvedCreditMs = 0;
@@ -126,6 +128,16 @@
     return this.#placed.size;
   }
 
+  /**
+   * Lists the ranks whose on-time requests are served newest first.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns Their standing backlogs; none in a fleet with a full mesh.
+   */
+  standingBacklogs(nowMs: number): StandingBacklog[] {
+    return this.#board.members.isFullMesh ? [] : this.#backlog.standing(nowMs);
+  }
+
   /**
    * Returns the placement of an ask.
    *
@@ -360,7 +372,8 @@
     const pass = this.#beginPass(nowMs);
     const context = this.#orderContext(nowMs);
     const decisions: AskDecision[] = [];
-    const typical = pass.targets.typical(nowMs);
+    const isSaturated = context.backlogged.size > 0;
+    const typical = pass.targets.typical(nowMs, isSaturated);
     for (const waiting of this.#waiting.reorder(typical, context)) {
       const decision = this.#decide(waiting, pass);
       if (decision === undefined) {
@@ -404,12 +417,19 @@
     decision: AskDecision,
     nowMs: number,
   ): void {
+    if ("targetId" in decision && !this.#board.members.isFullMesh) {
+      const onTime = this.#waiting.onTime(ask.rank, nowMs);
+      this.#backlog.recordPlaced(ask.rank, { ...onTime, nowMs });
+    }
     this.#waiting.remove(ask.askId);
     this.#recordOutcome(ask.rank, "targetId" in decision, nowMs);
   }
 
   #orderContext(nowMs: number): OrderContext {
-    return { promoted: this.#promoted(nowMs), nowMs };
+    const backlogged = this.#board.members.isFullMesh
+      ? NO_RANKS
+      : this.#backlog.ranks(nowMs);
+    return { promoted: this.#promoted(nowMs), backlogged, nowMs };
   }
 
   #beginPass(nowMs: number): SchedulingPass {
--- a/packages/routing/src/queue_order.ts
+++ b/packages/routing/src/queue_order.ts
@@ -46,6 +46,8 @@
 export interface OrderContext {
   /** Ranks that are served first at this moment. */
   readonly promoted: ReadonlySet<number>;
+  /** Ranks whose on-time requests are served newest first. */
+  readonly backlogged: ReadonlySet<number>;
   readonly nowMs: number;
 }
 
@@ -54,10 +56,12 @@
  * that can still meet their objective go before those that cannot, and each of
  * the two groups is sorted by latest start time. Large requests need more time
  * before their deadline: ordered by age alone, the largest tenth of requests
- * with short deadlines was served half as often.
+ * with short deadlines was served half as often. On-time requests of a rank with
+ * a standing backlog are sorted by the caller's first attempt instead, newest
+ * first.
  *
  * @param waiting The queued requests.
- * @param context Promoted ranks and the current local time.
+ * @param context Promoted and backlogged ranks and the current local time.
  * @returns The requests, the next one first.
  */
 export function inOrder(
@@ -71,7 +75,7 @@
  * Finds the first request in the order of {@link inOrder} in linear time.
  *
  * @param waiting The queued requests.
- * @param context Promoted ranks and the current local time.
+ * @param context Promoted and backlogged ranks and the current local time.
  * @returns The next request; undefined for an empty queue.
  */
 export function firstInOrder(
@@ -92,14 +96,47 @@
   b: KeyedWork,
   context: OrderContext,
 ): number {
-  const { promoted, nowMs } = context;
+  const { promoted, backlogged, nowMs } = context;
   const rankOf = ({ rank }: WorkAsk) => promoted.has(rank) ? -1 : rank;
-  const isLate = ({ key }: KeyedWork) => nowMs > key.latestOnTimeStartMs;
+  const isLateA = isLate(a, nowMs);
   return rankOf(a.work.ask) - rankOf(b.work.ask) ||
-    Number(isLate(a)) - Number(isLate(b)) ||
+    Number(isLateA) - Number(isLate(b, nowMs)) ||
+    (isLateA || backlogged.size === 0 ? 0 : compareNewest(a, b, backlogged)) ||
     a.key.latestStartMs - b.key.latestStartMs;
 }
 
+/**
+ * Compares two on-time requests by first attempt. Both may be of different
+ * ranks if these are promoted; those without a backlog then go first.
+ */
+function compareNewest(
+  { work: a }: KeyedWork,
+  { work: b }: KeyedWork,
+  backlogged: ReadonlySet<number>,
+): number {
+  const isBackloggedA = backlogged.has(a.ask.rank);
+  const isBackloggedB = backlogged.has(b.ask.rank);
+  if (!isBackloggedA || !isBackloggedB) {
+    return Number(isBackloggedA) - Number(isBackloggedB);
+  }
+  return firstAttemptAtMs(b) - firstAttemptAtMs(a);
+}
+
+function firstAttemptAtMs({ cameBackMs, waitingSinceMs }: WaitingWork): number {
+  return waitingSinceMs - cameBackMs;
+}
+
+/**
+ * Checks whether a request can no longer meet its objective.
+ *
+ * @param keyed The queued request.
+ * @param nowMs Current local time in milliseconds.
+ * @returns True if its latest on-time start has passed.
+ */
+export function isLate({ key }: KeyedWork, nowMs: number): boolean {
+  return nowMs > key.latestOnTimeStartMs;
+}
+
 /**
  * Returns the time by which a request's first event meets its objective,
  * counted from the caller's first attempt.
--- a/packages/routing/src/waiting_queue.ts
+++ b/packages/routing/src/waiting_queue.ts
@@ -2,10 +2,12 @@
  * Queue of one pool: the requests that wait for a target, with their sort keys.
  */
 
+import type { OnTimeQueue } from "./backlog.ts";
 import { PredictionMargin } from "./prediction_margin.ts";
 import {
   firstInOrder,
   inOrder,
+  isLate,
   type KeyedWork,
   type OrderContext,
   orderKeyOf,
@@ -97,7 +99,7 @@
    *
    * @param typical Idle target with the pool's mean latency model; absent where
    * the pool has no targets.
-   * @param context Promoted ranks and the current local time.
+   * @param context Promoted and backlogged ranks and the current local time.
    * @returns All requests, the next one first.
    */
   reorder(
@@ -115,7 +117,7 @@
   /**
    * Finds the next request by the sort keys of the last reorder.
    *
-   * @param context Promoted ranks and the current local time.
+   * @param context Promoted and backlogged ranks and the current local time.
    * @param skipped Ids of asks to leave out.
    * @returns The next request; undefined where there is none.
    */
@@ -128,6 +130,29 @@
     return firstInOrder(candidates, context)?.work;
   }
 
+  /**
+   * Finds the on-time requests of a rank, by the sort keys of the last reorder.
+   *
+   * @param rank The rank.
+   * @param nowMs Current local time in milliseconds.
+   * @returns Their number, and the one that has waited longest.
+   */
+  onTime(rank: number, nowMs: number): OnTimeQueue {
+    let count = 0;
+    let longest: WaitingWork | undefined;
+    for (const keyed of this.#byAsk.values()) {
+      const { work } = keyed;
+      if (work.ask.rank !== rank || isLate(keyed, nowMs)) {
+        continue;
+      }
+      count++;
+      const isLonger = longest === undefined ||
+        work.waitingSinceMs < longest.waitingSinceMs;
+      longest = isLonger ? work : longest;
+    }
+    return { count, longest };
+  }
+
   /**
    * Adapts the prediction margin to an observed latency.
    *
