--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import { LatencyModels } from "@chestnuthatch/routing/latency_models";
 import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
 import { AnsweredParts } from "./answered_parts.ts";
+import { BacklogMonitor } from "./backlog_monitor.ts";
 import { TargetSignalHandler } from "./target_signal_handler.ts";
 import { EventLog, type LogFacts, LogPart } from "./event_log.ts";
 import { FleetStateSync } from "./fleet_state_sync.ts";
@@ -118,6 +119,7 @@
   readonly #front: FrontServer;
   readonly #status: StatusServer;
   readonly #eventLoopMonitor: EventLoopMonitor;
+  readonly #backlogMonitor: BacklogMonitor;
   #askCounter = 0;
   #isLeaving = false;
   #isClosed = false;
@@ -266,6 +268,13 @@
       busyMs: () => performance.eventLoopUtilization().active,
       loadFacts: () => this.#loadFacts(),
     });
+    this.#backlogMonitor = new BacklogMonitor({
+      board: this.board,
+      coordinator: this.#coordinator,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+    });
     this.#status = new StatusServer({
       metrics: this.#metrics,
       isReady: () => this.isReady,
@@ -529,6 +538,7 @@
       this.#placementClient.tick();
     });
     this.#streams.tick();
+    this.#backlogMonitor.tick();
     this.#updateCoordinatorRole();
   }
 
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -107,6 +107,11 @@
     "open_requests",
     "Requests in progress.",
   );
+  readonly #standingBacklogs = this.#gauge(
+    "standing_backlogs",
+    "Ranks with a standing backlog at this coordinator.",
+    ["pool"],
+  );
   readonly #unreadableRows = this.#counter(
     "unreadable_rows_total",
     "Rows of the platform's store that could not be read.",
@@ -258,6 +263,16 @@
     this.#openRequests.set(count);
   }
 
+  /**
+   * Sets the number of ranks with a standing backlog.
+   *
+   * @param pool Name of a pool of the configuration.
+   * @param count Number of ranks.
+   */
+  standingBacklogs(pool: string, count: number): void {
+    this.#standingBacklogs.set({ pool }, count);
+  }
+
   /** @param version Version of the configuration in force. */
   configurationVersion(version: number): void {
     this.#configurationVersion.set(version);
@@ -314,10 +329,11 @@
     });
   }
 
-  #gauge(name: string, help: string): Gauge {
+  #gauge(name: string, help: string, labelNames: string[] = []): Gauge {
     return new Gauge({
       name: `chestnuthatch_${name}`,
       help,
+      labelNames,
       registers: [this.#registry],
     });
   }
