--- a/packages/routing/src/backlog.ts
+++ b/packages/routing/src/backlog.ts
@@ -11,7 +11,10 @@
 
 import type { WaitingWork } from "./queue_order.ts";
 
-/** A backlog begins once all waits of this time were long. */
+/**
+ * A backlog begins once all waits of this time were long. The waits before the
+ * end of the last one don't count, so this is the minimum time in between too.
+ */
 const BEGIN_WINDOW_MS = 500;
 
 /** A backlog ends if some wait of this time was short. */
@@ -24,10 +27,10 @@
 const SHORT_WAIT_SHARE = 1 / 8;
 
 /**
- * Minimum time between a begin and the end, and between an end and the next
- * begin. Each change of the order reverses the queue.
+ * Minimum time between a begin and the end: each change of the order reverses
+ * the queue.
  */
-const MIN_PHASE_MS = 500;
+const MIN_STANDING_MS = 500;
 
 /**
  * Lower bound of the time without a placement after which earlier waits tell
@@ -79,7 +82,6 @@
   observedAtMs: number;
   /** Begin of the standing backlog; absent while there is none. */
   beganAtMs?: number;
-  endedAtMs: number;
 }
 
 /** Standing backlogs of one pool by rank. */
@@ -160,14 +162,12 @@
     ) {
       return known;
     }
-    const isEnded = known?.beganAtMs !== undefined;
     const waits: RankWaits = {
       shortAtMs: -Infinity,
       peakCount: 0,
       minWaitMs: Infinity,
       validForMs: Infinity,
       observedAtMs: nowMs,
-      endedAtMs: isEnded ? nowMs : known?.endedAtMs ?? -Infinity,
     };
     this.#byRank.set(rank, waits);
     return waits;
@@ -191,22 +191,20 @@
 }
 
 function mayBegin(
-  { longSinceMs, notShortSinceMs, peakCount, endedAtMs }: RankWaits,
+  { longSinceMs, notShortSinceMs, peakCount }: RankWaits,
   { count, objectiveMs, nowMs }: Placement,
 ): boolean {
   return longSinceMs !== undefined && notShortSinceMs !== undefined &&
     nowMs - longSinceMs >= BEGIN_WINDOW_MS &&
     nowMs - notShortSinceMs >= objectiveMs &&
-    count >= MIN_PEAK_RATIO * peakCount &&
-    nowMs - endedAtMs >= MIN_PHASE_MS;
+    count >= MIN_PEAK_RATIO * peakCount;
 }
 
 function endIfShort(waits: RankWaits, nowMs: number): void {
-  const isEnded = nowMs - waits.beganAtMs! >= MIN_PHASE_MS &&
+  const isEnded = nowMs - waits.beganAtMs! >= MIN_STANDING_MS &&
     nowMs - waits.shortAtMs <= END_WINDOW_MS;
   if (isEnded) {
     waits.beganAtMs = undefined;
-    waits.endedAtMs = nowMs;
     forgetLongWaits(waits);
   }
 }
