--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,7 @@
 import { LatencyModels } from "@chestnuthatch/routing/latency_models";
 import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
 import { AnsweredParts } from "./answered_parts.ts";
+import { BacklogMonitor } from "./backlog_monitor.ts";
 import { TargetSignalHandler } from "./target_signal_handler.ts";
 import { EventLog, type LogFacts, LogPart } from "./event_log.ts";
 import { FleetStateSync } from "./fleet_state_sync.ts";
@@ -125,6 +126,7 @@
   readonly #eventLoopMonitor: EventLoopMonitor;
   readonly #workspaceShares: WorkspaceShareMonitor;
   readonly #pausedTargets: PausedTargetMonitor;
+  readonly #backlogMonitor: BacklogMonitor;
   #askCounter = 0;
   #isLeaving = false;
   #isClosed = false;
@@ -295,6 +297,13 @@
       targets: this.board.targets,
       pausedTargets: () => this.#coordinator.pausedTargets(),
     });
+    this.#backlogMonitor = new BacklogMonitor({
+      board: this.board,
+      coordinator: this.#coordinator,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+    });
     this.#status = new StatusServer({
       metrics: this.#metrics,
       isReady: () => this.isReady,
@@ -565,6 +574,7 @@
     this.#streams.tick();
     this.#workspaceShares.tick();
     this.#pausedTargets.tick();
+    this.#backlogMonitor.tick();
     this.#updateCoordinatorRole();
   }
 
--- a/packages/routing/src/admission_forecast.ts
+++ b/packages/routing/src/admission_forecast.ts
@@ -8,6 +8,7 @@
 
 import {
   compareWork,
+  isOverShare,
   type KeyedWork,
   type OrderContext,
 } from "./queue_order.ts";
@@ -107,9 +108,9 @@
   patienceMs: number,
   { recentAsks, context }: ForecastBasis,
 ): boolean {
-  const { nowMs, overShare } = context;
-  const { rank, workspace } = keyed.work.ask;
-  if (overShare.get(rank)?.has(workspace)) {
+  const { nowMs } = context;
+  const { rank } = keyed.work.ask;
+  if (isOverShare(keyed.work.ask, context)) {
     // A new ask of a workspace within its share would go before it.
     return false;
   }
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -7,6 +7,7 @@
 
 import { AbandonedWork } from "./abandoned_work.ts";
 import { type AdmissionForecast, longestWaits } from "./admission_forecast.ts";
+import type { StandingBacklog } from "./backlog.ts";
 import { RateLimiter } from "./rate_limiter.ts";
 import { RejectionLimiter } from "./rejection_limiter.ts";
 import { PoolScheduler, quarantineRefusal } from "./pool_scheduler.ts";
@@ -610,6 +611,18 @@
     return this.#unusable.paused();
   }
 
+  /**
+   * Lists the standing backlogs of all pools.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns One for each pool and rank that has one.
+   */
+  standingBacklogs(nowMs: number): (StandingBacklog & { pool: string })[] {
+    return [...this.#schedulers].flatMap(([pool, scheduler]) =>
+      scheduler.standingBacklogs(nowMs).map((backlog) => ({ pool, ...backlog }))
+    );
+  }
+
   /**
    * Counts the requests that run at some of a pool's targets.
    *
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -9,12 +9,18 @@
  */
 
 import { type AdmissionForecast, forecastsOf } from "./admission_forecast.ts";
+import { Backlog, type StandingBacklog } from "./backlog.ts";
 import type { CrashKeys } from "./crash_suspects.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { RejectionLimiter } from "./rejection_limiter.ts";
 import { type PlacedWork, PlacedWorkIndex } from "./placed_work_index.ts";
 import { TargetSelector, type TargetSnapshot } from "./target_selector.ts";
-import type { KeyedWork, OrderContext, WaitingWork } from "./queue_order.ts";
+import {
+  isOverShare,
+  type KeyedWork,
+  type OrderContext,
+  type WaitingWork,
+} from "./queue_order.ts";
 import { RankLoad } from "./rank_load.ts";
 import { RankShares } from "./rank_shares.ts";
 import { RecentAsks } from "./recent_asks.ts";
@@ -38,6 +44,13 @@
 
 const NO_RANKS: ReadonlySet<number> = new Set();
 
+/** Order without regard to workspaces and backlogs. */
+const PLAIN_ORDER = {
+  overShare: NONE_OVER_SHARE,
+  backlogged: NO_RANKS,
+  overShareBacklogged: NO_RANKS,
+};
+
 /** Initial estimate of the time for which work occupies a slot. */
 const INITIAL_HOLD_MS = 600;
 const HOLD_SMOOTHING_FACTOR = 0.05;
@@ -102,6 +115,9 @@
   readonly #load = new RankLoad();
   readonly #recentAsks = new RecentAsks();
   readonly #pool: string;
+  readonly #backlog = new Backlog();
+  /** Backlogs of the requests of workspaces over their shares. */
+  readonly #overShareBacklog = new Backlog();
   #holdMs = INITIAL_HOLD_MS;
   /** Time at targets that starved ranks may still get ahead of their turn. */
   #starvedCreditMs = 0;
@@ -150,6 +166,16 @@
     return this.#placed.size;
   }
 
+  /**
+   * Lists the ranks whose on-time requests are served newest first.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns Their standing backlogs; none in a fleet with a full mesh.
+   */
+  standingBacklogs(nowMs: number): StandingBacklog[] {
+    return this.#board.members.isFullMesh ? [] : this.#backlog.standing(nowMs);
+  }
+
   /**
    * Returns the placement of an ask.
    *
@@ -459,13 +485,15 @@
     const pass = this.#beginPass(nowMs);
     const context = this.#orderContext(nowMs);
     const decisions: AskDecision[] = [];
-    const typical = pass.targets.typical(nowMs);
+    const isSaturated = context.backlogged.size > 0 ||
+      context.overShareBacklogged.size > 0;
+    const typical = pass.targets.typical(nowMs, isSaturated);
     for (const waiting of this.#waiting.reorder(typical, context)) {
       const decision = this.#decide(waiting, pass);
       if (decision === undefined) {
         pass.ahead++;
       } else {
-        this.#recordDecided(waiting, decision, nowMs);
+        this.#recordDecided(waiting, decision, context);
         decisions.push(decision);
       }
     }
@@ -493,7 +521,7 @@
         pass.ahead++;
         skipped.add(next.ask.askId);
       } else {
-        this.#recordDecided(next, decision, nowMs);
+        this.#recordDecided(next, decision, context);
         decisions.push(decision);
       }
     }
@@ -503,18 +531,33 @@
   #recordDecided(
     { ask }: WaitingWork,
     decision: AskDecision,
-    nowMs: number,
+    context: OrderContext,
   ): void {
+    const { nowMs } = context;
+    if ("targetId" in decision && !this.#board.members.isFullMesh) {
+      const backlog = isOverShare(ask, context)
+        ? this.#overShareBacklog
+        : this.#backlog;
+      const onTime = this.#waiting.onTime(ask, context);
+      backlog.recordPlaced(ask.rank, { ...onTime, nowMs });
+    }
     this.#waiting.remove(ask.askId);
     this.#recordOutcome(ask.rank, "targetId" in decision, nowMs);
   }
 
   #orderContext(nowMs: number): OrderContext {
-    // With few instances, requests are ordered without regard to workspaces.
-    const overShare = this.#board.members.isFullMesh
-      ? NONE_OVER_SHARE
-      : this.#workspaceShares.findOver(nowMs);
-    return { promoted: this.#promoted(nowMs), overShare, nowMs };
+    const promoted = this.#promoted(nowMs);
+    // With few instances, requests are ordered without regard to workspaces and
+    // backlogs.
+    return this.#board.members.isFullMesh
+      ? { ...PLAIN_ORDER, promoted, nowMs }
+      : {
+        promoted,
+        overShare: this.#workspaceShares.findOver(nowMs),
+        backlogged: this.#backlog.ranks(nowMs),
+        overShareBacklogged: this.#overShareBacklog.ranks(nowMs),
+        nowMs,
+      };
   }
 
   #beginPass(nowMs: number): SchedulingPass {
--- a/packages/routing/src/queue_order.ts
+++ b/packages/routing/src/queue_order.ts
@@ -7,7 +7,7 @@
   IDLE_USE,
 } from "./target_choice.ts";
 import type { WorkAsk } from "./work_ask.ts";
-import type { OverShareNames } from "./workspace_shares.ts";
+import type { QueuedOverShare } from "./workspace_shares.ts";
 
 /**
  * A deadline counts as short if the time left to it is below the caller's
@@ -48,21 +48,27 @@
   /** Ranks that are served first at this moment. */
   readonly promoted: ReadonlySet<number>;
   /** Workspaces whose requests go after those of others, by rank. */
-  readonly overShare: OverShareNames;
+  readonly overShare: QueuedOverShare;
+  /** Ranks whose on-time requests are served newest first. */
+  readonly backlogged: ReadonlySet<number>;
+  /** The same for requests of workspaces over their shares. */
+  readonly overShareBacklogged: ReadonlySet<number>;
   readonly nowMs: number;
 }
 
 /**
  * Sorts a queue: promoted ranks first, then by rank. Within a rank, requests
  * that can still meet their objective go before those that cannot. In each of
- * the two groups, workspaces within their shares go before those over them, and
- * then requests are sorted by latest start time. Large requests need more time
+ * the two groups, workspaces within their shares go before those over them, of
+ * which those with fewer queued requests go first: one that sends a few requests
+ * a second is over its share by chance now and then. Then requests are sorted by latest start time. Large requests need more time
  * before their deadline: ordered by age alone, the largest tenth of requests
- * with short deadlines was served half as often.
+ * with short deadlines was served half as often. On-time requests of a rank with
+ * a standing backlog are sorted by the caller's first attempt instead, newest
+ * first.
  *
  * @param waiting The queued requests.
- * @param context Promoted ranks, workspaces over their shares, and the current
- * local time.
+ * @param context What the order depends on besides the requests.
  * @returns The requests, the next one first.
  */
 export function inOrder(
@@ -76,8 +82,7 @@
  * Finds the first request in the order of {@link inOrder} in linear time.
  *
  * @param waiting The queued requests.
- * @param context Promoted ranks, workspaces over their shares, and the current
- * local time.
+ * @param context What the order depends on besides the requests.
  * @returns The next request; undefined for an empty queue.
  */
 export function firstInOrder(
@@ -107,17 +112,52 @@
   b: KeyedWork,
   context: OrderContext,
 ): number {
-  const { promoted, overShare, nowMs } = context;
+  const { promoted, nowMs } = context;
   const rankOf = ({ rank }: WorkAsk) => promoted.has(rank) ? -1 : rank;
-  const isOver = ({ rank, workspace }: WorkAsk) =>
-    overShare.get(rank)?.has(workspace) ?? false;
-  const isLate = ({ key }: KeyedWork) => nowMs > key.latestOnTimeStartMs;
+  const queuedOverA = queuedOverShare(a.work.ask, context);
+  const backlogged = queuedOverA > 0
+    ? context.overShareBacklogged
+    : context.backlogged;
+  const isLateA = isLate(a, nowMs);
   return rankOf(a.work.ask) - rankOf(b.work.ask) ||
-    Number(isLate(a)) - Number(isLate(b)) ||
-    Number(isOver(a.work.ask)) - Number(isOver(b.work.ask)) ||
+    Number(isLateA) - Number(isLate(b, nowMs)) ||
+    queuedOverA - queuedOverShare(b.work.ask, context) ||
+    (isLateA || backlogged.size === 0 ? 0 : compareNewest(a, b, backlogged)) ||
     a.key.latestStartMs - b.key.latestStartMs;
 }
 
+/**
+ * Compares two on-time requests by first attempt. Both may be of different
+ * ranks if these are promoted; those without a backlog then go first.
+ */
+function compareNewest(
+  { work: a }: KeyedWork,
+  { work: b }: KeyedWork,
+  backlogged: ReadonlySet<number>,
+): number {
+  const isBackloggedA = backlogged.has(a.ask.rank);
+  const isBackloggedB = backlogged.has(b.ask.rank);
+  if (!isBackloggedA || !isBackloggedB) {
+    return Number(isBackloggedA) - Number(isBackloggedB);
+  }
+  return firstAttemptAtMs(b) - firstAttemptAtMs(a);
+}
+
+function firstAttemptAtMs({ cameBackMs, waitingSinceMs }: WaitingWork): number {
+  return waitingSinceMs - cameBackMs;
+}
+
+/**
+ * Checks whether a request can no longer meet its objective.
+ *
+ * @param keyed The queued request.
+ * @param nowMs Current local time in milliseconds.
+ * @returns True if its latest on-time start has passed.
+ */
+export function isLate({ key }: KeyedWork, nowMs: number): boolean {
+  return nowMs > key.latestOnTimeStartMs;
+}
+
 /**
  * Returns the time by which a request's first event meets its objective,
  * counted from the caller's first attempt.
@@ -159,6 +199,26 @@
   };
 }
 
+/**
+ * @param ask A queued ask.
+ * @param context What the order depends on besides the requests.
+ * @returns Whether its workspace is over its share of the ask's rank.
+ */
+export function isOverShare(
+  ask: Pick<WorkAsk, "rank" | "workspace">,
+  context: Pick<OrderContext, "overShare">,
+): boolean {
+  return queuedOverShare(ask, context) > 0;
+}
+
+/** Queued asks of a workspace that is over its share; 0 if it is within it. */
+function queuedOverShare(
+  { rank, workspace }: Pick<WorkAsk, "rank" | "workspace">,
+  { overShare }: Pick<OrderContext, "overShare">,
+): number {
+  return overShare.get(rank)?.get(workspace) ?? 0;
+}
+
 /**
  * Whether the deadline is not much later than the end of the caller's patience.
  */
--- a/packages/routing/src/waiting_queue.ts
+++ b/packages/routing/src/waiting_queue.ts
@@ -2,10 +2,13 @@
  * Queue of one pool: the requests that wait for a target, with their sort keys.
  */
 
+import type { OnTimeQueue } from "./backlog.ts";
 import { PredictionMargin } from "./prediction_margin.ts";
 import {
   firstInOrder,
   inOrder,
+  isLate,
+  isOverShare,
   type KeyedWork,
   type OrderContext,
   orderKeyOf,
@@ -75,8 +78,7 @@
   /**
    * Returns the whole queue in the order of the sort keys of the last reorder.
    *
-   * @param context Promoted ranks, workspaces over their shares, and the current
-   * local time.
+   * @param context What the order depends on besides the requests.
    * @returns All requests with their sort keys, the next one first.
    */
   inOrder(context: OrderContext): KeyedWork[] {
@@ -130,8 +132,7 @@
    *
    * @param typical Idle target with the pool's mean latency model; absent where
    * the pool has no targets.
-   * @param context Promoted ranks, workspaces over their shares, and the current
-   * local time.
+   * @param context What the order depends on besides the requests.
    * @returns All requests, the next one first.
    */
   reorder(
@@ -149,8 +150,7 @@
   /**
    * Finds the next request by the sort keys of the last reorder.
    *
-   * @param context Promoted ranks, workspaces over their shares, and the current
-   * local time.
+   * @param context What the order depends on besides the requests.
    * @param skipped Ids of asks to leave out.
    * @returns The next request; undefined where there is none.
    */
@@ -163,6 +163,34 @@
     return firstInOrder(candidates, context)?.work;
   }
 
+  /**
+   * Finds the on-time requests of an ask's rank whose workspaces are within
+   * their shares, or those whose workspaces are over them, as that of the ask.
+   * It goes by the sort keys of the last reorder.
+   *
+   * @param ask The ask.
+   * @param context What the order depends on besides the requests.
+   * @returns Their number, and the one that has waited longest.
+   */
+  onTime(ask: WorkAsk, context: OrderContext): OnTimeQueue {
+    const isOver = isOverShare(ask, context);
+    let count = 0;
+    let longest: WaitingWork | undefined;
+    for (const keyed of this.#byAsk.values()) {
+      const { work } = keyed;
+      const isAlike = work.ask.rank === ask.rank &&
+        isOverShare(work.ask, context) === isOver;
+      if (!isAlike || isLate(keyed, context.nowMs)) {
+        continue;
+      }
+      count++;
+      const isLonger = longest === undefined ||
+        work.waitingSinceMs < longest.waitingSinceMs;
+      longest = isLonger ? work : longest;
+    }
+    return { count, longest };
+  }
+
   /**
    * Adapts the prediction margin to an observed latency.
    *
--- a/packages/routing/src/workspace_shares.ts
+++ b/packages/routing/src/workspace_shares.ts
@@ -35,11 +35,11 @@
 /** Time between two evictions of workspaces that are no longer active. */
 const EVICTION_INTERVAL_MS = 1000;
 
-/** Names of the workspaces over their shares, by rank. */
-export type OverShareNames = ReadonlyMap<number, ReadonlySet<string>>;
+/** Numbers of queued asks of the workspaces over their shares, by rank. */
+export type QueuedOverShare = ReadonlyMap<number, ReadonlyMap<string, number>>;
 
 /** No workspace is over its share. */
-export const NONE_OVER_SHARE: OverShareNames = new Map();
+export const NONE_OVER_SHARE: QueuedOverShare = new Map();
 
 /** A workspace that took more than its share of a rank's slot time. */
 export interface OverShare {
@@ -152,10 +152,10 @@
    * active workspaces, and not to the queued asks.
    *
    * @param nowMs Current local time in milliseconds.
-   * @returns Names of the workspaces, by rank.
+   * @returns The workspaces with the numbers of their queued asks, by rank.
    */
-  findOver(nowMs: number): OverShareNames {
-    const found = new Map<number, ReadonlySet<string>>();
+  findOver(nowMs: number): QueuedOverShare {
+    const found = new Map<number, ReadonlyMap<string, number>>();
     for (const [rank, { byWorkspace, queuedWorkspaces }] of this.#byRank) {
       // Capacity is lent as long as nobody else waits for it.
       if (queuedWorkspaces > 1) {
@@ -193,19 +193,19 @@
     rank: number,
     byWorkspace: ReadonlyMap<string, Use>,
     nowMs: number,
-  ): Set<string> {
+  ): Map<string, number> {
     const sum = this.#sumOf(byWorkspace, nowMs);
-    const names = new Set<string>();
+    const queued = new Map<string, number>();
     for (const [workspace, use] of byWorkspace) {
       const placedRatio = use.slotMs / sum.slotMs;
       const weightRatio = weightOf(use, sum) / sum.active;
       if (use.queued > 0 && placedRatio > MAX_SHARE_RATIO * weightRatio) {
-        names.add(workspace);
+        queued.set(workspace, use.queued);
         use.overAtMs = nowMs;
         use.over = { rank, workspace, placedRatio, weightRatio };
       }
     }
-    return names;
+    return queued;
   }
 
   #sumOf(byWorkspace: ReadonlyMap<string, Use>, nowMs: number): RankSum {
