--- a/utils/measure_requests.ts
+++ b/utils/measure_requests.ts
@@ -25,16 +25,24 @@
   seededRandomSource,
 } from "@chestnuthatch/core/random_source";
 import { sendCall } from "@chestnuthatch/platform/standin_caller";
-import { CALLER_KEY, StandinFleet } from "@chestnuthatch/platform/standin_fleet";
+import {
+  CALLER_KEY,
+  StandinFleet,
+} from "@chestnuthatch/platform/standin_fleet";
 
 /** Wait before measuring, until the fleet has settled. */
 const WARMUP_MS = 5000;
 const READY_POLL_MS = 50;
 const MS_PER_S = 1000;
-/** Duration of a call at a target, which has one slot. */
+/** Duration of a call at a target. */
 const SERVICE_TIME_MS = 100;
+/**
+ * Slots of each target while answered requests are measured, so that enough of
+ * them are answered within a second.
+ */
+const ANSWERED_SLOTS = 8;
 /** Part of the targets' capacity at which all requests are answered. */
-const ANSWERED_LOAD = 0.4;
+const ANSWERED_LOAD = 0.3;
 /** Wait until the last requests of a load have ended. */
 const DRAIN_MS = 3000;
 const STATUS_OK = 200;
@@ -67,56 +75,36 @@
   const { values } = parseArgs({
     options: {
       instances: { type: "string", default: "6" },
-      targets: { type: "string", default: "4" },
+      targets: { type: "string", default: "8" },
       load: { type: "string", default: "10" },
       seconds: { type: "string", default: "20" },
       seed: { type: "string", default: "1" },
     },
   });
   const instances = Number(values.instances);
-  const desks = Number(values.targets);
+  const targets = Number(values.targets);
   const load = Number(values.load);
   const seconds = Number(values.seconds);
-  const fleet = new StandinFleet({
-    instances,
-    engines: 1,
-    desks,
-    serviceTimeMs: SERVICE_TIME_MS,
-    slots: 1,
-  });
-  const startCpu = process.cpuUsage();
-  await startFleet(fleet);
-  const startCpuMs = cpuMsSince(startCpu);
-  await sleep(WARMUP_MS);
+  const seed = Number(values.seed);
+  const size = { instances, targets };
+  const fleet = await startFleet({ ...size, slots: 1 });
   const idleMsPerS = await measureIdle(seconds);
   console.log(JSON.stringify({
-    instances,
-    targets: desks,
-    startMsPerInstance: round(startCpuMs / instances),
+    ...size,
     idleMsPerSPerInstance: round(idleMsPerS / instances),
   }));
   if (load > 0) {
-    const addresses = fleet.gateways.map(({ callerAddress }) => callerAddress);
-    const capacityPerS = desks * MS_PER_S / SERVICE_TIME_MS;
-    const common = { addresses, seconds, seed: Number(values.seed) };
+    const ratePerS = load * targets * MS_PER_S / SERVICE_TIME_MS;
+    const overload = { fleet, ratePerS, seconds, seed };
     // Compiles the code on the path of a request before it is measured.
-    await measureLoad(
-      { ...common, ratePerS: capacityPerS * ANSWERED_LOAD },
-      idleMsPerS,
-    );
-    const served = await measureLoad(
-      { ...common, ratePerS: capacityPerS * ANSWERED_LOAD },
-      idleMsPerS,
-    );
-    const overload = await measureLoad(
-      { ...common, ratePerS: capacityPerS * load },
-      idleMsPerS,
-    );
-    const answeredMs = served.cpuMs / served.answered;
-    const refusedMs = (overload.cpuMs - overload.answered * answeredMs) /
-      overload.refused;
-    console.log(JSON.stringify({ load: ANSWERED_LOAD, ...served }));
-    console.log(JSON.stringify({ load, ...overload }));
+    await measureLoad(overload, idleMsPerS);
+    const overloadCost = await measureLoad(overload, idleMsPerS);
+    fleet.close();
+    const answeredMs = await measureAnswered({ ...size, seconds, seed });
+    const refusedMs =
+      (overloadCost.cpuMs - overloadCost.answered * answeredMs) /
+      overloadCost.refused;
+    console.log(JSON.stringify({ load, ...overloadCost }));
     console.log(JSON.stringify({
       answeredMs: round(answeredMs),
       refusedMs: round(refusedMs),
@@ -125,13 +113,43 @@
   fleet.close();
 }
 
-async function startFleet(fleet: StandinFleet): Promise<void> {
+async function measureAnswered(
+  of: { instances: number; targets: number; seconds: number; seed: number },
+): Promise<number> {
+  const { instances, targets, seconds, seed } = of;
+  const fleet = await startFleet({ instances, targets, slots: ANSWERED_SLOTS });
+  const idleMsPerS = await measureIdle(seconds);
+  const capacityPerS = targets * ANSWERED_SLOTS * MS_PER_S / SERVICE_TIME_MS;
+  const ratePerS = capacityPerS * ANSWERED_LOAD;
+  const cost = await measureLoad(
+    { fleet, ratePerS, seconds, seed },
+    idleMsPerS,
+  );
+  fleet.close();
+  console.log(JSON.stringify({ load: ANSWERED_LOAD, ...cost }));
+  return cost.cpuMs / cost.answered;
+}
+
+/** Starts a fleet, and waits until it has settled. */
+async function startFleet(
+  of: { instances: number; targets: number; slots: number },
+): Promise<StandinFleet> {
+  const { instances, targets: desks, slots } = of;
+  const fleet = new StandinFleet({
+    instances,
+    engines: 1,
+    desks,
+    serviceTimeMs: SERVICE_TIME_MS,
+    slots,
+  });
   await fleet.startStoreAndTargets();
   fleet.configure();
   await fleet.startInstances();
   while (!fleet.gateways.every(({ isReady }) => isReady)) {
     await sleep(READY_POLL_MS);
   }
+  await sleep(WARMUP_MS);
+  return fleet;
 }
 
 async function measureIdle(seconds: number): Promise<number> {
@@ -140,14 +158,19 @@
   return cpuMsSince(before) / seconds;
 }
 
-async function measureLoad(load: Load, idleMsPerS: number): Promise<LoadCost> {
+async function measureLoad(
+  of: { fleet: StandinFleet; ratePerS: number; seconds: number; seed: number },
+  idleMsPerS: number,
+): Promise<LoadCost> {
+  const { fleet, ...load } = of;
+  const addresses = fleet.gateways.map(({ callerAddress }) => callerAddress);
   const callers = fork(fileURLToPath(import.meta.url), [CALLERS_ROLE], {
     execArgv: [],
   });
   await once(callers, "message");
   const cpuBefore = process.cpuUsage();
   const beganAtMs = performance.now();
-  callers.send(load);
+  callers.send({ ...load, addresses });
   const [counts] = await once(callers, "message") as [LoadCounts];
   const durationS = (performance.now() - beganAtMs) / MS_PER_S;
   const cpuMs = cpuMsSince(cpuBefore) - durationS * idleMsPerS;
