--- a/utils/measure_requests.ts
+++ b/utils/measure_requests.ts
@@ -93,7 +93,9 @@
     ...size,
     idleMsPerSPerInstance: round(idleMsPerS / instances),
   }));
-  if (load > 0) {
+  if (load === 0) {
+    fleet.close();
+  } else {
     const ratePerS = load * targets * MS_PER_S / SERVICE_TIME_MS;
     const overload = { fleet, ratePerS, seconds, seed };
     // Compiles the code on the path of a request before it is measured.
@@ -110,7 +112,6 @@
       refusedMs: round(refusedMs),
     }));
   }
-  fleet.close();
 }
 
 async function measureAnswered(
