Write log lines without the stream pipeline of winston

The log has its own rate limit and output, and used winston only to serialize a line, through two streams and a sorted stringification.

--- a/packages/gateway/src/event_log.ts
+++ b/packages/gateway/src/event_log.ts
@@ -4,8 +4,6 @@
  * slow reader never blocks the process.
  */
 
-import { Writable } from "node:stream";
-import winston from "winston";
 import { LogOutput } from "./log_output.ts";
 import type { Clock } from "./ports.ts";
 
@@ -37,7 +35,7 @@
 export class EventLog {
   readonly #clock: Clock;
   readonly #output: LogOutput;
-  readonly #winston: winston.Logger;
+  readonly #instanceId: string;
   #windowStartedAtMs = -Infinity;
   #linesInWindow = 0;
   #droppedLines = 0;
@@ -54,20 +52,7 @@
   ) {
     this.#clock = clock;
     this.#output = new LogOutput(output);
-    const stream = new Writable({
-      decodeStrings: false,
-      write: (line: string, _encoding, done) => {
-        this.#output.write(line);
-        done();
-      },
-    });
-    this.#winston = winston.createLogger({
-      format: winston.format.json(),
-      defaultMeta: { instance: instanceId },
-      transports: [
-        new winston.transports.Stream({ stream, eol: "" }),
-      ],
-    });
+    this.#instanceId = instanceId;
   }
 
   /**
@@ -109,7 +94,10 @@
     const { part, message, facts } = line;
     const leftOut = this.#droppedLines === 0 ? undefined : this.#droppedLines;
     this.#droppedLines = 0;
-    this.#winston.log({ level, atMs, part, message, leftOut, ...facts });
+    const instance = this.#instanceId;
+    this.#output.write(
+      jsonOf({ level, atMs, part, message, leftOut, ...facts, instance }),
+    );
   }
 
   #mayWriteLine(atMs: number): boolean {
@@ -121,3 +109,8 @@
     return this.#linesInWindow <= MAX_LINES_PER_S && this.#output.hasCapacity;
   }
 }
+
+/** Sorts the fields by name, so that lines of a kind list them alike. */
+function jsonOf(fields: LogFacts): string {
+  return JSON.stringify(fields, Object.keys(fields).sort());
+}
