Evaluate the members of the fleet without copies

Liveness time-outs are computed once for a pass over all members and not for each of them, and counts are taken without building lists.

--- a/packages/gateway/src/coordinator_selector.ts
+++ b/packages/gateway/src/coordinator_selector.ts
@@ -150,7 +150,7 @@
   #share(agreed: MemberRecord, nowMs: number): number {
     if (agreed.instanceId !== this.#members.selfId) {
       this.#agreedSinceMs = undefined;
-      const alive = this.#members.alive(nowMs).length;
+      const alive = this.#members.aliveCount(nowMs);
       return this.#members.reachableShare(nowMs) / alive;
     }
     this.#agreedSinceMs ??= nowMs;
--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -161,7 +161,7 @@
   /** @returns Number of instances that are alive in the view of this one. */
   fleetSize(): number {
     const { board, clock } = this.#parts;
-    return board.members.alive(clock.nowMs()).length;
+    return board.members.aliveCount(clock.nowMs());
   }
 
   /** @returns Recent changes of targets, to be sent with heartbeats. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -557,7 +557,7 @@
       }
       this.#log.info(LogPart.Placement, "coordinator changed", {
         coordinatorId: this.#placementClient.coordinatorId,
-        alive: this.board.members.alive(this.#clock.nowMs()).length,
+        alive: this.board.members.aliveCount(this.#clock.nowMs()),
       });
     }
     if (isCoordinator) {
@@ -597,7 +597,7 @@
   #agentFor(pool: string, address: string): Agent {
     return this.#connections.agent(address, {
       maxConnections: this.board.routes?.pool(pool)?.maxConnections ?? 1,
-      instances: this.board.members.alive(this.#clock.nowMs()).length,
+      instances: this.board.members.aliveCount(this.#clock.nowMs()),
     });
   }
 
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -269,8 +269,13 @@
 
   /** @returns All members but this instance, alive or not. */
   others(): MemberRecord[] {
-    return [...this.#byId.values()]
-      .filter(({ instanceId }) => instanceId !== this.selfId);
+    const others: MemberRecord[] = [];
+    for (const member of this.#byId.values()) {
+      if (member.instanceId !== this.selfId) {
+        others.push(member);
+      }
+    }
+    return others;
   }
 
   /**
@@ -278,7 +283,27 @@
    * @returns Members that are alive, this instance included.
    */
   alive(nowMs: number): MemberRecord[] {
-    return [...this.#byId.values()].filter((m) => this.#isAlive(m, nowMs));
+    const timeoutMs = this.#timeoutMs;
+    const alive: MemberRecord[] = [];
+    for (const member of this.#byId.values()) {
+      if (nowMs - member.lastHeartbeatAtMs < timeoutMs) {
+        alive.push(member);
+      }
+    }
+    return alive;
+  }
+
+  /**
+   * @param nowMs The local time.
+   * @returns Number of members that are alive, this instance included.
+   */
+  aliveCount(nowMs: number): number {
+    const timeoutMs = this.#timeoutMs;
+    let count = 0;
+    for (const { lastHeartbeatAtMs } of this.#byId.values()) {
+      count += Number(nowMs - lastHeartbeatAtMs < timeoutMs);
+    }
+    return count;
   }
 
   /**
@@ -289,12 +314,12 @@
    * @returns Above 0, at most 1.
    */
   reachableShare(nowMs: number): number {
-    const alive = this.alive(nowMs);
     const cutOff = this.#overdueDomains(nowMs);
-    const reachable = alive.filter(({ failureDomain }) =>
-      !cutOff.has(failureDomain)
-    );
-    return reachable.length / this.#fleetSize(nowMs);
+    const reachableCount = cutOff.size === 0
+      ? this.aliveCount(nowMs)
+      : this.alive(nowMs)
+        .filter(({ failureDomain }) => !cutOff.has(failureDomain)).length;
+    return reachableCount / this.#fleetSize(nowMs);
   }
 
   /**
@@ -334,13 +359,15 @@
     reportedAtMs: (instanceId: string) => number,
   ): number {
     const cutOff = this.#overdueDomains(nowMs);
-    const direct = [...this.#byId.values()].filter((member) =>
-      nowMs - member.lastHeartbeatAtMs < MEMBER_TIMEOUT_MS &&
-      !cutOff.has(member.failureDomain) &&
-      reportedAtMs(member.instanceId) >=
-        this.#recoveredAtMsOf(member.instanceId)
-    );
-    return direct.length / this.#fleetSize(nowMs);
+    let directCount = 0;
+    for (const member of this.#byId.values()) {
+      const isDirect = nowMs - member.lastHeartbeatAtMs < MEMBER_TIMEOUT_MS &&
+        !cutOff.has(member.failureDomain) &&
+        reportedAtMs(member.instanceId) >=
+          this.#recoveredAtMsOf(member.instanceId);
+      directCount += Number(isDirect);
+    }
+    return directCount / this.#fleetSize(nowMs);
   }
 
   /** When a member's process sent a heartbeat again; -Infinity if none did. */
@@ -349,11 +376,13 @@
   }
 
   #fleetSize(nowMs: number): number {
-    const present = [...this.#byId.values()].filter((m) =>
-      nowMs - m.lastHeartbeatAtMs < MEMBER_RETENTION_MS ||
-      nowMs - this.#reportedAtMs.get(m.instanceId)! < MEMBER_JOIN_GRACE_MS
-    );
-    return Math.max(1, present.length);
+    let presentCount = 0;
+    for (const { instanceId, lastHeartbeatAtMs } of this.#byId.values()) {
+      const isPresent = nowMs - lastHeartbeatAtMs < MEMBER_RETENTION_MS ||
+        nowMs - this.#reportedAtMs.get(instanceId)! < MEMBER_JOIN_GRACE_MS;
+      presentCount += Number(isPresent);
+    }
+    return Math.max(1, presentCount);
   }
 
   /**
@@ -365,8 +394,14 @@
    * @returns The longest such time of any live member, in milliseconds.
    */
   memoryMs(ownMs: number, nowMs: number): number {
-    const alive = this.alive(nowMs).map((m) => this.#uptimeMs(m, nowMs));
-    return Math.max(ownMs, ...alive);
+    const timeoutMs = this.#timeoutMs;
+    let longestMs = ownMs;
+    for (const member of this.#byId.values()) {
+      if (nowMs - member.lastHeartbeatAtMs < timeoutMs) {
+        longestMs = Math.max(longestMs, this.#uptimeMs(member, nowMs));
+      }
+    }
+    return longestMs;
   }
 
   /**
@@ -425,25 +460,43 @@
    * @returns A member; this instance if there is no other candidate.
    */
   coordinator(nowMs: number, unresponsive: ReadonlySet<string>): MemberRecord {
-    const alive = this.alive(nowMs);
-    const staying = alive.filter((m) => !m.leaving);
-    const notSlow = staying.filter((m) => !this.#isStandingAside(m, nowMs));
-    const responsive = [notSlow, staying, alive].find(({ length }) =>
-      length > 0
-    )!
-      .filter((m) => !unresponsive.has(m.instanceId));
-    const eligible = new Set(
-      withEnoughCores(this.#withLongestUptime(responsive, nowMs)),
-    );
+    const preferred = this.#preferredCandidates(nowMs);
+    const responsive = unresponsive.size === 0
+      ? preferred
+      : preferred.filter((m) => !unresponsive.has(m.instanceId));
+    let eligible = withEnoughCores(this.#withLongestUptime(responsive, nowMs));
     for (;;) {
       const best = maxBy(eligible, (m) => this.#score(m.instanceId));
       if (best === undefined || this.#mayCoordinate(best, nowMs)) {
         return best ?? this.#byId.get(this.selfId)!;
       }
-      eligible.delete(best);
+      eligible = eligible.filter((member) => member !== best);
     }
   }
 
+  /**
+   * Live members that neither leave nor stand aside; if there are none, those
+   * that do not leave, or else all that are alive.
+   */
+  #preferredCandidates(nowMs: number): MemberRecord[] {
+    const timeoutMs = this.#timeoutMs;
+    const notSlow: MemberRecord[] = [];
+    let isAnyStaying = false;
+    for (const member of this.#byId.values()) {
+      if (nowMs - member.lastHeartbeatAtMs < timeoutMs && !member.leaving) {
+        isAnyStaying = true;
+        if (!this.#isStandingAside(member, nowMs)) {
+          notSlow.push(member);
+        }
+      }
+    }
+    if (notSlow.length > 0) {
+      return notSlow;
+    }
+    const alive = this.alive(nowMs);
+    return isAnyStaying ? alive.filter(({ leaving }) => !leaving) : alive;
+  }
+
   #isStandingAside(
     { instanceId, standsAside }: MemberRecord,
     nowMs: number,
@@ -482,15 +535,19 @@
   }
 
   /**
-   * In a large fleet, a member sends one heartbeat in a round to each other.
+   * Time without a heartbeat after which a member is not alive. In a large
+   * fleet, a member sends one heartbeat in a round to each other.
    */
-  #isAlive(member: MemberRecord, nowMs: number): boolean {
+  get #timeoutMs(): number {
     const others = this.#byId.size - 1;
     const roundMs = this.isFullMesh
       ? 0
       : Math.ceil(others / HEARTBEAT_FANOUT) * ROUND_TIMEOUT_MS;
-    return nowMs - member.lastHeartbeatAtMs <
-      Math.max(MEMBER_TIMEOUT_MS, roundMs);
+    return Math.max(MEMBER_TIMEOUT_MS, roundMs);
+  }
+
+  #isAlive(member: MemberRecord, nowMs: number): boolean {
+    return nowMs - member.lastHeartbeatAtMs < this.#timeoutMs;
   }
 
   #withLongestUptime(
@@ -498,7 +555,7 @@
     nowMs: number,
   ): MemberRecord[] {
     const uptimes = members.map((m) => this.#uptimeMs(m, nowMs));
-    const longestMs = Math.max(0, ...uptimes);
+    const longestMs = uptimes.reduce((a, b) => Math.max(a, b), 0);
     return members.filter((_, index) =>
       uptimes[index]! >= longestMs - UPTIME_TOLERANCE_MS
     );
@@ -514,12 +571,10 @@
    * @param nowMs The local time.
    */
   evictExpired(nowMs: number): void {
-    for (
-      const { instanceId, lastHeartbeatAtMs, address } of this
-        .others()
-    ) {
+    for (const member of this.#byId.values()) {
+      const { instanceId, lastHeartbeatAtMs, address } = member;
       if (
-        lastHeartbeatAtMs > -Infinity &&
+        instanceId !== this.selfId && lastHeartbeatAtMs > -Infinity &&
         nowMs - lastHeartbeatAtMs > MEMBER_RETENTION_MS
       ) {
         this.revision++;
@@ -548,7 +603,7 @@
 }
 
 function withEnoughCores(members: readonly MemberRecord[]): MemberRecord[] {
-  const mostCores = Math.max(0, ...members.map(({ cores }) => cores));
+  const mostCores = members.reduce((a, { cores }) => Math.max(a, cores), 0);
   return members.filter(({ cores }) =>
     cores >= mostCores * MIN_COORDINATOR_CORES_RATIO
   );
