Parse addresses of peers once

Each heartbeat goes to the same addresses, and the text of a datagram's source address was built twice.

--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -16,7 +16,7 @@
 } from "@chestnuthatch/routing/peer_messages";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
-import { hostPortOf } from "./host_port.ts";
+import { type HostPort, hostPortOf } from "./host_port.ts";
 
 /**
  * Names of fields, which are encoded as their position in this list. New names
@@ -118,6 +118,9 @@
 /** Size of the socket's receive buffer. */
 const RECEIVE_BUFFER_BYTES = 1024 * 1024;
 
+/** Bound on the parsed addresses that are kept; a fleet has fewer members. */
+const MAX_KEPT_ADDRESSES = 256;
+
 const keyMap = Object.fromEntries(
   FIELD_NAMES.map((name, index) => [name, index + 1]),
 );
@@ -136,6 +139,8 @@
   readonly #log: EventLog;
   readonly #metrics: GatewayMetrics;
   readonly #socket: Socket;
+  /** Parsed addresses, as each heartbeat is sent to the same ones. */
+  readonly #hostPorts = new Map<string, HostPort>();
   #isClosed = false;
 
   /**
@@ -168,10 +173,11 @@
       });
     });
     this.#socket.on("message", (bytes, from) => {
-      const message = this.#decode(bytes, `${from.address}:${from.port}`);
+      const fromAddress = `${from.address}:${from.port}`;
+      const message = this.#decode(bytes, fromAddress);
       if (message !== undefined) {
         this.#metrics.peerMessage(message.kind);
-        handler(message, `${from.address}:${from.port}`);
+        handler(message, fromAddress);
       }
     });
     return new Promise((resolve, reject) => {
@@ -213,13 +219,25 @@
     }
     const bytes = encoder.encode(message);
     for (const address of addresses) {
-      const { host, port } = hostPortOf(address);
+      const { host, port } = this.#hostPortOf(address);
       this.#socket.send(bytes, port, host, (error) => {
         this.#logSendFailure(error, address, message.kind);
       });
     }
   }
 
+  #hostPortOf(address: string): HostPort {
+    let hostPort = this.#hostPorts.get(address);
+    if (hostPort === undefined) {
+      hostPort = hostPortOf(address);
+      if (this.#hostPorts.size >= MAX_KEPT_ADDRESSES) {
+        this.#hostPorts.clear();
+      }
+      this.#hostPorts.set(address, hostPort);
+    }
+    return hostPort;
+  }
+
   /** Heartbeats are excepted: they are sent again anyway. */
   #logSendFailure(
     error: Error | null,
