Load only those modules of prom-client that are used

Its main module also loads the push gateway and the default metrics, and with them node:https, node:tls, node:crypto and the telemetry interface.

--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -1,6 +1,10 @@
 /** Counters, gauges and histograms, served on the metrics address. */
 
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+/// <reference path="./prom_client.d.ts" />
+import Counter from "prom-client/lib/counter.js";
+import Gauge from "prom-client/lib/gauge.js";
+import Histogram from "prom-client/lib/histogram.js";
+import Registry from "prom-client/lib/registry.js";
 
 /** Upper bounds of the latency buckets, in milliseconds. */
 const LATENCY_BUCKETS_MS = [
