Pick unsent asks in one pass without copies

A holder looks for unsent asks at each ask, decision and tick; it copied and filtered all open asks several times.

--- a/packages/gateway/src/open_asks.ts
+++ b/packages/gateway/src/open_asks.ts
@@ -140,10 +140,25 @@
       this.#byId.get(openAsk.ask.askId) === openAsk;
   }
 
+  /** Whether any ask has no placement. */
+  get hasWaiting(): boolean {
+    for (const { running } of this.#byId.values()) {
+      if (running === undefined) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** @returns Asks without a placement, the oldest first. */
   waiting(): OpenAsk[] {
-    return [...this.#byId.values()]
-      .filter(({ running }) => running === undefined);
+    const waiting: OpenAsk[] = [];
+    for (const openAsk of this.#byId.values()) {
+      if (openAsk.running === undefined) {
+        waiting.push(openAsk);
+      }
+    }
+    return waiting;
   }
 
   /** @returns The work of this holder that runs at targets. */
@@ -158,21 +173,23 @@
    * a rank, the oldest first.
    */
   sendable(): OpenAsk[] {
-    const waiting = this.waiting();
-    // The sort is stable: within a rank, the oldest ask goes first.
-    const unsent = waiting.filter(isUnsent)
-      .sort((a, b) => a.ask.rank - b.ask.rank);
-    if (unsent.length === 0) {
-      return unsent;
-    }
+    const unsent: OpenAsk[] = [];
     const unacknowledged = new Map<string, number>();
-    for (const openAsk of waiting) {
-      const isInFlight = !openAsk.acknowledged && !isUnsent(openAsk);
-      const count = unacknowledged.get(openAsk.ask.pool) ?? 0;
-      unacknowledged.set(openAsk.ask.pool, count + Number(isInFlight));
+    for (const openAsk of this.#byId.values()) {
+      if (openAsk.running !== undefined) {
+        continue;
+      }
+      if (isUnsent(openAsk)) {
+        unsent.push(openAsk);
+      } else if (!openAsk.acknowledged) {
+        const { pool } = openAsk.ask;
+        unacknowledged.set(pool, (unacknowledged.get(pool) ?? 0) + 1);
+      }
     }
+    // The sort is stable: within a rank, the oldest ask goes first.
+    unsent.sort((a, b) => a.ask.rank - b.ask.rank);
     return unsent.filter(({ ask }) => {
-      const count = unacknowledged.get(ask.pool)!;
+      const count = unacknowledged.get(ask.pool) ?? 0;
       unacknowledged.set(ask.pool, count + 1);
       return count < MAX_UNACKNOWLEDGED_ASKS;
     });
@@ -184,9 +201,12 @@
    * the ask itself included.
    */
   unsentCountUpTo({ ask }: OpenAsk): number {
-    return this.waiting().filter((other) =>
-      isUnsent(other) && other.ask.pool === ask.pool &&
-      other.ask.rank <= ask.rank
-    ).length;
+    let count = 0;
+    for (const other of this.#byId.values()) {
+      const isCounted = other.running === undefined && isUnsent(other) &&
+        other.ask.pool === ask.pool && other.ask.rank <= ask.rank;
+      count += Number(isCounted);
+    }
+    return count;
   }
 }
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -139,7 +139,7 @@
    * this instance as coordinator.
    */
   get hasWaiting(): boolean {
-    return this.#openAsks.waiting().length > 0 || this.#service.hasWaiting;
+    return this.#openAsks.hasWaiting || this.#service.hasWaiting;
   }
 
   /**
