--- a/packages/gateway/src/coordinator_selector.ts
+++ b/packages/gateway/src/coordinator_selector.ts
@@ -156,7 +156,7 @@
   #share(agreed: MemberRecord, nowMs: number): number {
     if (agreed.instanceId !== this.#members.selfId) {
       this.#agreedSinceMs = undefined;
-      const alive = this.#members.alive(nowMs).length;
+      const alive = this.#members.aliveCount(nowMs);
       const ownShare = this.#members.reachableShare(nowMs) / alive;
       return Math.max(ownShare, this.#delegatedShare(nowMs));
     }
