--- a/packages/gateway/src/event_log.ts
+++ b/packages/gateway/src/event_log.ts
@@ -4,6 +4,8 @@
  * slow reader never blocks the process.
  */
 
+import { Writable } from "node:stream";
+import winston from "winston";
 import { LogOutput } from "./log_output.ts";
 import type { Clock } from "./ports.ts";
 
@@ -35,7 +37,7 @@
 export class EventLog {
   readonly #clock: Clock;
   readonly #output: LogOutput;
-  readonly #instanceId: string;
+  readonly #winston: winston.Logger;
   #windowStartedAtMs = -Infinity;
   #linesInWindow = 0;
   #droppedLines = 0;
@@ -52,7 +54,20 @@
   ) {
     this.#clock = clock;
     this.#output = new LogOutput(output);
-    this.#instanceId = instanceId;
+    const stream = new Writable({
+      decodeStrings: false,
+      write: (line: string, _encoding, done) => {
+        this.#output.write(line);
+        done();
+      },
+    });
+    this.#winston = winston.createLogger({
+      format: winston.format.json(),
+      defaultMeta: { instance: instanceId },
+      transports: [
+        new winston.transports.Stream({ stream, eol: "" }),
+      ],
+    });
   }
 
   /**
@@ -94,10 +109,7 @@
     const { part, message, facts } = line;
     const leftOut = this.#droppedLines === 0 ? undefined : this.#droppedLines;
     this.#droppedLines = 0;
-    const instance = this.#instanceId;
-    this.#output.write(
-      jsonOf({ level, atMs, part, message, leftOut, ...facts, instance }),
-    );
+    this.#winston.log({ level, atMs, part, message, leftOut, ...facts });
   }
 
   #mayWriteLine(atMs: number): boolean {
@@ -109,8 +121,3 @@
     return this.#linesInWindow <= MAX_LINES_PER_S && this.#output.hasCapacity;
   }
 }
-
-/** Sorts the fields by name, so that lines of a kind list them alike. */
-function jsonOf(fields: LogFacts): string {
-  return JSON.stringify(fields, Object.keys(fields).sort());
-}
