--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,10 +23,12 @@
 import { CrashSuspects } from "@chestnuthatch/routing/crash_suspects";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
 import { TargetHealth } from "@chestnuthatch/routing/target_health";
+import { TargetLoads } from "@chestnuthatch/routing/target_loads";
 import { TargetRateLimits } from "@chestnuthatch/routing/target_rate_limits";
 import { LatencyModels } from "@chestnuthatch/routing/latency_models";
 import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
 import { AnsweredParts } from "./answered_parts.ts";
+import { BacklogMonitor } from "./backlog_monitor.ts";
 import { TargetSignalHandler } from "./target_signal_handler.ts";
 import { EventLog, type LogFacts, LogPart } from "./event_log.ts";
 import { FleetStateSync } from "./fleet_state_sync.ts";
@@ -39,6 +41,7 @@
 import { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { HeartbeatExchange } from "./heartbeat_exchange.ts";
 import { SnapshotServer } from "./snapshot_server.ts";
+import { PausedTargetMonitor } from "./paused_target_monitor.ts";
 import { PeerSocket } from "./peer_socket.ts";
 import { PlacementClient } from "./placement_client.ts";
 import { RelayServer } from "./relay_server.ts";
@@ -57,7 +60,9 @@
 import { TargetConnections } from "./target_connections.ts";
 import { TargetProbes } from "./target_probes.ts";
 import { TargetCleanup } from "./target_cleanup.ts";
+import { TargetLoadMonitor } from "./target_load_monitor.ts";
 import { TargetReachability } from "./target_reachability.ts";
+import { WorkspaceShareMonitor } from "./workspace_share_monitor.ts";
 
 /** Time between two ticks, which run all timeouts, while requests wait. */
 const BUSY_TICK_MS = 20;
@@ -115,9 +120,13 @@
   readonly #rollouts: RolloutController;
   readonly #targetSignals: TargetSignalHandler;
   readonly #targetCleanup: TargetCleanup;
+  readonly #loadMonitor: TargetLoadMonitor;
   readonly #front: FrontServer;
   readonly #status: StatusServer;
   readonly #eventLoopMonitor: EventLoopMonitor;
+  readonly #workspaceShares: WorkspaceShareMonitor;
+  readonly #pausedTargets: PausedTargetMonitor;
+  readonly #backlogMonitor: BacklogMonitor;
   #askCounter = 0;
   #isLeaving = false;
   #isClosed = false;
@@ -155,6 +164,11 @@
       cores: settings.cores,
     };
     const members = new MemberView(this.#self);
+    this.#loadMonitor = new TargetLoadMonitor({
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+    });
     this.board = {
       configurationAge: new ConfigurationAge(),
       targets: new TargetDirectory(),
@@ -164,6 +178,9 @@
       relayedTargets: new RelayedTargets(),
       rateLimits: new TargetRateLimits(),
       latencyModels: new LatencyModels(),
+      targetLoads: new TargetLoads((report) =>
+        this.#loadMonitor.reported(report)
+      ),
       backoffs: new TargetBackoffs(),
       streamOrigins: new StreamOrigins(),
       suspects: new CrashSuspects(),
@@ -180,6 +197,7 @@
       startedAtMs: this.#startedAtMs,
       spendingWindowMs: settings.bounds.allotmentTolerance.windowMs,
       onWaiting: () => this.#scheduleTick(BUSY_TICK_MS),
+      onRefusedByHolder: (pool) => this.#metrics.askRefusedByHolder(pool),
       onTakeover: (share) => {
         this.#coordinator.accountingBegan(this.#clock.nowMs());
         this.#spending.becameActingCoordinator(share);
@@ -266,6 +284,26 @@
       busyMs: () => performance.eventLoopUtilization().active,
       loadFacts: () => this.#loadFacts(),
     });
+    this.#workspaceShares = new WorkspaceShareMonitor({
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      overShares: (nowMs) => this.#coordinator.overShares(nowMs),
+    });
+    this.#pausedTargets = new PausedTargetMonitor({
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      targets: this.board.targets,
+      pausedTargets: () => this.#coordinator.pausedTargets(),
+    });
+    this.#backlogMonitor = new BacklogMonitor({
+      board: this.board,
+      coordinator: this.#coordinator,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+    });
     this.#status = new StatusServer({
       metrics: this.#metrics,
       isReady: () => this.isReady,
@@ -443,6 +481,10 @@
       this.#heartbeatExchange.heartbeatReceived(message);
       const isCoordinator =
         message.from.instanceId === this.#placementClient.coordinatorId;
+      if (isCoordinator) {
+        const { from, admission = [] } = message;
+        this.#placementClient.waitsAnnounced(from.instanceId, admission);
+      }
       if (isCoordinator && message.spending !== undefined) {
         this.#spending.spendingReceived(message.spending);
       }
@@ -528,7 +570,11 @@
       this.#heartbeatExchange.tick();
       this.#placementClient.tick();
     });
+    this.#loadMonitor.update(this.board.targetLoads);
     this.#streams.tick();
+    this.#workspaceShares.tick();
+    this.#pausedTargets.tick();
+    this.#backlogMonitor.tick();
     this.#updateCoordinatorRole();
   }
 
@@ -557,7 +603,7 @@
       }
       this.#log.info(LogPart.Placement, "coordinator changed", {
         coordinatorId: this.#placementClient.coordinatorId,
-        alive: this.board.members.alive(this.#clock.nowMs()).length,
+        alive: this.board.members.aliveCount(this.#clock.nowMs()),
       });
     }
     if (isCoordinator) {
@@ -597,7 +643,7 @@
   #agentFor(pool: string, address: string): Agent {
     return this.#connections.agent(address, {
       maxConnections: this.board.routes?.pool(pool)?.maxConnections ?? 1,
-      instances: this.board.members.alive(this.#clock.nowMs()).length,
+      instances: this.board.members.aliveCount(this.#clock.nowMs()),
     });
   }
 
@@ -654,6 +700,10 @@
         this.#wasCoordinator
           ? this.board.suspects.updatesToSend(this.#clock.nowMs())
           : [],
+      admission: () =>
+        this.#wasCoordinator
+          ? this.#coordinator.admissionForecasts(this.#clock.nowMs())
+          : [],
       streams: (withinMs) =>
         this.#wasCoordinator ? this.#streams.recent(withinMs) : [],
       rollouts: () => this.board.rollouts.updatesToSend(this.#clock.nowMs()),
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -1,6 +1,10 @@
 /** Counters, gauges and histograms, served on the metrics address. */
 
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+/// <reference path="./prom_client.d.ts" />
+import Counter from "prom-client/lib/counter.js";
+import Gauge from "prom-client/lib/gauge.js";
+import Histogram from "prom-client/lib/histogram.js";
+import Registry from "prom-client/lib/registry.js";
 
 /** Upper bounds of the latency buckets, in milliseconds. */
 const LATENCY_BUCKETS_MS = [
@@ -35,6 +39,19 @@
     "relayed_targets",
     "Targets that are reached through other instances only.",
   );
+  readonly #pausedTargets = this.#gauge(
+    "paused_targets",
+    "Targets that get no requests, as holders could not use them.",
+  );
+  readonly #workspacesOverShare = this.#gauge(
+    "workspaces_over_share",
+    "Workspaces whose requests go behind those of others, by pool and rank.",
+  );
+  readonly #overShareBegins = this.#counter(
+    "over_share_begins_total",
+    "Times that a workspace came to be over its share of a pool.",
+    ["pool"],
+  );
   readonly #requests = this.#counter("requests_total", "Requests read.", [
     "route",
   ]);
@@ -53,6 +70,11 @@
     "Sends to targets, by how they ended.",
     ["pool", "end"],
   );
+  readonly #holderRefusals = this.#counter(
+    "holder_refusals_total",
+    "Asks that this instance refused by the coordinator's announced waits.",
+    ["pool"],
+  );
   readonly #relayedRequests = this.#counter(
     "relayed_requests_total",
     "Requests of other instances to relay to targets.",
@@ -100,13 +122,27 @@
   );
   readonly #targetSignals = this.#counter(
     "target_signals_total",
-    "Changes of belief about targets that answers brought.",
+    "Changes of belief about targets that attempts brought.",
     ["signal", "source"],
   );
+  readonly #targetLoadReports = this.#counter(
+    "target_load_reports_total",
+    "Reports of targets on their load, by what became of them.",
+    ["result"],
+  );
+  readonly #slowTargets = this.#gauge(
+    "slow_targets",
+    "Targets that report a slow period, as the coordinator knows them.",
+  );
   readonly #openRequests = this.#gauge(
     "open_requests",
     "Requests in progress.",
   );
+  readonly #standingBacklogs = this.#gauge(
+    "standing_backlogs",
+    "Ranks with a standing backlog at this coordinator.",
+    ["pool"],
+  );
   readonly #unreadableRows = this.#counter(
     "unreadable_rows_total",
     "Rows of the platform's store that could not be read.",
@@ -157,6 +193,16 @@
     this.#attempts.inc({ pool, end });
   }
 
+  /**
+   * Counts an ask that this instance refused by the coordinator's announced
+   * waits.
+   *
+   * @param pool Name of the pool.
+   */
+  askRefusedByHolder(pool: string): void {
+    this.#holderRefusals.inc({ pool });
+  }
+
   /** Counts a return of the platform's store from an older copy. */
   storeRestored(): void {
     this.#storeRestores.inc();
@@ -182,6 +228,20 @@
     this.#targetSignals.inc({ signal, source });
   }
 
+  /**
+   * Counts a target's report on its load that reached this coordinator.
+   *
+   * @param result What became of the report.
+   */
+  targetLoadReport(result: string): void {
+    this.#targetLoadReports.inc({ result });
+  }
+
+  /** @param count Number of targets that are in a slow period now. */
+  slowTargets(count: number): void {
+    this.#slowTargets.set(count);
+  }
+
   /**
    * Counts a message from another instance.
    *
@@ -244,6 +304,28 @@
     this.#relayedTargets.set(count);
   }
 
+  /** @param count Number of targets paused for any failure domain. */
+  pausedTargets(count: number): void {
+    this.#pausedTargets.set(count);
+  }
+
+  /**
+   * @param count Number of workspaces over their shares, counted once for each
+   * pool and rank.
+   */
+  workspacesOverShare(count: number): void {
+    this.#workspacesOverShare.set(count);
+  }
+
+  /**
+   * Counts a workspace that came to be over its share.
+   *
+   * @param pool Name of the pool.
+   */
+  overShareBegan(pool: string): void {
+    this.#overShareBegins.inc({ pool });
+  }
+
   /**
    * Counts a request that another instance sent here to be relayed.
    *
@@ -258,6 +340,16 @@
     this.#openRequests.set(count);
   }
 
+  /**
+   * Sets the number of ranks with a standing backlog.
+   *
+   * @param pool Name of a pool of the configuration.
+   * @param count Number of ranks.
+   */
+  standingBacklogs(pool: string, count: number): void {
+    this.#standingBacklogs.set({ pool }, count);
+  }
+
   /** @param version Version of the configuration in force. */
   configurationVersion(version: number): void {
     this.#configurationVersion.set(version);
@@ -314,10 +406,11 @@
     });
   }
 
-  #gauge(name: string, help: string): Gauge {
+  #gauge(name: string, help: string, labelNames: string[] = []): Gauge {
     return new Gauge({
       name: `chestnuthatch_${name}`,
       help,
+      labelNames,
       registers: [this.#registry],
     });
   }
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -5,14 +5,20 @@
  * assigns targets by itself while the coordinator does not respond.
  */
 
+import type { AdmissionForecast } from "@chestnuthatch/routing/admission_forecast";
+import { AnnouncedWaits } from "@chestnuthatch/routing/announced_waits";
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
 import type { MemberRecord } from "@chestnuthatch/routing/member_view";
 import {
   MessageKind,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
+import type { LoadReport } from "@chestnuthatch/routing/load_report";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
-import { RecentRefusals } from "@chestnuthatch/routing/recent_refusals";
+import {
+  RecentRefusals,
+  type Refusal,
+} from "@chestnuthatch/routing/recent_refusals";
 import {
   type AskDecision,
   AskRefusal,
@@ -79,6 +85,13 @@
   readonly spendingWindowMs: number;
   /** Called when an ask begins to wait, to schedule the next tick sooner. */
   onWaiting?(): void;
+  /**
+   * Called when this instance refuses an ask by the coordinator's announced
+   * waits.
+   *
+   * @param pool Name of the pool.
+   */
+  onRefusedByHolder?(pool: string): void;
   /**
    * Called before this instance assigns targets in place of a coordinator that
    * does not respond.
@@ -101,6 +114,7 @@
   readonly #reporter: HolderReporter;
   readonly #failureDetector: CoordinatorFailureDetector;
   readonly #refusals = new RecentRefusals();
+  readonly #announcedWaits = new AnnouncedWaits();
   #lateNoticeSentAtMs = -Infinity;
 
   /** @param parts Collaborators, settings and callbacks. */
@@ -139,7 +153,7 @@
    * this instance as coordinator.
    */
   get hasWaiting(): boolean {
-    return this.#openAsks.waiting().length > 0 || this.#service.hasWaiting;
+    return this.#openAsks.hasWaiting || this.#service.hasWaiting;
   }
 
   /**
@@ -151,7 +165,8 @@
    */
   ask(ask: WorkAsk, onDecision: (decision: AskDecision) => void): void {
     const nowMs = this.#nowMs();
-    const refusal = this.#refusals.refusalFor(ask, nowMs);
+    const refusal = this.#refusals.refusalFor(ask, nowMs) ??
+      this.#refuseByAnnouncedWaits(ask, nowMs);
     if (refusal !== undefined) {
       onDecision(refusal);
       return;
@@ -175,6 +190,33 @@
     }
   }
 
+  /**
+   * Records the waits that the coordinator announced.
+   *
+   * @param coordinatorId Instance id of the coordinator.
+   * @param forecasts All waits that it announced.
+   */
+  waitsAnnounced(
+    coordinatorId: string,
+    forecasts: readonly AdmissionForecast[],
+  ): void {
+    this.#announcedWaits.record(coordinatorId, forecasts, this.#nowMs());
+  }
+
+  #refuseByAnnouncedWaits(ask: WorkAsk, nowMs: number): Refusal | undefined {
+    if (this.#parts.board.members.isFullMesh) {
+      return undefined;
+    }
+    const { coordinatorId } = this;
+    const refusal = this.#announcedWaits
+      .refusalFor(ask, { coordinatorId, nowMs });
+    if (refusal !== undefined) {
+      this.#reporter.recordRefusal(ask);
+      this.#parts.onRefusedByHolder?.(ask.pool);
+    }
+    return refusal;
+  }
+
   /** Estimates how long an ask stays unsent, from the asks sent before it. */
   #unsentWaitMs(openAsk: OpenAsk): number {
     return this.#openAsks.unsentCountUpTo(openAsk) *
@@ -196,12 +238,14 @@
    * Withdraws an ask whose caller no longer waits for a placement.
    *
    * @param askId The ask's id; unknown ids are ignored.
+   * @param unusableTargetId Target of its placement, if that is known here as
+   * removed or leaving; else absent.
    */
-  drop(askId: string): void {
+  drop(askId: string, unusableTargetId?: string): void {
     const openAsk = this.#openAsks.get(askId);
     if (openAsk !== undefined) {
       this.#openAsks.remove(askId);
-      this.#sendDrop(openAsk.coordinatorId, askId);
+      this.#sendDrop(openAsk.coordinatorId, askId, unusableTargetId);
       this.#sendUnsent();
     }
   }
@@ -210,17 +254,19 @@
    * Reports to the coordinator that a target sent the first event of an answer.
    *
    * @param askId Id of the ask that got the placement.
+   * @param of Load that the target reported with the answer, if it did.
    */
-  reportFirstEvent(askId: string): void {
+  reportFirstEvent(askId: string, of: { load?: LoadReport } = {}): void {
     const openAsk = this.#openAsks.get(askId);
     if (openAsk?.running === undefined) {
       return;
     }
     openAsk.running = { ...openAsk.running, firstSeen: true };
     if (this.#isSelf(openAsk.coordinatorId)) {
-      this.#service.handleFirstSeen(askId);
+      this.#service.handleFirstSeen(askId, of);
     } else {
-      this.#send(openAsk.coordinatorId, { kind: MessageKind.FirstSeen, askId });
+      const kind = MessageKind.FirstSeen;
+      this.#send(openAsk.coordinatorId, { kind, askId, ...of });
     }
   }
 
@@ -258,13 +304,13 @@
         this.#service.handleAsk(message.ask);
         return;
       case MessageKind.FirstSeen:
-        this.#service.handleFirstSeen(message.askId);
+        this.#service.handleFirstSeen(message.askId, message);
         return;
       case MessageKind.End:
         this.#service.handleEnd(message.end);
         return;
       case MessageKind.Drop:
-        this.#service.handleDrop(message.askId);
+        this.#service.handleDrop(message.askId, message.unusableTargetId);
         return;
       case MessageKind.Report:
         this.#service.handleReport(message.report);
@@ -496,14 +542,22 @@
     }
   }
 
-  #sendDrop(coordinatorId: string, askId: string): void {
+  #sendDrop(
+    coordinatorId: string,
+    askId: string,
+    unusableTargetId?: string,
+  ): void {
     if (coordinatorId === NO_COORDINATOR) {
       return;
     }
     if (this.#isSelf(coordinatorId)) {
-      this.#service.handleDrop(askId);
+      this.#service.handleDrop(askId, unusableTargetId);
     } else {
-      this.#send(coordinatorId, { kind: MessageKind.Drop, askId });
+      this.#send(coordinatorId, {
+        kind: MessageKind.Drop,
+        askId,
+        ...(unusableTargetId === undefined ? undefined : { unusableTargetId }),
+      });
     }
   }
 
--- a/packages/gateway/src/placement_client_test.ts
+++ b/packages/gateway/src/placement_client_test.ts
@@ -4,6 +4,7 @@
 import { Coordinator } from "@chestnuthatch/routing/coordinator";
 import {
   MessageKind,
+  peerMessageSchema,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
 import {
@@ -11,7 +12,7 @@
   boardOf,
   memberOf,
 } from "@chestnuthatch/routing/routing_test_support";
-import type { AskDecision } from "@chestnuthatch/routing/work_ask";
+import type { AskDecision, WorkEnd } from "@chestnuthatch/routing/work_ask";
 import { EventLog } from "./event_log.ts";
 import { PlacementClient } from "./placement_client.ts";
 
@@ -28,19 +29,20 @@
 }
 
 /** A client whose coordinator is another instance, and what it sends. */
-function clientOfRemoteCoordinator() {
+function clientOfRemoteCoordinator(memberCount = 5) {
   const board = boardOf(["t1", "t2"]);
   const clock = { atMs: 0, nowMs: () => clock.atMs };
   const sent: { to: string; message: RoutingMessage }[] = [];
   // They have run longer than this instance, so one of them coordinates.
-  for (let i = 2; i < 6; i++) {
+  for (let i = 2; i <= memberCount; i++) {
     board.members.memoryReported(`i${i}`, 60_000, 0);
     board.members.heartbeatReceived(memberOf(`i${i}`), 0);
   }
   const coordinatorId = board.members.coordinator(0, NO_IDS).instanceId;
+  const coordinator = new Coordinator(board, BOUNDS);
   const client = new PlacementClient({
     board,
-    coordinator: new Coordinator(board, BOUNDS),
+    coordinator,
     clock,
     log: new EventLog(clock, "i1", new Discard()),
     send: ({ instanceId }, message) => sent.push({ to: instanceId, message }),
@@ -58,7 +60,18 @@
   };
   const ask = (askId: string) =>
     client.ask(askOf(askId), (decision) => decisions.push(decision));
-  return { client, coordinatorId, sent, decisions, kindsSentTo, advance, ask };
+  return {
+    client,
+    board,
+    clock,
+    coordinator,
+    coordinatorId,
+    sent,
+    decisions,
+    kindsSentTo,
+    advance,
+    ask,
+  };
 }
 
 function decisionMessage(askId: string, targetId = "t1"): RoutingMessage {
@@ -169,6 +182,61 @@
   }]);
 });
 
+// Guards against a load that is lost on its way to the coordinator.
+test("a target's load is passed on with the first event and the end", () => {
+  const { client, coordinatorId, sent, ask } = clientOfRemoteCoordinator();
+  const load = { running: 1, waiting: 0, slowdownRatio: 2.5, ageMs: 3 };
+  ask("a1");
+  client.handleMessage(decisionMessage("a1"), coordinatorId);
+  client.reportFirstEvent("a1", { load });
+  client.reportFirstEvent("a1");
+  client.reportEnd({ ...endOf("a1"), load });
+  const messages = sent.slice(-3).map(({ message }) => message);
+  assert.equal(messages, [
+    { kind: MessageKind.FirstSeen, askId: "a1", load },
+    { kind: MessageKind.FirstSeen, askId: "a1" },
+    { kind: MessageKind.End, end: { ...endOf("a1"), load } },
+  ]);
+  assert.equal(messages.map((m) => peerMessageSchema.parse(m)), messages);
+});
+
+function endOf(askId: string): WorkEnd {
+  return { askId, targetId: "t1", pool: "p", promptTokens: 500, failed: false };
+}
+
+test("a holder's reports of load are recorded here with their age", () => {
+  const { client, board, clock } = clientOfRemoteCoordinator();
+  const load = { running: 1, waiting: 0, slowdownRatio: 4, ageMs: 300 };
+  clock.atMs = 1000;
+  const ask = askOf("a1", { holderId: "i2" });
+  client.handleMessage({ kind: MessageKind.Ask, ask }, "i2");
+  client.handleMessage(
+    { kind: MessageKind.FirstSeen, askId: "a1", load },
+    "i2",
+  );
+  const ratio = board.targetLoads.slowdownsAt(1000)?.("t1");
+  assert.is(ratio, 1 + 3 * Math.exp(-1));
+});
+
+// Guards against a coordinator that places at a target which holders know as
+// removed.
+test("a returned placement names the target that has left, which two of them pause", () => {
+  const { client, coordinator, coordinatorId, sent, ask } =
+    clientOfRemoteCoordinator(20);
+  ask("a1");
+  client.handleMessage(decisionMessage("a1"), coordinatorId);
+  client.drop("a1", "t1");
+  const drop = { kind: MessageKind.Drop, unusableTargetId: "t1" } as const;
+  assert.equal(sent.at(-1)!.message, { ...drop, askId: "a1" });
+  for (const holderId of ["i2", "i3"]) {
+    const of = { holderId, excluded: ["t2"] };
+    const asked = { kind: MessageKind.Ask, ask: askOf(holderId, of) } as const;
+    client.handleMessage(asked, holderId);
+    client.handleMessage({ ...drop, askId: holderId }, holderId);
+  }
+  assert.equal(coordinator.pausedTargets().map((p) => p.targetId), ["t1"]);
+});
+
 test("running work and spending are reported to the coordinator", () => {
   const { client, coordinatorId, sent, advance } = clientOfRemoteCoordinator();
   client.ask(askOf("a1", { cost: 700 }), () => {});
@@ -182,4 +250,29 @@
   assert.equal(last.spent, [{ workspace: "w", spent: 700 }]);
 });
 
+// Guards against refusals that the coordinator does not learn of, and against
+// changed decisions in small fleets.
+test("announced waits refuse asks in a large fleet, which are reported", () => {
+  const admission = [{ pool: "p", rank: 0, waitMs: 9000 }];
+  for (const memberCount of [13, 14]) {
+    const { client, coordinatorId, sent, decisions, advance, ask } =
+      clientOfRemoteCoordinator(memberCount);
+    advance(20);
+    client.waitsAnnounced(coordinatorId, admission);
+    ask("a1");
+    const refused = sent.flatMap(({ message }) =>
+      message.kind === MessageKind.Report ? message.report.refused ?? [] : []
+    );
+    assert.equal(refused, []);
+    const isLarge = memberCount === 14;
+    assert.is(decisions.length, Number(isLarge));
+    advance(260);
+    const reported = sent.flatMap(({ message }) =>
+      message.kind === MessageKind.Report ? message.report.refused ?? [] : []
+    );
+    const expected = { pool: "p", rank: 0, count: 1, callHashes: [] };
+    assert.equal(reported, isLarge ? [expected] : []);
+  }
+});
+
 test.run();
--- a/packages/gateway/src/placement_service.ts
+++ b/packages/gateway/src/placement_service.ts
@@ -7,6 +7,7 @@
   Coordinator,
   PlacementScope,
 } from "@chestnuthatch/routing/coordinator";
+import type { LoadReport } from "@chestnuthatch/routing/load_report";
 import {
   MessageKind,
   type RoutingMessage,
@@ -77,9 +78,10 @@
    * Records that a target sent the first event of an answer.
    *
    * @param askId Id of the ask that got the placement.
+   * @param of Load that the target reported with the answer, if it did.
    */
-  handleFirstSeen(askId: string): void {
-    this.#parts.coordinator.firstSeen(askId, this.#nowMs());
+  handleFirstSeen(askId: string, of: { load?: LoadReport }): void {
+    this.#parts.coordinator.firstSeen(askId, this.#nowMs(), of);
   }
 
   /**
@@ -95,8 +97,16 @@
    * Removes an ask, and frees its placement if it has one.
    *
    * @param askId Id of the ask that its holder withdrew.
+   * @param unusableTargetId Target of its placement, if the holder knows it as
+   * removed or leaving; else absent.
    */
-  handleDrop(askId: string): void {
+  handleDrop(askId: string, unusableTargetId?: string): void {
+    if (unusableTargetId !== undefined) {
+      this.#parts.coordinator.placementReturned(askId, {
+        targetId: unusableTargetId,
+        nowMs: this.#nowMs(),
+      });
+    }
     this.#deliver(this.#parts.coordinator.dropped(askId, this.#nowMs()));
   }
 
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -9,6 +9,8 @@
 import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
 import { SURVIVAL_MS } from "@chestnuthatch/routing/trials";
 import type { WorkEnd } from "@chestnuthatch/routing/work_ask";
+import type { LoadReport } from "@chestnuthatch/routing/load_report";
+import { AnswerLoad } from "./answer_load.ts";
 import { EventSplitter, type StreamedEvent } from "./event_splitter.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { hostPortOf } from "./host_port.ts";
@@ -92,6 +94,8 @@
   #answer?: IncomingMessage;
   /** Rejections per second that the target withstands, from its answer. */
   #maxRejectionsPerS?: number;
+  #load?: AnswerLoad;
+  #isWrongTarget = false;
   #firstDataAtMs?: number;
   #lastEventAtMs = 0;
   #isDone = false;
@@ -114,6 +118,14 @@
     return this.#answer!;
   }
 
+  /**
+   * Whether the target's process answered nothing: there is no answer, or one
+   * of another target that now listens at the address.
+   */
+  get isUnanswered(): boolean {
+    return this.#answer === undefined || this.#isWrongTarget;
+  }
+
   /** The body received so far of an answer that is not a stream. */
   get body(): Buffer {
     return Buffer.concat(this.#body);
@@ -223,9 +235,15 @@
         : undefined,
       failed,
       maxRejectionsPerS: this.#maxRejectionsPerS,
+      ...this.#loadFact(),
     };
   }
 
+  #loadFact(): { load?: LoadReport } {
+    const load = this.#load?.reportAt(this.#parts.clock.nowMs());
+    return load === undefined ? {} : { load };
+  }
+
   #onHead(answer: IncomingMessage): void {
     const failure = this.#relay && relayFailureOf(answer.headers);
     if (failure !== undefined) {
@@ -239,11 +257,14 @@
     this.#answer = answer;
     const status = answer.statusCode!;
     const facts = this.#parts.protocol.readAnswer(status, answer.headers);
+    this.#isWrongTarget = facts.wrongTarget;
     if (!facts.wrongTarget) {
       this.#maxRejectionsPerS = facts.signals.maxRejectionsPerS;
       const { target } = this.options;
       const origin = { target, sentAtMs: this.sentAtMs };
       this.#parts.targetSignals.answerReceived(origin, facts.signals);
+      this.#load = facts.load &&
+        new AnswerLoad(facts.load, this.#parts.clock.nowMs());
     }
     const { requestId } = this.options.call.facts;
     if (facts.requestId !== undefined && facts.requestId !== requestId) {
@@ -297,7 +318,8 @@
     this.#lastEventAtMs = nowMs;
     if (this.#firstDataAtMs === undefined) {
       this.#firstDataAtMs = nowMs;
-      this.#parts.placementClient.reportFirstEvent(this.options.askId);
+      const { askId } = this.options;
+      this.#parts.placementClient.reportFirstEvent(askId, this.#loadFact());
     }
     this.#sink.event(bytes);
   }
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -6,6 +6,8 @@
  */
 
 import { AbandonedWork } from "./abandoned_work.ts";
+import { type AdmissionForecast, longestWaits } from "./admission_forecast.ts";
+import type { StandingBacklog } from "./backlog.ts";
 import { RateLimiter } from "./rate_limiter.ts";
 import { RejectionLimiter } from "./rejection_limiter.ts";
 import { PoolScheduler, quarantineRefusal } from "./pool_scheduler.ts";
@@ -22,12 +24,15 @@
 } from "./allotment_ledger.ts";
 import { ReportedSpending } from "./reported_spending.ts";
 import type { SpendingHistory } from "./spending_log.ts";
+import { recordLoad } from "./load_recording.ts";
+import type { LoadReport } from "./load_report.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import {
   AskCause,
   type AskDecision,
   AskRefusal,
   type HolderReport,
+  type RefusedByHolder,
   type RunningWork,
   type WorkAsk,
   type WorkEnd,
@@ -37,6 +42,8 @@
 import { returnWindowMs, type StreamOriginGroup } from "./stream_origins.ts";
 import { TakenUpStreams } from "./taken_up_streams.ts";
 import { RefusedCallers } from "./refused_callers.ts";
+import { type PausedTarget, UnusableTargets } from "./unusable_targets.ts";
+import type { OverShare } from "./workspace_shares.ts";
 import {
   baselineFirstEventMs,
   INITIAL_CALL_MS,
@@ -110,6 +117,7 @@
   readonly #spending = new ReportedSpending();
   readonly #takenUpStreams: TakenUpStreams;
   readonly #abandoned = new AbandonedWork();
+  readonly #unusable: UnusableTargets;
   /** Scope of the last ask, for asks that wait for the origin of a stream. */
   #scope?: PlacementScope;
 
@@ -123,6 +131,7 @@
     this.#allotmentLedger = new AllotmentLedger(bounds.allotmentTolerance);
     this.#limiter = new RateLimiter(board.rateLimits);
     this.#takenUpStreams = new TakenUpStreams(board);
+    this.#unusable = new UnusableTargets(board.members);
   }
 
   /**
@@ -137,6 +146,7 @@
    */
   ask(ask: WorkAsk, scope: PlacementScope): AskDecision[] {
     this.#lastContactAtMs.set(ask.holderId, scope.nowMs);
+    this.#unusable.asked(ask.holderId, scope.nowMs);
     return this.#ask(ask, scope);
   }
 
@@ -191,10 +201,18 @@
    *
    * @param askId Id of the ask that the stream was placed by.
    * @param nowMs Current local time in milliseconds.
+   * @param of Load that the target reported with the answer, if it did.
    */
-  firstSeen(askId: string, nowMs: number): void {
-    const work = this.#schedulerOf(askId)?.firstSeen(askId, nowMs);
+  firstSeen(
+    askId: string,
+    nowMs: number,
+    { load }: { load?: LoadReport } = {},
+  ): void {
+    const scheduler = this.#schedulerOf(askId);
+    recordLoad(this.#board, scheduler, { askId, load, nowMs });
+    const work = scheduler?.firstSeen(askId, nowMs);
     if (work !== undefined) {
+      this.#unusable.reached(work);
       this.#recordOrigin(work, this.#openAsks.get(askId)!.pool, nowMs);
     }
   }
@@ -226,6 +244,10 @@
     this.#updateSuspects(end, nowMs);
     this.#rejections.recordEnd(end, nowMs);
     const scheduler = this.#poolScheduler(end.pool);
+    const { askId, load } = end;
+    recordLoad(this.#board, scheduler, { askId, load, nowMs });
+    // The slot is given to the next request at once, unless this pauses it.
+    this.#unusable.ended(end, { work: scheduler.workOf(end.askId), nowMs });
     const { work, decisions } = scheduler.release(end.askId, nowMs);
     this.#recordAbandoned(end, work, nowMs);
     if (work?.streamKey !== undefined && end.isStreamCompleted === true) {
@@ -247,6 +269,23 @@
     return this.#applyDecisions(decisions, nowMs);
   }
 
+  /**
+   * Records that a holder returns a placement, as it knows the target as
+   * removed or leaving. The withdrawal of the ask follows.
+   *
+   * @param askId Id of the ask.
+   * @param of Id of the target, and the current local time in milliseconds.
+   */
+  placementReturned(
+    askId: string,
+    { targetId, nowMs }: { targetId: string; nowMs: number },
+  ): void {
+    const work = this.#schedulerOf(askId)?.workOf(askId);
+    if (work?.targetId === targetId) {
+      this.#unusable.returned(work, nowMs);
+    }
+  }
+
   /**
    * Withdraws an ask whose caller has left or that was placed elsewhere, and
    * refunds its charge.
@@ -285,6 +324,7 @@
     this.#spending.put(report.holderId, report.spent);
     this.#board.suspects.merge(report.suspects ?? [], nowMs);
     this.importStreams(report.streams ?? [], nowMs);
+    this.#recordRefusedByHolder(report.refused ?? [], nowMs);
     // These totals include charges made by other coordinators.
     this.#allotmentLedger.setReportedTotals(this.#spending.totals(), nowMs);
     for (const running of report.running) {
@@ -298,6 +338,35 @@
     return this.#releaseUnlisted(report.holderId, open, nowMs);
   }
 
+  /** Retry budgets and allotments are not charged, as nothing is placed. */
+  #recordRefusedByHolder(
+    refused: readonly RefusedByHolder[],
+    nowMs: number,
+  ): void {
+    for (const { pool, rank, count, callHashes } of refused) {
+      this.#poolScheduler(pool).recordRefusedByHolder(rank, count, nowMs);
+      for (const callHash of callHashes) {
+        const firstAttemptAtMs = this.#refusedCallers
+          .firstAttemptAtMs(callHash, nowMs);
+        this.#refusedCallers.record(callHash, firstAttemptAtMs, nowMs);
+      }
+    }
+  }
+
+  /**
+   * Predicts the waits for which this coordinator refuses new asks, for holders
+   * to refuse them without asking.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns Forecasts by pool and rank, the longest waits first.
+   */
+  admissionForecasts(nowMs: number): AdmissionForecast[] {
+    const schedulers = [...this.#schedulers.values()];
+    return longestWaits(
+      schedulers.flatMap((scheduler) => scheduler.admissionForecasts(nowMs)),
+    );
+  }
+
   /**
    * Looks up asks for which a holder has received no decision.
    *
@@ -326,7 +395,9 @@
    */
   tick(nowMs: number): AskDecision[] {
     this.#board.suspects.evictExpired(nowMs);
+    this.#board.targetLoads.evictExpired(nowMs);
     this.#limiter.evictUnlimited();
+    this.#unusable.evictExpired(this.#board.targets, nowMs);
     const decisions = this.#resolveWaiting(nowMs);
     for (const [holderId, contactAtMs] of this.#lastContactAtMs) {
       if (nowMs - contactAtMs > HOLDER_TIMEOUT_MS) {
@@ -485,6 +556,7 @@
    * @param targetId Target whose process started again under the same id.
    */
   targetRestarted(targetId: string): void {
+    this.#unusable.restarted(targetId);
     for (const scheduler of this.#schedulers.values()) {
       scheduler.targetRestarted(targetId);
     }
@@ -522,6 +594,35 @@
     }));
   }
 
+  /**
+   * Lists the workspaces that were over their shares within the last second.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns One entry for each pool, workspace and rank.
+   */
+  overShares(nowMs: number): (OverShare & { pool: string })[] {
+    return [...this.#schedulers].flatMap(([pool, scheduler]) =>
+      scheduler.overShares(nowMs).map((share) => ({ ...share, pool }))
+    );
+  }
+
+  /** @returns Targets that get no requests, as holders could not use them. */
+  pausedTargets(): PausedTarget[] {
+    return this.#unusable.paused();
+  }
+
+  /**
+   * Lists the standing backlogs of all pools.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns One for each pool and rank that has one.
+   */
+  standingBacklogs(nowMs: number): (StandingBacklog & { pool: string })[] {
+    return [...this.#schedulers].flatMap(([pool, scheduler]) =>
+      scheduler.standingBacklogs(nowMs).map((backlog) => ({ pool, ...backlog }))
+    );
+  }
+
   /**
    * Counts the requests that run at some of a pool's targets.
    *
@@ -730,6 +831,7 @@
         board: this.#board,
         limiter: this.#limiter,
         rejections: this.#rejections,
+        unusable: this.#unusable,
       });
       this.#schedulers.set(name, scheduler);
     }
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -5,8 +5,18 @@
  */
 
 import * as z from "zod";
+import {
+  MAX_ADMISSION_FORECASTS,
+  MAX_FORECAST_WAIT_MS,
+} from "./admission_forecast.ts";
 import { RolloutPhase } from "./rollout.ts";
-import { AskCause, AskRefusal } from "./work_ask.ts";
+import {
+  AskCause,
+  AskRefusal,
+  MAX_REPORTED_CALL_HASHES,
+  MAX_REPORTED_REFUSAL_COUNT,
+  MAX_REPORTED_REFUSALS,
+} from "./work_ask.ts";
 
 /** Kinds of messages between instances. */
 export enum MessageKind {
@@ -125,6 +135,14 @@
   route: z.string().optional(),
 });
 
+/** Its numbers are checked where they are used, so that the rest is not lost. */
+const loadReport = z.object({
+  running: z.number(),
+  waiting: z.number(),
+  slowdownRatio: z.number(),
+  ageMs: z.number(),
+});
+
 const end = z.object({
   askId: z.string(),
   targetId: z.string(),
@@ -134,6 +152,7 @@
   eventGapMs: z.number().optional(),
   failed: z.boolean(),
   answerFailed: z.boolean().optional(),
+  unreachable: z.literal(true).optional(),
   maxRejectionsPerS: z.number().nonnegative().optional(),
   isRejected: z.boolean().optional(),
   isStreamCompleted: z.literal(true).optional(),
@@ -148,6 +167,7 @@
   }).optional(),
   clearedFingerprint: z.string().optional(),
   clearedParts: z.array(z.string()).readonly().optional(),
+  load: loadReport.optional(),
 });
 
 const running = z.object({
@@ -162,6 +182,13 @@
   trialParts: z.array(z.string()).readonly().optional(),
 });
 
+const refusedByHolder = z.object({
+  pool: z.string(),
+  rank: z.number().nonnegative(),
+  count: z.number().int().positive().max(MAX_REPORTED_REFUSAL_COUNT),
+  callHashes: z.array(z.number()).max(MAX_REPORTED_CALL_HASHES).readonly(),
+});
+
 const report = z.object({
   holderId: z.string(),
   running: z.array(running).readonly(),
@@ -170,6 +197,14 @@
     .readonly(),
   suspects: z.array(suspectUpdateSchema).readonly().optional(),
   streams: z.array(streamOriginGroupSchema).readonly().optional(),
+  refused: z.array(refusedByHolder).max(MAX_REPORTED_REFUSALS).readonly()
+    .optional(),
+});
+
+const admissionForecast = z.object({
+  pool: z.string(),
+  rank: z.number().nonnegative(),
+  waitMs: z.number().nonnegative().max(MAX_FORECAST_WAIT_MS),
 });
 
 /** Validates the spending of a workspace that another instance sends. */
@@ -242,15 +277,31 @@
     rollouts: z.array(rolloutUpdateSchema).readonly().optional(),
     /** Rate limits of targets, and recently lifted limits, if any. */
     rateLimits: z.array(rateLimitUpdate).readonly().optional(),
+    /**
+     * From the coordinator of a large fleet: waits for which holders refuse
+     * asks. Absent if there are none.
+     */
+    admission: z.array(admissionForecast).max(MAX_ADMISSION_FORECASTS)
+      .readonly().optional(),
     /** Recent changes of the target list. */
     targetNews: targetChangesSchema,
   }),
   z.object({ kind: z.literal(MessageKind.Ask), ask }),
   z.object({ kind: z.literal(MessageKind.Queued), askId: z.string() }),
   z.object({ kind: z.literal(MessageKind.Decision), decision }),
-  z.object({ kind: z.literal(MessageKind.FirstSeen), askId: z.string() }),
+  z.object({
+    kind: z.literal(MessageKind.FirstSeen),
+    askId: z.string(),
+    /** Load that the target reported with the answer; absent if none. */
+    load: loadReport.optional(),
+  }),
   z.object({ kind: z.literal(MessageKind.End), end }),
-  z.object({ kind: z.literal(MessageKind.Drop), askId: z.string() }),
+  z.object({
+    kind: z.literal(MessageKind.Drop),
+    askId: z.string(),
+    /** Target of its placement, if the holder knows it as gone or leaving. */
+    unusableTargetId: z.string().optional(),
+  }),
   z.object({ kind: z.literal(MessageKind.Report), report }),
   z.object({
     kind: z.literal(MessageKind.Unknown),
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -8,19 +8,33 @@
  * is refused as soon as that can be predicted.
  */
 
+import { type AdmissionForecast, forecastsOf } from "./admission_forecast.ts";
+import { Backlog, type StandingBacklog } from "./backlog.ts";
 import type { CrashKeys } from "./crash_suspects.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { RejectionLimiter } from "./rejection_limiter.ts";
 import { type PlacedWork, PlacedWorkIndex } from "./placed_work_index.ts";
 import { TargetSelector, type TargetSnapshot } from "./target_selector.ts";
-import type { OrderContext, WaitingWork } from "./queue_order.ts";
+import {
+  isOverShare,
+  type KeyedWork,
+  type OrderContext,
+  type WaitingWork,
+} from "./queue_order.ts";
 import { RankLoad } from "./rank_load.ts";
 import { RankShares } from "./rank_shares.ts";
+import { RecentAsks } from "./recent_asks.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import type { Candidate, Choice } from "./target_choice.ts";
 import type { KnownTarget } from "./target_directory.ts";
 import { Trials } from "./trials.ts";
+import type { UnusableTargets } from "./unusable_targets.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
+import {
+  NONE_OVER_SHARE,
+  type OverShare,
+  WorkspaceShares,
+} from "./workspace_shares.ts";
 import {
   type AskDecision,
   AskRefusal,
@@ -30,6 +44,13 @@
 
 const NO_RANKS: ReadonlySet<number> = new Set();
 
+/** Order without regard to workspaces and backlogs. */
+const PLAIN_ORDER = {
+  overShare: NONE_OVER_SHARE,
+  backlogged: NO_RANKS,
+  overShareBacklogged: NO_RANKS,
+};
+
 /** Initial estimate of the time for which work occupies a slot. */
 const INITIAL_HOLD_MS = 600;
 const HOLD_SMOOTHING_FACTOR = 0.05;
@@ -72,39 +93,57 @@
   ahead: number;
   /** Slots that rate limits leave usable; absent until a wait is estimated. */
   usableSlots?: number;
+  /** Slots of paused targets by failure domain; absent like `usableSlots`. */
+  pausedSlots?: Map<string, number>;
 }
 
 /** Placed work and queue of one pool. */
 export class PoolScheduler {
   readonly #board: RoutingBoard;
   readonly #limiter: RateLimiter;
+  readonly #unusable: UnusableTargets;
   readonly #placed = new PlacedWorkIndex((targetId, use) =>
     this.#selector.updateUse(targetId, use)
   );
   readonly #trials: Trials;
   readonly #selector: TargetSelector;
-  readonly #waiting = new WaitingQueue();
+  readonly #workspaceShares: WorkspaceShares;
+  readonly #waiting = new WaitingQueue((ask, change) =>
+    this.#workspaceShares.queueChanged(ask, change)
+  );
   readonly #shares = new RankShares();
   readonly #load = new RankLoad();
+  readonly #recentAsks = new RecentAsks();
+  readonly #pool: string;
+  readonly #backlog = new Backlog();
+  /** Backlogs of the requests of workspaces over their shares. */
+  readonly #overShareBacklog = new Backlog();
   #holdMs = INITIAL_HOLD_MS;
   /** Time at targets that starved ranks may still get ahead of their turn. */
   #starvedCreditMs = 0;
 
   /**
    * @param pool The pool's name.
-   * @param parts Shared routing state of the instance, and the limiters of the
-   * rates of placements at targets and of their rejections.
+   * @param parts Shared routing state of the instance, the limiters of the
+   * rates of placements at targets and of their rejections, and the targets
+   * that holders could not use.
    */
   constructor(
     pool: string,
-    { board, limiter, rejections }: {
+    { board, limiter, rejections, unusable }: {
       board: RoutingBoard;
       limiter: RateLimiter;
       rejections: RejectionLimiter;
+      unusable: UnusableTargets;
     },
   ) {
+    this.#pool = pool;
     this.#board = board;
     this.#limiter = limiter;
+    this.#unusable = unusable;
+    this.#workspaceShares = new WorkspaceShares((workspace) =>
+      board.routes?.workspace(workspace)?.allotment
+    );
     const placed = this.#placed;
     this.#trials = new Trials(board.suspects, placed);
     this.#selector = new TargetSelector(pool, {
@@ -113,6 +152,7 @@
       trials: this.#trials,
       limiter,
       rejections,
+      unusable,
     });
   }
 
@@ -126,6 +166,16 @@
     return this.#placed.size;
   }
 
+  /**
+   * Lists the ranks whose on-time requests are served newest first.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns Their standing backlogs; none in a fleet with a full mesh.
+   */
+  standingBacklogs(nowMs: number): StandingBacklog[] {
+    return this.#board.members.isFullMesh ? [] : this.#backlog.standing(nowMs);
+  }
+
   /**
    * Returns the placement of an ask.
    *
@@ -137,6 +187,16 @@
     return work && decisionOf(work);
   }
 
+  /**
+   * Returns the work that an ask was placed for.
+   *
+   * @param askId Id of the ask.
+   * @returns The placed work; undefined if it is not placed.
+   */
+  workOf(askId: string): PlacedWork | undefined {
+    return this.#placed.get(askId);
+  }
+
   /**
    * Returns the placement of an ask if its holder should have received it by
    * now.
@@ -176,10 +236,65 @@
   ): AskDecision[] {
     const work = { ask, cameBackMs, waitingSinceMs: nowMs };
     this.#load.record(ask.rank, this.#workMs(ask.rank), nowMs);
-    this.#waiting.add(work);
+    const { key } = this.#waiting.add(work);
+    const { rank, patienceLeftMs } = ask;
+    const deadlineLeadMs = nowMs + patienceLeftMs - key.latestStartMs;
+    this.#recentAsks.record({ rank, patienceLeftMs, deadlineLeadMs }, nowMs);
     return this.#processQueue(nowMs);
   }
 
+  /**
+   * Records asks that a holder refused by the forecasts of this scheduler, as
+   * if it had refused them itself.
+   *
+   * @param rank Rank of the asks.
+   * @param count Number of the asks.
+   * @param nowMs Current local time in milliseconds.
+   */
+  recordRefusedByHolder(rank: number, count: number, nowMs: number): void {
+    this.#load.record(rank, count * this.#workMs(rank), nowMs);
+    this.#shares.recordRefusals(rank, count, nowMs);
+    this.#recentAsks.recordRefusedByHolder(rank, nowMs);
+  }
+
+  /**
+   * Predicts the waits for which new asks are refused.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns Forecasts of ranks in which recent asks would be refused; none
+   * while a target is free.
+   */
+  admissionForecasts(nowMs: number): AdmissionForecast[] {
+    const pass = this.#beginPass(nowMs);
+    const { targets, canary } = pass;
+    if (targets.size === 0 || targets.hasFree || canary.length > 0) {
+      return [];
+    }
+    const context = this.#orderContext(nowMs);
+    const slots = Math.max(MIN_SLOTS, this.#usableSlots(pass));
+    return forecastsOf(this.#pool, {
+      kept: this.#keptWork(pass, context),
+      startIntervalMs: (rank) =>
+        this.#holdMs / this.#availableSlots(rank, slots, nowMs),
+      recentAsks: this.#recentAsks,
+      context,
+    });
+  }
+
+  /**
+   * Finds queued work that a full pass would not refuse, while no target is
+   * free. Work that only one version may run is left out: it may be placed at
+   * targets that serve nothing else.
+   */
+  #keptWork(pass: SchedulingPass, context: OrderContext): KeyedWork[] {
+    return this.#waiting.inOrder(context).filter(({ work }) => {
+      const isKept = work.ask.version === undefined &&
+        this.#decide(work, pass) === undefined;
+      pass.ahead += Number(isKept);
+      return isKept;
+    });
+  }
+
   /**
    * Refuses an ask for a version that no usable target has, before it draws on
    * the retry budget or an allotment.
@@ -336,6 +451,16 @@
     ];
   }
 
+  /**
+   * Lists the workspaces that were over their shares within the last second.
+   *
+   * @param nowMs Current local time in milliseconds.
+   * @returns One entry for each workspace and rank.
+   */
+  overShares(nowMs: number): OverShare[] {
+    return this.#workspaceShares.recentlyOver(nowMs);
+  }
+
   /**
    * Processes the queue again, as time has passed or targets have changed.
    *
@@ -360,13 +485,15 @@
     const pass = this.#beginPass(nowMs);
     const context = this.#orderContext(nowMs);
     const decisions: AskDecision[] = [];
-    const typical = pass.targets.typical(nowMs);
+    const isSaturated = context.backlogged.size > 0 ||
+      context.overShareBacklogged.size > 0;
+    const typical = pass.targets.typical(nowMs, isSaturated);
     for (const waiting of this.#waiting.reorder(typical, context)) {
       const decision = this.#decide(waiting, pass);
       if (decision === undefined) {
         pass.ahead++;
       } else {
-        this.#recordDecided(waiting, decision, nowMs);
+        this.#recordDecided(waiting, decision, context);
         decisions.push(decision);
       }
     }
@@ -376,13 +503,15 @@
   /** Fills free slots in the order of the last full pass. */
   #fillSlots(nowMs: number): AskDecision[] {
     const pass = this.#beginPass(nowMs);
-    if (!pass.targets.hasFree) {
+    if (!this.#selector.hasFree(pass)) {
       return [];
     }
     const context = this.#orderContext(nowMs);
     const skipped = new Set<string>();
     const decisions: AskDecision[] = [];
-    while (pass.targets.hasFree && skipped.size < MAX_SKIPPED_REQUESTS) {
+    while (
+      this.#selector.hasFree(pass) && skipped.size < MAX_SKIPPED_REQUESTS
+    ) {
       const next = this.#waiting.next(context, skipped);
       if (next === undefined) {
         break;
@@ -392,7 +521,7 @@
         pass.ahead++;
         skipped.add(next.ask.askId);
       } else {
-        this.#recordDecided(next, decision, nowMs);
+        this.#recordDecided(next, decision, context);
         decisions.push(decision);
       }
     }
@@ -402,14 +531,33 @@
   #recordDecided(
     { ask }: WaitingWork,
     decision: AskDecision,
-    nowMs: number,
+    context: OrderContext,
   ): void {
+    const { nowMs } = context;
+    if ("targetId" in decision && !this.#board.members.isFullMesh) {
+      const backlog = isOverShare(ask, context)
+        ? this.#overShareBacklog
+        : this.#backlog;
+      const onTime = this.#waiting.onTime(ask, context);
+      backlog.recordPlaced(ask.rank, { ...onTime, nowMs });
+    }
     this.#waiting.remove(ask.askId);
     this.#recordOutcome(ask.rank, "targetId" in decision, nowMs);
   }
 
   #orderContext(nowMs: number): OrderContext {
-    return { promoted: this.#promoted(nowMs), nowMs };
+    const promoted = this.#promoted(nowMs);
+    // With few instances, requests are ordered without regard to workspaces and
+    // backlogs.
+    return this.#board.members.isFullMesh
+      ? { ...PLAIN_ORDER, promoted, nowMs }
+      : {
+        promoted,
+        overShare: this.#workspaceShares.findOver(nowMs),
+        backlogged: this.#backlog.ranks(nowMs),
+        overShareBacklogged: this.#overShareBacklog.ranks(nowMs),
+        nowMs,
+      };
   }
 
   #beginPass(nowMs: number): SchedulingPass {
@@ -475,7 +623,7 @@
         ? undefined
         : this.#placeAt(waiting, choice, pass);
     }
-    const slots = this.#usableSlots(pass) - this.#slotsOfAll(excludedTargets);
+    const slots = this.#slotsFor(ask, excludedTargets, pass);
     return this.#refuseIfTooLate(waiting, {
       slots: Math.max(MIN_SLOTS, slots),
       ahead: pass.ahead,
@@ -513,8 +661,7 @@
     { ask, waitingSinceMs }: WaitingWork,
     { slots, ahead, nowMs }: { slots: number; ahead: number; nowMs: number },
   ): AskDecision | undefined {
-    const slotsAbove = this.#load.slotsAbove(ask.rank, nowMs);
-    const available = Math.max(slots - slotsAbove, STARVED_TIME_SHARE * slots);
+    const available = this.#availableSlots(ask.rank, slots, nowMs);
     const waitMs = (ahead + 1) * this.#holdMs / available;
     const leftMs = ask.patienceLeftMs - (nowMs - waitingSinceMs);
     if (waitMs <= leftMs) {
@@ -536,6 +683,32 @@
     };
   }
 
+  /** Slots that higher ranks leave to a rank. */
+  #availableSlots(rank: number, slots: number, nowMs: number): number {
+    const slotsAbove = this.#load.slotsAbove(rank, nowMs);
+    return Math.max(slots - slotsAbove, STARVED_TIME_SHARE * slots);
+  }
+
+  /** Slots without those of targets that an ask is excluded or paused from. */
+  #slotsFor(
+    ask: WorkAsk,
+    excluded: readonly Candidate[],
+    pass: SchedulingPass,
+  ): number {
+    const paused = this.#selector.pausedFor(ask, pass);
+    const slots = this.#usableSlots(pass);
+    if (paused === undefined) {
+      return slots - this.#slotsOfAll(excluded);
+    }
+    pass.pausedSlots ??= new Map();
+    const pausedSlots = pass.pausedSlots.get(ask.failureDomain) ??
+      this.#slotsOfAll([...paused].flatMap((id) => pass.targets.get(id) ?? []));
+    pass.pausedSlots.set(ask.failureDomain, pausedSlots);
+    const others = excluded
+      .filter(({ target: { targetId } }) => !paused.has(targetId));
+    return slots - pausedSlots - this.#slotsOfAll(others);
+  }
+
   /** Slots of the pool without those that rate limits keep idle. */
   #usableSlots(pass: SchedulingPass): number {
     pass.usableSlots ??= this.#board.rateLimits.limitedIds()
@@ -587,7 +760,9 @@
       route: ask.route,
     };
     this.#placed.put(work);
+    this.#workspaceShares.recordPlaced(ask, choice.slotMs, pass.nowMs);
     this.#limiter.consume(targetId, pass.nowMs);
+    this.#unusable.placed(targetId, ask.failureDomain, pass.nowMs);
     this.#board.rollouts.placed(choice.target);
     return decisionOf(work);
   }
--- a/packages/routing/src/target_choice.ts
+++ b/packages/routing/src/target_choice.ts
@@ -1,7 +1,8 @@
 /** Chooses the target that is expected to complete a request first. */
 
 import type { KnownTarget } from "./target_directory.ts";
-import { LatencyModel } from "./latency_model.ts";
+import { LatencyModel, meanOverFreedSlots } from "./latency_model.ts";
+import type { SlowdownLookup } from "./target_loads.ts";
 import type { WorkAsk } from "./work_ask.ts";
 
 /**
@@ -48,6 +49,8 @@
   readonly target: KnownTarget;
   /** Predicted time to the first event, or to the answer of a plain call. */
   readonly firstMs: number;
+  /** Predicted time for which the request occupies a slot. */
+  readonly slotMs: number;
 }
 
 /**
@@ -67,12 +70,14 @@
  *
  * @param ask The request.
  * @param candidates Targets of its pool.
+ * @param of Slowdowns of the targets now; absent while none is reported.
  * @returns The target expected to complete it first; undefined where none can
  * hold it now.
  */
 export function chooseTarget(
   ask: WorkAsk,
   candidates: readonly Candidate[],
+  { slowdownOf }: { slowdownOf?: SlowdownLookup } = {},
 ): Choice | undefined {
   let best: Choice | undefined;
   let bestMs = Infinity;
@@ -80,13 +85,15 @@
     if (!canHold(candidate, ask)) {
       continue;
     }
-    const firstMs = firstMsAt(candidate, ask, candidate.use);
-    const doneMs = firstMs + generationMsAt(candidate, ask) +
+    const ratio = slowdownOf?.(candidate.target.targetId) ?? 1;
+    const firstMs = ratio * firstMsAt(candidate, ask, candidate.use);
+    const slotMs = firstMs + ratio * generationMsAt(candidate, ask);
+    const doneMs = slotMs +
       (candidate.target.failureDomain === ask.failureDomain
         ? 0
         : CROSS_DOMAIN_PENALTY_MS);
     if (doneMs < bestMs) {
-      best = { target: candidate.target, firstMs };
+      best = { target: candidate.target, firstMs, slotMs };
       bestMs = doneMs;
     }
   }
@@ -102,35 +109,47 @@
  *
  * @param ask The request.
  * @param best The best choice with a free slot.
- * @param of All targets that may be given it, and the time in milliseconds
- * within which its first event meets the objective.
+ * @param of All targets that may be given it, the time in milliseconds within
+ * which its first event meets the objective, and the slowdowns of the targets
+ * now, if any are reported.
  * @returns Whether it should wait.
  */
 export function isWorthWaiting(
   ask: WorkAsk,
   best: Choice,
-  of: { candidates: () => readonly Candidate[]; leftMs: number },
+  of: {
+    candidates: () => readonly Candidate[];
+    leftMs: number;
+    slowdownOf?: SlowdownLookup;
+  },
 ): boolean {
   const onTimeMs = of.leftMs / FIRST_EVENT_MARGIN_RATIO;
   if (best.firstMs <= onTimeMs) {
     return false;
   }
   const maxMs = Math.min(onTimeMs, FASTER_RATIO * best.firstMs);
-  return of.candidates().some((candidate) =>
-    !ask.excluded.includes(candidate.target.targetId) &&
-    firstMsAt(candidate, ask, candidate.use) <= maxMs
-  );
+  return of.candidates().some((candidate) => {
+    const { targetId } = candidate.target;
+    const ratio = of.slowdownOf?.(targetId) ?? 1;
+    return !ask.excluded.includes(targetId) &&
+      ratio * firstMsAt(candidate, ask, candidate.use) <= maxMs;
+  });
 }
 
 /**
  * Builds a candidate that stands for the average of a pool in predictions.
  *
  * @param candidates Targets of one pool.
+ * @param isSaturated Whether to average over the slots that become free instead
+ * of over the targets. With the mean over targets of unequal speeds, large
+ * prompts count as late while most of the slots that become free could still
+ * serve them in time.
  * @returns An idle candidate with their mean latency model; undefined where
  * there are none.
  */
 export function typicalOf(
   candidates: readonly Candidate[],
+  isSaturated = false,
 ): Candidate | undefined {
   const [first] = candidates;
   return first && {
@@ -138,6 +157,7 @@
     use: IDLE_USE,
     latencyModel: LatencyModel.mean(
       candidates.map(({ latencyModel }) => latencyModel),
+      isSaturated ? meanOverFreedSlots : undefined,
     ),
   };
 }
@@ -152,7 +172,7 @@
 }
 
 /**
- * Predicts the latency of a request at a target.
+ * Predicts the latency of a request at a target at its usual speed.
  *
  * @param candidate The target.
  * @param ask The request.
@@ -174,7 +194,8 @@
 }
 
 /**
- * Predicts how long a stream takes after its first event.
+ * Predicts how long a stream takes after its first event at the target's usual
+ * speed.
  *
  * @param candidate The target.
  * @param ask The request.
--- a/packages/routing/src/waiting_queue.ts
+++ b/packages/routing/src/waiting_queue.ts
@@ -2,16 +2,20 @@
  * Queue of one pool: the requests that wait for a target, with their sort keys.
  */
 
+import type { OnTimeQueue } from "./backlog.ts";
 import { PredictionMargin } from "./prediction_margin.ts";
 import {
   firstInOrder,
   inOrder,
+  isLate,
+  isOverShare,
   type KeyedWork,
   type OrderContext,
   orderKeyOf,
   type WaitingWork,
 } from "./queue_order.ts";
 import { type Candidate, firstMsAt, IDLE_USE } from "./target_choice.ts";
+import type { WorkAsk } from "./work_ask.ts";
 
 /**
  * Length above which a queue is reordered only at intervals, as the cost of a
@@ -28,10 +32,19 @@
 export class WaitingQueue {
   readonly #byAsk = new Map<string, KeyedWork>();
   readonly #margin = new PredictionMargin();
+  readonly #onChange: (ask: WorkAsk, change: 1 | -1) => void;
   #reorderedAtMs = -Infinity;
   /** Idle target with the pool's mean latency model at the last reorder. */
   #typical?: Candidate;
 
+  /**
+   * @param onChange Called when an ask entered the queue, with 1, or left it,
+   * with -1.
+   */
+  constructor(onChange: (ask: WorkAsk, change: 1 | -1) => void = () => {}) {
+    this.#onChange = onChange;
+  }
+
   /** Number of queued requests. */
   get size(): number {
     return this.#byAsk.size;
@@ -49,9 +62,27 @@
    * Adds a request, or recomputes the sort key of a queued one.
    *
    * @param work The request.
+   * @returns The request with its sort key.
    */
-  add(work: WaitingWork): void {
-    this.#byAsk.set(work.ask.askId, this.#keyed(work));
+  add(work: WaitingWork): KeyedWork {
+    const { ask } = work;
+    const isNew = !this.#byAsk.has(ask.askId);
+    const keyed = this.#keyed(work);
+    this.#byAsk.set(ask.askId, keyed);
+    if (isNew) {
+      this.#onChange(ask, 1);
+    }
+    return keyed;
+  }
+
+  /**
+   * Returns the whole queue in the order of the sort keys of the last reorder.
+   *
+   * @param context What the order depends on besides the requests.
+   * @returns All requests with their sort keys, the next one first.
+   */
+  inOrder(context: OrderContext): KeyedWork[] {
+    return inOrder(this.#byAsk.values(), context);
   }
 
   /**
@@ -60,7 +91,11 @@
    * @param askId Id of its ask.
    */
   remove(askId: string): void {
-    this.#byAsk.delete(askId);
+    const keyed = this.#byAsk.get(askId);
+    if (keyed !== undefined) {
+      this.#byAsk.delete(askId);
+      this.#onChange(keyed.work.ask, -1);
+    }
   }
 
   /**
@@ -97,7 +132,7 @@
    *
    * @param typical Idle target with the pool's mean latency model; absent where
    * the pool has no targets.
-   * @param context Promoted ranks and the current local time.
+   * @param context What the order depends on besides the requests.
    * @returns All requests, the next one first.
    */
   reorder(
@@ -115,7 +150,7 @@
   /**
    * Finds the next request by the sort keys of the last reorder.
    *
-   * @param context Promoted ranks and the current local time.
+   * @param context What the order depends on besides the requests.
    * @param skipped Ids of asks to leave out.
    * @returns The next request; undefined where there is none.
    */
@@ -128,6 +163,34 @@
     return firstInOrder(candidates, context)?.work;
   }
 
+  /**
+   * Finds the on-time requests of an ask's rank whose workspaces are within
+   * their shares, or those whose workspaces are over them, as that of the ask.
+   * It goes by the sort keys of the last reorder.
+   *
+   * @param ask The ask.
+   * @param context What the order depends on besides the requests.
+   * @returns Their number, and the one that has waited longest.
+   */
+  onTime(ask: WorkAsk, context: OrderContext): OnTimeQueue {
+    const isOver = isOverShare(ask, context);
+    let count = 0;
+    let longest: WaitingWork | undefined;
+    for (const keyed of this.#byAsk.values()) {
+      const { work } = keyed;
+      const isAlike = work.ask.rank === ask.rank &&
+        isOverShare(work.ask, context) === isOver;
+      if (!isAlike || isLate(keyed, context.nowMs)) {
+        continue;
+      }
+      count++;
+      const isLonger = longest === undefined ||
+        work.waitingSinceMs < longest.waitingSinceMs;
+      longest = isLonger ? work : longest;
+    }
+    return { count, longest };
+  }
+
   /**
    * Adapts the prediction margin to an observed latency.
    *
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -6,6 +6,7 @@
 import type { WorkspaceSpending } from "./spending_log.ts";
 import type { StreamOriginGroup } from "./stream_origins.ts";
 import type { EndedTarget, SuspectUpdate } from "./crash_suspects.ts";
+import type { LoadReport } from "./load_report.ts";
 
 /** Why a holder asks for the placement of a request. */
 export enum AskCause {
@@ -148,6 +149,11 @@
    * not merely unreachable; absent otherwise.
    */
   readonly answerFailed?: boolean;
+  /**
+   * Set if the target's process answered nothing: it was not reached, closed
+   * the connection, or another target listens at its address; absent otherwise.
+   */
+  readonly unreachable?: true;
   /**
    * Rejections per second that the target withstands, as it announced in its
    * answer; absent if it did not.
@@ -163,6 +169,8 @@
   readonly clearedFingerprint?: string;
   /** Hashes of the parts of its prompt. */
   readonly clearedParts?: readonly string[];
+  /** Load that the target reported with its answer; absent if none. */
+  readonly load?: LoadReport;
 }
 
 /**
@@ -185,6 +193,24 @@
   readonly trialParts?: readonly string[];
 }
 
+/** Upper bound of the entries of `HolderReport.refused`. */
+export const MAX_REPORTED_REFUSALS = 32;
+
+/** Upper bound of the hashes of all entries of `HolderReport.refused`. */
+export const MAX_REPORTED_CALL_HASHES = 64;
+
+/** Upper bound of the count of an entry of `HolderReport.refused`. */
+export const MAX_REPORTED_REFUSAL_COUNT = 10_000;
+
+/** Asks of one pool and rank that a holder refused by announced waits. */
+export interface RefusedByHolder {
+  readonly pool: string;
+  readonly rank: number;
+  readonly count: number;
+  /** Hashes of some of them, see `WorkAsk.callHash`; none of them is 0. */
+  readonly callHashes: readonly number[];
+}
+
 /** Periodic report of a holder's open asks and of the spending through it. */
 export interface HolderReport {
   readonly holderId: string;
@@ -202,4 +228,6 @@
    * versions; absent where there are none.
    */
   readonly streams?: readonly StreamOriginGroup[];
+  /** Refusals since the last report; absent where there are none. */
+  readonly refused?: readonly RefusedByHolder[];
 }
