Routing: targets of the holder's failure domain first

In fleets without a full mesh, a request goes to a free target of its holder's failure domain if that is predicted to meet the objective and the longest gap of the route. Otherwise all domains are compared as before. Asks of streams carry the longest gap, and each instance counts its sends by domain.

--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -11,6 +11,7 @@
   routeOf,
 } from "@chestnuthatch/routing/routing_test_support";
 import { Gateway } from "./gateway.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
 import {
   type CallProtocol,
   type PlatformPort,
@@ -49,6 +50,7 @@
 class Harness {
   /** Number of requests that the target received. */
   runs = 0;
+  readonly #targetDomain: string;
   readonly #callers: Socket[] = [];
   readonly #texts: string[] = [];
   readonly #target = createServer((_request, response) => {
@@ -77,7 +79,7 @@
         incarnation: 1,
         pool: "p",
         address: `${HOST}:${port}`,
-        failureDomain: "a",
+        failureDomain: this.#targetDomain,
         slots: 8,
         leaving: false,
         version: "v1",
@@ -122,6 +124,11 @@
     }),
   });
 
+  /** @param targetDomain Failure domain of the target; that of the instance is `a`. */
+  constructor(targetDomain = "a") {
+    this.#targetDomain = targetDomain;
+  }
+
   async start(): Promise<void> {
     this.#target.listen(0, HOST);
     await once(this.#target, "listening");
@@ -202,9 +209,13 @@
   return { end, stage, answer, runs };
 }
 
-function testOn(name: string, run: (harness: Harness) => Promise<void>): void {
+function testOn(
+  name: string,
+  run: (harness: Harness) => Promise<void>,
+  targetDomain?: string,
+): void {
   test(name, async () => {
-    const harness = new Harness();
+    const harness = new Harness(targetDomain);
     await harness.start();
     try {
       await run(harness);
@@ -345,4 +356,22 @@
   assert.match(String(reason), "no time");
 });
 
+// Guards against sends that are counted for the wrong domain, or not at all.
+for (const [targetDomain, counted] of [["a", "own"], ["b", "other"]] as const) {
+  testOn(`a send to domain ${targetDomain} is counted`, async (harness) => {
+    const { prototype } = GatewayMetrics;
+    const { sentToDomain } = prototype;
+    const domains: string[] = [];
+    prototype.sentToDomain = (domain) => domains.push(domain);
+    try {
+      harness.targetAnswers = (response) => response.end();
+      harness.request(["q"]);
+      await harness.line("answered", "q");
+      assert.equal(domains, [counted]);
+    } finally {
+      prototype.sentToDomain = sentToDomain;
+    }
+  }, targetDomain);
+}
+
 test.run();
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -22,6 +22,12 @@
   15_000,
 ];
 
+/** Failure domain of a target, as seen from the instance that sends to it. */
+export enum TargetDomain {
+  Own = "own",
+  Other = "other",
+}
+
 /** All metrics of one instance; each method records an event or a value. */
 export class GatewayMetrics {
   readonly #registry = new Registry();
@@ -100,6 +106,11 @@
     "Time until a place at a target was given.",
     ["pool"],
   );
+  readonly #sendsByDomain = this.#counter(
+    "sends_by_domain_total",
+    "Sends to targets, by whether they stay in this failure domain.",
+    ["domain"],
+  );
   readonly #endedConnections = this.#counter(
     "caller_connections_ended_total",
     "Connections of callers, by what ended them.",
@@ -271,6 +282,15 @@
     this.#placementMs.observe({ pool }, latencyMs);
   }
 
+  /**
+   * Counts a request that was placed and is sent to its target.
+   *
+   * @param domain Whether the target is in this instance's failure domain.
+   */
+  sentToDomain(domain: TargetDomain): void {
+    this.#sendsByDomain.inc({ domain });
+  }
+
   /**
    * Counts a caller's connection that ended.
    *
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -115,6 +115,7 @@
   "refused",
   "count",
   "callHashes",
+  "longestGapMs",
 ];
 
 /** Version of the internet protocol between peers. */
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -29,6 +29,7 @@
   retryAfterMsOf,
 } from "./retry_after.ts";
 import { type LogFacts, LogPart } from "./event_log.ts";
+import { TargetDomain } from "./gateway_metrics.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { isUnframed } from "./relay_server.ts";
 import { deadlineAtMs, type RoutedCall } from "./routed_call.ts";
@@ -266,6 +267,12 @@
   #send(target: KnownTarget, decision: PlaceDecision): void {
     const { expectedMs, cameBackMs, isTrial = false } = decision;
     const call = this.#call;
+    const { failureDomain, metrics } = this.#parts;
+    metrics.sentToDomain(
+      target.failureDomain === failureDomain
+        ? TargetDomain.Own
+        : TargetDomain.Other,
+    );
     const attempt = new TargetAttempt(this.#parts, {
       call,
       askId: this.#askId!,
--- a/packages/gateway/src/work_ask_of.ts
+++ b/packages/gateway/src/work_ask_of.ts
@@ -1,6 +1,7 @@
 /** Builds a request's ask to the coordinator. */
 
 import { hash32 } from "@chestnuthatch/core/text_hash";
+import type { RoutePolicy } from "@chestnuthatch/routing/fleet_configuration";
 import { rankOf } from "@chestnuthatch/routing/ranks";
 import type { AskCause, WorkAsk } from "@chestnuthatch/routing/work_ask";
 import { crashKeysIfNeeded } from "./crash_keys.ts";
@@ -79,9 +80,24 @@
     ...(parts.board.rollouts.isInProgress(call.pool)
       ? { route: route.name }
       : undefined),
+    ...longestGapIfNeeded(parts, route),
   };
 }
 
+/**
+ * The longest gap that a route allows, which coordinators of large fleets
+ * compare with those of targets in the holder's failure domain. 0 stands for a
+ * route without such an aim.
+ */
+function longestGapIfNeeded(
+  { board }: GatewayParts,
+  { kind, longestGapMs }: RoutePolicy,
+): Pick<WorkAsk, "longestGapMs"> | undefined {
+  return !board.members.isFullMesh && isStream(kind) && longestGapMs > 0
+    ? { longestGapMs }
+    : undefined;
+}
+
 /**
  * Identifies a request over its caller's attempts, which repeat it unchanged.
  * Calls without a prompt are too similar to be distinguished and get 0.
--- a/packages/gateway/src/work_ask_of_test.ts
+++ b/packages/gateway/src/work_ask_of_test.ts
@@ -1,7 +1,15 @@
 /** Tests of the ask that is built for a request. */
 
 import { Buffer } from "node:buffer";
-import { boardOf, routeOf } from "@chestnuthatch/routing/routing_test_support";
+import {
+  RequestKind,
+  type RoutePolicy,
+} from "@chestnuthatch/routing/fleet_configuration";
+import {
+  boardOf,
+  memberOf,
+  routeOf,
+} from "@chestnuthatch/routing/routing_test_support";
 import { AskCause } from "@chestnuthatch/routing/work_ask";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -119,4 +127,21 @@
   assert.is(new Set(waitsMs).size, 4);
 });
 
+// Guards against asks of small fleets that differ from before, and against a
+// limit of 0 for routes that state none or have no events.
+test("an ask has its route's longest gap in a large fleet only", () => {
+  const parts = partsOf();
+  const gapOf = (over: Partial<RoutePolicy>) => {
+    const call = { ...CALL, route: routeOf({ longestGapMs: 300, ...over }) };
+    return workAskOf(parts, call, FACTS).longestGapMs;
+  };
+  assert.is(gapOf({}), undefined);
+  for (let i = 0; i < 60; i++) {
+    parts.board.members.heartbeatReceived(memberOf(`h${i}`), 0);
+  }
+  assert.is(gapOf({}), 300);
+  assert.is(gapOf({ longestGapMs: 0 }), undefined);
+  assert.is(gapOf({ kind: RequestKind.Repeatable }), undefined);
+});
+
 test.run();
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -133,6 +133,7 @@
   avoided: z.array(z.string()).readonly().optional(),
   version: z.string().optional(),
   route: z.string().optional(),
+  longestGapMs: z.number().optional(),
 });
 
 /** Its numbers are checked where they are used, so that the rest is not lost. */
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -612,12 +612,12 @@
     if (heldForMs > 0) {
       return quarantineRefusal(ask, heldForMs);
     }
-    const canaryChoice = this.#selector.chooseCanary(ask, pass);
+    const canaryChoice = this.#selector.chooseCanary(waiting, pass);
     if (canaryChoice !== undefined) {
       pass.canary = [];
       return this.#placeAt(waiting, canaryChoice, pass);
     }
-    const choice = this.#selector.choose(ask, pass);
+    const choice = this.#selector.choose(waiting, pass);
     if (choice !== undefined) {
       return this.#selector.isWorthWaiting(waiting, choice, pass)
         ? undefined
@@ -647,7 +647,7 @@
     if (heldForMs > 0) {
       return quarantineRefusal(ask, heldForMs);
     }
-    const choice = this.#selector.chooseAmong(ask, candidates, nowMs);
+    const choice = this.#selector.chooseAmong(waiting, candidates, nowMs);
     if (choice !== undefined) {
       return this.#placeAt(waiting, choice, pass);
     }
--- a/packages/routing/src/target_choice.ts
+++ b/packages/routing/src/target_choice.ts
@@ -2,6 +2,7 @@
 
 import type { KnownTarget } from "./target_directory.ts";
 import { LatencyModel, meanOverFreedSlots } from "./latency_model.ts";
+import { meetsNeeds } from "./own_domain_rule.ts";
 import type { SlowdownLookup } from "./target_loads.ts";
 import type { WorkAsk } from "./work_ask.ts";
 
@@ -70,17 +71,25 @@
  *
  * @param ask The request.
  * @param candidates Targets of its pool.
- * @param of Slowdowns of the targets now; absent while none is reported.
- * @returns The target expected to complete it first; undefined where none can
- * hold it now.
+ * @param of Slowdowns of the targets now, absent while none is reported; and
+ * the time in milliseconds within which the first event meets the objective,
+ * absent where targets of the holder's failure domain have no precedence.
+ * @returns The target expected to complete it first, among those of the
+ * holder's failure domain that meet its needs if there are any; undefined where
+ * none can hold it now.
  */
 export function chooseTarget(
   ask: WorkAsk,
   candidates: readonly Candidate[],
-  { slowdownOf }: { slowdownOf?: SlowdownLookup } = {},
+  { slowdownOf, leftMs }: { slowdownOf?: SlowdownLookup; leftMs?: number } = {},
 ): Choice | undefined {
+  const needs = leftMs !== undefined && {
+    onTimeMs: leftMs / FIRST_EVENT_MARGIN_RATIO,
+    longestGapMs: ask.longestGapMs,
+  };
   let best: Choice | undefined;
   let bestMs = Infinity;
+  let isBestStaying = false;
   for (const candidate of candidates) {
     if (!canHold(candidate, ask)) {
       continue;
@@ -88,13 +97,15 @@
     const ratio = slowdownOf?.(candidate.target.targetId) ?? 1;
     const firstMs = ratio * firstMsAt(candidate, ask, candidate.use);
     const slotMs = firstMs + ratio * generationMsAt(candidate, ask);
-    const doneMs = slotMs +
-      (candidate.target.failureDomain === ask.failureDomain
-        ? 0
-        : CROSS_DOMAIN_PENALTY_MS);
-    if (doneMs < bestMs) {
+    const isOwnDomain = candidate.target.failureDomain === ask.failureDomain;
+    const eventGapMs = ratio * eventGapMsAt(candidate);
+    const isStaying = needs && isOwnDomain &&
+      meetsNeeds({ firstMs, eventGapMs }, needs);
+    const doneMs = slotMs + (isOwnDomain ? 0 : CROSS_DOMAIN_PENALTY_MS);
+    if (isStaying === isBestStaying ? doneMs < bestMs : isStaying) {
       best = { target: candidate.target, firstMs, slotMs };
       bestMs = doneMs;
+      isBestStaying = isStaying;
     }
   }
   return best;
@@ -203,9 +214,11 @@
  * 0 for a plain call.
  */
 export function generationMsAt(candidate: Candidate, ask: WorkAsk): number {
-  if (candidate.kvCapacityTokens === undefined) {
-    return 0;
-  }
   const events = EXPECTED_OUTPUT_SHARE * ask.outputTokens / TOKENS_PER_EVENT;
-  return events * candidate.latencyModel.eventGapMs;
+  return events * eventGapMsAt(candidate);
+}
+
+/** Mean time between events of a stream; 0 for a plain service. */
+function eventGapMsAt({ kvCapacityTokens, latencyModel }: Candidate): number {
+  return kvCapacityTokens === undefined ? 0 : latencyModel.eventGapMs;
 }
--- a/packages/routing/src/target_selector.ts
+++ b/packages/routing/src/target_selector.ts
@@ -120,33 +120,35 @@
    * Chooses a canary target for a request. A request that a target has failed
    * already is not sent to a version under evaluation.
    *
-   * @param ask The request.
+   * @param waiting The request.
    * @param snapshot The pool's usable targets.
    * @returns A target of the new version; undefined if the request is to go to
    * the serving targets.
    */
   chooseCanary(
-    ask: WorkAsk,
+    waiting: WaitingWork,
     { canary, targets, nowMs }: TargetSnapshot,
   ): Choice | undefined {
+    const { ask } = waiting;
     const mayTry = ask.cause !== AskCause.Repeat &&
       !this.#board.suspects.isSuspect(ask);
     const isHeld = targets.hasFree &&
       this.#withoutHeld(canary, nowMs).length === 0;
     return canary.length > 0 && mayTry && !isHeld
-      ? this.#chooseFastest(ask, canary, nowMs)
+      ? this.#chooseFastest(waiting, canary, nowMs)
       : undefined;
   }
 
   /**
    * Chooses a serving target for a request.
    *
-   * @param ask The request.
+   * @param waiting The request.
    * @param snapshot The pool's usable targets.
-   * @returns The target expected to complete it first; undefined where none can
-   * take it now.
+   * @returns The chosen target, see {@link chooseTarget}; undefined where none
+   * can take it now.
    */
-  choose(ask: WorkAsk, snapshot: TargetSnapshot): Choice | undefined {
+  choose(waiting: WaitingWork, snapshot: TargetSnapshot): Choice | undefined {
+    const { ask } = waiting;
     const { targets, nowMs } = snapshot;
     if (!targets.hasFree) {
       return undefined;
@@ -156,7 +158,7 @@
       return undefined;
     }
     const chooseFrom = (free: readonly Candidate[]) =>
-      this.#chooseFree(ask, withoutPaused(free, paused), nowMs);
+      this.#chooseFree(waiting, withoutPaused(free, paused), nowMs);
     if (this.#board.suspects.isSuspect(ask)) {
       return chooseFrom(targets.allFree());
     }
@@ -229,42 +231,51 @@
   /**
    * Chooses among some targets for a request.
    *
-   * @param ask The request.
+   * @param waiting The request.
    * @param candidates Targets that may be given the request.
    * @param nowMs Current local time in milliseconds.
-   * @returns The target expected to complete it first; undefined where none can
-   * take it now.
+   * @returns The chosen target, see {@link chooseTarget}; undefined where none
+   * can take it now.
    */
   chooseAmong(
-    ask: WorkAsk,
+    waiting: WaitingWork,
     candidates: readonly Candidate[],
     nowMs: number,
   ): Choice | undefined {
-    return this.#chooseFree(ask, candidates.filter(hasFreeSlot), nowMs);
+    return this.#chooseFree(waiting, candidates.filter(hasFreeSlot), nowMs);
   }
 
   #chooseFree(
-    ask: WorkAsk,
+    waiting: WaitingWork,
     free: readonly Candidate[],
     nowMs: number,
   ): Choice | undefined {
+    const { ask } = waiting;
     const allowed = this.#board.suspects.isSuspect(ask)
       ? this.#trials.targetsForTrial(ask, free, nowMs)
       : this.#trials.targetsBesideTrials(free, nowMs);
-    return this.#chooseFastest(ask, this.#withinLimits(allowed, nowMs), nowMs);
+    const withinLimits = this.#withinLimits(allowed, nowMs);
+    return this.#chooseFastest(waiting, withinLimits, nowMs);
   }
 
   /** Chooses a target that is held back only if no other one is free. */
   #chooseFastest(
-    ask: WorkAsk,
+    waiting: WaitingWork,
     free: readonly Candidate[],
     nowMs: number,
   ): Choice | undefined {
-    const slowdownOf = this.#board.targetLoads.slowdownsAt(nowMs);
+    const { ask } = waiting;
+    const { targetLoads, members } = this.#board;
+    const of = {
+      slowdownOf: targetLoads.slowdownsAt(nowMs),
+      leftMs: members.isFullMesh
+        ? undefined
+        : onTimeDeadlineMs(waiting) - nowMs,
+    };
     const preferred = this.#withoutHeld(free, nowMs);
-    const choice = chooseTarget(ask, preferred, { slowdownOf });
+    const choice = chooseTarget(ask, preferred, of);
     return choice === undefined && preferred.length < free.length
-      ? chooseTarget(ask, free, { slowdownOf })
+      ? chooseTarget(ask, free, of)
       : choice;
   }
 
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -79,6 +79,11 @@
   readonly version?: string;
   /** Route name; absent unless versions of the pool's targets are compared. */
   readonly route?: string;
+  /**
+   * Maximum time between two events that callers accept; absent for plain calls
+   * and in small fleets.
+   */
+  readonly longestGapMs?: number;
 }
 
 /** Why a coordinator refuses an ask. */
