--- a/packages/routing/src/own_domain_rule.ts
+++ b/packages/routing/src/own_domain_rule.ts
@@ -20,6 +20,8 @@
   readonly firstMs: number;
   /** Mean time between events. */
   readonly eventGapMs: number;
+  /** Time to the whole answer. */
+  readonly slotMs: number;
 }
 
 /** What the caller of a request needs. */
@@ -28,6 +30,8 @@
   readonly onTimeMs: number;
   /** Longest time between two events; absent if unknown, or for plain calls. */
   readonly longestGapMs?: number;
+  /** Time until the whole answer has to arrive. */
+  readonly deadlineLeftMs: number;
 }
 
 /**
@@ -39,9 +43,9 @@
  * @returns Whether the request may stay in its holder's failure domain.
  */
 export function meetsNeeds(
-  { firstMs, eventGapMs }: PredictedLatency,
-  { onTimeMs, longestGapMs }: LatencyNeeds,
+  { firstMs, eventGapMs, slotMs }: PredictedLatency,
+  { onTimeMs, longestGapMs, deadlineLeftMs }: LatencyNeeds,
 ): boolean {
-  return firstMs <= onTimeMs &&
+  return firstMs <= onTimeMs && slotMs <= deadlineLeftMs &&
     (longestGapMs === undefined || eventGapMs <= MEAN_GAP_SHARE * longestGapMs);
 }
--- a/packages/routing/src/own_domain_rule_test.ts
+++ b/packages/routing/src/own_domain_rule_test.ts
@@ -152,8 +152,10 @@
   leftMs?: number;
   longestGapMs?: number;
   slowdownRatio?: number;
+  deadlineLeftMs?: number;
 }): string {
   const { leftMs, longestGapMs, slowdownRatio = 1 } = of;
+  const { deadlineLeftMs = 10_000 } = of;
   const { board } = coordinatorIn(["t0", "t1"], 0);
   const latencyModels = new LatencyModels();
   for (let i = 0; i < 50; i++) {
@@ -167,12 +169,12 @@
   }));
   const slowdownOf = (targetId: string) =>
     targetId === "t0" ? slowdownRatio : 1;
-  const ask = askOf("a", { longestGapMs });
+  const ask = askOf("a", { longestGapMs, deadlineLeftMs });
   return chooseTarget(ask, candidates, { slowdownOf, leftMs })!.target.targetId;
 }
 
 // Guards against a domain that is kept at the cost of the objective or of gaps
-// that callers don't accept, and against the rule in small fleets.
+// that callers don't accept, of answers after their deadline, and against the rule in small fleets.
 test("a target of the own domain goes first only if it meets the needs", () => {
   const leftMs = 1.31 * FIRST_MS;
   const longestGapMs = 3 * INITIAL_EVENT_GAP_MS;
@@ -183,6 +185,7 @@
   assert.is(chosen({ leftMs, longestGapMs }), "t0");
   assert.is(chosen({ leftMs, longestGapMs: longestGapMs - 1 }), "t1");
   assert.is(chosen({ leftMs, slowdownRatio: 1.1 }), "t1");
+  assert.is(chosen({ leftMs, deadlineLeftMs: FIRST_MS }), "t1");
   assert.is(
     chosen({ leftMs: 2 * leftMs, longestGapMs, slowdownRatio: 1.1 }),
     "t1",
--- a/packages/routing/src/target_choice.ts
+++ b/packages/routing/src/target_choice.ts
@@ -86,6 +86,7 @@
   const needs = leftMs !== undefined && {
     onTimeMs: leftMs / FIRST_EVENT_MARGIN_RATIO,
     longestGapMs: ask.longestGapMs,
+    deadlineLeftMs: ask.deadlineLeftMs,
   };
   let best: Choice | undefined;
   let bestMs = Infinity;
@@ -100,7 +101,7 @@
     const isOwnDomain = candidate.target.failureDomain === ask.failureDomain;
     const eventGapMs = ratio * eventGapMsAt(candidate);
     const isStaying = needs && isOwnDomain &&
-      meetsNeeds({ firstMs, eventGapMs }, needs);
+      meetsNeeds({ firstMs, eventGapMs, slotMs }, needs);
     const doneMs = slotMs + (isOwnDomain ? 0 : CROSS_DOMAIN_PENALTY_MS);
     if (isStaying === isBestStaying ? doneMs < bestMs : isStaying) {
       best = { target: candidate.target, firstMs, slotMs };
