Routing: move queue priorities and decision builders out of the scheduler

QueuePriorities decides the order of a pool's queue: starved ranks, shares of workspaces and backlogs. ask_decisions.ts builds decisions. No change of behavior.

--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -7,10 +7,11 @@
 
 import { AbandonedWork } from "./abandoned_work.ts";
 import { type AdmissionForecast, longestWaits } from "./admission_forecast.ts";
+import { quarantineRefusal } from "./ask_decisions.ts";
 import type { StandingBacklog } from "./backlog.ts";
 import { RateLimiter } from "./rate_limiter.ts";
 import { RejectionLimiter } from "./rejection_limiter.ts";
-import { PoolScheduler, quarantineRefusal } from "./pool_scheduler.ts";
+import { PoolScheduler } from "./pool_scheduler.ts";
 import {
   RetryBudget,
   type RetryBudgetBound,
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -9,20 +9,22 @@
  */
 
 import { type AdmissionForecast, forecastsOf } from "./admission_forecast.ts";
-import { Backlog, type StandingBacklog } from "./backlog.ts";
+import {
+  decisionOf,
+  noTargetRefusal,
+  overloadRefusal,
+  quarantineRefusal,
+  versionRefusal,
+} from "./ask_decisions.ts";
+import type { StandingBacklog } from "./backlog.ts";
 import type { CrashKeys } from "./crash_suspects.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { RejectionLimiter } from "./rejection_limiter.ts";
 import { type PlacedWork, PlacedWorkIndex } from "./placed_work_index.ts";
 import { TargetSelector, type TargetSnapshot } from "./target_selector.ts";
-import {
-  isOverShare,
-  type KeyedWork,
-  type OrderContext,
-  type WaitingWork,
-} from "./queue_order.ts";
+import type { KeyedWork, OrderContext, WaitingWork } from "./queue_order.ts";
+import { QueuePriorities, STARVED_TIME_SHARE } from "./queue_priorities.ts";
 import { RankLoad } from "./rank_load.ts";
-import { RankShares } from "./rank_shares.ts";
 import { RecentAsks } from "./recent_asks.ts";
 import type { RoutingBoard } from "./routing_board.ts";
 import type { Candidate, Choice } from "./target_choice.ts";
@@ -30,44 +32,8 @@
 import { Trials } from "./trials.ts";
 import type { UnusableTargets } from "./unusable_targets.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
-import {
-  NONE_OVER_SHARE,
-  type OverShare,
-  WorkspaceShares,
-} from "./workspace_shares.ts";
-import {
-  type AskDecision,
-  AskRefusal,
-  type RunningWork,
-  type WorkAsk,
-} from "./work_ask.ts";
-
-const NO_RANKS: ReadonlySet<number> = new Set();
-
-/** Order without regard to workspaces and backlogs. */
-const PLAIN_ORDER = {
-  overShare: NONE_OVER_SHARE,
-  backlogged: NO_RANKS,
-  overShareBacklogged: NO_RANKS,
-};
-
-/** Initial estimate of the time for which work occupies a slot. */
-const INITIAL_HOLD_MS = 600;
-const HOLD_SMOOTHING_FACTOR = 0.05;
-
-/**
- * Share of the targets' time that starved ranks get ahead of their turn, so
- * that their queues don't hold up all ranks above. It is accounted in time and
- * not in placements, because work of a low rank may occupy a slot for much
- * longer.
- */
-const STARVED_TIME_SHARE = 0.15;
-
-/**
- * Upper bound of the time credit that starved ranks accumulate, about one long
- * stream.
- */
-const MAX_STARVED_CREDIT_MS = 1000;
+import type { OverShare } from "./workspace_shares.ts";
+import type { AskDecision, RunningWork, WorkAsk } from "./work_ask.ts";
 
 /** Lower bound of the number of slots in wait estimates. */
 const MIN_SLOTS = 0.1;
@@ -81,12 +47,6 @@
  */
 const LOST_DECISION_AGE_MS = 150;
 
-/** Lower bound of the retry delay that a refused caller is given. */
-const MIN_RETRY_AFTER_MS = 500;
-
-/** Retry delay of requests to a pool without a usable target. */
-const NO_TARGET_RETRY_AFTER_MS = 1000;
-
 /** State of one pass over the queue. */
 interface SchedulingPass extends TargetSnapshot {
   /** Requests passed so far that stay queued ahead of the next one. */
@@ -107,20 +67,13 @@
   );
   readonly #trials: Trials;
   readonly #selector: TargetSelector;
-  readonly #workspaceShares: WorkspaceShares;
+  readonly #priorities: QueuePriorities;
   readonly #waiting = new WaitingQueue((ask, change) =>
-    this.#workspaceShares.queueChanged(ask, change)
+    this.#priorities.queueChanged(ask, change)
   );
-  readonly #shares = new RankShares();
   readonly #load = new RankLoad();
   readonly #recentAsks = new RecentAsks();
   readonly #pool: string;
-  readonly #backlog = new Backlog();
-  /** Backlogs of the requests of workspaces over their shares. */
-  readonly #overShareBacklog = new Backlog();
-  #holdMs = INITIAL_HOLD_MS;
-  /** Time at targets that starved ranks may still get ahead of their turn. */
-  #starvedCreditMs = 0;
 
   /**
    * @param pool The pool's name.
@@ -141,9 +94,7 @@
     this.#board = board;
     this.#limiter = limiter;
     this.#unusable = unusable;
-    this.#workspaceShares = new WorkspaceShares((workspace) =>
-      board.routes?.workspace(workspace)?.allotment
-    );
+    this.#priorities = new QueuePriorities(board);
     const placed = this.#placed;
     this.#trials = new Trials(board.suspects, placed);
     this.#selector = new TargetSelector(pool, {
@@ -173,7 +124,7 @@
    * @returns Their standing backlogs; none in a fleet with a full mesh.
    */
   standingBacklogs(nowMs: number): StandingBacklog[] {
-    return this.#board.members.isFullMesh ? [] : this.#backlog.standing(nowMs);
+    return this.#priorities.standingBacklogs(nowMs);
   }
 
   /**
@@ -235,7 +186,7 @@
     { cameBackMs, nowMs }: { cameBackMs: number; nowMs: number },
   ): AskDecision[] {
     const work = { ask, cameBackMs, waitingSinceMs: nowMs };
-    this.#load.record(ask.rank, this.#workMs(ask.rank), nowMs);
+    this.#load.record(ask.rank, this.#priorities.workMs(ask.rank), nowMs);
     const { key } = this.#waiting.add(work);
     const { rank, patienceLeftMs } = ask;
     const deadlineLeadMs = nowMs + patienceLeftMs - key.latestStartMs;
@@ -252,8 +203,8 @@
    * @param nowMs Current local time in milliseconds.
    */
   recordRefusedByHolder(rank: number, count: number, nowMs: number): void {
-    this.#load.record(rank, count * this.#workMs(rank), nowMs);
-    this.#shares.recordRefusals(rank, count, nowMs);
+    this.#load.record(rank, count * this.#priorities.workMs(rank), nowMs);
+    this.#priorities.recordRefusals(rank, count, nowMs);
     this.#recentAsks.recordRefusedByHolder(rank, nowMs);
   }
 
@@ -270,12 +221,12 @@
     if (targets.size === 0 || targets.hasFree || canary.length > 0) {
       return [];
     }
-    const context = this.#orderContext(nowMs);
+    const context = this.#priorities.orderContext(nowMs);
     const slots = Math.max(MIN_SLOTS, this.#usableSlots(pass));
     return forecastsOf(this.#pool, {
       kept: this.#keptWork(pass, context),
       startIntervalMs: (rank) =>
-        this.#holdMs / this.#availableSlots(rank, slots, nowMs),
+        this.#priorities.holdMs / this.#availableSlots(rank, slots, nowMs),
       recentAsks: this.#recentAsks,
       context,
     });
@@ -360,8 +311,7 @@
       return { decisions: [] };
     }
     const durationMs = nowMs - work.placedAtMs;
-    this.#holdMs += HOLD_SMOOTHING_FACTOR * (durationMs - this.#holdMs);
-    this.#shares.recordDuration(work.rank, durationMs, nowMs);
+    this.#priorities.recordDuration(work.rank, durationMs, nowMs);
     return { work, decisions: this.#processQueue(nowMs) };
   }
 
@@ -458,7 +408,7 @@
    * @returns One entry for each workspace and rank.
    */
   overShares(nowMs: number): OverShare[] {
-    return this.#workspaceShares.recentlyOver(nowMs);
+    return this.#priorities.overShares(nowMs);
   }
 
   /**
@@ -483,7 +433,7 @@
   /** Orders the whole queue and decides every request that can be decided. */
   #decideAll(nowMs: number): AskDecision[] {
     const pass = this.#beginPass(nowMs);
-    const context = this.#orderContext(nowMs);
+    const context = this.#priorities.orderContext(nowMs);
     const decisions: AskDecision[] = [];
     const isSaturated = context.backlogged.size > 0 ||
       context.overShareBacklogged.size > 0;
@@ -506,7 +456,7 @@
     if (!this.#selector.hasFree(pass)) {
       return [];
     }
-    const context = this.#orderContext(nowMs);
+    const context = this.#priorities.orderContext(nowMs);
     const skipped = new Set<string>();
     const decisions: AskDecision[] = [];
     while (
@@ -533,79 +483,28 @@
     decision: AskDecision,
     context: OrderContext,
   ): void {
-    const { nowMs } = context;
-    if ("targetId" in decision && !this.#board.members.isFullMesh) {
-      const backlog = isOverShare(ask, context)
-        ? this.#overShareBacklog
-        : this.#backlog;
-      const onTime = this.#waiting.onTime(ask, context);
-      backlog.recordPlaced(ask.rank, { ...onTime, nowMs });
-    }
+    this.#priorities.recordDecided(ask, "targetId" in decision, {
+      context,
+      onTime: () => this.#waiting.onTime(ask, context),
+    });
     this.#waiting.remove(ask.askId);
-    this.#recordOutcome(ask.rank, "targetId" in decision, nowMs);
-  }
-
-  #orderContext(nowMs: number): OrderContext {
-    const promoted = this.#promoted(nowMs);
-    // With few instances, requests are ordered without regard to workspaces and
-    // backlogs.
-    return this.#board.members.isFullMesh
-      ? { ...PLAIN_ORDER, promoted, nowMs }
-      : {
-        promoted,
-        overShare: this.#workspaceShares.findOver(nowMs),
-        backlogged: this.#backlog.ranks(nowMs),
-        overShareBacklogged: this.#overShareBacklog.ranks(nowMs),
-        nowMs,
-      };
   }
 
   #beginPass(nowMs: number): SchedulingPass {
     return { ...this.#selector.snapshot(nowMs), ahead: 0 };
   }
 
-  /** Ranks that are served first with the next placement. */
-  #promoted(nowMs: number): ReadonlySet<number> {
-    return this.#starvedCreditMs > 0 ? this.#shares.starved(nowMs) : NO_RANKS;
-  }
-
-  #recordOutcome(rank: number, isPlaced: boolean, nowMs: number): void {
-    this.#shares.recordOutcome(rank, isPlaced, nowMs);
-    if (!isPlaced) {
-      return;
-    }
-    const isStarved = this.#shares.starved(nowMs).has(rank);
-    const workMs = this.#workMs(rank);
-    this.#starvedCreditMs = isStarved
-      ? this.#starvedCreditMs - workMs
-      : Math.min(
-        MAX_STARVED_CREDIT_MS,
-        this.#starvedCreditMs + STARVED_TIME_SHARE * workMs,
-      );
-  }
-
-  #workMs(rank: number): number {
-    return this.#shares.workMs(rank) ?? this.#holdMs;
-  }
-
   #decide(waiting: WaitingWork, pass: SchedulingPass): AskDecision | undefined {
     const { ask } = waiting;
     if (ask.version !== undefined) {
       return this.#decideAtVersion(waiting, pass);
     }
-    const { askId, holderId, excluded } = ask;
     const { targets } = pass;
-    const excludedTargets = excluded.flatMap((targetId) =>
+    const excludedTargets = ask.excluded.flatMap((targetId) =>
       targets.get(targetId) ?? []
     );
     if (excludedTargets.length === targets.size) {
-      return {
-        askId,
-        holderId,
-        refusal: AskRefusal.NoTarget,
-        retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
-        figures: { usable: targets.size, excluded: excluded.length },
-      };
+      return noTargetRefusal(ask, targets.size);
     }
     const { suspects } = this.#board;
     const heldForMs = suspects.quarantineLeftMs(ask, pass.nowMs);
@@ -662,25 +561,14 @@
     { slots, ahead, nowMs }: { slots: number; ahead: number; nowMs: number },
   ): AskDecision | undefined {
     const available = this.#availableSlots(ask.rank, slots, nowMs);
-    const waitMs = (ahead + 1) * this.#holdMs / available;
+    const { holdMs } = this.#priorities;
+    const waitMs = (ahead + 1) * holdMs / available;
     const leftMs = ask.patienceLeftMs - (nowMs - waitingSinceMs);
     if (waitMs <= leftMs) {
       return undefined;
     }
-    return {
-      askId: ask.askId,
-      holderId: ask.holderId,
-      refusal: AskRefusal.Overload,
-      retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
-      figures: {
-        ahead,
-        slots: Math.round(slots),
-        available: Math.round(available),
-        holdMs: Math.round(this.#holdMs),
-        waitMs: Math.round(waitMs),
-        leftMs: Math.round(leftMs),
-      },
-    };
+    const estimate = { ahead, slots, available, holdMs, waitMs, leftMs };
+    return overloadRefusal(ask, estimate);
   }
 
   /** Slots that higher ranks leave to a rank. */
@@ -726,7 +614,7 @@
   }
 
   #slotsOf(target: KnownTarget): number {
-    return this.#limiter.usableSlots(target, this.#holdMs);
+    return this.#limiter.usableSlots(target, this.#priorities.holdMs);
   }
 
   #placeAt(
@@ -760,46 +648,10 @@
       route: ask.route,
     };
     this.#placed.put(work);
-    this.#workspaceShares.recordPlaced(ask, choice.slotMs, pass.nowMs);
+    this.#priorities.recordPlaced(ask, choice.slotMs, pass.nowMs);
     this.#limiter.consume(targetId, pass.nowMs);
     this.#unusable.placed(targetId, ask.failureDomain, pass.nowMs);
     this.#board.rollouts.placed(choice.target);
     return decisionOf(work);
   }
 }
-
-function decisionOf(work: PlacedWork): AskDecision {
-  const { askId, holderId, targetId, expectedMs, cameBackMs, isTrial } = work;
-  const decision = { askId, holderId, targetId, expectedMs, cameBackMs };
-  return isTrial ? { ...decision, isTrial } : decision;
-}
-
-function versionRefusal({ askId, holderId, excluded }: WorkAsk): AskDecision {
-  return {
-    askId,
-    holderId,
-    refusal: AskRefusal.NoTargetOfVersion,
-    retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
-    figures: { excluded: excluded.length },
-  };
-}
-
-/**
- * Builds the refusal of a quarantined request.
- *
- * @param ask Ask of a request during which targets' processes ended.
- * @param heldForMs Remaining time of its quarantine in milliseconds.
- * @returns The decision that refuses it.
- */
-export function quarantineRefusal(
-  { askId, holderId }: WorkAsk,
-  heldForMs: number,
-): AskDecision {
-  return {
-    askId,
-    holderId,
-    refusal: AskRefusal.Quarantined,
-    retryAfterMs: heldForMs,
-    figures: { heldForMs: Math.round(heldForMs) },
-  };
-}
