--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,7 +28,7 @@
 import { LatencyModels } from "@chestnuthatch/routing/latency_models";
 import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
 import { AnsweredParts } from "./answered_parts.ts";
-import { BacklogMonitor } from "./backlog_monitor.ts";
+import { CoordinatorMonitors } from "./coordinator_monitors.ts";
 import { TargetSignalHandler } from "./target_signal_handler.ts";
 import { EventLog, type LogFacts, LogPart } from "./event_log.ts";
 import { FleetStateSync } from "./fleet_state_sync.ts";
@@ -41,7 +41,6 @@
 import { EventLoopMonitor } from "./event_loop_monitor.ts";
 import { HeartbeatExchange } from "./heartbeat_exchange.ts";
 import { SnapshotServer } from "./snapshot_server.ts";
-import { PausedTargetMonitor } from "./paused_target_monitor.ts";
 import { PeerSocket } from "./peer_socket.ts";
 import { PlacementClient } from "./placement_client.ts";
 import { RelayServer } from "./relay_server.ts";
@@ -60,9 +59,7 @@
 import { TargetConnections } from "./target_connections.ts";
 import { TargetProbes } from "./target_probes.ts";
 import { TargetCleanup } from "./target_cleanup.ts";
-import { TargetLoadMonitor } from "./target_load_monitor.ts";
 import { TargetReachability } from "./target_reachability.ts";
-import { WorkspaceShareMonitor } from "./workspace_share_monitor.ts";
 
 /** Time between two ticks, which run all timeouts, while requests wait. */
 const BUSY_TICK_MS = 20;
@@ -120,13 +117,10 @@
   readonly #rollouts: RolloutController;
   readonly #targetSignals: TargetSignalHandler;
   readonly #targetCleanup: TargetCleanup;
-  readonly #loadMonitor: TargetLoadMonitor;
   readonly #front: FrontServer;
   readonly #status: StatusServer;
   readonly #eventLoopMonitor: EventLoopMonitor;
-  readonly #workspaceShares: WorkspaceShareMonitor;
-  readonly #pausedTargets: PausedTargetMonitor;
-  readonly #backlogMonitor: BacklogMonitor;
+  readonly #monitors: CoordinatorMonitors;
   #askCounter = 0;
   #isLeaving = false;
   #isClosed = false;
@@ -164,11 +158,6 @@
       cores: settings.cores,
     };
     const members = new MemberView(this.#self);
-    this.#loadMonitor = new TargetLoadMonitor({
-      clock: this.#clock,
-      log: this.#log,
-      metrics: this.#metrics,
-    });
     this.board = {
       configurationAge: new ConfigurationAge(),
       targets: new TargetDirectory(),
@@ -179,7 +168,7 @@
       rateLimits: new TargetRateLimits(),
       latencyModels: new LatencyModels(),
       targetLoads: new TargetLoads((report) =>
-        this.#loadMonitor.reported(report)
+        this.#monitors.loadReported(report)
       ),
       backoffs: new TargetBackoffs(),
       streamOrigins: new StreamOrigins(),
@@ -284,20 +273,7 @@
       busyMs: () => performance.eventLoopUtilization().active,
       loadFacts: () => this.#loadFacts(),
     });
-    this.#workspaceShares = new WorkspaceShareMonitor({
-      clock: this.#clock,
-      log: this.#log,
-      metrics: this.#metrics,
-      overShares: (nowMs) => this.#coordinator.overShares(nowMs),
-    });
-    this.#pausedTargets = new PausedTargetMonitor({
-      clock: this.#clock,
-      log: this.#log,
-      metrics: this.#metrics,
-      targets: this.board.targets,
-      pausedTargets: () => this.#coordinator.pausedTargets(),
-    });
-    this.#backlogMonitor = new BacklogMonitor({
+    this.#monitors = new CoordinatorMonitors({
       board: this.board,
       coordinator: this.#coordinator,
       clock: this.#clock,
@@ -570,11 +546,8 @@
       this.#heartbeatExchange.tick();
       this.#placementClient.tick();
     });
-    this.#loadMonitor.update(this.board.targetLoads);
     this.#streams.tick();
-    this.#workspaceShares.tick();
-    this.#pausedTargets.tick();
-    this.#backlogMonitor.tick();
+    this.#monitors.tick();
     this.#updateCoordinatorRole();
   }
 
