--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -21,14 +21,13 @@
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { RejectionLimiter } from "./rejection_limiter.ts";
 import { type PlacedWork, PlacedWorkIndex } from "./placed_work_index.ts";
-import { TargetSelector, type TargetSnapshot } from "./target_selector.ts";
+import { SlotEstimates, type SlotSnapshot } from "./slot_estimates.ts";
+import { TargetSelector } from "./target_selector.ts";
 import type { KeyedWork, OrderContext, WaitingWork } from "./queue_order.ts";
-import { QueuePriorities, STARVED_TIME_SHARE } from "./queue_priorities.ts";
-import { RankLoad } from "./rank_load.ts";
+import { QueuePriorities } from "./queue_priorities.ts";
 import { RecentAsks } from "./recent_asks.ts";
 import type { RoutingBoard } from "./routing_board.ts";
-import type { Candidate, Choice } from "./target_choice.ts";
-import type { KnownTarget } from "./target_directory.ts";
+import type { Choice } from "./target_choice.ts";
 import { Trials } from "./trials.ts";
 import type { UnusableTargets } from "./unusable_targets.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
@@ -48,13 +47,9 @@
 const LOST_DECISION_AGE_MS = 150;
 
 /** State of one pass over the queue. */
-interface SchedulingPass extends TargetSnapshot {
+interface SchedulingPass extends SlotSnapshot {
   /** Requests passed so far that stay queued ahead of the next one. */
   ahead: number;
-  /** Slots that rate limits leave usable; absent until a wait is estimated. */
-  usableSlots?: number;
-  /** Slots of paused targets by failure domain; absent like `usableSlots`. */
-  pausedSlots?: Map<string, number>;
 }
 
 /** Placed work and queue of one pool. */
@@ -68,10 +63,10 @@
   readonly #trials: Trials;
   readonly #selector: TargetSelector;
   readonly #priorities: QueuePriorities;
+  readonly #slots: SlotEstimates;
   readonly #waiting = new WaitingQueue((ask, change) =>
     this.#priorities.queueChanged(ask, change)
   );
-  readonly #load = new RankLoad();
   readonly #recentAsks = new RecentAsks();
   readonly #pool: string;
 
@@ -105,6 +100,12 @@
       rejections,
       unusable,
     });
+    this.#slots = new SlotEstimates({
+      board,
+      limiter,
+      selector: this.#selector,
+      priorities: this.#priorities,
+    });
   }
 
   /** Number of queued requests. */
@@ -186,7 +187,7 @@
     { cameBackMs, nowMs }: { cameBackMs: number; nowMs: number },
   ): AskDecision[] {
     const work = { ask, cameBackMs, waitingSinceMs: nowMs };
-    this.#load.record(ask.rank, this.#priorities.workMs(ask.rank), nowMs);
+    this.#slots.recordAsks(ask.rank, 1, nowMs);
     const { key } = this.#waiting.add(work);
     const { rank, patienceLeftMs } = ask;
     const deadlineLeadMs = nowMs + patienceLeftMs - key.latestStartMs;
@@ -203,7 +204,7 @@
    * @param nowMs Current local time in milliseconds.
    */
   recordRefusedByHolder(rank: number, count: number, nowMs: number): void {
-    this.#load.record(rank, count * this.#priorities.workMs(rank), nowMs);
+    this.#slots.recordAsks(rank, count, nowMs);
     this.#priorities.recordRefusals(rank, count, nowMs);
     this.#recentAsks.recordRefusedByHolder(rank, nowMs);
   }
@@ -222,11 +223,11 @@
       return [];
     }
     const context = this.#priorities.orderContext(nowMs);
-    const slots = Math.max(MIN_SLOTS, this.#usableSlots(pass));
+    const slots = Math.max(MIN_SLOTS, this.#slots.usable(pass));
     return forecastsOf(this.#pool, {
       kept: this.#keptWork(pass, context),
       startIntervalMs: (rank) =>
-        this.#priorities.holdMs / this.#availableSlots(rank, slots, nowMs),
+        this.#priorities.holdMs / this.#slots.available(rank, slots, nowMs),
       recentAsks: this.#recentAsks,
       context,
     });
@@ -522,7 +523,7 @@
         ? undefined
         : this.#placeAt(waiting, choice, pass);
     }
-    const slots = this.#slotsFor(ask, excludedTargets, pass);
+    const slots = this.#slots.usableFor(ask, excludedTargets, pass);
     return this.#refuseIfTooLate(waiting, {
       slots: Math.max(MIN_SLOTS, slots),
       ahead: pass.ahead,
@@ -550,7 +551,7 @@
     if (choice !== undefined) {
       return this.#placeAt(waiting, choice, pass);
     }
-    const slots = Math.max(MIN_SLOTS, this.#slotsOfAll(candidates));
+    const slots = Math.max(MIN_SLOTS, this.#slots.ofAll(candidates));
     // Requests ahead can go to targets of other versions.
     return this.#refuseIfTooLate(waiting, { slots, ahead: 0, nowMs });
   }
@@ -560,7 +561,7 @@
     { ask, waitingSinceMs }: WaitingWork,
     { slots, ahead, nowMs }: { slots: number; ahead: number; nowMs: number },
   ): AskDecision | undefined {
-    const available = this.#availableSlots(ask.rank, slots, nowMs);
+    const available = this.#slots.available(ask.rank, slots, nowMs);
     const { holdMs } = this.#priorities;
     const waitMs = (ahead + 1) * holdMs / available;
     const leftMs = ask.patienceLeftMs - (nowMs - waitingSinceMs);
@@ -571,52 +572,6 @@
     return overloadRefusal(ask, estimate);
   }
 
-  /** Slots that higher ranks leave to a rank. */
-  #availableSlots(rank: number, slots: number, nowMs: number): number {
-    const slotsAbove = this.#load.slotsAbove(rank, nowMs);
-    return Math.max(slots - slotsAbove, STARVED_TIME_SHARE * slots);
-  }
-
-  /** Slots without those of targets that an ask is excluded or paused from. */
-  #slotsFor(
-    ask: WorkAsk,
-    excluded: readonly Candidate[],
-    pass: SchedulingPass,
-  ): number {
-    const paused = this.#selector.pausedFor(ask, pass);
-    const slots = this.#usableSlots(pass);
-    if (paused === undefined) {
-      return slots - this.#slotsOfAll(excluded);
-    }
-    pass.pausedSlots ??= new Map();
-    const pausedSlots = pass.pausedSlots.get(ask.failureDomain) ??
-      this.#slotsOfAll([...paused].flatMap((id) => pass.targets.get(id) ?? []));
-    pass.pausedSlots.set(ask.failureDomain, pausedSlots);
-    const others = excluded
-      .filter(({ target: { targetId } }) => !paused.has(targetId));
-    return slots - pausedSlots - this.#slotsOfAll(others);
-  }
-
-  /** Slots of the pool without those that rate limits keep idle. */
-  #usableSlots(pass: SchedulingPass): number {
-    pass.usableSlots ??= this.#board.rateLimits.limitedIds()
-      .flatMap((targetId) => pass.targets.get(targetId) ?? [])
-      .reduce(
-        (sum, { target }) => sum - target.slots + this.#slotsOf(target),
-        pass.targets.slots,
-      );
-    return pass.usableSlots;
-  }
-
-  #slotsOfAll(candidates: readonly Candidate[]): number {
-    return candidates
-      .reduce((sum, { target }) => sum + this.#slotsOf(target), 0);
-  }
-
-  #slotsOf(target: KnownTarget): number {
-    return this.#limiter.usableSlots(target, this.#priorities.holdMs);
-  }
-
   #placeAt(
     waiting: WaitingWork,
     choice: Choice,
