--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -5,10 +5,10 @@
  * reports rebuild it.
  */
 
-import { AbandonedWork } from "./abandoned_work.ts";
 import { type AdmissionForecast, longestWaits } from "./admission_forecast.ts";
 import { quarantineRefusal } from "./ask_decisions.ts";
 import type { StandingBacklog } from "./backlog.ts";
+import { EndEvidence } from "./end_evidence.ts";
 import { RateLimiter } from "./rate_limiter.ts";
 import { RejectionLimiter } from "./rejection_limiter.ts";
 import { PoolScheduler } from "./pool_scheduler.ts";
@@ -45,11 +45,6 @@
 import { RefusedCallers } from "./refused_callers.ts";
 import { type PausedTarget, UnusableTargets } from "./unusable_targets.ts";
 import type { OverShare } from "./workspace_shares.ts";
-import {
-  baselineFirstEventMs,
-  INITIAL_CALL_MS,
-  INITIAL_EVENT_GAP_MS,
-} from "./latency_model.ts";
 
 /**
  * Minimum age of work that is released because a holder's report does not list
@@ -117,7 +112,7 @@
   readonly #spendingReportedAtMs = new Map<string, number>();
   readonly #spending = new ReportedSpending();
   readonly #takenUpStreams: TakenUpStreams;
-  readonly #abandoned = new AbandonedWork();
+  readonly #endEvidence: EndEvidence;
   readonly #unusable: UnusableTargets;
   /** Scope of the last ask, for asks that wait for the origin of a stream. */
   #scope?: PlacementScope;
@@ -132,6 +127,7 @@
     this.#allotmentLedger = new AllotmentLedger(bounds.allotmentTolerance);
     this.#limiter = new RateLimiter(board.rateLimits);
     this.#takenUpStreams = new TakenUpStreams(board);
+    this.#endEvidence = new EndEvidence(board);
     this.#unusable = new UnusableTargets(board.members);
   }
 
@@ -242,7 +238,7 @@
    * @returns Decisions on queued asks.
    */
   ended(end: WorkEnd, nowMs: number): AskDecision[] {
-    this.#updateSuspects(end, nowMs);
+    this.#endEvidence.updateSuspects(end, nowMs);
     this.#rejections.recordEnd(end, nowMs);
     const scheduler = this.#poolScheduler(end.pool);
     const { askId, load } = end;
@@ -250,13 +246,13 @@
     // The slot is given to the next request at once, unless this pauses it.
     this.#unusable.ended(end, { work: scheduler.workOf(end.askId), nowMs });
     const { work, decisions } = scheduler.release(end.askId, nowMs);
-    this.#recordAbandoned(end, work, nowMs);
+    this.#endEvidence.recordAbandoned(end, work, nowMs);
     if (work?.streamKey !== undefined && end.isStreamCompleted === true) {
       this.#board.streamOrigins.completed(work.streamKey, nowMs);
     }
     const isStream = this.#board.routes?.pool(end.pool)?.engine !== undefined;
     const tokensAhead = work?.tokensAhead ?? 0;
-    this.#recordVersionAnswer(end, {
+    this.#endEvidence.recordVersionAnswer(end, {
       isStream,
       tokensAhead,
       route: work?.route,
@@ -635,72 +631,6 @@
     return this.#poolScheduler(pool).runningAt(targetIds);
   }
 
-  /**
-   * Feeds an outcome into the comparison of versions while a roll-out of the
-   * pool is in progress.
-   */
-  #recordVersionAnswer(
-    end: WorkEnd,
-    of: {
-      isStream: boolean;
-      tokensAhead: number;
-      route?: string;
-      nowMs: number;
-    },
-  ): void {
-    const { rollouts, targets } = this.#board;
-    if (!rollouts.isInProgress(end.pool)) {
-      return;
-    }
-    const target = targets.get(end.targetId);
-    const failed = end.answerFailed === true;
-    const isAnswer = failed || end.firstMs !== undefined;
-    if (!isAnswer || target === undefined) {
-      return;
-    }
-    const isWarm = of.nowMs >= target.warmAtMs;
-    rollouts.answered(target, {
-      route: of.route ?? "",
-      failed,
-      slowness: failed || !isWarm ? undefined : slownessRatioOf(end, of),
-    });
-  }
-
-  #updateSuspects(
-    { targetId, endedTarget, clearedFingerprint, clearedParts }: WorkEnd,
-    nowMs: number,
-  ): void {
-    const { suspects } = this.#board;
-    if (endedTarget !== undefined) {
-      suspects.targetEnded(endedTarget, nowMs);
-      for (const { keys, inTrial } of this.#abandoned.at(targetId, nowMs)) {
-        suspects.targetEnded({
-          fingerprint: keys.fingerprint!,
-          promptParts: keys.promptParts?.map((part) => ({ part })),
-          process: endedTarget.process,
-          inTrial,
-        }, nowMs);
-      }
-    }
-    if (clearedFingerprint !== undefined) {
-      suspects.served(
-        { fingerprint: clearedFingerprint, promptParts: clearedParts },
-        nowMs,
-      );
-    }
-  }
-
-  #recordAbandoned(
-    { failed, firstMs, targetId }: WorkEnd,
-    work: PlacedWork | undefined,
-    nowMs: number,
-  ): void {
-    if (work?.crashKeys !== undefined && !failed && firstMs === undefined) {
-      const { crashKeys: keys, isTrial: inTrial = false } = work;
-      this.#abandoned.record({ targetId, keys, inTrial, atMs: nowMs });
-    }
-  }
-
   #admit(ask: WorkAsk, scope: PlacementScope): AdmissionResult {
     const { askId, holderId } = ask;
     const { suspects } = this.#board;
@@ -848,17 +778,3 @@
     return budget;
   }
 }
-
-/** Duration of work as a ratio of the baseline for its size. */
-function slownessRatioOf(
-  { firstMs, eventGapMs, promptTokens }: WorkEnd,
-  { isStream, tokensAhead }: { isStream: boolean; tokensAhead: number },
-): number {
-  if (!isStream) {
-    return firstMs! / INITIAL_CALL_MS;
-  }
-  return Math.max(
-    firstMs! / baselineFirstEventMs(promptTokens, tokensAhead),
-    (eventGapMs ?? 0) / INITIAL_EVENT_GAP_MS,
-  );
-}
