--- a/packages/routing/src/ask_decisions.ts
+++ b/packages/routing/src/ask_decisions.ts
@@ -9,7 +9,7 @@
 /** Retry delay of requests to a pool without a usable target. */
 const NO_TARGET_RETRY_AFTER_MS = 1000;
 
-/** Estimate by which the wait of an ask exceeds its caller's patience. */
+/** Estimated wait of an ask that exceeds its caller's patience. */
 export interface WaitEstimate {
   /** Number of queued requests that are placed before it. */
   readonly ahead: number;
--- a/packages/routing/src/pool_scheduler.ts
+++ b/packages/routing/src/pool_scheduler.ts
@@ -9,6 +9,7 @@
  */
 
 import { type AdmissionForecast, forecastsOf } from "./admission_forecast.ts";
+import { adoptedWork } from "./adopted_work.ts";
 import {
   decisionOf,
   noTargetRefusal,
@@ -324,16 +325,7 @@
    * @param nowMs Current local time in milliseconds.
    */
   adopt(holderId: string, running: RunningWork, nowMs: number): void {
-    const {
-      askId,
-      targetId,
-      rank,
-      promptTokens,
-      outputTokens,
-      firstSeen,
-      trialOf,
-      trialParts,
-    } = running;
+    const { askId, firstSeen } = running;
     if (this.#placed.get(askId) !== undefined) {
       if (firstSeen) {
         this.firstSeen(askId, nowMs);
@@ -341,24 +333,7 @@
       return;
     }
     this.#waiting.remove(askId);
-    this.#placed.put({
-      askId,
-      holderId,
-      targetId,
-      rank,
-      promptTokens,
-      outputTokens,
-      placedAtMs: nowMs,
-      tokensAhead: 0,
-      expectedMs: 0,
-      cameBackMs: 0,
-      firstSeen,
-      firstSeenAtMs: firstSeen ? nowMs : undefined,
-      ...(trialOf === undefined ? undefined : {
-        crashKeys: { fingerprint: trialOf, promptParts: trialParts },
-        isTrial: true as const,
-      }),
-    });
+    this.#placed.put(adoptedWork(holderId, running, nowMs));
   }
 
   /**
