Soak: uneven load, reports of targets on their load, and crashes at once

The soak ran fleets of 2 to 5 instances with one workspace, so that it did not reach what is enabled only where heartbeats are no full mesh, or where targets report their load.

Targets send X-Server-Load with values that change every 100 to 300 ms, a fifth of them forged. Four more workspaces send calls, one or two of them five to eight times as many for 2 to 4 s, which exceeds the slots of the engines. Two or three targets crash at once while the coordinator is killed. The checks are the same, and plans without the option are the same as before.

--- a/tests/soak.ts
+++ b/tests/soak.ts
@@ -24,6 +24,7 @@
   readonly streamEnds?: boolean;
   readonly versions?: boolean;
   readonly cuts?: boolean;
+  readonly loads?: boolean;
   readonly signals?: readonly SoakSignal[];
 }
 
@@ -73,6 +74,7 @@
     .option("--versions", "versions of the engines serve side by side")
     .option("--stream-ends", "targets end streams early or without framing")
     .option("--cuts", "instances lose their paths to all targets meanwhile")
+    .option("--loads", "targets report loads, and workspaces send unevenly")
     .option("--rollout", "a new version is rolled out beside the faults")
     .addOption(
       new Option("--signals <signals...>", "what targets signal in answers")
--- a/tests/soak_callers.ts
+++ b/tests/soak_callers.ts
@@ -180,7 +180,10 @@
    * @returns The call with its result.
    */
   send(kind: CallKind, instance: SoakInstance): Promise<CallRecord> {
-    return this.#call({ kind, instance });
+    const ended = this.#call({ kind, instance })
+      .finally(() => this.#inFlight.delete(ended));
+    this.#inFlight.add(ended);
+    return ended;
   }
 
   /**
--- a/tests/soak_fleet.ts
+++ b/tests/soak_fleet.ts
@@ -18,6 +18,7 @@
 import { StandinTarget } from "@chestnuthatch/platform/standin_target";
 import { LinkRelay } from "./link_relay.ts";
 import { SoakInstance, type TimeSpan } from "./soak_instance.ts";
+import type { PlannedLoads, PlannedWorkspace } from "./soak_loads_plan.ts";
 import type { ConfigurationChange, SoakPlan } from "./soak_plan.ts";
 import { SoakStore } from "./soak_store.ts";
 import { waitFor } from "./wait_for.ts";
@@ -53,7 +54,7 @@
 /** Numbers of instances and targets, and write rates of the instances. */
 export type FleetSize =
   & Pick<SoakPlan, "instances" | "engines" | "desks">
-  & Partial<Pick<SoakPlan, "writeBytesPerS">>;
+  & Partial<Pick<SoakPlan, "writeBytesPerS" | "loads">>;
 
 /** API key that only some versions of the configuration accept. */
 export const SECOND_KEY = "second-key-of-w";
@@ -76,6 +77,9 @@
 
 const FIRST_VERSION = "v1";
 const SERVICE_TIME_MS = 5;
+
+/** Makes a surge of one workspace exceed the slots of the engines. */
+const LOADED_SERVICE_TIME_MS = 15;
 const SLOTS = 4;
 const PORT_COUNT = 4;
 const DOMAINS = ["a", "b", "c"];
@@ -98,6 +102,7 @@
   /** Called with each version's number, before the store confirms it. */
   onVersion: (version: number) => void = () => {};
   #store?: SoakStore;
+  #loads?: PlannedLoads;
   #version = 0;
 
   /** The stand-in store; it exists once the fleet has started. */
@@ -113,6 +118,7 @@
    * @returns Settles once all instances are ready.
    */
   async start(size: FleetSize): Promise<void> {
+    this.#loads = size.loads;
     this.#store = await SoakStore.start();
     for (let index = 0; index < size.engines + size.desks; index++) {
       const pool = index < size.engines ? ENGINE_POOL : DESK_POOL;
@@ -155,7 +161,11 @@
     this.#version++;
     const content = { ...defaultConfiguration(this.#version), ...overrides };
     const routes = [...content.routes, ...markerRoutes(this.#version)];
-    void this.store.put("op", "config", { ...content, routes });
+    const tenants = [
+      ...content.tenants as unknown[],
+      ...(this.#loads?.workspaces ?? []).map(workspaceRow),
+    ];
+    void this.store.put("op", "config", { ...content, routes, tenants });
     this.onVersion(this.#version);
     return this.#version;
   }
@@ -269,7 +279,9 @@
     pool: string,
     version = FIRST_VERSION,
   ): Promise<SoakTarget> {
-    const serviceTimeMs = SERVICE_TIME_MS;
+    const serviceTimeMs = this.#loads === undefined
+      ? SERVICE_TIME_MS
+      : LOADED_SERVICE_TIME_MS;
     const target = new StandinTarget({ id, serviceTimeMs, version });
     await target.open("127.0.0.1");
     const relay = await LinkRelay.start(target.address);
@@ -354,6 +366,17 @@
   }));
 }
 
+function workspaceRow(
+  { key, allotmentPerS }: PlannedWorkspace,
+): Record<string, unknown> {
+  return {
+    name: key,
+    apiKeys: [key],
+    ratePerS: allotmentPerS,
+    burst: allotmentPerS,
+  };
+}
+
 function changedContent(
   change: ConfigurationChange,
 ): Partial<OperatorConfiguration> {
--- a/tests/soak_plan.ts
+++ b/tests/soak_plan.ts
@@ -2,6 +2,7 @@
 
 import { planCuts, type PlannedCut } from "./soak_cut_plan.ts";
 import { Draw } from "./soak_draw.ts";
+import { planLoads, type PlannedLoads } from "./soak_loads_plan.ts";
 import { type PlannedSilence, planSilences } from "./soak_silence_plan.ts";
 import {
   type PlannedStreamEnd,
@@ -127,6 +128,8 @@
   readonly cuts: readonly PlannedCut[];
   /** Signals that targets send in answers, beside the faults. */
   readonly signals: readonly PlannedSignal[];
+  /** Uneven load, beside the faults. */
+  readonly loads?: PlannedLoads;
   /** Rate at which a caller connection accepts answers, for each instance. */
   readonly writeBytesPerS: readonly number[];
 }
@@ -156,6 +159,11 @@
   readonly streamEnds?: boolean;
   /** Whether instances are cut off from all targets. */
   readonly cuts?: boolean;
+  /**
+   * Whether targets report their loads, workspaces send unevenly, and targets
+   * crash while the coordinator is killed.
+   */
+  readonly loads?: boolean;
   /** Kinds of signals that targets send. */
   readonly signals?: readonly SoakSignal[];
 }
@@ -265,7 +273,11 @@
     engines: draw.between(...ranges.engines),
     desks: draw.between(...ranges.desks),
   };
-  const instances = options.instances ?? drawn.instances;
+  const loads = options.loads === true ? planLoads(seed, lengthMs) : undefined;
+  const instances = Math.max(
+    options.instances ?? drawn.instances,
+    loads?.instances ?? 0,
+  );
   const faults = planFaults(draw, lengthMs);
   return {
     seed,
@@ -287,6 +299,7 @@
       ? planStreamEnds(seed, lengthMs)
       : [],
     cuts: options.cuts === true ? planCuts(seed, { lengthMs, instances }) : [],
+    loads,
     signals: planSignals(seed, lengthMs, options.signals ?? []),
     callers: Array.from(
       { length: instances * draw.between(...ranges.callers) },
--- a/tests/soak_run.ts
+++ b/tests/soak_run.ts
@@ -10,6 +10,7 @@
 } from "./soak_faults.ts";
 import { SoakFleet } from "./soak_fleet.ts";
 import type { SoakPlan } from "./soak_plan.ts";
+import { applyLoads } from "./soak_loads.ts";
 import { findUnrecovered, isServed } from "./soak_recovery.ts";
 import { findExcessRepeats } from "./soak_repeats.ts";
 import { SoakRollout } from "./soak_rollout.ts";
@@ -55,6 +56,7 @@
       ...plan.cuts.map((cut) => injectCut(fleet, cut)),
       rollout?.run(),
       signals.run(),
+      applyLoads(plan, fleet, callers),
     ]);
     await callers.run(plan, fleet, faults);
     await faults;
