--- a/tests/soak_test.ts
+++ b/tests/soak_test.ts
@@ -45,6 +45,13 @@
   silences: true,
 };
 
+/**
+ * Seed in which a workspace sends several times as much as others, in a fleet
+ * too large for a full mesh, and targets crash as the coordinator is killed.
+ */
+const LOADS_SEED = 6;
+const LOADS_OPTIONS = { lengthMs: 3000, loads: true };
+
 /** Long enough for one stop of an instance. */
 const ONE_STOP_OPTIONS = { lengthMs: 2000 };
 
@@ -107,6 +114,11 @@
 test(`soak: seed ${FAILING_VERSION_SEED} completes no version that fails`, () =>
   expectNoBrokenPromise(FAILING_VERSION_SEED, FAILING_VERSION_OPTIONS));
 
+// Guards against refusals or placements under overload that lose requests or
+// run them twice, as targets crash while the coordinator is killed.
+test(`soak: seed ${LOADS_SEED} keeps its promises under uneven load`, () =>
+  expectNoBrokenPromise(LOADS_SEED, LOADS_OPTIONS));
+
 test("a plan is the same for the same seed", () => {
   assert.equal(planSoak(7, OPTIONS), planSoak(7, OPTIONS));
   assert.not.equal(planSoak(7, OPTIONS), planSoak(8, OPTIONS));
