Gateway: one class tracks the periods that two monitors log

The monitors of paused targets and of workspaces over their shares each kept the same map of logged states with the same limit of one line a second. PeriodLog serves both; lines, their order and metrics are as before. The comment on the queue's order is wrapped, and names what its context holds.

--- a/packages/gateway/src/paused_target_monitor.ts
+++ b/packages/gateway/src/paused_target_monitor.ts
@@ -7,11 +7,9 @@
 import type { PausedTarget } from "@chestnuthatch/routing/unusable_targets";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
+import { PeriodLog } from "./period_log.ts";
 import type { Clock } from "./ports.ts";
 
-/** Minimum time between two log lines about a target. */
-const MIN_LOG_INTERVAL_MS = 1000;
-
 /** Collaborators of a `PausedTargetMonitor`. */
 export interface PausedTargetMonitorParts {
   readonly clock: Clock;
@@ -22,72 +20,48 @@
   pausedTargets(): readonly PausedTarget[];
 }
 
-/** State of a target, as it was logged last. */
-interface LoggedState {
-  readonly isPaused: boolean;
-  readonly loggedAtMs: number;
-}
-
 /** Logs and counts when targets are paused, and when they are used again. */
 export class PausedTargetMonitor {
   readonly #parts: PausedTargetMonitorParts;
-  readonly #logged = new Map<string, LoggedState>();
+  /** Pauses of each target, one for each failure domain. */
+  readonly #periods: PeriodLog<readonly PausedTarget[]>;
 
   /** @param parts Collaborators. */
   constructor(parts: PausedTargetMonitorParts) {
     this.#parts = parts;
+    this.#periods = new PeriodLog({
+      began: (pauses) => this.#logPaused(pauses),
+      ended: (pauses, tookMs) => this.#logUsedAgain(pauses, tookMs),
+    });
   }
 
   /** Compares the present state with the logged one; called periodically. */
   tick(): void {
-    const nowMs = this.#parts.clock.nowMs();
+    const { clock, metrics } = this.#parts;
     const byId = new Map<string, PausedTarget[]>();
     for (const paused of this.#parts.pausedTargets()) {
       byId.set(paused.targetId, [...byId.get(paused.targetId) ?? [], paused]);
     }
-    this.#parts.metrics.pausedTargets(byId.size);
-    for (const [targetId, state] of [...this.#logged]) {
-      if (nowMs - state.loggedAtMs >= MIN_LOG_INTERVAL_MS) {
-        this.#update(targetId, state, byId.has(targetId));
-      }
-    }
-    for (const [targetId, pauses] of byId) {
-      if (!this.#logged.has(targetId)) {
-        this.#logPaused(targetId, pauses, nowMs);
-      }
-    }
+    metrics.pausedTargets(byId.size);
+    this.#periods.update(byId, clock.nowMs());
   }
 
-  /** Logs the end of a pause, and drops the state of one that ended before. */
-  #update(
-    targetId: string,
-    { isPaused, loggedAtMs }: LoggedState,
-    isStillPaused: boolean,
-  ): void {
-    if (!isPaused) {
-      this.#logged.delete(targetId);
-    } else if (!isStillPaused) {
-      const { clock, log, targets } = this.#parts;
-      const nowMs = clock.nowMs();
-      this.#logged.set(targetId, { isPaused: false, loggedAtMs: nowMs });
-      const target = targets.get(targetId);
-      // The end of a target that left is logged as such.
-      if (target !== undefined && targets.isUsable(target, nowMs)) {
-        log.info(LogPart.Placement, "target is used again", {
-          targetId,
-          tookMs: Math.round(nowMs - loggedAtMs),
-        });
-      }
+  #logUsedAgain(pauses: readonly PausedTarget[], tookMs: number): void {
+    const { targetId } = pauses[0]!;
+    const { clock, log, targets } = this.#parts;
+    const target = targets.get(targetId);
+    // The end of a target that left is logged as such.
+    if (target !== undefined && targets.isUsable(target, clock.nowMs())) {
+      log.info(LogPart.Placement, "target is used again", {
+        targetId,
+        tookMs: Math.round(tookMs),
+      });
     }
   }
 
-  #logPaused(
-    targetId: string,
-    pauses: readonly PausedTarget[],
-    nowMs: number,
-  ): void {
+  #logPaused(pauses: readonly PausedTarget[]): void {
     const { log, metrics, targets } = this.#parts;
-    this.#logged.set(targetId, { isPaused: true, loggedAtMs: nowMs });
+    const { targetId } = pauses[0]!;
     metrics.targetSignal("paused", "holders");
     log.info(LogPart.Placement, "target is paused", {
       targetId,
--- a/packages/gateway/src/workspace_share_monitor.ts
+++ b/packages/gateway/src/workspace_share_monitor.ts
@@ -6,11 +6,9 @@
 import type { OverShare } from "@chestnuthatch/routing/workspace_shares";
 import { type EventLog, type LogFacts, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
+import { PeriodLog } from "./period_log.ts";
 import type { Clock } from "./ports.ts";
 
-/** Minimum time between two log lines about a workspace in a rank. */
-const MIN_LOG_INTERVAL_MS = 1000;
-
 /** A workspace over its share of a rank in a pool. */
 type PoolOverShare = OverShare & { readonly pool: string };
 
@@ -23,22 +21,18 @@
   overShares(nowMs: number): readonly PoolOverShare[];
 }
 
-/** State of a workspace in a rank of a pool, as it was logged last. */
-interface LoggedState {
-  readonly key: string;
-  readonly share: PoolOverShare;
-  readonly isOver: boolean;
-  readonly loggedAtMs: number;
-}
-
 /** Logs and counts when workspaces begin and cease to be over their shares. */
 export class WorkspaceShareMonitor {
   readonly #parts: WorkspaceShareMonitorParts;
-  readonly #logged = new Map<string, LoggedState>();
+  readonly #periods: PeriodLog<PoolOverShare>;
 
   /** @param parts Collaborators. */
   constructor(parts: WorkspaceShareMonitorParts) {
     this.#parts = parts;
+    this.#periods = new PeriodLog({
+      began: (share) => this.#logBegin(share),
+      ended: (share, tookMs) => this.#logEnd(share, tookMs),
+    });
   }
 
   /** Compares the present state with the logged one; called periodically. */
@@ -47,39 +41,19 @@
     const over = this.#parts.overShares(nowMs);
     this.#parts.metrics.workspacesOverShare(over.length);
     const overByKey = new Map(over.map((share) => [keyOf(share), share]));
-    for (const state of [...this.#logged.values()]) {
-      if (nowMs - state.loggedAtMs >= MIN_LOG_INTERVAL_MS) {
-        this.#update(state, overByKey.get(state.key), nowMs);
-      }
-    }
-    for (const [key, share] of overByKey) {
-      if (!this.#logged.has(key)) {
-        this.#logBegin(key, share, nowMs);
-      }
-    }
+    this.#periods.update(overByKey, nowMs);
   }
 
-  /** Logs the end of a period, and drops the state of one that ended before. */
-  #update(
-    { key, share, isOver, loggedAtMs }: LoggedState,
-    present: PoolOverShare | undefined,
-    nowMs: number,
-  ): void {
-    if (!isOver) {
-      this.#logged.delete(key);
-    } else if (present === undefined) {
-      this.#logged.set(key, { key, share, isOver: false, loggedAtMs: nowMs });
-      this.#parts.log.info(
-        LogPart.Placement,
-        "workspace is within its share again",
-        { ...factsOf(share), tookMs: Math.round(nowMs - loggedAtMs) },
-      );
-    }
+  #logEnd(share: PoolOverShare, tookMs: number): void {
+    this.#parts.log.info(
+      LogPart.Placement,
+      "workspace is within its share again",
+      { ...factsOf(share), tookMs: Math.round(tookMs) },
+    );
   }
 
-  #logBegin(key: string, share: PoolOverShare, nowMs: number): void {
+  #logBegin(share: PoolOverShare): void {
     const { log, metrics } = this.#parts;
-    this.#logged.set(key, { key, share, isOver: true, loggedAtMs: nowMs });
     metrics.overShareBegan(share.pool);
     log.info(LogPart.Placement, "workspace is over its share", {
       ...factsOf(share),
--- a/packages/routing/src/queue_order.ts
+++ b/packages/routing/src/queue_order.ts
@@ -61,11 +61,11 @@
  * that can still meet their objective go before those that cannot. In each of
  * the two groups, workspaces within their shares go before those over them, of
  * which those with fewer queued requests go first: one that sends a few requests
- * a second is over its share by chance now and then. Then requests are sorted by latest start time. Large requests need more time
- * before their deadline: ordered by age alone, the largest tenth of requests
- * with short deadlines was served half as often. On-time requests of a rank with
- * a standing backlog are sorted by the caller's first attempt instead, newest
- * first.
+ * a second is over its share by chance now and then. Then requests are sorted by
+ * latest start time. Large requests need more time before their deadline:
+ * ordered by age alone, the largest tenth of requests with short deadlines was
+ * served half as often. On-time requests of a rank with a standing backlog are
+ * sorted by the caller's first attempt instead, newest first.
  *
  * @param waiting The queued requests.
  * @param context What the order depends on besides the requests.
@@ -103,7 +103,7 @@
  *
  * @param a One request.
  * @param b Another request.
- * @param context Promoted ranks and the current local time.
+ * @param context What the order depends on besides the requests.
  * @returns Below 0 if the first is placed before the second, above 0 if after
  * it.
  */
