Review case 6: a record overwritten by an instance that has not read it

All instances are killed, and the store gives no answer while they start. The new coordinator writes its first record after a fixed time, read or not, and the fleet takes the tenant's spending for less than half of the bound.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node run.mjs
