--- a/packages/gateway/src/open_asks.ts
+++ b/packages/gateway/src/open_asks.ts
@@ -46,12 +46,24 @@
 /** Value of `OpenAsk.coordinatorId` for an unsent ask. */
 export const NO_COORDINATOR = "";
 
+/**
+ * Handles the decision on an ask.
+ *
+ * @param decision The placement or refusal.
+ * @param coordinatorId Instance that made it; `NO_COORDINATOR` for a refusal by
+ * the holder of an ask that it did not send.
+ */
+export type DecisionHandler = (
+  decision: AskDecision,
+  coordinatorId: string,
+) => void;
+
 /** An ask of this holder with its state. */
 export interface OpenAsk {
   readonly ask: WorkAsk;
   /** Local time at which the request asked for a placement. */
   readonly openedAtMs: number;
-  readonly onDecision: (decision: AskDecision) => void;
+  readonly onDecision: DecisionHandler;
   /** Instance that it was last sent to, or `NO_COORDINATOR`. */
   coordinatorId: string;
   /** Local time at which it was last sent. */
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -35,6 +35,7 @@
 import { HolderReporter } from "./holder_reporter.ts";
 import { PlacementService } from "./placement_service.ts";
 import {
+  type DecisionHandler,
   isUnsent,
   MAX_UNACKNOWLEDGED_ASKS,
   maxWaitMs,
@@ -163,12 +164,12 @@
    * @param onDecision Called once with the placement or refusal, unless the ask
    * is dropped before.
    */
-  ask(ask: WorkAsk, onDecision: (decision: AskDecision) => void): void {
+  ask(ask: WorkAsk, onDecision: DecisionHandler): void {
     const nowMs = this.#nowMs();
     const refusal = this.#refusals.refusalFor(ask, nowMs) ??
       this.#refuseByAnnouncedWaits(ask, nowMs);
     if (refusal !== undefined) {
-      onDecision(refusal);
+      onDecision(refusal, NO_COORDINATOR);
       return;
     }
     const openAsk: OpenAsk = {
@@ -428,7 +429,7 @@
         unheardMs: Math.round(nowMs - openAsk.openedAtMs),
         answersTakeMs: Math.round(this.#failureDetector.meanAnswerMs),
       },
-    });
+    }, openAsk.coordinatorId);
   }
 
   /**
@@ -494,7 +495,7 @@
         this.#refusals.record(openAsk.ask, decision, this.#nowMs());
       }
     }
-    openAsk.onDecision(decision);
+    openAsk.onDecision(decision, openAsk.coordinatorId);
     this.#sendUnsent();
   }
 
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -58,6 +58,8 @@
   /** Id of the ask that has no decision yet, if any. */
   #askId?: string;
   #askedAtMs = 0;
+  /** Cost units that the last ask was to be charged. */
+  #askCost = 0;
   #attempt?: TargetAttempt;
   #runCount = 0;
   /** Attempts that no target ran. */
@@ -173,14 +175,16 @@
       stream: this.#streamVersion.askFields,
     });
     this.#askId = ask.askId;
+    this.#askCost = ask.cost;
     this.#askedAtMs = this.#nowMs();
     this.#parts.placementClient.ask(
       ask,
-      (decision) => this.#runOrFail(() => this.#onDecision(decision)),
+      (decision, coordinatorId) =>
+        this.#runOrFail(() => this.#onDecision(decision, coordinatorId)),
     );
   }
 
-  #onDecision(decision: AskDecision): void {
+  #onDecision(decision: AskDecision, coordinatorId: string): void {
     if (this.#isDone) {
       return;
     }
@@ -188,6 +192,8 @@
       this.#askId = undefined;
       this.#log("ask refused", {
         refusal: decision.refusal,
+        workspace: this.#call.workspace?.name,
+        coordinatorId,
         ...decision.figures,
       });
       this.#onRefused(decision.refusal, decision.retryAfterMs);
@@ -216,7 +222,7 @@
       // The silent target may still answer, and the other one may reject.
       this.#standby.hold(this.#attempt);
     }
-    this.#send(target, decision);
+    this.#send(target, decision, coordinatorId);
   }
 
   /** Fails the request if a step throws, so that it is answered in any case. */
@@ -264,7 +270,11 @@
     }
   }
 
-  #send(target: KnownTarget, decision: PlaceDecision): void {
+  #send(
+    target: KnownTarget,
+    decision: PlaceDecision,
+    coordinatorId: string,
+  ): void {
     const { expectedMs, cameBackMs, isTrial = false } = decision;
     const call = this.#call;
     const { failureDomain, metrics } = this.#parts;
@@ -299,6 +309,9 @@
       softwareVersion: target.version,
       route: call.route.name,
       pool: call.pool,
+      workspace: call.workspace?.name,
+      cost: this.#askCost,
+      coordinatorId,
       attempt: this.#runCount,
       resumeAfter: this.#progress.lastEventId,
       resumes: call.facts.resumes,
--- a/packages/gateway/src/spending_recorder.ts
+++ b/packages/gateway/src/spending_recorder.ts
@@ -30,6 +30,14 @@
  */
 const MAX_FRESH_RECORD_AGE_MS = 3500;
 
+/** Where spending that an instance takes over was read. */
+enum SpendingSource {
+  /** The coordinator's last heartbeat. */
+  Heartbeat = "heartbeat",
+  /** The record in the platform's store. */
+  Store = "store",
+}
+
 /** Dependencies of {@link SpendingRecorder}. */
 export interface SpendingParts {
   readonly board: RoutingBoard;
@@ -88,6 +96,7 @@
       isFresh ? agedHistory(history, ageMs) : spentJustNow(history)
     );
     coordinator.importSpending(histories, clock.nowMs());
+    this.#logTakenOver(histories, { from: SpendingSource.Store, ageMs });
   }
 
   /**
@@ -122,6 +131,20 @@
     const own = this.#received
       .map((history) => scaled(agedHistory(history, ageMs), share));
     coordinator.importSpending(own, nowMs);
+    this.#logTakenOver(own, { from: SpendingSource.Heartbeat, ageMs, share });
+  }
+
+  #logTakenOver(
+    histories: readonly SpendingHistory[],
+    of: { from: SpendingSource; ageMs: number; share?: number },
+  ): void {
+    this.#parts.log.info(LogPart.Placement, "spending taken over", {
+      ...of,
+      ageMs: Math.round(of.ageMs),
+      spent: histories.map(({ workspace, spent }) =>
+        `${workspace}: ${Math.round(spent)}`
+      ),
+    });
   }
 
   /**
