--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -49,6 +49,8 @@
   readonly seedIds: readonly string[];
   /** Time of the test's clock at which the instance started. */
   readonly startedAtMs?: number;
+  /** The platform; one that stores nothing if absent. */
+  readonly platform?: PlatformPort;
   /** @returns An instance's failure domain; `a` for all if absent. */
   domainOf?(instanceId: string): string;
   /** Delivers a message from one instance to another. */
@@ -84,7 +86,7 @@
   const spending = new SpendingRecorder({
     board,
     coordinator,
-    platform: NO_OP_PLATFORM,
+    platform: options.platform ?? NO_OP_PLATFORM,
     clock,
     log,
   });
@@ -148,6 +150,9 @@
       retryBudgets.becameCoordinator();
     }
     wasCoordinator = isCoordinator;
+    if (isCoordinator) {
+      void spending.record();
+    }
   };
   const { rateLimits } = board;
   const nowMs = () => clock.nowMs();
--- /dev/null
+++ b/packages/gateway/src/spending_fleet_test_support.ts
@@ -0,0 +1,288 @@
+/**
+ * A simulated fleet for tests of allotments: instances on a manual clock that
+ * are killed, stopped, restarted and partitioned, and a store that keeps their
+ * records.
+ */
+
+import {
+  type RandomSource,
+  seededRandomSource,
+} from "@chestnuthatch/core/random_source";
+import {
+  MessageKind,
+  type RoutingMessage,
+} from "@chestnuthatch/routing/peer_messages";
+import { askOf } from "@chestnuthatch/routing/routing_test_support";
+import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
+import {
+  deliverTo,
+  type FleetNode,
+  fleetNode,
+  NO_OP_PLATFORM,
+} from "./gateway_test_support.ts";
+import { DOMAIN_OF, PartitionedNetwork } from "./partition_test_support.ts";
+import type { PlatformPort } from "./ports.ts";
+
+/** Window over which the operators limit spending. */
+export const WINDOW_MS = 8000;
+
+const TOLERANCE = { windowMs: WINDOW_MS, overage: 0.1, slack: 14_000 };
+const BOUNDS = {
+  retryBudget: { ratio: 0.2, slack: 100, windowS: 10 },
+  allotmentTolerance: TOLERANCE,
+};
+const ALLOTMENT = { perS: 9000, burst: 2000, inTokens: true, plainTokens: 1 };
+
+/** The most that the operators allow within a window. */
+export const ALLOWED = (ALLOTMENT.perS * WINDOW_MS / 1000 + ALLOTMENT.burst) *
+    (1 + TOLERANCE.overage) + TOLERANCE.slack;
+
+/** Ids of the instances. */
+export const IDS = Object.keys(DOMAIN_OF);
+
+const STEP_MS = 20;
+const LATENCY_MS = 4;
+const STORE_LATENCY_MS = 10;
+const STORE_RETRY_MS = 500;
+const RESTART_MS = 600;
+const WORK_MS = 200;
+const COST = 200;
+/** Maximum requests in a step: eight times the allotment. */
+const MAX_REQUESTS_PER_STEP = 8;
+const DEMAND_INTERVAL_MS = 500;
+
+/** A request that a target ran. */
+interface Run {
+  readonly requestedAtMs: number;
+  readonly sentAtMs: number;
+  readonly cost: number;
+}
+
+/** Keeps the record of spending; gives no answer while it is silent. */
+class SimulatedStore {
+  readonly #network: PartitionedNetwork;
+  #record?: { readonly content: SpendingHistory[]; readonly atMs: number };
+  isSilent = false;
+
+  constructor(network: PartitionedNetwork) {
+    this.#network = network;
+  }
+
+  /** Reads the record for an instance that has started. */
+  restore(node: FleetNode, isRunning: () => boolean): void {
+    this.#network.schedule(STORE_LATENCY_MS, () => {
+      if (!isRunning()) {
+        return;
+      }
+      if (this.isSilent) {
+        this.#network.schedule(
+          STORE_RETRY_MS,
+          () => this.restore(node, isRunning),
+        );
+      } else if (this.#record !== undefined) {
+        const { content, atMs } = this.#record;
+        node.spending.restoreRecord(content, this.#network.clock.atMs - atMs);
+      }
+    });
+  }
+
+  /** The platform as one instance uses it. */
+  platform(isRunning: () => boolean): PlatformPort {
+    return {
+      ...NO_OP_PLATFORM,
+      recordSpending: (record) => this.#write([...record], isRunning),
+    };
+  }
+
+  #write(
+    content: SpendingHistory[],
+    isRunning: () => boolean,
+  ): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.#network.schedule(STORE_LATENCY_MS, () => {
+        const isWritten = isRunning() && !this.isSilent;
+        if (isWritten) {
+          this.#record = { content, atMs: this.#network.clock.atMs };
+        }
+        resolve(isWritten);
+      });
+    });
+  }
+}
+
+/** Options of a simulated fleet. */
+export interface SpendingFleetOptions {
+  readonly seed: number;
+  /** Number of targets with two slots each. */
+  readonly targets?: number;
+  /** Demand relative to the allotment; random from 0 to 8 if absent. */
+  readonly demand?: number;
+}
+
+/** A fleet whose instances place the requests of one workspace. */
+export class SpendingFleet {
+  readonly #network = new PartitionedNetwork(DOMAIN_OF);
+  readonly clock = this.#network.clock;
+  readonly store = new SimulatedStore(this.#network);
+  readonly random: RandomSource;
+  readonly #nodes = new Map<string, FleetNode>();
+  readonly #targetIds: readonly string[];
+  readonly #demand?: number;
+  readonly #runs: Run[] = [];
+  /** Requests that were refused for the allotment of their workspace. */
+  refusedCount = 0;
+  requestCount = 0;
+  #perStep = 0;
+  #owed = 0;
+
+  /** @param options Seed of the random demand, and the number of targets. */
+  constructor({ seed, targets = 200, demand }: SpendingFleetOptions) {
+    this.random = seededRandomSource(seed);
+    this.#demand = demand;
+    this.#targetIds = Array.from({ length: targets }, (_, i) => `t${i}`);
+    IDS.forEach((id) => this.#start(id));
+  }
+
+  /** Ids of the instances that run. */
+  get runningIds(): string[] {
+    return [...this.#nodes.keys()];
+  }
+
+  /** Id of the coordinator in the view of the first instance that runs. */
+  get coordinatorId(): string {
+    const [node] = this.#nodes.values();
+    return node?.placementClient.coordinatorId ?? "";
+  }
+
+  /** Ids of all instances that take themselves for the coordinator. */
+  get actingIds(): string[] {
+    return [...this.#nodes]
+      .filter(([id, { placementClient }]) =>
+        placementClient.coordinatorId === id
+      )
+      .map(([id]) => id);
+  }
+
+  /**
+   * Kills an instance, which starts again without any state.
+   *
+   * @param id Id of the instance.
+   * @param downMs Time until it starts again.
+   */
+  restart(id: string, downMs = RESTART_MS): void {
+    this.#nodes.delete(id);
+    this.#network.schedule(downMs, () => this.#start(id));
+  }
+
+  /**
+   * Cuts a failure domain off from the others, or heals the partition.
+   *
+   * @param domain The failure domain; none heals the partition.
+   */
+  isolate(domain?: string): void {
+    this.#network.isolatedDomain = domain;
+  }
+
+  /**
+   * Lets time pass.
+   *
+   * @param forMs Duration in milliseconds.
+   */
+  async run(forMs: number): Promise<void> {
+    const untilMs = this.clock.atMs + forMs;
+    while (this.clock.atMs < untilMs) {
+      this.clock.atMs += STEP_MS;
+      this.#network.runDue();
+      this.#nodes.forEach((node) => node.tick());
+      this.#requestDue();
+      this.#network.runDue();
+      // Lets answers of the store take effect.
+      await Promise.resolve();
+    }
+  }
+
+  /** @returns Highest spending of requests sent and run within any window. */
+  maxSpent(): number {
+    const sums = this.#runs.map(({ requestedAtMs: fromMs }) =>
+      this.#runs.filter((run) =>
+        run.requestedAtMs >= fromMs && run.sentAtMs < fromMs + WINDOW_MS
+      ).reduce((sum, { cost }) => sum + cost, 0)
+    );
+    return sums.reduce((a, b) => Math.max(a, b), 0);
+  }
+
+  #requestDue(): void {
+    if (this.#demand !== undefined) {
+      this.#owed += this.#demand * ALLOTMENT.perS * STEP_MS / 1000 / COST;
+      this.#perStep = Math.floor(this.#owed);
+      this.#owed -= this.#perStep;
+    } else if (this.clock.atMs % DEMAND_INTERVAL_MS === 0) {
+      this.#perStep = Math.floor(
+        this.random.next() ** 2 * (MAX_REQUESTS_PER_STEP + 1),
+      );
+    }
+    for (let i = 0; i < this.#perStep; i++) {
+      this.#request();
+    }
+  }
+
+  #request(): void {
+    const ids = [...this.#nodes.keys()];
+    const holderId = ids[this.requestCount % ids.length];
+    if (holderId === undefined) {
+      return;
+    }
+    const requestedAtMs = this.clock.atMs;
+    const node = this.#nodes.get(holderId)!;
+    const askId = `a${this.requestCount++}`;
+    node.placementClient.ask(
+      askOf(askId, { holderId, cost: COST }),
+      (decision) => {
+        if ("refusal" in decision) {
+          this.refusedCount++;
+          return;
+        }
+        const { targetId } = decision;
+        const sentAtMs = this.clock.atMs;
+        this.#runs.push({ requestedAtMs, sentAtMs, cost: COST });
+        const end = { askId, targetId, pool: "p", promptTokens: 500 };
+        this.#network.schedule(WORK_MS, () => {
+          if (this.#nodes.get(holderId) === node) {
+            node.placementClient.reportEnd({ ...end, failed: false });
+          }
+        });
+      },
+    );
+  }
+
+  #send(fromId: string, toId: string, message: RoutingMessage): void {
+    if (this.#network.isPartitioned(fromId, toId)) {
+      return;
+    }
+    const latencyMs = message.kind === MessageKind.Heartbeat ? LATENCY_MS : 0;
+    const sender = this.#nodes.get(fromId);
+    this.#network.schedule(latencyMs, () => {
+      const receiver = this.#nodes.get(toId);
+      if (receiver !== undefined && this.#nodes.get(fromId) === sender) {
+        deliverTo(receiver, { message, fromId });
+      }
+    });
+  }
+
+  #start(instanceId: string): void {
+    const isRunning = () => this.#nodes.get(instanceId) === node;
+    const node: FleetNode = fleetNode(instanceId, {
+      clock: this.clock,
+      bounds: BOUNDS,
+      allotment: ALLOTMENT,
+      targetIds: this.#targetIds,
+      seedIds: IDS,
+      domainOf: (id) => DOMAIN_OF[id]!,
+      startedAtMs: this.clock.atMs === 0 ? undefined : this.clock.atMs,
+      platform: this.store.platform(() => isRunning()),
+      send: (fromId, toId, message) => this.#send(fromId, toId, message),
+    });
+    this.#nodes.set(instanceId, node);
+    this.store.restore(node, isRunning);
+  }
+}
