Choose the coordinator by starts that members announce, not by estimated uptimes

Callers: two instances acted as coordinator at once, with nobody cut off and for as long as they ran; each handed out the whole of the allotments, and targets got the work of both. Cause: the candidates are the members whose uptime is within two seconds of the longest. An instance knows its own uptime exactly and those of others with the delay of a heartbeat, so that two whose starts are about two seconds apart were judged differently by each. The start that each member announces (its incarnation) is the same in every view.

A clock that was set back can make a restarted instance the coordinator; it then takes over as any other does. The test of an instance that has just started states starts in place of uptimes.

Class: a choice that all have to make alike was made from local measurements.

--- a/packages/gateway/src/placement_client_test.ts
+++ b/packages/gateway/src/placement_client_test.ts
@@ -33,10 +33,10 @@
   const board = boardOf(["t1", "t2"]);
   const clock = { atMs: 0, nowMs: () => clock.atMs };
   const sent: { to: string; message: RoutingMessage }[] = [];
-  // They have run longer than this instance, so one of them coordinates.
+  // They started before this instance, so one of them coordinates.
   for (let i = 2; i <= memberCount; i++) {
-    board.members.memoryReported(`i${i}`, 60_000, 0);
-    board.members.heartbeatReceived(memberOf(`i${i}`), 0);
+    const member = memberOf(`i${i}`, { incarnation: -60_000 });
+    board.members.heartbeatReceived(member, 0);
   }
   const coordinatorId = board.members.coordinator(0, NO_IDS).instanceId;
   const coordinator = new Coordinator(board, BOUNDS);
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -11,7 +11,10 @@
   /** `ip:port` of its peer socket. */
   readonly address: string;
   readonly failureDomain: string;
-  /** Increases with every start of the instance's process. */
+  /**
+   * Start of the instance's process by its clock, in milliseconds since the
+   * epoch; increases with every start unless the clock was set back.
+   */
   readonly incarnation: number;
   /** Whether it has announced that it is shutting down. */
   readonly leaving: boolean;
@@ -80,11 +83,11 @@
 const MEMBER_JOIN_GRACE_MS = 2000;
 
 /**
- * Members whose uptimes differ by no more than this count as started together.
- * It exceeds the time in which a whole fleet starts, plus the error of uptimes
- * that are computed from heartbeats.
+ * Members whose starts differ by no more than this count as started together.
+ * It exceeds the time in which a whole fleet starts, plus the usual difference
+ * of the instances' clocks.
  */
-const UPTIME_TOLERANCE_MS = 2000;
+const START_TOLERANCE_MS = 2000;
 
 /**
  * Cores that a coordinator has at least, relative to the member with the most.
@@ -466,9 +469,10 @@
   }
 
   /**
-   * Chooses the coordinator by rendezvous hashing among the members with the
-   * longest uptime and enough cores. Every instance with the same view chooses
-   * the same one, and an instance that has just started replaces no other.
+   * Chooses the coordinator by rendezvous hashing among the members that
+   * started first and have enough cores. All criteria are values that members
+   * announce, so that every instance that knows the same members chooses the
+   * same one. An instance that has just started replaces no other.
    *
    * @param nowMs The local time.
    * @param unresponsive Ids of members that did not answer recently.
@@ -479,7 +483,7 @@
     const responsive = unresponsive.size === 0
       ? preferred
       : preferred.filter((m) => !unresponsive.has(m.instanceId));
-    let eligible = withEnoughCores(this.#withLongestUptime(responsive, nowMs));
+    let eligible = withEnoughCores(startedFirst(responsive));
     for (;;) {
       const best = maxBy(eligible, (m) => this.#score(m.instanceId));
       if (best === undefined || this.#mayCoordinate(best, nowMs)) {
@@ -565,17 +569,6 @@
     return nowMs - member.lastHeartbeatAtMs < this.#timeoutMs;
   }
 
-  #withLongestUptime(
-    members: readonly MemberRecord[],
-    nowMs: number,
-  ): MemberRecord[] {
-    const uptimes = members.map((m) => this.#uptimeMs(m, nowMs));
-    const longestMs = uptimes.reduce((a, b) => Math.max(a, b), 0);
-    return members.filter((_, index) =>
-      uptimes[index]! >= longestMs - UPTIME_TOLERANCE_MS
-    );
-  }
-
   #uptimeMs({ instanceId }: MemberRecord, nowMs: number): number {
     return nowMs - (this.#memorySinceMs.get(instanceId) ?? nowMs);
   }
@@ -617,6 +610,20 @@
     known.standsAside === member.standsAside && known.cores === member.cores;
 }
 
+/**
+ * Members that started together with the first one. Compares incarnations,
+ * which are the same in every view. Uptimes as each instance estimates them
+ * differ by the delay of heartbeats, and two instances whose starts are about
+ * the tolerance apart would choose different coordinators for good.
+ */
+function startedFirst(members: readonly MemberRecord[]): MemberRecord[] {
+  const firstMs = members
+    .reduce((a, { incarnation }) => Math.min(a, incarnation), Infinity);
+  return members.filter(({ incarnation }) =>
+    incarnation <= firstMs + START_TOLERANCE_MS
+  );
+}
+
 function withEnoughCores(members: readonly MemberRecord[]): MemberRecord[] {
   const mostCores = members.reduce((a, { cores }) => Math.max(a, cores), 0);
   return members.filter(({ cores }) =>
--- a/packages/routing/src/member_view_test.ts
+++ b/packages/routing/src/member_view_test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { MemberView } from "./member_view.ts";
+import { type MemberInfo, MemberView } from "./member_view.ts";
 import { memberOf } from "./routing_test_support.ts";
 
 const NONE = new Set<string>();
@@ -93,16 +93,56 @@
   const ids = ["i1", "i2", "i3", "i4", "i5", "i6"];
   const view = viewOf("i1", ids.slice(1));
   const first = view.coordinator(100, NONE).instanceId;
-  for (const id of ids) {
-    view.memoryReported(id, id === first ? 500 : 60_000, 100);
-  }
-  assert.is.not(view.coordinator(100, NONE).instanceId, first);
-  for (const id of ids) {
-    view.memoryReported(id, 60_000 + ids.indexOf(id) * 100, 100);
+  const viewWithStarts = (startOf: (id: string) => number) => {
+    const startedView = new MemberView(
+      memberOf("i1", { incarnation: startOf("i1") }),
+    );
+    for (const id of ids.slice(1)) {
+      const member = memberOf(id, { incarnation: startOf(id) });
+      startedView.heartbeatReceived(member, 0);
+    }
+    return startedView;
+  };
+  const restarted = viewWithStarts((id) => id === first ? 60_000 : 500);
+  assert.is.not(restarted.coordinator(100, NONE).instanceId, first);
+  const together = viewWithStarts((id) => 500 + ids.indexOf(id) * 100);
+  assert.is(together.coordinator(100, NONE).instanceId, first);
+});
+
+// Guards against two coordinators: two instances that started about the
+// tolerance apart judged each other by uptimes that heartbeats delayed.
+test("instances choose the same coordinator however far apart they started", () => {
+  for (const [olderId, youngerId] of [["i1", "i2"], ["i2", "i1"]]) {
+    for (let apartMs = 1900; apartMs <= 2100; apartMs++) {
+      const pair = [
+        memberOf(olderId!, { incarnation: 1000 }),
+        memberOf(youngerId!, { incarnation: 1000 + apartMs }),
+      ];
+      const chosen = pair.map((self) => {
+        const view = viewWithUptimes(self, pair);
+        return view.coordinator(10_000, NONE).instanceId;
+      });
+      assert.is(chosen[0], chosen[1], `${apartMs} ms apart`);
+    }
   }
-  assert.is(view.coordinator(100, NONE).instanceId, first);
 });
 
+/** A view whose heartbeats from others are 4 ms old at 10 s. */
+function viewWithUptimes(
+  self: MemberInfo,
+  members: readonly MemberInfo[],
+): MemberView {
+  const nowMs = 10_000;
+  const view = new MemberView(self);
+  for (const member of members) {
+    const delayMs = member === self ? 0 : 4;
+    const uptimeMs = nowMs - delayMs - member.incarnation;
+    view.heartbeatReceived(member, nowMs);
+    view.memoryReported(member.instanceId, uptimeMs, nowMs);
+  }
+  return view;
+}
+
 test("an instance with few cores coordinates only if all alive have few", () => {
   const ids = ["i1", "i2", "i3", "i4", "i5", "i6", "i7", "i8"];
   for (const strong of ids) {
