--- a/packages/gateway/src/coordinator_selector.ts
+++ b/packages/gateway/src/coordinator_selector.ts
@@ -36,8 +36,6 @@
   readonly coordinator: MemberRecord;
   /** Share of the fleet's allotments that this instance hands out. */
   readonly share: number;
-  /** Local time since which the fleet has recorded workspaces' spending. */
-  readonly spendingKnownSinceMs: number;
 }
 
 /** Selects the coordinator, and again as members join, leave or fall silent. */
@@ -52,8 +50,8 @@
 
   /**
    * @param members The members of the fleet.
-   * @param of `startedAtMs` is the local time at which this instance began
-   * to record workspaces' spending; `spendingReportedAtMs` returns the local
+   * @param of `startedAtMs` is the local time at which this instance started;
+   * `spendingReportedAtMs` returns the local
    * time of a member's last report of the spending through it.
    */
   constructor(
@@ -82,16 +80,13 @@
    * Limits what this instance may hand out when it assigns targets.
    *
    * @param nowMs The local time.
-   * @returns The share of the fleet's allotments, the time over which the
-   * fleet's spending is known, and the uptime of this instance.
+   * @returns The share of the fleet's allotments, and the uptime of this
+   * instance.
    */
   scope(nowMs: number): PlacementScope {
-    const { share, spendingKnownSinceMs } = this.#selectionAt(
-      nowMs,
-    );
+    const { share } = this.#selectionAt(nowMs);
     return {
       share,
-      memoryMs: nowMs - spendingKnownSinceMs,
       uptimeMs: nowMs - this.#startedAtMs,
       nowMs,
     };
@@ -118,11 +113,9 @@
       revision !== this.#selection.revision
     ) {
       const agreed = this.#members.coordinator(nowMs, NO_SKIPPED_IDS);
-      const ownMs = nowMs - this.#startedAtMs;
       this.#selection = {
         validUntilMs: nowMs + SELECTION_TTL_MS,
         revision,
-        spendingKnownSinceMs: nowMs - this.#members.memoryMs(ownMs, nowMs),
         coordinator: this.#selectResponsive(agreed, nowMs),
         share: this.#share(agreed, nowMs),
       };
--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -72,6 +72,8 @@
   onTargetsChanged(updates: readonly TargetEvent[]): void;
   /** Called with the fleet's last record of the spending of workspaces. */
   onSpendingRead(record: readonly SpendingHistory[], ageMs: number): void;
+  /** Called when the fleet's records were read, after those that exist. */
+  onRecordsRead(): void;
   /** Called with suspect requests from the store or another instance. */
   onSuspectsReceived(updates: readonly SuspectUpdate[]): void;
   /** Called with the fleet's last record of the origins of streams. */
@@ -302,6 +304,7 @@
   /** The fleet's records were read and passed on. */
   recordsRead(): void {
     this.#hasRecords = true;
+    this.#parts.onRecordsRead();
   }
 
   /** @param order Roll-out that the operators ordered. */
--- a/packages/gateway/src/fleet_state_sync_test.ts
+++ b/packages/gateway/src/fleet_state_sync_test.ts
@@ -46,6 +46,7 @@
     },
     onTargetsChanged: () => {},
     onSpendingRead: () => {},
+    onRecordsRead: () => {},
     onSuspectsReceived: (updates) => received = updates,
     onStreamsRead: () => {},
     onRateLimitsReceived: () => {},
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,7 @@
 import { LatencyModels } from "@chestnuthatch/routing/latency_models";
 import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
 import { AnsweredParts } from "./answered_parts.ts";
+import { AssigningRole } from "./assigning_role.ts";
 import { CoordinatorMonitors } from "./coordinator_monitors.ts";
 import { TargetSignalHandler } from "./target_signal_handler.ts";
 import { EventLog, type LogFacts, LogPart } from "./event_log.ts";
@@ -39,7 +40,7 @@
 import { GracefulStop } from "./graceful_stop.ts";
 import { hostPortOf } from "./host_port.ts";
 import { EventLoopMonitor } from "./event_loop_monitor.ts";
-import { HeartbeatExchange } from "./heartbeat_exchange.ts";
+import { type Heartbeat, HeartbeatExchange } from "./heartbeat_exchange.ts";
 import { SnapshotServer } from "./snapshot_server.ts";
 import { PeerSocket } from "./peer_socket.ts";
 import { PlacementClient } from "./placement_client.ts";
@@ -121,6 +122,7 @@
   readonly #status: StatusServer;
   readonly #eventLoopMonitor: EventLoopMonitor;
   readonly #monitors: CoordinatorMonitors;
+  readonly #role: AssigningRole;
   #askCounter = 0;
   #isLeaving = false;
   #isClosed = false;
@@ -131,7 +133,6 @@
   #lateMs = 0;
   /** Longest recent delay of a tick, and the local time until it is recent. */
   #recentDelay = { lateMs: 0, untilMs: -Infinity };
-  #wasCoordinator = false;
   #stopping?: Promise<void>;
 
   /**
@@ -187,11 +188,7 @@
       spendingWindowMs: settings.bounds.allotmentTolerance.windowMs,
       onWaiting: () => this.#scheduleTick(BUSY_TICK_MS),
       onRefusedByHolder: (pool) => this.#metrics.askRefusedByHolder(pool),
-      onTakeover: (share) => {
-        this.#coordinator.accountingBegan(this.#clock.nowMs());
-        this.#spending.becameActingCoordinator(share);
-        this.#retryBudgets.takeOver(share);
-      },
+      onAssigning: () => this.#role.beforeAssigning(),
     });
     this.#retryBudgets = new RetryBudgetHandover({
       board: this.board,
@@ -199,11 +196,11 @@
       clock: this.#clock,
     });
     this.#spending = new SpendingRecorder({
-      board: this.board,
       coordinator: this.#coordinator,
       platform: this.#platform,
       clock: this.#clock,
       log: this.#log,
+      windowMs: settings.bounds.allotmentTolerance.windowMs,
     });
     this.#suspects = new SuspectRecorder({
       board: this.board,
@@ -227,6 +224,20 @@
       metrics: this.#metrics,
       reachesStore: () => this.#fleetState.reachesStore,
     });
+    this.#role = new AssigningRole({
+      board: this.board,
+      coordinator: this.#coordinator,
+      clock: this.#clock,
+      log: this.#log,
+      accounts: [
+        this.#spending,
+        this.#retryBudgets,
+        this.#streams,
+        this.#rollouts,
+      ],
+      coordinatorId: () => this.#placementClient.coordinatorId,
+      share: () => this.#placementClient.share,
+    });
     this.#targetSignals = new TargetSignalHandler({
       board: this.board,
       clock: this.#clock,
@@ -461,9 +472,7 @@
         const { from, admission = [] } = message;
         this.#placementClient.waitsAnnounced(from.instanceId, admission);
       }
-      if (isCoordinator && message.spending !== undefined) {
-        this.#spending.spendingReceived(message.spending);
-      }
+      this.#receiveSpending(message);
       if (isCoordinator && message.retries !== undefined) {
         const { instanceId } = message.from;
         this.#retryBudgets.reportReceived(instanceId, message.retries);
@@ -491,6 +500,16 @@
     this.#placementClient.handleMessage(message, fromId);
   }
 
+  /** Keeps the account of a sender that assigns requests for others. */
+  #receiveSpending({ from, coordinatorId, ...account }: Heartbeat): void {
+    const { instanceId } = from;
+    const { spending, spendingShare: share = 1 } = account;
+    const claimedId = coordinatorId ?? this.#placementClient.coordinatorId;
+    if (claimedId === instanceId && spending !== undefined) {
+      this.#spending.spendingReceived(instanceId, { spending, share });
+    }
+  }
+
   /** Schedules the next tick within a time, unless the gateway is closed. */
   #scheduleTick(withinMs: number): void {
     const dueMs = this.#clock.nowMs() + withinMs;
@@ -535,12 +554,8 @@
         lateMs: Math.round(this.#lateMs),
       });
       this.#coordinator.clearAsks();
+      this.#role.stalled();
     }
-    this.board.members.memoryReported(
-      this.#self.instanceId,
-      nowMs - this.#startedAtMs,
-      nowMs,
-    );
     this.#eventLoopMonitor.runTask("tick", () => {
       this.#fleetState.tick();
       this.#heartbeatExchange.tick();
@@ -548,7 +563,20 @@
     });
     this.#streams.tick();
     this.#monitors.tick();
-    this.#updateCoordinatorRole();
+    this.#role.update();
+    if (this.#role.isCoordinator) {
+      this.#coordinate();
+    }
+  }
+
+  /** Runs the periodic work of the coordinator. */
+  #coordinate(): void {
+    void this.#spending.record();
+    this.#suspects.record();
+    this.#streams.record();
+    this.#rollouts.tick(
+      this.board.members.reachableShare(this.#clock.nowMs()),
+    );
   }
 
   /** Requests of this instance, and asks of all holders at this coordinator. */
@@ -562,33 +590,6 @@
     };
   }
 
-  #updateCoordinatorRole(): void {
-    const isCoordinator =
-      this.#placementClient.coordinatorId === this.#self.instanceId;
-    if (isCoordinator !== this.#wasCoordinator) {
-      this.#wasCoordinator = isCoordinator;
-      this.#coordinator.setRole(isCoordinator, this.#clock.nowMs());
-      if (isCoordinator) {
-        this.#spending.becameCoordinator();
-        this.#retryBudgets.becameCoordinator();
-        this.#streams.becameCoordinator();
-        this.#rollouts.becameCoordinator();
-      }
-      this.#log.info(LogPart.Placement, "coordinator changed", {
-        coordinatorId: this.#placementClient.coordinatorId,
-        alive: this.board.members.aliveCount(this.#clock.nowMs()),
-      });
-    }
-    if (isCoordinator) {
-      void this.#spending.record();
-      this.#suspects.record();
-      this.#streams.record();
-      this.#rollouts.tick(
-        this.board.members.reachableShare(this.#clock.nowMs()),
-      );
-    }
-  }
-
   #createParts(protocol: CallProtocol): GatewayParts {
     const { instanceId, failureDomain } = this.#settings;
     const prefix = `${instanceId}.${this.#self.incarnation.toString(36)}`;
@@ -635,6 +636,7 @@
         this.#applyLimits(configuration),
       onSpendingRead: (record, ageMs) =>
         this.#spending.restoreRecord(record, ageMs),
+      onRecordsRead: () => this.#spending.recordsRead(),
       onSuspectsReceived: (updates) => this.#suspects.suspectsReceived(updates),
       onStreamsRead: (record, ageMs) => this.#streams.restore(record, ageMs),
       onRateLimitsReceived: (updates) =>
@@ -657,28 +659,29 @@
       seedAddresses: this.#settings.seedAddresses,
       send: (addresses, message) => this.#socket.sendAll(addresses, message),
       coordinatorId: () => this.#placementClient.coordinatorId,
-      memoryMs: () => this.#clock.nowMs() - this.#startedAtMs,
+      uptimeMs: () => this.#clock.nowMs() - this.#startedAtMs,
       reachesStore: () => this.#fleetState.reachesStore,
       spending: () =>
-        this.#wasCoordinator
+        this.#role.isCoordinator
           ? this.#coordinator.spendingNearBound(this.#clock.nowMs()).map(
             roundedUp,
           )
-          : [],
+          : undefined,
+      share: () => this.#placementClient.share,
       retries: () =>
-        this.#wasCoordinator
+        this.#role.isCoordinator
           ? this.#coordinator.retryHistories(this.#clock.nowMs())
           : [],
       suspects: () =>
-        this.#wasCoordinator
+        this.#role.isCoordinator
           ? this.board.suspects.updatesToSend(this.#clock.nowMs())
           : [],
       admission: () =>
-        this.#wasCoordinator
+        this.#role.isCoordinator
           ? this.#coordinator.admissionForecasts(this.#clock.nowMs())
           : [],
       streams: (withinMs) =>
-        this.#wasCoordinator ? this.#streams.recent(withinMs) : [],
+        this.#role.isCoordinator ? this.#streams.recent(withinMs) : [],
       rollouts: () => this.board.rollouts.updatesToSend(this.#clock.nowMs()),
       rateLimits: (of) =>
         this.board.rateLimits.updatesToSend(this.#clock.nowMs(), of),
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -14,6 +14,7 @@
 } from "@chestnuthatch/routing/peer_messages";
 import { boardOf, memberOf } from "@chestnuthatch/routing/routing_test_support";
 import type { TargetRateLimits } from "@chestnuthatch/routing/target_rate_limits";
+import { AssigningRole } from "./assigning_role.ts";
 import { EventLog } from "./event_log.ts";
 import { HeartbeatExchange } from "./heartbeat_exchange.ts";
 import { PlacementClient } from "./placement_client.ts";
@@ -49,7 +50,10 @@
   readonly seedIds: readonly string[];
   /** Time of the test's clock at which the instance started. */
   readonly startedAtMs?: number;
-  /** The platform; one that stores nothing if absent. */
+  /**
+   * The platform, whose records the test passes on; one without records if
+   * absent.
+   */
   readonly platform?: PlatformPort;
   /** @returns An instance's failure domain; `a` for all if absent. */
   domainOf?(instanceId: string): string;
@@ -84,12 +88,15 @@
   const log = new EventLog(clock, instanceId, discard);
   const coordinator = new Coordinator(board, bounds);
   const spending = new SpendingRecorder({
-    board,
     coordinator,
     platform: options.platform ?? NO_OP_PLATFORM,
     clock,
     log,
+    windowMs: bounds.allotmentTolerance.windowMs,
   });
+  if (options.platform === undefined) {
+    spending.recordsRead();
+  }
   const placementClient = new PlacementClient({
     board,
     coordinator,
@@ -98,12 +105,18 @@
     send: (member, message) => send(instanceId, member.instanceId, message),
     startedAtMs,
     spendingWindowMs: bounds.allotmentTolerance.windowMs,
-    onTakeover: (share) => {
-      spending.becameActingCoordinator(share);
-      retryBudgets.takeOver(share);
-    },
+    onAssigning: () => role.beforeAssigning(),
   });
   const retryBudgets = new RetryBudgetHandover({ board, coordinator, clock });
+  const role = new AssigningRole({
+    board,
+    coordinator,
+    clock,
+    log,
+    accounts: [spending, retryBudgets],
+    coordinatorId: () => placementClient.coordinatorId,
+    share: () => placementClient.share,
+  });
   const heartbeatExchange = new HeartbeatExchange({
     board,
     clock,
@@ -115,12 +128,13 @@
       }
     },
     coordinatorId: () => placementClient.coordinatorId,
-    memoryMs: () => clock.nowMs() - startedAtMs,
+    uptimeMs: () => clock.nowMs() - startedAtMs,
     reachesStore: () => true,
     spending: () =>
-      placementClient.coordinatorId === instanceId
+      role.isCoordinator
         ? coordinator.spendingNearBound(clock.nowMs())
-        : [],
+        : undefined,
+    share: () => placementClient.share,
     retries: () =>
       placementClient.coordinatorId === instanceId
         ? coordinator.retryHistories(clock.nowMs())
@@ -135,22 +149,11 @@
     rateLimits: (of) => board.rateLimits.updatesToSend(clock.nowMs(), of),
     targetChanges: () => [],
   }, self);
-  let wasCoordinator = false;
   const tick = () => {
-    members.memoryReported(
-      instanceId,
-      clock.nowMs() - startedAtMs,
-      clock.nowMs(),
-    );
     heartbeatExchange.tick();
     placementClient.tick();
-    const isCoordinator = placementClient.coordinatorId === instanceId;
-    if (isCoordinator && !wasCoordinator) {
-      spending.becameCoordinator();
-      retryBudgets.becameCoordinator();
-    }
-    wasCoordinator = isCoordinator;
-    if (isCoordinator) {
+    role.update();
+    if (role.isCoordinator) {
       void spending.record();
     }
   };
@@ -201,8 +204,9 @@
   if (isCoordinator) {
     placementClient.waitsAnnounced(fromId, message.admission ?? []);
   }
-  if (isCoordinator && message.spending !== undefined) {
-    node.spending.spendingReceived(message.spending);
+  const { spending, spendingShare: share = 1 } = message;
+  if (message.coordinatorId === fromId && spending !== undefined) {
+    node.spending.spendingReceived(fromId, { spending, share });
   }
   if (isCoordinator && message.retries !== undefined) {
     node.retryBudgets.reportReceived(fromId, message.retries);
--- a/packages/gateway/src/heartbeat_exchange.ts
+++ b/packages/gateway/src/heartbeat_exchange.ts
@@ -69,18 +69,17 @@
   send(addresses: Iterable<string>, message: RoutingMessage): void;
   /** @returns Id of the coordinator. */
   coordinatorId(): string;
-  /**
-   * @returns Milliseconds for which this instance has been recording what
-   * workspaces spent.
-   */
-  memoryMs(): number;
+  /** @returns Milliseconds since this instance started. */
+  uptimeMs(): number;
   /** @returns Whether this instance reaches the platform's store. */
   reachesStore(): boolean;
   /**
-   * @returns Spending of workspaces near their bounds; none unless this
+   * @returns Spending of workspaces near their bounds; undefined unless this
    * instance is the coordinator.
    */
-  spending(): readonly SpendingHistory[];
+  spending(): readonly SpendingHistory[] | undefined;
+  /** @returns Share of the fleet whose requests this instance assigns. */
+  share(): number;
   /**
    * @returns Sends that count towards retry budgets; none unless this instance
    * is the coordinator.
@@ -196,11 +195,6 @@
     } else {
       this.#idsReachingStore.delete(heartbeat.from.instanceId);
     }
-    members.memoryReported(
-      heartbeat.from.instanceId,
-      heartbeat.memoryMs,
-      nowMs,
-    );
     for (const other of heartbeat.others) {
       members.memberReported(other, nowMs);
     }
@@ -275,13 +269,14 @@
     this.#parts.send(addresses, {
       kind: MessageKind.Heartbeat,
       from: this.#self,
-      memoryMs: this.#parts.memoryMs(),
+      memoryMs: this.#parts.uptimeMs(),
+      coordinatorId: this.#parts.coordinatorId(),
       configurationVersion: board.routes?.configuration.version ?? 0,
       configurationAgeMs: ageMs === undefined ? undefined : Math.ceil(ageMs),
       targetsVersion: board.targets.version,
       reachesStore: this.#parts.reachesStore(),
       others,
-      spending: includesAll ? this.#parts.spending() : undefined,
+      ...(includesAll ? this.#spendingToSend() : undefined),
       ...(retries.length > 0 ? { retries } : undefined),
       ...(suspects.length > 0 ? { suspects } : undefined),
       ...(streams.length > 0 ? { streams } : undefined),
@@ -302,6 +297,14 @@
     return isDigest || this.#parts.board.members.isFullMesh;
   }
 
+  #spendingToSend(): Pick<Heartbeat, "spending" | "spendingShare"> {
+    const spending = this.#parts.spending();
+    const share = this.#parts.share();
+    return spending === undefined || share === 1
+      ? { spending }
+      : { spending, spendingShare: share };
+  }
+
   #recentStreams(): readonly StreamOriginGroup[] {
     const intervalMs = this.#parts.board.members.isFullMesh
       ? HEARTBEAT_INTERVAL_MS
--- a/packages/gateway/src/heartbeat_exchange_test.ts
+++ b/packages/gateway/src/heartbeat_exchange_test.ts
@@ -63,7 +63,8 @@
       }
     },
     coordinatorId: () => "i2",
-    memoryMs: () => 0,
+    uptimeMs: () => 0,
+    share: () => 1,
     reachesStore: () => true,
     spending: () => [],
     retries: () => [],
--- a/packages/gateway/src/holder_reporter.ts
+++ b/packages/gateway/src/holder_reporter.ts
@@ -110,6 +110,7 @@
       .filter(({ coordinatorId }) => coordinatorId === this.#reportedToId);
     return {
       holderId: members.selfId,
+      incarnation: members.selfIncarnation,
       running: openAsks.running(),
       waiting: waiting.map(({ ask }) => ask.askId),
       spent: this.#spending.totals(nowMs),
--- a/packages/gateway/src/loaded_coordinator_test.ts
+++ b/packages/gateway/src/loaded_coordinator_test.ts
@@ -7,7 +7,6 @@
   deliverTo,
   type FleetNode,
   fleetNode,
-  UPTIME_MS,
 } from "./gateway_test_support.ts";
 
 // Guards against a cascade of replaced coordinators under load, seen on a fleet
@@ -81,9 +80,8 @@
     const due = this.#ends.filter(({ atMs }) => atMs <= nowMs);
     this.#ends = this.#ends.filter(({ atMs }) => atMs > nowMs);
     due.forEach(({ end }) => end());
-    for (const [id, node] of this.#nodes) {
+    for (const node of this.#nodes.values()) {
       const { members, heartbeatExchange, placementClient, inbox } = node;
-      members.memoryReported(id, UPTIME_MS + nowMs, nowMs);
       members.isLoaded = inbox.length > MESSAGES_PER_STEP;
       heartbeatExchange.tick();
       placementClient.tick();
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -116,6 +116,8 @@
   "count",
   "callHashes",
   "longestGapMs",
+  "coordinatorId",
+  "spendingShare",
 ];
 
 /** Version of the internet protocol between peers. */
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -93,14 +93,8 @@
    * @param pool Name of the pool.
    */
   onRefusedByHolder?(pool: string): void;
-  /**
-   * Called before this instance assigns targets in place of a coordinator that
-   * does not respond.
-   *
-   * @param share Share of the fleet's allotments, above 0 and at most 1, that
-   * this instance may hand out.
-   */
-  onTakeover?(share: number): void;
+  /** Called before this instance assigns a target. */
+  onAssigning?(): void;
 }
 
 /**
@@ -141,9 +135,15 @@
       onLocalDecision: (decision) =>
         this.#applyDecision(decision, decision.holderId),
       onWaiting: () => this.#parts.onWaiting?.(),
+      onAsked: () => this.#parts.onAssigning?.(),
     });
   }
 
+  /** Share of the fleet's limits that this instance may hand out. */
+  get share(): number {
+    return this.#selector.scope(this.#nowMs()).share;
+  }
+
   /** Instance id of the coordinator that new asks are sent to. */
   get coordinatorId(): string {
     return this.#coordinator().instanceId;
@@ -564,7 +564,6 @@
 
   #skipCoordinator(instanceId: string, nowMs: number): void {
     if (this.#selector.skip(instanceId, nowMs)) {
-      this.#parts.onTakeover?.(this.#selector.scope(nowMs).share);
       this.#send(instanceId, { kind: MessageKind.PassedOver });
       this.#parts.log.warn(LogPart.Placement, "coordinator is silent", {
         coordinatorId: instanceId,
--- a/packages/gateway/src/placement_service.ts
+++ b/packages/gateway/src/placement_service.ts
@@ -30,6 +30,8 @@
    * @returns The part of the fleet's allotments that may be handed out here.
    */
   scope(): PlacementScope;
+  /** Called before an ask is decided here. */
+  onAsked(): void;
   /** Sends a message to another holder. */
   send(holderId: string, message: RoutingMessage): void;
   /** Applies a decision on an ask of this instance as holder. */
@@ -61,8 +63,10 @@
    * @param ask The ask.
    */
   handleAsk(ask: WorkAsk): void {
-    const { coordinator, selfId, scope, send, onWaiting } = this.#parts;
+    const { coordinator, selfId, scope, send, onWaiting, onAsked } =
+      this.#parts;
     const { askId, holderId } = ask;
+    onAsked();
     const decisions = coordinator.ask(ask, scope());
     this.#deliver(decisions);
     if (decisions.some((decision) => decision.askId === askId)) {
--- a/packages/gateway/src/retry_budget_handover.ts
+++ b/packages/gateway/src/retry_budget_handover.ts
@@ -9,6 +9,7 @@
   takenOverHistory,
 } from "@chestnuthatch/routing/retry_budget";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import type { InheritedAccount } from "./assigning_role.ts";
 import type { Clock } from "./ports.ts";
 
 /** Time after which a report is dropped; longer than any window of budgets. */
@@ -28,7 +29,7 @@
 }
 
 /** Keeps the last report of each coordinator about the sends that it granted. */
-export class RetryBudgetHandover {
+export class RetryBudgetHandover implements InheritedAccount {
   readonly #parts: RetryBudgetHandoverParts;
   /**
    * Reports by instance id. Each is kept: a coordinator that has just started
@@ -58,7 +59,7 @@
   /** This instance became the coordinator of all members that it reaches. */
   becameCoordinator(): void {
     const { board: { members }, clock } = this.#parts;
-    this.takeOver(members.reachableShare(clock.nowMs()));
+    this.becameActingCoordinator(members.reachableShare(clock.nowMs()));
   }
 
   /**
@@ -67,7 +68,7 @@
    * @param share Share (0 to 1) of the fleet's budgets that this instance may
    * hand out.
    */
-  takeOver(share: number): void {
+  becameActingCoordinator(share: number): void {
     const { coordinator, clock } = this.#parts;
     const nowMs = clock.nowMs();
     for (const [coordinatorId, report] of this.#reports) {
--- a/packages/gateway/src/retry_budget_handover_test.ts
+++ b/packages/gateway/src/retry_budget_handover_test.ts
@@ -52,8 +52,8 @@
 test("an instance that acts for a silent coordinator counts its share", () => {
   const fixture = new HandoverOnClock();
   fixture.report("i2", [20, 10, 0]);
-  fixture.handover.takeOver(0.25);
-  fixture.handover.takeOver(0.25);
+  fixture.handover.becameActingCoordinator(0.25);
+  fixture.handover.becameActingCoordinator(0.25);
   assert.equal(fixture.ownRepeats, [5, 2.5, 0]);
 });
 
--- a/packages/gateway/src/slow_coordinator_test.ts
+++ b/packages/gateway/src/slow_coordinator_test.ts
@@ -9,7 +9,6 @@
   deliverTo,
   type FleetNode,
   fleetNode,
-  UPTIME_MS,
 } from "./gateway_test_support.ts";
 import { PartitionedNetwork } from "./partition_test_support.ts";
 
@@ -47,14 +46,8 @@
       this.clock.atMs += STEP_MS;
       this.#network.runDue();
       for (
-        const [id, { members, heartbeatExchange, placementClient }] of this
-          .#nodes
+        const { heartbeatExchange, placementClient } of this.#nodes.values()
       ) {
-        members.memoryReported(
-          id,
-          UPTIME_MS + this.clock.atMs,
-          this.clock.atMs,
-        );
         heartbeatExchange.tick();
         placementClient.tick();
       }
--- a/packages/gateway/src/spending_fleet_test_support.ts
+++ b/packages/gateway/src/spending_fleet_test_support.ts
@@ -79,10 +79,13 @@
           STORE_RETRY_MS,
           () => this.restore(node, isRunning),
         );
-      } else if (this.#record !== undefined) {
+        return;
+      }
+      if (this.#record !== undefined) {
         const { content, atMs } = this.#record;
         node.spending.restoreRecord(content, this.#network.clock.atMs - atMs);
       }
+      node.spending.recordsRead();
     });
   }
 
--- a/packages/gateway/src/spending_recorder.ts
+++ b/packages/gateway/src/spending_recorder.ts
@@ -6,11 +6,12 @@
  */
 
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
-import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import {
   agedHistory,
+  scaledHistory,
   type SpendingHistory,
 } from "@chestnuthatch/routing/spending_log";
+import type { InheritedAccount } from "./assigning_role.ts";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock, PlatformPort } from "./ports.ts";
 import { StoreRecorder } from "./store_recorder.ts";
@@ -40,23 +41,28 @@
 
 /** Dependencies of {@link SpendingRecorder}. */
 export interface SpendingParts {
-  readonly board: RoutingBoard;
   readonly coordinator: Coordinator;
   readonly platform: PlatformPort;
   readonly clock: Clock;
   readonly log: EventLog;
+  /** Window over which the operators' bounds limit workspaces' spending. */
+  readonly windowMs: number;
+}
+
+/** Spending in a coordinator's last heartbeat. */
+interface ReceivedAccount {
+  readonly spending: readonly SpendingHistory[];
+  /** Share of the fleet that it covers. */
+  readonly share: number;
+  readonly receivedAtMs: number;
 }
 
 /** Records the spending of workspaces in the store, and restores it. */
-export class SpendingRecorder {
+export class SpendingRecorder implements InheritedAccount {
   readonly #parts: SpendingParts;
   readonly #recorder: StoreRecorder<SpendingHistory[]>;
-  /**
-   * Spending of workspaces near their bounds in the coordinator's last
-   * heartbeat.
-   */
-  #received: readonly SpendingHistory[] = [];
-  #receivedAtMs = 0;
+  /** Accounts by the instance id of the coordinator that sent them. */
+  readonly #received = new Map<string, ReceivedAccount>();
 
   /** @param parts Dependencies. */
   constructor(parts: SpendingParts) {
@@ -73,11 +79,19 @@
   }
 
   /**
-   * @param spending Spending by workspace from a heartbeat of the coordinator.
+   * Keeps the account in a coordinator's heartbeat. Those of several are kept,
+   * as an instance that resumes after a pause may have missed a change.
+   *
+   * @param coordinatorId Instance id of the coordinator.
+   * @param account Its spending by workspace, and the share of the fleet that
+   * this covers.
    */
-  spendingReceived(spending: readonly SpendingHistory[]): void {
-    this.#received = spending;
-    this.#receivedAtMs = this.#parts.clock.nowMs();
+  spendingReceived(
+    coordinatorId: string,
+    account: { spending: readonly SpendingHistory[]; share: number },
+  ): void {
+    const receivedAtMs = this.#parts.clock.nowMs();
+    this.#received.set(coordinatorId, { ...account, receivedAtMs });
   }
 
   /**
@@ -99,16 +113,22 @@
     this.#logTakenOver(histories, { from: SpendingSource.Store, ageMs });
   }
 
+  /**
+   * The fleet's records were read: of workspaces without a record, the fleet had
+   * spent little.
+   */
+  recordsRead(): void {
+    const { coordinator, clock } = this.#parts;
+    coordinator.importSpending([], clock.nowMs());
+  }
+
   /**
    * This instance became the coordinator: it continues from the spending in the
-   * last heartbeats of its predecessor. Each side of a network partition takes
-   * over its share of the spending just as its share of the allotments, so that
-   * all sides together allocate no more than the whole fleet may.
+   * last heartbeats of its predecessor.
    */
   becameCoordinator(): void {
-    const { board, coordinator, clock } = this.#parts;
-    this.#restoreReceived(board.members.reachableShare(clock.nowMs()));
-    coordinator.invalidateRecord();
+    this.#takeOver();
+    this.#parts.coordinator.invalidateRecord();
     // By then, all holders have reported what they spent.
     this.#recorder.pauseFor(FIRST_RECORD_DELAY_MS + MIN_RECORD_INTERVAL_MS);
   }
@@ -117,26 +137,33 @@
    * This instance places requests in place of a silent coordinator, which may
    * still be running on the other side of a partition and may have allocated
    * what its last heartbeat reported as spent.
-   *
-   * @param share Share of the fleet's allotments that this instance allocates.
    */
-  becameActingCoordinator(share: number): void {
-    this.#restoreReceived(share);
+  becameActingCoordinator(): void {
+    this.#takeOver();
   }
 
-  #restoreReceived(share: number): void {
-    const { coordinator, clock } = this.#parts;
+  #takeOver(): void {
+    const { coordinator, clock, windowMs } = this.#parts;
     const nowMs = clock.nowMs();
-    const ageMs = nowMs - this.#receivedAtMs;
-    const own = this.#received
-      .map((history) => scaled(agedHistory(history, ageMs), share));
-    coordinator.importSpending(own, nowMs);
-    this.#logTakenOver(own, { from: SpendingSource.Heartbeat, ageMs, share });
+    coordinator.takeOverSpending(nowMs);
+    for (const [coordinatorId, account] of this.#received) {
+      const ageMs = nowMs - account.receivedAtMs;
+      if (ageMs > windowMs) {
+        this.#received.delete(coordinatorId);
+        continue;
+      }
+      const histories = account.spending.map((history) =>
+        agedHistory(scaledHistory(history, 1 / account.share), ageMs)
+      );
+      coordinator.importSpending(histories, nowMs);
+      const from = SpendingSource.Heartbeat;
+      this.#logTakenOver(histories, { from, coordinatorId, ageMs });
+    }
   }
 
   #logTakenOver(
     histories: readonly SpendingHistory[],
-    of: { from: SpendingSource; ageMs: number; share?: number },
+    of: { from: SpendingSource; coordinatorId?: string; ageMs: number },
   ): void {
     this.#parts.log.info(LogPart.Placement, "spending taken over", {
       ...of,
@@ -169,14 +196,3 @@
 function spentJustNow({ workspace, spent }: SpendingHistory): SpendingHistory {
   return { workspace, spent, bySecond: [spent] };
 }
-
-function scaled(
-  { workspace, spent, bySecond }: SpendingHistory,
-  share: number,
-): SpendingHistory {
-  return {
-    workspace,
-    spent: spent * share,
-    bySecond: bySecond.map((cost) => cost * share),
-  };
-}
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -208,7 +208,6 @@
     this.#waitingByAskId.set(ask.askId, ask);
     const scope = {
       share: 1,
-      memoryMs: 60_000,
       uptimeMs: 60_000,
       nowMs: this.#queue.nowMs,
     };
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -5,11 +5,13 @@
  */
 
 import type { Allotment } from "./fleet_configuration.ts";
+import { type BoundScope, InheritedSpending } from "./inherited_spending.ts";
+import type { ReportedSpending } from "./reported_spending.ts";
 import {
+  addedHistories,
   type SpendingHistory,
   SpendingLog,
   withRecentCost,
-  type WorkspaceSpending,
 } from "./spending_log.ts";
 
 const MS_PER_S = 1000;
@@ -55,9 +57,6 @@
  */
 const UNRECORDED_SHARE = 0.35;
 
-/** Maximum age of a holder's report: it does not contain charges made since. */
-const MAX_REPORT_AGE_MS = 500;
-
 /**
  * Amount by which spending may exceed an allotment, as the operators set it.
  */
@@ -73,8 +72,6 @@
 export interface LedgerScope {
   /** Share of the fleet's allotments, greater than 0 and at most 1. */
   readonly share: number;
-  /** Time for which the fleet has retained all spending, in milliseconds. */
-  readonly memoryMs: number;
   readonly nowMs: number;
 }
 
@@ -82,6 +79,8 @@
 export interface Charge {
   readonly workspace: string;
   readonly cost: number;
+  /** Instance that asked for the placement of the request. */
+  readonly holderId: string;
   /** Local time of the charge. */
   readonly chargedAtMs: number;
 }
@@ -96,6 +95,8 @@
   /** Cost units spent in the window, and the bound on them. */
   readonly spent: number;
   readonly bound: number;
+  /** Part of `spent` that is not known, and that may have been spent. */
+  readonly unknown: number;
 }
 
 /**
@@ -104,38 +105,33 @@
  */
 export class AllotmentLedger {
   #tolerance: AllotmentTolerance;
-  readonly #ownSpending: SpendingLog;
-  /**
-   * The part of it whose requests were placed, by the time of the placement.
-   * Holders report spending once it is placed, but not queued requests.
-   */
-  readonly #ownPlaced: SpendingLog;
-  /**
-   * Cost units charged elsewhere, as derived from the holders' last reports.
-   */
-  readonly #spentElsewhere = new Map<string, number>();
+  readonly #windowMs: number;
+  /** Charges made here since the takeover. */
+  #charged: SpendingLog;
+  /** What was charged before the takeover, or elsewhere. */
+  readonly #inherited: InheritedSpending;
   /** Bounds of one window by workspace, as computed for the last charge. */
   readonly #windowBounds = new Map<string, number>();
+  /** Share of the fleet's allotments at the last charge. */
+  #share = 1;
+  #takenOverAtMs = -Infinity;
   /**
    * Spending in the last record that this ledger made; absent before the first.
    */
   #recorded?: Map<string, number>;
   #recordedAtMs = -Infinity;
-  /**
-   * Local time until which the window contains spending that only holders'
-   * reports or another coordinator's account cover.
-   */
-  #incompleteUntilMs = -Infinity;
-  /**
-   * Workspaces whose spending before the start of this process was imported.
-   */
-  readonly #imported = new Set<string>();
 
   /** @param tolerance Amount by which spending may exceed an allotment. */
   constructor(tolerance: AllotmentTolerance) {
     this.#tolerance = tolerance;
-    this.#ownSpending = new SpendingLog(tolerance.windowMs);
-    this.#ownPlaced = new SpendingLog(tolerance.windowMs);
+    this.#windowMs = tolerance.windowMs;
+    this.#charged = new SpendingLog(this.#windowMs);
+    this.#inherited = new InheritedSpending(this.#windowMs);
+  }
+
+  /** What holders report beyond the charges of this ledger. */
+  get reported(): ReportedSpending {
+    return this.#inherited.reported;
   }
 
   /**
@@ -163,35 +159,40 @@
     of: { cost: number; rank: number; scope: LedgerScope },
   ): ChargeResult {
     const { cost, rank, scope } = of;
-    const { nowMs } = scope;
+    const { nowMs, share } = scope;
+    this.#share = share;
+    const windowBound = this.#windowBound(allotment);
+    this.#windowBounds.set(workspace, windowBound);
     const spent = this.#spent(workspace, nowMs);
+    const unknown = this.#inherited
+      .unknown(workspace, { windowBound, share, nowMs });
     const reservedShare = Math.min(
       MAX_RESERVE_SHARE,
       RESERVE_PER_RANK_SHARE * rank,
     );
-    const bound = this.#bound(workspace, allotment, scope) *
-      (1 - reservedShare);
+    const bound = windowBound * share * (1 - reservedShare);
     // A request that costs more than the bound is allowed when nothing else was
     // spent; otherwise it could never run.
     if (spent > 0 && spent + cost > bound) {
       const excess = spent + cost - bound;
-      const retryAfterMs = this.#ownSpending
+      const retryAfterMs = this.#charged
         .timeUntilExpiredMs(workspace, excess, nowMs);
-      return { allowed: false, retryAfterMs, spent, bound };
+      return { allowed: false, retryAfterMs, spent, bound, unknown };
     }
-    this.#ownSpending.record(workspace, cost, nowMs);
-    return { allowed: true, retryAfterMs: 0, spent, bound };
+    this.#charged.record(workspace, cost, nowMs);
+    return { allowed: true, retryAfterMs: 0, spent, bound, unknown };
   }
 
   /**
    * Records that the request of a charge was placed, so that its holder's
    * reports contain it from now on.
    *
-   * @param charge Cost units and the workspace that they were charged to.
+   * @param charge Cost units, and the workspace and the holder that they were
+   * charged for.
    * @param nowMs Current local time in milliseconds.
    */
-  placed({ workspace, cost }: Charge, nowMs: number): void {
-    this.#ownPlaced.record(workspace, cost, nowMs);
+  placed(charge: Charge, nowMs: number): void {
+    this.reported.placed(charge.holderId, charge, nowMs);
   }
 
   /**
@@ -200,42 +201,32 @@
    * @param charge Cost units and the workspace that they were charged to.
    */
   refund({ workspace, cost, chargedAtMs }: Charge): void {
-    this.#ownSpending.takeBack(workspace, cost, chargedAtMs);
+    if (chargedAtMs >= this.#takenOverAtMs) {
+      this.#charged.takeBack(workspace, cost, chargedAtMs);
+    } else {
+      this.#inherited.refund(workspace, cost, chargedAtMs);
+    }
   }
 
   /**
-   * Marks the local log as incomplete for one window: this ledger is new, or a
-   * holder reports again after a timeout, so some spending is known only from
-   * reports.
+   * Records that this instance begins to assign requests in place of another.
    *
    * @param nowMs Current local time in milliseconds.
    */
-  markIncomplete(nowMs: number): void {
-    this.#incompleteUntilMs = nowMs + this.#tolerance.windowMs;
+  takeOver(nowMs: number): void {
+    this.#takenOverAtMs = nowMs;
+    this.#inherited.takeOver(this.#charged, nowMs);
+    this.#charged = new SpendingLog(this.#windowMs);
   }
 
   /**
-   * Derives what was charged elsewhere, by an earlier coordinator or by holders
-   * on their own, from the totals of all holders.
+   * Imports the account of another ledger, or the fleet's record.
    *
-   * @param totals Spending reported by all holders, wherever it was charged.
-   * @param nowMs Current local time in milliseconds.
+   * @param histories Spending of workspaces of the whole fleet by age.
+   * @param atMs Local time in milliseconds that the ages count from.
    */
-  setReportedTotals(totals: readonly WorkspaceSpending[], nowMs: number): void {
-    this.#spentElsewhere.clear();
-    // Charges too recent to be in any report must not be subtracted from
-    // spending that was charged elsewhere.
-    const reportedUntilMs = nowMs < this.#incompleteUntilMs
-      ? nowMs - MAX_REPORT_AGE_MS
-      : nowMs;
-    for (const { workspace, spent } of totals) {
-      const ownPlaced = this.#ownPlaced.spentUntil(
-        workspace,
-        reportedUntilMs,
-        nowMs,
-      );
-      this.#spentElsewhere.set(workspace, Math.max(0, spent - ownPlaced));
-    }
+  importHistories(histories: readonly SpendingHistory[], atMs: number): void {
+    this.#inherited.import(histories, atMs);
   }
 
   /**
@@ -305,64 +296,26 @@
     });
   }
 
-  /**
-   * Spending of a workspace by age. Spending elsewhere has no timestamps, so it
-   * counts as of the last second.
-   */
+  /** Spending of a workspace by age, as far as the ages are known. */
   #history(workspace: string, nowMs: number): SpendingHistory {
-    const own = this.#ownSpending.history(workspace, nowMs);
-    return withRecentCost(own, this.#spentElsewhere.get(workspace) ?? 0);
+    const inherited = this.#inherited
+      .history(workspace, this.#boundScope(workspace, nowMs));
+    return addedHistories(this.#charged.history(workspace, nowMs), inherited);
   }
 
-  /**
-   * Imports the account of another ledger. Where this ledger has counted more,
-   * its own account is kept. The two overlap, and adding them up refused
-   * workspaces everything for one window after every second loss of a
-   * coordinator.
-   *
-   * @param histories Spending of workspaces by age.
-   * @param atMs Local time in milliseconds that the ages count from.
-   */
-  importHistories(histories: readonly SpendingHistory[], atMs: number): void {
-    this.markIncomplete(atMs);
-    for (const history of histories) {
-      this.#imported.add(history.workspace);
-      importInto(this.#ownSpending, history, atMs);
-      importInto(this.#ownPlaced, history, atMs);
-    }
+  #spent(workspace: string, nowMs: number): number {
+    return this.#charged.spent(workspace, nowMs) +
+      this.#inherited.spent(workspace, this.#boundScope(workspace, nowMs));
   }
 
-  #spent(workspace: string, nowMs: number): number {
-    return this.#ownSpending.spent(workspace, nowMs) +
-      (this.#spentElsewhere.get(workspace) ?? 0);
+  #boundScope(workspace: string, nowMs: number): BoundScope {
+    const windowBound = this.#windowBounds.get(workspace) ?? 0;
+    return { windowBound, share: this.#share, nowMs };
   }
 
-  #bound(
-    workspace: string,
-    allotment: Allotment,
-    scope: LedgerScope,
-  ): number {
+  #windowBound({ perS, burst }: Allotment): number {
     const { windowMs, overage, slack } = this.#tolerance;
-    const { perS, burst } = allotment;
-    const windowBound = (perS * windowMs / MS_PER_S + burst) *
+    return (perS * windowMs / MS_PER_S + burst) *
         (1 + overage * TOLERANCE_USED_SHARE) + slack * TOLERANCE_USED_SHARE;
-    this.#windowBounds.set(workspace, windowBound);
-    const isFullyKnown = scope.memoryMs >= windowMs ||
-      this.#imported.has(workspace);
-    const usableShare = isFullyKnown ? 1 : 1 - RECORDED_SHARE;
-    return windowBound * usableShare * scope.share;
-  }
-}
-
-function importInto(
-  log: SpendingLog,
-  history: SpendingHistory,
-  atMs: number,
-): void {
-  const own = log.history(history.workspace, atMs);
-  if (own.spent < history.spent) {
-    // The other ledger may not know of the latest charges made here.
-    const lastSecond = own.bySecond[0] ?? 0;
-    log.setHistory(withRecentCost(history, lastSecond), atMs);
   }
 }
--- a/packages/routing/src/allotment_ledger_test.ts
+++ b/packages/routing/src/allotment_ledger_test.ts
@@ -12,8 +12,17 @@
 /** (1000 × 8 + 500) × 1.075 + 757.5. */
 const WHOLE_BOUND = 9895;
 
+const CHARGE = { workspace: "w", cost: 0, holderId: "i2", chargedAtMs: 0 };
+
+/** Reports the spending through holder `i2`. */
+function report(ledger: AllotmentLedger, spent: number, nowMs: number): void {
+  const spending = [{ workspace: "w", spent }];
+  ledger.reported
+    .reported("i2", { incarnation: 1, spent: spending }, nowMs);
+}
+
 function scope(nowMs: number, over: Partial<LedgerScope> = {}): LedgerScope {
-  return { share: 1, memoryMs: Infinity, nowMs, ...over };
+  return { share: 1, nowMs, ...over };
 }
 
 function spendAll(ledger: AllotmentLedger, over: LedgerScope): number {
@@ -73,22 +82,23 @@
 
 test("a new coordinator counts what was charged elsewhere", () => {
   const ledger = new AllotmentLedger(TOLERANCE);
-  ledger.setReportedTotals([{ workspace: "w", spent: WHOLE_BOUND - 100 }], 0);
+  report(ledger, WHOLE_BOUND - 100, 0);
   assert.is(spendAll(ledger, scope(0)), 100);
 });
 
 test("reports of charges that the ledger made itself change nothing", () => {
   const ledger = new AllotmentLedger(TOLERANCE);
   ledger.charge("w", ALLOTMENT, { cost: 4000, rank: 0, scope: scope(0) });
-  ledger.placed({ workspace: "w", cost: 4000, chargedAtMs: 0 }, 20);
-  ledger.setReportedTotals([{ workspace: "w", spent: 3900 }], 500);
+  ledger.placed({ ...CHARGE, cost: 4000 }, 20);
+  report(ledger, 3900, 500);
   assert.is(spendAll(ledger, scope(500)), WHOLE_BOUND - 4000);
 });
 
 test("a fleet that lost its state hands out only the part of the bound that is not recorded", () => {
   const ledger = new AllotmentLedger(TOLERANCE);
-  const spent = spendAll(ledger, scope(0, { memoryMs: 1000 }));
-  assert.is(spent, Math.floor(WHOLE_BOUND / 10) * 5);
+  ledger.takeOver(0);
+  ledger.importHistories([], 0);
+  assert.is(spendAll(ledger, scope(0)), Math.floor(WHOLE_BOUND / 10) * 5);
 });
 
 test("spending near the bound is recorded, ahead of its growth", () => {
@@ -137,8 +147,9 @@
       record = before.spendingToRecord(0) ?? record;
     }
     const after = new AllotmentLedger(TOLERANCE);
+    after.takeOver(0);
     after.importHistories(record, 0);
-    spent += spendAll(after, scope(0, { memoryMs: 0 }));
+    spent += spendAll(after, scope(0));
     assert.ok(spent <= WHOLE_BOUND + 100, `${part}: ${spent}`);
   }
 });
@@ -227,7 +238,7 @@
 test("a refund leaves the window together with its charge", () => {
   const ledger = new AllotmentLedger(TOLERANCE);
   const spent = spendAll(ledger, scope(0));
-  ledger.refund({ workspace: "w", cost: spent, chargedAtMs: 0 });
+  ledger.refund({ ...CHARGE, cost: spent });
   assert.is(spendAll(ledger, scope(5000)), WHOLE_BOUND);
   assert.is(spendAll(ledger, scope(8300)), 0);
   assert.is(spendAll(ledger, scope(13_300)), WHOLE_BOUND);
@@ -236,7 +247,7 @@
 test("a refund can be spent again", () => {
   const ledger = new AllotmentLedger(TOLERANCE);
   spendAll(ledger, scope(0));
-  ledger.refund({ workspace: "w", cost: 500, chargedAtMs: 0 });
+  ledger.refund({ ...CHARGE, cost: 500 });
   assert.is(spendAll(ledger, scope(100)), 500);
 });
 
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -23,7 +23,6 @@
   type Charge,
   type LedgerScope,
 } from "./allotment_ledger.ts";
-import { ReportedSpending } from "./reported_spending.ts";
 import type { SpendingHistory } from "./spending_log.ts";
 import { recordLoad } from "./load_recording.ts";
 import type { LoadReport } from "./load_report.ts";
@@ -110,7 +109,6 @@
   readonly #lastContactAtMs = new Map<string, number>();
   /** Local time at which each holder last reported its spending. */
   readonly #spendingReportedAtMs = new Map<string, number>();
-  readonly #spending = new ReportedSpending();
   readonly #takenUpStreams: TakenUpStreams;
   readonly #endEvidence: EndEvidence;
   readonly #unusable: UnusableTargets;
@@ -314,16 +312,16 @@
   report(report: HolderReport, nowMs: number): AskDecision[] {
     this.#lastContactAtMs.set(report.holderId, nowMs);
     const previousReportAtMs = this.spendingReportedAtMs(report.holderId);
+    const { reported } = this.#allotmentLedger;
     if (nowMs - previousReportAtMs > HOLDER_TIMEOUT_MS) {
-      this.#allotmentLedger.markIncomplete(nowMs);
+      reported.markIncomplete(nowMs);
     }
     this.#spendingReportedAtMs.set(report.holderId, nowMs);
-    this.#spending.put(report.holderId, report.spent);
+    const { holderId, incarnation = 0, spent } = report;
+    reported.reported(holderId, { incarnation, spent }, nowMs);
     this.#board.suspects.merge(report.suspects ?? [], nowMs);
     this.importStreams(report.streams ?? [], nowMs);
     this.#recordRefusedByHolder(report.refused ?? [], nowMs);
-    // These totals include charges made by other coordinators.
-    this.#allotmentLedger.setReportedTotals(this.#spending.totals(), nowMs);
     for (const running of report.running) {
       this.#recordAdopted(running, nowMs);
       this.#poolScheduler(running.pool).adopt(report.holderId, running, nowMs);
@@ -399,7 +397,7 @@
     for (const [holderId, contactAtMs] of this.#lastContactAtMs) {
       if (nowMs - contactAtMs > HOLDER_TIMEOUT_MS) {
         this.#lastContactAtMs.delete(holderId);
-        this.#spending.put(holderId, []);
+        this.#allotmentLedger.reported.holderGone(holderId, nowMs);
         decisions.push(...this.#releaseUnlisted(holderId, new Set(), nowMs));
       }
     }
@@ -492,6 +490,16 @@
     return this.#allotmentLedger.spendingNearBound(nowMs);
   }
 
+  /**
+   * Records that this instance begins to assign requests in place of another,
+   * so that its account of spending may be incomplete.
+   *
+   * @param nowMs Current local time in milliseconds.
+   */
+  takeOverSpending(nowMs: number): void {
+    this.#allotmentLedger.takeOver(nowMs);
+  }
+
   /**
    * Imports spending that another coordinator accounted for, or that the fleet
    * recorded before all its instances stopped.
@@ -668,9 +676,10 @@
     const result = this.#allotmentLedger
       .charge(workspace, allotment, { cost, rank, scope });
     if (result.allowed) {
-      return { charge: { workspace, cost, chargedAtMs: scope.nowMs } };
+      const chargedAtMs = scope.nowMs;
+      return { charge: { workspace, cost, holderId, chargedAtMs } };
     }
-    const { retryAfterMs, spent, bound } = result;
+    const { retryAfterMs, spent, bound, unknown } = result;
     const refusal = {
       askId,
       holderId,
@@ -678,10 +687,10 @@
       retryAfterMs,
       figures: {
         cost,
-        spent,
+        spent: Math.round(spent),
+        unknown: Math.round(unknown),
         bound: Math.round(bound),
         share: scope.share,
-        memoryMs: Math.round(scope.memoryMs),
       },
     };
     return { refusal };
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -125,6 +125,7 @@
 /** The members of the fleet as seen by this instance, which is one of them. */
 export class MemberView {
   readonly selfId: string;
+  readonly selfIncarnation: number;
   /** Increases when a member joins, leaves or changes its description. */
   revision = 0;
   /**
@@ -133,8 +134,6 @@
    */
   isLoaded = false;
   readonly #byId = new Map<string, MemberRecord>();
-  /** Local time since which each member has recorded workspaces' spending. */
-  readonly #memorySinceMs = new Map<string, number>();
   /** Since when heartbeats of a silent coordinator candidate are awaited. */
   readonly #awaitedSinceMs = new Map<string, number>();
   /** When others last reported something new of each member. */
@@ -151,6 +150,7 @@
   /** @param self This instance. */
   constructor(self: MemberInfo) {
     this.selfId = self.instanceId;
+    this.selfIncarnation = self.incarnation;
     this.#byId.set(self.instanceId, { ...self, lastHeartbeatAtMs: Infinity });
   }
 
@@ -403,37 +403,6 @@
     return Math.max(1, presentCount);
   }
 
-  /**
-   * Returns how long the fleet as a whole has recorded the spending of
-   * workspaces. What one instance lost with a restart, others still have.
-   *
-   * @param ownMs Time since this instance started, in milliseconds.
-   * @param nowMs The local time.
-   * @returns The longest such time of any live member, in milliseconds.
-   */
-  memoryMs(ownMs: number, nowMs: number): number {
-    const timeoutMs = this.#timeoutMs;
-    let longestMs = ownMs;
-    for (const member of this.#byId.values()) {
-      if (nowMs - member.lastHeartbeatAtMs < timeoutMs) {
-        longestMs = Math.max(longestMs, this.#uptimeMs(member, nowMs));
-      }
-    }
-    return longestMs;
-  }
-
-  /**
-   * Records for how long a member has recorded the spending of workspaces, by
-   * which its uptime is estimated.
-   *
-   * @param instanceId Id of the member.
-   * @param memoryMs The time in milliseconds, as the member reported it.
-   * @param nowMs The local time.
-   */
-  memoryReported(instanceId: string, memoryMs: number, nowMs: number): void {
-    this.#memorySinceMs.set(instanceId, nowMs - memoryMs);
-  }
-
   /**
    * Records that a member asked this instance for placements and got no answer
    * in time. If enough members did, this instance stands aside: all members
@@ -569,10 +538,6 @@
     return nowMs - member.lastHeartbeatAtMs < this.#timeoutMs;
   }
 
-  #uptimeMs({ instanceId }: MemberRecord, nowMs: number): number {
-    return nowMs - (this.#memorySinceMs.get(instanceId) ?? nowMs);
-  }
-
   /**
    * Removes members that have been silent for longer than the retention time.
    *
@@ -587,7 +552,6 @@
       ) {
         this.revision++;
         this.#byId.delete(instanceId);
-        this.#memorySinceMs.delete(instanceId);
         this.#awaitedSinceMs.delete(instanceId);
         this.#reportedAtMs.delete(instanceId);
         this.#passedOverAtMs.delete(instanceId);
--- a/packages/routing/src/member_view_test.ts
+++ b/packages/routing/src/member_view_test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type MemberInfo, MemberView } from "./member_view.ts";
+import { MemberView } from "./member_view.ts";
 import { memberOf } from "./routing_test_support.ts";
 
 const NONE = new Set<string>();
@@ -119,7 +119,8 @@
         memberOf(youngerId!, { incarnation: 1000 + apartMs }),
       ];
       const chosen = pair.map((self) => {
-        const view = viewWithUptimes(self, pair);
+        const view = new MemberView(self);
+        pair.forEach((member) => view.heartbeatReceived(member, 10_000));
         return view.coordinator(10_000, NONE).instanceId;
       });
       assert.is(chosen[0], chosen[1], `${apartMs} ms apart`);
@@ -127,22 +128,6 @@
   }
 });
 
-/** A view whose heartbeats from others are 4 ms old at 10 s. */
-function viewWithUptimes(
-  self: MemberInfo,
-  members: readonly MemberInfo[],
-): MemberView {
-  const nowMs = 10_000;
-  const view = new MemberView(self);
-  for (const member of members) {
-    const delayMs = member === self ? 0 : 4;
-    const uptimeMs = nowMs - delayMs - member.incarnation;
-    view.heartbeatReceived(member, nowMs);
-    view.memoryReported(member.instanceId, uptimeMs, nowMs);
-  }
-  return view;
-}
-
 test("an instance with few cores coordinates only if all alive have few", () => {
   const ids = ["i1", "i2", "i3", "i4", "i5", "i6", "i7", "i8"];
   for (const strong of ids) {
@@ -239,11 +224,4 @@
   assert.is(view.reachableShare(3000), 1);
 });
 
-test("the fleet keeps spending as long as its longest-running instance", () => {
-  const view = viewOf("i1", ["i2"]);
-  view.memoryReported("i2", 9000, 0);
-  assert.is(view.memoryMs(100, 50), 9050);
-  assert.is(view.memoryMs(2000, 3000), 2000);
-});
-
 test.run();
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -192,6 +192,7 @@
 
 const report = z.object({
   holderId: z.string(),
+  incarnation: z.number().optional(),
   running: z.array(running).readonly(),
   waiting: z.array(z.string()).readonly(),
   spent: z.array(z.object({ workspace: z.string(), spent: z.number() }))
@@ -245,8 +246,13 @@
   z.object({
     kind: z.literal(MessageKind.Heartbeat),
     from: member,
-    /** Time for which the sender has recorded the spending of workspaces. */
+    /** Uptime of the sender; only earlier versions read it. */
     memoryMs: z.number(),
+    /**
+     * Instance that the sender asks for placements; absent in heartbeats of
+     * earlier versions.
+     */
+    coordinatorId: z.string().optional(),
     /** Version of the configuration that the sender applies; 0 for none. */
     configurationVersion: z.number(),
     /**
@@ -265,6 +271,8 @@
      * allotments. Absent if this heartbeat carries none.
      */
     spending: z.array(spendingHistorySchema).readonly().optional(),
+    /** Share of the fleet that `spending` covers; 1 if absent. */
+    spendingShare: z.number().positive().max(1).optional(),
     /**
      * From the coordinator: sends that count towards retry budgets. Absent if
      * this heartbeat carries none.
--- a/packages/routing/src/reported_spending.ts
+++ b/packages/routing/src/reported_spending.ts
@@ -1,6 +1,12 @@
-/** Sums of the spending of workspaces in the last reports of all holders. */
+/**
+ * Spending that other coordinators charged, as derived from the holders'
+ * reports: what a holder reports beyond the charges of this coordinator.
+ */
+
+import { SpendingLog, type WorkspaceSpending } from "./spending_log.ts";
 
-import type { WorkspaceSpending } from "./spending_log.ts";
+/** Maximum age of a holder's report: it does not contain charges made since. */
+const MAX_REPORT_AGE_MS = 500;
 
 /**
  * Least total in cost units that counts. It is below the cost of any request,
@@ -8,46 +14,182 @@
  */
 const MIN_TOTAL_COST = 0.001;
 
+/** What one holder reported, and what was placed through it. */
+interface HolderSpending {
+  /**
+   * Start of the holder's process, with which its reports begin anew; absent
+   * before the first report.
+   */
+  incarnation?: number;
+  /** Charges of this coordinator whose requests were placed at the holder. */
+  placed: SpendingLog;
+  /** Spending by workspace that others charged, as of the last report. */
+  chargedElsewhere: ReadonlyMap<string, number>;
+}
+
 /**
- * Totals by workspace over all holders. A report costs time in proportion to
- * its own size and not to the number of holders.
+ * Compares the spending that each holder reports with the charges that were
+ * made here. Each holder is compared by itself: a holder that is gone reports
+ * nothing any more, so that charges of its requests would hide spending that
+ * others report.
  */
 export class ReportedSpending {
-  readonly #byHolder = new Map<string, readonly WorkspaceSpending[]>();
+  readonly #windowMs: number;
+  readonly #byHolder = new Map<string, HolderSpending>();
+  /** Sums of `chargedElsewhere` over all holders. */
   readonly #totals = new Map<string, number>();
+  /** Last known spending through holders that are gone. */
+  readonly #departed: SpendingLog;
+  /**
+   * Local time until which the window contains spending that only reports
+   * cover.
+   */
+  #incompleteUntilMs = -Infinity;
+
+  /** @param windowMs Length of the sliding window in milliseconds. */
+  constructor(windowMs: number) {
+    this.#windowMs = windowMs;
+    this.#departed = new SpendingLog(windowMs);
+  }
+
+  /**
+   * Records that a charged request was placed, so that its holder's reports
+   * contain it from now on.
+   *
+   * @param holderId Id of the holder.
+   * @param charge Workspace and cost units.
+   * @param nowMs Current local time in milliseconds.
+   */
+  placed(
+    holderId: string,
+    { workspace, cost }: { workspace: string; cost: number },
+    nowMs: number,
+  ): void {
+    this.#holder(holderId).placed.record(workspace, cost, nowMs);
+  }
 
   /**
-   * Replaces the spending reported by a holder.
+   * Replaces the spending that a holder reported.
    *
    * @param holderId Id of the holder.
-   * @param spending All spending in its last report; empty to remove the
-   * holder.
+   * @param report Start of the holder's process, and its spending.
+   * @param nowMs Current local time in milliseconds.
    */
-  put(holderId: string, spending: readonly WorkspaceSpending[]): void {
-    for (const before of this.#byHolder.get(holderId) ?? []) {
-      this.#add(before.workspace, -before.spent);
+  reported(
+    holderId: string,
+    report: { incarnation: number; spent: readonly WorkspaceSpending[] },
+    nowMs: number,
+  ): void {
+    const { incarnation, spent } = report;
+    const lastIncarnation = this.#byHolder.get(holderId)?.incarnation;
+    if (lastIncarnation !== undefined && incarnation !== lastIncarnation) {
+      this.holderGone(holderId, nowMs);
     }
-    this.#byHolder.delete(holderId);
-    if (spending.length > 0) {
-      this.#byHolder.set(holderId, spending);
+    const holder = this.#holder(holderId);
+    holder.incarnation = incarnation;
+    // Charges too recent to be in any report must not be subtracted from
+    // spending that was charged elsewhere.
+    const reportedUntilMs = nowMs < this.#incompleteUntilMs
+      ? nowMs - MAX_REPORT_AGE_MS
+      : nowMs;
+    const chargedElsewhere = new Map<string, number>();
+    for (const { workspace, spent: reportedCost } of spent) {
+      const own = holder.placed.spentUntil(workspace, reportedUntilMs, nowMs);
+      if (reportedCost > own) {
+        chargedElsewhere.set(workspace, reportedCost - own);
+      }
+    }
+    this.#replace(holderId, chargedElsewhere);
+  }
+
+  /**
+   * Keeps the last known spending through a holder that is gone for one window,
+   * as its age is not known.
+   *
+   * @param holderId Id of the holder.
+   * @param nowMs Current local time in milliseconds.
+   */
+  holderGone(holderId: string, nowMs: number): void {
+    for (
+      const [workspace, cost] of this.#byHolder.get(holderId)
+        ?.chargedElsewhere ?? []
+    ) {
+      this.#departed.record(workspace, cost, nowMs);
     }
-    for (const { workspace, spent } of spending) {
-      this.#add(workspace, spent);
+    this.#replace(holderId, new Map());
+    this.#byHolder.delete(holderId);
+  }
+
+  /**
+   * Marks the charges made here as incomplete for one window: this coordinator
+   * is new, or a holder reports again after a timeout.
+   *
+   * @param nowMs Current local time in milliseconds.
+   */
+  markIncomplete(nowMs: number): void {
+    this.#incompleteUntilMs = nowMs + this.#windowMs;
+  }
+
+  /**
+   * Forgets which requests were placed by charges made here: from now on, the
+   * holders' reports of these count as spending that was charged elsewhere.
+   *
+   * @param nowMs Current local time in milliseconds.
+   */
+  forgetPlaced(nowMs: number): void {
+    this.markIncomplete(nowMs);
+    for (const holder of this.#byHolder.values()) {
+      holder.placed = new SpendingLog(this.#windowMs);
     }
   }
 
-  /** @returns Total spending of each workspace over all holders. */
-  totals(): WorkspaceSpending[] {
-    return [...this.#totals]
-      .map(([workspace, spent]) => ({ workspace, spent }));
+  /**
+   * @param workspace Name of a workspace.
+   * @param nowMs Current local time in milliseconds.
+   * @returns Cost units within the window that others charged.
+   */
+  chargedElsewhere(workspace: string, nowMs: number): number {
+    return (this.#totals.get(workspace) ?? 0) +
+      this.#departed.spent(workspace, nowMs);
+  }
+
+  /** @returns Names of the workspaces that others charged. */
+  workspaces(): string[] {
+    return [...this.#totals.keys()];
+  }
+
+  #replace(holderId: string, chargedElsewhere: Map<string, number>): void {
+    const holder = this.#byHolder.get(holderId);
+    if (holder === undefined) {
+      return;
+    }
+    for (const [workspace, cost] of holder.chargedElsewhere) {
+      this.#add(workspace, -cost);
+    }
+    for (const [workspace, cost] of chargedElsewhere) {
+      this.#add(workspace, cost);
+    }
+    holder.chargedElsewhere = chargedElsewhere;
   }
 
-  #add(workspace: string, amount: number): void {
-    const total = (this.#totals.get(workspace) ?? 0) + amount;
+  #add(workspace: string, cost: number): void {
+    const total = (this.#totals.get(workspace) ?? 0) + cost;
     if (total > MIN_TOTAL_COST) {
       this.#totals.set(workspace, total);
     } else {
       this.#totals.delete(workspace);
     }
   }
+
+  #holder(holderId: string): HolderSpending {
+    let holder = this.#byHolder.get(holderId);
+    if (holder === undefined) {
+      holder = {
+        placed: new SpendingLog(this.#windowMs),
+        chargedElsewhere: new Map(),
+      };
+      this.#byHolder.set(holderId, holder);
+    }
+    return holder;
+  }
 }
--- a/packages/routing/src/spending_log.ts
+++ b/packages/routing/src/spending_log.ts
@@ -65,6 +65,68 @@
   return { workspace, spent: spent + cost, bySecond: [last + cost, ...rest] };
 }
 
+/**
+ * Adds cost of an age to a history.
+ *
+ * @param history Spending of a workspace.
+ * @param of Cost units to add, and the time since then in milliseconds.
+ * @returns A new history with the cost added; unchanged if the cost has left the
+ * history's window.
+ */
+export function withCostOfAge(
+  history: SpendingHistory,
+  { cost, ageMs }: { cost: number; ageMs: number },
+): SpendingHistory {
+  const second = Math.floor(ageMs / MS_PER_S);
+  if (cost === 0 || second >= history.bySecond.length) {
+    return history;
+  }
+  const bySecond = [...history.bySecond];
+  bySecond[second]! += cost;
+  return { ...history, spent: history.spent + cost, bySecond };
+}
+
+/**
+ * Scales a history.
+ *
+ * @param history Spending of a workspace.
+ * @param factor Factor that all amounts are multiplied by.
+ * @returns A new history.
+ */
+export function scaledHistory(
+  { workspace, spent, bySecond }: SpendingHistory,
+  factor: number,
+): SpendingHistory {
+  return {
+    workspace,
+    spent: spent * factor,
+    bySecond: bySecond.map((cost) => cost * factor),
+  };
+}
+
+/**
+ * Adds two histories of one workspace.
+ *
+ * @param history Spending of the workspace.
+ * @param other Other spending of the same workspace.
+ * @returns A new history of the sums.
+ */
+export function addedHistories(
+  history: SpendingHistory,
+  other: SpendingHistory,
+): SpendingHistory {
+  const seconds = Math.max(history.bySecond.length, other.bySecond.length);
+  const bySecond = Array.from(
+    { length: seconds },
+    (_, age) => (history.bySecond[age] ?? 0) + (other.bySecond[age] ?? 0),
+  );
+  return {
+    workspace: history.workspace,
+    spent: history.spent + other.spent,
+    bySecond,
+  };
+}
+
 /**
  * Rounds a history up to whole cost units, which halves its encoded size.
  *
@@ -149,6 +211,18 @@
     return sumOf(slices.map(({ spent }) => spent));
   }
 
+  /**
+   * Appends the spending of another log, which was recorded later.
+   *
+   * @param other The other log.
+   */
+  append(other: SpendingLog): void {
+    for (const [workspace, slices] of other.#byWorkspace) {
+      const before = this.#byWorkspace.get(workspace) ?? [];
+      this.#byWorkspace.set(workspace, [...before, ...slices]);
+    }
+  }
+
   /**
    * @param workspace Name of a workspace.
    * @param nowMs Current local time in milliseconds.
--- a/packages/routing/src/work_ask.ts
+++ b/packages/routing/src/work_ask.ts
@@ -219,6 +219,11 @@
 /** Periodic report of a holder's open asks and of the spending through it. */
 export interface HolderReport {
   readonly holderId: string;
+  /**
+   * Start of the holder's process, with which its spending begins anew; absent
+   * in reports of earlier versions.
+   */
+  readonly incarnation?: number;
   readonly running: readonly RunningWork[];
   readonly waiting: readonly string[];
   /** Spending of workspaces through this holder within the window. */
