--- a/packages/gateway/src/coordinator_selector.ts
+++ b/packages/gateway/src/coordinator_selector.ts
@@ -21,10 +21,10 @@
 const SELECTION_TTL_MS = 60;
 
 /**
- * Age of a holder's last report up to which it counts as asking this instance:
- * two intervals between reports, so that one may be lost.
+ * Age of a holder's last ask or report up to which it counts as asking this
+ * instance: two intervals between reports, so that one may be lost.
  */
-const MAX_REPORT_AGE_MS = 1000;
+const MAX_CONTACT_AGE_MS = 1000;
 
 const NO_SKIPPED_IDS: ReadonlySet<string> = new Set();
 
@@ -36,6 +36,8 @@
   readonly coordinator: MemberRecord;
   /** Share of the fleet's allotments that this instance hands out. */
   readonly share: number;
+  /** Whether the share is that of all holders that report to this instance. */
+  readonly coversReports: boolean;
 }
 
 /** Selects the coordinator, and again as members join, leave or fall silent. */
@@ -43,6 +45,7 @@
   readonly #members: MemberView;
   readonly #startedAtMs: number;
   readonly #spendingReportedAtMs: (instanceId: string) => number;
+  readonly #contactedAtMs: (instanceId: string) => number;
   readonly #skippedUntilMs = new Map<string, number>();
   #selection?: Selection;
   /** Local time since which this instance has been the agreed coordinator. */
@@ -59,11 +62,13 @@
     of: {
       startedAtMs: number;
       spendingReportedAtMs: (instanceId: string) => number;
+      contactedAtMs: (instanceId: string) => number;
     },
   ) {
     this.#members = members;
     this.#startedAtMs = of.startedAtMs;
     this.#spendingReportedAtMs = of.spendingReportedAtMs;
+    this.#contactedAtMs = of.contactedAtMs;
   }
 
   /**
@@ -84,9 +89,10 @@
    * instance.
    */
   scope(nowMs: number): PlacementScope {
-    const { share } = this.#selectionAt(nowMs);
+    const { share, coversReports } = this.#selectionAt(nowMs);
     return {
       share,
+      coversReports,
       uptimeMs: nowMs - this.#startedAtMs,
       nowMs,
     };
@@ -118,6 +124,8 @@
         revision,
         coordinator: this.#selectResponsive(agreed, nowMs),
         share: this.#share(agreed, nowMs),
+        coversReports: agreed.instanceId === this.#members.selfId ||
+          !this.#members.isFullMesh,
       };
     }
     return this.#selection;
@@ -161,15 +169,15 @@
 
   /**
    * Share of the holders that ask this instance in place of a coordinator that
-   * does not respond. Each reports to the one instance that it asks, so shares
-   * of several such instances add up to that of the whole fleet. Without it,
+   * does not respond. Each asks one instance only, so shares of several such
+   * instances add up to that of the whole fleet. Without it,
    * the instance would have the allotments of one member for the requests of
    * all until the members agree on the next coordinator.
    */
   #delegatedShare(nowMs: number): number {
     return this.#members.isFullMesh
       ? 0
-      : this.#members.shareReporting(nowMs, (instanceId) =>
-        nowMs - this.#spendingReportedAtMs(instanceId) < MAX_REPORT_AGE_MS);
+      : this.#members.shareOf(nowMs, (instanceId) =>
+        nowMs - this.#contactedAtMs(instanceId) < MAX_CONTACT_AGE_MS);
   }
 }
--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -11,7 +11,6 @@
   RolloutUpdate,
 } from "@chestnuthatch/routing/rollout";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
-import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
 import type { StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
 import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
 import {
@@ -27,7 +26,7 @@
 import type { Heartbeat } from "./heartbeat_exchange.ts";
 import { SnapshotKind } from "./snapshot_server.ts";
 import { PeerFetch } from "./peer_fetch.ts";
-import type { PlatformSink, RepeatedStoreRead } from "./ports.ts";
+import type { PlatformSink, RepeatedStoreRead, SpendingRow } from "./ports.ts";
 
 /**
  * Minimum time between two reads of the targets from a peer while the
@@ -70,10 +69,8 @@
   readonly rollouts: RolloutSink;
   /** Called when this instance's view of targets has changed. */
   onTargetsChanged(updates: readonly TargetEvent[]): void;
-  /** Called with the fleet's last record of the spending of workspaces. */
-  onSpendingRead(record: readonly SpendingHistory[], ageMs: number): void;
-  /** Called when the fleet's records were read, after those that exist. */
-  onRecordsRead(): void;
+  /** Called with the fleet's records of the spending of workspaces. */
+  onSpendingRead(row: SpendingRow): void;
   /** Called with suspect requests from the store or another instance. */
   onSuspectsReceived(updates: readonly SuspectUpdate[]): void;
   /** Called with the fleet's last record of the origins of streams. */
@@ -262,17 +259,12 @@
   }
 
   /**
-   * Passes on the fleet's last record of spending.
+   * Passes on the fleet's records of spending.
    *
-   * @param record Spending by workspace.
-   * @param ageMs Age of the record.
+   * @param row The records, and the version of their row.
    */
-  spendingRead(record: readonly SpendingHistory[], ageMs: number): void {
-    this.#parts.log.info(LogPart.Platform, "spending restored", {
-      ageMs: Math.round(ageMs),
-      workspaces: record.map(({ workspace }) => workspace),
-    });
-    this.#parts.onSpendingRead(record, ageMs);
+  spendingRead(row: SpendingRow): void {
+    this.#parts.onSpendingRead(row);
   }
 
   /**
@@ -304,7 +296,6 @@
   /** The fleet's records were read and passed on. */
   recordsRead(): void {
     this.#hasRecords = true;
-    this.#parts.onRecordsRead();
   }
 
   /** @param order Roll-out that the operators ordered. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,7 +18,6 @@
 import { RelayedTargets } from "@chestnuthatch/routing/relayed_targets";
 import { Rollouts } from "@chestnuthatch/routing/rollouts";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
-import { roundedUp } from "@chestnuthatch/routing/spending_log";
 import { StreamOrigins } from "@chestnuthatch/routing/stream_origins";
 import { CrashSuspects } from "@chestnuthatch/routing/crash_suspects";
 import { TargetDirectory } from "@chestnuthatch/routing/target_directory";
@@ -53,7 +52,7 @@
   ConnectToTarget,
   PlatformPort,
 } from "./ports.ts";
-import { SpendingRecorder } from "./spending_recorder.ts";
+import { announcedAccountOf, SpendingRecorder } from "./spending_recorder.ts";
 import { StatusServer } from "./status_server.ts";
 import { StreamRecorder } from "./stream_recorder.ts";
 import { SuspectRecorder } from "./suspect_recorder.ts";
@@ -196,6 +195,8 @@
       clock: this.#clock,
     });
     this.#spending = new SpendingRecorder({
+      members,
+      recorderId: `${instanceId}.${this.#self.incarnation}`,
       coordinator: this.#coordinator,
       platform: this.#platform,
       clock: this.#clock,
@@ -503,10 +504,9 @@
   /** Keeps the account of a sender that assigns requests for others. */
   #receiveSpending({ from, coordinatorId, ...account }: Heartbeat): void {
     const { instanceId } = from;
-    const { spending, spendingShare: share = 1 } = account;
     const claimedId = coordinatorId ?? this.#placementClient.coordinatorId;
-    if (claimedId === instanceId && spending !== undefined) {
-      this.#spending.spendingReceived(instanceId, { spending, share });
+    if (claimedId === instanceId && account.spending !== undefined) {
+      this.#spending.spendingReceived(instanceId, announcedAccountOf(account));
     }
   }
 
@@ -571,7 +571,7 @@
 
   /** Runs the periodic work of the coordinator. */
   #coordinate(): void {
-    void this.#spending.record();
+    this.#spending.record();
     this.#suspects.record();
     this.#streams.record();
     this.#rollouts.tick(
@@ -634,9 +634,7 @@
       onTargetsChanged: (changes) => this.#targetCleanup.applyChanges(changes),
       onConfigurationChanged: (configuration) =>
         this.#applyLimits(configuration),
-      onSpendingRead: (record, ageMs) =>
-        this.#spending.restoreRecord(record, ageMs),
-      onRecordsRead: () => this.#spending.recordsRead(),
+      onSpendingRead: (row) => this.#spending.rowRead(row),
       onSuspectsReceived: (updates) => this.#suspects.suspectsReceived(updates),
       onStreamsRead: (record, ageMs) => this.#streams.restore(record, ageMs),
       onRateLimitsReceived: (updates) =>
@@ -644,7 +642,7 @@
       // The cause of one silent connection may affect others.
       onConnectionStalled: () => this.#connections.closeAllIdle(),
       onStoreRestored: () => {
-        this.#coordinator.invalidateRecord();
+        this.#spending.invalidateRecord();
         this.#suspects.invalidateRecord();
         this.#streams.invalidateRecord();
       },
@@ -663,11 +661,8 @@
       reachesStore: () => this.#fleetState.reachesStore,
       spending: () =>
         this.#role.isCoordinator
-          ? this.#coordinator.spendingNearBound(this.#clock.nowMs()).map(
-            roundedUp,
-          )
+          ? this.#coordinator.announcedSpending(this.#clock.nowMs())
           : undefined,
-      share: () => this.#placementClient.share,
       retries: () =>
         this.#role.isCoordinator
           ? this.#coordinator.retryHistories(this.#clock.nowMs())
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -12,6 +12,7 @@
   MessageKind,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
+import { RecordOutcome } from "@chestnuthatch/routing/recorded_spending";
 import { boardOf, memberOf } from "@chestnuthatch/routing/routing_test_support";
 import type { TargetRateLimits } from "@chestnuthatch/routing/target_rate_limits";
 import { AssigningRole } from "./assigning_role.ts";
@@ -20,7 +21,7 @@
 import { PlacementClient } from "./placement_client.ts";
 import { type Clock, type PlatformPort, StatusWriteOutcome } from "./ports.ts";
 import { RetryBudgetHandover } from "./retry_budget_handover.ts";
-import { SpendingRecorder } from "./spending_recorder.ts";
+import { announcedAccountOf, SpendingRecorder } from "./spending_recorder.ts";
 
 /** Uptime of all instances at time 0 of the test's clock, in milliseconds. */
 export const UPTIME_MS = 60_000;
@@ -88,6 +89,8 @@
   const log = new EventLog(clock, instanceId, discard);
   const coordinator = new Coordinator(board, bounds);
   const spending = new SpendingRecorder({
+    members,
+    recorderId: `${instanceId}.${incarnation}`,
     coordinator,
     platform: options.platform ?? NO_OP_PLATFORM,
     clock,
@@ -95,7 +98,7 @@
     windowMs: bounds.allotmentTolerance.windowMs,
   });
   if (options.platform === undefined) {
-    spending.recordsRead();
+    spending.rowRead({ records: [], rowVersion: 0 });
   }
   const placementClient = new PlacementClient({
     board,
@@ -132,9 +135,8 @@
     reachesStore: () => true,
     spending: () =>
       role.isCoordinator
-        ? coordinator.spendingNearBound(clock.nowMs())
+        ? coordinator.announcedSpending(clock.nowMs())
         : undefined,
-    share: () => placementClient.share,
     retries: () =>
       placementClient.coordinatorId === instanceId
         ? coordinator.retryHistories(clock.nowMs())
@@ -154,7 +156,7 @@
     placementClient.tick();
     role.update();
     if (role.isCoordinator) {
-      void spending.record();
+      spending.record();
     }
   };
   const { rateLimits } = board;
@@ -174,7 +176,9 @@
 /** A platform that stores nothing. */
 export const NO_OP_PLATFORM: PlatformPort = {
   start: () => {},
-  recordSpending: () => Promise.resolve(false),
+  readSpending: () => Promise.resolve({ records: [], rowVersion: 0 }),
+  recordSpending: () =>
+    Promise.resolve({ outcome: RecordOutcome.Written, rowVersion: 1 }),
   recordSuspects: () => Promise.resolve(false),
   recordStreams: () => Promise.resolve(false),
   readStreams: () => {},
@@ -204,9 +208,8 @@
   if (isCoordinator) {
     placementClient.waitsAnnounced(fromId, message.admission ?? []);
   }
-  const { spending, spendingShare: share = 1 } = message;
-  if (message.coordinatorId === fromId && spending !== undefined) {
-    node.spending.spendingReceived(fromId, { spending, share });
+  if (message.coordinatorId === fromId && message.spending !== undefined) {
+    node.spending.spendingReceived(fromId, announcedAccountOf(message));
   }
   if (isCoordinator && message.retries !== undefined) {
     node.retryBudgets.reportReceived(fromId, message.retries);
--- a/packages/gateway/src/heartbeat_exchange.ts
+++ b/packages/gateway/src/heartbeat_exchange.ts
@@ -1,5 +1,6 @@
 /** Sends heartbeats to the other instances, and applies those received. */
 
+import type { AnnouncedAccount } from "@chestnuthatch/routing/allotment_ledger";
 import type { AdmissionForecast } from "@chestnuthatch/routing/admission_forecast";
 import {
   MessageKind,
@@ -15,7 +16,10 @@
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
 import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
-import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
+import {
+  roundedUp,
+  type WorkspaceSpending,
+} from "@chestnuthatch/routing/spending_log";
 import type { RateLimitUpdate } from "@chestnuthatch/routing/target_rate_limits";
 import type { TargetRowChange } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
@@ -77,9 +81,7 @@
    * @returns Spending of workspaces near their bounds; undefined unless this
    * instance is the coordinator.
    */
-  spending(): readonly SpendingHistory[] | undefined;
-  /** @returns Share of the fleet whose requests this instance assigns. */
-  share(): number;
+  spending(): AnnouncedAccount | undefined;
   /**
    * @returns Sends that count towards retry budgets; none unless this instance
    * is the coordinator.
@@ -297,12 +299,25 @@
     return isDigest || this.#parts.board.members.isFullMesh;
   }
 
-  #spendingToSend(): Pick<Heartbeat, "spending" | "spendingShare"> {
-    const spending = this.#parts.spending();
-    const share = this.#parts.share();
-    return spending === undefined || share === 1
-      ? { spending }
-      : { spending, spendingShare: share };
+  #spendingToSend(): Partial<Heartbeat> {
+    const account = this.#parts.spending();
+    if (account === undefined) {
+      return {};
+    }
+    const { layers, recorded, share } = account;
+    const rounded = layers.map((layer) => ({
+      ...layer,
+      spending: layer.spending.map(roundedUp),
+    }));
+    const partSpending = rounded.filter((layer) => layer.share < 1);
+    return {
+      spending: rounded.find((layer) => layer.share === 1)?.spending ?? [],
+      ...(partSpending.length > 0 ? { partSpending } : undefined),
+      ...(share < 1 ? { spendingShare: share } : undefined),
+      ...(recorded.length > 0
+        ? { recordedSpending: recorded.map(roundedDown) }
+        : undefined),
+    };
   }
 
   #recentStreams(): readonly StreamOriginGroup[] {
@@ -378,3 +393,9 @@
   const { lastHeartbeatAtMs: _, ...info } = member;
   return info;
 }
+
+function roundedDown(
+  { workspace, spent }: WorkspaceSpending,
+): WorkspaceSpending {
+  return { workspace, spent: Math.floor(spent) };
+}
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -118,6 +118,8 @@
   "longestGapMs",
   "coordinatorId",
   "spendingShare",
+  "partSpending",
+  "recordedSpending",
 ];
 
 /** Version of the internet protocol between peers. */
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -124,6 +124,7 @@
     this.#selector = new CoordinatorSelector(board.members, {
       startedAtMs,
       spendingReportedAtMs: (id) => parts.coordinator.spendingReportedAtMs(id),
+      contactedAtMs: (id) => parts.coordinator.contactedAtMs(id),
     });
     this.#failureDetector = new CoordinatorFailureDetector(board.members);
     this.#service = new PlacementService({
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -11,8 +11,9 @@
   RolloutState,
   RolloutUpdate,
 } from "@chestnuthatch/routing/rollout";
+import type { RecordOutcome } from "@chestnuthatch/routing/recorded_spending";
 import type { MemberInfo } from "@chestnuthatch/routing/member_view";
-import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
+import type { RecordedAccount } from "@chestnuthatch/routing/allotment_ledger";
 import type { StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
 import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
 import type { TargetRowChange } from "@chestnuthatch/routing/target_directory";
@@ -191,8 +192,8 @@
   fleetSize(): number;
   /** The list of instances was read. */
   membersRead(members: readonly MemberInfo[]): void;
-  /** The fleet's last record of the spending of workspaces was read. */
-  spendingRead(record: readonly SpendingHistory[], ageMs: number): void;
+  /** The fleet's records of the spending of workspaces were read. */
+  spendingRead(row: SpendingRow): void;
   /** The fleet's last record of suspect requests was read. */
   suspectsRead(record: readonly SuspectUpdate[], ageMs: number): void;
   /** The fleet's last record of the origins of streams was read. */
@@ -260,6 +261,28 @@
   readonly state?: RolloutState;
 }
 
+/** Spending of workspaces as one coordinator recorded it. */
+export interface SpendingRecord extends RecordedAccount {
+  /** Identifies the process of the coordinator. */
+  readonly recorderId: string;
+  /** Time since it was made, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** The row with the fleet's records of spending, one of each coordinator. */
+export interface SpendingRow {
+  readonly records: readonly SpendingRecord[];
+  /** Version of the row; 0 if there is none. */
+  readonly rowVersion: number;
+}
+
+/** Result of a conditional write of the row with the records of spending. */
+export interface SpendingWriteResult {
+  readonly outcome: RecordOutcome;
+  /** Version of the row after a write that succeeded. */
+  readonly rowVersion: number;
+}
+
 /** Access to the platform that the fleet runs on. */
 export interface PlatformPort {
   /**
@@ -271,13 +294,19 @@
    */
   start(self: MemberInfo, sink: PlatformSink): void;
   /**
-   * Records the spending of workspaces, from which a fleet that lost all its
-   * instances continues.
+   * Reads the row with the fleet's records of spending.
    *
-   * @param record Spending by workspace.
-   * @returns Whether the platform stored the record.
+   * @returns The row; undefined if the platform's store does not answer.
+   */
+  readSpending(): Promise<SpendingRow | undefined>;
+  /**
+   * Replaces the row with the fleet's records of spending, unless it has
+   * changed.
+   *
+   * @param row The records, and the version that the row must have.
+   * @returns The outcome, and the row's new version.
    */
-  recordSpending(record: readonly SpendingHistory[]): Promise<boolean>;
+  recordSpending(row: SpendingRow): Promise<SpendingWriteResult>;
   /**
    * Records suspect requests, under which targets ended, for a fleet that lost
    * all its instances.
--- a/packages/gateway/src/spending_fleet_test_support.ts
+++ b/packages/gateway/src/spending_fleet_test_support.ts
@@ -12,8 +12,9 @@
   MessageKind,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
-import { askOf } from "@chestnuthatch/routing/routing_test_support";
-import type { SpendingHistory } from "@chestnuthatch/routing/spending_log";
+import { AskRefusal } from "@chestnuthatch/routing/work_ask";
+import { RecordOutcome } from "@chestnuthatch/routing/recorded_spending";
+import { askOf, memberOf } from "@chestnuthatch/routing/routing_test_support";
 import {
   deliverTo,
   type FleetNode,
@@ -21,7 +22,12 @@
   NO_OP_PLATFORM,
 } from "./gateway_test_support.ts";
 import { DOMAIN_OF, PartitionedNetwork } from "./partition_test_support.ts";
-import type { PlatformPort } from "./ports.ts";
+import type {
+  PlatformPort,
+  SpendingRecord,
+  SpendingRow,
+  SpendingWriteResult,
+} from "./ports.ts";
 
 /** Window over which the operators limit spending. */
 export const WINDOW_MS = 8000;
@@ -44,6 +50,7 @@
 const LATENCY_MS = 4;
 const STORE_LATENCY_MS = 10;
 const STORE_RETRY_MS = 500;
+const STORE_TIMEOUT_MS = 1000;
 const RESTART_MS = 600;
 const WORK_MS = 200;
 const COST = 200;
@@ -58,17 +65,19 @@
   readonly cost: number;
 }
 
-/** Keeps the record of spending; gives no answer while it is silent. */
+/** Keeps the records of spending; gives no answer while it is silent. */
 class SimulatedStore {
   readonly #network: PartitionedNetwork;
-  #record?: { readonly content: SpendingHistory[]; readonly atMs: number };
+  #records: readonly SpendingRecord[] = [];
+  #writtenAtMs = 0;
+  #rowVersion = 0;
   isSilent = false;
 
   constructor(network: PartitionedNetwork) {
     this.#network = network;
   }
 
-  /** Reads the record for an instance that has started. */
+  /** Reads the records for an instance that has started. */
   restore(node: FleetNode, isRunning: () => boolean): void {
     this.#network.schedule(STORE_LATENCY_MS, () => {
       if (!isRunning()) {
@@ -79,13 +88,9 @@
           STORE_RETRY_MS,
           () => this.restore(node, isRunning),
         );
-        return;
-      }
-      if (this.#record !== undefined) {
-        const { content, atMs } = this.#record;
-        node.spending.restoreRecord(content, this.#network.clock.atMs - atMs);
+      } else {
+        node.spending.rowRead(this.#row());
       }
-      node.spending.recordsRead();
     });
   }
 
@@ -93,21 +98,40 @@
   platform(isRunning: () => boolean): PlatformPort {
     return {
       ...NO_OP_PLATFORM,
-      recordSpending: (record) => this.#write([...record], isRunning),
+      readSpending: () => this.#answer(isRunning, () => this.#row(), undefined),
+      recordSpending: (row) =>
+        this.#answer(isRunning, () => this.#write(row), {
+          outcome: RecordOutcome.Unknown,
+          rowVersion: 0,
+        }),
     };
   }
 
-  #write(
-    content: SpendingHistory[],
-    isRunning: () => boolean,
-  ): Promise<boolean> {
+  #row(): SpendingRow {
+    const elapsedMs = this.#network.clock.atMs - this.#writtenAtMs;
+    const records = this.#records
+      .map((record) => ({ ...record, ageMs: record.ageMs + elapsedMs }));
+    return { records, rowVersion: this.#rowVersion };
+  }
+
+  #write({ records, rowVersion }: SpendingRow): SpendingWriteResult {
+    if (rowVersion !== this.#rowVersion) {
+      return { outcome: RecordOutcome.NotWritten, rowVersion: 0 };
+    }
+    this.#records = records;
+    this.#writtenAtMs = this.#network.clock.atMs;
+    this.#rowVersion++;
+    return { outcome: RecordOutcome.Written, rowVersion: this.#rowVersion };
+  }
+
+  #answer<T>(isRunning: () => boolean, call: () => T, failed: T): Promise<T> {
     return new Promise((resolve) => {
       this.#network.schedule(STORE_LATENCY_MS, () => {
-        const isWritten = isRunning() && !this.isSilent;
-        if (isWritten) {
-          this.#record = { content, atMs: this.#network.clock.atMs };
+        if (isRunning() && !this.isSilent) {
+          resolve(call());
+        } else {
+          this.#network.schedule(STORE_TIMEOUT_MS, () => resolve(failed));
         }
-        resolve(isWritten);
       });
     });
   }
@@ -242,7 +266,9 @@
       askOf(askId, { holderId, cost: COST }),
       (decision) => {
         if ("refusal" in decision) {
-          this.refusedCount++;
+          this.refusedCount += Number(
+            decision.refusal === AskRefusal.Allotment,
+          );
           return;
         }
         const { targetId } = decision;
@@ -287,5 +313,24 @@
     });
     this.#nodes.set(instanceId, node);
     this.store.restore(node, isRunning);
+    for (const id of IDS) {
+      const failureDomain = DOMAIN_OF[id]!;
+      node.members.memberReported(
+        memberOf(id, { failureDomain }),
+        this.clock.atMs,
+      );
+    }
+  }
+}
+
+/**
+ * Asserts that no fleet spent more than the operators allow.
+ *
+ * @param spent Highest spending of each fleet within any window.
+ */
+export function assertWithinBound(spent: readonly number[]): void {
+  if (spent.some((one) => one > ALLOWED)) {
+    const amounts = spent.map(Math.round).join(", ");
+    throw new Error(`${amounts} spent, ${ALLOWED} allowed`);
   }
 }
--- a/packages/gateway/src/spending_recorder.ts
+++ b/packages/gateway/src/spending_recorder.ts
@@ -1,29 +1,46 @@
 /**
  * Preserves the spending of workspaces beyond the lifetime of the coordinator
  * that counts it: a new coordinator continues from the last heartbeats of the
- * old one, and a fleet that lost all its instances from a record in the
- * platform's store.
+ * old one and from the fleet's records in the platform's store.
  */
 
+import type {
+  AnnouncedAccount,
+  RecordedAccount,
+  SpendingAccount,
+} from "@chestnuthatch/routing/allotment_ledger";
+import type { MemberView } from "@chestnuthatch/routing/member_view";
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
+import {
+  RecordOutcome,
+  type SpendingCoverage,
+} from "@chestnuthatch/routing/recorded_spending";
+import {
+  SpendingByShare,
+  type SpendingLayer,
+} from "@chestnuthatch/routing/spending_by_share";
 import {
   agedHistory,
-  scaledHistory,
   type SpendingHistory,
 } from "@chestnuthatch/routing/spending_log";
 import type { InheritedAccount } from "./assigning_role.ts";
 import { type EventLog, LogPart } from "./event_log.ts";
-import type { Clock, PlatformPort } from "./ports.ts";
-import { StoreRecorder } from "./store_recorder.ts";
+import type { Heartbeat } from "./heartbeat_exchange.ts";
+import type {
+  Clock,
+  PlatformPort,
+  SpendingRecord,
+  SpendingRow,
+} from "./ports.ts";
 
 /** Minimum time between two records: at most five writes per second. */
 const MIN_RECORD_INTERVAL_MS = 200;
 
-/** Delay before a failed write of the record is retried. */
-const RECORD_RETRY_MS = 1000;
+/** Delay before a failed read or write of the records is retried. */
+const RETRY_DELAY_MS = 500;
 
-/** Time after which a new coordinator writes its first record. */
-const FIRST_RECORD_DELAY_MS = 1000;
+/** Time without an answer after which the store counts as not answering. */
+const MAX_ANSWER_MS = 400;
 
 /**
  * Largest age of a record at which its times are used: it is rewritten every
@@ -31,6 +48,13 @@
  */
 const MAX_FRESH_RECORD_AGE_MS = 3500;
 
+/**
+ * Least share of the fleet that has to live on for a coordinator to rely on the
+ * account of its predecessor. What that granted since its last heartbeat is then
+ * mostly known from reports.
+ */
+const MIN_KNOWN_SHARE = 0.5;
+
 /** Where spending that an instance takes over was read. */
 enum SpendingSource {
   /** The coordinator's last heartbeat. */
@@ -41,6 +65,9 @@
 
 /** Dependencies of {@link SpendingRecorder}. */
 export interface SpendingParts {
+  /** Identifies this process in the records. */
+  readonly recorderId: string;
+  readonly members: MemberView;
   readonly coordinator: Coordinator;
   readonly platform: PlatformPort;
   readonly clock: Clock;
@@ -49,33 +76,40 @@
   readonly windowMs: number;
 }
 
-/** Spending in a coordinator's last heartbeat. */
-interface ReceivedAccount {
-  readonly spending: readonly SpendingHistory[];
-  /** Share of the fleet that it covers. */
-  readonly share: number;
+/** The account in a coordinator's last heartbeat. */
+interface ReceivedAccount extends AnnouncedAccount {
   readonly receivedAtMs: number;
 }
 
+/** The row with the records as this instance read or wrote it last. */
+interface KnownRow extends SpendingRow {
+  readonly atMs: number;
+}
+
 /** Records the spending of workspaces in the store, and restores it. */
 export class SpendingRecorder implements InheritedAccount {
   readonly #parts: SpendingParts;
-  readonly #recorder: StoreRecorder<SpendingHistory[]>;
   /** Accounts by the instance id of the coordinator that sent them. */
   readonly #received = new Map<string, ReceivedAccount>();
+  /** Absent while the row has to be read before it is replaced. */
+  #row?: KnownRow;
+  /** Whether records of others in the row are to be taken over. */
+  #takesOver = false;
+  /**
+   * Whether most of the fleet was lost with the predecessor, so that its last
+   * account and the holders' reports may lack much of the spending.
+   */
+  #mayLackSpending = true;
+  /** Increases when calls on their way become irrelevant. */
+  #epoch = 0;
+  /** Local time at which the call on its way was sent, if there is one. */
+  #calledAtMs?: number;
+  #notBeforeMs = -Infinity;
+  #hasFailed = false;
 
   /** @param parts Dependencies. */
   constructor(parts: SpendingParts) {
     this.#parts = parts;
-    const { coordinator, platform, clock } = parts;
-    this.#recorder = new StoreRecorder({
-      clock,
-      minIntervalMs: MIN_RECORD_INTERVAL_MS,
-      retryDelayMs: RECORD_RETRY_MS,
-      next: () => coordinator.spendingToRecord(clock.nowMs()),
-      write: (record) => platform.recordSpending(record),
-      onFailed: (record) => this.#recordFailed(record),
-    });
   }
 
   /**
@@ -83,54 +117,37 @@
    * as an instance that resumes after a pause may have missed a change.
    *
    * @param coordinatorId Instance id of the coordinator.
-   * @param account Its spending by workspace, and the share of the fleet that
-   * this covers.
+   * @param account The account.
    */
-  spendingReceived(
-    coordinatorId: string,
-    account: { spending: readonly SpendingHistory[]; share: number },
-  ): void {
-    const receivedAtMs = this.#parts.clock.nowMs();
+  spendingReceived(coordinatorId: string, account: AnnouncedAccount): void {
+    const receivedAtMs = this.#nowMs();
     this.#received.set(coordinatorId, { ...account, receivedAtMs });
   }
 
   /**
-   * Restores the spending from the platform's store.
+   * Takes over the records in the platform's store, which were read as this
+   * instance started.
    *
-   * @param record What the fleet recorded before it lost its instances.
-   * @param ageMs Age of the record.
+   * @param row The row with the records.
    */
-  restoreRecord(record: readonly SpendingHistory[], ageMs: number): void {
-    const { coordinator, clock } = this.#parts;
-    // A record stays valid until it is replaced, so an old one may still be
-    // what was spent just before the fleet was lost. All of it then counts as
-    // spent just now.
-    const isFresh = ageMs <= MAX_FRESH_RECORD_AGE_MS;
-    const histories = record.map((history) =>
-      isFresh ? agedHistory(history, ageMs) : spentJustNow(history)
-    );
-    coordinator.importSpending(histories, clock.nowMs());
-    this.#logTakenOver(histories, { from: SpendingSource.Store, ageMs });
-  }
-
-  /**
-   * The fleet's records were read: of workspaces without a record, the fleet had
-   * spent little.
-   */
-  recordsRead(): void {
-    const { coordinator, clock } = this.#parts;
-    coordinator.importSpending([], clock.nowMs());
+  rowRead(row: SpendingRow): void {
+    this.#import(row.records, { includesAhead: true });
   }
 
   /**
    * This instance became the coordinator: it continues from the spending in the
-   * last heartbeats of its predecessor.
+   * last heartbeats of its predecessor, and from the records, which it reads
+   * before it replaces them.
    */
   becameCoordinator(): void {
-    this.#takeOver();
-    this.#parts.coordinator.invalidateRecord();
-    // By then, all holders have reported what they spent.
-    this.#recorder.pauseFor(FIRST_RECORD_DELAY_MS + MIN_RECORD_INTERVAL_MS);
+    this.#takeOver({ isCoordinator: true });
+    this.#epoch++;
+    this.#calledAtMs = undefined;
+    this.#row = undefined;
+    this.#takesOver = true;
+    this.#mayLackSpending = this.#isMostOfFleetNew();
+    this.#hasFailed = false;
+    this.#notBeforeMs = -Infinity;
   }
 
   /**
@@ -139,60 +156,275 @@
    * what its last heartbeat reported as spent.
    */
   becameActingCoordinator(): void {
-    this.#takeOver();
+    this.#takeOver({ isCoordinator: false });
+    this.#parts.coordinator.setRecording(false);
   }
 
-  #takeOver(): void {
-    const { coordinator, clock, windowMs } = this.#parts;
-    const nowMs = clock.nowMs();
-    coordinator.takeOverSpending(nowMs);
-    for (const [coordinatorId, account] of this.#received) {
-      const ageMs = nowMs - account.receivedAtMs;
-      if (ageMs > windowMs) {
+  /** The records may be lost from the platform's store. */
+  invalidateRecord(): void {
+    this.#epoch++;
+    this.#calledAtMs = undefined;
+    this.#row = undefined;
+    this.#parts.coordinator.spendingRecordLost();
+  }
+
+  /**
+   * Keeps the record of this instance up to date; to be called regularly, by
+   * the coordinator only.
+   */
+  record(): void {
+    const nowMs = this.#nowMs();
+    const isAnswering = !this.#hasFailed &&
+      nowMs - (this.#calledAtMs ?? nowMs) < MAX_ANSWER_MS;
+    this.#parts.coordinator.setRecording(isAnswering);
+    if (this.#calledAtMs !== undefined || nowMs < this.#notBeforeMs) {
+      return;
+    }
+    if (this.#row === undefined) {
+      void this.#read();
+      return;
+    }
+    const account = this.#parts.coordinator.nextSpendingRecord(nowMs);
+    if (account !== undefined) {
+      void this.#write(this.#row, account);
+    }
+  }
+
+  async #read(): Promise<void> {
+    const { coordinator, platform } = this.#parts;
+    const epoch = this.#epoch;
+    this.#calledAtMs = this.#nowMs();
+    const row = await platform.readSpending();
+    if (epoch !== this.#epoch) {
+      return;
+    }
+    this.#callEnded(row !== undefined);
+    if (row === undefined) {
+      return;
+    }
+    this.#row = { ...row, atMs: this.#nowMs() };
+    if (this.#takesOver) {
+      this.#takesOver = false;
+      this.#import(row.records, { includesAhead: this.#mayLackSpending });
+      const coverage = coverageOf(row.records);
+      const hasSpending = coverage.byWorkspace.size > 0;
+      coordinator.spendingRecordFound(coverage, hasSpending);
+      this.#row = { ...this.#row, records: [] };
+    }
+  }
+
+  async #write(row: KnownRow, account: RecordedAccount): Promise<void> {
+    const { coordinator, platform, recorderId } = this.#parts;
+    const epoch = this.#epoch;
+    const sentAtMs = this.#nowMs();
+    this.#calledAtMs = sentAtMs;
+    const others = this.#recentRecordsOfOthers(row);
+    const { outcome, rowVersion } = await platform.recordSpending({
+      records: [{ ...account, recorderId, ageMs: 0 }, ...others],
+      rowVersion: row.rowVersion,
+    });
+    if (epoch !== this.#epoch) {
+      return;
+    }
+    coordinator.spendingRecordEnded(outcome);
+    this.#callEnded(outcome !== RecordOutcome.Unknown);
+    if (outcome === RecordOutcome.Written) {
+      this.#notBeforeMs = sentAtMs + MIN_RECORD_INTERVAL_MS;
+      this.#row = { records: others, rowVersion, atMs: this.#nowMs() };
+      return;
+    }
+    this.#row = undefined;
+    this.#parts.log.warn(LogPart.Platform, "spending not recorded", {
+      outcome,
+      workspaces: workspacesOf([account]),
+    });
+  }
+
+  #callEnded(isAnswered: boolean): void {
+    this.#calledAtMs = undefined;
+    this.#hasFailed = !isAnswered;
+    if (!isAnswered) {
+      this.#notBeforeMs = this.#nowMs() + RETRY_DELAY_MS;
+    }
+  }
+
+  /**
+   * Records of coordinators that wrote the row after this one had read it: they
+   * are on the other side of a partition, or about to give up the role.
+   */
+  #recentRecordsOfOthers({ records, atMs }: KnownRow): SpendingRecord[] {
+    const { recorderId, windowMs } = this.#parts;
+    const elapsedMs = this.#nowMs() - atMs;
+    return records
+      .map((record) => ({ ...record, ageMs: record.ageMs + elapsedMs }))
+      .filter((record) =>
+        record.recorderId !== recorderId && record.ageMs <= windowMs
+      );
+  }
+
+  /** Whether most instances did not live when an account was last received. */
+  #isMostOfFleetNew(): boolean {
+    const { members } = this.#parts;
+    const receivedAtMs = [...this.#received.values()]
+      .reduce((last, one) => Math.max(last, one.receivedAtMs), -Infinity);
+    return members.shareAliveSince(receivedAtMs, this.#nowMs()) <
+      MIN_KNOWN_SHARE;
+  }
+
+  #takeOver({ isCoordinator }: { isCoordinator: boolean }): void {
+    const { coordinator, windowMs } = this.#parts;
+    const nowMs = this.#nowMs();
+    for (const [coordinatorId, { receivedAtMs }] of this.#received) {
+      if (nowMs - receivedAtMs > windowMs) {
         this.#received.delete(coordinatorId);
-        continue;
       }
-      const histories = account.spending.map((history) =>
-        agedHistory(scaledHistory(history, 1 / account.share), ageMs)
-      );
-      coordinator.importSpending(histories, nowMs);
+    }
+    const announced = this.#announcedCoverage();
+    coordinator.takeOverSpending({ announced, isCoordinator }, nowMs);
+    for (const [coordinatorId, account] of this.#received) {
+      const ageMs = nowMs - account.receivedAtMs;
+      const layers = mapped(account, (one) => agedHistory(one, ageMs));
+      coordinator.importSpending({ layers }, nowMs);
       const from = SpendingSource.Heartbeat;
-      this.#logTakenOver(histories, { from, coordinatorId, ageMs });
+      this.#logTakenOver(layers, { from, coordinatorId, ageMs });
     }
   }
 
+  /**
+   * What the record holds according to the last account that was received. One
+   * without any comes from an instance that has just started.
+   */
+  #announcedCoverage(): SpendingCoverage {
+    const latest = [...this.#received.values()]
+      .filter(({ recorded }) => recorded.length > 0)
+      .sort((a, b) => a.receivedAtMs - b.receivedAtMs).at(-1);
+    return {
+      share: latest?.share ?? 1,
+      byWorkspace: new Map(
+        latest?.recorded.map(({ workspace, spent }) => [workspace, spent]),
+      ),
+    };
+  }
+
+  /**
+   * Takes over what the records state.
+   *
+   * @param of Whether their coordinators may have handed out as well what they
+   * recorded in advance.
+   */
+  #import(
+    records: readonly SpendingRecord[],
+    { includesAhead }: { includesAhead: boolean },
+  ): void {
+    const { coordinator, windowMs } = this.#parts;
+    const nowMs = this.#nowMs();
+    const sums = new SpendingByShare(windowMs);
+    for (const record of records) {
+      for (
+        const layer of mapped(
+          record,
+          (one) => restoredHistory(one, record.ageMs),
+        )
+      ) {
+        // What was handed out of the whole is known to several coordinators,
+        // and what was handed out of a part only to that of the part.
+        if (layer.share === 1) {
+          sums.merge(layer, nowMs);
+        } else {
+          sums.add(layer, nowMs);
+        }
+      }
+      for (const { workspace, spent } of includesAhead ? record.ahead : []) {
+        sums.of(1).insert(workspace, spent, nowMs);
+      }
+    }
+    const layers = sums.layers(workspacesOf(records), nowMs);
+    coordinator.importSpending({ layers }, nowMs);
+    const ageMs = Math.min(...records.map((record) => record.ageMs));
+    this.#logTakenOver(layers, { from: SpendingSource.Store, ageMs });
+  }
+
   #logTakenOver(
-    histories: readonly SpendingHistory[],
+    layers: readonly SpendingLayer[],
     of: { from: SpendingSource; coordinatorId?: string; ageMs: number },
   ): void {
     this.#parts.log.info(LogPart.Placement, "spending taken over", {
       ...of,
       ageMs: Math.round(of.ageMs),
-      spent: histories.map(({ workspace, spent }) =>
-        `${workspace}: ${Math.round(spent)}`
+      spent: layers.flatMap(({ share, spending }) =>
+        spending.map(({ workspace, spent }) =>
+          `${workspace}: ${Math.round(spent)} of share ${share}`
+        )
       ),
     });
   }
 
-  /**
-   * Records what workspaces spent, unless the last record is still valid;
-   * called by the coordinator only.
-   *
-   * @returns Resolves when the write has succeeded or failed.
-   */
-  record(): Promise<void> {
-    return this.#recorder.record();
+  #nowMs(): number {
+    return this.#parts.clock.nowMs();
   }
+}
 
-  #recordFailed(record: readonly SpendingHistory[]): void {
-    const { coordinator, log } = this.#parts;
-    log.warn(LogPart.Platform, "spending not recorded", {
-      workspaces: record.map(({ workspace }) => workspace),
-    });
-    coordinator.invalidateRecord();
-  }
+/**
+ * Reads the account that the heartbeat of a coordinator carries.
+ *
+ * @param heartbeat Fields of the heartbeat.
+ * @returns The account; that of an earlier version tells nothing of the record.
+ */
+export function announcedAccountOf(
+  heartbeat: Pick<
+    Heartbeat,
+    "spending" | "partSpending" | "spendingShare" | "recordedSpending"
+  >,
+): AnnouncedAccount {
+  const { spending = [], partSpending = [] } = heartbeat;
+  return {
+    layers: [{ share: 1, spending }, ...partSpending],
+    recorded: heartbeat.recordedSpending ?? [],
+    share: heartbeat.spendingShare ?? 1,
+  };
 }
 
-function spentJustNow({ workspace, spent }: SpendingHistory): SpendingHistory {
-  return { workspace, spent, bySecond: [spent] };
+/**
+ * Converts a recorded history to one as of now. A record stays valid until it
+ * is replaced, so an old one may still be what was spent just before the fleet
+ * was lost. All of it then counts as spent just now.
+ */
+function restoredHistory(
+  history: SpendingHistory,
+  ageMs: number,
+): SpendingHistory {
+  const { workspace, spent } = history;
+  return ageMs <= MAX_FRESH_RECORD_AGE_MS
+    ? agedHistory(history, ageMs)
+    : { workspace, spent, bySecond: [spent] };
+}
+
+function mapped(
+  { layers }: SpendingAccount,
+  change: (history: SpendingHistory) => SpendingHistory,
+): SpendingLayer[] {
+  return layers
+    .map((layer) => ({ ...layer, spending: layer.spending.map(change) }));
+}
+
+function workspacesOf(accounts: readonly RecordedAccount[]): string[] {
+  const names = accounts.flatMap(({ layers, ahead }) =>
+    [
+      ...layers.flatMap(({ spending }) => spending),
+      ...ahead,
+    ].map(({ workspace }) => workspace)
+  );
+  return [...new Set(names)];
+}
+
+/** What a fleet without other knowledge will find as spent. */
+function coverageOf(records: readonly RecordedAccount[]): SpendingCoverage {
+  const byWorkspace = new Map<string, number>();
+  for (const { layers, ahead } of records) {
+    const amounts = [...layers.flatMap(({ spending }) => spending), ...ahead];
+    for (const { workspace, spent } of amounts) {
+      byWorkspace.set(workspace, (byWorkspace.get(workspace) ?? 0) + spent);
+    }
+  }
+  return { share: 1, byWorkspace };
 }
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -208,6 +208,7 @@
     this.#waitingByAskId.set(ask.askId, ask);
     const scope = {
       share: 1,
+      coversReports: true,
       uptimeMs: 60_000,
       nowMs: this.#queue.nowMs,
     };
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -5,14 +5,20 @@
  */
 
 import type { Allotment } from "./fleet_configuration.ts";
-import { type BoundScope, InheritedSpending } from "./inherited_spending.ts";
-import type { ReportedSpending } from "./reported_spending.ts";
 import {
-  addedHistories,
-  type SpendingHistory,
-  SpendingLog,
-  withRecentCost,
-} from "./spending_log.ts";
+  type BoundScope,
+  InheritedSpending,
+  type Takeover,
+  UNLISTED_SHARE,
+} from "./inherited_spending.ts";
+import {
+  RecordedSpending,
+  RecordOutcome,
+  type SpendingCoverage,
+} from "./recorded_spending.ts";
+import type { ReportedSpending } from "./reported_spending.ts";
+import { SpendingByShare, type SpendingLayer } from "./spending_by_share.ts";
+import type { WorkspaceSpending } from "./spending_log.ts";
 
 const MS_PER_S = 1000;
 
@@ -21,27 +27,37 @@
  * the accounting is exact; the rest of the tolerance covers charges known only
  * to coordinators that were partitioned or killed.
  */
-const TOLERANCE_USED_SHARE = 0.75;
+const TOLERANCE_USED_SHARE = 0.5;
 
 /**
  * Share of the bound that each rank below the highest reserves for those above
  * it, and the upper bound of that reserve, so that the least valuable work is
- * refused first where an allotment runs short. With the tolerance, every rank
- * still gets what the plain allotment allows.
+ * refused first where an allotment runs short. Every rank still gets what the
+ * plain allotment allows.
  */
 const RESERVE_PER_RANK_SHARE = 0.05;
 const MAX_RESERVE_SHARE = 0.1;
 
 /**
- * Share of a window's bound from which spending is recorded in the platform's
- * store. A fleet that lost its state and finds no record hands out only the
- * other part of the bound until it has observed a whole window. Workspaces
- * usually spend about half of their allotments, so normal load writes nothing.
+ * Share of a workspace's bound from which its spending is recorded in the
+ * platform's store: below {@link UNLISTED_SHARE}, so that the first record is
+ * usually confirmed before more is handed out than may stay unrecorded.
  */
-const RECORDED_SHARE = 0.5;
+const RECORDED_SHARE = 0.3;
 
-/** Growth, as a share of the bound, after which spending is recorded again. */
-const RECORD_STEP_SHARE = 0.05;
+/**
+ * Share of the bound that is recorded in advance. It is what a workspace may
+ * spend more while the store does not answer, and what a fleet that lost its
+ * state counts as spent in vain.
+ */
+const RECORD_AHEAD_SHARE = 0.25;
+
+/**
+ * Part of the bound that may be handed out without a record after a takeover,
+ * by an instance that cannot record: it acts for a silent coordinator, or the
+ * store does not answer.
+ */
+const TAKEOVER_SHARE = 0.25;
 
 /**
  * Age at which a record of workspaces near their bounds is rewritten. A
@@ -53,9 +69,9 @@
 
 /**
  * Share of the bound below which a recorded workspace is removed from the
- * record; well below the share at which it is added, as hysteresis.
+ * record; below the share at which it is added, as hysteresis.
  */
-const UNRECORDED_SHARE = 0.35;
+const UNRECORDED_SHARE = 0.25;
 
 /**
  * Amount by which spending may exceed an allotment, as the operators set it.
@@ -72,6 +88,8 @@
 export interface LedgerScope {
   /** Share of the fleet's allotments, greater than 0 and at most 1. */
   readonly share: number;
+  /** Whether the share is that of all holders that report. */
+  readonly coversReports: boolean;
   readonly nowMs: number;
 }
 
@@ -79,17 +97,33 @@
 export interface Charge {
   readonly workspace: string;
   readonly cost: number;
+  /** Share of the fleet's allotments out of which it was handed out. */
+  readonly share: number;
   /** Instance that asked for the placement of the request. */
   readonly holderId: string;
   /** Local time of the charge. */
   readonly chargedAtMs: number;
 }
 
+/** Whether a request may be charged. */
+export enum ChargeOutcome {
+  /** It was charged. */
+  Allowed = "allowed",
+  /** The workspace has spent its allotment. */
+  Exceeded = "exceeded",
+  /**
+   * The allotment allows it, but the platform's store has not confirmed a
+   * record yet that covers it.
+   */
+  Unrecorded = "unrecorded",
+}
+
 /** Result of an attempt to charge a request. */
 export interface ChargeResult {
-  readonly allowed: boolean;
+  readonly outcome: ChargeOutcome;
   /**
-   * Time in milliseconds until a refused charge would be allowed; 0 if allowed.
+   * Time in milliseconds until a charge that exceeds the bound would be allowed;
+   * 0 otherwise.
    */
   readonly retryAfterMs: number;
   /** Cost units spent in the window, and the bound on them. */
@@ -97,6 +131,28 @@
   readonly bound: number;
   /** Part of `spent` that is not known, and that may have been spent. */
   readonly unknown: number;
+  /** Spending that the record in the platform's store covers. */
+  readonly recorded: number;
+}
+
+/** Spending as a coordinator accounts for it, for its successors. */
+export interface SpendingAccount {
+  /** Spending of the workspaces near their bounds. */
+  readonly layers: readonly SpendingLayer[];
+}
+
+/** An account as a coordinator announces it. */
+export interface AnnouncedAccount extends SpendingAccount {
+  /** Spending that the record in the platform's store covers. */
+  readonly recorded: readonly WorkspaceSpending[];
+  /** Share of the fleet that the coordinator reaches. */
+  readonly share: number;
+}
+
+/** An account as a coordinator records it. */
+export interface RecordedAccount extends SpendingAccount {
+  /** What the coordinator may hand out before it makes the next record. */
+  readonly ahead: readonly WorkspaceSpending[];
 }
 
 /**
@@ -107,25 +163,34 @@
   #tolerance: AllotmentTolerance;
   readonly #windowMs: number;
   /** Charges made here since the takeover. */
-  #charged: SpendingLog;
+  #charged: SpendingByShare;
   /** What was charged before the takeover, or elsewhere. */
   readonly #inherited: InheritedSpending;
   /** Bounds of one window by workspace, as computed for the last charge. */
   readonly #windowBounds = new Map<string, number>();
-  /** Share of the fleet's allotments at the last charge. */
+  /** Part of the fleet's allotments that was handed out at the last charge. */
   #share = 1;
+  #coversReports = true;
   #takenOverAtMs = -Infinity;
   /**
-   * Spending in the last record that this ledger made; absent before the first.
+   * Whether this instance records spending and the platform's store answers, so
+   * that requests may wait for the next record.
    */
-  #recorded?: Map<string, number>;
+  isRecording = false;
+  readonly #recorded = new RecordedSpending();
+  /** Names of the workspaces in the last record that was made here. */
+  #lastRecorded: ReadonlySet<string> = new Set();
   #recordedAtMs = -Infinity;
+  /** Whether a record has to be made whatever its content. */
+  #mustRecord = false;
+  /** Cost of requests by workspace that the record does not cover. */
+  readonly #wanted = new Map<string, number>();
 
   /** @param tolerance Amount by which spending may exceed an allotment. */
   constructor(tolerance: AllotmentTolerance) {
     this.#tolerance = tolerance;
     this.#windowMs = tolerance.windowMs;
-    this.#charged = new SpendingLog(this.#windowMs);
+    this.#charged = new SpendingByShare(this.#windowMs);
     this.#inherited = new InheritedSpending(this.#windowMs);
   }
 
@@ -161,26 +226,54 @@
     const { cost, rank, scope } = of;
     const { nowMs, share } = scope;
     this.#share = share;
+    this.#coversReports = scope.coversReports;
     const windowBound = this.#windowBound(allotment);
     this.#windowBounds.set(workspace, windowBound);
     const spent = this.#spent(workspace, nowMs);
     const unknown = this.#inherited
-      .unknown(workspace, { windowBound, share, nowMs });
+      .unknown(workspace, this.#boundScope(workspace, nowMs));
     const reservedShare = Math.min(
       MAX_RESERVE_SHARE,
       RESERVE_PER_RANK_SHARE * rank,
     );
-    const bound = windowBound * share * (1 - reservedShare);
+    const bound = share *
+      Math.max(
+        this.#plainBound(allotment),
+        windowBound * (1 - reservedShare),
+      );
+    const recorded = this.#recorded.covered(workspace, share);
+    const figures = { spent, bound, unknown, recorded };
     // A request that costs more than the bound is allowed when nothing else was
     // spent; otherwise it could never run.
     if (spent > 0 && spent + cost > bound) {
       const excess = spent + cost - bound;
-      const retryAfterMs = this.#charged
+      const retryAfterMs = this.#charged.of(share)
         .timeUntilExpiredMs(workspace, excess, nowMs);
-      return { allowed: false, retryAfterMs, spent, bound, unknown };
+      return { outcome: ChargeOutcome.Exceeded, retryAfterMs, ...figures };
     }
-    this.#charged.record(workspace, cost, nowMs);
-    return { allowed: true, retryAfterMs: 0, spent, bound, unknown };
+    if (spent + cost > this.#maxWithoutRecord(workspace, nowMs)) {
+      const wanted = Math.max(cost, this.#wanted.get(workspace) ?? 0);
+      this.#wanted.set(workspace, wanted);
+      return { outcome: ChargeOutcome.Unrecorded, retryAfterMs: 0, ...figures };
+    }
+    this.#charged.of(share).record(workspace, cost, nowMs);
+    return { outcome: ChargeOutcome.Allowed, retryAfterMs: 0, ...figures };
+  }
+
+  /**
+   * The most that a workspace may have spent in the window while the record
+   * stays as it is. What exceeds the record and the part that may stay
+   * unrecorded would be spent again by a fleet that lost all its instances.
+   */
+  #maxWithoutRecord(workspace: string, nowMs: number): number {
+    const { windowBound, share } = this.#boundScope(workspace, nowMs);
+    const unrecorded = UNLISTED_SHARE * windowBound * share;
+    const recorded = this.#recorded.covered(workspace, share);
+    const isTakeover = nowMs - this.#takenOverAtMs <= this.#windowMs;
+    const additional = isTakeover && !this.isRecording
+      ? TAKEOVER_SHARE * windowBound * share
+      : 0;
+    return Math.max(unrecorded, recorded) + additional;
   }
 
   /**
@@ -200,107 +293,185 @@
    *
    * @param charge Cost units and the workspace that they were charged to.
    */
-  refund({ workspace, cost, chargedAtMs }: Charge): void {
-    if (chargedAtMs >= this.#takenOverAtMs) {
-      this.#charged.takeBack(workspace, cost, chargedAtMs);
-    } else {
-      this.#inherited.refund(workspace, cost, chargedAtMs);
-    }
+  refund({ workspace, cost, share, chargedAtMs }: Charge): void {
+    const charges = chargedAtMs >= this.#takenOverAtMs
+      ? this.#charged
+      : this.#inherited.accounted;
+    charges.of(share).takeBack(workspace, cost, chargedAtMs);
   }
 
   /**
    * Records that this instance begins to assign requests in place of another.
    *
+   * @param of The record as the predecessor announced it, and whether this
+   * instance is the coordinator, so that holders report to it.
    * @param nowMs Current local time in milliseconds.
    */
-  takeOver(nowMs: number): void {
+  takeOver(
+    { announced, isCoordinator }: Omit<Takeover, "charged">,
+    nowMs: number,
+  ): void {
     this.#takenOverAtMs = nowMs;
-    this.#inherited.takeOver(this.#charged, nowMs);
-    this.#charged = new SpendingLog(this.#windowMs);
+    this.#recorded.found(announced);
+    this.#lastRecorded = new Set();
+    this.#wanted.clear();
+    const charged = this.#charged;
+    this.#inherited.takeOver({ charged, announced, isCoordinator }, nowMs);
+    this.#charged = new SpendingByShare(this.#windowMs);
   }
 
   /**
    * Imports the account of another ledger, or the fleet's record.
    *
-   * @param histories Spending of workspaces of the whole fleet by age.
+   * @param account Spending of all workspaces near their bounds by age.
    * @param atMs Local time in milliseconds that the ages count from.
    */
-  importHistories(histories: readonly SpendingHistory[], atMs: number): void {
-    this.#inherited.import(histories, atMs);
+  import({ layers }: SpendingAccount, atMs: number): void {
+    this.#inherited.import(layers, atMs);
   }
 
   /**
-   * Determines what must be recorded so that spending is still known after all
-   * instances are lost. The spending in the last record is never below the
-   * actual spending of its workspaces, whatever its age.
+   * Determines what must be recorded, so that a fleet that lost all its
+   * instances finds at least what was spent. A record is made in time before the
+   * spending that it allows, and is renewed so that its ages stay known.
    *
    * @param nowMs Current local time in milliseconds.
-   * @returns Spending of all workspaces near their bounds, if the last record
-   * no longer covers it; undefined if it does.
+   * @returns The next record, which is to be written at once; undefined while
+   * the last one is sufficient.
    */
-  spendingToRecord(nowMs: number): SpendingHistory[] | undefined {
-    const nearBound = this.spendingNearBound(nowMs);
-    const isCurrent = this.#recorded !== undefined &&
-      nearBound.every(({ workspace, spent }) =>
-        spent <= (this.#recorded!.get(workspace) ?? 0)
-      ) && !this.#isRecordStale(nowMs);
-    if (isCurrent) {
+  nextRecord(nowMs: number): RecordedAccount | undefined {
+    const listed = this.#workspacesToRecord(nowMs);
+    const isRenewed = listed.length > 0 || this.#lastRecorded.size > 0;
+    const ageMs = nowMs - this.#recordedAtMs;
+    const isDue = this.#mustRecord ||
+      (isRenewed && ageMs >= MAX_RECORD_AGE_MS) ||
+      listed.some((workspace) => this.#isRecordShort(workspace, nowMs));
+    if (!isDue) {
       return undefined;
     }
-    // Includes in advance what may be spent before the next record.
-    const record = nearBound.map((history) =>
-      withRecentCost(
-        history,
-        RECORD_STEP_SHARE * this.#windowBounds.get(history.workspace)!,
-      )
+    const ahead = listed.map((workspace) => ({
+      workspace,
+      spent: this.#costAhead(workspace, nowMs),
+    }));
+    const byWorkspace = new Map(
+      ahead.map(({ workspace, spent }) => [
+        workspace,
+        this.#spent(workspace, nowMs) + spent,
+      ]),
     );
-    this.#recorded = new Map(record.map((r) => [r.workspace, r.spent]));
+    this.#mustRecord = false;
+    this.#wanted.clear();
     this.#recordedAtMs = nowMs;
-    return record;
+    this.#lastRecorded = new Set(listed);
+    this.#recorded.writing({ share: this.#share, byWorkspace });
+    return { layers: this.#layersOf(listed, nowMs), ahead };
   }
 
   /**
-   * Discards the last record, so that the next one is written in any case:
-   * another ledger may have written a newer one.
+   * Records the outcome of writing the last record.
+   *
+   * @param outcome Whether the platform's store replaced its record.
    */
-  invalidateRecord(): void {
-    this.#recorded = undefined;
+  recordEnded(outcome: RecordOutcome): void {
+    this.#recorded.ended(outcome);
+    this.#mustRecord = outcome !== RecordOutcome.Written;
   }
 
   /**
-   * Whether the record is too old, or still lists a workspace whose spending
-   * has mostly left the window.
+   * Replaces what is known of the record in the platform's store.
+   *
+   * @param coverage Spending that it states.
+   * @param mustReplace Whether the record is to be replaced in any case, as it
+   * would be taken for recent spending later.
    */
-  #isRecordStale(nowMs: number): boolean {
-    const ageMs = nowMs - this.#recordedAtMs;
-    if (this.#recorded!.size > 0 && ageMs >= MAX_RECORD_AGE_MS) {
-      return true;
-    }
-    return [...this.#recorded!.keys()].some((workspace) => {
-      const bound = this.#windowBounds.get(workspace) ?? 0;
-      return this.#spent(workspace, nowMs) < bound * UNRECORDED_SHARE;
+  recordFound(coverage: SpendingCoverage, mustReplace: boolean): void {
+    this.#recorded.found(coverage);
+    this.#mustRecord = mustReplace;
+  }
+
+  /** The record may be lost from the platform's store. */
+  recordLost(): void {
+    this.#recorded.lost();
+    this.#mustRecord = this.#lastRecorded.size > 0;
+  }
+
+  #workspacesToRecord(nowMs: number): string[] {
+    return [...this.#windowBounds.keys()].filter((workspace) => {
+      const share = this.#lastRecorded.has(workspace)
+        ? UNRECORDED_SHARE
+        : RECORDED_SHARE;
+      return this.#wanted.has(workspace) ||
+        this.#isSpent(workspace, share, nowMs);
     });
   }
 
+  /** Whether less than half of the advance is left, unless all is covered. */
+  #isRecordShort(workspace: string, nowMs: number): boolean {
+    const { windowBound, share } = this.#boundScope(workspace, nowMs);
+    const recorded = this.#recorded.covered(workspace, share);
+    const spent = this.#spent(workspace, nowMs);
+    const needed = Math.max(
+      Math.min(
+        windowBound * share,
+        spent + RECORD_AHEAD_SHARE / 2 * windowBound * share,
+      ),
+      spent + (this.#wanted.get(workspace) ?? 0),
+    );
+    return recorded < needed;
+  }
+
+  /** Cost to record in advance: what may be spent before the next record. */
+  #costAhead(workspace: string, nowMs: number): number {
+    const { windowBound, share } = this.#boundScope(workspace, nowMs);
+    const spent = this.#spent(workspace, nowMs);
+    const ahead = Math.min(
+      RECORD_AHEAD_SHARE * windowBound * share,
+      windowBound * share - spent,
+    );
+    return Math.max(0, ahead, this.#wanted.get(workspace) ?? 0);
+  }
+
   /**
    * Returns the spending of the workspaces that are near their bounds.
    *
    * @param nowMs Current local time in milliseconds.
-   * @returns One history for each of these workspaces.
+   * @returns The account of these workspaces.
    */
-  spendingNearBound(nowMs: number): SpendingHistory[] {
-    return [...this.#windowBounds].flatMap(([workspace, bound]) => {
-      const spent = this.#spent(workspace, nowMs);
-      const isNearBound = spent >= bound * (RECORDED_SHARE - RECORD_STEP_SHARE);
-      return isNearBound ? [this.#history(workspace, nowMs)] : [];
-    });
+  announcedAccount(nowMs: number): AnnouncedAccount {
+    const nearBound = [...this.#windowBounds.keys()]
+      .filter((workspace) => this.#isSpent(workspace, RECORDED_SHARE, nowMs));
+    const recorded = nearBound.map((workspace) => ({
+      workspace,
+      spent: this.#recorded.covered(workspace, this.#share),
+    }));
+    const share = this.#share;
+    return { layers: this.#layersOf(nearBound, nowMs), recorded, share };
   }
 
-  /** Spending of a workspace by age, as far as the ages are known. */
-  #history(workspace: string, nowMs: number): SpendingHistory {
-    const inherited = this.#inherited
-      .history(workspace, this.#boundScope(workspace, nowMs));
-    return addedHistories(this.#charged.history(workspace, nowMs), inherited);
+  /**
+   * Spending of workspaces by age. Spending through holders has no ages and
+   * counts as of now, and what is not known as of the takeover.
+   */
+  #layersOf(workspaces: readonly string[], nowMs: number): SpendingLayer[] {
+    const all = new SpendingByShare(this.#windowMs);
+    for (const from of [this.#inherited.accounted, this.#charged]) {
+      from.layers(workspaces, nowMs)
+        .forEach((layer) => all.add(layer, nowMs));
+    }
+    const log = all.of(this.#share);
+    for (const workspace of workspaces) {
+      const { unaged, beforeTakeover } = this.#inherited
+        .unaccounted(workspace, this.#boundScope(workspace, nowMs));
+      log.insert(workspace, beforeTakeover, this.#takenOverAtMs);
+      log.insert(workspace, unaged, nowMs);
+    }
+    return all.layers(workspaces, nowMs);
+  }
+
+  /** Whether at least a share of a workspace's bound was spent. */
+  #isSpent(workspace: string, ofBound: number, nowMs: number): boolean {
+    const { windowBound, share } = this.#boundScope(workspace, nowMs);
+    return this.#spent(workspace, nowMs) >= ofBound * windowBound * share;
   }
 
   #spent(workspace: string, nowMs: number): number {
@@ -310,12 +481,18 @@
 
   #boundScope(workspace: string, nowMs: number): BoundScope {
     const windowBound = this.#windowBounds.get(workspace) ?? 0;
-    return { windowBound, share: this.#share, nowMs };
+    const coversReports = this.#coversReports;
+    return { windowBound, share: this.#share, coversReports, nowMs };
   }
 
-  #windowBound({ perS, burst }: Allotment): number {
-    const { windowMs, overage, slack } = this.#tolerance;
-    return (perS * windowMs / MS_PER_S + burst) *
+  #windowBound(allotment: Allotment): number {
+    const { overage, slack } = this.#tolerance;
+    return this.#plainBound(allotment) *
         (1 + overage * TOLERANCE_USED_SHARE) + slack * TOLERANCE_USED_SHARE;
   }
+
+  /** The allotment of one window without any tolerance. */
+  #plainBound({ perS, burst }: Allotment): number {
+    return perS * this.#tolerance.windowMs / MS_PER_S + burst;
+  }
 }
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -20,10 +20,16 @@
 import {
   AllotmentLedger,
   type AllotmentTolerance,
+  type AnnouncedAccount,
   type Charge,
+  ChargeOutcome,
+  type ChargeResult,
   type LedgerScope,
+  type RecordedAccount,
+  type SpendingAccount,
 } from "./allotment_ledger.ts";
-import type { SpendingHistory } from "./spending_log.ts";
+import type { RecordOutcome, SpendingCoverage } from "./recorded_spending.ts";
+import type { Takeover } from "./inherited_spending.ts";
 import { recordLoad } from "./load_recording.ts";
 import type { LoadReport } from "./load_report.ts";
 import type { RoutingBoard } from "./routing_board.ts";
@@ -41,6 +47,7 @@
 import { routeRankOf } from "./ranks.ts";
 import { returnWindowMs, type StreamOriginGroup } from "./stream_origins.ts";
 import { TakenUpStreams } from "./taken_up_streams.ts";
+import { UnrecordedAsks } from "./unrecorded_asks.ts";
 import { RefusedCallers } from "./refused_callers.ts";
 import { type PausedTarget, UnusableTargets } from "./unusable_targets.ts";
 import type { OverShare } from "./workspace_shares.ts";
@@ -59,6 +66,9 @@
 
 const RETRY_BUDGET_RETRY_AFTER_MS = 1000;
 
+/** Retry time of requests whose cost the platform's store did not record. */
+const UNRECORDED_RETRY_AFTER_MS = 500;
+
 /** Limits that the operators set for the fleet as a whole. */
 export interface FleetBounds {
   readonly retryBudget: RetryBudgetBound;
@@ -85,10 +95,14 @@
   readonly uptimeMs: number;
 }
 
-/** Result of admission control: a refusal, or the charge that was made. */
-type AdmissionResult = { readonly refusal: AskDecision } | {
-  readonly charge?: Charge;
-};
+/**
+ * Result of charging an ask: a refusal, the charge that was made if it costs
+ * anything, or that the ask waits for a record of the spending.
+ */
+type ChargedAsk =
+  | { readonly refusal: AskDecision }
+  | { readonly charge?: Charge }
+  | { readonly isWaiting: true };
 
 /**
  * Queues and places the asks of all holders that reach this instance.
@@ -110,9 +124,10 @@
   /** Local time at which each holder last reported its spending. */
   readonly #spendingReportedAtMs = new Map<string, number>();
   readonly #takenUpStreams: TakenUpStreams;
+  readonly #unrecordedAsks = new UnrecordedAsks();
   readonly #endEvidence: EndEvidence;
   readonly #unusable: UnusableTargets;
-  /** Scope of the last ask, for asks that wait for the origin of a stream. */
+  /** Scope of the last ask, for asks that wait before they are queued. */
   #scope?: PlacementScope;
 
   /**
@@ -153,7 +168,9 @@
     if (decision !== undefined) {
       return [decision];
     }
-    if (scheduler.isWaiting(ask.askId)) {
+    if (
+      scheduler.isWaiting(ask.askId) || this.#unrecordedAsks.has(ask.askId)
+    ) {
       return [];
     }
     const resolved = this.#takenUpStreams.resolve(ask, scope.nowMs);
@@ -169,22 +186,40 @@
 
   /** Admits an ask, and places or queues it. */
   #place(ask: WorkAsk, scope: PlacementScope): AskDecision[] {
-    const scheduler = this.#poolScheduler(ask.pool);
-    const { askId, callHash } = ask;
+    const refusal = this.#admit(ask, scope);
+    return refusal === undefined
+      ? this.#chargeAndQueue(ask, scope)
+      : this.#refused(ask, refusal, scope.nowMs);
+  }
+
+  #refused(
+    { callHash }: WorkAsk,
+    refusal: AskDecision,
+    nowMs: number,
+  ): AskDecision[] {
+    const firstAttemptAtMs = this.#refusedCallers
+      .firstAttemptAtMs(callHash, nowMs);
+    this.#refusedCallers.record(callHash, firstAttemptAtMs, nowMs);
+    return [refusal];
+  }
+
+  /** Charges an ask, and places or queues it. */
+  #chargeAndQueue(ask: WorkAsk, scope: PlacementScope): AskDecision[] {
     const { nowMs } = scope;
-    const firstAttemptAtMs = this.#refusedCallers.firstAttemptAtMs(
-      callHash,
-      nowMs,
-    );
-    const admission = this.#admit(ask, scope);
-    if ("refusal" in admission) {
-      this.#refusedCallers.record(callHash, firstAttemptAtMs, nowMs);
-      return [admission.refusal];
+    const charged = this.#charge(ask, scope);
+    if ("isWaiting" in charged) {
+      return [];
+    }
+    if ("refusal" in charged) {
+      return this.#refused(ask, charged.refusal, nowMs);
     }
-    const { pool } = ask;
-    const { charge } = admission;
+    const { askId, callHash, pool } = ask;
+    const { charge } = charged;
+    const firstAttemptAtMs = this.#refusedCallers
+      .firstAttemptAtMs(callHash, nowMs);
     this.#openAsks.set(askId, { pool, callHash, firstAttemptAtMs, charge });
     const cameBackMs = nowMs - firstAttemptAtMs;
+    const scheduler = this.#poolScheduler(pool);
     return this.#applyDecisions(
       scheduler.add(ask, { cameBackMs, nowMs }),
       nowMs,
@@ -291,6 +326,7 @@
    */
   dropped(askId: string, nowMs: number): AskDecision[] {
     this.#takenUpStreams.drop(askId);
+    this.#unrecordedAsks.drop(askId);
     const scheduler = this.#schedulerOf(askId);
     if (scheduler === undefined) {
       return [];
@@ -377,7 +413,9 @@
     const decisions = askIds.flatMap((askId) =>
       this.#schedulerOf(askId)?.lostDecisionFor(askId, nowMs) ?? []
     );
-    const unknownIds = askIds.filter((askId) => !this.#openAsks.has(askId));
+    const unknownIds = askIds.filter((askId) =>
+      !this.#openAsks.has(askId) && !this.#unrecordedAsks.has(askId)
+    );
     return { decisions, unknownIds };
   }
 
@@ -393,7 +431,10 @@
     this.#board.targetLoads.evictExpired(nowMs);
     this.#limiter.evictUnlimited();
     this.#unusable.evictExpired(this.#board.targets, nowMs);
-    const decisions = this.#resolveWaiting(nowMs);
+    const decisions = [
+      ...this.#resolveWaiting(nowMs),
+      ...this.#chargeUnrecorded(nowMs),
+    ];
     for (const [holderId, contactAtMs] of this.#lastContactAtMs) {
       if (nowMs - contactAtMs > HOLDER_TIMEOUT_MS) {
         this.#lastContactAtMs.delete(holderId);
@@ -469,54 +510,94 @@
       .flatMap((ask) => this.#ask(ask, { ...this.#scope!, nowMs }));
   }
 
+  /** Charges asks again that wait for a record of their workspace's spending. */
+  #chargeUnrecorded(nowMs: number): AskDecision[] {
+    return this.#unrecordedAsks.all().flatMap((ask) => {
+      const decisions = this.#chargeAndQueue(ask, { ...this.#scope!, nowMs });
+      if (this.#openAsks.has(ask.askId) || decisions.length > 0) {
+        this.#unrecordedAsks.drop(ask.askId);
+      }
+      return decisions;
+    });
+  }
+
   /**
    * Returns the spending record to write to the platform's store.
    *
    * @param nowMs Current local time in milliseconds.
    * @returns Spending of workspaces near their bounds; undefined while the last
-   * record still holds.
+   * record is sufficient.
    */
-  spendingToRecord(nowMs: number): SpendingHistory[] | undefined {
-    return this.#allotmentLedger.spendingToRecord(nowMs);
+  nextSpendingRecord(nowMs: number): RecordedAccount | undefined {
+    return this.#allotmentLedger.nextRecord(nowMs);
+  }
+
+  /**
+   * Records the outcome of writing the last spending record.
+   *
+   * @param outcome Whether the platform's store replaced its record.
+   */
+  spendingRecordEnded(outcome: RecordOutcome): void {
+    this.#allotmentLedger.recordEnded(outcome);
+  }
+
+  /**
+   * Replaces what is known of the spending record in the platform's store.
+   *
+   * @param coverage Spending that it states.
+   * @param mustReplace Whether to replace it in any case, as it would be taken
+   * for recent spending later.
+   */
+  spendingRecordFound(coverage: SpendingCoverage, mustReplace: boolean): void {
+    this.#allotmentLedger.recordFound(coverage, mustReplace);
   }
 
   /**
    * Returns the spending of workspaces near their bounds.
    *
    * @param nowMs Current local time in milliseconds.
-   * @returns One history for each of these workspaces.
+   * @returns The account of these workspaces.
    */
-  spendingNearBound(nowMs: number): SpendingHistory[] {
-    return this.#allotmentLedger.spendingNearBound(nowMs);
+  announcedSpending(nowMs: number): AnnouncedAccount {
+    return this.#allotmentLedger.announcedAccount(nowMs);
   }
 
   /**
    * Records that this instance begins to assign requests in place of another,
    * so that its account of spending may be incomplete.
    *
+   * @param of The record as the predecessor announced it, and whether this
+   * instance is the coordinator, so that holders report to it.
    * @param nowMs Current local time in milliseconds.
    */
-  takeOverSpending(nowMs: number): void {
-    this.#allotmentLedger.takeOver(nowMs);
+  takeOverSpending(of: Omit<Takeover, "charged">, nowMs: number): void {
+    this.#allotmentLedger.takeOver(of, nowMs);
   }
 
   /**
    * Imports spending that another coordinator accounted for, or that the fleet
    * recorded before all its instances stopped.
    *
-   * @param histories Spending of workspaces by age.
+   * @param account Spending of all workspaces near their bounds by age.
    * @param atMs Local time in milliseconds that the ages count from.
    */
-  importSpending(histories: readonly SpendingHistory[], atMs: number): void {
-    this.#allotmentLedger.importHistories(histories, atMs);
+  importSpending(account: SpendingAccount, atMs: number): void {
+    this.#allotmentLedger.import(account, atMs);
   }
 
   /**
-   * Discards the last spending record, so that a new one is written: another
-   * instance may have overwritten it.
+   * Records whether asks may wait for the next spending record.
+   *
+   * @param isRecording Whether this instance records spending, and the
+   * platform's store answers.
    */
-  invalidateRecord(): void {
-    this.#allotmentLedger.invalidateRecord();
+  setRecording(isRecording: boolean): void {
+    this.#allotmentLedger.isRecording = isRecording;
+  }
+
+  /** The spending record may be lost from the platform's store. */
+  spendingRecordLost(): void {
+    this.#allotmentLedger.recordLost();
   }
 
   /**
@@ -567,6 +648,16 @@
     }
   }
 
+  /**
+   * Returns when a holder last sent an ask or a report to this instance.
+   *
+   * @param holderId Id of the holder.
+   * @returns Local time in milliseconds; -Infinity if it has not lately.
+   */
+  contactedAtMs(holderId: string): number {
+    return this.#lastContactAtMs.get(holderId) ?? -Infinity;
+  }
+
   /**
    * Returns when a holder last reported its spending to this instance.
    *
@@ -584,6 +675,7 @@
   clearAsks(): void {
     this.#schedulers.clear();
     this.#takenUpStreams.clear();
+    this.#unrecordedAsks.clear();
     this.#openAsks.clear();
     this.#lastContactAtMs.clear();
   }
@@ -593,7 +685,7 @@
     const takingUp = this.#takenUpStreams.waiting;
     return [...this.#schedulers].map(([pool, scheduler]) => ({
       pool,
-      waiting: scheduler.waitingCount +
+      waiting: scheduler.waitingCount + this.#unrecordedAsks.countOf(pool) +
         takingUp.filter((ask) => ask.pool === pool).length,
       placed: scheduler.placedCount,
     }));
@@ -639,35 +731,35 @@
     return this.#poolScheduler(pool).runningAt(targetIds);
   }
 
-  #admit(ask: WorkAsk, scope: PlacementScope): AdmissionResult {
+  /** Refuses quarantined asks, and repeats beyond the retry budget. */
+  #admit(ask: WorkAsk, scope: PlacementScope): AskDecision | undefined {
     const { askId, holderId } = ask;
     const { suspects } = this.#board;
     const heldForMs = suspects.quarantineLeftMs(ask, scope.nowMs);
     if (heldForMs > 0) {
-      return { refusal: quarantineRefusal(ask, heldForMs) };
+      return quarantineRefusal(ask, heldForMs);
     }
     const budget = this.#budget(ask.pool);
     if (
       ask.cause === AskCause.Repeat &&
       !budget.tryConsume(scope)
     ) {
-      const refusal = {
+      return {
         askId,
         holderId,
         refusal: AskRefusal.RetryBudget,
         retryAfterMs: RETRY_BUDGET_RETRY_AFTER_MS,
         figures: { share: scope.share },
       };
-      return { refusal };
     }
     if (ask.cause === AskCause.First) {
       budget.recordFirst(scope.nowMs);
     }
-    return this.#charge(ask, scope);
+    return undefined;
   }
 
-  #charge(ask: WorkAsk, scope: LedgerScope): AdmissionResult {
-    const { askId, holderId, workspace, cost } = ask;
+  #charge(ask: WorkAsk, scope: LedgerScope): ChargedAsk {
+    const { holderId, workspace, cost } = ask;
     const allotment = this.#board.routes?.workspace(workspace)?.allotment;
     if (allotment === undefined || cost === 0) {
       return {};
@@ -675,25 +767,26 @@
     const rank = routeRankOf(ask.rank);
     const result = this.#allotmentLedger
       .charge(workspace, allotment, { cost, rank, scope });
-    if (result.allowed) {
-      const chargedAtMs = scope.nowMs;
-      return { charge: { workspace, cost, holderId, chargedAtMs } };
-    }
-    const { retryAfterMs, spent, bound, unknown } = result;
-    const refusal = {
-      askId,
-      holderId,
-      refusal: AskRefusal.Allotment,
-      retryAfterMs,
-      figures: {
-        cost,
-        spent: Math.round(spent),
-        unknown: Math.round(unknown),
-        bound: Math.round(bound),
-        share: scope.share,
-      },
-    };
-    return { refusal };
+    const { nowMs } = scope;
+    switch (result.outcome) {
+      case ChargeOutcome.Allowed:
+        return {
+          charge: {
+            workspace,
+            cost,
+            share: scope.share,
+            holderId,
+            chargedAtMs: nowMs,
+          },
+        };
+      case ChargeOutcome.Exceeded:
+        return { refusal: allotmentRefusal(ask, result, scope) };
+      case ChargeOutcome.Unrecorded:
+        return this.#allotmentLedger.isRecording &&
+            this.#unrecordedAsks.hold(ask, nowMs)
+          ? { isWaiting: true }
+          : { refusal: allotmentRefusal(ask, result, scope) };
+    }
   }
 
   /** Registers work that another coordinator placed. */
@@ -787,3 +880,26 @@
     return budget;
   }
 }
+
+function allotmentRefusal(
+  { askId, holderId, cost }: WorkAsk,
+  result: ChargeResult,
+  { share }: LedgerScope,
+): AskDecision {
+  const { outcome, retryAfterMs, spent, unknown, bound, recorded } = result;
+  const isExceeded = outcome === ChargeOutcome.Exceeded;
+  return {
+    askId,
+    holderId,
+    refusal: AskRefusal.Allotment,
+    retryAfterMs: isExceeded ? retryAfterMs : UNRECORDED_RETRY_AFTER_MS,
+    figures: {
+      cost,
+      spent: Math.round(spent),
+      unknown: Math.round(unknown),
+      bound: Math.round(bound),
+      ...(isExceeded ? undefined : { recorded: Math.round(recorded) }),
+      share,
+    },
+  };
+}
--- a/packages/routing/src/inherited_spending.ts
+++ b/packages/routing/src/inherited_spending.ts
@@ -5,20 +5,40 @@
 
 import { ReportedSpending } from "./reported_spending.ts";
 import {
-  addedHistories,
-  scaledHistory,
-  type SpendingHistory,
-  SpendingLog,
-  withCostOfAge,
-  withRecentCost,
-} from "./spending_log.ts";
+  coveredBy,
+  NOTHING_RECORDED,
+  type SpendingCoverage,
+} from "./recorded_spending.ts";
+import { SpendingByShare, type SpendingLayer } from "./spending_by_share.ts";
 
 /**
  * Share of a workspace's bound that may have been spent before a takeover
  * although neither the account of the predecessor nor the fleet's record lists
  * the workspace.
  */
-export const UNLISTED_SHARE = 0.5;
+export const UNLISTED_SHARE = 0.4;
+
+/**
+ * Time after a takeover by the coordinator until which all holders have reported
+ * what was spent through them.
+ */
+const SETTLING_MS = 300;
+
+/**
+ * Share of the bound that a predecessor may have handed out since the account in
+ * its last heartbeat: a busy workspace's spending in two heartbeat intervals.
+ */
+const GROWTH_SHARE = 0.1;
+
+/** What an instance knows as it begins to assign requests. */
+export interface Takeover {
+  /** What it charged itself since its takeover before. */
+  readonly charged: SpendingByShare;
+  /** The record as the predecessor announced it. */
+  readonly announced: SpendingCoverage;
+  /** Whether it is the coordinator, so that holders report to it. */
+  readonly isCoordinator: boolean;
+}
 
 /** Part of a workspace's bound that a ledger may hand out at a moment. */
 export interface BoundScope {
@@ -26,6 +46,12 @@
   readonly windowBound: number;
   /** Share of the fleet's allotments, greater than 0 and at most 1. */
   readonly share: number;
+  /**
+   * Whether the share is that of all holders that report. An instance that acts
+   * for a silent coordinator has a smaller one, of which the reports tell
+   * nothing.
+   */
+  readonly coversReports: boolean;
   readonly nowMs: number;
 }
 
@@ -39,12 +65,16 @@
 export class InheritedSpending {
   /** What holders report beyond the charges since the takeover. */
   readonly reported: ReportedSpending;
+  /**
+   * Spending as this instance charged it before the takeover, or as other
+   * coordinators accounted for it.
+   */
+  readonly accounted: SpendingByShare;
   readonly #windowMs: number;
-  /** Charges of this instance before the takeover. */
-  readonly #own: SpendingLog;
-  /** Spending of the whole fleet, as other coordinators accounted for it. */
-  readonly #accounted: SpendingLog;
   #takenOverAtMs = -Infinity;
+  /** Local time at which holders have reported what the predecessor granted. */
+  #settledAtMs = -Infinity;
+  #announced = NOTHING_RECORDED;
   /** Whether an account or the record was read since this process started. */
   #isInformed = false;
   /** Highest spending by workspace that was known since the takeover. */
@@ -53,52 +83,39 @@
   /** @param windowMs Length of the sliding window in milliseconds. */
   constructor(windowMs: number) {
     this.#windowMs = windowMs;
-    this.#own = new SpendingLog(windowMs);
-    this.#accounted = new SpendingLog(windowMs);
+    this.accounted = new SpendingByShare(windowMs);
     this.reported = new ReportedSpending(windowMs);
   }
 
   /**
    * Records that this instance begins to assign requests in place of another.
    *
-   * @param own What this instance charged since the takeover before.
+   * @param of What this instance knows by itself, and its role.
    * @param nowMs Current local time in milliseconds.
    */
-  takeOver(own: SpendingLog, nowMs: number): void {
+  takeOver(
+    { charged, announced, isCoordinator }: Takeover,
+    nowMs: number,
+  ): void {
     this.#takenOverAtMs = nowMs;
-    this.#own.append(own);
+    this.#settledAtMs = isCoordinator ? nowMs + SETTLING_MS : Infinity;
+    this.#announced = announced;
+    this.accounted.append(charged);
+    this.accounted.evictExpired(nowMs);
     this.#maxKnown.clear();
     this.reported.forgetPlaced(nowMs);
   }
 
   /**
-   * Imports an account of the whole fleet's spending. Accounts overlap, and
-   * adding them up would count spending several times; of each workspace, the
-   * larger account is kept.
+   * Imports an account of spending.
    *
-   * @param histories Spending by age of all workspaces whose spending may exceed
+   * @param layers Spending of all workspaces whose spending may exceed
    * {@link UNLISTED_SHARE}.
    * @param atMs Local time in milliseconds that the ages count from.
    */
-  import(histories: readonly SpendingHistory[], atMs: number): void {
+  import(layers: readonly SpendingLayer[], atMs: number): void {
     this.#isInformed = true;
-    for (const history of histories) {
-      const { workspace, spent } = history;
-      if (this.#accounted.spent(workspace, atMs) < spent) {
-        this.#accounted.setHistory(history, atMs);
-      }
-    }
-  }
-
-  /**
-   * Takes back a charge that was made before the takeover.
-   *
-   * @param workspace Name of the workspace.
-   * @param cost Cost units.
-   * @param chargedAtMs Local time of the charge in milliseconds.
-   */
-  refund(workspace: string, cost: number, chargedAtMs: number): void {
-    this.#own.takeBack(workspace, cost, chargedAtMs);
+    layers.forEach((layer) => this.accounted.merge(layer, atMs));
   }
 
   /**
@@ -117,7 +134,7 @@
    * @returns The part of {@link spent} that is not known to have been charged.
    */
   unknown(workspace: string, scope: BoundScope): number {
-    const { windowBound, share, nowMs } = scope;
+    const { nowMs } = scope;
     const maxKnown = Math.max(
       this.#known(workspace, scope),
       this.#maxKnown.get(workspace) ?? 0,
@@ -126,45 +143,58 @@
     if (nowMs - this.#takenOverAtMs > this.#windowMs) {
       return 0;
     }
-    const unlistedShare = this.#isInformed ? UNLISTED_SHARE : 1;
-    return Math.max(0, unlistedShare * windowBound * share - maxKnown);
+    const mayBeSpent = Math.max(
+      this.#unlisted(scope),
+      this.#unreported(workspace, scope),
+    );
+    return Math.max(0, mayBeSpent - maxKnown);
+  }
+
+  /** What may have been spent of a workspace that no account lists. */
+  #unlisted({ windowBound, share }: BoundScope): number {
+    return (this.#isInformed ? UNLISTED_SHARE : 1) * windowBound * share;
   }
 
   /**
-   * @param workspace Name of a workspace.
-   * @param scope Its bound, and the part of it that is handed out here.
-   * @returns {@link spent} by age. Spending through other holders has no ages
-   * and counts as of the last second, and what is not known as of the takeover.
+   * What may have been spent of a listed workspace while holders have not
+   * reported what was granted since the last heartbeat.
    */
-  history(workspace: string, scope: BoundScope): SpendingHistory {
-    const { share, nowMs } = scope;
-    const own = this.#own.history(workspace, nowMs);
-    const accounted = this.#accounted.history(workspace, nowMs);
-    const aged = own.spent > accounted.spent ? own : addedHistories(
-      scaledHistory(own, 1 - share),
-      scaledHistory(accounted, share),
-    );
-    const known = withRecentCost(
-      aged,
-      this.#known(workspace, scope) - aged.spent,
+  #unreported(workspace: string, scope: BoundScope): number {
+    const { windowBound, share, nowMs } = scope;
+    if (nowMs >= this.#settledAtMs) {
+      return 0;
+    }
+    return Math.min(
+      coveredBy(this.#announced, workspace, share),
+      this.accounted.spentOutOf(workspace, share, nowMs) +
+        GROWTH_SHARE * windowBound * share,
     );
-    return withCostOfAge(known, {
-      cost: this.unknown(workspace, scope),
-      ageMs: nowMs - this.#takenOverAtMs,
-    });
   }
 
   /**
-   * A part of the fleet takes over its share of an account just as its share of
-   * the allotments. The account contains as much of the own charges.
+   * @param workspace Name of a workspace.
+   * @param scope Its bound, and the part of it that is handed out here.
+   * @returns The part of {@link spent} that {@link accounted} does not contain
+   * and whose age is not known, and the one that may have been charged before
+   * the takeover.
    */
-  #known(workspace: string, { share, nowMs }: BoundScope): number {
-    const own = this.#own.spent(workspace, nowMs);
-    const accounted = this.#accounted.spent(workspace, nowMs);
-    return own * (1 - share) + Math.max(
-      own * share,
-      accounted * share,
-      this.reported.chargedElsewhere(workspace, nowMs),
-    );
+  unaccounted(
+    workspace: string,
+    scope: BoundScope,
+  ): { unaged: number; beforeTakeover: number } {
+    const { share, nowMs } = scope;
+    const accounted = this.accounted.spentOutOf(workspace, share, nowMs);
+    return {
+      unaged: this.#known(workspace, scope) - accounted,
+      beforeTakeover: this.unknown(workspace, scope),
+    };
+  }
+
+  #known(workspace: string, scope: BoundScope): number {
+    const { share, coversReports, nowMs } = scope;
+    const accounted = this.accounted.spentOutOf(workspace, share, nowMs);
+    return coversReports
+      ? Math.max(accounted, this.reported.chargedElsewhere(workspace, nowMs))
+      : accounted;
   }
 }
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -138,6 +138,8 @@
   readonly #awaitedSinceMs = new Map<string, number>();
   /** When others last reported something new of each member. */
   readonly #reportedAtMs = new Map<string, number>();
+  /** When the first heartbeat of each member's process was received. */
+  readonly #heardSinceMs = new Map<string, number>();
   /** When a member's process sent a heartbeat again after its timeout. */
   readonly #recoveredAtMs = new Map<string, number>();
   readonly #idByAddress = new Map<string, string>();
@@ -182,6 +184,9 @@
     ) {
       this.#recoveredAtMs.set(info.instanceId, nowMs);
     }
+    if (known?.incarnation !== info.incarnation) {
+      this.#heardSinceMs.set(info.instanceId, nowMs);
+    }
     this.#put({ ...info, lastHeartbeatAtMs: nowMs });
     return known === undefined || !this.#isAlive(known, nowMs);
   }
@@ -374,18 +379,33 @@
   }
 
   /**
-   * Returns the share of the fleet that reports to this instance.
+   * Returns the share of the fleet that some of its members are.
    *
    * @param nowMs The local time.
-   * @param isReporting Whether a member reports its spending to this instance.
+   * @param isCounted Whether a member counts.
    * @returns From 0 to 1.
    */
-  shareReporting(
+  shareOf(
     nowMs: number,
-    isReporting: (instanceId: string) => boolean,
+    isCounted: (instanceId: string) => boolean,
   ): number {
-    const reporting = [...this.#byId.keys()].filter(isReporting).length;
-    return Math.min(1, reporting / this.#fleetSize(nowMs));
+    const count = [...this.#byId.keys()].filter(isCounted).length;
+    return Math.min(1, count / this.#fleetSize(nowMs));
+  }
+
+  /**
+   * Returns the share of the fleet whose processes have lived since a time.
+   *
+   * @param sinceMs Local time in milliseconds.
+   * @param nowMs The local time.
+   * @returns From 0 to 1; this instance counts.
+   */
+  shareAliveSince(sinceMs: number, nowMs: number): number {
+    const living = this.alive(nowMs).filter(({ instanceId }) =>
+      instanceId === this.selfId ||
+      (this.#heardSinceMs.get(instanceId) ?? Infinity) <= sinceMs
+    );
+    return living.length / this.#fleetSize(nowMs);
   }
 
   /** When a member's process sent a heartbeat again; -Infinity if none did. */
@@ -556,6 +576,7 @@
         this.#reportedAtMs.delete(instanceId);
         this.#passedOverAtMs.delete(instanceId);
         this.#recoveredAtMs.delete(instanceId);
+        this.#heardSinceMs.delete(instanceId);
         this.#scores.delete(instanceId);
         if (this.#idByAddress.get(address) === instanceId) {
           this.#idByAddress.delete(address);
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -190,13 +190,31 @@
   callHashes: z.array(z.number()).max(MAX_REPORTED_CALL_HASHES).readonly(),
 });
 
+/** Validates the spending of a workspace that another instance sends. */
+export const spendingHistorySchema = z.object({
+  workspace: z.string(),
+  spent: z.number(),
+  bySecond: z.array(z.number()).readonly(),
+});
+
+/** Validates spending out of a share of the allotments. */
+export const spendingLayerSchema = z.object({
+  share: z.number().positive().max(1),
+  spending: z.array(spendingHistorySchema).readonly(),
+});
+
+/** Validates spending of a workspace without ages. */
+export const workspaceSpendingSchema = z.object({
+  workspace: z.string(),
+  spent: z.number(),
+});
+
 const report = z.object({
   holderId: z.string(),
   incarnation: z.number().optional(),
   running: z.array(running).readonly(),
   waiting: z.array(z.string()).readonly(),
-  spent: z.array(z.object({ workspace: z.string(), spent: z.number() }))
-    .readonly(),
+  spent: z.array(workspaceSpendingSchema).readonly(),
   suspects: z.array(suspectUpdateSchema).readonly().optional(),
   streams: z.array(streamOriginGroupSchema).readonly().optional(),
   refused: z.array(refusedByHolder).max(MAX_REPORTED_REFUSALS).readonly()
@@ -209,13 +227,6 @@
   waitMs: z.number().nonnegative().max(MAX_FORECAST_WAIT_MS),
 });
 
-/** Validates the spending of a workspace that another instance sends. */
-export const spendingHistorySchema = z.object({
-  workspace: z.string(),
-  spent: z.number(),
-  bySecond: z.array(z.number()).readonly(),
-});
-
 /** Validates the use of a pool's retry budget that another instance sends. */
 const retryHistorySchema = z.object({
   pool: z.string(),
@@ -271,8 +282,18 @@
      * allotments. Absent if this heartbeat carries none.
      */
     spending: z.array(spendingHistorySchema).readonly().optional(),
-    /** Share of the fleet that `spending` covers; 1 if absent. */
+    /**
+     * From the coordinator: spending out of shares of the allotments, beside
+     * that out of the whole in `spending`. Absent if there was none.
+     */
+    partSpending: z.array(spendingLayerSchema).readonly().optional(),
+    /** From the coordinator: share of the fleet that it reaches; 1 if absent. */
     spendingShare: z.number().positive().max(1).optional(),
+    /**
+     * From the coordinator: spending that the record in the platform's store
+     * covers. Absent if `spending` is.
+     */
+    recordedSpending: z.array(workspaceSpendingSchema).readonly().optional(),
     /**
      * From the coordinator: sends that count towards retry budgets. Absent if
      * this heartbeat carries none.
--- a/packages/routing/src/spending_log.ts
+++ b/packages/routing/src/spending_log.ts
@@ -65,45 +65,6 @@
   return { workspace, spent: spent + cost, bySecond: [last + cost, ...rest] };
 }
 
-/**
- * Adds cost of an age to a history.
- *
- * @param history Spending of a workspace.
- * @param of Cost units to add, and the time since then in milliseconds.
- * @returns A new history with the cost added; unchanged if the cost has left the
- * history's window.
- */
-export function withCostOfAge(
-  history: SpendingHistory,
-  { cost, ageMs }: { cost: number; ageMs: number },
-): SpendingHistory {
-  const second = Math.floor(ageMs / MS_PER_S);
-  if (cost === 0 || second >= history.bySecond.length) {
-    return history;
-  }
-  const bySecond = [...history.bySecond];
-  bySecond[second]! += cost;
-  return { ...history, spent: history.spent + cost, bySecond };
-}
-
-/**
- * Scales a history.
- *
- * @param history Spending of a workspace.
- * @param factor Factor that all amounts are multiplied by.
- * @returns A new history.
- */
-export function scaledHistory(
-  { workspace, spent, bySecond }: SpendingHistory,
-  factor: number,
-): SpendingHistory {
-  return {
-    workspace,
-    spent: spent * factor,
-    bySecond: bySecond.map((cost) => cost * factor),
-  };
-}
-
 /**
  * Adds two histories of one workspace.
  *
@@ -127,6 +88,32 @@
   };
 }
 
+/**
+ * Merges two accounts of the same spending, neither of which is complete: one
+ * may lack the latest, the other what an earlier holder knew.
+ *
+ * @param history Spending of a workspace as one instance knows it.
+ * @param other The same as another instance knows it.
+ * @returns A history in which each of the last seconds together hold as much as
+ * in the larger of the two.
+ */
+export function mergedHistory(
+  history: SpendingHistory,
+  other: SpendingHistory,
+): SpendingHistory {
+  const seconds = Math.max(history.bySecond.length, other.bySecond.length);
+  const bySecond: number[] = [];
+  let [sum, otherSum, mergedSum] = [0, 0, 0];
+  for (let age = 0; age < seconds; age++) {
+    sum += history.bySecond[age] ?? 0;
+    otherSum += other.bySecond[age] ?? 0;
+    const largerSum = Math.max(sum, otherSum);
+    bySecond.push(largerSum - mergedSum);
+    mergedSum = largerSum;
+  }
+  return { workspace: history.workspace, spent: mergedSum, bySecond };
+}
+
 /**
  * Rounds a history up to whole cost units, which halves its encoded size.
  *
@@ -172,6 +159,22 @@
     }
   }
 
+  /**
+   * Inserts spending of an earlier time.
+   *
+   * @param workspace Name of the workspace.
+   * @param cost Cost units.
+   * @param atMs Local time in milliseconds.
+   */
+  insert(workspace: string, cost: number, atMs: number): void {
+    if (cost > 0) {
+      const slices = this.#byWorkspace.get(workspace) ?? [];
+      const inserted = [...slices, { beganAtMs: atMs, spent: cost }];
+      inserted.sort((a, b) => a.beganAtMs - b.beganAtMs);
+      this.#byWorkspace.set(workspace, inserted);
+    }
+  }
+
   /**
    * Takes spending back that was recorded before, from the time at which it was
    * recorded. Taken from a later time, it would still reduce the sum of the
@@ -212,14 +215,15 @@
   }
 
   /**
-   * Appends the spending of another log, which was recorded later.
+   * Appends the spending of another log.
    *
    * @param other The other log.
    */
   append(other: SpendingLog): void {
     for (const [workspace, slices] of other.#byWorkspace) {
-      const before = this.#byWorkspace.get(workspace) ?? [];
-      this.#byWorkspace.set(workspace, [...before, ...slices]);
+      const merged = [...this.#byWorkspace.get(workspace) ?? [], ...slices];
+      merged.sort((a, b) => a.beganAtMs - b.beganAtMs);
+      this.#byWorkspace.set(workspace, merged);
     }
   }
 
