Divide limits by the instances that may be running, for as long as a partition lasts

Cause: the share of the fleet's limits that a side hands out was its part of the members heard of within 20 s. After that both sides were alone, and each handed out everything. The same share divides retry budgets and targets' rate limits. Class: a part of a limit that follows from who was heard of lately, not from who may be running.

- A roster counts every instance for two hours after it was last known to run, twice the hour for which regions lose each other.
One that announced that it leaves counts for a minute, or while others of its failure domain are silent: it may have been started again unseen.
Heartbeats pass on which instances are silent and the age of what is known; rows in the platform's list have an age, are renewed every ten minutes, and say that an instance leaves.
- Members that follow another coordinator, as their heartbeats tell, do not count for this one, so that two that act at once do not hand out the same part.
- A process that began after a silence of four seconds or more counts once a window has passed: the one before it may have been cut off and have spent.

The types of members and the processes of members are modules of their own, as member_view.ts and the new files would import each other otherwise.

--- a/packages/gateway/src/coordinator_selector.ts
+++ b/packages/gateway/src/coordinator_selector.ts
@@ -4,11 +4,9 @@
  */
 
 import type { PlacementScope } from "@chestnuthatch/routing/coordinator";
-import {
-  MEMBER_TIMEOUT_MS,
-  type MemberRecord,
-  type MemberView,
-} from "@chestnuthatch/routing/member_view";
+import { MEMBER_TIMEOUT_MS } from "@chestnuthatch/routing/member_timeout";
+import type { MemberRecord } from "@chestnuthatch/routing/member_record";
+import type { MemberView } from "@chestnuthatch/routing/member_view";
 
 /** Time for which a coordinator that does not respond is skipped. */
 const SKIP_MS = 1000;
@@ -157,14 +155,14 @@
   #share(agreed: MemberRecord, nowMs: number): number {
     if (agreed.instanceId !== this.#members.selfId) {
       this.#agreedSinceMs = undefined;
-      const alive = this.#members.aliveCount(nowMs);
-      const ownShare = this.#members.reachableShare(nowMs) / alive;
+      const ownShare = this.#members.shares.ofOne(nowMs);
       return Math.max(ownShare, this.#delegatedShare(nowMs));
     }
     this.#agreedSinceMs ??= nowMs;
     return nowMs - this.#agreedSinceMs < MEMBER_TIMEOUT_MS
-      ? this.#members.reachableShare(nowMs)
-      : this.#members.directlyReachableShare(nowMs, this.#spendingReportedAtMs);
+      ? this.#members.shares.coordinated(nowMs)
+      : this.#members.shares
+        .directlyCoordinated(nowMs, this.#spendingReportedAtMs);
   }
 
   /**
@@ -177,7 +175,7 @@
   #delegatedShare(nowMs: number): number {
     return this.#members.isFullMesh
       ? 0
-      : this.#members.shareOf(nowMs, (instanceId) =>
+      : this.#members.shares.of(nowMs, (instanceId) =>
         nowMs - this.#contactedAtMs(instanceId) < MAX_CONTACT_AGE_MS);
   }
 }
--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -4,7 +4,6 @@
  */
 
 import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
-import type { MemberInfo } from "@chestnuthatch/routing/member_view";
 import { targetChangesSchema } from "@chestnuthatch/routing/peer_messages";
 import type {
   RolloutOrder,
@@ -26,7 +25,12 @@
 import type { Heartbeat } from "./heartbeat_exchange.ts";
 import { SnapshotKind } from "./snapshot_server.ts";
 import { PeerFetch } from "./peer_fetch.ts";
-import type { PlatformSink, RepeatedStoreRead, SpendingRow } from "./ports.ts";
+import type {
+  ListedMember,
+  PlatformSink,
+  RepeatedStoreRead,
+  SpendingRow,
+} from "./ports.ts";
 
 /**
  * Minimum time between two reads of the targets from a peer while the
@@ -251,10 +255,10 @@
   }
 
   /** @param members Instances on the platform's list. */
-  membersRead(members: readonly MemberInfo[]): void {
+  membersRead(members: readonly ListedMember[]): void {
     const nowMs = this.#parts.clock.nowMs();
-    for (const member of members) {
-      this.#parts.board.members.memberReported(member, nowMs);
+    for (const { info, ageMs } of members) {
+      this.#parts.board.members.memberReported(info, { nowMs, ageMs });
     }
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,10 +7,8 @@
 import { ConfigurationAge } from "@chestnuthatch/routing/configuration_age";
 import { UnreachableDomains } from "@chestnuthatch/routing/unreachable_domains";
 import type { FleetConfiguration } from "@chestnuthatch/routing/fleet_configuration";
-import {
-  type MemberInfo,
-  MemberView,
-} from "@chestnuthatch/routing/member_view";
+import type { MemberInfo } from "@chestnuthatch/routing/member_record";
+import { MemberView } from "@chestnuthatch/routing/member_view";
 import {
   MessageKind,
   type RoutingMessage,
@@ -158,6 +156,8 @@
       cores: settings.cores,
     };
     const members = new MemberView(this.#self);
+    members.processes.limitWindowMs =
+      settings.bounds.allotmentTolerance.windowMs;
     this.board = {
       configurationAge: new ConfigurationAge(),
       targets: new TargetDirectory(),
@@ -422,6 +422,7 @@
   async #stop(): Promise<void> {
     this.#isLeaving = true;
     this.#heartbeatExchange.announceLeaving();
+    this.#platform.announceLeaving();
     await new GracefulStop({
       front: this.#front,
       relay: this.#relayServer,
@@ -575,7 +576,7 @@
     this.#suspects.record();
     this.#streams.record();
     this.#rollouts.tick(
-      this.board.members.reachableShare(this.#clock.nowMs()),
+      this.board.members.shares.reachable(this.#clock.nowMs()),
     );
   }
 
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -36,6 +36,8 @@
   readonly retryBudgets: RetryBudgetHandover;
   /** Runs the timeouts of all components at the clock's present time. */
   tick(): void;
+  /** The process was stalled until now. */
+  stalled(): void;
   /** @returns The time of the test's clock. */
   nowMs(): number;
 }
@@ -79,6 +81,7 @@
   const incarnation = startedAtMs + UPTIME_MS + 1;
   const self = memberOf(instanceId, { failureDomain, incarnation });
   const members = new MemberView(self);
+  members.processes.limitWindowMs = bounds.allotmentTolerance.windowMs;
   const workspaces = [{ name: "w", keys: [], allotment }];
   const board = {
     ...boardOf(targetIds, { workspaces }),
@@ -159,6 +162,10 @@
       spending.record();
     }
   };
+  const stalled = () => {
+    coordinator.clearAsks();
+    role.stalled();
+  };
   const { rateLimits } = board;
   const nowMs = () => clock.nowMs();
   return {
@@ -169,6 +176,7 @@
     spending,
     retryBudgets,
     tick,
+    stalled,
     nowMs,
   };
 }
@@ -182,6 +190,7 @@
   recordSuspects: () => Promise.resolve(false),
   recordStreams: () => Promise.resolve(false),
   readStreams: () => {},
+  announceLeaving: () => {},
   writeRolloutStatus: ({ rowVersion }) =>
     Promise.resolve({ outcome: StatusWriteOutcome.Unknown, rowVersion }),
   stop: () => {},
--- a/packages/gateway/src/heartbeat_exchange.ts
+++ b/packages/gateway/src/heartbeat_exchange.ts
@@ -6,11 +6,11 @@
   MessageKind,
   type RoutingMessage,
 } from "@chestnuthatch/routing/peer_messages";
-import {
-  HEARTBEAT_FANOUT,
-  type MemberInfo,
-  type MemberRecord,
-} from "@chestnuthatch/routing/member_view";
+import type {
+  MemberInfo,
+  MemberRecord,
+} from "@chestnuthatch/routing/member_record";
+import { HEARTBEAT_FANOUT } from "@chestnuthatch/routing/member_view";
 import type { RetryHistory } from "@chestnuthatch/routing/retry_budget";
 import type { RolloutUpdate } from "@chestnuthatch/routing/rollout";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
@@ -41,6 +41,9 @@
 /** Members that one digest lists; a larger fleet is listed in rotation. */
 const MAX_DIGEST_MEMBERS = 24;
 
+/** Silent members that one digest lists; more are listed in rotation. */
+const MAX_DIGEST_ABSENT_MEMBERS = 8;
+
 /**
  * Changes of targets that one heartbeat carries: 3 KB, so that it fits into a
  * datagram and does not saturate the network links of small instances.
@@ -120,6 +123,7 @@
   #self: MemberInfo;
   #heartbeatCount = 0;
   readonly #memberRotation = new Rotation();
+  readonly #absentRotation = new Rotation();
   readonly #receiverRotation = new Rotation();
   /**
    * Separate from other heartbeats, so that digests reach every member in turn.
@@ -197,8 +201,13 @@
     } else {
       this.#idsReachingStore.delete(heartbeat.from.instanceId);
     }
+    const { instanceId } = heartbeat.from;
+    members.coordinatorReported(instanceId, heartbeat.coordinatorId);
     for (const other of heartbeat.others) {
-      members.memberReported(other, nowMs);
+      members.memberReported(other, { nowMs, ageMs: 0 });
+    }
+    for (const { info, ageMs } of heartbeat.absent ?? []) {
+      members.memberReported(info, { nowMs, ageMs });
     }
     if (isNew && heartbeat.from.instanceId !== members.selfId) {
       // So that the new member adds this instance to its view at once, too.
@@ -259,6 +268,10 @@
     const others = this.#memberRotation.next(alive, MAX_DIGEST_MEMBERS)
       .filter(({ instanceId }) => instanceId !== board.members.selfId)
       .map(memberInfoOf);
+    const absent = isDigest
+      ? this.#absentRotation
+        .next(board.members.absent(nowMs), MAX_DIGEST_ABSENT_MEMBERS)
+      : [];
     const includesAll = this.#includesAll(isDigest);
     const retries = includesAll ? this.#parts.retries() : [];
     const suspects = includesAll ? this.#parts.suspects() : [];
@@ -278,6 +291,7 @@
       targetsVersion: board.targets.version,
       reachesStore: this.#parts.reachesStore(),
       others,
+      ...(absent.length > 0 ? { absent } : undefined),
       ...(includesAll ? this.#spendingToSend() : undefined),
       ...(retries.length > 0 ? { retries } : undefined),
       ...(suspects.length > 0 ? { suspects } : undefined),
--- a/packages/gateway/src/peer_fetch.ts
+++ b/packages/gateway/src/peer_fetch.ts
@@ -3,7 +3,7 @@
  * a limited rate.
  */
 
-import type { MemberInfo } from "@chestnuthatch/routing/member_view";
+import type { MemberInfo } from "@chestnuthatch/routing/member_record";
 import type * as z from "zod";
 import { type EventLog, LogPart } from "./event_log.ts";
 import {
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -120,6 +120,8 @@
   "spendingShare",
   "partSpending",
   "recordedSpending",
+  "absent",
+  "info",
 ];
 
 /** Version of the internet protocol between peers. */
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -8,7 +8,7 @@
 import type { AdmissionForecast } from "@chestnuthatch/routing/admission_forecast";
 import { AnnouncedWaits } from "@chestnuthatch/routing/announced_waits";
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
-import type { MemberRecord } from "@chestnuthatch/routing/member_view";
+import type { MemberRecord } from "@chestnuthatch/routing/member_record";
 import {
   MessageKind,
   type RoutingMessage,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -12,7 +12,7 @@
   RolloutUpdate,
 } from "@chestnuthatch/routing/rollout";
 import type { RecordOutcome } from "@chestnuthatch/routing/recorded_spending";
-import type { MemberInfo } from "@chestnuthatch/routing/member_view";
+import type { MemberInfo } from "@chestnuthatch/routing/member_record";
 import type { RecordedAccount } from "@chestnuthatch/routing/allotment_ledger";
 import type { StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
 import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
@@ -162,6 +162,13 @@
   readonly isAnswered: boolean;
 }
 
+/** An instance on the platform's list. */
+export interface ListedMember {
+  readonly info: MemberInfo;
+  /** Time since the instance wrote its entry, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /**
  * Receives what the platform port reads from the platform's store, and answers
  * how closely the port should follow the store.
@@ -191,7 +198,7 @@
   /** Number of instances that are alive in the view of this one. */
   fleetSize(): number;
   /** The list of instances was read. */
-  membersRead(members: readonly MemberInfo[]): void;
+  membersRead(members: readonly ListedMember[]): void;
   /** The fleet's records of the spending of workspaces were read. */
   spendingRead(row: SpendingRow): void;
   /** The fleet's last record of suspect requests was read. */
@@ -333,6 +340,8 @@
    * @returns The outcome, and the row as it is known afterwards.
    */
   writeRolloutStatus(status: RolloutStatus): Promise<StatusWriteResult>;
+  /** Lists this instance as leaving, so that no other counts on it. */
+  announceLeaving(): void;
   /** Aborts all calls to the platform. */
   stop(): void;
 }
--- a/packages/gateway/src/relay_queries.ts
+++ b/packages/gateway/src/relay_queries.ts
@@ -1,6 +1,6 @@
 /** Asks other instances whether they can connect to a target. */
 
-import type { MemberRecord } from "@chestnuthatch/routing/member_view";
+import type { MemberRecord } from "@chestnuthatch/routing/member_record";
 import {
   MessageKind,
   type RoutingMessage,
--- a/packages/gateway/src/retry_budget_handover.ts
+++ b/packages/gateway/src/retry_budget_handover.ts
@@ -59,7 +59,7 @@
   /** This instance became the coordinator of all members that it reaches. */
   becameCoordinator(): void {
     const { board: { members }, clock } = this.#parts;
-    this.becameActingCoordinator(members.reachableShare(clock.nowMs()));
+    this.becameActingCoordinator(members.shares.reachable(clock.nowMs()));
   }
 
   /**
--- a/packages/gateway/src/snapshot_server.ts
+++ b/packages/gateway/src/snapshot_server.ts
@@ -6,7 +6,7 @@
 import { Buffer } from "node:buffer";
 import { createServer, get, type Server } from "node:http";
 import { gunzipSync, gzipSync } from "node:zlib";
-import type { MemberInfo } from "@chestnuthatch/routing/member_view";
+import type { MemberInfo } from "@chestnuthatch/routing/member_record";
 import { err, ok, type Result } from "neverthrow";
 import type * as z from "zod";
 import { hostPortOf } from "./host_port.ts";
--- a/packages/gateway/src/spending_fleet_test_support.ts
+++ b/packages/gateway/src/spending_fleet_test_support.ts
@@ -52,6 +52,8 @@
 const STORE_RETRY_MS = 500;
 const STORE_TIMEOUT_MS = 1000;
 const RESTART_MS = 600;
+/** Time that an instance which is leaving takes to end. */
+const STOP_MS = 400;
 const WORK_MS = 200;
 const COST = 200;
 /** Maximum requests in a step: eight times the allotment. */
@@ -78,16 +80,16 @@
   }
 
   /** Reads the records for an instance that has started. */
-  restore(node: FleetNode, isRunning: () => boolean): void {
+  restore(
+    node: FleetNode,
+    of: { isRunning: () => boolean; reachesStore: () => boolean },
+  ): void {
     this.#network.schedule(STORE_LATENCY_MS, () => {
-      if (!isRunning()) {
+      if (!of.isRunning()) {
         return;
       }
-      if (this.isSilent) {
-        this.#network.schedule(
-          STORE_RETRY_MS,
-          () => this.restore(node, isRunning),
-        );
+      if (this.isSilent || !of.reachesStore()) {
+        this.#network.schedule(STORE_RETRY_MS, () => this.restore(node, of));
       } else {
         node.spending.rowRead(this.#row());
       }
@@ -95,12 +97,12 @@
   }
 
   /** The platform as one instance uses it. */
-  platform(isRunning: () => boolean): PlatformPort {
+  platform(isReached: () => boolean): PlatformPort {
     return {
       ...NO_OP_PLATFORM,
-      readSpending: () => this.#answer(isRunning, () => this.#row(), undefined),
+      readSpending: () => this.#answer(isReached, () => this.#row(), undefined),
       recordSpending: (row) =>
-        this.#answer(isRunning, () => this.#write(row), {
+        this.#answer(isReached, () => this.#write(row), {
           outcome: RecordOutcome.Unknown,
           rowVersion: 0,
         }),
@@ -124,10 +126,10 @@
     return { outcome: RecordOutcome.Written, rowVersion: this.#rowVersion };
   }
 
-  #answer<T>(isRunning: () => boolean, call: () => T, failed: T): Promise<T> {
+  #answer<T>(isReached: () => boolean, call: () => T, failed: T): Promise<T> {
     return new Promise((resolve) => {
       this.#network.schedule(STORE_LATENCY_MS, () => {
-        if (isRunning() && !this.isSilent) {
+        if (isReached() && !this.isSilent) {
           resolve(call());
         } else {
           this.#network.schedule(STORE_TIMEOUT_MS, () => resolve(failed));
@@ -144,6 +146,8 @@
   readonly targets?: number;
   /** Demand relative to the allotment; random from 0 to 8 if absent. */
   readonly demand?: number;
+  /** Time for which a request runs at a target, in milliseconds. */
+  readonly workMs?: number;
 }
 
 /** A fleet whose instances place the requests of one workspace. */
@@ -155,17 +159,24 @@
   readonly #nodes = new Map<string, FleetNode>();
   readonly #targetIds: readonly string[];
   readonly #demand?: number;
+  readonly #workMs: number;
+  /** Messages to instances that are frozen, by instance id. */
+  readonly #undelivered = new Map<string, (() => void)[]>();
   readonly #runs: Run[] = [];
   /** Requests that were refused for the allotment of their workspace. */
   refusedCount = 0;
   requestCount = 0;
+  #isCutFromStore = false;
   #perStep = 0;
   #owed = 0;
 
   /** @param options Seed of the random demand, and the number of targets. */
-  constructor({ seed, targets = 200, demand }: SpendingFleetOptions) {
+  constructor(
+    { seed, targets = 200, demand, workMs = WORK_MS }: SpendingFleetOptions,
+  ) {
     this.random = seededRandomSource(seed);
     this.#demand = demand;
+    this.#workMs = workMs;
     this.#targetIds = Array.from({ length: targets }, (_, i) => `t${i}`);
     IDS.forEach((id) => this.#start(id));
   }
@@ -197,17 +208,75 @@
    * @param downMs Time until it starts again.
    */
   restart(id: string, downMs = RESTART_MS): void {
-    this.#nodes.delete(id);
-    this.#network.schedule(downMs, () => this.#start(id));
+    if (this.#nodes.delete(id)) {
+      this.#undelivered.delete(id);
+      this.#network.schedule(downMs, () => this.#start(id));
+    }
+  }
+
+  /**
+   * Lets an instance announce that it is leaving, and end a moment later.
+   *
+   * @param id Id of the instance.
+   * @param downMs Time from its end until it starts again.
+   */
+  stop(id: string, downMs = RESTART_MS): void {
+    const node = this.#nodes.get(id);
+    node?.heartbeatExchange.announceLeaving();
+    this.#network.schedule(STOP_MS, () => {
+      if (node !== undefined && this.#nodes.get(id) === node) {
+        this.restart(id, downMs);
+      }
+    });
+  }
+
+  /**
+   * Freezes an instance. It handles the messages to it when it goes on.
+   *
+   * @param id Id of the instance.
+   * @param forMs Duration in milliseconds.
+   */
+  freeze(id: string, forMs: number): void {
+    const node = this.#nodes.get(id);
+    if (node === undefined || this.#undelivered.has(id)) {
+      return;
+    }
+    const messages: (() => void)[] = [];
+    this.#undelivered.set(id, messages);
+    this.#network.schedule(forMs, () => {
+      if (this.#undelivered.get(id) === messages) {
+        this.#undelivered.delete(id);
+        node.stalled();
+        node.tick();
+        messages.forEach((deliver) => deliver());
+      }
+    });
   }
 
   /**
    * Cuts a failure domain off from the others, or heals the partition.
    *
    * @param domain The failure domain; none heals the partition.
+   * @param of Whether it is cut off from the store as well.
    */
-  isolate(domain?: string): void {
+  isolate(domain?: string, of: { fromStore?: boolean } = {}): void {
     this.#network.isolatedDomain = domain;
+    this.#isCutFromStore = of.fromStore ?? false;
+  }
+
+  /** Whether a partition separates a failure domain from the others. */
+  get isPartitioned(): boolean {
+    return this.#network.isolatedDomain !== undefined;
+  }
+
+  /**
+   * Schedules a function.
+   *
+   * @param delayMs Delay from now in milliseconds.
+   * @param run The function.
+   */
+  schedule(delayMs: number, run: () => void): void {
+    this.#network.schedule(delayMs, run);
   }
 
   /**
@@ -220,7 +289,11 @@
     while (this.clock.atMs < untilMs) {
       this.clock.atMs += STEP_MS;
       this.#network.runDue();
-      this.#nodes.forEach((node) => node.tick());
+      for (const [id, node] of this.#nodes) {
+        if (!this.#undelivered.has(id)) {
+          node.tick();
+        }
+      }
       this.#requestDue();
       this.#network.runDue();
       // Lets answers of the store take effect.
@@ -254,7 +327,8 @@
   }
 
   #request(): void {
-    const ids = [...this.#nodes.keys()];
+    const ids = [...this.#nodes.keys()]
+      .filter((id) => !this.#undelivered.has(id));
     const holderId = ids[this.requestCount % ids.length];
     if (holderId === undefined) {
       return;
@@ -275,7 +349,7 @@
         const sentAtMs = this.clock.atMs;
         this.#runs.push({ requestedAtMs, sentAtMs, cost: COST });
         const end = { askId, targetId, pool: "p", promptTokens: 500 };
-        this.#network.schedule(WORK_MS, () => {
+        this.#network.schedule(this.#workMs, () => {
           if (this.#nodes.get(holderId) === node) {
             node.placementClient.reportEnd({ ...end, failed: false });
           }
@@ -292,14 +366,25 @@
     const sender = this.#nodes.get(fromId);
     this.#network.schedule(latencyMs, () => {
       const receiver = this.#nodes.get(toId);
-      if (receiver !== undefined && this.#nodes.get(fromId) === sender) {
-        deliverTo(receiver, { message, fromId });
+      if (receiver === undefined || this.#nodes.get(fromId) !== sender) {
+        return;
+      }
+      const deliver = () => deliverTo(receiver, { message, fromId });
+      const undelivered = this.#undelivered.get(toId);
+      if (undelivered === undefined) {
+        deliver();
+      } else {
+        undelivered.push(deliver);
       }
     });
   }
 
   #start(instanceId: string): void {
     const isRunning = () => this.#nodes.get(instanceId) === node;
+    const reachesStore = () =>
+      isRunning() &&
+      !(this.#isCutFromStore &&
+        DOMAIN_OF[instanceId] === this.#network.isolatedDomain);
     const node: FleetNode = fleetNode(instanceId, {
       clock: this.clock,
       bounds: BOUNDS,
@@ -308,17 +393,17 @@
       seedIds: IDS,
       domainOf: (id) => DOMAIN_OF[id]!,
       startedAtMs: this.clock.atMs === 0 ? undefined : this.clock.atMs,
-      platform: this.store.platform(() => isRunning()),
+      platform: this.store.platform(() => reachesStore()),
       send: (fromId, toId, message) => this.#send(fromId, toId, message),
     });
     this.#nodes.set(instanceId, node);
-    this.store.restore(node, isRunning);
+    this.store.restore(node, { isRunning, reachesStore });
     for (const id of IDS) {
       const failureDomain = DOMAIN_OF[id]!;
-      node.members.memberReported(
-        memberOf(id, { failureDomain }),
-        this.clock.atMs,
-      );
+      node.members.memberReported(memberOf(id, { failureDomain }), {
+        nowMs: this.clock.atMs,
+        ageMs: 0,
+      });
     }
   }
 }
--- a/packages/gateway/src/spending_recorder.ts
+++ b/packages/gateway/src/spending_recorder.ts
@@ -267,7 +267,7 @@
     const { members } = this.#parts;
     const receivedAtMs = [...this.#received.values()]
       .reduce((last, one) => Math.max(last, one.receivedAtMs), -Infinity);
-    return members.shareAliveSince(receivedAtMs, this.#nowMs()) <
+    return members.shares.aliveSince(receivedAtMs, this.#nowMs()) <
       MIN_KNOWN_SHARE;
   }
 
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -5,7 +5,7 @@
 import { RequestKind } from "@chestnuthatch/routing/fleet_configuration";
 import { AttemptEnd } from "@chestnuthatch/routing/next_step";
 import { NOT_RUN_STATUS_CODES } from "@chestnuthatch/routing/routed_error";
-import type { MemberRecord } from "@chestnuthatch/routing/member_view";
+import type { MemberRecord } from "@chestnuthatch/routing/member_record";
 import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
 import { SURVIVAL_MS } from "@chestnuthatch/routing/trials";
 import type { WorkEnd } from "@chestnuthatch/routing/work_ask";
--- a/packages/gateway/src/target_reachability.ts
+++ b/packages/gateway/src/target_reachability.ts
@@ -6,7 +6,7 @@
  * a request on to another relay.
  */
 
-import type { MemberRecord } from "@chestnuthatch/routing/member_view";
+import type { MemberRecord } from "@chestnuthatch/routing/member_record";
 import { MessageKind } from "@chestnuthatch/routing/peer_messages";
 import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -4,34 +4,11 @@
  */
 
 import { hash32 } from "@chestnuthatch/core/text_hash";
-
-/** Record of one entry instance of the fleet, kept by this instance. */
-export interface MemberRecord {
-  readonly instanceId: string;
-  /** `ip:port` of its peer socket. */
-  readonly address: string;
-  readonly failureDomain: string;
-  /**
-   * Start of the instance's process by its clock, in milliseconds since the
-   * epoch; increases with every start unless the clock was set back.
-   */
-  readonly incarnation: number;
-  /** Whether it has announced that it is shutting down. */
-  readonly leaving: boolean;
-  /** Processor cores that it may use, possibly a fraction. */
-  readonly cores: number;
-  /** Whether it has announced that it is too slow to coordinate. */
-  readonly standsAside?: boolean;
-  /** Local time of its last heartbeat; -Infinity before the first one. */
-  readonly lastHeartbeatAtMs: number;
-}
-
-/**
- * Time without a heartbeat after which a member counts as failed, in
- * milliseconds: four heartbeat intervals, so that a live member is only
- * declared failed if three heartbeats in a row are lost.
- */
-export const MEMBER_TIMEOUT_MS = 900;
+import { FleetRoster } from "./fleet_roster.ts";
+import { type FleetMembers, FleetShares } from "./fleet_shares.ts";
+import type { MemberInfo, MemberRecord } from "./member_record.ts";
+import { MemberProcesses } from "./member_processes.ts";
+import { MEMBER_TIMEOUT_MS } from "./member_timeout.ts";
 
 /** Largest number of other members with which heartbeats go to all of them. */
 const MAX_FULL_MESH_PEERS = 12;
@@ -70,18 +47,9 @@
  */
 const HEARTBEAT_OVERDUE_MS = 330;
 
-const NO_DOMAINS: ReadonlySet<string> = new Set();
-
 /** Time without a heartbeat after which a member is removed from the view. */
 const MEMBER_RETENTION_MS = 20_000;
 
-/**
- * Time within which the first heartbeat of a member that others reported should
- * arrive. Until then the member counts towards the fleet's size, so that an
- * instance that has just started does not count as the whole fleet.
- */
-const MEMBER_JOIN_GRACE_MS = 2000;
-
 /**
  * Members whose starts differ by no more than this count as started together.
  * It exceeds the time in which a whole fleet starts, plus the usual difference
@@ -116,14 +84,8 @@
  */
 const STAND_ASIDE_MS = 10_000;
 
-/**
- * Description of a member, as it is sent in its own heartbeats, in those of
- * other members, or listed by the platform.
- */
-export type MemberInfo = Omit<MemberRecord, "lastHeartbeatAtMs">;
-
 /** The members of the fleet as seen by this instance, which is one of them. */
-export class MemberView {
+export class MemberView implements FleetMembers {
   readonly selfId: string;
   readonly selfIncarnation: number;
   /** Increases when a member joins, leaves or changes its description. */
@@ -136,12 +98,13 @@
   readonly #byId = new Map<string, MemberRecord>();
   /** Since when heartbeats of a silent coordinator candidate are awaited. */
   readonly #awaitedSinceMs = new Map<string, number>();
-  /** When others last reported something new of each member. */
-  readonly #reportedAtMs = new Map<string, number>();
-  /** When the first heartbeat of each member's process was received. */
-  readonly #heardSinceMs = new Map<string, number>();
-  /** When a member's process sent a heartbeat again after its timeout. */
-  readonly #recoveredAtMs = new Map<string, number>();
+  /** The coordinator in the view of each member. */
+  readonly #coordinatorIds = new Map<string, string>();
+  readonly #roster = new FleetRoster();
+  /** Processes of the other members. */
+  readonly processes = new MemberProcesses();
+  /** Shares of the fleet that its parts are. */
+  readonly shares = new FleetShares(this, this.#roster);
   readonly #idByAddress = new Map<string, string>();
   /** When each member reported that this instance did not answer it. */
   readonly #passedOverAtMs = new Map<string, number>();
@@ -178,16 +141,9 @@
     if (info.instanceId === this.selfId || isStale) {
       return false;
     }
-    if (
-      known?.incarnation === info.incarnation &&
-      nowMs - known.lastHeartbeatAtMs >= MEMBER_TIMEOUT_MS
-    ) {
-      this.#recoveredAtMs.set(info.instanceId, nowMs);
-    }
-    if (known?.incarnation !== info.incarnation) {
-      this.#heardSinceMs.set(info.instanceId, nowMs);
-    }
+    this.processes.heartbeatReceived(info, { last: known, nowMs });
     this.#put({ ...info, lastHeartbeatAtMs: nowMs });
+    this.#roster.record(info, nowMs);
     return known === undefined || !this.#isAlive(known, nowMs);
   }
 
@@ -196,17 +152,33 @@
    * is not alive, and can't coordinate, before its own first heartbeat.
    *
    * @param info Description of the member.
-   * @param nowMs The local time.
+   * @param of The local time, and the age of what is reported, both in
+   * milliseconds.
    */
-  memberReported(info: MemberInfo, nowMs: number): void {
+  memberReported(
+    info: MemberInfo,
+    { nowMs, ageMs }: { nowMs: number; ageMs: number },
+  ): void {
+    this.#roster.record(info, nowMs - ageMs);
     const known = this.#byId.get(info.instanceId);
-    if (known === undefined || known.incarnation < info.incarnation) {
+    const isNewer = known === undefined || known.incarnation < info.incarnation;
+    if (isNewer && !info.leaving) {
       const lastHeartbeatAtMs = known?.lastHeartbeatAtMs ?? -Infinity;
       this.#put({ ...info, lastHeartbeatAtMs });
-      this.#reportedAtMs.set(info.instanceId, nowMs);
     }
   }
 
+  /**
+   * Lists members that may be running although they are silent.
+   *
+   * @param nowMs The local time.
+   * @returns Each with the age of what is known of it, in milliseconds.
+   */
+  absent(nowMs: number): { info: MemberInfo; ageMs: number }[] {
+    return this.#roster.absent(this.aliveIds(nowMs), nowMs)
+      .map(({ info, knownAtMs }) => ({ info, ageMs: nowMs - knownAtMs }));
+  }
+
   /**
    * @param instanceId Id of a member.
    * @returns The member; undefined if it is unknown.
@@ -301,6 +273,19 @@
     return alive;
   }
 
+  /** @returns All members, alive or not, this instance included. */
+  all(): MemberRecord[] {
+    return [...this.#byId.values()];
+  }
+
+  /**
+   * @param nowMs The local time.
+   * @returns Ids of the members that are alive, this instance included.
+   */
+  aliveIds(nowMs: number): ReadonlySet<string> {
+    return new Set(this.alive(nowMs).map(({ instanceId }) => instanceId));
+  }
+
   /**
    * @param nowMs The local time.
    * @returns Number of members that are alive, this instance included.
@@ -315,112 +300,36 @@
   }
 
   /**
-   * Returns the share of the fleet that is reachable from this instance. The
-   * allotments of the whole fleet are scaled by it.
+   * Records which coordinator a member asks.
    *
-   * @param nowMs The local time.
-   * @returns Above 0, at most 1.
-   */
-  reachableShare(nowMs: number): number {
-    const cutOff = this.#overdueDomains(nowMs);
-    const reachableCount = cutOff.size === 0
-      ? this.aliveCount(nowMs)
-      : this.alive(nowMs)
-        .filter(({ failureDomain }) => !cutOff.has(failureDomain)).length;
-    return reachableCount / this.#fleetSize(nowMs);
-  }
-
-  /**
-   * Failure domains all of whose instances have an overdue heartbeat. Instances
-   * of a partitioned domain hand out their own part of the allotments even
-   * before any of them counts as failed here.
+   * @param instanceId Id of the member.
+   * @param coordinatorId Instance id of the coordinator in its view; undefined
+   * for a member of an earlier version, which does not tell.
    */
-  #overdueDomains(nowMs: number): ReadonlySet<string> {
-    const overdue = this.overdue(nowMs);
-    if (overdue.length === 0) {
-      return NO_DOMAINS;
-    }
-    const punctual = new Set(
-      this.alive(nowMs).filter((member) => !overdue.includes(member))
-        .map(({ failureDomain }) => failureDomain),
-    );
-    const silent = overdue.map(({ failureDomain }) => failureDomain)
-      .filter((failureDomain) => !punctual.has(failureDomain));
-    return new Set(silent);
-  }
-
-  /**
-   * Returns the share of the fleet that is reachable from a coordinator, which
-   * must have coordinated for the timeout of a member. Every member sends
-   * all heartbeats to the coordinator, also in a large fleet, so that the
-   * timeout of rounds does not apply. With that timeout, both sides of a
-   * network partition would hand out the whole of the allotments for seconds. A
-   * member that was silent counts once it has reported what was spent through
-   * it meanwhile.
-   *
-   * @param nowMs The local time.
-   * @param reportedAtMs Returns when a member last reported spending.
-   * @returns Above 0, at most 1.
-   */
-  directlyReachableShare(
-    nowMs: number,
-    reportedAtMs: (instanceId: string) => number,
-  ): number {
-    const cutOff = this.#overdueDomains(nowMs);
-    let directCount = 0;
-    for (const member of this.#byId.values()) {
-      const isDirect = nowMs - member.lastHeartbeatAtMs < MEMBER_TIMEOUT_MS &&
-        !cutOff.has(member.failureDomain) &&
-        reportedAtMs(member.instanceId) >=
-          this.#recoveredAtMsOf(member.instanceId);
-      directCount += Number(isDirect);
+  coordinatorReported(
+    instanceId: string,
+    coordinatorId: string | undefined,
+  ): void {
+    if (coordinatorId === undefined) {
+      this.#coordinatorIds.delete(instanceId);
+    } else {
+      this.#coordinatorIds.set(instanceId, coordinatorId);
     }
-    return directCount / this.#fleetSize(nowMs);
   }
 
   /**
-   * Returns the share of the fleet that some of its members are.
+   * Checks whether a member asks another instance that takes itself for the
+   * coordinator, and that hands out this member's part of the fleet's limits.
    *
+   * @param instanceId Id of the member.
    * @param nowMs The local time.
-   * @param isCounted Whether a member counts.
-   * @returns From 0 to 1.
+   * @returns False for a member whose coordinator has failed.
    */
-  shareOf(
-    nowMs: number,
-    isCounted: (instanceId: string) => boolean,
-  ): number {
-    const count = [...this.#byId.keys()].filter(isCounted).length;
-    return Math.min(1, count / this.#fleetSize(nowMs));
-  }
-
-  /**
-   * Returns the share of the fleet whose processes have lived since a time.
-   *
-   * @param sinceMs Local time in milliseconds.
-   * @param nowMs The local time.
-   * @returns From 0 to 1; this instance counts.
-   */
-  shareAliveSince(sinceMs: number, nowMs: number): number {
-    const living = this.alive(nowMs).filter(({ instanceId }) =>
-      instanceId === this.selfId ||
-      (this.#heardSinceMs.get(instanceId) ?? Infinity) <= sinceMs
-    );
-    return living.length / this.#fleetSize(nowMs);
-  }
-
-  /** When a member's process sent a heartbeat again; -Infinity if none did. */
-  #recoveredAtMsOf(instanceId: string): number {
-    return this.#recoveredAtMs.get(instanceId) ?? -Infinity;
-  }
-
-  #fleetSize(nowMs: number): number {
-    let presentCount = 0;
-    for (const { instanceId, lastHeartbeatAtMs } of this.#byId.values()) {
-      const isPresent = nowMs - lastHeartbeatAtMs < MEMBER_RETENTION_MS ||
-        nowMs - this.#reportedAtMs.get(instanceId)! < MEMBER_JOIN_GRACE_MS;
-      presentCount += Number(isPresent);
-    }
-    return Math.max(1, presentCount);
+  followsOther(instanceId: string, nowMs: number): boolean {
+    const followedId = this.#coordinatorIds.get(instanceId);
+    return followedId !== undefined && followedId !== this.selfId &&
+      this.#coordinatorIds.get(followedId) === followedId &&
+      this.available(followedId, nowMs) !== undefined;
   }
 
   /**
@@ -564,8 +473,9 @@
    * @param nowMs The local time.
    */
   evictExpired(nowMs: number): void {
-    for (const member of this.#byId.values()) {
-      const { instanceId, lastHeartbeatAtMs, address } = member;
+    this.#roster.evictExpired(nowMs)
+      .forEach((instanceId) => this.processes.evict(instanceId));
+    for (const { instanceId, lastHeartbeatAtMs, address } of this.all()) {
       if (
         instanceId !== this.selfId && lastHeartbeatAtMs > -Infinity &&
         nowMs - lastHeartbeatAtMs > MEMBER_RETENTION_MS
@@ -573,10 +483,8 @@
         this.revision++;
         this.#byId.delete(instanceId);
         this.#awaitedSinceMs.delete(instanceId);
-        this.#reportedAtMs.delete(instanceId);
         this.#passedOverAtMs.delete(instanceId);
-        this.#recoveredAtMs.delete(instanceId);
-        this.#heardSinceMs.delete(instanceId);
+        this.#coordinatorIds.delete(instanceId);
         this.#scores.delete(instanceId);
         if (this.#idByAddress.get(address) === instanceId) {
           this.#idByAddress.delete(address);
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -277,6 +277,12 @@
     reachesStore: z.boolean(),
     /** Other members from which the sender receives heartbeats. */
     others: z.array(member),
+    /**
+     * Members that may be running although the sender receives nothing from
+     * them, with the age of what it knows. Absent if there are none.
+     */
+    absent: z.array(z.object({ info: member, ageMs: z.number().nonnegative() }))
+      .readonly().optional(),
     /**
      * From the coordinator: spending of workspaces that have used much of their
      * allotments. Absent if this heartbeat carries none.
--- a/packages/routing/src/routing_test_support.ts
+++ b/packages/routing/src/routing_test_support.ts
@@ -7,7 +7,8 @@
 } from "./fleet_configuration.ts";
 import { ConfigurationAge } from "./configuration_age.ts";
 import { UnreachableDomains } from "./unreachable_domains.ts";
-import { type MemberInfo, MemberView } from "./member_view.ts";
+import type { MemberInfo } from "./member_record.ts";
+import { MemberView } from "./member_view.ts";
 import { Rollouts } from "./rollouts.ts";
 import { RelayedTargets } from "./relayed_targets.ts";
 import { RouteTable } from "./route_table.ts";
