Import accounts of spending anew at each takeover

Cause: an account mixed what is known to be spent with what may have been spent. The latter was passed on: an instance that had just started took itself for the only one, took the whole record for spent just now, announced that as its account and wrote it as its record. Successors imported it, kept it across takeovers, and it hid spending that they did lack, as the larger of two accounts counts.

- Each takeover starts with an instance's own charges and imports accounts and records again, so that an assumption ends with the takeover that made it.
- An instance has no role for its first 300 ms, one heartbeat interval and the delay of the network.
- Only the last record of a fleet that may lack spending is taken to be renewed by spending that is not known.
- Workspaces that only an account lists are passed on as well.
- What a predecessor may have handed out since its last heartbeat is a quarter of the bound, for one window, and is not passed on.
Before it was a tenth, until holders had reported; but reports do not tell which part an account lacks.

slow_coordinator_test: the coordinator is now slowed 10 s after the simulated instances take over for the first time, not 4 s. Two takeovers within one window leave less of an allotment, and the first one of that test is not what it is about.

--- a/packages/gateway/src/assigning_role.ts
+++ b/packages/gateway/src/assigning_role.ts
@@ -15,6 +15,13 @@
  */
 const MAX_ASSIGNING_GAP_MS = 1000;
 
+/**
+ * Time after its start in which an instance hears from the others: one heartbeat
+ * interval and the delay of the network. Before that it may take itself for the
+ * only one.
+ */
+const JOINING_MS = 300;
+
 /** An account that an instance takes over when it begins to assign requests. */
 export interface InheritedAccount {
   /** This instance became the coordinator of all members that it reaches. */
@@ -35,6 +42,8 @@
   readonly coordinator: Coordinator;
   readonly clock: Clock;
   readonly log: EventLog;
+  /** Local time at which this instance started. */
+  readonly startedAtMs: number;
   /** Accounts that are taken over, in this order. */
   readonly accounts: readonly InheritedAccount[];
   /** @returns Instance id of the coordinator in the view of this instance. */
@@ -64,7 +73,9 @@
   update(): void {
     const { board, coordinator, clock, log, coordinatorId } = this.#parts;
     const nowMs = clock.nowMs();
-    const isCoordinator = coordinatorId() === board.members.selfId;
+    const hasJoined = nowMs - this.#parts.startedAtMs >= JOINING_MS;
+    const isCoordinator = hasJoined &&
+      coordinatorId() === board.members.selfId;
     if (isCoordinator === this.#isCoordinator) {
       return;
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -230,6 +230,7 @@
       coordinator: this.#coordinator,
       clock: this.#clock,
       log: this.#log,
+      startedAtMs: this.#startedAtMs,
       accounts: [
         this.#spending,
         this.#retryBudgets,
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -119,6 +119,7 @@
     coordinator,
     clock,
     log,
+    startedAtMs,
     accounts: [spending, retryBudgets],
     coordinatorId: () => placementClient.coordinatorId,
     share: () => placementClient.share,
--- a/packages/gateway/src/slow_coordinator_test.ts
+++ b/packages/gateway/src/slow_coordinator_test.ts
@@ -24,6 +24,8 @@
 const WORK_MS = 100;
 /** Delay of a slow instance's answers, beyond the holders' timeout. */
 const SLOW_MS = 400;
+/** Longer than the window in which spending before a takeover may be unknown. */
+const WARM_UP_MS = 10_000;
 /** Half of the allotment's rate per step. */
 const COST = 10;
 
@@ -101,7 +103,7 @@
 
 test("a coordinator that answers too late is replaced by all holders", async () => {
   const fleet = new Fleet();
-  await fleet.run(4000);
+  await fleet.run(WARM_UP_MS);
   fleet.slowId = fleet.coordinatorId;
   await fleet.run(6000);
   assert.equal(fleet.refusals, []);
--- a/packages/gateway/src/spending_recorder.ts
+++ b/packages/gateway/src/spending_recorder.ts
@@ -21,6 +21,7 @@
 } from "@chestnuthatch/routing/spending_by_share";
 import {
   agedHistory,
+  refilledHistory,
   type SpendingHistory,
 } from "@chestnuthatch/routing/spending_log";
 import type { InheritedAccount } from "./assigning_role.ts";
@@ -91,6 +92,8 @@
   readonly #parts: SpendingParts;
   /** Accounts by the instance id of the coordinator that sent them. */
   readonly #received = new Map<string, ReceivedAccount>();
+  /** The row as this instance read it when it started. */
+  #startRow?: KnownRow;
   /** Absent while the row has to be read before it is replaced. */
   #row?: KnownRow;
   /** Whether records of others in the row are to be taken over. */
@@ -131,7 +134,8 @@
    * @param row The row with the records.
    */
   rowRead(row: SpendingRow): void {
-    this.#import(row.records, { includesAhead: true });
+    this.#startRow = { ...row, atMs: this.#nowMs() };
+    this.#importStartRow();
   }
 
   /**
@@ -140,12 +144,11 @@
    * before it replaces them.
    */
   becameCoordinator(): void {
-    this.#takeOver({ isCoordinator: true });
+    this.#takeOver();
     this.#epoch++;
     this.#calledAtMs = undefined;
     this.#row = undefined;
     this.#takesOver = true;
-    this.#mayLackSpending = this.#isMostOfFleetNew();
     this.#hasFailed = false;
     this.#notBeforeMs = -Infinity;
   }
@@ -156,7 +159,7 @@
    * what its last heartbeat reported as spent.
    */
   becameActingCoordinator(): void {
-    this.#takeOver({ isCoordinator: false });
+    this.#takeOver();
     this.#parts.coordinator.setRecording(false);
   }
 
@@ -205,7 +208,9 @@
     this.#row = { ...row, atMs: this.#nowMs() };
     if (this.#takesOver) {
       this.#takesOver = false;
-      this.#import(row.records, { includesAhead: this.#mayLackSpending });
+      this.#startRow = undefined;
+      const mayLackSpending = this.#mayLackSpending;
+      this.#import(row.records, { mayLackSpending });
       const coverage = coverageOf(row.records);
       const hasSpending = coverage.byWorkspace.size > 0;
       coordinator.spendingRecordFound(coverage, hasSpending);
@@ -254,12 +259,9 @@
    */
   #recentRecordsOfOthers({ records, atMs }: KnownRow): SpendingRecord[] {
     const { recorderId, windowMs } = this.#parts;
-    const elapsedMs = this.#nowMs() - atMs;
-    return records
-      .map((record) => ({ ...record, ageMs: record.ageMs + elapsedMs }))
-      .filter((record) =>
-        record.recorderId !== recorderId && record.ageMs <= windowMs
-      );
+    return aged(records, this.#nowMs() - atMs).filter((record) =>
+      record.recorderId !== recorderId && record.ageMs <= windowMs
+    );
   }
 
   /** Whether most instances did not live when an account was last received. */
@@ -271,16 +273,16 @@
       MIN_KNOWN_SHARE;
   }
 
-  #takeOver({ isCoordinator }: { isCoordinator: boolean }): void {
+  #takeOver(): void {
     const { coordinator, windowMs } = this.#parts;
     const nowMs = this.#nowMs();
+    this.#mayLackSpending = this.#isMostOfFleetNew();
     for (const [coordinatorId, { receivedAtMs }] of this.#received) {
       if (nowMs - receivedAtMs > windowMs) {
         this.#received.delete(coordinatorId);
       }
     }
-    const announced = this.#announcedCoverage();
-    coordinator.takeOverSpending({ announced, isCoordinator }, nowMs);
+    coordinator.takeOverSpending(this.#knownCoverage(), nowMs);
     for (const [coordinatorId, account] of this.#received) {
       const ageMs = nowMs - account.receivedAtMs;
       const layers = mapped(account, (one) => agedHistory(one, ageMs));
@@ -288,59 +290,69 @@
       const from = SpendingSource.Heartbeat;
       this.#logTakenOver(layers, { from, coordinatorId, ageMs });
     }
+    this.#importStartRow();
+  }
+
+  /** Until the row was read again, the one read at the start is the latest. */
+  #importStartRow(): void {
+    const records = this.#startRecords();
+    if (records !== undefined) {
+      this.#import(records, { mayLackSpending: this.#mayLackSpending });
+    }
+  }
+
+  /** Records that were read at the start, unless this is too long ago. */
+  #startRecords(): SpendingRecord[] | undefined {
+    const { records = [], atMs = -Infinity } = this.#startRow ?? {};
+    const elapsedMs = this.#nowMs() - atMs;
+    return elapsedMs <= this.#parts.windowMs
+      ? aged(records, elapsedMs)
+      : undefined;
   }
 
   /**
-   * What the record holds according to the last account that was received. One
-   * without any comes from an instance that has just started.
+   * What the record holds according to the last account that was received, or to
+   * the row that was read at the start. An account without any comes from an
+   * instance that has just started.
    */
-  #announcedCoverage(): SpendingCoverage {
+  #knownCoverage(): SpendingCoverage {
     const latest = [...this.#received.values()]
       .filter(({ recorded }) => recorded.length > 0)
       .sort((a, b) => a.receivedAtMs - b.receivedAtMs).at(-1);
-    return {
-      share: latest?.share ?? 1,
-      byWorkspace: new Map(
-        latest?.recorded.map(({ workspace, spent }) => [workspace, spent]),
-      ),
-    };
+    if (latest === undefined) {
+      return coverageOf(this.#startRecords() ?? []);
+    }
+    const { share, recorded } = latest;
+    const amounts = recorded
+      .map(({ workspace, spent }) => [workspace, spent] as const);
+    return { share, byWorkspace: new Map(amounts) };
   }
 
   /**
    * Takes over what the records state.
    *
-   * @param of Whether their coordinators may have handed out as well what they
-   * recorded in advance.
+   * @param of Whether the last coordinator may have handed out more than is
+   * known, up to what it recorded in advance.
    */
   #import(
     records: readonly SpendingRecord[],
-    { includesAhead }: { includesAhead: boolean },
+    { mayLackSpending }: { mayLackSpending: boolean },
   ): void {
     const { coordinator, windowMs } = this.#parts;
     const nowMs = this.#nowMs();
     const sums = new SpendingByShare(windowMs);
+    const latestAgeMs = Math.min(...records.map(({ ageMs }) => ageMs));
     for (const record of records) {
-      for (
-        const layer of mapped(
-          record,
-          (one) => restoredHistory(one, record.ageMs),
-        )
-      ) {
-        // What was handed out of the whole is known to several coordinators,
-        // and what was handed out of a part only to that of the part.
-        if (layer.share === 1) {
-          sums.merge(layer, nowMs);
-        } else {
-          sums.add(layer, nowMs);
-        }
-      }
-      for (const { workspace, spent } of includesAhead ? record.ahead : []) {
+      // Coordinators whose records are older have given up the role.
+      const isLast = mayLackSpending && record.ageMs === latestAgeMs;
+      addLayers(sums, restoredLayers(record, { isLast }), nowMs);
+      for (const { workspace, spent } of isLast ? record.ahead : []) {
         sums.of(1).insert(workspace, spent, nowMs);
       }
     }
     const layers = sums.layers(workspacesOf(records), nowMs);
     coordinator.importSpending({ layers }, nowMs);
-    const ageMs = Math.min(...records.map((record) => record.ageMs));
+    const ageMs = latestAgeMs;
     this.#logTakenOver(layers, { from: SpendingSource.Store, ageMs });
   }
 
@@ -385,18 +397,52 @@
 }
 
 /**
- * Converts a recorded history to one as of now. A record stays valid until it
- * is replaced, so an old one may still be what was spent just before the fleet
+ * Converts a record to spending as of now. The last one stays valid until it is
+ * replaced, so that an old one may still be what was spent just before the fleet
  * was lost. All of it then counts as spent just now.
  */
-function restoredHistory(
-  history: SpendingHistory,
-  ageMs: number,
-): SpendingHistory {
-  const { workspace, spent } = history;
+function restoredLayers(
+  record: SpendingRecord,
+  { isLast }: { isLast: boolean },
+): SpendingLayer[] {
+  const { ageMs } = record;
+  if (!isLast) {
+    return mapped(record, (history) => agedHistory(history, ageMs));
+  }
   return ageMs <= MAX_FRESH_RECORD_AGE_MS
-    ? agedHistory(history, ageMs)
-    : { workspace, spent, bySecond: [spent] };
+    ? mapped(record, (history) => refilledHistory(history, ageMs))
+    : mapped(record, ({ workspace, spent }) => ({
+      workspace,
+      spent,
+      bySecond: [spent],
+    }));
+}
+
+/**
+ * Adds the layers of one record. What was handed out of the whole is known to
+ * several coordinators, and what was handed out of a part only to that of the
+ * part.
+ */
+function addLayers(
+  sums: SpendingByShare,
+  layers: readonly SpendingLayer[],
+  nowMs: number,
+): void {
+  for (const layer of layers) {
+    if (layer.share === 1) {
+      sums.merge(layer, nowMs);
+    } else {
+      sums.add(layer, nowMs);
+    }
+  }
+}
+
+function aged(
+  records: readonly SpendingRecord[],
+  elapsedMs: number,
+): SpendingRecord[] {
+  return records
+    .map((record) => ({ ...record, ageMs: record.ageMs + elapsedMs }));
 }
 
 function mapped(
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -8,7 +8,6 @@
 import {
   type BoundScope,
   InheritedSpending,
-  type Takeover,
   UNLISTED_SHARE,
 } from "./inherited_spending.ts";
 import {
@@ -293,30 +292,27 @@
    *
    * @param charge Cost units and the workspace that they were charged to.
    */
-  refund({ workspace, cost, share, chargedAtMs }: Charge): void {
-    const charges = chargedAtMs >= this.#takenOverAtMs
-      ? this.#charged
-      : this.#inherited.accounted;
-    charges.of(share).takeBack(workspace, cost, chargedAtMs);
+  refund(charge: Charge): void {
+    const { workspace, cost, share, chargedAtMs } = charge;
+    if (chargedAtMs >= this.#takenOverAtMs) {
+      this.#charged.of(share).takeBack(workspace, cost, chargedAtMs);
+    } else {
+      this.#inherited.takeBack(charge, chargedAtMs);
+    }
   }
 
   /**
    * Records that this instance begins to assign requests in place of another.
    *
-   * @param of The record as the predecessor announced it, and whether this
-   * instance is the coordinator, so that holders report to it.
+   * @param announced The record as the predecessor announced it.
    * @param nowMs Current local time in milliseconds.
    */
-  takeOver(
-    { announced, isCoordinator }: Omit<Takeover, "charged">,
-    nowMs: number,
-  ): void {
+  takeOver(announced: SpendingCoverage, nowMs: number): void {
     this.#takenOverAtMs = nowMs;
     this.#recorded.found(announced);
     this.#lastRecorded = new Set();
     this.#wanted.clear();
-    const charged = this.#charged;
-    this.#inherited.takeOver({ charged, announced, isCoordinator }, nowMs);
+    this.#inherited.takeOver({ charged: this.#charged, announced }, nowMs);
     this.#charged = new SpendingByShare(this.#windowMs);
   }
 
@@ -396,7 +392,7 @@
   }
 
   #workspacesToRecord(nowMs: number): string[] {
-    return [...this.#windowBounds.keys()].filter((workspace) => {
+    return this.#knownWorkspaces(nowMs).filter((workspace) => {
       const share = this.#lastRecorded.has(workspace)
         ? UNRECORDED_SHARE
         : RECORDED_SHARE;
@@ -438,7 +434,7 @@
    * @returns The account of these workspaces.
    */
   announcedAccount(nowMs: number): AnnouncedAccount {
-    const nearBound = [...this.#windowBounds.keys()]
+    const nearBound = this.#knownWorkspaces(nowMs)
       .filter((workspace) => this.#isSpent(workspace, RECORDED_SHARE, nowMs));
     const recorded = nearBound.map((workspace) => ({
       workspace,
@@ -460,18 +456,27 @@
     }
     const log = all.of(this.#share);
     for (const workspace of workspaces) {
-      const { unaged, beforeTakeover } = this.#inherited
+      const { unaged, unlisted } = this.#inherited
         .unaccounted(workspace, this.#boundScope(workspace, nowMs));
-      log.insert(workspace, beforeTakeover, this.#takenOverAtMs);
+      log.insert(workspace, unlisted, this.#takenOverAtMs);
       log.insert(workspace, unaged, nowMs);
     }
     return all.layers(workspaces, nowMs);
   }
 
+  /** Workspaces that were charged here, or that an account lists. */
+  #knownWorkspaces(nowMs: number): string[] {
+    const accounted = this.#inherited.accounted.workspaces(nowMs);
+    return [...new Set([...this.#windowBounds.keys(), ...accounted])];
+  }
+
   /** Whether at least a share of a workspace's bound was spent. */
   #isSpent(workspace: string, ofBound: number, nowMs: number): boolean {
     const { windowBound, share } = this.#boundScope(workspace, nowMs);
-    return this.#spent(workspace, nowMs) >= ofBound * windowBound * share;
+    const spent = this.#spent(workspace, nowMs);
+    // The bound is not known before the first charge. What accounts list then
+    // has to be passed on.
+    return spent > 0 && spent >= ofBound * windowBound * share;
   }
 
   #spent(workspace: string, nowMs: number): number {
--- a/packages/routing/src/allotment_ledger_test.ts
+++ b/packages/routing/src/allotment_ledger_test.ts
@@ -11,6 +11,7 @@
 import {
   agedHistory,
   mergedHistory,
+  refilledHistory,
   roundedUp,
   type SpendingHistory,
   withRecentCost,
@@ -99,7 +100,7 @@
     found.map(({ workspace, spent }) => [workspace, spent] as const),
   );
   const announced = NOTHING_RECORDED;
-  ledger.takeOver({ announced, isCoordinator: true }, nowMs);
+  ledger.takeOver(announced, nowMs);
   ledger.import(accountOf(found), nowMs);
   ledger.recordFound({ share: 1, byWorkspace }, found.length > 0);
   return ledger;
@@ -269,6 +270,21 @@
   assert.is(spendAll(after, scope(9300)), 1000);
 });
 
+// Guards against refusals of what an allotment allows: what was only assumed to
+// be spent at one takeover was passed on to the next ones.
+test("accounts that an earlier takeover imported are imported anew", () => {
+  const account = { workspace: "w", spent: 9000, bySecond: [9000] };
+  const ledger = successor([account]);
+  const full = { cost: 1000, rank: 0, scope: scope(0) };
+  assert.is(charge(ledger, full), false);
+  ledger.takeOver(NOTHING_RECORDED, 100);
+  ledger.import(
+    accountOf([{ ...account, spent: 3000, bySecond: [3000] }]),
+    100,
+  );
+  assert.is(charge(ledger, { ...full, scope: scope(100) }), true);
+});
+
 test("overlapping spending of two accounts counts once", () => {
   const first = new AllotmentLedger(TOLERANCE);
   const second = new AllotmentLedger(TOLERANCE);
@@ -283,9 +299,11 @@
 
 test("a record that is several seconds old still counts in full", () => {
   const record = { workspace: "w", spent: 900, bySecond: [100, 200, 0, 600] };
-  const aged = agedHistory(record, 1200);
+  const refilled = refilledHistory(record, 1200);
   // Spending that was up to 1 s old is between 1.2 s and 2.2 s old now.
-  assert.equal(aged, { ...record, bySecond: [600, 100, 200] });
+  assert.equal(refilled, { ...record, bySecond: [600, 100, 200] });
+  const aged = agedHistory(record, 1200);
+  assert.equal(aged, { ...record, spent: 300, bySecond: [0, 100, 200] });
 });
 
 // Guards against an account that is larger in total but older, and therefore
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -29,7 +29,6 @@
   type SpendingAccount,
 } from "./allotment_ledger.ts";
 import type { RecordOutcome, SpendingCoverage } from "./recorded_spending.ts";
-import type { Takeover } from "./inherited_spending.ts";
 import { recordLoad } from "./load_recording.ts";
 import type { LoadReport } from "./load_report.ts";
 import type { RoutingBoard } from "./routing_board.ts";
@@ -566,12 +565,11 @@
    * Records that this instance begins to assign requests in place of another,
    * so that its account of spending may be incomplete.
    *
-   * @param of The record as the predecessor announced it, and whether this
-   * instance is the coordinator, so that holders report to it.
+   * @param announced The record as the predecessor announced it.
    * @param nowMs Current local time in milliseconds.
    */
-  takeOverSpending(of: Omit<Takeover, "charged">, nowMs: number): void {
-    this.#allotmentLedger.takeOver(of, nowMs);
+  takeOverSpending(announced: SpendingCoverage, nowMs: number): void {
+    this.#allotmentLedger.takeOver(announced, nowMs);
   }
 
   /**
--- a/packages/routing/src/inherited_spending.ts
+++ b/packages/routing/src/inherited_spending.ts
@@ -18,17 +18,12 @@
  */
 export const UNLISTED_SHARE = 0.4;
 
-/**
- * Time after a takeover by the coordinator until which all holders have reported
- * what was spent through them.
- */
-const SETTLING_MS = 300;
-
 /**
  * Share of the bound that a predecessor may have handed out since the account in
- * its last heartbeat: a busy workspace's spending in two heartbeat intervals.
+ * its last heartbeat. Holders report only what was spent through them, and some
+ * may have been lost with the predecessor.
  */
-const GROWTH_SHARE = 0.1;
+const GROWTH_SHARE = 0.25;
 
 /** What an instance knows as it begins to assign requests. */
 export interface Takeover {
@@ -36,8 +31,6 @@
   readonly charged: SpendingByShare;
   /** The record as the predecessor announced it. */
   readonly announced: SpendingCoverage;
-  /** Whether it is the coordinator, so that holders report to it. */
-  readonly isCoordinator: boolean;
 }
 
 /** Part of a workspace's bound that a ledger may hand out at a moment. */
@@ -69,11 +62,11 @@
    * Spending as this instance charged it before the takeover, or as other
    * coordinators accounted for it.
    */
-  readonly accounted: SpendingByShare;
+  accounted: SpendingByShare;
+  /** What this instance charged itself before the takeover. */
+  readonly #charged: SpendingByShare;
   readonly #windowMs: number;
   #takenOverAtMs = -Infinity;
-  /** Local time at which holders have reported what the predecessor granted. */
-  #settledAtMs = -Infinity;
   #announced = NOTHING_RECORDED;
   /** Whether an account or the record was read since this process started. */
   #isInformed = false;
@@ -84,28 +77,51 @@
   constructor(windowMs: number) {
     this.#windowMs = windowMs;
     this.accounted = new SpendingByShare(windowMs);
+    this.#charged = new SpendingByShare(windowMs);
     this.reported = new ReportedSpending(windowMs);
   }
 
   /**
    * Records that this instance begins to assign requests in place of another.
    *
-   * @param of What this instance knows by itself, and its role.
+   * @param of What this instance knows by itself.
    * @param nowMs Current local time in milliseconds.
    */
   takeOver(
-    { charged, announced, isCoordinator }: Takeover,
+    { charged, announced }: Takeover,
     nowMs: number,
   ): void {
     this.#takenOverAtMs = nowMs;
-    this.#settledAtMs = isCoordinator ? nowMs + SETTLING_MS : Infinity;
     this.#announced = announced;
-    this.accounted.append(charged);
-    this.accounted.evictExpired(nowMs);
+    this.#charged.append(charged);
+    this.#charged.evictExpired(nowMs);
+    // Accounts are imported anew: those of an earlier takeover may contain what
+    // was only assumed to be spent then.
+    this.accounted = new SpendingByShare(this.#windowMs);
+    this.accounted.append(this.#charged);
     this.#maxKnown.clear();
     this.reported.forgetPlaced(nowMs);
   }
 
+  /**
+   * Takes back spending that this instance charged before the takeover.
+   *
+   * @param charge Cost units, and the share that they were charged out of.
+   * @param chargedAtMs Local time of the charge in milliseconds.
+   */
+  takeBack(
+    { workspace, cost, share }: {
+      workspace: string;
+      cost: number;
+      share: number;
+    },
+    chargedAtMs: number,
+  ): void {
+    for (const charges of [this.#charged, this.accounted]) {
+      charges.of(share).takeBack(workspace, cost, chargedAtMs);
+    }
+  }
+
   /**
    * Imports an account of spending.
    *
@@ -134,20 +150,48 @@
    * @returns The part of {@link spent} that is not known to have been charged.
    */
   unknown(workspace: string, scope: BoundScope): number {
-    const { nowMs } = scope;
+    const mayBeSpent = Math.max(
+      this.#unlisted(scope),
+      this.#unreported(workspace, scope),
+    );
+    return this.#beyondKnown(workspace, mayBeSpent, scope);
+  }
+
+  /**
+   * Returns what a successor has to know besides {@link accounted}. What the
+   * predecessor may have handed out since its last heartbeat is left out: each
+   * successor would add as much again.
+   *
+   * @param workspace Name of a workspace.
+   * @param scope Its bound, and the part of it that is handed out here.
+   * @returns Known spending whose age is not known, and what may have been
+   * charged before the takeover and was not listed.
+   */
+  unaccounted(
+    workspace: string,
+    scope: BoundScope,
+  ): { unaged: number; unlisted: number } {
+    const { share, nowMs } = scope;
+    const accounted = this.accounted.spentOutOf(workspace, share, nowMs);
+    return {
+      unaged: this.#known(workspace, scope) - accounted,
+      unlisted: this.#beyondKnown(workspace, this.#unlisted(scope), scope),
+    };
+  }
+
+  /** The part of an amount that exceeds all that was known since the takeover. */
+  #beyondKnown(
+    workspace: string,
+    mayBeSpent: number,
+    scope: BoundScope,
+  ): number {
     const maxKnown = Math.max(
       this.#known(workspace, scope),
       this.#maxKnown.get(workspace) ?? 0,
     );
     this.#maxKnown.set(workspace, maxKnown);
-    if (nowMs - this.#takenOverAtMs > this.#windowMs) {
-      return 0;
-    }
-    const mayBeSpent = Math.max(
-      this.#unlisted(scope),
-      this.#unreported(workspace, scope),
-    );
-    return Math.max(0, mayBeSpent - maxKnown);
+    const isTakeover = scope.nowMs - this.#takenOverAtMs <= this.#windowMs;
+    return isTakeover ? Math.max(0, mayBeSpent - maxKnown) : 0;
   }
 
   /** What may have been spent of a workspace that no account lists. */
@@ -155,15 +199,9 @@
     return (this.#isInformed ? UNLISTED_SHARE : 1) * windowBound * share;
   }
 
-  /**
-   * What may have been spent of a listed workspace while holders have not
-   * reported what was granted since the last heartbeat.
-   */
+  /** What may have been spent of a workspace that the last account lists. */
   #unreported(workspace: string, scope: BoundScope): number {
     const { windowBound, share, nowMs } = scope;
-    if (nowMs >= this.#settledAtMs) {
-      return 0;
-    }
     return Math.min(
       coveredBy(this.#announced, workspace, share),
       this.accounted.spentOutOf(workspace, share, nowMs) +
@@ -171,25 +209,6 @@
     );
   }
 
-  /**
-   * @param workspace Name of a workspace.
-   * @param scope Its bound, and the part of it that is handed out here.
-   * @returns The part of {@link spent} that {@link accounted} does not contain
-   * and whose age is not known, and the one that may have been charged before
-   * the takeover.
-   */
-  unaccounted(
-    workspace: string,
-    scope: BoundScope,
-  ): { unaged: number; beforeTakeover: number } {
-    const { share, nowMs } = scope;
-    const accounted = this.accounted.spentOutOf(workspace, share, nowMs);
-    return {
-      unaged: this.#known(workspace, scope) - accounted,
-      beforeTakeover: this.unknown(workspace, scope),
-    };
-  }
-
   #known(workspace: string, scope: BoundScope): number {
     const { share, coversReports, nowMs } = scope;
     const accounted = this.accounted.spentOutOf(workspace, share, nowMs);
--- a/packages/routing/src/spending_by_share.ts
+++ b/packages/routing/src/spending_by_share.ts
@@ -117,6 +117,16 @@
     })).filter(({ spending }) => spending.length > 0);
   }
 
+  /**
+   * @param nowMs Current local time in milliseconds.
+   * @returns Names of the workspaces with spending within the window.
+   */
+  workspaces(nowMs: number): string[] {
+    return [...this.#logs.values()].flatMap((log) =>
+      log.totals(nowMs).map(({ workspace }) => workspace)
+    );
+  }
+
   /**
    * Removes the logs whose spending has left the window.
    *
--- a/packages/routing/src/spending_log.ts
+++ b/packages/routing/src/spending_log.ts
@@ -23,15 +23,14 @@
 }
 
 /**
- * Ages a history. What was spent since then is unknown, so as much as has left
- * the window counts as spent in the latest second.
+ * Ages a history: what has left the window is dropped.
  *
  * @param history Spending of a workspace at an earlier time.
  * @param ageMs Time since then in milliseconds.
  * @returns Spending of the workspace as of now.
  */
 export function agedHistory(
-  { workspace, spent, bySecond }: SpendingHistory,
+  { workspace, bySecond }: SpendingHistory,
   ageMs: number,
 ): SpendingHistory {
   // A second that has left the window only in part may still count, and the
@@ -42,12 +41,28 @@
     0,
     Math.max(0, bySecond.length - expiredSeconds),
   );
-  const aged = {
+  return {
     workspace,
     spent: sumOf(unexpired),
     bySecond: [...new Array<number>(elapsedSeconds).fill(0), ...unexpired],
   };
-  return withRecentCost(aged, spent - aged.spent);
+}
+
+/**
+ * Ages the last history that is known. What was spent since then is not, so as
+ * much as has left the window counts as spent in the latest second.
+ *
+ * @param history Spending of a workspace at an earlier time.
+ * @param ageMs Time since then in milliseconds.
+ * @returns The most that may be spent as of now, if it never exceeded the
+ * earlier amount.
+ */
+export function refilledHistory(
+  history: SpendingHistory,
+  ageMs: number,
+): SpendingHistory {
+  const aged = agedHistory(history, ageMs);
+  return withRecentCost(aged, history.spent - aged.spent);
 }
 
 /**
