Count the last record of each side when a whole fleet was lost during a partition

Two sides of a partition spent their parts while the store did not answer, and all instances were killed. The store held a record of each side, but only the latest of the two counted in full; the other was taken for one that had been given up.

All records that may still be renewed count in full. A successor replaces its predecessor's record, so that those that remain are of coordinators at once.

Test: random series of kills, stops, freezes, partitions and silences of the store, beside a workspace that asks for up to eight times its allotment.

--- a/packages/gateway/src/allotment_across_restarts_test.ts
+++ b/packages/gateway/src/allotment_across_restarts_test.ts
@@ -11,12 +11,12 @@
   IDS,
   SpendingFleet,
 } from "./spending_fleet_test_support.ts";
+import { between, shuffled } from "./spending_series_test_support.ts";
 
 const WARM_UP_MS = 12_000;
 const AFTERWARDS_MS = 10_000;
 const MIN_RESTART_INTERVAL_MS = 300;
 const MAX_RESTART_INTERVAL_MS = 1500;
-const STEP_MS = 20;
 /** Time until an instance that was killed runs again. */
 const RESTART_MS = 600;
 const STORE_SILENT_MS = 3400;
@@ -106,18 +106,7 @@
 }
 
 function restartIntervalMs(random: RandomSource): number {
-  const rangeMs = MAX_RESTART_INTERVAL_MS - MIN_RESTART_INTERVAL_MS;
-  const steps = Math.floor(random.next() * rangeMs / STEP_MS);
-  return MIN_RESTART_INTERVAL_MS + steps * STEP_MS;
-}
-
-function shuffled<T>(items: readonly T[], random: RandomSource): T[] {
-  const result = [...items];
-  for (let i = result.length - 1; i > 0; i--) {
-    const j = Math.floor(random.next() * (i + 1));
-    [result[i], result[j]] = [result[j]!, result[i]!];
-  }
-  return result;
+  return between(MIN_RESTART_INTERVAL_MS, MAX_RESTART_INTERVAL_MS, random);
 }
 
 test.run();
--- a/packages/gateway/src/spending_recorder.ts
+++ b/packages/gateway/src/spending_recorder.ts
@@ -49,6 +49,12 @@
  */
 const MAX_FRESH_RECORD_AGE_MS = 3500;
 
+/**
+ * Time within which a coordinator renews its record, also after a failed call.
+ * One whose record is older than that of another has given up the role.
+ */
+const MAX_RENEWAL_MS = 2500;
+
 /**
  * Least share of the fleet that has to live on for a coordinator to rely on the
  * account of its predecessor. What that granted since its last heartbeat is then
@@ -331,8 +337,8 @@
   /**
    * Takes over what the records state.
    *
-   * @param of Whether the last coordinator may have handed out more than is
-   * known, up to what it recorded in advance.
+   * @param of Whether the last coordinators, one on each side of a partition,
+   * may have handed out more than is known, up to what they recorded in advance.
    */
   #import(
     records: readonly SpendingRecord[],
@@ -343,8 +349,8 @@
     const sums = new SpendingByShare(windowMs);
     const latestAgeMs = Math.min(...records.map(({ ageMs }) => ageMs));
     for (const record of records) {
-      // Coordinators whose records are older have given up the role.
-      const isLast = mayLackSpending && record.ageMs === latestAgeMs;
+      const isLast = mayLackSpending &&
+        record.ageMs - latestAgeMs <= MAX_RENEWAL_MS;
       addLayers(sums, restoredLayers(record, { isLast }), nowMs);
       for (const { workspace, spent } of isLast ? record.ahead : []) {
         sums.of(1).insert(workspace, spent, nowMs);
