Break a begun stream off when its resumption is answered by no stream

Cause: the second target answered 500, or anything but a stream. The answer was to be forwarded, which writes nothing once a stream has begun, and the request counted as answered. That stopped its deadline timer. Class: an end of an attempt that did not end the reply.

Forwarding a whole answer now either sends it, or aborts the stream that has begun. The request counts as answered only after its answer was sent. Other ends were read: those of a stream end it first, all others fail the request, which aborts it.

Test: all targets cut streams off and answer resumptions with 500. Before, the test did not end within 60 s; now the streams are broken off.

--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -369,27 +369,33 @@
     this.#reply.endStream();
     this.#streamVersion.completed();
     this.#recordServed(attempt);
+    this.#recordAnswered(attempt);
   }
 
   #onServed(attempt: TargetAttempt): void {
     this.#selectAttempt(attempt);
-    this.#forwardAnswer(attempt);
     this.#recordServed(attempt);
+    this.#forwardAnswer(attempt);
   }
 
   /** Sends the target's whole answer, a failure included, to the caller. */
   #forwardAnswer(attempt: TargetAttempt): void {
-    if (!this.#isCallerGone && !this.#reply.hasBegun) {
+    if (this.#reply.hasBegun) {
+      // A stream that has begun cannot continue with an answer of its own.
+      this.#fail(RoutedError.AnswerLost);
+      return;
+    }
+    if (!this.#isCallerGone) {
       this.#recordFirstByte();
       this.#reply.sendWhole(attempt.answer, attempt.body);
     }
+    this.#recordAnswered(attempt);
   }
 
   #recordServed(attempt: TargetAttempt): void {
     this.#attempt = undefined;
     this.#dropAsk();
     this.#recorder.recordServed(attempt);
-    this.#recordAnswered(attempt);
   }
 
   #recordAnswered(attempt: TargetAttempt): void {
@@ -466,7 +472,6 @@
         return;
       case NextStep.PassOn:
         this.#forwardAnswer(attempt!);
-        this.#recordAnswered(attempt!);
         return;
       case NextStep.RefuseNotRun:
         this.#fail(RoutedError.NoTarget, DEFAULT_RETRY_AFTER_MS);
