Break off answers without end, at a limit for each part and for all of them

Bytes that are no answer may also come without end, in a head or a body, until they are read no more. Cause: the bytes of an event were buffered without a limit, and copied and searched anew at each piece. Class: a reader of bytes that others send without a limit, or in more than linear time.

Readers of targets' answers, their limits and what happens beyond them: the connection is closed at once, the attempt counts as one whose answer was lost, and the request goes on elsewhere where it may. - head: 16 KB (Node.js), as before; interim responses: 8, unlimited before; - event: 1 MB, unlimited before; each byte is searched once and copied twice; - buffered answer: 1 MB as before; - all answers and events that an instance buffers: 32 MB, of which the largest is dropped first; - relayed answer: passed on at the pace of its reader, as before.

--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -9,17 +9,43 @@
   readonly id?: number;
 }
 
+/** Part of an empty line that the last bytes may be. */
+enum LineEnd {
+  /** No line has just ended. */
+  None = "none",
+  /** A line has ended; a line feed would end the event. */
+  LineFeed = "line_feed",
+  /** The same, followed by a carriage return. */
+  CarriageReturn = "carriage_return",
+}
+
 const ID_LINE = /^id:[ ]?(\d+)[ ]*$/m;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
-/** Buffers bytes until events are complete. */
+/**
+ * Number of buffered pieces from which they are joined, as each takes memory of
+ * its own. Joining them more often would copy the bytes more often.
+ */
+const MAX_PIECES = 64;
+
+/**
+ * Buffers bytes until events are complete. Each byte is searched once, however
+ * the stream is chunked.
+ */
 export class EventSplitter {
-  #remainder: Buffer = Buffer.alloc(0);
+  #pieces: Buffer[] = [];
+  #pendingBytes = 0;
+  #lineEnd = LineEnd.None;
 
   /** Bytes after the last complete event. */
   get remainder(): Buffer {
-    return this.#remainder;
+    return Buffer.concat(this.#pieces);
+  }
+
+  /** Number of bytes after the last complete event. */
+  get pendingBytes(): number {
+    return this.#pendingBytes;
   }
 
   /**
@@ -27,7 +53,7 @@
    * events belong to none.
    */
   get isInsideEvent(): boolean {
-    return this.#remainder.some((byte) =>
+    return this.remainder.some((byte) =>
       byte !== LINE_FEED && byte !== CARRIAGE_RETURN
     );
   }
@@ -39,38 +65,63 @@
    * @returns Events that are complete now.
    */
   push(chunk: Buffer): StreamedEvent[] {
-    const bytes = this.#remainder.length === 0
-      ? chunk
-      : Buffer.concat([this.#remainder, chunk]);
     const events: StreamedEvent[] = [];
     let begin = 0;
-    for (;;) {
-      const end = endOfEvent(bytes, begin);
-      if (end === undefined) {
-        break;
-      }
-      events.push(eventOf(bytes.subarray(begin, end)));
+    let end = this.#endOfEvent(chunk, begin);
+    while (end !== undefined) {
+      events.push(eventOf(this.#completedBy(chunk.subarray(begin, end))));
       begin = end;
+      end = this.#endOfEvent(chunk, begin);
     }
-    this.#remainder = bytes.subarray(begin);
+    this.#buffer(chunk.subarray(begin));
     return events;
   }
-}
 
-/** Returns the offset after the first empty line that follows a position. */
-function endOfEvent(bytes: Buffer, begin: number): number | undefined {
-  let at = bytes.indexOf(LINE_FEED, begin);
-  while (at !== -1) {
-    let next = at + 1;
-    if (bytes[next] === CARRIAGE_RETURN) {
-      next++;
+  /** Returns the offset after the first empty line that follows a position. */
+  #endOfEvent(chunk: Buffer, begin: number): number | undefined {
+    let at = begin;
+    while (at < chunk.length) {
+      if (this.#lineEnd === LineEnd.None) {
+        const lineEnd = chunk.indexOf(LINE_FEED, at);
+        if (lineEnd === -1) {
+          return undefined;
+        }
+        this.#lineEnd = LineEnd.LineFeed;
+        at = lineEnd + 1;
+        continue;
+      }
+      const byte = chunk[at];
+      at++;
+      if (byte === LINE_FEED) {
+        this.#lineEnd = LineEnd.None;
+        return at;
+      }
+      const isCarriageReturn = byte === CARRIAGE_RETURN &&
+        this.#lineEnd === LineEnd.LineFeed;
+      this.#lineEnd = isCarriageReturn ? LineEnd.CarriageReturn : LineEnd.None;
+    }
+    return undefined;
+  }
+
+  #completedBy(piece: Buffer): Buffer {
+    const bytes = this.#pieces.length === 0
+      ? piece
+      : Buffer.concat([...this.#pieces, piece]);
+    this.#pieces = [];
+    this.#pendingBytes = 0;
+    return bytes;
+  }
+
+  #buffer(piece: Buffer): void {
+    if (piece.length === 0) {
+      return;
     }
-    if (bytes[next] === LINE_FEED) {
-      return next + 1;
+    this.#pieces.push(piece);
+    this.#pendingBytes += piece.length;
+    if (this.#pieces.length >= MAX_PIECES) {
+      this.#pieces = [this.remainder];
     }
-    at = bytes.indexOf(LINE_FEED, at + 1);
   }
-  return undefined;
 }
 
 function eventOf(bytes: Buffer): StreamedEvent {
--- a/packages/gateway/src/event_splitter_test.ts
+++ b/packages/gateway/src/event_splitter_test.ts
@@ -29,6 +29,21 @@
   assert.is(splitter.remainder.toString(), "id: 4\nda");
 });
 
+// Guards against time that grows with the square of the bytes of an event: pieces
+// are joined now and then, and lose nothing.
+test("an event that arrives in many small pieces is complete", () => {
+  const text = `id: 7\ndata: ${"a".repeat(1000)}\n\n`;
+  const splitter = new EventSplitter();
+  const events = [...text].flatMap((letter, index) => {
+    assert.is(splitter.pendingBytes, index);
+    return splitter.push(Buffer.from(letter));
+  });
+  assert.equal(events.map(({ id, bytes }) => [id, bytes.toString()]), [
+    [7, text],
+  ]);
+  assert.is(splitter.pendingBytes, 0);
+});
+
 test("a stream is inside an event until the event's empty line", () => {
   const insideAfter = (text: string): boolean => {
     const splitter = new EventSplitter();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import { TargetRateLimits } from "@chestnuthatch/routing/target_rate_limits";
 import { LatencyModels } from "@chestnuthatch/routing/latency_models";
 import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
+import { AnswerMemory } from "./answer_memory.ts";
 import { AnsweredParts } from "./answered_parts.ts";
 import { AssigningRole } from "./assigning_role.ts";
 import { CoordinatorMonitors } from "./coordinator_monitors.ts";
@@ -597,6 +598,7 @@
     const prefix = `${instanceId}.${this.#self.incarnation.toString(36)}`;
     return {
       board: this.board,
+      answerMemory: new AnswerMemory(),
       answeredParts: new AnsweredParts(),
       clock: this.#clock,
       log: this.#log,
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -2,6 +2,7 @@
 
 import type { Agent } from "node:http";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
+import type { AnswerMemory } from "./answer_memory.ts";
 import type { AnsweredParts } from "./answered_parts.ts";
 import type { TargetSignalHandler } from "./target_signal_handler.ts";
 import type { EventLog } from "./event_log.ts";
@@ -13,6 +14,7 @@
 /** Collaborators of a request, the same for all requests of a gateway. */
 export interface GatewayParts {
   readonly board: RoutingBoard;
+  readonly answerMemory: AnswerMemory;
   readonly answeredParts: AnsweredParts;
   readonly clock: Clock;
   readonly log: EventLog;
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -10,6 +10,7 @@
 import { SURVIVAL_MS } from "@chestnuthatch/routing/trials";
 import type { WorkEnd } from "@chestnuthatch/routing/work_ask";
 import type { LoadReport } from "@chestnuthatch/routing/load_report";
+import type { MemoryReservation } from "./answer_memory.ts";
 import { AnswerLoad } from "./answer_load.ts";
 import { EventSplitter, type StreamedEvent } from "./event_splitter.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
@@ -46,9 +47,6 @@
   ended(end: AttemptEnd, reason: string): void;
 }
 
-/** Largest answer that is buffered, and forwarded once it is complete. */
-const MAX_BUFFERED_ANSWER_BYTES = 1024 * 1024;
-
 /** Status codes from this one on are errors of the target. */
 const MIN_SERVER_ERROR_STATUS = 500;
 const STATUS_OK = 200;
@@ -86,7 +84,8 @@
   readonly #sink: AttemptSink;
   readonly #splitter = new EventSplitter();
   readonly #body: Buffer[] = [];
-  #bodyBytes = 0;
+  /** Memory of the body, or of an event that is not complete. */
+  readonly #memory: MemoryReservation;
   #exchange?: TargetExchange;
   /** Instance that relays the request; absent on a connection of its own. */
   #relay?: MemberRecord;
@@ -109,6 +108,9 @@
     this.#parts = parts;
     this.options = options;
     this.#sink = sink;
+    this.#memory = parts.answerMemory.reserve(() =>
+      this.#end(AttemptEnd.Lost, "answer is too large")
+    );
     this.lastEventId = options.resumeAfter;
     this.sentAtMs = parts.clock.nowMs();
   }
@@ -201,7 +203,7 @@
 
   /** Aborts the attempt; the sink is not called any more. */
   cancel(): void {
-    this.#isDone = true;
+    this.#finish();
     this.#exchange?.cancel();
   }
 
@@ -279,14 +281,12 @@
   #onData(chunk: Buffer): void {
     if (this.#isEventStream()) {
       this.#forwardEvents(this.#splitter.push(chunk));
+      this.#memory.resize(this.#splitter.pendingBytes);
       return;
     }
     this.#firstDataAtMs ??= this.#parts.clock.nowMs();
     this.#body.push(chunk);
-    this.#bodyBytes += chunk.length;
-    if (this.#bodyBytes > MAX_BUFFERED_ANSWER_BYTES) {
-      this.#end(AttemptEnd.Lost, "answer is too large");
-    }
+    this.#memory.resize(this.#memory.bytes + chunk.length);
   }
 
   #isEventStream(): boolean {
@@ -333,10 +333,10 @@
       // the target's headers did not confirm it.
       this.#end(AttemptEnd.Lost, `unconfirmed not-run status ${status}`);
     } else if (status >= MIN_SERVER_ERROR_STATUS) {
-      this.#isDone = true;
+      this.#finish();
       this.#sink.ended(AttemptEnd.Failed, `target answered ${status}`);
     } else {
-      this.#isDone = true;
+      this.#finish();
       this.#sink.answered();
     }
   }
@@ -354,7 +354,7 @@
     } else if (needsEvents && this.eventCount === 0) {
       void this.#onAnswerLost("stream ended without events");
     } else {
-      this.#isDone = true;
+      this.#finish();
       this.#sink.streamEnded(this.#splitter.remainder);
     }
   }
@@ -412,6 +412,12 @@
     this.#end(hasEnded ? AttemptEnd.TargetEnded : AttemptEnd.Lost, reason);
   }
 
+  /** Nothing more is received, and what was is about to be forwarded. */
+  #finish(): void {
+    this.#isDone = true;
+    this.#memory.release();
+  }
+
   #end(end: AttemptEnd, reason: string): void {
     if (!this.#isDone) {
       this.cancel();
--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -57,6 +57,9 @@
  */
 const CONNECT_DELAY_MS = 40;
 
+/** Interim responses that a target may send before its answer. */
+const MAX_INTERIM_RESPONSES = 8;
+
 /** Reason of an exchange whose connection timed out. */
 export const CONNECT_TIMEOUT_REASON = "connect timeout";
 
@@ -67,6 +70,7 @@
   readonly #sink: ExchangeSink;
   readonly #request: ClientRequest;
   #answer?: IncomingMessage;
+  #interimResponses = 0;
   #isSent = false;
   #isDone = false;
   /** Whether the check for a reset at the connection's end is in progress. */
@@ -93,6 +97,7 @@
       setHost: false,
     });
     this.#request.on("socket", (socket) => this.#onSocket(socket));
+    this.#request.on("information", () => this.#onInterimResponse());
     this.#request.on("response", (answer) => this.#onResponse(answer));
     this.#request.on("error", (error) => this.#fail(error.message));
     this.#request.on("close", () => {
@@ -164,6 +169,14 @@
     }
   }
 
+  #onInterimResponse(): void {
+    this.#interimResponses++;
+    if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
+      this.#fail("too many interim responses");
+      this.#request.destroy();
+    }
+  }
+
   #onResponse(answer: IncomingMessage): void {
     if (this.#isDone) {
       answer.destroy();
--- a/packages/gateway/src/unusable_target_reports_test.ts
+++ b/packages/gateway/src/unusable_target_reports_test.ts
@@ -11,6 +11,7 @@
 } from "@chestnuthatch/routing/work_ask";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { AnswerMemory } from "./answer_memory.ts";
 import type { CallerReply } from "./caller_reply.ts";
 import { EventLog } from "./event_log.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
@@ -51,6 +52,7 @@
   const placements = ["t1", "t2"];
   await new Promise<void>((onDone) => {
     const parts = {
+      answerMemory: new AnswerMemory(),
       board,
       clock,
       log,
