Answer requests although the bytes after them are none, and close what callers left

Callers: a request was neither run nor answered if bytes that are no request came after it in the same packet. Cause: a connection counted as ended as soon as bytes were unreadable, so that a request that had been read before was not started, and the connection waited for its answer.

A request that was read is started unless its caller has left or its connection is closed. Bytes that are no request end the connection after the answers, or at once if the caller has left.

--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -111,9 +111,19 @@
     return this.#requestsRead;
   }
 
-  /** Whether a cause of the connection's end was observed. */
-  get hasEnded(): boolean {
-    return this.#end !== undefined;
+  /**
+   * Whether a request that was read can still be answered. Bytes after it that
+   * are no request end the connection only after its answer.
+   */
+  get isAnswerable(): boolean {
+    return !this.#socket.destroyed &&
+      (this.#end === undefined || this.#end === ConnectionEnd.Unreadable ||
+        this.#end === ConnectionEnd.HeadersTime);
+  }
+
+  get #hasCallerLeft(): boolean {
+    return this.#end === ConnectionEnd.CallerLeft ||
+      this.#end === ConnectionEnd.Reset;
   }
 
   /** Whether the instance has destroyed the socket. */
@@ -165,6 +175,10 @@
       return;
     }
     this.#onError(error);
+    if (this.#hasCallerLeft) {
+      this.#socket.destroy();
+      return;
+    }
     const unfinished = this.unfinishedAnswers.filter(({ response }) =>
       response.req.complete
     );
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -104,10 +104,10 @@
 
   /**
    * @param answer An unfinished answer.
-   * @returns Whether its connection has closed or is known to be ending.
+   * @returns Whether it can still be sent.
    */
-  hasEnded(answer: UnfinishedAnswer): boolean {
-    return this.#open.get(answer.response.req.socket)?.hasEnded ?? true;
+  isAnswerable(answer: UnfinishedAnswer): boolean {
+    return this.#open.get(answer.response.req.socket)?.isAnswerable ?? false;
   }
 
   /**
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -290,7 +290,7 @@
   ): void {
     const startIfConnected = () => {
       this.#readingCount--;
-      if (!this.#connections.hasEnded(unfinished)) {
+      if (this.#connections.isAnswerable(unfinished)) {
         start();
       }
     };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,7 @@
 import { TargetSignalHandler } from "./target_signal_handler.ts";
 import { EventLog, type LogFacts, LogPart } from "./event_log.ts";
 import { FleetStateSync } from "./fleet_state_sync.ts";
+import type { OpenConnections } from "./caller_connections.ts";
 import { FrontServer } from "./front_server.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
@@ -368,6 +369,11 @@
     this.#log.flush();
   }
 
+  /** Counts of callers' connections and their unfinished answers. */
+  get callerConnections(): OpenConnections {
+    return this.#front.connections;
+  }
+
   /**
    * Logs that the graceful stop has failed, before the process ends.
    *
