Keep sums of spending, and list only workspaces of which some spending is known

Within a window after a takeover every workspace counted as near its bound, by what may have been spent of it; and each sum was added up from slices several times.

Workspaces that are listed have some known spending: successors assume the same of those that no account lists. A log keeps the sum of each workspace, and what is known is computed once a charge.

--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -464,10 +464,16 @@
     return all.layers(workspaces, nowMs);
   }
 
-  /** Workspaces that were charged here, or that an account lists. */
+  /** Workspaces of which some spending is known, or that want to spend. */
   #knownWorkspaces(nowMs: number): string[] {
-    const accounted = this.#inherited.accounted.workspaces(nowMs);
-    return [...new Set([...this.#windowBounds.keys(), ...accounted])];
+    return [
+      ...new Set([
+        ...this.#charged.workspaces(nowMs),
+        ...this.#inherited.accounted.workspaces(nowMs),
+        ...this.reported.workspaces(),
+        ...this.#wanted.keys(),
+      ]),
+    ];
   }
 
   /** Whether at least a share of a workspace's bound was spent. */
--- a/packages/routing/src/inherited_spending.ts
+++ b/packages/routing/src/inherited_spending.ts
@@ -141,7 +141,8 @@
    * before the takeover, or elsewhere.
    */
   spent(workspace: string, scope: BoundScope): number {
-    return this.#known(workspace, scope) + this.unknown(workspace, scope);
+    const known = this.#known(workspace, scope);
+    return known + this.#unknown(workspace, scope, known);
   }
 
   /**
@@ -150,11 +151,18 @@
    * @returns The part of {@link spent} that is not known to have been charged.
    */
   unknown(workspace: string, scope: BoundScope): number {
+    return this.#unknown(workspace, scope, this.#known(workspace, scope));
+  }
+
+  #unknown(workspace: string, scope: BoundScope, known: number): number {
+    if (!this.#isTakeover(scope)) {
+      return 0;
+    }
     const mayBeSpent = Math.max(
       this.#unlisted(scope),
       this.#unreported(workspace, scope),
     );
-    return this.#beyondKnown(workspace, mayBeSpent, scope);
+    return this.#beyondKnown(workspace, mayBeSpent, known);
   }
 
   /**
@@ -172,10 +180,13 @@
     scope: BoundScope,
   ): { unaged: number; unlisted: number } {
     const { share, nowMs } = scope;
+    const known = this.#known(workspace, scope);
     const accounted = this.accounted.spentOutOf(workspace, share, nowMs);
     return {
-      unaged: this.#known(workspace, scope) - accounted,
-      unlisted: this.#beyondKnown(workspace, this.#unlisted(scope), scope),
+      unaged: known - accounted,
+      unlisted: this.#isTakeover(scope)
+        ? this.#beyondKnown(workspace, this.#unlisted(scope), known)
+        : 0,
     };
   }
 
@@ -183,15 +194,16 @@
   #beyondKnown(
     workspace: string,
     mayBeSpent: number,
-    scope: BoundScope,
+    known: number,
   ): number {
-    const maxKnown = Math.max(
-      this.#known(workspace, scope),
-      this.#maxKnown.get(workspace) ?? 0,
-    );
+    const maxKnown = Math.max(known, this.#maxKnown.get(workspace) ?? 0);
     this.#maxKnown.set(workspace, maxKnown);
-    const isTakeover = scope.nowMs - this.#takenOverAtMs <= this.#windowMs;
-    return isTakeover ? Math.max(0, mayBeSpent - maxKnown) : 0;
+    return Math.max(0, mayBeSpent - maxKnown);
+  }
+
+  /** Whether spending before the takeover may still be in the window. */
+  #isTakeover({ nowMs }: BoundScope): boolean {
+    return nowMs - this.#takenOverAtMs <= this.#windowMs;
   }
 
   /** What may have been spent of a workspace that no account lists. */
--- a/packages/routing/src/spending_by_share.ts
+++ b/packages/routing/src/spending_by_share.ts
@@ -122,9 +122,7 @@
    * @returns Names of the workspaces with spending within the window.
    */
   workspaces(nowMs: number): string[] {
-    return [...this.#logs.values()].flatMap((log) =>
-      log.totals(nowMs).map(({ workspace }) => workspace)
-    );
+    return [...this.#logs.values()].flatMap((log) => log.workspaces(nowMs));
   }
 
   /**
@@ -134,7 +132,7 @@
    */
   evictExpired(nowMs: number): void {
     for (const [share, log] of this.#logs) {
-      if (log.totals(nowMs).length === 0) {
+      if (log.workspaces(nowMs).length === 0) {
         this.#logs.delete(share);
       }
     }
--- a/packages/routing/src/spending_log.ts
+++ b/packages/routing/src/spending_log.ts
@@ -10,6 +10,14 @@
   spent: number;
 }
 
+/** Spending of one workspace. */
+interface WorkspaceLog {
+  /** The oldest first. */
+  slices: Slice[];
+  /** Sum of the slices, as adding them up at each charge takes too long. */
+  spent: number;
+}
+
 /** Cost units that a workspace spent within the window. */
 export interface WorkspaceSpending {
   readonly workspace: string;
@@ -149,7 +157,7 @@
 /** Sliding-window log of spending by workspace, in slices of time. */
 export class SpendingLog {
   readonly #windowMs: number;
-  readonly #byWorkspace = new Map<string, Slice[]>();
+  readonly #byWorkspace = new Map<string, WorkspaceLog>();
 
   /** @param windowMs Length of the sliding window in milliseconds. */
   constructor(windowMs: number) {
@@ -164,13 +172,13 @@
    * @param nowMs Current local time in milliseconds.
    */
   record(workspace: string, cost: number, nowMs: number): void {
-    const slices = this.#byWorkspace.get(workspace) ?? [];
-    this.#byWorkspace.set(workspace, slices);
-    const newest = slices.at(-1);
+    const log = this.#log(workspace);
+    log.spent += cost;
+    const newest = log.slices.at(-1);
     if (newest !== undefined && nowMs - newest.beganAtMs < SLICE_MS) {
       newest.spent += cost;
     } else {
-      slices.push({ beganAtMs: nowMs, spent: cost });
+      log.slices.push({ beganAtMs: nowMs, spent: cost });
     }
   }
 
@@ -183,13 +191,18 @@
    */
   insert(workspace: string, cost: number, atMs: number): void {
     if (cost > 0) {
-      const slices = this.#byWorkspace.get(workspace) ?? [];
-      const inserted = [...slices, { beganAtMs: atMs, spent: cost }];
-      inserted.sort((a, b) => a.beganAtMs - b.beganAtMs);
-      this.#byWorkspace.set(workspace, inserted);
+      this.#insertAll(workspace, [{ beganAtMs: atMs, spent: cost }]);
     }
   }
 
+  #insertAll(workspace: string, slices: readonly Slice[]): void {
+    const log = this.#log(workspace);
+    const inserted = [...log.slices, ...slices];
+    inserted.sort((a, b) => a.beganAtMs - b.beganAtMs);
+    log.slices = inserted;
+    log.spent += sumOf(slices.map(({ spent }) => spent));
+  }
+
   /**
    * Takes spending back that was recorded before, from the time at which it was
    * recorded. Taken from a later time, it would still reduce the sum of the
@@ -200,10 +213,12 @@
    * @param recordedAtMs Local time in milliseconds at which it was recorded.
    */
   takeBack(workspace: string, cost: number, recordedAtMs: number): void {
-    const slice = this.#byWorkspace.get(workspace)
-      ?.findLast(({ beganAtMs }) => beganAtMs <= recordedAtMs);
+    const log = this.#log(workspace);
+    const slice = log.slices
+      .findLast(({ beganAtMs }) => beganAtMs <= recordedAtMs);
     if (slice !== undefined) {
       slice.spent -= cost;
+      log.spent -= cost;
     }
   }
 
@@ -213,7 +228,7 @@
    * @returns Cost units that the workspace spent within the window.
    */
   spent(workspace: string, nowMs: number): number {
-    return sumOf(this.#slices(workspace, nowMs).map(({ spent }) => spent));
+    return this.#unexpired(workspace, nowMs)?.spent ?? 0;
   }
 
   /**
@@ -235,10 +250,8 @@
    * @param other The other log.
    */
   append(other: SpendingLog): void {
-    for (const [workspace, slices] of other.#byWorkspace) {
-      const merged = [...this.#byWorkspace.get(workspace) ?? [], ...slices];
-      merged.sort((a, b) => a.beganAtMs - b.beganAtMs);
-      this.#byWorkspace.set(workspace, merged);
+    for (const [workspace, { slices }] of other.#byWorkspace) {
+      this.#insertAll(workspace, slices.map((slice) => ({ ...slice })));
     }
   }
 
@@ -269,7 +282,10 @@
       beganAtMs: atMs - age * MS_PER_S,
       spent,
     }));
-    this.#byWorkspace.set(workspace, slices.reverse());
+    this.#byWorkspace.set(workspace, {
+      slices: slices.reverse(),
+      spent: sumOf(bySecond),
+    });
   }
 
   /**
@@ -302,18 +318,48 @@
       .filter(({ spent }) => spent > 0);
   }
 
+  /**
+   * @param nowMs Current local time in milliseconds.
+   * @returns Names of the workspaces with spending within the window.
+   */
+  workspaces(nowMs: number): string[] {
+    return [...this.#byWorkspace.keys()]
+      .filter((workspace) => this.#unexpired(workspace, nowMs) !== undefined);
+  }
+
   /** Retention of a slice: until its last moment has left the window. */
   #retentionMs(): number {
     return this.#windowMs + SLICE_MS;
   }
 
+  #log(workspace: string): WorkspaceLog {
+    let log = this.#byWorkspace.get(workspace);
+    if (log === undefined) {
+      log = { slices: [], spent: 0 };
+      this.#byWorkspace.set(workspace, log);
+    }
+    return log;
+  }
+
   #slices(workspace: string, nowMs: number): readonly Slice[] {
-    const slices = this.#byWorkspace.get(workspace) ?? [];
-    while (
-      slices.length > 0 && nowMs - slices[0]!.beganAtMs > this.#retentionMs()
-    ) {
-      slices.shift();
+    return this.#unexpired(workspace, nowMs)?.slices ?? [];
+  }
+
+  /** Removes what has left the window; undefined if nothing is left. */
+  #unexpired(workspace: string, nowMs: number): WorkspaceLog | undefined {
+    const log = this.#byWorkspace.get(workspace);
+    if (log === undefined) {
+      return undefined;
+    }
+    const { slices } = log;
+    const retentionMs = this.#retentionMs();
+    while (slices.length > 0 && nowMs - slices[0]!.beganAtMs > retentionMs) {
+      log.spent -= slices.shift()!.spent;
+    }
+    if (slices.length === 0) {
+      this.#byWorkspace.delete(workspace);
+      return undefined;
     }
-    return slices;
+    return log;
   }
 }
