Tell callers when inherited spending leaves the window

Callers of a workspace at its bound were told to return after a whole window for as long as a window after each takeover: Retry-After was computed from the charges since the takeover alone. What predecessors had charged leaves the window sooner. The time is now computed from all spending whose age is known, and from what may have been spent before the takeover.

Test: spending that is six seconds old: 8250 ms before, 2250 ms now.

--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -17,7 +17,7 @@
 } from "./recorded_spending.ts";
 import type { ReportedSpending } from "./reported_spending.ts";
 import { SpendingByShare, type SpendingLayer } from "./spending_by_share.ts";
-import type { WorkspaceSpending } from "./spending_log.ts";
+import { SLICE_MS, type WorkspaceSpending } from "./spending_log.ts";
 
 const MS_PER_S = 1000;
 
@@ -246,8 +246,7 @@
     // spent; otherwise it could never run.
     if (spent > 0 && spent + cost > bound) {
       const excess = spent + cost - bound;
-      const retryAfterMs = this.#charged.of(share)
-        .timeUntilExpiredMs(workspace, excess, nowMs);
+      const retryAfterMs = this.#timeUntilExpiredMs(workspace, excess, nowMs);
       return { outcome: ChargeOutcome.Exceeded, retryAfterMs, ...figures };
     }
     if (spent + cost > this.#maxWithoutRecord(workspace, nowMs)) {
@@ -259,6 +258,28 @@
     return { outcome: ChargeOutcome.Allowed, retryAfterMs: 0, ...figures };
   }
 
+  /** Time until an amount of spending has left the window. */
+  #timeUntilExpiredMs(
+    workspace: string,
+    amount: number,
+    nowMs: number,
+  ): number {
+    const scope = this.#boundScope(workspace, nowMs);
+    const slices = [
+      ...this.#charged.slicesOutOf(workspace, 1, nowMs),
+      ...this.#inherited.slices(workspace, scope),
+    ].sort((a, b) => a.beganAtMs - b.beganAtMs);
+    const retentionMs = this.#windowMs + SLICE_MS;
+    let expired = 0;
+    for (const { beganAtMs, spent } of slices) {
+      expired += spent;
+      if (expired >= amount) {
+        return Math.max(0, beganAtMs + retentionMs - nowMs);
+      }
+    }
+    return retentionMs;
+  }
+
   /**
    * The most that a workspace may have spent in the window while the record
    * stays as it is. What exceeds the record and the part that may stay
--- a/packages/routing/src/allotment_ledger_test.ts
+++ b/packages/routing/src/allotment_ledger_test.ts
@@ -148,6 +148,18 @@
   assert.ok(charge(ledger, later));
 });
 
+// Guards against callers that are told to come back a window later, although the
+// predecessor's spending leaves it sooner.
+test("a refusal after a takeover states when the inherited spending has left the window", () => {
+  const ledger = successor([
+    { workspace: "w", spent: 9000, bySecond: [0, 0, 0, 0, 0, 0, 9000] },
+  ]);
+  const { outcome, retryAfterMs } = ledger
+    .charge("w", ALLOTMENT, { cost: 1000, rank: 0, scope: scope(0) });
+  assert.is(outcome, ChargeOutcome.Exceeded);
+  assert.is(retryAfterMs, 2250);
+});
+
 test("a partition of the fleet hands out only its share", () => {
   const ledger = new AllotmentLedger(TOLERANCE);
   const spent = spendAll(ledger, scope(0, { share: 0.25 }));
--- a/packages/routing/src/inherited_spending.ts
+++ b/packages/routing/src/inherited_spending.ts
@@ -10,6 +10,7 @@
   type SpendingCoverage,
 } from "./recorded_spending.ts";
 import { SpendingByShare, type SpendingLayer } from "./spending_by_share.ts";
+import type { Slice } from "./spending_log.ts";
 
 /**
  * Share of a workspace's bound that may have been spent before a takeover
@@ -165,6 +166,22 @@
     return this.#beyondKnown(workspace, mayBeSpent, known);
   }
 
+  /**
+   * Returns the spending whose time is known, and what may have been spent
+   * before the takeover.
+   *
+   * @param workspace Name of a workspace.
+   * @param scope Its bound, and the part of it that is handed out here.
+   * @returns Cost units by time, in no particular order.
+   */
+  slices(workspace: string, scope: BoundScope): Slice[] {
+    const { share, nowMs } = scope;
+    return [
+      ...this.accounted.slicesOutOf(workspace, share, nowMs),
+      { beganAtMs: this.#takenOverAtMs, spent: this.unknown(workspace, scope) },
+    ];
+  }
+
   /**
    * Returns what a successor has to know besides {@link accounted}. What the
    * predecessor may have handed out since its last heartbeat is left out: each
--- a/packages/routing/src/spending_by_share.ts
+++ b/packages/routing/src/spending_by_share.ts
@@ -6,6 +6,7 @@
 import {
   addedHistories,
   mergedHistory,
+  type Slice,
   type SpendingHistory,
   SpendingLog,
 } from "./spending_log.ts";
@@ -65,6 +66,23 @@
     );
   }
 
+  /**
+   * Returns the spending that {@link spentOutOf} adds up, by time.
+   *
+   * @param workspace Name of the workspace.
+   * @param share Share of the fleet that the part is.
+   * @param nowMs Current local time in milliseconds.
+   * @returns Cost units within the window, in no particular order.
+   */
+  slicesOutOf(workspace: string, share: number, nowMs: number): Slice[] {
+    return [...this.#logs].flatMap(([logShare, log]) =>
+      log.slices(workspace, nowMs).map(({ beganAtMs, spent }) => ({
+        beganAtMs,
+        spent: spent * Math.min(1, share / logShare),
+      }))
+    );
+  }
+
   /**
    * Adds the spending of another instance of this class.
    *
--- a/packages/routing/src/spending_log.ts
+++ b/packages/routing/src/spending_log.ts
@@ -5,8 +5,11 @@
 /** Length of a slice of time in which spending is summed. */
 export const SLICE_MS = 250;
 
-interface Slice {
+/** Spending within a slice of time. */
+export interface Slice {
+  /** Local time in milliseconds. */
   readonly beganAtMs: number;
+  /** Cost units. */
   spent: number;
 }
 
@@ -289,23 +292,12 @@
   }
 
   /**
-   * Computes when a given amount of spending will have left the window.
-   *
-   * @param workspace Name of the workspace.
-   * @param amount Cost units that have to expire.
+   * @param workspace Name of a workspace.
    * @param nowMs Current local time in milliseconds.
-   * @returns Duration in milliseconds; that of the whole window where less was
-   * spent.
+   * @returns Its spending within the window, the oldest first.
    */
-  timeUntilExpiredMs(workspace: string, amount: number, nowMs: number): number {
-    let expired = 0;
-    for (const slice of this.#slices(workspace, nowMs)) {
-      expired += slice.spent;
-      if (expired >= amount) {
-        return Math.max(0, slice.beganAtMs + this.#retentionMs() - nowMs);
-      }
-    }
-    return this.#retentionMs();
+  slices(workspace: string, nowMs: number): readonly Readonly<Slice>[] {
+    return this.#slices(workspace, nowMs);
   }
 
   /**
