Leave the choice of the coordinator when leaving

Cause: an instance that leaves announced it to the others, but its own view did not know it. Three instances took themselves for the coordinator when the coordinator left, two of which were leaving, as they had started before the others. That had cost little before: now each divides the allotments with those that follow it, and they replaced each other's records.

An instance that leaves is leaving in its own view, too.

--- a/packages/gateway/src/allotment_across_restarts_test.ts
+++ b/packages/gateway/src/allotment_across_restarts_test.ts
@@ -20,6 +20,9 @@
 /** Time until an instance that was killed runs again. */
 const RESTART_MS = 600;
 const STORE_SILENT_MS = 3400;
+/** Time between two instances that begin to leave, and for which each does. */
+const LEAVING_INTERVAL_MS = 2000;
+const LEAVING_MS = 5000;
 /** Silence of the store after the restart, longer than a failed call takes. */
 const UNREAD_MS = 1200;
 /** Relative to the allotment; operators set it to nearly twice the usual. */
@@ -89,6 +92,19 @@
   }
 });
 
+// Guards against instances that take themselves for the coordinator while they
+// leave, and divide the allotments between them.
+test("usual load is served while instances leave one after another", async () => {
+  const fleet = new SpendingFleet({ seed: 1, demand: USUAL_DEMAND });
+  await fleet.run(WARM_UP_MS);
+  for (const id of IDS) {
+    fleet.stop(id, { stopMs: LEAVING_MS });
+    await fleet.run(LEAVING_INTERVAL_MS);
+  }
+  await fleet.run(AFTERWARDS_MS);
+  assert.is(fleet.refusedCount, 0);
+});
+
 /** Highest spending of a fleet with each seed, across the same disturbance. */
 async function maxSpentOf(
   seeds: readonly number[],
--- a/packages/gateway/src/heartbeat_exchange.ts
+++ b/packages/gateway/src/heartbeat_exchange.ts
@@ -149,6 +149,7 @@
   /** Announces to the other instances that this one is leaving. */
   announceLeaving(): void {
     this.#self = { ...this.#self, leaving: true };
+    this.#parts.board.members.leave();
     this.#sendDueHeartbeat(this.#parts.clock.nowMs());
   }
 
--- a/packages/gateway/src/spending_fleet_test_support.ts
+++ b/packages/gateway/src/spending_fleet_test_support.ts
@@ -215,15 +215,21 @@
   }
 
   /**
-   * Lets an instance announce that it is leaving, and end a moment later.
+   * Lets an instance announce that it is leaving, and end some time later.
    *
    * @param id Id of the instance.
-   * @param downMs Time from its end until it starts again.
+   * @param of Time until its end, and from then until it starts again.
    */
-  stop(id: string, downMs = RESTART_MS): void {
+  stop(
+    id: string,
+    { stopMs = STOP_MS, downMs = RESTART_MS }: {
+      stopMs?: number;
+      downMs?: number;
+    } = {},
+  ): void {
     const node = this.#nodes.get(id);
     node?.heartbeatExchange.announceLeaving();
-    this.#network.schedule(STOP_MS, () => {
+    this.#network.schedule(stopMs, () => {
       if (node !== undefined && this.#nodes.get(id) === node) {
         this.restart(id, downMs);
       }
--- a/packages/gateway/src/spending_series_test_support.ts
+++ b/packages/gateway/src/spending_series_test_support.ts
@@ -64,7 +64,8 @@
     }
   },
   [Disturbance.Stop]: (fleet) => {
-    fleet.stop(pick(IDS, fleet.random), downMs(fleet.random));
+    const { random } = fleet;
+    fleet.stop(pick(IDS, random), { downMs: downMs(random) });
   },
   [Disturbance.Freeze]: (fleet) => {
     const { random, coordinatorId } = fleet;
--- a/packages/routing/src/member_view.ts
+++ b/packages/routing/src/member_view.ts
@@ -124,6 +124,12 @@
     return this.#byId.size - 1 <= MAX_FULL_MESH_PEERS;
   }
 
+  /** This instance is leaving: it coordinates only if all others leave too. */
+  leave(): void {
+    const self = this.#byId.get(this.selfId)!;
+    this.#put({ ...self, leaving: true });
+  }
+
   /**
    * Records a heartbeat of a member.
    *
