Record less in advance, and count records of several coordinators once

Causes: a quarter of the bound was recorded in advance, and counted as spent just now by the instances that started again. What two records list of the same spending was added up for what the store covers, but merged for what was spent, so that a quarter of the bound was assumed spent besides.

- What the row covers is computed as a fleet that starts with it would.
- In place of what is recorded in advance, an instance that cannot record may hand out 0.35 of the bound after a takeover, 0.25 before (loaded_coordinator_test).

--- a/packages/gateway/src/spending_recorder.ts
+++ b/packages/gateway/src/spending_recorder.ts
@@ -217,7 +217,7 @@
       this.#startRow = undefined;
       const mayLackSpending = this.#mayLackSpending;
       this.#import(row.records, { mayLackSpending });
-      const coverage = coverageOf(row.records);
+      const coverage = this.#coverageOf(row.records);
       const hasSpending = coverage.byWorkspace.size > 0;
       coordinator.spendingRecordFound(coverage, hasSpending);
       this.#row = { ...this.#row, records: [] };
@@ -326,7 +326,7 @@
       .filter(({ recorded }) => recorded.length > 0)
       .sort((a, b) => a.receivedAtMs - b.receivedAtMs).at(-1);
     if (latest === undefined) {
-      return coverageOf(this.#startRecords() ?? []);
+      return this.#coverageOf(this.#startRecords() ?? []);
     }
     const { share, recorded } = latest;
     const amounts = recorded
@@ -334,6 +334,16 @@
     return { share, byWorkspace: new Map(amounts) };
   }
 
+  /** What a fleet without other knowledge will find as spent. */
+  #coverageOf(records: readonly SpendingRecord[]): SpendingCoverage {
+    const { windowMs } = this.#parts;
+    const nowMs = this.#nowMs();
+    const sums = restored(records, { mayLackSpending: true, windowMs, nowMs });
+    const amounts = workspacesOf(records)
+      .map((workspace) => [workspace, sums.spent(workspace, nowMs)] as const);
+    return { share: 1, byWorkspace: new Map(amounts) };
+  }
+
   /**
    * Takes over what the records state.
    *
@@ -346,19 +356,10 @@
   ): void {
     const { coordinator, windowMs } = this.#parts;
     const nowMs = this.#nowMs();
-    const sums = new SpendingByShare(windowMs);
-    const latestAgeMs = Math.min(...records.map(({ ageMs }) => ageMs));
-    for (const record of records) {
-      const isLast = mayLackSpending &&
-        record.ageMs - latestAgeMs <= MAX_RENEWAL_MS;
-      addLayers(sums, restoredLayers(record, { isLast }), nowMs);
-      for (const { workspace, spent } of isLast ? record.ahead : []) {
-        sums.of(1).insert(workspace, spent, nowMs);
-      }
-    }
+    const sums = restored(records, { mayLackSpending, windowMs, nowMs });
     const layers = sums.layers(workspacesOf(records), nowMs);
     coordinator.importSpending({ layers }, nowMs);
-    const ageMs = latestAgeMs;
+    const ageMs = latestAgeMsOf(records);
     this.#logTakenOver(layers, { from: SpendingSource.Store, ageMs });
   }
 
@@ -469,14 +470,25 @@
   return [...new Set(names)];
 }
 
-/** What a fleet without other knowledge will find as spent. */
-function coverageOf(records: readonly RecordedAccount[]): SpendingCoverage {
-  const byWorkspace = new Map<string, number>();
-  for (const { layers, ahead } of records) {
-    const amounts = [...layers.flatMap(({ spending }) => spending), ...ahead];
-    for (const { workspace, spent } of amounts) {
-      byWorkspace.set(workspace, (byWorkspace.get(workspace) ?? 0) + spent);
+/** Spending as of now that records state. */
+function restored(
+  records: readonly SpendingRecord[],
+  of: { mayLackSpending: boolean; windowMs: number; nowMs: number },
+): SpendingByShare {
+  const { mayLackSpending, windowMs, nowMs } = of;
+  const sums = new SpendingByShare(windowMs);
+  const latestAgeMs = latestAgeMsOf(records);
+  for (const record of records) {
+    const isLast = mayLackSpending &&
+      record.ageMs - latestAgeMs <= MAX_RENEWAL_MS;
+    addLayers(sums, restoredLayers(record, { isLast }), nowMs);
+    for (const { workspace, spent } of isLast ? record.ahead : []) {
+      sums.of(1).insert(workspace, spent, nowMs);
     }
   }
-  return { share: 1, byWorkspace };
+  return sums;
+}
+
+function latestAgeMsOf(records: readonly SpendingRecord[]): number {
+  return Math.min(...records.map(({ ageMs }) => ageMs));
 }
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -49,14 +49,14 @@
  * spend more while the store does not answer, and what a fleet that lost its
  * state counts as spent in vain.
  */
-const RECORD_AHEAD_SHARE = 0.25;
+const RECORD_AHEAD_SHARE = 0.1;
 
 /**
  * Part of the bound that may be handed out without a record after a takeover,
  * by an instance that cannot record: it acts for a silent coordinator, or the
  * store does not answer.
  */
-const TAKEOVER_SHARE = 0.25;
+const TAKEOVER_SHARE = 0.35;
 
 /**
  * Age at which a record of workspaces near their bounds is rewritten. A
