Log the growth of the process's memory, and count unexpected errors

A process that exceeds the memory of its machine is killed without a line, so that logs could not tell this from any other end. Errors that reach the handler at the top of the process have a counter, which is 0 on sound code. No decision depends on either.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 /** Composition root of one entry instance, which routes requests to targets. */
 
+import process from "node:process";
 import { Agent } from "node:http";
 import { connect } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
@@ -44,6 +45,7 @@
 import { SnapshotServer } from "./snapshot_server.ts";
 import { PeerSocket } from "./peer_socket.ts";
 import { PlacementClient } from "./placement_client.ts";
+import { ProcessMemoryMonitor } from "./process_memory_monitor.ts";
 import { RelayServer } from "./relay_server.ts";
 import { RetryBudgetHandover } from "./retry_budget_handover.ts";
 import { RolloutController } from "./rollout_controller.ts";
@@ -124,6 +126,8 @@
   readonly #status: StatusServer;
   readonly #eventLoopMonitor: EventLoopMonitor;
   readonly #monitors: CoordinatorMonitors;
+  readonly #answerMemory = new AnswerMemory();
+  readonly #memoryMonitor: ProcessMemoryMonitor;
   readonly #role: AssigningRole;
   #askCounter = 0;
   #isLeaving = false;
@@ -301,6 +305,13 @@
       busyMs: () => performance.eventLoopUtilization().active,
       loadFacts: () => this.#loadFacts(),
     });
+    this.#memoryMonitor = new ProcessMemoryMonitor({
+      answerMemory: this.#answerMemory,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      read: () => process.memoryUsage(),
+    });
     this.#monitors = new CoordinatorMonitors({
       board: this.board,
       coordinator: this.#coordinator,
@@ -376,6 +387,7 @@
    * @param error The error.
    */
   logUnexpectedError(error: unknown): void {
+    this.#metrics.unexpectedError();
     this.#log.warn(LogPart.Process, "unexpected error", {
       reason: reasonOf(error),
     });
@@ -586,6 +598,7 @@
     this.#streams.tick();
     this.#listConfirmation.tick();
     this.#monitors.tick();
+    this.#memoryMonitor.tick();
     this.#role.update();
     if (this.#role.isCoordinator) {
       this.#coordinate();
@@ -618,7 +631,7 @@
     const prefix = `${instanceId}.${this.#self.incarnation.toString(36)}`;
     return {
       board: this.board,
-      answerMemory: new AnswerMemory(),
+      answerMemory: this.#answerMemory,
       answeredParts: new AnsweredParts(),
       clock: this.#clock,
       log: this.#log,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -58,6 +58,15 @@
     "Times that a workspace came to be over its share of a pool.",
     ["pool"],
   );
+  readonly #unexpectedErrors = this.#counter(
+    "unexpected_errors_total",
+    "Errors that no part of the program handled.",
+    [],
+  );
+  readonly #processMemoryBytes = this.#gauge(
+    "process_memory_bytes",
+    "Memory of the machine that the process occupies.",
+  );
   readonly #requests = this.#counter("requests_total", "Requests read.", [
     "route",
   ]);
@@ -319,6 +328,16 @@
     this.#timerDelayMs.observe(delayMs);
   }
 
+  /** Counts an error that no part of the program handled. */
+  unexpectedError(): void {
+    this.#unexpectedErrors.inc();
+  }
+
+  /** @param bytes Memory of the machine that the process occupies. */
+  processMemory(bytes: number): void {
+    this.#processMemoryBytes.set(bytes);
+  }
+
   /** @param count Number of targets that are reached through others only. */
   relayedTargets(count: number): void {
     this.#relayedTargets.set(count);
