Drop log lines once the log's reader has closed it

Callers saw nothing but a busier instance. The output notes the error now and lines are dropped, as they are for a reader that does not read.

--- a/packages/gateway/src/event_log_test.ts
+++ b/packages/gateway/src/event_log_test.ts
@@ -21,6 +21,29 @@
   process.exit(0);
 `;
 
+/**
+ * Writes lines once its standard input has ended, then the number of errors that
+ * nothing handled to the standard error.
+ */
+const UNREAD_PROCESS = `
+  const { EventLog, LogPart } = await import("./event_log.js");
+  let errors = 0;
+  process.on("uncaughtException", () => errors++);
+  const log = new EventLog({ nowMs: () => 0 }, "i1");
+  process.stdin.resume().on("end", () => {
+    let lines = 0;
+    const timer = setInterval(() => {
+      log.info(LogPart.Request, "served");
+      log.flush();
+      lines++;
+      if (lines === 20) {
+        process.stderr.write(errors + " errors");
+        process.exit(0);
+      }
+    });
+  });
+`;
+
 function logLines(count: number): { nowMs: () => number; texts: string[] } {
   const texts: string[] = [];
   let nowMs = 0;
@@ -67,4 +90,21 @@
   child.kill();
 });
 
+// Guards against unexpected errors, one for each line, after the reader of the
+// log has ended.
+test("a reader that has closed the log causes no errors", async () => {
+  const child = spawn(
+    process.execPath,
+    ["--input-type=module", "--eval", UNREAD_PROCESS],
+    { cwd: import.meta.dirname },
+  );
+  child.stdout.destroy();
+  await once(child.stdout, "close");
+  child.stdin.end();
+  let text = "";
+  child.stderr.on("data", (chunk) => text += String(chunk));
+  await once(child, "close");
+  assert.is(text, "0 errors");
+});
+
 test.run();
--- a/packages/gateway/src/log_output.ts
+++ b/packages/gateway/src/log_output.ts
@@ -21,14 +21,21 @@
   #lines: string[] = [];
   #batchBytes = 0;
   #timer?: NodeJS.Timeout;
+  /** Whether the reader has closed the stream; lines are dropped then. */
+  #isClosed = false;
 
   /** @param stream Stream to write to; standard output by default. */
   constructor(stream: NodeJS.WritableStream = process.stdout) {
     this.#stream = stream;
+    // Each write to a closed pipe fails. The error has no place to be logged.
+    stream.on("error", () => this.#isClosed = true);
   }
 
-  /** Whether the buffered bytes are below their bound. */
+  /** Whether lines can be written, and the buffered bytes are below a bound. */
   get hasCapacity(): boolean {
+    if (this.#isClosed) {
+      return false;
+    }
     const { writableLength = 0 } = this.#stream as { writableLength?: number };
     return this.#batchBytes + writableLength < MAX_BUFFERED_BYTES;
   }
