Close kept connections whose target closed them after a 204 or 304

Callers of at-most-once routes got 504 timeout_may_have_run for a request that followed an answer 204 or 304 whose target then closed the connection.

An answer with neither a length nor chunks counted as one that ends with its connection, also where its status or method excludes a body. The listener that checks such a connection's end stayed on the kept connection and threw, which kept the other listeners of the event from removing the connection from the pool. The next request was written to it.

Answers 204 and 304, and answers to HEAD, no longer count as delimited by the end of their connection, so that no listener stays on a kept connection.

The test failed before: 'TypeError: Cannot read properties of null (reading 'write') at TargetExchange.#probeReset' ended the test run; it passes with the control of a 200 with length 0.

--- a/packages/gateway/src/relay_server.ts
+++ b/packages/gateway/src/relay_server.ts
@@ -254,7 +254,7 @@
   if (length !== undefined) {
     headers.push("Content-Length", length);
   }
-  if (isDelimitedByClose(answer)) {
+  if (isDelimitedByClose(answer, response.req.method)) {
     headers.push(UNFRAMED_HEADER, "1", "Connection", UNFRAMED_HEADER);
   }
   const { statusCode, statusMessage = NO_STATUS_MESSAGE } = answer;
--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -78,6 +78,11 @@
 
 const NO_BYTES = Buffer.alloc(0);
 
+const HEAD_METHOD = "HEAD";
+
+/** Status codes of answers without a body, after which connections are kept. */
+const BODILESS_STATUSES: ReadonlySet<number | undefined> = new Set([204, 304]);
+
 /** Sends one request and reports its answer, or the failure, to a sink. */
 export class TargetExchange {
   readonly #sink: ExchangeSink;
@@ -223,9 +228,13 @@
       return;
     }
     this.#answer = answer;
-    if (isDelimitedByClose(answer)) {
+    const { socket } = answer;
+    if (isDelimitedByClose(answer, this.#request!.method)) {
       // Prepended, since the HTTP parser closes the connection when it ends.
-      answer.socket.prependListener("end", () => this.#probeReset(answer));
+      socket.prependOnceListener(
+        "end",
+        () => this.#probeReset(answer, socket),
+      );
     }
     this.#sink.head(answer);
     answer.on("data", (chunk: Buffer) => {
@@ -243,9 +252,9 @@
    * arrive together, Node.js reports a normal end; the reset shows only on the
    * next use of the connection, here a write of no bytes.
    */
-  #probeReset(answer: IncomingMessage): void {
+  #probeReset(answer: IncomingMessage, socket: Socket): void {
     this.#isProbingReset = true;
-    answer.socket.write(NO_BYTES, (error) => {
+    socket.write(NO_BYTES, (error) => {
       this.#isProbingReset = false;
       if (error !== undefined && error !== null) {
         this.#fail(`answer truncated: ${error.message}`);
@@ -278,13 +287,18 @@
 }
 
 /**
- * Checks whether an answer has neither a length nor chunks, so that the end of
- * the connection is what delimits its body.
+ * Checks whether an answer has a body with neither a length nor chunks, so that
+ * the end of the connection is what delimits it.
  *
  * @param answer Status and headers of the answer.
+ * @param method Method of the request.
  * @returns Whether the answer is delimited by the end of its connection.
  */
-export function isDelimitedByClose({ headers }: IncomingMessage): boolean {
-  return headers["content-length"] === undefined &&
+export function isDelimitedByClose(
+  { headers, statusCode }: IncomingMessage,
+  method?: string,
+): boolean {
+  const hasBody = method !== HEAD_METHOD && !BODILESS_STATUSES.has(statusCode);
+  return hasBody && headers["content-length"] === undefined &&
     headers["transfer-encoding"] === undefined;
 }
--- a/packages/gateway/src/target_exchange_test.ts
+++ b/packages/gateway/src/target_exchange_test.ts
@@ -1,16 +1,24 @@
-/** Tests of requests that Node.js refuses to create. */
+/** Tests of requests that cannot be created, and of kept connections. */
 
+import { once } from "node:events";
 import { Agent } from "node:http";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { type ExchangeFailure, TargetExchange } from "./target_exchange.ts";
+import {
+  type ExchangeFailure,
+  type ExchangeOptions,
+  type ExchangeSink,
+  TargetExchange,
+} from "./target_exchange.ts";
 import { ProbeResult, TargetProbes } from "./target_probes.ts";
 
 const SOUND_ADDRESS = "127.0.0.1:1";
 
 /** Creates an exchange and collects its failures. */
 function exchangeWith(
-  overrides: { address?: string; path?: string; headers?: string[] },
+  overrides: Partial<ExchangeOptions>,
+  sink: Partial<ExchangeSink> = {},
 ): { exchange: TargetExchange; failures: ExchangeFailure[] } {
   const failures: ExchangeFailure[] = [];
   const exchange = new TargetExchange({
@@ -26,6 +34,7 @@
     data: () => {},
     ended: () => {},
     failed: (failure) => failures.push(failure),
+    ...sink,
   });
   return { exchange, failures };
 }
@@ -74,4 +83,47 @@
   assert.is(await probes.probe("127.0.0.1:65536"), ProbeResult.Failed);
 });
 
+/** Sends a request, and returns how its answer ended. */
+function endOf(options: Partial<ExchangeOptions>): Promise<string> {
+  return new Promise((resolve) => {
+    exchangeWith(options, {
+      ended: () => resolve("ended"),
+      failed: ({ reason }) => resolve(reason),
+    });
+  });
+}
+
+// Guards against a kept connection that stays in use after its target closed
+// it, as the handler of its end throws.
+for (
+  const head of ["200 OK\r\nContent-Length: 0", "204 None", "304 Not Modified"]
+) {
+  test(`a connection closed after an answer ${head} is not reused`, async () => {
+    const connections: Socket[] = [];
+    const server = createServer((connection) => {
+      connections.push(connection);
+      connection.on("data", () => connection.write(`HTTP/1.1 ${head}\r\n\r\n`));
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const agent = new Agent({ keepAlive: true });
+    try {
+      const { port } = server.address() as AddressInfo;
+      const options = { agent, address: `127.0.0.1:${port}` };
+      const freed = once(agent, "free");
+      assert.is(await endOf(options), "ended");
+      const [kept] = await freed;
+      const closed = once(kept, "close");
+      connections[0]!.end();
+      await closed;
+      assert.equal(Object.keys(agent.freeSockets), []);
+      assert.is(await endOf(options), "ended");
+      assert.is(connections.length, 2);
+    } finally {
+      agent.destroy();
+      server.close();
+      connections.forEach((connection) => connection.destroy());
+    }
+  });
+}
+
 test.run();
