Go on with the ticks of an instance if a part of one throws

An error in one tick ended all later ticks of the instance for good: no heartbeat, no timeout of placements, no following of the store's targets. The instance stayed ready, and callers' requests waited for their deadlines. One part that throws also skipped the parts after it, and the accounts of a new coordinator after the one that throws were not taken over.

The timer was scheduled again only after the tick had returned. It is scheduled in any case now, the parts of a tick and the accounts run isolated from each other, and each error is reported to the process's handler, which logs and counts it as before.

The test failed before: 'timed out waiting for () => ticks >= 3'.

--- a/packages/gateway/src/assigning_role.ts
+++ b/packages/gateway/src/assigning_role.ts
@@ -8,6 +8,7 @@
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock } from "./ports.ts";
+import { runIsolated } from "./run_isolated.ts";
 
 /**
  * Time without assignments after which an instance that is not the coordinator
@@ -82,7 +83,7 @@
     this.#isCoordinator = isCoordinator;
     coordinator.setRole(isCoordinator, nowMs);
     if (isCoordinator) {
-      this.#parts.accounts.forEach((account) => account.becameCoordinator());
+      this.#takeOverAccounts();
     } else {
       // The accounts still cover asks that are on the way to this instance.
       this.#actedAtMs = nowMs;
@@ -107,7 +108,9 @@
     this.#actedAtMs = nowMs;
     if (isOutdated) {
       coordinator.accountingBegan(nowMs);
-      accounts.forEach((account) => account.becameActingCoordinator?.(share()));
+      for (const account of accounts) {
+        runIsolated(() => account.becameActingCoordinator?.(share()));
+      }
     }
   }
 
@@ -118,7 +121,13 @@
   stalled(): void {
     this.#actedAtMs = -Infinity;
     if (this.#isCoordinator) {
-      this.#parts.accounts.forEach((account) => account.becameCoordinator());
+      this.#takeOverAccounts();
+    }
+  }
+
+  #takeOverAccounts(): void {
+    for (const account of this.#parts.accounts) {
+      runIsolated(() => account.becameCoordinator());
     }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -49,6 +49,7 @@
 import { RelayServer } from "./relay_server.ts";
 import { RetryBudgetHandover } from "./retry_budget_handover.ts";
 import { RolloutController } from "./rollout_controller.ts";
+import { runIsolated } from "./run_isolated.ts";
 import type {
   CallProtocol,
   Clock,
@@ -556,8 +557,10 @@
     this.#tickDueMs = dueMs;
     this.#tickTimer = setTimeout(() => {
       this.#tickTimer = undefined;
-      this.#tick();
-      this.#scheduleTick(this.#tickDelayMs());
+      runIsolated(() => this.#tick());
+      // In any case, also if the next line throws.
+      this.#scheduleTick(IDLE_TICK_MS);
+      runIsolated(() => this.#scheduleTick(this.#tickDelayMs()));
     }, withinMs);
   }
 
@@ -579,39 +582,47 @@
       const untilMs = nowMs + RECENT_DELAY_MS;
       this.#recentDelay = { lateMs: this.#lateMs, untilMs };
     }
-    this.#eventLoopMonitor.recordTimer(this.#lateMs);
+    runIsolated(() => this.#eventLoopMonitor.recordTimer(this.#lateMs));
     this.board.members.isLoaded = this.#eventLoopMonitor.isLoaded;
     if (this.#lateMs > MIN_STALL_MS) {
-      // Holders have moved to another coordinator meanwhile. Their reports will
-      // restore what is still open.
-      this.#log.warn(LogPart.Process, "process was stalled", {
-        lateMs: Math.round(this.#lateMs),
-      });
-      this.#coordinator.clearAsks();
-      this.#role.stalled();
+      runIsolated(() => this.#onStalled());
     }
     this.#eventLoopMonitor.runTask("tick", () => {
-      this.#fleetState.tick();
-      this.#heartbeatExchange.tick();
-      this.#placementClient.tick();
+      runIsolated(() => this.#fleetState.tick());
+      runIsolated(() => this.#heartbeatExchange.tick());
+      runIsolated(() => this.#placementClient.tick());
     });
-    this.#streams.tick();
-    this.#listConfirmation.tick();
-    this.#monitors.tick();
-    this.#memoryMonitor.tick();
-    this.#role.update();
+    runIsolated(() => this.#streams.tick());
+    runIsolated(() => this.#listConfirmation.tick());
+    runIsolated(() => this.#monitors.tick());
+    runIsolated(() => this.#memoryMonitor.tick());
+    runIsolated(() => this.#role.update());
     if (this.#role.isCoordinator) {
       this.#coordinate();
     }
   }
 
+  /**
+   * Holders have moved to another coordinator meanwhile. Their reports will
+   * restore what is still open.
+   */
+  #onStalled(): void {
+    this.#log.warn(LogPart.Process, "process was stalled", {
+      lateMs: Math.round(this.#lateMs),
+    });
+    this.#coordinator.clearAsks();
+    this.#role.stalled();
+  }
+
   /** Runs the periodic work of the coordinator. */
   #coordinate(): void {
-    this.#spending.record();
-    this.#suspects.record();
-    this.#streams.record();
-    this.#rollouts.tick(
-      this.board.members.shares.reachable(this.#clock.nowMs()),
+    runIsolated(() => this.#spending.record());
+    runIsolated(() => this.#suspects.record());
+    runIsolated(() => this.#streams.record());
+    runIsolated(() =>
+      this.#rollouts.tick(
+        this.board.members.shares.reachable(this.#clock.nowMs()),
+      )
     );
   }
 
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -14,6 +14,8 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { NO_OP_PLATFORM } from "./gateway_test_support.ts";
 import type { CallProtocol, PlatformPort } from "./ports.ts";
+import { ProcessMemoryMonitor } from "./process_memory_monitor.ts";
+import { collectUnhandled } from "./unhandled_errors_test_support.ts";
 
 const HOST = "127.0.0.1";
 const ANY_PORT = `${HOST}:0`;
@@ -347,6 +349,29 @@
   assert.match(String(reason), "no time");
 });
 
+// Guards against an error in one tick that ends all ticks, or that skips the
+// parts of the tick after the one that throws.
+testOn(
+  "ticks go on, and run all other parts, if a part throws",
+  (harness) =>
+    collectUnhandled(async (messages) => {
+      const { prototype } = ProcessMemoryMonitor;
+      const { tick } = prototype;
+      let ticks = 0;
+      prototype.tick = () => ticks++;
+      try {
+        harness.gateway.board.members.standsAside = () => {
+          throw new Error("broken part");
+        };
+        await until(() => ticks >= 3);
+        assert.ok(messages.length >= 2);
+        assert.ok(messages.every((message) => message === "broken part"));
+      } finally {
+        prototype.tick = tick;
+      }
+    }),
+);
+
 // Guards against sends that are counted for the wrong domain, or not at all.
 for (const [targetDomain, counted] of [["a", "own"], ["b", "other"]] as const) {
   testOn(`a send to domain ${targetDomain} is counted`, async (harness) => {
