Repeat calls to the store and to peers after one was rejected

The mark of a call in progress was removed only after a call that returned. It is removed in any case now. A rejected read or write counts as one with an unknown outcome, is repeated after its usual delay, and its error is reported to the process's handler.

--- a/packages/gateway/src/peer_fetch.ts
+++ b/packages/gateway/src/peer_fetch.ts
@@ -73,8 +73,7 @@
       snapshotAddressOf(from, snapshotPort),
       kind,
       schema,
-    );
-    this.#isFetching = false;
+    ).finally(() => this.#isFetching = false);
     fetched.match(
       (content) => onFetched(content, from),
       (reason) => {
--- a/packages/gateway/src/rollout_controller.ts
+++ b/packages/gateway/src/rollout_controller.ts
@@ -25,6 +25,7 @@
   StatusWriteOutcome,
   type StatusWriteResult,
 } from "./ports.ts";
+import { reportUnhandled } from "./run_isolated.ts";
 
 /** Time between two checks of whether a roll-out advances to its next phase. */
 const CHECK_INTERVAL_MS = 100;
@@ -264,14 +265,15 @@
   async #write(pool: string, state: RolloutState): Promise<void> {
     const { board: { rollouts }, platform, log } = this.#parts;
     const { version } = rollouts.orderOf(pool)!;
+    const rowVersion = this.#rowVersions.get(pool) ?? 0;
+    const record = rollouts.updatesToStore(this.#nowMs());
     this.#writing.add(pool);
-    const written = await platform.writeRolloutStatus({
-      pool,
-      version,
-      state,
-      rowVersion: this.#rowVersions.get(pool) ?? 0,
-      record: rollouts.updatesToStore(this.#nowMs()),
-    });
+    const written = await platform
+      .writeRolloutStatus({ pool, version, state, rowVersion, record })
+      .catch((error) => {
+        reportUnhandled(error);
+        return { outcome: StatusWriteOutcome.Unknown, rowVersion };
+      });
     this.#writing.delete(pool);
     log.info(LogPart.Rollouts, "status write", {
       pool,
--- a/packages/gateway/src/spending_recorder.ts
+++ b/packages/gateway/src/spending_recorder.ts
@@ -33,6 +33,7 @@
   SpendingRecord,
   SpendingRow,
 } from "./ports.ts";
+import { reportUnhandled } from "./run_isolated.ts";
 
 /** Minimum time between two records: at most five writes per second. */
 const MIN_RECORD_INTERVAL_MS = 200;
@@ -203,7 +204,10 @@
     const { coordinator, platform } = this.#parts;
     const epoch = this.#epoch;
     this.#calledAtMs = this.#nowMs();
-    const row = await platform.readSpending();
+    const row = await platform.readSpending().catch((error) => {
+      reportUnhandled(error);
+      return undefined;
+    });
     if (epoch !== this.#epoch) {
       return;
     }
@@ -233,6 +237,9 @@
     const { outcome, rowVersion } = await platform.recordSpending({
       records: [{ ...account, recorderId, ageMs: 0 }, ...others],
       rowVersion: row.rowVersion,
+    }).catch((error) => {
+      reportUnhandled(error);
+      return { outcome: RecordOutcome.Unknown, rowVersion: row.rowVersion };
     });
     if (epoch !== this.#epoch) {
       return;
--- a/packages/gateway/src/store_recorder.ts
+++ b/packages/gateway/src/store_recorder.ts
@@ -1,6 +1,7 @@
 /** Keeps a record in the platform's store up to date at a limited rate. */
 
 import type { Clock } from "./ports.ts";
+import { reportUnhandled } from "./run_isolated.ts";
 
 /** Source, destination and rate limit of a {@link StoreRecorder}. */
 export interface RecorderOptions<T> {
@@ -53,7 +54,10 @@
     }
     this.#isWriting = true;
     this.pauseFor(minIntervalMs);
-    const isRecorded = await write(record);
+    const isRecorded = await write(record).catch((error) => {
+      reportUnhandled(error);
+      return false;
+    });
     this.#isWriting = false;
     if (!isRecorded) {
       onFailed(record);
--- a/packages/gateway/src/target_list_confirmation.ts
+++ b/packages/gateway/src/target_list_confirmation.ts
@@ -64,8 +64,7 @@
     const areRead = await Promise.all([
       platform.readTargets(),
       platform.readStreams(),
-    ]);
-    this.#isReading = false;
+    ]).finally(() => this.#isReading = false);
     if (areRead.every((isRead) => isRead)) {
       this.#confirmed(nowMs);
     }
