End an exchange as failed if the handler of its answer throws

A request whose answer could not be handled, as an error was thrown for its head or a part of its body, was neither answered nor repeated until its deadline, and the error left the events of the connection half handled.

The handlers of the answer run isolated from those events now. An error is reported to the process's handler, and the exchange fails as one that was sent, so that the caller gets a truthful error or the answer of another target at once.

--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -9,6 +9,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { hostPortOf } from "./host_port.ts";
+import { reportUnhandled, runIsolated } from "./run_isolated.ts";
 
 /** The request to send, and the target's address. */
 export interface ExchangeOptions {
@@ -236,10 +237,10 @@
         () => this.#probeReset(answer, socket),
       );
     }
-    this.#sink.head(answer);
+    this.#runSink(() => this.#sink.head(answer));
     answer.on("data", (chunk: Buffer) => {
       if (!this.#isDone) {
-        this.#sink.data(chunk);
+        this.#runSink(() => this.#sink.data(chunk));
       }
     });
     answer.on("end", () => this.#onAnswerEnded(answer));
@@ -273,7 +274,18 @@
       return;
     }
     this.#isDone = true;
-    this.#sink.ended();
+    runIsolated(() => this.#sink.ended());
+  }
+
+  /** Passes a part of the answer on; an error ends the exchange as failed. */
+  #runSink(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      reportUnhandled(error);
+      this.#fail(`answer could not be handled: ${String(error)}`);
+      this.#request?.destroy();
+    }
   }
 
   #fail(reason: string): void {
@@ -282,7 +294,7 @@
     }
     this.#isDone = true;
     this.#stopConnectTimers();
-    this.#sink.failed({ isSent: this.#isSent, reason });
+    runIsolated(() => this.#sink.failed({ isSent: this.#isSent, reason }));
   }
 }
 
--- a/packages/gateway/src/target_exchange_test.ts
+++ b/packages/gateway/src/target_exchange_test.ts
@@ -1,7 +1,7 @@
 /** Tests of requests that cannot be created, and of kept connections. */
 
 import { once } from "node:events";
-import { Agent } from "node:http";
+import { Agent, createServer as createHttpServer } from "node:http";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -12,6 +12,7 @@
   TargetExchange,
 } from "./target_exchange.ts";
 import { ProbeResult, TargetProbes } from "./target_probes.ts";
+import { collectUnhandled } from "./unhandled_errors_test_support.ts";
 
 const SOUND_ADDRESS = "127.0.0.1:1";
 
@@ -84,9 +85,13 @@
 });
 
 /** Sends a request, and returns how its answer ended. */
-function endOf(options: Partial<ExchangeOptions>): Promise<string> {
+function endOf(
+  options: Partial<ExchangeOptions>,
+  sink: Partial<ExchangeSink> = {},
+): Promise<string> {
   return new Promise((resolve) => {
     exchangeWith(options, {
+      ...sink,
       ended: () => resolve("ended"),
       failed: ({ reason }) => resolve(reason),
     });
@@ -126,4 +131,30 @@
   });
 }
 
+// Guards against an answer that is neither complete nor failed, so that its
+// caller waits for the deadline, as the handler of a part of it threw.
+for (const part of ["head", "data"] as const) {
+  test(`an exchange fails if the handler of its ${part} throws`, () =>
+    collectUnhandled(async (messages) => {
+      const server = createHttpServer((_request, response) => {
+        response.write("a part");
+      }).listen(0, "127.0.0.1");
+      await once(server, "listening");
+      const { port } = server.address() as AddressInfo;
+      try {
+        const address = `127.0.0.1:${port}`;
+        const reason = await endOf({ address, headers: ["Host", "h"] }, {
+          [part]: () => {
+            throw new Error("broken handler");
+          },
+        });
+        assert.match(reason, "broken handler");
+        assert.equal(messages, ["broken handler"]);
+      } finally {
+        server.close();
+        server.closeAllConnections();
+      }
+    }));
+}
+
 test.run();
