--- a/tests/soak_checks.ts
+++ b/tests/soak_checks.ts
@@ -95,7 +95,20 @@
       }))
     )
   );
-  return [...callViolations, ...evidence.instances.flatMap(findBadEnds)];
+  return [
+    ...callViolations,
+    ...evidence.instances.flatMap(findBadEnds),
+    ...evidence.instances.flatMap(findErrors),
+  ];
+}
+
+function findErrors({ id, errorLines }: SoakInstance): BrokenPromise[] {
+  return errorLines.map((detail) => ({
+    promise: "an instance meets no unexpected error",
+    requestId: "",
+    instanceId: id,
+    detail,
+  }));
 }
 
 function findBadEnds({ id, ends }: SoakInstance): BrokenPromise[] {
--- a/tests/soak_instance.ts
+++ b/tests/soak_instance.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
+import { isErrorLine } from "@chestnuthatch/platform/error_lines";
 import { LinkMode } from "@chestnuthatch/platform/standin_link";
 import { nextHost } from "./link_relay.ts";
 import { type ProcessEnd, ServerProcess } from "./server_process.ts";
@@ -100,6 +101,8 @@
   readonly killedAtMs: number[] = [];
   readonly ends: InstanceEnd[] = [];
   readonly logLines: string[] = [];
+  /** All lines of errors that an instance should not meet. */
+  readonly errorLines: string[] = [];
   readonly #options: SoakInstanceOptions;
   readonly #ip = nextHost();
   readonly #statusAddress: string;
@@ -353,6 +356,9 @@
   }
 
   #recordLine(line: string): void {
+    if (isErrorLine(line)) {
+      this.errorLines.push(line);
+    }
     if (this.logLines.length < MAX_LOG_LINES) {
       this.logLines.push(line);
     }
