Refuse requests whose run would outlast the stop before they are sent

Callers of a stopping instance got no whole answer to requests that had waited for a slot: with a grace time of 5 s, a stream that may not be repeated was sent late and cut 4.9 s after the signal.

Whether a request may run was decided once, by its time of arrival. A request that has not run is refused as leaving, and its placement is returned. The same holds for repeats and for the second target of a silent one; begun streams go on as long as they can.

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -23,7 +23,10 @@
 } from "./caller_connections.ts";
 import { CallerReply } from "./caller_reply.ts";
 import { ShutdownStage } from "./shutdown_stage.ts";
-import { DEFAULT_RETRY_AFTER_MS } from "./retry_after.ts";
+import {
+  DEFAULT_RETRY_AFTER_MS,
+  LEAVING_RETRY_AFTER_MS,
+} from "./retry_after.ts";
 import { LogPart } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { UnfinishedAnswer } from "./unfinished_answer.ts";
@@ -32,6 +35,7 @@
 import type { RoutedCall } from "./routed_call.ts";
 import { RequestBodyReader } from "./request_body_reader.ts";
 import { RoutedRequest } from "./routed_request.ts";
+import { RunDurations } from "./run_durations.ts";
 import { isStream } from "./target_attempt.ts";
 
 /** Limits that apply until a configuration is known. */
@@ -63,9 +67,6 @@
 /** Retry time for callers of an instance that has no configuration yet. */
 const NO_CONFIGURATION_RETRY_AFTER_MS = 300;
 
-/** Retry time for callers of a leaving instance, who reach another one. */
-const LEAVING_RETRY_AFTER_MS = 50;
-
 /** Factor by which answers to the same caller differ in size. */
 const SLOW_ANSWER_RATIO = 1.5;
 
@@ -85,6 +86,7 @@
   readonly #server: Server;
   readonly #connections: CallerConnections;
   readonly #openRequests = new Set<RoutedRequest>();
+  readonly #runDurations = new RunDurations();
   #limits = STARTING_LIMITS;
   #stage = ShutdownStage.Open;
   /** Time until begun answers are aborted; infinite unless shutting down. */
@@ -171,9 +173,15 @@
     this.#timeToAbortMs = timeToAbortMs;
   }
 
-  /** Refuses new requests from now on, and closes idle connections. */
+  /**
+   * Refuses new requests from now on, and those that wait for a placement and
+   * would not finish, and closes idle connections.
+   */
   refuseRequests(): void {
     this.#stage = ShutdownStage.Refusing;
+    for (const request of [...this.#openRequests]) {
+      request.refuseIfTooLate();
+    }
     this.#connections.closeIdle();
   }
 
@@ -382,6 +390,10 @@
     const routed = new RoutedRequest(this.#parts, {
       call,
       reply,
+      stop: {
+        runDurations: this.#runDurations,
+        leftMs: () => this.#timeToAbortMs(),
+      },
       onDone: () => {
         this.#openRequests.delete(routed);
         this.#parts.metrics.openRequests(this.#openRequests.size);
--- a/packages/gateway/src/retry_after.ts
+++ b/packages/gateway/src/retry_after.ts
@@ -10,6 +10,9 @@
 /** Time after which a refused caller retries, where none was computed. */
 export const DEFAULT_RETRY_AFTER_MS = 500;
 
+/** Retry time for callers of a leaving instance, who reach another one. */
+export const LEAVING_RETRY_AFTER_MS = 50;
+
 /** Errors for callers, by the coordinator's reason to refuse the ask. */
 export const REFUSAL_ERRORS: Readonly<Record<AskRefusal, RoutedError>> = {
   [AskRefusal.Overload]: RoutedError.Overload,
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -7,6 +7,7 @@
 
 import type { Buffer } from "node:buffer";
 import { RequestKind } from "@chestnuthatch/routing/fleet_configuration";
+import { INITIAL_EVENT_GAP_MS } from "@chestnuthatch/routing/latency_model";
 import {
   AttemptEnd,
   mayRunAgain,
@@ -25,25 +26,37 @@
 import type { CallerReply } from "./caller_reply.ts";
 import {
   DEFAULT_RETRY_AFTER_MS,
+  LEAVING_RETRY_AFTER_MS,
   REFUSAL_ERRORS,
   retryAfterMsOf,
 } from "./retry_after.ts";
 import { type LogFacts, LogPart } from "./event_log.ts";
+import { maySend } from "./finish_forecast.ts";
 import { TargetDomain } from "./gateway_metrics.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { isUnframed } from "./relay_server.ts";
 import { deadlineAtMs, type RoutedCall } from "./routed_call.ts";
+import type { RunDurations } from "./run_durations.ts";
 import { SilenceTimer } from "./silence_timer.ts";
 import { StandbyAttempt } from "./standby_attempt.ts";
 import { StreamProgress } from "./stream_progress.ts";
 import { StreamVersion } from "./stream_version.ts";
-import { TargetAttempt } from "./target_attempt.ts";
+import { isStream, TargetAttempt } from "./target_attempt.ts";
 import { poolBackoffMs, workAskOf } from "./work_ask_of.ts";
 
+/** What decides whether a request may run while its instance stops. */
+export interface StopOutlook {
+  readonly runDurations: RunDurations;
+  /** @returns Time until begun answers are aborted; infinite unless stopping. */
+  leftMs(): number;
+}
+
 /** A request to run and where its answer goes. */
 export interface RoutedRequestOptions {
   readonly call: RoutedCall;
   readonly reply: CallerReply;
+  /** Absent where the request runs without regard to a stop. */
+  readonly stop?: StopOutlook;
   /** Called once, when the request is finished or cancelled. */
   onDone(): void;
 }
@@ -53,6 +66,7 @@
   readonly #parts: GatewayParts;
   readonly #call: RoutedCall;
   readonly #reply: CallerReply;
+  readonly #stop?: StopOutlook;
   readonly #onDone: () => void;
   readonly #triedTargetIds = new Set<string>();
   /** Id of the ask that has no decision yet, if any. */
@@ -76,6 +90,7 @@
   #deadlineTimer?: NodeJS.Timeout;
   #isCallerGone = false;
   #isCallerSlow = false;
+  #wasCallerSlow = false;
   #isAnswered = false;
   #isDone = false;
 
@@ -87,6 +102,7 @@
     this.#parts = parts;
     this.#call = options.call;
     this.#reply = options.reply;
+    this.#stop = options.stop;
     this.#onDone = () => options.onDone();
     this.#recorder = new AttemptRecorder(
       parts,
@@ -154,11 +170,21 @@
     const isSent = this.#runCount > 0;
     this.#fail(
       isSent ? RoutedError.AnswerLost : RoutedError.Leaving,
-      isSent ? undefined : DEFAULT_RETRY_AFTER_MS,
+      isSent ? undefined : LEAVING_RETRY_AFTER_MS,
     );
   }
 
+  /** Stops waiting for a placement that would come too late. */
+  refuseIfTooLate(): void {
+    if (this.#askId !== undefined) {
+      this.#refuseIfOutlastsStop();
+    }
+  }
+
   #ask(cause: AskCause): void {
+    if (this.#refuseIfOutlastsStop()) {
+      return;
+    }
     const backoffMs = poolBackoffMs(this.#parts, this.#call);
     if (backoffMs !== undefined) {
       this.#log("all targets asked to back off", {
@@ -217,6 +243,9 @@
       this.#returnPlacement(decision.targetId);
       return;
     }
+    if (this.#refuseIfOutlastsStop(decision)) {
+      return;
+    }
     this.#isCharged = true;
     if (this.#attempt !== undefined) {
       // The silent target may still answer, and the other one may reject.
@@ -225,6 +254,65 @@
     this.#send(target, decision, coordinatorId);
   }
 
+  /**
+   * Begins no run that would be cut when the instance stops: refuses a request
+   * that has not run, and goes on waiting for a silent target.
+   *
+   * @param decision The placement, if there is one.
+   * @returns Whether the request may not be sent.
+   */
+  #refuseIfOutlastsStop(decision?: PlaceDecision): boolean {
+    const leftMs = this.#stop?.leftMs() ?? Infinity;
+    if (leftMs === Infinity) {
+      return false;
+    }
+    const expectedMs = this.#expectedRunMs(decision);
+    const deadlineLeftMs = deadlineAtMs(this.#call) - this.#nowMs();
+    const { kind } = this.#call.route;
+    const { hasBegun, runCount } = this;
+    const run = {
+      kind,
+      leftMs,
+      deadlineLeftMs,
+      expectedMs,
+      runCount,
+      hasBegun,
+    };
+    if (maySend(run)) {
+      return false;
+    }
+    this.#log("run would outlast the stop", {
+      leftMs: Math.round(leftMs),
+      expectedMs: Math.round(expectedMs),
+      deadlineLeftMs: Math.round(deadlineLeftMs),
+      kind,
+      runs: runCount,
+      waitedMs: this.#elapsedMs(),
+    });
+    if (this.#attempt !== undefined) {
+      this.#dropAsk();
+    } else if (runCount > 0) {
+      this.#fail(RoutedError.AnswerLost);
+    } else {
+      this.#fail(RoutedError.Leaving, LEAVING_RETRY_AFTER_MS);
+    }
+    return true;
+  }
+
+  /** Expected time to the end of the answer. */
+  #expectedRunMs(decision?: PlaceDecision): number {
+    const { facts, route } = this.#call;
+    const firstMs = decision?.expectedMs ?? 0;
+    const recordedMs = this.#stop?.runDurations.expectedMs(route.name);
+    if (recordedMs !== undefined) {
+      return Math.max(firstMs, recordedMs);
+    }
+    const eventsMs = isStream(route.kind)
+      ? INITIAL_EVENT_GAP_MS * (facts.tokens?.output ?? 0)
+      : 0;
+    return Math.max(firstMs, route.objectiveMs) + eventsMs;
+  }
+
   /** Fails the request if a step throws, so that it is answered in any case. */
   #runOrFail(step: () => void): void {
     try {
@@ -364,6 +452,7 @@
     }
     if (bytes.length > 0 && !this.#reply.writeEvents(bytes)) {
       this.#isCallerSlow = true;
+      this.#wasCallerSlow = true;
       attempt.pause();
     }
   }
@@ -398,6 +487,10 @@
   }
 
   #recordServed(attempt: TargetAttempt): void {
+    if (!this.#wasCallerSlow) {
+      const tookMs = this.#nowMs() - attempt.sentAtMs;
+      this.#stop?.runDurations.record(this.#call.route.name, tookMs);
+    }
     this.#attempt = undefined;
     this.#dropAsk();
     this.#recorder.recordServed(attempt);
