Refuse requests that are still being read when a stop ends

A caller whose request body was still arriving at the end of the grace time saw its connection close without an answer, or its request was sent to a target that had no time left.

A request is counted apart while its body is read, so the abort at the end of the stop did not see it, and its start did not look at the stop again. Requests that are being read are now registered with a function that refuses them; the abort calls it, and a body that completes after that starts nothing.

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -86,13 +86,13 @@
   readonly #server: Server;
   readonly #connections: CallerConnections;
   readonly #openRequests = new Set<RoutedRequest>();
+  /** Functions that refuse the requests whose bodies are being read. */
+  readonly #readingRequests = new Set<() => void>();
   readonly #runDurations = new RunDurations();
   #limits = STARTING_LIMITS;
   #stage = ShutdownStage.Open;
   /** Time until begun answers are aborted; infinite unless shutting down. */
   #timeToAbortMs = () => Infinity;
-  /** Number of requests whose bodies are being read. */
-  #readingCount = 0;
 
   /** @param parts The instance's parts. */
   constructor(parts: GatewayParts) {
@@ -122,7 +122,7 @@
 
   /** Number of requests in progress, including those being read. */
   get openCount(): number {
-    return this.#openRequests.size + this.#readingCount;
+    return this.#openRequests.size + this.#readingRequests.size;
   }
 
   /** Counts of callers' connections and their unfinished answers. */
@@ -185,8 +185,12 @@
     this.#connections.closeIdle();
   }
 
-  /** Answers requests whose answers have not begun with an error. */
+  /**
+   * Answers requests whose answers have not begun with an error, also those
+   * that are still being read.
+   */
   abortRequests(): void {
+    this.#readingRequests.forEach((refuse) => refuse());
     this.#abort([...this.#openRequests].filter(({ hasBegun }) => !hasBegun));
   }
 
@@ -254,39 +258,39 @@
       return;
     }
     this.#parts.metrics.requestRead(admission.route.name);
-    this.#readingCount++;
     const refuse = (error: RoutedError, retryAfterMs?: number) => {
-      this.#readingCount--;
-      this.#refuse(reply, facts, { error, retryAfterMs });
+      if (this.#readingRequests.delete(refuseAsLeaving)) {
+        this.#refuse(reply, facts, { error, retryAfterMs });
+      }
     };
+    const refuseAsLeaving = () =>
+      refuse(RoutedError.Leaving, LEAVING_RETRY_AFTER_MS);
+    this.#readingRequests.add(refuseAsLeaving);
     const { timeoutMs } = admission.route;
     new RequestBodyReader(request, {
       maxBytes: this.#limits.maxBodyBytes,
       timeoutMs: Math.min(facts.deadlineMs ?? Infinity, timeoutMs),
       sink: {
-        complete: (body) => {
-          const call = routedCallOf({
-            request,
-            facts,
-            body,
-            arrivedAtMs,
-            admission,
-          });
-          this.#startUnlessCallerLeft(
-            unfinished,
-            () => this.#start(call, unfinished, reply),
-          );
-        },
+        complete: (body) =>
+          this.#afterCallerCheck(unfinished, (isConnected) => {
+            if (!this.#readingRequests.delete(refuseAsLeaving)) {
+              return;
+            }
+            const parts = { request, facts, body, arrivedAtMs, admission };
+            if (isConnected) {
+              this.#start(routedCallOf(parts), unfinished, reply);
+            }
+          }),
         tooLarge: () => refuse(RoutedError.BodyTooLarge),
         tooSlow: () =>
           refuse(RoutedError.TimeoutNotRun, DEFAULT_RETRY_AFTER_MS),
-        aborted: () => this.#readingCount--,
+        aborted: () => this.#readingRequests.delete(refuseAsLeaving),
       },
     });
   }
 
   /**
-   * Starts a completely received request, unless its caller has disconnected
+   * Checks whether the caller of a completely received request has disconnected
    * meanwhile. The end of the connection may still be unread behind the
    * request; the next poll of the event loop reads it, which costs an idle
    * process nothing. Late timers show that callers waited, but not always:
@@ -294,22 +298,17 @@
    * seconds where polls take long. Hence the first request of a connection is
    * always checked.
    */
-  #startUnlessCallerLeft(
+  #afterCallerCheck(
     unfinished: UnfinishedAnswer,
-    start: () => void,
+    proceed: (isConnected: boolean) => void,
   ): void {
-    const startIfConnected = () => {
-      this.#readingCount--;
-      if (this.#connections.isAnswerable(unfinished)) {
-        start();
-      }
-    };
+    const check = () => proceed(this.#connections.isAnswerable(unfinished));
     const mayHaveLeft = this.#connections.isFirstRequest(unfinished) ||
       this.#parts.lateMs() >= MIN_LATE_MS;
     if (mayHaveLeft) {
-      setImmediate(() => setImmediate(startIfConnected));
+      setImmediate(() => setImmediate(check));
     } else {
-      startIfConnected();
+      check();
     }
   }
 
