Refuse requests before a stop without time left aborts the others

An instance whose grace period was nearly over when the stop began (a grace period of 500 ms or less, one shortened by a reload, or a signal that was handled late) aborted its requests and went on accepting new ones until the process ended, which cut them.

Requests were refused only in the loop that waits for those in progress, which is not entered then. They are now refused right before the abort in any case.

--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -120,6 +120,7 @@
       graceMs: this.#parts.graceMs(),
     });
     await this.#finishRequests();
+    front.refuseRequests();
     const openRequests = front.openCount;
     front.abortRequests();
     const abortedRequests = openRequests - front.openCount;
--- a/packages/gateway/src/graceful_stop_limits_test.ts
+++ b/packages/gateway/src/graceful_stop_limits_test.ts
@@ -51,6 +51,17 @@
   ]);
 });
 
+// Guards against requests that are accepted after the last ones were aborted.
+test("requests are refused if no time is left when the stop begins", async () => {
+  const { firstSeenAtMs } = await stop(() => 400);
+  assert.equal([...firstSeenAtMs.keys()], [
+    "announced",
+    "refused",
+    "aborted",
+    "broken off",
+  ]);
+});
+
 test("a grace period shortened during the stop leaves time to write errors", async () => {
   const { firstSeenAtMs, endedAtMs } = await stop((atMs) =>
     atMs < 4000 ? 8000 : 4000
