Read what has arrived before a stopping instance closes connections

A caller whose request had just arrived at a stopping instance got a reset connection instead of a refusal: on a connection that was closed as idle, and on any connection when the process ended.

Connections were closed from a timer, before the event loop had read what was waiting on them, and Linux resets a connection that is closed with unread bytes. Idle connections are now closed after the next poll, and the stop ends only after a poll that read no request. Requests that these polls read are refused with 503, Retry-After and "Connection: close"; others were never read and may be repeated.

stopping_front_server_test.ts on the code before: "a request on a connection that is about to be closed as idle is refused" and "a request that arrives right before the end of the stop is refused: Expected value to match /^HTTP\/1\.1 503 /" (nothing was received).

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -61,6 +61,9 @@
  */
 const MIN_LATE_MS = 50;
 
+/** Polls of the event loop that may read requests before the process exits. */
+const MAX_LAST_POLLS = 10;
+
 /** Time between two checks for connections over their time limits. */
 const CONNECTION_CHECK_MS = 1000;
 
@@ -89,6 +92,8 @@
   /** Functions that refuse the requests whose bodies are being read. */
   readonly #readingRequests = new Set<() => void>();
   readonly #runDurations = new RunDurations();
+  /** Number of connections and requests so far. */
+  #arrivalCount = 0;
   #limits = STARTING_LIMITS;
   #stage = ShutdownStage.Open;
   /** Time until begun answers are aborted; infinite unless shutting down. */
@@ -114,7 +119,10 @@
       stage,
       idleTimeoutMs: () => this.#limits.idleTimeoutMs,
     });
-    this.#server.on("connection", (socket) => this.#connections.add(socket));
+    this.#server.on("connection", (socket) => {
+      this.#arrivalCount++;
+      this.#connections.add(socket);
+    });
     this.#server.on("clientError", (error, socket) => {
       this.#connections.handleUnreadable(socket as Socket, error);
     });
@@ -182,6 +190,25 @@
     for (const request of [...this.#openRequests]) {
       request.refuseIfTooLate();
     }
+    // A request may have arrived on an idle connection that is closed. The next
+    // poll of the event loop reads it first, so that it is refused.
+    setImmediate(() => this.#connections.closeIdle());
+  }
+
+  /**
+   * Refuses the requests that have arrived and are not read yet. Node.js may
+   * accept one connection per poll of the event loop, and reads it in the next.
+   *
+   * @returns A promise that resolves once a poll has read no request.
+   */
+  async refuseUnread(): Promise<void> {
+    let before: number;
+    let polls = 0;
+    do {
+      before = this.#arrivalCount;
+      await pollOfEventLoop();
+      polls++;
+    } while (this.#arrivalCount > before && polls < MAX_LAST_POLLS);
     this.#connections.closeIdle();
   }
 
@@ -226,6 +253,7 @@
 
   #onRequest(request: IncomingMessage, response: ServerResponse): void {
     const { clock, log, protocol } = this.#parts;
+    this.#arrivalCount++;
     const arrivedAtMs = clock.nowMs();
     const facts = protocol.readCall(request.headers);
     const { requestId } = facts;
@@ -409,6 +437,12 @@
   }
 }
 
+/** Resolves after the event loop has polled for input. */
+function pollOfEventLoop(): Promise<void> {
+  // The first callback may run in a turn whose poll is over.
+  return new Promise((resolve) => setImmediate(() => setImmediate(resolve)));
+}
+
 /** A stream that is taken up keeps to the pool that began it. */
 function poolHashTextOf({ requestId, resumeAfter, resumes }: CallMetadata) {
   return resumeAfter === undefined ? requestId : resumes ?? requestId;
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -63,6 +63,8 @@
   refuseRequests(): void;
   /** Ends requests whose answers have not begun, with an error answer. */
   abortRequests(): void;
+  /** Refuses the requests that have arrived and are not read yet. */
+  refuseUnread(): Promise<void>;
   /** Aborts answers that have begun. */
   abortAnswers(): void;
 }
@@ -125,6 +127,7 @@
     front.abortRequests();
     const abortedRequests = openRequests - front.openCount;
     await this.#flushAnswers();
+    await front.refuseUnread();
     const cutRequests = front.openCount;
     if (cutRequests > 0) {
       front.abortAnswers();
--- a/packages/gateway/src/graceful_stop_limits_test.ts
+++ b/packages/gateway/src/graceful_stop_limits_test.ts
@@ -27,6 +27,7 @@
       announceClosing: record("announced"),
       refuseRequests: record("refused"),
       abortRequests: record("aborted"),
+      refuseUnread: () => Promise.resolve(),
       abortAnswers: record("broken off"),
     },
     relay: { openCount: 0 },
--- a/packages/gateway/src/graceful_stop_test.ts
+++ b/packages/gateway/src/graceful_stop_test.ts
@@ -41,6 +41,10 @@
     }
   }
 
+  refuseUnread(): Promise<void> {
+    return Promise.resolve();
+  }
+
   abortAnswers(): void {
     this.#record("broken off");
     this.doneAtMs = Math.min(this.doneAtMs, this.atMs);
--- a/packages/gateway/src/stopping_front_server_test.ts
+++ b/packages/gateway/src/stopping_front_server_test.ts
@@ -14,9 +14,11 @@
 import * as assert from "uvu/assert";
 import { EventLog } from "./event_log.ts";
 import { FrontServer } from "./front_server.ts";
+import { GracefulStop } from "./graceful_stop.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 
+const GRACE_MS = 1000;
 const HEAD =
   "POST /r/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n\r\n";
 const REFUSED = {
@@ -41,13 +43,17 @@
   askCount = 0;
   socket!: Socket;
 
+  readonly #log: EventLog;
+  #nowMs = 0;
+
   constructor() {
     const clock = { nowMs: () => 0 };
     const output = new Writable({ write: (_chunk, _code, done) => done() });
+    this.#log = new EventLog(clock, "i1", output);
     this.front = new FrontServer({
       board: boardOf([]),
       clock,
-      log: new EventLog(clock, "i1", output),
+      log: this.#log,
       metrics: new GatewayMetrics(),
       protocol: {
         readCall: (_headers: IncomingHttpHeaders) => ({
@@ -78,6 +84,21 @@
     await until(() => this.front.connections.openConnections > 0);
   }
 
+  /** Stops gracefully, without a poll of the event loop until the end. */
+  stop(): Promise<void> {
+    return new GracefulStop({
+      front: this.front,
+      relay: { openCount: 0 },
+      clock: { nowMs: () => this.#nowMs },
+      log: this.#log,
+      graceMs: () => GRACE_MS,
+      pause: (forMs) => {
+        this.#nowMs += forMs;
+        return Promise.resolve();
+      },
+    }).run();
+  }
+
   /** Ends the server like the end of its process, and the caller. */
   async end(): Promise<void> {
     this.front.close();
@@ -124,4 +145,32 @@
   stopping.assertRefused();
 });
 
+// Guards against a reset of idle connections on which a request has arrived.
+test("a request on a connection that is about to be closed as idle is refused", async () => {
+  const stopping = new StoppingFront();
+  await stopping.connect();
+  const { front, socket } = stopping;
+  socket.write(`${HEAD}body`);
+  await until(() => stopping.received.endsWith("}"));
+  await until(() => front.connections.owedAnswers === 0);
+  stopping.received = "";
+  stopping.askCount = 0;
+  front.announceClosing(() => GRACE_MS);
+  socket.write(`${HEAD}body`);
+  front.refuseRequests();
+  await until(() => socket.closed);
+  await stopping.end();
+  stopping.assertRefused();
+});
+
+// Guards against an exit that resets connections on which a request has arrived.
+test("a request that arrives right before the end of the stop is refused", async () => {
+  const stopping = new StoppingFront();
+  await stopping.connect();
+  stopping.socket.write(`${HEAD}body`);
+  await stopping.stop();
+  await stopping.end();
+  stopping.assertRefused();
+});
+
 test.run();
