Send requests that outlast the grace time before the stop begins

Two tests of stops need a request that runs until the end. It could still wait for a slot when the stop began; the stopping instance now refuses it then, so that the tests failed with "503 ... leaving" in place of an answer that is cut. They wait until it is sent.

--- a/tests/process_kept_connections_test.ts
+++ b/tests/process_kept_connections_test.ts
@@ -252,6 +252,8 @@
       requestId: "outlasts",
       headers: { "X-Token-Counts": "100,2000" },
     }));
+    // If it still waited for a slot, the stopping instance would refuse it.
+    await waitForLog(leaving, "sent");
     const sending = sendAllWhile(() => leaving.isRunning, leaving);
     await waitForLog(leaving, "answered");
     const ended = leaving.stop();
@@ -410,8 +412,10 @@
         requestId: "outlasts",
         headers: { "X-Token-Counts": "100,1400" },
       }));
-      const sending = sendAllWhile(() => leaving.isRunning, leaving);
+      // If it still waited for a slot, the stopping instance would refuse it.
       await waitForLog(leaving, "sent");
+      const sending = sendAllWhile(() => leaving.isRunning, leaving);
+      await waitForLog(leaving, "answered");
       const ended = leaving.stop();
       const results = await sending;
       assert.equal(findFaults(fleet, results), []);
