Wait at the start for addresses that are still in use

A process that was killed or is still stopping holds its ports for a moment after its successor starts. The first EADDRINUSE was an error of the whole start.

Messages of peers that arrive before all addresses are open are dropped, so that an incomplete instance neither becomes ready nor takes part in assigning requests. A start that fails closes what it has opened.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import { TargetRateLimits } from "@chestnuthatch/routing/target_rate_limits";
 import { LatencyModels } from "@chestnuthatch/routing/latency_models";
 import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
+import { AddressOpener, type Listener } from "./address_opener.ts";
 import { AnswerMemory } from "./answer_memory.ts";
 import { AnsweredParts } from "./answered_parts.ts";
 import { AssigningRole } from "./assigning_role.ts";
@@ -133,6 +134,8 @@
   #askCounter = 0;
   #isLeaving = false;
   #isClosed = false;
+  /** Whether all addresses are open. */
+  #isStarted = false;
   #tickTimer?: NodeJS.Timeout;
   /** Local time at which the next tick is due. */
   #tickDueMs = 0;
@@ -420,17 +423,20 @@
    */
   async start(): Promise<void> {
     const settings = this.#settings;
-    const { host } = hostPortOf(settings.peerAddress);
-    await this.#socket.open(settings.peerAddress, (message, from) => {
-      this.#eventLoopMonitor.runTask(
-        message.kind,
-        () => this.#handlePeerMessage(message, from),
-      );
+    const opener = new AddressOpener({
+      clock: this.#clock,
+      log: this.#log,
+      graceMs: settings.graceMs,
+      isStopped: () => this.#isClosed,
+      pause: (forMs) => pause(forMs),
     });
-    await this.#snapshotServer.open(`${host}:${settings.snapshotPort}`);
-    await this.#relayServer.open(`${host}:${settings.relayPort}`);
-    await this.#status.open(settings.statusAddress, settings.metricsAddress);
-    await this.#front.open(settings.callerAddress);
+    try {
+      await opener.openAll(this.#listeners());
+    } catch (error) {
+      this.#close();
+      throw error;
+    }
+    this.#isStarted = true;
     this.#platform.start(this.#self, this.#fleetState);
     this.#scheduleTick(BUSY_TICK_MS);
     this.#log.info(LogPart.Process, "started", {
@@ -442,6 +448,62 @@
     });
   }
 
+  /** All addresses, that for callers last: they can connect when all is open. */
+  #listeners(): Listener[] {
+    const { callerAddress, metricsAddress, peerAddress, ...settings } =
+      this.#settings;
+    const { host } = hostPortOf(peerAddress);
+    const snapshotAddress = `${host}:${settings.snapshotPort}`;
+    const relayAddress = `${host}:${settings.relayPort}`;
+    return [
+      {
+        name: "peer messages",
+        address: peerAddress,
+        open: () => this.#openSocket(peerAddress),
+      },
+      {
+        name: "snapshots",
+        address: snapshotAddress,
+        open: () => this.#snapshotServer.open(snapshotAddress),
+      },
+      {
+        name: "relayed requests",
+        address: relayAddress,
+        open: () => this.#relayServer.open(relayAddress),
+      },
+      {
+        name: "readiness",
+        address: settings.statusAddress,
+        open: () => this.#status.openReadiness(settings.statusAddress),
+      },
+      {
+        name: "metrics",
+        address: metricsAddress,
+        open: () => this.#status.openMetrics(metricsAddress),
+      },
+      {
+        name: "callers",
+        address: callerAddress,
+        open: () => this.#front.open(callerAddress),
+      },
+    ];
+  }
+
+  /**
+   * Messages that arrive during the start are dropped: an instance that cannot
+   * serve callers yet neither becomes ready nor answers peers.
+   */
+  #openSocket(address: string): Promise<void> {
+    return this.#socket.open(address, (message, from) => {
+      if (this.#isStarted) {
+        this.#eventLoopMonitor.runTask(
+          message.kind,
+          () => this.#handlePeerMessage(message, from),
+        );
+      }
+    });
+  }
+
   /**
    * Stops gracefully: ends readiness at once, finishes the requests in
    * progress, and aborts only those that outlast the grace period.
--- a/packages/gateway/src/peer_socket.ts
+++ b/packages/gateway/src/peer_socket.ts
@@ -179,6 +179,19 @@
    */
   open(address: string, handler: MessageHandler): Promise<void> {
     const { host, port } = hostPortOf(address);
+    return new Promise((resolve, reject) => {
+      this.#socket.once("error", reject);
+      this.#socket.bind(port, host, () => {
+        this.#socket.setRecvBufferSize(RECEIVE_BUFFER_BYTES);
+        this.#socket.removeListener("error", reject);
+        this.#receive(handler);
+        resolve();
+      });
+    });
+  }
+
+  /** Installs the handlers once, however often binding has failed before. */
+  #receive(handler: MessageHandler): void {
     this.#socket.on("error", (error) => {
       this.#log.warn(LogPart.Members, "peer socket failed", {
         reason: error.message,
@@ -192,14 +205,6 @@
         handler(message, fromAddress);
       }
     });
-    return new Promise((resolve, reject) => {
-      this.#socket.once("error", reject);
-      this.#socket.bind(port, host, () => {
-        this.#socket.setRecvBufferSize(RECEIVE_BUFFER_BYTES);
-        this.#socket.removeListener("error", reject);
-        resolve();
-      });
-    });
   }
 
   /** `ip:port` that the socket is bound to. */
--- a/packages/gateway/src/snapshot_server.ts
+++ b/packages/gateway/src/snapshot_server.ts
@@ -166,10 +166,17 @@
 export function listen(server: Server, address: string): Promise<void> {
   const { host, port } = hostPortOf(address);
   return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(port, host, () => {
-      server.removeListener("error", reject);
+    const onListening = () => {
+      server.removeListener("error", onError);
       resolve();
-    });
+    };
+    // Removes the other listener, as a failed server may be tried again.
+    const onError = (error: Error) => {
+      server.removeListener("listening", onListening);
+      reject(error);
+    };
+    server.once("error", onError);
+    server.once("listening", onListening);
+    server.listen(port, host);
   });
 }
--- a/packages/gateway/src/status_server.ts
+++ b/packages/gateway/src/status_server.ts
@@ -37,15 +37,23 @@
   }
 
   /**
-   * Starts both servers.
+   * Starts to serve readiness.
    *
-   * @param readyAddress `ip:port` of the readiness endpoint.
-   * @param metricsAddress `ip:port` of the metrics endpoint.
-   * @returns A promise that is fulfilled when both accept connections.
+   * @param address `ip:port` of the readiness endpoint.
+   * @returns A promise that is fulfilled when it accepts connections.
    */
-  async open(readyAddress: string, metricsAddress: string): Promise<void> {
-    await listen(this.#ready, readyAddress);
-    await listen(this.#metrics, metricsAddress);
+  openReadiness(address: string): Promise<void> {
+    return listen(this.#ready, address);
+  }
+
+  /**
+   * Starts to serve metrics.
+   *
+   * @param address `ip:port` of the metrics endpoint.
+   * @returns A promise that is fulfilled when it accepts connections.
+   */
+  openMetrics(address: string): Promise<void> {
+    return listen(this.#metrics, address);
   }
 
   /** Closes both servers and all their connections. */
