Serve callers while the address for metrics is in use

An instance whose metrics port was taken served nobody: all addresses were needed for a start. Callers and the balancer do not need the metrics port.

It is now tried once at its place in the order; while it is in use, the start goes on, and attempts every second follow for as long as the instance runs, with a line at the begin and one at the end.

On the code before, the added test failed: the start waited for the port, and did not succeed while it was taken.

--- a/packages/gateway/src/address_opener.ts
+++ b/packages/gateway/src/address_opener.ts
@@ -6,6 +6,9 @@
 /** Time between two attempts to open an address that is in use. */
 const RETRY_INTERVAL_MS = 100;
 
+/** Time between two attempts to open an optional address, without a limit. */
+const OPTIONAL_RETRY_INTERVAL_MS = 1000;
+
 /**
  * Minimum time for which a start waits for addresses that are in use. The
  * system releases those of a killed process within a second or two.
@@ -23,6 +26,8 @@
   readonly name: string;
   /** `ip:port` of the listener. */
   readonly address: string;
+  /** Whether the instance serves callers without it while it is in use. */
+  readonly isOptional?: boolean;
   /** @returns A promise that is fulfilled when it listens. */
   open(): Promise<void>;
 }
@@ -59,15 +64,20 @@
 
   /**
    * Opens listeners one after another. An address that is in use is tried again
-   * until the time for the whole start is over.
+   * until the time for the whole start is over; one that is optional is tried
+   * in the background, as long as the instance runs.
    *
    * @param listeners The listeners, in the order in which to open them.
-   * @returns Whether all are open; false if the instance was stopped meanwhile.
+   * @returns Whether all that are needed are open; false if the instance was stopped meanwhile.
    * @throws {Error} If a listener cannot be opened.
    */
   async openAll(listeners: readonly Listener[]): Promise<boolean> {
     for (const listener of listeners) {
-      await this.#open(listener);
+      if (!listener.isOptional) {
+        await this.#open(listener);
+      } else if (!await tryOpen(listener)) {
+        void this.#openLater(listener);
+      }
     }
     return !this.#parts.isStopped();
   }
@@ -94,6 +104,19 @@
       await this.#parts.pause(RETRY_INTERVAL_MS);
     }
   }
+
+  async #openLater(listener: Listener): Promise<void> {
+    const { log, isStopped, pause } = this.#parts;
+    const facts = { listener: listener.name, address: listener.address };
+    log.warn(LogPart.Process, "address is in use, serving without it", facts);
+    do {
+      await pause(OPTIONAL_RETRY_INTERVAL_MS);
+      if (isStopped()) {
+        return;
+      }
+    } while (!await tryOpen(listener).catch(() => false));
+    log.info(LogPart.Process, "address is open", facts);
+  }
 }
 
 /** Returns false if the address is in use, and throws on other errors. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -479,6 +479,7 @@
       {
         name: "metrics",
         address: metricsAddress,
+        isOptional: true,
         open: () => this.#status.openMetrics(metricsAddress),
       },
       {
--- a/packages/gateway/src/gateway_start_test.ts
+++ b/packages/gateway/src/gateway_start_test.ts
@@ -145,6 +145,26 @@
   });
 }
 
+// Guards against an instance that serves no callers because the port for
+// metrics is taken.
+test("callers are served while the address for metrics is in use", async () => {
+  const taken = await takeTcpPort();
+  const metricsAddress = `${HOST}:${taken.port}`;
+  const harness = new Harness({ metricsAddress });
+  try {
+    await harness.gateway.start();
+    assert.is(harness.platformStarts, 1);
+    const line = await harness.line("address is in use, serving without it");
+    assert.equal([line.listener, line.address], ["metrics", metricsAddress]);
+    taken.release();
+    await harness.line("address is open");
+    const answer = await fetch(`http://${metricsAddress}/metrics`);
+    assert.match(await answer.text(), "chestnuthatch_open_requests");
+  } finally {
+    harness.gateway.kill();
+  }
+});
+
 // Guards against a start that waits for an address that will never be usable,
 // and against an error that does not tell which one it is.
 test("an address of another machine is an error at once", async () => {
