End the start at a stop signal that arrives meanwhile

A SIGTERM during gateway.start() closed what was open after the shortest stop of 3 s, while start() went on: it opened the other addresses, registered the instance at the store and logged "started". The two ran side by side, and now that a start may wait for an address they overlap for seconds.

A stop before the start is complete now ends the start before its next address, waits for the one being opened, closes all and writes one line. Nothing is announced, as neither the store nor a peer knows of the instance yet, and no time is left for the balancer, which has seen no readiness.

--- a/packages/gateway/src/address_opener.ts
+++ b/packages/gateway/src/address_opener.ts
@@ -73,6 +73,9 @@
    */
   async openAll(listeners: readonly Listener[]): Promise<boolean> {
     for (const listener of listeners) {
+      if (this.#parts.isStopped()) {
+        return false;
+      }
       if (!listener.isOptional) {
         await this.#open(listener);
       } else if (!await tryOpen(listener)) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -143,6 +143,7 @@
   #lateMs = 0;
   /** Longest recent delay of a tick, and the local time until it is recent. */
   #recentDelay = { lateMs: 0, untilMs: -Infinity };
+  #starting?: Promise<void>;
   #stopping?: Promise<void>;
 
   /**
@@ -417,21 +418,30 @@
   }
 
   /**
-   * Opens all sockets, and starts to read from the platform.
+   * Opens all sockets, and starts to read from the platform. A stop meanwhile
+   * ends the start.
    *
-   * @returns A promise that is fulfilled when callers and peers can connect.
+   * @returns A promise that is fulfilled when callers and peers can connect, or
+   * the start was ended by a stop.
    */
-  async start(): Promise<void> {
+  start(): Promise<void> {
+    this.#starting = this.#start();
+    return this.#starting;
+  }
+
+  async #start(): Promise<void> {
     const settings = this.#settings;
     const opener = new AddressOpener({
       clock: this.#clock,
       log: this.#log,
       graceMs: settings.graceMs,
-      isStopped: () => this.#isClosed,
+      isStopped: () => this.#isLeaving || this.#isClosed,
       pause: (forMs) => pause(forMs),
     });
     try {
-      await opener.openAll(this.#listeners());
+      if (!await opener.openAll(this.#listeners())) {
+        return;
+      }
     } catch (error) {
       this.#close();
       throw error;
@@ -512,10 +522,19 @@
    * @returns A promise that is fulfilled when everything is closed.
    */
   stop(): Promise<void> {
-    this.#stopping ??= this.#stop();
+    this.#stopping ??= this.#isStarted ? this.#stop() : this.#stopStart();
     return this.#stopping;
   }
 
+  /** Ends the start. The instance has no callers, and no peer knows of it. */
+  async #stopStart(): Promise<void> {
+    this.#isLeaving = true;
+    // An address that is just being opened can only be closed afterwards.
+    await this.#starting?.catch(() => {});
+    this.#log.info(LogPart.Process, "stopped before the start was complete");
+    this.#close();
+  }
+
   async #stop(): Promise<void> {
     this.#isLeaving = true;
     this.#heartbeatExchange.announceLeaving();
--- a/packages/gateway/src/gateway_start_test.ts
+++ b/packages/gateway/src/gateway_start_test.ts
@@ -145,6 +145,31 @@
   });
 }
 
+// Guards against a stop signal during the start that opens the other addresses
+// after all, announces the instance, or waits for the address.
+test("a stop during the start opens nothing more", async () => {
+  const taken = await takeTcpPort();
+  const harness = new Harness({ callerAddress: `${HOST}:${taken.port}` });
+  const started = harness.gateway.start();
+  await harness.line(WAITING);
+  const stopped = harness.gateway.stop();
+  taken.release();
+  await Promise.all([started, stopped]);
+  assert.is(harness.platformStarts, 0);
+  assert.is(harness.gateway.callerAddress, "");
+  assert.not(harness.gateway.isReady);
+  await harness.line("stopped before the start was complete");
+});
+
+// Guards against addresses that are opened after a stop that came first.
+test("an instance that was stopped does not start", async () => {
+  const harness = new Harness({});
+  await harness.gateway.stop();
+  await harness.gateway.start();
+  assert.is(harness.platformStarts, 0);
+  assert.is(harness.gateway.callerAddress, "");
+});
+
 // Guards against an instance that serves no callers because the port for
 // metrics is taken.
 test("callers are served while the address for metrics is in use", async () => {
