--- a/packages/gateway/src/address_opener.ts
+++ b/packages/gateway/src/address_opener.ts
@@ -68,7 +68,8 @@
    * in the background, as long as the instance runs.
    *
    * @param listeners The listeners, in the order in which to open them.
-   * @returns Whether all that are needed are open; false if the instance was stopped meanwhile.
+   * @returns Whether all that are needed are open; false if the instance was
+   * stopped meanwhile.
    * @throws {Error} If a listener cannot be opened.
    */
   async openAll(listeners: readonly Listener[]): Promise<boolean> {
