Pass on an answer without a length or chunks as such

Callers of plain routes got a 200 with a Content-Length and an empty or short body: the target had sent a head without a length and without chunks and closed its connection, at once or within its body. Only the end of the connection delimits such an answer, so a target that stopped cannot be told from one that has finished, but the instance gave the answer a length and so stated that it was whole.

The answer now has neither a length nor chunks for the caller either, and ends with the caller's connection (Connection: close). Requests that arrive after it are not read. If a later pipelined request was read by then, the answer keeps its length, since the end of the connection would lose the answers to requests that may have run. An answer that is not written out when the process exits is reset, as a regular close would complete it.

Without the reset, caller_connections_test.ts fails: "the connection was closed regularly".

--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -157,7 +157,7 @@
   /** Whether the connection ends, or closes after an unfinished answer. */
   get isClosing(): boolean {
     return this.#end !== undefined ||
-      this.unfinishedAnswers.some(({ facts }) => facts.closesConnection);
+      this.unfinishedAnswers.some(({ closesConnection }) => closesConnection);
   }
 
   /**
@@ -199,6 +199,25 @@
     this.#socket.destroy();
   }
 
+  /** Resets the connection if its regular end would complete an answer. */
+  resetIfUnframed(): void {
+    if (this.unfinishedAnswers.some(({ isUnframed }) => isUnframed)) {
+      this.#socket.resetAndDestroy();
+    }
+  }
+
+  /**
+   * Lets the end of the connection delimit an answer, unless a later request on
+   * it was read, which could not be answered any more.
+   *
+   * @param answer An answer that is about to be sent.
+   * @returns Whether the connection ends after the answer.
+   */
+  endAfter(answer: UnfinishedAnswer): boolean {
+    answer.isUnframed = this.unfinishedAnswers.at(-1) === answer;
+    return answer.isUnframed;
+  }
+
   /**
    * Restarts the socket's idle timeout.
    *
@@ -279,7 +298,7 @@
   #onWrittenOut(answer: UnfinishedAnswer): void {
     this.#unfinishedAnswers.delete(answer);
     this.#bytesReadWhenIdle = this.#socket.bytesRead;
-    if (answer.facts.closesConnection) {
+    if (answer.closesConnection) {
       this.recordEnd(ConnectionEnd.AfterAnswer);
     }
   }
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -139,6 +139,17 @@
     this.#open.get(answer.response.req.socket)?.recordEnd(end);
   }
 
+  /**
+   * Lets the end of an answer's connection delimit the answer.
+   *
+   * @param answer An answer that is about to be sent.
+   * @returns False if the connection has to stay open for later answers.
+   */
+  endAfter(answer: UnfinishedAnswer): boolean {
+    const connection = this.#open.get(answer.response.req.socket);
+    return connection?.endAfter(answer) ?? false;
+  }
+
   /** Closes connections without an unfinished answer or a partial request. */
   closeIdle(): void {
     for (const connection of this.#idleConnections()) {
@@ -161,7 +172,8 @@
 
   /**
    * Runs a function that closes connections, and records the cause of those
-   * that it closed.
+   * that it closed. Resets those whose answers are not written out and would
+   * look complete.
    *
    * @param end The cause.
    * @param close Closes any of the connections.
@@ -170,6 +182,7 @@
     const open = [...this.#open.values()]
       .filter(({ isDestroyed }) => !isDestroyed);
     open.forEach((connection) => connection.updateWaitingBytes());
+    open.forEach((connection) => connection.resetIfUnframed());
     close();
     open.filter(({ isDestroyed }) => isDestroyed)
       .forEach((connection) => connection.recordEnd(end));
--- a/packages/gateway/src/caller_connections_test.ts
+++ b/packages/gateway/src/caller_connections_test.ts
@@ -163,6 +163,20 @@
   }
 }
 
+/**
+ * Reads to the end of a connection. A reset that arrives together with data
+ * shows only on the next write.
+ */
+function endsByReset(caller: Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    caller.once("error", () => resolve(true));
+    caller.prependOnceListener("end", () => {
+      caller.write(Buffer.alloc(0), (error) => resolve(error instanceof Error));
+    });
+    caller.resume();
+  });
+}
+
 function testOn(
   name: string,
   run: (harness: Harness) => Promise<void>,
@@ -218,6 +232,18 @@
   ]);
 });
 
+// Guards against a regular close, which completes an answer without a length for
+// a caller that has a part of it.
+testOn("an unframed answer is reset when it is aborted", async (harness) => {
+  const caller = await harness.request("/large");
+  assert.ok(harness.connections.endAfter(harness.latest!));
+  harness.connections.closeAndRecord(
+    ConnectionEnd.ProcessEnd,
+    () => harness.server.closeAllConnections(),
+  );
+  assert.ok(await endsByReset(caller), "the connection was closed regularly");
+});
+
 testOn("only connections that were closed get the cause", async (harness) => {
   const caller = await harness.request("/never");
   harness.connections.closeAndRecord(
--- a/packages/gateway/src/caller_reply.ts
+++ b/packages/gateway/src/caller_reply.ts
@@ -7,6 +7,7 @@
   type RoutedError,
 } from "@chestnuthatch/routing/routed_error";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
+import { isUnframed } from "./relay_server.ts";
 
 const MS_PER_S = 1000;
 
@@ -14,6 +15,7 @@
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const RETRY_AFTER_DECIMALS = 3;
 const HTTP_1_0 = "1.0";
+const CLOSE_HEADER = ["Connection", "close"];
 
 /**
  * Timeout for reading the rest of a refused request: twice the time of 4 MB
@@ -36,6 +38,13 @@
 export interface ReplyOptions {
   /** Whether the answer is sent with `Connection: close`. */
   readonly closesConnection: boolean;
+  /**
+   * Called right before an answer is sent that only the end of the caller's
+   * connection delimits.
+   *
+   * @returns False if the connection cannot end after this answer.
+   */
+  beforeUnframed(): boolean;
   /** Called right before a begun answer is aborted. */
   beforeAbort(): void;
 }
@@ -62,7 +71,9 @@
   }
 
   /**
-   * Sends a whole answer of a target.
+   * Sends a whole answer of a target. If the target delimited it by the end of
+   * its connection, which may also be that of a target that stopped, it is sent
+   * in the same way: a length would state that it is complete.
    *
    * @param answer Status and headers from the target.
    * @param body The whole body from the target.
@@ -74,13 +85,22 @@
       const length = answer.headers["content-length"];
       headers.push(...(length === undefined ? [] : ["Content-Length", length]));
     } else if (!BODILESS_STATUSES.has(status)) {
-      headers.push("Content-Length", String(body.length));
+      headers.push(...this.#framingOf(answer, body));
     }
     this.#response.writeHead(status, reasonPhraseOf(answer), headers);
     this.#hasBegun = true;
     this.#response.end(body);
   }
 
+  /** Returns the headers that delimit the body of a whole answer. */
+  #framingOf(answer: IncomingMessage, body: Buffer): string[] {
+    if (!isUnframed(answer) || !this.#options.beforeUnframed()) {
+      return ["Content-Length", String(body.length)];
+    }
+    this.#response.useChunkedEncodingByDefault = false;
+    return this.#options.closesConnection ? [] : CLOSE_HEADER;
+  }
+
   /**
    * Sends the status and headers of a target's stream.
    *
@@ -181,7 +201,7 @@
   }
 
   #closeHeader(): string[] {
-    return this.#options.closesConnection ? ["Connection", "close"] : [];
+    return this.#options.closesConnection ? CLOSE_HEADER : [];
   }
 }
 
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -276,6 +276,7 @@
     this.#connections.trackAnswer(unfinished);
     const reply = new CallerReply(response, {
       closesConnection: isStopping,
+      beforeUnframed: () => this.#connections.endAfter(unfinished),
       beforeAbort: () =>
         this.#connections.recordEnd(unfinished, ConnectionEnd.Aborted),
     });
--- a/packages/gateway/src/unfinished_answer.ts
+++ b/packages/gateway/src/unfinished_answer.ts
@@ -19,7 +19,7 @@
   readonly requestId: string;
   /** Local time at which the request's headers were read, in milliseconds. */
   readonly arrivedAtMs: number;
-  /** Whether the connection closes after the answer. */
+  /** Whether the connection closes after the answer, however it is framed. */
   readonly closesConnection: boolean;
 }
 
@@ -27,6 +27,8 @@
 export class UnfinishedAnswer {
   readonly facts: UnfinishedAnswerFacts;
   readonly response: ServerResponse;
+  /** Whether only the end of the connection delimits the answer. */
+  isUnframed = false;
   /** Returns the number of targets that may have run the request. */
   countRuns: () => number = () => 0;
   /** Called when the connection ends before the answer is written out. */
@@ -41,6 +43,11 @@
     this.facts = facts;
   }
 
+  /** Whether the connection closes after the answer. */
+  get closesConnection(): boolean {
+    return this.isUnframed || this.facts.closesConnection;
+  }
+
   /** Progress of the answer, read from the response stream. */
   get state(): AnswerState {
     const { headersSent, writableEnded, req } = this.response;
