Count answers with other transfer codings than chunks, and 101, as lost

Callers got a whole 200 with the coded bytes of a body, or the bytes up to the place at which the target stopped, if its Transfer-Encoding was anything but chunked: a coding such as gzip is a hop-by-hop header and was removed, and Node.js reads a body whose last coding is not chunked to the end of the connection, which neither the check for a reset nor isUnframed knew of. A 101, which no request asks for, was passed on with its length, and ends HTTP on the caller's connection.

TargetExchange now fails such a head before anything of it is used, also on a relay, so that the request is repeated or answered as lost. Requests name no transfer coding, so a server may only use chunks.

Both tests failed before: "Transfer-Encoding: gzip", "identity", an empty one, "gzip, chunked" and "chunked, gzip" gave "200 whole, the whole body" and the like in place of "lost", and "101" with a length of 0 "101 whole, ". Passed before and now: both a length and chunks, two lengths, lengths that are no number, bytes after the body, 199, 099, 304 and HEAD with a length.

--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -77,6 +77,12 @@
   "ERR_UNESCAPED_CHARACTERS",
 ]);
 
+/** The only transfer coding that a server may use for these requests. */
+const CHUNKED = "chunked";
+
+/** Lowest status of an answer; 101 is none, since no upgrade is requested. */
+const MIN_ANSWER_STATUS = 200;
+
 const NO_BYTES = Buffer.alloc(0);
 
 const HEAD_METHOD = "HEAD";
@@ -228,6 +234,12 @@
       answer.destroy();
       return;
     }
+    const fault = headFaultOf(answer);
+    if (fault !== undefined) {
+      this.#fail(fault);
+      answer.destroy();
+      return;
+    }
     this.#answer = answer;
     const { socket } = answer;
     if (isDelimitedByClose(answer, this.#request!.method)) {
@@ -314,3 +326,19 @@
   return hasBody && headers["content-length"] === undefined &&
     headers["transfer-encoding"] === undefined;
 }
+
+/**
+ * Returns what makes an answer unusable although Node.js accepts its head. A
+ * body in another coding than chunks would be forwarded without its coding.
+ */
+function headFaultOf(
+  { statusCode, headers }: IncomingMessage,
+): string | undefined {
+  if (statusCode! < MIN_ANSWER_STATUS) {
+    return `status ${statusCode} is no answer`;
+  }
+  const coding = headers["transfer-encoding"] ?? CHUNKED;
+  return coding.toLowerCase() === CHUNKED
+    ? undefined
+    : `unsupported transfer coding ${coding}`;
+}
