Repeat empty successes that only the end of their connection delimits

Callers of repeatable routes got an empty 200 from a target that had stopped right after its head, although another target could have run the request: without a length and chunks such an answer is complete for the HTTP parser. Servers that mean an empty body nearly always send a length of 0 or 204, so a target that stopped is the likelier cause.

The attempt now ends as "empty": the request goes to another target where its kind and the retry budget allow that, and the answer is passed on, without a length, if no attempt is left or no target can be asked. Requests that run at most once get it at once. It does not count towards the pauses of failing targets or against a version, so that a service which answers in this way keeps serving; a target that has ended shows so on its next request. If the other target's answer is lost, so is the request, as before.

--- a/packages/gateway/src/attempt_recorder.ts
+++ b/packages/gateway/src/attempt_recorder.ts
@@ -25,6 +25,9 @@
   AttemptEnd.Lost,
 ]);
 
+/** Ends that do not show whether the target has failed. */
+const UNCLEAR_ENDS: ReadonlySet<AttemptEnd> = new Set([AttemptEnd.Empty]);
+
 /** Targets answer with status codes from this one without running a request. */
 const MIN_REJECTION_STATUS = 300;
 
@@ -115,7 +118,7 @@
       answeredParts.record(call, nowMs);
     }
     attempt.cancel();
-    if (!attempt.isInvalidRequest) {
+    if (!attempt.isInvalidRequest && !UNCLEAR_ENDS.has(end)) {
       health.failed(targetId, UNREACHABLE_ENDS.has(end), nowMs);
     }
     if (reason === CONNECT_TIMEOUT_REASON) {
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -79,6 +79,8 @@
   /** Attempts that no target ran. */
   #rejectionCount = 0;
   #isCharged = false;
+  /** Attempt whose answer is passed on if no other target can be asked. */
+  #emptyAttempt?: TargetAttempt;
   readonly #recorder: AttemptRecorder;
   readonly #progress: StreamProgress;
   readonly #streamVersion: StreamVersion;
@@ -350,7 +352,11 @@
       this.#log("no other target, still waiting", { refusal });
     } else if (this.#runCount > 0) {
       this.#log("no target for a retry", { refusal });
-      this.#fail(RoutedError.AnswerLost);
+      if (this.#emptyAttempt === undefined) {
+        this.#fail(RoutedError.AnswerLost);
+      } else {
+        this.#forwardAnswer(this.#emptyAttempt);
+      }
     } else {
       const nowMs = this.#nowMs();
       const waitMs = retryAfterMsOf(this.#call, {
@@ -565,6 +571,9 @@
     });
     switch (step) {
       case NextStep.AskAgain:
+        this.#emptyAttempt = end === AttemptEnd.Empty
+          ? attempt
+          : this.#emptyAttempt;
         this.#ask(
           end === AttemptEnd.NotSent ? AskCause.NeverArrived : AskCause.Repeat,
         );
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -51,6 +51,8 @@
 /** Status codes from this one on are errors of the target. */
 const MIN_SERVER_ERROR_STATUS = 500;
 const STATUS_OK = 200;
+const STATUS_NO_CONTENT = 204;
+const MIN_REDIRECTION_STATUS = 300;
 
 /** Relays that are tried in one attempt, after which it has not been sent. */
 const MAX_RELAYS = 2;
@@ -352,12 +354,23 @@
     } else if (status >= MIN_SERVER_ERROR_STATUS) {
       this.#finish();
       this.#sink.ended(AttemptEnd.Failed, `target answered ${status}`);
+    } else if (this.#isEmpty()) {
+      this.#finish();
+      this.#sink.ended(AttemptEnd.Empty, "answer ended without a body");
     } else {
       this.#finish();
       this.#sink.answered();
     }
   }
 
+  /** Whether a success that should have a body ended before it. */
+  #isEmpty(): boolean {
+    const status = this.#answer!.statusCode!;
+    return status < MIN_REDIRECTION_STATUS && status !== STATUS_NO_CONTENT &&
+      this.options.call.method !== "HEAD" && this.#body.length === 0 &&
+      isUnframed(this.#answer!);
+  }
+
   /**
    * Ends the stream if it is complete. The end of the answer does not show that:
    * a target may end it regularly although it broke the stream off. Only a
--- a/packages/routing/src/next_step.ts
+++ b/packages/routing/src/next_step.ts
@@ -13,6 +13,11 @@
   Rejected = "rejected",
   /** The target answered with an error of its own. */
   Failed = "failed",
+  /**
+   * The target answered with a success that has no body and is delimited by the
+   * end of the connection, as if the target had stopped.
+   */
+  Empty = "empty",
   /** The request was sent, and its answer was truncated, wrong, or missing. */
   Lost = "lost",
   /**
@@ -26,7 +31,7 @@
 export enum NextStep {
   /** Ask the coordinator for another placement. */
   AskAgain = "ask_again",
-  /** Forward the target's own error to the caller. */
+  /** Forward the target's own answer to the caller. */
   PassOn = "pass_on",
   /** Answer that the request has not run. */
   RefuseNotRun = "refuse_not_run",
@@ -76,11 +81,14 @@
 const afterLoss: Handler = (state) =>
   canRunAgain(state) ? NextStep.AskAgain : NextStep.FailMayHaveRun;
 
+const afterAnswer: Handler = (state) =>
+  canRunAgain(state) ? NextStep.AskAgain : NextStep.PassOn;
+
 const HANDLERS: Readonly<Record<AttemptEnd, Handler>> = {
   [AttemptEnd.NotSent]: afterNoRun,
   [AttemptEnd.Rejected]: afterNoRun,
-  [AttemptEnd.Failed]: (state) =>
-    canRunAgain(state) ? NextStep.AskAgain : NextStep.PassOn,
+  [AttemptEnd.Failed]: afterAnswer,
+  [AttemptEnd.Empty]: afterAnswer,
   [AttemptEnd.Lost]: afterLoss,
   [AttemptEnd.TargetEnded]: afterLoss,
 };
--- a/packages/routing/src/next_step_test.ts
+++ b/packages/routing/src/next_step_test.ts
@@ -18,6 +18,7 @@
       not_sent: NextStep.AskAgain,
       rejected: NextStep.AskAgain,
       failed: NextStep.PassOn,
+      empty: NextStep.PassOn,
       lost: NextStep.FailMayHaveRun,
       target_ended: NextStep.FailMayHaveRun,
     });
@@ -30,6 +31,7 @@
       not_sent: NextStep.AskAgain,
       rejected: NextStep.AskAgain,
       failed: NextStep.AskAgain,
+      empty: NextStep.AskAgain,
       lost: NextStep.AskAgain,
       target_ended: NextStep.AskAgain,
     });
@@ -37,6 +39,7 @@
       not_sent: NextStep.AskAgain,
       rejected: NextStep.AskAgain,
       failed: NextStep.PassOn,
+      empty: NextStep.PassOn,
       lost: NextStep.FailMayHaveRun,
       target_ended: NextStep.FailMayHaveRun,
     });
