Keep bodies of small chunks in blocks, at the cost of their bytes

Callers saw 504 and answers that were cut while a faulty target sent a body of 4-byte chunks without end: memory grew by 200 MB with 25 calls.

The limit of an answer counts its bytes, but each chunk was kept as a Buffer of its own, with memory of its own. Node.js copies each chunk, so that 1 MB in 4-byte chunks takes about 65 MB. The event splitter joined its pieces every 64 chunks and copied the whole event each time.

BodyCollector keeps the first four pieces as they are and copies the others into blocks of up to 16 KB, each byte once.

--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -1,6 +1,7 @@
 /** Splits a stream of bytes into server-sent events. */
 
 import { Buffer } from "node:buffer";
+import { BodyCollector } from "./body_collector.ts";
 
 /** One complete event, including the empty line that ends it. */
 export interface StreamedEvent {
@@ -40,19 +41,13 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
-/**
- * Number of buffered pieces from which they are joined, as each takes memory of
- * its own. Joining them more often would copy the bytes more often.
- */
-const MAX_PIECES = 64;
-
 /**
  * Buffers bytes until events are complete. Each byte is searched once, however
  * the stream is chunked.
  */
 export class EventSplitter {
-  #pieces: Buffer[] = [];
-  #pendingBytes = 0;
+  /** Bytes after the last complete event. */
+  readonly #pending = new BodyCollector();
   #lineEnd = LineEnd.None;
   #isAtStart = true;
   readonly #removesMark: boolean;
@@ -64,12 +59,12 @@
 
   /** Bytes after the last complete event. */
   get remainder(): Buffer {
-    return Buffer.concat(this.#pieces);
+    return this.#pending.bytes;
   }
 
   /** Number of bytes after the last complete event. */
   get pendingBytes(): number {
-    return this.#pendingBytes;
+    return this.#pending.byteLength;
   }
 
   /**
@@ -139,22 +134,18 @@
   }
 
   #completedBy(piece: Buffer): Buffer {
-    const bytes = this.#pieces.length === 0
-      ? piece
-      : Buffer.concat([...this.#pieces, piece]);
-    this.#pieces = [];
-    this.#pendingBytes = 0;
+    if (this.#pending.byteLength === 0) {
+      return piece;
+    }
+    this.#pending.push(piece);
+    const { bytes } = this.#pending;
+    this.#pending.clear();
     return bytes;
   }
 
   #buffer(piece: Buffer): void {
-    if (piece.length === 0) {
-      return;
-    }
-    this.#pieces.push(piece);
-    this.#pendingBytes += piece.length;
-    if (this.#pieces.length >= MAX_PIECES) {
-      this.#pieces = [this.remainder];
+    if (piece.length > 0) {
+      this.#pending.push(piece);
     }
   }
 }
--- a/packages/gateway/src/request_body_reader.ts
+++ b/packages/gateway/src/request_body_reader.ts
@@ -1,7 +1,8 @@
 /** Reads the body of a caller's request, up to a limit. */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import { BodyCollector } from "./body_collector.ts";
 
 /** Receives the result of reading a body: exactly one call of one method. */
 export interface BodySink {
@@ -27,8 +28,7 @@
 export class RequestBodyReader {
   readonly #maxBytes: number;
   readonly #sink: BodySink;
-  #chunks: Buffer[] = [];
-  #bytes = 0;
+  readonly #body = new BodyCollector();
   #isDone = false;
   readonly #timer: NodeJS.Timeout;
 
@@ -45,14 +45,11 @@
     this.#maxBytes = maxBytes;
     this.#sink = sink;
     this.#timer = setTimeout(() => {
-      this.#chunks = [];
+      this.#body.clear();
       this.#end(() => sink.tooSlow());
     }, timeoutMs);
     request.on("data", (chunk: Buffer) => this.#read(chunk));
-    request.on(
-      "end",
-      () => this.#end(() => sink.complete(Buffer.concat(this.#chunks))),
-    );
+    request.on("end", () => this.#end(() => sink.complete(this.#takeBody())));
     // The connection logs the error when it ends.
     request.on("error", () => this.#end(() => sink.aborted()));
     request.on("close", () => this.#end(() => sink.aborted()));
@@ -62,14 +59,19 @@
     if (this.#isDone) {
       return;
     }
-    this.#bytes += chunk.length;
-    this.#chunks.push(chunk);
-    if (this.#bytes > this.#maxBytes) {
-      this.#chunks = [];
+    this.#body.push(chunk);
+    if (this.#body.byteLength > this.#maxBytes) {
+      this.#body.clear();
       this.#end(() => this.#sink.tooLarge());
     }
   }
 
+  #takeBody(): Buffer {
+    const { bytes } = this.#body;
+    this.#body.clear();
+    return bytes;
+  }
+
   #end(report: () => void): void {
     if (!this.#isDone) {
       this.#isDone = true;
--- a/packages/gateway/src/snapshot_server.ts
+++ b/packages/gateway/src/snapshot_server.ts
@@ -3,12 +3,13 @@
  * large for a datagram: the configuration, and the list of targets.
  */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { createServer, get, type Server } from "node:http";
 import { gunzipSync, gzipSync } from "node:zlib";
 import type { MemberInfo } from "@chestnuthatch/routing/member_record";
 import { err, ok, type Result } from "neverthrow";
 import type * as z from "zod";
+import { BodyCollector } from "./body_collector.ts";
 import { hostPortOf } from "./host_port.ts";
 
 /** Kinds of snapshots; the values are the HTTP paths. */
@@ -117,12 +118,10 @@
       agent: false,
       timeout: FETCH_TIMEOUT_MS,
     }, (answer) => {
-      const chunks: Buffer[] = [];
-      let bytes = 0;
+      const body = new BodyCollector();
       answer.on("data", (chunk: Buffer) => {
-        chunks.push(chunk);
-        bytes += chunk.length;
-        if (bytes > MAX_SNAPSHOT_BYTES) {
+        body.push(chunk);
+        if (body.byteLength > MAX_SNAPSHOT_BYTES) {
           request.destroy(new Error("snapshot is too large"));
         }
       });
@@ -130,7 +129,7 @@
       answer.on("end", () => {
         resolve(
           answer.statusCode === 200
-            ? parseSnapshot(Buffer.concat(chunks), schema)
+            ? parseSnapshot(body.bytes, schema)
             : err(`peer answered ${answer.statusCode}`),
         );
       });
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt to run a request at one target. */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { RequestKind } from "@chestnuthatch/routing/fleet_configuration";
 import { AttemptEnd } from "@chestnuthatch/routing/next_step";
@@ -12,6 +12,7 @@
 import type { LoadReport } from "@chestnuthatch/routing/load_report";
 import type { MemoryReservation } from "./answer_memory.ts";
 import { AnswerLoad } from "./answer_load.ts";
+import { BodyCollector } from "./body_collector.ts";
 import { EventSplitter, type StreamedEvent } from "./event_splitter.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { hostPortOf } from "./host_port.ts";
@@ -86,7 +87,7 @@
   readonly #parts: GatewayParts;
   readonly #sink: AttemptSink;
   readonly #splitter: EventSplitter;
-  readonly #body: Buffer[] = [];
+  readonly #body = new BodyCollector();
   /** Memory of the body, or of an event that is not complete. */
   readonly #memory: MemoryReservation;
   #exchange?: TargetExchange;
@@ -144,7 +145,7 @@
 
   /** The body received so far of an answer that is not a stream. */
   get body(): Buffer {
-    return Buffer.concat(this.#body);
+    return this.#body.bytes;
   }
 
   /** Time to the first event or the answer, in ms; absent if none arrived. */
@@ -309,7 +310,7 @@
     }
     this.#firstDataAtMs ??= this.#parts.clock.nowMs();
     this.#body.push(chunk);
-    this.#memory.resize(this.#memory.bytes + chunk.length);
+    this.#memory.resize(this.#body.byteLength);
   }
 
   #isEventStream(): boolean {
@@ -367,7 +368,7 @@
   #isEmpty(): boolean {
     const status = this.#answer!.statusCode!;
     return status < MIN_REDIRECTION_STATUS && status !== STATUS_NO_CONTENT &&
-      this.options.call.method !== "HEAD" && this.#body.length === 0 &&
+      this.options.call.method !== "HEAD" && this.#body.byteLength === 0 &&
       isUnframed(this.#answer!);
   }
 
