Break off answers that are mostly something else than a body

Callers waited until their deadline, 504 with timeout_may_have_run, while a faulty target sent extensions of small chunks, zeros of a chunk's size or empty lines.

Only the bytes of a body were limited. TargetExchange now counts what its connection received against the body, and ends the exchange beyond 256 KB and 16 times the body. Chunks of a single byte have 5 bytes of overhead. The listener is removed with its request, as the connection is kept.

--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -66,6 +66,15 @@
 /** Interim responses that a target may send before its answer. */
 const MAX_INTERIM_RESPONSES = 8;
 
+/**
+ * Bytes besides those of the body that an answer may have: its head, interim
+ * responses and trailers, and what was received of the body but not read yet.
+ */
+const MAX_OVERHEAD_BYTES = 256 * 1024;
+
+/** Overhead by byte of the body; it is 5 for chunks of one byte. */
+const MAX_OVERHEAD_RATIO = 16;
+
 /** Reason of an exchange whose connection timed out. */
 export const CONNECT_TIMEOUT_REASON = "connect timeout";
 
@@ -97,6 +106,8 @@
   readonly #request?: ClientRequest;
   #answer?: IncomingMessage;
   #interimResponses = 0;
+  #receivedBytes = 0;
+  #bodyBytes = 0;
   #isSent = false;
   #isDone = false;
   /** Whether the check for a reset at the connection's end is in progress. */
@@ -184,6 +195,10 @@
   }
 
   #onSocket(socket: Socket): void {
+    const onReceived = (bytes: Buffer) => this.#onReceived(bytes.length);
+    socket.on("data", onReceived);
+    // The connection may serve other exchanges.
+    this.#request!.once("close", () => socket.off("data", onReceived));
     if (!socket.connecting) {
       this.#isSent = true;
       return;
@@ -221,6 +236,17 @@
     }
   }
 
+  /** Called after the HTTP parser has handled the bytes. */
+  #onReceived(bytes: number): void {
+    this.#receivedBytes += bytes;
+    const overheadBytes = this.#receivedBytes - this.#bodyBytes;
+    const maxBytes = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * this.#bodyBytes;
+    if (overheadBytes > maxBytes && !this.#isDone) {
+      this.#fail("answer has too many bytes besides its body");
+      this.#request!.destroy();
+    }
+  }
+
   #onInterimResponse(): void {
     this.#interimResponses++;
     if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
@@ -251,6 +277,7 @@
     }
     this.#runSink(() => this.#sink.head(answer));
     answer.on("data", (chunk: Buffer) => {
+      this.#bodyBytes += chunk.length;
       if (!this.#isDone) {
         this.#runSink(() => this.#sink.data(chunk));
       }
