Limit the number of chunks of a buffered answer

An answer, or an event of a stream, in more than 65,536 pieces is now broken off. A body of 1 MB remains possible in chunks of 16 bytes, and a plain answer may be sent token by token.

--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -67,6 +67,11 @@
     return this.#pending.byteLength;
   }
 
+  /** Number of pieces in which these bytes arrived. */
+  get pendingPieceCount(): number {
+    return this.#pending.pieceCount;
+  }
+
   /**
    * Whether an event has begun that is not complete yet. Empty lines between
    * events belong to none.
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -55,6 +55,12 @@
 const STATUS_NO_CONTENT = 204;
 const MIN_REDIRECTION_STATUS = 300;
 
+/**
+ * Pieces that a buffered answer, or an event, may arrive in. Each occupies the
+ * event loop for some microseconds, however small it is.
+ */
+const MAX_PIECES = 64 * 1024;
+
 /** Relays that are tried in one attempt, after which it has not been sent. */
 const MAX_RELAYS = 2;
 
@@ -306,11 +312,19 @@
     if (this.#isEventStream()) {
       this.#forwardEvents(this.#splitter.push(chunk));
       this.#memory.resize(this.#splitter.pendingBytes);
+      this.#limitPieces(this.#splitter.pendingPieceCount);
       return;
     }
     this.#firstDataAtMs ??= this.#parts.clock.nowMs();
     this.#body.push(chunk);
     this.#memory.resize(this.#body.byteLength);
+    this.#limitPieces(this.#body.pieceCount);
+  }
+
+  #limitPieces(pieceCount: number): void {
+    if (pieceCount > MAX_PIECES) {
+      this.#end(AttemptEnd.Lost, "answer has too many chunks");
+    }
   }
 
   #isEventStream(): boolean {
