Write events that arrive together at once, and break off empty streams

An instance with 70 MB for its heap ended, "Reached heap limit", while a faulty target sent empty lines into 16 streams; without that limit it grew by 490 MB. All its callers lost their answers.

Each event was written by itself. One read of 64 KB holds up to 32,768 events of two bytes, and each write takes hundreds of bytes until the caller has read it; the pause of a slow caller applies only after the read. Events that arrive in one piece are now accepted together and written once. Streams of which 4,096 events in a row have no content are broken off: each counted as progress, and they were read until the deadline. The id of an event is searched only where its text has one.

--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -162,7 +162,9 @@
 function eventOf(bytes: Buffer): StreamedEvent {
   const text = bytes.toString("latin1");
   const hasContent = CONTENT_LINE.test(text);
-  const idText = [...text.matchAll(ID_LINES)].at(-1)?.[1] ?? "";
+  const idText = text.includes("id")
+    ? [...text.matchAll(ID_LINES)].at(-1)?.[1] ?? ""
+    : "";
   return NUMBER.test(idText)
     ? { bytes, hasContent, id: Number(idText) }
     : { bytes, hasContent };
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -389,8 +389,8 @@
       resumeAfter: this.#progress.lastEventId,
       isTrial,
     }, {
-      event: (bytes) =>
-        this.#runOrFail(() => this.#forwardEvent(attempt, bytes)),
+      events: (bytes) =>
+        this.#runOrFail(() => this.#forwardEvents(attempt, bytes)),
       streamEnded: (rest) =>
         this.#runOrFail(() => this.#onStreamEnded(attempt, rest)),
       answered: () => this.#runOrFail(() => this.#onServed(attempt)),
@@ -439,7 +439,7 @@
     this.#triedTargetIds.delete(attempt.options.target.targetId);
   }
 
-  #forwardEvent(attempt: TargetAttempt, bytes: Buffer): void {
+  #forwardEvents(attempt: TargetAttempt, bytes: Buffer): void {
     this.#selectAttempt(attempt);
     this.#streamVersion.began(attempt.options.target);
     this.#progress.recordEvent(attempt.order, this.#nowMs());
--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt to run a request at one target. */
 
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { RequestKind } from "@chestnuthatch/routing/fleet_configuration";
 import { AttemptEnd } from "@chestnuthatch/routing/next_step";
@@ -39,8 +39,8 @@
  * `streamEnded`, `answered` or `ended`.
  */
 export interface AttemptSink {
-  /** The next complete event of the stream. */
-  event(bytes: Buffer): void;
+  /** The next complete events of the stream, which arrived together. */
+  events(bytes: Buffer): void;
   /** The stream is complete; `rest` holds empty lines after its last event. */
   streamEnded(rest: Buffer): void;
   /** The target gave a complete answer that may be forwarded. */
@@ -61,6 +61,13 @@
  */
 const MAX_PIECES = 64 * 1024;
 
+/**
+ * Events without content in a row. Comments that keep a connection open come
+ * once in some seconds; without a limit they could be sent as fast as they are
+ * read, and would keep the request from going to another target.
+ */
+const MAX_EMPTY_EVENTS = 4096;
+
 /** Relays that are tried in one attempt, after which it has not been sent. */
 const MAX_RELAYS = 2;
 
@@ -96,6 +103,8 @@
   readonly #body = new BodyCollector();
   /** Memory of the body, or of an event that is not complete. */
   readonly #memory: MemoryReservation;
+  /** Events without content since the last one with content. */
+  #emptyEventCount = 0;
   #exchange?: TargetExchange;
   /** Instance that relays the request; absent on a connection of its own. */
   #relay?: MemberRecord;
@@ -332,30 +341,46 @@
       this.#answer!.statusCode === STATUS_OK;
   }
 
+  /**
+   * Forwards events up to one that is rejected. They are written at once: each
+   * write takes some hundred bytes until the caller has read it.
+   */
   #forwardEvents(events: readonly StreamedEvent[]): void {
+    const accepted: Buffer[] = [];
+    let rejection: string | undefined;
     for (const event of events) {
-      if (this.#isDone) {
-        return;
-      }
       const verdict = this.order.accept(event);
+      this.#emptyEventCount = event.hasContent ? 0 : this.#emptyEventCount + 1;
+      if (this.#emptyEventCount > MAX_EMPTY_EVENTS) {
+        rejection = "stream has too many events without content";
+        break;
+      }
       if (verdict.use === EventUse.Reject) {
-        this.#end(AttemptEnd.Lost, verdict.reason);
-      } else if (verdict.use === EventUse.Forward) {
-        this.#forwardEvent(event.bytes);
+        rejection = verdict.reason;
+        break;
+      }
+      if (verdict.use === EventUse.Forward) {
+        accepted.push(event.bytes);
       }
     }
+    if (accepted.length > 0) {
+      this.#forward(accepted);
+    }
+    if (rejection !== undefined) {
+      this.#end(AttemptEnd.Lost, rejection);
+    }
   }
 
-  #forwardEvent(bytes: Buffer): void {
+  #forward(events: readonly Buffer[]): void {
     const nowMs = this.#parts.clock.nowMs();
-    this.eventCount++;
+    this.eventCount += events.length;
     this.#lastEventAtMs = nowMs;
     if (this.#firstDataAtMs === undefined) {
       this.#firstDataAtMs = nowMs;
       const { askId } = this.options;
       this.#parts.placementClient.reportFirstEvent(askId, this.#loadFact());
     }
-    this.#sink.event(bytes);
+    this.#sink.events(events.length === 1 ? events[0]! : Buffer.concat(events));
   }
 
   #onAnswerEnded(): void {
