Answer a request at once if it cannot be placed

A request whose first ask for a placement threw waited for its deadline, 15 s in the test, and its caller then got timeout_not_run. An error in a later step was answered at once, but its line held no cause and it was not counted in unexpected_errors_total.

The first ask is one of the steps now whose error fails the request with a truthful refusal, and the error of each such step is reported to the process's handler, which logs its stack and counts it.

The test failed before: 'Expected value to include "error":"no_target" substring'; callers got timeout_not_run after the deadline.

--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -372,6 +372,22 @@
     }),
 );
 
+// Guards against a request that is not answered before its deadline, and
+// against an error that is neither counted nor logged with its cause.
+testOn(
+  "a request that cannot be placed is refused at once",
+  (harness) =>
+    collectUnhandled(async (messages) => {
+      harness.gateway.board.backoffs.activeIds = () => {
+        throw new Error("broken part");
+      };
+      const caller = harness.request(["q"]);
+      const [answer] = await once(caller, "data");
+      assert.match(String(answer), '"error":"no_target"');
+      assert.equal(messages, ["broken part"]);
+    }),
+);
+
 // Guards against sends that are counted for the wrong domain, or not at all.
 for (const [targetDomain, counted] of [["a", "own"], ["b", "other"]] as const) {
   testOn(`a send to domain ${targetDomain} is counted`, async (harness) => {
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -35,6 +35,7 @@
 import { TargetDomain } from "./gateway_metrics.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { isUnframed } from "./relay_server.ts";
+import { reportUnhandled } from "./run_isolated.ts";
 import { deadlineAtMs, type RoutedCall } from "./routed_call.ts";
 import type { RunDurations } from "./run_durations.ts";
 import { SilenceTimer } from "./silence_timer.ts";
@@ -134,7 +135,7 @@
     if (this.#streamVersion.isOfOtherPool) {
       this.#fail(RoutedError.VersionGone, DEFAULT_RETRY_AFTER_MS);
     } else {
-      this.#ask(AskCause.First);
+      this.#runOrFail(() => this.#ask(AskCause.First));
     }
   }
 
@@ -321,6 +322,7 @@
       step();
     } catch (error) {
       this.#log("internal error", { reason: String(error) });
+      reportUnhandled(error);
       if (this.#runCount > 0) {
         this.#fail(RoutedError.AnswerLost);
       } else {
