Go on with a stop if a step of it throws

A stopping process exited at once, and cut every request in progress, if the announcement of its leave threw, or the end of one of the requests that outlast the grace period; the requests after that one were not ended.

Both announcements, the end of each request and the closing of idle connections run isolated, and errors are reported to the process's handler. The test of the line 'stopping failed' collects the error that the announcement reports now; it asserts the same as before.

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -36,6 +36,7 @@
 import { RequestBodyReader } from "./request_body_reader.ts";
 import { RoutedRequest } from "./routed_request.ts";
 import { RunDurations } from "./run_durations.ts";
+import { runIsolated } from "./run_isolated.ts";
 import { isStream } from "./target_attempt.ts";
 
 /** Limits that apply until a configuration is known. */
@@ -188,7 +189,7 @@
   refuseRequests(): void {
     this.#stage = ShutdownStage.Refusing;
     for (const request of [...this.#openRequests]) {
-      request.refuseIfTooLate();
+      runIsolated(() => request.refuseIfTooLate());
     }
     // A request may have arrived on an idle connection that is closed. The next
     // poll of the event loop reads it first, so that it is refused.
@@ -209,7 +210,7 @@
       await pollOfEventLoop();
       polls++;
     } while (this.#arrivalCount > before && polls < MAX_LAST_POLLS);
-    this.#connections.closeIdle();
+    runIsolated(() => this.#connections.closeIdle());
   }
 
   /**
@@ -217,7 +218,7 @@
    * that are still being read.
    */
   abortRequests(): void {
-    this.#readingRequests.forEach((refuse) => refuse());
+    this.#readingRequests.forEach((refuse) => runIsolated(refuse));
     this.#abort([...this.#openRequests].filter(({ hasBegun }) => !hasBegun));
   }
 
@@ -233,7 +234,7 @@
   #abort(requests: readonly RoutedRequest[]): void {
     const waiting = requests.filter(({ runCount }) => runCount === 0);
     for (const request of [...waiting, ...requests]) {
-      request.abort();
+      runIsolated(() => request.abort());
     }
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -537,8 +537,8 @@
 
   async #stop(): Promise<void> {
     this.#isLeaving = true;
-    this.#heartbeatExchange.announceLeaving();
-    this.#platform.announceLeaving();
+    runIsolated(() => this.#heartbeatExchange.announceLeaving());
+    runIsolated(() => this.#platform.announceLeaving());
     await new GracefulStop({
       front: this.#front,
       relay: this.#relayServer,
--- a/packages/gateway/src/gateway_connections_test.ts
+++ b/packages/gateway/src/gateway_connections_test.ts
@@ -339,15 +339,50 @@
   });
 });
 
-testOn("an error during the shutdown is logged", async (harness) => {
-  harness.clockFails = true;
-  const stopped = harness.gateway.stop();
-  harness.clockFails = false;
-  harness.gateway.logStopFailure(await stopped.catch((error) => error));
-  const { reason, level } = await harness.line("stopping failed");
-  assert.is(level, "warn");
-  assert.match(String(reason), "no time");
-});
+testOn(
+  "an error during the shutdown is logged",
+  (harness) =>
+    collectUnhandled(async () => {
+      harness.clockFails = true;
+      const stopped = harness.gateway.stop();
+      harness.clockFails = false;
+      harness.gateway.logStopFailure(await stopped.catch((error) => error));
+      const { reason, level } = await harness.line("stopping failed");
+      assert.is(level, "warn");
+      assert.match(String(reason), "no time");
+    }),
+);
+
+// Guards against a process that exits at once, and cuts all requests, as one
+// step of its stop or the end of one request threw.
+testOn(
+  "a stop goes on if a step of it throws",
+  (harness) =>
+    collectUnhandled(async (messages) => {
+      const { prototype } = GatewayMetrics;
+      const { errorAnswered } = prototype;
+      harness.request(["first"]);
+      harness.request(["second"]);
+      await until(() => harness.runs === 2);
+      harness.gateway.board.members.leave = () => {
+        throw new Error("broken step");
+      };
+      prototype.errorAnswered = () => {
+        prototype.errorAnswered = errorAnswered;
+        throw new Error("broken end");
+      };
+      try {
+        const stopped = harness.gateway.stop();
+        harness.advance(GRACE_MS - 400);
+        await stopped;
+        const { abortedRequests, cutRequests } = await harness.line("stopped");
+        assert.equal([abortedRequests, cutRequests], [1, 1]);
+        assert.equal(messages, ["broken step", "broken end"]);
+      } finally {
+        prototype.errorAnswered = errorAnswered;
+      }
+    }),
+);
 
 // Guards against an error in one tick that ends all ticks, or that skips the
 // parts of the tick after the one that throws.
