Apply the parts of a heartbeat independently of each other

An instance in which one part of each heartbeat threw never received what follows it: suspects, rate limits, roll-outs, changes of the targets and of the configuration. Only the error was logged.

Each part runs isolated now, and errors are reported to the process's handler.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -583,22 +583,7 @@
 
   #handlePeerMessage(message: RoutingMessage, fromAddress: string): void {
     if (message.kind === MessageKind.Heartbeat) {
-      this.#heartbeatExchange.heartbeatReceived(message);
-      const isCoordinator =
-        message.from.instanceId === this.#placementClient.coordinatorId;
-      if (isCoordinator) {
-        const { from, admission = [] } = message;
-        this.#placementClient.waitsAnnounced(from.instanceId, admission);
-      }
-      this.#receiveSpending(message);
-      if (isCoordinator && message.retries !== undefined) {
-        const { instanceId } = message.from;
-        this.#retryBudgets.reportReceived(instanceId, message.retries);
-      }
-      if (message.streams !== undefined) {
-        this.#coordinator.importStreams(message.streams, this.#clock.nowMs());
-      }
-      this.#fleetState.heartbeatReceived(message);
+      this.#handleHeartbeat(message);
       return;
     }
     const fromId = this.board.members.idAt(fromAddress);
@@ -618,6 +603,29 @@
     this.#placementClient.handleMessage(message, fromId);
   }
 
+  /** Applies the parts of a heartbeat independently of each other. */
+  #handleHeartbeat(heartbeat: Heartbeat): void {
+    runIsolated(() => this.#heartbeatExchange.heartbeatReceived(heartbeat));
+    const { admission = [], retries, streams } = heartbeat;
+    const { instanceId } = heartbeat.from;
+    const { coordinatorId } = this.#placementClient;
+    if (instanceId === coordinatorId) {
+      runIsolated(() =>
+        this.#placementClient.waitsAnnounced(instanceId, admission)
+      );
+    }
+    runIsolated(() => this.#receiveSpending(heartbeat));
+    if (instanceId === coordinatorId && retries !== undefined) {
+      runIsolated(() => this.#retryBudgets.reportReceived(instanceId, retries));
+    }
+    if (streams !== undefined) {
+      runIsolated(() =>
+        this.#coordinator.importStreams(streams, this.#clock.nowMs())
+      );
+    }
+    runIsolated(() => this.#fleetState.heartbeatReceived(heartbeat));
+  }
+
   /** Keeps the account of a sender that assigns requests for others. */
   #receiveSpending({ from, coordinatorId, ...account }: Heartbeat): void {
     const { instanceId } = from;
