Count errors of the step that relays a request

The holder of the request was told of an error in the relaying instance, but that instance neither logged nor counted it. It is reported to the process's handler now. No test covers this: no step is known to throw there.

--- a/packages/gateway/src/relay_server.ts
+++ b/packages/gateway/src/relay_server.ts
@@ -22,6 +22,7 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Clock } from "./ports.ts";
 import { RequestBodyReader } from "./request_body_reader.ts";
+import { reportUnhandled } from "./run_isolated.ts";
 import { listen } from "./snapshot_server.ts";
 import {
   type ExchangeFailure,
@@ -137,6 +138,7 @@
     try {
       this.#relay(request, body, response);
     } catch (error) {
+      reportUnhandled(error);
       sendFailure(response, notSent(String(error)));
     }
   }
