Send no request to port 80 of a target without a port

A request to a target whose address has no valid port was sent to port 80 of its host, the default of Node.js, and so to whatever listens there. The test of requests that cannot be created took the refused connection for an error of the creation; it failed once in about 110 runs, as the connection was refused only after the test had looked.

Such an address is rejected before a connection is opened.

--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -135,6 +135,10 @@
   /** Creates the request; it is written once it has a connection. */
   #open(options: ExchangeOptions): ClientRequest {
     const { host, port } = hostPortOf(options.address);
+    if (Number.isNaN(port)) {
+      // Node.js would connect to the default port of HTTP.
+      throw new RangeError(`address has no port: ${options.address}`);
+    }
     const created = request({
       host,
       port,
--- a/packages/gateway/src/target_exchange_test.ts
+++ b/packages/gateway/src/target_exchange_test.ts
@@ -64,6 +64,7 @@
     const text = JSON.stringify(overrides);
     assert.is(failures.length, 1, text);
     assert.is(failure!.isSent, false, text);
+    assert.not.match(failure!.reason, "ECONNREFUSED");
     assert.is(failure!.isInvalidRequest, isInvalidRequest, text);
     exchange.cancel();
   }
