Limit the memory of all bodies of requests together

Nothing limited the bodies of callers together, 4 MB each by default, nor those of relayed requests, 128 of 16 MB: an instance could run out of memory and end with the requests of all its callers.

Bodies now share 64 MB, those being read, those of requests in progress and those of relayed ones. Beyond it the largest one that is still being read is refused: callers get 503 memory_exceeded, not run, with a Retry-After; holders get "not sent" from the relay. A request releases its memory when it is done.

--- a/packages/gateway/src/answer_memory.ts
+++ b/packages/gateway/src/answer_memory.ts
@@ -1,7 +1,7 @@
 /**
- * Memory for answers that are buffered until they are complete, and for events
- * of streams. A target may send bytes without end, and several targets may do so
- * at once.
+ * Memory for answers that are buffered until they are complete, for events of
+ * streams, and for bodies of requests. A target may send bytes without end, and
+ * several targets, or callers, may do so at once.
  */
 
 /** Largest answer, or event of a stream, that is buffered. */
@@ -10,11 +10,46 @@
 /** Bytes of all answers and events that are buffered at the same time. */
 const MAX_TOTAL_BYTES = 32 * 1024 * 1024;
 
+/**
+ * Bytes of the bodies of all requests of an instance, those of callers and those
+ * that it relays, on machines of 200 MB.
+ */
+const MAX_REQUEST_BYTES = 64 * 1024 * 1024;
+
+/** Limits of {@link AnswerMemory}; those for answers by default. */
+export interface MemoryLimits {
+  /** Largest number of bytes of one reservation. */
+  readonly maxBytes?: number;
+  /** Largest number of bytes of all reservations. */
+  readonly maxTotalBytes?: number;
+}
+
+/**
+ * Creates the memory for the bodies of requests. Each body has a limit of its
+ * own, which the configuration sets.
+ *
+ * @returns The memory, which holds nothing yet.
+ */
+export function createRequestMemory(): AnswerMemory {
+  return new AnswerMemory({
+    maxBytes: Infinity,
+    maxTotalBytes: MAX_REQUEST_BYTES,
+  });
+}
+
 /** Limits the memory that all answers of an instance take. */
 export class AnswerMemory {
+  readonly #maxBytes: number;
+  readonly #maxTotalBytes: number;
   readonly #reservations = new Set<MemoryReservation>();
   #bytes = 0;
 
+  /** @param limits Limits of each reservation and of all. */
+  constructor(limits: MemoryLimits = {}) {
+    this.#maxBytes = limits.maxBytes ?? MAX_ANSWER_BYTES;
+    this.#maxTotalBytes = limits.maxTotalBytes ?? MAX_TOTAL_BYTES;
+  }
+
   /** Number of bytes that are buffered. */
   get bytes(): number {
     return this.#bytes;
@@ -41,15 +76,16 @@
   }
 
   #dropTooLarge(changed: MemoryReservation): void {
-    if (changed.bytes > MAX_ANSWER_BYTES) {
+    if (changed.bytes > this.#maxBytes) {
       changed.drop();
-    } else if (this.#bytes > MAX_TOTAL_BYTES) {
+    } else if (this.#bytes > this.#maxTotalBytes) {
       this.#largest().drop();
     }
   }
 
   #largest(): MemoryReservation {
     return [...this.#reservations]
+      .filter(({ isKept }) => !isKept)
       .reduce((a, b) => b.bytes > a.bytes ? b : a);
   }
 }
@@ -60,6 +96,7 @@
   readonly #onTooLarge: () => void;
   #bytes = 0;
   #isReleased = false;
+  #isKept = false;
 
   /**
    * @param onChanged Called with each change of the number of bytes.
@@ -83,6 +120,16 @@
     return this.#isReleased;
   }
 
+  /** Whether it is not dropped for want of memory. */
+  get isKept(): boolean {
+    return this.#isKept;
+  }
+
+  /** Excludes what was buffered from being dropped; its size is final. */
+  keep(): void {
+    this.#isKept = true;
+  }
+
   /**
    * Changes the number of bytes, unless the reservation was released.
    *
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -16,6 +16,7 @@
 } from "@chestnuthatch/routing/fleet_configuration";
 import { RoutedError } from "@chestnuthatch/routing/routed_error";
 import type { RouteTable } from "@chestnuthatch/routing/route_table";
+import type { MemoryReservation } from "./answer_memory.ts";
 import { ConnectionEnd } from "./caller_connection.ts";
 import {
   CallerConnections,
@@ -299,18 +300,21 @@
     const { timeoutMs } = admission.route;
     new RequestBodyReader(request, {
       maxBytes: this.#limits.maxBodyBytes,
+      memory: this.#parts.requestMemory,
       timeoutMs: Math.min(facts.deadlineMs ?? Infinity, timeoutMs),
       sink: {
-        complete: (body) =>
+        complete: (body, memory) =>
           this.#afterCallerCheck(unfinished, (isConnected) => {
-            if (!this.#readingRequests.delete(refuseAsLeaving)) {
+            const isReading = this.#readingRequests.delete(refuseAsLeaving);
+            if (!isReading || !isConnected) {
+              memory.release();
               return;
             }
             const parts = { request, facts, body, arrivedAtMs, admission };
-            if (isConnected) {
-              this.#start(routedCallOf(parts), unfinished, reply);
-            }
+            this.#start(routedCallOf(parts), { unfinished, reply, memory });
           }),
+        memoryExceeded: () =>
+          refuse(RoutedError.MemoryExceeded, DEFAULT_RETRY_AFTER_MS),
         tooLarge: () => refuse(RoutedError.BodyTooLarge),
         tooSlow: () =>
           refuse(RoutedError.TimeoutNotRun, DEFAULT_RETRY_AFTER_MS),
@@ -413,8 +417,11 @@
 
   #start(
     call: RoutedCall,
-    unfinished: UnfinishedAnswer,
-    reply: CallerReply,
+    { unfinished, reply, memory }: {
+      unfinished: UnfinishedAnswer;
+      reply: CallerReply;
+      memory: MemoryReservation;
+    },
   ): void {
     const routed = new RoutedRequest(this.#parts, {
       call,
@@ -424,6 +431,7 @@
         leftMs: () => this.#timeToAbortMs(),
       },
       onDone: () => {
+        memory.release();
         this.#openRequests.delete(routed);
         this.#parts.metrics.openRequests(this.#openRequests.size);
       },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,7 +27,7 @@
 import { LatencyModels } from "@chestnuthatch/routing/latency_models";
 import { TargetBackoffs } from "@chestnuthatch/routing/target_backoffs";
 import { AddressOpener, type Listener } from "./address_opener.ts";
-import { AnswerMemory } from "./answer_memory.ts";
+import { AnswerMemory, createRequestMemory } from "./answer_memory.ts";
 import { AnsweredParts } from "./answered_parts.ts";
 import { AssigningRole } from "./assigning_role.ts";
 import { CoordinatorMonitors } from "./coordinator_monitors.ts";
@@ -129,6 +129,7 @@
   readonly #eventLoopMonitor: EventLoopMonitor;
   readonly #monitors: CoordinatorMonitors;
   readonly #answerMemory = new AnswerMemory();
+  readonly #requestMemory = createRequestMemory();
   readonly #memoryMonitor: ProcessMemoryMonitor;
   readonly #role: AssigningRole;
   #askCounter = 0;
@@ -277,6 +278,7 @@
     );
     this.#relayServer = new RelayServer({
       board: this.board,
+      requestMemory: this.#requestMemory,
       clock: this.#clock,
       log: this.#log,
       metrics: this.#metrics,
@@ -733,6 +735,7 @@
     return {
       board: this.board,
       answerMemory: this.#answerMemory,
+      requestMemory: this.#requestMemory,
       answeredParts: new AnsweredParts(),
       clock: this.#clock,
       log: this.#log,
--- a/packages/gateway/src/gateway_parts.ts
+++ b/packages/gateway/src/gateway_parts.ts
@@ -15,6 +15,8 @@
 export interface GatewayParts {
   readonly board: RoutingBoard;
   readonly answerMemory: AnswerMemory;
+  /** Memory of the bodies of all requests. */
+  readonly requestMemory: AnswerMemory;
   readonly answeredParts: AnsweredParts;
   readonly clock: Clock;
   readonly log: EventLog;
--- a/packages/gateway/src/relay_server.ts
+++ b/packages/gateway/src/relay_server.ts
@@ -17,6 +17,7 @@
 } from "node:http";
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { KnownTarget } from "@chestnuthatch/routing/target_directory";
+import type { AnswerMemory } from "./answer_memory.ts";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
@@ -63,6 +64,8 @@
 /** Dependencies of {@link RelayServer}. */
 export interface RelayServerParts {
   readonly board: RoutingBoard;
+  /** Memory of the bodies of all requests. */
+  readonly requestMemory: AnswerMemory;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
@@ -119,9 +122,15 @@
     response.on("close", () => this.#openCount--);
     new RequestBodyReader(request, {
       maxBytes: MAX_BODY_BYTES,
+      memory: this.#parts.requestMemory,
       timeoutMs: READ_TIMEOUT_MS,
       sink: {
-        complete: (body) => this.#relayOrFail(request, body, response),
+        complete: (body, memory) => {
+          response.on("close", () => memory.release());
+          this.#relayOrFail(request, body, response);
+        },
+        memoryExceeded: () =>
+          sendFailure(response, notSent("bodies take too much memory")),
         tooLarge: () => sendFailure(response, notSent("body is too large")),
         tooSlow: () => sendFailure(response, notSent("body is incomplete")),
         aborted: () => response.destroy(),
--- a/packages/gateway/src/request_body_reader.ts
+++ b/packages/gateway/src/request_body_reader.ts
@@ -2,14 +2,20 @@
 
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import type { AnswerMemory, MemoryReservation } from "./answer_memory.ts";
 import { BodyCollector } from "./body_collector.ts";
 
 /** Receives the result of reading a body: exactly one call of one method. */
 export interface BodySink {
-  /** @param body The whole body. */
-  complete(body: Buffer): void;
+  /**
+   * @param body The whole body.
+   * @param memory Memory of the body; the receiver releases it.
+   */
+  complete(body: Buffer, memory: MemoryReservation): void;
   /** The body exceeds the size limit; the rest of it is discarded. */
   tooLarge(): void;
+  /** All bodies together take too much memory; the rest of it is discarded. */
+  memoryExceeded(): void;
   /** The body was not complete in time; the rest of it is discarded. */
   tooSlow(): void;
   /** The caller aborted the request. */
@@ -19,6 +25,8 @@
 /** Limits of a body, and the receiver of the result. */
 export interface RequestBodyOptions {
   readonly maxBytes: number;
+  /** Memory of all bodies. */
+  readonly memory: AnswerMemory;
   /** Time from now until the body has to be complete. */
   readonly timeoutMs: number;
   readonly sink: BodySink;
@@ -28,6 +36,7 @@
 export class RequestBodyReader {
   readonly #maxBytes: number;
   readonly #sink: BodySink;
+  readonly #memory: MemoryReservation;
   readonly #body = new BodyCollector();
   #isDone = false;
   readonly #timer: NodeJS.Timeout;
@@ -40,19 +49,22 @@
    */
   constructor(
     request: IncomingMessage,
-    { maxBytes, timeoutMs, sink }: RequestBodyOptions,
+    { maxBytes, memory, timeoutMs, sink }: RequestBodyOptions,
   ) {
     this.#maxBytes = maxBytes;
     this.#sink = sink;
-    this.#timer = setTimeout(() => {
-      this.#body.clear();
-      this.#end(() => sink.tooSlow());
-    }, timeoutMs);
+    this.#memory = memory.reserve(() =>
+      this.#drop(() => sink.memoryExceeded())
+    );
+    this.#timer = setTimeout(
+      () => this.#drop(() => sink.tooSlow()),
+      timeoutMs,
+    );
     request.on("data", (chunk: Buffer) => this.#read(chunk));
-    request.on("end", () => this.#end(() => sink.complete(this.#takeBody())));
+    request.on("end", () => this.#end(() => this.#complete()));
     // The connection logs the error when it ends.
-    request.on("error", () => this.#end(() => sink.aborted()));
-    request.on("close", () => this.#end(() => sink.aborted()));
+    request.on("error", () => this.#drop(() => sink.aborted()));
+    request.on("close", () => this.#drop(() => sink.aborted()));
   }
 
   #read(chunk: Buffer): void {
@@ -61,15 +73,25 @@
     }
     this.#body.push(chunk);
     if (this.#body.byteLength > this.#maxBytes) {
-      this.#body.clear();
-      this.#end(() => this.#sink.tooLarge());
+      this.#drop(() => this.#sink.tooLarge());
+    } else {
+      this.#memory.resize(this.#body.byteLength);
     }
   }
 
-  #takeBody(): Buffer {
+  #complete(): void {
     const { bytes } = this.#body;
     this.#body.clear();
-    return bytes;
+    this.#memory.keep();
+    this.#sink.complete(bytes, this.#memory);
+  }
+
+  #drop(report: () => void): void {
+    this.#end(() => {
+      this.#body.clear();
+      this.#memory.release();
+      report();
+    });
   }
 
   #end(report: () => void): void {
--- a/packages/gateway/src/stopping_front_server_test.ts
+++ b/packages/gateway/src/stopping_front_server_test.ts
@@ -12,6 +12,7 @@
 } from "@chestnuthatch/routing/work_ask";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { createRequestMemory } from "./answer_memory.ts";
 import { EventLog } from "./event_log.ts";
 import { FrontServer } from "./front_server.ts";
 import { GracefulStop } from "./graceful_stop.ts";
@@ -52,6 +53,7 @@
     this.#log = new EventLog(clock, "i1", output);
     this.front = new FrontServer({
       board: boardOf([]),
+      requestMemory: createRequestMemory(),
       clock,
       log: this.#log,
       metrics: new GatewayMetrics(),
--- a/packages/routing/src/routed_error.ts
+++ b/packages/routing/src/routed_error.ts
@@ -8,6 +8,8 @@
   UnknownKey = "unknown_key",
   BodyTooLarge = "body_too_large",
   HeadTooLarge = "head_too_large",
+  /** The bodies of this instance's requests take too much memory. */
+  MemoryExceeded = "memory_exceeded",
   /** This instance is shutting down; others are not. */
   Leaving = "leaving",
   /** The workspace has spent its allotment. */
@@ -88,6 +90,11 @@
     ran: RanState.NotRun,
     text: "The headers are larger than the configured limit.",
   },
+  [RoutedError.MemoryExceeded]: {
+    status: 503,
+    ran: RanState.NotRun,
+    text: "This instance holds too many bodies of requests; try again.",
+  },
   [RoutedError.Leaving]: {
     status: 503,
     ran: RanState.NotRun,
