End an attempt whose target or relay cannot be checked

After a lost answer, or a request that was not sent, an attempt asks whether its target has ended or who can relay the request. If that check was rejected, the attempt had no result, and its caller waited until the deadline. The error is reported and the attempt ends as if the check had found nothing.

The new test never ended on the code before.

--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -18,6 +18,7 @@
 import { hostPortOf } from "./host_port.ts";
 import { isUnframed, relayFailureOf, relayHeaders } from "./relay_server.ts";
 import { deadlineAtMs, type RoutedCall } from "./routed_call.ts";
+import { reportUnhandled } from "./run_isolated.ts";
 import { EventUse, RunOrder } from "./run_order.ts";
 import { type ExchangeFailure, TargetExchange } from "./target_exchange.ts";
 
@@ -475,9 +476,9 @@
       reachability.relayFailed(target, this.#relay.instanceId);
     }
     const relay = this.#relayCount < MAX_RELAYS
-      ? await reachability.findRelay(target)
+      ? await reachability.findRelay(target).catch(reportUnhandled)
       : undefined;
-    if (relay === undefined) {
+    if (!relay) {
       this.#end(AttemptEnd.NotSent, reason);
     } else if (!this.#isDone) {
       this.#exchangeThrough(relay);
@@ -490,7 +491,8 @@
    */
   async #onAnswerLost(reason: string): Promise<void> {
     const { reachability } = this.#parts;
-    const hasEnded = await reachability.hasEnded(this.options.target);
+    const hasEnded = await reachability.hasEnded(this.options.target)
+      .catch(reportUnhandled);
     this.#end(hasEnded ? AttemptEnd.TargetEnded : AttemptEnd.Lost, reason);
   }
 
--- a/packages/gateway/src/target_attempt_test.ts
+++ b/packages/gateway/src/target_attempt_test.ts
@@ -1,14 +1,15 @@
-/** Tests of streams whose events arrive faster than usual. */
+/** Tests of attempts whose streams arrive fast, or break off. */
 
 import { Agent } from "node:http";
 import { type AddressInfo, createServer } from "node:net";
-import type { AttemptEnd } from "@chestnuthatch/routing/next_step";
+import { AttemptEnd } from "@chestnuthatch/routing/next_step";
 import { boardOf, routeOf } from "@chestnuthatch/routing/routing_test_support";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { AnswerMemory } from "./answer_memory.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { TargetAttempt } from "./target_attempt.ts";
+import { collectUnhandled } from "./unhandled_errors_test_support.ts";
 
 const HEAD = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 const EVENT_COUNT = 20_000;
@@ -22,7 +23,10 @@
 }
 
 /** Runs an attempt at a target that sends a stream of the given text. */
-async function streamOf(text: string): Promise<Outcome> {
+async function streamOf(
+  text: string,
+  hasEnded = () => Promise.resolve(false),
+): Promise<Outcome> {
   const server = createServer((socket) => {
     socket.on("error", () => {});
     socket.once("data", () => socket.end(HEAD + text));
@@ -40,7 +44,7 @@
     reachability: {
       relayFor: () => undefined,
       answered: () => {},
-      hasEnded: () => false,
+      hasEnded,
     },
     targetSignals: { answerReceived: () => {} },
     placementClient: { reportFirstEvent: () => {} },
@@ -105,4 +109,16 @@
   assert.is((await streamOf(heartbeats.repeat(10))).reason, undefined);
 });
 
+// Guards against a caller that waits until its deadline for a lost answer, as an
+// error in the check of the target ended the attempt without a result.
+test("a lost answer ends the attempt if its target cannot be checked", () =>
+  collectUnhandled(async (messages) => {
+    const brokenCheck = () => Promise.reject(new Error("broken check"));
+    const { end, reason } = await streamOf("data: a", brokenCheck);
+    assert.equal(
+      [end, reason, messages],
+      [AttemptEnd.Lost, "stream ended inside an event", ["broken check"]],
+    );
+  }));
+
 test.run();
