Close the connection after each answer that is sent during a stop

Whether an answer closes its connection was decided when its request was read. Answers to requests that were read before the stop signal said keep-alive, and their connections were then closed as idle, beside requests on the way. The decision is made when the head of the answer is sent; a connection with a later request that was read stays open for its answer.

--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -207,15 +207,15 @@
   }
 
   /**
-   * Lets the end of the connection delimit an answer, unless a later request on
-   * it was read, which could not be answered any more.
+   * Closes the connection after an answer, unless a later request on it was
+   * read, which could not be answered any more.
    *
    * @param answer An answer that is about to be sent.
-   * @returns Whether the connection ends after the answer.
+   * @returns Whether the connection closes after the answer.
    */
-  endAfter(answer: UnfinishedAnswer): boolean {
-    answer.isUnframed = this.unfinishedAnswers.at(-1) === answer;
-    return answer.isUnframed;
+  closeAfter(answer: UnfinishedAnswer): boolean {
+    answer.isLast = this.unfinishedAnswers.at(-1) === answer;
+    return answer.isLast;
   }
 
   /**
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -139,6 +139,17 @@
     this.#open.get(answer.response.req.socket)?.recordEnd(end);
   }
 
+  /**
+   * Closes the connection of an answer after it.
+   *
+   * @param answer An answer that is about to be sent.
+   * @returns False if the connection has to stay open for later answers.
+   */
+  closeAfter(answer: UnfinishedAnswer): boolean {
+    const connection = this.#open.get(answer.response.req.socket);
+    return connection?.closeAfter(answer) ?? false;
+  }
+
   /**
    * Lets the end of an answer's connection delimit the answer.
    *
@@ -146,8 +157,8 @@
    * @returns False if the connection has to stay open for later answers.
    */
   endAfter(answer: UnfinishedAnswer): boolean {
-    const connection = this.#open.get(answer.response.req.socket);
-    return connection?.endAfter(answer) ?? false;
+    answer.isUnframed = this.closeAfter(answer);
+    return answer.isUnframed;
   }
 
   /** Closes connections without an unfinished answer or a partial request. */
--- a/packages/gateway/src/caller_reply.ts
+++ b/packages/gateway/src/caller_reply.ts
@@ -36,8 +36,12 @@
 
 /** Handling of the connection of one answer. */
 export interface ReplyOptions {
-  /** Whether the answer is sent with `Connection: close`. */
-  readonly closesConnection: boolean;
+  /**
+   * Called right before the head of the answer is sent.
+   *
+   * @returns Whether it is sent with `Connection: close`.
+   */
+  closesConnection(): boolean;
   /**
    * Called right before an answer is sent that only the end of the caller's
    * connection delimits.
@@ -98,7 +102,7 @@
       return ["Content-Length", String(body.length)];
     }
     this.#response.useChunkedEncodingByDefault = false;
-    return this.#options.closesConnection ? [] : CLOSE_HEADER;
+    return this.#options.closesConnection() ? [] : CLOSE_HEADER;
   }
 
   /**
@@ -201,7 +205,7 @@
   }
 
   #closeHeader(): string[] {
-    return this.#options.closesConnection ? CLOSE_HEADER : [];
+    return this.#options.closesConnection() ? CLOSE_HEADER : [];
   }
 }
 
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -277,7 +277,9 @@
     });
     this.#connections.trackAnswer(unfinished);
     const reply = new CallerReply(response, {
-      closesConnection: isStopping,
+      closesConnection: () =>
+        this.#stage !== ShutdownStage.Open &&
+        this.#connections.closeAfter(unfinished),
       beforeUnframed: () => this.#connections.endAfter(unfinished),
       beforeAbort: () =>
         this.#connections.recordEnd(unfinished, ConnectionEnd.Aborted),
--- a/packages/gateway/src/unfinished_answer.ts
+++ b/packages/gateway/src/unfinished_answer.ts
@@ -29,6 +29,8 @@
   readonly response: ServerResponse;
   /** Whether only the end of the connection delimits the answer. */
   isUnframed = false;
+  /** Whether its head says that the connection closes after it. */
+  isLast = false;
   /** Returns the number of targets that may have run the request. */
   countRuns: () => number = () => 0;
   /** Called when the connection ends before the answer is written out. */
@@ -45,7 +47,7 @@
 
   /** Whether the connection closes after the answer. */
   get closesConnection(): boolean {
-    return this.isUnframed || this.facts.closesConnection;
+    return this.isLast || this.facts.closesConnection;
   }
 
   /** Progress of the answer, read from the response stream. */
