Read what has arrived before a stop aborts requests

The stop waits for one poll of the event loop before it aborts requests, as it does before it exits.

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -28,6 +28,7 @@
   DEFAULT_RETRY_AFTER_MS,
   LEAVING_RETRY_AFTER_MS,
 } from "./retry_after.ts";
+import { pollOfEventLoop } from "./event_loop_poll.ts";
 import { LogPart } from "./event_log.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { UnfinishedAnswer } from "./unfinished_answer.ts";
@@ -449,12 +450,6 @@
   }
 }
 
-/** Resolves after the event loop has polled for input. */
-function pollOfEventLoop(): Promise<void> {
-  // The first callback may run in a turn whose poll is over.
-  return new Promise((resolve) => setImmediate(() => setImmediate(resolve)));
-}
-
 /** A stream that is taken up keeps to the pool that began it. */
 function poolHashTextOf({ requestId, resumeAfter, resumes }: CallMetadata) {
   return resumeAfter === undefined ? requestId : resumes ?? requestId;
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -1,6 +1,7 @@
 /** Graceful shutdown: requests that were read are answered before the end. */
 
 import type { OpenConnections } from "./caller_connections.ts";
+import { pollOfEventLoop } from "./event_loop_poll.ts";
 import { type EventLog, LogPart } from "./event_log.ts";
 import type { Clock } from "./ports.ts";
 
@@ -123,6 +124,8 @@
     });
     await this.#finishRequests();
     front.refuseRequests();
+    // Answers of targets that have arrived are still forwarded.
+    await pollOfEventLoop();
     const openRequests = front.openCount;
     front.abortRequests();
     const abortedRequests = openRequests - front.openCount;
