Predict how long a stream runs from its number of tokens

The expected duration of a route did not depend on the size of the answer, and runs that only resumed a stream counted as whole ones. Durations of streams are recorded for each token that the caller allows.

--- a/packages/gateway/src/finish_forecast_test.ts
+++ b/packages/gateway/src/finish_forecast_test.ts
@@ -49,15 +49,16 @@
 
 test("the expected duration covers runs that differ, and follows the targets", () => {
   const durations = new RunDurations();
-  assert.is(durations.expectedMs("r"), undefined);
-  for (let run = 0; run < 40; run++) {
-    durations.record("r", run % 2 === 0 ? 1000 : 2000);
+  const run = { route: "r", units: 1 };
+  assert.is(durations.expectedMs(run), undefined);
+  for (let i = 0; i < 40; i++) {
+    durations.record(run, i % 2 === 0 ? 1000 : 2000);
   }
-  assert.ok(durations.expectedMs("r")! >= 2000);
-  for (let run = 0; run < 80; run++) {
-    durations.record("r", 100);
+  assert.ok(durations.expectedMs(run)! >= 2000);
+  for (let i = 0; i < 80; i++) {
+    durations.record(run, 100);
   }
-  assert.ok(durations.expectedMs("r")! < 200);
+  assert.ok(durations.expectedMs(run)! < 200);
 });
 
 test.run();
--- a/packages/gateway/src/late_placement_test.ts
+++ b/packages/gateway/src/late_placement_test.ts
@@ -33,7 +33,7 @@
     const output = new Writable({ write: (_chunk, _code, done) => done() });
     const runDurations = new RunDurations();
     for (let run = 0; run < 20; run++) {
-      runDurations.record("r", RUN_MS);
+      runDurations.record({ route: "r", units: 1 }, RUN_MS);
     }
     const parts = {
       answerMemory: new AnswerMemory(),
--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -37,7 +37,7 @@
 import { isUnframed } from "./relay_server.ts";
 import { reportUnhandled } from "./run_isolated.ts";
 import { deadlineAtMs, type RoutedCall } from "./routed_call.ts";
-import type { RunDurations } from "./run_durations.ts";
+import type { RunDurations, RunSize } from "./run_durations.ts";
 import { SilenceTimer } from "./silence_timer.ts";
 import { StandbyAttempt } from "./standby_attempt.ts";
 import { StreamProgress } from "./stream_progress.ts";
@@ -302,11 +302,21 @@
     return true;
   }
 
+  /** Streams take longer the more tokens they may have. */
+  get #runSize(): RunSize {
+    const { facts, route } = this.#call;
+    const outputTokens = facts.tokens?.output ?? 1;
+    return {
+      route: route.name,
+      units: isStream(route.kind) ? Math.max(1, outputTokens) : 1,
+    };
+  }
+
   /** Expected time to the end of the answer. */
   #expectedRunMs(decision?: PlaceDecision): number {
     const { facts, route } = this.#call;
     const firstMs = decision?.expectedMs ?? 0;
-    const recordedMs = this.#stop?.runDurations.expectedMs(route.name);
+    const recordedMs = this.#stop?.runDurations.expectedMs(this.#runSize);
     if (recordedMs !== undefined) {
       return Math.max(firstMs, recordedMs);
     }
@@ -495,9 +505,10 @@
   }
 
   #recordServed(attempt: TargetAttempt): void {
-    if (!this.#wasCallerSlow) {
+    const isWholeRun = attempt.options.resumeAfter === undefined;
+    if (isWholeRun && !this.#wasCallerSlow) {
       const tookMs = this.#nowMs() - attempt.sentAtMs;
-      this.#stop?.runDurations.record(this.#call.route.name, tookMs);
+      this.#stop?.runDurations.record(this.#runSize, tookMs);
     }
     this.#attempt = undefined;
     this.#dropAsk();
