Keep connections of a stopping instance for a moment after an answer

Streams whose heads were sent before the stop signal said keep-alive; their connections were closed within 50 ms of the end of the stream, beside a next request on its way, which was reset without an answer.

The new test fails with the connections closed at once: Expected false, actual true.

--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -59,6 +59,8 @@
   #requestsRead = 0;
   /** Bytes received by the time the last answer was written out. */
   #bytesReadWhenIdle?: number;
+  /** Local time at which the last answer was written out. */
+  #idleSinceMs = Infinity;
   readonly #clock: Clock;
   readonly #idleTimeoutMs: () => number;
   #slowestAnswerMs = 0;
@@ -154,6 +156,11 @@
       this.#socket.bytesRead === this.#bytesReadWhenIdle;
   }
 
+  /** Time since the last answer was written out, in milliseconds. */
+  get idleMs(): number {
+    return this.#clock.nowMs() - this.#idleSinceMs;
+  }
+
   /** Whether the connection ends, or closes after an unfinished answer. */
   get isClosing(): boolean {
     return this.#end !== undefined ||
@@ -298,6 +305,7 @@
   #onWrittenOut(answer: UnfinishedAnswer): void {
     this.#unfinishedAnswers.delete(answer);
     this.#bytesReadWhenIdle = this.#socket.bytesRead;
+    this.#idleSinceMs = this.#clock.nowMs();
     if (answer.closesConnection) {
       this.recordEnd(ConnectionEnd.AfterAnswer);
     }
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -161,9 +161,15 @@
     return answer.isUnframed;
   }
 
-  /** Closes connections without an unfinished answer or a partial request. */
-  closeIdle(): void {
-    for (const connection of this.#idleConnections()) {
+  /**
+   * Closes connections without an unfinished answer or a partial request.
+   *
+   * @param minIdleMs Time for which they must have been idle, in milliseconds.
+   */
+  closeIdle(minIdleMs = 0): void {
+    const connections = this.#idleConnections()
+      .filter(({ idleMs }) => idleMs >= minIdleMs);
+    for (const connection of connections) {
       connection.recordEnd(ConnectionEnd.ClosedIdle);
       connection.close();
     }
--- a/packages/gateway/src/caller_connections_test.ts
+++ b/packages/gateway/src/caller_connections_test.ts
@@ -286,6 +286,21 @@
   },
 );
 
+// Guards against a reset of a caller's next request, which is on its way when the
+// stopping instance closes the connection of the answer before.
+testOn(
+  "a connection that has just become idle is not closed yet",
+  async (harness) => {
+    const caller = await harness.request("/small");
+    caller.resume();
+    await until(() => harness.connections.summary.owedAnswers === 0);
+    harness.connections.closeIdle(NEVER_MS);
+    assert.is(harness.accepted[0]!.destroyed, false);
+    harness.connections.closeIdle();
+    assert.is(harness.accepted[0]!.destroyed, true);
+  },
+);
+
 testOn("a raised limit applies to idle connections", async (harness) => {
   const caller = await harness.request("/small");
   caller.resume();
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -67,6 +67,13 @@
 /** Polls of the event loop that may read requests before the process exits. */
 const MAX_LAST_POLLS = 10;
 
+/**
+ * Time after the end of an answer for which a stopping instance keeps the
+ * connection, if the head of the answer was sent before the stop and did not say
+ * that it closes: the caller's next request may be on its way.
+ */
+const MIN_IDLE_MS = 250;
+
 /** Time between two checks for connections over their time limits. */
 const CONNECTION_CHECK_MS = 1000;
 
@@ -195,7 +202,7 @@
     }
     // A request may have arrived on an idle connection that is closed. The next
     // poll of the event loop reads it first, so that it is refused.
-    setImmediate(() => this.#connections.closeIdle());
+    setImmediate(() => this.#connections.closeIdle(MIN_IDLE_MS));
   }
 
   /**
