Refuse a request if an error occurs while it is read

Nothing has been sent then, so the request is refused with a time to return, and the error is reported.

The new test failed before: no answer in place of 503.

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -38,7 +38,7 @@
 import { RequestBodyReader } from "./request_body_reader.ts";
 import { RoutedRequest } from "./routed_request.ts";
 import { RunDurations } from "./run_durations.ts";
-import { runIsolated } from "./run_isolated.ts";
+import { reportUnhandled, runIsolated } from "./run_isolated.ts";
 import { isStream } from "./target_attempt.ts";
 
 /** Limits that apply until a configuration is known. */
@@ -119,7 +119,7 @@
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
       maxHeaderSize: MAX_PARSED_HEADER_BYTES,
       noDelay: true,
-    }, (request, response) => this.#onRequest(request, response));
+    }, (request, response) => this.#readOrFail(request, response));
     const { clock, log, metrics } = parts;
     const stage = () => this.#stage;
     this.#connections = new CallerConnections({
@@ -261,6 +261,26 @@
     this.#server.closeAllConnections();
   }
 
+  /** Refuses a request if an error occurs before it can have been sent. */
+  #readOrFail(request: IncomingMessage, response: ServerResponse): void {
+    try {
+      this.#onRequest(request, response);
+    } catch (error) {
+      reportUnhandled(error);
+      if (!response.headersSent) {
+        const reply = new CallerReply(response, {
+          closesConnection: () => true,
+          beforeUnframed: () => true,
+          beforeAbort: () => {},
+        });
+        reply.sendError(RoutedError.NoTarget, {
+          requestId: "",
+          retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+        });
+      }
+    }
+  }
+
   #onRequest(request: IncomingMessage, response: ServerResponse): void {
     const { clock, log, protocol } = this.#parts;
     this.#arrivalCount++;
--- a/packages/gateway/src/stopping_front_server_test.ts
+++ b/packages/gateway/src/stopping_front_server_test.ts
@@ -18,6 +18,7 @@
 import { GracefulStop } from "./graceful_stop.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
+import { collectUnhandled } from "./unhandled_errors_test_support.ts";
 
 const GRACE_MS = 1000;
 const HEAD =
@@ -42,6 +43,7 @@
   readonly front: FrontServer;
   received = "";
   askCount = 0;
+  breaksReading = false;
   socket!: Socket;
 
   readonly #log: EventLog;
@@ -58,10 +60,12 @@
       log: this.#log,
       metrics: new GatewayMetrics(),
       protocol: {
-        readCall: (_headers: IncomingHttpHeaders) => ({
-          requestId: "q1",
-          promptParts: [],
-        }),
+        readCall: (_headers: IncomingHttpHeaders) => {
+          if (this.breaksReading) {
+            throw new Error("broken reading");
+          }
+          return { requestId: "q1", promptParts: [] };
+        },
       },
       lateMs: () => 0,
       nextAskId: () => "a1",
@@ -175,4 +179,20 @@
   stopping.assertRefused();
 });
 
+// Guards against a request without an answer, which its caller waits for until its
+// deadline, and a later stop until the end of the grace period.
+test("a request whose reading fails is refused", () =>
+  collectUnhandled(async (messages) => {
+    const stopping = new StoppingFront();
+    stopping.breaksReading = true;
+    await stopping.connect();
+    stopping.socket.write(`${HEAD}body`);
+    await until(() => stopping.received !== "");
+    const { owedAnswers } = stopping.front.connections;
+    await stopping.end();
+    assert.match(stopping.received, /^HTTP\/1\.1 503 /);
+    assert.match(stopping.received, /Retry-After: 0\.500\r\n/);
+    assert.equal([owedAnswers, messages], [0, ["broken reading"]]);
+  }));
+
 test.run();
