Count an answer with chunks that ends with its connection as lost

A target that sends a tab after 'Transfer-Encoding: chunked' and stops within a chunk had its raw bytes passed on as a whole 200 with a length. Node.js trims the value, but its parser reads such an answer up to the end of the connection and reports it as complete. An answer with a length or chunks that is not complete when its connection ends is lost.

--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -278,6 +278,8 @@
         "end",
         () => this.#probeReset(answer, socket),
       );
+    } else {
+      this.#failIfEndedEarly(answer, socket);
     }
     this.#runSink(() => this.#sink.head(answer));
     answer.on("data", (chunk: Buffer) => {
@@ -291,6 +293,23 @@
     answer.on("close", () => this.#fail("answer truncated"));
   }
 
+  /**
+   * Fails an answer with a length or chunks that ends with its connection. Node.js
+   * removes white space from the name of a transfer coding, but its parser reads
+   * an answer that has a tab after that name without chunks, up to the end of the
+   * connection.
+   */
+  #failIfEndedEarly(answer: IncomingMessage, socket: Socket): void {
+    const onEnd = () => {
+      if (!answer.complete) {
+        this.#fail("answer truncated");
+      }
+    };
+    socket.prependListener("end", onEnd);
+    // The connection may serve other exchanges.
+    this.#request!.once("close", () => socket.off("end", onEnd));
+  }
+
   /**
    * Checks whether a connection that ended was reset. If data and a reset
    * arrive together, Node.js reports a normal end; the reset shows only on the
