Pass an empty answer on if its repeat gets no answer

Callers of repeatable requests got 502 or 504 although a target had answered: the empty success that is repeated was passed on only if no other target could be asked, not if the other one was lost, silent or rejected the request. Every failure passes it on now.

The new test failed before: 'lost' in place of '200 whole'.

--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -364,11 +364,7 @@
       this.#log("no other target, still waiting", { refusal });
     } else if (this.#runCount > 0) {
       this.#log("no target for a retry", { refusal });
-      if (this.#emptyAttempt === undefined) {
-        this.#fail(RoutedError.AnswerLost);
-      } else {
-        this.#forwardAnswer(this.#emptyAttempt);
-      }
+      this.#fail(RoutedError.AnswerLost);
     } else {
       const nowMs = this.#nowMs();
       const waitMs = retryAfterMsOf(this.#call, {
@@ -611,11 +607,20 @@
     );
   }
 
-  /** Answers with an error, or aborts an answer that has begun. */
+  /**
+   * Answers with an error, or aborts an answer that has begun. An empty answer
+   * from before a repeat is passed on instead.
+   */
   #fail(error: RoutedError, retryAfterMs?: number): void {
     if (this.#isDone) {
       return;
     }
+    if (this.#emptyAttempt !== undefined && !this.#reply.hasBegun) {
+      this.#log("no answer of a repeat", { error });
+      this.#forwardAnswer(this.#emptyAttempt);
+      this.#cancel();
+      return;
+    }
     this.#parts.metrics.errorAnswered(this.#call.route.name, error);
     this.#log("failed", {
       error,
