Read a connection until its caller closes it, after the last answer

Such answers close their connections since they are passed on without a length, and so do answers during a stop.

Closing a socket with unread bytes resets it, and the kernel discards what is not sent. The connection is ended for writing and read for a second at most.

--- a/packages/gateway/src/caller_connection.ts
+++ b/packages/gateway/src/caller_connection.ts
@@ -37,6 +37,12 @@
 };
 const BAD_REQUEST = "400 Bad Request";
 
+/**
+ * Time for which a connection is read after its last answer, so that a caller
+ * that does not close it does not keep it open.
+ */
+const READ_REST_TIMEOUT_MS = 1000;
+
 /** Prefix of the error codes of the HTTP parser in Node.js. */
 const PARSER_CODE_PREFIX = "HPE_";
 
@@ -87,6 +93,8 @@
     );
     socket.prependListener("error", (error) => this.#onError(error));
     socket.on("close", () => onClosed());
+    // Node.js closes the connection in this way after its last answer.
+    socket.destroySoon = () => this.#endAndRead();
   }
 
   /** Cause of the connection's end, `Unknown` if none was observed. */
@@ -269,6 +277,23 @@
       : bytes;
   }
 
+  /**
+   * Closes the connection once the caller has closed it, too. If it was closed
+   * with bytes unread, it would be reset, and a caller that is sending would lose
+   * the rest of the answer.
+   */
+  #endAndRead(): void {
+    const socket = this.#socket;
+    if (!socket.writable) {
+      socket.destroy();
+      return;
+    }
+    socket.end(() => {
+      const timer = setTimeout(() => socket.destroy(), READ_REST_TIMEOUT_MS);
+      socket.once("close", () => clearTimeout(timer));
+    });
+  }
+
   /** Buffered bytes of pipelined answers that wait for earlier ones. */
   #pipelinedBytes(): number {
     let bytes = 0;
