Write lines on the life of the process beyond the rate limit of others

Operators would not see the only line on a start, a stop or a change of the settings either. These lines have a limit of their own.

The new test failed before: the last line was one on a request.

--- a/packages/gateway/src/event_log.ts
+++ b/packages/gateway/src/event_log.ts
@@ -31,15 +31,48 @@
  * requests a second, with four lines each, and logs other events beside them.
  */
 const MAX_LINES_PER_S = 300;
+
+/**
+ * Rate limit of lines on the life of the process. They are few, and tell what no
+ * later line repeats, so that lines on requests do not use their limit up.
+ */
+const MAX_PROCESS_LINES_PER_S = 50;
 const MS_PER_S = 1000;
 
+/** Lines that were written since the start of a second. */
+class RateWindow {
+  readonly #maxLines: number;
+  #startedAtMs = -Infinity;
+  #lines = 0;
+
+  /** @param maxLines Lines that may be written within a second. */
+  constructor(maxLines: number) {
+    this.#maxLines = maxLines;
+  }
+
+  /**
+   * Counts a line.
+   *
+   * @param atMs Local time of the line, in milliseconds.
+   * @returns Whether it may be written.
+   */
+  accept(atMs: number): boolean {
+    if (atMs - this.#startedAtMs >= MS_PER_S) {
+      this.#startedAtMs = atMs;
+      this.#lines = 0;
+    }
+    this.#lines++;
+    return this.#lines <= this.#maxLines;
+  }
+}
+
 /** Writes log lines within a rate limit. */
 export class EventLog {
   readonly #clock: Clock;
   readonly #output: LogOutput;
   readonly #winston: winston.Logger;
-  #windowStartedAtMs = -Infinity;
-  #linesInWindow = 0;
+  readonly #processLines = new RateWindow(MAX_PROCESS_LINES_PER_S);
+  readonly #otherLines = new RateWindow(MAX_LINES_PER_S);
   #droppedLines = 0;
 
   /**
@@ -102,22 +135,20 @@
     line: { part: LogPart; message: string; facts: LogFacts },
   ): void {
     const atMs = Math.round(this.#clock.nowMs());
-    if (!this.#mayWriteLine(atMs)) {
+    const { part, message, facts } = line;
+    if (!this.#mayWriteLine(part, atMs)) {
       this.#droppedLines++;
       return;
     }
-    const { part, message, facts } = line;
     const leftOut = this.#droppedLines === 0 ? undefined : this.#droppedLines;
     this.#droppedLines = 0;
     this.#winston.log({ level, atMs, part, message, leftOut, ...facts });
   }
 
-  #mayWriteLine(atMs: number): boolean {
-    if (atMs - this.#windowStartedAtMs >= MS_PER_S) {
-      this.#windowStartedAtMs = atMs;
-      this.#linesInWindow = 0;
-    }
-    this.#linesInWindow++;
-    return this.#linesInWindow <= MAX_LINES_PER_S && this.#output.hasCapacity;
+  #mayWriteLine(part: LogPart, atMs: number): boolean {
+    const window = part === LogPart.Process
+      ? this.#processLines
+      : this.#otherLines;
+    return window.accept(atMs) && this.#output.hasCapacity;
   }
 }
--- a/packages/gateway/src/event_log_test.ts
+++ b/packages/gateway/src/event_log_test.ts
@@ -79,6 +79,26 @@
   });
 });
 
+// Guards against the only line on a change of the settings, a start or a stop that
+// is dropped behind lines on requests.
+test("a line on the process is written beyond the rate limit of others", () => {
+  const texts: string[] = [];
+  const output = new Writable({
+    write(chunk, _encoding, done) {
+      texts.push(String(chunk));
+      done();
+    },
+  });
+  const log = new EventLog({ nowMs: () => 0 }, "i1", output);
+  for (let line = 0; line < 500; line++) {
+    log.info(LogPart.Request, "served", { line });
+  }
+  log.warn(LogPart.Process, "changed settings are invalid");
+  log.flush();
+  const lines = texts.join("").trimEnd().split("\n");
+  assert.is(JSON.parse(lines.at(-1)!).message, "changed settings are invalid");
+});
+
 test("a reader that does not read does not block the process", async () => {
   const child = spawn(
     process.execPath,
