--- a/packages/gateway/src/target_attempt.ts
+++ b/packages/gateway/src/target_attempt.ts
@@ -18,7 +18,7 @@
 import { hostPortOf } from "./host_port.ts";
 import { isUnframed, relayFailureOf, relayHeaders } from "./relay_server.ts";
 import { deadlineAtMs, type RoutedCall } from "./routed_call.ts";
-import { reportUnhandled } from "./run_isolated.ts";
+import { awaitIsolated } from "./run_isolated.ts";
 import { EventUse, RunOrder } from "./run_order.ts";
 import { type ExchangeFailure, TargetExchange } from "./target_exchange.ts";
 
@@ -476,9 +476,9 @@
       reachability.relayFailed(target, this.#relay.instanceId);
     }
     const relay = this.#relayCount < MAX_RELAYS
-      ? await reachability.findRelay(target).catch(reportUnhandled)
+      ? await awaitIsolated(() => reachability.findRelay(target))
       : undefined;
-    if (!relay) {
+    if (relay === undefined) {
       this.#end(AttemptEnd.NotSent, reason);
     } else if (!this.#isDone) {
       this.#exchangeThrough(relay);
@@ -491,8 +491,9 @@
    */
   async #onAnswerLost(reason: string): Promise<void> {
     const { reachability } = this.#parts;
-    const hasEnded = await reachability.hasEnded(this.options.target)
-      .catch(reportUnhandled);
+    const hasEnded = await awaitIsolated(() =>
+      reachability.hasEnded(this.options.target)
+    );
     this.#end(hasEnded ? AttemptEnd.TargetEnded : AttemptEnd.Lost, reason);
   }
 
