Use one list of statuses without a body, and one check for streams

The statuses 204 and 304 stood in the exchange and in the reply, and the forecast of a stop repeated which kinds are streams. Behaviour stays as it is.

--- a/packages/gateway/src/caller_reply.ts
+++ b/packages/gateway/src/caller_reply.ts
@@ -8,11 +8,10 @@
 } from "@chestnuthatch/routing/routed_error";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { isUnframed } from "./relay_server.ts";
+import { BODILESS_STATUSES } from "./target_exchange.ts";
 
 const MS_PER_S = 1000;
 
-/** Status codes of answers without a body. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const RETRY_AFTER_DECIMALS = 3;
 const HTTP_1_0 = "1.0";
 const CLOSE_HEADER = ["Connection", "close"];
--- a/packages/gateway/src/finish_forecast.ts
+++ b/packages/gateway/src/finish_forecast.ts
@@ -1,6 +1,7 @@
 /** Decides whether a request may run while its instance stops. */
 
 import { RequestKind } from "@chestnuthatch/routing/fleet_configuration";
+import { isStream } from "./target_attempt.ts";
 
 /**
  * Time for writing the answer. Requests without an answer are ended some time
@@ -19,11 +20,6 @@
   [RequestKind.Stream]: 1.5,
 };
 
-const STREAM_KINDS: ReadonlySet<RequestKind> = new Set([
-  RequestKind.Stream,
-  RequestKind.ResumableStream,
-]);
-
 /** A run that is about to begin at a target. */
 export interface PlannedRun {
   readonly kind: RequestKind;
@@ -52,7 +48,7 @@
     return true;
   }
   // A run that is ended leaves the caller with the same error as no run.
-  if (run.runCount > 0 && !STREAM_KINDS.has(run.kind)) {
+  if (run.runCount > 0 && !isStream(run.kind)) {
     return true;
   }
   const reservedMs = RESERVE_RATIOS[run.kind] * run.expectedMs;
--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -97,7 +97,10 @@
 const HEAD_METHOD = "HEAD";
 
 /** Status codes of answers without a body, after which connections are kept. */
-const BODILESS_STATUSES: ReadonlySet<number | undefined> = new Set([204, 304]);
+export const BODILESS_STATUSES: ReadonlySet<number | undefined> = new Set([
+  204,
+  304,
+]);
 
 /** Sends one request and reports its answer, or the failure, to a sink. */
 export class TargetExchange {
