Pass on a whole answer although bytes follow it

Callers saw: an answer whose length and body were whole counted as lost if its target sent more bytes after it, with Node.js 20.20.2 (llhttp 9.3.1); on 20.19.0 (llhttp 8.1.2) it was passed on. An at-most-once call then ended as possibly run although its answer was there.

Cause: newer parsers report 'Data after Connection: close' on the request before the end of the answer is reported, and the exchange took every error of the request for the end. An answer is whole once its length has arrived; what follows is no part of it and the connection is closed.

Evidence: answer_framing_test failed on this arm64 machine under Node.js 20.20.2 and passed under 20.19.0, so that it is the version of Node.js and not the processor.

--- a/packages/gateway/src/target_exchange.ts
+++ b/packages/gateway/src/target_exchange.ts
@@ -154,7 +154,12 @@
     created.on("socket", (socket) => this.#onSocket(socket));
     created.on("information", () => this.#onInterimResponse());
     created.on("response", (answer) => this.#onResponse(answer));
-    created.on("error", (error) => this.#fail(error.message));
+    created.on("error", (error) => {
+      // Bytes after a whole answer are no part of it; its end is still to come.
+      if (this.#answer?.complete !== true) {
+        this.#fail(error.message);
+      }
+    });
     created.on("close", () => {
       // The end of a begun answer shows whether it is complete.
       if (this.#answer === undefined) {
