Refuse a path that cannot be sent with 400 in all versions of Node.js

Callers saw: a path with a tab was refused with 503 and a time to come back under Node.js 20.19.0, although it can never be sent; newer parsers refuse it with 400 before the product sees it.

The product refuses it with 400 itself now. That an attempt with an unsendable request is told from one that failed stays tested in target_exchange_test.

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -80,6 +80,12 @@
 /** Retry time for callers of an instance that has no configuration yet. */
 const NO_CONFIGURATION_RETRY_AFTER_MS = 300;
 
+/**
+ * Characters of a path that Node.js refuses to send. Some of its versions accept
+ * them in a request that they receive.
+ */
+const UNSENDABLE_PATH_REGEXP = /[^\u0021-\u00ff]/;
+
 /** Factor by which answers to the same caller differ in size. */
 const SLOW_ANSWER_RATIO = 1.5;
 
@@ -391,6 +397,9 @@
     if (headerBytesOf(request) > this.#limits.maxHeaderBytes) {
       return { error: RoutedError.HeadTooLarge };
     }
+    if (UNSENDABLE_PATH_REGEXP.test(request.url!)) {
+      return { error: RoutedError.InvalidPath };
+    }
     const table = this.#parts.board.routes;
     if (table === undefined) {
       const retryAfterMs = NO_CONFIGURATION_RETRY_AFTER_MS;
--- a/packages/routing/src/routed_error.ts
+++ b/packages/routing/src/routed_error.ts
@@ -6,6 +6,8 @@
   NoConfiguration = "no_configuration",
   NoRoute = "no_route",
   UnknownKey = "unknown_key",
+  /** The path has a character that HTTP does not allow there. */
+  InvalidPath = "invalid_path",
   BodyTooLarge = "body_too_large",
   HeadTooLarge = "head_too_large",
   /** The bodies of this instance's requests take too much memory. */
@@ -80,6 +82,11 @@
     ran: RanState.NotRun,
     text: "The key belongs to no workspace.",
   },
+  [RoutedError.InvalidPath]: {
+    status: 400,
+    ran: RanState.NotRun,
+    text: "The path has a character that HTTP does not allow there.",
+  },
   [RoutedError.BodyTooLarge]: {
     status: 413,
     ran: RanState.NotRun,
