--- a/packages/gateway/src/routed_request.ts
+++ b/packages/gateway/src/routed_request.ts
@@ -343,9 +343,13 @@
 
   /** Returns a placement at a target that cannot be used now. */
   #returnPlacement(targetId: string): void {
-    this.#log("assigned target not usable", { targetId });
     const { targets } = this.#parts.board;
     const target = targets.get(targetId);
+    this.#log("assigned target not usable", {
+      targetId,
+      isKnown: target !== undefined,
+      targetsVersion: targets.version,
+    });
     const hasLeft = target !== undefined &&
       !targets.isUsable(target, this.#nowMs());
     if (target?.leaving) {
