Take a list of targets for complete only if no change is missing

Cause: an instance took the newest row version that a heartbeat had brought for the version of its whole list. A heartbeat has room for 24 changes and repeats each for 2.5 s, so that a burst of registrations is passed on in part. The newest one then made the list look up to date, and the store was read after up to 45 s. The class: the newest of some changes taken as all of them.

Heartbeats now state since which version their changes are all (targetNewsSince), and only that makes the receiver's list complete. Without it, the instance reads the store once others have been ahead for 0.7 s. That time counts from the first change it lacks: while the list changed all the time, it began anew with each version.

The four tests failed on the code before: lag 0 in place of 800 ms, 300 in place of 1,500. 'Changes in heartbeats do not stand for a list that was not read' expected, in its last line, that with the store reached one change does stand for the list: that line stated the fault, and now expects the opposite.

--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -42,6 +42,13 @@
 /** Time for which heartbeats repeat a change of a target. */
 const TARGET_CHANGE_LIFETIME_MS = 2500;
 
+/** Changes of targets that an instance announces. */
+export interface RecentTargetChanges {
+  readonly changes: readonly TargetRowChange[];
+  /** They are all changes since this version of the list. */
+  readonly sinceVersion: number;
+}
+
 /** Receives roll-out orders, and the progress of roll-outs. */
 export interface RolloutSink {
   /** The operators ordered a roll-out. */
@@ -113,6 +120,8 @@
   /** Version that the list has at least which is fetched from a peer. */
   #fetchedVersion = 0;
   #recentTargetChanges: { change: TargetRowChange; untilMs: number }[] = [];
+  /** Version of the list since which heartbeats carry every change. */
+  #announcedSinceVersion = 0;
 
   /** @param parts Dependencies and callbacks. */
   constructor(parts: FleetStateParts) {
@@ -178,13 +187,24 @@
     return board.members.aliveCount(clock.nowMs());
   }
 
-  /** @returns Recent changes of targets, to be sent with heartbeats. */
-  recentTargetChanges(): TargetRowChange[] {
+  /**
+   * @returns Recent changes of targets, to be sent with heartbeats, and the
+   * version of the list that they bring up to date.
+   */
+  recentTargetChanges(): RecentTargetChanges {
     const nowMs = this.#parts.clock.nowMs();
-    this.#recentTargetChanges = this.#recentTargetChanges.filter((
-      { untilMs },
-    ) => untilMs > nowMs);
-    return this.#recentTargetChanges.map(({ change }) => change);
+    const isExpired = ({ untilMs }: { untilMs: number }) => untilMs <= nowMs;
+    this.#announcedSinceVersion = Math.max(
+      this.#announcedSinceVersion,
+      ...this.#recentTargetChanges.filter(isExpired)
+        .map(({ change }) => change.rowVersion),
+    );
+    this.#recentTargetChanges = this.#recentTargetChanges
+      .filter((one) => !isExpired(one));
+    return {
+      changes: this.#recentTargetChanges.map(({ change }) => change),
+      sinceVersion: this.#announcedSinceVersion,
+    };
   }
 
   /** @param configuration Configuration that was read from the platform. */
@@ -228,10 +248,12 @@
       // Not sent with heartbeats: the others have read the list themselves.
       this.#logFirstList(updates, version);
       this.#recentTargetChanges = [];
+      this.#announcedSinceVersion = targets.version;
     } else {
       this.#parts.onChangesMissed();
       this.#targetsUpdated(updates);
     }
+    this.#restartTargetsLag();
   }
 
   /** Logs only the count of a long list: one line each would flood the log. */
@@ -245,10 +267,20 @@
     }
   }
 
-  /** @param changes Changed rows of the list of targets. */
+  /**
+   * Applies changes of the list of targets.
+   *
+   * @param changes All rows that have changed since the last read.
+   */
   targetsChanged(changes: readonly TargetRowChange[]): void {
     const nowMs = this.#parts.clock.nowMs();
     this.#targetsUpdated(this.#parts.board.targets.apply(changes, nowMs));
+    this.#restartTargetsLag();
+  }
+
+  /** A list that is outdated after a read may be read again after a while. */
+  #restartTargetsLag(): void {
+    this.#peerTargetsVersionAtMs = this.#parts.clock.nowMs();
   }
 
   /**
@@ -445,8 +477,10 @@
     }
     const { board, clock } = this.#parts;
     if (heartbeat.targetsVersion > this.#peerTargetsVersion) {
+      if (board.targets.version >= this.#peerTargetsVersion) {
+        this.#peerTargetsVersionAtMs = clock.nowMs();
+      }
       this.#peerTargetsVersion = heartbeat.targetsVersion;
-      this.#peerTargetsVersionAtMs = clock.nowMs();
     }
     this.#configuration.heartbeatReceived(heartbeat);
     const { from, targetsVersion } = heartbeat;
@@ -459,17 +493,19 @@
   }
 
   /**
-   * Applies changes of targets that a heartbeat carries. They do not make the
-   * list that of their version: without the store, changes before them may have
-   * been missed.
+   * Applies changes of targets that a heartbeat carries. They make the list that
+   * of the sender's version only if they are all that it lacks: a heartbeat has
+   * room for a limited number of changes, and others may be lost.
    */
-  #applyTargetNews({ targetNews }: Heartbeat): void {
-    const { targets } = this.#parts.board;
+  #applyTargetNews(
+    { targetNews, targetNewsSince = Infinity, targetsVersion }: Heartbeat,
+  ): void {
+    const { board: { targets }, clock } = this.#parts;
     const listVersion = targets.version;
-    this.targetsChanged(targetNews);
-    if (!this.#reachesStore) {
-      targets.version = listVersion;
-    }
+    this.#targetsUpdated(targets.apply(targetNews, clock.nowMs()));
+    targets.version = this.#hasTargets && listVersion >= targetNewsSince
+      ? Math.max(listVersion, targetsVersion)
+      : listVersion;
   }
 
   /**
--- a/packages/gateway/src/fleet_state_sync_test.ts
+++ b/packages/gateway/src/fleet_state_sync_test.ts
@@ -2,6 +2,7 @@
 import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
 import { MessageKind } from "@chestnuthatch/routing/peer_messages";
 import { boardOf, memberOf } from "@chestnuthatch/routing/routing_test_support";
+import type { TargetRowChange } from "@chestnuthatch/routing/target_directory";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { EventLog } from "./event_log.ts";
@@ -23,6 +24,20 @@
   };
 }
 
+function rowOf(targetId: string, rowVersion: number): TargetRowChange {
+  const entry = {
+    targetId,
+    incarnation: 1,
+    pool: "p",
+    address: "10.0.0.1:80",
+    failureDomain: "a",
+    slots: 4,
+    leaving: false,
+    version: "v1",
+  };
+  return { targetId, rowVersion, entry };
+}
+
 /** Suspects that the last created sync has received. */
 let received: readonly SuspectUpdate[] = [];
 
@@ -74,7 +89,7 @@
 
 // Guards against taking the list for that of a version of which only one change
 // was heard: an instance that was cut off never fetched what it had missed.
-test("changes in heartbeats do not stand for the list without the store", () => {
+test("changes in heartbeats do not stand for a list that was not read", () => {
   let nowMs = 0;
   const sync = syncOf({ nowMs: () => nowMs });
   const targetNews = [{ targetId: "t1", rowVersion: 4 }];
@@ -86,11 +101,64 @@
     ...heartbeatOf(5),
     targetNews: [{ targetId: "t1", rowVersion: 5 }],
   });
-  assert.is(sync.targetsLagMs(), 0);
+  assert.is(sync.targetsLagMs(), 100);
 });
 
 // Guards against serving before the records of a fleet that lost all instances
 // are known: requests that had crashed targets crashed them again.
+// Guards against instances of a large fleet that lacked 9 of 71 targets for 20 s:
+// a heartbeat had brought newer ones, so that no read of the list was due.
+test("changes in heartbeats stand for the list only if none is missing", () => {
+  let nowMs = 0;
+  const sync = syncOf({ nowMs: () => nowMs });
+  sync.storeReached();
+  sync.targetsRead([rowOf("t1", 2)], 2);
+  const targetNews = [rowOf("t9", 9)];
+  sync.heartbeatReceived({ ...heartbeatOf(9), targetNews });
+  nowMs = 800;
+  sync.heartbeatReceived(heartbeatOf(9));
+  assert.is(sync.targetsLagMs(), 800);
+  const since = { ...heartbeatOf(9), targetNews };
+  sync.heartbeatReceived({ ...since, targetNewsSince: 3 });
+  assert.is(sync.targetsLagMs(), 800);
+  sync.heartbeatReceived({ ...since, targetNewsSince: 2 });
+  assert.is(sync.targetsLagMs(), 0);
+});
+
+// Guards against a list that is never read while it changes again and again.
+test("a list that changes all the time is outdated since the first change", () => {
+  let nowMs = 0;
+  const sync = syncOf({ nowMs: () => nowMs });
+  sync.storeReached();
+  sync.targetsRead([rowOf("t1", 2)], 2);
+  for (let version = 3; version < 8; version++) {
+    sync.heartbeatReceived(heartbeatOf(version));
+    nowMs += 300;
+  }
+  assert.is(sync.targetsLagMs(), 1500);
+  sync.targetsChanged([rowOf("t2", 5)]);
+  assert.is(sync.targetsLagMs(), 0);
+  nowMs += 900;
+  assert.is(sync.targetsLagMs(), 900);
+});
+
+// Guards against the claim that announced changes are all, when some of them
+// are no longer announced.
+test("changes that are no longer announced raise the version that others need", () => {
+  let nowMs = 0;
+  const sync = syncOf({ nowMs: () => nowMs });
+  sync.storeReached();
+  sync.targetsRead([rowOf("t1", 2)], 2);
+  assert.is(sync.recentTargetChanges().sinceVersion, 2);
+  sync.targetsChanged([rowOf("t5", 5)]);
+  nowMs = 2000;
+  sync.targetsChanged([rowOf("t6", 6)]);
+  assert.is(sync.recentTargetChanges().sinceVersion, 2);
+  nowMs = 3000;
+  assert.is(sync.recentTargetChanges().sinceVersion, 5);
+  assert.is(sync.recentTargetChanges().changes.length, 1);
+});
+
 test("an instance that reaches the store is complete once it knows the fleet's records", () => {
   const sync = syncOf({ nowMs: () => 0 });
   sync.targetsRead([], 1);
--- a/packages/gateway/src/gateway_test_support.ts
+++ b/packages/gateway/src/gateway_test_support.ts
@@ -153,7 +153,7 @@
     streams: () => [],
     rollouts: () => [],
     rateLimits: (of) => board.rateLimits.updatesToSend(clock.nowMs(), of),
-    targetChanges: () => [],
+    targetChanges: () => ({ changes: [], sinceVersion: 0 }),
   }, self);
   const tick = () => {
     heartbeatExchange.tick();
--- a/packages/gateway/src/heartbeat_exchange.ts
+++ b/packages/gateway/src/heartbeat_exchange.ts
@@ -23,6 +23,7 @@
 import type { RateLimitUpdate } from "@chestnuthatch/routing/target_rate_limits";
 import type { TargetRowChange } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
+import type { RecentTargetChanges } from "./fleet_state_sync.ts";
 import type { Clock } from "./ports.ts";
 import { Rotation } from "./rotation.ts";
 
@@ -114,7 +115,7 @@
   /** @returns Rate limits of targets, including recently lifted ones. */
   rateLimits(of: { onlyChanged: boolean }): readonly RateLimitUpdate[];
   /** @returns Recent changes of targets. */
-  targetChanges(): readonly TargetRowChange[];
+  targetChanges(): RecentTargetChanges;
 }
 
 /**
@@ -303,7 +304,7 @@
       ...(admission.length > 0 ? { admission } : undefined),
       ...(rollouts.length > 0 ? { rollouts } : undefined),
       ...(rateLimits.length > 0 ? { rateLimits } : undefined),
-      targetNews: this.#targetChangesToSend(includesAll),
+      ...this.#targetChangesToSend(includesAll),
     });
   }
 
@@ -350,19 +351,30 @@
     return this.#rateLimitRotation.next(limits, MAX_RATE_LIMITS);
   }
 
-  /** Leaving targets in every heartbeat, the rest in rotation. */
-  #targetChangesToSend(includesAll: boolean): TargetRowChange[] {
-    const changes = this.#parts.targetChanges();
+  /**
+   * Leaving targets in every heartbeat, the rest in rotation. A heartbeat with
+   * all changes states since which version they are all.
+   */
+  #targetChangesToSend(
+    includesAll: boolean,
+  ): Pick<Heartbeat, "targetNews" | "targetNewsSince"> {
+    const { changes, sinceVersion } = this.#parts.targetChanges();
     const urgent = this.#urgentChangeRotation.next(
       changes.filter(isUrgent),
       MAX_TARGET_CHANGES,
     );
     if (!includesAll || !this.#sendsNewTargets()) {
-      return urgent;
+      return { targetNews: urgent };
     }
     const others = changes.filter((change) => !isUrgent(change));
     const capacity = MAX_TARGET_CHANGES - urgent.length;
-    return [...urgent, ...this.#otherChangeRotation.next(others, capacity)];
+    const targetNews = [
+      ...urgent,
+      ...this.#otherChangeRotation.next(others, capacity),
+    ];
+    return targetNews.length === changes.length
+      ? { targetNews, targetNewsSince: sinceVersion }
+      : { targetNews };
   }
 
   /**
--- a/packages/gateway/src/heartbeat_exchange_test.ts
+++ b/packages/gateway/src/heartbeat_exchange_test.ts
@@ -87,7 +87,7 @@
     streams: (withinMs) => [{ pool: "p", version: "v1", keys: [withinMs] }],
     rollouts: (of) => board.rollouts.updatesToSend(nowMs, of),
     rateLimits: (of) => board.rateLimits.updatesToSend(nowMs, of),
-    targetChanges: () => changes,
+    targetChanges: () => ({ changes, sinceVersion: 7 }),
   }, self);
   exchange.heartbeatReceived({
     kind: MessageKind.Heartbeat,
@@ -123,6 +123,17 @@
   assert.is(sent.size, 100);
 });
 
+// Guards against a list that is taken for complete although its sender had no
+// room for all changes.
+test("a heartbeat states since when its changes are all only if it has all", () => {
+  for (const [count, sinceVersion] of [[24, 7], [25, undefined]] as const) {
+    const changes = Array.from({ length: count }, (_, i) => changeOf(i, false));
+    for (const heartbeat of heartbeatsOf(changes, { count: 3 })) {
+      assert.is(heartbeat.targetNewsSince, sinceVersion);
+    }
+  }
+});
+
 test("each heartbeat carries all leaving targets first", () => {
   const changes = Array.from(
     { length: 100 },
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -277,7 +277,7 @@
      * configuration is the newest; absent if it never did.
      */
     configurationAgeMs: z.number().nonnegative().optional(),
-    /** Newest row version of the target list that the sender has. */
+    /** Version up to which the sender has all changes of the target list. */
     targetsVersion: z.number(),
     /** Whether the sender can reach the platform's store. */
     reachesStore: z.boolean(),
@@ -327,6 +327,11 @@
       .readonly().optional(),
     /** Recent changes of the target list. */
     targetNews: targetChangesSchema,
+    /**
+     * Version of the target list since which `targetNews` has all changes up to
+     * `targetsVersion`. Absent if it may lack some.
+     */
+    targetNewsSince: z.number().optional(),
   }),
   z.object({ kind: z.literal(MessageKind.Ask), ask }),
   z.object({ kind: z.literal(MessageKind.Queued), askId: z.string() }),
