Count spending through a holder once when it is back

Callers saw 429 for workspaces far below their allotments after holders had turned to another instance for more than 1.5 s and come back.

Cause: a holder that no longer reports counts as gone, and its last known spending is kept for a window. When the same process reported again, its report contained that spending, and what was kept was added to it, once for each time that it had been away. It is kept by holder and process now and dropped once that process reports.

--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -434,6 +434,7 @@
       ...this.#resolveWaiting(nowMs),
       ...this.#chargeUnrecorded(nowMs),
     ];
+    this.#allotmentLedger.reported.evictExpired(nowMs);
     for (const [holderId, contactAtMs] of this.#lastContactAtMs) {
       if (nowMs - contactAtMs > HOLDER_TIMEOUT_MS) {
         this.#lastContactAtMs.delete(holderId);
--- a/packages/routing/src/reported_spending.ts
+++ b/packages/routing/src/reported_spending.ts
@@ -27,6 +27,12 @@
   chargedElsewhere: ReadonlyMap<string, number>;
 }
 
+/** A holder that is gone. */
+interface DepartedHolder {
+  readonly incarnation?: number;
+  readonly spending: SpendingLog;
+}
+
 /**
  * Compares the spending that each holder reports with the charges that were
  * made here. Each holder is compared by itself: a holder that is gone reports
@@ -38,8 +44,8 @@
   readonly #byHolder = new Map<string, HolderSpending>();
   /** Sums of `chargedElsewhere` over all holders. */
   readonly #totals = new Map<string, number>();
-  /** Last known spending through holders that are gone. */
-  readonly #departed: SpendingLog;
+  /** Last known spending through holders that are gone, by holder. */
+  readonly #departed = new Map<string, DepartedHolder>();
   /**
    * Local time until which the window contains spending that only reports
    * cover.
@@ -49,7 +55,6 @@
   /** @param windowMs Length of the sliding window in milliseconds. */
   constructor(windowMs: number) {
     this.#windowMs = windowMs;
-    this.#departed = new SpendingLog(windowMs);
   }
 
   /**
@@ -87,6 +92,10 @@
     }
     const holder = this.#holder(holderId);
     holder.incarnation = incarnation;
+    if (this.#departed.get(holderId)?.incarnation === incarnation) {
+      // It is back, and its report contains what was kept for it.
+      this.#departed.delete(holderId);
+    }
     // Charges too recent to be in any report must not be subtracted from
     // spending that was charged elsewhere.
     const reportedUntilMs = nowMs < this.#incompleteUntilMs
@@ -110,11 +119,15 @@
    * @param nowMs Current local time in milliseconds.
    */
   holderGone(holderId: string, nowMs: number): void {
-    for (
-      const [workspace, cost] of this.#byHolder.get(holderId)
-        ?.chargedElsewhere ?? []
-    ) {
-      this.#departed.record(workspace, cost, nowMs);
+    const holder = this.#byHolder.get(holderId);
+    if (holder !== undefined && holder.chargedElsewhere.size > 0) {
+      const spending = this.#departed.get(holderId)?.spending ??
+        new SpendingLog(this.#windowMs);
+      for (const [workspace, cost] of holder.chargedElsewhere) {
+        spending.record(workspace, cost, nowMs);
+      }
+      this.#departed
+        .set(holderId, { incarnation: holder.incarnation, spending });
     }
     this.#replace(holderId, new Map());
     this.#byHolder.delete(holderId);
@@ -149,8 +162,33 @@
    * @returns Cost units within the window that others charged.
    */
   chargedElsewhere(workspace: string, nowMs: number): number {
-    return (this.#totals.get(workspace) ?? 0) +
-      this.#departed.spent(workspace, nowMs);
+    let departed = 0;
+    for (const { spending } of this.#departed.values()) {
+      departed += spending.spent(workspace, nowMs);
+    }
+    return (this.#totals.get(workspace) ?? 0) + departed;
+  }
+
+  /**
+   * @param holderId Id of a holder.
+   * @returns Whether the spending through it is part of {@link chargedElsewhere}.
+   */
+  covers(holderId: string): boolean {
+    return this.#byHolder.get(holderId)?.incarnation !== undefined ||
+      this.#departed.has(holderId);
+  }
+
+  /**
+   * Discards what was spent through holders that have been gone for a window.
+   *
+   * @param nowMs Current local time in milliseconds.
+   */
+  evictExpired(nowMs: number): void {
+    for (const [holderId, { spending }] of this.#departed) {
+      if (spending.workspaces(nowMs).length === 0) {
+        this.#departed.delete(holderId);
+      }
+    }
   }
 
   /** @returns Names of the workspaces that others charged. */
--- a/packages/routing/src/reported_spending_test.ts
+++ b/packages/routing/src/reported_spending_test.ts
@@ -59,6 +59,19 @@
   assert.is(reported.chargedElsewhere("a", 10_500), 0);
 });
 
+// Guards against spending that counts twice after a holder turned to another
+// coordinator for a while: once as that of a holder that is gone.
+test("spending through a holder that is back counts once", () => {
+  const reported = new ReportedSpending(WINDOW_MS);
+  reported.reported("i1", reportOf({ a: 100 }), 0);
+  for (const nowMs of [1500, 3500]) {
+    reported.holderGone("i1", nowMs);
+    assert.is(reported.chargedElsewhere("a", nowMs), 100);
+    reported.reported("i1", reportOf({ a: 100 }), nowMs + 500);
+    assert.is(reported.chargedElsewhere("a", nowMs + 500), 100);
+  }
+});
+
 test("after a takeover, charges made before count as charged elsewhere", () => {
   const reported = new ReportedSpending(WINDOW_MS);
   reported.placed("i1", { workspace: "a", cost: 70 }, 0);
