--- a/packages/gateway/src/spending_recorder.ts
+++ b/packages/gateway/src/spending_recorder.ts
@@ -251,7 +251,11 @@
       this.#row = { records: others, rowVersion, atMs: this.#nowMs() };
       return;
     }
-    this.#row = undefined;
+    if (outcome === RecordOutcome.Rejected) {
+      this.#notBeforeMs = sentAtMs + RETRY_DELAY_MS;
+    } else {
+      this.#row = undefined;
+    }
     this.#parts.log.warn(LogPart.Platform, "spending not recorded", {
       outcome,
       workspaces: workspacesOf([account]),
--- a/packages/routing/src/recorded_spending.ts
+++ b/packages/routing/src/recorded_spending.ts
@@ -17,6 +17,8 @@
   Written = "written",
   /** The record was certainly not replaced. */
   NotWritten = "not_written",
+  /** The store refused the call, and may refuse it again. */
+  Rejected = "rejected",
   /** No answer: the record may have been replaced, or may be replaced later. */
   Unknown = "unknown",
 }
