Judge who was lost by what was heard before a stall

After a stall of some 400 ms a coordinator took all others for lost, as it had heard none of them meanwhile, and counted all that the last record may cover as spent just now. It recorded that again, so that the next coordinator did the same.

The line 'spending taken over' tells mayLackSpending.

--- a/packages/gateway/src/assigning_role.ts
+++ b/packages/gateway/src/assigning_role.ts
@@ -25,8 +25,13 @@
 
 /** An account that an instance takes over when it begins to assign requests. */
 export interface InheritedAccount {
-  /** This instance became the coordinator of all members that it reaches. */
-  becameCoordinator(): void;
+  /**
+   * This instance became the coordinator of all members that it reaches, or it
+   * was stalled as the coordinator.
+   *
+   * @param ranUntilMs Local time until which it received heartbeats.
+   */
+  becameCoordinator(ranUntilMs: number): void;
   /**
    * This instance assigns requests although it is not the coordinator, which
    * may still be running on the other side of a partition.
@@ -57,6 +62,8 @@
 export class AssigningRole {
   readonly #parts: AssigningRoleParts;
   #isCoordinator = false;
+  /** Local time of the last update. */
+  #updatedAtMs = -Infinity;
   /** Local time of the last assignment that was made without the role. */
   #actedAtMs = -Infinity;
 
@@ -74,6 +81,7 @@
   update(): void {
     const { board, coordinator, clock, log, coordinatorId } = this.#parts;
     const nowMs = clock.nowMs();
+    this.#updatedAtMs = nowMs;
     const hasJoined = nowMs - this.#parts.startedAtMs >= JOINING_MS;
     const isCoordinator = hasJoined &&
       coordinatorId() === board.members.selfId;
@@ -127,7 +135,7 @@
 
   #takeOverAccounts(): void {
     for (const account of this.#parts.accounts) {
-      runIsolated(() => account.becameCoordinator());
+      runIsolated(() => account.becameCoordinator(this.#updatedAtMs));
     }
   }
 }
--- a/packages/gateway/src/spending_recorder.ts
+++ b/packages/gateway/src/spending_recorder.ts
@@ -149,9 +149,12 @@
    * This instance became the coordinator: it continues from the spending in the
    * last heartbeats of its predecessor, and from the records, which it reads
    * before it replaces them.
+   *
+   * @param ranUntilMs Local time until which this instance received heartbeats.
+   * After a stall, silence since then does not tell who was lost.
    */
-  becameCoordinator(): void {
-    this.#takeOver();
+  becameCoordinator(ranUntilMs: number): void {
+    this.#takeOver(ranUntilMs);
     this.#epoch++;
     this.#calledAtMs = undefined;
     this.#row = undefined;
@@ -282,18 +285,18 @@
   }
 
   /** Whether most instances did not live when an account was last received. */
-  #isMostOfFleetNew(): boolean {
+  #isMostOfFleetNew(ranUntilMs: number): boolean {
     const { members } = this.#parts;
     const receivedAtMs = [...this.#received.values()]
       .reduce((last, one) => Math.max(last, one.receivedAtMs), -Infinity);
-    return members.shares.aliveSince(receivedAtMs, this.#nowMs()) <
+    return members.shares.aliveSince(receivedAtMs, ranUntilMs) <
       MIN_KNOWN_SHARE;
   }
 
-  #takeOver(): void {
+  #takeOver(ranUntilMs: number): void {
     const { coordinator, windowMs } = this.#parts;
     const nowMs = this.#nowMs();
-    this.#mayLackSpending = this.#isMostOfFleetNew();
+    this.#mayLackSpending = this.#isMostOfFleetNew(ranUntilMs);
     for (const [coordinatorId, { receivedAtMs }] of this.#received) {
       if (nowMs - receivedAtMs > windowMs) {
         this.#received.delete(coordinatorId);
@@ -371,12 +374,18 @@
     const layers = sums.layers(workspacesOf(records), nowMs);
     coordinator.importSpending({ layers }, nowMs);
     const ageMs = latestAgeMsOf(records);
-    this.#logTakenOver(layers, { from: SpendingSource.Store, ageMs });
+    const from = SpendingSource.Store;
+    this.#logTakenOver(layers, { from, ageMs, mayLackSpending });
   }
 
   #logTakenOver(
     layers: readonly SpendingLayer[],
-    of: { from: SpendingSource; coordinatorId?: string; ageMs: number },
+    of: {
+      from: SpendingSource;
+      coordinatorId?: string;
+      ageMs: number;
+      mayLackSpending?: boolean;
+    },
   ): void {
     this.#parts.log.info(LogPart.Placement, "spending taken over", {
       ...of,
