Identify spending by the process that handed it out

Cause: coordinators pass the spending on that they know, in heartbeats and records, and spending out of a part of the fleet carried only its share. The same spending came back in the accounts of several others and was added each time, and what a coordinator derived from reports came back as a layer for each share that it had had meanwhile. In a large fleet the share changes with each member that is heard again, so that every change of the coordinator multiplied what counted as spent. The class: a quantity without an identity, passed on and added up.

Each layer now carries the process that handed it out; equal layers are merged, also those of records. What a process derived is one layer with a revision, of which the latest counts. Shares are rounded down to few values, so that a process has few layers.

--- a/packages/gateway/src/allotment_across_restarts_test.ts
+++ b/packages/gateway/src/allotment_across_restarts_test.ts
@@ -25,6 +25,12 @@
 const LEAVING_MS = 5000;
 /** Silence of the store after the restart, longer than a failed call takes. */
 const UNREAD_MS = 1200;
+/** Stalls of coordinators, and the time from one to the next. */
+const STALLS = 20;
+const STALL_MS = 500;
+const STALL_INTERVAL_MS = 700;
+/** Time after the last stall until its coordinator's account is settled. */
+const SETTLING_MS = 1000;
 /** Relative to the allotment; operators set it to nearly twice the usual. */
 const USUAL_DEMAND = 0.55;
 const SERIES_SEEDS = [1, 2, 3, 4, 6, 22, 30, 46, 48];
@@ -105,6 +111,23 @@
   assert.is(fleet.refusedCount, 0);
 });
 
+// Guards against refusals for good after a series of changes of the coordinator:
+// accounts that were passed on counted again with each of them.
+test("usual load is served soon after coordinators stalled one after another", async () => {
+  const fleet = new SpendingFleet({ seed: 1, demand: USUAL_DEMAND });
+  await fleet.run(WARM_UP_MS);
+  for (let stall = 0; stall < STALLS; stall++) {
+    fleet.freeze(fleet.coordinatorId, STALL_MS);
+    await fleet.run(STALL_INTERVAL_MS);
+  }
+  await fleet.run(SETTLING_MS);
+  const { requestCount, refusedCount } = fleet;
+  await fleet.run(AFTERWARDS_MS);
+  const refused = fleet.refusedCount - refusedCount;
+  const requested = fleet.requestCount - requestCount;
+  assert.is(refused, 0, `${refused} of ${requested} refused`);
+});
+
 /** Highest spending of a fleet with each seed, across the same disturbance. */
 async function maxSpentOf(
   seeds: readonly number[],
--- a/packages/gateway/src/spending_recorder.ts
+++ b/packages/gateway/src/spending_recorder.ts
@@ -169,7 +169,7 @@
    * what its last heartbeat reported as spent.
    */
   becameActingCoordinator(): void {
-    this.#takeOver();
+    this.#takeOver(this.#nowMs());
     this.#parts.coordinator.setRecording(false);
   }
 
@@ -445,25 +445,6 @@
     }));
 }
 
-/**
- * Adds the layers of one record. What was handed out of the whole is known to
- * several coordinators, and what was handed out of a part only to that of the
- * part.
- */
-function addLayers(
-  sums: SpendingByShare,
-  layers: readonly SpendingLayer[],
-  nowMs: number,
-): void {
-  for (const layer of layers) {
-    if (layer.share === 1) {
-      sums.merge(layer, nowMs);
-    } else {
-      sums.add(layer, nowMs);
-    }
-  }
-}
-
 function aged(
   records: readonly SpendingRecord[],
   elapsedMs: number,
@@ -501,9 +482,10 @@
   for (const record of records) {
     const isLast = mayLackSpending &&
       record.ageMs - latestAgeMs <= MAX_RENEWAL_MS;
-    addLayers(sums, restoredLayers(record, { isLast }), nowMs);
+    restoredLayers(record, { isLast })
+      .forEach((layer) => sums.merge(layer, nowMs));
     for (const { workspace, spent } of isLast ? record.ahead : []) {
-      sums.of(1).insert(workspace, spent, nowMs);
+      sums.of({ share: 1 }).insert(workspace, spent, nowMs);
     }
   }
   return sums;
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -16,7 +16,12 @@
   type SpendingCoverage,
 } from "./recorded_spending.ts";
 import type { ReportedSpending } from "./reported_spending.ts";
-import { SpendingByShare, type SpendingLayer } from "./spending_by_share.ts";
+import {
+  type LayerKey,
+  layerShareOf,
+  SpendingByShare,
+  type SpendingLayer,
+} from "./spending_by_share.ts";
 import { SLICE_MS, type WorkspaceSpending } from "./spending_log.ts";
 
 const MS_PER_S = 1000;
@@ -185,8 +190,18 @@
   /** Cost of requests by workspace that the record does not cover. */
   readonly #wanted = new Map<string, number>();
 
-  /** @param tolerance Amount by which spending may exceed an allotment. */
-  constructor(tolerance: AllotmentTolerance) {
+  /** Identifies the process of this ledger in accounts. */
+  readonly #origin: string;
+  /** Revision of the last layer that was derived from reports. */
+  #revision = 0;
+
+  /**
+   * @param tolerance Amount by which spending may exceed an allotment.
+   * @param origin Identifies the process of this ledger among all that the fleet
+   * had within a window.
+   */
+  constructor(tolerance: AllotmentTolerance, origin = "") {
+    this.#origin = origin;
     this.#tolerance = tolerance;
     this.#windowMs = tolerance.windowMs;
     this.#charged = new SpendingByShare(this.#windowMs);
@@ -254,7 +269,7 @@
       this.#wanted.set(workspace, wanted);
       return { outcome: ChargeOutcome.Unrecorded, retryAfterMs: 0, ...figures };
     }
-    this.#charged.of(share).record(workspace, cost, nowMs);
+    this.#charged.of(this.#layerOf(share)).record(workspace, cost, nowMs);
     return { outcome: ChargeOutcome.Allowed, retryAfterMs: 0, ...figures };
   }
 
@@ -315,10 +330,11 @@
    */
   refund(charge: Charge): void {
     const { workspace, cost, share, chargedAtMs } = charge;
+    const layer = this.#layerOf(share);
     if (chargedAtMs >= this.#takenOverAtMs) {
-      this.#charged.of(share).takeBack(workspace, cost, chargedAtMs);
+      this.#charged.of(layer).takeBack(workspace, cost, chargedAtMs);
     } else {
-      this.#inherited.takeBack(charge, chargedAtMs);
+      this.#inherited.takeBack({ workspace, cost, layer }, chargedAtMs);
     }
   }
 
@@ -475,7 +491,10 @@
       from.layers(workspaces, nowMs)
         .forEach((layer) => all.add(layer, nowMs));
     }
-    const log = all.of(this.#share);
+    const layer = this.#layerOf(this.#share);
+    const log = this.#share < 1
+      ? all.revise({ ...layer, revision: ++this.#revision })
+      : all.of(layer);
     for (const workspace of workspaces) {
       const { unaged, unlisted } = this.#inherited
         .unaccounted(workspace, this.#boundScope(workspace, nowMs));
@@ -485,6 +504,13 @@
     return all.layers(workspaces, nowMs);
   }
 
+  /** Layer of what this ledger hands out of a share. */
+  #layerOf(share: number): LayerKey {
+    return share < 1
+      ? { share: layerShareOf(share), origin: this.#origin }
+      : { share };
+  }
+
   /** Workspaces of which some spending is known, or that want to spend. */
   #knownWorkspaces(nowMs: number): string[] {
     return [
--- a/packages/routing/src/allotment_ledger_test.ts
+++ b/packages/routing/src/allotment_ledger_test.ts
@@ -309,6 +309,58 @@
   assert.is(spendAll(second, scope(3000)), WHOLE_BOUND - 8000);
 });
 
+// Guards against spending that counts once for each share of the fleet at which a
+// coordinator passed it on: it exceeded the bound although hardly any was left.
+test("spending that coordinators pass on counts once", () => {
+  const first = new AllotmentLedger(TOLERANCE, "i1.1");
+  for (const share of [0.25, 0.5, 0.75]) {
+    const of = { cost: 1500, rank: 0, scope: scope(0, { share }) };
+    assert.ok(charge(first, of));
+  }
+  const second = new AllotmentLedger(TOLERANCE, "i2.1");
+  second.takeOver(NOTHING_RECORDED, 0);
+  second.import(first.announcedAccount(0), 0);
+  report(second, 4500, 0);
+  for (const share of [0.55, 0.65, 0.85]) {
+    second.charge("w", ALLOTMENT, {
+      cost: WHOLE_BOUND,
+      rank: 0,
+      scope: scope(0, { share }),
+    });
+    first.import(second.announcedAccount(0), 0);
+  }
+  first.takeOver(NOTHING_RECORDED, 0);
+  first.import(second.announcedAccount(0), 0);
+  const { spent, unknown } = first.charge("w", ALLOTMENT, {
+    cost: WHOLE_BOUND,
+    rank: 0,
+    scope: scope(0),
+  });
+  assert.ok(Math.abs(spent - unknown - 4500) < 1, `${spent - unknown} spent`);
+});
+
+// Guards against overspending after a coordinator derived something, lost its
+// role, and got it back: its next account lacked what only others still knew.
+test("what a coordinator derived stays known when it takes over again", () => {
+  const first = new AllotmentLedger(TOLERANCE, "i1.1");
+  const second = new AllotmentLedger(TOLERANCE, "i2.1");
+  const part = scope(0, { share: 0.75 });
+  const refused = { cost: WHOLE_BOUND, rank: 0, scope: part };
+  first.import({ layers: [] }, 0);
+  report(first, 4800, 0);
+  first.charge("w", ALLOTMENT, refused);
+  second.import(first.announcedAccount(0), 0);
+  first.takeOver(NOTHING_RECORDED, 0);
+  report(first, 0, 0);
+  second.charge("w", ALLOTMENT, refused);
+  first.import(second.announcedAccount(0), 0);
+  first.charge("w", ALLOTMENT, refused);
+  second.takeOver(NOTHING_RECORDED, 0);
+  second.import(first.announcedAccount(0), 0);
+  const { spent, unknown } = second.charge("w", ALLOTMENT, refused);
+  assert.is(Math.round(spent - unknown), 3600);
+});
+
 test("a record that is several seconds old still counts in full", () => {
   const record = { workspace: "w", spent: 900, bySecond: [100, 200, 0, 600] };
   const refilled = refilledHistory(record, 1200);
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -136,7 +136,11 @@
   constructor(board: RoutingBoard, bounds: FleetBounds) {
     this.#board = board;
     this.#bounds = bounds;
-    this.#allotmentLedger = new AllotmentLedger(bounds.allotmentTolerance);
+    const { selfId, selfIncarnation } = board.members;
+    this.#allotmentLedger = new AllotmentLedger(
+      bounds.allotmentTolerance,
+      `${selfId}.${selfIncarnation}`,
+    );
     this.#limiter = new RateLimiter(board.rateLimits);
     this.#takenUpStreams = new TakenUpStreams(board);
     this.#endEvidence = new EndEvidence(board);
--- a/packages/routing/src/inherited_spending.ts
+++ b/packages/routing/src/inherited_spending.ts
@@ -9,7 +9,11 @@
   NOTHING_RECORDED,
   type SpendingCoverage,
 } from "./recorded_spending.ts";
-import { SpendingByShare, type SpendingLayer } from "./spending_by_share.ts";
+import {
+  type LayerKey,
+  SpendingByShare,
+  type SpendingLayer,
+} from "./spending_by_share.ts";
 import type { Slice } from "./spending_log.ts";
 
 /**
@@ -107,19 +111,19 @@
   /**
    * Takes back spending that this instance charged before the takeover.
    *
-   * @param charge Cost units, and the share that they were charged out of.
+   * @param charge Cost units, and the layer that they were charged to.
    * @param chargedAtMs Local time of the charge in milliseconds.
    */
   takeBack(
-    { workspace, cost, share }: {
+    { workspace, cost, layer }: {
       workspace: string;
       cost: number;
-      share: number;
+      layer: LayerKey;
     },
     chargedAtMs: number,
   ): void {
     for (const charges of [this.#charged, this.accounted]) {
-      charges.of(share).takeBack(workspace, cost, chargedAtMs);
+      charges.of(layer).takeBack(workspace, cost, chargedAtMs);
     }
   }
 
--- a/packages/routing/src/peer_messages.ts
+++ b/packages/routing/src/peer_messages.ts
@@ -206,6 +206,8 @@
 /** Validates spending out of a share of the allotments. */
 export const spendingLayerSchema = z.object({
   share: z.number().positive().max(1),
+  origin: z.string().optional(),
+  revision: z.number().optional(),
   spending: z.array(spendingHistorySchema).readonly(),
 });
 
