Count reports of holders for the share that is handed out

Callers were refused with 429 while a coordinator took over in a large fleet. Its share grows with the members that it hears and that follow it, but the reports of all holders counted against each share: 455,006 of a bound of 436,813 at a share of 0.167.

The scope now says which share of the fleet the holders are whose reports count, and of what they report, the share that is handed out counts. All parts together still count everything.

Evidence: the test of the ledger failed before (4,000 in place of 2,000).

--- a/packages/gateway/src/coordinator_selector.ts
+++ b/packages/gateway/src/coordinator_selector.ts
@@ -34,8 +34,8 @@
   readonly coordinator: MemberRecord;
   /** Share of the fleet's allotments that this instance hands out. */
   readonly share: number;
-  /** Whether the share is that of all holders that report to this instance. */
-  readonly coversReports: boolean;
+  /** Share of the fleet that the holders are whose reports count; or 0. */
+  readonly reportedShare: number;
 }
 
 /** Selects the coordinator, and again as members join, leave or fall silent. */
@@ -44,6 +44,7 @@
   readonly #startedAtMs: number;
   readonly #spendingReportedAtMs: (instanceId: string) => number;
   readonly #contactedAtMs: (instanceId: string) => number;
+  readonly #countsSpendingOf: (instanceId: string) => boolean;
   readonly #skippedUntilMs = new Map<string, number>();
   #selection?: Selection;
   /** Local time since which this instance has been the agreed coordinator. */
@@ -53,7 +54,8 @@
    * @param members The members of the fleet.
    * @param of `startedAtMs` is the local time at which this instance started;
    * `spendingReportedAtMs` returns the local
-   * time of a member's last report of the spending through it.
+   * time of a member's last report of the spending through it, and
+   * `countsSpendingOf` whether what it reported counts.
    */
   constructor(
     members: MemberView,
@@ -61,12 +63,14 @@
       startedAtMs: number;
       spendingReportedAtMs: (instanceId: string) => number;
       contactedAtMs: (instanceId: string) => number;
+      countsSpendingOf: (instanceId: string) => boolean;
     },
   ) {
     this.#members = members;
     this.#startedAtMs = of.startedAtMs;
     this.#spendingReportedAtMs = of.spendingReportedAtMs;
     this.#contactedAtMs = of.contactedAtMs;
+    this.#countsSpendingOf = of.countsSpendingOf;
   }
 
   /**
@@ -87,10 +91,10 @@
    * instance.
    */
   scope(nowMs: number): PlacementScope {
-    const { share, coversReports } = this.#selectionAt(nowMs);
+    const { share, reportedShare } = this.#selectionAt(nowMs);
     return {
       share,
-      coversReports,
+      reportedShare,
       uptimeMs: nowMs - this.#startedAtMs,
       nowMs,
     };
@@ -122,8 +126,7 @@
         revision,
         coordinator: this.#selectResponsive(agreed, nowMs),
         share: this.#share(agreed, nowMs),
-        coversReports: agreed.instanceId === this.#members.selfId ||
-          !this.#members.isFullMesh,
+        reportedShare: this.#reportedShare(agreed, nowMs),
       };
     }
     return this.#selection;
@@ -165,6 +168,18 @@
         .directlyCoordinated(nowMs, this.#spendingReportedAtMs);
   }
 
+  /** Share of the holders whose reports are about what is handed out here. */
+  #reportedShare(agreed: MemberRecord, nowMs: number): number {
+    const countsReports = agreed.instanceId === this.#members.selfId ||
+      !this.#members.isFullMesh;
+    return countsReports
+      ? this.#members.shares.of(
+        nowMs,
+        this.#countsSpendingOf,
+      )
+      : 0;
+  }
+
   /**
    * Share of the holders that ask this instance in place of a coordinator that
    * does not respond. Each asks one instance only, so shares of several such
--- a/packages/gateway/src/placement_client.ts
+++ b/packages/gateway/src/placement_client.ts
@@ -125,6 +125,7 @@
       startedAtMs,
       spendingReportedAtMs: (id) => parts.coordinator.spendingReportedAtMs(id),
       contactedAtMs: (id) => parts.coordinator.contactedAtMs(id),
+      countsSpendingOf: (id) => parts.coordinator.countsSpendingOf(id),
     });
     this.#failureDetector = new CoordinatorFailureDetector(board.members);
     this.#service = new PlacementService({
--- a/packages/measure/src/placement_costs.ts
+++ b/packages/measure/src/placement_costs.ts
@@ -209,7 +209,7 @@
     this.#waitingByAskId.set(ask.askId, ask);
     const scope = {
       share: 1,
-      coversReports: true,
+      reportedShare: 1,
       uptimeMs: 60_000,
       nowMs: this.#queue.nowMs,
     };
--- a/packages/routing/src/admission_forecast_test.ts
+++ b/packages/routing/src/admission_forecast_test.ts
@@ -102,7 +102,7 @@
       this.#unreported.set(ask.rank, count + 1);
       return;
     }
-    const scope = { share: 1, coversReports: true, uptimeMs: Infinity, nowMs };
+    const scope = { share: 1, reportedShare: 1, uptimeMs: Infinity, nowMs };
     this.#apply(this.#coordinator.ask(ask, scope), nowMs);
   }
 
--- a/packages/routing/src/allotment_ledger.ts
+++ b/packages/routing/src/allotment_ledger.ts
@@ -92,8 +92,10 @@
 export interface LedgerScope {
   /** Share of the fleet's allotments, greater than 0 and at most 1. */
   readonly share: number;
-  /** Whether the share is that of all holders that report. */
-  readonly coversReports: boolean;
+  /**
+   * Share of the fleet that the holders are whose reports count; 0 if none do.
+   */
+  readonly reportedShare: number;
   readonly nowMs: number;
 }
 
@@ -174,7 +176,7 @@
   readonly #windowBounds = new Map<string, number>();
   /** Part of the fleet's allotments that was handed out at the last charge. */
   #share = 1;
-  #coversReports = true;
+  #reportedShare = 1;
   #takenOverAtMs = -Infinity;
   /**
    * Whether this instance records spending and the platform's store answers, so
@@ -240,7 +242,7 @@
     const { cost, rank, scope } = of;
     const { nowMs, share } = scope;
     this.#share = share;
-    this.#coversReports = scope.coversReports;
+    this.#reportedShare = scope.reportedShare;
     const windowBound = this.#windowBound(allotment);
     this.#windowBounds.set(workspace, windowBound);
     const spent = this.#spent(workspace, nowMs);
@@ -539,8 +541,8 @@
 
   #boundScope(workspace: string, nowMs: number): BoundScope {
     const windowBound = this.#windowBounds.get(workspace) ?? 0;
-    const coversReports = this.#coversReports;
-    return { windowBound, share: this.#share, coversReports, nowMs };
+    const reportedShare = this.#reportedShare;
+    return { windowBound, share: this.#share, reportedShare, nowMs };
   }
 
   #windowBound(allotment: Allotment): number {
--- a/packages/routing/src/allotment_ledger_test.ts
+++ b/packages/routing/src/allotment_ledger_test.ts
@@ -39,7 +39,7 @@
 }
 
 function scope(nowMs: number, over: Partial<LedgerScope> = {}): LedgerScope {
-  return { share: 1, coversReports: true, nowMs, ...over };
+  return { share: 1, reportedShare: 1, nowMs, ...over };
 }
 
 /** Charges a request, once the store has recorded what the ledger asks for. */
@@ -361,6 +361,17 @@
   assert.is(Math.round(spent - unknown), 3600);
 });
 
+// Guards against refusals by a coordinator that is not yet responsible for all
+// holders whose reports it has.
+test("of what more holders report, the share that is handed out counts", () => {
+  const ledger = new AllotmentLedger(TOLERANCE, "i1.1");
+  report(ledger, 4000, 0);
+  const over = scope(0, { share: 0.25, reportedShare: 0.5 });
+  const { spent } = ledger
+    .charge("w", ALLOTMENT, { cost: 1, rank: 0, scope: over });
+  assert.is(spent, 2000);
+});
+
 test("a record that is several seconds old still counts in full", () => {
   const record = { workspace: "w", spent: 900, bySecond: [100, 200, 0, 600] };
   const refilled = refilledHistory(record, 1200);
--- a/packages/routing/src/backlog_order_test.ts
+++ b/packages/routing/src/backlog_order_test.ts
@@ -9,7 +9,7 @@
   retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
   allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
 };
-const SCOPE = { share: 1, coversReports: true, uptimeMs: Infinity };
+const SCOPE = { share: 1, reportedShare: 1, uptimeMs: Infinity };
 /** Time that work takes at a target in relation to the baseline. */
 const SPEEDS = [0.55, 1, 2.8];
 const TARGET_IDS = Array.from({ length: 12 }, (_, index) => `t${index}`);
--- a/packages/routing/src/coordinator.ts
+++ b/packages/routing/src/coordinator.ts
@@ -434,11 +434,11 @@
     this.#board.targetLoads.evictExpired(nowMs);
     this.#limiter.evictUnlimited();
     this.#unusable.evictExpired(this.#board.targets, nowMs);
+    this.#allotmentLedger.reported.evictExpired(nowMs);
     const decisions = [
       ...this.#resolveWaiting(nowMs),
       ...this.#chargeUnrecorded(nowMs),
     ];
-    this.#allotmentLedger.reported.evictExpired(nowMs);
     for (const [holderId, contactAtMs] of this.#lastContactAtMs) {
       if (nowMs - contactAtMs > HOLDER_TIMEOUT_MS) {
         this.#lastContactAtMs.delete(holderId);
@@ -697,6 +697,14 @@
     return this.#spendingReportedAtMs.get(holderId) ?? -Infinity;
   }
 
+  /**
+   * @param holderId Id of the holder.
+   * @returns Whether spending that it reported counts here.
+   */
+  countsSpendingOf(holderId: string): boolean {
+    return this.#allotmentLedger.reported.covers(holderId);
+  }
+
   /**
    * Drops all asks, after a pause of this process in which the holders turned
    * to another coordinator.
--- a/packages/routing/src/coordinator_test.ts
+++ b/packages/routing/src/coordinator_test.ts
@@ -19,7 +19,7 @@
 }
 
 function scope(nowMs: number) {
-  return { share: 1, coversReports: true, uptimeMs: Infinity, nowMs };
+  return { share: 1, reportedShare: 1, uptimeMs: Infinity, nowMs };
 }
 
 /** Lets the spending of workspace `w` be recorded up to an amount. */
--- a/packages/routing/src/crash_suspects_test.ts
+++ b/packages/routing/src/crash_suspects_test.ts
@@ -15,7 +15,7 @@
 };
 
 function scope(nowMs: number) {
-  return { share: 1, coversReports: true, uptimeMs: Infinity, nowMs };
+  return { share: 1, reportedShare: 1, uptimeMs: Infinity, nowMs };
 }
 
 /** A request that ended two targets. */
--- a/packages/routing/src/inherited_spending.ts
+++ b/packages/routing/src/inherited_spending.ts
@@ -45,11 +45,11 @@
   /** Share of the fleet's allotments, greater than 0 and at most 1. */
   readonly share: number;
   /**
-   * Whether the share is that of all holders that report. An instance that acts
-   * for a silent coordinator has a smaller one, of which the reports tell
-   * nothing.
+   * Share of the fleet that the holders are whose reports count; 0 if none do.
+   * An instance that acts for a silent coordinator in a small fleet hands out a
+   * part of which the reports tell nothing.
    */
-  readonly coversReports: boolean;
+  readonly reportedShare: number;
   readonly nowMs: number;
 }
 
@@ -242,11 +242,15 @@
     );
   }
 
+  /** Of what more holders report, the share that is handed out here counts. */
   #known(workspace: string, scope: BoundScope): number {
-    const { share, coversReports, nowMs } = scope;
+    const { share, reportedShare, nowMs } = scope;
     const accounted = this.accounted.spentOutOf(workspace, share, nowMs);
-    return coversReports
-      ? Math.max(accounted, this.reported.chargedElsewhere(workspace, nowMs))
-      : accounted;
+    if (reportedShare === 0) {
+      return accounted;
+    }
+    const reported = this.reported.chargedElsewhere(workspace, nowMs) *
+      Math.min(1, share / reportedShare);
+    return Math.max(accounted, reported);
   }
 }
--- a/packages/routing/src/own_domain_rule_test.ts
+++ b/packages/routing/src/own_domain_rule_test.ts
@@ -14,7 +14,7 @@
   retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
   allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
 };
-const SCOPE = { share: 1, coversReports: true, uptimeMs: Infinity };
+const SCOPE = { share: 1, reportedShare: 1, uptimeMs: Infinity };
 const DOMAINS = ["a", "b", "c"];
 const SPEEDS = [0.55, 1, 2.8];
 const TARGET_IDS = Array.from({ length: 60 }, (_, index) => `t${index}`);
--- a/packages/routing/src/rejection_limiter_test.ts
+++ b/packages/routing/src/rejection_limiter_test.ts
@@ -65,7 +65,7 @@
     }
   };
   for (let nowMs = 0; nowMs < LENGTH_MS; nowMs++) {
-    const scope = { share: 1, coversReports: true, uptimeMs: Infinity, nowMs };
+    const scope = { share: 1, reportedShare: 1, uptimeMs: Infinity, nowMs };
     if (nowMs % (LENGTH_MS / ASKS) === 0) {
       place(coordinator.ask(askOf(`a${nowMs}`), scope), nowMs);
     }
@@ -90,7 +90,7 @@
   coordinator.ended(endOf("earlier", "t1", { maxRejectionsPerS: 1 }), 0);
   const scope = {
     share: 1,
-    coversReports: true,
+    reportedShare: 1,
     uptimeMs: Infinity,
     nowMs: 10,
   };
--- a/packages/routing/src/taken_up_streams_test.ts
+++ b/packages/routing/src/taken_up_streams_test.ts
@@ -52,14 +52,14 @@
       takesUp: true,
       ...of,
     });
-    const scope = { share: 1, coversReports: true, uptimeMs: 1e9, nowMs };
+    const scope = { share: 1, reportedShare: 1, uptimeMs: 1e9, nowMs };
     return resultOf(this.coordinator.ask(ask, scope));
   }
 }
 
 test("a stream that is taken up goes on at the version that began it", () => {
   const { coordinator, board } = new TwoVersions();
-  const scope = { share: 1, coversReports: true, uptimeMs: 1e9, nowMs: 0 };
+  const scope = { share: 1, reportedShare: 1, uptimeMs: 1e9, nowMs: 0 };
   const began = [1, 2, 3].map((streamKey) => {
     const askId = `begins-${streamKey}`;
     const decisions = coordinator.ask(askOf(askId, { streamKey }), scope);
@@ -93,7 +93,7 @@
 // Guards against refusing callers on days with one version.
 test("an unknown stream goes on while only one version may have begun it", () => {
   const single = new Coordinator(boardOf(["t1"]), BOUNDS);
-  const scope = { share: 1, coversReports: true, uptimeMs: 1e9, nowMs: 0 };
+  const scope = { share: 1, reportedShare: 1, uptimeMs: 1e9, nowMs: 0 };
   const ask = askOf("a1", { streamKey: 9, takesUp: true });
   assert.is(resultOf(single.ask(ask, scope)), "t1");
 });
@@ -121,7 +121,7 @@
   const coordinator = new Coordinator(board, BOUNDS);
   const { versionCoverage } = board;
   const takeUp = (askId: string, nowMs: number) => {
-    const scope = { share: 1, coversReports: true, uptimeMs: 1e9, nowMs };
+    const scope = { share: 1, reportedShare: 1, uptimeMs: 1e9, nowMs };
     const ask = askOf(askId, { streamKey: 9, takesUp: true });
     return resultOf(coordinator.ask(ask, scope));
   };
@@ -152,7 +152,7 @@
   const coordinator = new Coordinator(board, BOUNDS);
   coordinator.setRole(true, 0);
   const takeUp = (askId: string, nowMs: number) => {
-    const scope = { share: 1, coversReports: true, uptimeMs: 1e9, nowMs };
+    const scope = { share: 1, reportedShare: 1, uptimeMs: 1e9, nowMs };
     const ask = askOf(askId, { streamKey: 9, takesUp: true });
     return resultOf(coordinator.ask(ask, scope));
   };
@@ -193,7 +193,7 @@
     resultOf(
       coordinator.ask(askOf(askId, { streamKey }), {
         share: 1,
-        coversReports: true,
+        reportedShare: 1,
         uptimeMs: 1e9,
         nowMs,
       }),
@@ -255,7 +255,7 @@
   );
   const scope = {
     share: 1,
-    coversReports: true,
+    reportedShare: 1,
     uptimeMs: 1e9,
     nowMs: SETTLED_MS,
   };
--- a/packages/routing/src/target_loads_placement_test.ts
+++ b/packages/routing/src/target_loads_placement_test.ts
@@ -17,7 +17,7 @@
 const FIRST_MS = new LatencyModels().of("t1").firstEventMs(500, 0);
 
 function scope(nowMs: number) {
-  return { share: 1, coversReports: true, uptimeMs: Infinity, nowMs };
+  return { share: 1, reportedShare: 1, uptimeMs: Infinity, nowMs };
 }
 
 function loadOf(slowdownRatio: number, waiting = 0) {
--- a/packages/routing/src/unusable_targets_test.ts
+++ b/packages/routing/src/unusable_targets_test.ts
@@ -10,7 +10,7 @@
   retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
   allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
 };
-const SCOPE = { share: 1, coversReports: true, uptimeMs: Infinity };
+const SCOPE = { share: 1, reportedShare: 1, uptimeMs: Infinity };
 const STEP_MS = 5;
 const SLOT_MS = 300;
 const DOMAINS = ["a", "b", "c"];
--- a/packages/routing/src/version_placement_test.ts
+++ b/packages/routing/src/version_placement_test.ts
@@ -12,7 +12,7 @@
   retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
   allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
 };
-const SCOPE = { share: 1, coversReports: true, uptimeMs: Infinity, nowMs: 0 };
+const SCOPE = { share: 1, reportedShare: 1, uptimeMs: Infinity, nowMs: 0 };
 
 /** A board with targets of two slots each, named after their versions. */
 function boardWith(versions: Readonly<Record<string, string>>): RoutingBoard {
--- a/packages/routing/src/workspace_shares_test.ts
+++ b/packages/routing/src/workspace_shares_test.ts
@@ -38,7 +38,7 @@
     retryBudget: { ratio: 0.2, slack: 5, windowS: 10 },
     allotmentTolerance: { windowMs: 8000, overage: 0, slack: 0 },
   });
-  const scope = { share: 1, coversReports: true, uptimeMs: Infinity };
+  const scope = { share: 1, reportedShare: 1, uptimeMs: Infinity };
   const works = new Map<string, Work>();
   const running = new Map<string, { endsAtMs: number; targetId: string }>();
   const take = (decisions: readonly AskDecision[], nowMs: number) => {
