Count all reports for each part of a small fleet

In a fleet of eight, one holder may have spent most of a workspace's allotment, so that a share of the sum of all reports is not what its part has spent.

Reports are divided by share only in fleets with more instances than a full mesh has; what was kept for a holder that is gone stays until its window ends, and what the same process reports is deducted from it.

--- a/packages/gateway/src/coordinator_selector.ts
+++ b/packages/gateway/src/coordinator_selector.ts
@@ -121,12 +121,13 @@
       revision !== this.#selection.revision
     ) {
       const agreed = this.#members.coordinator(nowMs, NO_SKIPPED_IDS);
+      const share = this.#share(agreed, nowMs);
       this.#selection = {
         validUntilMs: nowMs + SELECTION_TTL_MS,
         revision,
         coordinator: this.#selectResponsive(agreed, nowMs),
-        share: this.#share(agreed, nowMs),
-        reportedShare: this.#reportedShare(agreed, nowMs),
+        share,
+        reportedShare: this.#reportedShare(agreed, share, nowMs),
       };
     }
     return this.#selection;
@@ -168,16 +169,17 @@
         .directlyCoordinated(nowMs, this.#spendingReportedAtMs);
   }
 
-  /** Share of the holders whose reports are about what is handed out here. */
-  #reportedShare(agreed: MemberRecord, nowMs: number): number {
-    const countsReports = agreed.instanceId === this.#members.selfId ||
-      !this.#members.isFullMesh;
-    return countsReports
-      ? this.#members.shares.of(
-        nowMs,
-        this.#countsSpendingOf,
-      )
-      : 0;
+  /**
+   * Share of the holders whose reports are about what is handed out here. In a
+   * large fleet, each part is of many holders and has spent its share of the sum.
+   * In a small one, one holder may have spent most of it, so that all reports
+   * count for each part.
+   */
+  #reportedShare(agreed: MemberRecord, share: number, nowMs: number): number {
+    if (!this.#members.isFullMesh) {
+      return this.#members.shares.of(nowMs, this.#countsSpendingOf);
+    }
+    return agreed.instanceId === this.#members.selfId ? share : 0;
   }
 
   /**
--- a/packages/routing/src/reported_spending.ts
+++ b/packages/routing/src/reported_spending.ts
@@ -92,10 +92,6 @@
     }
     const holder = this.#holder(holderId);
     holder.incarnation = incarnation;
-    if (this.#departed.get(holderId)?.incarnation === incarnation) {
-      // It is back, and its report contains what was kept for it.
-      this.#departed.delete(holderId);
-    }
     // Charges too recent to be in any report must not be subtracted from
     // spending that was charged elsewhere.
     const reportedUntilMs = nowMs < this.#incompleteUntilMs
@@ -121,13 +117,7 @@
   holderGone(holderId: string, nowMs: number): void {
     const holder = this.#byHolder.get(holderId);
     if (holder !== undefined && holder.chargedElsewhere.size > 0) {
-      const spending = this.#departed.get(holderId)?.spending ??
-        new SpendingLog(this.#windowMs);
-      for (const [workspace, cost] of holder.chargedElsewhere) {
-        spending.record(workspace, cost, nowMs);
-      }
-      this.#departed
-        .set(holderId, { incarnation: holder.incarnation, spending });
+      this.#keepDeparted(holderId, holder, nowMs);
     }
     this.#replace(holderId, new Map());
     this.#byHolder.delete(holderId);
@@ -163,8 +153,12 @@
    */
   chargedElsewhere(workspace: string, nowMs: number): number {
     let departed = 0;
-    for (const { spending } of this.#departed.values()) {
-      departed += spending.spent(workspace, nowMs);
+    for (const [holderId, { incarnation, spending }] of this.#departed) {
+      const holder = this.#byHolder.get(holderId);
+      const reported = holder?.incarnation === incarnation
+        ? holder?.chargedElsewhere.get(workspace) ?? 0
+        : 0;
+      departed += Math.max(0, spending.spent(workspace, nowMs) - reported);
     }
     return (this.#totals.get(workspace) ?? 0) + departed;
   }
@@ -196,6 +190,25 @@
     return [...this.#totals.keys()];
   }
 
+  /**
+   * Keeps what was spent through a holder. If the same process was gone before,
+   * both amounts are of the same spending.
+   */
+  #keepDeparted(
+    holderId: string,
+    { incarnation, chargedElsewhere }: HolderSpending,
+    nowMs: number,
+  ): void {
+    const spending = this.#departed.get(holderId)?.spending ??
+      new SpendingLog(this.#windowMs);
+    const isSame = this.#departed.get(holderId)?.incarnation === incarnation;
+    for (const [workspace, cost] of chargedElsewhere) {
+      const kept = isSame ? spending.spent(workspace, nowMs) : 0;
+      spending.record(workspace, Math.max(0, cost - kept), nowMs);
+    }
+    this.#departed.set(holderId, { incarnation, spending });
+  }
+
   #replace(holderId: string, chargedElsewhere: Map<string, number>): void {
     const holder = this.#byHolder.get(holderId);
     if (holder === undefined) {
