Take a list from a peer for that of the peer's version

The same class as lists that lack changes: a list that an instance fetches from a peer while it does not reach the store became that of its newest row. The peer may know single rows that are newer than the version up to which it has all.

Evidence: found by reading; the test failed before (9 in place of 4).

--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -134,12 +134,7 @@
       kind: SnapshotKind.Targets,
       schema: targetChangesSchema,
       minIntervalMs: PEER_TARGETS_INTERVAL_MS,
-      onFetched: (changes) => {
-        this.#hasTargets = true;
-        this.targetsChanged(changes);
-        const { targets } = parts.board;
-        targets.version = Math.max(targets.version, this.#fetchedVersion);
-      },
+      onFetched: (changes) => this.#targetsFetched(changes),
     });
   }
 
@@ -499,13 +494,32 @@
    */
   #applyTargetNews(
     { targetNews, targetNewsSince = Infinity, targetsVersion }: Heartbeat,
+  ): void {
+    const isAll = this.#hasTargets &&
+      this.#parts.board.targets.version >= targetNewsSince;
+    this.#applyFromPeer(targetNews, isAll ? targetsVersion : 0);
+  }
+
+  /** A peer may know some changes that are newer than its version. */
+  #targetsFetched(changes: readonly TargetRowChange[]): void {
+    this.#hasTargets = true;
+    this.#applyFromPeer(changes, this.#fetchedVersion);
+  }
+
+  /**
+   * Applies changes that another instance reports.
+   *
+   * @param changes The changes.
+   * @param completeVersion Version up to which the list lacks no change then.
+   */
+  #applyFromPeer(
+    changes: readonly TargetRowChange[],
+    completeVersion: number,
   ): void {
     const { board: { targets }, clock } = this.#parts;
     const listVersion = targets.version;
-    this.#targetsUpdated(targets.apply(targetNews, clock.nowMs()));
-    targets.version = this.#hasTargets && listVersion >= targetNewsSince
-      ? Math.max(listVersion, targetsVersion)
-      : listVersion;
+    this.#targetsUpdated(targets.apply(changes, clock.nowMs()));
+    targets.version = Math.max(listVersion, completeVersion);
   }
 
   /**
--- a/packages/gateway/src/fleet_state_sync_test.ts
+++ b/packages/gateway/src/fleet_state_sync_test.ts
@@ -2,6 +2,7 @@
 import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
 import { MessageKind } from "@chestnuthatch/routing/peer_messages";
 import { boardOf, memberOf } from "@chestnuthatch/routing/routing_test_support";
+import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { TargetRowChange } from "@chestnuthatch/routing/target_directory";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -10,6 +11,7 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Heartbeat } from "./heartbeat_exchange.ts";
 import type { Clock } from "./ports.ts";
+import { SnapshotServer } from "./snapshot_server.ts";
 
 function heartbeatOf(targetsVersion: number): Heartbeat {
   return {
@@ -38,17 +40,24 @@
   return { targetId, rowVersion, entry };
 }
 
+/** Board of the last created sync. */
+let board: RoutingBoard;
+
 /** Suspects that the last created sync has received. */
 let received: readonly SuspectUpdate[] = [];
 
-function syncOf(clock: Clock): FleetStateSync {
+function syncOf(
+  clock: Clock,
+  of: { snapshotPort?: number; onTargetsChanged?: () => void } = {},
+): FleetStateSync {
   const discarded = new Writable({ write: (_chunk, _code, done) => done() });
+  board = boardOf(["t1", "t2"]);
   return new FleetStateSync({
-    board: boardOf(["t1", "t2"]),
+    board,
     clock,
     log: new EventLog(clock, "i1", discarded),
     metrics: new GatewayMetrics(),
-    snapshotPort: 1,
+    snapshotPort: of.snapshotPort ?? 1,
     configurationApplyMs: () => 2000,
     followsStore: () => false,
     rollouts: {
@@ -59,7 +68,7 @@
       recordRead: () => {},
       storeRestored: () => {},
     },
-    onTargetsChanged: () => {},
+    onTargetsChanged: of.onTargetsChanged ?? (() => {}),
     onSpendingRead: () => {},
     onSuspectsReceived: (updates) => received = updates,
     onStreamsRead: () => {},
@@ -125,6 +134,27 @@
   assert.is(sync.targetsLagMs(), 0);
 });
 
+// Guards against a list that is taken for complete up to the newest row of the
+// peer that it was fetched from, which may lack others.
+test("a list that was fetched from a peer is that of the peer's version", async () => {
+  const server = new SnapshotServer(() => [rowOf("t1", 2), rowOf("t9", 9)]);
+  await server.open("127.0.0.1:0");
+  try {
+    await new Promise<void>((resolve) => {
+      const sync = syncOf({ nowMs: () => 0 }, {
+        snapshotPort: server.port,
+        onTargetsChanged: resolve,
+      });
+      const from = memberOf("i2", { address: "127.0.0.1:7000" });
+      sync.heartbeatReceived({ ...heartbeatOf(4), from });
+    });
+    await Promise.resolve();
+    assert.is(board.targets.version, 4);
+  } finally {
+    server.close();
+  }
+});
+
 // Guards against a list that is never read while it changes again and again.
 test("a list that changes all the time is outdated since the first change", () => {
   let nowMs = 0;
