--- a/packages/gateway/src/fleet_state_sync.ts
+++ b/packages/gateway/src/fleet_state_sync.ts
@@ -22,7 +22,7 @@
   ConfigurationSync,
 } from "./configuration_sync.ts";
 import { LogPart } from "./event_log.ts";
-import type { Heartbeat } from "./heartbeat_exchange.ts";
+import type { Heartbeat, RecentTargetChanges } from "./heartbeat_exchange.ts";
 import { SnapshotKind } from "./snapshot_server.ts";
 import { PeerFetch } from "./peer_fetch.ts";
 import type {
@@ -42,13 +42,6 @@
 /** Time for which heartbeats repeat a change of a target. */
 const TARGET_CHANGE_LIFETIME_MS = 2500;
 
-/** Changes of targets that an instance announces. */
-export interface RecentTargetChanges {
-  readonly changes: readonly TargetRowChange[];
-  /** They are all changes since this version of the list. */
-  readonly sinceVersion: number;
-}
-
 /** Receives roll-out orders, and the progress of roll-outs. */
 export interface RolloutSink {
   /** The operators ordered a roll-out. */
--- a/packages/gateway/src/heartbeat_exchange.ts
+++ b/packages/gateway/src/heartbeat_exchange.ts
@@ -23,7 +23,6 @@
 import type { RateLimitUpdate } from "@chestnuthatch/routing/target_rate_limits";
 import type { TargetRowChange } from "@chestnuthatch/routing/target_directory";
 import { type EventLog, LogPart } from "./event_log.ts";
-import type { RecentTargetChanges } from "./fleet_state_sync.ts";
 import type { Clock } from "./ports.ts";
 import { Rotation } from "./rotation.ts";
 
@@ -66,6 +65,13 @@
   { kind: MessageKind.Heartbeat }
 >;
 
+/** Changes of targets that an instance announces. */
+export interface RecentTargetChanges {
+  readonly changes: readonly TargetRowChange[];
+  /** They are all changes since this version of the list. */
+  readonly sinceVersion: number;
+}
+
 /** Dependencies of {@link HeartbeatExchange}. */
 export interface HeartbeatParts {
   readonly board: RoutingBoard;
