--- a/packages/gateway/src/heartbeat_exchange.ts
+++ b/packages/gateway/src/heartbeat_exchange.ts
@@ -16,6 +16,7 @@
 import type { RoutingBoard } from "@chestnuthatch/routing/routing_board";
 import type { StreamOriginGroup } from "@chestnuthatch/routing/stream_origins";
 import type { SuspectUpdate } from "@chestnuthatch/routing/crash_suspects";
+import { mapLayers } from "@chestnuthatch/routing/spending_by_share";
 import {
   roundedUp,
   type WorkspaceSpending,
@@ -330,10 +331,7 @@
       return {};
     }
     const { layers, recorded, share } = account;
-    const rounded = layers.map((layer) => ({
-      ...layer,
-      spending: layer.spending.map(roundedUp),
-    }));
+    const rounded = mapLayers(layers, roundedUp);
     const partSpending = rounded.filter((layer) => layer.share < 1);
     return {
       spending: rounded.find((layer) => layer.share === 1)?.spending ?? [],
--- a/packages/gateway/src/spending_recorder.ts
+++ b/packages/gateway/src/spending_recorder.ts
@@ -7,7 +7,6 @@
 import type {
   AnnouncedAccount,
   RecordedAccount,
-  SpendingAccount,
 } from "@chestnuthatch/routing/allotment_ledger";
 import type { MemberView } from "@chestnuthatch/routing/member_view";
 import type { Coordinator } from "@chestnuthatch/routing/coordinator";
@@ -16,13 +15,13 @@
   type SpendingCoverage,
 } from "@chestnuthatch/routing/recorded_spending";
 import {
+  mapLayers,
   SpendingByShare,
   type SpendingLayer,
 } from "@chestnuthatch/routing/spending_by_share";
 import {
   agedHistory,
   refilledHistory,
-  type SpendingHistory,
 } from "@chestnuthatch/routing/spending_log";
 import type { InheritedAccount } from "./assigning_role.ts";
 import { type EventLog, LogPart } from "./event_log.ts";
@@ -305,7 +304,10 @@
     coordinator.takeOverSpending(this.#knownCoverage(), nowMs);
     for (const [coordinatorId, account] of this.#received) {
       const ageMs = nowMs - account.receivedAtMs;
-      const layers = mapped(account, (one) => agedHistory(one, ageMs));
+      const layers = mapLayers(
+        account.layers,
+        (one) => agedHistory(one, ageMs),
+      );
       coordinator.importSpending({ layers }, nowMs);
       const from = SpendingSource.Heartbeat;
       this.#logTakenOver(layers, { from, coordinatorId, ageMs });
@@ -434,11 +436,11 @@
 ): SpendingLayer[] {
   const { ageMs } = record;
   if (!isLast) {
-    return mapped(record, (history) => agedHistory(history, ageMs));
+    return mapLayers(record.layers, (history) => agedHistory(history, ageMs));
   }
   return ageMs <= MAX_FRESH_RECORD_AGE_MS
-    ? mapped(record, (history) => refilledHistory(history, ageMs))
-    : mapped(record, ({ workspace, spent }) => ({
+    ? mapLayers(record.layers, (history) => refilledHistory(history, ageMs))
+    : mapLayers(record.layers, ({ workspace, spent }) => ({
       workspace,
       spent,
       bySecond: [spent],
@@ -453,14 +455,6 @@
     .map((record) => ({ ...record, ageMs: record.ageMs + elapsedMs }));
 }
 
-function mapped(
-  { layers }: SpendingAccount,
-  change: (history: SpendingHistory) => SpendingHistory,
-): SpendingLayer[] {
-  return layers
-    .map((layer) => ({ ...layer, spending: layer.spending.map(change) }));
-}
-
 function workspacesOf(accounts: readonly RecordedAccount[]): string[] {
   const names = accounts.flatMap(({ layers, ahead }) =>
     [
--- a/packages/routing/src/reported_spending.ts
+++ b/packages/routing/src/reported_spending.ts
@@ -199,9 +199,9 @@
     { incarnation, chargedElsewhere }: HolderSpending,
     nowMs: number,
   ): void {
-    const spending = this.#departed.get(holderId)?.spending ??
-      new SpendingLog(this.#windowMs);
-    const isSame = this.#departed.get(holderId)?.incarnation === incarnation;
+    const departed = this.#departed.get(holderId);
+    const spending = departed?.spending ?? new SpendingLog(this.#windowMs);
+    const isSame = departed?.incarnation === incarnation;
     for (const [workspace, cost] of chargedElsewhere) {
       const kept = isSame ? spending.spent(workspace, nowMs) : 0;
       spending.record(workspace, Math.max(0, cost - kept), nowMs);
--- a/packages/routing/src/spending_by_share.ts
+++ b/packages/routing/src/spending_by_share.ts
@@ -55,6 +55,21 @@
   return Math.max(MIN_LAYER_SHARE, rounded);
 }
 
+/**
+ * Changes the spending of each workspace in layers.
+ *
+ * @param layers The layers.
+ * @param change Returns the changed spending of a workspace.
+ * @returns New layers with the changed spending.
+ */
+export function mapLayers(
+  layers: readonly SpendingLayer[],
+  change: (history: SpendingHistory) => SpendingHistory,
+): SpendingLayer[] {
+  return layers
+    .map((layer) => ({ ...layer, spending: layer.spending.map(change) }));
+}
+
 /** What tells one layer from another. */
 export type LayerKey = Omit<SpendingLayer, "spending">;
 
